Lay out the package, the ports and the message registry

Cause: the repository was empty; modules written side by side need one vocabulary first. Change: layers transport, coordination, state, protocol (imports point downwards, checked by a test), ports to the platform as typing.Protocol, outcomes as values, a registry of messages, settings with every fault named, an in-memory store with injectable faults and a manual clock. Conclusion: ready for the thin path; no daemon runs yet.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run with ``python -m benchmarks NAME --json``."""
--- /dev/null
+++ b/src/damaskdeck/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: membership, ownership, routing, admission and placement."""
--- /dev/null
+++ b/src/damaskdeck/defaults.py
@@ -0,0 +1,35 @@
+"""Default values, in one place; times are ``timedelta``."""
+
+from datetime import timedelta
+
+# Peers and membership.
+HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
+SILENCE_LIMIT = timedelta(milliseconds=1800)
+ZONE_LINKS = 2
+MEMBER_LEASE = timedelta(seconds=3)
+CLOCK_DRIFT = 0.01
+
+# Ledgers.
+LEDGER_COUNT = 4
+APPEND_INTERVAL = timedelta(milliseconds=40)
+VALUE_LIMIT = 1_000_000
+RESULT_RETENTION = timedelta(days=7)
+
+# Tasks.
+TASK_LEASE = timedelta(seconds=12)
+TASK_RENEWAL = timedelta(seconds=4)
+LEASE_MARGIN = timedelta(seconds=2)
+
+# Requests.
+REQUEST_TIMEOUT = timedelta(seconds=10)
+QUEUE_LIMIT = 1000
+BODY_LIMIT = 1_000_000
+
+# Configuration.
+WATCH_WAIT = timedelta(seconds=30)
+
+# Placement weights when no policy is declared.
+WEIGHTS = {"best_fit": 1.0, "keep_accelerators": 2.0, "spread": 1.0, "affinity": 1.0}
+
+# Shutdown.
+SHUTDOWN_GRACE = timedelta(seconds=30)
--- /dev/null
+++ b/src/damaskdeck/metrics.py
@@ -0,0 +1,51 @@
+"""Metrics by OpenTelemetry: a counter for each refusal and retry reason."""
+
+from datetime import timedelta
+
+from opentelemetry import metrics
+
+_meter = metrics.get_meter("damaskdeck")
+_refusals = _meter.create_counter("damaskdeck_refusals", description="by part and code")
+_retries = _meter.create_counter("damaskdeck_retries", description="by part and reason")
+_drops = _meter.create_counter("damaskdeck_drops", description="by part and reason")
+_store_calls = _meter.create_counter("damaskdeck_store_calls", description="by kind")
+_peer_messages = _meter.create_counter("damaskdeck_peer_messages")
+_peer_bytes = _meter.create_counter("damaskdeck_peer_bytes", unit="By")
+_waits = _meter.create_histogram("damaskdeck_waiting_time", unit="s")
+_packing = _meter.create_gauge("damaskdeck_packing", description="share in use")
+
+
+def count_refusal(part: str, code: str, amount: int = 1) -> None:
+    """Count work refused by ``part`` with ``code``."""
+    _refusals.add(amount, {"part": part, "code": code})
+
+
+def count_retry(part: str, reason: str) -> None:
+    """Count a retry made by ``part`` because of ``reason``."""
+    _retries.add(1, {"part": part, "reason": reason})
+
+
+def count_drop(part: str, reason: str, amount: int = 1) -> None:
+    """Count something dropped by ``part``, as a late answer."""
+    _drops.add(amount, {"part": part, "reason": reason})
+
+
+def count_store_call(kind: str) -> None:
+    """Count a call to the store, by operation."""
+    _store_calls.add(1, {"kind": kind})
+
+
+def count_peer_batch(direction: str, messages: int, size: int) -> None:
+    """Count a batch on a stream; ``direction`` is ``in`` or ``out``."""
+    _peer_messages.add(messages, {"direction": direction})
+    _peer_bytes.add(size, {"direction": direction})
+
+
+def observe_wait(part: str, urgency: str, wait: timedelta) -> None:
+    """Record how long a piece of work waited before it ran."""
+    _waits.record(wait.total_seconds(), {"part": part, "urgency": urgency})
+
+
+def set_packing(dimension: str, share: float) -> None:
+    """Record the share of owned instances in use, in one dimension."""
+    _packing.set(share, {"dimension": dimension})
--- /dev/null
+++ b/src/damaskdeck/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, resources, outcomes and the ports to the platform."""
--- /dev/null
+++ b/src/damaskdeck/protocol/handlers.py
@@ -0,0 +1,110 @@
+"""What callers' and operators' calls are answered by, behind the HTTP API."""
+
+from datetime import timedelta
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
+from damaskdeck.protocol.resources import Resource, Urgency
+
+
+class ServiceRequest(NamedTuple):
+    """A caller's request to a service.
+
+    :param identifier: unique for each request, made by the entry.
+    :param key: the caller's ``Idempotency-Key``, or an empty string.
+    :param timeout: time left until the caller's deadline.
+    """
+
+    identifier: str
+    service: str
+    team: str
+    body: bytes
+    timeout: timedelta
+    content_type: str = "application/json"
+    key: str = ""
+    urgency: Urgency = Urgency.NORMAL
+    idempotent: bool = False
+
+
+class Submission(NamedTuple):
+    """A caller's job.
+
+    :param key: the caller's ``Idempotency-Key``, or an empty string.
+    :param payload: handed to each task as it is.
+    """
+
+    workload: str
+    team: str
+    payload: bytes = b""
+    key: str = ""
+
+
+class JobState(StrEnum):
+    """States of a job; the last four are its outcome."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+FINAL_JOB_STATES = frozenset(
+    {JobState.COMPLETED, JobState.FAILED, JobState.REFUSED, JobState.UNKNOWN}
+)
+
+
+class JobView(NamedTuple):
+    """A job as callers see it.
+
+    :param code: why, for a job that failed, was refused or is unknown.
+    :param reasons: plain words: why it waits, where it ran, why it was moved.
+    """
+
+    name: str
+    workload: str
+    team: str
+    state: JobState
+    code: str = ""
+    reasons: tuple[str, ...] = ()
+    results: tuple[bytes, ...] = ()
+    tasks: tuple[str, ...] = ()
+    workers: tuple[str, ...] = ()
+    revision: int = 0
+
+
+class RequestHandler(Protocol):
+    """Answers callers' requests to services."""
+
+    async def handle_request(self, request: ServiceRequest) -> Outcome:
+        """Serve a request; cancelling the task cancels the request."""
+
+
+class JobHandler(Protocol):
+    """Takes jobs and tells of them, from any daemon."""
+
+    async def submit_job(self, submission: Submission) -> JobView | Refused | Unknown:
+        """Take a job; it is durable once a view is returned."""
+
+    async def read_job(self, name: str) -> JobView | Refused | Unknown:
+        """Tell the state of a job; ``Refused("no_such_job")`` if there is none."""
+
+    async def cancel_job(self, name: str) -> JobView | Refused | Unknown:
+        """Cancel a job; a job that has ended stays as it ended."""
+
+    async def list_jobs(
+        self, team: str, after: str, limit: int
+    ) -> tuple[JobView, ...] | Refused | Unknown:
+        """List jobs in order of their names, a page at a time.
+
+        :param team: only this team's, or an empty string for all.
+        """
+
+
+class ResourceReader(Protocol):
+    """Tells of observed resources: workers, targets and tasks."""
+
+    async def list_resources(self, kind: str) -> tuple[Resource, ...] | Refused:
+        """List what this daemon and its peers know of ``kind``."""
--- /dev/null
+++ b/src/damaskdeck/settings.py
@@ -0,0 +1,158 @@
+"""Settings of a daemon: a YAML file, checked as a whole on load."""
+
+from datetime import timedelta
+from typing import Annotated, Any, Literal, NamedTuple, NotRequired, TypedDict
+
+import yaml
+from msgspec import Meta
+
+from damaskdeck import defaults
+from damaskdeck.errors import Fault, SettingsError
+from damaskdeck.protocol.checks import find_faults
+from damaskdeck.protocol.resources import Name, Seconds
+
+Host = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}$|^[0-9a-fA-F:]+$")]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Address = Annotated[
+    str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|(\d{1,3}\.){3}\d{1,3}):\d+$")
+]
+Token = Annotated[str, Meta(min_length=8)]
+
+
+class ListenSection(TypedDict):
+    """Where the daemon listens; port 0 takes a free one."""
+
+    host: Host
+    api_port: NotRequired[Port]
+    peer_port: NotRequired[Port]
+
+
+class PlatformSection(TypedDict):
+    """Addresses of the platform's services."""
+
+    store: Address
+    instances: Address
+
+
+class TokensSection(TypedDict):
+    """Bearer tokens: one for operators, one between daemons, one for each team."""
+
+    operator: Token
+    peer: Token
+    teams: NotRequired[dict[str, Token]]
+
+
+class LogSection(TypedDict):
+    """How logs are written."""
+
+    style: NotRequired[Literal["text", "json"]]
+    level: NotRequired[Literal["debug", "info", "warning", "error"]]
+
+
+class LimitsSection(TypedDict):
+    """Bounds and times; seconds where nothing else is said."""
+
+    ledgers: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
+    queue: NotRequired[Annotated[int, Meta(ge=1, le=1_000_000)]]
+    body: NotRequired[Annotated[int, Meta(ge=1, le=100_000_000)]]
+    request_timeout: NotRequired[Seconds]
+    member_lease: NotRequired[Seconds]
+    heartbeat_interval: NotRequired[Seconds]
+    task_lease: NotRequired[Seconds]
+    grace: NotRequired[Seconds]
+
+
+class SettingsDocument(TypedDict):
+    """The settings file."""
+
+    name: Name
+    zone: Name
+    region: NotRequired[Name]
+    listen: ListenSection
+    platform: PlatformSection
+    tokens: TokensSection
+    seeds: NotRequired[list[Address]]
+    log: NotRequired[LogSection]
+    limits: NotRequired[LimitsSection]
+
+
+class Settings(NamedTuple):
+    """Settings as the daemon uses them; see :class:`SettingsDocument`."""
+
+    name: str
+    zone: str
+    region: str
+    host: str
+    api_port: int
+    peer_port: int
+    store_address: str
+    instances_address: str
+    operator_token: str
+    peer_token: str
+    team_tokens: dict[str, str]
+    seeds: tuple[str, ...] = ()
+    log_style: str = "text"
+    log_level: str = "info"
+    ledger_count: int = defaults.LEDGER_COUNT
+    queue_limit: int = defaults.QUEUE_LIMIT
+    body_limit: int = defaults.BODY_LIMIT
+    request_timeout: timedelta = defaults.REQUEST_TIMEOUT
+    member_lease: timedelta = defaults.MEMBER_LEASE
+    heartbeat_interval: timedelta = defaults.HEARTBEAT_INTERVAL
+    task_lease: timedelta = defaults.TASK_LEASE
+    grace: timedelta = defaults.SHUTDOWN_GRACE
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with every fault found.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = yaml.safe_load(file)
+    except OSError as error:
+        raise SettingsError((Fault(path, "unreadable", str(error)),)) from error
+    except yaml.YAMLError as error:
+        raise SettingsError((Fault(path, "not_yaml", str(error)),)) from error
+    return read_settings(document)
+
+
+def read_settings(document: Any) -> Settings:
+    """Check a settings document and fill in the defaults.
+
+    :raises SettingsError: with every fault found.
+    """
+    faults = find_faults(document, SettingsDocument)
+    if faults:
+        raise SettingsError(faults)
+    listen, platform = document["listen"], document["platform"]
+    tokens, log = document["tokens"], document.get("log", {})
+    return Settings(
+        name=document["name"],
+        zone=document["zone"],
+        region=document.get("region", ""),
+        host=listen["host"],
+        api_port=listen.get("api_port", 0),
+        peer_port=listen.get("peer_port", 0),
+        store_address=platform["store"],
+        instances_address=platform["instances"],
+        operator_token=tokens["operator"],
+        peer_token=tokens["peer"],
+        team_tokens=tokens.get("teams", {}),
+        seeds=tuple(document.get("seeds", ())),
+        log_style=log.get("style", "text"),
+        log_level=log.get("level", "info"),
+        **_read_limits(document.get("limits", {})),
+    )
+
+
+def _read_limits(limits: LimitsSection) -> dict[str, Any]:
+    counts = {"ledgers": "ledger_count", "queue": "queue_limit", "body": "body_limit"}
+    read: dict[str, Any] = {}
+    for name, value in limits.items():
+        if name in counts:
+            read[counts[name]] = value
+        else:
+            read[name] = timedelta(seconds=value)
+    return read
--- /dev/null
+++ b/src/damaskdeck/state/__init__.py
@@ -0,0 +1,1 @@
+"""Ledgers, configuration, resource accounts and quotas."""
--- /dev/null
+++ b/src/damaskdeck/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections: HTTP in and out, and the streams between peers."""
--- /dev/null
+++ b/src/standins/clock.py
@@ -0,0 +1,63 @@
+"""A clock that only moves when told to."""
+
+import asyncio
+import heapq
+import itertools
+from datetime import UTC, datetime, timedelta
+
+_START = datetime(2026, 1, 1, tzinfo=UTC)
+_SETTLE_ROUNDS = 50
+
+
+class ManualClock:
+    """A clock for tests and benchmarks; sleepers wake in order of their deadlines.
+
+    :param start: time of day at the start.
+    """
+
+    def __init__(self, start: datetime = _START) -> None:
+        self._start = start
+        self._elapsed = timedelta()
+        self._count = itertools.count()
+        self._sleepers: list[tuple[timedelta, int, asyncio.Future[None]]] = []
+
+    def now(self) -> datetime:
+        """Return the time of day."""
+        return self._start + self._elapsed
+
+    def monotonic(self) -> timedelta:
+        """Return the time since the start."""
+        return self._elapsed
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Wait until :meth:`advance` has passed ``duration``."""
+        if duration <= timedelta():
+            await asyncio.sleep(0)
+            return
+        future = asyncio.get_running_loop().create_future()
+        deadline = self._elapsed + duration
+        heapq.heappush(self._sleepers, (deadline, next(self._count), future))
+        await future
+
+    def move(self, duration: timedelta) -> None:
+        """Jump ahead without waking anybody, as a paused process sees it."""
+        self._elapsed += duration
+
+    async def advance(self, duration: timedelta) -> None:
+        """Move ahead step by step and let every woken task run."""
+        end = self._elapsed + duration
+        await settle()
+        while self._sleepers and self._sleepers[0][0] <= end:
+            deadline, _, future = heapq.heappop(self._sleepers)
+            self._elapsed = max(self._elapsed, deadline)
+            if not future.done():
+                future.set_result(None)
+                await settle()
+        self._elapsed = max(self._elapsed, end)
+        await settle()
+
+
+async def settle() -> None:
+    """Let the tasks that are ready run until they wait for something."""
+    for _ in range(_SETTLE_ROUNDS):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/standins/store.py
@@ -0,0 +1,271 @@
+"""An in-memory key-value service with compare-and-swap, leases and watches."""
+
+import asyncio
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TypeVar
+
+from damaskdeck.clock import Clock
+from damaskdeck.protocol.ports import (
+    Conflict,
+    Entry,
+    Event,
+    Events,
+    Found,
+    Granted,
+    Lapsed,
+    Listing,
+    Lost,
+    Missing,
+    Rejected,
+    TooOld,
+    Written,
+)
+from standins.faults import FaultKind, Faults
+
+VALUE_LIMIT = 1_000_000
+HISTORY_LIMIT = 10_000
+
+T = TypeVar("T")
+
+
+class MemoryStore:
+    """The store, shared by all clients; see :meth:`connect`.
+
+    :param clock: decides when leases lapse.
+    :param capacity: bytes of all values together; more is refused.
+    """
+
+    def __init__(self, clock: Clock, capacity: int = 1 << 30) -> None:
+        self.clock = clock
+        self.capacity = capacity
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+        self.waiting_watches = 0
+        self.written_bytes = 0
+        self._revision = 0
+        self._entries: dict[str, Entry] = {}
+        self._keys: list[str] = []
+        self._history: list[Event] = []
+        self._dropped = 0
+        self._leases: dict[str, tuple[timedelta, timedelta]] = {}
+        self._lease_count = 0
+        self._size = 0
+        self._changed = asyncio.Event()
+
+    def connect(self, client: str) -> "StoreClient":
+        """Return the store as one client sees it; it may be cut off alone."""
+        return StoreClient(self, client)
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last write."""
+        return self._revision
+
+    def lapse_leases(self) -> None:
+        """Delete the keys of all leases whose time has passed."""
+        now = self.clock.monotonic()
+        for lease, (deadline, _) in list(self._leases.items()):
+            if deadline <= now:
+                self.end_lease(lease)
+
+    def end_lease(self, lease: str) -> None:
+        """End a lease at once, as when it lapses behind its holder's back."""
+        self._leases.pop(lease, None)
+        for entry in [e for e in self._entries.values() if e.lease == lease]:
+            self._remove(entry.key)
+
+    def get(self, key: str) -> Found | Missing:
+        """Read one key."""
+        entry = self._entries.get(key)
+        return Found(entry) if entry else Missing(self._revision)
+
+    def list(self, prefix: str) -> Listing:
+        """Read all keys below ``prefix``."""
+        start = bisect_left(self._keys, prefix)
+        found = []
+        for key in self._keys[start:]:
+            if not key.startswith(prefix):
+                break
+            found.append(self._entries[key])
+        return Listing(tuple(found), self._revision)
+
+    def put(
+        self, key: str, value: bytes, expected: int | None, lease: str
+    ) -> Written | Conflict | Rejected:
+        """Write a key by compare-and-swap."""
+        current = self._entries.get(key)
+        if len(value) > VALUE_LIMIT:
+            return Rejected("value_too_large", f"at most {VALUE_LIMIT} bytes")
+        if _differs(current, expected):
+            return Conflict(current)
+        growth = len(value) - (len(current.value) if current else 0)
+        if self._size + growth > self.capacity:
+            return Rejected("store_full")
+        if lease and lease not in self._leases:
+            return Rejected("lease_lapsed")
+        self._size += growth
+        self._revision += 1
+        self.written_bytes += len(value)
+        if current is None:
+            insort(self._keys, key)
+        self._entries[key] = Entry(key, value, self._revision, lease)
+        self._record(Event(key, value, self._revision))
+        return Written(self._revision)
+
+    def delete(self, key: str, expected: int | None) -> Written | Conflict:
+        """Delete a key by compare-and-swap."""
+        current = self._entries.get(key)
+        if _differs(current, expected):
+            return Conflict(current)
+        if current is not None:
+            self._remove(key)
+        return Written(self._revision)
+
+    def grant_lease(self, ttl: timedelta) -> Granted:
+        """Open a lease."""
+        self._lease_count += 1
+        lease = f"lease-{self._lease_count}"
+        self._leases[lease] = (self.clock.monotonic() + ttl, ttl)
+        return Granted(lease, ttl)
+
+    def renew_lease(self, lease: str) -> Granted | Lapsed:
+        """Renew a lease for its whole time."""
+        if lease not in self._leases:
+            return Lapsed(lease)
+        _, ttl = self._leases[lease]
+        self._leases[lease] = (self.clock.monotonic() + ttl, ttl)
+        return Granted(lease, ttl)
+
+    def revoke_lease(self, lease: str) -> Written | Lapsed:
+        """End a lease on its holder's word."""
+        if lease not in self._leases:
+            return Lapsed(lease)
+        self.end_lease(lease)
+        return Written(self._revision)
+
+    def read_events(self, prefix: str, revision: int) -> Events | TooOld:
+        """Return the kept changes below ``prefix`` after ``revision``."""
+        if revision < self._dropped:
+            return TooOld(self._dropped)
+        start = bisect_left(self._history, revision + 1, key=lambda e: e.revision)
+        found = [e for e in self._history[start:] if e.key.startswith(prefix)]
+        return Events(tuple(found), max(revision, self._revision))
+
+    async def wait_for_change(self) -> None:
+        """Wait until something is written."""
+        await self._changed.wait()
+
+    def _remove(self, key: str) -> None:
+        entry = self._entries.pop(key)
+        del self._keys[bisect_left(self._keys, key)]
+        self._size -= len(entry.value)
+        self._revision += 1
+        self._record(Event(key, None, self._revision))
+
+    def _record(self, event: Event) -> None:
+        self._history.append(event)
+        if len(self._history) > 2 * HISTORY_LIMIT:
+            self._dropped = self._history[-HISTORY_LIMIT - 1].revision
+            del self._history[:-HISTORY_LIMIT]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class StoreClient:
+    """A client of a :class:`MemoryStore`; implements the port ``Store``.
+
+    :param client: name to cut this client off by.
+    """
+
+    def __init__(self, store: MemoryStore, client: str) -> None:
+        self._store = store
+        self._client = client
+
+    async def get(self, key: str) -> Found | Missing | Rejected | Lost:
+        """Read one key."""
+        return await self._call("get", lambda: self._store.get(key))
+
+    async def list(self, prefix: str) -> Listing | Rejected | Lost:
+        """Read all keys below ``prefix``."""
+        return await self._call("list", lambda: self._store.list(prefix))
+
+    async def put(
+        self, key: str, value: bytes, expected: int | None, lease: str = ""
+    ) -> Written | Conflict | Rejected | Lost:
+        """Write a key by compare-and-swap."""
+        return await self._call(
+            "put", lambda: self._store.put(key, value, expected, lease)
+        )
+
+    async def delete(
+        self, key: str, expected: int | None
+    ) -> Written | Conflict | Rejected | Lost:
+        """Delete a key by compare-and-swap."""
+        return await self._call("delete", lambda: self._store.delete(key, expected))
+
+    async def grant_lease(self, ttl: timedelta) -> Granted | Rejected | Lost:
+        """Open a lease."""
+        return await self._call("grant_lease", lambda: self._store.grant_lease(ttl))
+
+    async def renew_lease(self, lease: str) -> Granted | Lapsed | Rejected | Lost:
+        """Renew a lease."""
+        return await self._call("renew_lease", lambda: self._store.renew_lease(lease))
+
+    async def revoke_lease(self, lease: str) -> Written | Lapsed | Rejected | Lost:
+        """End a lease."""
+        return await self._call("revoke_lease", lambda: self._store.revoke_lease(lease))
+
+    async def watch(
+        self, prefix: str, revision: int, wait: timedelta
+    ) -> Events | TooOld | Rejected | Lost:
+        """Return the changes after ``revision``, waiting up to ``wait`` for one."""
+        found = await self._call(
+            "watch", lambda: self._store.read_events(prefix, revision)
+        )
+        if not isinstance(found, Events) or found.events or wait <= timedelta():
+            return found
+        timer = asyncio.ensure_future(self._store.clock.sleep(wait))
+        self._store.waiting_watches += 1
+        try:
+            while isinstance(found, Events) and not found.events and not timer.done():
+                change = asyncio.ensure_future(self._store.wait_for_change())
+                await asyncio.wait({timer, change}, return_when=asyncio.FIRST_COMPLETED)
+                change.cancel()
+                if self._is_cut_off():
+                    return Lost("unreachable")
+                found = self._store.read_events(prefix, revision)
+        finally:
+            self._store.waiting_watches -= 1
+            timer.cancel()
+        return found
+
+    def _is_cut_off(self) -> bool:
+        faults = self._store.faults
+        return faults.outage or self._client in faults.cut_off
+
+    async def _call(self, operation: str, act: Callable[[], T]) -> T | Rejected | Lost:
+        store = self._store
+        fault = store.faults.take(operation)
+        if store.faults.delay:
+            await store.clock.sleep(store.faults.delay)
+        if self._is_cut_off():
+            return Rejected("unreachable")
+        store.calls[operation] += 1
+        store.lapse_leases()
+        if fault is FaultKind.REFUSE:
+            return Rejected("store_busy")
+        if fault is FaultKind.LOSE_CALL:
+            return Lost("timeout")
+        answer = act()
+        if fault is FaultKind.LOSE_ANSWER:
+            return Lost("timeout")
+        return answer
+
+
+def _differs(current: Entry | None, expected: int | None) -> bool:
+    if expected is None:
+        return False
+    return (current.revision if current else 0) != expected
