Add the ports for key memory and configuration readers

Cause: the request plane and the task plane meet at the memory of idempotency keys and at the configuration in force, and neither had a type. Change: KeyMemory and ConfigurationReader in protocol/handlers. Conclusion: both planes can be written apart.

--- a/src/damaskdeck/protocol/handlers.py
+++ b/src/damaskdeck/protocol/handlers.py
@@ -1,11 +1,12 @@
 """What callers' and operators' calls are answered by, behind the HTTP API."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
-from damaskdeck.protocol.resources import Resource, Urgency
+from damaskdeck.protocol.resources import Kind, Resource, Urgency
 
 
 class ServiceRequest(NamedTuple):
@@ -108,3 +109,54 @@
 
     async def list_resources(self, kind: str) -> tuple[Resource, ...] | Refused:
         """List what this daemon and its peers know of ``kind``."""
+
+
+class Claimed(NamedTuple):
+    """A key was used for the first time and is durable; run the request now."""
+
+
+class Known(NamedTuple):
+    """A key was used before; this is what became of its request."""
+
+    outcome: Outcome
+
+
+class KeyMemory(Protocol):
+    """Remembers idempotency keys of requests durably, in the team's ledger."""
+
+    async def claim_key(
+        self, team: str, service: str, key: str, digest: bytes, timeout: timedelta
+    ) -> Claimed | Known | Refused | Unknown:
+        """Claim a key before its request is sent anywhere.
+
+        :param digest: of the request; another one under the same key is
+            ``Refused("key_reused")``.
+        :param timeout: once it has passed without :meth:`settle_key`, the key
+            is known as ``Unknown("answer_lost")``; before,
+            ``Refused("in_progress")``.
+        """
+
+    async def settle_key(
+        self, team: str, service: str, key: str, outcome: Outcome
+    ) -> bool:
+        """Remember the outcome; returns whether it is durable."""
+
+
+ConfigurationHandler = Callable[[Kind, str, Resource | None], None]
+
+
+class ConfigurationReader(Protocol):
+    """The declared resources in force on this daemon."""
+
+    @property
+    def revision(self) -> int:
+        """The highest revision applied."""
+
+    def get(self, kind: Kind, name: str) -> Resource | None:
+        """Return a declared resource."""
+
+    def list(self, kind: Kind) -> tuple[Resource, ...]:
+        """List the declared resources of a kind in order of name."""
+
+    def subscribe(self, handler: ConfigurationHandler) -> None:
+        """Call ``handler(kind, name, resource)`` on each change; ``None``: deleted."""
