Add in-process streams between daemons with faults

Tests of membership, ownership and ledgers need links that can be cut one way, lose replies, delay or pause. PeerSwitch joins the daemons of one process on the passed clock, encodes every message as the real streams do and counts messages and bytes per sender.

A reply arrives as plain data. A kind the other side doesn't know is Unsent("unsupported"), a handler that raised Unanswered("peer_failed").

--- /dev/null
+++ b/src/standins/peers.py
@@ -0,0 +1,199 @@
+"""In-process streams between daemons whose links can be cut, delayed or lossy."""
+
+import asyncio
+import itertools
+from collections import Counter
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import msgspec
+
+from damaskdeck.clock import Clock
+from damaskdeck.errors import MessageError
+from damaskdeck.logs import get_logger
+from damaskdeck.protocol.messages import (
+    Answered,
+    Envelope,
+    Handler,
+    Unanswered,
+    Unsent,
+    decode_message,
+    encode_message,
+    get_message_name,
+)
+
+_log = get_logger("peers")
+
+
+class PeerSwitch:
+    """Joins the daemons of one process; all links work at first.
+
+    Replies arrive as plain data, as they do from a real stream.
+
+    :param clock: decides about delays and timeouts.
+    """
+
+    def __init__(self, clock: Clock, seed: int = 0) -> None:
+        self.clock = clock
+        self.random = Random(seed)
+        self.jitter = timedelta()
+        self.delay = timedelta()
+        self.messages: Counter[str] = Counter()
+        self.bytes: Counter[str] = Counter()
+        self._peers: dict[str, SwitchPeers] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._lost_replies: Counter[tuple[str, str]] = Counter()
+        self._paused: dict[str, asyncio.Event] = {}
+
+    def connect(self, name: str) -> "SwitchPeers":
+        """Return the streams of daemon ``name``; replaces an earlier daemon."""
+        peers = SwitchPeers(self, name)
+        self._peers[name] = peers
+        return peers
+
+    def disconnect(self, name: str) -> None:
+        """Take a daemon away, as when its process dies."""
+        self._peers.pop(name, None)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Lose what ``sender`` sends to ``receiver``, in this direction only."""
+        self._cuts.add((sender, receiver))
+
+    def cut_both(self, first: str, second: str) -> None:
+        """Lose what the two send to each other."""
+        self._cuts.update({(first, second), (second, first)})
+
+    def heal(self, first: str, second: str) -> None:
+        """Let both directions of a link work again."""
+        self._cuts.difference_update({(first, second), (second, first)})
+
+    def heal_all(self) -> None:
+        """Let all links work again."""
+        self._cuts.clear()
+
+    def lose_replies(self, caller: str, callee: str, count: int = 1) -> None:
+        """Lose the next ``count`` replies of ``callee`` to ``caller``."""
+        self._lost_replies[caller, callee] += count
+
+    def pause(self, name: str) -> None:
+        """Keep what arrives at ``name`` until :meth:`resume`."""
+        self._paused.setdefault(name, asyncio.Event())
+
+    def resume(self, name: str) -> None:
+        """Let a paused daemon handle what arrived meanwhile."""
+        event = self._paused.pop(name, None)
+        if event is not None:
+            event.set()
+
+    def find(self, name: str) -> "SwitchPeers | None":
+        """Return the streams of a daemon that is connected."""
+        return self._peers.get(name)
+
+    async def carry(self, sender: str, receiver: str, size: int) -> bool:
+        """Take one message over a link; tell whether it arrived."""
+        self.messages[sender] += 1
+        self.bytes[sender] += size
+        delay = self.delay + self.jitter * self.random.random()
+        if delay:
+            await self.clock.sleep(delay)
+        if (sender, receiver) in self._cuts:
+            return False
+        while receiver in self._paused:
+            await self._paused[receiver].wait()
+        return True
+
+    def take_lost_reply(self, caller: str, callee: str) -> bool:
+        """Tell whether this reply is to be lost."""
+        if not self._lost_replies[caller, callee]:
+            return False
+        self._lost_replies[caller, callee] -= 1
+        return True
+
+
+class SwitchPeers:
+    """A daemon's streams over a :class:`PeerSwitch`; implements ``Peers``."""
+
+    def __init__(self, switch: PeerSwitch, name: str) -> None:
+        self._switch = switch
+        self._name = name
+        self._handlers: dict[str, Handler] = {}
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def register(self, kind: type, handler: Handler) -> None:
+        """Let ``handler(instance, message)`` take all messages of ``kind``."""
+        self._handlers[get_message_name(kind)] = handler
+
+    def send(self, instance: str, message: Any, kind: type) -> Unsent | None:
+        """Put a message on the stream to ``instance`` without waiting."""
+        if self._switch.find(instance) is None:
+            return Unsent("unreachable")
+        self._start(instance, self._pack(message, kind, 0), None)
+        return None
+
+    async def call(
+        self, instance: str, message: Any, kind: type, timeout: timedelta
+    ) -> Answered | Unsent | Unanswered:
+        """Send a message and wait for its reply."""
+        if self._switch.find(instance) is None:
+            return Unsent("unreachable")
+        reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._start(instance, self._pack(message, kind, next(self._numbers)), reply)
+        timer = asyncio.ensure_future(self._switch.clock.sleep(timeout))
+        try:
+            await asyncio.wait({timer, reply}, return_when=asyncio.FIRST_COMPLETED)
+            return reply.result() if reply.done() else Unanswered("timeout")
+        finally:
+            timer.cancel()
+            reply.cancel()
+
+    def _pack(self, message: Any, kind: type, number: int) -> Envelope:
+        return Envelope(get_message_name(kind), number, 0, encode_message(message))
+
+    def _start(
+        self, instance: str, envelope: Envelope, reply: asyncio.Future[Any] | None
+    ) -> None:
+        task = asyncio.ensure_future(self._deliver(instance, envelope, reply))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _deliver(
+        self, instance: str, envelope: Envelope, reply: asyncio.Future[Any] | None
+    ) -> None:
+        switch = self._switch
+        size = len(encode_message(envelope))
+        if not await switch.carry(self._name, instance, size):
+            return
+        peers = switch.find(instance)
+        if peers is None:
+            return
+        answer = await peers.handle(self._name, envelope)
+        if reply is None:
+            return
+        body = encode_message(answer.message if isinstance(answer, Answered) else b"")
+        if switch.take_lost_reply(self._name, instance):
+            return
+        if not await switch.carry(instance, self._name, len(body)):
+            return
+        if isinstance(answer, Answered):
+            answer = Answered(msgspec.msgpack.decode(body))
+        if not reply.done():
+            reply.set_result(answer)
+
+    async def handle(
+        self, instance: str, envelope: Envelope
+    ) -> Answered | Unsent | Unanswered:
+        """Run the handler of a message that arrived from ``instance``."""
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            return Unsent("unsupported")
+        try:
+            message = decode_message(envelope.kind, envelope.body)
+        except MessageError:
+            return Unsent("invalid_message")
+        try:
+            return Answered(await handler(instance, message))
+        except Exception as error:
+            _log.error("A handler failed.", kind=envelope.kind, error=repr(error))
+            return Unanswered("peer_failed")
