Route requests to owned slots, or forward them to an owner

A first thin router: an entry fills the slots of targets that it owns, forwards to an owner when it has no room (one extra hop), and says completed, failed, refused or unknown. A slot whose answer was lost stays held until the request must have ended.

Missing yet: queue, retries with a budget, health, handover, drain.

--- /dev/null
+++ b/src/damaskdeck/coordination/slots.py
@@ -0,0 +1,91 @@
+"""Exact accounting of a target's slots and connections, by its owner."""
+
+import heapq
+from datetime import timedelta
+
+from damaskdeck.clock import Clock
+from damaskdeck.errors import InvariantError
+from damaskdeck.protocol.ports import Instance
+
+
+class SlotPool:
+    """The slots and connections of one target.
+
+    A slot is *busy* while a call to the target is open, and *held* while a call
+    that is no longer open, or an earlier owner's, may still run there. Neither
+    is given out. Promise: "No instance is given more work than [it] can hold".
+
+    :param target: says how many slots and connections it bears.
+    """
+
+    def __init__(self, target: Instance, clock: Clock) -> None:
+        self.target = target
+        self.busy = 0
+        self._clock = clock
+        self._deadlines: dict[int, timedelta] = {}
+        self._held: list[timedelta] = []
+        self._count = 0
+
+    @property
+    def capacity(self) -> int:
+        """Requests that the target bears at a time."""
+        return min(self.target.slots, self.target.connections)
+
+    def count_free(self) -> int:
+        """Return how many more requests the target bears now."""
+        if self._held:
+            self._release_held()
+        return self.capacity - self.busy - len(self._held)
+
+    def take(self, deadline: timedelta) -> int:
+        """Take a slot; the caller has seen that one is free.
+
+        :param deadline: when the call ends at the latest, on the monotonic clock.
+        :returns: a number to give it back by.
+        """
+        if self.count_free() < 1:
+            raise InvariantError(f"no free slot on {self.target.name}")
+        self._count += 1
+        self.busy += 1
+        self._deadlines[self._count] = deadline
+        return self._count
+
+    def free(self, number: int) -> None:
+        """Give back a slot whose request has ended or never began."""
+        if self._deadlines.pop(number, None) is None:
+            raise InvariantError(f"slot freed twice on {self.target.name}")
+        self.busy -= 1
+
+    def hold(self, number: int, until: timedelta) -> None:
+        """End a call whose request may still run on the target.
+
+        :param until: when it must have ended, on the monotonic clock.
+        """
+        self.free(number)
+        heapq.heappush(self._held, until)
+
+    def inherit(self, until: tuple[timedelta, ...]) -> None:
+        """Hold slots for what an earlier owner may still have in progress."""
+        for time in until:
+            heapq.heappush(self._held, time)
+
+    def next_release(self) -> timedelta | None:
+        """Return when the next held slot is released, if any is held."""
+        if self._held:
+            self._release_held()
+        return self._held[0] if self._held else None
+
+    def list_remaining(self, margin: timedelta) -> tuple[timedelta, ...]:
+        """Return how long each slot that isn't free may stay so.
+
+        :param margin: added to the deadlines of calls that are still open.
+        """
+        now = self._clock.monotonic()
+        self._release_held()
+        busy = [time + margin for time in self._deadlines.values()]
+        return tuple(time - now for time in [*self._held, *busy])
+
+    def _release_held(self) -> None:
+        now = self._clock.monotonic()
+        while self._held and self._held[0] <= now:
+            heapq.heappop(self._held)
--- /dev/null
+++ b/src/damaskdeck/protocol/forwarding.py
@@ -0,0 +1,119 @@
+"""Messages by which daemons pass requests to the owners of targets."""
+
+from datetime import timedelta
+from typing import NotRequired, TypedDict
+
+from damaskdeck.protocol.messages import message
+from damaskdeck.protocol.outcomes import (
+    Completed,
+    Failed,
+    Outcome,
+    Refused,
+    Unknown,
+)
+
+
+class Load(TypedDict):
+    """How busy a daemon's own targets of one service are.
+
+    ``service_time`` is the mean time in a slot, in seconds.
+    """
+
+    slots: int
+    free: int
+    queued: int
+    service_time: float
+
+
+@message("forward_request")
+class ForwardRequest(TypedDict):
+    """A request handed to an owner; ``timeout`` is what is left, in seconds."""
+
+    identifier: str
+    attempt: int
+    service: str
+    team: str
+    body: bytes
+    content_type: str
+    urgency: str
+    idempotent: bool
+    timeout: float
+
+
+@message("forward_outcome")
+class ForwardOutcome(TypedDict):
+    """What became of a forwarded request.
+
+    ``state`` is ``completed``, ``failed``, ``refused`` or ``unknown``;
+    ``retry_after`` in seconds; ``load`` is the owner's load at the reply.
+    """
+
+    identifier: str
+    attempt: int
+    state: str
+    body: NotRequired[bytes]
+    content_type: NotRequired[str]
+    code: NotRequired[str]
+    detail: NotRequired[str]
+    retry_after: NotRequired[float]
+    load: NotRequired[Load]
+
+
+@message("cancel_forward")
+class CancelForward(TypedDict):
+    """The caller of a forwarded request has gone; its queue place is free."""
+
+    identifier: str
+    attempt: int
+
+
+@message("read_slots")
+class ReadSlots(TypedDict):
+    """The owner of ``target`` from ``epoch`` on asks what is still in progress."""
+
+    target: str
+    epoch: int
+
+
+@message("slots_read")
+class SlotsRead(TypedDict):
+    """Slots that an earlier owner's requests may still fill.
+
+    ``epoch`` is the last one at which the sender was the owner, 0 if never;
+    ``remaining`` has an upper bound in seconds for each such slot.
+    """
+
+    target: str
+    epoch: int
+    remaining: list[float]
+
+
+def write_outcome(identifier: str, attempt: int, outcome: Outcome) -> ForwardOutcome:
+    """Turn an outcome into its message."""
+    state = type(outcome).__name__.lower()
+    reply = ForwardOutcome(identifier=identifier, attempt=attempt, state=state)
+    if isinstance(outcome, Completed):
+        reply["body"] = outcome.body
+        reply["content_type"] = outcome.content_type
+        return reply
+    reply["code"] = outcome.code
+    reply["detail"] = outcome.detail
+    if isinstance(outcome, Refused) and outcome.retry_after is not None:
+        reply["retry_after"] = outcome.retry_after.total_seconds()
+    return reply
+
+
+def read_outcome(reply: ForwardOutcome) -> Outcome:
+    """Turn a message back into the outcome; an unfamiliar state is ``Unknown``."""
+    state = reply["state"]
+    code = reply.get("code", "")
+    detail = reply.get("detail", "")
+    if state == "completed":
+        return Completed(reply.get("body", b""), reply.get("content_type", ""))
+    if state == "failed":
+        return Failed(code, detail)
+    if state == "refused":
+        seconds = reply.get("retry_after")
+        wait = None if seconds is None else timedelta(seconds=seconds)
+        return Refused(code, detail, wait)
+    return Unknown(code or "unfamiliar_state", detail)
