Add exact accounts of workers and placement by an index

Cause: the task plane needs something that reserves parts of workers and chooses one without scanning all. Change: state/accounts (reservations, holds with deadlines, totals kept with each change, a recount for tests), coordination/index (cells of free processors by memory for each number of free accelerators, found by bit masks), filters and scores as registries, Placer. Seen failing first: spread took four workers of one rack (cells are sampled), and avoided workers hid a free one when the sample was taken before the filter (put back to see it fail). Conclusion: usable by the task plane; speed is not measured yet.

--- /dev/null
+++ b/src/damaskdeck/coordination/index.py
@@ -0,0 +1,251 @@
+"""An index of workers by what they have free, so that best fit needs no scan.
+
+Workers stand in cells of a grid: free processors by free memory, in steps of
+about a quarter of an octave, one grid for each number of free accelerators. Bit
+masks tell which cells are in use, so that the search for the tightest cells
+costs the same whatever the number of workers.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
+from typing import NamedTuple
+
+from damaskdeck.coordination.filters import Predicate
+from damaskdeck.protocol.sizes import Size, name_shortfall
+from damaskdeck.state.accounts import Accounts, TaskNeed, WorkerAccount
+
+ANY_ZONE = ""
+_CELL_SAMPLE = 4
+_RACK_SAMPLE = 2
+_RACK_SCAN = 256
+
+
+class _Place(NamedTuple):
+    zone: str
+    is_accelerated: bool
+    accelerators: int
+    row: int
+    column: int
+
+
+class _Grid:
+    """Workers with the same number of free accelerators."""
+
+    __slots__ = ("cells", "columns", "rows")
+
+    def __init__(self) -> None:
+        self.cells: dict[tuple[int, int], dict[str, WorkerAccount]] = {}
+        self.columns: dict[int, int] = {}
+        self.rows = 0
+
+    def add(self, row: int, column: int, account: WorkerAccount) -> None:
+        cell = self.cells.get((row, column))
+        if cell is None:
+            cell = self.cells[row, column] = {}
+            self.columns[row] = self.columns.get(row, 0) | 1 << column
+            self.rows |= 1 << row
+        cell[account.name] = account
+
+    def remove(self, row: int, column: int, name: str) -> None:
+        cell = self.cells[row, column]
+        del cell[name]
+        if cell:
+            return
+        del self.cells[row, column]
+        self.columns[row] &= ~(1 << column)
+        if not self.columns[row]:
+            del self.columns[row]
+            self.rows &= ~(1 << row)
+
+    def list_cells(self, row: int, column: int) -> list[tuple[int, int, int]]:
+        """List the tightest cell of each row from ``row`` on, tightest first."""
+        found = []
+        rows = self.rows >> row
+        while rows:
+            step = (rows & -rows).bit_length() - 1
+            rows &= rows - 1
+            columns = self.columns[row + step] >> column
+            while columns:
+                shift = (columns & -columns).bit_length() - 1
+                columns &= columns - 1
+                found.append((step + shift, row + step, column + shift))
+                if step and shift:
+                    break
+        found.sort()
+        return found
+
+
+class WorkerIndex:
+    """The open workers of some accounts, by zone and free size.
+
+    :param accounts: followed from now on.
+    """
+
+    def __init__(self, accounts: Accounts) -> None:
+        self._grids: dict[str, tuple[dict[int, _Grid], dict[int, _Grid]]] = {}
+        self._places: dict[str, _Place] = {}
+        self._shapes: dict[tuple[str, Size], int] = {}
+        self._shape_of: dict[str, tuple[str, Size]] = {}
+        accounts.subscribe(self._update)
+
+    def find_candidates(
+        self,
+        need: TaskNeed,
+        limit: int,
+        predicates: Sequence[Predicate] = (),
+        mix_classes: bool = False,
+    ) -> Iterator[WorkerAccount]:
+        """Yield open workers that can hold ``need``, roughly the tightest first.
+
+        :param limit: the most workers to yield for each class.
+        :param predicates: that workers must pass besides.
+        :param mix_classes: for needs without accelerators, offer workers that
+            have some even when there are others.
+        """
+        for zone in self._list_zones(need):
+            classes = self._grids.get(zone)
+            if classes is None:
+                continue
+            for is_accelerated in (True,) if need.size[2] else (False, True):
+                accounts = self._search(classes[is_accelerated], need, predicates)
+                found = False
+                for account in islice(accounts, limit):
+                    found = True
+                    yield account
+                if found and not mix_classes:
+                    break
+
+    def name_lack(self, need: TaskNeed) -> str:
+        """Name a dimension that all open workers allowed to ``need`` lack."""
+        lack = "accelerators"
+        row = get_level(need.size[0])
+        for zone in self._list_zones(need):
+            for grids in self._grids.get(zone, ()):
+                for accelerators, grid in grids.items():
+                    if accelerators < need.size[2]:
+                        continue
+                    if grid.rows >> row:
+                        return "memory"
+                    if grid.rows:
+                        lack = "millicores"
+        return lack
+
+    def name_impossible(self, need: TaskNeed) -> str | None:
+        """Name the dimension for which no worker, even if empty, holds ``need``.
+
+        :returns: ``None`` when some worker could, or when none is known.
+        """
+        shortfalls = []
+        for zone, size in self._shapes:
+            if need.zones and zone not in need.zones:
+                continue
+            shortfall = name_shortfall(need.size, size)
+            if shortfall is None:
+                return None
+            shortfalls.append((size, shortfall))
+        if not shortfalls:
+            return "zone" if self._shapes else None
+        for index, name in enumerate(Size._fields):
+            if all(need.size[index] > size[index] for size, _ in shortfalls):
+                return name
+        return max(shortfalls)[1]
+
+    def _list_zones(self, need: TaskNeed) -> Iterable[str]:
+        if need.zones:
+            return sorted(need.zones)
+        if need.group or need.near:
+            return sorted(self._grids.keys() - {ANY_ZONE})
+        return (ANY_ZONE,)
+
+    def _search(
+        self, grids: dict[int, _Grid], need: TaskNeed, predicates: Sequence[Predicate]
+    ) -> Iterator[WorkerAccount]:
+        """Yield workers of one class; a group's from as many racks as possible."""
+        sample = None if need.group or predicates else _CELL_SAMPLE
+        found = self._search_cells(grids, need.size, sample)
+        for predicate in predicates:
+            found = filter(predicate, found)
+        return _limit_racks(found) if need.group else found
+
+    def _search_cells(
+        self, grids: dict[int, _Grid], size: Size, sample: int | None
+    ) -> Iterator[WorkerAccount]:
+        millicores, memory, accelerators = size
+        row, column = get_level(millicores), get_level(memory)
+        for count in sorted(grids):
+            if count < accelerators:
+                continue
+            grid = grids[count]
+            for _, cell_row, cell_column in grid.list_cells(row, column):
+                cell = grid.cells[cell_row, cell_column]
+                if cell_row > row and cell_column > column:
+                    yield from islice(cell.values(), sample)
+                    continue
+                for account in cell.values():
+                    free = account.free
+                    if millicores <= free[0] and memory <= free[1]:
+                        yield account
+
+    def _update(self, account: WorkerAccount, is_present: bool) -> None:
+        place = self._find_place(account) if is_present and not account.closed else None
+        former = self._places.get(account.name)
+        if place != former:
+            self._move(account, former, place)
+        shape = (account.instance.zone, account.size) if is_present else None
+        if shape != self._shape_of.get(account.name):
+            self._change_shape(account.name, shape)
+
+    def _find_place(self, account: WorkerAccount) -> _Place:
+        millicores, memory, accelerators = account.free
+        return _Place(
+            account.instance.zone,
+            account.size[2] > 0,
+            accelerators,
+            get_level(millicores),
+            get_level(memory),
+        )
+
+    def _move(
+        self, account: WorkerAccount, former: _Place | None, place: _Place | None
+    ) -> None:
+        if former is not None:
+            for zone in (ANY_ZONE, former.zone):
+                grids = self._grids[zone][former.is_accelerated]
+                grid = grids[former.accelerators]
+                grid.remove(former.row, former.column, account.name)
+                if not grid.rows:
+                    del grids[former.accelerators]
+            del self._places[account.name]
+        if place is not None:
+            for zone in (ANY_ZONE, place.zone):
+                grids = self._grids.setdefault(zone, ({}, {}))[place.is_accelerated]
+                grid = grids.setdefault(place.accelerators, _Grid())
+                grid.add(place.row, place.column, account)
+            self._places[account.name] = place
+
+    def _change_shape(self, name: str, shape: tuple[str, Size] | None) -> None:
+        former = self._shape_of.pop(name, None)
+        if former is not None:
+            self._shapes[former] -= 1
+            if not self._shapes[former]:
+                del self._shapes[former]
+        if shape is not None:
+            self._shapes[shape] = self._shapes.get(shape, 0) + 1
+            self._shape_of[name] = shape
+
+
+def _limit_racks(accounts: Iterator[WorkerAccount]) -> Iterator[WorkerAccount]:
+    seen: dict[str, int] = {}
+    for account in islice(accounts, _RACK_SCAN):
+        rack = account.instance.rack
+        seen[rack] = seen.get(rack, 0) + 1
+        if seen[rack] <= _RACK_SAMPLE:
+            yield account
+
+
+def get_level(amount: int) -> int:
+    """Return the step of ``amount`` on a scale with four steps for each octave."""
+    length = amount.bit_length()
+    if length < 3:
+        return amount
+    return 4 * (length - 2) + (amount >> (length - 3) & 3)
--- /dev/null
+++ b/src/damaskdeck/coordination/placement.py
@@ -0,0 +1,80 @@
+"""Placement: chooses a worker for a task among those this daemon owns."""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from damaskdeck.coordination.filters import list_filters
+from damaskdeck.coordination.index import WorkerIndex
+from damaskdeck.coordination.scores import prepare_scores
+from damaskdeck.defaults import WEIGHTS
+from damaskdeck.metrics import count_refusal
+from damaskdeck.state.accounts import Accounts, NoRoom, TaskNeed, WorkerAccount
+
+_CANDIDATES = 8
+_SPREAD_CANDIDATES = 24
+
+
+class Placed(NamedTuple):
+    """``worker`` is the best that can hold the task now; nothing is reserved yet."""
+
+    worker: str
+    score: float
+
+
+class Impossible(NamedTuple):
+    """No worker of the fleet could ever hold it; ``dimension`` is what fails."""
+
+    dimension: str
+
+
+class Placer:
+    """Chooses workers by filters, then weighted scores.
+
+    :param accounts: the workers to choose from; followed by an index.
+    :param weights: by score's name, as in a declared policy.
+    """
+
+    def __init__(
+        self, accounts: Accounts, weights: Mapping[str, float] = WEIGHTS
+    ) -> None:
+        self._accounts = accounts
+        self._index = WorkerIndex(accounts)
+        self._filters = [item for item in list_filters() if not item.is_indexed]
+        self.weights = dict(weights)
+
+    def place(self, need: TaskNeed) -> Placed | NoRoom | Impossible:
+        """Choose a worker for ``need``; the caller then reserves it.
+
+        :returns: ``NoRoom`` when some worker could hold it later.
+        """
+        best = self._choose(need)
+        if best is not None:
+            return best
+        dimension = self._index.name_impossible(need)
+        if dimension is not None:
+            count_refusal("placement", f"impossible_{dimension}")
+            return Impossible(dimension)
+        return NoRoom(self._index.name_lack(need))
+
+    def _choose(self, need: TaskNeed) -> Placed | None:
+        candidates = self._list_candidates(need)
+        best = next(candidates, None)
+        if best is None:
+            return None
+        measures = prepare_scores(need, self._accounts, self.weights)
+        best_score = sum(weight * measure(best) for weight, measure in measures)
+        for account in candidates:
+            value = sum(weight * measure(account) for weight, measure in measures)
+            if value > best_score:
+                best, best_score = account, value
+        return Placed(best.name, best_score)
+
+    def _list_candidates(self, need: TaskNeed) -> Iterator[WorkerAccount]:
+        limit = _SPREAD_CANDIDATES if need.group else _CANDIDATES
+        predicates = [item.prepare(need) for item in self._filters]
+        return self._index.find_candidates(
+            need,
+            limit,
+            [predicate for predicate in predicates if predicate is not None],
+            not self.weights.get("keep_accelerators"),
+        )
--- /dev/null
+++ b/src/damaskdeck/coordination/scores.py
@@ -0,0 +1,111 @@
+"""Scores: which of the workers that may take a task should; higher is better."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from damaskdeck.state.accounts import Accounts, TaskNeed, WorkerAccount
+
+Measure = Callable[[WorkerAccount], float]
+Prepare = Callable[[TaskNeed, Accounts], Measure | None]
+
+
+class WeightedMeasure(NamedTuple):
+    """A score made ready for one need."""
+
+    weight: float
+    measure: Measure
+
+
+_scores: dict[str, Prepare] = {}
+
+
+def score(name: str) -> Callable[[Prepare], Prepare]:
+    """Register a score; its measures lie between 0 and 1.
+
+    :param name: its key among the weights of a policy.
+    """
+
+    def register(prepare: Prepare) -> Prepare:
+        if name in _scores:
+            raise ValueError(f"score {name!r} is registered twice")
+        _scores[name] = prepare
+        return prepare
+
+    return register
+
+
+def list_scores() -> tuple[str, ...]:
+    """List the names of all scores."""
+    return tuple(_scores)
+
+
+def prepare_scores(
+    need: TaskNeed, accounts: Accounts, weights: Mapping[str, float]
+) -> list[WeightedMeasure]:
+    """Prepare the scores that have something to say about a need."""
+    prepared = []
+    for name, weight in weights.items():
+        prepare = _scores.get(name)
+        if prepare is None or not weight:
+            continue
+        measure = prepare(need, accounts)
+        if measure is not None:
+            prepared.append(WeightedMeasure(weight, measure))
+    return prepared
+
+
+@score("best_fit")
+def prepare_best_fit(need: TaskNeed, accounts: Accounts) -> Measure:
+    """Prefer the worker that has least left over, as a share of its size."""
+    millicores, memory, accelerators = need.size
+
+    def measure(account: WorkerAccount) -> float:
+        free, size = account.free, account.size
+        rest = (free[0] - millicores) / (size[0] or 1)
+        rest += (free[1] - memory) / (size[1] or 1)
+        if size[2]:
+            return 1 - (rest + (free[2] - accelerators) / size[2]) / 3
+        return 1 - rest / 2
+
+    return measure
+
+
+@score("keep_accelerators")
+def prepare_keep_accelerators(need: TaskNeed, accounts: Accounts) -> Measure | None:
+    """Leave workers with accelerators to those who need them."""
+    if need.size[2]:
+        return None
+
+    def measure(account: WorkerAccount) -> float:
+        total = account.size[2]
+        return 0.5 - 0.5 * account.free[2] / total if total else 1.0
+
+    return measure
+
+
+@score("spread")
+def prepare_spread(need: TaskNeed, accounts: Accounts) -> Measure | None:
+    """Spread a group over zones, then racks, then workers."""
+    counts = accounts.count_group(need.group) if need.group else None
+    if not counts:
+        return None
+    weighted = ((0.6, "{0.zone}"), (0.3, "{0.zone}/{0.rack}"))
+
+    def measure(account: WorkerAccount) -> float:
+        instance = account.instance
+        value = 0.0
+        for share, pattern in weighted:
+            value += share / (1 + counts.get(pattern.format(instance), 0))
+        name = f"{instance.zone}/{instance.rack}/{instance.name}"
+        return value + 0.1 / (1 + counts.get(name, 0))
+
+    return measure
+
+
+@score("affinity")
+def prepare_affinity(need: TaskNeed, accounts: Accounts) -> Measure | None:
+    """Prefer the zones named as near, as those of the task's data."""
+    near = need.near
+    if not near:
+        return None
+    return lambda account: float(account.instance.zone in near)
--- /dev/null
+++ b/src/damaskdeck/state/accounts.py
@@ -0,0 +1,390 @@
+"""What workers hold and what of it is reserved, in exact arithmetic."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
+from datetime import timedelta
+from typing import NamedTuple
+
+from damaskdeck.errors import InvariantError
+from damaskdeck.protocol.ports import Instance, InstanceState
+from damaskdeck.protocol.resources import Urgency
+from damaskdeck.protocol.sizes import (
+    ZERO_SIZE,
+    Size,
+    add_sizes,
+    fits,
+    name_shortfall,
+    subtract_sizes,
+)
+
+
+class TaskNeed(NamedTuple):
+    """What a task needs of a worker and how it may be treated there.
+
+    :param group: tasks of one group are spread; a service's name, else empty.
+    :param zones: the only availability zones allowed; empty for any.
+    :param near: preferred availability zones, as those of its data.
+    :param avoid: workers on which it was seen failing.
+    :param started: monotonic time of its start, for the work lost when stopped.
+    """
+
+    task: str
+    size: Size
+    group: str = ""
+    urgency: Urgency = Urgency.NORMAL
+    idempotent: bool = True
+    checkpoint: bool = False
+    zones: frozenset[str] = frozenset()
+    near: frozenset[str] = frozenset()
+    avoid: frozenset[str] = frozenset()
+    started: timedelta = timedelta()
+
+
+class Reservation(NamedTuple):
+    """A part of a worker that is set aside for a task.
+
+    :param deadline: for a hold, the monotonic time when it ends unless it was
+        confirmed; else ``None``.
+    """
+
+    need: TaskNeed
+    worker: str
+    deadline: timedelta | None = None
+
+
+class Reserved(NamedTuple):
+    """The task has its part of ``worker``."""
+
+    worker: str
+
+
+class NoRoom(NamedTuple):
+    """Not now: ``dimension`` is what lacks, as in ``memory``."""
+
+    dimension: str
+
+
+class NoWorker(NamedTuple):
+    """The worker isn't known here, or takes no new work because of ``code``."""
+
+    code: str
+
+
+class AlreadyReserved(NamedTuple):
+    """The task holds a part of ``worker`` already; nothing was changed."""
+
+    worker: str
+
+
+class NoReservation(NamedTuple):
+    """The task holds nothing here."""
+
+    task: str
+
+
+class WorkerAccount:
+    """One worker's account; only :class:`Accounts` changes it.
+
+    :param instance: the worker as the platform lists it.
+    """
+
+    __slots__ = ("closed", "free", "instance", "name", "reservations", "size")
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance = instance
+        self.name = instance.name
+        self.size = instance.size
+        self.free = instance.size
+        self.closed = ""
+        self.reservations: dict[str, Reservation] = {}
+
+
+class Totals(NamedTuple):
+    """Sums over all workers."""
+
+    size: Size
+    free: Size
+    tasks: int
+
+
+AccountHandler = Callable[[WorkerAccount, bool], None]
+
+
+class Accounts:
+    """Reservations of tasks on the workers that this daemon owns.
+
+    Promise: "No instance is given more work than its processors, memory, or
+    accelerators can hold." Whatever doesn't fit is refused as a value; a
+    negative rest raises :class:`InvariantError`.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, WorkerAccount] = {}
+        self._where: dict[str, WorkerAccount] = {}
+        self._groups: dict[str, Counter[str]] = {}
+        self._holds: list[tuple[timedelta, str]] = []
+        self._handlers: list[AccountHandler] = []
+        self._size = ZERO_SIZE
+        self._free = ZERO_SIZE
+
+    @property
+    def workers(self) -> Mapping[str, WorkerAccount]:
+        """The accounts by name of the worker."""
+        return self._workers
+
+    @property
+    def totals(self) -> Totals:
+        """The sums, kept with each change."""
+        return Totals(self._size, self._free, len(self._where))
+
+    def subscribe(self, handler: AccountHandler) -> None:
+        """Call ``handler(account, is_present)`` after each change of a worker.
+
+        It is called at once for each worker that is known already.
+        """
+        self._handlers.append(handler)
+        for account in self._workers.values():
+            handler(account, True)
+
+    def set_worker(self, instance: Instance) -> NoRoom | None:
+        """Add a worker or take over what the platform now says of it.
+
+        :returns: the dimension when it shrank below what is reserved on it; it
+            then keeps its former size and is closed.
+        """
+        account = self._workers.get(instance.name)
+        if account is None:
+            account = self._workers[instance.name] = WorkerAccount(instance)
+            self._size = add_sizes(self._size, instance.size)
+            self._free = add_sizes(self._free, instance.size)
+        shortfall = self._resize_worker(account, instance.size)
+        if account.instance[2:] != instance[2:] and account.reservations:
+            self._recount_groups(account, instance)
+        account.instance = instance
+        is_leaving = instance.state is InstanceState.LEAVING
+        if shortfall:
+            account.closed = "shrunk"
+        elif is_leaving or account.closed in ("leaving", "shrunk"):
+            account.closed = "leaving" if is_leaving else ""
+        self._tell(account, True)
+        return NoRoom(shortfall) if shortfall else None
+
+    def remove_worker(self, name: str) -> tuple[Reservation, ...]:
+        """Forget a worker; returns the reservations that went with it."""
+        account = self._workers.get(name)
+        if account is None:
+            return ()
+        lost = tuple(account.reservations.values())
+        for reservation in lost:
+            self.release(reservation.need.task)
+        del self._workers[name]
+        self._size = subtract_sizes(self._size, account.size)
+        self._free = subtract_sizes(self._free, account.size)
+        self._tell(account, False)
+        return lost
+
+    def close_worker(self, name: str, code: str) -> None:
+        """Give a worker no new work.
+
+        :param code: why, as in ``quarantined``; empty opens it again, unless
+            it is leaving.
+        """
+        account = self._workers.get(name)
+        if account is None or account.closed == code:
+            return
+        if account.instance.state is InstanceState.LEAVING:
+            code = "leaving"
+        account.closed = code
+        self._tell(account, True)
+
+    def reserve(
+        self, need: TaskNeed, worker: str, deadline: timedelta | None = None
+    ) -> Reserved | NoRoom | NoWorker | AlreadyReserved:
+        """Set aside a part of a worker for a task.
+
+        :param deadline: makes it a hold, which :meth:`expire` ends then.
+        """
+        account = self._workers.get(worker)
+        if account is None:
+            return NoWorker("unknown")
+        holder = self._where.get(need.task)
+        if holder is not None:
+            return AlreadyReserved(holder.name)
+        if account.closed:
+            return NoWorker(account.closed)
+        if not fits(need.size, account.free):
+            return NoRoom(name_shortfall(need.size, account.free) or "")
+        self._put(account, Reservation(need, worker, deadline))
+        return Reserved(worker)
+
+    def adopt(
+        self, need: TaskNeed, worker: str
+    ) -> Reserved | NoRoom | NoWorker | AlreadyReserved:
+        """Reserve for a task already found running, on a closed worker too."""
+        account = self._workers.get(worker)
+        if account is None:
+            return NoWorker("unknown")
+        code, account.closed = account.closed, ""
+        try:
+            return self.reserve(need, worker)
+        finally:
+            account.closed = code
+
+    def release(self, task: str) -> Reservation | None:
+        """Give back what a task holds; ``None`` when it holds nothing."""
+        account = self._where.pop(task, None)
+        if account is None:
+            return None
+        reservation = account.reservations.pop(task)
+        need = reservation.need
+        self._change_free(account, need.size)
+        if need.group:
+            self._count_group(need.group, account.instance, -1)
+        self._tell(account, True)
+        return reservation
+
+    def move(
+        self, task: str, worker: str
+    ) -> Reserved | NoRoom | NoWorker | NoReservation:
+        """Move a task's reservation to another worker, or leave it where it is."""
+        held = self.find(task)
+        if held is None:
+            return NoReservation(task)
+        if held.worker == worker:
+            return Reserved(worker)
+        self.release(task)
+        outcome = self.reserve(held.need, worker, held.deadline)
+        if not isinstance(outcome, Reserved):
+            self._put(self._workers[held.worker], held)
+        return outcome
+
+    def resize(self, task: str, size: Size) -> Reserved | NoRoom | NoReservation:
+        """Change the size reserved for a task, as learnt from its use."""
+        held = self.find(task)
+        if held is None:
+            return NoReservation(task)
+        account = self._where[task]
+        room = add_sizes(account.free, held.need.size)
+        if not fits(size, room):
+            return NoRoom(name_shortfall(size, room) or "")
+        self._change_free(account, subtract_sizes(held.need.size, size))
+        need = held.need._replace(size=size)
+        account.reservations[task] = held._replace(need=need)
+        self._tell(account, True)
+        return Reserved(account.name)
+
+    def confirm(self, task: str, now: timedelta) -> bool:
+        """Turn a hold into a lasting reservation; false once it has ended."""
+        held = self.find(task)
+        if held is None:
+            return False
+        if held.deadline is not None:
+            if held.deadline <= now:
+                return False
+            account = self._where[task]
+            account.reservations[task] = held._replace(deadline=None)
+        return True
+
+    def expire(self, now: timedelta) -> tuple[Reservation, ...]:
+        """End the holds whose deadline has come."""
+        ended = []
+        while self._holds and self._holds[0][0] <= now:
+            deadline, task = heapq.heappop(self._holds)
+            held = self.find(task)
+            if held is not None and held.deadline == deadline:
+                self.release(task)
+                ended.append(held)
+        return tuple(ended)
+
+    def find(self, task: str) -> Reservation | None:
+        """Return what a task holds."""
+        account = self._where.get(task)
+        return account.reservations[task] if account is not None else None
+
+    def count_group(self, group: str) -> Mapping[str, int]:
+        """Count a group's tasks by zone, ``zone/rack`` and worker's name."""
+        return self._groups.get(group, {})
+
+    def recount(self) -> Totals:
+        """Work out the totals from scratch, and check each worker.
+
+        :raises InvariantError: when an account differs from its reservations.
+        """
+        size = free = ZERO_SIZE
+        tasks = 0
+        for account in self._workers.values():
+            rest = account.size
+            for reservation in account.reservations.values():
+                rest = subtract_sizes(rest, reservation.need.size)
+            if rest != account.free or min(rest) < 0:
+                raise InvariantError(f"account of {account.name} is wrong")
+            size = add_sizes(size, account.size)
+            free = add_sizes(free, rest)
+            tasks += len(account.reservations)
+        return Totals(size, free, tasks)
+
+    def recount_groups(self) -> Mapping[str, Mapping[str, int]]:
+        """Work out the counts of all groups from scratch."""
+        groups: dict[str, Counter[str]] = {}
+        for account in self._workers.values():
+            for reservation in account.reservations.values():
+                if group := reservation.need.group:
+                    counts = groups.setdefault(group, Counter())
+                    counts.update(_list_places(account.instance))
+        return groups
+
+    def _put(self, account: WorkerAccount, reservation: Reservation) -> None:
+        need = reservation.need
+        size = need.size
+        self._change_free(account, Size(-size[0], -size[1], -size[2]))
+        account.reservations[need.task] = reservation
+        self._where[need.task] = account
+        if need.group:
+            self._count_group(need.group, account.instance, 1)
+        if reservation.deadline is not None:
+            heapq.heappush(self._holds, (reservation.deadline, need.task))
+        self._tell(account, True)
+
+    def _change_free(self, account: WorkerAccount, change: Size) -> None:
+        free = add_sizes(account.free, change)
+        if min(free) < 0 or not fits(free, account.size):
+            raise InvariantError(f"rest of {account.name} would be {free}")
+        account.free = free
+        self._free = add_sizes(self._free, change)
+
+    def _resize_worker(self, account: WorkerAccount, size: Size) -> str | None:
+        used = subtract_sizes(account.size, account.free)
+        shortfall = name_shortfall(used, size)
+        if shortfall is None and size != account.size:
+            change = subtract_sizes(size, account.size)
+            account.size = size
+            account.free = subtract_sizes(size, used)
+            self._size = add_sizes(self._size, change)
+            self._free = add_sizes(self._free, change)
+        return shortfall
+
+    def _recount_groups(self, account: WorkerAccount, instance: Instance) -> None:
+        for reservation in account.reservations.values():
+            if group := reservation.need.group:
+                self._count_group(group, account.instance, -1)
+                self._count_group(group, instance, 1)
+
+    def _count_group(self, group: str, instance: Instance, change: int) -> None:
+        counts = self._groups.setdefault(group, Counter())
+        for place in _list_places(instance):
+            counts[place] += change
+            if not counts[place]:
+                del counts[place]
+        if not counts:
+            del self._groups[group]
+
+    def _tell(self, account: WorkerAccount, is_present: bool) -> None:
+        for handler in self._handlers:
+            handler(account, is_present)
+
+
+def _list_places(instance: Instance) -> Iterator[str]:
+    yield instance.zone
+    yield f"{instance.zone}/{instance.rack}"
+    yield f"{instance.zone}/{instance.rack}/{instance.name}"
