--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -1,8 +1,6 @@
 """An in-memory key-value service with compare-and-swap, leases and watches."""
 
-import asyncio
 from bisect import bisect_left, insort
-from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from typing import TypeVar
@@ -23,7 +21,7 @@
     TooOld,
     Written,
 )
-from standins.faults import FaultKind, Faults
+from standins.gateway import Gateway, Signal
 
 VALUE_LIMIT = 1_000_000
 HISTORY_LIMIT = 10_000
@@ -41,9 +39,9 @@
     def __init__(self, clock: Clock, capacity: int = 1 << 30) -> None:
         self.clock = clock
         self.capacity = capacity
-        self.faults = Faults()
-        self.calls: Counter[str] = Counter()
-        self.waiting_watches = 0
+        self.gateway = Gateway(clock, "store_busy")
+        self.faults = self.gateway.faults
+        self.calls = self.gateway.calls
         self.written_bytes = 0
         self._revision = 0
         self._entries: dict[str, Entry] = {}
@@ -53,12 +51,17 @@
         self._leases: dict[str, tuple[timedelta, timedelta]] = {}
         self._lease_count = 0
         self._size = 0
-        self._changed = asyncio.Event()
+        self.changed = Signal()
 
     def connect(self, client: str) -> "StoreClient":
         """Return the store as one client sees it; it may be cut off alone."""
         return StoreClient(self, client)
 
+    @property
+    def waiting_watches(self) -> int:
+        """How many watches wait for a change."""
+        return self.gateway.waiting
+
     @property
     def revision(self) -> int:
         """The revision of the last write."""
@@ -154,9 +157,9 @@
         found = [e for e in self._history[start:] if e.key.startswith(prefix)]
         return Events(tuple(found), max(revision, self._revision))
 
-    async def wait_for_change(self) -> None:
-        """Wait until something is written."""
-        await self._changed.wait()
+    def find_next_lapse(self) -> timedelta | None:
+        """Return the monotonic time when the next lease lapses, if any."""
+        return min((deadline for deadline, _ in self._leases.values()), default=None)
 
     def _remove(self, key: str) -> None:
         entry = self._entries.pop(key)
@@ -170,8 +173,7 @@
         if len(self._history) > 2 * HISTORY_LIMIT:
             self._dropped = self._history[-HISTORY_LIMIT - 1].revision
             del self._history[:-HISTORY_LIMIT]
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.changed.wake()
 
 
 class StoreClient:
@@ -222,47 +224,31 @@
         self, prefix: str, revision: int, wait: timedelta
     ) -> Events | TooOld | Rejected | Lost:
         """Return the changes after ``revision``, waiting up to ``wait`` for one."""
-        found = await self._call(
-            "watch", lambda: self._store.read_events(prefix, revision)
-        )
+        store = self._store
+        found = await self._call("watch", lambda: store.read_events(prefix, revision))
         if not isinstance(found, Events) or found.events or wait <= timedelta():
             return found
-        timer = asyncio.ensure_future(self._store.clock.sleep(wait))
-        self._store.waiting_watches += 1
-        try:
-            while isinstance(found, Events) and not found.events and not timer.done():
-                change = asyncio.ensure_future(self._store.wait_for_change())
-                await asyncio.wait({timer, change}, return_when=asyncio.FIRST_COMPLETED)
-                change.cancel()
-                if self._is_cut_off():
-                    return Lost("unreachable")
-                found = self._store.read_events(prefix, revision)
-        finally:
-            self._store.waiting_watches -= 1
-            timer.cancel()
-        return found
-
-    def _is_cut_off(self) -> bool:
-        faults = self._store.faults
-        return faults.outage or self._client in faults.cut_off
+        return await store.gateway.poll(
+            self._client,
+            lambda: self._read_events(prefix, revision),
+            lambda answer: isinstance(answer, Events) and not answer.events,
+            store.changed,
+            wait,
+            store.find_next_lapse,
+        )
+
+    def _read_events(self, prefix: str, revision: int) -> Events | TooOld:
+        self._store.lapse_leases()
+        return self._store.read_events(prefix, revision)
 
     async def _call(self, operation: str, act: Callable[[], T]) -> T | Rejected | Lost:
         store = self._store
-        fault = store.faults.take(operation)
-        if store.faults.delay:
-            await store.clock.sleep(store.faults.delay)
-        if self._is_cut_off():
-            return Rejected("unreachable")
-        store.calls[operation] += 1
-        store.lapse_leases()
-        if fault is FaultKind.REFUSE:
-            return Rejected("store_busy")
-        if fault is FaultKind.LOSE_CALL:
-            return Lost("timeout")
-        answer = act()
-        if fault is FaultKind.LOSE_ANSWER:
-            return Lost("timeout")
-        return answer
+
+        def act_now() -> T:
+            store.lapse_leases()
+            return act()
+
+        return await store.gateway.call(self._client, operation, act_now)
 
 
 def _differs(current: Entry | None, expected: int | None) -> bool:
