Add streams between daemons over grpclib

Each daemon opens one bidirectional stream to each peer it talks to. The writer sends whatever is queued when it wakes as one batch of envelopes, MessagePack by a codec of our own, so there is no generated code. The token is compared in constant time before the first batch is read. A call whose stream breaks is Unanswered once it was written and Unsent before; full queues answer Unsent("peer_busy").

--- /dev/null
+++ b/src/damaskdeck/transport/links.py
@@ -0,0 +1,235 @@
+"""The stream that a daemon opens to one peer, with its calls in flight."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import msgspec
+from grpclib.client import Channel, Stream, StreamStreamMethod
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
+
+from damaskdeck.clock import Clock
+from damaskdeck.defaults import SILENCE_LIMIT
+from damaskdeck.errors import DamaskdeckError
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop, count_retry
+from damaskdeck.protocol.messages import Answered, Envelope, Unanswered, Unsent
+from damaskdeck.transport.batches import BatchCodec, Outbox
+
+METHOD = "/damaskdeck.Peers/Exchange"
+REPLY = ""
+REPLY_FAILED = "!failed"
+REPLY_UNSUPPORTED = "!unsupported"
+REPLY_BUSY = "!busy"
+PING_INTERVAL = timedelta(milliseconds=600)
+CONNECT_TIMEOUT = timedelta(seconds=1)
+BACKOFF_START = timedelta(milliseconds=50)
+BACKOFF_LIMIT = timedelta(seconds=1)
+WINDOW = 1 << 20
+CONFIGURATION = Configuration(
+    http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW
+)
+STREAM_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    H2Error,
+    OSError,
+    TimeoutError,
+    AssertionError,
+    msgspec.MsgspecError,
+)
+
+CallResult = Answered | Unsent | Unanswered
+
+_log = get_logger("peers")
+_UNPROVED = {
+    REPLY_UNSUPPORTED: Unsent("unsupported"),
+    REPLY_BUSY: Unsent("peer_busy"),
+    REPLY_FAILED: Unanswered("peer_failed"),
+}
+
+
+class SilenceError(DamaskdeckError):
+    """A peer sent nothing for too long."""
+
+    code = "silent_peer"
+
+
+@dataclass
+class PendingCall:
+    """A call that waits for its reply.
+
+    :param written: whether it may have left this daemon.
+    """
+
+    future: asyncio.Future[CallResult]
+    written: bool = False
+
+
+class Link:
+    """The stream to one peer; opened again with backoff whenever it breaks.
+
+    :param find_address: tells the peer's address, ``None`` when it is unknown.
+    :param metadata: sent when the stream is opened.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        find_address: Callable[[str], str | None],
+        metadata: dict[str, str],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.instance = instance
+        self._find_address = find_address
+        self._metadata = metadata
+        self._clock = clock
+        self._random = random
+        self._outbox = Outbox()
+        self._calls: dict[int, PendingCall] = {}
+        self._is_open = True
+        self._heard = clock.monotonic()
+
+    def send(self, envelope: Envelope) -> Unsent | None:
+        """Queue a message that asks for no reply."""
+        if not self._is_open:
+            return Unsent("unreachable")
+        return None if self._outbox.put(envelope) else Unsent("peer_busy")
+
+    def start_call(self, envelope: Envelope) -> asyncio.Future[CallResult]:
+        """Queue a message and return the future of its reply."""
+        future: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
+        refusal = self.send(envelope)
+        if refusal is not None:
+            future.set_result(refusal)
+        else:
+            self._calls[envelope.number] = PendingCall(future)
+        return future
+
+    def end_call(self, number: int, code: str) -> None:
+        """End a call that got no reply; it is unsent if it was never written."""
+        call = self._calls.pop(number, None)
+        if call is not None and not call.future.done():
+            call.future.set_result(Unanswered(code) if call.written else Unsent(code))
+
+    async def run(self) -> None:
+        """Keep the stream open until the peer's address is no longer known."""
+        backoff = BACKOFF_START
+        while (address := self._find_address(self.instance)) is not None:
+            began = self._clock.monotonic()
+            self._is_open = True
+            try:
+                await self._exchange(address)
+            except (*STREAM_ERRORS, SilenceError) as error:
+                _log.debug("A stream broke.", peer=self.instance, error=repr(error))
+            finally:
+                self._break()
+            if self._clock.monotonic() - began > BACKOFF_LIMIT:
+                backoff = BACKOFF_START
+            count_retry("peers", "reconnect")
+            await self._clock.sleep(backoff * (0.5 + self._random.random() / 2))
+            backoff = min(backoff * 2, BACKOFF_LIMIT)
+
+    async def _exchange(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        channel = Channel(
+            host.strip("[]"), int(port), codec=BatchCodec(), config=CONFIGURATION
+        )
+        method = StreamStreamMethod(channel, METHOD, list, list)
+        try:
+            async with method.open(metadata=self._metadata) as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                    await stream.send_request()
+                    await stream.recv_initial_metadata()
+                self._heard = self._clock.monotonic()
+                await run_until_first(
+                    self._write(stream), self._read(stream), self._watch()
+                )
+        finally:
+            channel.close()
+
+    async def _write(self, stream: Stream[list, list]) -> None:
+        while True:
+            batch = await self._outbox.take()
+            await stream.send_message(self._mark_written(batch))
+
+    def _mark_written(self, batch: list[Envelope]) -> list[Envelope]:
+        kept = []
+        for envelope in batch:
+            if envelope.number:
+                call = self._calls.get(envelope.number)
+                if call is None:
+                    continue
+                call.written = True
+            kept.append(envelope)
+        return kept
+
+    async def _read(self, stream: Stream[list, list]) -> None:
+        while (batch := await stream.recv_message()) is not None:
+            self._heard = self._clock.monotonic()
+            for envelope in batch:
+                self._take_reply(envelope)
+
+    def _take_reply(self, envelope: Envelope) -> None:
+        call = self._calls.pop(envelope.reply_to, None)
+        if call is None or call.future.done():
+            count_drop("peers", "late_reply")
+            return
+        if envelope.kind == REPLY:
+            call.future.set_result(Answered(msgspec.msgpack.decode(envelope.body)))
+        else:
+            unknown = Unanswered("unknown_reply")
+            call.future.set_result(_UNPROVED.get(envelope.kind, unknown))
+
+    async def _watch(self) -> None:
+        await watch_silence(
+            self._clock, lambda: self._heard, self._outbox.put_ping, SILENCE_LIMIT
+        )
+
+    def _break(self) -> None:
+        self._is_open = False
+        left = self._outbox.clear()
+        unsent = sum(1 for envelope in left if not envelope.number)
+        if unsent:
+            count_drop("peers", "unsent", unsent)
+        for number in list(self._calls):
+            self.end_call(number, "unreachable")
+
+
+async def watch_silence(
+    clock: Clock,
+    get_heard: Callable[[], timedelta],
+    ping: Callable[[], None],
+    limit: timedelta,
+) -> None:
+    """Ping a peer that says nothing, and raise once it stays silent.
+
+    :raises SilenceError: when nothing came for ``limit``.
+    """
+    while True:
+        quiet = clock.monotonic() - get_heard()
+        if quiet >= limit:
+            raise SilenceError()
+        if quiet >= PING_INTERVAL:
+            ping()
+        await clock.sleep(min(PING_INTERVAL, limit - quiet))
+
+
+async def run_until_first(*parts: Coroutine[Any, Any, Any]) -> None:
+    """Run coroutines until one ends; cancel the others and raise its error."""
+    tasks = [asyncio.ensure_future(part) for part in parts]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/src/damaskdeck/transport/peers.py
@@ -0,0 +1,277 @@
+"""Streams between daemons: one each way and peer over grpclib, in batches."""
+
+import asyncio
+import heapq
+import hmac
+import itertools
+import logging
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from grpclib.const import Cardinality, Status
+from grpclib.const import Handler as MethodHandler
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+
+from damaskdeck.clock import Clock
+from damaskdeck.defaults import SILENCE_LIMIT
+from damaskdeck.errors import MessageError
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop, count_refusal
+from damaskdeck.protocol.messages import (
+    Answered,
+    Envelope,
+    Handler,
+    Unanswered,
+    Unsent,
+    decode_message,
+    encode_message,
+    get_message_name,
+)
+from damaskdeck.transport.batches import BatchCodec, Outbox
+from damaskdeck.transport.links import (
+    CONFIGURATION,
+    METHOD,
+    REPLY,
+    REPLY_BUSY,
+    REPLY_FAILED,
+    REPLY_UNSUPPORTED,
+    Link,
+    SilenceError,
+    run_until_first,
+    watch_silence,
+)
+
+HANDLER_LIMIT = 1000
+SERVER_SILENCE = 2 * SILENCE_LIMIT
+
+_log = get_logger("peers")
+logging.getLogger("grpclib").setLevel(logging.CRITICAL)
+
+
+class PeerNetwork:
+    """The streams of one daemon; implements ``Peers``.
+
+    :param port: 0 takes a free one; see :attr:`address` after :meth:`start`.
+    :param token: the same for all daemons of the deployment.
+    :param find_address: tells a peer's address, ``None`` when it is unknown.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        token: str,
+        clock: Clock,
+        find_address: Callable[[str], str | None],
+    ) -> None:
+        self.address = ""
+        self._name = name
+        self._host = host
+        self._port = port
+        self._authorization = f"Bearer {token}"
+        self._clock = clock
+        self._find_address = find_address
+        self._random = Random()
+        self._handlers: dict[str, Handler] = {}
+        self._links: dict[str, tuple[Link, asyncio.Task[None]]] = {}
+        self._numbers = itertools.count(1)
+        self._deadlines: list[tuple[timedelta, int, Link]] = []
+        self._sweeper: asyncio.Task[None] | None = None
+        self._server: Server | None = None
+        self._inlets: set[_Inlet] = set()
+
+    async def start(self) -> None:
+        """Listen for other daemons."""
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        listener = socket.create_server((self._host, self._port), family=family)
+        listener.setblocking(False)
+        host, port = listener.getsockname()[:2]
+        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        self._server = Server([self], codec=BatchCodec(), config=CONFIGURATION)
+        await self._server.start(sock=listener)
+
+    async def close(self) -> None:
+        """End all streams; calls in flight end as unanswered."""
+        tasks = [task for _, task in self._links.values()]
+        if self._sweeper is not None:
+            tasks.append(self._sweeper)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._links.clear()
+        await asyncio.gather(*(inlet.end() for inlet in self._inlets))
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def register(self, kind: type, handler: Handler) -> None:
+        """Let ``handler(instance, message)`` take all messages of ``kind``."""
+        self._handlers[get_message_name(kind)] = handler
+
+    def send(self, instance: str, message: Any, kind: type) -> Unsent | None:
+        """Put a message on the stream to ``instance`` without waiting."""
+        link = self._get_link(instance)
+        if link is None:
+            return Unsent("unknown_peer")
+        body = encode_message(message)
+        return link.send(Envelope(get_message_name(kind), 0, 0, body))
+
+    async def call(
+        self, instance: str, message: Any, kind: type, timeout: timedelta
+    ) -> Answered | Unsent | Unanswered:
+        """Send a message and wait for its reply, which arrives as plain data."""
+        link = self._get_link(instance)
+        if link is None:
+            return Unsent("unknown_peer")
+        number = next(self._numbers)
+        body = encode_message(message)
+        future = link.start_call(Envelope(get_message_name(kind), number, 0, body))
+        if not future.done():
+            self._add_deadline(self._clock.monotonic() + timeout, number, link)
+        try:
+            return await future
+        finally:
+            link.end_call(number, "cancelled")
+
+    def __mapping__(self) -> dict[str, MethodHandler]:
+        """Return the methods that the server offers, as grpclib asks for them."""
+        kind = Cardinality.STREAM_STREAM
+        return {METHOD: MethodHandler(self._serve, kind, list, list)}
+
+    def _get_link(self, instance: str) -> Link | None:
+        found = self._links.get(instance)
+        if found is not None and not found[1].done():
+            return found[0]
+        if self._find_address(instance) is None:
+            self._links.pop(instance, None)
+            return None
+        metadata = {"authorization": self._authorization, "instance": self._name}
+        link = Link(instance, self._find_address, metadata, self._clock, self._random)
+        self._links[instance] = link, asyncio.ensure_future(link.run())
+        return link
+
+    def _add_deadline(self, deadline: timedelta, number: int, link: Link) -> None:
+        heapq.heappush(self._deadlines, (deadline, number, link))
+        if self._deadlines[0][1] == number:
+            if self._sweeper is not None:
+                self._sweeper.cancel()
+            self._sweeper = asyncio.ensure_future(self._sweep())
+
+    async def _sweep(self) -> None:
+        while self._deadlines:
+            now = self._clock.monotonic()
+            deadline, number, link = self._deadlines[0]
+            if deadline > now:
+                await self._clock.sleep(deadline - now)
+                continue
+            heapq.heappop(self._deadlines)
+            link.end_call(number, "timeout")
+
+    async def _serve(self, stream: Stream[list, list]) -> None:
+        metadata = stream.metadata or {}
+        token = str(metadata.get("authorization", "")).encode()
+        if not hmac.compare_digest(token, self._authorization.encode()):
+            count_refusal("peers", "wrong_token")
+            raise GRPCError(Status.UNAUTHENTICATED)
+        instance = str(metadata.get("instance", ""))
+        await stream.send_initial_metadata()
+        inlet = _Inlet(instance, self._handlers, self._clock)
+        self._inlets.add(inlet)
+        try:
+            await inlet.run(stream)
+            await stream.send_trailing_metadata()
+        finally:
+            inlet.is_done.set()
+            self._inlets.discard(inlet)
+
+
+class _Inlet:
+    """The serving end of a stream: runs handlers and sends their replies."""
+
+    def __init__(
+        self, instance: str, handlers: dict[str, Handler], clock: Clock
+    ) -> None:
+        self._instance = instance
+        self._handlers = handlers
+        self._clock = clock
+        self._heard = clock.monotonic()
+        self._outbox = Outbox()
+        self._running: set[asyncio.Task[None]] = set()
+        self._has_ended = asyncio.Event()
+        self.is_done = asyncio.Event()
+
+    async def end(self) -> None:
+        """End the stream, so that the peer notices at once."""
+        self._has_ended.set()
+        await self.is_done.wait()
+
+    async def run(self, stream: Stream[list, list]) -> None:
+        """Serve until the peer ends the stream or falls silent."""
+        try:
+            await run_until_first(
+                self._read(stream),
+                self._write(stream),
+                self._watch(),
+                self._has_ended.wait(),
+            )
+        except SilenceError:
+            count_drop("peers", "silent_stream")
+
+    async def _read(self, stream: Stream[list, list]) -> None:
+        while (batch := await stream.recv_message()) is not None:
+            self._heard = self._clock.monotonic()
+            if not batch:
+                self._outbox.put_ping()
+            for envelope in batch:
+                self._accept(envelope)
+
+    async def _write(self, stream: Stream[list, list]) -> None:
+        while True:
+            await stream.send_message(await self._outbox.take())
+
+    async def _watch(self) -> None:
+        await watch_silence(
+            self._clock, lambda: self._heard, lambda: None, SERVER_SILENCE
+        )
+
+    def _accept(self, envelope: Envelope) -> None:
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            count_drop("peers", "unknown_kind")
+            self._reply(envelope, REPLY_UNSUPPORTED)
+        elif len(self._running) >= HANDLER_LIMIT:
+            count_refusal("peers", "peer_busy")
+            self._reply(envelope, REPLY_BUSY)
+        else:
+            task = asyncio.ensure_future(self._handle(handler, envelope))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _handle(self, handler: Handler, envelope: Envelope) -> None:
+        try:
+            message = decode_message(envelope.kind, envelope.body)
+        except MessageError as error:
+            _log.warn("A message was dropped.", peer=self._instance, error=str(error))
+            count_drop("peers", "invalid_message")
+            self._reply(envelope, REPLY_UNSUPPORTED)
+            return
+        try:
+            answer = await handler(self._instance, message)
+            body = encode_message(answer) if envelope.number else b""
+        except Exception as error:
+            _log.error("A handler failed.", kind=envelope.kind, error=repr(error))
+            count_drop("peers", "handler_failed")
+            self._reply(envelope, REPLY_FAILED)
+            return
+        self._reply(envelope, REPLY, body)
+
+    def _reply(self, envelope: Envelope, kind: str, body: bytes = b"") -> None:
+        if not envelope.number:
+            return
+        if not self._outbox.put(Envelope(kind, 0, envelope.number, body)):
+            count_drop("peers", "reply_queue_full")
