Add the ledger: a durable log with group commit in the store

Cause: nothing that was accepted could outlive a daemon.

The log uses a fixed ring of keys that are rewritten by compare-and-swap and never deleted, so that an append is one store call, needs no read, and a keeper that was paused fails whenever its write arrives: the revision that it expects never comes back. Opening fences with the head key (compaction) and an empty segment (appends). A lost answer is resolved by the write's identifier before the next append.

--- /dev/null
+++ b/src/damaskdeck/state/compaction.py
@@ -0,0 +1,125 @@
+"""Replaces the covered part of a log by a snapshot, at a slow pace."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from damaskdeck.clock import Clock
+from damaskdeck.logs import get_logger
+from damaskdeck.protocol.ports import Lost, Rejected, Store, Written
+from damaskdeck.state.log import Deposed, Log
+from damaskdeck.state.pace import Pace
+from damaskdeck.state.segments import Keys, decode_head, encode, split_records
+from damaskdeck.state.writes import Backoff, Clash, Write, write_once
+
+COMPACTION_INTERVAL = timedelta(milliseconds=100)
+
+_log = get_logger("ledger")
+
+
+class Compaction:
+    """Writes snapshots and removes what the head no longer names.
+
+    A snapshot's parts have names of their own, so nothing is seen of them until
+    the head is switched by compare-and-swap; before that the old snapshot and
+    the log count, afterwards the new one. What is left over by a keeper that
+    died in between is removed by the next, once its epoch stands in the head.
+
+    :param leftovers: keys of parts that no head names.
+    :param value_limit: bytes of the largest value that the store takes.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        keys: Keys,
+        log: Log,
+        take_snapshot: Callable[[], tuple[bytes, ...]],
+        leftovers: tuple[str, ...],
+        value_limit: int,
+        identify: Callable[[], str],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._keys = keys
+        self._ledger_log = log
+        self._take_snapshot = take_snapshot
+        self._leftovers = list(leftovers)
+        self._value_limit = value_limit
+        self._identify = identify
+        self._pace = Pace(clock, COMPACTION_INTERVAL)
+        self.snapshot_size = 0
+
+    @property
+    def has_leftovers(self) -> bool:
+        """Whether keys wait to be removed."""
+        return bool(self._leftovers)
+
+    async def run(self, is_due: Callable[[], bool]) -> None:
+        """Compact while it is due, then remove what is left over."""
+        backoff = Backoff(self._clock)
+        while self._ledger_log.deposed is None:
+            outcome = await self._remove_leftovers()
+            if outcome is None and not is_due():
+                return
+            outcome = outcome or await self._compact()
+            if isinstance(outcome, Rejected | Lost):
+                _log.warn("Compaction waits.", code=outcome.code)
+                await backoff.wait(outcome.code)
+
+    async def _compact(self) -> Written | Deposed | Rejected | Lost:
+        base = self._ledger_log.closed
+        parts = list(split_records(self._take_snapshot(), self._value_limit))
+        name = f"{base:012d}-{self._identify()}"
+        values = [encode(part) for part in parts]
+        self.snapshot_size = sum(len(value) for value in values)
+        outcome = await self._write_parts(name, values)
+        if isinstance(outcome, Written):
+            outcome = await self._switch(base, name, len(parts))
+        if not isinstance(outcome, Written):
+            self._leftovers += [self._keys.part(name, n) for n in range(len(parts))]
+        return outcome
+
+    async def _write_parts(
+        self, name: str, values: list[bytes]
+    ) -> Written | Clash | Rejected | Lost:
+        for number, value in enumerate(values):
+            await self._pace.wait()
+            write = Write(self._keys.part(name, number), value, 0, value.__eq__)
+            outcome = await write_once(self._store, self._clock, write)
+            if not isinstance(outcome, Written):
+                return outcome
+        return outcome
+
+    async def _switch(
+        self, base: int, name: str, parts: int
+    ) -> Written | Deposed | Rejected | Lost:
+        """Let the head name the new snapshot, if this keeper still holds it."""
+        log = self._ledger_log
+        old = log.head
+        head = msgspec.structs.replace(
+            old, identifier=self._identify(), base=base, snapshot=name, parts=parts
+        )
+        write = Write(
+            self._keys.head, encode(head), log.head_revision, head.is_stored_in
+        )
+        await self._pace.wait()
+        outcome = await write_once(self._store, self._clock, write)
+        if isinstance(outcome, Clash):
+            return log.depose(decode_head(outcome.current.value).epoch)
+        if isinstance(outcome, Written):
+            log.switch(head, outcome.revision)
+            numbers = range(old.parts)
+            self._leftovers += [self._keys.part(old.snapshot, n) for n in numbers]
+        return outcome
+
+    async def _remove_leftovers(self) -> Rejected | Lost | None:
+        while self._leftovers:
+            await self._pace.wait()
+            outcome = await self._store.delete(self._leftovers[-1], None)
+            if isinstance(outcome, Rejected | Lost):
+                return outcome
+            self._leftovers.pop()
+        return None
--- /dev/null
+++ b/src/damaskdeck/state/images.py
@@ -0,0 +1,97 @@
+"""A ledger as read from the store in one call."""
+
+from typing import NamedTuple
+
+from damaskdeck.errors import InvariantError
+from damaskdeck.protocol.ports import Entry, Listing
+from damaskdeck.state.segments import (
+    Head,
+    Keys,
+    Segment,
+    decode_head,
+    decode_part,
+    decode_segment,
+    encode,
+)
+
+
+class Image(NamedTuple):
+    """All keys of a ledger as of one revision of the store.
+
+    :param head_revision: 0 when the ledger is new.
+    :param segments: those that count, in order, without a gap.
+    :param revisions: of every slot in use, by key.
+    :param sizes: bytes of every slot in use, by key.
+    :param leftovers: keys of parts that no head names.
+    """
+
+    head: Head
+    head_revision: int
+    segments: tuple[Segment, ...]
+    revisions: dict[str, int]
+    sizes: dict[str, int]
+    snapshot: tuple[bytes, ...]
+    leftovers: tuple[str, ...]
+
+    @property
+    def last(self) -> int:
+        """The last sequence in the log."""
+        return self.head.base + len(self.segments)
+
+    @property
+    def epoch(self) -> int:
+        """The highest epoch that wrote to the ledger."""
+        return max([self.head.epoch, *(s.epoch for s in self.segments)])
+
+    def add(self, segment: Segment, key: str, revision: int) -> "Image":
+        """Return the image with one more segment at its end."""
+        return self._replace(
+            segments=(*self.segments, segment),
+            revisions={**self.revisions, key: revision},
+            sizes={**self.sizes, key: len(encode(segment))},
+        )
+
+
+def read_image(keys: Keys, listing: Listing, slots: int) -> Image:
+    """Sort out a listing of all keys of a ledger.
+
+    :param slots: how many slots the log gets if the ledger is new.
+    :raises InvariantError: when the store has lost a key that counts.
+    """
+    entries = {entry.key: entry for entry in listing.entries}
+    entry = entries.get(keys.head)
+    head = decode_head(entry.value) if entry else Head(slots=slots)
+    log = [e for e in listing.entries if e.key.startswith(keys.log)]
+    parts = [keys.part(head.snapshot, number) for number in range(head.parts)]
+    return Image(
+        head,
+        entry.revision if entry else 0,
+        _order_segments(keys, head, log),
+        {e.key: e.revision for e in log},
+        {e.key: len(e.value) for e in log},
+        _join_parts(keys, parts, entries),
+        tuple(
+            key for key in entries if key.startswith(keys.snapshots) if key not in parts
+        ),
+    )
+
+
+def _order_segments(keys: Keys, head: Head, log: list[Entry]) -> tuple[Segment, ...]:
+    found = [decode_segment(entry.value) for entry in log]
+    newer = [segment for segment in found if segment.sequence > head.base]
+    newer.sort(key=lambda segment: segment.sequence)
+    for place, segment in enumerate(newer, head.base + 1):
+        if segment.sequence != place:
+            raise InvariantError(f"{keys.prefix} has lost sequence {place}")
+    return tuple(newer)
+
+
+def _join_parts(
+    keys: Keys, parts: list[str], entries: dict[str, Entry]
+) -> tuple[bytes, ...]:
+    records: list[bytes] = []
+    for key in parts:
+        if key not in entries:
+            raise InvariantError(f"{keys.prefix} has lost {key}")
+        records.extend(decode_part(entries[key].value))
+    return tuple(records)
--- /dev/null
+++ b/src/damaskdeck/state/segments.py
@@ -0,0 +1,150 @@
+"""What a ledger keeps in the store: its keys, the head and the log's segments."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+import msgspec
+
+RECORD_OVERHEAD = 5
+SEGMENT_OVERHEAD = 200
+
+
+class Segment(msgspec.Struct, array_like=True, frozen=True):
+    """A batch of records: the value of one slot.
+
+    :param epoch: of the keeper that wrote it.
+    :param sequence: its place in the log, from 1 on without a gap.
+    :param identifier: of this write; tells whose write took effect.
+    :param opens: whether it starts a group; a group that was not closed before
+        the next one opens never counts.
+    :param closes: whether it ends its group.
+    """
+
+    epoch: int
+    sequence: int
+    identifier: str
+    opens: bool = True
+    closes: bool = True
+    records: tuple[bytes, ...] = ()
+
+    def is_stored_in(self, value: bytes) -> bool:
+        """Tell by its identifier whether this very write put ``value`` there."""
+        return decode_segment(value).identifier == self.identifier
+
+
+class Head(msgspec.Struct, array_like=True, frozen=True):
+    """Where replay starts: the value of the head key.
+
+    :param epoch: of the keeper that opened the ledger last.
+    :param identifier: of this write.
+    :param slots: how many keys the log uses in turn; fixed for good.
+    :param base: last sequence that the snapshot covers.
+    :param snapshot: name of the snapshot, or an empty string.
+    :param parts: how many keys the snapshot has.
+    """
+
+    epoch: int = 0
+    identifier: str = ""
+    slots: int = 0
+    base: int = 0
+    snapshot: str = ""
+    parts: int = 0
+
+    def is_stored_in(self, value: bytes) -> bool:
+        """Tell by its identifier whether this very write put ``value`` there."""
+        return decode_head(value).identifier == self.identifier
+
+
+class Keys(NamedTuple):
+    """The names of a ledger's keys in the store."""
+
+    name: str
+
+    @property
+    def prefix(self) -> str:
+        """The prefix of all keys of the ledger."""
+        return f"ledger/{self.name}/"
+
+    @property
+    def head(self) -> str:
+        """The key of the :class:`Head`."""
+        return f"{self.prefix}head"
+
+    @property
+    def log(self) -> str:
+        """The prefix of the slots."""
+        return f"{self.prefix}log/"
+
+    @property
+    def snapshots(self) -> str:
+        """The prefix of all parts of snapshots."""
+        return f"{self.prefix}snapshot/"
+
+    def slot(self, sequence: int, slots: int) -> str:
+        """Return the key that holds ``sequence`` of a log of so many slots."""
+        return f"{self.log}{sequence % slots:05d}"
+
+    def part(self, snapshot: str, number: int) -> str:
+        """Return the key of one part of a snapshot."""
+        return f"{self.snapshots}{snapshot}/{number:05d}"
+
+
+_encoder = msgspec.msgpack.Encoder()
+_segment_decoder = msgspec.msgpack.Decoder(Segment)
+_head_decoder = msgspec.msgpack.Decoder(Head)
+_records_decoder = msgspec.msgpack.Decoder(tuple[bytes, ...])
+
+
+def encode(value: Segment | Head | tuple[bytes, ...]) -> bytes:
+    """Encode a value for the store."""
+    return _encoder.encode(value)
+
+
+def decode_segment(value: bytes) -> Segment:
+    """Decode the value of a slot."""
+    return _segment_decoder.decode(value)
+
+
+def decode_head(value: bytes) -> Head:
+    """Decode the value of the head key."""
+    return _head_decoder.decode(value)
+
+
+def decode_part(value: bytes) -> tuple[bytes, ...]:
+    """Decode one part of a snapshot."""
+    return _records_decoder.decode(value)
+
+
+def measure_records(records: Iterable[bytes]) -> int:
+    """Return an upper bound of the bytes that ``records`` take in a value."""
+    return sum(len(record) + RECORD_OVERHEAD for record in records)
+
+
+def split_records(
+    records: tuple[bytes, ...], limit: int
+) -> Iterator[tuple[bytes, ...]]:
+    """Split records, in order, into runs that each fit into one value.
+
+    :param limit: bytes of a value; each record alone must fit.
+    """
+    room = limit - SEGMENT_OVERHEAD
+    start = size = 0
+    for index, record in enumerate(records):
+        length = len(record) + RECORD_OVERHEAD
+        if index > start and size + length > room:
+            yield records[start:index]
+            start, size = index, 0
+        size += length
+    yield records[start:]
+
+
+def join_groups(segments: Iterable[Segment]) -> Iterator[bytes]:
+    """Yield the records of all closed groups, in order of the log."""
+    pending: list[bytes] = []
+    for segment in segments:
+        if segment.opens:
+            pending = []
+        pending.extend(segment.records)
+        if segment.closes:
+            yield from pending
+            pending = []
