--- a/src/damaskdeck/state/ledger.py
+++ b/src/damaskdeck/state/ledger.py
@@ -83,7 +83,8 @@
 
     :param name: of the ledger, as in ``03``.
     :param take_snapshot: returns records that describe the state after all
-        records applied so far; called between two appends, must not wait.
+        records applied so far; must not wait. Not called before the first
+        :meth:`commit`, so replay what :meth:`open` returned before that.
     :param apply: called with the records of each commit, in order of the log,
         once they are durable and before :meth:`commit` returns, also when the
         caller has gone; must not wait. Not called for what :meth:`open` returns.
@@ -212,7 +213,6 @@
             self._value_limit,
             self._identify,
         )
-        self._compact_if_due()
 
     def _refuse(self, records: tuple[bytes, ...]) -> Deposed | Rejected | None:
         if self._failure is not None:
@@ -251,6 +251,7 @@
             group = self._take_group()
             if not group:
                 continue
+            self._compact_if_due()
             outcome = await self._append(group)
             if isinstance(outcome, Rejected) and outcome.code not in LASTING_CODES:
                 self._refusal = _name_refusal(outcome)
@@ -258,7 +259,6 @@
                 continue
             backoff = Backoff(self._clock)
             self._settle(group, outcome)
-            self._compact_if_due()
 
     async def _expire_all(self) -> None:
         """Answer each commit that has waited too long with what is proved."""
