Add the resource API, the configuration and its relay between daemons

Operators and callers had no way in, and nothing carried declared resources from the store to the daemons.

The configuration applies only higher revisions, as a whole and for each key. Two daemons of a zone watch the store and relay; the others notice gaps by base revisions and by the heartbeats' reports and pull from a peer. Writes go by compare-and-swap and are repeated under the same identifier after a lost answer, until their end is known. Deletions leave a mark in the store, so that a delayed creation can't bring a resource back. Routes live in a registry from which the OpenAPI description is made.

--- a/src/damaskdeck/clock.py
+++ b/src/damaskdeck/clock.py
@@ -36,3 +36,22 @@
     async def sleep(self, duration: timedelta) -> None:
         """Wait for ``duration`` on the event loop."""
         await asyncio.sleep(duration.total_seconds())
+
+
+async def wait_for_event(
+    event: asyncio.Event, timeout: timedelta, clock: Clock
+) -> bool:
+    """Wait until ``event`` is set, at most for ``timeout``.
+
+    :returns: whether it is set.
+    """
+    if event.is_set():
+        return True
+    waiter = asyncio.ensure_future(event.wait())
+    timer = asyncio.ensure_future(clock.sleep(timeout))
+    try:
+        await asyncio.wait({waiter, timer}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        waiter.cancel()
+        timer.cancel()
+    return event.is_set()
--- a/src/damaskdeck/defaults.py
+++ b/src/damaskdeck/defaults.py
@@ -19,6 +19,8 @@
 TASK_LEASE = timedelta(seconds=12)
 TASK_RENEWAL = timedelta(seconds=4)
 LEASE_MARGIN = timedelta(seconds=2)
+PAYLOAD_LIMIT = 256_000
+RESULT_LIMIT = 256_000
 
 # Requests.
 REQUEST_TIMEOUT = timedelta(seconds=10)
@@ -27,6 +29,13 @@
 
 # Configuration.
 WATCH_WAIT = timedelta(seconds=30)
+WATCHERS_PER_ZONE = 2
+HISTORY_LIMIT = 2000
+READER_LAG_LIMIT = 1000
+RELAY_INTERVAL = timedelta(milliseconds=500)
+RESOLVE_LIMIT = timedelta(seconds=10)
+RESOURCE_LIMIT = 65_536
+DELETION_RETENTION = timedelta(days=1)
 
 # Placement weights when no policy is declared.
 WEIGHTS = {"best_fit": 1.0, "keep_accelerators": 2.0, "spread": 1.0, "affinity": 1.0}
--- /dev/null
+++ b/src/damaskdeck/state/configuration.py
@@ -0,0 +1,183 @@
+"""The declared resources in force on this daemon, never lower than before."""
+
+from collections.abc import Iterable
+
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
+from damaskdeck.protocol.handlers import ConfigurationHandler
+from damaskdeck.protocol.ports import Event
+from damaskdeck.protocol.resources import DECLARED_KINDS, Kind, Resource
+from damaskdeck.state.versions import (
+    Version,
+    encode_version,
+    make_key,
+    read_version,
+)
+from damaskdeck.state.watches import Change, History
+
+PART = "configuration"
+
+_log = get_logger(PART)
+
+
+class Configuration:
+    """Implements :class:`ConfigurationReader`.
+
+    The base is exactly the store's state as of ``revision``. Writes that this
+    daemon learns of before everything below them lie ahead of the base; they
+    are in force too.
+
+    Promise: "A configuration the system has accepted is in force everywhere
+    within seconds and never reverts."
+
+    :param history: takes the changes of the base in order.
+    """
+
+    def __init__(self, history: History | None = None) -> None:
+        self.history = history or History()
+        self._is_loaded = False
+        self._revision = 0
+        self._base: dict[Kind, dict[str, Version]] = {k: {} for k in DECLARED_KINDS}
+        self._ahead: dict[tuple[Kind, str], Version] = {}
+        self._sorted: dict[Kind, tuple[Resource, ...]] = {}
+        self._handlers: list[ConfigurationHandler] = []
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether a whole state was ever applied."""
+        return self._is_loaded
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which everything is in force."""
+        return self._revision
+
+    def get(self, kind: Kind, name: str) -> Resource | None:
+        """Return a declared resource."""
+        version = self._ahead.get((kind, name)) or self._base[kind].get(name)
+        return version.resource if version else None
+
+    def list(self, kind: Kind) -> tuple[Resource, ...]:
+        """List the declared resources of a kind in order of name."""
+        found = self._sorted.get(kind)
+        if found is None:
+            found = self._sorted[kind] = self._sort(kind)
+        return found
+
+    def subscribe(self, handler: ConfigurationHandler) -> None:
+        """Call ``handler(kind, name, resource)`` on each change; ``None``: deleted."""
+        self._handlers.append(handler)
+
+    @property
+    def ahead_revisions(self) -> frozenset[int]:
+        """Revisions above :attr:`revision` that are in force already."""
+        return frozenset(version.revision for version in self._ahead.values())
+
+    def dump(self) -> tuple[Event, ...]:
+        """Return the base as of ``revision``, in order of key, for a peer."""
+        versions = [v for names in self._base.values() for v in names.values()]
+        return tuple(sorted(encode_version(version) for version in versions))
+
+    def dump_ahead(self) -> tuple[Event, ...]:
+        """Return the writes that lie ahead of the base, for a peer."""
+        return tuple(encode_version(version) for version in self._ahead.values())
+
+    def apply_changes(self, base: int, events: Iterable[Event], revision: int) -> bool:
+        """Apply all changes after ``base`` and up to ``revision``, in order.
+
+        :returns: whether they follow on what is known; else there is a gap.
+        """
+        if not self._is_loaded or base > self._revision:
+            return False
+        if revision <= self._revision:
+            return True
+        known, self._revision = self._revision, revision
+        versions = [v for e in events if e.revision > known and (v := _read(e))]
+        changes = [self._replace(version) for version in versions]
+        kept = [c for c in changes if c.resource or c.previous]
+        notices = [version for version in versions if self._settle(version)]
+        self.history.record(tuple(kept), revision)
+        self._notify(notices)
+        return True
+
+    def apply_snapshot(self, events: Iterable[Event], revision: int) -> bool:
+        """Apply the whole state as of ``revision``.
+
+        :returns: whether it was new enough; an older read changes nothing.
+        """
+        if self._is_loaded and revision <= self._revision:
+            if revision < self._revision:
+                count_drop(PART, "older_read")
+            return revision == self._revision
+        known = self._revision if self._is_loaded else -1
+        listed = {event.key: event for event in events}
+        versions = [
+            v for e in listed.values() if e.revision > known and (v := _read(e))
+        ]
+        versions += self._find_missing(listed, revision)
+        self._is_loaded, self._revision = True, revision
+        for version in versions:
+            self._replace(version)
+        notices = [version for version in versions if self._settle(version)]
+        self.history.reset(revision)
+        self._notify(notices)
+        return True
+
+    def apply_ahead(self, version: Version) -> None:
+        """Apply one version without knowing all those below it."""
+        key = (version.kind, version.name)
+        known = self._ahead.get(key) or self._base[version.kind].get(version.name)
+        lowest = max(self._revision, known.revision if known else 0)
+        if version.revision <= lowest:
+            return
+        self._ahead[key] = version
+        self._sorted.pop(version.kind, None)
+        self._notify([version])
+
+    def _sort(self, kind: Kind) -> tuple[Resource, ...]:
+        names = set(self._base[kind])
+        names.update(name for ahead, name in self._ahead if ahead is kind)
+        found = (self.get(kind, name) for name in sorted(names))
+        return tuple(resource for resource in found if resource is not None)
+
+    def _find_missing(
+        self, listed: dict[str, Event], revision: int
+    ) -> Iterable[Version]:
+        return [
+            version._replace(revision=revision, resource=None)
+            for names in self._base.values()
+            for version in names.values()
+            if make_key(version.kind, version.name) not in listed
+        ]
+
+    def _replace(self, version: Version) -> Change:
+        names = self._base[version.kind]
+        previous = names.get(version.name)
+        if version.resource is None:
+            names.pop(version.name, None)
+        else:
+            names[version.name] = version
+        before = previous.resource if previous else None
+        return Change(*version, previous=before)
+
+    def _settle(self, version: Version) -> bool:
+        """Drop what lay ahead of ``version``; return whether it is news."""
+        self._sorted.pop(version.kind, None)
+        key = (version.kind, version.name)
+        ahead = self._ahead.get(key)
+        if ahead is not None and ahead.revision <= version.revision:
+            del self._ahead[key]
+        return ahead is None or ahead.revision < version.revision
+
+    def _notify(self, versions: Iterable[Version]) -> None:
+        for version in versions:
+            for handler in self._handlers:
+                handler(version.kind, version.name, version.resource)
+
+
+def _read(event: Event) -> Version | None:
+    version = read_version(event)
+    if version is None:
+        _log.error("Ignored a value that can't be read.", key=event.key)
+        count_drop(PART, "invalid_value")
+    return version
--- /dev/null
+++ b/src/damaskdeck/state/versions.py
@@ -0,0 +1,108 @@
+"""Versions of declared resources and the store's values that hold them."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from damaskdeck.protocol.ports import Event
+from damaskdeck.protocol.resources import DECLARED_KINDS, Kind, Resource
+
+PREFIX = "config/"
+
+_encoder = msgspec.json.Encoder(order="sorted")
+
+
+class StoredValue(msgspec.Struct, omit_defaults=True):
+    """The value of a key: a resource, or the mark that it was deleted.
+
+    :param write: identifier of the write, to recognise it after a lost answer.
+    :param deleted: time of the deletion, in seconds since the epoch.
+    """
+
+    kind: str
+    metadata: dict[str, object]
+    spec: dict[str, object] = {}
+    write: str = ""
+    deleted: float = 0.0
+
+
+_decoder = msgspec.json.Decoder(StoredValue)
+
+
+class Version(NamedTuple):
+    """A declared resource as of one revision of the store.
+
+    :param resource: ``None`` when the revision deleted it.
+    """
+
+    kind: Kind
+    name: str
+    revision: int
+    resource: Resource | None
+
+
+def make_key(kind: Kind, name: str) -> str:
+    """Return the store's key of a declared resource."""
+    return f"{PREFIX}{kind.value}/{name}"
+
+
+def split_key(key: str) -> tuple[Kind, str] | None:
+    """Return the kind and name of a key, if it is one of a declared resource."""
+    kind, _, name = key.removeprefix(PREFIX).partition("/")
+    if kind not in DECLARED_KINDS or not name:
+        return None
+    return Kind(kind), name
+
+
+def encode_resource(resource: Resource, write: str = "") -> bytes:
+    """Encode a resource as the store's value.
+
+    :param write: identifier of this write.
+    """
+    metadata = {k: v for k, v in resource["metadata"].items() if k != "revision"}
+    spec = resource.get("spec", {})
+    return _encoder.encode(StoredValue(resource["kind"], metadata, spec, write))
+
+
+def encode_deletion(kind: Kind, name: str, write: str, now: float) -> bytes:
+    """Encode the mark that a resource was deleted.
+
+    A mark in place of the key's removal keeps a delayed creation, which
+    expects no key, from bringing the resource back.
+    """
+    mark = StoredValue(kind.value, {"name": name}, write=write, deleted=now)
+    return _encoder.encode(mark)
+
+
+def encode_version(version: Version) -> Event:
+    """Encode a version for a peer; without a value when it is a deletion."""
+    key = make_key(version.kind, version.name)
+    resource = version.resource
+    value = encode_resource(resource) if resource else None
+    return Event(key, value, version.revision)
+
+
+def decode_value(value: bytes) -> StoredValue | None:
+    """Decode the store's value; ``None`` when it can't be read."""
+    try:
+        return _decoder.decode(value)
+    except msgspec.MsgspecError:
+        return None
+
+
+def read_version(event: Event) -> Version | None:
+    """Decode a change of a key; ``None`` when it holds no readable resource."""
+    split = split_key(event.key)
+    if split is None:
+        return None
+    kind, name = split
+    if event.value is None:
+        return Version(kind, name, event.revision, None)
+    stored = decode_value(event.value)
+    if stored is None:
+        return None
+    if stored.deleted:
+        return Version(kind, name, event.revision, None)
+    metadata = {**stored.metadata, "name": name, "revision": event.revision}
+    resource = Resource(kind=kind.value, metadata=metadata, spec=stored.spec)
+    return Version(kind, name, event.revision, resource)
--- /dev/null
+++ b/src/damaskdeck/state/watches.py
@@ -0,0 +1,147 @@
+"""The bounded history of configuration changes, which watchers read from memory."""
+
+import asyncio
+from collections import deque
+from datetime import timedelta
+from itertools import islice
+from typing import NamedTuple
+
+from damaskdeck import defaults
+from damaskdeck.clock import Clock, wait_for_event
+from damaskdeck.protocol.resources import Kind, Resource
+
+
+class Change(NamedTuple):
+    """A change of one declared resource.
+
+    :param resource: as it is from ``revision`` on; ``None`` once deleted.
+    :param previous: as it was before; ``None`` when it did not exist.
+    """
+
+    kind: Kind
+    name: str
+    revision: int
+    resource: Resource | None
+    previous: Resource | None = None
+
+
+class Changes(NamedTuple):
+    """All changes after the asked revision and up to ``revision``; may be empty."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class Expired(NamedTuple):
+    """The asked revision is no longer kept; list again."""
+
+    oldest: int
+
+
+class Lagging(NamedTuple):
+    """The reader is too slow; it may come back with ``revision``."""
+
+    revision: int
+
+
+class History:
+    """Changes in order of revision; readers keep a cursor and cost no memory.
+
+    :param limit: how many changes are kept.
+    """
+
+    def __init__(self, limit: int = defaults.HISTORY_LIMIT) -> None:
+        self._changes: deque[Change] = deque()
+        self._limit = limit
+        self._oldest = 0
+        self._revision = 0
+        self._changed = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which all changes are recorded."""
+        return self._revision
+
+    @property
+    def oldest(self) -> int:
+        """The lowest revision that a reader may start after."""
+        return self._oldest
+
+    def record(self, changes: tuple[Change, ...], revision: int) -> None:
+        """Append changes in order of revision, which are all up to ``revision``."""
+        self._changes.extend(changes)
+        while len(self._changes) > self._limit:
+            self._oldest = self._changes.popleft().revision
+        self._revision = revision
+        self._wake()
+
+    def reset(self, revision: int) -> None:
+        """Start anew at ``revision`` when the changes up to it aren't known."""
+        self._changes.clear()
+        self._oldest = self._revision = revision
+        self._wake()
+
+    def read(self, after: int) -> Changes | Expired:
+        """Return all changes after a revision."""
+        if after < self._oldest:
+            return Expired(self._oldest)
+        changes = tuple(islice(self._changes, self._find(after), None))
+        return Changes(changes, max(after, self._revision))
+
+    def count_after(self, after: int) -> int:
+        """Count the changes after a revision."""
+        return len(self._changes) - self._find(after)
+
+    async def wait(self, after: int, timeout: timedelta, clock: Clock) -> None:
+        """Wait until there is more than ``after``, at most for ``timeout``."""
+        if self._revision > after or self._oldest > after:
+            return
+        await wait_for_event(self._changed, timeout, clock)
+
+    def _find(self, after: int) -> int:
+        index = len(self._changes)
+        while index and self._changes[index - 1].revision > after:
+            index -= 1
+        return index
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class Reader:
+    """One watcher's place in the history.
+
+    :param after: the revision that the watcher has already seen.
+    :param lag_limit: a reader with more changes before it is dropped.
+    """
+
+    def __init__(
+        self,
+        history: History,
+        after: int,
+        clock: Clock,
+        lag_limit: int = defaults.READER_LAG_LIMIT,
+    ) -> None:
+        self._history = history
+        self._clock = clock
+        self._lag_limit = lag_limit
+        self._started = False
+        self.revision = after
+
+    async def read(self, timeout: timedelta) -> Changes | Expired | Lagging:
+        """Return what came since the last call, waiting at most ``timeout``.
+
+        The first call may return any number of kept changes; later ones only
+        ``lag_limit`` of them.
+        """
+        history = self._history
+        await history.wait(self.revision, timeout, self._clock)
+        found = history.read(self.revision)
+        if isinstance(found, Expired):
+            return found
+        if self._started and len(found.changes) > self._lag_limit:
+            return Lagging(self.revision)
+        self._started = True
+        self.revision = found.revision
+        return found
--- /dev/null
+++ b/src/damaskdeck/transport/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP API for operators and callers."""
--- /dev/null
+++ b/src/damaskdeck/transport/api/answers.py
@@ -0,0 +1,110 @@
+"""Answers in JSON, lists in pages, and label selectors."""
+
+import base64
+import binascii
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import msgspec
+from starlette.responses import Response
+
+from damaskdeck.protocol.resources import Resource
+from damaskdeck.transport.api.problems import ProblemError
+from damaskdeck.transport.api.routes import Call
+
+PAGE_LIMIT = 500
+
+Selector = Callable[[Resource], bool]
+
+
+def render_json(
+    document: Any, status: int = 200, headers: Mapping[str, str] | None = None
+) -> Response:
+    """Render a document."""
+    content = msgspec.json.encode(document)
+    return Response(content, status, headers, "application/json")
+
+
+def render_resource(resource: Resource, status: int = 200) -> Response:
+    """Render a resource with its revision as entity tag."""
+    revision = resource["metadata"].get("revision", 0)
+    return render_json(resource, status, {"ETag": f'"{revision}"'})
+
+
+def render_list(items: Iterable[Any], revision: int, after: str) -> Response:
+    """Render a page.
+
+    :param after: the name after which the next page starts, if there is one.
+    """
+    metadata: dict[str, Any] = {"revision": revision}
+    if after:
+        metadata["continue"] = base64.urlsafe_b64encode(after.encode()).decode()
+    return render_json({"kind": "list", "metadata": metadata, "items": list(items)})
+
+
+def read_page(call: Call) -> tuple[int, str]:
+    """Return the page's length and the name after which it starts."""
+    limit = read_number(call, "limit", PAGE_LIMIT)
+    token = call.query("continue")
+    if not 1 <= limit <= PAGE_LIMIT:
+        raise ProblemError("bad_parameter", f"limit: 1 to {PAGE_LIMIT}")
+    try:
+        return limit, base64.urlsafe_b64decode(token).decode()
+    except (binascii.Error, UnicodeDecodeError) as error:
+        raise ProblemError(
+            "bad_parameter", "continue: not from an earlier page"
+        ) from error
+
+
+def read_number(call: Call, name: str, default: int) -> int:
+    """Return a query parameter that is a whole number."""
+    text = call.query(name)
+    if not text:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) < 19):
+        raise ProblemError("bad_parameter", f"{name}: must be a whole number")
+    return int(text)
+
+
+def read_flag(call: Call, name: str) -> bool:
+    """Return a query parameter that is true or false."""
+    text = call.query(name, "false")
+    if text not in ("true", "false"):
+        raise ProblemError("bad_parameter", f"{name}: must be true or false")
+    return text == "true"
+
+
+def read_selector(call: Call) -> Selector:
+    """Return a test of labels, as in ``app=maps,tier!=test,owner,!old``."""
+    terms = [term.strip() for term in call.query("selector").split(",")]
+    tests = [_read_term(term) for term in terms if term]
+
+    def select(resource: Resource) -> bool:
+        labels = resource["metadata"].get("labels", {})
+        return all(test(labels) for test in tests)
+
+    return select
+
+
+def render_page(call: Call, resources: Iterable[Resource], revision: int) -> Response:
+    """Render the page of sorted resources that a call asks for."""
+    limit, after = read_page(call)
+    select = read_selector(call)
+    found = [r for r in resources if r["metadata"]["name"] > after and select(r)]
+    page = found[:limit]
+    last = page[-1]["metadata"]["name"] if len(found) > limit else ""
+    return render_list(page, revision, last)
+
+
+def _read_term(term: str) -> Callable[[Mapping[str, str]], bool]:
+    if "!=" in term:
+        name, _, value = (part.strip() for part in term.partition("!="))
+        return lambda labels: labels.get(name) != value
+    if "=" in term:
+        name, _, value = (
+            part.strip() for part in term.replace("==", "=").partition("=")
+        )
+        return lambda labels: labels.get(name) == value
+    if term.startswith("!"):
+        return lambda labels: term[1:].strip() not in labels
+    return lambda labels: term in labels
--- /dev/null
+++ b/src/damaskdeck/transport/api/routes.py
@@ -0,0 +1,171 @@
+"""The registry of routes and what happens around each call."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+import msgspec
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.relay import ConfigurationRelay
+from damaskdeck.logs import get_logger
+from damaskdeck.protocol.handlers import JobHandler, RequestHandler, ResourceReader
+from damaskdeck.state.configuration import Configuration
+from damaskdeck.transport.api.credentials import Caller, Credentials, Role
+from damaskdeck.transport.api.problems import ProblemError, render_problem
+
+BODY_TIMEOUT_SECONDS = 30
+GONE_STATUS = 499
+
+_log = get_logger("api")
+
+
+class Context(NamedTuple):
+    """What the routes work with.
+
+    :param read_status: further members of ``GET /v1/status``.
+    :param is_ready: whether the balancer may send calls here.
+    :param stopping: set once the server is about to stop.
+    """
+
+    configuration: Configuration
+    relay: ConfigurationRelay
+    requests: RequestHandler
+    jobs: JobHandler
+    resources: ResourceReader
+    read_status: Callable[[], Mapping[str, Any]]
+    is_ready: Callable[[], bool]
+    credentials: Credentials
+    clock: Clock
+    body_limit: int
+    request_timeout: timedelta
+    stopping: asyncio.Event
+
+
+class Call(NamedTuple):
+    """One call of a route.
+
+    :param caller: ``None`` on a route that is open to all.
+    """
+
+    request: Request
+    context: Context
+    caller: Caller | None
+
+    def path(self, name: str) -> str:
+        """Return a parameter of the path."""
+        return self.request.path_params[name]
+
+    def query(self, name: str, default: str = "") -> str:
+        """Return a query parameter."""
+        return self.request.query_params.get(name, default)
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header."""
+        return self.request.headers.get(name, default)
+
+    async def read_body(self) -> bytes:
+        """Read the body within its limits."""
+        limit = self.context.body_limit
+        length = self.header("content-length", "0")
+        if length.isdigit() and int(length) > limit:
+            raise ProblemError("body_too_large", f"at most {limit} bytes")
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+                return await self._read_chunks(limit)
+        except TimeoutError as error:
+            raise ProblemError("body_timeout") from error
+
+    async def read_json(self) -> Any:
+        """Read the body as JSON."""
+        try:
+            return msgspec.json.decode(await self.read_body())
+        except msgspec.DecodeError as error:
+            raise ProblemError("bad_json", str(error)) from error
+
+    async def _read_chunks(self, limit: int) -> bytes:
+        body = bytearray()
+        async for chunk in self.request.stream():
+            body += chunk
+            if len(body) > limit:
+                raise ProblemError("body_too_large", f"at most {limit} bytes")
+        return bytes(body)
+
+
+Endpoint = Callable[[Call], Awaitable[Response]]
+
+
+class Route(NamedTuple):
+    """A route and its description.
+
+    :param roles: who may call it; empty: everybody, without a credential.
+    :param parameters: names of query parameters and headers it reads.
+    :param body: name of the schema of its body, if it reads one.
+    :param answers: description of each status that is not a problem.
+    """
+
+    method: str
+    path: str
+    endpoint: Endpoint
+    roles: tuple[Role, ...]
+    summary: str
+    parameters: tuple[str, ...]
+    body: str
+    answers: Mapping[int, str]
+
+
+ROUTES: list[Route] = []
+
+
+def route(
+    method: str,
+    path: str,
+    *roles: Role,
+    parameters: tuple[str, ...] = (),
+    body: str = "",
+    answers: Mapping[int, str] | None = None,
+) -> Callable[[Endpoint], Endpoint]:
+    """Register a route; its summary is the first line of the docstring."""
+
+    def register(endpoint: Endpoint) -> Endpoint:
+        summary = (endpoint.__doc__ or "").strip().splitlines()[0]
+        told = answers or {200: "Done"}
+        ROUTES.append(
+            Route(method, path, endpoint, roles, summary, parameters, body, told)
+        )
+        return endpoint
+
+    return register
+
+
+async def serve_call(entry: Route, context: Context, request: Request) -> Response:
+    """Check the credential, run the endpoint and render its problems."""
+    try:
+        caller = _authorize(entry, context, request)
+        response = await entry.endpoint(Call(request, context, caller))
+    except ProblemError as problem:
+        response = render_problem(problem)
+    except ClientDisconnect:
+        response = Response(status_code=GONE_STATUS)
+    except Exception as error:
+        _log.error("A call failed.", path=entry.path, error=repr(error))
+        detail = "see the daemon's log"
+        response = render_problem(ProblemError("internal", detail, "unknown"))
+    if context.stopping.is_set():
+        response.headers["Connection"] = "close"
+    return response
+
+
+def _authorize(entry: Route, context: Context, request: Request) -> Caller | None:
+    if not entry.roles:
+        return None
+    header = request.headers.get("authorization", "")
+    caller = context.credentials.find_caller(header)
+    if caller is None:
+        raise ProblemError("unauthenticated")
+    if caller.role not in entry.roles:
+        raise ProblemError("forbidden", f"only for: {', '.join(entry.roles)}")
+    return caller
--- /dev/null
+++ b/src/damaskdeck/transport/api/server.py
@@ -0,0 +1,87 @@
+"""Serves the application over HTTP inside the running event loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from datetime import timedelta
+
+import uvicorn
+from starlette.applications import Starlette
+
+from damaskdeck import defaults
+
+
+class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.has_started = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start and say so."""
+        await super().startup(sockets)
+        self.has_started.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the daemon."""
+        yield
+
+
+class ApiServer:
+    """The HTTP server of one daemon.
+
+    Promise: "A graceful shutdown of an instance or process cuts off no request
+    in progress."
+
+    :param port: 0 takes a free one; see :attr:`address`.
+    :param grace: how long requests in progress may last once stopped.
+    """
+
+    def __init__(
+        self,
+        app: Starlette,
+        host: str,
+        port: int,
+        grace: timedelta = defaults.SHUTDOWN_GRACE,
+    ) -> None:
+        self.address = ""
+        self._app = app
+        self._host = host
+        self._port = port
+        config = uvicorn.Config(
+            app,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_graceful_shutdown=max(1, round(grace.total_seconds())),
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and serve in the background until :meth:`stop`."""
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        listener = socket.create_server((self._host, self._port), family=family)
+        listener.setblocking(False)
+        host, port = listener.getsockname()[:2]
+        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        self._task = asyncio.ensure_future(self._server.serve(sockets=[listener]))
+        await self._server.has_started.wait()
+
+    async def run(self) -> None:
+        """Serve until cancelled, then stop gracefully."""
+        if self._task is None:
+            await self.start()
+        try:
+            await asyncio.shield(self._task)
+        finally:
+            await self.stop()
+
+    async def stop(self) -> None:
+        """End watches, let requests in progress end, and close."""
+        self._app.state.stopping.set()
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/src/damaskdeck/transport/api/status.py
@@ -0,0 +1,63 @@
+"""What a daemon tells of itself."""
+
+from functools import cache
+
+from opentelemetry import metrics
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
+from starlette.responses import Response
+
+from damaskdeck.transport.api.answers import read_number, render_json
+from damaskdeck.transport.api.credentials import Role
+from damaskdeck.transport.api.problems import ProblemError
+from damaskdeck.transport.api.routes import Call, route
+
+
+@route("GET", "/v1/status", Role.OPERATOR, parameters=("revision",))
+async def get_status(call: Call) -> Response:
+    """Tell the revision in force on each daemon, ownership and outages."""
+    context = call.context
+    configuration, relay = context.configuration, context.relay
+    told = {
+        "revision": configuration.revision,
+        "loaded": configuration.is_loaded,
+        "ahead": sorted(configuration.ahead_revisions),
+        "in_force": relay.read_in_force(),
+    }
+    asked = read_number(call, "revision", 0)
+    if asked:
+        told["in_force_everywhere"] = relay.is_in_force(asked)
+    store = "reachable" if relay.reaches_store else "unreachable"
+    document = {"ready": context.is_ready(), "store": store, "configuration": told}
+    return render_json({**document, **context.read_status()})
+
+
+@route("GET", "/healthz")
+async def get_health(call: Call) -> Response:
+    """Tell that the process answers."""
+    return Response("ok\n", media_type="text/plain")
+
+
+@route("GET", "/readyz")
+async def get_readiness(call: Call) -> Response:
+    """Tell whether the balancer may send calls here."""
+    if call.context.stopping.is_set():
+        raise ProblemError("not_ready", "about to stop")
+    if not call.context.is_ready():
+        raise ProblemError("not_ready")
+    return Response("ok\n", media_type="text/plain")
+
+
+@route("GET", "/metrics")
+async def get_metrics(call: Call) -> Response:
+    """Give the metrics in the Prometheus text format."""
+    return Response(
+        generate_latest(REGISTRY), headers={"Content-Type": CONTENT_TYPE_LATEST}
+    )
+
+
+@cache
+def install_exporter() -> None:
+    """Let the process's metrics be read at ``/metrics``; once is enough."""
+    metrics.set_meter_provider(MeterProvider([PrometheusMetricReader()]))
--- /dev/null
+++ b/src/damaskdeck/transport/api/streams.py
@@ -0,0 +1,143 @@
+"""Watches: JSON lines until the caller leaves, lags or the server stops."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
+from damaskdeck.protocol.resources import Kind
+from damaskdeck.state.watches import Change, Changes, Expired, Lagging, Reader
+from damaskdeck.transport.api.answers import Selector
+from damaskdeck.transport.api.problems import ProblemError
+from damaskdeck.transport.api.routes import Context
+
+BOOKMARK_INTERVAL = timedelta(seconds=10)
+SEND_LIMIT_SECONDS = 15
+LINES_TYPE = "application/x-ndjson"
+
+_log = get_logger("api")
+
+
+class LineStream(Response):
+    """Sends JSON lines; a caller that takes none for long is dropped.
+
+    :param lines: the documents to send.
+    :param stopping: set once the server is about to stop; ends the stream.
+    """
+
+    media_type = LINES_TYPE
+
+    def __init__(self, lines: AsyncIterator[Any], stopping: asyncio.Event) -> None:
+        super().__init__()
+        del self.headers["content-length"]
+        self._lines = lines
+        self._stopping = stopping
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send until one of the ends is reached."""
+        tasks = [
+            asyncio.ensure_future(work)
+            for work in (
+                self._send_lines(send),
+                _wait_for_disconnect(receive),
+                self._stopping.wait(),
+            )
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        if not tasks[1].done() or tasks[1].cancelled():
+            await self._end(send)
+
+    async def _send_lines(self, send: Send) -> None:
+        start = {"type": "http.response.start", "status": self.status_code}
+        await send({**start, "headers": self.raw_headers})
+        try:
+            async for line in self._lines:
+                body = msgspec.json.encode(line) + b"\n"
+                async with asyncio.timeout(SEND_LIMIT_SECONDS):
+                    await send(_make_part(body, True))
+        except TimeoutError:
+            _log.info("A watcher took nothing for long and was dropped.")
+            count_drop("api", "slow_reader")
+            raise
+
+    async def _end(self, send: Send) -> None:
+        try:
+            async with asyncio.timeout(SEND_LIMIT_SECONDS):
+                await send(_make_part(b"", False))
+        except (TimeoutError, OSError, RuntimeError):
+            count_drop("api", "stream_not_ended")
+
+
+def _make_part(body: bytes, more: bool) -> dict[str, Any]:
+    return {"type": "http.response.body", "body": body, "more_body": more}
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def watch_configuration(
+    context: Context, kind: Kind, after: int, select: Selector, name: str = ""
+) -> LineStream:
+    """Stream the changes of a kind, or of one resource, after a revision.
+
+    :raises ProblemError: ``too_old`` when the history doesn't reach so far back.
+    """
+    history = context.configuration.history
+    if isinstance(found := history.read(after), Expired):
+        raise ProblemError("too_old", oldest=found.oldest, revision=history.revision)
+    reader = Reader(history, after, context.clock)
+    lines = _list_lines(reader, kind, select, name)
+    return LineStream(lines, context.stopping)
+
+
+async def _list_lines(
+    reader: Reader, kind: Kind, select: Selector, name: str
+) -> AsyncIterator[dict[str, Any]]:
+    yield _bookmark(reader.revision)
+    while True:
+        found = await reader.read(BOOKMARK_INTERVAL)
+        if not isinstance(found, Changes):
+            yield _describe_end(found)
+            return
+        for change in found.changes:
+            if change.kind is kind and name in ("", change.name):
+                line = _describe(change, select)
+                if line:
+                    yield line
+        yield _bookmark(found.revision)
+
+
+def _describe(change: Change, select: Selector) -> dict[str, Any] | None:
+    was = change.previous is not None and select(change.previous)
+    if change.resource is not None and select(change.resource):
+        return {"type": "MODIFIED" if was else "ADDED", "resource": change.resource}
+    if not was or change.previous is None:
+        return None
+    metadata = {**change.previous["metadata"], "revision": change.revision}
+    return {"type": "DELETED", "resource": {**change.previous, "metadata": metadata}}
+
+
+def _bookmark(revision: int) -> dict[str, Any]:
+    return {"type": "BOOKMARK", "revision": revision}
+
+
+def _describe_end(end: Expired | Lagging) -> dict[str, Any]:
+    if isinstance(end, Lagging):
+        problem = ProblemError("slow_reader", revision=end.revision)
+    else:
+        problem = ProblemError("too_old", oldest=end.oldest)
+    count_drop("api", problem.code)
+    return {"type": "ERROR", "problem": problem.describe(), **problem.extra}
