Add membership and ownership of targets, workers and ledgers

Membership registers the daemon in the store under a lease and exchanges heartbeats inside the zone and over a bounded number of links between zones; reports of other zones are relayed as digests within a limit of bytes.

Ownership keeps one table per scope in the store, changed by compare-and-swap. An owner decides while its lease is valid by its own monotonic clock, or, for targets and workers, while every other member of its zone has promised without a gap to take nothing over. A takeover needs the lapsed lease, silence, no open promise, and that the dead owner knew the taker.

--- /dev/null
+++ b/src/damaskdeck/coordination/membership.py
@@ -0,0 +1,593 @@
+"""Who takes part: registration in the store, heartbeats, promises and reports."""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.coordination.rendezvous import choose_links
+from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.defaults import (
+    CLOCK_DRIFT,
+    HEARTBEAT_INTERVAL,
+    MEMBER_LEASE,
+    SILENCE_LIMIT,
+    ZONE_LINKS,
+)
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop, count_retry, count_store_call
+from damaskdeck.protocol.heartbeats import (
+    Digest,
+    Echo,
+    Goodbye,
+    Heartbeat,
+    MemberFields,
+    ReportFields,
+)
+from damaskdeck.protocol.members import Member, Report
+from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.ports import Granted, Lapsed, Store, Written
+
+PREFIX = "member/"
+SEED_PREFIX = "seed/"
+REPORT_LIMIT = 4096
+DIGEST_LIMIT = 6144
+DIGEST_ROUNDS = 4
+FULL_ROUNDS = 10
+SENT_LIMIT = 64
+REFRESH_INTERVAL = timedelta(milliseconds=1500)
+PROMISE_TIME = timedelta(milliseconds=2500)
+PAUSE_LIMIT = timedelta(seconds=1)
+FAR_SILENCE = 3 * SILENCE_LIMIT
+FORGET_TIME = timedelta(seconds=30)
+NEWCOMER_WAIT = timedelta(seconds=10)
+NEVER = timedelta(days=-36500)
+
+_log = get_logger("members")
+
+
+class Registration(msgspec.Struct):
+    """The value of a member's key in the store."""
+
+    member: MemberFields
+    session: str
+
+
+class Registered(NamedTuple):
+    """A member as the store shows it."""
+
+    member: Member
+    session: str
+
+
+@dataclass
+class Contact:
+    """What this daemon knows of another one.
+
+    :param heard: when it was heard last, by itself or through others.
+    :param seen_session: the session under which the store showed it last.
+    :param is_direct: whether it sends heartbeats to this daemon.
+    :param echoed: when the heartbeat was sent that it echoed last.
+    :param vouched_until: how long it takes over nothing from this daemon.
+    :param promised: the last of its heartbeats that a promise answered.
+    """
+
+    member: Member
+    session: str = ""
+    seen_session: str = ""
+    heard: timedelta = NEVER
+    is_direct: bool = False
+    number: int = 0
+    echoed: timedelta = NEVER
+    vouched_until: timedelta = NEVER
+    promised: int = 0
+    is_leaving: bool = False
+    sent_versions: dict[str, int] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+    reports: dict[str, Report] = field(default_factory=dict)
+
+
+class Membership:
+    """This daemon's view of all members; implements ``Members``.
+
+    :param seeds: peer addresses to greet while the store can't be read.
+    :param newcomer_wait: how long a member waits before it takes over from one
+        that never showed that it knew of it.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        peers: Peers,
+        store: Store,
+        clock: Clock,
+        seeds: tuple[str, ...] = (),
+        heartbeat_interval: timedelta = HEARTBEAT_INTERVAL,
+        member_lease: timedelta = MEMBER_LEASE,
+        zone_links: int = ZONE_LINKS,
+        newcomer_wait: timedelta = NEWCOMER_WAIT,
+    ) -> None:
+        self.tenure: Tenure | None = None
+        self.is_leaving = False
+        self._member = member
+        self._peers = peers
+        self._store = store
+        self._clock = clock
+        self._seeds = seeds
+        self._interval = heartbeat_interval
+        self._lease = member_lease
+        self._zone_links = zone_links
+        self._newcomer_wait = newcomer_wait
+        self._mirror = Mirror(store, PREFIX)
+        self._registered: dict[str, Registered] = {}
+        self._tenures: list[Tenure] = []
+        self._session_count = 0
+        self._has_left = False
+        self._contacts: dict[str, Contact] = {}
+        self._targets: set[str] | None = None
+        self._number = 0
+        self._sent: dict[int, timedelta] = {}
+        self._last_beat = clock.monotonic()
+        self._own = Contact(member, heard=clock.monotonic())
+        self._promises: dict[str, timedelta] = {}
+        self._familiar: dict[str, str] = {}
+        self._withheld: set[str] = set()
+        self._tenured_since: timedelta = NEVER
+        self._refreshed: timedelta = NEVER
+        peers.register(Heartbeat, self._take_heartbeat)
+        peers.register(Goodbye, self._take_goodbye)
+
+    # Members ------------------------------------------------------------------
+
+    @property
+    def self(self) -> Member:
+        """This daemon."""
+        return self._member
+
+    def list_live(self, zone: str = "") -> tuple[Member, ...]:
+        """List live members in order of name, this daemon among them."""
+        names = sorted(name for name in self._list_names() if self.is_live(name))
+        members = (self._get(name).member for name in names)
+        return tuple(member for member in members if zone in ("", member.zone))
+
+    def is_live(self, name: str) -> bool:
+        """Tell whether heartbeats of ``name`` still come, and ours reach it."""
+        if name == self._member.name:
+            return True
+        contact = self._contacts.get(name)
+        if contact is None:
+            return False
+        now = self._clock.monotonic()
+        if not contact.is_direct:
+            return now - contact.heard < FAR_SILENCE
+        if now - contact.heard >= SILENCE_LIMIT:
+            return False
+        return name not in self._list_targets() or self._is_reached(contact, now)
+
+    def publish(self, topic: str, value: bytes) -> None:
+        """Attach a report to this daemon's next heartbeats, at most 4 KiB."""
+        if len(value) > REPORT_LIMIT:
+            count_drop("members", "report_too_large")
+            _log.warn("A report is too large.", topic=topic, size=len(value))
+            return
+        now = self._clock.monotonic()
+        known = self._own.reports.get(topic)
+        if known is None or known.value != value:
+            self._own.versions[topic] = self._own.versions.get(topic, 0) + 1
+        self._own.reports[topic] = Report(self._member.name, value, now)
+
+    def read_reports(self, topic: str) -> Mapping[str, Report]:
+        """Return the latest report of each live member, by name."""
+        found = {}
+        for name in self._list_names():
+            report = self._get(name).reports.get(topic)
+            if report is not None and self.is_live(name):
+                found[name] = report
+        return found
+
+    # For ownership and streams --------------------------------------------------
+
+    def find_address(self, name: str) -> str | None:
+        """Return the address of a member's streams."""
+        if name.startswith(SEED_PREFIX):
+            return name.removeprefix(SEED_PREFIX)
+        contact = self._contacts.get(name)
+        return contact.member.peer_address if contact else None
+
+    def get_registered(self, name: str) -> Registered | None:
+        """Return a member as the store showed it last."""
+        return self._registered.get(name)
+
+    def list_candidates(self, zone: str = "") -> list[Registered]:
+        """List registered members that may own things, in order of name."""
+        return [
+            found
+            for name, found in sorted(self._registered.items())
+            if zone in ("", found.member.zone) and not self._get_leaving(name)
+        ]
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which registrations are known."""
+        return self._mirror.revision
+
+    def may_take_from(self, name: str) -> bool:
+        """Tell whether things of a member of this zone may be taken over.
+
+        Its lease must have lapsed in the store, it must be silent, no promise
+        to it may be open, and it must have known this daemon so that it
+        doesn't go on without this daemon's promise.
+        """
+        now = self._clock.monotonic()
+        if name in self._registered or self.tenure is None:
+            return False
+        if now < self._promises.get(name, NEVER):
+            return False
+        contact = self._contacts.get(name)
+        if contact is not None and now - contact.heard < SILENCE_LIMIT:
+            return False
+        if self._familiar.get(name) == self.tenure.session:
+            return True
+        return now - self._tenured_since >= self._newcomer_wait
+
+    def withhold(self, names: Iterable[str]) -> None:
+        """Promise nothing to ``names`` until :meth:`release`."""
+        self._withheld.update(names)
+
+    def release(self, names: Iterable[str]) -> None:
+        """Promise to ``names`` again."""
+        self._withheld.difference_update(names)
+
+    async def refresh(self) -> bool:
+        """Read who is registered; tell whether the store answered."""
+        if not await self._mirror.refresh():
+            return False
+        self._refreshed = self._clock.monotonic()
+        self._registered = {}
+        for entry in self._mirror.entries.values():
+            found = _decode_registration(entry.value)
+            if found is not None:
+                self._take_registered(found)
+        self._forget_contacts()
+        return True
+
+    def _take_registered(self, found: Registered) -> None:
+        name = found.member.name
+        self._registered[name] = found
+        contact = self._contacts.get(name) or self._meet(found.member)
+        contact.seen_session = found.session
+
+    # Running --------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._keep_registered())
+            group.create_task(self._keep_refreshed())
+            group.create_task(self._keep_beating())
+
+    async def leave(self) -> None:
+        """Give up the registration and tell the others; the end of a drain."""
+        self._has_left = True
+        tenure, self.tenure = self.tenure, None
+        if tenure is None:
+            return
+        for each in self._tenures:
+            each.end()
+        self._tenures.clear()
+        count_store_call("revoke_lease")
+        await self._store.revoke_lease(tenure.lease)
+        for name in self._list_targets():
+            self._peers.send(name, {"session": tenure.session}, Goodbye)
+
+    def beat(self) -> None:
+        """Send a heartbeat to each peer that gets them from this daemon."""
+        now = self._clock.monotonic()
+        self._check_pause(now)
+        self._number += 1
+        self._sent[self._number] = now
+        self._sent.pop(self._number - SENT_LIMIT, None)
+        self._own.heard = now
+        for name in self._list_targets():
+            contact = self._contacts[name]
+            self._peers.send(name, self._write_heartbeat(contact, now), Heartbeat)
+        if self._number % DIGEST_ROUNDS == 1:
+            self._greet_seeds(now)
+        self._prolong(now)
+
+    async def _keep_beating(self) -> None:
+        while not self._has_left:
+            self.beat()
+            await self._clock.sleep(self._interval)
+
+    async def _keep_refreshed(self) -> None:
+        while not self._has_left:
+            now = self._clock.monotonic()
+            if now - self._refreshed >= REFRESH_INTERVAL / 2:
+                await self.refresh()
+            await self._clock.sleep(REFRESH_INTERVAL)
+
+    # Registration ---------------------------------------------------------------
+
+    async def _keep_registered(self) -> None:
+        while not self._has_left:
+            await self._renew()
+            is_in = self.tenure is not None and not self.tenure.has_lapsed
+            await self._clock.sleep(self._lease / 3 if is_in else self._interval)
+
+    async def _renew(self) -> None:
+        tenure = self.tenure
+        if tenure is not None and not tenure.has_lapsed:
+            before = self._clock.monotonic()
+            count_store_call("renew_lease")
+            answer = await self._store.renew_lease(tenure.lease)
+            if isinstance(answer, Granted):
+                tenure.renew(before, answer.ttl)
+            if not isinstance(answer, Lapsed):
+                return
+            _log.warn("The lease lapsed.", session=tenure.session)
+            tenure.lapse()
+        await self._register()
+
+    async def _register(self) -> None:
+        before = self._clock.monotonic()
+        count_store_call("grant_lease")
+        granted = await self._store.grant_lease(self._lease)
+        if not isinstance(granted, Granted):
+            return
+        self._session_count += 1
+        session = f"{self._member.incarnation}.{self._session_count}"
+        value = msgspec.msgpack.encode(Registration(_to_fields(self._member), session))
+        key = f"{PREFIX}{self._member.zone}/{self._member.name}"
+        count_store_call("put")
+        written = await self._store.put(key, value, 0, granted.lease)
+        if not isinstance(written, Written) or self._has_left:
+            count_retry("members", "registration")
+            await self._store.revoke_lease(granted.lease)
+            return
+        tenure = Tenure(session, granted.lease, written.revision)
+        tenure.renew(before, granted.ttl)
+        self.tenure = tenure
+        self._tenures.append(tenure)
+        self._tenured_since = self._clock.monotonic()
+
+    # Heartbeats -----------------------------------------------------------------
+
+    def _list_targets(self) -> set[str]:
+        if self._targets is None:
+            self._targets = self._choose_targets()
+        return self._targets
+
+    def _choose_targets(self) -> set[str]:
+        zones: dict[str, list[str]] = {self._member.zone: [self._member.name]}
+        for name, contact in self._contacts.items():
+            zones.setdefault(contact.member.zone, []).append(name)
+        links = choose_links(
+            self._member.name, self._member.zone, zones, self._zone_links
+        )
+        return links.union(zones[self._member.zone]) - {self._member.name}
+
+    def _write_heartbeat(self, contact: Contact, now: timedelta) -> Heartbeat:
+        is_near = contact.member.zone == self._member.zone
+        heartbeat: Heartbeat = {
+            "member": _to_fields(self._member),
+            "number": self._number,
+            "session": self.tenure.session if self.tenure else "",
+            "reports": self._write_reports(contact),
+        }
+        if self.is_leaving:
+            heartbeat["leaving"] = True
+        if contact.number:
+            heartbeat["echo"] = self._write_echo(contact, is_near, now)
+        if self._number % DIGEST_ROUNDS == 0:
+            heartbeat["digests"] = self._write_digests(is_near, now)
+        return heartbeat
+
+    def _write_echo(self, contact: Contact, is_near: bool, now: timedelta) -> Echo:
+        echo: Echo = {"number": contact.number, "session": contact.session}
+        name = contact.member.name
+        is_new = contact.number > contact.promised
+        if is_near and is_new and name not in self._withheld:
+            contact.promised = contact.number
+            self._promises[name] = now + PROMISE_TIME * (1 + CLOCK_DRIFT)
+            echo["promise"] = True
+        return echo
+
+    def _write_reports(self, contact: Contact) -> dict[str, ReportFields]:
+        is_full = self._number % FULL_ROUNDS == 0
+        reports: dict[str, ReportFields] = {}
+        for topic, report in self._own.reports.items():
+            version = self._own.versions[topic]
+            reports[topic] = {"version": version}
+            if is_full or contact.sent_versions.get(topic) != version:
+                reports[topic]["value"] = report.value
+                contact.sent_versions[topic] = version
+        return reports
+
+    def _write_digests(self, is_near: bool, now: timedelta) -> list[Digest]:
+        chosen = sorted(
+            name
+            for name, contact in self._contacts.items()
+            if (contact.member.zone != self._member.zone) == is_near
+            and (is_near or contact.is_direct)
+            and now - contact.heard < FAR_SILENCE
+        )
+        start = self._number // DIGEST_ROUNDS % (len(chosen) or 1)
+        room = DIGEST_LIMIT
+        digests: list[Digest] = []
+        for name in chosen[start:] + chosen[:start]:
+            digest, size = self._write_digest(self._contacts[name], now, room)
+            room -= size
+            if room < 0:
+                count_drop("members", "digest_full")
+                break
+            digests.append(digest)
+        return digests
+
+    def _write_digest(
+        self, contact: Contact, now: timedelta, room: int
+    ) -> tuple[Digest, int]:
+        fields = _to_fields(contact.member)
+        size = 80 + sum(len(value) for value in contact.member)
+        reports = {}
+        for topic, report in contact.reports.items():
+            cost = len(topic) + len(report.value) + 4
+            if size + cost <= room:
+                reports[topic] = report.value
+                size += cost
+        age = (now - contact.heard) // timedelta(milliseconds=1)
+        return {"member": fields, "age": age, "reports": reports}, size
+
+    async def _take_heartbeat(self, instance: str, heartbeat: Heartbeat) -> None:
+        member = Member(**heartbeat["member"])
+        if member.name == self._member.name:
+            return
+        now = self._clock.monotonic()
+        contact = self._meet(member)
+        if heartbeat["number"] <= contact.number and member == contact.member:
+            return
+        contact.member = member
+        contact.is_direct = True
+        contact.heard = now
+        contact.number = heartbeat["number"]
+        contact.session = heartbeat["session"]
+        contact.is_leaving = heartbeat.get("leaving", False)
+        self._take_reports(contact, heartbeat.get("reports", {}), now)
+        self._take_digests(heartbeat.get("digests", []), now)
+        if "echo" in heartbeat:
+            self._take_echo(contact, heartbeat["echo"])
+        self._prolong(now)
+
+    def _take_echo(self, contact: Contact, echo: Echo) -> None:
+        sent = self._sent.get(echo["number"], NEVER)
+        contact.echoed = max(contact.echoed, sent)
+        self._familiar[contact.member.name] = echo["session"]
+        if echo.get("promise") and sent != NEVER:
+            until = sent + PROMISE_TIME * (1 - CLOCK_DRIFT)
+            contact.vouched_until = max(contact.vouched_until, until)
+
+    def _take_reports(
+        self, contact: Contact, reports: dict[str, ReportFields], now: timedelta
+    ) -> None:
+        for topic, fields in reports.items():
+            known = contact.reports.get(topic)
+            if "value" in fields:
+                value = fields["value"]
+            elif known and contact.versions.get(topic) == fields["version"]:
+                value = known.value
+            else:
+                continue
+            contact.versions[topic] = fields["version"]
+            contact.reports[topic] = Report(contact.member.name, value, now)
+
+    def _take_digests(self, digests: list[Digest], now: timedelta) -> None:
+        for digest in digests:
+            member = Member(**digest["member"])
+            if member.zone == self._member.zone:
+                continue
+            contact = self._meet(member)
+            heard = now - timedelta(milliseconds=digest["age"])
+            if heard <= contact.heard:
+                continue
+            contact.heard = heard
+            for topic, value in digest["reports"].items():
+                contact.reports[topic] = Report(member.name, value, heard)
+
+    async def _take_goodbye(self, instance: str, goodbye: Goodbye) -> None:
+        contact = self._contacts.get(instance)
+        if contact is not None and contact.session == goodbye["session"]:
+            del self._contacts[instance]
+            self._targets = None
+            self._registered.pop(instance, None)
+
+    def _greet_seeds(self, now: timedelta) -> None:
+        known = {contact.member.peer_address for contact in self._contacts.values()}
+        known.add(self._member.peer_address)
+        for address in self._seeds:
+            if address not in known:
+                contact = Contact(self._member)
+                name = SEED_PREFIX + address
+                self._peers.send(name, self._write_heartbeat(contact, now), Heartbeat)
+
+    # Contacts -------------------------------------------------------------------
+
+    def _list_names(self) -> list[str]:
+        return [self._member.name, *self._contacts]
+
+    def _get(self, name: str) -> Contact:
+        return self._own if name == self._member.name else self._contacts[name]
+
+    def _get_leaving(self, name: str) -> bool:
+        if name == self._member.name:
+            return self.is_leaving
+        contact = self._contacts.get(name)
+        return contact is not None and contact.is_leaving
+
+    def _meet(self, member: Member) -> Contact:
+        contact = self._contacts.get(member.name)
+        if contact is None or contact.member.incarnation != member.incarnation:
+            contact = Contact(member)
+            if member.name != self._member.name:
+                self._contacts[member.name] = contact
+                self._targets = None
+        return contact
+
+    def _is_reached(self, contact: Contact, now: timedelta) -> bool:
+        return now - contact.echoed < 2 * SILENCE_LIMIT
+
+    def _forget_contacts(self) -> None:
+        now = self._clock.monotonic()
+        if self.tenure is None or not self.tenure.is_leased(now):
+            return
+        for name, contact in list(self._contacts.items()):
+            # A read that lags may not show yet what a heartbeat has named.
+            was_shown = contact.seen_session == contact.session
+            limit = SILENCE_LIMIT if was_shown else FORGET_TIME
+            if name not in self._registered and now - contact.heard >= limit:
+                del self._contacts[name]
+                self._targets = None
+
+    def _prolong(self, now: timedelta) -> None:
+        vouched = [
+            contact.vouched_until
+            for contact in self._contacts.values()
+            if contact.member.zone == self._member.zone
+        ]
+        until = min(vouched, default=now + PROMISE_TIME)
+        for tenure in self._tenures:
+            if self._mirror.revision >= tenure.revision:
+                tenure.prolong(until, now)
+        self._tenures = [
+            tenure
+            for tenure in self._tenures
+            if tenure is self.tenure or tenure.is_valid(now)
+        ]
+
+    def _check_pause(self, now: timedelta) -> None:
+        gap = now - self._last_beat - self._interval
+        self._last_beat = now
+        if gap < PAUSE_LIMIT:
+            return
+        count_drop("members", "paused")
+        _log.warn("This daemon was paused.", seconds=gap.total_seconds())
+        for contact in self._contacts.values():
+            if contact.heard != NEVER:
+                contact.heard += gap
+
+
+def _to_fields(member: Member) -> MemberFields:
+    return member._asdict()  # type: ignore[return-value]
+
+
+def _decode_registration(value: bytes) -> Registered | None:
+    try:
+        found = msgspec.msgpack.decode(value, type=Registration)
+    except msgspec.MsgspecError:
+        count_drop("members", "invalid_registration")
+        return None
+    return Registered(Member(**found.member), found.session)
--- /dev/null
+++ b/src/damaskdeck/coordination/ownership.py
@@ -0,0 +1,409 @@
+"""Who decides about what: claims, takeovers and handovers through the store.
+
+The promise behind it: "No task is ever running in two places at once", and no
+instance is given more than it holds, as one daemon at a time decides.
+"""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from damaskdeck.clock import Clock, wait_for_event
+from damaskdeck.coordination.membership import Membership, Registered
+from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.coordination.rendezvous import assign_things
+from damaskdeck.coordination.tables import Change, Holder, Table
+from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.logs import get_logger
+from damaskdeck.protocol.heartbeats import TableChange
+from damaskdeck.protocol.members import Owner, OwnershipHandler
+from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.ports import Store
+
+PREFIX = "ownership/"
+GLOBAL_SCOPES = frozenset({"ledger"})
+SETTLE_INTERVAL = timedelta(milliseconds=1500)
+HASTE_INTERVAL = timedelta(milliseconds=250)
+HANDOVER_DELAY = timedelta(seconds=2)
+ORPHAN_DELAY = timedelta(seconds=2)
+RELEASE_DELAY = timedelta(seconds=10)
+
+_log = get_logger("ownership")
+
+
+@dataclass(eq=False)
+class Holding:
+    """A thing that the store's table gives to this daemon.
+
+    :param is_ready: whether the handlers have returned.
+    """
+
+    epoch: int
+    tenure: Tenure
+    is_ready: bool = False
+    gain: asyncio.Task[None] | None = None
+
+
+class StoreOwnership:
+    """Owners of all things, kept in the store; implements ``Ownership``.
+
+    Every daemon claims only for itself. Targets and workers may be decided on
+    past the lease while all others of the zone promise to leave them alone;
+    ledgers may not, as nothing can be committed without the store anyway and
+    their logs are fenced by compare-and-swap.
+    """
+
+    def __init__(
+        self,
+        members: Membership,
+        peers: Peers,
+        store: Store,
+        clock: Clock,
+        interval: timedelta = SETTLE_INTERVAL,
+        handover_delay: timedelta = HANDOVER_DELAY,
+    ) -> None:
+        self._members = members
+        self._peers = peers
+        self._store = store
+        self._clock = clock
+        self._interval = interval
+        self._handover_delay = handover_delay
+        self._mirror = Mirror(store, PREFIX)
+        self._tables: dict[str, Table] = {}
+        self._things: dict[str, frozenset[str]] = {}
+        self._held: dict[str, Holding] = {}
+        self._gain_handlers: dict[str, list[OwnershipHandler]] = {}
+        self._loss_handlers: dict[str, list[OwnershipHandler]] = {}
+        self._since: dict[tuple[str, str], timedelta] = {}
+        self._lock = asyncio.Lock()
+        self._wake = asyncio.Event()
+        self._is_draining = False
+        peers.register(TableChange, self._take_change)
+
+    # Ownership ------------------------------------------------------------------
+
+    def get_epoch(self, thing: str) -> int | None:
+        """Return the epoch when this daemon may decide about ``thing`` now."""
+        holding = self._held.get(thing)
+        if holding is None or not holding.is_ready:
+            return None
+        return holding.epoch if self._is_valid(thing, holding) else None
+
+    def find_owner(self, thing: str) -> Owner | None:
+        """Return the last known owner of ``thing``, in whatever zone."""
+        scope, _, name = thing.partition("/")
+        for table in self._list_tables(scope):
+            holder = table.things.get(name)
+            if holder is not None and holder.instance:
+                return Owner(holder.instance, holder.epoch)
+        return None
+
+    def list_held(self, scope: str) -> tuple[str, ...]:
+        """List the things of ``scope`` that this daemon may decide about."""
+        prefix = scope + "/"
+        return tuple(
+            thing
+            for thing in sorted(self._held)
+            if thing.startswith(prefix) and self.get_epoch(thing) is not None
+        )
+
+    def set_things(self, scope: str, names: tuple[str, ...]) -> None:
+        """Say which things of ``scope`` exist and need an owner."""
+        things = frozenset(names)
+        if self._things.get(scope) != things:
+            self._things[scope] = things
+            self._wake.set()
+
+    def on_gain(self, scope: str, handler: OwnershipHandler) -> None:
+        """Call ``handler(thing, epoch)`` once a thing of ``scope`` was gained."""
+        self._gain_handlers.setdefault(scope, []).append(handler)
+
+    def on_loss(self, scope: str, handler: OwnershipHandler) -> None:
+        """Call ``handler(thing, epoch)`` when a thing is lost or handed over."""
+        self._loss_handlers.setdefault(scope, []).append(handler)
+
+    # Running --------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Claim, take over and hand over until cancelled."""
+        while True:
+            self._wake.clear()
+            async with self._lock:
+                is_hasty = await self._settle()
+            wait = HASTE_INTERVAL if is_hasty else self._interval
+            await wait_for_event(self._wake, wait, self._clock)
+
+    async def drain(self) -> None:
+        """Hand everything over; returns when nothing can be handed over any more."""
+        self._is_draining = True
+        self._members.is_leaving = True
+        self._members.beat()
+        async with self._lock:
+            for scope in list(self._things):
+                await self._hand_over_all(scope)
+
+    async def _settle(self) -> bool:
+        """Bring what is held in line with the store; tell whether to hurry."""
+        await self._drop_invalid()
+        if not await self._mirror.refresh() or not await self._members.refresh():
+            return False
+        is_hasty = False
+        for scope in list(self._things):
+            is_hasty = await self._settle_scope(scope) or is_hasty
+        return is_hasty
+
+    async def _settle_scope(self, scope: str) -> bool:
+        table = self._get_table(scope)
+        await self._follow(scope, table)
+        tenure = self._members.tenure
+        if tenure is None or not tenure.is_leased(self._clock.monotonic()):
+            return True
+        if not table.is_readable:
+            return False
+        if self._is_draining:
+            await self._hand_over_all(scope)
+            return False
+        wanted = assign_things(self._things[scope], self._list_names(scope))
+        changes, is_waiting = self._list_claims(scope, table, wanted, tenure)
+        if changes:
+            await self._claim(scope, table, changes)
+        moves = self._list_moves(scope, table, wanted)
+        if moves:
+            await self._hand_over(scope, table, moves)
+        return is_waiting
+
+    # Claims ---------------------------------------------------------------------
+
+    def _list_claims(
+        self, scope: str, table: Table, wanted: Mapping[str, str], tenure: Tenure
+    ) -> tuple[dict[str, Change], bool]:
+        own = self._members.self.name
+        changes: dict[str, Change] = {}
+        is_waiting = False
+        for name in self._things[scope]:
+            holder = table.things.get(name)
+            is_wanted = wanted.get(name) == own
+            epoch = None
+            if holder is None:
+                epoch = table.document.floor + 1 if is_wanted else None
+            elif holder.instance == own:
+                epoch = self._choose_epoch(f"{scope}/{name}", holder, tenure)
+            elif not self._is_gone(holder, table):
+                self._since.pop((scope, name), None)
+                is_waiting = is_waiting or not self._members.is_live(holder.instance)
+            elif self._may_take(scope, name, holder, is_wanted):
+                epoch = holder.epoch + 1
+            else:
+                is_waiting = True
+            if epoch is not None:
+                changes[name] = Change(holder, Holder(own, tenure.session, epoch))
+        return changes, is_waiting
+
+    def _choose_epoch(self, thing: str, holder: Holder, tenure: Tenure) -> int | None:
+        """Return the epoch to bind an own thing to a new session with, if need be."""
+        if holder.session == tenure.session:
+            return None
+        holding = self._held.get(thing)
+        if holding is not None and self._is_valid(thing, holding):
+            return holder.epoch
+        return holder.epoch + 1
+
+    def _is_gone(self, holder: Holder, table: Table) -> bool:
+        is_known = self._members.revision >= table.revision
+        return is_known and self._members.get_registered(holder.instance) is None
+
+    def _may_take(self, scope: str, name: str, holder: Holder, is_wanted: bool) -> bool:
+        if scope not in GLOBAL_SCOPES and not self._members.may_take_from(
+            holder.instance
+        ):
+            return False
+        now = self._clock.monotonic()
+        since = self._since.setdefault((scope, name), now)
+        return is_wanted or now - since >= ORPHAN_DELAY
+
+    async def _claim(
+        self, scope: str, table: Table, changes: Mapping[str, Holder]
+    ) -> None:
+        own = self._members.self.name
+        before = {
+            table.things[name].instance for name in changes if name in table.things
+        }
+        others = before - {own}
+        self._members.withhold(others)
+        if any(not self._members.may_take_from(name) for name in others):
+            pass
+        await self._commit(scope, table, changes)
+        self._members.release(others)
+        await self._follow(scope, table)
+
+    async def _commit(
+        self, scope: str, table: Table, changes: Mapping[str, Change]
+    ) -> None:
+        if not await table.commit(changes):
+            return
+        entry = self._mirror.entries[table.key]
+        change: TableChange = {
+            "key": table.key,
+            "revision": entry.revision,
+            "value": entry.value,
+        }
+        zone = "" if scope in GLOBAL_SCOPES else self._members.self.zone
+        for member in self._members.list_live(zone):
+            if member.name != self._members.self.name:
+                self._peers.send(member.name, change, TableChange)
+
+    async def _take_change(self, instance: str, change: TableChange) -> None:
+        self._mirror.note(change["key"], change["value"], change["revision"])
+        for scope in self._things:
+            table = self._get_table(scope)
+            if table.key == change["key"]:
+                self._adopt(scope, table)
+
+    # Handover -------------------------------------------------------------------
+
+    def _list_moves(
+        self, scope: str, table: Table, wanted: Mapping[str, str]
+    ) -> dict[str, Change]:
+        own = self._members.self.name
+        now = self._clock.monotonic()
+        moves = {}
+        for name, holder in table.things.items():
+            key = (scope, name)
+            if holder.instance != own or wanted.get(name, own) == own:
+                if holder.instance == own:
+                    self._since.pop(key, None)
+                continue
+            successor = self._members.get_registered(wanted[name])
+            if successor is None or not self._members.is_live(wanted[name]):
+                continue
+            if now - self._since.setdefault(key, now) >= self._handover_delay:
+                moves[name] = _succeed(holder, successor)
+        return moves
+
+    async def _hand_over_all(self, scope: str) -> None:
+        table = self._get_table(scope)
+        held = [
+            name
+            for name, holder in table.things.items()
+            if f"{scope}/{name}" in self._held
+        ]
+        names = [
+            name
+            for name in self._list_names(scope)
+            if name != self._members.self.name and self._members.is_live(name)
+        ]
+        moves = {}
+        for name, owner in assign_things(held, names).items():
+            successor = self._members.get_registered(owner)
+            if successor is not None:
+                moves[name] = _succeed(table.things[name], successor)
+        if moves:
+            await self._hand_over(scope, table, moves)
+
+    async def _hand_over(
+        self, scope: str, table: Table, moves: Mapping[str, Change]
+    ) -> None:
+        for name in moves:
+            self._since.pop((scope, name), None)
+        await asyncio.gather(*(self._lose(f"{scope}/{name}") for name in moves))
+        await self._commit(scope, table, moves)
+        await self._follow(scope, table)
+
+    # Holdings -------------------------------------------------------------------
+
+    async def _follow(self, scope: str, table: Table) -> None:
+        """Let what is held follow the table."""
+        own = self._members.self.name
+        prefix = scope + "/"
+        for thing, holding in list(self._held.items()):
+            if not thing.startswith(prefix):
+                continue
+            holder = table.things.get(thing.removeprefix(prefix))
+            is_own = holder is not None and holder.instance == own
+            if not is_own or holder.epoch != holding.epoch:
+                await self._lose(thing)
+        self._adopt(scope, table)
+
+    def _adopt(self, scope: str, table: Table) -> None:
+        tenure = self._members.tenure
+        if tenure is None:
+            return
+        for name, holder in table.things.items():
+            is_own = holder.instance == self._members.self.name
+            if not is_own or holder.session != tenure.session:
+                continue
+            thing = f"{scope}/{name}"
+            holding = self._held.get(thing)
+            if holding is None:
+                holding = self._held[thing] = Holding(holder.epoch, tenure)
+                holding.gain = asyncio.ensure_future(self._gain(thing, holding))
+            elif holding.epoch == holder.epoch:
+                holding.tenure = tenure
+
+    async def _gain(self, thing: str, holding: Holding) -> None:
+        scope = thing.partition("/")[0]
+        try:
+            for handler in self._gain_handlers.get(scope, ()):
+                await handler(thing, holding.epoch)
+        except Exception as error:
+            _log.error("A gain handler failed.", thing=thing, error=repr(error))
+            if self._held.get(thing) is holding:
+                del self._held[thing]
+            return
+        holding.is_ready = True
+
+    async def _lose(self, thing: str) -> None:
+        holding = self._held.pop(thing, None)
+        if holding is None:
+            return
+        if holding.gain is not None and not holding.gain.done():
+            holding.gain.cancel()
+            await asyncio.wait({holding.gain})
+        scope = thing.partition("/")[0]
+        for handler in self._loss_handlers.get(scope, ()):
+            try:
+                await handler(thing, holding.epoch)
+            except Exception as error:
+                _log.error("A loss handler failed.", thing=thing, error=repr(error))
+
+    async def _drop_invalid(self) -> None:
+        for thing, holding in list(self._held.items()):
+            if holding.tenure.has_lapsed and not self._is_valid(thing, holding):
+                await self._lose(thing)
+
+    def _is_valid(self, thing: str, holding: Holding) -> bool:
+        now = self._clock.monotonic()
+        if thing.partition("/")[0] in GLOBAL_SCOPES:
+            return holding.tenure.is_leased(now)
+        return holding.tenure.is_valid(now)
+
+    # Tables ---------------------------------------------------------------------
+
+    def _get_table(self, scope: str) -> Table:
+        if scope in GLOBAL_SCOPES:
+            key = PREFIX + scope
+        else:
+            key = f"{PREFIX}{self._members.self.zone}/{scope}"
+        return self._open(key)
+
+    def _open(self, key: str) -> Table:
+        if key not in self._tables:
+            self._tables[key] = Table(key, self._mirror, self._store, self._clock)
+        return self._tables[key]
+
+    def _list_tables(self, scope: str) -> Iterable[Table]:
+        yield self._get_table(scope)
+        if scope not in GLOBAL_SCOPES:
+            for key in list(self._mirror.entries):
+                if key.endswith("/" + scope):
+                    yield self._open(key)
+
+    def _list_names(self, scope: str) -> list[str]:
+        zone = "" if scope in GLOBAL_SCOPES else self._members.self.zone
+        return [found.member.name for found in self._members.list_candidates(zone)]
+
+
+def _succeed(holder: Holder, successor: Registered) -> Change:
+    after = Holder(successor.member.name, successor.session, holder.epoch + 1)
+    return Change(holder, after)
--- /dev/null
+++ b/src/damaskdeck/protocol/heartbeats.py
@@ -0,0 +1,89 @@
+"""Messages of membership and ownership between daemons."""
+
+from typing import NotRequired, TypedDict
+
+from damaskdeck.protocol.messages import message
+
+
+class MemberFields(TypedDict):
+    """A :class:`damaskdeck.protocol.members.Member` on the wire."""
+
+    name: str
+    zone: str
+    region: str
+    peer_address: str
+    api_address: str
+    incarnation: str
+
+
+class Echo(TypedDict):
+    """The last heartbeat heard from the receiver.
+
+    :ivar number: its number.
+    :ivar session: the session that it named.
+    :ivar promise: whether the sender takes over nothing from the receiver for
+        a known time from now on.
+    """
+
+    number: int
+    session: str
+    promise: NotRequired[bool]
+
+
+class ReportFields(TypedDict):
+    """A report of the sender.
+
+    :ivar version: rises with each new value of the topic.
+    :ivar value: absent when the receiver should have this version.
+    """
+
+    version: int
+    value: NotRequired[bytes]
+
+
+class Digest(TypedDict):
+    """What the sender heard of a member of another zone.
+
+    :ivar age: milliseconds since that member was heard.
+    :ivar reports: its latest reports by topic, within a limit of bytes.
+    """
+
+    member: MemberFields
+    age: int
+    reports: dict[str, bytes]
+
+
+@message("heartbeat")
+class Heartbeat(TypedDict):
+    """A sign of life, sent in an interval to some peers.
+
+    :ivar session: names the lease under which the sender is registered.
+    """
+
+    member: MemberFields
+    number: int
+    session: str
+    leaving: NotRequired[bool]
+    echo: NotRequired[Echo]
+    reports: NotRequired[dict[str, ReportFields]]
+    digests: NotRequired[list[Digest]]
+
+
+@message("goodbye")
+class Goodbye(TypedDict):
+    """The sender has given up its lease and will take over nothing any more."""
+
+    session: str
+
+
+@message("table_change")
+class TableChange(TypedDict):
+    """The sender wrote a table of owners; saves the receiver a call to the store.
+
+    :ivar revision: the store's revision of the write.
+    :ivar value: the whole table as it stands in the store.
+    """
+
+    key: str
+    revision: int
+    value: bytes
