--- /dev/null
+++ b/src/damaskdeck/coordination/desks.py
@@ -0,0 +1,106 @@
+"""Everything that the keeper of one ledger does, put together."""
+
+import asyncio
+from datetime import timedelta
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.dispatch import Dispatcher
+from damaskdeck.coordination.fleetview import FleetView
+from damaskdeck.coordination.followups import Followups
+from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.keys import Keys
+from damaskdeck.coordination.launches import Launcher, get_size
+from damaskdeck.coordination.queueing import JobQueue
+from damaskdeck.coordination.submissions import Submissions
+from damaskdeck.logs import get_logger
+from damaskdeck.protocol.handlers import ConfigurationReader
+from damaskdeck.protocol.members import Members, Ownership
+from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.ports import Instance
+from damaskdeck.protocol.resources import (
+    Kind,
+    Resource,
+    TeamSpec,
+    WorkloadSpec,
+    read_size,
+)
+from damaskdeck.state.accounts import TaskNeed
+from damaskdeck.state.quotas import Quotas
+
+_log = get_logger("keeper")
+
+
+class Desk:
+    """One kept ledger with its queue, its launches and its follow-ups.
+
+    :param kept: not opened yet.
+    """
+
+    def __init__(
+        self,
+        kept: KeptLedger,
+        members: Members,
+        ownership: Ownership,
+        peers: Peers,
+        configuration: ConfigurationReader,
+        clock: Clock,
+    ) -> None:
+        self.kept = kept
+        self.view = FleetView(members, clock)
+        self.quotas = Quotas()
+        self.keys = Keys(kept)
+        self.followups = Followups(kept, ownership, peers, clock)
+        launcher = Launcher(kept, ownership, peers, self.followups.doubt)
+        queue = JobQueue(clock, self.quotas)
+        self.dispatcher = Dispatcher(kept, self.view, launcher, queue, clock)
+        self.submissions = Submissions(
+            kept, configuration, self._find_impossible, self.dispatcher.explain
+        )
+        self._configuration = configuration
+        self._runner: asyncio.Task[None] | None = None
+
+    async def open(self, workers: tuple[Instance, ...]) -> bool:
+        """Fence off earlier keepers and replay, then start to place."""
+        self.set_workers(workers)
+        for resource in self._configuration.list(Kind.TEAM):
+            self.set_team(resource["metadata"]["name"], resource)
+        started = self.kept.get_time()
+        if not await self.kept.open():
+            return False
+        took = timedelta(seconds=self.kept.get_time() - started)
+        _log.info("Keeps a ledger.", ledger=self.kept.name, took=took)
+        self._runner = asyncio.ensure_future(self._run())
+        return True
+
+    async def close(self) -> None:
+        """Stop placing and let the commits in progress end."""
+        if self._runner is not None:
+            self._runner.cancel()
+        await self.kept.close()
+
+    def set_workers(self, workers: tuple[Instance, ...]) -> None:
+        """Take over the platform's list of workers."""
+        self.view.set_workers(workers)
+        self.quotas.set_capacity(self.view.accounts.totals.size)
+        self.dispatcher.wake()
+
+    def set_team(self, name: str, resource: Resource | None) -> None:
+        """Take over a team's quota."""
+        if resource is None:
+            self.quotas.drop_team(name)
+            return
+        spec: TeamSpec = resource.get("spec", {})
+        weight = spec.get("weight", 1.0)
+        self.quotas.set_quota(name, read_size(spec["quota"]), weight)
+        self.dispatcher.wake()
+
+    def _find_impossible(self, spec: WorkloadSpec) -> str | None:
+        need = TaskNeed("", get_size(spec), zones=frozenset(spec.get("zones", ())))
+        tasks = spec.get("tasks", 1) if spec["type"] == "gang" else 1
+        return self.view.find_impossible(need, tasks)
+
+    async def _run(self) -> None:
+        await self.followups.check_all()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.followups.run())
+            group.create_task(self.dispatcher.run())
--- /dev/null
+++ b/src/damaskdeck/coordination/followups.py
@@ -0,0 +1,158 @@
+"""Follow-ups of placed tasks: news of them, doubts about them, and stops."""
+
+import asyncio
+from collections.abc import Iterable
+from datetime import timedelta
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.news import judge_news
+from damaskdeck.protocol import jobs
+from damaskdeck.protocol.members import Ownership
+from damaskdeck.protocol.messages import Answered, Peers
+from damaskdeck.state.jobs import Task, TaskState
+from damaskdeck.state.ledger import Committed
+
+CHECK_INTERVAL = timedelta(seconds=1)
+CHECK_BATCH = 500
+CALL_TIMEOUT = timedelta(seconds=3)
+ON_WORKER = (TaskState.PLACED, TaskState.RUNNING)
+
+
+class Followups:
+    """Follows the tasks of one kept ledger that are on workers.
+
+    A task in doubt may or may not have started; its worker's owner is asked
+    until it tells. Only an owner's word moves a task, so that those of a zone
+    that is cut off stay where they are.
+    """
+
+    def __init__(
+        self, kept: KeptLedger, ownership: Ownership, peers: Peers, clock: Clock
+    ) -> None:
+        self._kept = kept
+        self._ownership = ownership
+        self._peers = peers
+        self._clock = clock
+        self._doubts: dict[str, None] = {}
+        self._stops: dict[str, None] = {}
+        self._epochs: dict[str, int] = {}
+        self._on_worker: dict[str, dict[str, None]] = {}
+        self._places: dict[str, str] = {}
+        self._changed = asyncio.Event()
+        kept.on_change(self.follow)
+
+    def doubt(self, tasks: Iterable[str]) -> None:
+        """Ask about tasks until it is known what became of them."""
+        self._doubts.update((task, None) for task in tasks)
+        self._changed.set()
+
+    def follow(self, tasks: tuple[str, ...]) -> None:
+        """Take over changes of the table."""
+        for name in tasks:
+            task = self._kept.table.tasks.get(name)
+            is_on_worker = task is not None and task.state in ON_WORKER
+            self._set_place(name, task.worker if is_on_worker else "")
+            if is_on_worker and self._kept.table.jobs[task.job].stopping:
+                self._stops[name] = None
+                self._changed.set()
+
+    async def run(self) -> None:
+        """Ask about doubts and send stops until cancelled."""
+        while True:
+            self._note_owners()
+            await self.check_all()
+            await self._stop_all()
+            self._changed.clear()
+            await self._wait()
+
+    async def check_all(self) -> None:
+        """Ask once about each task in doubt."""
+        groups = self._group(self._doubts)
+        await asyncio.gather(*(self._check(o, g) for o, g in groups.items()))
+
+    async def take_news(self, news: list[jobs.TaskNews]) -> jobs.TasksNoted | None:
+        """Note news of tasks; ``None`` while they can't be made durable."""
+        verdict = judge_news(self._kept.table, news)
+        changes = verdict.list_records(self._kept.get_time())
+        if changes:
+            outcome = await self._kept.commit(*changes)
+            if not isinstance(outcome, Committed):
+                return None
+        for attempt in verdict.noted:
+            self._doubts.pop(attempt["task"], None)
+        return jobs.TasksNoted(noted=verdict.noted, stop=verdict.stop)
+
+    async def _wait(self) -> None:
+        timer = asyncio.ensure_future(self._clock.sleep(CHECK_INTERVAL))
+        changed = asyncio.ensure_future(self._changed.wait())
+        try:
+            await asyncio.wait({timer, changed}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            changed.cancel()
+
+    def _set_place(self, name: str, worker: str) -> None:
+        former = self._places.get(name, "")
+        if former == worker:
+            return
+        if former:
+            self._on_worker[former].pop(name, None)
+            self._places.pop(name)
+            self._doubts.pop(name, None)
+            self._stops.pop(name, None)
+        if worker:
+            self._places[name] = worker
+            self._on_worker.setdefault(worker, {})[name] = None
+
+    def _note_owners(self) -> None:
+        """Doubt the tasks of workers that have a new owner."""
+        for worker, tasks in self._on_worker.items():
+            owner = self._ownership.find_owner(f"worker/{worker}")
+            if owner is None or not tasks:
+                continue
+            if self._epochs.get(worker) != owner.epoch:
+                self._epochs[worker] = owner.epoch
+                self._doubts.update(tasks)
+
+    def _group(self, names: Iterable[str]) -> dict[str, list[Task]]:
+        groups: dict[str, list[Task]] = {}
+        for name in names:
+            task = self._kept.table.tasks.get(name)
+            if task is None or task.state not in ON_WORKER:
+                continue
+            owner = self._ownership.find_owner(f"worker/{task.worker}")
+            if owner is not None:
+                groups.setdefault(owner.instance, []).append(task)
+        return groups
+
+    async def _check(self, owner: str, tasks: list[Task]) -> None:
+        for start in range(0, len(tasks), CHECK_BATCH):
+            message = jobs.CheckTasks(
+                ledger=self._kept.name,
+                epoch=self._kept.epoch,
+                tasks=[_name(task) for task in tasks[start : start + CHECK_BATCH]],
+            )
+            answer = await self._peers.call(
+                owner, message, jobs.CheckTasks, CALL_TIMEOUT
+            )
+            if isinstance(answer, Answered) and answer.message is not None:
+                await self.take_news(answer.message["tasks"])
+
+    async def _stop_all(self) -> None:
+        groups = self._group(self._stops)
+        await asyncio.gather(*(self._stop(o, g) for o, g in groups.items()))
+
+    async def _stop(self, owner: str, tasks: list[Task]) -> None:
+        message = jobs.StopTasks(
+            ledger=self._kept.name,
+            epoch=self._kept.epoch,
+            tasks=[_name(task) for task in tasks],
+        )
+        await self._peers.call(owner, message, jobs.StopTasks, CALL_TIMEOUT)
+
+
+def _name(task: Task) -> jobs.TaskAttempt:
+    return jobs.TaskAttempt(
+        task=task.name, attempt=task.attempt, worker=task.worker, epoch=task.epoch
+    )
--- /dev/null
+++ b/src/damaskdeck/coordination/hosting.py
@@ -0,0 +1,288 @@
+"""Hosts workers: the one place that reserves their room and talks to them."""
+
+import asyncio
+from collections import OrderedDict
+from datetime import timedelta
+from typing import Protocol
+
+from damaskdeck import defaults
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.outbox import Outbox
+from damaskdeck.coordination.sessions import OPEN_STATES, Session
+from damaskdeck.coordination.workers import WORKERS_TOPIC, encode_workers
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_refusal
+from damaskdeck.protocol import jobs
+from damaskdeck.protocol.members import Members, Ownership
+from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.ports import Instance, WorkerPort
+from damaskdeck.protocol.sizes import Size
+from damaskdeck.state.accounts import Accounts, AlreadyReserved, Reserved, TaskNeed
+
+HOLD_LIMIT = timedelta(seconds=10)
+PUBLISH_INTERVAL = timedelta(milliseconds=250)
+FENCED_LIMIT = 10_000
+
+_log = get_logger("workers")
+
+
+class WorkerFleet(Protocol):
+    """The workers that the platform lists."""
+
+    def get(self, name: str) -> Instance | None:
+        """Return a listed instance."""
+
+
+class WorkerHost:
+    """Owner of some workers of its availability zone.
+
+    Promise: "No instance is given more work than its processors, memory, or
+    accelerators can hold": only the owner reserves, in one account.
+
+    :param workers: the port to the workers.
+    :param checks_epochs: whether workers refuse calls of an older epoch; if
+        not, a new owner waits out the old one's lease before it places.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        ownership: Ownership,
+        peers: Peers,
+        workers: WorkerPort,
+        fleet: WorkerFleet,
+        clock: Clock,
+        *,
+        checks_epochs: bool = True,
+        member_lease: timedelta = defaults.MEMBER_LEASE,
+        lease: timedelta = defaults.TASK_LEASE,
+        renewal: timedelta = defaults.TASK_RENEWAL,
+    ) -> None:
+        self.accounts = Accounts()
+        self.sessions: dict[str, Session] = {}
+        self._members = members
+        self._ownership = ownership
+        self._workers = workers
+        self._fleet = fleet
+        self._clock = clock
+        self._grace = timedelta() if checks_epochs else 2 * member_lease
+        self._lease = lease
+        self._renewal = renewal
+        self._outbox = Outbox(ownership, peers, clock, self._take_noted)
+        self._runners: dict[str, asyncio.Task[None]] = {}
+        self._ledger_epochs: dict[str, int] = {}
+        self._fenced: OrderedDict[tuple[str, int], None] = OrderedDict()
+        ownership.on_gain("worker", self._gain)
+        ownership.on_loss("worker", self._lose)
+        peers.register(jobs.ReserveTasks, self._reserve)
+        peers.register(jobs.StartTasks, self._start)
+        peers.register(jobs.ReleaseTasks, self._release)
+        peers.register(jobs.StopTasks, self._stop)
+        peers.register(jobs.CheckTasks, self._check)
+
+    async def run(self) -> None:
+        """Send news and publish free room until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._outbox.run())
+                group.create_task(self._publish_all())
+        finally:
+            for runner in self._runners.values():
+                runner.cancel()
+
+    # Gains and losses ------------------------------------------------------------
+
+    async def _gain(self, thing: str, epoch: int) -> None:
+        name = thing.partition("/")[2]
+        worker = self._fleet.get(name)
+        if worker is None:
+            _log.warn("Gained a worker that isn't listed.", worker=name)
+            return
+        self._end_session(name)
+        self.accounts.set_worker(worker)
+        self.accounts.close_worker(name, "inventory")
+        session = Session(
+            worker,
+            epoch,
+            self._workers,
+            self.accounts,
+            self._clock,
+            lambda: self._ownership.get_epoch(thing) == epoch,
+            self._outbox.put,
+            self._grace,
+            self._lease,
+            self._renewal,
+        )
+        self.sessions[name] = session
+        self._runners[name] = asyncio.ensure_future(session.run())
+
+    async def _lose(self, thing: str, epoch: int) -> None:
+        name = thing.partition("/")[2]
+        session = self.sessions.get(name)
+        if session is None or session.epoch != epoch:
+            return
+        self._end_session(name)
+        session.refuse_waiting()
+        if self._fleet.get(name) is None:
+            self._runners[name] = asyncio.ensure_future(session.abandon())
+
+    def _end_session(self, name: str) -> None:
+        self.sessions.pop(name, None)
+        runner = self._runners.pop(name, None)
+        if runner is not None:
+            runner.cancel()
+        self.accounts.remove_worker(name)
+
+    async def _publish_all(self) -> None:
+        while True:
+            self.accounts.expire(self._clock.monotonic())
+            self._members.publish(WORKERS_TOPIC, encode_workers(self.accounts))
+            await self._clock.sleep(PUBLISH_INTERVAL)
+
+    async def _take_noted(self, noted: jobs.TasksNoted) -> None:
+        for attempt in noted["stop"]:
+            session = self.sessions.get(attempt["worker"])
+            if session is not None:
+                session.order_stop(attempt["task"], attempt["attempt"])
+        for attempt in noted["noted"]:
+            session = self.sessions.get(attempt["worker"])
+            if session is not None:
+                session.order_forget(attempt["task"], attempt["attempt"])
+
+    # Messages of keepers ---------------------------------------------------------
+
+    def _admit(self, ledger: str, epoch: int) -> bool:
+        """Fence off keepers older than the newest that is known."""
+        owner = self._ownership.find_owner(f"ledger/{ledger}")
+        known = max(self._ledger_epochs.get(ledger, 0), owner.epoch if owner else 0)
+        if epoch < known:
+            count_refusal("workers", "stale_keeper")
+            return False
+        self._ledger_epochs[ledger] = epoch
+        return True
+
+    async def _reserve(self, _: str, message: jobs.ReserveTasks) -> jobs.TasksReserved:
+        reply = jobs.TasksReserved(granted=[], refused=[])
+        is_admitted = self._admit(message["ledger"], message["epoch"])
+        for item in message["tasks"]:
+            code = self._hold(item) if is_admitted else "stale_keeper"
+            if code:
+                count_refusal("workers", code)
+                reply["refused"].append(_refuse(item, code))
+                continue
+            granted = _name(item)
+            granted["epoch"] = self.sessions[item["worker"]].epoch
+            reply["granted"].append(granted)
+        return reply
+
+    def _hold(self, item: jobs.Reservation) -> str:
+        session = self.sessions.get(item["worker"])
+        if session is None or self._get_epoch(item["worker"]) != session.epoch:
+            return "not_owner"
+        deadline = self._clock.monotonic() + HOLD_LIMIT
+        need = TaskNeed(item["task"], _read_size(item["size"]))
+        outcome = self.accounts.reserve(need, item["worker"], deadline)
+        if isinstance(outcome, Reserved):
+            return ""
+        if isinstance(outcome, AlreadyReserved):
+            return "already_reserved"
+        return getattr(outcome, "code", "no_room")
+
+    async def _start(self, _: str, message: jobs.StartTasks) -> jobs.TasksTaken:
+        reply = jobs.TasksTaken(refused=[])
+        is_admitted = self._admit(message["ledger"], message["epoch"])
+        for start in message["tasks"]:
+            code = self._refuse_start(start) if is_admitted else "stale_keeper"
+            if code:
+                self._fence(start["task"], start["attempt"])
+                count_refusal("workers", code)
+                reply["refused"].append(_refuse(start, code))
+                continue
+            self.sessions[start["worker"]].order_start(start)
+        return reply
+
+    def _refuse_start(self, start: jobs.Start) -> str:
+        task, attempt = start["task"], start["attempt"]
+        session = self.sessions.get(start["worker"])
+        epoch = self._get_epoch(start["worker"])
+        if session is None or epoch is None or epoch != start.get("epoch"):
+            return "not_owner"
+        if (task, attempt) in self._fenced:
+            return "fenced"
+        hosted = session.tasks.get(task)
+        if hosted and (hosted.state in OPEN_STATES or hosted.attempt >= attempt):
+            return "already_started"
+        if not self.accounts.confirm(task, self._clock.monotonic()):
+            return "hold_expired"
+        return ""
+
+    async def _release(self, _: str, message: jobs.ReleaseTasks) -> None:
+        for item in message["tasks"]:
+            held = self.accounts.find(item["task"])
+            if held is not None and held.deadline is not None:
+                self.accounts.release(item["task"])
+
+    async def _stop(self, _: str, message: jobs.StopTasks) -> jobs.TasksTaken:
+        reply = jobs.TasksTaken(refused=[])
+        is_admitted = self._admit(message["ledger"], message["epoch"])
+        for item in message["tasks"]:
+            session = self.sessions.get(item["worker"])
+            if session is None or not is_admitted:
+                reply["refused"].append(_refuse(item, "not_owner"))
+                continue
+            checkpoint = message.get("checkpoint", False)
+            session.order_stop(item["task"], item["attempt"], checkpoint)
+        return reply
+
+    async def _check(self, _: str, message: jobs.CheckTasks) -> jobs.TaskReports | None:
+        if not self._admit(message["ledger"], message["epoch"]):
+            return None
+        found = [self._tell(item) for item in message["tasks"]]
+        return jobs.TaskReports(ledger=message["ledger"], tasks=found)
+
+    def _tell(self, item: jobs.TaskAttempt) -> jobs.TaskNews:
+        task, attempt, worker = item["task"], item["attempt"], item["worker"]
+        news = jobs.TaskNews(task=task, attempt=attempt, worker=worker, state="unsure")
+        session = self.sessions.get(worker)
+        if session is None or self._get_epoch(worker) != session.epoch:
+            return news
+        hosted = session.find(task, attempt)
+        if hosted is not None:
+            is_running = hosted.state == "running"
+            news["state"] = "running" if is_running else "unsure"
+        elif item.get("epoch") == session.epoch:
+            self._fence(task, attempt)
+            self._drop_hold(task, worker)
+            news["state"] = "unstarted"
+        elif session.is_ready:
+            news["state"] = "lost"
+            news["code"] = "worker_lost"
+        return news
+
+    def _drop_hold(self, task: str, worker: str) -> None:
+        held = self.accounts.find(task)
+        if held is not None and held.worker == worker:
+            self.accounts.release(task)
+
+    def _get_epoch(self, worker: str) -> int | None:
+        return self._ownership.get_epoch(f"worker/{worker}")
+
+    def _fence(self, task: str, attempt: int) -> None:
+        """Refuse an attempt from now on, should its start still come."""
+        self._fenced[task, attempt] = None
+        if len(self._fenced) > FENCED_LIMIT:
+            self._fenced.popitem(last=False)
+
+
+def _name(item: jobs.TaskAttempt) -> jobs.TaskAttempt:
+    return jobs.TaskAttempt(
+        task=item["task"], attempt=item["attempt"], worker=item["worker"]
+    )
+
+
+def _refuse(item: jobs.TaskAttempt, code: str) -> jobs.Refusal:
+    return jobs.Refusal(task=item["task"], attempt=item["attempt"], code=code)
+
+
+def _read_size(size: jobs.SizeData) -> Size:
+    return Size(size["millicores"], size["memory"], size["accelerators"])
--- /dev/null
+++ b/src/damaskdeck/coordination/keeper.py
@@ -0,0 +1,354 @@
+"""The keeper of ledgers, and the way to it from any daemon."""
+
+import asyncio
+import heapq
+from datetime import timedelta
+from typing import Any, Protocol
+
+from damaskdeck import defaults
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.desks import Desk
+from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.metrics import count_refusal, count_retry
+from damaskdeck.protocol import jobs
+from damaskdeck.protocol.handlers import (
+    Claimed,
+    ConfigurationReader,
+    JobView,
+    Known,
+    Submission,
+)
+from damaskdeck.protocol.members import Members, Ownership
+from damaskdeck.protocol.messages import Answered, Peers, Unsent
+from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
+from damaskdeck.protocol.ports import Instance, InstanceRole, Store
+from damaskdeck.protocol.replies import (
+    read_job,
+    read_outcome,
+    read_reply,
+    show_job,
+    show_outcome,
+    show_reply,
+)
+from damaskdeck.protocol.resources import Kind, Resource
+from damaskdeck.state.names import pick_ledger, read_ledger
+
+CALL_TIMEOUT = timedelta(seconds=6)
+RETRY_INTERVAL = timedelta(milliseconds=200)
+RETRY_LIMIT = 10
+RETRY_AFTER = timedelta(seconds=1)
+NO_KEEPER = frozenset({"no_keeper", "keeper_unreachable"})
+
+
+class ListedFleet(Protocol):
+    """The instances that the platform lists."""
+
+    def list(self, role: InstanceRole, zone: str = "") -> tuple[Instance, ...]:
+        """List the instances of a role."""
+
+    def on_change(self, handler: Any) -> None:
+        """Call ``handler(changes)`` when the list changes."""
+
+
+class Keeper:
+    """Keeps ledgers, and forwards calls for others to their keepers.
+
+    Implements ``JobHandler`` and ``KeyMemory`` on any daemon, with at most one
+    hop to the ledger's keeper.
+
+    :param ledger_count: how many ledgers the deployment has; the same on all.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        ownership: Ownership,
+        peers: Peers,
+        store: Store,
+        configuration: ConfigurationReader,
+        fleet: ListedFleet,
+        clock: Clock,
+        ledger_count: int = defaults.LEDGER_COUNT,
+    ) -> None:
+        self.desks: dict[str, Desk] = {}
+        self._members = members
+        self._ownership = ownership
+        self._peers = peers
+        self._store = store
+        self._configuration = configuration
+        self._fleet = fleet
+        self._clock = clock
+        self._count = ledger_count
+        ownership.on_gain("ledger", self._gain)
+        ownership.on_loss("ledger", self._lose)
+        fleet.on_change(self._take_fleet)
+        configuration.subscribe(self._take_resource)
+        self._register()
+
+    def _register(self) -> None:
+        register = self._peers.register
+        register(jobs.SubmitJob, self._take_submission)
+        register(jobs.ReadJob, self._take_reading)
+        register(jobs.CancelJob, self._take_cancellation)
+        register(jobs.ListJobs, self._take_listing)
+        register(jobs.ClaimKey, self._take_claim)
+        register(jobs.SettleKey, self._take_settlement)
+        register(jobs.TaskReports, self._take_reports)
+
+    # Gains and losses ------------------------------------------------------------
+
+    async def _gain(self, thing: str, epoch: int) -> None:
+        name = thing.partition("/")[2]
+        await self._close(name)
+        kept = KeptLedger(
+            name,
+            epoch,
+            self._store,
+            self._clock,
+            lambda: self._ownership.get_epoch(thing) == epoch,
+        )
+        desk = Desk(
+            kept,
+            self._members,
+            self._ownership,
+            self._peers,
+            self._configuration,
+            self._clock,
+        )
+        if await desk.open(self._fleet.list(InstanceRole.WORKER)):
+            self.desks[name] = desk
+
+    async def _lose(self, thing: str, epoch: int) -> None:
+        name = thing.partition("/")[2]
+        desk = self.desks.get(name)
+        if desk is not None and desk.kept.epoch == epoch:
+            await self._close(name)
+
+    async def _close(self, name: str) -> None:
+        desk = self.desks.pop(name, None)
+        if desk is not None:
+            await desk.close()
+
+    async def close(self) -> None:
+        """Let the commits in progress of all ledgers end."""
+        await asyncio.gather(*(self._close(name) for name in list(self.desks)))
+
+    def _take_fleet(self, changes: object) -> None:
+        workers = self._fleet.list(InstanceRole.WORKER)
+        for desk in self.desks.values():
+            desk.set_workers(workers)
+
+    def _take_resource(self, kind: Kind, name: str, resource: Resource | None) -> None:
+        if kind is Kind.TEAM:
+            for desk in self.desks.values():
+                desk.set_team(name, resource)
+
+    def _find_desk(self, ledger: str | None) -> Desk | None:
+        desk = self.desks.get(ledger or "")
+        return desk if desk is not None and desk.kept.may_act() else None
+
+    # Calls of this daemon's callers ----------------------------------------------
+
+    async def submit_job(self, submission: Submission) -> JobView | Refused | Unknown:
+        """Take a job; it is durable once a view is returned."""
+        ledger = pick_ledger(submission.team, self._count)
+        message = jobs.SubmitJob(
+            workload=submission.workload,
+            team=submission.team,
+            payload=submission.payload,
+            key=submission.key,
+        )
+        return await self._ask_job(ledger, message, jobs.SubmitJob)
+
+    async def read_job(self, name: str) -> JobView | Refused | Unknown:
+        """Tell the state of a job; ``Refused("no_such_job")`` if there is none."""
+        return await self._ask_named(name, jobs.ReadJob(job=name), jobs.ReadJob)
+
+    async def cancel_job(self, name: str) -> JobView | Refused | Unknown:
+        """Cancel a job; a job that has ended stays as it ended."""
+        return await self._ask_named(name, jobs.CancelJob(job=name), jobs.CancelJob)
+
+    async def list_jobs(
+        self, team: str, after: str, limit: int
+    ) -> tuple[JobView, ...] | Refused | Unknown:
+        """List jobs in order of their names, a page at a time."""
+        if team:
+            return await self._list_one(
+                pick_ledger(team, self._count), team, after, limit
+            )
+        pages = await asyncio.gather(
+            *(
+                self._list_one(f"{number:02d}", team, after, limit)
+                for number in range(self._count)
+            )
+        )
+        for page in pages:
+            if isinstance(page, Refused | Unknown):
+                return page
+        merged = heapq.merge(*pages, key=lambda view: view.name)
+        return tuple(view for view, _ in zip(merged, range(limit), strict=False))
+
+    async def claim_key(
+        self, team: str, service: str, key: str, digest: bytes, timeout: timedelta
+    ) -> Claimed | Known | Refused | Unknown:
+        """Claim a key before its request is sent anywhere."""
+        message = jobs.ClaimKey(
+            team=team,
+            service=service,
+            key=key,
+            digest=digest,
+            timeout=timeout.total_seconds(),
+        )
+        ledger = pick_ledger(team, self._count)
+        reply = await self._ask(ledger, message, jobs.ClaimKey)
+        if isinstance(reply, Refused | Unknown):
+            return reply
+        if reply["state"] == "claimed":
+            return Claimed()
+        outcome = read_outcome(reply["outcome"])
+        if reply["state"] == "known":
+            return Known(outcome)
+        return outcome if isinstance(outcome, Refused) else Unknown("answer_lost")
+
+    async def settle_key(
+        self, team: str, service: str, key: str, outcome: Outcome
+    ) -> bool:
+        """Remember the outcome; returns whether it is durable."""
+        message = jobs.SettleKey(
+            team=team, service=service, key=key, outcome=show_outcome(outcome)
+        )
+        ledger = pick_ledger(team, self._count)
+        reply = await self._ask(ledger, message, jobs.SettleKey)
+        return not isinstance(reply, Refused | Unknown) and reply["state"] == "settled"
+
+    async def _list_one(
+        self, ledger: str, team: str, after: str, limit: int
+    ) -> tuple[JobView, ...] | Refused | Unknown:
+        message = jobs.ListJobs(ledger=ledger, team=team, after=after, limit=limit)
+        reply = await self._ask(ledger, message, jobs.ListJobs)
+        if isinstance(reply, Refused | Unknown):
+            return reply
+        return tuple(read_job(job) for job in reply.get("jobs", ()))
+
+    async def _ask_named(
+        self, job: str, message: Any, kind: type
+    ) -> JobView | Refused | Unknown:
+        ledger = read_ledger(job)
+        if ledger is None or int(ledger) >= self._count:
+            return Refused("no_such_job")
+        return await self._ask_job(ledger, message, kind)
+
+    async def _ask_job(
+        self, ledger: str, message: Any, kind: type
+    ) -> JobView | Refused | Unknown:
+        reply = await self._ask(ledger, message, kind)
+        return reply if isinstance(reply, Refused | Unknown) else read_reply(reply)
+
+    async def _ask(self, ledger: str, message: Any, kind: type) -> Any:
+        """Ask a ledger's keeper; asks again only if it surely did nothing."""
+        for _ in range(RETRY_LIMIT):
+            reply = await self._ask_once(ledger, message, kind)
+            refused = _find_refusal(reply)
+            if refused is None or refused.code not in NO_KEEPER:
+                return reply
+            count_retry("jobs", refused.code)
+            await self._clock.sleep(RETRY_INTERVAL)
+        count_refusal("jobs", refused.code)
+        return refused
+
+    async def _ask_once(self, ledger: str, message: Any, kind: type) -> Any:
+        owner = self._ownership.find_owner(f"ledger/{ledger}")
+        if owner is None:
+            return refuse_no_keeper()
+        answer = await self._peers.call(owner.instance, message, kind, CALL_TIMEOUT)
+        if isinstance(answer, Answered) and answer.message is not None:
+            return answer.message
+        if isinstance(answer, Unsent):
+            return Refused("keeper_unreachable", answer.code, RETRY_AFTER)
+        return Unknown("answer_lost", "the keeper of the job's ledger didn't answer")
+
+    # Messages of other daemons ---------------------------------------------------
+
+    async def _take_submission(self, _: str, message: jobs.SubmitJob) -> jobs.JobReply:
+        desk = self._find_desk(pick_ledger(message["team"], self._count))
+        if desk is None:
+            return show_reply(refuse_no_keeper())
+        return show_reply(await desk.submissions.submit(Submission(**message)))
+
+    async def _take_reading(self, _: str, message: jobs.ReadJob) -> jobs.JobReply:
+        desk = self._find_desk(read_ledger(message["job"]))
+        if desk is None:
+            return show_reply(refuse_no_keeper())
+        return show_reply(desk.submissions.read(message["job"]))
+
+    async def _take_cancellation(
+        self, _: str, message: jobs.CancelJob
+    ) -> jobs.JobReply:
+        desk = self._find_desk(read_ledger(message["job"]))
+        if desk is None:
+            return show_reply(refuse_no_keeper())
+        return show_reply(await desk.submissions.cancel(message["job"]))
+
+    async def _take_listing(self, _: str, message: jobs.ListJobs) -> jobs.JobsReply:
+        desk = self._find_desk(message["ledger"])
+        if desk is None:
+            return jobs.JobsReply(outcome=show_outcome(refuse_no_keeper()))
+        found = desk.submissions.list(
+            message["team"], message["after"], message["limit"]
+        )
+        return jobs.JobsReply(jobs=[show_job(view) for view in found])
+
+    async def _take_claim(self, _: str, message: jobs.ClaimKey) -> jobs.KeyReply:
+        desk = self._find_desk(pick_ledger(message["team"], self._count))
+        if desk is None:
+            return jobs.KeyReply(
+                state="failed", outcome=show_outcome(refuse_no_keeper())
+            )
+        index = (message["team"], message["service"], message["key"])
+        timeout = timedelta(seconds=message["timeout"])
+        found = await desk.keys.claim(index, message["digest"], timeout)
+        if isinstance(found, Claimed):
+            return jobs.KeyReply(state="claimed")
+        if isinstance(found, Known):
+            return jobs.KeyReply(state="known", outcome=show_outcome(found.outcome))
+        return jobs.KeyReply(state="failed", outcome=show_outcome(found))
+
+    async def _take_settlement(self, _: str, message: jobs.SettleKey) -> jobs.KeyReply:
+        desk = self._find_desk(pick_ledger(message["team"], self._count))
+        if desk is None:
+            return jobs.KeyReply(
+                state="failed", outcome=show_outcome(refuse_no_keeper())
+            )
+        index = (message["team"], message["service"], message["key"])
+        outcome = read_outcome(message["outcome"])
+        is_durable = await desk.keys.settle(index, outcome)
+        return jobs.KeyReply(state="settled" if is_durable else "failed")
+
+    async def _take_reports(
+        self, _: str, message: jobs.TaskReports
+    ) -> jobs.TasksNoted | None:
+        desk = self._find_desk(message["ledger"])
+        if desk is None:
+            return None
+        return await desk.followups.take_news(message["tasks"])
+
+
+def refuse_no_keeper() -> Refused:
+    """Return the refusal of a call while its ledger has no keeper here."""
+    return Refused("no_keeper", "the team's ledger is changing hands", RETRY_AFTER)
+
+
+def _find_refusal(reply: Any) -> Refused | None:
+    if isinstance(reply, Refused):
+        return reply
+    if isinstance(reply, dict) and "outcome" in reply and "state" not in reply:
+        outcome = read_outcome(reply["outcome"])
+        return outcome if isinstance(outcome, Refused) else None
+    if (
+        isinstance(reply, dict)
+        and reply.get("state") == "failed"
+        and "outcome" in reply
+    ):
+        outcome = read_outcome(reply["outcome"])
+        return outcome if isinstance(outcome, Refused) else None
+    return None
--- /dev/null
+++ b/src/damaskdeck/coordination/kept.py
@@ -0,0 +1,99 @@
+"""A ledger that this daemon keeps, with the jobs that it describes."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from damaskdeck.clock import Clock
+from damaskdeck.metrics import count_refusal, count_retry
+from damaskdeck.protocol.outcomes import Refused, Unknown
+from damaskdeck.protocol.ports import Lost, Rejected, Store
+from damaskdeck.state.jobs import JobTable
+from damaskdeck.state.ledger import Committed, Deposed, Ledger, Opened
+from damaskdeck.state.records import encode_record
+
+RETRY_AFTER = timedelta(seconds=1)
+REOPEN_INTERVAL = timedelta(milliseconds=250)
+
+ChangeHandler = Callable[[tuple[str, ...]], None]
+Record = tuple[object, type]
+
+
+class KeptLedger:
+    """One ledger, from gaining it to losing it.
+
+    Promise: "Every caller learns truthfully": the table changes only by what
+    is durable.
+
+    :param name: of the ledger, as in ``03``.
+    :param may_act: tells whether this daemon still keeps the ledger.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        epoch: int,
+        store: Store,
+        clock: Clock,
+        may_act: Callable[[], bool],
+    ) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.table = JobTable()
+        self.may_act = may_act
+        self.commits = 0
+        self._clock = clock
+        self._handlers: list[ChangeHandler] = []
+        self._ledger = Ledger(name, store, clock, self._take_snapshot, self._apply)
+
+    def on_change(self, handler: ChangeHandler) -> None:
+        """Call ``handler(tasks)`` after each change of the table."""
+        self._handlers.append(handler)
+
+    async def open(self) -> bool:
+        """Fence off earlier keepers and replay; false if there is a newer one."""
+        while True:
+            opened = await self._ledger.open(self.epoch)
+            if isinstance(opened, Opened):
+                break
+            if opened.code == "epoch_passed":
+                return False
+            count_retry("keeper", opened.code)
+            await self._clock.sleep(REOPEN_INTERVAL)
+        self._apply(opened.snapshot + opened.records)
+        return True
+
+    async def close(self) -> None:
+        """Let the commits in progress end and take no more."""
+        await self._ledger.close()
+
+    async def commit(self, *records: Record) -> Committed | Refused | Unknown:
+        """Make records durable; the table has them once ``Committed`` is returned.
+
+        :returns: ``Refused`` only if none will ever take effect.
+        """
+        encoded = tuple(encode_record(value, kind) for value, kind in records)
+        outcome = await self._ledger.commit(encoded)
+        if isinstance(outcome, Committed):
+            self.commits += 1
+            return outcome
+        if isinstance(outcome, Lost):
+            return Unknown("answer_lost", "the store's answer was lost")
+        code = "no_keeper" if isinstance(outcome, Deposed) else outcome.code
+        detail = outcome.detail if isinstance(outcome, Rejected) else ""
+        count_refusal("keeper", code)
+        retry_after = None if code == "value_too_large" else RETRY_AFTER
+        return Refused(code, detail, retry_after)
+
+    def get_time(self) -> float:
+        """Return the time of day for records, in seconds since 1970."""
+        return self._clock.now().timestamp()
+
+    def _take_snapshot(self) -> tuple[bytes, ...]:
+        return tuple(self.table.snapshot())
+
+    def _apply(self, records: tuple[bytes, ...]) -> None:
+        for record in records:
+            self.table.apply(record)
+        touched = self.table.take_touched()
+        for handler in self._handlers:
+            handler(touched)
--- /dev/null
+++ b/src/damaskdeck/coordination/keys.py
@@ -0,0 +1,77 @@
+"""Idempotency keys of requests, on the keeper of the team's ledger."""
+
+from datetime import timedelta
+
+from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.protocol.handlers import Claimed, Known
+from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
+from damaskdeck.protocol.replies import read_outcome, show_outcome
+from damaskdeck.state import records
+from damaskdeck.state.jobs import Key, KeyIndex
+from damaskdeck.state.ledger import Committed
+
+IN_PROGRESS_RETRY = timedelta(seconds=1)
+
+
+class Keys:
+    """Claims and settles the keys of one kept ledger."""
+
+    def __init__(self, kept: KeptLedger) -> None:
+        self._kept = kept
+        self._claiming: set[KeyIndex] = set()
+
+    async def claim(
+        self, index: KeyIndex, digest: bytes, timeout: timedelta
+    ) -> Claimed | Known | Refused | Unknown:
+        """Claim a key; only one caller is ever told that it may run."""
+        key = self._kept.table.keys.get(index)
+        if key is not None:
+            return self._tell(key, digest)
+        if index in self._claiming:
+            return Refused("in_progress", retry_after=IN_PROGRESS_RETRY)
+        self._claiming.add(index)
+        try:
+            return await self._claim(index, digest, timeout)
+        finally:
+            self._claiming.discard(index)
+
+    async def _claim(
+        self, index: KeyIndex, digest: bytes, timeout: timedelta
+    ) -> Claimed | Refused | Unknown:
+        team, service, name = index
+        record = records.KeyClaimed(
+            team=team,
+            service=service,
+            key=name,
+            digest=digest,
+            deadline=self._kept.get_time() + timeout.total_seconds(),
+        )
+        outcome = await self._kept.commit((record, records.KeyClaimed))
+        return Claimed() if isinstance(outcome, Committed) else outcome
+
+    async def settle(self, index: KeyIndex, outcome: Outcome) -> bool:
+        """Remember an outcome; returns whether it is durable."""
+        key = self._kept.table.keys.get(index)
+        if key is None:
+            return False
+        if key.outcome is not None:
+            return True
+        team, service, name = index
+        record = records.KeySettled(
+            team=team,
+            service=service,
+            key=name,
+            outcome=show_outcome(outcome),
+            at=self._kept.get_time(),
+        )
+        done = await self._kept.commit((record, records.KeySettled))
+        return isinstance(done, Committed)
+
+    def _tell(self, key: Key, digest: bytes) -> Known | Refused:
+        if key.digest != digest:
+            return Refused("key_reused", "the key was used with another request")
+        if key.outcome is not None:
+            return Known(read_outcome(key.outcome))
+        if self._kept.get_time() >= key.deadline:
+            return Known(Unknown("answer_lost", "the first request's end is unknown"))
+        return Refused("in_progress", retry_after=IN_PROGRESS_RETRY)
--- /dev/null
+++ b/src/damaskdeck/coordination/outbox.py
@@ -0,0 +1,103 @@
+"""News of tasks on their way from the owner of workers to the keepers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from itertools import islice
+
+from damaskdeck.clock import Clock
+from damaskdeck.protocol.jobs import TaskNews, TaskReports, TasksNoted
+from damaskdeck.protocol.members import Ownership
+from damaskdeck.protocol.messages import Answered, Peers
+from damaskdeck.state.names import read_job, read_ledger
+
+BATCH_LIMIT = 500
+BATCH_BYTES = 512_000
+REPLY_TIMEOUT = timedelta(seconds=5)
+RETRY_INTERVAL = timedelta(milliseconds=500)
+GATHER_INTERVAL = timedelta(milliseconds=10)
+
+NotedHandler = Callable[[TasksNoted], Awaitable[None]]
+
+
+class Outbox:
+    """Keeps the latest news of each attempt until its keeper has noted them.
+
+    :param on_noted: called with each reply of a keeper.
+    """
+
+    def __init__(
+        self, ownership: Ownership, peers: Peers, clock: Clock, on_noted: NotedHandler
+    ) -> None:
+        self._ownership = ownership
+        self._peers = peers
+        self._clock = clock
+        self._on_noted = on_noted
+        self._waiting: dict[str, dict[tuple[str, int], TaskNews]] = {}
+        self._filled = asyncio.Event()
+        self._senders: dict[str, asyncio.Task[None]] = {}
+
+    def put(self, news: TaskNews) -> None:
+        """Send news; they replace older ones of the same attempt."""
+        ledger = read_ledger(read_job(news["task"]))
+        if ledger is None:
+            return
+        waiting = self._waiting.setdefault(ledger, {})
+        waiting[news["task"], news["attempt"]] = news
+        self._filled.set()
+
+    async def run(self) -> None:
+        """Send until cancelled; each ledger has a sender of its own."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                while True:
+                    await self._filled.wait()
+                    self._filled.clear()
+                    for ledger in self._waiting:
+                        sender = self._senders.get(ledger)
+                        if sender is None or sender.done():
+                            task = group.create_task(self._send_all(ledger))
+                            self._senders[ledger] = task
+        finally:
+            self._senders.clear()
+
+    async def _send_all(self, ledger: str) -> None:
+        waiting = self._waiting[ledger]
+        while waiting:
+            await self._clock.sleep(GATHER_INTERVAL)
+            batch = take_batch(waiting)
+            noted = await self._send(ledger, batch)
+            if noted is None:
+                await self._clock.sleep(RETRY_INTERVAL)
+                continue
+            for attempt in noted["noted"]:
+                key = attempt["task"], attempt["attempt"]
+                if waiting.get(key) in batch:
+                    del waiting[key]
+            await self._on_noted(noted)
+            if not noted["noted"]:
+                await self._clock.sleep(RETRY_INTERVAL)
+
+    async def _send(self, ledger: str, batch: list[TaskNews]) -> TasksNoted | None:
+        owner = self._ownership.find_owner(f"ledger/{ledger}")
+        if owner is None:
+            return None
+        message = TaskReports(ledger=ledger, tasks=batch)
+        answer = await self._peers.call(
+            owner.instance, message, TaskReports, REPLY_TIMEOUT
+        )
+        if not isinstance(answer, Answered) or answer.message is None:
+            return None
+        return answer.message
+
+
+def take_batch(waiting: dict[tuple[str, int], TaskNews]) -> list[TaskNews]:
+    """Return the oldest news, as many as go into one message."""
+    batch: list[TaskNews] = []
+    size = 0
+    for news in islice(waiting.values(), BATCH_LIMIT):
+        size += len(news.get("result", b""))
+        if batch and size > BATCH_BYTES:
+            break
+        batch.append(news)
+    return batch
--- /dev/null
+++ b/src/damaskdeck/protocol/jobs.py
@@ -0,0 +1,255 @@
+"""Messages between daemons about jobs, keys and tasks."""
+
+from typing import Literal, NotRequired, TypedDict
+
+from damaskdeck.protocol.messages import message
+
+# Entry to keeper ----------------------------------------------------------------
+
+
+@message("submit_job")
+class SubmitJob(TypedDict):
+    """Take a job; answered by :class:`JobReply`."""
+
+    workload: str
+    team: str
+    payload: bytes
+    key: str
+
+
+@message("read_job")
+class ReadJob(TypedDict):
+    """Tell the state of a job; answered by :class:`JobReply`."""
+
+    job: str
+
+
+@message("cancel_job")
+class CancelJob(TypedDict):
+    """Cancel a job; answered by :class:`JobReply`."""
+
+    job: str
+
+
+@message("list_jobs")
+class ListJobs(TypedDict):
+    """List jobs of one ledger; answered by :class:`JobsReply`."""
+
+    ledger: str
+    team: str
+    after: str
+    limit: int
+
+
+@message("claim_key")
+class ClaimKey(TypedDict):
+    """Claim the key of a request; ``timeout`` in seconds."""
+
+    team: str
+    service: str
+    key: str
+    digest: bytes
+    timeout: float
+
+
+class OutcomeData(TypedDict):
+    """An outcome; ``kind`` is the name of its class in lower case.
+
+    ``retry_after`` in seconds.
+    """
+
+    kind: str
+    body: NotRequired[bytes]
+    content_type: NotRequired[str]
+    code: NotRequired[str]
+    detail: NotRequired[str]
+    retry_after: NotRequired[float]
+
+
+@message("settle_key")
+class SettleKey(TypedDict):
+    """Remember the outcome of a request with a key."""
+
+    team: str
+    service: str
+    key: str
+    outcome: OutcomeData
+
+
+class JobData(TypedDict):
+    """A job as in :class:`damaskdeck.protocol.handlers.JobView`."""
+
+    name: str
+    workload: str
+    team: str
+    state: str
+    code: NotRequired[str]
+    reasons: NotRequired[list[str]]
+    results: NotRequired[list[bytes]]
+    tasks: NotRequired[list[str]]
+    workers: NotRequired[list[str]]
+    revision: NotRequired[int]
+
+
+@message("job_reply")
+class JobReply(TypedDict):
+    """A job, or why there is none."""
+
+    job: NotRequired[JobData]
+    outcome: NotRequired[OutcomeData]
+
+
+@message("jobs_reply")
+class JobsReply(TypedDict):
+    """Jobs in order of their names, or why there are none."""
+
+    jobs: NotRequired[list[JobData]]
+    outcome: NotRequired[OutcomeData]
+
+
+@message("key_reply")
+class KeyReply(TypedDict):
+    """What became of a claim or of a settled key."""
+
+    state: Literal["claimed", "known", "settled", "failed"]
+    outcome: NotRequired[OutcomeData]
+
+
+# Keeper to owner of workers -----------------------------------------------------
+
+
+class TaskAttempt(TypedDict):
+    """An attempt of a task on a worker, under the epoch of the worker's owner."""
+
+    task: str
+    attempt: int
+    worker: str
+    epoch: NotRequired[int]
+
+
+class SizeData(TypedDict):
+    """A size in the units of :class:`damaskdeck.protocol.sizes.Size`."""
+
+    millicores: int
+    memory: int
+    accelerators: int
+
+
+class Reservation(TaskAttempt):
+    """Room asked for a task."""
+
+    size: SizeData
+
+
+@message("reserve_tasks")
+class ReserveTasks(TypedDict):
+    """Hold room for tasks; ``epoch`` is that of the ledger."""
+
+    ledger: str
+    epoch: int
+    tasks: list[Reservation]
+
+
+class Refusal(TypedDict):
+    """Why an attempt was refused."""
+
+    task: str
+    attempt: int
+    code: str
+
+
+@message("tasks_reserved")
+class TasksReserved(TypedDict):
+    """What was granted; each ``epoch`` is that of the worker's owner."""
+
+    granted: list[TaskAttempt]
+    refused: list[Refusal]
+
+
+class Start(Reservation):
+    """A task to start; sent once for each attempt."""
+
+    payload: bytes
+    checkpoint: NotRequired[str]
+    idempotent: NotRequired[bool]
+
+
+@message("start_tasks")
+class StartTasks(TypedDict):
+    """Start tasks; answered by :class:`TasksTaken`."""
+
+    ledger: str
+    epoch: int
+    tasks: list[Start]
+
+
+@message("tasks_taken")
+class TasksTaken(TypedDict):
+    """The rest was taken and will be reported; refused ones never started."""
+
+    refused: list[Refusal]
+
+
+@message("release_tasks")
+class ReleaseTasks(TypedDict):
+    """Let go of reservations."""
+
+    ledger: str
+    epoch: int
+    tasks: list[TaskAttempt]
+
+
+@message("stop_tasks")
+class StopTasks(TypedDict):
+    """Stop or checkpoint tasks; their ends are reported."""
+
+    ledger: str
+    epoch: int
+    tasks: list[TaskAttempt]
+    checkpoint: NotRequired[bool]
+
+
+@message("check_tasks")
+class CheckTasks(TypedDict):
+    """Tell what became of attempts; answered by :class:`TaskReports`."""
+
+    ledger: str
+    epoch: int
+    tasks: list[TaskAttempt]
+
+
+# Owner of workers to keeper -----------------------------------------------------
+
+
+class TaskNews(TypedDict):
+    """What is known of an attempt.
+
+    ``state`` is ``running``, ``succeeded``, ``failed``, ``stopped`` or
+    ``checkpointed``, as the worker says; ``lapsed`` when its lease must have
+    lapsed; ``unstarted`` when it is proved never to have started; ``starting``
+    and ``unsure`` when it isn't known yet.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    state: str
+    code: NotRequired[str]
+    result: NotRequired[bytes]
+    checkpoint: NotRequired[str]
+
+
+@message("task_reports")
+class TaskReports(TypedDict):
+    """News of tasks of one ledger; answered by :class:`TasksNoted`."""
+
+    ledger: str
+    tasks: list[TaskNews]
+
+
+@message("tasks_noted")
+class TasksNoted(TypedDict):
+    """News that are durable now, and attempts that must not run."""
+
+    noted: list[TaskAttempt]
+    stop: list[TaskAttempt]
--- /dev/null
+++ b/src/damaskdeck/protocol/replies.py
@@ -0,0 +1,92 @@
+"""Outcomes and jobs as data of messages, and back."""
+
+from datetime import timedelta
+
+from damaskdeck.protocol.handlers import JobState, JobView
+from damaskdeck.protocol.jobs import JobData, JobReply, OutcomeData
+from damaskdeck.protocol.outcomes import Completed, Failed, Outcome, Refused, Unknown
+
+_KINDS: dict[str, type] = {
+    "completed": Completed,
+    "failed": Failed,
+    "refused": Refused,
+    "unknown": Unknown,
+}
+
+
+def show_outcome(outcome: Outcome) -> OutcomeData:
+    """Turn an outcome into data."""
+    data = OutcomeData(kind=type(outcome).__name__.lower())
+    if isinstance(outcome, Completed):
+        data["body"] = outcome.body
+        data["content_type"] = outcome.content_type
+        return data
+    data["code"] = outcome.code
+    data["detail"] = outcome.detail
+    if isinstance(outcome, Refused) and outcome.retry_after is not None:
+        data["retry_after"] = outcome.retry_after.total_seconds()
+    return data
+
+
+def read_outcome(data: OutcomeData) -> Outcome:
+    """Turn data into an outcome; a kind not known here counts as unknown."""
+    kind = _KINDS.get(data["kind"])
+    if kind is Completed:
+        return Completed(data.get("body", b""), data.get("content_type", ""))
+    code, detail = data.get("code", ""), data.get("detail", "")
+    if kind is Refused:
+        seconds = data.get("retry_after")
+        retry_after = None if seconds is None else timedelta(seconds=seconds)
+        return Refused(code, detail, retry_after)
+    if kind is Failed:
+        return Failed(code, detail)
+    return Unknown(code or "answer_lost", detail)
+
+
+def show_job(view: JobView) -> JobData:
+    """Turn a view of a job into data."""
+    return JobData(
+        name=view.name,
+        workload=view.workload,
+        team=view.team,
+        state=view.state.value,
+        code=view.code,
+        reasons=list(view.reasons),
+        results=list(view.results),
+        tasks=list(view.tasks),
+        workers=list(view.workers),
+        revision=view.revision,
+    )
+
+
+def read_job(data: JobData) -> JobView:
+    """Turn data into a view of a job."""
+    return JobView(
+        name=data["name"],
+        workload=data["workload"],
+        team=data["team"],
+        state=JobState(data["state"]),
+        code=data.get("code", ""),
+        reasons=tuple(data.get("reasons", ())),
+        results=tuple(data.get("results", ())),
+        tasks=tuple(data.get("tasks", ())),
+        workers=tuple(data.get("workers", ())),
+        revision=data.get("revision", 0),
+    )
+
+
+def show_reply(answer: JobView | Refused | Unknown) -> JobReply:
+    """Turn an answer about a job into a message."""
+    if isinstance(answer, JobView):
+        return JobReply(job=show_job(answer))
+    return JobReply(outcome=show_outcome(answer))
+
+
+def read_reply(reply: JobReply) -> JobView | Refused | Unknown:
+    """Turn a message into an answer about a job."""
+    if "job" in reply:
+        return read_job(reply["job"])
+    outcome = read_outcome(reply["outcome"])
+    if isinstance(outcome, Refused | Unknown):
+        return outcome
+    return Unknown("answer_lost", "a keeper's answer made no sense")
--- /dev/null
+++ b/tests/plane.py
@@ -0,0 +1,228 @@
+"""Daemons' task planes in one process and in virtual time, for tests to break."""
+
+import asyncio
+from datetime import timedelta
+
+from damaskdeck.coordination.fleet import Fleet
+from damaskdeck.coordination.hosting import WorkerHost
+from damaskdeck.coordination.keeper import Keeper
+from damaskdeck.protocol.members import Member, Owner, Report
+from damaskdeck.protocol.resources import Kind
+from damaskdeck.protocol.sizes import Size
+from standins.loops import LoopClock
+from standins.peers import PeerSwitch
+from standins.platform import Platform
+
+WORKER_SIZE = Size(4000, 8000, 0)
+
+
+class Registry:
+    """Who owns what, decided by the test."""
+
+    def __init__(self):
+        self.owners = {}
+        self.daemons = {}
+
+    async def grant(self, thing, name):
+        """Let a daemon own a thing under the next epoch."""
+        former = self.owners.get(thing)
+        epoch = former.epoch + 1 if former else 1
+        self.owners[thing] = Owner(name, epoch)
+        await self.daemons[name].ownership.gain(thing, epoch)
+
+    async def hand_over(self, thing, name):
+        """Let the present owner lose a thing first."""
+        former = self.owners[thing]
+        if former.instance in self.daemons:
+            await self.daemons[former.instance].ownership.lose(thing)
+        await self.grant(thing, name)
+
+
+class TestOwnership:
+    """One daemon's view of a :class:`Registry`; implements ``Ownership``."""
+
+    __test__ = False
+
+    def __init__(self, registry):
+        self.registry = registry
+        self.held = {}
+        self.gains = {}
+        self.losses = {}
+
+    def get_epoch(self, thing):
+        return self.held.get(thing)
+
+    def find_owner(self, thing):
+        return self.registry.owners.get(thing)
+
+    def list_held(self, scope):
+        return tuple(t for t in self.held if t.startswith(f"{scope}/"))
+
+    def set_things(self, scope, names):
+        pass
+
+    def on_gain(self, scope, handler):
+        self.gains[scope] = handler
+
+    def on_loss(self, scope, handler):
+        self.losses[scope] = handler
+
+    async def gain(self, thing, epoch):
+        await self.gains[thing.partition("/")[0]](thing, epoch)
+        self.held[thing] = epoch
+
+    async def lose(self, thing):
+        epoch = self.held.pop(thing)
+        await self.losses[thing.partition("/")[0]](thing, epoch)
+
+
+class TestMembers:
+    """The members of a :class:`Registry`; implements ``Members``."""
+
+    __test__ = False
+
+    def __init__(self, name, zone, plane):
+        self.self = Member(name, zone, "r", "", "", "1")
+        self.plane = plane
+
+    def list_live(self, zone=""):
+        found = [d.members.self for d in self.plane.registry.daemons.values()]
+        return tuple(m for m in found if zone in ("", m.zone))
+
+    def is_live(self, name):
+        return name in self.plane.registry.daemons
+
+    def publish(self, topic, value):
+        now = self.plane.clock.monotonic()
+        reports = self.plane.reports.setdefault(topic, {})
+        reports[self.self.name] = Report(self.self.name, value, now)
+
+    def read_reports(self, topic):
+        return self.plane.reports.get(topic, {})
+
+
+class TestConfiguration:
+    """Declared resources; implements ``ConfigurationReader``."""
+
+    __test__ = False
+
+    def __init__(self):
+        self.resources = {}
+        self.handlers = []
+        self.revision = 1
+
+    def get(self, kind, name):
+        return self.resources.get((kind, name))
+
+    def list(self, kind):
+        return tuple(r for (k, _), r in sorted(self.resources.items()) if k is kind)
+
+    def subscribe(self, handler):
+        self.handlers.append(handler)
+
+    def declare(self, kind, name, spec):
+        resource = {"kind": kind.value, "metadata": {"name": name}, "spec": spec}
+        self.resources[kind, name] = resource if spec is not None else None
+        if spec is None:
+            del self.resources[kind, name]
+        for handler in self.handlers:
+            handler(kind, name, resource if spec is not None else None)
+
+
+class TestDaemon:
+    """The task plane of one daemon."""
+
+    __test__ = False
+
+    def __init__(self, plane, name, zone):
+        self.name = name
+        ports = plane.platform.connect(name)
+        self.peers = plane.switch.connect(name)
+        self.ownership = TestOwnership(plane.registry)
+        self.members = TestMembers(name, zone, plane)
+        self.fleet = Fleet(ports.instances, plane.clock)
+        self.host = WorkerHost(
+            self.members,
+            self.ownership,
+            self.peers,
+            ports.workers,
+            self.fleet,
+            plane.clock,
+        )
+        self.keeper = Keeper(
+            self.members,
+            self.ownership,
+            self.peers,
+            ports.store,
+            plane.configuration,
+            self.fleet,
+            plane.clock,
+            ledger_count=1,
+        )
+        self.tasks = []
+
+    async def start(self):
+        await self.fleet.poll()
+        self.tasks = [
+            asyncio.ensure_future(self.fleet.run()),
+            asyncio.ensure_future(self.host.run()),
+        ]
+
+
+class Plane:
+    """Daemons ``d1`` to ``dN`` with one ledger and workers ``w1`` to ``wN``."""
+
+    def __init__(self, daemons=2, workers=2, size=WORKER_SIZE):
+        self.clock = LoopClock()
+        self.platform = Platform(self.clock)
+        self.switch = PeerSwitch(self.clock)
+        self.configuration = TestConfiguration()
+        self.registry = Registry()
+        self.reports = {}
+        for index in range(workers):
+            self.platform.add_worker(f"w{index + 1}", "z1", size, rack=f"r{index}")
+        self.names = [f"d{index + 1}" for index in range(daemons)]
+
+    async def start(self):
+        """Start all daemons; the first keeps the ledger, all share the workers."""
+        for name in self.names:
+            await self.add_daemon(name)
+        for index, worker in enumerate(self.platform.workers):
+            owner = self.names[index % len(self.names)]
+            await self.registry.grant(f"worker/{worker}", owner)
+        await self.registry.grant("ledger/00", self.names[0])
+        return self
+
+    async def add_daemon(self, name):
+        daemon = TestDaemon(self, name, "z1")
+        self.registry.daemons[name] = daemon
+        await daemon.start()
+
+    def declare(self, name="batch", team="team", **fields):
+        """Declare a workload with one small task unless ``fields`` say more."""
+        spec = {
+            "team": team,
+            "type": "batch",
+            "idempotent": True,
+            "size": {"processors": 1, "memory": 1000},
+        }
+        self.configuration.declare(Kind.WORKLOAD, name, spec | fields)
+
+    def find(self, name):
+        return self.registry.daemons[name]
+
+    async def wait_for_end(self, job, seconds=120, at=None):
+        """Read a job until it has ended."""
+        keeper = self.find(at or self.names[0]).keeper
+        view = None
+        for _ in range(seconds * 10):
+            view = await keeper.read_job(job)
+            if getattr(view, "state", "") in (
+                "completed",
+                "failed",
+                "refused",
+                "unknown",
+            ):
+                return view
+            await self.clock.sleep(timedelta(milliseconds=100))
+        raise AssertionError(f"{job} has not ended: {view}")
