Queue, share, retry and hand over requests by small modules

The thin router refused whatever found no free slot.

- admission: a bounded queue for each urgency class and team, fair between teams, ordered by slack; what can't make its deadline is refused at once;
- sharing: a daemon with waiting requests says so, one with free slots offers them, so a request waits at one place and goes where a slot is free first;
- loads: two choices by reported load, weighed by the age of the report;
- retries, health: a budget, jittered backoff, ejection with a cap, slow return;
- handover: a new owner holds the slots that earlier requests may still fill;
- sending, forwards: slots given back on every path, answers matched by request and attempt.

standins/requests.py joins routers, owned targets and streams in virtual time.

Not yet tested: handover and takeover, queue order, retries, drain, keys.

--- a/src/damaskdeck/coordination/lanes.py
+++ b/src/damaskdeck/coordination/lanes.py
@@ -1,23 +1,20 @@
 """The targets of one service that this daemon owns, and who waits for them."""
 
+import random
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.admission import AdmissionQueue, Waiter
+from damaskdeck.coordination.attempts import Course, Moved, Place
+from damaskdeck.coordination.durations import Durations
+from damaskdeck.coordination.health import TargetHealth
 from damaskdeck.coordination.slots import SlotPool
+from damaskdeck.protocol.forwarding import Load
 from damaskdeck.protocol.members import Ownership
-from damaskdeck.protocol.ports import Instance, InstanceState
+from damaskdeck.protocol.ports import Instance
 
-
-class Place(NamedTuple):
-    """A slot taken on an own target.
-
-    :param number: to give the slot back by.
-    """
-
-    pool: SlotPool
-    number: int
+NOBODY: frozenset[str] = frozenset()
 
 
 def name_thing(target: str) -> str:
@@ -29,60 +26,160 @@
     """One service on one daemon.
 
     :param ownership: asked before each slot is filled.
+    :param on_idle: called when a slot is free and nobody waits for it here.
     """
 
-    def __init__(self, service: str, ownership: Ownership, clock: Clock) -> None:
+    def __init__(
+        self,
+        service: str,
+        ownership: Ownership,
+        clock: Clock,
+        chooser: random.Random,
+        on_idle: Callable[["Lane"], None],
+    ) -> None:
         self.service = service
         self.pools: dict[str, SlotPool] = {}
+        self.durations = Durations()
+        self.queue = AdmissionQueue(self.durations, chooser)
+        self._health: dict[str, TargetHealth] = {}
         self._ownership = ownership
         self._clock = clock
+        self._random = chooser
+        self._on_idle = on_idle
 
     def add_pool(self, pool: SlotPool) -> None:
         """Fill the slots of a target that was gained."""
-        self.pools[pool.target.name] = pool
+        name = pool.target.name
+        self.pools[name] = pool
+        self._health[name] = TargetHealth(pool, self._clock, self._random)
 
     def remove_pool(self, target: str) -> SlotPool | None:
         """Fill no more slots of a target; its open calls go on."""
-        return self.pools.pop(target, None)
+        self._health.pop(target, None)
+        pool = self.pools.pop(target, None)
+        if pool is not None and not self.count_slots():
+            self.move_waiters()
+        return pool
 
     def update_target(self, target: Instance) -> None:
         """Take over what the instance list says now of an own target."""
         pool = self.pools.get(target.name)
         if pool is not None:
             pool.target = target
+            if not self.count_slots():
+                self.move_waiters()
+
+    def move_waiters(self) -> None:
+        """Let all waiters look for a place elsewhere."""
+        for waiter in self.queue.pop_all():
+            _settle(waiter, Moved())
 
     def count_slots(self) -> int:
         """Return how many slots the own targets have that take new work."""
-        return sum(pool.capacity for pool in self.pools.values() if _is_open(pool))
+        return sum(pool.capacity for pool in self.pools.values() if pool.is_open)
 
     def count_free(self) -> int:
         """Return how many more requests the own targets bear now."""
-        free = (p.count_free() for p in self.pools.values() if _is_open(p))
+        free = (p.count_free() for p in self.pools.values() if p.is_open)
         return sum(count for count in free if count > 0)
 
+    def count_ejected(self) -> int:
+        """Return how many own targets are ejected now."""
+        return sum(health.until is not None for health in self._health.values())
+
+    def read_load(self) -> Load:
+        """Return the load to tell other daemons of."""
+        return Load(
+            slots=self.count_slots(),
+            free=self.count_free(),
+            queued=len(self.queue),
+            service_time=self.durations.mean,
+            targets=len(self.pools),
+            ejected=self.count_ejected(),
+        )
+
     def take(
-        self, deadline: timedelta, avoided: frozenset[str] = frozenset()
+        self, deadline: timedelta, avoided: frozenset[str] = NOBODY
     ) -> Place | None:
         """Take a slot on the own target with the most free ones.
 
         :param deadline: when the call ends at the latest.
-        :param avoided: targets that refused or lost this request before.
+        :param avoided: targets to leave out, unless there is no other.
+        """
+        pool = self._find_pool(avoided)
+        if pool is None and avoided:
+            pool = self._find_pool(NOBODY)
+        return None if pool is None else Place(pool, pool.take(deadline))
+
+    def give_places(self) -> None:
+        """Give the free slots to those who wait, the next one first."""
+        now = self._clock.monotonic()
+        while len(self.queue):
+            if self._find_pool(NOBODY) is None:
+                return
+            waiter = self.queue.pop()
+            if waiter is None:
+                return
+            if waiter.give_up <= now:
+                self._give_up(waiter)
+                continue
+            _settle(waiter, self.take(waiter.deadline, waiter.avoided))
+        self._on_idle(self)
+
+    def refuse_expired(self) -> None:
+        """Answer those that can't make their deadlines any more, at once."""
+        for waiter in self.queue.pop_expired(self._clock.monotonic()):
+            self._give_up(waiter)
+
+    def make_waiter(self, course: Course) -> Waiter:
+        """Return a waiter for a request, with the time it needs kept back."""
+        left = (course.deadline - self._clock.monotonic()).total_seconds()
+        need = min(self.durations.high, max(left, 0.0) / 2)
+        return Waiter(
+            course.request, course.deadline, need, course.avoided, course.may_forward
+        )
+
+    def note_result(self, target: str, is_good: bool) -> TargetHealth | None:
+        """Learn from a call about the health of an own target.
+
+        :returns: the target's health when it should be ejected.
         """
-        found = self._rank(lambda name: name not in avoided)
-        for pool in found or self._rank(lambda name: True):
-            if self._ownership.get_epoch(name_thing(pool.target.name)) is not None:
-                return Place(pool, pool.take(deadline))
-        return None
-
-    def _rank(self, accepts: Callable[[str], bool]) -> list[SlotPool]:
-        pools = [
-            pool
-            for name, pool in self.pools.items()
-            if accepts(name) and _is_open(pool) and pool.count_free() > 0
+        health = self._health.get(target)
+        if health is None:
+            return None
+        if is_good:
+            health.note_good()
+            return None
+        health.note_bad()
+        return health if health.is_bad else None
+
+    def list_returning(self) -> list[TargetHealth]:
+        """List the ejected targets whose time is up."""
+        now = self._clock.monotonic()
+        return [
+            health
+            for health in self._health.values()
+            if health.until is not None and health.until <= now
         ]
-        pools.sort(key=lambda pool: -pool.count_free())
-        return pools
+
+    def _find_pool(self, avoided: frozenset[str]) -> SlotPool | None:
+        best, most = None, 0
+        for name, pool in self.pools.items():
+            free = pool.count_free()
+            if free > most and name not in avoided and self._is_usable(pool):
+                best, most = pool, free
+        return best
+
+    def _is_usable(self, pool: SlotPool) -> bool:
+        name = name_thing(pool.target.name)
+        return pool.is_open and self._ownership.get_epoch(name) is not None
+
+    def _give_up(self, waiter: Waiter) -> None:
+        slots = self.count_slots()
+        refused = self.queue.refuse("deadline_unmeetable", len(self.queue), slots)
+        _settle(waiter, refused)
 
 
-def _is_open(pool: SlotPool) -> bool:
-    return pool.target.state is InstanceState.LIVE
+def _settle(waiter: Waiter, place: object) -> None:
+    if not waiter.future.done():
+        waiter.future.set_result(place)
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -1,26 +1,37 @@
 """Routes callers' requests to slots of targets, here or at another daemon."""
 
 import asyncio
+import hashlib
 import random
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, NamedTuple, Protocol
+from typing import Protocol
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.lanes import Lane, Place, name_thing
+from damaskdeck.coordination.attempts import (
+    Course,
+    Gone,
+    Moved,
+    NotRun,
+    Place,
+    Redirect,
+    Result,
+)
+from damaskdeck.coordination.forwards import Forwarder
+from damaskdeck.coordination.handover import SlotHandover
+from damaskdeck.coordination.health import TargetHealth, may_eject
+from damaskdeck.coordination.lanes import Lane
+from damaskdeck.coordination.loads import Choice, LoadTable
+from damaskdeck.coordination.retries import ATTEMPT_LIMIT, RetryBudget, draw_backoff
+from damaskdeck.coordination.sending import TargetSender, is_fault
+from damaskdeck.coordination.sharing import SlotSharing
 from damaskdeck.coordination.slots import SlotPool
-from damaskdeck.defaults import LEASE_MARGIN, REQUEST_TIMEOUT
+from damaskdeck.defaults import HEARTBEAT_INTERVAL, LEASE_MARGIN, REQUEST_TIMEOUT
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_drop, count_refusal, count_retry
-from damaskdeck.protocol.forwarding import (
-    ForwardOutcome,
-    ForwardRequest,
-    read_outcome,
-    write_outcome,
-)
-from damaskdeck.protocol.handlers import KeyMemory, ServiceRequest
+from damaskdeck.metrics import count_refusal, count_retry, observe_wait
+from damaskdeck.protocol.handlers import Claimed, KeyMemory, Known, ServiceRequest
 from damaskdeck.protocol.members import Members, Ownership
-from damaskdeck.protocol.messages import Answered, Peers, Unsent
+from damaskdeck.protocol.messages import Peers
 from damaskdeck.protocol.outcomes import (
     Completed,
     Failed,
@@ -31,23 +42,32 @@
 from damaskdeck.protocol.ports import (
     Instance,
     InstanceRole,
-    Lost,
-    Rejected,
-    TargetAnswer,
-    TargetCall,
+    InstanceState,
     TargetPort,
+    Written,
 )
-from damaskdeck.protocol.resources import Urgency
 
 PART = "routing"
+SCOPE = "target"
 RETRY_HINT = timedelta(seconds=1)
-ATTEMPT_LIMIT = 3
+TICK = timedelta(milliseconds=5)
+PROBE_INTERVAL = timedelta(milliseconds=500)
+PROBE_TIMEOUT = timedelta(milliseconds=500)
+HOP_TIME = 0.001
+FAR_HOP_TIME = 0.003
+
+# How often a request with own slots to wait for is taken elsewhere in vain.
+SEEK_LIMIT = 2
+BOUNCE_LIMIT = 16
+
+# Refusals that no other place would answer otherwise.
+FINAL_CODES = frozenset({"deadline_unmeetable", "queue_full", "deadline_passed"})
 
 _log = get_logger(PART)
 
 
 class FleetReader(Protocol):
-    """What the instance list says, as :mod:`coordination.fleet` keeps it."""
+    """What the instance list says, as ``coordination.fleet`` keeps it."""
 
     def list(self, role: InstanceRole, zone: str = "") -> tuple[Instance, ...]:
         """List the instances of a role, of one zone or of all."""
@@ -59,24 +79,14 @@
         """Call ``handler`` whenever the list has changed."""
 
 
-class NotRun(NamedTuple):
-    """An attempt is proved to have run nothing; another may be made."""
-
-    code: str
-
-
-class Gone(NamedTuple):
-    """An attempt's answer is lost; the request may have run."""
-
-    code: str
-
-
 class Router:
     """Answers callers' requests; implements ``protocol.handlers.RequestHandler``.
 
     :param keys: remembers idempotency keys; without it keyed requests are refused.
     :param longest: no call to a target is open for longer; a new owner waits as
         long for what a dead one may have in progress.
+    :param margin: time after a call's deadline by which a target has stopped.
+    :param chooser: seeded, for the same choices in each run of a test.
     """
 
     def __init__(
@@ -94,203 +104,377 @@
     ) -> None:
         self._members = members
         self._ownership = ownership
-        self._peers = peers
         self._targets = targets
         self._fleet = fleet
         self._clock = clock
         self._keys = keys
-        self._longest = longest
-        self._margin = margin
         self._random = chooser or random.Random()
         self._lanes: dict[str, Lane] = {}
-        self._calls: set[asyncio.Task[Any]] = set()
-        peers.register(ForwardRequest, self._take_forward)
-        ownership.on_gain("target", self._gain)
-        ownership.on_loss("target", self._lose)
+        self._budget = RetryBudget()
+        self._open = 0
+        self._is_draining = False
+        self._waits = asyncio.Event()
+        self._closings: set[asyncio.Task[None]] = set()
+        self._loads = LoadTable(members, clock, self._random)
+        self._sharing = SlotSharing(peers, self._loads, clock, self._get_lane)
+        self._sender = TargetSender(
+            ownership, targets, clock, longest, margin, self._note_result
+        )
+        self._forwarder = Forwarder(
+            peers, self._loads, self._sharing, clock, self._get_lane, self._serve_peer
+        )
+        self._handover = SlotHandover(
+            members, ownership, peers, clock, longest, margin, self._give_places
+        )
+        ownership.on_gain(SCOPE, self._gain)
+        ownership.on_loss(SCOPE, self._lose)
         fleet.on_change(self._read_fleet)
         self._read_fleet()
 
+    async def run(self) -> None:
+        """Publish loads, refuse what has become hopeless and probe targets."""
+        await asyncio.gather(
+            self._run_reports(), self._run_queues(), self._run_probes()
+        )
+
+    async def drain(self) -> None:
+        """Take no new requests and wait until the accepted ones have ended.
+
+        Call it before ownership is handed over, so that those which wait here
+        still get their slots.
+        """
+        self._is_draining = True
+        self._publish_loads()
+        while self._open or self._sender.open_calls or self._forwarder.count_taken:
+            await self._clock.sleep(TICK)
+
     async def handle_request(self, request: ServiceRequest) -> Outcome:
-        """Serve a request; there is exactly one outcome."""
-        deadline = self._clock.monotonic() + request.timeout
-        outcome = await self._serve(request, deadline, may_forward=True)
+        """Serve a request; there is exactly one outcome.
+
+        Cancelling the task gives up its place in the queue. A call that is open
+        already goes on, as its slot stays filled until the target answers.
+        """
+        course = Course(request, self._clock)
+        self._open += 1
+        try:
+            if request.key:
+                outcome = await self._serve_keyed(course)
+            else:
+                outcome = await self._serve(course)
+        finally:
+            self._open -= 1
         if isinstance(outcome, Refused):
             count_refusal(PART, outcome.code)
         return outcome
 
-    async def _serve(
-        self, request: ServiceRequest, deadline: timedelta, may_forward: bool
-    ) -> Outcome:
-        avoided: set[str] = set()
-        lost = ""
-        code = "no_slot"
-        for attempt in range(1, ATTEMPT_LIMIT + 1):
-            result = await self._attempt(
-                request, attempt, deadline, avoided, may_forward
-            )
-            if isinstance(result, Gone):
-                lost = result.code
-                if not request.idempotent:
-                    break
-            elif isinstance(result, NotRun):
-                code = result.code
-            else:
-                return result
-            count_retry(PART, result.code)
-        if lost:
-            return Unknown(lost)
+    async def _serve_keyed(self, course: Course) -> Outcome:
+        request = course.request
+        refused = self._refuse_early(course)
+        if refused is not None:
+            return refused
+        if self._keys is None:
+            return Refused("keys_unsupported")
+        digest = hashlib.sha256(request.body).digest()
+        name = (request.team, request.service, request.key)
+        claim = await self._keys.claim_key(*name, digest, request.timeout)
+        if isinstance(claim, Known):
+            return claim.outcome
+        if not isinstance(claim, Claimed):
+            return claim
+        try:
+            outcome = await self._serve(course)
+        except asyncio.CancelledError:
+            self._settle_later(name, course)
+            raise
+        await self._keys.settle_key(*name, outcome)
+        return outcome
+
+    def _settle_later(self, name: tuple[str, str, str], course: Course) -> None:
+        """Remember what became of a keyed request whose caller has gone."""
+        task = asyncio.ensure_future(self._settle_cancelled(name, course))
+        self._closings.add(task)
+        task.add_done_callback(self._closings.discard)
+
+    async def _settle_cancelled(
+        self, name: tuple[str, str, str], course: Course
+    ) -> None:
+        outcome: Outcome = Refused("cancelled")
+        if course.lost:
+            outcome = Unknown(course.lost)
+        if course.call is not None:
+            result = await course.call
+            if isinstance(result, Completed | Failed):
+                outcome = result
+            elif isinstance(result, Gone):
+                outcome = Unknown(result.code)
+        elif course.is_sent:
+            outcome = Unknown("cancelled")
+        if self._keys is not None:
+            await self._keys.settle_key(*name, outcome)
+
+    async def _serve_peer(self, course: Course) -> Outcome:
+        if self._is_draining:
+            return Refused("draining", retry_after=RETRY_HINT)
+        return await self._serve(course)
+
+    async def _serve(self, course: Course) -> Outcome:
+        """Make attempts until one of them, or their end, decides the outcome."""
+        self._budget.earn()
+        while True:
+            place = self._find_place(course)
+            if place is None:
+                place = await self._wait(course)
+            if isinstance(place, Refused):
+                return Unknown(course.lost) if course.lost else place
+            if isinstance(place, Moved):
+                continue
+            result = await self._attempt(place, course)
+            outcome = self._judge(result, course)
+            if outcome is not None:
+                return outcome
+            if isinstance(result, NotRun | Gone):
+                await self._back_off(result, course)
+
+    def _find_place(self, course: Course) -> Place | Redirect | Refused | None:
+        """Decide where a request goes now; ``None`` when it is to wait here."""
+        service = course.request.service
+        lane = self._get_lane(service)
+        if not (self._is_draining and course.may_forward):
+            if not len(lane.queue):
+                place = lane.take(course.deadline, course.avoided)
+                if place is not None:
+                    lane.queue.count_served_directly(course.request.urgency)
+                    return place
+            if not course.may_forward:
+                return None if lane.count_slots() else Refused("not_owner")
+        return self._find_peer(course, lane)
+
+    def _find_peer(self, course: Course, lane: Lane) -> Redirect | Refused | None:
+        service = course.request.service
+        left = (course.deadline - self._clock.monotonic()).total_seconds()
+        slots = 0 if self._is_draining else lane.count_slots()
+        if slots and course.bounced >= SEEK_LIMIT:
+            return None
+        choices = []
+        for near in (True, False):
+            choice = self._loads.choose(service, course.avoided, near)
+            if choice is None:
+                continue
+            if choice.free >= 1:
+                return Redirect(choice.instance, _allow_wait(slots, choice, left))
+            choices.append(choice)
+        if slots:
+            return None
+        if choices:
+            best = min(choices, key=_weigh)
+            return Redirect(best.instance, left)
+        code = "draining" if self._is_draining else "no_target"
+        if course.last is not None:
+            code = course.last.code
         return Refused(code, retry_after=RETRY_HINT)
 
-    async def _attempt(
-        self,
-        request: ServiceRequest,
-        attempt: int,
-        deadline: timedelta,
-        avoided: set[str],
-        may_forward: bool,
-    ) -> Outcome | NotRun | Gone:
+    async def _wait(self, course: Course) -> Place | Redirect | Refused | Moved:
+        """Wait in the queue for a slot, here or wherever one is offered."""
+        request = course.request
         lane = self._get_lane(request.service)
-        place = lane.take(deadline, frozenset(avoided))
-        if place is not None:
-            avoided.add(place.pool.target.name)
-            return await self._call_target(place, request, attempt, deadline)
-        if may_forward:
-            for name in self._list_owners(request.service):
-                if name not in avoided:
-                    avoided.add(name)
-                    return await self._forward(name, request, attempt, deadline)
-        return Refused("no_slot", retry_after=RETRY_HINT)
-
-    def _list_owners(self, service: str) -> list[str]:
-        zone = self._members.self.zone
-        near, far = set(), set()
-        for target in self._fleet.list(InstanceRole.TARGET):
-            if target.service != service:
-                continue
-            owner = self._ownership.find_owner(name_thing(target.name))
-            if owner is not None and self._members.is_live(owner.instance):
-                (near if target.zone == zone else far).add(owner.instance)
-        near.discard(self._members.self.name)
-        first, second = sorted(near), sorted(far - near)
-        self._random.shuffle(first)
-        self._random.shuffle(second)
-        return first + second
-
-    async def _call_target(
-        self, place: Place, request: ServiceRequest, attempt: int, deadline: timedelta
-    ) -> Outcome | NotRun | Gone:
-        task = asyncio.ensure_future(self._send(place, request, attempt, deadline))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
-        return await asyncio.shield(task)
-
-    async def _send(
-        self, place: Place, request: ServiceRequest, attempt: int, deadline: timedelta
-    ) -> Outcome | NotRun | Gone:
-        pool = place.pool
-        target = pool.target
-        timeout = min(deadline - self._clock.monotonic(), self._longest)
-        owned = self._ownership.get_epoch(name_thing(target.name)) is not None
-        if not owned or timeout <= timedelta():
-            pool.free(place.number)
-            return NotRun("deadline_passed" if owned else "not_owner")
-        call = TargetCall(
-            request.identifier, attempt, request.body, request.content_type
-        )
-        until = self._clock.monotonic() + timeout + self._margin
+        waiter = lane.make_waiter(course)
+        now = self._clock.monotonic()
+        slots = lane.count_slots()
+        if course.patience is not None:
+            wait = lane.queue.estimate_wait(
+                waiter.rank, waiter.team, waiter.give_up, slots
+            )
+            if wait > course.patience:
+                return Refused("no_slot", retry_after=RETRY_HINT)
+        refused = lane.queue.admit(waiter, now, slots)
+        if refused is not None:
+            return refused
+        self._waits.set()
+        if course.may_forward:
+            self._sharing.tell_waiting(lane)
         try:
-            answer = await self._targets.send(target, call, timeout)
-        except BaseException:
-            pool.hold(place.number, until)
+            place = await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(lane, waiter.future)
+            lane.queue.remove(waiter)
             raise
-        if isinstance(answer, Rejected):
-            pool.free(place.number)
-            return NotRun(answer.code)
-        if isinstance(answer, Lost):
-            pool.hold(place.number, until)
-            return Gone(answer.code)
-        if (answer.request, answer.attempt) != (call.request, call.attempt):
-            pool.hold(place.number, until)
-            count_drop(PART, "answer_crossed")
-            return Gone("answer_crossed")
-        pool.free(place.number)
-        return _read_answer(answer)
-
-    async def _forward(
-        self, instance: str, request: ServiceRequest, attempt: int, deadline: timedelta
-    ) -> Outcome | NotRun | Gone:
-        left = deadline - self._clock.monotonic()
-        if left <= timedelta():
-            return NotRun("deadline_passed")
-        message = ForwardRequest(
-            identifier=request.identifier,
-            attempt=attempt,
-            service=request.service,
-            team=request.team,
-            body=request.body,
-            content_type=request.content_type,
-            urgency=request.urgency.value,
-            idempotent=request.idempotent,
-            timeout=left.total_seconds(),
-        )
-        reply = await self._peers.call(instance, message, ForwardRequest, left)
-        if isinstance(reply, Unsent):
-            return NotRun(reply.code)
-        if not isinstance(reply, Answered):
-            return Gone(reply.code)
-        answer = reply.message
-        if (answer["identifier"], answer["attempt"]) != (request.identifier, attempt):
-            count_drop(PART, "answer_crossed")
-            return Gone("answer_crossed")
-        outcome = read_outcome(answer)
-        return NotRun(outcome.code) if isinstance(outcome, Refused) else outcome
-
-    async def _take_forward(
-        self, instance: str, message: ForwardRequest
-    ) -> ForwardOutcome:
-        request = ServiceRequest(
-            message["identifier"],
-            message["service"],
-            message["team"],
-            message["body"],
-            timedelta(seconds=message["timeout"]),
-            message["content_type"],
-            urgency=Urgency(message["urgency"]),
-            idempotent=message["idempotent"],
-        )
-        deadline = self._clock.monotonic() + request.timeout
-        outcome = await self._serve(request, deadline, may_forward=False)
-        return write_outcome(message["identifier"], message["attempt"], outcome)
+        wait_time = self._clock.monotonic() - now
+        observe_wait(PART, request.urgency.value, wait_time)
+        return place
+
+    def _abandon(self, lane: Lane, future: "asyncio.Future[object]") -> None:
+        """Give back a place that came while its caller went."""
+        if not future.done() or future.cancelled():
+            return
+        place = future.result()
+        if isinstance(place, Place):
+            place.pool.free(place.number)
+            lane.give_places()
+
+    async def _attempt(self, place: Place | Redirect, course: Course) -> Result:
+        if isinstance(place, Redirect):
+            course.call = None
+            return await self._forwarder.forward(place, course)
+        course.call = self._sender.start(place, course)
+        return await self._sender.wait(course.call)
+
+    def _judge(self, result: Result, course: Course) -> Outcome | None:
+        """Return the outcome, or ``None`` when another attempt may be made."""
+        if isinstance(result, Completed | Failed):
+            return result
+        if isinstance(result, Gone):
+            course.lost = result.code
+            if not course.request.idempotent:
+                return Unknown(result.code)
+        else:
+            course.last = result
+        if self._may_retry(result, course):
+            count_retry(PART, result.code)
+            return None
+        if course.lost:
+            return Unknown(course.lost)
+        hint = result.retry_after if isinstance(result, NotRun) else None
+        return Refused(result.code, retry_after=hint or RETRY_HINT)
+
+    def _may_retry(self, result: NotRun | Gone, course: Course) -> bool:
+        if self._clock.monotonic() >= course.deadline:
+            return False
+        if isinstance(result, NotRun) and result.is_free:
+            course.bounced += 1
+            return course.bounced < BOUNCE_LIMIT
+        if isinstance(result, NotRun) and result.code in FINAL_CODES:
+            return False
+        if isinstance(result, Gone) and not course.may_forward:
+            return False
+        course.retries += 1
+        return course.retries < ATTEMPT_LIMIT and self._budget.spend()
+
+    async def _back_off(self, result: NotRun | Gone, course: Course) -> None:
+        if isinstance(result, NotRun) and result.is_free:
+            return
+        wait = draw_backoff(course.retries, self._random)
+        left = course.deadline - self._clock.monotonic()
+        await self._clock.sleep(min(wait, left))
+
+    def _refuse_early(self, course: Course) -> Refused | None:
+        """Refuse what can't make its deadline before a key is claimed for it."""
+        lane = self._get_lane(course.request.service)
+        slots = lane.count_slots()
+        if not len(lane.queue) or not slots:
+            return None
+        waiter = lane.make_waiter(course)
+        now = self._clock.monotonic()
+        excess = lane.queue.estimate_excess(waiter, now, slots)
+        if excess <= 0:
+            return None
+        return lane.queue.refuse("deadline_unmeetable", 0, slots, excess)
+
+    # Targets ---------------------------------------------------------------
 
     def _get_lane(self, service: str) -> Lane:
         lane = self._lanes.get(service)
         if lane is None:
-            lane = self._lanes[service] = Lane(service, self._ownership, self._clock)
+            lane = self._lanes[service] = Lane(
+                service,
+                self._ownership,
+                self._clock,
+                self._random,
+                self._sharing.offer,
+            )
         return lane
 
+    def _note_result(self, pool: SlotPool, result: Result, seconds: float) -> None:
+        target = pool.target
+        lane = self._get_lane(target.service)
+        if isinstance(result, Completed):
+            lane.durations.observe(seconds)
+        is_short = isinstance(result, Gone) and seconds < lane.durations.high
+        if not is_short:
+            bad = lane.note_result(target.name, not is_fault(result))
+            if bad is not None and self._may_eject(lane):
+                bad.eject()
+        if isinstance(result, NotRun) and result.code == "target_leaving":
+            lane.update_target(target._replace(state=InstanceState.LEAVING))
+        lane.give_places()
+
+    def _may_eject(self, lane: Lane) -> bool:
+        others = self._loads.list_near(lane.service)
+        ejected = lane.count_ejected() + sum(load["ejected"] for load in others)
+        targets = len(lane.pools) + sum(load["targets"] for load in others)
+        return may_eject(ejected, targets)
+
+    def _give_places(self, pool: SlotPool) -> None:
+        self._get_lane(pool.target.service).give_places()
+
     def _read_fleet(self, *_: object) -> None:
         zone = self._members.self.zone
         targets = self._fleet.list(InstanceRole.TARGET, zone)
         for target in targets:
             self._get_lane(target.service).update_target(target)
-        self._ownership.set_things("target", tuple(t.name for t in targets))
+        self._ownership.set_things(SCOPE, tuple(t.name for t in targets))
 
     async def _gain(self, thing: str, epoch: int) -> None:
         target = self._fleet.get(thing.partition("/")[2])
         if target is None:
             return
         pool = SlotPool(target, self._clock)
-        if epoch > 1:
-            until = self._clock.monotonic() + self._longest + self._margin
-            pool.inherit((until,) * pool.capacity)
+        await self._handover.fill(pool, epoch)
         self._get_lane(target.service).add_pool(pool)
 
     async def _lose(self, thing: str, epoch: int) -> None:
+        target = thing.partition("/")[2]
         for lane in self._lanes.values():
-            lane.remove_pool(thing.partition("/")[2])
+            pool = lane.remove_pool(target)
+            if pool is not None:
+                self._handover.keep(pool, epoch)
+
+    # Loops -----------------------------------------------------------------
+
+    async def _run_reports(self) -> None:
+        while True:
+            self._publish_loads()
+            self._loads.refresh()
+            await self._clock.sleep(HEARTBEAT_INTERVAL)
+
+    def _publish_loads(self) -> None:
+        loads = {} if self._is_draining else self._lanes
+        self._loads.publish({name: lane.read_load() for name, lane in loads.items()})
+
+    async def _run_queues(self) -> None:
+        while True:
+            await self._waits.wait()
+            self._waits.clear()
+            while any(len(lane.queue) for lane in self._lanes.values()):
+                await self._clock.sleep(TICK)
+                for lane in self._lanes.values():
+                    lane.refuse_expired()
+                    lane.give_places()
+
+    async def _run_probes(self) -> None:
+        while True:
+            await self._clock.sleep(PROBE_INTERVAL)
+            for lane in self._lanes.values():
+                for health in lane.list_returning():
+                    await self._probe(health)
+
+    async def _probe(self, health: TargetHealth) -> None:
+        """Let an ejected target come back when it says that it lives."""
+        answer = await self._targets.probe(health.pool.target, PROBE_TIMEOUT)
+        if isinstance(answer, Written):
+            health.bring_back()
+        else:
+            health.eject()
+
+
+def _allow_wait(slots: int, choice: Choice, left: float) -> float:
+    """Return how long a request may wait at the daemon that was chosen.
+
+    :param slots: own slots, for which it could wait here as well.
+    """
+    if not slots:
+        return left
+    return HOP_TIME if choice.is_near else FAR_HOP_TIME
 
 
-def _read_answer(answer: TargetAnswer) -> Outcome:
-    if answer.status >= 500:
-        return Failed(f"status_{answer.status}")
-    return Completed(answer.body, answer.content_type)
+def _weigh(choice: Choice) -> float:
+    return choice.wait + (HOP_TIME if choice.is_near else FAR_HOP_TIME)
--- a/src/damaskdeck/coordination/slots.py
+++ b/src/damaskdeck/coordination/slots.py
@@ -5,7 +5,7 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.errors import InvariantError
-from damaskdeck.protocol.ports import Instance
+from damaskdeck.protocol.ports import Instance, InstanceState
 
 
 class SlotPool:
@@ -16,14 +16,18 @@
     is given out. Promise: "No instance is given more work than [it] can hold".
 
     :param target: says how many slots and connections it bears.
+    :ivar allowance: fill no more slots than this, as its health allows;
+        ``None`` for all.
     """
 
     def __init__(self, target: Instance, clock: Clock) -> None:
         self.target = target
         self.busy = 0
+        self.allowance: int | None = None
         self._clock = clock
         self._deadlines: dict[int, timedelta] = {}
         self._held: list[timedelta] = []
+        self._inherited: list[timedelta] = []
         self._count = 0
 
     @property
@@ -32,10 +36,18 @@
         return min(self.target.slots, self.target.connections)
 
     def count_free(self) -> int:
-        """Return how many more requests the target bears now."""
-        if self._held:
+        """Return how many more requests may be sent to the target now."""
+        if self._held or self._inherited:
             self._release_held()
-        return self.capacity - self.busy - len(self._held)
+        limit = self.capacity
+        if self.allowance is not None:
+            limit = min(limit, self.allowance)
+        return limit - self.busy - len(self._held) - len(self._inherited)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the target takes new work once a slot is free."""
+        return self.target.state is InstanceState.LIVE and self.allowance != 0
 
     def take(self, deadline: timedelta) -> int:
         """Take a slot; the caller has seen that one is free.
@@ -65,15 +77,16 @@
         heapq.heappush(self._held, until)
 
     def inherit(self, until: tuple[timedelta, ...]) -> None:
-        """Hold slots for what an earlier owner may still have in progress."""
-        for time in until:
-            heapq.heappush(self._held, time)
+        """Hold slots for what an earlier owner may still have in progress.
 
-    def next_release(self) -> timedelta | None:
-        """Return when the next held slot is released, if any is held."""
-        if self._held:
-            self._release_held()
-        return self._held[0] if self._held else None
+        :param until: takes the place of what was inherited before.
+        """
+        self._inherited = sorted(until)
+
+    def count_inherited(self) -> int:
+        """Return how many slots an earlier owner's requests may still fill."""
+        self._release_held()
+        return len(self._inherited)
 
     def list_remaining(self, margin: timedelta) -> tuple[timedelta, ...]:
         """Return how long each slot that isn't free may stay so.
@@ -83,9 +96,11 @@
         now = self._clock.monotonic()
         self._release_held()
         busy = [time + margin for time in self._deadlines.values()]
-        return tuple(time - now for time in [*self._held, *busy])
+        return tuple(time - now for time in [*self._held, *self._inherited, *busy])
 
     def _release_held(self) -> None:
         now = self._clock.monotonic()
         while self._held and self._held[0] <= now:
             heapq.heappop(self._held)
+        while self._inherited and self._inherited[0] <= now:
+            self._inherited.pop(0)
--- a/src/damaskdeck/protocol/forwarding.py
+++ b/src/damaskdeck/protocol/forwarding.py
@@ -16,18 +16,25 @@
 class Load(TypedDict):
     """How busy a daemon's own targets of one service are.
 
-    ``service_time`` is the mean time in a slot, in seconds.
+    ``service_time`` is the mean time in a slot, in seconds; ``targets`` and
+    ``ejected`` count targets.
     """
 
     slots: int
     free: int
     queued: int
     service_time: float
+    targets: int
+    ejected: int
 
 
 @message("forward_request")
 class ForwardRequest(TypedDict):
-    """A request handed to an owner; ``timeout`` is what is left, in seconds."""
+    """A request handed to an owner.
+
+    ``timeout`` is what is left and ``patience`` how long it may wait for a slot
+    there, in seconds; ``waiting`` counts the requests that wait at the sender.
+    """
 
     identifier: str
     attempt: int
@@ -38,6 +45,8 @@
     urgency: str
     idempotent: bool
     timeout: float
+    patience: float
+    waiting: int
 
 
 @message("forward_outcome")
@@ -67,6 +76,22 @@
     attempt: int
 
 
+@message("requests_waiting")
+class RequestsWaiting(TypedDict):
+    """The sender has no free slot for ``count`` requests of a service."""
+
+    service: str
+    count: int
+
+
+@message("slots_offered")
+class SlotsOffered(TypedDict):
+    """The sender can take ``count`` requests of a service; nothing is reserved."""
+
+    service: str
+    count: int
+
+
 @message("read_slots")
 class ReadSlots(TypedDict):
     """The owner of ``target`` from ``epoch`` on asks what is still in progress."""
--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -1,99 +1,162 @@
 """Entries, their ownership of targets, and targets, all in one process."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
+from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.routing import Router
+from damaskdeck.protocol.handlers import KeyMemory, ServiceRequest
 from damaskdeck.protocol.members import Member, Owner, OwnershipHandler, Report
-from damaskdeck.protocol.ports import (
-    Instance,
-    InstanceRole,
-    InstanceState,
-    Lost,
-    Rejected,
-    TargetAnswer,
-    TargetCall,
-    Written,
+from damaskdeck.protocol.outcomes import Outcome
+from damaskdeck.protocol.ports import Instance, InstanceRole, InstanceState
+from standins.peers import PeerSwitch
+from standins.targets import (
+    ExecutionLog,
+    MemoryTarget,
+    ServiceTime,
+    TargetsClient,
+    take_constant_time,
 )
 
-ServiceTime = Callable[[Random], float]
+SERVICE = "orders"
+NEAR_DELAY = timedelta(milliseconds=0.1)
+FAR_DELAY = timedelta(milliseconds=1)
 
 
-class SlottedTargets:
-    """Targets that run whatever they get and count it; implements ``TargetPort``.
+class Layout(NamedTuple):
+    """How large a deployment is; entries and targets are counted by zone."""
 
-    A request whose caller has gone runs to its end all the same.
+    zones: int = 1
+    entries: int = 2
+    targets: int = 2
+    slots: int = 8
+    connections: int = 64
 
-    :param service_time: draws the seconds that a request takes.
-    :param enforced: whether a full target refuses, or runs too much.
+
+SMALL = Layout()
+STEADY = take_constant_time(timedelta(milliseconds=50))
+
+
+class ZonedSwitch(PeerSwitch):
+    """Links that take longer between availability zones."""
+
+    zones: dict[str, str]
+
+    async def carry(self, sender: str, receiver: str, size: int) -> bool:
+        """Take one message over a link; tell whether it arrived."""
+        is_near = self.zones.get(sender) == self.zones.get(receiver)
+        self.delay = NEAR_DELAY if is_near else FAR_DELAY
+        return await super().carry(sender, receiver, size)
+
+
+class RequestDeployment:
+    """Routers on entries of all zones, over targets that count what they run.
+
+    Targets run to its end what they began, and by default don't refuse what is
+    too much, so that each overfill shows.
     """
 
-    def __init__(self, clock: Clock, service_time: ServiceTime, seed: int = 0) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        layout: Layout = SMALL,
+        service_time: ServiceTime = STEADY,
+        keys: KeyMemory | None = None,
+        seed: int = 0,
+    ) -> None:
         self.clock = clock
-        self.service_time = service_time
-        self.random = Random(seed)
-        self.enforced = False
-        self.delay = timedelta()
-        self.running: Counter[str] = Counter()
-        self.peak: Counter[str] = Counter()
-        self.runs: Counter[str] = Counter()
-        self.started: dict[str, timedelta] = {}
-        self.leaving: set[str] = set()
-        self.dead: set[str] = set()
-        self.planned: list[str] = []
-        self._work: set[asyncio.Task[TargetAnswer]] = set()
-
-    async def send(
-        self, target: Instance, call: TargetCall, timeout: timedelta
-    ) -> TargetAnswer | Rejected | Lost:
-        """Run a request, unless a fault forbids it.
-
-        Faults of the next calls stand in ``planned``: ``refuse``,
-        ``lose_answer``, ``lose_call``, ``cross_answer`` or an empty string.
-        """
-        if self.delay:
-            await self.clock.sleep(self.delay)
-        fault = self.planned.pop(0) if self.planned else ""
-        if target.name in self.dead or fault == "refuse":
-            return Rejected("unreachable")
-        if target.name in self.leaving:
-            return Rejected("target_leaving")
-        if self.enforced and self.running[target.name] >= target.slots:
-            return Rejected("target_full")
-        if fault == "lose_call":
-            await self.clock.sleep(timeout)
-            return Lost("timeout")
-        work = asyncio.ensure_future(self._work_on(target.name, call))
-        self._work.add(work)
-        work.add_done_callback(self._work.discard)
-        done, _ = await asyncio.wait({work}, timeout=timeout.total_seconds())
-        if not done or fault == "lose_answer" or target.name in self.dead:
-            return Lost("timeout")
-        answer = work.result()
-        if fault == "cross_answer":
-            return answer._replace(request="another", body=b"another")
-        return answer
-
-    async def probe(
-        self, target: Instance, timeout: timedelta
-    ) -> Written | Rejected | Lost:
-        """Tell whether the target is alive."""
-        return Lost("timeout") if target.name in self.dead else Written(0)
-
-    async def _work_on(self, target: str, call: TargetCall) -> TargetAnswer:
-        self.running[target] += 1
-        self.peak[target] = max(self.peak[target], self.running[target])
-        self.runs[call.request] += 1
-        self.started.setdefault(call.request, self.clock.monotonic())
-        try:
-            await self.clock.sleep(timedelta(seconds=self.service_time(self.random)))
-        finally:
-            self.running[target] -= 1
-        body = b"answer to " + call.request.encode()
-        return TargetAnswer(call.request, call.attempt, 200, body)
+        self.switch = ZonedSwitch(clock, seed)
+        self.log = ExecutionLog()
+        self.targets: dict[str, MemoryTarget] = {}
+        for number, instance in enumerate(_list_targets(layout)):
+            target = MemoryTarget(instance, clock, self.log, service_time, number)
+            target.refuses_when_full = False
+            self.targets[instance.name] = target
+        self.fleet = ListedFleet(tuple(t.instance for t in self.targets.values()))
+        self.table = OwnershipTable()
+        self.members = MemberTable(clock)
+        self.switch.zones = {}
+        self.routers: dict[str, Router] = {}
+        self._keys = keys
+        self._seed = seed
+        self._loops: dict[str, asyncio.Task[None]] = {}
+        for zone in range(layout.zones):
+            for number in range(layout.entries):
+                self.add_entry(f"entry-{zone}-{number}", f"zone-{zone}")
+
+    def add_entry(self, name: str, zone: str) -> Router:
+        """Add a daemon, or put a new one in place of one of its name."""
+        self.switch.zones[name] = zone
+        self.members.dead.discard(name)
+        self.routers[name] = Router(
+            self.members.connect(name, zone),
+            self.table.connect(name),
+            self.switch.connect(name),
+            TargetsClient(self.targets, name),
+            self.fleet,
+            self.clock,
+            keys=self._keys,
+            chooser=Random(f"{self._seed}/{name}"),
+        )
+        return self.routers[name]
+
+    async def start(self) -> None:
+        """Give each target an owner in its zone, in turn, and run all routers."""
+        for number, target in enumerate(self.targets.values()):
+            zone = target.instance.zone
+            names = [m.name for m in self.members.list_live(zone)]
+            owner = names[number % len(names)]
+            await self.table.assign(f"target/{target.instance.name}", owner)
+        for _ in range(2):
+            for name in self.routers:
+                self.run_entry(name)
+            await self.clock.sleep(timedelta(milliseconds=1))
+
+    def run_entry(self, name: str) -> None:
+        """Run the loops of a router afresh."""
+        self.stop_entry(name)
+        self._loops[name] = asyncio.ensure_future(self.routers[name].run())
+
+    def stop_entry(self, name: str) -> None:
+        """End the loops of a router."""
+        if name in self._loops:
+            self._loops.pop(name).cancel()
+
+    def kill_entry(self, name: str) -> None:
+        """Let a daemon die: nobody hears of it any more."""
+        self.stop_entry(name)
+        self.switch.disconnect(name)
+        self.members.dead.add(name)
+
+    async def ask(self, entry: str, identifier: str, **changes: Any) -> Outcome:
+        """Send a request to one entry; its body is its identifier."""
+        request = ServiceRequest(
+            identifier, SERVICE, "team", identifier.encode(), timedelta(seconds=1)
+        )
+        return await self.routers[entry].handle_request(request._replace(**changes))
+
+    def count_overfills(self) -> int:
+        """Return how often a target got more than its slots."""
+        return sum(t.slot_overfills for t in self.targets.values())
+
+
+def _list_targets(layout: Layout) -> list[Instance]:
+    return [
+        Instance(
+            f"target-{zone}-{number}",
+            InstanceRole.TARGET,
+            f"zone-{zone}",
+            "",
+            service=SERVICE,
+            slots=layout.slots,
+            connections=layout.connections,
+        )
+        for zone in range(layout.zones)
+        for number in range(layout.targets)
+    ]
 
 
 class ListedFleet:
@@ -221,6 +284,14 @@
         self.members[name] = Member(name, zone, "region-1", "", "", "1")
         return MemberView(self, name)
 
+    def list_live(self, zone: str = "") -> tuple[Member, ...]:
+        """List live members in order of name."""
+        return tuple(
+            member
+            for name, member in sorted(self.members.items())
+            if name not in self.dead and zone in ("", member.zone)
+        )
+
 
 class MemberView:
     """The members as one daemon sees them; implements ``Members``."""
@@ -236,11 +307,7 @@
 
     def list_live(self, zone: str = "") -> tuple[Member, ...]:
         """List live members in order of name."""
-        return tuple(
-            member
-            for name, member in sorted(self._table.members.items())
-            if name not in self._table.dead and zone in ("", member.zone)
-        )
+        return self._table.list_live(zone)
 
     def is_live(self, name: str) -> bool:
         """Tell whether a member lives."""
