--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 	$(BIN)/ruff check --fix .
 
 bench: $(READY)
-	$(BIN)/python -m benchmarks
+	$(BIN)/python -m benchmarks $(NAME)
