--- /dev/null
+++ b/src/damaskdeck/coordination/watchers.py
@@ -0,0 +1,141 @@
+"""Watching the configuration in the store, by one or two daemons of a zone."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import xxhash
+
+from damaskdeck import defaults
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.reports import Reports
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_retry
+from damaskdeck.protocol.members import Members
+from damaskdeck.protocol.ports import Event, Events, Listing, Store, TooOld
+from damaskdeck.state.configuration import PART, Configuration
+from damaskdeck.state.versions import PREFIX
+
+SHORTEST_PAUSE = timedelta(milliseconds=250)
+LONGEST_PAUSE = timedelta(seconds=2)
+
+_log = get_logger(PART)
+
+Push = Callable[[int, list[Event], int], None]
+
+
+class StoreWatcher:
+    """Follows the store while this daemon is one of its zone's watchers.
+
+    :param push: is told the base, the changes and the revision that follows.
+    :param watch_wait: how long a watch waits in the store for a change.
+    :param interval: how often the choice of watchers is looked at.
+    :param count: how many daemons of a zone watch.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        reports: Reports,
+        members: Members,
+        store: Store,
+        clock: Clock,
+        push: Push,
+        watch_wait: timedelta = defaults.WATCH_WAIT,
+        interval: timedelta = defaults.RELAY_INTERVAL,
+        count: int = defaults.WATCHERS_PER_ZONE,
+    ) -> None:
+        self._configuration = configuration
+        self._reports = reports
+        self._members = members
+        self._store = store
+        self._clock = clock
+        self._push = push
+        self._watch_wait = watch_wait
+        self._interval = interval
+        self._count = count
+        self._cursor = 0
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        pause = SHORTEST_PAUSE
+        while True:
+            if not self.is_watcher():
+                await self._clock.sleep(self._interval)
+            elif await self._read():
+                self._reports.reaches_store = True
+                pause = SHORTEST_PAUSE
+            else:
+                await self._clock.sleep(pause)
+                pause = min(2 * pause, LONGEST_PAUSE)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this daemon is one of its zone's watchers."""
+        return self._members.self.name in self.pick_watchers()
+
+    def pick_watchers(self) -> list[str]:
+        """Return the first daemons of this zone by hash.
+
+        One that doesn't reach the store goes on trying, and the next joins.
+        """
+        reports = self._reports.read()
+        live = self._members.list_live(self._members.self.zone)
+        picked: list[str] = []
+        missing = self._count
+        for name in sorted((member.name for member in live), key=_hash_name):
+            if missing == 0:
+                break
+            picked.append(name)
+            report = reports.get(name)
+            missing -= report is None or report["reaches_store"]
+        return picked
+
+    def zone_reaches_store(self) -> bool:
+        """Tell whether some watcher of this zone reaches the store."""
+        reports = self._reports.read()
+        told = [reports[name] for name in self.pick_watchers() if name in reports]
+        return any(report["reaches_store"] for report in told)
+
+    async def _read(self) -> bool:
+        """List or watch the store once; return whether it answered usefully."""
+        if not self._configuration.is_loaded:
+            return await self._list()
+        after = max(self._cursor, self._configuration.revision)
+        found = await self._store.watch(PREFIX, after, self._watch_wait)
+        if isinstance(found, Events):
+            self._take_events(found)
+            return True
+        if isinstance(found, TooOld):
+            return await self._list()
+        self._note_failure(found.code)
+        return False
+
+    async def _list(self) -> bool:
+        found = await self._store.list(PREFIX)
+        if not isinstance(found, Listing):
+            self._note_failure(found.code)
+            return False
+        events = [Event(e.key, e.value, e.revision) for e in found.entries]
+        if not self._configuration.apply_snapshot(events, found.revision):
+            _log.warn("The store answered with an older read.", revision=found.revision)
+            return False
+        self._cursor = found.revision
+        return True
+
+    def _take_events(self, found: Events) -> None:
+        base = self._configuration.revision
+        events = [event for event in found.events if event.revision > base]
+        if events:
+            last = events[-1].revision
+            self._configuration.apply_changes(base, events, last)
+            self._push(base, events, last)
+        self._cursor = max(self._cursor, found.revision)
+
+    def _note_failure(self, code: str) -> None:
+        count_retry(PART, code)
+        if self._reports.reaches_store:
+            _log.warn("The store can't be watched.", code=code)
+        self._reports.reaches_store = False
+
+
+def _hash_name(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
--- a/src/damaskdeck/state/configuration.py
+++ b/src/damaskdeck/state/configuration.py
@@ -17,6 +17,8 @@
 
 PART = "configuration"
 
+_Versions = list[Version]  # Where the method of that name hides the type.
+
 _log = get_logger(PART)
 
 
@@ -93,10 +95,8 @@
             return True
         known, self._revision = self._revision, revision
         versions = [v for e in events if e.revision > known and (v := _read(e))]
-        changes = [self._replace(version) for version in versions]
-        kept = [c for c in changes if c.resource or c.previous]
-        notices = [version for version in versions if self._settle(version)]
-        self.history.record(tuple(kept), revision)
+        changes, notices = self._replace_all(versions)
+        self.history.record(changes, revision)
         self._notify(notices)
         return True
 
@@ -116,9 +116,7 @@
         ]
         versions += self._find_missing(listed, revision)
         self._is_loaded, self._revision = True, revision
-        for version in versions:
-            self._replace(version)
-        notices = [version for version in versions if self._settle(version)]
+        _, notices = self._replace_all(versions)
         self.history.reset(revision)
         self._notify(notices)
         return True
@@ -140,16 +138,31 @@
         found = (self.get(kind, name) for name in sorted(names))
         return tuple(resource for resource in found if resource is not None)
 
-    def _find_missing(
-        self, listed: dict[str, Event], revision: int
-    ) -> Iterable[Version]:
+    def _find_missing(self, listed: dict[str, Event], revision: int) -> _Versions:
+        held = {
+            (v.kind, v.name) for names in self._base.values() for v in names.values()
+        }
+        held.update(k for k, v in self._ahead.items() if v.revision <= revision)
         return [
-            version._replace(revision=revision, resource=None)
-            for names in self._base.values()
-            for version in names.values()
-            if make_key(version.kind, version.name) not in listed
+            Version(kind, name, revision, None)
+            for kind, name in sorted(held)
+            if make_key(kind, name) not in listed
         ]
 
+    def _replace_all(
+        self, versions: Iterable[Version]
+    ) -> tuple[tuple[Change, ...], _Versions]:
+        """Return the changes of the base and what is news to subscribers."""
+        changes, notices = [], []
+        for version in versions:
+            change = self._replace(version)
+            is_change = bool(change.resource or change.previous)
+            if is_change:
+                changes.append(change)
+            if self._settle(version, is_change):
+                notices.append(version)
+        return tuple(changes), notices
+
     def _replace(self, version: Version) -> Change:
         names = self._base[version.kind]
         previous = names.get(version.name)
@@ -160,14 +173,16 @@
         before = previous.resource if previous else None
         return Change(*version, previous=before)
 
-    def _settle(self, version: Version) -> bool:
+    def _settle(self, version: Version, is_change: bool) -> bool:
         """Drop what lay ahead of ``version``; return whether it is news."""
         self._sorted.pop(version.kind, None)
         key = (version.kind, version.name)
         ahead = self._ahead.get(key)
-        if ahead is not None and ahead.revision <= version.revision:
+        if ahead is None:
+            return is_change
+        if ahead.revision <= version.revision:
             del self._ahead[key]
-        return ahead is None or ahead.revision < version.revision
+        return ahead.revision < version.revision
 
     def _notify(self, versions: Iterable[Version]) -> None:
         for version in versions:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -16,7 +16,7 @@
 from damaskdeck.transport.api.openapi import describe_api
 from damaskdeck.transport.api.routes import ROUTES
 from damaskdeck.transport.api.server import ApiServer
-from tests.daemons import Cluster, make_team, make_workload
+from tests.cluster import Cluster, make_team, make_workload
 
 OPERATOR = {"Authorization": "Bearer operator-token"}
 TEAM = {"Authorization": "Bearer maps-token"}
