Add the job queue, quotas and fairness

The queue orders waiting jobs by urgency class, then by weighted dominant share of the team, then by time, and offers the longest overdue job every eighth time, so that nothing starves. Jobs are grouped by class, team and shape; a shape that found no room isn't tried again until a worker has room for it or a second has passed. Quotas are exact counts within one ledger; idle quota is lent as far as no waiting work of another team may claim it.

Seen to fail first on a scratch copy, one fault at a time: claims of others ignored, weights ignored, dimensions that aren't needed refused, overdue turn never taken, overdue jobs in a stale order, teams chosen by a stale share, failures covering more urgent or smaller work, dead entries never dropped. Each made a test fail.

--- /dev/null
+++ b/src/damaskdeck/coordination/queueing.py
@@ -0,0 +1,254 @@
+"""The queue of waiting jobs: urgency classes, fairness, ageing and quotas."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from datetime import timedelta
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.blocks import Blocks
+from damaskdeck.coordination.fairness import FairShares
+from damaskdeck.coordination.waiting import Entry, EntryHeap, Group, Shape, WaitingJob
+from damaskdeck.protocol.resources import Urgency
+from damaskdeck.protocol.sizes import Size
+from damaskdeck.state.quotas import Quotas
+
+CLASSES = tuple(Urgency)
+RANKS = {urgency: rank for rank, urgency in enumerate(CLASSES)}
+
+# How long a job of each class may wait before it is overdue.
+WAIT_LIMITS = {
+    Urgency.URGENT: timedelta(seconds=2),
+    Urgency.HIGH: timedelta(minutes=2),
+    Urgency.NORMAL: timedelta(minutes=15),
+    Urgency.LOW: timedelta(hours=1),
+}
+# Of so many jobs taken in a row, one is the longest overdue.
+OVERDUE_TURN = 8
+# How long a shape that found no room isn't tried again, if nobody tells of room.
+BLOCK_DURATION = timedelta(seconds=1)
+
+
+class JobQueue:
+    """Waiting jobs in the order in which they are to be placed.
+
+    Classes go by urgency. Within a class the team with the least weighted
+    dominant share goes first; within a team the oldest job whose shape may
+    fit. Of each ``overdue_turn`` jobs taken one is the longest overdue,
+    whatever its class and team. So once a job is overdue, and as long as it
+    fits and its quota allows it, at most ``overdue_turn`` x (n + 1) jobs are
+    taken before it, where n counts the jobs that were due before it.
+
+    :param clock: judges which jobs are overdue.
+    :param quotas: charged for jobs taken, and told what the waiting ones want.
+    :param wait_limits: how long a job of each class waits before it is overdue.
+    :param block_duration: how long a shape that found no room isn't tried.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        quotas: Quotas,
+        wait_limits: Mapping[Urgency, timedelta] = WAIT_LIMITS,
+        overdue_turn: int = OVERDUE_TURN,
+        block_duration: timedelta = BLOCK_DURATION,
+    ) -> None:
+        self.quotas = quotas
+        self.shares = FairShares(quotas)
+        self.blocks = Blocks(block_duration)
+        self.overdue_turn = overdue_turn
+        self._clock = clock
+        self._limits = wait_limits
+        self._entries: dict[str, Entry] = {}
+        self._classes: tuple[dict[str, dict[Shape, Group]], ...]
+        self._classes = tuple({} for _ in CLASSES)
+        self._due = EntryHeap()
+        self._overdue: set[Group] = set()
+        self._reasons: dict[str, str] = {}
+        self._order = 0
+        self._since_overdue = 0
+        self._work = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._entries
+
+    @property
+    def work(self) -> int:
+        """Steps of upkeep done so far; linear in pushes and removals."""
+        return self._work
+
+    def get(self, name: str) -> WaitingJob | None:
+        """Return a waiting job by name."""
+        entry = self._entries.get(name)
+        return entry.job if entry else None
+
+    def push(self, job: WaitingJob) -> None:
+        """Let a job wait; one of the same name is replaced."""
+        self.remove(job.name)
+        self._order += 1
+        entry = Entry(job, self._order, self._get_group(job))
+        self._entries[job.name] = entry
+        entry.group.heap.push(job.submitted, entry)
+        self._due.push(self.find_due(job), entry)
+        self.quotas.add_want(job.team, job.want)
+        self._work += 1
+
+    def push_all(self, jobs: Iterable[WaitingJob]) -> None:
+        """Let many jobs wait."""
+        for job in jobs:
+            self.push(job)
+
+    def remove(self, name: str) -> WaitingJob | None:
+        """Take a job out without placing it, as one that was cancelled."""
+        entry = self._entries.pop(name, None)
+        if entry is None:
+            return None
+        entry.alive = False
+        self._reasons.pop(name, None)
+        self._work += entry.group.heap.discount()
+        if not entry.overdue:
+            self._work += self._due.discount()
+        if not entry.group.heap.live:
+            self._drop_group(entry.group)
+        self.quotas.drop_want(entry.job.team, entry.job.want)
+        return entry.job
+
+    def remove_all(self, names: Iterable[str]) -> int:
+        """Take out many jobs; returns how many had been waiting."""
+        return sum(self.remove(name) is not None for name in names)
+
+    def take(self, name: str, overdue: bool = False) -> None:
+        """Take what was offered of a job: it was placed.
+
+        The team is charged for it; give it back by :meth:`Quotas.release`
+        when it ends, or by :meth:`put_back` when it could not start.
+        """
+        entry = self._entries[name]
+        job = entry.job
+        self._since_overdue = 0 if overdue else self._since_overdue + 1
+        self.quotas.charge(job.team, job.need)
+        if job.offered == job.tasks:
+            self.remove(name)
+            return
+        self.quotas.drop_want(job.team, job.need)
+        entry.job = job._replace(tasks=job.tasks - 1)
+
+    def put_back(self, job: WaitingJob) -> None:
+        """Let wait again what was taken of ``job`` but could not start.
+
+        :param job: as it was offered; it keeps its place by its time.
+        """
+        self.quotas.release(job.team, job.need)
+        waiting = self.get(job.name)
+        left = waiting.tasks if waiting else 0
+        self.push(job._replace(tasks=left + job.offered))
+
+    def note_room(self, room: Size) -> None:
+        """Note that one worker now has ``room``, so that its jobs are tried."""
+        self.blocks.open(room)
+
+    def skip(self, name: str, reason: str) -> None:
+        """Don't offer a job until the failures of now are forgotten.
+
+        :param reason: plain words, told by :meth:`describe`.
+        """
+        self.blocks.skipped.add(name)
+        self._reasons[name] = reason
+
+    def is_overdue(self, job: WaitingJob) -> bool:
+        """Tell whether ``job`` has waited longer than its class should."""
+        return self.find_due(job) <= self._clock.monotonic()
+
+    def find_due(self, job: WaitingJob) -> timedelta:
+        """Return the time at which ``job`` becomes overdue."""
+        return job.submitted + self._limits[job.urgency]
+
+    def find_longest_overdue(self) -> WaitingJob | None:
+        """Return the job that a reservation should be made for, if any."""
+        heads = [group.heap.peek() for group in self.list_overdue()]
+        jobs = [head[1].job for head in heads if head]
+        return min(jobs, default=None, key=self.find_due)
+
+    def is_overdue_turn(self) -> bool:
+        """Tell whether the next job taken should be an overdue one."""
+        return self._since_overdue >= self.overdue_turn - 1
+
+    def list_overdue(self) -> tuple[Group, ...]:
+        """List the groups whose oldest job is overdue."""
+        now = self._clock.monotonic()
+        while (head := self._due.peek()) and head[0] <= now:
+            self._due.pop()
+            head[1].overdue = True
+            self._overdue.add(head[1].group)
+            self._work += 1
+        self._overdue = {group for group in self._overdue if self._is_late(group)}
+        return tuple(self._overdue)
+
+    def list_teams(self, rank: int) -> Mapping[str, Mapping[Shape, Group]]:
+        """Return the groups of jobs that wait in a class, by team and shape."""
+        return self._classes[rank]
+
+    def describe(self, name: str) -> tuple[str, ...]:
+        """Explain in plain words why a job waits; empty when it doesn't wait."""
+        job = self.get(name)
+        if job is None:
+            return ()
+        return (self._describe_place(job), *self._describe_causes(job))
+
+    def expire_blocks(self) -> None:
+        """Forget failures that are too old to be believed."""
+        self.blocks.expire(self._clock.monotonic())
+
+    def _describe_place(self, job: WaitingJob) -> str:
+        groups = self._classes[RANKS[job.urgency]][job.team].values()
+        before = sum(
+            other.submitted < job.submitted
+            for group in groups
+            for other in group.heap.list_jobs()
+        )
+        waited = self._clock.monotonic() - job.submitted
+        return (
+            f"waits for {waited.total_seconds():.0f} s as number {before + 1} of team "
+            f"{job.team} in class {job.urgency.value}"
+        )
+
+    def _describe_causes(self, job: WaitingJob) -> Iterator[str]:
+        shortfall = self.quotas.find_shortfall(job.team, job.need)
+        within = self.quotas.is_within(job.team, job.need)
+        block = self.blocks.find(RANKS[job.urgency], within, job.shape)
+        if shortfall:
+            yield f"the team's quota of {shortfall} is used and none is idle to borrow"
+        if block:
+            yield f"no worker has room: {block.reason}"
+        if job.name in self._reasons:
+            yield self._reasons[job.name]
+        if not shortfall and not block:
+            yield self._describe_order(job)
+
+    def _describe_order(self, job: WaitingJob) -> str:
+        share = self.shares.compute_share(job.team)
+        teams = self._classes[RANKS[job.urgency]]
+        ahead = sum(self.shares.compute_share(team) < share for team in teams)
+        return (
+            f"{ahead} teams that wait in the class use less of their share; team "
+            f"{job.team} uses {share:.1%} by weight"
+        )
+
+    def _get_group(self, job: WaitingJob) -> Group:
+        rank = RANKS[job.urgency]
+        groups = self._classes[rank].setdefault(job.team, {})
+        group = groups.get(job.shape)
+        if group is None:
+            group = groups[job.shape] = Group(rank, job.team, job.shape)
+        return group
+
+    def _drop_group(self, group: Group) -> None:
+        teams = self._classes[group.rank]
+        del teams[group.team][group.shape]
+        if not teams[group.team]:
+            del teams[group.team]
+
+    def _is_late(self, group: Group) -> bool:
+        head = group.heap.peek()
+        return head is not None and self.is_overdue(head[1].job)
--- /dev/null
+++ b/src/damaskdeck/state/quotas.py
@@ -0,0 +1,218 @@
+"""Quotas of teams: exact use, borrowing of idle quota and taking it back.
+
+One ledger's keeper decides about the quotas of its teams; nothing is lent
+between ledgers.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskdeck.errors import InvariantError
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+
+DIMENSIONS = range(len(Size._fields))
+
+
+class Giver(NamedTuple):
+    """A team that uses more than its quota and must give back.
+
+    :param excess: its use above its quota, dimension by dimension.
+    """
+
+    team: str
+    excess: Size
+
+
+class TeamState(NamedTuple):
+    """A team's quota, what it uses and what its waiting work wants."""
+
+    quota: Size
+    weight: float
+    use: Size
+    want: Size
+
+
+class _Team:
+    """The mutable record behind :class:`TeamState`."""
+
+    __slots__ = ("claim", "quota", "use", "want", "weight")
+
+    def __init__(self) -> None:
+        self.quota = ZERO_SIZE
+        self.weight = 1.0
+        self.use = ZERO_SIZE
+        self.want = ZERO_SIZE
+        self.claim = ZERO_SIZE
+
+
+class Quotas:
+    """Counts what teams use and decides who may use more.
+
+    A team may always go up to its quota. Above it, it borrows what is idle
+    after the claims of the others: a team's claim is what its waiting work
+    wants and its quota still allows.
+
+    :param capacity: what the instances under this ledger hold together.
+    """
+
+    def __init__(self, capacity: Size = ZERO_SIZE) -> None:
+        self._capacity = capacity
+        self._teams: dict[str, _Team] = {}
+        self._use = ZERO_SIZE
+        self._claims = ZERO_SIZE
+
+    @property
+    def capacity(self) -> Size:
+        """What all instances hold together."""
+        return self._capacity
+
+    @property
+    def use(self) -> Size:
+        """What all teams use together."""
+        return self._use
+
+    @property
+    def claims(self) -> Size:
+        """What all teams may still claim of their quotas."""
+        return self._claims
+
+    def set_capacity(self, capacity: Size) -> None:
+        """Note that instances came or went."""
+        self._capacity = capacity
+
+    def set_quota(self, team: str, quota: Size, weight: float = 1.0) -> None:
+        """Set a team's quota; a lower one never stops what runs by itself.
+
+        :param weight: its share of what is idle, against other teams' weights.
+        """
+        record = self._get(team)
+        record.quota = quota
+        record.weight = weight
+        self._update_claim(record)
+
+    def drop_team(self, team: str) -> None:
+        """Take away a team's quota; what it still uses counts as borrowed."""
+        self.set_quota(team, ZERO_SIZE)
+
+    def read(self, team: str) -> TeamState:
+        """Return a team's quota, use and wants."""
+        record = self._teams.get(team)
+        if record is None:
+            return TeamState(ZERO_SIZE, 1.0, ZERO_SIZE, ZERO_SIZE)
+        return TeamState(record.quota, record.weight, record.use, record.want)
+
+    def list_teams(self) -> tuple[str, ...]:
+        """List all known teams in order of name."""
+        return tuple(sorted(self._teams))
+
+    def charge(self, team: str, size: Size) -> None:
+        """Count ``size`` as used by ``team``."""
+        record = self._get(team)
+        record.use = add_sizes(record.use, size)
+        self._use = add_sizes(self._use, size)
+        self._update_claim(record)
+
+    def release(self, team: str, size: Size) -> None:
+        """Count ``size`` as no longer used.
+
+        :raises InvariantError: when more is given back than was charged.
+        """
+        record = self._get(team)
+        record.use = _subtract(record.use, size, team)
+        self._use = subtract_sizes(self._use, size)
+        self._update_claim(record)
+
+    def add_want(self, team: str, size: Size) -> None:
+        """Count ``size`` as wanted by waiting work of ``team``."""
+        record = self._get(team)
+        record.want = add_sizes(record.want, size)
+        self._update_claim(record)
+
+    def drop_want(self, team: str, size: Size) -> None:
+        """Count ``size`` as no longer wanted."""
+        record = self._get(team)
+        record.want = _subtract(record.want, size, team)
+        self._update_claim(record)
+
+    def find_shortfall(self, team: str, need: Size) -> str | None:
+        """Tell in which dimension ``team`` may not use ``need`` more, if any."""
+        record = self._get(team)
+        for index in DIMENSIONS:
+            if need[index] and not self._allows(record, index, need[index]):
+                return Size._fields[index]
+        return None
+
+    def is_within(self, team: str, need: Size) -> bool:
+        """Tell whether ``team`` stays within its own quota with ``need`` more."""
+        record = self._get(team)
+        return all(
+            not need[index] or record.use[index] + need[index] <= record.quota[index]
+            for index in DIMENSIONS
+        )
+
+    def list_givers(self, need: Size) -> tuple[Giver, ...]:
+        """List who must give back for ``need``, the greatest excess first.
+
+        Excess is compared by the share of the capacity that it takes in the
+        dimensions of ``need``, divided by the team's weight.
+        """
+        givers = []
+        for name, record in self._teams.items():
+            excess = _find_excess(record)
+            rank = self._rank_excess(excess, need) / record.weight
+            if rank > 0:
+                givers.append((-rank, name, excess))
+        return tuple(Giver(name, excess) for _, name, excess in sorted(givers))
+
+    def _get(self, team: str) -> _Team:
+        record = self._teams.get(team)
+        if record is None:
+            record = self._teams[team] = _Team()
+        return record
+
+    def _allows(self, record: _Team, index: int, need: int) -> bool:
+        if record.use[index] + need <= record.quota[index]:
+            return True
+        others = self._claims[index] - record.claim[index]
+        return self._capacity[index] - self._use[index] - others >= need
+
+    def _update_claim(self, record: _Team) -> None:
+        claim = Size(*map(_clip, record.want, record.quota, record.use))
+        if claim != record.claim:
+            rest = subtract_sizes(self._claims, record.claim)
+            self._claims = add_sizes(rest, claim)
+            record.claim = claim
+
+    def _rank_excess(self, excess: Size, need: Size) -> float:
+        return max(
+            excess[index] / max(self._capacity[index], 1) if need[index] else 0.0
+            for index in DIMENSIONS
+        )
+
+
+def sum_sizes(sizes: Iterable[Size]) -> Size:
+    """Return the sum of ``sizes`` in every dimension."""
+    total = ZERO_SIZE
+    for size in sizes:
+        total = add_sizes(total, size)
+    return total
+
+
+def scale_size(size: Size, count: int) -> Size:
+    """Return ``size`` taken ``count`` times."""
+    return Size(size[0] * count, size[1] * count, size[2] * count)
+
+
+def _clip(want: int, quota: int, use: int) -> int:
+    return max(0, min(want, quota - use))
+
+
+def _subtract(amount: Size, size: Size, team: str) -> Size:
+    rest = subtract_sizes(amount, size)
+    if min(rest) < 0:
+        raise InvariantError(f"team {team} gives back more than it was charged")
+    return rest
+
+
+def _find_excess(record: _Team) -> Size:
+    return Size(*(max(0, u - q) for u, q in zip(record.use, record.quota, strict=True)))
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,388 @@
+"""The queue against a naive one, and its bounds."""
+
+import unittest
+from datetime import timedelta
+from fractions import Fraction
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskdeck.coordination.blocks import Block, Blocks
+from damaskdeck.coordination.passes import Pass
+from damaskdeck.coordination.queueing import CLASSES, JobQueue
+from damaskdeck.coordination.waiting import Shape, WaitingJob
+from damaskdeck.protocol.resources import Urgency
+from damaskdeck.protocol.sizes import Size, fits, subtract_sizes
+from damaskdeck.state.quotas import Quotas, sum_sizes
+from standins.clock import ManualClock
+
+TEAMS = ("ash", "birch", "cedar")
+SMALL = Size(1, 1, 0)
+CAPACITY = Size(16, 16, 4)
+LIMITS = {
+    urgency: timedelta(seconds=limit)
+    for urgency, limit in zip(CLASSES, (2, 5, 9, 14), strict=True)
+}
+SIZES = st.sampled_from((Size(1, 1, 0), Size(2, 1, 0), Size(1, 4, 0), Size(4, 2, 1)))
+JOBS = st.tuples(
+    st.sampled_from(TEAMS),
+    st.sampled_from(CLASSES),
+    SIZES,
+    st.integers(1, 3),
+    st.booleans(),
+)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("push"), JOBS),
+        st.tuples(st.just("push"), JOBS),
+        st.tuples(st.just("remove"), st.integers(0, 30)),
+        st.tuples(st.just("end"), st.integers(0, 30)),
+        st.tuples(st.just("wait"), st.integers(1, 4)),
+        st.tuples(st.just("pass"), st.none()),
+    ),
+    max_size=60,
+)
+
+
+def make_quotas(capacity=CAPACITY):
+    quotas = Quotas(capacity)
+    for weight, team in enumerate(TEAMS, start=1):
+        quotas.set_quota(team, Size(5, 5, 1), float(weight))
+    return quotas
+
+
+def make_queue(quotas, clock, **options):
+    return JobQueue(clock, quotas, wait_limits=LIMITS, overdue_turn=3, **options)
+
+
+def make_job(name, team="ash", urgency=Urgency.NORMAL, size=SMALL, **options):
+    options.setdefault("submitted", timedelta())
+    return WaitingJob(name, team, urgency, size, **options)
+
+
+class NaiveQueue:
+    """Sorts a list of all waiting jobs anew for each decision."""
+
+    def __init__(self):
+        self.jobs = []
+        self.running = []
+        self.since_overdue = 0
+
+    def use(self, team):
+        return sum_sizes(size for owner, size in self.running if owner == team)
+
+    def allows(self, job):
+        everything = sum_sizes(size for _, size in self.running)
+        for index, need in enumerate(job.need):
+            used = self.use(job.team)[index]
+            claims = sum(self.claim(team, index) for team in TEAMS if team != job.team)
+            idle = CAPACITY[index] - everything[index] - claims
+            if need and used + need > 5 - 4 * (index == 2) and need > idle:
+                return False
+        return True
+
+    def claim(self, team, index):
+        wants = sum(
+            job.size[index] * job.tasks for job in self.jobs if job.team == team
+        )
+        left = 5 - 4 * (index == 2) - self.use(team)[index]
+        return max(0, min(wants, left))
+
+    def share(self, team):
+        parts = zip(self.use(team), CAPACITY, strict=True)
+        return max(Fraction(a, b) for a, b in parts) / (TEAMS.index(team) + 1)
+
+    def list_candidates(self, now, failed):
+        allowed = [j for j in self.jobs if self.allows(j) and j.name not in failed]
+        order = sorted(
+            allowed,
+            key=lambda j: (CLASSES.index(j.urgency), self.share(j.team), j.team),
+        )
+        late = [j for j in allowed if j.submitted + LIMITS[j.urgency] <= now]
+        if late and self.since_overdue >= 2:
+            return [min(late, key=lambda j: j.submitted + LIMITS[j.urgency])], True
+        return order, False
+
+    def take(self, job, overdue):
+        self.since_overdue = 0 if overdue else self.since_overdue + 1
+        self.running.append((job.team, job.need))
+        index = self.jobs.index(job)
+        left = job.tasks - job.offered
+        self.jobs[index : index + 1] = [job._replace(tasks=left)] if left else []
+
+
+class TestOrder(unittest.TestCase):
+    """Which job is offered next."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(STEPS)
+    def test_each_offer_is_the_one_a_naive_queue_would_choose(self, steps):
+        clock, quotas, naive = ManualClock(), make_quotas(), NaiveQueue()
+        queue = make_queue(quotas, clock, block_duration=timedelta())
+        for number, (kind, value) in enumerate(steps):
+            if kind == "push":
+                team, urgency, size, tasks, gang = value
+                job = make_job(
+                    f"job-{number}",
+                    team,
+                    urgency,
+                    size,
+                    submitted=clock.monotonic(),
+                    tasks=tasks,
+                    gang=gang,
+                )
+                queue.push(job)
+                naive.jobs.append(job)
+            elif kind == "remove" and naive.jobs:
+                job = naive.jobs.pop(value % len(naive.jobs))
+                self.assertEqual(queue.remove(job.name), job)
+            elif kind == "end" and naive.running:
+                quotas.release(*naive.running.pop(value % len(naive.running)))
+            elif kind == "wait":
+                clock.move(timedelta(seconds=value))
+            elif kind == "pass":
+                self._compare_pass(queue, naive, clock)
+            self.assertEqual(len(queue), len(naive.jobs))
+            for team in TEAMS:
+                self.assertEqual(quotas.read(team).use, naive.use(team))
+
+    def _compare_pass(self, queue, naive, clock):
+        offers, failed = Pass(queue, tries=100), set()
+        free = subtract_sizes(CAPACITY, sum_sizes(s for _, s in naive.running))
+        while job := offers.next():
+            choices, overdue = naive.list_candidates(clock.monotonic(), failed)
+            best = choices[0]
+            self.assertIn(job, naive.jobs)
+            self.assertTrue(naive.allows(job), job)
+            if overdue:
+                self.assertEqual(
+                    job.submitted + LIMITS[job.urgency],
+                    best.submitted + LIMITS[best.urgency],
+                )
+            else:
+                self.assertEqual(job.urgency, best.urgency)
+                self.assertEqual(naive.share(job.team), naive.share(best.team))
+            if fits(job.need, free):
+                free = subtract_sizes(free, job.need)
+                offers.take(job)
+                naive.take(job, overdue)
+            else:
+                offers.fail(job, "memory")
+                failed |= {j.name for j in naive.jobs if _is_as_hard(j, job, naive)}
+        left, _ = naive.list_candidates(clock.monotonic(), failed)
+        self.assertEqual(left, [])
+
+    def test_overdue_jobs_go_in_order_of_their_due_times(self):
+        clock = ManualClock()
+        queue = JobQueue(
+            clock, make_quotas(Size(1000, 1000, 0)), wait_limits=LIMITS, overdue_turn=1
+        )
+        for second, urgency in enumerate(
+            (Urgency.LOW, Urgency.HIGH, Urgency.NORMAL, Urgency.LOW, Urgency.HIGH)
+        ):
+            submitted = timedelta(seconds=4 * second)
+            queue.push(make_job(str(second), urgency=urgency, submitted=submitted))
+        clock.move(timedelta(seconds=30))
+        offers, order = Pass(queue), []
+        while job := offers.next():
+            order.append(job.name)
+            offers.take(job)
+        self.assertEqual("".join(order), "10243")
+
+    def test_a_team_served_out_of_turn_is_charged_in_its_turn(self):
+        clock, quotas = ManualClock(), Quotas(Size(100, 100, 0))
+        queue = JobQueue(clock, quotas, wait_limits=LIMITS, overdue_turn=2)
+        for team in ("ash", "birch"):
+            quotas.set_quota(team, Size(100, 100, 0))
+        queue.push(make_job("late", "ash", Urgency.LOW, Size(9, 0, 0)))
+        clock.move(LIMITS[Urgency.LOW])
+        now = clock.monotonic()
+        for number in range(3):
+            queue.push(make_job(f"ash-{number}", "ash", submitted=now))
+            queue.push(make_job(f"birch-{number}", "birch", submitted=now))
+        offers, order = Pass(queue), []
+        while job := offers.next():
+            order.append(job.name)
+            offers.take(job)
+        self.assertEqual(
+            order,
+            ["ash-0", "late", "birch-0", "birch-1", "birch-2", "ash-1", "ash-2"],
+        )
+
+
+SHAPES = st.builds(
+    Shape,
+    st.builds(Size, *[st.integers(0, 1)] * 3),
+    st.integers(1, 2),
+    st.sampled_from(("", "zone-a")),
+)
+BLOCKS = st.builds(Block, st.integers(0, 3), st.booleans(), SHAPES, st.just("memory"))
+
+
+class TestBlocks(unittest.TestCase):
+    """A failure stands for whatever is at least as hard to place."""
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        st.lists(BLOCKS, max_size=8), BLOCKS, st.builds(Size, *[st.integers(0, 1)] * 3)
+    )
+    def test_dropped_failures_change_no_answer(self, failures, wanted, room):
+        blocks = Blocks(timedelta(seconds=1))
+        for block in failures:
+            blocks.add(block)
+        self._compare(blocks, failures, wanted)
+        blocks.open(room)
+        found = blocks.find(*wanted[:3])
+        if found is not None:
+            self.assertFalse(fits(wanted.shape.size, room))
+
+    def _compare(self, blocks, failures, wanted):
+        expected = any(
+            block.rank <= wanted.rank
+            and (block.within or not wanted.within)
+            and block.shape.constraint == wanted.shape.constraint
+            and block.shape.tasks <= wanted.shape.tasks
+            and fits(block.shape.size, wanted.shape.size)
+            for block in failures
+        )
+        self.assertEqual(blocks.find(*wanted[:3]) is not None, expected)
+
+
+class TestBounds(unittest.TestCase):
+    """What a job can count on, whatever else arrives."""
+
+    def test_no_class_and_no_team_starves(self):
+        clock, quotas = ManualClock(), make_quotas(Size(1000, 1000, 0))
+        queue = make_queue(quotas, clock)
+        quotas.charge("birch", Size(900, 0, 0))
+        waiting = [
+            make_job("low", "ash", Urgency.LOW),
+            make_job("greedy", "birch", Urgency.LOW),
+        ]
+        quotas.set_quota("birch", Size(1000, 1000, 0))
+        quotas.set_quota("cedar", Size(1000, 1000, 0))
+        queue.push_all(waiting)
+        clock.move(LIMITS[Urgency.LOW])
+        taken = 0
+        while "low" in queue or "greedy" in queue:
+            taken += 1
+            now = clock.monotonic()
+            queue.push(make_job(f"u-{taken}", "cedar", Urgency.URGENT, submitted=now))
+            offers = Pass(queue)
+            job = offers.next()
+            offers.take(job)
+            quotas.release(job.team, job.need)
+            self.assertLessEqual(taken, 3 * len(waiting))
+
+    def test_a_wave_of_cancellations_costs_linear_work(self):
+        work = {}
+        for count in (2500, 10_000):
+            queue = make_queue(make_quotas(), ManualClock())
+            queue.push_all(
+                make_job(f"job-{n}", TEAMS[n % 3], CLASSES[n % 4], Size(n % 7, 1, 0))
+                for n in range(count)
+            )
+            start = queue.work
+            self.assertEqual(start, count)
+            names = (f"job-{n * 7919 % count}" for n in range(count))
+            self.assertEqual(queue.remove_all(names), count)
+            work[count] = queue.work - start
+            self.assertEqual(len(queue), 0)
+        self.assertLessEqual(work[10_000], 5 * work[2500])
+        self.assertLessEqual(work[10_000], 8 * 10_000)
+
+    def test_a_failed_shape_is_tried_once_and_holds_up_no_other(self):
+        queue = make_queue(make_quotas(Size(1000, 1000, 0)), ManualClock())
+        queue.push_all(make_job(f"big-{n}", size=Size(8, 8, 0)) for n in range(50))
+        queue.push_all(make_job(f"huge-{n}", size=Size(9, 8, 0)) for n in range(50))
+        queue.push(make_job("small", submitted=timedelta(seconds=1)))
+        offers, offered = Pass(queue), []
+        while job := offers.next():
+            offered.append(job.name)
+            if job.name == "small":
+                offers.take(job)
+            else:
+                offers.fail(job, "memory")
+        self.assertEqual(offered, ["big-0", "small"])
+
+    def test_room_on_a_worker_lets_only_what_fits_it_be_tried_again(self):
+        queue = make_queue(make_quotas(Size(1000, 1000, 0)), ManualClock())
+        queue.push(make_job("big", size=Size(8, 8, 0)))
+        queue.push(make_job("long", size=Size(2, 9, 0)))
+        _fail_all(queue)
+        queue.note_room(Size(7, 7, 0))
+        self.assertIsNone(Pass(queue).next())
+        queue.note_room(Size(8, 8, 0))
+        self.assertEqual(_fail_all(queue), ["big"])
+
+    def test_a_skipped_job_holds_up_none_of_its_likes(self):
+        clock = ManualClock()
+        queue = make_queue(make_quotas(Size(1000, 1000, 0)), clock)
+        queue.push_all(make_job(f"job-{n}") for n in range(5))
+        offers = Pass(queue)
+        for _ in range(3):
+            offers.skip(offers.next(), "it would hold up the reservation of x")
+        self.assertEqual(offers.next().name, "job-3")
+        queue.remove("job-3")
+        self.assertEqual(offers.next().name, "job-4")
+        clock.move(timedelta(seconds=1))
+        self.assertEqual(Pass(queue).next().name, "job-0")
+
+    def test_what_could_not_start_waits_again_in_its_old_place(self):
+        quotas = make_quotas()
+        queue = make_queue(quotas, ManualClock())
+        queue.push(make_job("first", tasks=3))
+        queue.push(make_job("second", submitted=timedelta(seconds=1)))
+        offers = Pass(queue)
+        job = offers.next()
+        offers.take(job)
+        self.assertEqual(queue.get("first").tasks, 2)
+        queue.put_back(job)
+        self.assertEqual(queue.get("first").tasks, 3)
+        self.assertEqual(quotas.read("ash").use, Size(0, 0, 0))
+        self.assertEqual(quotas.read("ash").want, Size(4, 4, 0))
+        self.assertEqual(Pass(queue).next().name, "first")
+
+
+class TestDescribe(unittest.TestCase):
+    """A job's owner learns why it waits."""
+
+    def test_each_cause_is_named(self):
+        quotas = make_quotas()
+        queue = make_queue(quotas, ManualClock())
+        queue.push(make_job("a", size=Size(2, 2, 0)))
+        queue.push(make_job("b", size=Size(2, 2, 0), submitted=timedelta(seconds=1)))
+        self.assertIn("number 2 of team ash in class normal", queue.describe("b")[0])
+        self.assertIn("0 teams", queue.describe("b")[1])
+        _fail_all(queue)
+        self.assertEqual(queue.describe("b")[1], "no worker has room: memory")
+        quotas.charge("birch", CAPACITY)
+        quotas.charge("ash", Size(4, 0, 0))
+        self.assertIn("quota of millicores", queue.describe("b")[1])
+        self.assertEqual(queue.describe("c"), ())
+
+
+def _fail_all(queue):
+    offers, names = Pass(queue), []
+    while job := offers.next():
+        names.append(job.name)
+        offers.fail(job, "memory")
+    return names
+
+
+def _is_as_hard(other, job, naive):
+    """Tell whether the failure of ``job`` covers ``other``, by the page."""
+    return (
+        CLASSES.index(other.urgency) >= CLASSES.index(job.urgency)
+        and other.offered >= job.offered
+        and fits(job.size, other.size)
+        and (_is_within(job, naive) or not _is_within(other, naive))
+    )
+
+
+def _is_within(job, naive):
+    use = naive.use(job.team)
+    return all(
+        not need or use[index] + need <= 5 - 4 * (index == 2)
+        for index, need in enumerate(job.need)
+    )
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,171 @@
+"""Quotas of teams against a direct computation."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskdeck.errors import InvariantError
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, fits, subtract_sizes
+from damaskdeck.state.quotas import Giver, Quotas, sum_sizes
+
+TEAMS = ("ash", "birch", "cedar")
+SIZES = st.builds(Size, *[st.integers(0, 4)] * 3)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("charge", "release", "want", "unwant", "quota")),
+        st.sampled_from(TEAMS),
+        SIZES,
+    ),
+    max_size=40,
+)
+
+
+class Model:
+    """What each team has, kept as plain lists."""
+
+    def __init__(self) -> None:
+        self.quota = dict.fromkeys(TEAMS, ZERO_SIZE)
+        self.used = {team: [] for team in TEAMS}
+        self.wanted = {team: [] for team in TEAMS}
+
+    def step(self, quotas, kind, team, size):
+        if kind == "quota":
+            self.quota[team] = size
+            quotas.set_quota(team, size)
+        elif kind == "charge":
+            self.used[team].append(size)
+            quotas.charge(team, size)
+        elif kind == "want":
+            self.wanted[team].append(size)
+            quotas.add_want(team, size)
+        elif kind == "release" and self.used[team]:
+            quotas.release(team, self.used[team].pop())
+        elif kind == "unwant" and self.wanted[team]:
+            quotas.drop_want(team, self.wanted[team].pop())
+
+    def sum_claims(self, but, index):
+        return sum(self.claim(team, index) for team in TEAMS if team != but)
+
+    def claim(self, team, index):
+        left = self.quota[team][index] - sum(s[index] for s in self.used[team])
+        return max(0, min(left, sum(s[index] for s in self.wanted[team])))
+
+    def allows(self, team, need, capacity):
+        for index, amount in enumerate(need):
+            used = sum(size[index] for size in self.used[team])
+            everything = sum(s[index] for t in TEAMS for s in self.used[t])
+            idle = capacity[index] - everything - self.sum_claims(team, index)
+            within = used + amount <= self.quota[team][index]
+            if amount and not within and amount > idle:
+                return False
+        return True
+
+
+class TestQuotas(unittest.TestCase):
+    """Use is exact, and only what nobody may claim is lent."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(STEPS, SIZES, st.builds(Size, *[st.integers(0, 30)] * 3))
+    def test_decisions_equal_a_direct_computation(self, steps, need, capacity):
+        quotas, model = Quotas(capacity), Model()
+        for step in steps:
+            model.step(quotas, *step)
+            self.assertEqual(
+                quotas.use, sum_sizes(s for used in model.used.values() for s in used)
+            )
+            self.assertEqual(
+                quotas.claims, Size(*(model.sum_claims("", i) for i in range(3)))
+            )
+            for team in TEAMS:
+                self.assertEqual(quotas.read(team).use, sum_sizes(model.used[team]))
+                allowed = quotas.find_shortfall(team, need) is None
+                self.assertEqual(allowed, model.allows(team, need, capacity))
+
+    def test_idle_quota_is_lent_until_its_team_wants_it(self):
+        quotas = Quotas(Size(10, 0, 0))
+        quotas.set_quota("ash", Size(6, 0, 0))
+        quotas.set_quota("birch", Size(4, 0, 0))
+        quotas.charge("ash", Size(6, 0, 0))
+        self.assertIsNone(quotas.find_shortfall("ash", Size(4, 0, 0)))
+        quotas.add_want("birch", Size(9, 0, 0))
+        self.assertEqual(quotas.find_shortfall("ash", Size(1, 0, 0)), "millicores")
+        self.assertIsNone(quotas.find_shortfall("birch", Size(4, 0, 0)))
+        quotas.drop_want("birch", Size(9, 0, 0))
+        self.assertIsNone(quotas.find_shortfall("ash", Size(4, 0, 0)))
+
+    def test_a_dimension_that_is_not_needed_never_refuses(self):
+        quotas = Quotas(Size(10, 10, 1))
+        quotas.set_quota("ash", Size(5, 5, 0))
+        quotas.charge("ash", Size(0, 0, 1))
+        self.assertIsNone(quotas.find_shortfall("ash", Size(5, 5, 0)))
+        self.assertEqual(quotas.find_shortfall("ash", Size(1, 1, 1)), "accelerators")
+
+    def test_the_greatest_weighted_excess_gives_back_first(self):
+        quotas = Quotas(Size(100, 100, 10))
+        quotas.set_quota("ash", Size(10, 10, 0), weight=4.0)
+        quotas.set_quota("birch", Size(10, 10, 0))
+        quotas.set_quota("cedar", Size(0, 0, 0))
+        quotas.charge("ash", Size(50, 0, 0))
+        quotas.charge("birch", Size(30, 0, 0))
+        quotas.charge("cedar", Size(0, 0, 9))
+        self.assertEqual(
+            quotas.list_givers(Size(1, 0, 0)),
+            (Giver("birch", Size(20, 0, 0)), Giver("ash", Size(40, 0, 0))),
+        )
+
+    def test_a_lowered_quota_turns_use_into_debt(self):
+        quotas = Quotas(Size(10, 0, 0))
+        quotas.set_quota("ash", Size(8, 0, 0))
+        quotas.charge("ash", Size(8, 0, 0))
+        quotas.drop_team("ash")
+        self.assertEqual(
+            quotas.list_givers(Size(1, 0, 0)), (Giver("ash", Size(8, 0, 0)),)
+        )
+
+    def test_giving_back_more_than_was_charged_is_a_broken_invariant(self):
+        quotas = Quotas(Size(10, 0, 0))
+        quotas.charge("ash", Size(2, 0, 0))
+        quotas.charge("birch", Size(5, 0, 0))
+        with self.assertRaises(InvariantError):
+            quotas.release("ash", Size(3, 0, 0))
+        self.assertEqual(quotas.use, Size(7, 0, 0))
+
+
+class TestBorrowing(unittest.TestCase):
+    """No team starts work above its quota with what another may claim."""
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(
+        st.lists(st.tuples(st.sampled_from(TEAMS), SIZES, st.booleans()), max_size=60)
+    )
+    def test_a_loan_leaves_idle_what_the_others_may_claim(self, steps):
+        capacity, quota = Size(24, 24, 24), Size(8, 8, 8)
+        quotas = Quotas(capacity)
+        used, wanted = {t: [] for t in TEAMS}, {t: [] for t in TEAMS}
+        for team in TEAMS:
+            quotas.set_quota(team, quota)
+        for team, need, ends in steps:
+            if ends and used[team]:
+                quotas.release(team, used[team].pop(0))
+            idle = subtract_sizes(capacity, quotas.use)
+            quotas.add_want(team, need)
+            wanted[team].append(need)
+            if quotas.find_shortfall(team, need) or not fits(need, idle):
+                continue
+            quotas.drop_want(team, need)
+            wanted[team].remove(need)
+            quotas.charge(team, need)
+            used[team].append(need)
+            idle = subtract_sizes(idle, need)
+            for index in range(3):
+                if need[index] and sum_sizes(used[team])[index] > quota[index]:
+                    claims = sum(
+                        min(
+                            sum_sizes(wanted[other])[index],
+                            max(0, quota[index] - sum_sizes(used[other])[index]),
+                        )
+                        for other in TEAMS
+                        if other != team
+                    )
+                    self.assertGreaterEqual(idle[index], claims)
