Prove handover, takeover, drain, cancellation and answers of requests

Each daemon now tells of the calls that it opened itself; the last owner adds those of daemons that no longer answer. A successor asks until all are free.

--- a/src/damaskdeck/coordination/handover.py
+++ b/src/damaskdeck/coordination/handover.py
@@ -15,16 +15,21 @@
 ASK_TIMEOUT = timedelta(milliseconds=500)
 ASK_INTERVAL = timedelta(milliseconds=100)
 
+_UNKNOWN = ""
+_ZERO = timedelta()
+
 _log = get_logger("slots")
 
 
 class SlotHandover:
     """Keeps slots from being filled twice when a target's owner changes.
 
-    The new owner asks the daemons of its zone. The last owner says how many
-    slots its open calls still fill, and for how long at most, and is asked again
-    until they are free. If nobody was the last owner, it is dead, paused or cut
-    off, and all slots count as filled until its longest call must have ended.
+    The new owner asks the daemons of its zone, again and again until all slots
+    are free. Each says how many slots its own calls still fill, and for how long
+    at most; the last owner also what it had inherited itself from daemons that
+    may have gone since. While the last owner doesn't answer, it is dead, paused
+    or cut off, and all slots count as filled until its longest call must have
+    ended.
 
     :param longest: no call to a target is open for longer.
     :param margin: time after a call's deadline by which a target has stopped.
@@ -49,12 +54,15 @@
         self._margin = margin
         self._on_free = on_free
         self._follows: set[asyncio.Task[None]] = set()
-        self._former: dict[str, tuple[int, SlotPool]] = {}
+        self._former: dict[str, dict[int, SlotPool]] = {}
         peers.register(ReadSlots, self._tell)
 
     def keep(self, pool: SlotPool, epoch: int) -> None:
         """Remember the pool of a target that was lost, for its new owner."""
-        self._former[pool.target.name] = (epoch, pool)
+        pools = self._former.setdefault(pool.target.name, {})
+        for old in [e for e, p in pools.items() if not p.list_remaining(_ZERO)]:
+            del pools[old]
+        pools[epoch] = pool
 
     async def fill(self, pool: SlotPool, epoch: int) -> None:
         """Hold the slots that earlier owners' requests may still fill.
@@ -63,42 +71,56 @@
         """
         if epoch <= 1:
             return
-        target = pool.target.name
-        answers = [self._read_former(target), *await self._ask(target, epoch)]
-        if not self._inherit(pool, epoch, answers):
-            _log.warn("A target's last owner doesn't answer.", target=target)
-            until = self._clock.monotonic() + self._longest + self._margin
-            pool.inherit((until,) * pool.capacity)
+        until = self._clock.monotonic() + self._longest + self._margin
+        pool.inherit(_UNKNOWN, (until,) * pool.capacity)
+        if not self._inherit(pool, epoch, await self._ask(pool, epoch)):
+            name = pool.target.name
+            _log.warn("A target's last owner doesn't answer.", target=name)
         task = asyncio.ensure_future(self._follow(pool, epoch))
         self._follows.add(task)
         task.add_done_callback(self._follows.discard)
 
     async def _follow(self, pool: SlotPool, epoch: int) -> None:
-        target = pool.target.name
-        while pool.count_inherited():
+        while pool.count_inherited() and not self._is_lost(pool):
             await self._clock.sleep(ASK_INTERVAL)
-            answers = [self._read_former(target), *await self._ask(target, epoch)]
-            self._inherit(pool, epoch, answers)
+            self._inherit(pool, epoch, await self._ask(pool, epoch))
             self._on_free(pool)
 
-    def _inherit(self, pool: SlotPool, epoch: int, answers: list[SlotsRead]) -> bool:
-        now = self._clock.monotonic()
-        for answer in answers:
+    def _is_lost(self, pool: SlotPool) -> bool:
+        return pool in self._former.get(pool.target.name, {}).values()
+
+    def _inherit(
+        self, pool: SlotPool, epoch: int, answers: dict[str, SlotsRead]
+    ) -> bool:
+        """Take over what the earlier owners say; tell whether the last one did."""
+        for name, answer in answers.items():
+            pool.inherit(name, self._read_times(answer["remaining"]))
+        for answer in answers.values():
             if answer["epoch"] == epoch - 1:
-                left = [timedelta(seconds=seconds) for seconds in answer["remaining"]]
-                pool.inherit(tuple(now + time for time in left))
+                pool.inherit(_UNKNOWN, ())
+                for name, times in answer["inherited"].items():
+                    if name not in answers:
+                        pool.inherit(name, self._read_times(times))
                 return True
         return False
 
-    async def _ask(self, target: str, epoch: int) -> list[SlotsRead]:
+    def _read_times(self, remaining: list[float]) -> list[timedelta]:
+        now = self._clock.monotonic()
+        return [now + timedelta(seconds=seconds) for seconds in remaining]
+
+    async def _ask(self, pool: SlotPool, epoch: int) -> dict[str, SlotsRead]:
+        target = pool.target.name
         own = self._members.self
-        asked = [m.name for m in self._members.list_live(own.zone) if m != own]
+        names = [m.name for m in self._members.list_live(own.zone) if m != own]
         message = ReadSlots(target=target, epoch=epoch)
         replies = await asyncio.gather(
-            *(self._peers.call(n, message, ReadSlots, ASK_TIMEOUT) for n in asked)
+            *(self._peers.call(n, message, ReadSlots, ASK_TIMEOUT) for n in names)
         )
-        found = [r.message for r in replies if isinstance(r, Answered)]
-        return [answer for answer in found if answer]
+        answers = {own.name: self._read_former(target)}
+        for name, reply in zip(names, replies, strict=True):
+            if isinstance(reply, Answered) and reply.message:
+                answers[name] = reply.message
+        return answers
 
     async def _tell(self, instance: str, message: ReadSlots) -> SlotsRead | None:
         target = message["target"]
@@ -107,9 +129,14 @@
         return self._read_former(target)
 
     def _read_former(self, target: str) -> SlotsRead:
-        epoch, pool = self._former.get(target, (0, None))
-        remaining: list[float] = []
-        if pool is not None:
+        pools = self._former.get(target, {})
+        answer = SlotsRead(
+            target=target, epoch=max(pools, default=0), remaining=[], inherited={}
+        )
+        for pool in pools.values():
             times = pool.list_remaining(self._margin)
-            remaining = [time.total_seconds() for time in times]
-        return SlotsRead(target=target, epoch=epoch, remaining=remaining)
+            answer["remaining"].extend(time.total_seconds() for time in times)
+        if pools:
+            for name, times in pools[answer["epoch"]].list_inherited().items():
+                answer["inherited"][name] = [time.total_seconds() for time in times]
+        return answer
--- a/src/damaskdeck/coordination/slots.py
+++ b/src/damaskdeck/coordination/slots.py
@@ -1,12 +1,16 @@
 """Exact accounting of a target's slots and connections, by its owner."""
 
 import heapq
+from collections.abc import Iterable
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
 from damaskdeck.errors import InvariantError
 from damaskdeck.protocol.ports import Instance, InstanceState
 
+# A call that is open still, past its deadline even, stays so for a while.
+OPEN_TIME = timedelta(seconds=1)
+
 
 class SlotPool:
     """The slots and connections of one target.
@@ -27,7 +31,7 @@
         self._clock = clock
         self._deadlines: dict[int, timedelta] = {}
         self._held: list[timedelta] = []
-        self._inherited: list[timedelta] = []
+        self._inherited: dict[str, list[timedelta]] = {}
         self._count = 0
 
     @property
@@ -37,12 +41,14 @@
 
     def count_free(self) -> int:
         """Return how many more requests may be sent to the target now."""
-        if self._held or self._inherited:
+        if self._held:
             self._release_held()
         limit = self.capacity
         if self.allowance is not None:
             limit = min(limit, self.allowance)
-        return limit - self.busy - len(self._held) - len(self._inherited)
+        if self._inherited:
+            limit -= self.count_inherited()
+        return limit - self.busy - len(self._held)
 
     @property
     def is_open(self) -> bool:
@@ -76,31 +82,46 @@
         self.free(number)
         heapq.heappush(self._held, until)
 
-    def inherit(self, until: tuple[timedelta, ...]) -> None:
+    def inherit(self, origin: str, until: Iterable[timedelta]) -> None:
         """Hold slots for what an earlier owner may still have in progress.
 
-        :param until: takes the place of what was inherited before.
+        :param origin: the daemon that opened the calls, or an empty string.
+        :param until: takes the place of what was inherited from ``origin``.
         """
-        self._inherited = sorted(until)
+        times = sorted(until)
+        if times:
+            self._inherited[origin] = times
+        else:
+            self._inherited.pop(origin, None)
 
     def count_inherited(self) -> int:
-        """Return how many slots an earlier owner's requests may still fill."""
+        """Return how many slots earlier owners' requests may still fill."""
         self._release_held()
-        return len(self._inherited)
+        return sum(map(len, self._inherited.values()))
 
     def list_remaining(self, margin: timedelta) -> tuple[timedelta, ...]:
-        """Return how long each slot that isn't free may stay so.
+        """Return how long each slot filled from here may stay so.
 
         :param margin: added to the deadlines of calls that are still open.
         """
         now = self._clock.monotonic()
         self._release_held()
-        busy = [time + margin for time in self._deadlines.values()]
-        return tuple(time - now for time in [*self._held, *self._inherited, *busy])
+        least = now + OPEN_TIME
+        busy = [max(time + margin, least) for time in self._deadlines.values()]
+        return tuple(time - now for time in [*self._held, *busy])
+
+    def list_inherited(self) -> dict[str, tuple[timedelta, ...]]:
+        """Return how long slots may stay filled, by the daemons that filled them."""
+        now = self._clock.monotonic()
+        self._release_held()
+        return {
+            origin: tuple(time - now for time in times)
+            for origin, times in self._inherited.items()
+        }
 
     def _release_held(self) -> None:
         now = self._clock.monotonic()
         while self._held and self._held[0] <= now:
             heapq.heappop(self._held)
-        while self._inherited and self._inherited[0] <= now:
-            self._inherited.pop(0)
+        for origin, times in list(self._inherited.items()):
+            self.inherit(origin, [time for time in times if time > now])
--- a/src/damaskdeck/protocol/forwarding.py
+++ b/src/damaskdeck/protocol/forwarding.py
@@ -105,12 +105,14 @@
     """Slots that an earlier owner's requests may still fill.
 
     ``epoch`` is the last one at which the sender was the owner, 0 if never;
-    ``remaining`` has an upper bound in seconds for each such slot.
+    ``remaining`` has an upper bound in seconds for each slot that the sender
+    filled, ``inherited`` for those of still earlier owners, by their names.
     """
 
     target: str
     epoch: int
     remaining: list[float]
+    inherited: dict[str, list[float]]
 
 
 def write_outcome(identifier: str, attempt: int, outcome: Outcome) -> ForwardOutcome:
--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -91,6 +91,8 @@
         """Add a daemon, or put a new one in place of one of its name."""
         self.switch.zones[name] = zone
         self.members.dead.discard(name)
+        for other in self.routers:
+            self.switch.heal(name, other)
         self.routers[name] = Router(
             self.members.connect(name, zone),
             self.table.connect(name),
@@ -129,6 +131,8 @@
         """Let a daemon die: nobody hears of it any more."""
         self.stop_entry(name)
         self.switch.disconnect(name)
+        for other in self.routers:
+            self.switch.cut_both(name, other)
         self.members.dead.add(name)
 
     async def ask(self, entry: str, identifier: str, **changes: Any) -> Outcome:
@@ -227,10 +231,14 @@
     async def drop(self, thing: str) -> None:
         """Let the owner of a thing learn that it has lost it."""
         owner = self.owners[thing]
-        view = self.views[owner.instance]
+        await self.lose(owner.instance, thing, owner.epoch)
+
+    async def lose(self, instance: str, thing: str, epoch: int) -> None:
+        """Let a daemon learn that it has lost a thing, however late."""
+        view = self.views[instance]
         view.held.discard(thing)
         for handler in view.loss_handlers:
-            await handler(thing, owner.epoch)
+            await handler(thing, epoch)
 
 
 class OwnershipView:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,16 +1,20 @@
 """Requests run once, at the owners of targets, and callers learn the truth."""
 
 import asyncio
+import itertools
+import sys
 import unittest
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
+from damaskdeck.protocol.forwarding import ForwardRequest
+from damaskdeck.protocol.handlers import Claimed, Known
 from damaskdeck.protocol.outcomes import Completed, Failed, Refused, Unknown
-from damaskdeck.protocol.ports import InstanceState
+from damaskdeck.protocol.ports import InstanceState, TargetAnswer, TargetCall
 from standins.faults import FaultKind
 from standins.loops import LoopClock, run_virtual
-from standins.requests import Layout, RequestDeployment
+from standins.requests import SERVICE, Layout, RequestDeployment
 
 SECOND = timedelta(seconds=1)
 
@@ -33,10 +37,6 @@
     return run_virtual(run())
 
 
-async def pause(seconds: float) -> None:
-    await asyncio.sleep(seconds)
-
-
 class TestForwarding(unittest.TestCase):
     def test_an_entry_without_room_forwards_to_an_owner(self):
         async def scenario(deployment):
@@ -149,3 +149,353 @@
         outcomes, refused, state = play(scenario)
         self.assertEqual({type(o) for o in outcomes}, {Completed})
         self.assertEqual((refused, state), (1, InstanceState.LIVE))
+
+
+class TestDrain(unittest.TestCase):
+    def test_what_was_accepted_is_finished_and_what_is_new_goes_elsewhere(self):
+        async def scenario(deployment):
+            router = deployment.routers["entry-0-0"]
+            old = [
+                asyncio.ensure_future(deployment.ask("entry-0-0", f"old{i}"))
+                for i in range(20)
+            ]
+            await asyncio.sleep(0.01)
+            drain = asyncio.ensure_future(router.drain())
+            await asyncio.sleep(0.01)
+            new = await deployment.ask("entry-0-0", "new")
+            self.assertFalse(drain.done())
+            await drain
+            target = deployment.targets["target-0-0"]
+            return [t.done() and t.result() for t in old], new, target.running
+
+        old, new, running = play(scenario)
+        self.assertEqual(old, [Completed(f"old{i}".encode()) for i in range(20)])
+        self.assertEqual((new, running), (Completed(b"new"), 0))
+
+    def test_peers_requests_are_refused_with_a_hint_when_nobody_else_is_left(self):
+        async def scenario(deployment):
+            await deployment.routers["entry-0-0"].drain()
+            deployment.kill_entry("entry-0-1")
+            await asyncio.sleep(1)
+            return await deployment.ask("entry-0-0", "r")
+
+        outcome = play(scenario)
+        self.assertEqual((outcome.code, outcome.retry_after), ("draining", SECOND))
+
+    def test_requests_that_wait_move_on_when_the_targets_are_handed_over(self):
+        async def scenario(deployment):
+            asks = [
+                asyncio.ensure_future(deployment.ask("entry-0-0", f"r{i}"))
+                for i in range(8)
+            ]
+            await asyncio.sleep(0.01)
+            await deployment.table.hand_over("target/target-0-0", "entry-0-1")
+            return await asyncio.gather(*asks), deployment.count_overfills()
+
+        outcomes, overfills = play(scenario)
+        self.assertEqual(outcomes, [Completed(f"r{i}".encode()) for i in range(8)])
+        self.assertEqual(overfills, 0)
+
+    def test_requests_that_move_are_served_before_those_with_more_time(self):
+        async def scenario(deployment):
+            soon = timedelta(seconds=0.3)
+            asks = [deployment.ask("entry-0-1", f"b{i}") for i in range(30)]
+            asks += [deployment.ask("entry-0-0", f"a{i}", timeout=soon) for i in "1234"]
+            asks = [asyncio.ensure_future(ask) for ask in asks]
+            await asyncio.sleep(0.01)
+            await deployment.table.hand_over("target/target-0-0", "entry-0-1")
+            return {type(outcome) for outcome in await asyncio.gather(*asks)}
+
+        self.assertEqual(play(scenario), {Completed})
+
+
+class TestCancellation(unittest.TestCase):
+    def test_a_wave_costs_linear_work_and_no_store_call(self):
+        small, few = self.count_work(1000)
+        large, many = self.count_work(10_000)
+        self.assertLess(large / small, 11)
+        self.assertEqual((few, many), ([], []))
+
+    def count_work(self, size: int) -> tuple[int, list[str]]:
+        """Count the function calls of a wave, and list those of the store."""
+        keys = Keys()
+        calls = 0
+
+        def count(*_: object) -> None:
+            nonlocal calls
+            calls += 1
+
+        async def scenario(deployment):
+            asks = [
+                asyncio.ensure_future(
+                    deployment.ask("entry-0-0", f"r{i}", team=f"team-{i % 20}")
+                )
+                for i in range(size)
+            ]
+            await asyncio.sleep(0.01)
+            sys.setprofile(count)
+            for task in reversed(asks):
+                task.cancel()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            sys.setprofile(None)
+            self.assertTrue(all(task.cancelled() for task in asks))
+
+        play(scenario, keys=keys)
+        return calls, keys.calls
+
+    def test_a_caller_that_goes_gives_up_its_place(self):
+        async def scenario(deployment):
+            asks = [
+                asyncio.ensure_future(deployment.ask("entry-0-0", f"r{i}"))
+                for i in range(12)
+            ]
+            await asyncio.sleep(0.01)
+            for task in asks[:11]:
+                task.cancel()
+            last = await asks[11]
+            return last, deployment.clock.monotonic(), deployment.log.counts
+
+        last, time, counts = play(scenario)
+        self.assertEqual(last, Completed(b"r11"))
+        self.assertLess(time, timedelta(seconds=0.11))
+        self.assertLessEqual(sum(counts.values()), 5)
+
+    def test_a_place_that_came_while_its_caller_went_is_given_back(self):
+        async def scenario(deployment):
+            lane = deployment.routers["entry-0-0"]._get_lane(SERVICE)
+            pool = lane.pools["target-0-0"]
+            first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
+            first = [asyncio.ensure_future(ask) for ask in first]
+            await asyncio.sleep(0.01)
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "b"))
+            await asyncio.sleep(0)
+            pool.target = pool.target._replace(slots=3)
+            lane.give_places()
+            ask.cancel()
+            await asyncio.gather(*first, ask, return_exceptions=True)
+            return pool.busy
+
+        self.assertEqual(play(scenario), 0)
+
+    def test_a_cancelled_forward_gives_up_its_place_at_the_owner(self):
+        async def scenario(deployment):
+            await deployment.table.drop("target/target-0-0")
+            await asyncio.sleep(0.5)
+            asks = [
+                asyncio.ensure_future(deployment.ask("entry-0-0", f"r{i}"))
+                for i in range(12)
+            ]
+            await asyncio.sleep(0.01)
+            for task in asks:
+                task.cancel()
+            await asyncio.sleep(1)
+            return deployment.log.counts
+
+        counts = play(scenario)
+        self.assertEqual(sum(counts.values()), 2)
+
+
+class Answers:
+    """Targets whose answers to two callers come late, doubled and crossed.
+
+    :param picks: for each call in turn, which of all calls so far is answered.
+    """
+
+    def __init__(self, picks: tuple[int, ...]) -> None:
+        self.picks = list(picks)
+        self.calls: list[TargetCall] = []
+        self.true: set[str] = set()
+
+    async def send(self, target, call, timeout):
+        self.calls.append(call)
+        await asyncio.sleep(0.01)
+        pick = self.picks.pop(0) if self.picks else 0
+        answered = self.calls[min(pick, len(self.calls) - 1)]
+        if answered is call:
+            self.true.add(call.request)
+        body = answered.request.encode()
+        return TargetAnswer(answered.request, answered.attempt, 200, body)
+
+
+class TestAnswers(unittest.TestCase):
+    def test_no_order_of_two_callers_answers_gives_one_the_others(self):
+        for picks in itertools.product(range(4), repeat=4):
+            for idempotent in (True, False):
+                self.check(picks, idempotent)
+
+    def check(self, picks, idempotent):
+        answers = Answers(picks)
+
+        async def scenario(deployment):
+            for router in deployment.routers.values():
+                router._sender._targets = answers
+            asks = (
+                deployment.ask("entry-0-0", name, idempotent=idempotent)
+                for name in ("a", "b")
+            )
+            return await asyncio.gather(*asks)
+
+        outcomes = play(scenario)
+        for name, outcome in zip(("a", "b"), outcomes, strict=True):
+            own = Completed(name.encode())
+            expected = own if name in answers.true else Unknown("answer_crossed")
+            self.assertEqual(outcome, expected, picks)
+        if not idempotent:
+            self.assertEqual(sorted(c.request for c in answers.calls), ["a", "b"])
+
+    def test_a_crossed_reply_of_a_peer_is_dropped(self):
+        async def scenario(deployment):
+            await deployment.table.drop("target/target-0-0")
+            await asyncio.sleep(0.5)
+            peers = deployment.switch.find("entry-0-1")
+            handler = peers._handlers["forward_request"]
+
+            async def cross(instance, message):
+                return {**await handler(instance, message), "identifier": "another"}
+
+            peers.register(ForwardRequest, cross)
+            return await deployment.ask("entry-0-0", "r"), deployment.log.counts["r"]
+
+        self.assertEqual(play(scenario), (Unknown("answer_crossed"), 1))
+
+    def test_a_doubled_message_runs_once(self):
+        async def scenario(deployment):
+            await deployment.table.drop("target/target-0-0")
+            await asyncio.sleep(0.5)
+            peers = deployment.switch.find("entry-0-1")
+            handler = peers._handlers["forward_request"]
+
+            async def double(instance, message):
+                first, second = await asyncio.gather(
+                    handler(instance, message), handler(instance, message)
+                )
+                third = await handler(instance, message)
+                self.assertEqual((second, third), (None, None))
+                return first
+
+            peers.register(ForwardRequest, double)
+            return await deployment.ask("entry-0-0", "r"), deployment.log.counts["r"]
+
+        self.assertEqual(play(scenario), (Completed(b"r"), 1))
+
+
+class TestLinks(unittest.TestCase):
+    """The first entry owns nothing and must forward to the second."""
+
+    def play(self, scenario):
+        async def run(deployment):
+            await deployment.table.drop("target/target-0-0")
+            await asyncio.sleep(0.5)
+            outcome = await scenario(deployment)
+            return outcome, deployment.log.counts["r"]
+
+        return play(run)
+
+    def test_a_request_lost_on_the_way_is_unknown(self):
+        async def scenario(deployment):
+            deployment.switch.cut("entry-0-0", "entry-0-1")
+            return await deployment.ask("entry-0-0", "r")
+
+        self.assertEqual(self.play(scenario), (Unknown("timeout"), 0))
+
+    def test_a_reply_lost_on_the_way_is_unknown(self):
+        async def scenario(deployment):
+            deployment.switch.cut("entry-0-1", "entry-0-0")
+            return await deployment.ask("entry-0-0", "r")
+
+        self.assertEqual(self.play(scenario), (Unknown("timeout"), 1))
+
+    def test_a_zone_cut_off_goes_on_with_its_own_targets(self):
+        async def scenario(deployment):
+            for name in deployment.routers:
+                deployment.switch.cut_both("entry-0-1", name)
+            asks = [deployment.ask("entry-0-1", f"r{i}") for i in range(20)]
+            return {type(outcome) for outcome in await asyncio.gather(*asks)}
+
+        self.assertEqual(self.play(scenario)[0], {Completed})
+
+    def test_an_owner_that_dies_with_a_forwarded_request_is_unknown(self):
+        async def scenario(deployment):
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "r"))
+            await asyncio.sleep(0.01)
+            deployment.kill_entry("entry-0-1")
+            return await ask
+
+        outcome, runs = self.play(scenario)
+        self.assertEqual((type(outcome), runs), (Unknown, 1))
+
+
+class Keys:
+    """Remembers keys in memory; may be down, and counts calls."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.calls: list[str] = []
+        self.claimed: dict[str, Any] = {}
+
+    async def claim_key(self, team, service, key, digest, timeout):
+        self.calls.append("claim")
+        if self.is_down:
+            return Refused("store_down", retry_after=SECOND)
+        if key in self.claimed:
+            outcome = self.claimed[key]
+            return Known(outcome) if outcome else Refused("in_progress")
+        self.claimed[key] = None
+        return Claimed()
+
+    async def settle_key(self, team, service, key, outcome):
+        self.calls.append("settle")
+        self.claimed[key] = outcome
+        return True
+
+
+class TestKeys(unittest.TestCase):
+    def play(self, scenario):
+        keys = Keys()
+
+        async def run(deployment):
+            outcome = await scenario(deployment, keys)
+            return outcome, deployment.log.counts
+
+        return *play(run, keys=keys), keys
+
+    def test_a_key_is_claimed_before_and_settled_after_the_request(self):
+        async def scenario(deployment, keys):
+            first = await deployment.ask("entry-0-0", "a", key="k")
+            second = await deployment.ask("entry-0-1", "b", key="k")
+            return first, second
+
+        outcomes, counts, keys = self.play(scenario)
+        self.assertEqual(outcomes, (Completed(b"a"), Completed(b"a")))
+        self.assertEqual(counts, {"a": 1})
+        self.assertEqual(keys.calls, ["claim", "settle", "claim"])
+
+    def test_nothing_is_sent_when_the_key_cannot_be_claimed(self):
+        async def scenario(deployment, keys):
+            keys.is_down = True
+            return await deployment.ask("entry-0-0", "a", key="k")
+
+        outcome, counts, _ = self.play(scenario)
+        self.assertEqual((outcome.code, counts), ("store_down", {}))
+
+    def test_requests_without_a_key_never_ask_the_store(self):
+        async def scenario(deployment, keys):
+            keys.is_down = True
+            asks = (deployment.ask("entry-0-0", f"r{i}") for i in range(30))
+            return await asyncio.gather(*asks)
+
+        outcomes, _, keys = self.play(scenario)
+        self.assertEqual({type(o) for o in outcomes}, {Completed})
+        self.assertEqual(keys.calls, [])
+
+    def test_a_keyed_request_whose_caller_goes_is_settled_with_its_answer(self):
+        async def scenario(deployment, keys):
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "a", key="k"))
+            await asyncio.sleep(0.01)
+            ask.cancel()
+            await asyncio.sleep(0.1)
+            return await deployment.ask("entry-0-0", "b", key="k")
+
+        outcome, counts, _ = self.play(scenario)
+        self.assertEqual((outcome, counts), (Completed(b"a"), {"a": 1}))
