--- /dev/null
+++ b/benchmarks/naive.py
@@ -0,0 +1,73 @@
+"""The naive scheduler under the replay: in arrival order, first fit."""
+
+from collections import deque
+from itertools import groupby
+
+from benchmarks.replay import Cell, Task
+from damaskdeck.protocol.sizes import fits
+from tests.naive_scheduler import NaiveScheduler
+
+
+class NaiveQueue:
+    """Starts work strictly in order of arrival; the head waits for room.
+
+    :param skips: whether work that doesn't fit lets later work go first.
+    """
+
+    def __init__(self, cell: Cell, skips: bool = False) -> None:
+        self._naive = NaiveScheduler(cell.mix.workers)
+        self._skips = skips
+        self._queue: deque[list[Task]] = deque()
+        self._has_room = True
+
+    def submit(self, cell: Cell, tasks: list[Task]) -> None:
+        """Append a job; a gang stays together."""
+        if not any(
+            fits(tasks[0].size, worker.size)
+            and (not tasks[0].arrival.zones or worker.zone in tasks[0].arrival.zones)
+            for worker in cell.mix.workers
+        ):
+            for task in tasks:
+                cell.refuse(task)
+            return
+        if tasks[0].arrival.type == "gang":
+            self._queue.append(tasks)
+        else:
+            self._queue.extend([task] for task in tasks)
+        self._has_room = True
+
+    def end(self, cell: Cell, task: Task, has_failed: bool) -> None:
+        """Free what a task held; a failed one goes to the end of the queue."""
+        self._naive.stop(task.name)
+        if task.state == "waiting":
+            self._queue.append([task])
+        self._has_room = True
+
+    def step(self, cell: Cell) -> None:
+        """Start the head of the queue as long as there is room for it."""
+        if self._skips:
+            self._try_all(cell)
+            return
+        while self._queue and self._try(cell, self._queue[0]):
+            self._queue.popleft()
+
+    def _try_all(self, cell: Cell) -> None:
+        if not self._has_room:
+            return
+        self._has_room = False
+        waiting: deque[list[Task]] = deque()
+        for _, jobs in groupby(self._queue, lambda tasks: tasks[0].arrival.job):
+            is_full = False
+            for tasks in jobs:
+                is_full = is_full or not self._try(cell, tasks)
+                if is_full:
+                    waiting.append(tasks)
+        self._queue = waiting
+
+    def _try(self, cell: Cell, tasks: list[Task]) -> bool:
+        placed = self._naive.place_all([task.make_need() for task in tasks])
+        if placed is None:
+            return False
+        for task in tasks:
+            cell.start(task, placed[task.name])
+        return True
--- a/tests/naive_scheduler.py
+++ b/tests/naive_scheduler.py
@@ -3,33 +3,26 @@
 from collections.abc import Iterable
 
 from damaskdeck.protocol.ports import Instance, InstanceState
-from damaskdeck.protocol.sizes import Size, add_sizes, fits
+from damaskdeck.protocol.sizes import Size, add_sizes, fits, subtract_sizes
 from damaskdeck.state.accounts import TaskNeed
 
 
 class NaiveScheduler:
-    """Keeps nothing but a list of workers and of what runs on each."""
+    """Knows the workers, what is free on each and what runs where."""
 
     def __init__(self, workers: Iterable[Instance]) -> None:
         self.workers = {worker.name: worker for worker in workers}
-        self.running: dict[str, dict[str, Size]] = {name: {} for name in self.workers}
-
-    def find_free(self, worker: str) -> Size:
-        """Add up what runs on a worker and return the rest."""
-        used = Size()
-        for size in self.running[worker].values():
-            used = add_sizes(used, size)
-        total = self.workers[worker].size
-        return Size(total[0] - used[0], total[1] - used[1], total[2] - used[2])
+        self.free = {worker.name: worker.size for worker in self.workers.values()}
+        self.running: dict[str, tuple[str, Size]] = {}
 
     def can_hold(self, need: TaskNeed, worker: str) -> bool:
         """Tell whether a worker may take the task now."""
         instance = self.workers[worker]
         return (
-            instance.state is InstanceState.LIVE
+            fits(need.size, self.free[worker])
+            and instance.state is InstanceState.LIVE
             and (not need.zones or instance.zone in need.zones)
             and worker not in need.avoid
-            and fits(need.size, self.find_free(worker))
         )
 
     def place(self, need: TaskNeed) -> str | None:
@@ -37,13 +30,13 @@
         return next((name for name in self.workers if self.can_hold(need, name)), None)
 
     def place_all(self, needs: Iterable[TaskNeed]) -> dict[str, str] | None:
-        """Place all tasks of a gang or none."""
+        """Start all tasks of a gang, or none."""
         placed: dict[str, str] = {}
         for need in needs:
             worker = self.place(need)
             if worker is None:
-                for task, name in placed.items():
-                    del self.running[name][task]
+                for task in placed:
+                    self.stop(task)
                 return None
             self.start(need, worker)
             placed[need.task] = worker
@@ -51,9 +44,11 @@
 
     def start(self, need: TaskNeed, worker: str) -> None:
         """Run a task on a worker."""
-        self.running[worker][need.task] = need.size
+        self.running[need.task] = worker, need.size
+        self.free[worker] = subtract_sizes(self.free[worker], need.size)
 
     def stop(self, task: str) -> None:
-        """End a task wherever it runs."""
-        for tasks in self.running.values():
-            tasks.pop(task, None)
+        """End a task if it runs."""
+        worker, size = self.running.pop(task, ("", Size()))
+        if worker:
+            self.free[worker] = add_sizes(self.free[worker], size)
