Put the daemon together and run the whole path as separate processes

Cause: the parts of the request plane, the task plane, the configuration and the membership had only met in process. Change: damaskdeck.daemon (one process, settings from YAML, graceful shutdown on SIGTERM), observed resources asked of all daemons, a demo of three daemon processes in two zones on stand-ins served over HTTP, listening sockets bound in one place.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole small deployment on stand-ins; run with ``python -m demo``."""
--- /dev/null
+++ b/src/damaskdeck/daemon.py
@@ -0,0 +1,300 @@
+"""The daemon: one process on each entry instance, all alike."""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import uuid
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from damaskdeck.clock import Clock, SystemClock
+from damaskdeck.coordination.fleet import Fleet
+from damaskdeck.coordination.hosting import WorkerHost
+from damaskdeck.coordination.keeper import Keeper
+from damaskdeck.coordination.membership import Membership
+from damaskdeck.coordination.observations import Observer
+from damaskdeck.coordination.ownership import StoreOwnership
+from damaskdeck.coordination.relay import ConfigurationRelay
+from damaskdeck.coordination.routing import Router
+from damaskdeck.errors import SettingsError
+from damaskdeck.logs import get_logger, install_handler
+from damaskdeck.protocol.members import Member
+from damaskdeck.protocol.ports import (
+    InstanceList,
+    InstanceRole,
+    Store,
+    TargetPort,
+    WorkerPort,
+)
+from damaskdeck.settings import Settings, load_settings
+from damaskdeck.state.configuration import Configuration
+from damaskdeck.state.watches import History
+from damaskdeck.transport.api.app import build_app
+from damaskdeck.transport.api.credentials import Credentials
+from damaskdeck.transport.api.server import ApiServer
+from damaskdeck.transport.instances import HttpInstanceList
+from damaskdeck.transport.listeners import open_listener, show_address
+from damaskdeck.transport.peers import PeerNetwork
+from damaskdeck.transport.store import HttpStore
+from damaskdeck.transport.targets import HttpTargets
+from damaskdeck.transport.workers import HttpWorkers
+
+EXIT_SETTINGS = 78
+EXIT_INVARIANT = 70
+
+_log = get_logger("daemon")
+
+
+class Platform(NamedTuple):
+    """The adapters to the platform."""
+
+    store: Store
+    instances: InstanceList
+    workers: WorkerPort
+    targets: TargetPort
+
+
+class Daemon:
+    """All parts of one daemon, put together.
+
+    :param platform: adapters; those over HTTP unless given.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        platform: Platform | None = None,
+    ) -> None:
+        self.settings = settings
+        self.api_address = ""
+        self._clock = clock
+        self._platform = platform or connect_platform(settings, clock)
+        self._is_draining = False
+        self._stop = asyncio.Event()
+        self._fleet_known = False
+
+    async def start(self) -> None:
+        """Bind the addresses and put the parts together."""
+        settings, clock = self.settings, self._clock
+        self._network = PeerNetwork(
+            settings.name,
+            settings.host,
+            settings.peer_port,
+            settings.peer_token,
+            clock,
+            lambda name: self.membership.find_address(name),
+        )
+        listener = open_listener(settings.host, settings.api_port)
+        self.api_address = show_address(listener)
+        await self._network.start()
+        self._build_coordination()
+        self._build_planes()
+        self._server = ApiServer(
+            self._build_app(),
+            settings.host,
+            settings.api_port,
+            settings.grace,
+            listener,
+        )
+        await self._server.start()
+        _log.info("Listening.", api=self.api_address, peers=self._network.address)
+
+    def _build_coordination(self) -> None:
+        settings, clock, network = self.settings, self._clock, self._network
+        store = self._platform.store
+        member = Member(
+            settings.name,
+            settings.zone,
+            settings.region,
+            network.address,
+            self.api_address,
+            uuid.uuid4().hex,
+        )
+        self.membership = Membership(
+            member,
+            network,
+            store,
+            clock,
+            settings.seeds,
+            heartbeat_interval=settings.heartbeat_interval,
+            member_lease=settings.member_lease,
+        )
+        self.ownership = StoreOwnership(self.membership, network, store, clock)
+        self.configuration = Configuration(History())
+        self.relay = ConfigurationRelay(
+            self.configuration, self.membership, network, store, clock
+        )
+        self.fleet = Fleet(self._platform.instances, clock)
+
+    def _build_planes(self) -> None:
+        settings, clock, network = self.settings, self._clock, self._network
+        shared = (self.membership, self.ownership, network)
+        self.keeper = Keeper(
+            *shared,
+            self._platform.store,
+            self.configuration,
+            self.fleet,
+            clock,
+            settings.ledger_count,
+        )
+        self.host = WorkerHost(
+            *shared,
+            self._platform.workers,
+            self.fleet,
+            clock,
+            member_lease=settings.member_lease,
+            lease=settings.task_lease,
+            renewal=settings.task_lease / 3,
+        )
+        self.router = Router(
+            *shared,
+            self._platform.targets,
+            self.fleet,
+            clock,
+            self.keeper,
+            longest=settings.request_timeout,
+        )
+        self.observer = Observer(*shared, self.fleet, self.host)
+        ledgers = tuple(f"{number:02d}" for number in range(settings.ledger_count))
+        self.ownership.set_things("ledger", ledgers)
+        self.fleet.on_change(lambda changes: self._list_things())
+
+    def _build_app(self) -> Any:
+        settings = self.settings
+        return build_app(
+            self.configuration,
+            self.relay,
+            self.router,
+            self.keeper,
+            self.observer,
+            Credentials(settings.operator_token, settings.team_tokens),
+            self._clock,
+            self.read_status,
+            self.is_ready,
+            settings.body_limit,
+            settings.request_timeout,
+        )
+
+    def _list_things(self) -> None:
+        self._fleet_known = True
+        for scope, role in (
+            ("target", InstanceRole.TARGET),
+            ("worker", InstanceRole.WORKER),
+        ):
+            listed = self.fleet.list(role, self.settings.zone)
+            self.ownership.set_things(scope, tuple(i.name for i in listed))
+
+    def is_ready(self) -> bool:
+        """Whether the balancer may send calls here."""
+        return self.relay.is_ready and self._fleet_known and not self._is_draining
+
+    def read_status(self) -> Mapping[str, Any]:
+        """Return this daemon's part of ``GET /v1/status``."""
+        held = {
+            scope: list(self.ownership.list_held(scope))
+            for scope in ("ledger", "target", "worker")
+        }
+        members = [m._asdict() for m in self.membership.list_live()]
+        return {
+            "instance": self.settings.name,
+            "zone": self.settings.zone,
+            "draining": self._is_draining,
+            "members": members,
+            "owned": held,
+        }
+
+    def request_stop(self) -> None:
+        """Let :meth:`run` shut down gracefully."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Run until asked to stop, then shut down gracefully.
+
+        Promise: "A graceful shutdown of an instance or process cuts off no
+        request in progress."
+        """
+        parts = [self.fleet, self.membership, self.ownership, self.relay]
+        parts += [self.host, self.router]
+        tasks = [asyncio.ensure_future(part.run()) for part in parts]
+        stop = asyncio.ensure_future(self._stop.wait())
+        try:
+            await asyncio.wait({stop, *tasks}, return_when=asyncio.FIRST_COMPLETED)
+            broken = [task for task in tasks if task.done()]
+            for task in broken:
+                task.result()
+            await self._drain()
+        finally:
+            for task in (stop, *tasks):
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._close()
+
+    async def _drain(self) -> None:
+        self._is_draining = True
+        _log.info("Shutting down.", grace=self.settings.grace.total_seconds())
+        await self._clock.sleep(self.settings.drain_delay)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.grace.total_seconds()):
+                await self.router.drain()
+                await self.ownership.drain()
+                await self.keeper.close()
+        await self.membership.leave()
+        await self._server.stop()
+
+    async def _close(self) -> None:
+        await self._server.stop()
+        await self._network.close()
+        for adapter in self._platform:
+            close = getattr(adapter, "close", None)
+            if close is not None:
+                await close()
+        _log.info("Stopped.")
+
+
+def connect_platform(settings: Settings, clock: Clock) -> Platform:
+    """Return the adapters over HTTP."""
+    name = settings.name
+    return Platform(
+        HttpStore(settings.store_address, clock, name),
+        HttpInstanceList(settings.instances_address, clock, name),
+        HttpWorkers(name),
+        HttpTargets(name),
+    )
+
+
+async def serve(settings: Settings) -> None:
+    """Run a daemon until a signal ends it."""
+    daemon = Daemon(settings, SystemClock())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    await daemon.start()
+    await daemon.run()
+
+
+def main() -> None:
+    """Read the settings and run the daemon."""
+    parser = argparse.ArgumentParser(prog="damaskdeckd", description=__doc__)
+    parser.add_argument("--settings", required=True, help="a YAML file")
+    args = parser.parse_args()
+    try:
+        settings = load_settings(args.settings)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{fault.path}: {fault.code}: {fault.detail}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    install_handler(settings.log_style, settings.log_level)
+    try:
+        asyncio.run(serve(settings))
+    except Exception as error:
+        _log.error("A broken invariant stops the process.", error=repr(error))
+        sys.stderr.flush()
+        os._exit(EXIT_INVARIANT)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/damaskdeck/defaults.py
+++ b/src/damaskdeck/defaults.py
@@ -42,3 +42,5 @@
 
 # Shutdown.
 SHUTDOWN_GRACE = timedelta(seconds=30)
+# Time for the balancer to see that a daemon is no longer ready.
+DRAIN_DELAY = timedelta(seconds=2)
--- a/src/damaskdeck/settings.py
+++ b/src/damaskdeck/settings.py
@@ -60,6 +60,7 @@
     heartbeat_interval: NotRequired[Seconds]
     task_lease: NotRequired[Seconds]
     grace: NotRequired[Seconds]
+    drain_delay: NotRequired[Annotated[float, Meta(ge=0, le=300)]]
 
 
 class SettingsDocument(TypedDict):
@@ -101,6 +102,7 @@
     heartbeat_interval: timedelta = defaults.HEARTBEAT_INTERVAL
     task_lease: timedelta = defaults.TASK_LEASE
     grace: timedelta = defaults.SHUTDOWN_GRACE
+    drain_delay: timedelta = defaults.DRAIN_DELAY
 
 
 def load_settings(path: str) -> Settings:
--- a/src/damaskdeck/transport/api/server.py
+++ b/src/damaskdeck/transport/api/server.py
@@ -10,6 +10,7 @@
 from starlette.applications import Starlette
 
 from damaskdeck import defaults
+from damaskdeck.transport.listeners import open_listener, show_address
 
 
 class _Server(uvicorn.Server):
@@ -36,6 +37,7 @@
 
     :param port: 0 takes a free one; see :attr:`address`.
     :param grace: how long requests in progress may last once stopped.
+    :param listener: a bound socket to serve on instead of ``host`` and ``port``.
     """
 
     def __init__(
@@ -44,11 +46,13 @@
         host: str,
         port: int,
         grace: timedelta = defaults.SHUTDOWN_GRACE,
+        listener: socket.socket | None = None,
     ) -> None:
         self.address = ""
         self._app = app
         self._host = host
         self._port = port
+        self._listener = listener
         config = uvicorn.Config(
             app,
             lifespan="off",
@@ -62,11 +66,8 @@
 
     async def start(self) -> None:
         """Listen, and serve in the background until :meth:`stop`."""
-        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        listener = socket.create_server((self._host, self._port), family=family)
-        listener.setblocking(False)
-        host, port = listener.getsockname()[:2]
-        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        listener = self._listener or open_listener(self._host, self._port)
+        self.address = show_address(listener)
         self._task = asyncio.ensure_future(self._server.serve(sockets=[listener]))
         await self._server.has_started.wait()
 
--- /dev/null
+++ b/src/damaskdeck/transport/listeners.py
@@ -0,0 +1,20 @@
+"""Listening sockets, bound before anything is served on them."""
+
+import socket
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Bind and listen; a TCP socket that doesn't block.
+
+    :param port: 0 takes a free one.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, port), family=family)
+    listener.setblocking(False)
+    return listener
+
+
+def show_address(listener: socket.socket) -> str:
+    """Return IP and port of a listener, as in ``127.0.0.1:8400``."""
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/src/damaskdeck/transport/peers.py
+++ b/src/damaskdeck/transport/peers.py
@@ -5,7 +5,6 @@
 import hmac
 import itertools
 import logging
-import socket
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
@@ -44,6 +43,7 @@
     run_until_first,
     watch_silence,
 )
+from damaskdeck.transport.listeners import open_listener, show_address
 
 HANDLER_LIMIT = 1000
 SERVER_SILENCE = 2 * SILENCE_LIMIT
@@ -87,11 +87,8 @@
 
     async def start(self) -> None:
         """Listen for other daemons."""
-        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        listener = socket.create_server((self._host, self._port), family=family)
-        listener.setblocking(False)
-        host, port = listener.getsockname()[:2]
-        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        listener = open_listener(self._host, self._port)
+        self.address = show_address(listener)
         self._server = Server([self], codec=BatchCodec(), config=CONFIGURATION)
         await self._server.start(sock=listener)
 
--- /dev/null
+++ b/src/standins/deployment.py
@@ -0,0 +1,158 @@
+"""Daemons as separate processes on the stand-ins of the platform."""
+
+import asyncio
+import signal
+import sys
+from asyncio.subprocess import PIPE, Process
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+from standins.platform import Platform
+
+OPERATOR_TOKEN = "operator-token"
+PEER_TOKEN = "peer-token-1"
+LINES_KEPT = 2000
+START_LIMIT_SECONDS = 30
+
+
+class DaemonProcess:
+    """One ``damaskdeckd`` process; its log lines are kept.
+
+    :param settings: the settings document.
+    :param folder: where the settings file is written.
+    """
+
+    def __init__(self, settings: dict[str, Any], folder: Path) -> None:
+        self.name = settings["name"]
+        self.address = ""
+        self.lines: deque[dict[str, Any]] = deque(maxlen=LINES_KEPT)
+        self._path = folder / f"{self.name}.yaml"
+        self._path.write_text(yaml.safe_dump(settings))
+        self._process: Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._listening = asyncio.Event()
+
+    @property
+    def process(self) -> Process:
+        """The running process."""
+        assert self._process is not None, "not started"
+        return self._process
+
+    async def start(self) -> None:
+        """Start the process and wait until it listens."""
+        self._listening.clear()
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "damaskdeck.daemon",
+            "--settings",
+            str(self._path),
+            stderr=PIPE,
+        )
+        self._reader = asyncio.ensure_future(self._read_lines())
+        async with asyncio.timeout(START_LIMIT_SECONDS):
+            await self._listening.wait()
+
+    async def stop(self) -> int:
+        """Shut down gracefully; returns the exit code."""
+        return await self._end(signal.SIGTERM)
+
+    async def kill(self) -> int:
+        """End the process at once, as when its instance fails."""
+        return await self._end(signal.SIGKILL)
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    async def _end(self, number: signal.Signals) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        code = await self.process.wait()
+        if self._reader is not None:
+            await self._reader
+        return code
+
+    async def _read_lines(self) -> None:
+        stream = self.process.stderr
+        assert stream is not None, "started with a pipe"
+        async for raw in stream:
+            line = _read_line(raw)
+            self.lines.append(line)
+            if line.get("message") == "Listening.":
+                self.address = line["api"]
+                self._listening.set()
+
+
+class Deployment:
+    """Several daemons on one platform.
+
+    :param platform: already serving over HTTP.
+    :param folder: for the settings files.
+    :param teams: token of each team.
+    :param limits: the section ``limits`` of each daemon's settings.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        folder: Path,
+        teams: dict[str, str],
+        limits: dict[str, float] | None = None,
+    ) -> None:
+        self.platform = platform
+        self.daemons: dict[str, DaemonProcess] = {}
+        self._folder = folder
+        self._teams = teams
+        self._limits = limits or {}
+
+    async def start(self, name: str, zone: str, region: str = "") -> DaemonProcess:
+        """Start a daemon in an availability zone."""
+        daemon = DaemonProcess(self.make_settings(name, zone, region), self._folder)
+        self.daemons[name] = daemon
+        await daemon.start()
+        return daemon
+
+    def make_settings(self, name: str, zone: str, region: str = "") -> dict[str, Any]:
+        """Return the settings document of a daemon."""
+        settings = {
+            "name": name,
+            "zone": zone,
+            "listen": {"host": "127.0.0.1"},
+            "platform": {
+                "store": self.platform.address,
+                "instances": self.platform.address,
+            },
+            "tokens": {
+                "operator": OPERATOR_TOKEN,
+                "peer": PEER_TOKEN,
+                "teams": self._teams,
+            },
+            "log": {"style": "json"},
+            "limits": {"drain_delay": 0, **self._limits},
+        }
+        if region:
+            settings["region"] = region
+        return settings
+
+    async def close(self) -> None:
+        """End all daemons at once."""
+        await asyncio.gather(*(d.kill() for d in self.daemons.values()))
+
+
+def _read_line(raw: bytes) -> dict[str, Any]:
+    try:
+        line = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        line = None
+    if isinstance(line, dict):
+        return line
+    return {"message": raw.decode(errors="replace").rstrip()}
