--- a/src/damaskdeck/coordination/placement.py
+++ b/src/damaskdeck/coordination/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from damaskdeck.coordination.filters import list_filters
+from damaskdeck.coordination.filters import Prepare, list_filters
 from damaskdeck.coordination.index import WorkerIndex
 from damaskdeck.coordination.scores import prepare_scores
 from damaskdeck.defaults import WEIGHTS
@@ -39,9 +39,13 @@
     ) -> None:
         self._accounts = accounts
         self._index = WorkerIndex(accounts)
-        self._filters = [item for item in list_filters() if not item.is_indexed]
+        self._filters = [item.prepare for item in list_filters() if not item.is_indexed]
         self.weights = dict(weights)
 
+    def add_filter(self, prepare: Prepare) -> None:
+        """Add a filter of this placer only, as one that keeps claimed room."""
+        self._filters.append(prepare)
+
     def place(self, need: TaskNeed) -> Placed | NoRoom | Impossible:
         """Choose a worker for ``need``; the caller then reserves it.
 
@@ -71,7 +75,7 @@
 
     def _list_candidates(self, need: TaskNeed) -> Iterator[WorkerAccount]:
         limit = _SPREAD_CANDIDATES if need.group else _CANDIDATES
-        predicates = [item.prepare(need) for item in self._filters]
+        predicates = [prepare(need) for prepare in self._filters]
         return self._index.find_candidates(
             need,
             limit,
