--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,246 @@
+"""Failing workers are told from failing workloads; quarantine is capped."""
+
+import random
+import unittest
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskdeck.coordination.failures import Failures
+from damaskdeck.coordination.quarantine import (
+    PAUSE,
+    PAUSE_LIMIT,
+    Quarantine,
+    WorkerState,
+)
+from damaskdeck.coordination.taskretries import BURST, NoRetry, Retry, TaskRetries
+from standins.clock import ManualClock
+
+FLEET = frozenset(f"w{number}" for number in range(20))
+
+
+class Cell:
+    """A quarantine under tasks that end at once."""
+
+    def __init__(self, fleet=FLEET, **options):
+        self.clock = ManualClock()
+        self.quarantine = Quarantine(self.clock, Failures(), **options)
+        self.quarantine.set_fleet(fleet)
+        self.count = 0
+
+    def run(self, worker, workload, succeeded, job=""):
+        self.count += 1
+        task = f"task-{self.count}"
+        if not self.quarantine.may_start(worker, True):
+            return False
+        self.quarantine.note_start(worker, task)
+        self.quarantine.note_end(
+            worker, workload, job or f"job-{self.count}", task, succeeded
+        )
+        return True
+
+    def break_worker(self, worker="w0"):
+        self.run("w1", "checks", True)
+        for _ in range(4):
+            self.run(worker, "checks", False)
+
+    def find_state(self, worker="w0"):
+        return self.quarantine.find_state(worker)
+
+
+class TestBlame(unittest.TestCase):
+    """Who is at fault when a task fails."""
+
+    def test_a_worker_that_fails_what_runs_well_elsewhere_is_held(self):
+        cell = Cell()
+        cell.break_worker()
+        self.assertEqual(cell.find_state(), WorkerState.QUARANTINED)
+        self.assertFalse(cell.quarantine.may_start("w0", True))
+        self.assertEqual(cell.quarantine.held, {"w0"})
+
+    def test_a_worker_is_held_for_many_jobs_not_for_one_that_is_retried(self):
+        cell = Cell()
+        cell.run("w1", "checks", True)
+        for _ in range(10):
+            cell.run("w0", "checks", False, job="poison")
+        self.assertEqual(cell.quarantine.held, frozenset())
+
+    def test_a_workload_that_fails_everywhere_holds_no_worker(self):
+        cell, rng = Cell(), random.Random(1)
+        for worker in sorted(FLEET):
+            cell.run(worker, "checks", True)
+        for _ in range(400):
+            cell.run(rng.choice(sorted(FLEET)), "broken", False)
+        self.assertEqual(cell.quarantine.held, frozenset())
+
+    def test_a_workload_that_ran_nowhere_yet_speaks_once_against_a_worker(self):
+        cell = Cell()
+        for _ in range(10):
+            cell.run("w0", "broken", False)
+        self.assertEqual(cell.quarantine.held, frozenset())
+
+    def test_a_success_takes_the_blame_from_a_workload(self):
+        failures = Failures()
+        for worker in ("w0", "w1", "w2"):
+            self.assertFalse(failures.is_workload_failing("checks"))
+            failures.note_failure(worker, "checks", "job")
+        self.assertTrue(failures.is_workload_failing("checks"))
+        failures.note_success("w3", "checks", timedelta())
+        self.assertFalse(failures.is_workload_failing("checks"))
+
+    def test_a_workload_that_breaks_after_running_well_frees_who_it_held(self):
+        cell = Cell()
+        cell.run("w9", "checks", True)
+        for _ in range(5):
+            cell.run("w0", "checks", False)
+        self.assertEqual(cell.quarantine.held, {"w0"})
+        for worker in ("w1", "w2", "w3"):
+            cell.run(worker, "checks", False)
+        self.assertEqual(cell.quarantine.held, frozenset())
+
+    def test_many_failing_workers_do_not_make_workloads_look_broken(self):
+        cell, rng = Cell(cap_share=0.5), random.Random(2)
+        failing = frozenset(f"w{number}" for number in range(6))
+        workloads = ("checks", "routes", "reports", "fits", "plans")
+        for _ in range(600):
+            worker = rng.choice(sorted(failing)[:6] * 3 + sorted(FLEET))
+            cell.run(worker, rng.choice(workloads), worker not in failing)
+        self.assertEqual(cell.quarantine.held, failing)
+
+    def test_an_outsider_is_never_held(self):
+        cell = Cell()
+        cell.break_worker("gone")
+        self.assertEqual(cell.quarantine.held, frozenset())
+
+
+class TestReturn(unittest.TestCase):
+    """A held worker comes back slowly."""
+
+    def test_a_held_worker_is_probed_by_idempotent_tasks_then_opened(self):
+        cell = Cell()
+        cell.break_worker()
+        cell.clock.move(PAUSE)
+        quarantine = cell.quarantine
+        self.assertEqual(cell.find_state(), WorkerState.PROBING)
+        self.assertFalse(quarantine.may_start("w0", False))
+        for passed in range(3):
+            tasks = [f"probe-{passed}-{number}" for number in range(2**passed)]
+            for task in tasks:
+                self.assertTrue(quarantine.may_start("w0", True))
+                quarantine.note_start("w0", task)
+            self.assertFalse(quarantine.may_start("w0", True))
+            for task in tasks[1:]:
+                quarantine.note_end("w0", "checks", task, task, None)
+            quarantine.note_end("w0", "checks", "job", tasks[0], True)
+        self.assertEqual(cell.find_state(), WorkerState.OPEN)
+        self.assertTrue(quarantine.may_start("w0", False))
+
+    def test_each_failed_probe_doubles_the_pause_up_to_a_limit(self):
+        cell = Cell()
+        cell.break_worker()
+        pause = PAUSE
+        for _ in range(9):
+            cell.clock.move(pause - timedelta(milliseconds=1))
+            self.assertEqual(cell.find_state(), WorkerState.QUARANTINED)
+            cell.clock.move(timedelta(milliseconds=1))
+            self.assertTrue(cell.run("w0", "checks", False))
+            pause = min(pause * 2, PAUSE_LIMIT)
+        self.assertEqual(pause, PAUSE_LIMIT)
+
+    def test_a_late_end_of_old_work_is_no_probe(self):
+        cell = Cell()
+        cell.break_worker()
+        cell.clock.move(PAUSE)
+        for number in range(5):
+            cell.quarantine.note_end("w0", "checks", f"{number}", f"old-{number}", True)
+        self.assertEqual(cell.find_state(), WorkerState.PROBING)
+
+
+class TestCap(unittest.TestCase):
+    """Quarantine never takes more than its share of the fleet."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("fail", "fail", "fail", "ok", "fleet", "wait")),
+                st.integers(0, 19),
+                st.integers(0, 5),
+            ),
+            max_size=200,
+        ),
+        st.sampled_from((0.1, 0.25)),
+    )
+    def test_held_workers_never_exceed_the_cap(self, steps, share):
+        cell = Cell(cap_share=share)
+        count = len(FLEET)
+        for kind, number, workload in steps:
+            worker = f"w{number}"
+            if kind == "fleet":
+                count = number
+                cell.quarantine.set_fleet(frozenset(f"w{n}" for n in range(count)))
+            elif kind == "wait":
+                cell.clock.move(PAUSE * number)
+            else:
+                cell.run(worker, f"load-{workload}", kind == "ok")
+            most = max(int(count * share), 1 if count > 1 else 0)
+            self.assertLessEqual(len(cell.quarantine.held), most)
+            self.assertTrue(all(int(name[1:]) < count for name in cell.quarantine.held))
+
+    def test_a_smaller_fleet_lets_the_latest_held_go(self):
+        cell = Cell()
+        cell.break_worker("w0")
+        cell.break_worker("w2")
+        self.assertEqual(cell.quarantine.held, {"w0", "w2"})
+        cell.quarantine.set_fleet(frozenset(f"w{n}" for n in range(5)))
+        self.assertEqual(cell.quarantine.held, {"w0"})
+
+    def test_the_cap_is_reached_when_everything_fails(self):
+        cell = Cell()
+        cell.run("w19", "checks", True)
+        for worker in sorted(FLEET):
+            for load in range(5):
+                cell.run(worker, f"load-{load}", False)
+        self.assertEqual(len(cell.quarantine.held), 2)
+
+
+class TestRetries(unittest.TestCase):
+    """A failed task is retried elsewhere, later and not for ever."""
+
+    def test_a_retry_avoids_the_workers_seen_failing(self):
+        retries = TaskRetries(random.Random(1))
+        plan = retries.plan("checks", 1, True, frozenset({"w0"}), frozenset({"w1"}))
+        self.assertEqual(plan.avoid, {"w0", "w1"})
+        self.assertLessEqual(plan.delay, timedelta(seconds=1))
+
+    def test_a_non_idempotent_task_is_never_retried(self):
+        retries = TaskRetries(random.Random(1))
+        plan = retries.plan("invoices", 1, False, frozenset())
+        self.assertEqual(plan, NoRetry("not_idempotent"))
+
+    def test_one_workload_can_not_use_up_the_retries_of_another(self):
+        retries = TaskRetries(random.Random(1))
+        granted = 0
+        for _ in range(1000):
+            granted += isinstance(retries.plan("bad", 1, True, frozenset()), Retry)
+        self.assertEqual(granted, BURST)
+        self.assertEqual(
+            retries.plan("bad", 1, True, frozenset()), NoRetry("retry_budget")
+        )
+        self.assertIsInstance(retries.plan("good", 1, True, frozenset()), Retry)
+
+    def test_the_hundredth_retry_still_has_a_wait(self):
+        retries = TaskRetries(random.Random(1))
+        self.assertIsInstance(retries.plan("checks", 100, True, frozenset()), Retry)
+
+    def test_starts_earn_retries_and_waits_grow(self):
+        retries = TaskRetries(random.Random(1))
+        most = timedelta()
+        for failures in range(1, 31):
+            for _ in range(2):
+                retries.note_start("checks")
+            plan = retries.plan("checks", failures, True, frozenset())
+            most = max(most, plan.delay)
+            self.assertLessEqual(plan.delay, timedelta(seconds=200))
+        self.assertGreater(most, timedelta(seconds=100))
