Try again within a budget, and let bad targets return slot by slot

- An idempotent request whose target is silent is tried elsewhere after half its time, but not before four times what most requests need; the silence counts against the target.
- Equal targets take turns.
The cap's test failed before: few requests all went to the first target, so nothing was learned of the others.

--- a/src/damaskdeck/coordination/health.py
+++ b/src/damaskdeck/coordination/health.py
@@ -13,6 +13,7 @@
 BAD_SHARE = 0.5
 EJECTED_SHARE = 0.34
 EJECTION_TIME = timedelta(seconds=2)
+PROBE_PAUSE = timedelta(seconds=1)
 EJECTION_LIMIT = timedelta(seconds=60)
 
 _WEIGHT = 0.05
@@ -75,6 +76,11 @@
         count_refusal(PART, "ejected")
         _log.warn("A target is ejected.", target=self.pool.target.name)
 
+    def postpone(self) -> None:
+        """Try again soon, after a probe that failed; it cost no request."""
+        spread = 1 + self._random.random() / 2
+        self.until = self._clock.monotonic() + PROBE_PAUSE * spread
+
     def bring_back(self) -> None:
         """Let the target have one slot, and more as it answers well."""
         self.until = None
--- a/src/damaskdeck/coordination/lanes.py
+++ b/src/damaskdeck/coordination/lanes.py
@@ -103,6 +103,9 @@
     def take(self, avoided: frozenset[str] = NOBODY) -> Place | None:
         """Take a slot on the own target with the most free ones.
 
+        Among equals it is the one that was taken longest ago, so that few
+        requests spread over all targets and their health is known.
+
         :param avoided: targets to leave out, unless there is no other.
         """
         pool = self._find_pool(avoided)
@@ -110,6 +113,8 @@
             pool = self._find_pool(NOBODY)
         if pool is None:
             return None
+        name = pool.target.name
+        self.pools[name] = self.pools.pop(name)
         return Place(pool, pool.take(self._clock.monotonic() + self._longest))
 
     def give_places(self) -> None:
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -63,6 +63,9 @@
 SEEK_LIMIT = 2
 BOUNCE_LIMIT = 16
 
+# An idempotent request is tried again after so many times what most need.
+SILENCE_FACTOR = 4
+
 # Refusals that no other place would answer otherwise.
 FINAL_CODES = frozenset({"deadline_unmeetable", "queue_full", "deadline_passed"})
 
@@ -325,7 +328,21 @@
             course.call = None
             return await self._forwarder.forward(place, course)
         course.call = self._sender.start(place, course)
-        return await self._sender.wait(course.call, course.deadline)
+        start = self._clock.monotonic()
+        until = self._choose_patience(course, start)
+        result = await self._sender.wait(course.call, until)
+        if not course.call.done():
+            silence = (self._clock.monotonic() - start).total_seconds()
+            self._note_health(place.pool, result, silence)
+        return result
+
+    def _choose_patience(self, course: Course, now: timedelta) -> timedelta:
+        """Return when an attempt is given up; earlier while another may be made."""
+        if not course.request.idempotent or course.retries + 1 >= ATTEMPT_LIMIT:
+            return course.deadline
+        durations = self._get_lane(course.request.service).durations
+        ample = timedelta(seconds=SILENCE_FACTOR * durations.high)
+        return min(course.deadline, now + max(ample, (course.deadline - now) / 2))
 
     def _judge(self, result: Result, course: Course) -> Outcome | None:
         """Return the outcome, or ``None`` when another attempt may be made."""
@@ -398,11 +415,7 @@
         lane = self._get_lane(target.service)
         if isinstance(result, Completed):
             lane.durations.observe(seconds)
-        is_short = isinstance(result, Gone) and seconds < lane.durations.high
-        if not is_short:
-            bad = lane.note_result(target.name, not is_fault(result))
-            if bad is not None and self._may_eject(lane):
-                bad.eject()
+        self._note_health(pool, result, seconds)
         if isinstance(result, NotRun) and result.code == "target_leaving":
             lane.update_target(target._replace(state=InstanceState.LEAVING))
         lane.give_places()
@@ -410,6 +423,14 @@
             until = self._clock.monotonic() + self._hold
             self._timers.call_at(until, lane.give_places)
 
+    def _note_health(self, pool: SlotPool, result: Result, seconds: float) -> None:
+        lane = self._get_lane(pool.target.service)
+        if result == Gone("timeout") and seconds < lane.durations.high:
+            return
+        bad = lane.note_result(pool.target.name, not is_fault(result))
+        if bad is not None and self._may_eject(lane):
+            bad.eject()
+
     def _may_eject(self, lane: Lane) -> bool:
         others = self._loads.list_near(lane.service)
         ejected = lane.count_ejected() + sum(load["ejected"] for load in others)
@@ -472,7 +493,7 @@
         if isinstance(answer, Written):
             health.bring_back()
         else:
-            health.eject()
+            health.postpone()
 
 
 def _allow_wait(slots: int, choice: Choice, left: float) -> float:
