Add the command line and let operators drain instances

Cause: operators had only raw HTTP, and no way to empty a worker or target that the platform still lists as live. Change: damaskdeck (typer) with apply, get, describe, watch, delete, submit, cancel, request, drain, status and check-settings, exit codes 0 completed, 1 failed, 2 usage, 3 refused, 4 unknown; the policy "default" carries the drained instances, which every daemon treats as leaving.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,10 +8,11 @@
 from damaskdeck.client import Client
 from damaskdeck.clock import SystemClock
 from damaskdeck.protocol.sizes import Size
-from demo.checks import Checks, wait_until
+from demo.checks import Checks
 from demo.scenes import SCENES, Stage
 from standins.deployment import OPERATOR_TOKEN, Deployment
 from standins.platform import Platform
+from standins.waiting import wait_until
 
 TEAM_TOKENS = {"riders": "riders-token", "invoices": "invoices-token"}
 DAEMONS = (("entry-1", "zone-a"), ("entry-2", "zone-a"), ("entry-3", "zone-b"))
--- a/demo/scenes.py
+++ b/demo/scenes.py
@@ -6,8 +6,9 @@
 from typing import Any, NamedTuple
 
 from damaskdeck.client import Client, Reply
-from demo.checks import Checks, wait_until
+from demo.checks import Checks
 from standins.deployment import Deployment
+from standins.waiting import wait_until
 
 FINAL = {"completed", "failed", "refused", "unknown"}
 
--- /dev/null
+++ b/src/damaskdeck/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Lets the command line be run as a module."""
+
+from damaskdeck.cli import main
+
+main()
--- /dev/null
+++ b/src/damaskdeck/cli/jobs.py
@@ -0,0 +1,80 @@
+"""Commands on jobs: submit and cancel."""
+
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from damaskdeck.cli.app import app
+from damaskdeck.cli.exits import BY_OUTCOME, Exit
+from damaskdeck.cli.output import print_document, print_note
+from damaskdeck.cli.session import Output, check_reply, choose_style, get_path, run
+from damaskdeck.client import Client
+
+
+@app.command()
+def submit(
+    context: typer.Context,
+    workload: Annotated[str, typer.Argument(help="Name of a batch or gang workload.")],
+    payload: Annotated[Path | None, typer.Option(help="File handed to each task.")] = (
+        None
+    ),
+    key: Annotated[str, typer.Option(help="Idempotency key.")] = "",
+    wait: Annotated[bool, typer.Option(help="Wait for the outcome.")] = False,
+    output: Output = None,
+) -> None:
+    """Submit a job; it is durable once its name is printed."""
+    style = choose_style(context, output)
+    body = payload.read_bytes() if payload else b"{}"
+    headers = {"Idempotency-Key": key} if key else {}
+
+    async def work(client: Client) -> Exit | None:
+        path = f"/v1/workloads/{workload}/jobs"
+        reply = await client.call("POST", path, body=body, headers=headers)
+        check_reply(reply)
+        job = reply.read_json()
+        if not wait:
+            print_document(job, style)
+            return None
+        job = await follow_job(client, job["metadata"]["name"])
+        print_document(job, style)
+        return BY_OUTCOME[job["status"]["state"]]
+
+    run(context.obj, work)
+
+
+async def follow_job(client: Client, name: str) -> dict[str, Any]:
+    """Watch a job to its end and tell of its progress."""
+    started = time.monotonic()
+    while True:
+        async for line in client.watch(f"{get_path('job', name)}?watch=true"):
+            if "resource" not in line:
+                continue
+            job = line["resource"]
+            _tell_progress(job, time.monotonic() - started)
+            if job["status"]["state"] in BY_OUTCOME:
+                return job
+
+
+def _tell_progress(job: dict[str, Any], elapsed: float) -> None:
+    reasons = job["status"].get("reasons", ())
+    reason = f", {reasons[-1]}" if reasons else ""
+    print_note(f"{elapsed:6.1f} s  {job['status']['state']}{reason}")
+
+
+@app.command()
+def cancel(
+    context: typer.Context,
+    name: Annotated[str, typer.Argument(help="Name of the job.")],
+    output: Output = None,
+) -> None:
+    """Cancel a job; one that has ended stays as it ended."""
+    style = choose_style(context, output)
+
+    async def work(client: Client) -> None:
+        reply = await client.call("DELETE", get_path("job", name))
+        check_reply(reply)
+        print_document(reply.read_json(), style)
+
+    run(context.obj, work)
--- /dev/null
+++ b/src/damaskdeck/cli/output.py
@@ -0,0 +1,166 @@
+"""What the command line prints: tables, JSON or YAML."""
+
+import sys
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+import yaml
+
+Row = Sequence[Any]
+Column = Callable[[dict[str, Any]], Any]
+
+
+class Style(StrEnum):
+    """How a document is printed."""
+
+    TABLE = "table"
+    JSON = "json"
+    YAML = "yaml"
+
+
+_columns: dict[str, dict[str, Column]] = {}
+
+
+def columns(kind: str) -> Callable[[Callable[[], dict[str, Column]]], None]:
+    """Register the table's columns of a kind of resource."""
+
+    def register(function: Callable[[], dict[str, Column]]) -> None:
+        _columns[kind] = function()
+
+    return register
+
+
+def _spec(name: str) -> Column:
+    return lambda item: item.get("spec", {}).get(name, "")
+
+
+def _status(name: str) -> Column:
+    return lambda item: item.get("status", {}).get(name, "")
+
+
+@columns("team")
+def list_team_columns() -> dict[str, Column]:
+    """Columns of teams."""
+    return {"QUOTA": lambda item: show_size(item["spec"].get("quota", {}))}
+
+
+@columns("workload")
+def list_workload_columns() -> dict[str, Column]:
+    """Columns of workloads."""
+    return {
+        "TEAM": _spec("team"),
+        "TYPE": _spec("type"),
+        "URGENCY": _spec("urgency"),
+        "TASKS": _spec("tasks"),
+        "SIZE": lambda item: show_size(item["spec"].get("size", {})),
+    }
+
+
+@columns("policy")
+def list_policy_columns() -> dict[str, Column]:
+    """Columns of policies."""
+    return {"DRAINED": lambda item: ",".join(item["spec"].get("drained", ()))}
+
+
+@columns("job")
+def list_job_columns() -> dict[str, Column]:
+    """Columns of jobs."""
+    return {
+        "TEAM": _spec("team"),
+        "WORKLOAD": _spec("workload"),
+        "STATE": _status("state"),
+        "CODE": _status("code"),
+    }
+
+
+@columns("task")
+def list_task_columns() -> dict[str, Column]:
+    """Columns of tasks."""
+    return {
+        "WORKER": _status("worker"),
+        "STATE": _status("state"),
+        "ATTEMPT": _status("attempt"),
+    }
+
+
+@columns("worker")
+def list_worker_columns() -> dict[str, Column]:
+    """Columns of workers."""
+    return {
+        "ZONE": _spec("zone"),
+        "STATE": _status("state"),
+        "OWNER": _status("owner"),
+        "FREE": lambda item: show_size(item.get("status", {}).get("free", {})),
+        "TASKS": _status("tasks"),
+    }
+
+
+@columns("target")
+def list_target_columns() -> dict[str, Column]:
+    """Columns of targets."""
+    return {
+        "SERVICE": _spec("service"),
+        "ZONE": _spec("zone"),
+        "STATE": _status("state"),
+        "OWNER": _status("owner"),
+        "SLOTS": _spec("slots"),
+    }
+
+
+def show_size(size: dict[str, Any]) -> str:
+    """Show a size in short, as in ``2 cores 512 MiB``."""
+    units = {"processors": "cores", "memory": "MiB", "accelerators": "accelerators"}
+    parts = [f"{size[n]:g} {unit}" for n, unit in units.items() if size.get(n)]
+    return " ".join(parts)
+
+
+def print_document(document: Any, style: Style) -> None:
+    """Print a resource, a list of them or any other document."""
+    if style is Style.JSON:
+        print(msgspec.json.format(msgspec.json.encode(document), indent=2).decode())
+    elif style is Style.YAML:
+        print(yaml.safe_dump(document, sort_keys=False), end="")
+    else:
+        print_table(_list_items(document))
+
+
+def print_table(items: list[dict[str, Any]]) -> None:
+    """Print resources of one kind as a table with a heading."""
+    if not items:
+        print("Nothing found.")
+        return
+    chosen = _columns.get(items[0]["kind"], {})
+    rows = [["NAME", *chosen]]
+    for item in items:
+        cells = [column(item) for column in chosen.values()]
+        rows.append([item["metadata"]["name"], *map(str, cells)])
+    widths = [max(map(len, cells)) for cells in zip(*rows, strict=True)]
+    for row in rows:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        print("  ".join(cells).rstrip())
+
+
+def print_note(sentence: str) -> None:
+    """Print progress or a remark to standard error."""
+    print(sentence, file=sys.stderr, flush=True)
+
+
+def print_problem(document: Any) -> None:
+    """Print a problem body to standard error, each fault on a line."""
+    if not isinstance(document, dict):
+        print_note(str(document))
+        return
+    words = [document.get("code", ""), document.get("title", "")]
+    if document.get("detail"):
+        words.append(document["detail"])
+    print_note(": ".join(word for word in words if word))
+    for fault in document.get("faults", ()):
+        print_note(f"  {fault['path']}: {fault['code']}: {fault['detail']}")
+
+
+def _list_items(document: Any) -> list[dict[str, Any]]:
+    if isinstance(document, dict) and document.get("kind") == "list":
+        return document["items"]
+    return [document]
--- a/src/damaskdeck/coordination/fleet.py
+++ b/src/damaskdeck/coordination/fleet.py
@@ -61,6 +61,7 @@
         self._handlers: list[ChangeHandler] = []
         self._last_answer: timedelta | None = None
         self._is_failing = False
+        self._drained: frozenset[str] = frozenset()
 
     @property
     def last_answer(self) -> timedelta | None:
@@ -82,6 +83,17 @@
         """Call ``handler`` with the changes of each answer that has any."""
         self._handlers.append(handler)
 
+    def set_drained(self, names: frozenset[str]) -> None:
+        """Treat instances as leaving for as long as operators say so.
+
+        :param names: all that are to be drained; others stay as listed.
+        """
+        if names == self._drained:
+            return
+        self._drained = names
+        if self._answer is not None:
+            self._take(self._answer)
+
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
@@ -105,6 +117,9 @@
         if answer is self._answer and is_settled:
             return
         self._answer = answer
+        self._take(answer)
+
+    def _take(self, answer: Instances) -> None:
         listed = {i.name: self._keep_leaving(i) for i in answer.instances}
         listed.update(self._keep_absent(listed))
         changes = self._compare(listed)
@@ -117,6 +132,8 @@
             handler(changes)
 
     def _keep_leaving(self, instance: Instance) -> Instance:
+        if instance.name in self._drained:
+            return instance._replace(state=InstanceState.LEAVING)
         place = (instance.name, instance.address)
         if instance.state is InstanceState.LEAVING or place in self._leaving:
             self._leaving[place] = self._clock.monotonic()
--- a/src/damaskdeck/coordination/rules.py
+++ b/src/damaskdeck/coordination/rules.py
@@ -141,7 +141,7 @@
 @write_rule(Kind.POLICY)
 def check_weights(resource: Resource, _: ConfigurationReader) -> Iterator[Fault]:
     """Refuse weights of scores that don't exist."""
-    for name in resource["spec"]["weights"]:
+    for name in resource["spec"].get("weights", {}):
         if name not in defaults.WEIGHTS:
             allowed = ", ".join(sorted(defaults.WEIGHTS))
             yield Fault(f"spec.weights.{name}", "unknown_field", f"allowed: {allowed}")
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -29,6 +29,7 @@
     TargetPort,
     WorkerPort,
 )
+from damaskdeck.protocol.resources import POLICY_NAME, Kind, Resource
 from damaskdeck.settings import Settings, load_settings
 from damaskdeck.state.configuration import Configuration
 from damaskdeck.state.watches import History
@@ -162,6 +163,7 @@
         ledgers = tuple(f"{number:02d}" for number in range(settings.ledger_count))
         self.ownership.set_things("ledger", ledgers)
         self.fleet.on_change(lambda changes: self._list_things())
+        self.configuration.subscribe(self._take_policy)
 
     def _build_app(self) -> Any:
         settings = self.settings
@@ -188,6 +190,11 @@
             listed = self.fleet.list(role, self.settings.zone)
             self.ownership.set_things(scope, tuple(i.name for i in listed))
 
+    def _take_policy(self, kind: Kind, name: str, resource: Resource | None) -> None:
+        if kind is Kind.POLICY and name == POLICY_NAME:
+            spec = resource["spec"] if resource else {}
+            self.fleet.set_drained(frozenset(spec.get("drained", ())))
+
     def is_ready(self) -> bool:
         """Whether the balancer may send calls here."""
         return self.relay.is_ready and self._fleet_known and not self._is_draining
--- a/src/damaskdeck/protocol/resources.py
+++ b/src/damaskdeck/protocol/resources.py
@@ -26,6 +26,7 @@
     TARGET = "target"
 
 
+POLICY_NAME = "default"
 DECLARED_KINDS = (Kind.TEAM, Kind.WORKLOAD, Kind.POLICY)
 
 
@@ -96,9 +97,14 @@
 
 
 class PolicySpec(TypedDict):
-    """Weights of placement for the whole deployment, by score's name."""
+    """What holds for the whole deployment; the policy in force is ``default``.
 
-    weights: dict[str, Annotated[float, Meta(ge=0, le=1000)]]
+    ``weights`` of placement by score's name; ``drained`` instances get no new
+    work, as if the platform listed them as leaving.
+    """
+
+    weights: NotRequired[dict[str, Annotated[float, Meta(ge=0, le=1000)]]]
+    drained: NotRequired[list[Name]]
 
 
 class Resource(TypedDict):
--- /dev/null
+++ b/src/standins/waiting.py
@@ -0,0 +1,22 @@
+"""Waiting for something that separate processes will make true."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+POLL_SECONDS = 0.1
+
+
+async def wait_until(
+    read: Callable[[], Awaitable[Any]],
+    is_reached: Callable[[Any], bool],
+    limit_seconds: float = 20,
+) -> Any:
+    """Read again and again until it is as wanted; return the last reading."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + limit_seconds
+    while True:
+        found = await read()
+        if is_reached(found) or loop.time() > deadline:
+            return found
+        await asyncio.sleep(POLL_SECONDS)
