--- a/benchmarks/arrivals.py
+++ b/benchmarks/arrivals.py
@@ -19,6 +19,7 @@
 FOREVER = timedelta(days=365)
 _WORST_FACTOR = 4.0
 _FAILING_SHARE = 0.05
+_TEAM_SKEW = 4
 
 
 class Arrival(NamedTuple):
@@ -200,8 +201,13 @@
     arrivals.sort(key=lambda arrival: arrival.time)
     failing = rng.sample(workers, max(1, round(_FAILING_SHARE * len(workers))))
     total = [sum(column) for column in zip(*(w.size for w in workers), strict=True)]
-    share = Size(*(amount // teams for amount in total))
-    quotas = {f"team-{n}": Quota(share, rng.choice((1, 2))) for n in range(teams)}
+    quotas = {
+        f"team-{number}": Quota(
+            Size(*(int(amount * _find_share(number, teams)) for amount in total)),
+            rng.choice((1, 2)),
+        )
+        for number in range(teams)
+    }
     names = frozenset(worker.name for worker in failing)
     return Mix(name, tuple(workers), names, quotas, tuple(arrivals), duration)
 
@@ -227,7 +233,7 @@
         yield Arrival(
             timedelta(seconds=time),
             f"{stream.workload}-{number}",
-            f"team-{min(int(rng.expovariate(4 / teams)), teams - 1)}",
+            f"team-{_draw_team(rng, teams)}",
             stream.workload,
             stream.type,
             stream.urgency,
@@ -279,6 +285,18 @@
     return Size(min(declared[0], largest[0]), min(declared[1], largest[1]), used[2])
 
 
+def _draw_team(rng: random.Random, teams: int) -> int:
+    """Draw a team; the first ones have most of the work."""
+    return min(int(rng.expovariate(_TEAM_SKEW / teams)), teams - 1)
+
+
+def _find_share(number: int, teams: int) -> float:
+    """Return the share of the work, and of the quotas, that a team has."""
+    start = math.exp(-_TEAM_SKEW * number / teams)
+    is_last = number == teams - 1
+    return start - (0 if is_last else math.exp(-_TEAM_SKEW * (number + 1) / teams))
+
+
 def _draw_factor(rng: random.Random) -> float:
     return _WORST_FACTOR ** rng.uniform(-1, 1)
 
