--- /dev/null
+++ b/benchmarks/platform.py
@@ -0,0 +1,185 @@
+"""Bytes and processor time of calls to the platform, over loopback."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+from damaskdeck.clock import SystemClock
+from damaskdeck.coordination.fleet import Fleet
+from damaskdeck.protocol.ports import StartOrder, TargetCall
+from damaskdeck.protocol.sizes import Size
+from damaskdeck.transport.instances import HttpInstanceList
+from damaskdeck.transport.store import HttpStore
+from damaskdeck.transport.targets import HttpTargets
+from damaskdeck.transport.workers import HttpWorkers
+from standins.platform import Platform
+
+WORKERS = 790
+TARGETS = 216
+ZONES = 9
+TASKS_PER_WORKER = 16
+CLIENT = "entry-1"
+LEASE = timedelta(minutes=1)
+VALUE = bytes(100)
+CHUNK = 1 << 16
+
+Call = Callable[[], Awaitable[Any]]
+
+
+class CountingRelay:
+    """Passes bytes on to an address and counts them."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self.sent = 0
+        self.received = 0
+
+    async def start(self) -> str:
+        """Listen; returns the address to call instead."""
+        server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def count(self, call: Call) -> dict[str, Any]:
+        """Count the bytes of one call."""
+        self.sent = self.received = 0
+        await call()
+        return {"bytes sent": self.sent, "bytes received": self.received}
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, port = self._address.split(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            self._pass_on(reader, far_writer, "sent"),
+            self._pass_on(far_reader, writer, "received"),
+        )
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counter: str
+    ) -> None:
+        while data := await reader.read(CHUNK):
+            setattr(self, counter, getattr(self, counter) + len(data))
+            writer.write(data)
+        writer.close()
+
+
+def build_platform(clock: SystemClock) -> Platform:
+    """Build a platform of the target size."""
+    platform = Platform(clock)
+    for number in range(WORKERS):
+        platform.add_worker(
+            f"worker-{number:03}",
+            f"zone-{number % ZONES}",
+            Size(64_000, 256_000, 2 if number < WORKERS * 0.7 else 0),
+            rack=f"rack-{number // 8}",
+            region=f"region-{number % 3}",
+        )
+    for number in range(TARGETS):
+        platform.add_target(f"target-{number:03}", f"zone-{number % ZONES}", "orders")
+    return platform
+
+
+async def measure_time(call: Call, count: int) -> float:
+    """Return the processor time of one call, both sides, in microseconds."""
+    await call()
+    begin = time.process_time()
+    for _ in range(count):
+        await call()
+    return round((time.process_time() - begin) / count * 1e6, 1)
+
+
+async def measure_store(platform: Platform, count: int) -> dict[str, Any]:
+    """Measure the store and the instance list."""
+    clock = platform.clock
+    relay = CountingRelay(platform.address)
+    address = await relay.start()
+    store = HttpStore(address, clock, CLIENT)
+    instances = HttpInstanceList(address, clock, CLIENT)
+    lease = (await store.grant_lease(LEASE)).lease
+    figures = {"changed list": await relay.count(instances.list_instances)}
+    for name, call in list_calls(store, instances, lease).items():
+        figures[name] = await relay.count(call)
+    await store.close()
+    await instances.close()
+    store = HttpStore(platform.address, clock, CLIENT)
+    instances = HttpInstanceList(platform.address, clock, CLIENT)
+    for name, call in list_calls(store, instances, lease).items():
+        figures[name]["processor us"] = await measure_time(call, count)
+    await store.close()
+    await instances.close()
+    return figures
+
+
+def list_calls(
+    store: HttpStore, instances: HttpInstanceList, lease: str
+) -> dict[str, Call]:
+    """List the calls that are measured, by name."""
+    return {
+        "unchanged list": instances.list_instances,
+        "put": lambda: store.put("ledger/3/17", VALUE, None),
+        "get": lambda: store.get("ledger/3/17"),
+        "renew lease": lambda: store.renew_lease(lease),
+    }
+
+
+async def measure_parts(platform: Platform, count: int) -> dict[str, Any]:
+    """Measure a worker and a target."""
+    workers, targets = HttpWorkers(CLIENT), HttpTargets(CLIENT)
+    worker = platform.workers["worker-000"].instance
+    relay = CountingRelay(worker.address)
+    relayed = worker._replace(address=await relay.start())
+    names = tuple(f"invoices-{n:06}-0" for n in range(TASKS_PER_WORKER))
+    for name in names:
+        await workers.start(worker, 1, StartOrder(name, 1, Size(1000, 1000), LEASE))
+    await workers.read_inventory(relayed, 1)
+    renewal = await relay.count(lambda: workers.renew(relayed, 1, names, LEASE))
+    renewal["processor us"] = await measure_time(
+        lambda: workers.renew(worker, 1, names, LEASE), count
+    )
+    target = platform.targets["target-000"].instance
+    call = TargetCall("r-1", 1, VALUE)
+    request = await measure_time(lambda: targets.send(target, call, LEASE), count)
+    await workers.close()
+    await targets.close()
+    return {
+        f"renew {TASKS_PER_WORKER} tasks": renewal,
+        "request": {"processor us": request},
+    }
+
+
+async def measure_fleet(platform: Platform, count: int) -> dict[str, float]:
+    """Measure what an unchanged list costs while an instance is leaving."""
+    instances = platform.instances.connect(CLIENT)
+    fleet = Fleet(instances, platform.clock)
+    platform.leave("target-000")
+    return {"unchanged poll us": await measure_time(fleet.poll, count)}
+
+
+async def measure(count: int) -> dict[str, Any]:
+    """Measure everything over one platform."""
+    platform = build_platform(SystemClock())
+    begin = time.process_time()
+    await platform.serve()
+    figures: dict[str, Any] = {
+        "listeners": {
+            "count": WORKERS + TARGETS + 1,
+            "start ms": round((time.process_time() - begin) * 1e3, 1),
+        },
+        **await measure_store(platform, count),
+        **await measure_parts(platform, count),
+        "fleet": await measure_fleet(platform, count),
+    }
+    await platform.close()
+    return figures
+
+
+def run(quick: bool = False) -> dict[str, Any]:
+    """Run all measurements.
+
+    :param quick: fewer repetitions.
+    """
+    return asyncio.run(measure(100 if quick else 1000))
--- a/src/damaskdeck/coordination/fleet.py
+++ b/src/damaskdeck/coordination/fleet.py
@@ -113,8 +113,8 @@
         return True
 
     def _apply(self, answer: Instances) -> None:
-        is_settled = not self._absences and not self._leaving
-        if answer is self._answer and is_settled:
+        if answer == self._answer and not self._absences:
+            self._refresh_leaving()
             return
         self._answer = answer
         self._take(answer)
@@ -156,6 +156,14 @@
         pairs = (Change(self._instances.get(n), listed.get(n)) for n in sorted(names))
         return tuple(pair for pair in pairs if pair.before != pair.after)
 
+    def _refresh_leaving(self) -> None:
+        now = self._clock.monotonic()
+        for name, address in self._leaving:
+            listed = self._instances.get(name)
+            if listed is not None and listed.address == address:
+                self._leaving[name, address] = now
+        self._forget_leaving()
+
     def _forget_leaving(self) -> None:
         oldest = self._clock.monotonic() - LEAVING_MEMORY
         for place, seen in list(self._leaving.items()):
--- a/src/standins/http.py
+++ b/src/standins/http.py
@@ -63,7 +63,8 @@
     """
 
     def __init__(self, app: Any, **state: Any) -> None:
-        self._socket = socket.socket()
+        # asyncio turns Nagle's algorithm off only on sockets that name TCP.
+        self._socket = socket.socket(proto=socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind(("127.0.0.1", 0))
         self._socket.listen(BACKLOG)
@@ -92,9 +93,9 @@
         )
 
     @property
-    def connections(self) -> int:
-        """How many connections are open."""
-        return len(self._server_state.connections)
+    def transports(self) -> tuple[asyncio.Transport, ...]:
+        """The open connections."""
+        return tuple(protocol.transport for protocol in self._server_state.connections)
 
     def hang_up(self, scope: Scope) -> None:
         """Reset the connection of a request without an answer."""
@@ -107,8 +108,8 @@
         if self._server is not None:
             self._server.close()
         self._socket.close()
-        for protocol in list(self._server_state.connections):
-            protocol.transport.abort()
+        for transport in self.transports:
+            transport.abort()
 
 
 class HangUp(Response):
@@ -359,7 +360,7 @@
 
 async def _serve_request(request: Request) -> Response:
     target: MemoryTarget = request.state.part
-    target.note_connections(request.state.listener.connections)
+    target.note_connections(len(request.state.listener.transports))
     call = TargetCall(
         request.headers["x-request"],
         int(request.headers["x-attempt"]),
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -33,6 +33,7 @@
 from damaskdeck.transport.workers import HttpWorkers
 from standins.clock import ManualClock
 from standins.faults import FaultKind
+from standins.http import Listener, worker_app
 from standins.platform import Platform, Ports
 from standins.store import HISTORY_LIMIT, VALUE_LIMIT
 
@@ -404,6 +405,20 @@
         self.assertNotEqual(await self.ports.instances.list_instances(), first)
 
 
+class TestListener(unittest.IsolatedAsyncioTestCase):
+    """The servers of the stand-ins."""
+
+    async def test_answers_are_not_held_back_for_acknowledgements(self):
+        listener = Listener(worker_app)
+        await listener.start()
+        _, writer = await asyncio.open_connection(*listener.address.split(":"))
+        await wait_until(lambda: listener.transports)
+        served = listener.transports[0].get_extra_info("socket")
+        self.assertTrue(served.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        writer.close()
+        listener.close()
+
+
 class TestHttpPool(unittest.IsolatedAsyncioTestCase):
     """What was never sent and what may have taken effect."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -92,6 +92,11 @@
         await self._show(target)
         self.assertEqual(self._state("a"), InstanceState.LEAVING)
 
+    async def test_long_leaving_does_not_wear_off(self):
+        await self._show(mark_leaving(make_target("a")), times=200)
+        await self._show(make_target("a"))
+        self.assertEqual(self._state("a"), InstanceState.LEAVING)
+
     async def test_replacement_at_another_address_is_live_at_once(self):
         await self._show(mark_leaving(make_target("a")))
         await self._show(make_target("a", "127.0.0.1:2"))
