Lose the calls that wait in a pause when their worker dies

A call that waited inside a paused stand-in took effect on the machine that replaced it. Death now cancels such calls. The new test fails without that (Accepted instead of Lost) and passes with it.

A task's payload may also say how its observed use differs from the declared size, so that a workload's wrong declaration can be staged.

--- a/src/standins/gateway.py
+++ b/src/standins/gateway.py
@@ -72,6 +72,12 @@
         arrived.add_done_callback(self._arrived.discard)
         return await self.wait_for(arrived, timeout)
 
+    def drop_calls(self) -> None:
+        """Lose the calls that wait in a pause, as when the machine dies."""
+        for call in self._arrived:
+            call.cancel()
+        self.faults.resume()
+
     async def wait_for(self, task: "asyncio.Task[T]", timeout: timedelta) -> T | Lost:
         """Wait for ``task`` as long as a client waits; it goes on regardless."""
         timer = asyncio.ensure_future(self.clock.sleep(timeout))
--- a/src/standins/targets.py
+++ b/src/standins/targets.py
@@ -154,6 +154,7 @@
         """Cut off what is in progress and answer nobody."""
         self.is_dead = True
         self.faults.outage = True
+        self.gateway.drop_calls()
         for task in self._tasks:
             task.cancel()
 
--- a/src/standins/workers.py
+++ b/src/standins/workers.py
@@ -33,11 +33,13 @@
     """What a payload asks of a task.
 
     :param run_time: at full speed; ``None`` runs until it is stopped.
+    :param usage_factor: observed use over the declared; ``None`` for the worker's.
     """
 
     run_time: timedelta | None
     is_failing: bool
     result: bytes
+    usage_factor: float | None = None
 
 
 @dataclass
@@ -254,6 +256,7 @@
         self._running.clear()
         self.is_dead = True
         self.faults.outage = True
+        self.gateway.drop_calls()
         self.changed.wake()
 
     def replace(self) -> None:
@@ -310,10 +313,11 @@
 
     def _observe(self, run: Run) -> Size:
         declared = run.order.size
-        millicores = round(declared.millicores * self.usage_factor)
+        factor = run.work.usage_factor or self.usage_factor
+        millicores = round(declared.millicores * factor)
         if run.limit is not None:
             millicores = min(millicores, run.limit)
-        memory = round(declared.memory * self.usage_factor)
+        memory = round(declared.memory * factor)
         return Size(millicores, memory, declared.accelerators)
 
 
@@ -440,9 +444,8 @@
     run_time = DEFAULT_RUN_TIME
     if "run_time" in fields:
         run_time = timedelta(seconds=fields["run_time"])
-    return Work(
-        run_time, bool(fields.get("fail")), str(fields.get("result", "")).encode()
-    )
+    result = str(fields.get("result", "")).encode()
+    return Work(run_time, bool(fields.get("fail")), result, fields.get("usage"))
 
 
 def _decode(payload: bytes) -> dict[str, Any] | None:
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -425,18 +425,20 @@
     async def asyncSetUp(self):
         self.pool = HttpPool()
         self.servers = []
+        self.writers = []
         self.received = []
 
     async def asyncTearDown(self):
         await self.pool.close()
-        for server in self.servers:
-            server.close()
+        for opened in (*self.servers, *self.writers):
+            opened.close()
 
     async def _serve(self, *answers: bytes) -> str:
         """Answer each request by the next bytes, then close the connection."""
         left = list(answers)
 
         async def answer(reader, writer):
+            self.writers.append(writer)
             while left:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.received.append(head.split(b" ")[0])
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -18,6 +18,7 @@
     TargetAnswer,
     TargetCall,
     TaskState,
+    Usage,
 )
 from damaskdeck.protocol.sizes import Size
 from standins.clock import ManualClock, settle
@@ -165,8 +166,13 @@
 
     async def test_usage_is_reported_with_a_lag(self):
         place = self.worker.instance
-        await self.workers.start(place, 1, order_task("a"))
+        self.worker.usage_lag = SECOND
+        payload = b'{"run_time": 9, "usage": 0.5}'
+        await self.workers.start(place, 1, order_task("a", 1, payload))
         self.assertEqual((await self.workers.read_inventory(place, 1)).usage, ())
+        await self.clock.advance(SECOND)
+        inventory = await self.workers.read_inventory(place, 1)
+        self.assertEqual(inventory.usage, (Usage("a", Size(500, 500, 0), SECOND),))
 
     async def test_follow_wakes_when_a_task_ends_by_the_clock(self):
         place = self.worker.instance
@@ -205,6 +211,20 @@
         await settle()
         self.assertEqual(self.worker.list_running(), ("a",))
 
+    async def test_start_that_waited_in_a_pause_dies_with_the_worker(self):
+        self.worker.pause()
+        start = asyncio.ensure_future(
+            self.workers.start(self.worker.instance, 1, order_task("a"))
+        )
+        await settle()
+        self.worker.die()
+        self.assertIsInstance(await start, Lost)
+        self.worker.replace()
+        await settle()
+        self.assertEqual(self.worker.list_running(), ())
+        inventory = await self.workers.read_inventory(self.worker.instance, 1)
+        self.assertEqual(inventory.tasks, ())
+
     async def test_lost_answer_leaves_the_task_running(self):
         self.worker.faults.plan("start", FaultKind.LOSE_ANSWER)
         lost = await self.workers.start(self.worker.instance, 1, order_task("a"))
