--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -11,7 +11,12 @@
 from damaskdeck.protocol.handlers import KeyMemory, ServiceRequest
 from damaskdeck.protocol.members import Member, Owner, OwnershipHandler, Report
 from damaskdeck.protocol.outcomes import Outcome
-from damaskdeck.protocol.ports import Instance, InstanceRole, InstanceState
+from damaskdeck.protocol.ports import (
+    Instance,
+    InstanceRole,
+    InstanceState,
+    TargetPort,
+)
 from standins.peers import PeerSwitch
 from standins.targets import (
     ExecutionLog,
@@ -61,6 +66,8 @@
 
     Targets run to its end what they began, and by default don't refuse what is
     too much, so that each overfill shows.
+
+    :param connect: gives an entry its way to the targets, in place of these.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         service_time: ServiceTime = STEADY,
         keys: KeyMemory | None = None,
         seed: int = 0,
+        connect: Callable[[str], TargetPort] | None = None,
     ) -> None:
         self.clock = clock
         self.switch = ZonedSwitch(clock, seed)
@@ -84,6 +92,7 @@
         self.members = MemberTable(clock, self.switch)
         self.switch.zones = {}
         self.routers: dict[str, Router] = {}
+        self._connect = connect or self._connect_target
         self._keys = keys
         self._seed = seed
         self._loops: dict[str, asyncio.Task[None]] = {}
@@ -101,7 +110,7 @@
             self.members.connect(name, zone),
             self.table.connect(name),
             self.switch.connect(name),
-            TargetsClient(self.targets, name),
+            self._connect(name),
             self.fleet,
             self.clock,
             keys=self._keys,
@@ -146,6 +155,9 @@
         )
         return await self.routers[entry].handle_request(request._replace(**changes))
 
+    def _connect_target(self, name: str) -> TargetPort:
+        return TargetsClient(self.targets, name)
+
     def count_overfills(self) -> int:
         """Return how often a target got more than its slots."""
         return sum(t.slot_overfills for t in self.targets.values())
