--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,8 +5,10 @@
 import unittest
 from datetime import timedelta
 
+from damaskdeck.errors import InvariantError
 from damaskdeck.protocol.ports import Lost, Rejected
 from damaskdeck.state.ledger import Committed, Deposed, Ledger, Opened
+from damaskdeck.state.segments import Keys, decode_head
 from standins.clock import ManualClock, settle
 from standins.faults import FaultKind
 from standins.store import MemoryStore
@@ -23,6 +25,7 @@
         self.store = MemoryStore(self.clock)
         self.states: dict[Ledger, list[bytes]] = {}
         self.epoch = 0
+        self._calls: list[asyncio.Task] = []
         self._numbers = itertools.count(1)
 
     def make(self, store=None, **limits) -> Ledger:
@@ -50,6 +53,11 @@
         self.states[ledger] += [*opened.snapshot, *opened.records]
         return ledger
 
+    def start(self, call) -> asyncio.Task:
+        """Start a call that may never end."""
+        self._calls.append(asyncio.ensure_future(call))
+        return self._calls[-1]
+
     async def commit(self, ledger: Ledger, *records: bytes):
         """Commit and wait for the outcome."""
         return await self.finish(ledger.commit(records))
@@ -63,6 +71,21 @@
             await self.clock.advance(timedelta(milliseconds=10))
         return await asyncio.wait_for(task, 1)
 
+    def list_keys(self, prefix: str) -> list[str]:
+        """List the ledger's keys in the store below ``prefix``."""
+        listing = self.store.list(Keys("03").prefix + prefix)
+        return [entry.key for entry in listing.entries]
+
+    def list_parts(self) -> list[str]:
+        """List the parts of snapshots in the store."""
+        return self.list_keys("snapshot/")
+
+    def list_named_parts(self) -> list[str]:
+        """List the parts that the head names."""
+        keys = Keys("03")
+        head = decode_head(self.store.get(keys.head).entry.value)
+        return [keys.part(head.snapshot, number) for number in range(head.parts)]
+
     async def replay(self) -> list[bytes]:
         """Return what a newcomer with the next epoch reads."""
         self.store.faults.planned.clear()
@@ -255,6 +278,7 @@
         late = LateStore(bench.store.connect("late"))
         ledger = await bench.open(1, late)
         late.hold_next = True
+        late.stays_linked = True
         self.assertEqual(await bench.commit(ledger, b"a"), Committed(2))
         await bench.commit(ledger, b"b")
         await late.release()
@@ -368,13 +392,12 @@
             old = await bench.open(1, late)
             await bench.commit(old, b"a")
             await bench.clock.advance(SECOND)
-            late.hold_next = late.is_cut_off = True
+            late.hold_next = True
             call = asyncio.ensure_future(old.commit((b"old",)))
             await settle()
             new = await bench.open(2)
             for number in range(late_by):
                 await bench.commit(new, b"%d" % number)
-            late.is_cut_off = False
             await late.release()
             outcome = await bench.finish(call)
             self.assertIn(type(outcome), (Deposed, Lost), late_by)
@@ -438,6 +461,144 @@
                 self.assertEqual(await bench.replay(), [b"a", b"b"])
 
 
+class TestCompaction(LedgerTestCase):
+    """A snapshot replaces the covered part of the log, whole or not at all."""
+
+    async def test_the_store_holds_a_bounded_number_of_keys(self):
+        bench = self.make_bench()
+        ledger = await bench.open(1, value_limit=1000)
+        records = [b"%03d" % n * 20 for n in range(5 * SLOTS)]
+        for record in records:
+            await bench.commit(ledger, record)
+        await bench.clock.advance(10 * SECOND)
+        self.assertEqual(len(bench.list_keys("log/")), SLOTS)
+        self.assertEqual(bench.list_parts(), bench.list_named_parts())
+        self.assertGreater(len(bench.list_parts()), 3)
+        self.assertEqual(await bench.replay(), records)
+
+    async def test_a_death_at_any_store_call_loses_and_leaves_nothing(self):
+        calls = await self._run_to_death(None, False)
+        self.assertGreater(calls, 3 + SLOTS + 8)
+        for number in range(1, calls + 1):
+            for takes_effect in (False, True):
+                with self.subTest(number=number, takes_effect=takes_effect):
+                    await self._run_to_death(number, takes_effect)
+
+    async def _run_to_death(self, number: int | None, takes_effect: bool) -> int:
+        bench = self.make_bench()
+        mortal = MortalStore(bench.store.connect("mortal"), number, takes_effect)
+        old = bench.make(mortal, value_limit=600)
+        opening = bench.start(old.open(1))
+        await bench.clock.advance(SECOND)
+        calls = []
+        for place in range(SLOTS + 4 if opening.done() else 0):
+            calls.append(bench.start(old.commit((b"%02d" % place * 20,))))
+            await bench.clock.advance(timedelta(milliseconds=100))
+        await bench.clock.advance(3 * SECOND)
+        told = [c.result() for c in calls if c.done()]
+        acknowledged = sum(isinstance(outcome, Committed) for outcome in told)
+        new = await bench.open(2, value_limit=600)
+        kept = list(bench.states[new])
+        self.assertEqual(kept, [b"%02d" % n * 20 for n in range(len(kept))])
+        self.assertIn(len(kept), (acknowledged, acknowledged + 1))
+        await bench.commit(new, b"new")
+        await bench.clock.advance(5 * SECOND)
+        self.assertEqual(bench.list_parts(), bench.list_named_parts())
+        for place in range(SLOTS):
+            await bench.commit(new, b"more %d" % place)
+        more = [b"new", *(b"more %d" % place for place in range(SLOTS))]
+        self.assertEqual(await bench.replay(), kept + more)
+        return mortal.count
+
+    async def test_a_paused_compaction_cannot_replace_a_newer_snapshot(self):
+        bench = self.make_bench()
+        late = LateStore(bench.store.connect("late"))
+        old = await bench.open(1, late)
+        late.held_key = Keys("03").head
+        records = [b"%d" % number for number in range(SLOTS // 2 + 1)]
+        for record in records:
+            await bench.commit(old, record)
+        await bench.clock.advance(SECOND)
+        self.assertFalse(late.held_key)
+        new = await bench.open(2)
+        await bench.commit(new, b"new")
+        await bench.clock.advance(5 * SECOND)
+        await late.release()
+        await bench.clock.advance(30 * SECOND)
+        self.assertEqual(await bench.commit(old, b"old"), Deposed(2))
+        self.assertEqual(bench.list_parts(), bench.list_named_parts())
+        self.assertEqual(await bench.replay(), [*records, b"new"])
+
+    async def test_a_store_that_is_full_for_a_while_only_delays_compaction(self):
+        bench = self.make_bench()
+        ledger = await bench.open(1)
+        for number in range(SLOTS // 2 + 2):
+            bench.store.capacity = bench.store._size + 60
+            await bench.commit(ledger, b"%02d" % number * 10)
+        self.assertEqual(bench.list_parts(), [])
+        bench.store.capacity = 1 << 30
+        await bench.clock.advance(3 * SECOND)
+        self.assertEqual(bench.list_parts(), bench.list_named_parts())
+        self.assertEqual(len(bench.list_parts()), 1)
+
+
+class TestReplay(LedgerTestCase):
+    """What is replayed is what was committed, in the same order."""
+
+    async def test_replay_equals_the_committed_order(self):
+        bench = self.make_bench()
+        expected = []
+        for epoch in range(1, 6):
+            ledger = await bench.open(epoch)
+            for round_number in range(7):
+                records = [b"%d-%d-%d" % (epoch, round_number, n) for n in range(5)]
+                calls = [ledger.commit((record,)) for record in records]
+                await bench.finish(asyncio.gather(*calls))
+                expected += records
+            self.assertEqual(bench.states[ledger], expected)
+        self.assertEqual(await bench.replay(), expected)
+
+    async def test_a_key_lost_by_the_store_is_a_broken_invariant(self):
+        for lost, count in (("log/00002", 4), ("snapshot/", SLOTS)):
+            bench = self.make_bench()
+            ledger = await bench.open(1)
+            for number in range(count):
+                await bench.commit(ledger, b"%d" % number)
+            await bench.clock.advance(5 * SECOND)
+            key = bench.list_keys(lost)[0]
+            bench.store.delete(key, None)
+            with self.assertRaises(InvariantError):
+                await bench.finish(bench.make().open(2))
+
+
+class MortalStore:
+    """Wraps a client of a daemon that dies at one of its calls.
+
+    :param number: of the last call; ``None`` to live on.
+    :param takes_effect: whether the last call still does.
+    """
+
+    def __init__(self, client, number: int | None, takes_effect: bool) -> None:
+        self._client = client
+        self._number = number
+        self._takes_effect = takes_effect
+        self.count = 0
+
+    def __getattr__(self, operation):
+        async def call(*arguments):
+            self.count += 1
+            is_last = self.count == self._number
+            if not is_last and self._number and self.count > self._number:
+                await asyncio.Event().wait()
+            if not is_last or self._takes_effect:
+                answer = await getattr(self._client, operation)(*arguments)
+            if is_last:
+                await asyncio.Event().wait()
+            return answer
+
+        return call
+
+
 class LateStore:
     """Wraps a client; may hold one write back and deliver it later."""
 
@@ -445,7 +606,9 @@
         self._client = client
         self._held = None
         self.hold_next = False
+        self.held_key = ""
         self.is_cut_off = False
+        self.stays_linked = False
 
     def __getattr__(self, name):
         return getattr(self._client, name)
@@ -456,8 +619,10 @@
 
     async def put(self, *arguments):
         """Write a key, or hold the call back and lose its answer."""
-        if self.hold_next:
+        if self.hold_next or arguments[0] == self.held_key:
             self.hold_next = False
+            self.held_key = ""
+            self.is_cut_off = not self.stays_linked
             self._held = arguments
             return Lost("timeout")
         if self.is_cut_off is True:
@@ -465,7 +630,8 @@
         return await self._client.put(*arguments)
 
     async def release(self):
-        """Deliver the held write; nobody hears its answer."""
+        """Deliver the held write, whose answer nobody hears, and heal the link."""
+        self.is_cut_off = False
         return await self._client.put(*self._held)
 
 
