Let a daemon call itself without a stream

Cause: three processes, jobs submitted to entry-3 while it kept the team's ledger, were refused keeper_unreachable (unknown_peer) for a minute: a call to oneself went to the streams, which know no address of oneself. The in-process switch had hidden it, as it hands such calls over. Ruled out: a ledger that failed to open (its log line was there). Change: transport/loopback.py hands a daemon's own messages to its handlers, encoded as for a peer. Conclusion: process tests find what in-process ones can't.

--- /dev/null
+++ b/src/damaskdeck/transport/loopback.py
@@ -0,0 +1,87 @@
+"""Messages of a daemon to itself, as when it keeps the ledger it asks for."""
+
+import asyncio
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from damaskdeck.clock import Clock
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
+from damaskdeck.protocol.messages import (
+    Answered,
+    Handler,
+    Unanswered,
+    Unsent,
+    decode_message,
+    encode_message,
+    get_message_name,
+)
+
+_log = get_logger("peers")
+
+
+class Loopback:
+    """Hands messages to the daemon's own handlers, encoded as for a peer.
+
+    :param handlers: by wire name of the message; may grow later.
+    """
+
+    def __init__(
+        self, name: str, handlers: Mapping[str, Handler], clock: Clock
+    ) -> None:
+        self._name = name
+        self._handlers = handlers
+        self._clock = clock
+        self._running: set[asyncio.Task[Any]] = set()
+
+    def send(self, message: Any, kind: type) -> Unsent | None:
+        """Let the handler run without waiting for it."""
+        return None if self._start(message, kind) else Unsent("unsupported")
+
+    async def call(
+        self, message: Any, kind: type, timeout: timedelta
+    ) -> Answered | Unsent | Unanswered:
+        """Run the handler; it goes on when ``timeout`` has passed."""
+        task = self._start(message, kind)
+        if task is None:
+            return Unsent("unsupported")
+        timer = asyncio.ensure_future(self._clock.sleep(timeout))
+        try:
+            await asyncio.wait({task, timer}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+        if not task.done():
+            return Unanswered("timeout")
+        if task.cancelled():
+            return Unanswered("closed")
+        return task.result()
+
+    def close(self) -> None:
+        """End the handlers that run."""
+        for task in self._running:
+            task.cancel()
+
+    def _start(self, message: Any, kind: type) -> asyncio.Task[Any] | None:
+        name = get_message_name(kind)
+        handler = self._handlers.get(name)
+        if handler is None:
+            return None
+        copy = decode_message(name, encode_message(message))
+        task = asyncio.ensure_future(self._handle(handler, name, copy))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return task
+
+    async def _handle(
+        self, handler: Handler, name: str, message: Any
+    ) -> Answered | Unanswered:
+        try:
+            answer = await handler(self._name, message)
+        except Exception as error:
+            _log.error("A handler failed.", kind=name, error=repr(error))
+            count_drop("peers", "handler_failed")
+            return Unanswered("handler_failed")
+        return Answered(msgspec.msgpack.decode(encode_message(answer)))
--- a/src/damaskdeck/transport/peers.py
+++ b/src/damaskdeck/transport/peers.py
@@ -44,6 +44,7 @@
     watch_silence,
 )
 from damaskdeck.transport.listeners import open_listener, show_address
+from damaskdeck.transport.loopback import Loopback
 
 HANDLER_LIMIT = 1000
 SERVER_SILENCE = 2 * SILENCE_LIMIT
@@ -78,6 +79,7 @@
         self._find_address = find_address
         self._random = Random()
         self._handlers: dict[str, Handler] = {}
+        self._own = Loopback(name, self._handlers, clock)
         self._links: dict[str, tuple[Link, asyncio.Task[None]]] = {}
         self._numbers = itertools.count(1)
         self._deadlines: list[tuple[timedelta, int, Link]] = []
@@ -94,6 +96,7 @@
 
     async def close(self) -> None:
         """End all streams; calls in flight end as unanswered."""
+        self._own.close()
         tasks = [task for _, task in self._links.values()]
         if self._sweeper is not None:
             tasks.append(self._sweeper)
@@ -112,6 +115,8 @@
 
     def send(self, instance: str, message: Any, kind: type) -> Unsent | None:
         """Put a message on the stream to ``instance`` without waiting."""
+        if instance == self._name:
+            return self._own.send(message, kind)
         link = self._get_link(instance)
         if link is None:
             return Unsent("unknown_peer")
@@ -122,6 +127,8 @@
         self, instance: str, message: Any, kind: type, timeout: timedelta
     ) -> Answered | Unsent | Unanswered:
         """Send a message and wait for its reply, which arrives as plain data."""
+        if instance == self._name:
+            return await self._own.call(message, kind, timeout)
         link = self._get_link(instance)
         if link is None:
             return Unsent("unknown_peer")
