--- a/src/damaskdeck/coordination/desks.py
+++ b/src/damaskdeck/coordination/desks.py
@@ -59,18 +59,17 @@
         self._configuration = configuration
         self._runner: asyncio.Task[None] | None = None
 
-    async def open(self, workers: tuple[Instance, ...]) -> bool:
+    async def open(self, workers: tuple[Instance, ...]) -> None:
         """Fence off earlier keepers and replay, then start to place."""
         self.set_workers(workers)
         for resource in self._configuration.list(Kind.TEAM):
             self.set_team(resource["metadata"]["name"], resource)
         started = self.kept.get_time()
         if not await self.kept.open():
-            return False
+            return
         took = timedelta(seconds=self.kept.get_time() - started)
         _log.info("Keeps a ledger.", ledger=self.kept.name, took=took)
         self._runner = asyncio.ensure_future(self._run())
-        return True
 
     async def close(self) -> None:
         """Stop placing and let the commits in progress end."""
--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 from datetime import timedelta
+from itertools import islice
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.fleetview import FleetView
@@ -209,10 +210,17 @@
     def _pick_all(self, offer: WaitingJob) -> list[Pick] | Impossible | str:
         """Choose a worker for each task offered, or for none."""
         job = self._kept.table.jobs[offer.name]
-        names = list(self._waiting[offer.name])[: offer.offered]
+        names = list(islice(self._waiting[offer.name], offer.offered))
+        tasks = [self._kept.table.tasks[name] for name in names]
+        found = self._pick_each(job, tasks)
+        if isinstance(found, str) and any(self._may_ignore(job, t) for t in tasks):
+            found = self._pick_each(job, [t._replace(avoid=()) for t in tasks])
+        return found
+
+    def _pick_each(self, job: Job, tasks: list[Task]) -> list[Pick] | Impossible | str:
         picks: list[Pick] = []
-        for name in names:
-            found = self._pick(job, self._kept.table.tasks[name])
+        for task in tasks:
+            found = self._pick(job, task)
             if isinstance(found, Pick):
                 picks.append(found)
                 continue
@@ -221,6 +229,14 @@
             return found
         return picks
 
+    def _may_ignore(self, job: Job, task: Task) -> bool:
+        """Tell whether a task must go back to a worker that it failed on."""
+        if not task.avoid:
+            return False
+        return job.spec["type"] == "gang" or not self._view.has_other(
+            make_need(job, task)
+        )
+
     def _pick(self, job: Job, task: Task) -> Pick | Impossible | str:
         found = self._view.pick(make_need(job, task))
         if isinstance(found, Impossible):
@@ -237,7 +253,8 @@
     def _note_failure(self, turn: Pass, offer: WaitingJob, dimension: str) -> None:
         tasks = self._kept.table.tasks
         if any(tasks[name].avoid for name in self._waiting[offer.name]):
-            turn.skip(offer, f"the workers that it hasn't failed on lack {dimension}")
+            others = "the workers that it has not failed on"
+            turn.skip(offer, f"{others} have not enough {dimension} now")
         else:
             turn.fail(offer, dimension)
 
--- a/src/damaskdeck/coordination/fleetview.py
+++ b/src/damaskdeck/coordination/fleetview.py
@@ -8,7 +8,7 @@
 from damaskdeck.coordination.workers import WORKERS_TOPIC, list_news
 from damaskdeck.protocol.members import Members, Report
 from damaskdeck.protocol.ports import Instance
-from damaskdeck.protocol.sizes import Size, subtract_sizes
+from damaskdeck.protocol.sizes import Size, fits, subtract_sizes
 from damaskdeck.state.accounts import Accounts, NoRoom, TaskNeed
 
 PICK_LIFE = timedelta(seconds=1)
@@ -77,6 +77,16 @@
                 held += count_fitting(need.size, account.size, tasks)
         return "room for all tasks at once" if held < tasks else None
 
+    def has_other(self, need: TaskNeed) -> bool:
+        """Tell whether an open worker that isn't to be avoided could hold it."""
+        return any(
+            not account.closed
+            and account.name not in need.avoid
+            and fits(need.size, account.size)
+            and (not need.zones or account.instance.zone in need.zones)
+            for account in self.accounts.workers.values()
+        )
+
     def drop(self, task: str) -> None:
         """Forget a pick that came to nothing."""
         if self._picks.pop(task, None) is not None:
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections import OrderedDict
 from datetime import timedelta
-from typing import Protocol
+from typing import Any, Protocol
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.fleet import Change
 from damaskdeck.coordination.outbox import Outbox
 from damaskdeck.coordination.sessions import OPEN_STATES, Session
 from damaskdeck.coordination.workers import WORKERS_TOPIC, encode_workers
@@ -32,6 +33,9 @@
     def get(self, name: str) -> Instance | None:
         """Return a listed instance."""
 
+    def on_change(self, handler: Any) -> None:
+        """Call ``handler(changes)`` when the list changes."""
+
 
 class WorkerHost:
     """Owner of some workers of its availability zone.
@@ -74,6 +78,7 @@
         self._fenced: OrderedDict[tuple[str, int], None] = OrderedDict()
         ownership.on_gain("worker", self._gain)
         ownership.on_loss("worker", self._lose)
+        fleet.on_change(self._take_fleet)
         peers.register(jobs.ReserveTasks, self._reserve)
         peers.register(jobs.StartTasks, self._start)
         peers.register(jobs.ReleaseTasks, self._release)
@@ -126,6 +131,13 @@
         if self._fleet.get(name) is None:
             self._runners[name] = asyncio.ensure_future(session.abandon())
 
+    def _take_fleet(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            worker = change.after
+            if worker is not None and worker.name in self.sessions:
+                self.sessions[worker.name].worker = worker
+                self.accounts.set_worker(worker)
+
     def _end_session(self, name: str) -> None:
         self.sessions.pop(name, None)
         runner = self._runners.pop(name, None)
--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -115,8 +115,8 @@
             self._configuration,
             self._clock,
         )
-        if await desk.open(self._fleet.list(InstanceRole.WORKER)):
-            self.desks[name] = desk
+        self.desks[name] = desk
+        await desk.open(self._fleet.list(InstanceRole.WORKER))
 
     async def _lose(self, thing: str, epoch: int) -> None:
         name = thing.partition("/")[2]
--- a/src/damaskdeck/coordination/kept.py
+++ b/src/damaskdeck/coordination/kept.py
@@ -42,6 +42,7 @@
         self.may_act = may_act
         self.commits = 0
         self._clock = clock
+        self._is_closed = False
         self._handlers: list[ChangeHandler] = []
         self._ledger = Ledger(name, store, clock, self._take_snapshot, self._apply)
 
@@ -51,19 +52,20 @@
 
     async def open(self) -> bool:
         """Fence off earlier keepers and replay; false if there is a newer one."""
-        while True:
+        while not self._is_closed:
             opened = await self._ledger.open(self.epoch)
             if isinstance(opened, Opened):
-                break
+                self._apply(opened.snapshot + opened.records)
+                return not self._is_closed
             if opened.code == "epoch_passed":
                 return False
             count_retry("keeper", opened.code)
             await self._clock.sleep(REOPEN_INTERVAL)
-        self._apply(opened.snapshot + opened.records)
-        return True
+        return False
 
     async def close(self) -> None:
         """Let the commits in progress end and take no more."""
+        self._is_closed = True
         await self._ledger.close()
 
     async def commit(self, *records: Record) -> Committed | Refused | Unknown:
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -27,6 +27,7 @@
 
 FOLLOW_WAIT = timedelta(seconds=20)
 RETRY_INTERVAL = timedelta(milliseconds=500)
+GAIN_INTERVAL = timedelta(milliseconds=20)
 ENDED_STATES = frozenset(TaskState) - {TaskState.RUNNING}
 # States of an attempt that isn't known to have ended.
 OPEN_STATES = frozenset({"starting", "unsure", "running"})
@@ -150,11 +151,10 @@
     # Taking over -----------------------------------------------------------------
 
     async def _take_over(self) -> None:
-        while True:
-            if self._may_act() and await self._read_inventory():
-                break
-            if self.has_lapsed:
-                self.is_ready = True
+        while not self._may_act():
+            await self._clock.sleep(GAIN_INTERVAL)
+        while not await self._read_inventory():
+            self.is_ready = self.has_lapsed
             await self._clock.sleep(RETRY_INTERVAL)
         waited = self._clock.monotonic() - self._gained
         if self._grace > waited:
--- a/tests/plane.py
+++ b/tests/plane.py
@@ -30,6 +30,10 @@
         self.owners[thing] = Owner(name, epoch)
         await self.daemons[name].ownership.gain(thing, epoch)
 
+    async def usurp(self, thing, name):
+        """Give a thing away while its owner, paused, still believes it owns it."""
+        await self.grant(thing, name)
+
     async def hand_over(self, thing, name):
         """Let the present owner lose a thing first."""
         former = self.owners[thing]
@@ -68,12 +72,18 @@
         self.losses[scope] = handler
 
     async def gain(self, thing, epoch):
+        """Tell of a gain; it lasts while the store can't be reached."""
+        task = asyncio.ensure_future(self.finish_gain(thing, epoch))
+        await asyncio.wait({task}, timeout=1)
+
+    async def finish_gain(self, thing, epoch):
         await self.gains[thing.partition("/")[0]](thing, epoch)
         self.held[thing] = epoch
 
     async def lose(self, thing):
-        epoch = self.held.pop(thing)
-        await self.losses[thing.partition("/")[0]](thing, epoch)
+        epoch = self.held.pop(thing, None)
+        if epoch is not None:
+            await self.losses[thing.partition("/")[0]](thing, epoch)
 
 
 class TestMembers:
@@ -161,6 +171,14 @@
         )
         self.tasks = []
 
+    def die(self):
+        """End everything at once, as a killed process does."""
+        for task in self.tasks:
+            task.cancel()
+        for desk in self.keeper.desks.values():
+            if desk._runner is not None:
+                desk._runner.cancel()
+
     async def start(self):
         await self.fleet.poll()
         self.tasks = [
@@ -198,6 +216,24 @@
         self.registry.daemons[name] = daemon
         await daemon.start()
 
+    async def kill(self, name):
+        """Let a daemon die; others take over once its lease has lapsed."""
+        self.platform.cut_off(name)
+        self.switch.disconnect(name)
+        daemon = self.registry.daemons.pop(name)
+        daemon.die()
+        for reports in self.reports.values():
+            reports.pop(name, None)
+        await self.clock.sleep(timedelta(seconds=4))
+        await self.redistribute(name)
+
+    async def redistribute(self, name):
+        """Give what a daemon owned to the others in turn."""
+        others = sorted(other for other in self.registry.daemons if other != name)
+        things = [t for t, o in self.registry.owners.items() if o.instance == name]
+        for index, thing in enumerate(sorted(things)):
+            await self.registry.grant(thing, others[index % len(others)])
+
     def declare(self, name="batch", team="team", **fields):
         """Declare a workload with one small task unless ``fields`` say more."""
         spec = {
