Prove membership and ownership against deaths, pauses, cuts and outages

The tests run the real modules of three daemons on the manual clock, the in-process streams and the memory store, and check after each quarter of a second that no two daemons decide about one thing.

Found on the way: a change of the table that arrived while a loss handler ran gave the thing back to its former owner; things being handed over are now marked. The wait of a taker that promises nothing while it takes over proved needless, as the owner's tenure can't be prolonged across a gap; it is gone. Liveness of other zones is sent for all members, their reports in turn, as turns alone let live members look dead from 25 on.

--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -1,7 +1,7 @@
 """Who takes part: registration in the store, heartbeats, promises and reports."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import NamedTuple
@@ -36,7 +36,8 @@
 PREFIX = "member/"
 SEED_PREFIX = "seed/"
 REPORT_LIMIT = 4096
-DIGEST_LIMIT = 6144
+DIGEST_LIMIT = 4096
+AGE_LIMIT = 256
 DIGEST_ROUNDS = 4
 FULL_ROUNDS = 10
 SENT_LIMIT = 64
@@ -71,6 +72,7 @@
 
     :param heard: when it was heard last, by itself or through others.
     :param seen_session: the session under which the store showed it last.
+    :param first_hand: when it was heard last, but not through this zone.
     :param is_direct: whether it sends heartbeats to this daemon.
     :param echoed: when the heartbeat was sent that it echoed last.
     :param vouched_until: how long it takes over nothing from this daemon.
@@ -81,6 +83,7 @@
     session: str = ""
     seen_session: str = ""
     heard: timedelta = NEVER
+    first_hand: timedelta = NEVER
     is_direct: bool = False
     number: int = 0
     echoed: timedelta = NEVER
@@ -132,11 +135,11 @@
         self._targets: set[str] | None = None
         self._number = 0
         self._sent: dict[int, timedelta] = {}
+        self._digest_starts = {True: 0, False: 0}
         self._last_beat = clock.monotonic()
         self._own = Contact(member, heard=clock.monotonic())
         self._promises: dict[str, timedelta] = {}
         self._familiar: dict[str, str] = {}
-        self._withheld: set[str] = set()
         self._tenured_since: timedelta = NEVER
         self._refreshed: timedelta = NEVER
         peers.register(Heartbeat, self._take_heartbeat)
@@ -235,14 +238,6 @@
             return True
         return now - self._tenured_since >= self._newcomer_wait
 
-    def withhold(self, names: Iterable[str]) -> None:
-        """Promise nothing to ``names`` until :meth:`release`."""
-        self._withheld.update(names)
-
-    def release(self, names: Iterable[str]) -> None:
-        """Promise to ``names`` again."""
-        self._withheld.difference_update(names)
-
     async def refresh(self) -> bool:
         """Read who is registered; tell whether the store answered."""
         if not await self._mirror.refresh():
@@ -308,9 +303,9 @@
     async def _keep_refreshed(self) -> None:
         while not self._has_left:
             now = self._clock.monotonic()
-            if now - self._refreshed >= REFRESH_INTERVAL / 2:
+            if now - self._refreshed >= REFRESH_INTERVAL:
                 await self.refresh()
-            await self._clock.sleep(REFRESH_INTERVAL)
+            await self._clock.sleep(REFRESH_INTERVAL / 2)
 
     # Registration ---------------------------------------------------------------
 
@@ -385,14 +380,17 @@
         if contact.number:
             heartbeat["echo"] = self._write_echo(contact, is_near, now)
         if self._number % DIGEST_ROUNDS == 0:
+            heartbeat["ages"] = {
+                name: _to_age(now - self._contacts[name].first_hand)
+                for name in self._list_relayed(is_near, now)[:AGE_LIMIT]
+            }
             heartbeat["digests"] = self._write_digests(is_near, now)
         return heartbeat
 
     def _write_echo(self, contact: Contact, is_near: bool, now: timedelta) -> Echo:
         echo: Echo = {"number": contact.number, "session": contact.session}
         name = contact.member.name
-        is_new = contact.number > contact.promised
-        if is_near and is_new and name not in self._withheld:
+        if is_near and contact.number > contact.promised:
             contact.promised = contact.number
             self._promises[name] = now + PROMISE_TIME * (1 + CLOCK_DRIFT)
             echo["promise"] = True
@@ -409,24 +407,28 @@
                 contact.sent_versions[topic] = version
         return reports
 
-    def _write_digests(self, is_near: bool, now: timedelta) -> list[Digest]:
-        chosen = sorted(
+    def _list_relayed(self, is_near: bool, now: timedelta) -> list[str]:
+        """List whom a peer hears of through this daemon; one relay on each side."""
+        return sorted(
             name
             for name, contact in self._contacts.items()
             if (contact.member.zone != self._member.zone) == is_near
             and (is_near or contact.is_direct)
-            and now - contact.heard < FAR_SILENCE
+            and now - contact.first_hand < FAR_SILENCE
         )
-        start = self._number // DIGEST_ROUNDS % (len(chosen) or 1)
+
+    def _write_digests(self, is_near: bool, now: timedelta) -> list[Digest]:
+        chosen = self._list_relayed(is_near, now)
+        start = self._digest_starts[is_near] % (len(chosen) or 1)
         room = DIGEST_LIMIT
         digests: list[Digest] = []
         for name in chosen[start:] + chosen[:start]:
             digest, size = self._write_digest(self._contacts[name], now, room)
             room -= size
             if room < 0:
-                count_drop("members", "digest_full")
                 break
             digests.append(digest)
+        self._digest_starts[is_near] = start + len(digests)
         return digests
 
     def _write_digest(
@@ -440,7 +442,7 @@
             if size + cost <= room:
                 reports[topic] = report.value
                 size += cost
-        age = (now - contact.heard) // timedelta(milliseconds=1)
+        age = _to_age(now - contact.first_hand)
         return {"member": fields, "age": age, "reports": reports}, size
 
     async def _take_heartbeat(self, instance: str, heartbeat: Heartbeat) -> None:
@@ -453,12 +455,14 @@
             return
         contact.member = member
         contact.is_direct = True
-        contact.heard = now
+        contact.heard = contact.first_hand = now
         contact.number = heartbeat["number"]
         contact.session = heartbeat["session"]
         contact.is_leaving = heartbeat.get("leaving", False)
         self._take_reports(contact, heartbeat.get("reports", {}), now)
+        is_far = member.zone != self._member.zone
         self._take_digests(heartbeat.get("digests", []), now)
+        self._take_ages(heartbeat.get("ages", {}), now, is_far)
         if "echo" in heartbeat:
             self._take_echo(contact, heartbeat["echo"])
         self._prolong(now)
@@ -492,11 +496,20 @@
                 continue
             contact = self._meet(member)
             heard = now - timedelta(milliseconds=digest["age"])
-            if heard <= contact.heard:
-                continue
-            contact.heard = heard
             for topic, value in digest["reports"].items():
-                contact.reports[topic] = Report(member.name, value, heard)
+                known = contact.reports.get(topic)
+                if known is None or known.received < heard:
+                    contact.reports[topic] = Report(member.name, value, heard)
+
+    def _take_ages(self, ages: dict[str, int], now: timedelta, is_far: bool) -> None:
+        for name, age in ages.items():
+            contact = self._contacts.get(name)
+            if contact is None or contact.member.zone == self._member.zone:
+                continue
+            heard = now - timedelta(milliseconds=age)
+            contact.heard = max(contact.heard, heard)
+            if is_far:
+                contact.first_hand = max(contact.first_hand, heard)
 
     async def _take_goodbye(self, instance: str, goodbye: Goodbye) -> None:
         contact = self._contacts.get(instance)
@@ -578,6 +591,11 @@
         for contact in self._contacts.values():
             if contact.heard != NEVER:
                 contact.heard += gap
+                contact.echoed += gap
+
+
+def _to_age(duration: timedelta) -> int:
+    return duration // timedelta(milliseconds=1)
 
 
 def _to_fields(member: Member) -> MemberFields:
--- a/src/damaskdeck/coordination/ownership.py
+++ b/src/damaskdeck/coordination/ownership.py
@@ -12,7 +12,7 @@
 from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.membership import Membership, Registered
 from damaskdeck.coordination.mirrors import Mirror
-from damaskdeck.coordination.rendezvous import assign_things
+from damaskdeck.coordination.rendezvous import assign_things, rank_members
 from damaskdeck.coordination.tables import Change, Holder, Table
 from damaskdeck.coordination.tenures import Tenure
 from damaskdeck.logs import get_logger
@@ -75,6 +75,7 @@
         self._held: dict[str, Holding] = {}
         self._gain_handlers: dict[str, list[OwnershipHandler]] = {}
         self._loss_handlers: dict[str, list[OwnershipHandler]] = {}
+        self._moving: set[str] = set()
         self._since: dict[tuple[str, str], timedelta] = {}
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
@@ -166,8 +167,10 @@
             return False
         wanted = assign_things(self._things[scope], self._list_names(scope))
         changes, is_waiting = self._list_claims(scope, table, wanted, tenure)
+        changes.update(self._list_removals(scope, table))
         if changes:
-            await self._claim(scope, table, changes)
+            await self._commit(scope, table, changes)
+            await self._follow(scope, table)
         moves = self._list_moves(scope, table, wanted)
         if moves:
             await self._hand_over(scope, table, moves)
@@ -200,6 +203,18 @@
                 changes[name] = Change(holder, Holder(own, tenure.session, epoch))
         return changes, is_waiting
 
+    def _list_removals(self, scope: str, table: Table) -> dict[str, Change]:
+        """List things of gone owners that exist no more, for one member to remove."""
+        names = self._list_names(scope)
+        if not names or rank_members(table.key, names)[0] != self._members.self.name:
+            return {}
+        removals = {}
+        for name, holder in table.things.items():
+            is_left = name not in self._things[scope] and self._is_gone(holder, table)
+            if is_left and self._may_take(scope, name, holder, True):
+                removals[name] = Change(holder, None)
+        return removals
+
     def _choose_epoch(self, thing: str, holder: Holder, tenure: Tenure) -> int | None:
         """Return the epoch to bind an own thing to a new session with, if need be."""
         if holder.session == tenure.session:
@@ -222,21 +237,6 @@
         since = self._since.setdefault((scope, name), now)
         return is_wanted or now - since >= ORPHAN_DELAY
 
-    async def _claim(
-        self, scope: str, table: Table, changes: Mapping[str, Holder]
-    ) -> None:
-        own = self._members.self.name
-        before = {
-            table.things[name].instance for name in changes if name in table.things
-        }
-        others = before - {own}
-        self._members.withhold(others)
-        if any(not self._members.may_take_from(name) for name in others):
-            pass
-        await self._commit(scope, table, changes)
-        self._members.release(others)
-        await self._follow(scope, table)
-
     async def _commit(
         self, scope: str, table: Table, changes: Mapping[str, Change]
     ) -> None:
@@ -269,18 +269,29 @@
         now = self._clock.monotonic()
         moves = {}
         for name, holder in table.things.items():
-            key = (scope, name)
-            if holder.instance != own or wanted.get(name, own) == own:
-                if holder.instance == own:
-                    self._since.pop(key, None)
+            if holder.instance != own:
                 continue
-            successor = self._members.get_registered(wanted[name])
-            if successor is None or not self._members.is_live(wanted[name]):
+            change = self._choose_move(scope, name, holder, wanted)
+            if change is None:
+                self._since.pop((scope, name), None)
                 continue
-            if now - self._since.setdefault(key, now) >= self._handover_delay:
-                moves[name] = _succeed(holder, successor)
+            delay = self._handover_delay if change.after else RELEASE_DELAY
+            if now - self._since.setdefault((scope, name), now) >= delay:
+                moves[name] = change
         return moves
 
+    def _choose_move(
+        self, scope: str, name: str, holder: Holder, wanted: Mapping[str, str]
+    ) -> Change | None:
+        """Return what should become of an own thing, if anything."""
+        if name not in self._things[scope]:
+            return Change(holder, None)
+        owner = wanted.get(name, holder.instance)
+        successor = self._members.get_registered(owner)
+        if owner == holder.instance or successor is None:
+            return None
+        return _succeed(holder, successor) if self._members.is_live(owner) else None
+
     async def _hand_over_all(self, scope: str) -> None:
         table = self._get_table(scope)
         held = [
@@ -304,10 +315,14 @@
     async def _hand_over(
         self, scope: str, table: Table, moves: Mapping[str, Change]
     ) -> None:
+        """Stop deciding about things, then write their successors."""
+        things = {f"{scope}/{name}" for name in moves}
         for name in moves:
             self._since.pop((scope, name), None)
-        await asyncio.gather(*(self._lose(f"{scope}/{name}") for name in moves))
+        self._moving.update(things)
+        await asyncio.gather(*(self._lose(thing) for thing in things))
         await self._commit(scope, table, moves)
+        self._moving.difference_update(things)
         await self._follow(scope, table)
 
     # Holdings -------------------------------------------------------------------
@@ -334,6 +349,8 @@
             if not is_own or holder.session != tenure.session:
                 continue
             thing = f"{scope}/{name}"
+            if thing in self._moving:
+                continue
             holding = self._held.get(thing)
             if holding is None:
                 holding = self._held[thing] = Holding(holder.epoch, tenure)
--- a/src/damaskdeck/protocol/heartbeats.py
+++ b/src/damaskdeck/protocol/heartbeats.py
@@ -42,10 +42,9 @@
 
 
 class Digest(TypedDict):
-    """What the sender heard of a member of another zone.
+    """A member of another zone that the sender heard, and its latest reports.
 
     :ivar age: milliseconds since that member was heard.
-    :ivar reports: its latest reports by topic, within a limit of bytes.
     """
 
     member: MemberFields
@@ -58,6 +57,8 @@
     """A sign of life, sent in an interval to some peers.
 
     :ivar session: names the lease under which the sender is registered.
+    :ivar ages: milliseconds since members of another zone were heard.
+    :ivar digests: some of them in turn, within a limit of bytes.
     """
 
     member: MemberFields
@@ -66,6 +67,7 @@
     leaving: NotRequired[bool]
     echo: NotRequired[Echo]
     reports: NotRequired[dict[str, ReportFields]]
+    ages: NotRequired[dict[str, int]]
     digests: NotRequired[list[Digest]]
 
 
--- a/src/standins/peers.py
+++ b/src/standins/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections import Counter
+from collections.abc import Coroutine
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -45,6 +46,7 @@
         self._cuts: set[tuple[str, str]] = set()
         self._lost_replies: Counter[tuple[str, str]] = Counter()
         self._paused: dict[str, asyncio.Event] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def connect(self, name: str) -> "SwitchPeers":
         """Return the streams of daemon ``name``; replaces an earlier daemon."""
@@ -56,6 +58,17 @@
         """Take a daemon away, as when its process dies."""
         self._peers.pop(name, None)
 
+    def close(self) -> None:
+        """Drop all messages on their way, at the end of a test."""
+        for task in self._tasks:
+            task.cancel()
+
+    def start(self, delivery: Coroutine[Any, Any, None]) -> None:
+        """Let a message be on its way, also when its sender dies meanwhile."""
+        task = asyncio.ensure_future(delivery)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def cut(self, sender: str, receiver: str) -> None:
         """Lose what ``sender`` sends to ``receiver``, in this direction only."""
         self._cuts.add((sender, receiver))
@@ -119,7 +132,6 @@
         self._name = name
         self._handlers: dict[str, Handler] = {}
         self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
 
     def register(self, kind: type, handler: Handler) -> None:
         """Let ``handler(instance, message)`` take all messages of ``kind``."""
@@ -154,9 +166,7 @@
     def _start(
         self, instance: str, envelope: Envelope, reply: asyncio.Future[Any] | None
     ) -> None:
-        task = asyncio.ensure_future(self._deliver(instance, envelope, reply))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._switch.start(self._deliver(instance, envelope, reply))
 
     async def _deliver(
         self, instance: str, envelope: Envelope, reply: asyncio.Future[Any] | None
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -1,220 +1,156 @@
-"""Daemons of a test that share a clock, a switch and a store."""
+"""Daemons of one process, on stand-ins, whose pauses and deaths tests decide."""
 
 import asyncio
-from collections import defaultdict
-from collections.abc import Mapping
-from datetime import timedelta
-from typing import Any
-
-from damaskdeck.coordination.relay import ConfigurationRelay
-from damaskdeck.protocol.members import Member, Report
-from damaskdeck.protocol.ports import Events, Listing
-from damaskdeck.protocol.resources import Kind, Resource
-from damaskdeck.state.configuration import Configuration
+import itertools
+from datetime import datetime, timedelta
+
+from damaskdeck.coordination.membership import Membership
+from damaskdeck.coordination.ownership import StoreOwnership
+from damaskdeck.protocol.members import Member
 from standins.clock import ManualClock, settle
 from standins.peers import PeerSwitch
 from standins.store import MemoryStore
 
+STEP = timedelta(milliseconds=250)
+ZONE = "z1"
+WORKERS = tuple(f"w{index}" for index in range(6))
+THINGS = (*(f"worker/{name}" for name in WORKERS), "ledger/00", "ledger/01")
 
-def make_team(name: str = "maps", weight: float = 1.0) -> dict[str, Any]:
-    """Return a team as an operator declares it."""
-    quota = {"processors": 100, "memory": 100_000, "accelerators": 8}
-    spec = {"quota": quota, "weight": weight}
-    return {"kind": "team", "metadata": {"name": name}, "spec": spec}
-
-
-def make_workload(name: str = "tiles", **fields: Any) -> dict[str, Any]:
-    """Return a workload as an operator declares it."""
-    size = {"processors": 1, "memory": 512}
-    spec = {"team": "maps", "type": "batch", "size": size, **fields}
-    return {"kind": "workload", "metadata": {"name": name}, "spec": spec}
-
-
-class Board:
-    """What each daemon's heartbeats tell the others, unless a link is cut."""
-
-    def __init__(self, switch: PeerSwitch, clock: ManualClock) -> None:
-        self.switch = switch
-        self.clock = clock
-        self.members: dict[str, Member] = {}
-        self.dead: set[str] = set()
-        self.heard: dict[str, dict[str, dict[str, Report]]] = defaultdict(
-            lambda: defaultdict(dict)
-        )
 
-    def reaches(self, sender: str, receiver: str) -> bool:
-        """Tell whether heartbeats of ``sender`` arrive at ``receiver``."""
-        cuts = self.switch._cuts
-        return sender not in self.dead and (sender, receiver) not in cuts
+class PausableClock:
+    """The shared clock as a process sees it that may be paused."""
 
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._runs = asyncio.Event()
+        self._runs.set()
 
-class BoardMembers:
-    """Implements ``Members`` over a :class:`Board`; a cut is seen at once."""
-
-    def __init__(self, board: Board, name: str) -> None:
-        self._board = board
-        self._name = name
-
-    @property
-    def self(self) -> Member:
-        return self._board.members[self._name]
-
-    def list_live(self, zone: str = "") -> tuple[Member, ...]:
-        members = sorted(self._board.members.items())
-        return tuple(m for n, m in members if self.is_live(n) and zone in ("", m.zone))
-
-    def is_live(self, name: str) -> bool:
-        return name == self._name or (
-            name in self._board.members and self._board.reaches(name, self._name)
-        )
-
-    def publish(self, topic: str, value: bytes) -> None:
-        report = Report(self._name, value, self._board.clock.monotonic())
-        for receiver in self._board.members:
-            if self._board.reaches(self._name, receiver):
-                self._board.heard[receiver][topic][self._name] = report
+    def now(self) -> datetime:
+        return self._clock.now()
 
-    def read_reports(self, topic: str) -> Mapping[str, Report]:
-        heard = self._board.heard[self._name][topic]
-        return {name: r for name, r in heard.items() if self.is_live(name)}
+    def monotonic(self) -> timedelta:
+        return self._clock.monotonic()
 
+    async def sleep(self, duration: timedelta) -> None:
+        await self._clock.sleep(duration)
+        while not self._runs.is_set():
+            await self._runs.wait()
 
-class LaggingStore:
-    """A store's client whose lists may be older than they should.
+    def pause(self) -> None:
+        self._runs.clear()
 
-    :param old: answers all lists while it is set.
-    """
-
-    def __init__(self, client: Any) -> None:
-        self._client = client
-        self.old: Listing | None = None
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._client, name)
-
-    async def list(self, prefix: str) -> Any:
-        found = await self._client.list(prefix)
-        return self.old if self.old and isinstance(found, Listing) else found
-
-    async def watch(self, prefix: str, revision: int, wait: timedelta) -> Any:
-        if self.old is not None:
-            await self._client.watch(prefix, 1 << 40, wait)
-            return Events((), self.old.revision)
-        return await self._client.watch(prefix, revision, wait)
+    def resume(self) -> None:
+        self._runs.set()
 
 
 class Daemon:
-    """One daemon's configuration and relay."""
-
-    def __init__(self, cluster: "Cluster", name: str, zone: str) -> None:
-        self.cluster = cluster
+    """Membership and ownership of one daemon."""
+
+    def __init__(self, deployment: "Deployment", name: str, zone: str) -> None:
+        member = Member(
+            name=name,
+            zone=zone,
+            region="r1",
+            peer_address=f"127.0.0.1:{next(deployment.ports)}",
+            api_address="127.0.0.1:1",
+            incarnation=f"{name}-{next(deployment.ports)}",
+        )
         self.name = name
-        self.zone = zone
-        board = cluster.board
-        board.members[name] = Member(name, zone, "r", name, name, "1")
-        board.dead.discard(name)
-        for topics in board.heard.values():
-            for reports in topics.values():
-                reports.pop(name, None)
-        board.heard.pop(name, None)
-        self.store = LaggingStore(cluster.store.connect(name))
-        self.members = BoardMembers(board, name)
-        self.configuration = Configuration()
-        self.seen: list[int] = []
-        self.weights: list[float] = []
-        self.configuration.subscribe(self._note)
-        self.relay = ConfigurationRelay(
-            self.configuration,
-            self.members,
-            cluster.switch.connect(name),
-            self.store,
-            cluster.clock,
+        self.clock = PausableClock(deployment.clock)
+        self.losses: list[str] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        peers = deployment.switch.connect(name)
+        store = deployment.store.connect(name)
+        self.members = Membership(
+            member, peers, store, self.clock, newcomer_wait=deployment.newcomer_wait
         )
-        self.task = asyncio.ensure_future(self.relay.run())
+        self.ownership = StoreOwnership(self.members, peers, store, self.clock)
+        self.ownership.set_things("worker", WORKERS if zone == ZONE else ())
+        self.ownership.set_things("ledger", ("00", "01"))
+        for scope in ("worker", "ledger"):
+            self.ownership.on_loss(scope, self._note_loss)
 
-    def _note(self, kind: Kind, name: str, resource: Resource | None) -> None:
-        self.seen.append(self.configuration.revision)
-        if resource is not None and kind is Kind.TEAM:
-            self.weights.append(resource["spec"]["weight"])
+    async def _note_loss(self, thing: str, epoch: int) -> None:
+        self.losses.append(thing)
 
-    @property
-    def weight(self) -> float | None:
-        """The weight of team ``maps`` in force here."""
-        team = self.configuration.get(Kind.TEAM, "maps")
-        return team["spec"]["weight"] if team else None
+    def start(self) -> None:
+        runs = (self.members.run(), self.ownership.run())
+        self.tasks = [asyncio.ensure_future(run) for run in runs]
 
-    async def put_weight(self, weight: float, expected: int | None = None) -> Any:
-        """Declare team ``maps``."""
-        return await self.relay.put(Kind.TEAM, make_team(weight=weight), expected)
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
 
-    async def kill(self) -> None:
-        """Let the process die."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
-        self.cluster.switch.disconnect(self.name)
-        self.cluster.board.dead.add(self.name)
+    def list_held(self, scope: str = "worker") -> tuple[str, ...]:
+        return self.ownership.list_held(scope)
 
 
-class Cluster:
-    """Daemons in zones over one switch and one store."""
+class Deployment:
+    """Daemons that share a store, a switch and a clock."""
 
-    def __init__(self, *zones: int) -> None:
+    def __init__(self, newcomer_wait: timedelta = timedelta(hours=1)) -> None:
         self.clock = ManualClock()
-        self.switch = PeerSwitch(self.clock)
-        self.board = Board(self.switch, self.clock)
         self.store = MemoryStore(self.clock)
+        self.switch = PeerSwitch(self.clock)
+        self.newcomer_wait = newcomer_wait
+        self.ports = itertools.count(1)
         self.daemons: dict[str, Daemon] = {}
-        for index, count in enumerate(zones):
-            for number in range(count):
-                self.start(f"d{index}{number}", f"z{index}")
-
-    def __getitem__(self, name: str) -> Daemon:
-        return self.daemons[name]
 
-    def start(self, name: str, zone: str) -> Daemon:
-        """Start a daemon that remembers nothing."""
-        self.daemons[name] = Daemon(self, name, zone)
-        return self.daemons[name]
-
-    async def pass_time(self, seconds: float) -> None:
-        """Let time pass."""
-        await self.clock.advance(timedelta(seconds=seconds))
-
-    async def stop(self) -> None:
-        """Stop all daemons."""
+    def add(self, name: str, zone: str = ZONE) -> Daemon:
+        """Start a daemon; one of the same name must be dead."""
+        daemon = self.daemons[name] = Daemon(self, name, zone)
+        daemon.start()
+        return daemon
+
+    def kill(self, name: str) -> None:
+        """End a daemon's process without a word."""
+        self.daemons.pop(name).stop()
+        self.switch.disconnect(name)
+
+    def pause(self, name: str) -> None:
+        """Let a daemon's process stand still; its clock goes on."""
+        self.daemons[name].clock.pause()
+        self.switch.pause(name)
+
+    def resume(self, name: str) -> None:
+        """Let a paused daemon go on."""
+        self.daemons[name].clock.resume()
+        self.switch.resume(name)
+
+    def isolate(self, name: str) -> None:
+        """Cut a daemon off from the store and from all others."""
+        self.store.faults.cut_off.add(name)
+        for other in self.daemons:
+            self.switch.cut_both(name, other)
+
+    def find_deciders(self, thing: str) -> dict[str, int]:
+        """Return who says that it may decide about ``thing``, with its epoch."""
+        found = {}
+        for name, daemon in self.daemons.items():
+            epoch = daemon.ownership.get_epoch(thing)
+            if epoch is not None:
+                found[name] = epoch
+        return found
+
+    def check(self) -> None:
+        """Fail when two daemons decide about one thing."""
+        for thing in THINGS:
+            deciders = self.find_deciders(thing)
+            assert len(deciders) <= 1, (thing, deciders, self.clock.monotonic())
+        for daemon in self.daemons.values():
+            for task in daemon.tasks:
+                assert not task.done() or task.exception() is None, task
+
+    async def advance(self, seconds: float) -> None:
+        """Move the clock in steps and check after each."""
+        end = self.clock.monotonic() + timedelta(seconds=seconds)
+        while self.clock.monotonic() < end:
+            await self.clock.advance(min(STEP, end - self.clock.monotonic()))
+            self.check()
+
+    async def close(self) -> None:
+        """End all daemons."""
         for daemon in self.daemons.values():
-            if not daemon.task.done():
-                await daemon.kill()
-
-    def cut_off_from_store(self, zone: str) -> None:
-        """Keep a zone's calls from the store."""
-        names = {d.name for d in self.daemons.values() if d.zone == zone}
-        self.store.faults.cut_off.update(names)
-
-    def cut_off(self, zone: str) -> None:
-        """Cut a zone off from the other ones."""
-        for first in self.daemons.values():
-            for second in self.daemons.values():
-                if first.zone == zone != second.zone:
-                    self.switch.cut_both(first.name, second.name)
-
-    def find_watchers(self, zone: str) -> list[Daemon]:
-        """Return the daemons that watch the store in a zone."""
-        return [
-            d for d in self.daemons.values() if d.zone == zone and d.relay._is_watcher()
-        ]
-
-    async def measure(
-        self, weight: float, step: float = 0.1, limit: float = 10
-    ) -> float:
-        """Return the seconds until all live daemons have ``weight``."""
-        passed = 0.0
+            daemon.stop()
+        self.switch.close()
         await settle()
-        while not all(
-            d.weight == weight for d in self.daemons.values() if not d.task.done()
-        ):
-            if passed >= limit:
-                raise AssertionError(f"not in force after {limit} s")
-            await self.pass_time(step)
-            passed += step
-        return round(passed, 3)
