Count renewals and starts that wait inside a paused worker

A start in doubt is settled only by the worker itself or by its leaving the instance list; it may be repeated there, if idempotent, and is never placed elsewhere. A keeper gives up the tasks of workers that are no longer listed. A failed background task now ends the daemon's run() instead of going unseen: a removed worker had stopped all placement with a KeyError.

Tests: tests/test_hosting.py; the waiting start and renewal, the removed worker and the cut-off worker failed before their changes.

--- a/src/damaskdeck/coordination/desks.py
+++ b/src/damaskdeck/coordination/desks.py
@@ -1,6 +1,7 @@
 """Everything that the keeper of one ledger does, put together."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
@@ -34,6 +35,7 @@
     """One kept ledger with its queue, its launches and its follow-ups.
 
     :param kept: not opened yet.
+    :param watch: called with the task that places once it has ended.
     """
 
     def __init__(
@@ -44,12 +46,16 @@
         peers: Peers,
         configuration: ConfigurationReader,
         clock: Clock,
+        watch: Callable[[asyncio.Task[None]], None],
     ) -> None:
         self.kept = kept
+        self._watch = watch
         self.view = FleetView(members, clock)
         self.quotas = Quotas()
         self.keys = Keys(kept)
-        self.followups = Followups(kept, ownership, peers, clock)
+        self.followups = Followups(
+            kept, ownership, peers, clock, self.view.accounts.workers.__contains__
+        )
         launcher = Launcher(kept, ownership, peers, self.followups.doubt)
         queue = JobQueue(clock, self.quotas)
         self.dispatcher = Dispatcher(kept, self.view, launcher, queue, clock)
@@ -70,6 +76,7 @@
         took = timedelta(seconds=self.kept.get_time() - started)
         _log.info("Keeps a ledger.", ledger=self.kept.name, took=took)
         self._runner = asyncio.ensure_future(self._run())
+        self._runner.add_done_callback(self._watch)
 
     async def close(self) -> None:
         """Stop placing and let the commits in progress end."""
--- a/src/damaskdeck/coordination/fleetview.py
+++ b/src/damaskdeck/coordination/fleetview.py
@@ -43,14 +43,15 @@
     def refresh(self) -> tuple[str, ...]:
         """Take in new summaries; returns the workers that were heard of."""
         self._expire_picks()
-        news = list_news(self._members.read_reports(WORKERS_TOPIC), self._seen)
-        for summary in news:
+        heard = []
+        for summary in list_news(self._members.read_reports(WORKERS_TOPIC), self._seen):
             account = self.accounts.workers.get(summary.name)
             if account is None:
                 continue
             self._set_used(summary.name, subtract_sizes(account.size, summary.free))
             self.accounts.close_worker(summary.name, summary.closed)
-        return tuple(summary.name for summary in news)
+            heard.append(summary.name)
+        return tuple(heard)
 
     def pick(self, need: TaskNeed) -> Placed | NoRoom | Impossible:
         """Choose a worker and count its room as taken for a while."""
--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -1,11 +1,12 @@
 """Follow-ups of placed tasks: news of them, doubts about them, and stops."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.leases import compute_takeover_bound
 from damaskdeck.coordination.news import judge_news
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Ownership
@@ -16,6 +17,7 @@
 CHECK_INTERVAL = timedelta(seconds=1)
 CHECK_BATCH = 500
 CALL_TIMEOUT = timedelta(seconds=3)
+GONE_LIMIT = compute_takeover_bound() + timedelta(seconds=15)
 ON_WORKER = (TaskState.PLACED, TaskState.RUNNING)
 
 
@@ -28,8 +30,15 @@
     """
 
     def __init__(
-        self, kept: KeptLedger, ownership: Ownership, peers: Peers, clock: Clock
+        self,
+        kept: KeptLedger,
+        ownership: Ownership,
+        peers: Peers,
+        clock: Clock,
+        is_listed: Callable[[str], bool],
     ) -> None:
+        self._is_listed = is_listed
+        self._gone: dict[str, timedelta] = {}
         self._kept = kept
         self._ownership = ownership
         self._peers = peers
@@ -61,6 +70,7 @@
         """Ask about doubts and send stops until cancelled."""
         while True:
             self._note_owners()
+            await self._drop_gone()
             await self.check_all()
             await self._stop_all()
             self._changed.clear()
@@ -115,6 +125,28 @@
                 self._epochs[worker] = owner.epoch
                 self._doubts.update(tasks)
 
+    async def _drop_gone(self) -> None:
+        """Give up the tasks of workers that the platform has taken away.
+
+        Their owner tells of them first, if there is one left.
+        """
+        now = self._clock.monotonic()
+        for worker, tasks in list(self._on_worker.items()):
+            if not tasks or self._is_listed(worker):
+                self._gone.pop(worker, None)
+            elif now - self._gone.setdefault(worker, now) >= GONE_LIMIT:
+                news = [self._lose(self._kept.table.tasks[name]) for name in tasks]
+                await self.take_news(news)
+
+    def _lose(self, task: Task) -> jobs.TaskNews:
+        return jobs.TaskNews(
+            task=task.name,
+            attempt=task.attempt,
+            worker=task.worker,
+            state="lost",
+            code="worker_gone",
+        )
+
     def _group(self, names: Iterable[str]) -> dict[str, list[Task]]:
         groups: dict[str, list[Task]] = {}
         for name in names:
@@ -154,5 +186,9 @@
 
 def _name(task: Task) -> jobs.TaskAttempt:
     return jobs.TaskAttempt(
-        task=task.name, attempt=task.attempt, worker=task.worker, epoch=task.epoch
+        task=task.name,
+        attempt=task.attempt,
+        worker=task.worker,
+        epoch=task.epoch,
+        started=task.state is TaskState.RUNNING,
     )
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Coroutine
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -9,7 +10,9 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.fleet import Change
 from damaskdeck.coordination.outbox import Outbox
-from damaskdeck.coordination.sessions import OPEN_STATES, Session
+from damaskdeck.coordination.rosters import OPEN_STATES
+from damaskdeck.coordination.sessions import Session
+from damaskdeck.coordination.supervisor import Supervisor
 from damaskdeck.coordination.workers import WORKERS_TOPIC, encode_workers
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
@@ -74,6 +77,7 @@
         self._renewal = renewal
         self._outbox = Outbox(ownership, peers, clock, self._take_noted)
         self._runners: dict[str, asyncio.Task[None]] = {}
+        self._supervisor = Supervisor()
         self._ledger_epochs: dict[str, int] = {}
         self._fenced: OrderedDict[tuple[str, int], None] = OrderedDict()
         ownership.on_gain("worker", self._gain)
@@ -91,6 +95,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._outbox.run())
                 group.create_task(self._publish_all())
+                group.create_task(self._supervisor.run())
         finally:
             for runner in self._runners.values():
                 runner.cancel()
@@ -119,7 +124,7 @@
             self._renewal,
         )
         self.sessions[name] = session
-        self._runners[name] = asyncio.ensure_future(session.run())
+        self._start_runner(name, session.run())
 
     async def _lose(self, thing: str, epoch: int) -> None:
         name = thing.partition("/")[2]
@@ -129,7 +134,11 @@
         self._end_session(name)
         session.refuse_waiting()
         if self._fleet.get(name) is None:
-            self._runners[name] = asyncio.ensure_future(session.abandon())
+            self._start_runner(name, session.abandon())
+
+    def _start_runner(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        runner = self._runners[name] = asyncio.ensure_future(work)
+        runner.add_done_callback(self._supervisor.watch)
 
     def _take_fleet(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
@@ -221,7 +230,7 @@
             return "not_owner"
         if (task, attempt) in self._fenced:
             return "fenced"
-        hosted = session.tasks.get(task)
+        hosted = session.roster.tasks.get(task)
         if hosted and (hosted.state in OPEN_STATES or hosted.attempt >= attempt):
             return "already_started"
         if not self.accounts.confirm(task, self._clock.monotonic()):
@@ -258,7 +267,7 @@
         session = self.sessions.get(worker)
         if session is None or self._get_epoch(worker) != session.epoch:
             return news
-        hosted = session.find(task, attempt)
+        hosted = session.roster.find(task, attempt)
         if hosted is not None:
             is_running = hosted.state == "running"
             news["state"] = "running" if is_running else "unsure"
@@ -266,7 +275,7 @@
             self._fence(task, attempt)
             self._drop_hold(task, worker)
             news["state"] = "unstarted"
-        elif session.is_ready:
+        elif session.is_ready or (item.get("started") and session.has_lapsed):
             news["state"] = "lost"
             news["code"] = "worker_lost"
         return news
--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -9,6 +9,7 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.desks import Desk
 from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.supervisor import Supervisor
 from damaskdeck.metrics import count_refusal, count_retry
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.handlers import (
@@ -79,6 +80,7 @@
         self._fleet = fleet
         self._clock = clock
         self._count = ledger_count
+        self._supervisor = Supervisor()
         ownership.on_gain("ledger", self._gain)
         ownership.on_loss("ledger", self._lose)
         fleet.on_change(self._take_fleet)
@@ -95,6 +97,10 @@
         register(jobs.SettleKey, self._take_settlement)
         register(jobs.TaskReports, self._take_reports)
 
+    async def run(self) -> None:
+        """Wait until cancelled; raises what made a kept ledger's work fail."""
+        await self._supervisor.run()
+
     # Gains and losses ------------------------------------------------------------
 
     async def _gain(self, thing: str, epoch: int) -> None:
@@ -114,6 +120,7 @@
             self._peers,
             self._configuration,
             self._clock,
+            self._supervisor.watch,
         )
         self.desks[name] = desk
         await desk.open(self._fleet.list(InstanceRole.WORKER))
--- a/src/damaskdeck/protocol/jobs.py
+++ b/src/damaskdeck/protocol/jobs.py
@@ -119,12 +119,16 @@
 
 
 class TaskAttempt(TypedDict):
-    """An attempt of a task on a worker, under the epoch of the worker's owner."""
+    """An attempt of a task on a worker, under the epoch of the worker's owner.
+
+    ``started`` tells whether it is known to have started.
+    """
 
     task: str
     attempt: int
     worker: str
     epoch: NotRequired[int]
+    started: NotRequired[bool]
 
 
 class SizeData(TypedDict):
--- a/tests/plane.py
+++ b/tests/plane.py
@@ -1,6 +1,7 @@
 """Daemons' task planes in one process and in virtual time, for tests to break."""
 
 import asyncio
+import functools
 from datetime import timedelta
 
 from damaskdeck.coordination.fleet import Fleet
@@ -9,13 +10,23 @@
 from damaskdeck.protocol.members import Member, Owner, Report
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.protocol.sizes import Size
-from standins.loops import LoopClock
+from standins.loops import LoopClock, run_virtual
 from standins.peers import PeerSwitch
 from standins.platform import Platform
 
 WORKER_SIZE = Size(4000, 8000, 0)
 
 
+def virtual(test):
+    """Run an asynchronous test in virtual time."""
+
+    @functools.wraps(test)
+    def run(self):
+        run_virtual(test(self))
+
+    return run
+
+
 class Registry:
     """Who owns what, decided by the test."""
 
@@ -184,6 +195,7 @@
         self.tasks = [
             asyncio.ensure_future(self.fleet.run()),
             asyncio.ensure_future(self.host.run()),
+            asyncio.ensure_future(self.keeper.run()),
         ]
 
 
--- /dev/null
+++ b/tests/test_hosting.py
@@ -0,0 +1,220 @@
+"""Owners of workers: takeovers, leases, lost answers and lost workers."""
+
+import unittest
+from datetime import timedelta
+
+from damaskdeck.protocol.handlers import JobState, Submission
+from damaskdeck.protocol.jobs import SizeData, Start
+from standins.faults import FaultKind
+from tests.plane import Plane, virtual
+
+LONG = b'{"run_time": 6, "result": "done"}'
+ENDLESS = b'{"run_time": 600}'
+LEASE = timedelta(seconds=12)
+
+
+class WithPlane(unittest.TestCase):
+    """A plane with one job that is started on ``w1``, which ``d2`` owns."""
+
+    async def start(self, payload=LONG, workers=1, **fields):
+        self.plane = await Plane(daemons=2, workers=workers).start()
+        self.worker = self.plane.platform.workers["w1"]
+        self.runs = self.plane.platform.runs
+        await self.plane.registry.hand_over("worker/w1", "d2")
+        self.plane.declare(**fields)
+        self.job = await self.submit(payload)
+
+    async def submit(self, payload):
+        keeper = self.plane.find("d1").keeper
+        view = await keeper.submit_job(Submission("batch", "team", payload))
+        return view.name
+
+    async def sleep(self, seconds):
+        await self.plane.clock.sleep(timedelta(seconds=seconds))
+
+    def find_busy(self):
+        """Return the worker that runs everything, and the other one."""
+        name = self.runs.starts[0].worker
+        return name, "w2" if name == "w1" else "w1"
+
+    def check_runs(self, starts):
+        self.assertEqual(len(self.runs.starts), starts)
+        self.assertEqual(self.runs.overlaps, [])
+        self.assertEqual(self.runs.overfills, [])
+
+
+class TestTakeover(WithPlane):
+    """A new owner adopts what runs and fences off the old one."""
+
+    @virtual
+    async def test_running_task_goes_on_under_a_new_owner(self):
+        await self.start(idempotent=False)
+        await self.sleep(2)
+        await self.plane.kill("d2")
+        ended = await self.plane.wait_for_end(self.job)
+        self.assertEqual(ended.results, (b"done",))
+        self.check_runs(1)
+
+    @virtual
+    async def test_adopted_task_keeps_its_room(self):
+        await self.start(ENDLESS, size={"processors": 3, "memory": 100})
+        await self.sleep(2)
+        await self.plane.registry.hand_over("worker/w1", "d1")
+        await self.sleep(1)
+        await self.submit(ENDLESS)
+        await self.sleep(5)
+        self.check_runs(1)
+
+    @virtual
+    async def test_start_of_a_deposed_owner_is_refused_by_the_worker(self):
+        await self.start(ENDLESS)
+        await self.sleep(2)
+        old = self.plane.find("d2").host.sessions["w1"]
+        await self.plane.registry.usurp("worker/w1", "d1")
+        await self.sleep(1)
+        size = SizeData(millicores=1, memory=1, accelerators=0)
+        start = Start(task="x-00-1-0", attempt=1, worker="w1", size=size, payload=b"")
+        old.order_start(start)
+        await self.sleep(1)
+        self.check_runs(1)
+
+    @virtual
+    async def test_start_bound_to_an_old_epoch_is_refused_by_the_new_owner(self):
+        await self.start(ENDLESS)
+        await self.sleep(2)
+        host = self.plane.find("d2").host
+        epoch = host.sessions["w1"].epoch
+        size = SizeData(millicores=1, memory=1, accelerators=0)
+        item = {"task": "x-00-1-0", "attempt": 1, "worker": "w1", "size": size}
+        message = {"ledger": "00", "epoch": 1, "tasks": [item]}
+        granted = (await host._reserve("d1", message))["granted"]
+        self.assertEqual(granted[0]["epoch"], epoch)
+        old = Start(**item, epoch=epoch - 1, payload=b"")
+        reply = await host._start("d1", {"ledger": "00", "epoch": 1, "tasks": [old]})
+        self.assertEqual(reply["refused"][0]["code"], "not_owner")
+        self.check_runs(1)
+
+    @virtual
+    async def test_keeper_of_an_older_epoch_is_refused(self):
+        await self.start(ENDLESS)
+        await self.sleep(2)
+        await self.plane.registry.usurp("ledger/00", "d2")
+        host = self.plane.find("d2").host
+        size = SizeData(millicores=1, memory=1, accelerators=0)
+        item = {"task": "x-00-1-0", "attempt": 1, "worker": "w1", "size": size}
+        reply = await host._reserve("d1", {"ledger": "00", "epoch": 1, "tasks": [item]})
+        self.assertEqual(reply["refused"][0]["code"], "stale_keeper")
+
+
+class TestLostWorkers(WithPlane):
+    """Tasks start elsewhere only when their lease must have lapsed."""
+
+    @virtual
+    async def test_task_of_a_cut_off_worker_starts_elsewhere_after_its_lease(self):
+        await self.start(ENDLESS, workers=2, tasks=3)
+        await self.sleep(3)
+        name, other = self.find_busy()
+        for daemon in self.plane.names:
+            self.plane.platform.cut_off(daemon, name)
+        await self.sleep(60)
+        self.assertEqual(self.plane.platform.workers[name].list_running(), ())
+        self.assertEqual(len(self.plane.platform.workers[other].list_running()), 3)
+        self.assertEqual(self.runs.overlaps, [])
+
+    @virtual
+    async def test_renewal_that_waits_inside_a_paused_worker_is_counted(self):
+        await self.start(ENDLESS, workers=2, tasks=3)
+        await self.sleep(3)
+        name, _ = self.find_busy()
+        worker = self.plane.platform.workers[name]
+        worker.pause()
+        await self.sleep(8)
+        worker.resume()
+        self.assertEqual(len(worker.list_running()), 3)
+        for daemon in self.plane.names:
+            self.plane.platform.cut_off(daemon, name)
+        await self.sleep(60)
+        self.assertEqual(len(self.runs.starts), 6)
+        self.assertEqual(self.runs.overlaps, [])
+
+    @virtual
+    async def test_start_that_waits_inside_a_paused_worker_runs_nowhere_else(self):
+        await self.start(ENDLESS, workers=2)
+        await self.sleep(1)
+        for worker in self.plane.platform.workers.values():
+            worker.pause()
+        job = await self.submit(LONG)
+        await self.sleep(1)
+        starts = len(self.runs.starts)
+        await self.sleep(60)
+        for worker in self.plane.platform.workers.values():
+            worker.resume()
+        ended = await self.plane.wait_for_end(job)
+        self.assertEqual(starts, 1)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertEqual(self.runs.overlaps, [])
+
+    @virtual
+    async def test_task_of_a_worker_taken_off_the_list_starts_elsewhere(self):
+        await self.start(ENDLESS, workers=2, tasks=2)
+        await self.sleep(2)
+        name, other = self.find_busy()
+        self.plane.platform.remove(name)
+        await self.sleep(90)
+        self.assertEqual(len(self.plane.platform.workers[other].list_running()), 2)
+
+    @virtual
+    async def test_idempotent_task_of_a_restarted_worker_runs_again(self):
+        await self.start()
+        await self.sleep(2)
+        self.worker.die()
+        self.worker.replace()
+        ended = await self.plane.wait_for_end(self.job)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.check_runs(2)
+
+    @virtual
+    async def test_non_idempotent_task_of_a_restarted_worker_is_unknown(self):
+        await self.start(idempotent=False)
+        await self.sleep(2)
+        self.worker.die()
+        self.worker.replace()
+        ended = await self.plane.wait_for_end(self.job)
+        self.assertEqual(ended.state, JobState.UNKNOWN)
+        self.check_runs(1)
+
+
+class TestLostAnswers(WithPlane):
+    """A start whose answer is lost is settled by the inventory."""
+
+    async def lose(self, kind, **fields):
+        self.plane = await Plane(daemons=2, workers=1).start()
+        self.runs = self.plane.platform.runs
+        self.plane.platform.workers["w1"].faults.plan("start", kind)
+        self.plane.declare(**fields)
+        job = await self.submit(LONG)
+        return await self.plane.wait_for_end(job)
+
+    @virtual
+    async def test_lost_answer_of_a_non_idempotent_start(self):
+        ended = await self.lose(FaultKind.LOSE_ANSWER, idempotent=False)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.check_runs(1)
+
+    @virtual
+    async def test_lost_call_of_an_idempotent_start_is_repeated(self):
+        ended = await self.lose(FaultKind.LOSE_CALL)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.check_runs(1)
+
+    @virtual
+    async def test_lost_call_of_a_non_idempotent_start_is_unknown(self):
+        ended = await self.lose(FaultKind.LOSE_CALL, idempotent=False)
+        self.assertEqual(ended.state, JobState.UNKNOWN)
+        self.check_runs(0)
+
+    @virtual
+    async def test_refused_start_is_not_counted_as_a_run(self):
+        ended = await self.lose(FaultKind.REFUSE, idempotent=False)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.check_runs(1)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -4,22 +4,11 @@
 
 from damaskdeck.protocol.handlers import JobState, Submission
 from damaskdeck.protocol.outcomes import Refused
-from standins.loops import run_virtual
-from tests.plane import Plane
+from tests.plane import Plane, virtual
 
 RESULT = b'{"run_time": 2, "result": "done"}'
 
 
-def virtual(test):
-    """Run an asynchronous test in virtual time."""
-
-    def run(self):
-        run_virtual(test(self))
-
-    run.__name__ = test.__name__
-    return run
-
-
 class TestWholePath(unittest.TestCase):
     """From submission to outcome, from any daemon."""
 
