--- a/src/damaskdeck/coordination/admission.py
+++ b/src/damaskdeck/coordination/admission.py
@@ -63,28 +63,37 @@
         self.future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
 
-def _get_order(waiter: Waiter) -> tuple[timedelta, int]:
-    return waiter.order
-
-
 class _TeamQueue:
     """A team's waiters of one urgency class, the shortest slack first."""
 
-    def __init__(self) -> None:
+    def __init__(self, served: float) -> None:
         self.waiters: list[tuple[timedelta, int, Waiter]] = SortedList()
-        self.served = 0.0
-        self.is_listed = False
+        self.served = served
+        self.listed: tuple[int, tuple[timedelta, int, Waiter]] | None = None
+
+    @property
+    def key(self) -> tuple[int, tuple[timedelta, int, Waiter]]:
+        """Order among the teams: by turns taken, then by the first waiter."""
+        return int(self.served), self.waiters[0]
 
 
 class _ClassQueue:
-    """One urgency class; teams take turns."""
+    """One urgency class; teams take turns of ``quantum`` requests.
+
+    Within a turn the order is by slack, so that a few requests that came
+    together don't wait for those of other teams behind them.
+
+    The heap has an entry for the first waiter of each team, and old ones that
+    are dropped when they come up.
+    """
 
     def __init__(self) -> None:
         self.count = 0
         self.size = 0
+        self.quantum = 1
         self._teams: dict[str, _TeamQueue] = {}
-        self._turns: list[tuple[float, str]] = []
-        self._turn = 0.0
+        self._heap: list[tuple[int, tuple[timedelta, int, Waiter], str]] = []
+        self._turn = 0
 
     def get_length(self, team: str) -> int:
         queue = self._teams.get(team)
@@ -93,23 +102,18 @@
     def count_ahead(self, team: str, give_up: timedelta) -> int:
         """Estimate how many of this class are served before a newcomer."""
         queue = self._teams.get(team)
-        if queue is None:
-            return min(self.count, max(0, len(self._teams)))
-        own = queue.waiters.bisect_left((give_up,))
-        others = self.count - len(queue.waiters)
-        return own + min(others, (own + 1) * (len(self._teams) - 1))
+        own = queue.waiters.bisect_left((give_up,)) if queue else 0
+        others = self.count - self.get_length(team)
+        return own + min(others, (own + self.quantum) * len(self._teams))
 
     def add(self, waiter: Waiter) -> None:
         queue = self._teams.get(waiter.team)
         if queue is None:
-            queue = self._teams[waiter.team] = _TeamQueue()
-            queue.served = self._turn
+            queue = self._teams[waiter.team] = _TeamQueue(self._turn)
         queue.waiters.add((*waiter.order, waiter))
         self.count += 1
         self.size += waiter.size
-        if not queue.is_listed:
-            queue.is_listed = True
-            heapq.heappush(self._turns, (queue.served, waiter.team))
+        self._list(waiter.team, queue)
 
     def remove(self, waiter: Waiter) -> bool:
         queue = self._teams.get(waiter.team)
@@ -117,42 +121,62 @@
         if queue is None or entry not in queue.waiters:
             return False
         queue.waiters.remove(entry)
-        self.count -= 1
-        self.size -= waiter.size
+        self._count_out(waiter, queue)
         return True
 
-    def pop(self) -> Waiter | None:
-        while self._turns:
-            served, team = self._turns[0]
-            queue = self._teams[team]
-            if not queue.waiters:
-                heapq.heappop(self._turns)
-                del self._teams[team]
-                continue
-            self._turn = served
-            queue.served = served + 1
-            heapq.heapreplace(self._turns, (queue.served, team))
-            return self._take_first(queue)
+    def peek(self) -> Waiter | None:
+        while self._heap:
+            turn, first, team = self._heap[0]
+            queue = self._teams.get(team)
+            if queue is not None and queue.key == (turn, first):
+                return first[2]
+            heapq.heappop(self._heap)
         return None
 
+    def pop(self) -> Waiter | None:
+        waiter = self.peek()
+        if waiter is not None:
+            self._serve(waiter)
+        return waiter
+
     def pop_local(self) -> Waiter | None:
-        for _, team in sorted(self._turns):
-            queue = self._teams[team]
-            for _, _, waiter in queue.waiters:
-                if waiter.is_local:
-                    self.remove(waiter)
-                    return waiter
-        return None
+        first = self.peek()
+        if first is not None and not first.is_local:
+            queues = sorted(self._teams.values(), key=lambda queue: queue.key)
+            waiters = (entry[2] for queue in queues for entry in queue.waiters)
+            first = next((w for w in waiters if w.is_local), None)
+        if first is not None:
+            self._serve(first)
+        return first
 
     def pop_all(self) -> list[Waiter]:
-        queues = self._teams.values()
-        return [self._take_first(queue) for queue in queues for _ in [*queue.waiters]]
-
-    def _take_first(self, queue: _TeamQueue) -> Waiter:
-        waiter = queue.waiters.pop(0)[2]
+        queues = list(self._teams.values())
+        waiters = [entry[2] for queue in queues for entry in queue.waiters]
+        for waiter in waiters:
+            self.remove(waiter)
+        return waiters
+
+    def _serve(self, waiter: Waiter) -> None:
+        queue = self._teams[waiter.team]
+        self._turn = max(self._turn, int(queue.served))
+        queue.served += 1 / self.quantum
+        self.remove(waiter)
+
+    def _count_out(self, waiter: Waiter, queue: _TeamQueue) -> None:
         self.count -= 1
         self.size -= waiter.size
-        return waiter
+        if queue.waiters:
+            self._list(waiter.team, queue)
+        else:
+            del self._teams[waiter.team]
+        if not self._teams:
+            self._heap.clear()
+
+    def _list(self, team: str, queue: _TeamQueue) -> None:
+        key = queue.key
+        if key != queue.listed:
+            queue.listed = key
+            heapq.heappush(self._heap, (*key, team))
 
 
 class AdmissionQueue:
@@ -183,6 +207,11 @@
     def __len__(self) -> int:
         return sum(queue.count for queue in self._classes)
 
+    def set_quantum(self, requests: int) -> None:
+        """Let each team take turns of so many requests."""
+        for queue in self._classes:
+            queue.quantum = max(1, requests)
+
     def admit(self, waiter: Waiter, now: timedelta, slots: int) -> Refused | None:
         """Let a request wait, or refuse it at once.
 
@@ -222,6 +251,13 @@
                 return queue.pop()
         return None
 
+    def peek(self) -> Waiter | None:
+        """Return whoever is next."""
+        for queue in self._classes:
+            if queue.count:
+                return queue.peek()
+        return None
+
     def pop_local(self) -> Waiter | None:
         """Take out the next one that may go to another daemon."""
         for queue in self._classes:
--- a/src/damaskdeck/coordination/lanes.py
+++ b/src/damaskdeck/coordination/lanes.py
@@ -1,5 +1,6 @@
 """The targets of one service that this daemon owns, and who waits for them."""
 
+import math
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -14,6 +15,9 @@
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.ports import Instance
 
+# A team's turn, as a share of the slots.
+TURN_SHARE = 0.5
+
 NOBODY: frozenset[str] = frozenset()
 
 
@@ -27,7 +31,7 @@
 
     :param ownership: asked before each slot is filled.
     :param longest: no call to a target is open for longer.
-    :param on_idle: called when a slot is free and nobody waits for it here.
+    :param on_room: called when slots were given to all who wait, or none is left.
     """
 
     def __init__(
@@ -37,7 +41,7 @@
         clock: Clock,
         chooser: random.Random,
         longest: timedelta,
-        on_idle: Callable[["Lane"], None],
+        on_room: Callable[["Lane"], None],
     ) -> None:
         self.service = service
         self.pools: dict[str, SlotPool] = {}
@@ -48,33 +52,35 @@
         self._clock = clock
         self._random = chooser
         self._longest = longest
-        self._on_idle = on_idle
+        self._on_room = on_room
 
     def add_pool(self, pool: SlotPool) -> None:
         """Fill the slots of a target that was gained."""
         name = pool.target.name
         self.pools[name] = pool
         self._health[name] = TargetHealth(pool, self._clock, self._random)
+        self._follow_slots()
 
     def remove_pool(self, target: str) -> None:
         """Fill no more slots of a target; its open calls go on."""
         self._health.pop(target, None)
-        pool = self.pools.pop(target, None)
-        if pool is not None and not self.count_slots():
-            self.move_waiters()
+        if self.pools.pop(target, None) is not None:
+            self._follow_slots()
 
     def update_target(self, target: Instance) -> None:
         """Take over what the instance list says now of an own target."""
         pool = self.pools.get(target.name)
         if pool is not None:
             pool.target = target
-            if not self.count_slots():
-                self.move_waiters()
+            self._follow_slots()
 
-    def move_waiters(self) -> None:
-        """Let all waiters look for a place elsewhere."""
-        for waiter in self.queue.pop_all():
-            _settle(waiter, Moved())
+    def _follow_slots(self) -> None:
+        """Let the queue follow the slots; without any, waiters look elsewhere."""
+        slots = self.count_slots()
+        self.queue.set_quantum(int(slots * TURN_SHARE))
+        if not slots:
+            for waiter in self.queue.pop_all():
+                _settle(waiter, Moved())
 
     def count_slots(self) -> int:
         """Return how many slots the own targets have that take new work."""
@@ -85,6 +91,13 @@
         free = (p.count_free() for p in self.pools.values() if p.is_open)
         return sum(count for count in free if count > 0)
 
+    def count_room(self, ahead: float) -> int:
+        """Return how many more requests find a slot within ``ahead`` seconds."""
+        mean = self.durations.mean
+        slots = self.count_slots()
+        soon = min(math.ceil(slots * ahead / mean), slots // 8) if mean else 0
+        return self.count_free() + soon - len(self.queue)
+
     def count_ejected(self) -> int:
         """Return how many own targets are ejected now."""
         return sum(health.until is not None for health in self._health.values())
@@ -121,12 +134,12 @@
         """Give the free slots to those who wait, the next one first."""
         while len(self.queue):
             if self._find_pool(NOBODY) is None:
-                return
+                break
             waiter = self.queue.pop()
             if waiter is None:
-                return
+                break
             _settle(waiter, self.take(waiter.avoided))
-        self._on_idle(self)
+        self._on_room(self)
 
     def give_up(self, waiter: Waiter) -> None:
         """Refuse one that can't make its deadline any more, at once."""
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -125,7 +125,9 @@
         self._is_draining = False
         self._closings: set[asyncio.Task[None]] = set()
         self._loads = LoadTable(members, clock, self._random)
-        self._sharing = SlotSharing(peers, self._loads, clock, self._get_lane)
+        self._sharing = SlotSharing(
+            peers, self._loads, clock, self._timers, self._get_lane
+        )
         self._sender = TargetSender(
             ownership, targets, clock, longest, margin, self._timers, self._note_result
         )
--- a/src/damaskdeck/coordination/sharing.py
+++ b/src/damaskdeck/coordination/sharing.py
@@ -1,5 +1,6 @@
 """Brings free slots of one daemon and requests that wait at another together."""
 
+import functools
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -7,13 +8,19 @@
 from damaskdeck.coordination.attempts import Redirect
 from damaskdeck.coordination.lanes import Lane
 from damaskdeck.coordination.loads import LoadTable
+from damaskdeck.coordination.timers import Timers
 from damaskdeck.protocol.forwarding import RequestsWaiting, SlotsOffered
 from damaskdeck.protocol.messages import Peers
 
 OFFER_LIFE = timedelta(milliseconds=10)
+TOLD_PAUSE = timedelta(milliseconds=2)
 WAITING_LIFE = timedelta(milliseconds=500)
 TOLD_LIMIT = 6
 
+# Seconds from an offer to the request that it brings; slots that become free
+# meanwhile are offered ahead.
+AHEAD_TIME = 0.003
+
 
 class _Waiting:
     """How many requests wait at a peer, as it said."""
@@ -36,11 +43,13 @@
         peers: Peers,
         loads: LoadTable,
         clock: Clock,
+        timers: Timers,
         get_lane: Callable[[str], Lane],
     ) -> None:
         self._peers = peers
         self._loads = loads
         self._clock = clock
+        self._timers = timers
         self._get_lane = get_lane
         self._waiting: dict[str, dict[str, _Waiting]] = {}
         self._offers: dict[str, list[timedelta]] = {}
@@ -49,12 +58,20 @@
         peers.register(SlotsOffered, self._take_offer)
 
     def tell_waiting(self, lane: Lane) -> None:
-        """Tell owners that requests wait here, at most once in a while."""
+        """Tell owners that requests wait here, now or after a short pause."""
         now = self._clock.monotonic()
         told = self._told.get(lane.service)
-        if told is not None and now - told < OFFER_LIFE:
+        if told is None or told + TOLD_PAUSE <= now:
+            self._told[lane.service] = now
+            self._send_waiting(lane)
+        elif told <= now:
+            self._told[lane.service] = told + TOLD_PAUSE
+            tell = functools.partial(self._send_waiting, lane)
+            self._timers.call_at(told + TOLD_PAUSE, tell)
+
+    def _send_waiting(self, lane: Lane) -> None:
+        if not len(lane.queue):
             return
-        self._told[lane.service] = now
         message = RequestsWaiting(service=lane.service, count=len(lane.queue))
         near = self._loads.list_owners(lane.service, near=True)
         far = self._loads.list_owners(lane.service, near=False)
@@ -82,7 +99,7 @@
         if not waiting:
             return
         now = self._clock.monotonic()
-        room = lane.count_free() - self._count_offers(lane.service, now)
+        room = lane.count_room(AHEAD_TIME) - self._count_offers(lane.service, now)
         while room > 0:
             instance = self._find_longest(waiting, now)
             if instance is None:
@@ -111,9 +128,7 @@
 
     async def _take_waiting(self, instance: str, message: RequestsWaiting) -> None:
         self.note_waiting(instance, message["service"], message["count"])
-        lane = self._get_lane(message["service"])
-        if not len(lane.queue):
-            self.offer(lane)
+        self.offer(self._get_lane(message["service"]))
 
     async def _take_offer(self, instance: str, message: SlotsOffered) -> None:
         lane = self._get_lane(message["service"])
