Run the keeper's watch over its background tasks in the daemon

Cause: the keeper now raises the failure of a background task from run(), which the daemon did not call, so a failed desk would again have gone unseen. Change: the daemon runs it with the other parts.

--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -225,7 +225,7 @@
         request in progress."
         """
         parts = [self.fleet, self.membership, self.ownership, self.relay]
-        parts += [self.host, self.router]
+        parts += [self.keeper, self.host, self.router]
         tasks = [asyncio.ensure_future(part.run()) for part in parts]
         stop = asyncio.ensure_future(self._stop.wait())
         try:
