Plan room for gangs with backfill beneath, and clear it by checkpoints

Change: coordination/backfill plans workers for one job at the earliest time by estimated ends; other work is let in if it should end by then or fits beside. Preemptor chooses victims for a whole gang or none; class high may checkpoint, only urgent may stop. Seen failing first: small work declared too short put the gang off for ever (the limit moved with each new plan); a gang was refused by its own plan; claims of a job that then did not fit were never dropped and emptied the cell.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -3,25 +3,30 @@
 import time
 from collections import deque
 from datetime import timedelta
+from itertools import islice
 
 from benchmarks.replay import Cell, Task
+from damaskdeck.coordination.backfill import Backfill, count_slices
 from damaskdeck.coordination.failures import Failures
 from damaskdeck.coordination.filters import Predicate
 from damaskdeck.coordination.passes import Pass
 from damaskdeck.coordination.placement import Impossible, Placed, Placer
 from damaskdeck.coordination.preemption import (
+    CLAIMED,
+    NoVictims,
     PreemptionBudget,
     Preemptor,
-    Victims,
 )
 from damaskdeck.coordination.quarantine import Quarantine, WorkerState
 from damaskdeck.coordination.queueing import JobQueue
 from damaskdeck.coordination.waiting import WaitingJob
 from damaskdeck.defaults import WEIGHTS
 from damaskdeck.protocol.resources import Urgency
-from damaskdeck.state.accounts import Accounts, Reserved, TaskNeed
+from damaskdeck.state.accounts import Accounts, NoRoom, Reserved, TaskNeed
 from damaskdeck.state.quotas import Quotas
 
+PREEMPTING = (Urgency.URGENT, Urgency.HIGH)
+
 
 class CellClock:
     """The clock of a cell, for those who only read it."""
@@ -50,15 +55,22 @@
         for team, quota in cell.mix.quotas.items():
             self.quotas.set_quota(team, quota.size, quota.weight)
         clock = CellClock(cell)
-        self.queue = JobQueue(clock, self.quotas)
+        self.queue = JobQueue(clock, self.quotas, overdue_turn=10**9)
         budget = PreemptionBudget(clock)
-        self.preemptor = Preemptor(self.accounts, clock, budget)
-        self.placer.add_filter(self.preemptor.prepare_claims)
+        self.preemptor = Preemptor(
+            self.accounts, clock, budget, find_refusal=self.placer.find_refusal
+        )
+        self.placer.add_filter(CLAIMED, self.preemptor.prepare_claims)
         self.quarantine = Quarantine(clock, Failures())
         self.quarantine.set_fleet(frozenset(self.accounts.workers))
-        self.placer.add_filter(self._prepare_probes)
+        self.placer.add_filter("probed", self._prepare_probes)
+        self.backfill = Backfill(
+            self.accounts, clock, self._estimate, self.placer.find_refusal
+        )
+        self.placer.add_filter("planned", self.backfill.prepare)
         self.spent = 0.0
         self.decisions: list[float] = []
+        self._tasks = cell.tasks
         self._jobs: dict[str, deque[Task]] = {}
         self._cleared: dict[str, tuple[WaitingJob, set[str]]] = {}
         self._clearing: dict[str, str] = {}
@@ -88,6 +100,7 @@
         """Decide about waiting jobs until nothing more fits."""
         started = time.perf_counter()
         self._start_cleared(cell)
+        self._start_planned(cell)
         turn = Pass(self.queue)
         while (job := turn.next()) is not None:
             moment = time.perf_counter()
@@ -96,39 +109,28 @@
         self.spent += time.perf_counter() - started
 
     def _decide(self, cell: Cell, turn: Pass, job: WaitingJob) -> None:
-        tasks = self._jobs[job.name]
-        if job.gang:
-            self._decide_gang(cell, turn, job)
-            return
-        task = tasks[0]
-        need = task.make_need()
-        outcome = self.placer.place(need)
-        if isinstance(outcome, Placed):
-            turn.take(job)
-            self._start(cell, job, need, outcome.worker)
-        elif isinstance(outcome, Impossible):
+        outcome = self._place_all(cell, job)
+        if isinstance(outcome, Impossible):
             self._refuse(cell, job)
-        elif job.urgency is Urgency.URGENT and self._preempt(cell, job, need):
+        elif isinstance(outcome, dict):
+            turn.take(job)
+            self._start_all(cell, job, outcome)
+        elif job.urgency in PREEMPTING and self._preempt(cell, job):
             turn.skip(job, "room is being cleared")
         else:
             turn.fail(job, outcome.dimension)
+            if job.gang:
+                self._plan(cell, job)
 
-    def _start(self, cell: Cell, job: WaitingJob, need: TaskNeed, worker: str) -> None:
-        task = self._jobs[job.name][0]
-        need = need._replace(started=cell.now)
-        assert isinstance(self.accounts.reserve(need, worker), Reserved)
-        self.preemptor.drop_claim(task.name)
-        self._take(job)
-        self.quarantine.note_start(worker, task.name)
-        cell.start(task, worker)
-
-    def _preempt(self, cell: Cell, job: WaitingJob, need: TaskNeed) -> bool:
-        victims = self.preemptor.choose(need)
-        if not isinstance(victims, Victims):
+    def _preempt(self, cell: Cell, job: WaitingJob) -> bool:
+        tasks = islice(self._jobs[job.name], job.offered)
+        chosen = self.preemptor.choose_all([task.make_need() for task in tasks])
+        if isinstance(chosen, NoVictims):
             return False
-        names = {*victims.checkpointed, *victims.stopped}
-        if names:
-            self._cleared[job.name] = job, names
+        names = {
+            n for victims in chosen for n in victims.checkpointed + victims.stopped
+        }
+        self._cleared[job.name] = job, names
         for name in names:
             self._clearing[name] = job.name
             cell.stop(cell.tasks[name])
@@ -147,11 +149,13 @@
             del self._cleared[job.name]
             if job.name not in self.queue:
                 continue
-            need = self._jobs[job.name][0].make_need()
-            outcome = self.placer.place(need)
-            if isinstance(outcome, Placed):
+            outcome = self._place_all(cell, job)
+            if isinstance(outcome, dict):
                 self.queue.take(job.name)
-                self._start(cell, job, need, outcome.worker)
+                self._start_all(cell, job, outcome)
+            else:
+                for task in islice(self._jobs[job.name], job.offered):
+                    self.preemptor.drop_claim(task.name)
 
     def _note_quarantine(self, task: Task, has_failed: bool) -> None:
         succeeded = False if has_failed else task.state == "completed" or None
@@ -175,27 +179,71 @@
             account.name not in held or may_start(account.name, need.idempotent)
         )
 
-    def _decide_gang(self, cell: Cell, turn: Pass, job: WaitingJob) -> None:
+    def _start_planned(self, cell: Cell) -> None:
+        """Start the job that room is planned for as soon as it fits."""
+        self.backfill.refresh()
+        plan = self.backfill.plan
+        if plan is None or plan.start > cell.now:
+            return
+        job = self.queue.get(plan.job)
+        if job is None:
+            self.backfill.drop_plan(plan.job)
+        elif not self.quotas.find_shortfall(job.team, job.need):
+            outcome = self._place_all(cell, job)
+            if isinstance(outcome, dict):
+                self.queue.take(job.name)
+                self._start_all(cell, job, outcome)
+
+    def _place_all(
+        self, cell: Cell, job: WaitingJob
+    ) -> dict[str, str] | NoRoom | Impossible:
         placed: dict[str, str] = {}
-        tasks = list(self._jobs[job.name])
-        for task in tasks:
-            need = task.make_need()
-            outcome = self.placer.place(need)
-            if not isinstance(outcome, Placed):
+        for task in islice(self._jobs[job.name], job.offered):
+            need = task.make_need()._replace(started=cell.now)
+            outcome = self._place(need)
+            if not isinstance(outcome, str):
                 for name in placed:
                     self.accounts.release(name)
-                if isinstance(outcome, Impossible):
-                    self._refuse(cell, job)
-                else:
-                    turn.fail(job, outcome.dimension)
-                return
+                return outcome
+            placed[task.name] = outcome
+        return placed
+
+    def _place(self, need: TaskNeed) -> str | NoRoom | Impossible:
+        """Reserve room for a task, where it was cleared for it, or elsewhere."""
+        claimed = self.preemptor.find_claim(need.task)
+        if claimed and isinstance(self.accounts.reserve(need, claimed), Reserved):
+            return claimed
+        outcome = self.placer.place(need)
+        if isinstance(outcome, Placed):
             self.accounts.reserve(need, outcome.worker)
-            placed[task.name] = outcome.worker
-        turn.take(job)
+            return outcome.worker
+        return outcome
+
+    def _start_all(self, cell: Cell, job: WaitingJob, placed: dict[str, str]) -> None:
         self._take(job)
-        for task in tasks:
-            self.quarantine.note_start(placed[task.name], task.name)
-            cell.start(task, placed[task.name])
+        self.backfill.drop_plan(job.name)
+        for name, worker in placed.items():
+            self.preemptor.drop_claim(name)
+            self.backfill.note_start(cell.tasks[name].make_need(), worker)
+            self.quarantine.note_start(worker, name)
+            cell.start(cell.tasks[name], worker)
+
+    def _plan(self, cell: Cell, job: WaitingJob) -> None:
+        """Plan room for a job that needs much at once, if none is planned."""
+        if self.backfill.plan is not None:
+            return
+        tasks = islice(self._jobs[job.name], job.offered)
+        needs = tuple(task.make_need() for task in tasks)
+        plan = self.backfill.make_plan(job.name, needs)
+        if plan is None and not self._is_possible(needs[0], job.offered):
+            self._refuse(cell, job)
+
+    def _is_possible(self, need: TaskNeed, count: int) -> bool:
+        workers = self.accounts.workers.values()
+        return sum(count_slices(need.size, worker.size) for worker in workers) >= count
+
+    def _estimate(self, need: TaskNeed) -> timedelta:
+        return self._tasks[need.task].arrival.declared_time
 
     def _push(self, name: str, tasks: list[Task]) -> None:
         first = tasks[0]
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -20,6 +20,7 @@
 CHECKPOINT_TIME = timedelta(milliseconds=500)
 STOP_TIME = timedelta(milliseconds=100)
 ATTEMPTS = 10
+TICK = timedelta(seconds=2)
 _SAMPLES = 200
 
 
@@ -120,6 +121,8 @@
             event = self._events[0][0] if self._events else self.mix.duration
             moment = min(event, arrival.time if arrival else self.mix.duration)
             moment = min(moment, self.mix.duration, sample)
+            if self.waiting:
+                moment = min(moment, self.now + TICK)
             self._advance(moment)
             if moment >= self.mix.duration:
                 break
--- a/src/damaskdeck/coordination/placement.py
+++ b/src/damaskdeck/coordination/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from damaskdeck.coordination.filters import Prepare, list_filters
+from damaskdeck.coordination.filters import Prepare, find_refusal, list_filters
 from damaskdeck.coordination.index import WorkerIndex
 from damaskdeck.coordination.scores import prepare_scores
 from damaskdeck.defaults import WEIGHTS
@@ -40,11 +40,23 @@
         self._accounts = accounts
         self._index = WorkerIndex(accounts)
         self._filters = [item.prepare for item in list_filters() if not item.is_indexed]
+        self._added: dict[str, Prepare] = {}
         self.weights = dict(weights)
 
-    def add_filter(self, prepare: Prepare) -> None:
+    def add_filter(self, name: str, prepare: Prepare) -> None:
         """Add a filter of this placer only, as one that keeps claimed room."""
-        self._filters.append(prepare)
+        self._added[name] = prepare
+
+    def find_refusal(self, need: TaskNeed, account: WorkerAccount) -> str | None:
+        """Name the filter that keeps a task off a worker now, if any."""
+        refusal = find_refusal(need, account)
+        if refusal not in (None, "fits"):
+            return refusal
+        for name, prepare in self._added.items():
+            predicate = prepare(need)
+            if predicate is not None and not predicate(account):
+                return name
+        return refusal
 
     def place(self, need: TaskNeed) -> Placed | NoRoom | Impossible:
         """Choose a worker for ``need``; the caller then reserves it.
@@ -75,7 +87,9 @@
 
     def _list_candidates(self, need: TaskNeed) -> Iterator[WorkerAccount]:
         limit = _SPREAD_CANDIDATES if need.group else _CANDIDATES
-        predicates = [prepare(need) for prepare in self._filters]
+        predicates = [
+            prepare(need) for prepare in (*self._filters, *self._added.values())
+        ]
         return self._index.find_candidates(
             need,
             limit,
--- a/src/damaskdeck/coordination/preemption.py
+++ b/src/damaskdeck/coordination/preemption.py
@@ -1,7 +1,7 @@
 """Preemption: which running tasks make room for more urgent work."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from itertools import islice
 from typing import NamedTuple
@@ -21,6 +21,10 @@
 _LOOKED_AT = 64
 _ENOUGH = 8
 
+# Name of the filter that keeps claimed room, in a placer.
+CLAIMED = "claimed"
+
+FindRefusal = Callable[[TaskNeed, WorkerAccount], str | None]
 MayStop = Callable[[TaskNeed, TaskNeed], bool]
 
 
@@ -93,6 +97,12 @@
             self._counts[task] += 1
             self._left -= 1
 
+    def refund(self, tasks: Iterable[str]) -> None:
+        """Note that ``tasks`` were not preempted after all."""
+        for task in tasks:
+            self._counts[task] -= 1
+            self._left += 1
+
     def forget(self, task: str) -> None:
         """Drop what is remembered of a task that has ended for good."""
         self._counts.pop(task, None)
@@ -101,14 +111,16 @@
 class Preemptor:
     """Chooses the worker that is cleared with the least work lost.
 
-    Checkpointable tasks go first, then idempotent ones, which are stopped. A
+    Checkpointable tasks go first, then idempotent ones, which are stopped; only
+    the most urgent class has tasks stopped that can't be checkpointed. A
     non-idempotent task that can't be checkpointed is never chosen, nor one of
     equal or higher urgency. Work for each choice is bounded: at most 64
     workers are looked at, from another place each time.
 
     :param accounts: the workers and what runs on them.
-    :param may_stop: ``may_stop(need, running)`` replaces the rule of urgency,
+    :param may_stop: ``may_stop(need, running)`` replaces :func:`may_preempt`,
         as when a team's quota is taken back.
+    :param find_refusal: names the filter that keeps a task off a worker.
     """
 
     def __init__(
@@ -117,11 +129,13 @@
         clock: Clock,
         budget: PreemptionBudget,
         may_stop: MayStop | None = None,
+        find_refusal: FindRefusal = find_refusal,
     ) -> None:
         self._accounts = accounts
         self._clock = clock
         self._budget = budget
-        self._may_stop = may_stop or is_more_urgent
+        self._may_stop = may_stop or may_preempt
+        self._find_refusal = find_refusal
         self._next = 0
         self._claims: dict[str, Claim] = {}
         self._leaving: dict[str, Claim] = {}
@@ -132,8 +146,23 @@
 
         They count as leaving until :meth:`note_end`; nothing is stopped here.
         """
+        outcome = self.choose_all((need,))
+        return outcome if isinstance(outcome, NoVictims) else outcome[0]
+
+    def choose_all(self, needs: Sequence[TaskNeed]) -> tuple[Victims, ...] | NoVictims:
+        """Choose victims for all tasks of a gang, or none."""
+        chosen: list[Victims] = []
+        for need in needs:
+            victims = self._choose(need)
+            if isinstance(victims, NoVictims):
+                self._undo(needs, chosen)
+                return victims
+            chosen.append(victims)
+        return tuple(chosen)
+
+    def _choose(self, need: TaskNeed) -> Victims | NoVictims:
         claim = self._claims.get(need.task)
-        if claim is not None and fits(need.size, self.find_room(claim.worker)):
+        if claim is not None and self._holds(claim):
             return Victims(claim.worker, (), (), 0.0)
         self.drop_claim(need.task)
         best = self._find_best(need)
@@ -151,6 +180,21 @@
         self._change(self._claims[need.task], 1)
         return best
 
+    def _undo(self, needs: Sequence[TaskNeed], chosen: Iterable[Victims]) -> None:
+        for need in needs:
+            self.drop_claim(need.task)
+        for victims in chosen:
+            tasks = victims.checkpointed + victims.stopped
+            self._budget.refund(tasks)
+            for task in tasks:
+                self.note_end(task)
+
+    def _holds(self, claim: Claim) -> bool:
+        account = self._accounts.workers.get(claim.worker)
+        if account is None or account.closed:
+            return False
+        return fits(ZERO_SIZE, self.find_room(claim.worker))
+
     def find_room(self, worker: str) -> Size:
         """Return what is free on a worker, or will be, and isn't claimed."""
         account = self._accounts.workers.get(worker)
@@ -158,6 +202,11 @@
             return Size(-1, -1, -1)
         return subtract_sizes(account.free, self._claimed.get(worker, ZERO_SIZE))
 
+    def find_claim(self, task: str) -> str | None:
+        """Return the worker on which room is claimed for a task."""
+        claim = self._claims.get(task)
+        return claim.worker if claim else None
+
     def drop_claim(self, task: str) -> None:
         """Note that ``task`` was placed, wherever, or needs no room any more."""
         claim = self._claims.pop(task, None)
@@ -196,7 +245,7 @@
             found += 1
             if best is None or victims.lost < best.lost:
                 best = victims
-            if found >= _ENOUGH:
+            if found >= _ENOUGH or not best.lost:
                 break
         return best
 
@@ -217,8 +266,7 @@
                 yield account
 
     def _find_victims(self, need: TaskNeed, account: WorkerAccount) -> Victims | None:
-        refusal = find_refusal(need, account)
-        if refusal not in (None, "fits"):
+        if self._find_refusal(need, account) not in (None, "fits", CLAIMED):
             return None
         lacking = subtract_sizes(need.size, self.find_room(account.name))
         now = self._clock.monotonic()
@@ -253,9 +301,11 @@
         return NoVictims(code)
 
 
-def is_more_urgent(need: TaskNeed, running: TaskNeed) -> bool:
-    """Tell whether ``need`` is of a more urgent class than ``running``."""
-    return RANKS[need.urgency] < RANKS[running.urgency]
+def may_preempt(need: TaskNeed, running: TaskNeed) -> bool:
+    """Tell whether ``running`` may make room for ``need``."""
+    if RANKS[need.urgency] >= RANKS[running.urgency]:
+        return False
+    return running.checkpoint or need.urgency is Urgency.URGENT
 
 
 def rank_loss(running: TaskNeed, now: timedelta) -> tuple[bool, float]:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -68,6 +68,7 @@
         self.assertTrue(all(running.checkpoint for running in gone))
         stopped = [account.reservations[task].need for task in victims.stopped]
         self.assertTrue(all(running.idempotent for running in stopped))
+        self.assertTrue(not stopped or urgency is Urgency.URGENT)
         gone += stopped
         for left_out in [*gone, None]:
             room = account.free
@@ -82,7 +83,9 @@
         room = account.free
         for held in account.reservations.values():
             running = held.need
-            may_go = running.idempotent or running.checkpoint
+            may_go = running.checkpoint or (
+                running.idempotent and need.urgency is Urgency.URGENT
+            )
             if may_go and RANKS[need.urgency] < RANKS[running.urgency]:
                 room = add_sizes(room, running.size)
         return room
@@ -113,7 +116,7 @@
     def test_a_cleared_room_is_kept_for_whom_it_was_cleared(self):
         accounts, _, preemptor = make_preemptor([make_worker("w", Size(4, 4, 0))])
         placer = Placer(accounts)
-        placer.add_filter(preemptor.prepare_claims)
+        placer.add_filter("claimed", preemptor.prepare_claims)
         accounts.reserve(TaskNeed("low", Size(2, 2, 0), urgency=Urgency.LOW), "w")
         first = TaskNeed("first", Size(3, 3, 0), urgency=Urgency.URGENT)
         other = TaskNeed("other", Size(2, 2, 0), urgency=Urgency.HIGH)
