--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -7,6 +7,7 @@
 
 from benchmarks.replay import Cell, Task
 from damaskdeck.coordination.backfill import Backfill, count_slices
+from damaskdeck.coordination.estimates import Estimates
 from damaskdeck.coordination.failures import Failures
 from damaskdeck.coordination.filters import Predicate
 from damaskdeck.coordination.passes import Pass
@@ -64,6 +65,7 @@
         self.quarantine = Quarantine(clock, Failures())
         self.quarantine.set_fleet(frozenset(self.accounts.workers))
         self.placer.add_filter("probed", self._prepare_probes)
+        self.estimates = Estimates()
         self.backfill = Backfill(
             self.accounts, clock, self._estimate, self.placer.find_refusal
         )
@@ -87,6 +89,7 @@
         started = time.perf_counter()
         self.accounts.release(task.name)
         self._note_cleared(task.name)
+        self._note_run_time(cell, task)
         self._note_quarantine(task, has_failed)
         self.quotas.release(task.arrival.team, task.size)
         if has_failed:
@@ -157,6 +160,11 @@
                 for task in islice(self._jobs[job.name], job.offered):
                     self.preemptor.drop_claim(task.name)
 
+    def _note_run_time(self, cell: Cell, task: Task) -> None:
+        is_whole = task.state == "completed" and task.left == task.arrival.run_time
+        run_time = cell.now - task.started if is_whole else None
+        self.estimates.observe_end(task.arrival.workload, task.name, run_time)
+
     def _note_quarantine(self, task: Task, has_failed: bool) -> None:
         succeeded = False if has_failed else task.state == "completed" or None
         arrival = task.arrival
@@ -243,7 +251,8 @@
         return sum(count_slices(need.size, worker.size) for worker in workers) >= count
 
     def _estimate(self, need: TaskNeed) -> timedelta:
-        return self._tasks[need.task].arrival.declared_time
+        arrival = self._tasks[need.task].arrival
+        return self.estimates.estimate_run_time(arrival.workload, arrival.declared_time)
 
     def _push(self, name: str, tasks: list[Task]) -> None:
         first = tasks[0]
--- a/src/damaskdeck/state/accounts.py
+++ b/src/damaskdeck/state/accounts.py
@@ -286,6 +286,17 @@
             account.reservations[task] = held._replace(deadline=None)
         return True
 
+    def prolong(self, task: str, deadline: timedelta) -> bool:
+        """Move the deadline of a hold; false when the task holds nothing."""
+        held = self.find(task)
+        if held is None:
+            return False
+        if held.deadline is not None:
+            account = self._where[task]
+            account.reservations[task] = held._replace(deadline=deadline)
+            heapq.heappush(self._holds, (deadline, task))
+        return True
+
     def expire(self, now: timedelta) -> tuple[Reservation, ...]:
         """End the holds whose deadline has come."""
         ended = []
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -36,6 +36,7 @@
         st.tuples(st.just("move"), TASKS, WORKERS),
         st.tuples(st.just("resize"), TASKS, SIZES),
         st.tuples(st.just("confirm"), TASKS, st.integers(0, 9)),
+        st.tuples(st.just("prolong"), TASKS, st.integers(0, 9)),
         st.tuples(st.just("expire"), st.integers(0, 9)),
     ),
     max_size=40,
@@ -89,6 +90,9 @@
     def confirm(self, task, now):
         self.accounts.confirm(task, now * SECOND)
 
+    def prolong(self, task, deadline):
+        self.accounts.prolong(task, deadline * SECOND)
+
     def expire(self, now):
         self.accounts.expire(now * SECOND)
         for account in self.accounts.workers.values():
