--- a/src/damaskdeck/coordination/writes.py
+++ b/src/damaskdeck/coordination/writes.py
@@ -162,9 +162,10 @@
     async def _write(
         self, kind: Kind, name: str, value: bytes, write: str, expected: int | None
     ) -> Written | Outdated | Refused | Unknown:
-        current = self._configuration.get(kind, name)
-        known = current["metadata"]["revision"] if current else 0
-        compared = expected or known
+        compared = expected
+        if compared is None:
+            current = self._configuration.get(kind, name)
+            compared = current["metadata"]["revision"] if current else 0
         for _ in range(RACE_ATTEMPTS):
             call = _Call(make_key(kind, name), value, compared, write)
             answer = await self._write_once(call)
--- a/src/damaskdeck/transport/api/callers.py
+++ b/src/damaskdeck/transport/api/callers.py
@@ -64,8 +64,8 @@
     work = call.context.requests.handle_request(request)
     outcome = await _run_while_connected(call, work)
     if isinstance(outcome, Completed):
-        headers = {"Outcome": "completed"}
-        return Response(outcome.body, 200, headers, outcome.content_type)
+        headers = {"Outcome": "completed", "Content-Type": outcome.content_type}
+        return Response(outcome.body, 200, headers)
     raise make_problem(outcome)
 
 
--- a/src/damaskdeck/transport/api/problems.py
+++ b/src/damaskdeck/transport/api/problems.py
@@ -26,7 +26,6 @@
     # Of the API itself.
     "unauthenticated": Code(401, "No valid credential"),
     "forbidden": Code(403, "Not allowed with this credential"),
-    "wrong_team": Code(403, "Belongs to another team"),
     "no_such_path": Code(404, "No such path"),
     "method_not_allowed": Code(405, "Method not allowed"),
     "bad_header": Code(400, "A header can't be used"),
@@ -56,7 +55,25 @@
     "no_such_job": Code(404, "No such job"),
     "in_progress": Code(409, "The first request with this key is running"),
     "key_reused": Code(422, "The key belongs to another request"),
+    "wrong_team": Code(403, "Belongs to another team"),
+    "forgotten": Code(410, "The job's result is no longer kept"),
+    "cancelled": Code(409, "Cancelled before it ran"),
+    "impossible": Code(422, "No instance can ever hold it"),
+    "payload_too_large": Code(413, "The payload is too large"),
     "queue_full": Code(429, "The queue is full"),
+    "ledger_full": Code(507, "The ledger is full"),
+    "deadline_passed": Code(503, "The deadline came first"),
+    "deadline_unmeetable": Code(503, "The deadline can't be met"),
+    "no_target": Code(503, "No target of the service is known"),
+    "no_slot": Code(503, "No slot is free"),
+    "target_full": Code(503, "The target is full"),
+    "target_leaving": Code(503, "The target is leaving"),
+    "draining": Code(503, "This daemon is shutting down"),
+    "not_owner": Code(503, "The owner has just changed"),
+    "no_keeper": Code(503, "The team's ledger has no keeper now"),
+    "keeper_unreachable": Code(503, "The ledger's keeper can't be reached"),
+    "epoch_passed": Code(503, "The ledger's keeper has just changed"),
+    "keys_unsupported": Code(503, "Idempotency keys can't be kept now"),
     "answer_lost": Code(504, "The answer was lost"),
 }
 
@@ -92,11 +109,11 @@
         """The HTTP status, by outcome and code."""
         if self.outcome == "failed":
             return 502
+        if self.outcome == "unknown":
+            return 500 if self.code == "internal" else 504
         known = CODES.get(self.code)
         if known is not None:
             return known.status
-        if self.outcome == "unknown":
-            return 504
         return 503 if self.retry_after else 422
 
     def describe(self) -> dict[str, Any]:
--- a/src/damaskdeck/transport/api/server.py
+++ b/src/damaskdeck/transport/api/server.py
@@ -12,17 +12,28 @@
 from damaskdeck import defaults
 from damaskdeck.transport.listeners import open_listener, show_address
 
+TICK_SECONDS = 1
+
 
 class _Server(uvicorn.Server):
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.has_started = asyncio.Event()
+        self.must_stop = asyncio.Event()
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Start and say so."""
         await super().startup(sockets)
         self.has_started.set()
 
+    async def main_loop(self) -> None:
+        """Keep the date header current, and end as soon as it is asked for."""
+        while not self.must_stop.is_set():
+            await self.on_tick(0)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self.must_stop.wait()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave signals to the daemon."""
@@ -83,6 +94,6 @@
     async def stop(self) -> None:
         """End watches, let requests in progress end, and close."""
         self._app.state.stopping.set()
-        self._server.should_exit = True
+        self._server.must_stop.set()
         if self._task is not None:
             await self._task
--- a/src/damaskdeck/transport/api/status.py
+++ b/src/damaskdeck/transport/api/status.py
@@ -5,6 +5,7 @@
 from opentelemetry import metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
 from starlette.responses import Response
 
@@ -60,4 +61,6 @@
 @cache
 def install_exporter() -> None:
     """Let the process's metrics be read at ``/metrics``; once is enough."""
-    metrics.set_meter_provider(MeterProvider([PrometheusMetricReader()]))
+    resource = Resource.create({"service.name": "damaskdeck"})
+    provider = MeterProvider([PrometheusMetricReader()], resource)
+    metrics.set_meter_provider(provider)
--- a/src/damaskdeck/transport/api/streams.py
+++ b/src/damaskdeck/transport/api/streams.py
@@ -55,7 +55,8 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-        if not tasks[1].done() or tasks[1].cancelled():
+        lines, gone, _ = tasks
+        if gone.cancelled() and (lines.cancelled() or lines.exception() is None):
             await self._end(send)
 
     async def _send_lines(self, send: Send) -> None:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -2,20 +2,33 @@
 
 import asyncio
 import json
+import re
+import socket
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import aiohttp
 
 from damaskdeck.protocol.handlers import JobState, JobView, ServiceRequest, Submission
 from damaskdeck.protocol.outcomes import Completed, Failed, Outcome, Refused, Unknown
-from damaskdeck.protocol.resources import Resource
+from damaskdeck.protocol.ports import Event
+from damaskdeck.protocol.resources import Kind, Resource, Urgency
+from damaskdeck.state.versions import encode_resource
+from damaskdeck.state.watches import Changes
+from damaskdeck.transport.api import streams
 from damaskdeck.transport.api.app import build_app
-from damaskdeck.transport.api.credentials import Credentials
+from damaskdeck.transport.api.credentials import Credentials, Role
 from damaskdeck.transport.api.openapi import describe_api
-from damaskdeck.transport.api.routes import ROUTES
+from damaskdeck.transport.api.problems import CODES
+from damaskdeck.transport.api.routes import ROUTES, Context
 from damaskdeck.transport.api.server import ApiServer
+from damaskdeck.transport.api.streams import watch_configuration
+from damaskdeck.transport.listeners import open_listener
+from standins.faults import FaultKind
 from tests.cluster import Cluster, make_team, make_workload
 
 OPERATOR = {"Authorization": "Bearer operator-token"}
@@ -89,6 +102,7 @@
     """Starts a server on a free port, with the relay of a lone daemon behind it."""
 
     async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
         self.cluster = Cluster(1)
         self.daemon = self.cluster["d00"]
         self.requests = FakeRequests()
@@ -129,6 +143,31 @@
             is_json = "json" in answer.headers.get("Content-Type", "")
             return answer.status, json.loads(text) if is_json else text, answer.headers
 
+    async def assert_problem(
+        self,
+        method: str,
+        path: str,
+        status: int,
+        code: str,
+        body: Any = None,
+        **headers: str,
+    ) -> Any:
+        """Check the problem that a call ends with, and return it."""
+        found, problem, received = await self.call(method, path, body, **headers)
+        self.assertEqual(
+            (found, problem["code"]), (status, code), (method, path, headers)
+        )
+        self.assertEqual(received["Content-Type"], "application/problem+json")
+        self.assertEqual(received["Outcome"], problem["outcome"])
+        self.assertEqual(problem["status"], status)
+        return problem
+
+    async def wait_until(self, is_so: Callable[[], bool]) -> None:
+        """Let the loop run until something is so."""
+        async with asyncio.timeout(5):
+            while not is_so():  # noqa: ASYNC110
+                await asyncio.sleep(0)
+
     async def declare(self) -> int:
         """Declare team ``maps`` and workload ``tiles``; return the team's revision."""
         _, team, _ = await self.call("PUT", "/v1/teams/maps", make_team())
@@ -145,41 +184,385 @@
         self.assertEqual(headers["ETag"], f'"{made["metadata"]["revision"]}"')
         self.assertEqual((await self.call("GET", "/v1/teams/maps"))[1], made)
         patch = {"spec": {"weight": 3.0}, "metadata": {"labels": {"a": "b"}}}
-        merge = "application/merge-patch+json"
-        status, patched, _ = await self.call(
-            "PATCH", "/v1/teams/maps", patch, Content_Type=merge
-        )
+        status, patched, _ = await self.patch(patch)
         self.assertEqual((status, patched["spec"]["weight"]), (200, 3.0))
         self.assertEqual(patched["spec"]["quota"], make_team()["spec"]["quota"])
         status, listed, _ = await self.call("GET", "/v1/teams?selector=a=b")
         self.assertEqual(listed["items"], [patched])
         self.assertEqual((await self.call("DELETE", "/v1/teams/maps"))[0], 200)
-        status, problem, _ = await self.call("GET", "/v1/teams/maps")
-        self.assertEqual((status, problem["code"]), (404, "no_such_resource"))
+        await self.assert_problem("GET", "/v1/teams/maps", 404, "no_such_resource")
+
+    async def test_of_racing_operators_one_wins_and_the_others_learn_the_revision(self):
+        revision = await self.declare()
+        calls = [
+            self.call(
+                "PUT", "/v1/teams/maps", make_team(weight=w), If_Match=f'"{revision}"'
+            )
+            for w in (2.0, 3.0, 4.0)
+        ]
+        answers = sorted(await asyncio.gather(*calls), key=lambda answer: answer[0])
+        self.assertEqual([answer[0] for answer in answers], [200, 412, 412])
+        current = answers[0][1]["metadata"]["revision"]
+        for _, problem, headers in answers[1:]:
+            self.assertEqual(problem["code"], "precondition_failed")
+            self.assertEqual(problem["revision"], current)
+            self.assertEqual(headers["ETag"], f'"{current}"')
+
+    async def test_a_revision_in_the_body_is_a_condition_too(self):
+        revision = await self.declare()
+        stale = make_team(weight=2.0)
+        stale["metadata"]["revision"] = revision + 50
+        problem = await self.assert_problem(
+            "PUT", "/v1/teams/maps", 409, "conflict", body=stale
+        )
+        self.assertEqual(problem["revision"], revision)
+
+    async def test_create_only_and_delete_of_an_older_revision_fail(self):
+        revision = await self.declare()
+        path, code = "/v1/teams/maps", "precondition_failed"
+        await self.assert_problem(
+            "PUT", path, 412, code, body=make_team(), If_None_Match="*"
+        )
+        await self.call("DELETE", "/v1/workloads/tiles")
+        await self.call("PUT", path, make_team(weight=2.0))
+        await self.assert_problem("DELETE", path, 412, code, If_Match=str(revision))
+        await self.assert_problem(
+            "PATCH",
+            path,
+            412,
+            code,
+            body={},
+            If_Match="1000000",
+            Content_Type="application/merge-patch+json",
+        )
+
+    async def test_a_patch_is_applied_again_to_what_another_operator_wrote(self):
+        await self.declare()
+        await self.daemon.kill()
+        other = make_team(weight=7.0)
+        other["spec"]["quota"]["memory"] = 1
+        store = self.cluster.store.connect("other")
+        await store.put("config/team/maps", encode_resource(other), None)
+        status, patched, _ = await self.patch({"spec": {"weight": 8.0}})
+        self.assertEqual(status, 200)
+        self.assertEqual(patched["spec"]["quota"]["memory"], 1)
+        self.assertEqual(patched["spec"]["weight"], 8.0)
+
+    async def test_all_faults_of_a_resource_are_told(self):
+        workload = make_workload(team="none", type="gang", extra=1, tasks=0)
+        problem = await self.assert_problem(
+            "PUT", "/v1/workloads/tiles", 422, "invalid_resource", body=workload
+        )
+        told = {(fault["path"], fault["code"]) for fault in problem["faults"]}
+        self.assertEqual(
+            told, {("spec.extra", "unknown_field"), ("spec.tasks", "bad_value")}
+        )
+
+    async def test_a_team_in_use_is_not_deleted(self):
+        await self.declare()
+        await self.assert_problem("DELETE", "/v1/teams/maps", 409, "in_use")
+
+    async def test_lists_come_in_pages(self):
+        for name in "edcba":
+            await self.call("PUT", f"/v1/teams/{name}", make_team(name))
+        names, token = [], ""
+        while True:
+            path = f"/v1/teams?limit=2&continue={token}"
+            _, page, _ = await self.call("GET", path)
+            names.append([item["metadata"]["name"] for item in page["items"]])
+            token = page["metadata"].get("continue")
+            if not token:
+                break
+        self.assertEqual(names, [["a", "b"], ["c", "d"], ["e"]])
+
+    async def test_selectors_choose_by_labels(self):
+        for name, labels in (("a", {"x": "1"}), ("b", {"x": "2", "y": "1"}), ("c", {})):
+            team = make_team(name)
+            team["metadata"]["labels"] = labels
+            await self.call("PUT", f"/v1/teams/{name}", team)
+        cases = {"x=1": "a", "x!=1": "bc", "x": "ab", "!x": "c", "x,y=1": "b"}
+        for selector, expected in cases.items():
+            path = f"/v1/teams?selector={selector.replace('=', '%3D')}"
+            _, page, _ = await self.call("GET", path)
+            found = "".join(item["metadata"]["name"] for item in page["items"])
+            self.assertEqual(found, expected, selector)
+
+    async def test_an_outage_and_a_lost_answer_are_told_truthfully(self):
+        faults = self.cluster.store.faults
+        faults.outage = True
+        problem = await self.assert_problem(
+            "PUT", "/v1/teams/maps", 503, "store_unavailable", body=make_team()
+        )
+        self.assertEqual(problem["outcome"], "refused")
+        faults.outage = False
+        faults.plan("put", FaultKind.LOSE_ANSWER)
+        call = asyncio.ensure_future(self.call("PUT", "/v1/teams/maps", make_team()))
+        await self.wait_until(lambda: not faults.planned["put"])
+        faults.outage = True
+        await self.cluster.pass_time(12)
+        status, problem, headers = await call
+        self.assertEqual((status, problem["code"]), (504, "answer_lost"))
+        self.assertEqual(headers["Outcome"], "unknown")
+
+    async def test_nothing_is_answered_before_the_configuration_has_come(self):
+        await self.declare()
+        self.daemon.relay._is_ready = False
+        for method in ("GET", "PUT", "PATCH", "DELETE"):
+            body = make_team() if method in ("PUT", "PATCH") else None
+            await self.assert_problem(
+                method, "/v1/teams/maps", 503, "not_ready", body=body
+            )
+
+    async def patch(self, patch: Any) -> tuple[int, Any, Any]:
+        kind = "application/merge-patch+json"
+        return await self.call("PATCH", "/v1/teams/maps", patch, Content_Type=kind)
+
+
+class TestWatches(ApiCase):
+    """Streams of changes."""
+
+    async def test_changes_and_bookmarks_are_streamed_and_can_be_resumed(self):
+        revision = await self.declare()
+        async with self.watch(f"/v1/teams?watch=true&revision={revision}") as lines:
+            self.assertEqual((await lines.next())["type"], "BOOKMARK")
+            await self.call("PUT", "/v1/teams/b", make_team("b"))
+            added = await lines.next_change()
+            await self.call("PUT", "/v1/teams/b", make_team("b", 2.0))
+            await self.call("DELETE", "/v1/teams/b")
+            modified, deleted = await lines.next_change(), await lines.next_change()
+            types = [line["type"] for line in (added, modified, deleted)]
+            self.assertEqual(types, ["ADDED", "MODIFIED", "DELETED"])
+            await self.cluster.pass_time(11)
+            end = await lines.next()
+            while end["revision"] < self.cluster.store.revision:
+                end = await lines.next()
+            self.assertEqual(end["type"], "BOOKMARK")
+        middle = modified["resource"]["metadata"]["revision"]
+        async with self.watch(f"/v1/teams?watch=true&revision={middle}") as lines:
+            self.assertEqual(await lines.next_change(), deleted)
+
+    async def test_one_resource_can_be_watched(self):
+        revision = await self.declare()
+        await self.call("PUT", "/v1/teams/b", make_team("b"))
+        await self.call("PUT", "/v1/teams/maps", make_team(weight=2.0))
+        path = f"/v1/teams/maps?watch=true&revision={revision}"
+        async with self.watch(path) as lines:
+            change = await lines.next_change()
+            self.assertEqual(change["resource"]["metadata"]["name"], "maps")
+
+    async def test_what_leaves_the_selection_is_told_as_deleted(self):
+        revision = await self.declare()
+        team = make_team("b")
+        for value in ("1", "2"):
+            team["metadata"]["labels"] = {"x": value}
+            await self.call("PUT", "/v1/teams/b", team)
+        path = f"/v1/teams?watch=true&revision={revision}&selector=x=1"
+        async with self.watch(path) as lines:
+            changes = [await lines.next_change(), await lines.next_change()]
+        self.assertEqual([c["type"] for c in changes], ["ADDED", "DELETED"])
+
+    async def test_a_revision_that_is_no_longer_kept_is_too_old(self):
+        await self.declare()
+        self.daemon.configuration.history.reset(50)
+        problem = await self.assert_problem(
+            "GET", "/v1/teams?watch=true&revision=1", 410, "too_old"
+        )
+        self.assertEqual(problem["oldest"], 50)
+
+    async def test_a_running_watch_is_told_when_it_must_list_again(self):
+        await self.declare()
+        async with self.watch("/v1/teams?watch=true") as lines:
+            await lines.next()
+            self.daemon.configuration.history.reset(50)
+            end = await lines.next()
+            self.assertEqual(
+                (end["type"], end["problem"]["code"]), ("ERROR", "too_old")
+            )
+            self.assertIsNone(await lines.next())
+
+    async def test_a_reader_that_lags_is_dropped_with_a_revision_to_resume_from(self):
+        await self.declare()
+        context = self.find_context()
+        stream = watch_configuration(context, Kind.TEAM, 0, lambda resource: True)
+        may_send = asyncio.Event()
+        sent: list[Any] = []
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+            if len(sent) == 3:
+                await may_send.wait()
+
+        task = asyncio.ensure_future(stream({}, self.wait_forever, send))
+        await self.wait_until(lambda: len(sent) == 3)
+        base = self.daemon.configuration.revision
+        for revision in range(base, base + 1200):
+            event = Event(
+                "config/team/b", encode_resource(make_team("b")), revision + 1
+            )
+            self.daemon.configuration.apply_changes(revision, [event], revision + 1)
+        may_send.set()
+        await task
+        lines = [json.loads(m["body"]) for m in sent[1:-1]]
+        end = lines[-1]
+        self.assertEqual(end["problem"]["code"], "slow_reader")
+        self.assertEqual(end["revision"], lines[-2]["revision"])
+        history = self.daemon.configuration.history
+        self.assertIsInstance(history.read(end["revision"]), Changes)
+
+    async def test_a_reader_that_takes_nothing_is_dropped(self):
+        await self.declare()
+        stream = watch_configuration(self.find_context(), Kind.TEAM, 0, lambda r: True)
+        sent: list[Any] = []
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+            if len(sent) > 1:
+                await asyncio.Event().wait()
+
+        with mock.patch.object(streams, "SEND_LIMIT_SECONDS", 0.01):
+            async with asyncio.timeout(2):
+                await stream({}, self.wait_forever, send)
+        self.assertFalse([m for m in sent if not m.get("more_body", True)])
+
+    async def test_a_job_is_watched_until_its_end(self):
+        await self.declare()
+        await self.call("POST", "/v1/workloads/tiles/jobs", b"", **TEAM)
+        async with self.watch("/v1/jobs/maps-0?watch=true", **TEAM) as lines:
+            first = await lines.next()
+            self.assertEqual(first["resource"]["status"]["state"], "queued")
+            view = self.jobs.jobs["maps-0"]
+            ended = view._replace(state=JobState.COMPLETED, revision=5, results=(b"r",))
+            self.jobs.jobs["maps-0"] = ended
+            await self.cluster.pass_time(3)
+            last = await lines.next_change()
+            self.assertEqual(last["resource"]["status"]["results"], ["cg=="])
+            self.assertIsNone(await lines.next())
+
+    def find_context(self) -> Context:
+        return self.app.routes[0].endpoint.args[1]
+
+    async def wait_forever(self) -> Any:
+        await asyncio.Event().wait()
+
+    def watch(self, path: str, **headers: str) -> "Lines":
+        return Lines(self.session.get(path, headers={**OPERATOR, **headers}))
+
+
+class Lines:
+    """The lines of a watch."""
+
+    def __init__(self, request: Any) -> None:
+        self._request = request
+
+    async def __aenter__(self) -> "Lines":
+        self._answer = await self._request.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        self._answer.close()
+
+    async def next(self) -> Any:
+        """Return the next line, ``None`` at the end."""
+        async with asyncio.timeout(5):
+            line = await self._answer.content.readline()
+        return json.loads(line) if line else None
+
+    async def next_change(self) -> Any:
+        """Return the next line that is not a bookmark."""
+        line = await self.next()
+        while line["type"] == "BOOKMARK":
+            line = await self.next()
+        return line
 
 
 class TestCallers(ApiCase):
     """Requests and jobs."""
 
+    path = "/v1/services/api/requests"
+
     async def test_each_outcome_is_told(self):
         cases = [
-            (Completed(b"hi", "text/plain"), 200, "completed", None),
-            (Failed("exit_nonzero"), 502, "failed", "exit_nonzero"),
-            (Refused("queue_full", "", timedelta(seconds=1.2)), 429, "refused", "2"),
-            (Unknown("answer_lost"), 504, "unknown", "answer_lost"),
+            (Completed(b"hi", "text/plain"), 200, "completed"),
+            (Failed("exit_nonzero", "no"), 502, "failed"),
+            (Failed("cancelled"), 502, "failed"),
+            (Refused("queue_full", "", timedelta(seconds=1.2)), 429, "refused"),
+            (Refused("some_new_code", "", timedelta(seconds=1)), 503, "refused"),
+            (Refused("some_new_code"), 422, "refused"),
+            (Unknown("answer_lost"), 504, "unknown"),
+            (Unknown("cancelled"), 504, "unknown"),
         ]
-        for outcome, expected, name, more in cases:
+        for outcome, expected, name in cases:
             self.requests.outcome = outcome
-            status, body, headers = await self.call(
-                "POST", "/v1/services/api/requests", b"x", **TEAM
+            status, body, headers = await self.call("POST", self.path, b"x", **TEAM)
+            self.assertEqual((status, headers["Outcome"]), (expected, name), outcome)
+            if isinstance(outcome, Completed):
+                self.assertEqual((body, headers["Content-Type"]), ("hi", "text/plain"))
+            else:
+                self.assertEqual((body["code"], body["outcome"]), (outcome.code, name))
+            if isinstance(outcome, Refused) and outcome.retry_after:
+                self.assertGreaterEqual(int(headers["Retry-After"]), 1)
+
+    async def test_the_headers_of_a_request_are_read(self):
+        await self.call(
+            "POST",
+            self.path,
+            b"x",
+            **TEAM,
+            Idempotency_Key="k",
+            Request_Timeout="2.5",
+            Urgency="urgent",
+            Idempotent="true",
+            Content_Type="text/plain",
+        )
+        (request,) = self.requests.requests
+        self.assertEqual(
+            request._replace(identifier=""),
+            ServiceRequest(
+                "",
+                "api",
+                "maps",
+                b"x",
+                timedelta(seconds=2.5),
+                "text/plain",
+                "k",
+                Urgency.URGENT,
+                True,
+            ),
+        )
+
+    async def test_headers_that_cannot_be_used_are_refused(self):
+        cases = [
+            {"Request_Timeout": "soon"},
+            {"Request_Timeout": "0"},
+            {"Request_Timeout": "nan"},
+            {"Request_Timeout": "1e9"},
+            {"Urgency": "now"},
+            {"Idempotent": "yes"},
+            {"Idempotency_Key": "x" * 129},
+        ]
+        for headers in cases:
+            await self.assert_problem(
+                "POST", self.path, 400, "bad_header", body=b"", **TEAM, **headers
             )
-            self.assertEqual((status, headers["Outcome"]), (expected, name))
-            if isinstance(outcome, Refused):
-                self.assertEqual(headers["Retry-After"], more)
-            elif more:
-                self.assertEqual(body["code"], more)
+        self.assertEqual(self.requests.requests, [])
+
+    async def test_a_caller_that_leaves_cancels_its_request(self):
+        self.requests.release.clear()
+        call = asyncio.ensure_future(self.call("POST", self.path, b"x", **TEAM))
+        await self.requests.arrived.wait()
+        call.cancel()
+        async with asyncio.timeout(5):
+            await self.requests.cancelled.wait()
+        self.requests.release.set()
+        self.assertEqual((await self.call("POST", self.path, b"x", **TEAM))[0], 200)
+
+    async def test_a_handler_that_breaks_leaves_the_outcome_unknown(self):
+        self.requests.outcome = None
+        status, problem, headers = await self.call("POST", self.path, b"x", **TEAM)
+        self.assertEqual((status, problem["code"]), (500, "internal"))
+        self.assertEqual(headers["Outcome"], "unknown")
 
-    async def test_a_job_is_submitted_read_and_cancelled(self):
+    async def test_a_job_is_submitted_read_listed_and_cancelled(self):
         await self.declare()
         status, job, headers = await self.call(
             "POST", "/v1/workloads/tiles/jobs", b"p", **TEAM, Idempotency_Key="k"
@@ -190,12 +573,146 @@
         )
         path = headers["Location"]
         self.assertEqual((await self.call("GET", path, **TEAM))[1]["spec"], job["spec"])
+        _, listed, _ = await self.call("GET", "/v1/jobs", **TEAM)
+        self.assertEqual(len(listed["items"]), 1)
         status, job, _ = await self.call("DELETE", path, **TEAM)
         self.assertEqual(job["status"]["code"], "cancelled")
 
+    async def test_a_team_neither_sees_nor_touches_jobs_of_another(self):
+        await self.declare()
+        jobs = "/v1/workloads/tiles/jobs"
+        await self.assert_problem("POST", jobs, 403, "wrong_team", body=b"", **OTHER)
+        self.assertEqual(self.jobs.submissions, [])
+        await self.call("POST", jobs, b"", **TEAM)
+        path = "/v1/jobs/maps-0"
+        await self.assert_problem("GET", path, 404, "no_such_job", **OTHER)
+        await self.assert_problem("DELETE", path, 404, "no_such_job", **OTHER)
+        self.assertEqual(self.jobs.jobs["maps-0"].state, JobState.QUEUED)
+        _, listed, _ = await self.call("GET", "/v1/jobs?team=maps", **OTHER)
+        self.assertEqual(listed["items"], [])
+
+    async def test_a_job_that_is_refused_or_unknown_is_told_so(self):
+        await self.declare()
+        jobs = "/v1/workloads/tiles/jobs"
+        for answer, status in (
+            (Refused("impossible"), 422),
+            (Unknown("answer_lost"), 504),
+        ):
+            self.jobs.answer = answer
+            code = answer.code
+            await self.assert_problem("POST", jobs, status, code, body=b"", **TEAM)
+        path = "/v1/workloads/none/jobs"
+        await self.assert_problem("POST", path, 404, "no_such_workload", body=b"")
+
+
+class TestEdges(ApiCase):
+    """Credentials, limits, unknown paths, and what a daemon tells of itself."""
+
+    async def test_every_guarded_route_asks_for_a_credential_and_does_nothing(self):
+        revision = self.cluster.store.revision
+        guarded = [entry for entry in ROUTES if entry.roles]
+        self.assertEqual(len(ROUTES) - len(guarded), 4)
+        for entry in guarded:
+            path = entry.path.replace("{name}", "maps")
+            for token in ("", "Bearer wrong-token", "Basic operator-token", "Bearer é"):
+                status, problem, headers = await self.call(
+                    entry.method, path, b"{}", Authorization=token
+                )
+                self.assertEqual((status, problem["code"]), (401, "unauthenticated"))
+                self.assertIn("Bearer", headers["WWW-Authenticate"])
+            if Role.TEAM not in entry.roles:
+                await self.assert_problem(
+                    entry.method, path, 403, "forbidden", body=b"{}", **TEAM
+                )
+        self.assertEqual(self.cluster.store.revision, revision)
+        self.assertEqual(self.requests.requests, [])
+
+    async def test_bodies_that_are_too_long_are_refused(self):
+        async def chunks() -> Any:
+            for _ in range(20):
+                yield b"x" * 1000
+
+        path = "/v1/services/api/requests"
+        for body in (b"x" * 10_001, chunks()):
+            async with self.session.post(path, data=body, headers=TEAM) as answer:
+                self.assertEqual(answer.status, 413)
+                self.assertEqual((await answer.json())["code"], "body_too_large")
+        self.assertEqual((await self.call("POST", path, b"x" * 10_000, **TEAM))[0], 200)
+        self.assertEqual(len(self.requests.requests), 1)
+
+    async def test_what_cannot_be_used_is_refused(self):
+        await self.declare()
+        cases = [
+            ("GET", "/v1/nothing", 404, "no_such_path", None, {}),
+            ("POST", "/v1/teams/maps", 405, "method_not_allowed", b"", {}),
+            ("PUT", "/v1/teams/maps", 400, "bad_json", b"{", {}),
+            ("PUT", "/v1/teams/other", 400, "bad_parameter", make_team(), {}),
+            ("PUT", "/v1/teams/maps", 400, "bad_header", {}, {"If_Match": "x"}),
+            ("PUT", "/v1/teams/maps", 400, "bad_header", {}, {"If_None_Match": "1"}),
+            ("PATCH", "/v1/teams/maps", 415, "unsupported_media_type", {}, {}),
+            ("GET", "/v1/teams?limit=0", 400, "bad_parameter", None, {}),
+            ("GET", "/v1/teams?limit=x", 400, "bad_parameter", None, {}),
+            ("GET", "/v1/teams?continue=x", 400, "bad_parameter", None, {}),
+            ("GET", "/v1/teams?watch=1", 400, "bad_parameter", None, {}),
+            ("GET", "/v1/teams?watch=true&revision=-1", 400, "bad_parameter", None, {}),
+            ("GET", "/v1/workers/none", 404, "no_such_resource", None, {}),
+            ("GET", "/v1/workers?watch=true", 400, "bad_parameter", None, {}),
+        ]
+        for method, path, status, code, body, headers in cases:
+            await self.assert_problem(method, path, status, code, body=body, **headers)
+
+    async def test_observed_resources_are_listed(self):
+        _, page, _ = await self.call("GET", "/v1/workers?limit=2")
+        names = [item["metadata"]["name"] for item in page["items"]]
+        self.assertEqual(names, ["w1", "w2"])
+        self.assertEqual((await self.call("GET", "/v1/workers/w3"))[0], 200)
+
+    async def test_the_status_tells_what_is_in_force_where(self):
+        revision = await self.declare()
+        await self.cluster.pass_time(1)
+        _, told, _ = await self.call("GET", f"/v1/status?revision={revision}")
+        self.assertEqual(told["store"], "reachable")
+        self.assertEqual(
+            told["configuration"]["in_force"], {"d00": self.cluster.store.revision}
+        )
+        self.assertTrue(told["configuration"]["in_force_everywhere"])
+
+    async def test_health_readiness_and_metrics_need_no_credential(self):
+        await self.assert_problem(
+            "GET", "/v1/teams", 401, "unauthenticated", Authorization=""
+        )
+        for path in ("/healthz", "/readyz", "/metrics"):
+            status, text, _ = await self.call("GET", path, Authorization="")
+            self.assertEqual(status, 200)
+        pattern = r'damaskdeck_refusals_total{code="unauthenticated".*part="api"}'
+        self.assertRegex(text, pattern)
+        self.daemon.relay._is_ready = False
+        await self.assert_problem("GET", "/readyz", 503, "not_ready")
+
+    async def test_stopping_lets_requests_end_and_ends_watches(self):
+        await self.declare()
+        self.requests.release.clear()
+        call = asyncio.ensure_future(
+            self.call("POST", "/v1/services/api/requests", b"x", **TEAM)
+        )
+        await self.requests.arrived.wait()
+        watch = await self.session.get("/v1/teams?watch=true", headers=OPERATOR)
+        stopping = asyncio.ensure_future(self.server.stop())
+        async with asyncio.timeout(5):
+            self.assertIn(b"BOOKMARK", await watch.content.read())
+        self.assertFalse(stopping.done())
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            async with aiohttp.ClientSession() as session:
+                await session.get(f"http://{self.server.address}/healthz")
+        self.requests.release.set()
+        status, body, headers = await call
+        self.assertEqual((status, body), (200, {"ok": 1}))
+        async with asyncio.timeout(5):
+            await stopping
+
 
 class TestDescription(ApiCase):
-    """The OpenAPI description."""
+    """The OpenAPI description and the page for operators."""
 
     async def test_it_names_exactly_the_routes_served(self):
         served = {
@@ -212,3 +729,28 @@
         self.assertEqual(told, served)
         self.assertEqual(len(served), len(ROUTES))
         self.assertEqual(described, json.loads(json.dumps(describe_api())))
+
+    async def test_all_its_references_lead_somewhere(self):
+        described = describe_api()
+        schemas = described["components"]["schemas"]
+        names = re.findall(r"#/components/schemas/(\w+)", json.dumps(described))
+        self.assertTrue(names)
+        self.assertEqual(set(names) - set(schemas), set())
+
+    async def test_the_page_for_operators_names_every_code(self):
+        page = Path(__file__).parents[1] / "docs" / "operations" / "api.md"
+        rows = re.findall(r"^\| `(\w+)` \| (\d+) \|", page.read_text(), re.MULTILINE)
+        told = {code: int(status) for code, status in rows}
+        self.assertEqual(told, {name: code.status for name, code in CODES.items()})
+
+
+class TestListeners(unittest.TestCase):
+    """The sockets on which daemons listen."""
+
+    def test_accepted_connections_send_small_answers_at_once(self):
+        with open_listener("127.0.0.1", 0) as listener:
+            client = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+            with client, accepted:
+                option = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        self.assertTrue(option)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -306,6 +306,13 @@
         for answer in lost:
             self.assertEqual(answer.current, won[0].resource)
 
+    async def test_a_creation_does_not_write_over_what_there_is(self):
+        for name in ("d00", "d01"):
+            answer = await self.cluster[name].put_weight(2.0, 0)
+            self.assertIsInstance(answer, Outdated)
+            self.assertEqual(answer.current["spec"]["weight"], 1.0)
+        self.assert_all(1.0)
+
     async def test_unconditional_writes_all_succeed(self):
         weights = [2.0, 3.0, 4.0]
         answers = await asyncio.gather(
