Prove the streams between daemons on loopback, and epochs that only rise

Streams: 20 tests with real grpclib on port 0.

Ownership: every check also demands that a new decider's epoch is higher than all before. A member is now forgotten when it is silent and the store shows its session no more, also while our own lease is out: it can't take over before we met it again.

--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -554,9 +554,12 @@
         return now - contact.echoed < 2 * SILENCE_LIMIT
 
     def _forget_contacts(self) -> None:
+        """Forget silent members that the store shows no more.
+
+        Their sessions are over, so they can't take over from this daemon before
+        it has met them again under a new one.
+        """
         now = self._clock.monotonic()
-        if self.tenure is None or not self.tenure.is_leased(now):
-            return
         for name, contact in list(self._contacts.items()):
             # A read that lags may not show yet what a heartbeat has named.
             was_shown = contact.seen_session == contact.session
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -95,6 +95,7 @@
         self.newcomer_wait = newcomer_wait
         self.ports = itertools.count(1)
         self.daemons: dict[str, Daemon] = {}
+        self.last_deciders: dict[str, tuple[Daemon, int]] = {}
 
     def add(self, name: str, zone: str = ZONE) -> Daemon:
         """Start a daemon; one of the same name must be dead."""
@@ -133,14 +134,23 @@
         return found
 
     def check(self) -> None:
-        """Fail when two daemons decide about one thing."""
+        """Fail when two daemons decide about one thing, or with an old epoch."""
         for thing in THINGS:
             deciders = self.find_deciders(thing)
             assert len(deciders) <= 1, (thing, deciders, self.clock.monotonic())
+            for name, epoch in deciders.items():
+                self.check_epoch(thing, self.daemons[name], epoch)
         for daemon in self.daemons.values():
             for task in daemon.tasks:
                 assert not task.done() or task.exception() is None, task
 
+    def check_epoch(self, thing: str, decider: Daemon, epoch: int) -> None:
+        """Fail when another daemon had this epoch or a higher one."""
+        last, last_epoch = self.last_deciders.get(thing, (decider, 0))
+        allowed = last_epoch if decider is last else last_epoch + 1
+        assert epoch >= allowed, (thing, epoch, last_epoch)
+        self.last_deciders[thing] = decider, epoch
+
     async def advance(self, seconds: float) -> None:
         """Move the clock in steps and check after each."""
         end = self.clock.monotonic() + timedelta(seconds=seconds)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,9 +9,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from damaskdeck.coordination.mirrors import Mirror
 from damaskdeck.coordination.rendezvous import assign_things
-from standins.clock import settle
+from damaskdeck.coordination.tables import Change, Holder, Table
+from standins.clock import ManualClock, settle
 from standins.faults import FaultKind
+from standins.store import MemoryStore
 from tests.daemons import THINGS, WORKERS, Deployment
 
 NAMES = ("a", "b", "c")
@@ -252,6 +255,7 @@
         deciders = []
 
         async def note(thing, epoch):
+            await settle()
             deciders.append(self.deployment.find_deciders(thing))
 
         self.daemons["a"].ownership.on_loss("worker", note)
@@ -348,6 +352,8 @@
     async def test_lost_answer_of_a_handover_leaves_one_decider(self):
         self.faults.plan("put", FaultKind.LOSE_ANSWER)
         drain = asyncio.ensure_future(self.daemons["a"].ownership.drain())
+        await settle()
+        self.assertEqual(self.daemons["a"].list_held(), ())
         await self.deployment.advance(2)
         await drain
         self.assert_all_owned()
@@ -371,6 +377,56 @@
         self.assertTrue(held)
 
 
+class TestTable(unittest.IsolatedAsyncioTestCase):
+    """Compare-and-swap on one table by two writers."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.tables = []
+        for name in ("a", "b"):
+            client = self.store.connect(name)
+            mirror = Mirror(client, "ownership/")
+            self.tables.append(Table("ownership/x", mirror, client, self.clock))
+        self.first, self.second = self.tables
+        self.claims = [
+            {"w0": Change(None, Holder(name, f"{name}.1", 1))} for name in ("a", "b")
+        ]
+
+    async def test_second_of_two_claims_is_refused_and_shown_the_first(self):
+        self.assertTrue(await self.first.commit(self.claims[0]))
+        self.assertFalse(await self.second.commit(self.claims[1]))
+        self.assertEqual(self.second.things["w0"].instance, "a")
+
+    async def test_change_of_something_else_than_expected_writes_nothing(self):
+        self.assertTrue(await self.first.commit(self.claims[0]))
+        before = self.store.revision
+        stale = {"w0": Change(Holder("a", "a.0", 1), Holder("b", "b.1", 2))}
+        self.assertFalse(await self.first.commit(stale))
+        self.assertEqual(self.store.revision, before)
+
+    async def test_lost_write_that_another_overtook_is_told_from_one_that_was_made(
+        self,
+    ):
+        for kind, is_made in (
+            (FaultKind.LOSE_ANSWER, True),
+            (FaultKind.LOSE_CALL, False),
+        ):
+            holder = self.first.things.get("w0")
+            mine = {"w0": Change(holder, Holder("a", "a.1", 7))}
+            theirs = {"w1": Change(self.second.things.get("w1"), Holder("b", "b", 2))}
+            self.store.faults.plan("put", kind)
+            commit = asyncio.ensure_future(self.first.commit(mine))
+            await settle()
+            await self.second._mirror.refresh()
+            self.assertTrue(await self.second.commit(theirs))
+            await self.clock.advance(timedelta(seconds=1))
+            self.assertEqual(await commit, is_made)
+            self.assertEqual("w0" in self.first.things, is_made)
+            self.assertEqual(self.first.things["w1"].instance, "b")
+            await self.asyncSetUp()
+
+
 class TestAssignment(unittest.TestCase):
     """The spread of things over members."""
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,252 @@
+"""Streams between daemons: replies, breaks, limits and silence, on loopback."""
+
+import asyncio
+import socket
+import unittest
+from datetime import timedelta
+from typing import NotRequired, TypedDict
+
+import msgspec
+
+from damaskdeck.clock import SystemClock
+from damaskdeck.protocol.messages import (
+    Answered,
+    Envelope,
+    Unanswered,
+    Unsent,
+    encode_message,
+    message,
+)
+from damaskdeck.transport.batches import QUEUE_MESSAGES, BatchCodec, Outbox
+from damaskdeck.transport.links import Link, SilenceError, watch_silence
+from damaskdeck.transport.peers import PeerNetwork
+from standins.clock import ManualClock
+
+TOKEN = "token-of-the-peers"
+TIMEOUT = timedelta(seconds=5)
+SHORT = timedelta(milliseconds=50)
+
+
+@message("test.question")
+class Question(TypedDict):
+    """A test's question; ``wait`` keeps the answer back."""
+
+    number: int
+    wait: NotRequired[bool]
+    fail: NotRequired[bool]
+
+
+@message("test.newer")
+class Newer(TypedDict):
+    """A message that only some daemons know."""
+
+    text: str
+
+
+def assert_same(case, result, expected):
+    """Compare type and value; named tuples of two types may be equal."""
+    case.assertIs(type(result), type(expected), result)
+    case.assertEqual(result, expected)
+
+
+class PeersCase(unittest.IsolatedAsyncioTestCase):
+    """Two daemons, ``a`` and ``b``; ``b`` answers questions."""
+
+    async def asyncSetUp(self):
+        self.addresses = {}
+        self.gate = asyncio.Event()
+        self.asked = []
+        self.was_asked = asyncio.Event()
+        self.networks = []
+        self.a = await self.start("a")
+        self.b = await self.start("b")
+        self.b.register(Question, self.answer)
+
+    async def asyncTearDown(self):
+        self.gate.set()
+        for network in self.networks:
+            await network.close()
+
+    async def start(self, name, token=TOKEN, port=0, clock=None):
+        """Start the streams of a daemon."""
+        clock = clock or SystemClock()
+        network = PeerNetwork(name, "127.0.0.1", port, token, clock, self.addresses.get)
+        await network.start()
+        self.addresses[name] = network.address
+        self.networks.append(network)
+        return network
+
+    async def answer(self, instance, question):
+        """Answer with the next number."""
+        self.asked.append((instance, question["number"]))
+        self.was_asked.set()
+        if question.get("fail"):
+            raise ValueError("as the test wants")
+        if question.get("wait"):
+            await self.gate.wait()
+        return {"number": question["number"] + 1}
+
+    def ask(self, number, timeout=TIMEOUT, **fields):
+        """Ask ``b`` from ``a``."""
+        question = {"number": number, **fields}
+        return self.a.call("b", question, Question, timeout)
+
+
+class TestCalls(PeersCase):
+    """Calls and their replies."""
+
+    async def test_each_of_many_calls_gets_its_own_reply(self):
+        replies = await asyncio.gather(*(self.ask(number) for number in range(300)))
+        expected = [Answered({"number": number + 1}) for number in range(300)]
+        self.assertEqual(replies, expected)
+
+    async def test_replies_may_come_in_another_order(self):
+        slow = asyncio.ensure_future(self.ask(1, wait=True))
+        assert_same(self, await self.ask(2), Answered({"number": 3}))
+        self.gate.set()
+        assert_same(self, await slow, Answered({"number": 2}))
+
+    async def test_late_reply_is_dropped_and_disturbs_no_other_call(self):
+        await self.ask(0)
+        assert_same(self, await self.ask(1, SHORT, wait=True), Unanswered("timeout"))
+        self.gate.set()
+        assert_same(self, await self.ask(2), Answered({"number": 3}))
+
+    async def test_handler_that_raises_does_not_break_the_stream(self):
+        assert_same(self, await self.ask(1, fail=True), Unanswered("peer_failed"))
+        assert_same(self, await self.ask(2), Answered({"number": 3}))
+
+    async def test_unknown_kind_is_proved_undone_and_ignored(self):
+        call = self.a.call("b", {"text": "?"}, Newer, TIMEOUT)
+        assert_same(self, await call, Unsent("unsupported"))
+        self.assertIsNone(self.a.send("b", {"text": "?"}, Newer))
+        assert_same(self, await self.ask(2), Answered({"number": 3}))
+
+    async def test_unknown_field_of_a_newer_peer_is_ignored(self):
+        assert_same(self, await self.ask(2, colour="red"), Answered({"number": 3}))
+
+    async def test_message_of_the_wrong_type_is_proved_undone(self):
+        assert_same(self, await self.ask("two"), Unsent("unsupported"))
+        self.assertEqual(self.asked, [])
+
+    async def test_large_message_passes_whole(self):
+        async def measure(instance, newer):
+            return len(newer["text"])
+
+        self.b.register(Newer, measure)
+        call = self.a.call("b", {"text": "x" * 3_000_000}, Newer, TIMEOUT)
+        assert_same(self, await call, Answered(3_000_000))
+
+    async def test_messages_without_reply_keep_their_order(self):
+        for number in range(100):
+            self.assertIsNone(self.a.send("b", {"number": number}, Question))
+        await self.ask(100)
+        self.assertEqual(self.asked, [("a", number) for number in range(101)])
+
+
+class TestBreaks(PeersCase):
+    """Peers that go away, refuse or come back."""
+
+    async def test_unknown_peer_and_closed_port_are_unsent(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.addresses["c"] = f"127.0.0.1:{listener.getsockname()[1]}"
+        for name, code in (("nobody", "unknown_peer"), ("c", "unreachable")):
+            call = self.a.call(name, {"number": 1}, Question, TIMEOUT)
+            assert_same(self, await call, Unsent(code))
+
+    async def test_wrong_token_is_refused_before_any_message_is_read(self):
+        stranger = await self.start("c", token="another-token")
+        call = stranger.call("b", {"number": 1}, Question, TIMEOUT)
+        assert_same(self, await call, Unsent("unreachable"))
+        self.assertEqual(self.asked, [])
+
+    async def test_call_in_flight_when_the_peer_goes_is_unanswered(self):
+        # The clock stands still, so neither a timeout nor silence ends the call.
+        caller = await self.start("c", clock=ManualClock())
+        question = {"number": 1, "wait": True}
+        call = asyncio.ensure_future(caller.call("b", question, Question, TIMEOUT))
+        await self.was_asked.wait()
+        await self.b.close()
+        async with asyncio.timeout(5):
+            assert_same(self, await call, Unanswered("unreachable"))
+
+    async def test_stream_is_opened_again_when_the_peer_is_back(self):
+        await self.ask(1)
+        port = int(self.b.address.rpartition(":")[2])
+        await self.b.close()
+        again = await self.start("b", port=port)
+        again.register(Question, self.answer)
+        for _ in range(200):
+            reply = await self.ask(5)
+            if isinstance(reply, Answered):
+                break
+            await asyncio.sleep(0.02)
+        assert_same(self, reply, Answered({"number": 6}))
+
+    async def test_peer_that_accepts_and_says_nothing_leaves_calls_unsent(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.addresses["c"] = f"127.0.0.1:{listener.getsockname()[1]}"
+            call = self.a.call("c", {"number": 1}, Question, TIMEOUT)
+            assert_same(self, await call, Unsent("unreachable"))
+
+
+class TestLimits(unittest.IsolatedAsyncioTestCase):
+    """Queues, cancelled calls and silence, without a network."""
+
+    def make_link(self):
+        """Return a link that isn't connected."""
+        return Link("b", lambda name: None, {}, ManualClock(), None)
+
+    async def test_full_queue_refuses_and_proves_that_nothing_was_sent(self):
+        link = self.make_link()
+        for number in range(1, QUEUE_MESSAGES + 1):
+            link.start_call(Envelope("x", number, 0, b""))
+        last = link.start_call(Envelope("x", QUEUE_MESSAGES + 1, 0, b""))
+        assert_same(self, await last, Unsent("peer_busy"))
+
+    async def test_large_messages_fill_the_queue_by_their_bytes(self):
+        outbox = Outbox()
+        taken = 0
+        while outbox.put(Envelope("x", 0, 0, bytes(1 << 20))):
+            taken += 1
+        self.assertEqual(taken, 4)
+        self.assertEqual(len(await outbox.take()), 1)
+        self.assertTrue(outbox.put(Envelope("x", 0, 0, bytes(1 << 20))))
+
+    async def test_call_that_ended_in_the_queue_is_never_written(self):
+        link = self.make_link()
+        calls = [link.start_call(Envelope("x", number, 0, b"")) for number in (1, 2)]
+        link.end_call(1, "timeout")
+        written = link._mark_written(await link._outbox.take())
+        self.assertEqual([envelope.number for envelope in written], [2])
+        assert_same(self, await calls[0], Unsent("timeout"))
+        link.end_call(2, "timeout")
+        assert_same(self, await calls[1], Unanswered("timeout"))
+
+    async def test_whatever_is_queued_goes_as_one_batch(self):
+        outbox = Outbox()
+        for number in range(20):
+            outbox.put(Envelope("x", number, 0, b""))
+        self.assertEqual(len(await outbox.take()), 20)
+
+    async def test_silent_peer_is_pinged_and_given_up_within_two_seconds(self):
+        clock, pings = ManualClock(), []
+        watch = asyncio.ensure_future(
+            watch_silence(
+                clock,
+                lambda: timedelta(),
+                lambda: pings.append(clock.monotonic()),
+                timedelta(seconds=1.8),
+            )
+        )
+        await clock.advance(timedelta(seconds=1.7))
+        self.assertFalse(watch.done())
+        self.assertGreaterEqual(len(pings), 2)
+        await clock.advance(timedelta(seconds=0.2))
+        self.assertIsInstance(watch.exception(), SilenceError)
+
+    def test_codec_ignores_later_fields_of_an_envelope(self):
+        newer = msgspec.msgpack.encode([["x", 1, 0, b"y", "later"]])
+        batch = BatchCodec().decode(newer, list)
+        self.assertEqual(batch, [Envelope("x", 1, 0, b"y")])
+        self.assertEqual(encode_message(batch[0]), encode_message(["x", 1, 0, b"y"]))
