Make room when a ledger is taken over often without a commit

Cause: each takeover writes a segment, and compaction waits for a commit. The new state machine found that enough takeovers of an idle ledger use up all slots, after which nobody can open it again.

Conclusion: test_takeovers_without_commits_do_not_use_up_the_slots fails with "no slot is left" when the move is switched off and passes with it. Deaths at each call of the move and the state machine (100 examples) pass.

--- a/src/damaskdeck/state/compaction.py
+++ b/src/damaskdeck/state/compaction.py
@@ -100,7 +100,12 @@
         log = self._ledger_log
         old = log.head
         head = msgspec.structs.replace(
-            old, identifier=self._identify(), base=base, snapshot=name, parts=parts
+            old,
+            identifier=self._identify(),
+            base=base,
+            snapshot=name,
+            parts=parts,
+            log_parts=0,
         )
         write = Write(
             self._keys.head, encode(head), log.head_revision, head.is_stored_in
@@ -111,8 +116,7 @@
             return log.depose(decode_head(outcome.current.value).epoch)
         if isinstance(outcome, Written):
             log.switch(head, outcome.revision)
-            numbers = range(old.parts)
-            self._leftovers += [self._keys.part(old.snapshot, n) for n in numbers]
+            self._leftovers += self._keys.list_parts(old)
         return outcome
 
     async def _remove_leftovers(self) -> Rejected | Lost | None:
--- a/src/damaskdeck/state/images.py
+++ b/src/damaskdeck/state/images.py
@@ -12,6 +12,7 @@
     decode_part,
     decode_segment,
     encode,
+    join_groups,
 )
 
 
@@ -22,6 +23,7 @@
     :param segments: those that count, in order, without a gap.
     :param revisions: of every slot in use, by key.
     :param sizes: bytes of every slot in use, by key.
+    :param moved: records of the log that were moved to the snapshot's parts.
     :param leftovers: keys of parts that no head names.
     """
 
@@ -31,6 +33,7 @@
     revisions: dict[str, int]
     sizes: dict[str, int]
     snapshot: tuple[bytes, ...]
+    moved: tuple[bytes, ...]
     leftovers: tuple[str, ...]
 
     @property
@@ -38,6 +41,17 @@
         """The last sequence in the log."""
         return self.head.base + len(self.segments)
 
+    @property
+    def closed(self) -> int:
+        """The last sequence that closes a group, or the base."""
+        closing = (s.sequence for s in self.segments if s.closes)
+        return max(closing, default=self.head.base)
+
+    @property
+    def records(self) -> tuple[bytes, ...]:
+        """All records of the log, in order."""
+        return (*self.moved, *join_groups(self.segments))
+
     @property
     def epoch(self) -> int:
         """The highest epoch that wrote to the ledger."""
@@ -62,14 +76,16 @@
     entry = entries.get(keys.head)
     head = decode_head(entry.value) if entry else Head(slots=slots)
     log = [e for e in listing.entries if e.key.startswith(keys.log)]
-    parts = [keys.part(head.snapshot, number) for number in range(head.parts)]
+    parts = keys.list_parts(head)
+    split = head.parts - head.log_parts
     return Image(
         head,
         entry.revision if entry else 0,
         _order_segments(keys, head, log),
         {e.key: e.revision for e in log},
         {e.key: len(e.value) for e in log},
-        _join_parts(keys, parts, entries),
+        _join_parts(keys, parts[:split], entries),
+        _join_parts(keys, parts[split:], entries),
         tuple(
             key for key in entries if key.startswith(keys.snapshots) if key not in parts
         ),
--- a/src/damaskdeck/state/ledger.py
+++ b/src/damaskdeck/state/ledger.py
@@ -21,7 +21,6 @@
 from damaskdeck.state.segments import (
     SEGMENT_OVERHEAD,
     Keys,
-    join_groups,
     measure_records,
 )
 from damaskdeck.state.writes import Backoff
@@ -148,6 +147,7 @@
             self._slots,
             epoch,
             until,
+            self._value_limit,
             self._identify,
         )
         image = await opening.run()
@@ -156,7 +156,7 @@
             return image
         self._hold(image, epoch)
         _log.info("Opened.", ledger=self.name, epoch=epoch, sequence=image.last)
-        return Opened(image.snapshot, tuple(join_groups(image.segments)))
+        return Opened(image.snapshot, image.records)
 
     async def commit(
         self, records: tuple[bytes, ...]
--- a/src/damaskdeck/state/opening.py
+++ b/src/damaskdeck/state/opening.py
@@ -14,10 +14,13 @@
     Segment,
     decode_segment,
     encode,
+    join_groups,
+    split_records,
 )
 from damaskdeck.state.writes import Backoff, Clash, Write, write_once
 
 RACE_LIMIT = 20
+ROOM_SHARE = 0.75
 
 
 class Opening:
@@ -29,6 +32,7 @@
 
     :param slots: how many keys the log gets if the ledger is new.
     :param until: monotonic time at which the try is given up.
+    :param value_limit: bytes of the largest value that the store takes.
     """
 
     def __init__(
@@ -39,6 +43,7 @@
         slots: int,
         epoch: int,
         until: timedelta,
+        value_limit: int,
         identify: Callable[[], str],
     ) -> None:
         self._store = store
@@ -47,6 +52,7 @@
         self._slots = slots
         self._epoch = epoch
         self._until = until
+        self._value_limit = value_limit
         self._identify = identify
 
     async def run(self) -> Image | Rejected | Lost:
@@ -57,11 +63,12 @@
                 return image
             if image.epoch > self._epoch:
                 return Rejected("epoch_passed", f"epoch {image.epoch} has opened it")
-            fenced = await self._fence_head(image)
-            if isinstance(fenced, Image):
-                fenced = await self._fence_log(fenced)
-            if not isinstance(fenced, Clash):
-                return fenced
+            for step in (self._fence_head, self._make_room, self._fence_log):
+                image = await step(image)
+                if not isinstance(image, Image):
+                    break
+            if not isinstance(image, Clash):
+                return image
         return Rejected("ledger_contended", "another keeper goes on writing")
 
     async def _read(self) -> Image | Rejected | Lost:
@@ -83,10 +90,49 @@
             return image._replace(head=head, head_revision=outcome.revision)
         return outcome
 
+    async def _make_room(self, image: Image) -> Image | Clash | Rejected | Lost:
+        """Move the log to the snapshot's parts if few slots are left.
+
+        Compaction waits for commits. Without this, takeovers of a ledger that
+        nobody commits to would use up the slots.
+        """
+        if len(image.segments) < image.head.slots * ROOM_SHARE:
+            return image
+        last = image.closed
+        covered = [s for s in image.segments if s.sequence <= last]
+        moved = (*image.moved, *join_groups(covered))
+        runs = [
+            list(split_records(records, self._value_limit))
+            for records in (image.snapshot, moved)
+        ]
+        name = f"{last:012d}-{self._identify()}"
+        for number, run in enumerate(runs[0] + runs[1]):
+            outcome = await self._write(self._keys.part(name, number), run, 0)
+            if not isinstance(outcome, Written):
+                return outcome
+        head = msgspec.structs.replace(
+            image.head,
+            identifier=self._identify(),
+            base=last,
+            snapshot=name,
+            parts=len(runs[0]) + len(runs[1]),
+            log_parts=len(runs[1]),
+        )
+        outcome = await self._write(self._keys.head, head, image.head_revision)
+        if not isinstance(outcome, Written):
+            return outcome
+        return image._replace(
+            head=head,
+            head_revision=outcome.revision,
+            segments=image.segments[len(covered) :],
+            moved=moved,
+            leftovers=(*image.leftovers, *self._keys.list_parts(image.head)),
+        )
+
     async def _fence_log(self, image: Image) -> Image | Clash | Rejected | Lost:
         for _ in range(RACE_LIMIT):
             if len(image.segments) >= image.head.slots:
-                return Rejected("ledger_full", "no slot is left to take it over")
+                return Rejected("ledger_contended", "no slot is left")
             segment = Segment(self._epoch, image.last + 1, self._identify())
             key = self._keys.slot(segment.sequence, image.head.slots)
             expected = image.revisions.get(key, 0)
@@ -102,9 +148,11 @@
         return Rejected("ledger_contended", "another keeper goes on writing")
 
     async def _write(
-        self, key: str, value: Head | Segment, expected: int
+        self, key: str, value: Head | Segment | tuple[bytes, ...], expected: int
     ) -> Written | Clash | Rejected | Lost:
-        write = Write(key, encode(value), expected, value.is_stored_in)
+        encoded = encode(value)
+        is_own = encoded.__eq__ if isinstance(value, tuple) else value.is_stored_in
+        write = Write(key, encoded, expected, is_own)
         backoff = Backoff(self._clock)
         while True:
             outcome = await write_once(self._store, self._clock, write, self._until)
--- a/src/damaskdeck/state/segments.py
+++ b/src/damaskdeck/state/segments.py
@@ -41,6 +41,8 @@
     :param base: last sequence that the snapshot covers.
     :param snapshot: name of the snapshot, or an empty string.
     :param parts: how many keys the snapshot has.
+    :param log_parts: how many of these, at the end, hold records of the log
+        that a keeper moved there to make room while it took over.
     """
 
     epoch: int = 0
@@ -49,6 +51,7 @@
     base: int = 0
     snapshot: str = ""
     parts: int = 0
+    log_parts: int = 0
 
     def is_stored_in(self, value: bytes) -> bool:
         """Tell by its identifier whether this very write put ``value`` there."""
@@ -88,6 +91,10 @@
         """Return the key of one part of a snapshot."""
         return f"{self.snapshots}{snapshot}/{number:05d}"
 
+    def list_parts(self, head: Head) -> list[str]:
+        """List the keys of the snapshot that ``head`` names."""
+        return [self.part(head.snapshot, number) for number in range(head.parts)]
+
 
 _encoder = msgspec.msgpack.Encoder()
 _segment_decoder = msgspec.msgpack.Decoder(Segment)
--- a/tests/ledger_checks.py
+++ b/tests/ledger_checks.py
@@ -5,7 +5,7 @@
 from damaskdeck.protocol.ports import Rejected
 from damaskdeck.state.images import read_image
 from damaskdeck.state.ledger import Committed, Deposed
-from damaskdeck.state.segments import Keys, join_groups
+from damaskdeck.state.segments import Keys
 from standins.store import MemoryStore
 
 
@@ -24,7 +24,7 @@
     def replay(self) -> list[bytes]:
         """Return what a keeper would replay now."""
         image = read_image(self._keys, self._store.list(self._keys.prefix), 0)
-        self._replayed = [*image.snapshot, *join_groups(image.segments)]
+        self._replayed = [*image.snapshot, *image.records]
         return self._replayed
 
     def check(self, states: Iterable[list[bytes]]) -> list[bytes]:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -440,6 +440,40 @@
         outcome = await bench.finish(bench.make().open(2))
         self.assertEqual((type(outcome), outcome.code), (Rejected, "epoch_passed"))
 
+    async def test_takeovers_without_commits_do_not_use_up_the_slots(self):
+        bench = self.make_bench()
+        ledger = await bench.open(1)
+        records = [b"%d" % number for number in range(SLOTS // 2)]
+        for record in records:
+            await bench.commit(ledger, record)
+        for epoch in range(2, 4 * SLOTS):
+            ledger = await bench.open(epoch)
+            self.assertEqual(bench.states[ledger], records)
+        await bench.commit(ledger, b"on")
+        await bench.clock.advance(5 * SECOND)
+        self.assertEqual(bench.list_parts(), bench.list_named_parts())
+        self.assertEqual(await bench.replay(), [*records, b"on"])
+
+    async def test_a_death_while_making_room_loses_nothing(self):
+        for number in range(1, 11):
+            for takes_effect in (False, True):
+                bench = self.make_bench()
+                ledger = await bench.open(1, value_limit=600)
+                records = [b"%d" % place * 200 for place in range(4)]
+                await bench.commit(ledger, *records)
+                for epoch in range(2, 9):
+                    await bench.open(epoch, value_limit=600)
+                self.assertEqual(bench.list_parts(), [])
+                mortal = MortalStore(bench.store.connect("m"), number, takes_effect)
+                bench.start(bench.make(mortal, value_limit=600).open(12))
+                await bench.clock.advance(SECOND)
+                new = await bench.open(13, value_limit=600)
+                self.assertEqual(bench.states[new], records)
+                await bench.commit(new, b"on")
+                await bench.clock.advance(5 * SECOND)
+                self.assertEqual(bench.list_parts(), bench.list_named_parts())
+                self.assertEqual(await bench.replay(), [*records, b"on"])
+
     async def test_opening_takes_one_read_and_two_writes(self):
         bench = self.make_bench()
         old = await bench.open(1)
