Summarize owners' workers and place over 27 owners by summaries

Cause: a ledger's keeper doesn't see the workers, and what that costs was not known. The replay steps each 10 ms at most and counts packing only after a step left work waiting. Spread searches two zones, from precomputed places.

--- a/benchmarks/naive.py
+++ b/benchmarks/naive.py
@@ -1,6 +1,7 @@
 """The naive scheduler under the replay: in arrival order, first fit."""
 
 from collections import deque
+from datetime import timedelta
 from itertools import groupby
 
 from benchmarks.replay import Cell, Task
@@ -14,6 +15,8 @@
     :param skips: whether work that doesn't fit lets later work go first.
     """
 
+    interval = timedelta()
+
     def __init__(self, cell: Cell, skips: bool = False) -> None:
         self._naive = NaiveScheduler(cell.mix.workers)
         self._skips = skips
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from itertools import islice
 
@@ -47,9 +48,16 @@
     :param decisions: processor seconds of each decision about a task or gang.
     """
 
-    def __init__(self, cell: Cell, weights: dict[str, float] = WEIGHTS) -> None:
+    interval = timedelta(milliseconds=10)
+
+    def __init__(
+        self,
+        cell: Cell,
+        weights: Mapping[str, float] = WEIGHTS,
+        make_placer: Callable[..., Placer] = Placer,
+    ) -> None:
         self.accounts = Accounts()
-        self.placer = Placer(self.accounts, weights)
+        self.placer = make_placer(self.accounts, weights)
         for worker in cell.mix.workers:
             self.accounts.set_worker(worker)
         self.quotas = Quotas(self.accounts.totals.size)
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -63,7 +63,12 @@
 
 
 class Scheduler(Protocol):
-    """What is measured."""
+    """What is measured.
+
+    :param interval: the least time between two calls of :meth:`step`.
+    """
+
+    interval: timedelta
 
     def submit(self, cell: "Cell", tasks: list[Task]) -> None:
         """Take the tasks of one job."""
@@ -104,6 +109,9 @@
         self.stranded: list[float] = []
         self.scheduler = scheduler
         self._events: list[tuple[timedelta, int, Task, int]] = []
+        self._has_news = False
+        self._left = 0
+        self._stepped = -TICK
         self._order = itertools.count()
         self._used = ZERO_SIZE
         self._free = {worker.name: worker.size for worker in mix.workers}
@@ -122,7 +130,10 @@
             moment = min(event, arrival.time if arrival else self.mix.duration)
             moment = min(moment, self.mix.duration, sample)
             if self.waiting:
-                moment = min(moment, self.now + TICK)
+                moment = min(moment, self._stepped + TICK)
+            if self._has_news:
+                moment = min(moment, self._stepped + self.scheduler.interval)
+                moment = max(moment, self.now)
             self._advance(moment)
             if moment >= self.mix.duration:
                 break
@@ -133,7 +144,7 @@
                 self._submit(arrival)
                 arrival = next(arrivals)
             self._end_tasks()
-            self.scheduler.step(self)
+            self._step()
         self._close()
 
     def start(self, task: Task, worker: str) -> None:
@@ -184,8 +195,19 @@
                 waits.append(waited.total_seconds())
         return sorted(waits)
 
+    def _step(self) -> None:
+        """Let the scheduler decide, if something is new or its tick has come."""
+        passed = self.now - self._stepped
+        is_due = self._has_news and passed >= self.scheduler.interval
+        if is_due or (self.waiting and passed >= TICK):
+            self._has_news = False
+            self._stepped = self.now
+            self.scheduler.step(self)
+            self._left = self.waiting
+
     def _submit(self, arrival: Arrival) -> None:
         tasks = [Task(arrival, number) for number in range(arrival.tasks)]
+        self._has_news = True
         self.tasks.update((task.name, task) for task in tasks)
         self.waiting += len(tasks)
         self.scheduler.submit(self, tasks)
@@ -199,6 +221,7 @@
         while self._events and self._events[0][0] <= self.now:
             _, _, task, version = heapq.heappop(self._events)
             if version == task.version:
+                self._has_news = True
                 self._end(task)
 
     def _end(self, task: Task) -> None:
@@ -240,7 +263,7 @@
     def _advance(self, moment: timedelta) -> None:
         duration = (moment - self.now).total_seconds()
         self.now = moment
-        if not self.waiting or not duration:
+        if not self._left or not duration:
             return
         shares = [
             used / whole if whole else 0.0
--- /dev/null
+++ b/benchmarks/split.py
@@ -0,0 +1,133 @@
+"""Placement split over owners that each see their own workers only."""
+
+import random
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from benchmarks.policy import Policy
+from benchmarks.replay import Cell
+from damaskdeck.coordination.filters import Prepare
+from damaskdeck.coordination.placement import Impossible, Placed, Placer
+from damaskdeck.coordination.summaries import (
+    OwnerView,
+    choose_owner,
+    summarize_workers,
+)
+from damaskdeck.state.accounts import (
+    AccountHandler,
+    Accounts,
+    NoRoom,
+    TaskNeed,
+    WorkerAccount,
+)
+
+REPORT_INTERVAL = timedelta(milliseconds=500)
+ASKED = 4
+
+
+class OwnedAccounts:
+    """The part of the accounts that one owner sees."""
+
+    def __init__(self, accounts: Accounts, names: frozenset[str]) -> None:
+        self._accounts = accounts
+        self._names = names
+
+    @property
+    def workers(self) -> Mapping[str, WorkerAccount]:
+        """The owner's workers."""
+        workers = self._accounts.workers
+        return {name: workers[name] for name in self._names if name in workers}
+
+    def subscribe(self, handler: AccountHandler) -> None:
+        """Pass on changes of the owner's workers."""
+
+        def handle(account: WorkerAccount, is_present: bool) -> None:
+            if account.name in self._names:
+                handler(account, is_present)
+
+        self._accounts.subscribe(handle)
+
+    def count_group(self, group: str) -> Mapping[str, int]:
+        """Count a group's tasks; a keeper knows where its tasks are."""
+        return self._accounts.count_group(group)
+
+
+class SplitPlacer(Placer):
+    """Picks an owner by its summary, then asks its own placer.
+
+    :param owners: names of workers by owner.
+    """
+
+    def __init__(
+        self,
+        accounts: Accounts,
+        weights: Mapping[str, float],
+        owners: Mapping[str, frozenset[str]],
+        read_clock: Callable[[], timedelta],
+    ) -> None:
+        super().__init__(accounts, weights)
+        self._read_clock = read_clock
+        self._rng = random.Random(1)
+        self._owned = {
+            name: OwnedAccounts(accounts, names) for name, names in owners.items()
+        }
+        self._placers = {
+            name: Placer(owned, weights) for name, owned in self._owned.items()
+        }
+        self._views: dict[str, OwnerView] = {}
+        self.asked = self.refused = 0
+
+    def add_filter(self, name: str, prepare: Prepare) -> None:
+        """Add a filter at every owner."""
+        super().add_filter(name, prepare)
+        for placer in self._placers.values():
+            placer.add_filter(name, prepare)
+
+    def place(self, need: TaskNeed) -> Placed | NoRoom | Impossible:
+        """Ask a few owners, one after another."""
+        now = self._read_clock()
+        for _ in range(ASKED):
+            view = choose_owner(self._read_views(now), need, self._rng, now)
+            if view is None:
+                break
+            self.asked += 1
+            outcome = self._placers[view.name].place(need)
+            if isinstance(outcome, Placed):
+                view.note_asked(need)
+                return outcome
+            self.refused += 1
+            view.note_refused(need)
+        dimension = self._index.name_impossible(need)
+        return Impossible(dimension) if dimension else NoRoom("summaries")
+
+    def _read_views(self, now: timedelta) -> list[OwnerView]:
+        """Take over the summaries that are due, each owner's at its own time."""
+        for number, (name, owned) in enumerate(self._owned.items()):
+            view = self._views.get(name)
+            if view is not None and now - view.received < REPORT_INTERVAL:
+                continue
+            phase = REPORT_INTERVAL * (number / len(self._owned))
+            received = now - (now - phase) % REPORT_INTERVAL
+            zone = next(iter(owned.workers.values())).instance.zone
+            summary = summarize_workers(owned, zone)
+            self._views[name] = OwnerView(name, summary, received)
+        return list(self._views.values())
+
+
+def make_split(cell: Cell, count: int = 27) -> Policy:
+    """Make the policy with workers split over ``count`` owners, by zone."""
+    zones: dict[str, list[str]] = {}
+    for worker in cell.mix.workers:
+        zones.setdefault(worker.zone, []).append(worker.name)
+    each = max(1, count // len(zones))
+    owners = {
+        f"{zone}-{part}": frozenset(names[part::each])
+        for zone, names in zones.items()
+        for part in range(each)
+        if names[part::each]
+    }
+
+    def make(accounts: Accounts, weights: Mapping[str, float]) -> SplitPlacer:
+        return SplitPlacer(accounts, weights, owners, lambda: cell.now)
+
+    return Policy(cell, make_placer=make)
--- a/src/damaskdeck/coordination/index.py
+++ b/src/damaskdeck/coordination/index.py
@@ -17,7 +17,9 @@
 ANY_ZONE = ""
 _CELL_SAMPLE = 4
 _RACK_SAMPLE = 2
-_RACK_SCAN = 256
+_RACK_SCAN = 64
+# A group's next task is offered workers of so many zones.
+_SPREAD_ZONES = 2
 
 
 class _Place(NamedTuple):
@@ -86,6 +88,7 @@
         self._places: dict[str, _Place] = {}
         self._shapes: dict[tuple[str, Size], int] = {}
         self._shape_of: dict[str, tuple[str, Size]] = {}
+        self._accounts = accounts
         accounts.subscribe(self._update)
 
     def find_candidates(
@@ -102,18 +105,22 @@
         :param mix_classes: for needs without accelerators, offer workers that
             have some even when there are others.
         """
+        found_zones = 0
         for zone in self._list_zones(need):
             classes = self._grids.get(zone)
             if classes is None:
                 continue
+            found = False
             for is_accelerated in (True,) if need.size[2] else (False, True):
                 accounts = self._search(classes[is_accelerated], need, predicates)
-                found = False
                 for account in islice(accounts, limit):
                     found = True
                     yield account
                 if found and not mix_classes:
                     break
+            found_zones += found
+            if found_zones == _SPREAD_ZONES:
+                break
 
     def name_lack(self, need: TaskNeed) -> str:
         """Name a dimension that all open workers allowed to ``need`` lack."""
@@ -151,11 +158,14 @@
         return max(shortfalls)[1]
 
     def _list_zones(self, need: TaskNeed) -> Iterable[str]:
-        if need.zones:
-            return sorted(need.zones)
-        if need.group or need.near:
-            return sorted(self._grids.keys() - {ANY_ZONE})
-        return (ANY_ZONE,)
+        """List zones to search, those that spread and affinity prefer first."""
+        if not (need.zones or need.group or need.near):
+            return (ANY_ZONE,)
+        zones = need.zones or self._grids.keys() - {ANY_ZONE}
+        counts = self._accounts.count_group(need.group)
+        return sorted(
+            zones, key=lambda zone: (zone not in need.near, counts.get(zone, 0), zone)
+        )
 
     def _search(
         self, grids: dict[int, _Grid], need: TaskNeed, predicates: Sequence[Predicate]
--- a/src/damaskdeck/coordination/placement.py
+++ b/src/damaskdeck/coordination/placement.py
@@ -5,13 +5,13 @@
 
 from damaskdeck.coordination.filters import Prepare, find_refusal, list_filters
 from damaskdeck.coordination.index import WorkerIndex
-from damaskdeck.coordination.scores import prepare_scores
+from damaskdeck.coordination.scores import prepare_scores, rate
 from damaskdeck.defaults import WEIGHTS
 from damaskdeck.metrics import count_refusal
 from damaskdeck.state.accounts import Accounts, NoRoom, TaskNeed, WorkerAccount
 
 _CANDIDATES = 8
-_SPREAD_CANDIDATES = 24
+_SPREAD_CANDIDATES = 12
 
 
 class Placed(NamedTuple):
@@ -78,9 +78,9 @@
         if best is None:
             return None
         measures = prepare_scores(need, self._accounts, self.weights)
-        best_score = sum(weight * measure(best) for weight, measure in measures)
+        best_score = rate(best, measures)
         for account in candidates:
-            value = sum(weight * measure(account) for weight, measure in measures)
+            value = rate(account, measures)
             if value > best_score:
                 best, best_score = account, value
         return Placed(best.name, best_score)
--- a/src/damaskdeck/coordination/scores.py
+++ b/src/damaskdeck/coordination/scores.py
@@ -1,6 +1,6 @@
 """Scores: which of the workers that may take a task should; higher is better."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from damaskdeck.state.accounts import Accounts, TaskNeed, WorkerAccount
@@ -54,6 +54,14 @@
     return prepared
 
 
+def rate(account: WorkerAccount, measures: Iterable[WeightedMeasure]) -> float:
+    """Add up the weighted measures of a worker."""
+    total = 0.0
+    for weight, measure in measures:
+        total += weight * measure(account)
+    return total
+
+
 @score("best_fit")
 def prepare_best_fit(need: TaskNeed, accounts: Accounts) -> Measure:
     """Prefer the worker that has least left over, as a share of its size."""
@@ -89,15 +97,15 @@
     counts = accounts.count_group(need.group) if need.group else None
     if not counts:
         return None
-    weighted = ((0.6, "{0.zone}"), (0.3, "{0.zone}/{0.rack}"))
+    get = counts.get
 
     def measure(account: WorkerAccount) -> float:
-        instance = account.instance
-        value = 0.0
-        for share, pattern in weighted:
-            value += share / (1 + counts.get(pattern.format(instance), 0))
-        name = f"{instance.zone}/{instance.rack}/{instance.name}"
-        return value + 0.1 / (1 + counts.get(name, 0))
+        zone, rack, worker = account.places
+        return (
+            0.6 / (1 + get(zone, 0))
+            + 0.3 / (1 + get(rack, 0))
+            + 0.1 / (1 + get(worker, 0))
+        )
 
     return measure
 
--- a/src/damaskdeck/state/accounts.py
+++ b/src/damaskdeck/state/accounts.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -87,12 +87,16 @@
     """One worker's account; only :class:`Accounts` changes it.
 
     :param instance: the worker as the platform lists it.
+    :param places: its zone, rack and name, as :meth:`Accounts.count_group` has them.
     """
 
-    __slots__ = ("closed", "free", "instance", "name", "reservations", "size")
+    __slots__ = (
+        "closed", "free", "instance", "name", "places", "reservations", "size",
+    )  # fmt: skip
 
     def __init__(self, instance: Instance) -> None:
         self.instance = instance
+        self.places = list_places(instance)
         self.name = instance.name
         self.size = instance.size
         self.free = instance.size
@@ -162,6 +166,7 @@
         if account.instance[2:] != instance[2:] and account.reservations:
             self._recount_groups(account, instance)
         account.instance = instance
+        account.places = list_places(instance)
         is_leaving = instance.state is InstanceState.LEAVING
         if shortfall:
             account.closed = "shrunk"
@@ -240,7 +245,7 @@
         need = reservation.need
         self._change_free(account, need.size)
         if need.group:
-            self._count_group(need.group, account.instance, -1)
+            self._count_group(need.group, account.places, -1)
         self._tell(account, True)
         return reservation
 
@@ -342,7 +347,7 @@
             for reservation in account.reservations.values():
                 if group := reservation.need.group:
                     counts = groups.setdefault(group, Counter())
-                    counts.update(_list_places(account.instance))
+                    counts.update(account.places)
         return groups
 
     def _put(self, account: WorkerAccount, reservation: Reservation) -> None:
@@ -352,7 +357,7 @@
         account.reservations[need.task] = reservation
         self._where[need.task] = account
         if need.group:
-            self._count_group(need.group, account.instance, 1)
+            self._count_group(need.group, account.places, 1)
         if reservation.deadline is not None:
             heapq.heappush(self._holds, (reservation.deadline, need.task))
         self._tell(account, True)
@@ -378,12 +383,12 @@
     def _recount_groups(self, account: WorkerAccount, instance: Instance) -> None:
         for reservation in account.reservations.values():
             if group := reservation.need.group:
-                self._count_group(group, account.instance, -1)
-                self._count_group(group, instance, 1)
+                self._count_group(group, account.places, -1)
+                self._count_group(group, list_places(instance), 1)
 
-    def _count_group(self, group: str, instance: Instance, change: int) -> None:
+    def _count_group(self, group: str, places: Iterable[str], change: int) -> None:
         counts = self._groups.setdefault(group, Counter())
-        for place in _list_places(instance):
+        for place in places:
             counts[place] += change
             if not counts[place]:
                 del counts[place]
@@ -395,7 +400,7 @@
             handler(account, is_present)
 
 
-def _list_places(instance: Instance) -> Iterator[str]:
-    yield instance.zone
-    yield f"{instance.zone}/{instance.rack}"
-    yield f"{instance.zone}/{instance.rack}/{instance.name}"
+def list_places(instance: Instance) -> tuple[str, str, str]:
+    """List a worker's zone, rack and itself, as groups are counted by them."""
+    rack = f"{instance.zone}/{instance.rack}"
+    return instance.zone, rack, f"{rack}/{instance.name}"
