--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -1,12 +1,19 @@
 """The keeper's path of a job: submitted, placed, started, ended, read."""
 
+import asyncio
 import unittest
+from datetime import timedelta
+from unittest import mock
 
-from damaskdeck.protocol.handlers import JobState, Submission
-from damaskdeck.protocol.outcomes import Refused
+from damaskdeck import defaults
+from damaskdeck.protocol.handlers import Claimed, JobState, Known, Submission
+from damaskdeck.protocol.outcomes import Completed, Refused
 from tests.plane import Plane, virtual
 
 RESULT = b'{"run_time": 2, "result": "done"}'
+FAILING = b'{"run_time": 1, "fail": true}'
+ENDLESS = b'{"run_time": 600}'
+SECOND = timedelta(seconds=1)
 
 
 class TestWholePath(unittest.TestCase):
@@ -51,3 +58,166 @@
         self.assertIsInstance(answer, Refused)
         self.assertEqual(answer.code, "impossible")
         self.assertIn("memory", answer.detail)
+
+
+async def submit(plane, payload=RESULT, workload="batch", at="d2", key=""):
+    """Submit a job and return its view."""
+    submission = Submission(workload, "team", payload, key)
+    return await plane.find(at).keeper.submit_job(submission)
+
+
+class TestOutcomes(unittest.TestCase):
+    """Each job ends in one of the four outcomes, and truthfully."""
+
+    @virtual
+    async def test_job_refused_in_an_outage_is_not_there_afterwards(self):
+        plane = await Plane().start()
+        plane.declare()
+        plane.platform.store.faults.outage = True
+        view = await submit(plane, key="k")
+        plane.platform.store.faults.outage = False
+        self.assertIsInstance(view, Refused)
+        await plane.clock.sleep(10 * SECOND)
+        self.assertEqual(plane.platform.runs.starts, [])
+        self.assertEqual(await plane.find("d1").keeper.list_jobs("", "", 10), ())
+
+    @virtual
+    async def test_queued_job_that_is_cancelled_is_refused(self):
+        plane = await Plane(workers=1).start()
+        plane.declare(size={"processors": 4, "memory": 1})
+        await submit(plane, ENDLESS)
+        await plane.clock.sleep(SECOND)
+        view = await submit(plane)
+        await plane.find("d2").keeper.cancel_job(view.name)
+        ended = await plane.wait_for_end(view.name)
+        self.assertEqual((ended.state, ended.code), (JobState.REFUSED, "cancelled"))
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+
+    @virtual
+    async def test_running_job_that_is_cancelled_is_stopped_and_failed(self):
+        plane = await Plane().start()
+        plane.declare(tasks=3)
+        view = await submit(plane, ENDLESS)
+        await plane.clock.sleep(2 * SECOND)
+        await plane.find("d2").keeper.cancel_job(view.name)
+        ended = await plane.wait_for_end(view.name, seconds=5)
+        self.assertEqual((ended.state, ended.code), (JobState.FAILED, "cancelled"))
+        for worker in plane.platform.workers.values():
+            self.assertEqual(worker.list_running(), ())
+
+    @virtual
+    async def test_ended_job_stays_as_it_ended(self):
+        plane = await Plane().start()
+        plane.declare()
+        view = await submit(plane)
+        ended = await plane.wait_for_end(view.name)
+        again = await plane.find("d2").keeper.cancel_job(view.name)
+        self.assertEqual(again, ended)
+
+    @virtual
+    async def test_failing_task_is_tried_as_often_as_declared(self):
+        plane = await Plane().start()
+        plane.declare(attempts=2)
+        view = await submit(plane, FAILING)
+        ended = await plane.wait_for_end(view.name)
+        self.assertEqual(ended.state, JobState.FAILED)
+        workers = [start.worker for start in plane.platform.runs.starts]
+        self.assertEqual(len(workers), 2)
+        self.assertEqual(len(set(workers)), 2)
+
+    @virtual
+    async def test_failing_task_that_is_not_idempotent_is_not_tried_again(self):
+        plane = await Plane().start()
+        plane.declare(idempotent=False, attempts=5)
+        view = await submit(plane, FAILING)
+        ended = await plane.wait_for_end(view.name)
+        self.assertEqual(ended.state, JobState.FAILED)
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+
+    @virtual
+    async def test_large_payload_and_large_result_are_told_by_code(self):
+        plane = await Plane().start()
+        plane.declare()
+        refused = await submit(plane, b"x" * 300_000)
+        self.assertEqual(refused.code, "payload_too_large")
+        with mock.patch.object(defaults, "RESULT_LIMIT", 3):
+            view = await submit(plane)
+            ended = await plane.wait_for_end(view.name)
+        self.assertEqual(ended.state, JobState.FAILED)
+        self.assertEqual(ended.code, "result_too_large")
+
+
+class TestFailover(unittest.TestCase):
+    """A new keeper goes on where the old one was stopped."""
+
+    @virtual
+    async def test_job_survives_its_keeper_and_runs_once(self):
+        plane = await Plane().start()
+        plane.declare(idempotent=False)
+        view = await submit(plane, key="k")
+        await plane.kill("d1")
+        again = await submit(plane, key="k")
+        ended = await plane.wait_for_end(view.name, at="d2")
+        self.assertEqual(again.name, view.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+
+    @virtual
+    async def test_keeper_that_dies_before_sending_a_marked_start(self):
+        plane = await Plane(workers=1).start()
+        await plane.registry.hand_over("worker/w1", "d2")
+        plane.declare(idempotent=False)
+        await plane.clock.sleep(SECOND)
+        view = await submit(plane, at="d1")
+        table = plane.find("d1").keeper.desks["00"].kept.table
+        while table.tasks[f"{view.name}-0"].state == "queued":
+            await plane.clock.sleep(SECOND / 1000)
+        plane.switch.cut("d1", "d2")
+        starts = len(plane.platform.runs.starts)
+        await plane.kill("d1")
+        ended = await plane.wait_for_end(view.name, at="d2")
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+        self.assertLessEqual(starts, 1)
+
+    @virtual
+    async def test_news_of_an_older_attempt_change_nothing(self):
+        plane = await Plane().start()
+        plane.declare()
+        view = await submit(plane, ENDLESS)
+        await plane.clock.sleep(2 * SECOND)
+        desk = plane.find("d1").keeper.desks["00"]
+        task = desk.kept.table.tasks[f"{view.name}-0"]
+        news = {"task": task.name, "attempt": 0, "worker": "w1", "state": "lost"}
+        noted = await desk.followups.take_news([news])
+        self.assertEqual(len(noted["noted"]), 1)
+        self.assertEqual(desk.kept.table.tasks[task.name], task)
+
+
+class TestKeys(unittest.TestCase):
+    """Keys of requests: one claim, one outcome, also after a failover."""
+
+    @virtual
+    async def test_key_is_claimed_once_and_its_outcome_is_remembered(self):
+        plane = await Plane().start()
+        first, second = plane.find("d1").keeper, plane.find("d2").keeper
+        claim = ("team", "orders", "k1", b"digest", 30 * SECOND)
+        claims = await asyncio.gather(first.claim_key(*claim), second.claim_key(*claim))
+        self.assertEqual(claims.count(Claimed()), 1)
+        other = await first.claim_key("team", "orders", "k1", b"other", SECOND)
+        self.assertEqual(other.code, "key_reused")
+        outcome = Completed(b"done", "text/plain")
+        self.assertTrue(await second.settle_key("team", "orders", "k1", outcome))
+        await plane.kill("d1")
+        self.assertEqual(await second.claim_key(*claim), Known(outcome))
+
+    @virtual
+    async def test_claim_without_an_outcome_becomes_unknown(self):
+        plane = await Plane().start()
+        keeper = plane.find("d2").keeper
+        claim = ("team", "orders", "k1", b"digest", 3 * SECOND)
+        await keeper.claim_key(*claim)
+        self.assertEqual((await keeper.claim_key(*claim)).code, "in_progress")
+        await plane.clock.sleep(4 * SECOND)
+        known = await keeper.claim_key(*claim)
+        self.assertEqual(known.outcome.code, "answer_lost")
