--- a/src/damaskdeck/state/compaction.py
+++ b/src/damaskdeck/state/compaction.py
@@ -14,6 +14,7 @@
 from damaskdeck.state.writes import Backoff, Clash, Write, write_once
 
 COMPACTION_INTERVAL = timedelta(milliseconds=100)
+LARGE_SLOT = 64_000
 
 _log = get_logger("ledger")
 
@@ -49,22 +50,26 @@
         self._leftovers = list(leftovers)
         self._value_limit = value_limit
         self._identify = identify
+        self._large = log.list_large(LARGE_SLOT)
         self._pace = Pace(clock, COMPACTION_INTERVAL)
         self.snapshot_size = 0
 
     @property
     def has_leftovers(self) -> bool:
-        """Whether keys wait to be removed."""
-        return bool(self._leftovers)
+        """Whether keys wait to be removed or emptied."""
+        return bool(self._leftovers or self._large)
 
     async def run(self, is_due: Callable[[], bool]) -> None:
         """Compact while it is due, then remove what is left over."""
         backoff = Backoff(self._clock)
         while self._ledger_log.deposed is None:
             outcome = await self._remove_leftovers()
-            if outcome is None and not is_due():
+            if outcome is None and is_due():
+                outcome = await self._compact()
+            elif outcome is None:
+                outcome = await self._trim_slots()
+            if outcome is None:
                 return
-            outcome = outcome or await self._compact()
             if isinstance(outcome, Rejected | Lost):
                 _log.warn("Compaction waits.", code=outcome.code)
                 await backoff.wait(outcome.code)
@@ -117,6 +122,7 @@
         if isinstance(outcome, Written):
             log.switch(head, outcome.revision)
             self._leftovers += self._keys.list_parts(old)
+            self._large = log.list_large(LARGE_SLOT)
         return outcome
 
     async def _remove_leftovers(self) -> Rejected | Lost | None:
@@ -127,3 +133,13 @@
                 return outcome
             self._leftovers.pop()
         return None
+
+    async def _trim_slots(self) -> Rejected | Lost | None:
+        """Empty covered slots that are large, so that the store doesn't fill up."""
+        while self._large:
+            await self._pace.wait()
+            outcome = await self._ledger_log.trim(self._large[-1])
+            if isinstance(outcome, Rejected | Lost):
+                return outcome
+            self._large.pop()
+        return None
--- a/src/damaskdeck/state/ledger.py
+++ b/src/damaskdeck/state/ledger.py
@@ -335,6 +335,6 @@
 
 
 def _name_refusal(outcome: Rejected) -> Rejected:
-    if outcome.code in ("store_busy", "ledger_full"):
-        return outcome
-    return Rejected("store_unavailable", outcome.code)
+    if outcome.code == "unreachable":
+        return Rejected("store_unavailable", outcome.code)
+    return outcome
--- a/src/damaskdeck/state/log.py
+++ b/src/damaskdeck/state/log.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import msgspec
+
 from damaskdeck.clock import Clock
 from damaskdeck.errors import InvariantError
 from damaskdeck.logs import get_logger
-from damaskdeck.protocol.ports import Lost, Rejected, Store, Written
+from damaskdeck.protocol.ports import Found, Lost, Rejected, Store, Written
 from damaskdeck.state.images import Image
 from damaskdeck.state.segments import (
     Head,
@@ -81,6 +83,32 @@
         """How many segments the snapshot doesn't cover."""
         return self.last - self.head.base
 
+    def list_large(self, size: int) -> list[str]:
+        """List the slots that the snapshot covers and that hold more than ``size``."""
+        slots = self.head.slots
+        first = max(self.last - slots, 0) + 1
+        keys = (self._keys.slot(n, slots) for n in range(first, self.head.base + 1))
+        return [key for key in keys if self.sizes.get(key, 0) > size]
+
+    async def trim(self, key: str) -> Written | Clash | Rejected | Lost:
+        """Empty a slot that the snapshot covers.
+
+        May race with an append to the same slot, and its answer may be lost:
+        the append then finds an old segment in its way and takes its revision.
+        """
+        found = await self._store.get(key)
+        if not isinstance(found, Found):
+            return found
+        segment = decode_segment(found.entry.value)
+        if segment.sequence > self.head.base:
+            return Clash(found.entry, False)
+        value = encode(msgspec.structs.replace(segment, records=()))
+        answer = await self._store.put(key, value, found.entry.revision)
+        if isinstance(answer, Written) and self.revisions[key] < answer.revision:
+            self.revisions[key] = answer.revision
+            self.sizes[key] = len(value)
+        return answer
+
     def switch(self, head: Head, revision: int) -> None:
         """Note the head that was written with a new snapshot."""
         self.head = head
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -234,8 +234,9 @@
             bench.store.capacity = bench.store._size + 60
             record = b"%02d" % number * 10
             outcome = await bench.finish(ledger.commit((record,)))
-            if isinstance(outcome, Committed):
-                kept.append(record)
+            if not isinstance(outcome, Committed):
+                break
+            kept.append(record)
         self.assertEqual(outcome, Rejected("ledger_full"))
         self.assertEqual(await bench.replay(), kept)
         bench.store.capacity = 1 << 30
@@ -352,6 +353,16 @@
         self.assertEqual(await bench.commit(ledger, b"b"), Committed(3))
         self.assertEqual(bench.states[ledger], [b"a", b"b"])
 
+    async def test_a_used_up_quota_of_calls_is_named(self):
+        bench = self.make_bench()
+        limited = LateStore(bench.store.connect("limited"))
+        ledger = await bench.open(1, limited)
+        limited.refusal = Rejected("quota_reached")
+        self.assertEqual(await bench.commit(ledger, b"a"), Rejected("quota_reached"))
+        limited.refusal = None
+        self.assertIsInstance(await bench.commit(ledger, b"b"), Committed)
+        self.assertEqual(await bench.replay(), [b"b"])
+
     async def test_opening_in_an_outage_is_refused_and_may_be_repeated(self):
         bench = self.make_bench()
         bench.store.faults.outage = True
@@ -482,6 +493,18 @@
         await bench.open(2)
         self.assertEqual(bench.store.calls - before, {"list": 1, "put": 2})
 
+    async def test_a_read_that_is_older_than_the_last_writes_is_harmless(self):
+        bench = self.make_bench()
+        old = await bench.open(1)
+        await bench.commit(old, b"a")
+        stale = LateStore(bench.store.connect("stale"))
+        stale.listing = bench.store.list(Keys("03").prefix)
+        await bench.commit(old, b"b")
+        await bench.commit(old, b"c")
+        new = await bench.open(2, stale)
+        self.assertEqual(bench.states[new], [b"a", b"b", b"c"])
+        self.assertEqual(await bench.commit(old, b"d"), Deposed(2))
+
     async def test_answers_lost_while_opening_are_resolved(self):
         for kind in (FaultKind.LOSE_ANSWER, FaultKind.LOSE_CALL):
             for count in (1, 2, 3):
@@ -575,6 +598,45 @@
         self.assertEqual(bench.list_parts(), bench.list_named_parts())
         self.assertEqual(len(bench.list_parts()), 1)
 
+    async def test_large_slots_are_emptied_once_a_snapshot_covers_them(self):
+        for loss in (None, FaultKind.LOSE_ANSWER, FaultKind.LOSE_CALL):
+            bench = self.make_bench()
+            state = [b"small"]
+            ledger = Ledger(
+                "03",
+                bench.store.connect("large"),
+                bench.clock,
+                lambda state=state: tuple(state),
+                lambda records, state=state: None,
+                slots=SLOTS,
+            )
+            await bench.finish(ledger.open(1))
+            for _ in range(SLOTS // 2 + 1):
+                await bench.commit(ledger, bytes(900_000))
+            if loss is not None:
+                bench.store.faults.plan("put", None, None, loss, loss)
+            await bench.clock.advance(5 * SECOND)
+            entries = bench.store.list(Keys("03").prefix).entries
+            self.assertLess(sum(len(entry.value) for entry in entries), 2_000_000)
+            for number in range(2 * SLOTS):
+                outcome = await bench.commit(ledger, b"%d" % number)
+                self.assertIsInstance(outcome, Committed)
+            self.assertIsInstance(await bench.finish(bench.make().open(2)), Opened)
+
+    async def test_a_slot_emptied_late_by_an_old_keeper_is_no_obstacle(self):
+        bench = self.make_bench()
+        old = await bench.open(1)
+        for number in range(SLOTS // 2 + 1):
+            await bench.commit(old, b"%d" % number)
+        await bench.clock.advance(SECOND)
+        new = await bench.open(2)
+        for key in bench.list_keys("log/")[:4]:
+            await old._log.trim(key)
+        for number in range(2 * SLOTS):
+            await bench.commit(new, b"new %d" % number)
+        expected = bench.states[old] + [b"new %d" % n for n in range(2 * SLOTS)]
+        self.assertEqual(await bench.replay(), expected)
+
 
 class TestReplay(LedgerTestCase):
     """What is replayed is what was committed, in the same order."""
@@ -634,7 +696,7 @@
 
 
 class LateStore:
-    """Wraps a client; may hold one write back and deliver it later."""
+    """Wraps a client; may hold a write back, refuse writes or read late."""
 
     def __init__(self, client) -> None:
         self._client = client
@@ -643,6 +705,8 @@
         self.held_key = ""
         self.is_cut_off = False
         self.stays_linked = False
+        self.refusal = None
+        self.listing = None
 
     def __getattr__(self, name):
         return getattr(self._client, name)
@@ -651,8 +715,15 @@
         """Read a key, unless cut off."""
         return Lost("timeout") if self.is_cut_off else await self._client.get(key)
 
+    async def list(self, prefix):
+        """Read the keys below a prefix, or answer once with an older listing."""
+        listing, self.listing = self.listing, None
+        return listing or await self._client.list(prefix)
+
     async def put(self, *arguments):
         """Write a key, or hold the call back and lose its answer."""
+        if self.refusal is not None:
+            return self.refusal
         if self.hold_next or arguments[0] == self.held_key:
             self.hold_next = False
             self.held_key = ""
