Let operators watch tasks, workers and targets

Cause: only declared resources and single jobs could be watched, so operators could not see what became true of tasks and workers.

Calls to the store of the configuration's part are counted.

--- a/src/damaskdeck/coordination/writes.py
+++ b/src/damaskdeck/coordination/writes.py
@@ -10,7 +10,7 @@
 from damaskdeck.coordination.rules import check_delete, check_write
 from damaskdeck.errors import Fault
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_refusal, count_retry
+from damaskdeck.metrics import count_refusal, count_retry, count_store_call
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.ports import (
     Conflict,
@@ -145,6 +145,7 @@
 
     async def _refresh(self, kind: Kind, name: str) -> None:
         """Look for a resource that another daemon has just accepted."""
+        count_store_call("get")
         found = await self._store.get(make_key(kind, name))
         if isinstance(found, Found):
             entry = found.entry
@@ -190,7 +191,7 @@
         """
         lowest = self._configuration.revision
         deadline = self._clock.monotonic() + self._resolve_limit
-        answer = await self._store.put(call.key, call.value, call.compared)
+        answer = await self._put(call)
         if isinstance(answer, Rejected):
             return refuse(answer)
         while isinstance(answer, Lost | Rejected):
@@ -198,7 +199,7 @@
                 return Unknown("answer_lost", "the write may have taken effect")
             count_retry(PART, answer.code)
             await self._clock.sleep(RETRY_PAUSE)
-            answer = await self._store.put(call.key, call.value, call.compared)
+            answer = await self._put(call)
             if isinstance(answer, Conflict):
                 answer = await self._find_effect(call, answer)
         if isinstance(answer, Written) and answer.revision <= lowest:
@@ -206,6 +207,10 @@
             return Unknown("store_set_back", "the store's revision went back")
         return answer
 
+    async def _put(self, call: "_Call") -> Written | Conflict | Rejected | Lost:
+        count_store_call("put")
+        return await self._store.put(call.key, call.value, call.compared)
+
     async def _find_effect(
         self, call: "_Call", conflict: Conflict
     ) -> Written | Conflict | Lost | Rejected:
@@ -213,6 +218,7 @@
         current = conflict.current
         if current is None or is_written_by(current.value, call.write):
             return Written(current.revision) if current else conflict
+        count_store_call("watch")
         found = await self._store.watch(call.key, call.compared, timedelta())
         if not isinstance(found, Events):
             return found if isinstance(found, Lost | Rejected) else Lost("too_old")
--- a/src/damaskdeck/transport/api/answers.py
+++ b/src/damaskdeck/transport/api/answers.py
@@ -9,13 +9,12 @@
 from starlette.responses import Response
 
 from damaskdeck.protocol.resources import Resource
+from damaskdeck.transport.api.polls import Selector
 from damaskdeck.transport.api.problems import ProblemError
 from damaskdeck.transport.api.routes import Call
 
 PAGE_LIMIT = 500
 
-Selector = Callable[[Resource], bool]
-
 
 def render_json(
     document: Any, status: int = 200, headers: Mapping[str, str] | None = None
--- a/src/damaskdeck/transport/api/app.py
+++ b/src/damaskdeck/transport/api/app.py
@@ -19,6 +19,7 @@
 from damaskdeck.state.configuration import Configuration
 from damaskdeck.transport.api import callers, observed, openapi, resources, status
 from damaskdeck.transport.api.credentials import Credentials
+from damaskdeck.transport.api.polls import Poller
 from damaskdeck.transport.api.problems import ProblemError, render_problem
 from damaskdeck.transport.api.routes import ROUTES, Context, Route, serve_call
 
@@ -53,6 +54,10 @@
         requests=requests,
         jobs=jobs,
         resources=observed_resources,
+        pollers={
+            kind: Poller(observed_resources, kind, clock)
+            for kind in observed.PLURALS.values()
+        },
         read_status=read_status,
         is_ready=is_ready or (lambda: relay.is_ready),
         credentials=credentials,
--- a/src/damaskdeck/transport/api/routes.py
+++ b/src/damaskdeck/transport/api/routes.py
@@ -13,8 +13,10 @@
 from damaskdeck.coordination.relay import ConfigurationRelay
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.handlers import JobHandler, RequestHandler, ResourceReader
+from damaskdeck.protocol.resources import Kind
 from damaskdeck.state.configuration import Configuration
 from damaskdeck.transport.api.credentials import Caller, Credentials, Role
+from damaskdeck.transport.api.polls import Poller
 from damaskdeck.transport.api.problems import ProblemError, render_problem
 
 BODY_TIMEOUT_SECONDS = 30
@@ -26,6 +28,7 @@
 class Context(NamedTuple):
     """What the routes work with.
 
+    :param pollers: by observed kind, for its watchers.
     :param read_status: further members of ``GET /v1/status``.
     :param is_ready: whether the balancer may send calls here.
     :param stopping: set once the server is about to stop.
@@ -36,6 +39,7 @@
     requests: RequestHandler
     jobs: JobHandler
     resources: ResourceReader
+    pollers: Mapping[Kind, Poller]
     read_status: Callable[[], Mapping[str, Any]]
     is_ready: Callable[[], bool]
     credentials: Credentials
--- a/src/damaskdeck/transport/api/streams.py
+++ b/src/damaskdeck/transport/api/streams.py
@@ -13,7 +13,7 @@
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.state.watches import Change, Changes, Expired, Lagging, Reader
-from damaskdeck.transport.api.answers import Selector
+from damaskdeck.transport.api.polls import Selector
 from damaskdeck.transport.api.problems import ProblemError
 from damaskdeck.transport.api.routes import Context
 
