Tell what a team may take back by preemption

A team within its quota may preempt a task of a team that stays at or above its quota without it, in a dimension that the need lacks; the preemptor's may_stop can ask this. Headroom is compared with a direct computation too.

--- a/src/damaskdeck/state/quotas.py
+++ b/src/damaskdeck/state/quotas.py
@@ -172,6 +172,24 @@
                 return False
         return True
 
+    def may_take_back(self, taker: str, need: Size, giver: str, held: Size) -> bool:
+        """Tell whether ``taker`` may preempt a task of ``giver`` for ``need``.
+
+        It may when it stays within its quota and the giver is above its own, in
+        a dimension that the task would free for the need, even without it.
+
+        :param held: what the giver's task would free.
+        """
+        if taker == giver or not self.is_within(taker, need):
+            return False
+        record = self._get(giver)
+        return any(
+            need[index]
+            and held[index]
+            and record.use[index] - held[index] >= record.quota[index]
+            for index in DIMENSIONS
+        )
+
     def list_givers(self, need: Size) -> tuple[Giver, ...]:
         """List who must give back for ``need``, the greatest excess first.
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -79,7 +79,10 @@
             )
             for team in TEAMS:
                 self.assertEqual(quotas.read(team).use, sum_sizes(model.used[team]))
+                headroom = quotas.find_headroom(team)
                 allowed = quotas.find_shortfall(team, need) is None
+                if min(need):
+                    self.assertEqual(allowed, fits(need, headroom))
                 self.assertEqual(allowed, model.allows(team, need, capacity))
 
     def test_idle_quota_is_lent_until_its_team_wants_it(self):
@@ -114,6 +117,24 @@
             (Giver("birch", Size(20, 0, 0)), Giver("ash", Size(40, 0, 0))),
         )
 
+    def test_only_what_is_above_a_quota_is_taken_back_and_only_within_ones_own(self):
+        quotas = Quotas(Size(10, 10, 0))
+        quotas.set_quota("ash", Size(5, 5, 0))
+        quotas.set_quota("birch", Size(5, 5, 0))
+        quotas.charge("ash", Size(8, 4, 0))
+        need, held = Size(2, 2, 0), Size(3, 0, 0)
+        self.assertTrue(quotas.may_take_back("birch", need, "ash", held))
+        more = Size(4, 0, 0)
+        self.assertFalse(quotas.may_take_back("birch", need, "ash", more))
+        only_memory = Size(0, 4, 0)
+        self.assertFalse(quotas.may_take_back("birch", need, "ash", only_memory))
+        self.assertFalse(quotas.may_take_back("birch", only_memory, "ash", held))
+        too_much = Size(6, 0, 0)
+        self.assertFalse(quotas.may_take_back("birch", too_much, "ash", held))
+        quotas.charge("birch", Size(7, 0, 0))
+        self.assertFalse(quotas.may_take_back("ash", need, "ash", held))
+        self.assertFalse(quotas.may_take_back("ash", need, "birch", Size(1, 0, 0)))
+
     def test_a_lowered_quota_turns_use_into_debt(self):
         quotas = Quotas(Size(10, 0, 0))
         quotas.set_quota("ash", Size(8, 0, 0))
