--- a/src/damaskdeck/state/compaction.py
+++ b/src/damaskdeck/state/compaction.py
@@ -48,6 +48,7 @@
         self._ledger_log = log
         self._take_snapshot = take_snapshot
         self._leftovers = list(leftovers)
+        self._written: list[str] = []
         self._value_limit = value_limit
         self._identify = identify
         self._large = log.list_large(LARGE_SLOT)
@@ -84,18 +85,21 @@
         if isinstance(outcome, Written):
             outcome = await self._switch(base, name, len(parts))
         if not isinstance(outcome, Written):
-            self._leftovers += [self._keys.part(name, n) for n in range(len(parts))]
+            self._leftovers += self._written
         return outcome
 
     async def _write_parts(
         self, name: str, values: list[bytes]
     ) -> Written | Clash | Rejected | Lost:
+        self._written = []
         for number, value in enumerate(values):
             await self._pace.wait()
-            write = Write(self._keys.part(name, number), value, 0, value.__eq__)
+            key = self._keys.part(name, number)
+            write = Write(key, value, 0, value.__eq__)
             outcome = await write_once(self._store, self._clock, write)
             if not isinstance(outcome, Written):
                 return outcome
+            self._written.append(key)
         return outcome
 
     async def _switch(
--- a/src/damaskdeck/state/ledger.py
+++ b/src/damaskdeck/state/ledger.py
@@ -331,7 +331,8 @@
     def _is_due(self) -> bool:
         log = self._log
         limit = max(COMPACTION_SIZE, 2 * self._compaction.snapshot_size)
-        return log.length >= log.head.slots // 2 or log.size >= limit
+        covered = log.closed - log.head.base
+        return covered >= log.head.slots // 2 or (covered > 0 and log.size >= limit)
 
 
 def _name_refusal(outcome: Rejected) -> Rejected:
--- a/src/damaskdeck/state/log.py
+++ b/src/damaskdeck/state/log.py
@@ -22,6 +22,7 @@
 
 LASTING_CODES = frozenset({"store_full", "value_too_large"})
 RESERVED_SHARE = 8
+LARGEST_SHARE = 4
 
 _log = get_logger("ledger")
 
@@ -131,11 +132,14 @@
         :returns: ``Rejected`` and ``Deposed`` only if the group never counts.
         """
         runs = list(split_records(records, self._value_limit))
+        if len(runs) > self.head.slots // LARGEST_SHARE:
+            return Rejected("value_too_large", "the records need too many segments")
         for number, run in enumerate(runs):
             opens, closes = number == 0, number == len(runs) - 1
             outcome = await self._append_run(run, opens, closes, is_wanted)
             if not isinstance(outcome, Appended):
-                return outcome
+                break
+        # A group that was given up ends here too: the next segment opens another.
         self.closed = self.last
         return outcome
 
