Order waiting requests by their deadlines alone

Cause: the order was by deadline less the learned time in a slot, and as that estimate moves by some 10 %, requests of equal timeouts overtook one another by several milliseconds.

--- a/src/damaskdeck/coordination/admission.py
+++ b/src/damaskdeck/coordination/admission.py
@@ -59,12 +59,12 @@
         self.give_up = deadline - timedelta(seconds=need)
         self.avoided = avoided
         self.is_local = is_local
-        self.order = (self.give_up, next(Waiter._numbers))
+        self.order = (deadline, next(Waiter._numbers))
         self.future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
 
 class _TeamQueue:
-    """A team's waiters of one urgency class, the shortest slack first."""
+    """A team's waiters of one urgency class, the first deadline first."""
 
     def __init__(self, served: float) -> None:
         self.waiters: list[tuple[timedelta, int, Waiter]] = SortedList()
@@ -80,7 +80,7 @@
 class _ClassQueue:
     """One urgency class; teams take turns of ``quantum`` requests.
 
-    Within a turn the order is by slack, so that a few requests that came
+    Within a turn the order is by deadline, so that a few requests that came
     together don't wait for those of other teams behind them.
 
     The heap has an entry for the first waiter of each team, and old ones that
@@ -99,10 +99,10 @@
         queue = self._teams.get(team)
         return len(queue.waiters) if queue else 0
 
-    def count_ahead(self, team: str, give_up: timedelta) -> int:
+    def count_ahead(self, team: str, deadline: timedelta) -> int:
         """Estimate how many of this class are served before a newcomer."""
         queue = self._teams.get(team)
-        own = queue.waiters.bisect_left((give_up,)) if queue else 0
+        own = queue.waiters.bisect_left((deadline,)) if queue else 0
         others = self.count - self.get_length(team)
         return own + min(others, (own + self.quantum) * len(self._teams))
 
@@ -180,10 +180,7 @@
 
 
 class AdmissionQueue:
-    """Who waits for a place: by urgency, fair between teams, then by slack.
-
-    Slack is the time left until a request must be in a slot to make its
-    deadline, so the order is that of deadlines for requests of equal need.
+    """Who waits for a place: by urgency, fair between teams, then by deadline.
 
     :param durations: learned time in a slot.
     :param limit: waiters of one team and urgency class.
@@ -230,14 +227,13 @@
 
     def estimate_excess(self, waiter: Waiter, now: timedelta, slots: int) -> float:
         """Return by how many seconds a newcomer would miss its deadline."""
-        wait = self.estimate_wait(waiter.rank, waiter.team, waiter.give_up, slots)
+        wait = self.estimate_wait(waiter, slots)
         return wait - (waiter.give_up - now).total_seconds()
 
-    def estimate_wait(
-        self, rank: int, team: str, give_up: timedelta, slots: int
-    ) -> float:
+    def estimate_wait(self, waiter: Waiter, slots: int) -> float:
         """Return how many seconds a newcomer would wait."""
-        ahead = self._classes[rank].count_ahead(team, give_up)
+        rank = waiter.rank
+        ahead = self._classes[rank].count_ahead(waiter.team, waiter.deadline)
         for queue in self._classes[:rank]:
             ahead += queue.count
         share = max(_LEAST_SHARE, 1 - sum(self._shares[:rank]))
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -292,9 +292,7 @@
         now = self._clock.monotonic()
         slots = lane.count_slots()
         if course.patience is not None:
-            wait = lane.queue.estimate_wait(
-                waiter.rank, waiter.team, waiter.give_up, slots
-            )
+            wait = lane.queue.estimate_wait(waiter, slots)
             if wait > course.patience:
                 return Refused("no_slot", retry_after=RETRY_HINT)
         refused = lane.queue.admit(waiter, now, slots)
