--- a/src/damaskdeck/coordination/estimates.py
+++ b/src/damaskdeck/coordination/estimates.py
@@ -10,7 +10,7 @@
 # Tasks observed before a size is corrected downward, or a run time believed.
 SETTLED_SAMPLES = 8
 # A size is corrected once in so many observed tasks, by at most these factors.
-STEP_SAMPLES = 4
+STEP_SAMPLES = 2
 STEP_UP = 1.25
 STEP_DOWN = 0.85
 # What is kept above the highest use, and the share of tasks that must fit.
