Let owners choose the workers: join placement, preemption and quarantine

Cause: the keeper chose workers itself from a private summary of every worker, apart from the policy that had landed meanwhile.

Change: a keeper picks an owner from the bounded summaries and asks it for room; the owner places by its own accounts, makes room by preemption, keeps quarantined workers out and reserves the learnt size. Gangs ask owners in the order of their names, all or none; the rest of a gang is stopped when one of its tasks must wait.

--- a/src/damaskdeck/coordination/desks.py
+++ b/src/damaskdeck/coordination/desks.py
@@ -6,12 +6,13 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.dispatch import Dispatcher
-from damaskdeck.coordination.fleetview import FleetView
 from damaskdeck.coordination.followups import Followups
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.coordination.keys import Keys
-from damaskdeck.coordination.launches import Launcher, get_size
+from damaskdeck.coordination.launches import Launcher
+from damaskdeck.coordination.owners import Owners
 from damaskdeck.coordination.queueing import JobQueue
+from damaskdeck.coordination.shapes import Shapes
 from damaskdeck.coordination.submissions import Submissions
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.handlers import ConfigurationReader
@@ -22,10 +23,8 @@
     Kind,
     Resource,
     TeamSpec,
-    WorkloadSpec,
     read_size,
 )
-from damaskdeck.state.accounts import TaskNeed
 from damaskdeck.state.quotas import Quotas
 
 _log = get_logger("keeper")
@@ -50,17 +49,20 @@
     ) -> None:
         self.kept = kept
         self._watch = watch
-        self.view = FleetView(members, clock)
+        self.shapes = Shapes()
         self.quotas = Quotas()
         self.keys = Keys(kept)
         self.followups = Followups(
-            kept, ownership, peers, clock, self.view.accounts.workers.__contains__
+            kept, ownership, peers, clock, lambda name: name in self.shapes.names
         )
         launcher = Launcher(kept, ownership, peers, self.followups.doubt)
         queue = JobQueue(clock, self.quotas)
-        self.dispatcher = Dispatcher(kept, self.view, launcher, queue, clock)
+        owners = Owners(members, clock)
+        self.dispatcher = Dispatcher(
+            kept, owners, self.shapes, launcher, queue, clock, watch
+        )
         self.submissions = Submissions(
-            kept, configuration, self._find_impossible, self.dispatcher.explain
+            kept, configuration, self.shapes.find_impossible, self.dispatcher.explain
         )
         self._configuration = configuration
         self._runner: asyncio.Task[None] | None = None
@@ -86,8 +88,8 @@
 
     def set_workers(self, workers: tuple[Instance, ...]) -> None:
         """Take over the platform's list of workers."""
-        self.view.set_workers(workers)
-        self.quotas.set_capacity(self.view.accounts.totals.size)
+        self.shapes.set_workers(workers)
+        self.quotas.set_capacity(self.shapes.capacity)
         self.dispatcher.wake()
 
     def set_team(self, name: str, resource: Resource | None) -> None:
@@ -100,11 +102,6 @@
         self.quotas.set_quota(name, read_size(spec["quota"]), weight)
         self.dispatcher.wake()
 
-    def _find_impossible(self, spec: WorkloadSpec) -> str | None:
-        need = TaskNeed("", get_size(spec), zones=frozenset(spec.get("zones", ())))
-        tasks = spec.get("tasks", 1) if spec["type"] == "gang" else 1
-        return self.view.find_impossible(need, tasks)
-
     async def _run(self) -> None:
         await self.followups.check_all()
         async with asyncio.TaskGroup() as group:
--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -7,11 +7,12 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.coordination.leases import compute_takeover_bound
+from damaskdeck.coordination.needs import name_attempt
 from damaskdeck.coordination.news import judge_news
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.messages import Answered, Peers
-from damaskdeck.state.jobs import Task, TaskState
+from damaskdeck.state.jobs import Job, Task, TaskState
 from damaskdeck.state.ledger import Committed
 
 CHECK_INTERVAL = timedelta(seconds=1)
@@ -58,13 +59,28 @@
 
     def follow(self, tasks: tuple[str, ...]) -> None:
         """Take over changes of the table."""
+        gangs: dict[str, None] = {}
         for name in tasks:
             task = self._kept.table.tasks.get(name)
             is_on_worker = task is not None and task.state in ON_WORKER
             self._set_place(name, task.worker if is_on_worker else "")
-            if is_on_worker and self._kept.table.jobs[task.job].stopping:
+            if task is None:
+                continue
+            job = self._get_job(task)
+            if is_on_worker and job.stopping:
                 self._stops[name] = None
                 self._changed.set()
+            if job.spec["type"] == "gang" and task.state is TaskState.QUEUED:
+                gangs[job.name] = None
+        for name in gangs:
+            self._stop_rest(self._kept.table.jobs[name])
+
+    def _stop_rest(self, job: Job) -> None:
+        """Stop what runs of a gang when some of it must wait: all or none."""
+        for task in self._kept.table.list_tasks(job):
+            if task.state in ON_WORKER:
+                self._stops[task.name] = None
+                self._changed.set()
 
     async def run(self) -> None:
         """Ask about doubts and send stops until cancelled."""
@@ -163,7 +179,7 @@
             message = jobs.CheckTasks(
                 ledger=self._kept.name,
                 epoch=self._kept.epoch,
-                tasks=[_name(task) for task in tasks[start : start + CHECK_BATCH]],
+                tasks=[self._name(task) for task in tasks[start : start + CHECK_BATCH]],
             )
             answer = await self._peers.call(
                 owner, message, jobs.CheckTasks, CALL_TIMEOUT
@@ -176,19 +192,21 @@
         await asyncio.gather(*(self._stop(o, g) for o, g in groups.items()))
 
     async def _stop(self, owner: str, tasks: list[Task]) -> None:
-        message = jobs.StopTasks(
-            ledger=self._kept.name,
-            epoch=self._kept.epoch,
-            tasks=[_name(task) for task in tasks],
-        )
-        await self._peers.call(owner, message, jobs.StopTasks, CALL_TIMEOUT)
+        """Stop tasks; those that will run again are checkpointed if they can."""
+        for is_last in (True, False):
+            part = [task for task in tasks if self._get_job(task).stopping is is_last]
+            if not part:
+                continue
+            message = jobs.StopTasks(
+                ledger=self._kept.name,
+                epoch=self._kept.epoch,
+                tasks=[self._name(task) for task in part],
+                is_last=is_last,
+            )
+            await self._peers.call(owner, message, jobs.StopTasks, CALL_TIMEOUT)
 
+    def _name(self, task: Task) -> jobs.TaskAttempt:
+        return name_attempt(self._get_job(task), task)
 
-def _name(task: Task) -> jobs.TaskAttempt:
-    return jobs.TaskAttempt(
-        task=task.name,
-        attempt=task.attempt,
-        worker=task.worker,
-        epoch=task.epoch,
-        started=task.state is TaskState.RUNNING,
-    )
+    def _get_job(self, task: Task) -> Job:
+        return self._kept.table.jobs[task.job]
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -10,20 +10,19 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.fleet import Change
 from damaskdeck.coordination.outbox import Outbox
+from damaskdeck.coordination.rooms import Held, Rooms
 from damaskdeck.coordination.rosters import OPEN_STATES
 from damaskdeck.coordination.sessions import Session
+from damaskdeck.coordination.summaries import TOPIC, summarize_workers
 from damaskdeck.coordination.supervisor import Supervisor
-from damaskdeck.coordination.workers import WORKERS_TOPIC, encode_workers
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Members, Ownership
-from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.messages import Peers, encode_message
 from damaskdeck.protocol.ports import Instance, WorkerPort
-from damaskdeck.protocol.sizes import Size
-from damaskdeck.state.accounts import Accounts, AlreadyReserved, Reserved, TaskNeed
+from damaskdeck.state.accounts import Accounts
 
-HOLD_LIMIT = timedelta(seconds=10)
 PUBLISH_INTERVAL = timedelta(milliseconds=250)
 FENCED_LIMIT = 10_000
 
@@ -67,6 +66,7 @@
     ) -> None:
         self.accounts = Accounts()
         self.sessions: dict[str, Session] = {}
+        self.rooms = Rooms(self.accounts, clock, self._preempt)
         self._members = members
         self._ownership = ownership
         self._workers = workers
@@ -119,11 +119,13 @@
             self._clock,
             lambda: self._ownership.get_epoch(thing) == epoch,
             self._outbox.put,
+            self.rooms,
             self._grace,
             self._lease,
             self._renewal,
         )
         self.sessions[name] = session
+        self.rooms.set_workers(self.sessions)
         self._start_runner(name, session.run())
 
     async def _lose(self, thing: str, epoch: int) -> None:
@@ -153,11 +155,13 @@
         if runner is not None:
             runner.cancel()
         self.accounts.remove_worker(name)
+        self.rooms.set_workers(self.sessions)
 
     async def _publish_all(self) -> None:
         while True:
-            self.accounts.expire(self._clock.monotonic())
-            self._members.publish(WORKERS_TOPIC, encode_workers(self.accounts))
+            self.rooms.expire()
+            summary = summarize_workers(self.accounts, self._members.self.zone)
+            self._members.publish(TOPIC, encode_message(summary))
             await self._clock.sleep(PUBLISH_INTERVAL)
 
     async def _take_noted(self, noted: jobs.TasksNoted) -> None:
@@ -185,29 +189,25 @@
     async def _reserve(self, _: str, message: jobs.ReserveTasks) -> jobs.TasksReserved:
         reply = jobs.TasksReserved(granted=[], refused=[])
         is_admitted = self._admit(message["ledger"], message["epoch"])
-        for item in message["tasks"]:
-            code = self._hold(item) if is_admitted else "stale_keeper"
-            if code:
-                count_refusal("workers", code)
-                reply["refused"].append(_refuse(item, code))
+        for request in message["tasks"]:
+            found = self.rooms.hold(request) if is_admitted else "stale_keeper"
+            if isinstance(found, Held):
+                reply["granted"].append(self._grant(request, found.worker))
                 continue
-            granted = _name(item)
-            granted["epoch"] = self.sessions[item["worker"]].epoch
-            reply["granted"].append(granted)
+            count_refusal("workers", found)
+            reply["refused"].append(_refuse(request, found))
         return reply
 
-    def _hold(self, item: jobs.Reservation) -> str:
-        session = self.sessions.get(item["worker"])
-        if session is None or self._get_epoch(item["worker"]) != session.epoch:
-            return "not_owner"
-        deadline = self._clock.monotonic() + HOLD_LIMIT
-        need = TaskNeed(item["task"], _read_size(item["size"]))
-        outcome = self.accounts.reserve(need, item["worker"], deadline)
-        if isinstance(outcome, Reserved):
-            return ""
-        if isinstance(outcome, AlreadyReserved):
-            return "already_reserved"
-        return getattr(outcome, "code", "no_room")
+    def _grant(self, request: jobs.Request, worker: str) -> jobs.TaskAttempt:
+        return jobs.TaskAttempt(
+            task=request["task"],
+            attempt=request["attempt"],
+            worker=worker,
+            epoch=self.sessions[worker].epoch,
+        )
+
+    def _preempt(self, worker: str, task: str, checkpoint: bool) -> None:
+        self.sessions[worker].order_preemption(task, checkpoint)
 
     async def _start(self, _: str, message: jobs.StartTasks) -> jobs.TasksTaken:
         reply = jobs.TasksTaken(refused=[])
@@ -233,15 +233,13 @@
         hosted = session.roster.tasks.get(task)
         if hosted and (hosted.state in OPEN_STATES or hosted.attempt >= attempt):
             return "already_started"
-        if not self.accounts.confirm(task, self._clock.monotonic()):
+        if not self.rooms.confirm(task):
             return "hold_expired"
         return ""
 
     async def _release(self, _: str, message: jobs.ReleaseTasks) -> None:
         for item in message["tasks"]:
-            held = self.accounts.find(item["task"])
-            if held is not None and held.deadline is not None:
-                self.accounts.release(item["task"])
+            self.rooms.release_hold(item["task"])
 
     async def _stop(self, _: str, message: jobs.StopTasks) -> jobs.TasksTaken:
         reply = jobs.TasksTaken(refused=[])
@@ -251,7 +249,8 @@
             if session is None or not is_admitted:
                 reply["refused"].append(_refuse(item, "not_owner"))
                 continue
-            checkpoint = message.get("checkpoint", False)
+            is_last = message.get("is_last", True)
+            checkpoint = not is_last and item.get("checkpoint", False)
             session.order_stop(item["task"], item["attempt"], checkpoint)
         return reply
 
@@ -271,6 +270,7 @@
         if hosted is not None:
             is_running = hosted.state == "running"
             news["state"] = "running" if is_running else "unsure"
+            self.rooms.describe(item)
         elif item.get("epoch") == session.epoch:
             self._fence(task, attempt)
             self._drop_hold(task, worker)
@@ -295,15 +295,5 @@
             self._fenced.popitem(last=False)
 
 
-def _name(item: jobs.TaskAttempt) -> jobs.TaskAttempt:
-    return jobs.TaskAttempt(
-        task=item["task"], attempt=item["attempt"], worker=item["worker"]
-    )
-
-
-def _refuse(item: jobs.TaskAttempt, code: str) -> jobs.Refusal:
+def _refuse(item: jobs.TaskAttempt | jobs.Request, code: str) -> jobs.Refusal:
     return jobs.Refusal(task=item["task"], attempt=item["attempt"], code=code)
-
-
-def _read_size(size: jobs.SizeData) -> Size:
-    return Size(size["millicores"], size["memory"], size["accelerators"])
--- a/src/damaskdeck/coordination/launches.py
+++ b/src/damaskdeck/coordination/launches.py
@@ -12,23 +12,26 @@
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.messages import Answered, Peers, Unsent
 from damaskdeck.protocol.outcomes import Refused, Unknown
-from damaskdeck.protocol.resources import WorkloadSpec, read_size
-from damaskdeck.protocol.sizes import Size
 from damaskdeck.state import records
-from damaskdeck.state.jobs import Task, TaskState
+from damaskdeck.state.jobs import TaskState
 from damaskdeck.state.ledger import Committed
 
 CALL_TIMEOUT = timedelta(seconds=3)
 
 
 class Pick(NamedTuple):
-    """A worker chosen for a task; ``owner`` is the worker's."""
+    """An owner of workers chosen for the next attempt of a task."""
 
-    task: str
-    attempt: int
-    worker: str
     owner: str
-    size: Size
+    request: jobs.Request
+
+    @property
+    def task(self) -> str:
+        """The task's name."""
+        return self.request["task"]
+
+
+Grants = dict[str, jobs.TaskAttempt]
 
 
 class Launcher:
@@ -53,82 +56,78 @@
         self._peers = peers
         self._doubt = doubt
 
-    def find_owner(self, worker: str) -> str | None:
-        """Return the daemon that owns a worker."""
-        owner = self._ownership.find_owner(f"worker/{worker}")
-        return owner.instance if owner else None
-
-    async def launch(self, picks: list[Pick], is_gang: bool) -> dict[str, str]:
-        """Start tasks, all or none of them if they are a gang.
+    async def launch(self, picks: list[Pick]) -> dict[str, str]:
+        """Start tasks of one owner, those of them that it has room for.
 
         :returns: a code for each task that surely was not placed.
         """
-        epochs, refused = await self._reserve(picks)
-        if refused and is_gang:
-            await self._release([pick for pick in picks if pick.task in epochs])
-            return {pick.task: refused.get(pick.task, "gang_short") for pick in picks}
-        granted = [pick for pick in picks if self._is_waiting(pick, epochs)]
-        stale = [p for p in picks if p.task in epochs and p not in granted]
-        if stale and is_gang:
-            granted, stale = [], picks
-        await self._release(stale)
-        if not granted:
-            return refused
-        outcome = await self._place(granted, epochs)
-        if not isinstance(outcome, Committed):
-            await self._release(granted)
-            return refused | {pick.task: outcome.code for pick in granted}
-        await self._start_all(granted, epochs)
-        return refused
+        granted, refused = await self._reserve(picks[0].owner, picks)
+        return refused | await self._commit({picks[0].owner: granted})
 
-    async def _reserve(
-        self, picks: list[Pick]
-    ) -> tuple[dict[str, int], dict[str, str]]:
-        epochs: dict[str, int] = {}
-        refused: dict[str, str] = {}
-        groups = _group(picks)
-        answers = await asyncio.gather(
-            *(self._reserve_at(owner, group) for owner, group in groups.items())
-        )
-        for group, reply in zip(groups.values(), answers, strict=True):
-            if reply is None:
-                refused.update((pick.task, "owner_unreachable") for pick in group)
-                continue
-            for item in reply["granted"]:
-                epochs[item["task"]] = item["epoch"]
-            for item in reply["refused"]:
-                refused[item["task"]] = item["code"]
-        return epochs, refused
+    async def launch_gang(self, picks: list[Pick], owners: list[str]) -> dict[str, str]:
+        """Start all tasks of a gang at once, or none.
+
+        Owners are asked in order of their names and holds end by themselves, so
+        that gangs neither wait for each other nor leave anything behind.
+        """
+        parts: dict[str, Grants] = {}
+        left = {pick.task: pick for pick in picks}
+        codes: dict[str, str] = {}
+        for owner in sorted(owners):
+            parts[owner], codes = await self._reserve(owner, list(left.values()))
+            left = {task: left[task] for task in left if task not in parts[owner]}
+            if not left:
+                break
+        if left or not all(self._is_waiting(pick.request) for pick in picks):
+            await self._release(parts)
+            return {pick.task: codes.get(pick.task, "gang_short") for pick in picks}
+        return await self._commit(parts)
 
-    async def _reserve_at(
+    async def _reserve(
         self, owner: str, picks: list[Pick]
-    ) -> jobs.TasksReserved | None:
+    ) -> tuple[Grants, dict[str, str]]:
         message = jobs.ReserveTasks(
             ledger=self._kept.name,
             epoch=self._kept.epoch,
-            tasks=[_make_reservation(pick) for pick in picks],
+            tasks=[pick.request for pick in picks],
         )
         answer = await self._peers.call(owner, message, jobs.ReserveTasks, CALL_TIMEOUT)
-        return answer.message if isinstance(answer, Answered) else None
+        if not isinstance(answer, Answered) or answer.message is None:
+            return {}, {pick.task: "owner_unreachable" for pick in picks}
+        reply: jobs.TasksReserved = answer.message
+        granted = {item["task"]: item for item in reply["granted"]}
+        return granted, {item["task"]: item["code"] for item in reply["refused"]}
+
+    async def _commit(self, parts: dict[str, Grants]) -> dict[str, str]:
+        """Make placements durable, then start what was placed."""
+        stale: dict[str, Grants] = {}
+        for owner, granted in parts.items():
+            old = {t: a for t, a in granted.items() if not self._is_waiting(a)}
+            stale[owner] = old
+            parts[owner] = {t: a for t, a in granted.items() if t not in old}
+        await self._release(stale)
+        placed = [attempt for grants in parts.values() for attempt in grants.values()]
+        if not placed:
+            return {}
+        outcome = await self._place(placed)
+        if not isinstance(outcome, Committed):
+            await self._release(parts)
+            return {attempt["task"]: outcome.code for attempt in placed}
+        await asyncio.gather(
+            *(self._start(owner, list(g.values())) for owner, g in parts.items() if g)
+        )
+        return {}
 
     async def _place(
-        self, picks: list[Pick], epochs: dict[str, int]
+        self, placed: list[jobs.TaskAttempt]
     ) -> Committed | Refused | Unknown:
-        """Commit the placements, with start marks where no start may be repeated."""
+        """Commit placements, with start marks where no start may be repeated."""
         table = self._kept.table
-        placements = [
-            records.Placement(
-                task=pick.task,
-                attempt=pick.attempt,
-                worker=pick.worker,
-                epoch=epochs[pick.task],
-            )
-            for pick in picks
-        ]
+        placements = [records.Placement(**attempt) for attempt in placed]
         marked = [
-            pick.task
-            for pick in picks
-            if not is_idempotent(table.jobs[table.tasks[pick.task].job].spec)
+            attempt["task"]
+            for attempt in placed
+            if not is_idempotent(table.jobs[table.tasks[attempt["task"]].job].spec)
         ]
         changes: list[tuple[object, type]] = [
             (records.Placed(tasks=placements), records.Placed)
@@ -138,35 +137,27 @@
             changes.append((mark, records.StartMarked))
         return await self._kept.commit(*changes)
 
-    def _is_waiting(self, pick: Pick, epochs: dict[str, int]) -> bool:
-        """Tell whether a task with a reservation still waits for its start."""
-        task = self._kept.table.tasks.get(pick.task)
+    def _is_waiting(self, item: jobs.Request | jobs.TaskAttempt) -> bool:
+        """Tell whether a task still waits for the start of this attempt."""
+        task = self._kept.table.tasks.get(item["task"])
         return (
-            pick.task in epochs
-            and task is not None
+            task is not None
             and task.state is TaskState.QUEUED
-            and task.attempt + 1 == pick.attempt
+            and task.attempt + 1 == item["attempt"]
             and not self._kept.table.jobs[task.job].stopping
         )
 
-    async def _start_all(self, picks: list[Pick], epochs: dict[str, int]) -> None:
-        groups = _group(picks)
-        await asyncio.gather(
-            *(self._start_at(owner, group, epochs) for owner, group in groups.items())
-        )
-
-    async def _start_at(
-        self, owner: str, picks: list[Pick], epochs: dict[str, int]
-    ) -> None:
-        starts = [s for pick in picks if (s := self._make_start(pick, epochs))]
+    async def _start(self, owner: str, placed: list[jobs.TaskAttempt]) -> None:
+        names = [attempt["task"] for attempt in placed]
+        starts = [start for item in placed if (start := self._make_start(item))]
         if not starts or not self._kept.may_act():
-            self._doubt(pick.task for pick in picks)
+            self._doubt(names)
             return
         message = jobs.StartTasks(
             ledger=self._kept.name, epoch=self._kept.epoch, tasks=starts
         )
         answer = await self._peers.call(owner, message, jobs.StartTasks, CALL_TIMEOUT)
-        if isinstance(answer, Answered):
+        if isinstance(answer, Answered) and answer.message is not None:
             refused = answer.message["refused"]
         elif isinstance(answer, Unsent):
             refused = [
@@ -175,21 +166,20 @@
             ]
         else:
             count_retry("keeper", "start_unanswered")
-            self._doubt(pick.task for pick in picks)
+            self._doubt(names)
             return
         await self._take_back(refused)
 
-    def _make_start(self, pick: Pick, epochs: dict[str, int]) -> jobs.Start | None:
+    def _make_start(self, item: jobs.TaskAttempt) -> jobs.Start | None:
         table = self._kept.table
-        task = table.find_attempt(pick.task, pick.attempt)
+        task = table.find_attempt(item["task"], item["attempt"])
         if task is None:
             return None
         job = table.jobs[task.job]
         return jobs.Start(
-            **_make_reservation(pick),
-            epoch=epochs[pick.task],
+            **item,
             payload=job.payload,
-            checkpoint=task.checkpoint,
+            resume=task.checkpoint,
             idempotent=is_idempotent(job.spec),
         )
 
@@ -212,42 +202,13 @@
         if not isinstance(outcome, Committed):
             self._doubt(item["task"] for item in refused)
 
-    async def _release(self, picks: list[Pick]) -> None:
-        for owner, group in _group(picks).items():
+    async def _release(self, parts: dict[str, Grants]) -> None:
+        for owner, grants in parts.items():
+            if not grants:
+                continue
             message = jobs.ReleaseTasks(
                 ledger=self._kept.name,
                 epoch=self._kept.epoch,
-                tasks=[
-                    jobs.TaskAttempt(
-                        task=pick.task, attempt=pick.attempt, worker=pick.worker
-                    )
-                    for pick in group
-                ],
+                tasks=list(grants.values()),
             )
             self._peers.send(owner, message, jobs.ReleaseTasks)
-
-
-def get_size(spec: WorkloadSpec) -> Size:
-    """Return the declared size of one task."""
-    return read_size(spec["size"])
-
-
-def make_pick(task: Task, worker: str, owner: str, size: Size) -> Pick:
-    """Return the next attempt of a task on a worker."""
-    return Pick(task.name, task.attempt + 1, worker, owner, size)
-
-
-def _group(picks: list[Pick]) -> dict[str, list[Pick]]:
-    groups: dict[str, list[Pick]] = {}
-    for pick in picks:
-        groups.setdefault(pick.owner, []).append(pick)
-    return groups
-
-
-def _make_reservation(pick: Pick) -> jobs.Reservation:
-    return jobs.Reservation(
-        task=pick.task,
-        attempt=pick.attempt,
-        worker=pick.worker,
-        size=jobs.SizeData(**pick.size._asdict()),
-    )
--- /dev/null
+++ b/src/damaskdeck/coordination/needs.py
@@ -0,0 +1,74 @@
+"""What tasks of a workload need, as queues, owners and messages ask for it."""
+
+from damaskdeck.coordination.news import is_idempotent
+from damaskdeck.protocol.jobs import Request, SizeData, TaskAttempt
+from damaskdeck.protocol.resources import Urgency, WorkloadSpec, read_size
+from damaskdeck.protocol.sizes import Size
+from damaskdeck.state.accounts import TaskNeed
+from damaskdeck.state.jobs import Job, Task, TaskState
+
+
+def get_urgency(spec: WorkloadSpec) -> Urgency:
+    """Return the urgency class of a workload."""
+    return Urgency(spec.get("urgency", Urgency.NORMAL.value))
+
+
+def get_size(spec: WorkloadSpec) -> Size:
+    """Return the declared size of one task."""
+    return read_size(spec["size"])
+
+
+def make_need(job: Job, task: Task) -> TaskNeed:
+    """Return what a task needs of a worker."""
+    spec = job.spec
+    return TaskNeed(
+        task=task.name,
+        size=get_size(spec),
+        group=get_group(job),
+        urgency=get_urgency(spec),
+        idempotent=is_idempotent(spec),
+        checkpoint=spec.get("checkpoint", False),
+        zones=frozenset(spec.get("zones", ())),
+        avoid=frozenset(task.avoid),
+    )
+
+
+def make_request(job: Job, task: Task, is_pressed: bool) -> Request:
+    """Return the message that asks for room for a task's next attempt."""
+    spec = job.spec
+    request = Request(
+        task=task.name,
+        attempt=task.attempt + 1,
+        size=SizeData(**get_size(spec)._asdict()),
+        urgency=get_urgency(spec).value,
+        group=get_group(job),
+        idempotent=is_idempotent(spec),
+        checkpoint=spec.get("checkpoint", False),
+        is_pressed=is_pressed,
+    )
+    if "zones" in spec:
+        request["zones"] = spec["zones"]
+    if task.avoid:
+        request["avoid"] = list(task.avoid)
+    return request
+
+
+def name_attempt(job: Job, task: Task) -> TaskAttempt:
+    """Return the message that names a task's present attempt."""
+    spec = job.spec
+    return TaskAttempt(
+        task=task.name,
+        attempt=task.attempt,
+        worker=task.worker,
+        epoch=task.epoch,
+        started=task.state is TaskState.RUNNING,
+        urgency=get_urgency(spec).value,
+        group=get_group(job),
+        idempotent=is_idempotent(spec),
+        checkpoint=spec.get("checkpoint", False),
+    )
+
+
+def get_group(job: Job) -> str:
+    """Return the group that is spread: a service's name, else empty."""
+    return job.workload if job.spec["type"] == "service" else ""
--- /dev/null
+++ b/src/damaskdeck/coordination/rooms.py
@@ -0,0 +1,181 @@
+"""Room on the workers of one owner: placement, holds, preemption, quarantine."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.estimates import Estimates
+from damaskdeck.coordination.failures import Failures
+from damaskdeck.coordination.filters import Predicate
+from damaskdeck.coordination.placement import Impossible, Placed, Placer
+from damaskdeck.coordination.preemption import (
+    CLAIMED,
+    PreemptionBudget,
+    Preemptor,
+    Victims,
+)
+from damaskdeck.coordination.quarantine import Quarantine
+from damaskdeck.metrics import count_refusal
+from damaskdeck.protocol.jobs import Request, SizeData, TaskAttempt
+from damaskdeck.protocol.ports import Usage
+from damaskdeck.protocol.resources import Urgency
+from damaskdeck.protocol.sizes import Size
+from damaskdeck.state.accounts import Accounts, Reserved, TaskNeed, WorkerAccount
+from damaskdeck.state.names import read_job, read_workload
+
+HOLD_LIMIT = timedelta(seconds=10)
+CLAIM_LIMIT = timedelta(seconds=5)
+
+Stop = Callable[[str, str, bool], None]
+
+
+class Held(NamedTuple):
+    """Room was set aside on ``worker``."""
+
+    worker: str
+
+
+class Rooms:
+    """Decides who gets room on the workers that this daemon owns.
+
+    Promise: "No instance is given more work than its processors, memory, or
+    accelerators can hold."
+
+    :param stop: ``stop(worker, task, checkpoint)`` stops a task to make room.
+    """
+
+    def __init__(self, accounts: Accounts, clock: Clock, stop: Stop) -> None:
+        self._accounts = accounts
+        self._clock = clock
+        self._stop = stop
+        self._placer = Placer(accounts)
+        self._budget = PreemptionBudget(clock)
+        self._preemptor = Preemptor(
+            accounts, clock, self._budget, find_refusal=self._placer.find_refusal
+        )
+        self._estimates = Estimates()
+        self._quarantine = Quarantine(clock, Failures())
+        self._claims: dict[str, timedelta] = {}
+        self._placer.add_filter(CLAIMED, self._preemptor.prepare_claims)
+        self._placer.add_filter("quarantined", self._prepare_quarantine)
+
+    def hold(self, request: Request) -> Held | str:
+        """Set room aside for an attempt, or return why not."""
+        need = self._make_need(request)
+        found = self._placer.place(need)
+        if isinstance(found, Impossible):
+            need = need._replace(size=read_size(request["size"]))
+            found = self._placer.place(need)
+        if not isinstance(found, Placed) and need.avoid and request.get("is_pressed"):
+            found = self._placer.place(need._replace(avoid=frozenset()))
+        if not isinstance(found, Placed):
+            return self._make_room(need)
+        deadline = self._clock.monotonic() + HOLD_LIMIT
+        outcome = self._accounts.reserve(need, found.worker, deadline)
+        if not isinstance(outcome, Reserved):
+            return "already_reserved"
+        self._drop_claim(need.task)
+        self._quarantine.note_start(found.worker, need.task)
+        return Held(found.worker)
+
+    def confirm(self, task: str) -> bool:
+        """Turn a hold into a lasting reservation; false once it has ended."""
+        return self._accounts.confirm(task, self._clock.monotonic())
+
+    def release_hold(self, task: str) -> None:
+        """Let go of a hold; what was started keeps its room."""
+        held = self._accounts.find(task)
+        if held is not None and held.deadline is not None:
+            self._accounts.release(task)
+            self._quarantine.note_end(held.worker, "", "", task, None)
+
+    def expire(self) -> None:
+        """End holds and claims whose time has come."""
+        now = self._clock.monotonic()
+        for held in self._accounts.expire(now):
+            self._quarantine.note_end(held.worker, "", "", held.need.task, None)
+        for task in [task for task, until in self._claims.items() if until <= now]:
+            self._drop_claim(task)
+
+    def set_workers(self, workers: Iterable[str]) -> None:
+        """Note which workers are owned."""
+        self._quarantine.set_fleet(frozenset(workers))
+
+    def observe(self, usage: Iterable[Usage]) -> None:
+        """Learn from what tasks were seen to use."""
+        for item in usage:
+            workload = read_workload(item.task)
+            self._estimates.observe_use(workload, item.task, item.size)
+
+    def note_end(self, worker: str, task: str, state: str) -> None:
+        """Note that an attempt has ended, and learn from it."""
+        self._preemptor.note_end(task)
+        workload = read_workload(task)
+        self._estimates.observe_end(workload, task, None)
+        succeeded = {"succeeded": True, "failed": False}.get(state)
+        job = read_job(task)
+        self._quarantine.note_end(worker, workload, job, task, succeeded)
+
+    def describe(self, item: TaskAttempt) -> None:
+        """Take over what a keeper says of a task that was adopted."""
+        held = self._accounts.find(item["task"])
+        if held is None or held.deadline is not None or "urgency" not in item:
+            return
+        need = held.need._replace(
+            group=item.get("group", ""),
+            urgency=Urgency(item["urgency"]),
+            idempotent=item.get("idempotent", False),
+            checkpoint=item.get("checkpoint", False),
+        )
+        if need != held.need:
+            self._accounts.release(need.task)
+            self._accounts.adopt(need, held.worker)
+
+    def _make_need(self, request: Request) -> TaskNeed:
+        declared = read_size(request["size"])
+        workload = read_workload(request["task"])
+        return TaskNeed(
+            task=request["task"],
+            size=self._estimates.estimate_size(workload, declared),
+            group=request.get("group", ""),
+            urgency=Urgency(request.get("urgency", Urgency.NORMAL.value)),
+            idempotent=request.get("idempotent", False),
+            checkpoint=request.get("checkpoint", False),
+            zones=frozenset(request.get("zones", ())),
+            avoid=frozenset(request.get("avoid", ())),
+            started=self._clock.monotonic(),
+        )
+
+    def _make_room(self, need: TaskNeed) -> str:
+        """Stop less urgent tasks for ``need``; it is to ask again."""
+        victims = self._preemptor.choose(need)
+        if not isinstance(victims, Victims):
+            return "no_room"
+        for task in victims.checkpointed:
+            self._stop(victims.worker, task, True)
+        for task in victims.stopped:
+            self._stop(victims.worker, task, False)
+        if victims.checkpointed or victims.stopped:
+            count = len(victims.checkpointed) + len(victims.stopped)
+            count_refusal("workers", "preempted", count)
+        self._claims[need.task] = self._clock.monotonic() + CLAIM_LIMIT
+        return "making_room"
+
+    def _drop_claim(self, task: str) -> None:
+        if self._claims.pop(task, None) is not None:
+            self._preemptor.drop_claim(task)
+
+    def _prepare_quarantine(self, need: TaskNeed) -> Predicate | None:
+        if not self._quarantine.held:
+            return None
+
+        def may_start(account: WorkerAccount) -> bool:
+            return self._quarantine.may_start(account.name, need.idempotent)
+
+        return may_start
+
+
+def read_size(size: SizeData) -> Size:
+    """Turn data of a message into a size."""
+    return Size(size["millicores"], size["memory"], size["accelerators"])
--- a/src/damaskdeck/coordination/rosters.py
+++ b/src/damaskdeck/coordination/rosters.py
@@ -11,6 +11,7 @@
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.jobs import Start, TaskNews
 from damaskdeck.protocol.ports import TaskReport
+from damaskdeck.protocol.resources import Urgency
 from damaskdeck.state.accounts import Accounts, Reserved, TaskNeed
 
 # States of an attempt that isn't known to have ended.
@@ -28,6 +29,7 @@
     :param settled: monotonic time from which on an inventory must show it.
     :param start: what it was started by, unless another owner started it.
     :param is_repeat: whether an earlier start of this attempt may yet arrive.
+    :param cause: why its owner stops it, as in ``preempted``.
     """
 
     task: str
@@ -37,6 +39,7 @@
     settled: timedelta
     start: Start | None = None
     is_repeat: bool = False
+    cause: str = ""
 
 
 class Roster:
@@ -44,6 +47,7 @@
 
     :param worker: its name.
     :param put_news: takes news for the keepers.
+    :param note_end: ``note_end(worker, task, state)`` learns of each end.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         accounts: Accounts,
         clock: Clock,
         put_news: Callable[[TaskNews], None],
+        note_end: Callable[[str, str, str], None],
         lease: timedelta = defaults.TASK_LEASE,
     ) -> None:
         self.tasks: dict[str, Hosted] = {}
@@ -59,6 +64,7 @@
         self._accounts = accounts
         self._clock = clock
         self._put_news = put_news
+        self._note_end = note_end
         self._lease = stretch_lease(lease)
         self._adoption = compute_takeover_bound(lease)
 
@@ -148,6 +154,9 @@
         self.tasks[hosted.task] = hosted._replace(state=state, settled=now)
         if state != "running":
             self._release(hosted.task)
+            self._note_end(self._worker, hosted.task, state)
+        if state in ("stopped", "checkpointed"):
+            code = hosted.cause
         news = TaskNews(
             task=hosted.task,
             attempt=hosted.attempt,
@@ -162,8 +171,15 @@
             news["checkpoint"] = checkpoint
         self._put_news(news)
 
+    def set_cause(self, hosted: Hosted, cause: str) -> None:
+        """Remember why a task is being stopped."""
+        self.tasks[hosted.task] = hosted._replace(cause=cause)
+
     def _adopt(self, report: TaskReport) -> None:
-        need = TaskNeed(report.task, report.size)
+        """Set its room aside; it isn't stopped before its keeper tells of it."""
+        need = TaskNeed(
+            report.task, report.size, urgency=Urgency.URGENT, idempotent=False
+        )
         outcome = self._accounts.adopt(need, self._worker)
         if not isinstance(outcome, Reserved):
             count_refusal("workers", "adoption")
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -7,6 +7,7 @@
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.leases import compute_takeover_bound
+from damaskdeck.coordination.rooms import Rooms
 from damaskdeck.coordination.rosters import OPEN_STATES, Hosted, Roster
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry
@@ -20,7 +21,7 @@
     StartOrder,
     WorkerPort,
 )
-from damaskdeck.protocol.sizes import Size
+from damaskdeck.protocol.sizes import ZERO_SIZE
 from damaskdeck.state.accounts import Accounts
 
 FOLLOW_WAIT = timedelta(seconds=20)
@@ -42,6 +43,7 @@
     :param worker: as the platform lists it; set anew when that changes.
     :param may_act: tells whether this daemon still owns the worker.
     :param put_news: takes news for the keepers.
+    :param rooms: learns of ends and of use.
     :param grace: how long to wait before the first placement, for workers that
         don't check epochs.
     """
@@ -55,6 +57,7 @@
         clock: Clock,
         may_act: Callable[[], bool],
         put_news: Callable[[TaskNews], None],
+        rooms: Rooms,
         grace: timedelta = timedelta(),
         lease: timedelta = defaults.TASK_LEASE,
         renewal: timedelta = defaults.TASK_RENEWAL,
@@ -62,7 +65,10 @@
         self.worker = worker
         self.epoch = epoch
         self.is_ready = False
-        self.roster = Roster(worker.name, accounts, clock, put_news, lease)
+        self.roster = Roster(
+            worker.name, accounts, clock, put_news, rooms.note_end, lease
+        )
+        self._rooms = rooms
         self._port = port
         self._accounts = accounts
         self._clock = clock
@@ -95,6 +101,18 @@
         self.roster.enter(start)
         self._orders.put_nowait(lambda: self._start(start))
 
+    @property
+    def tasks(self) -> dict[str, Hosted]:
+        """The attempts on this worker by task."""
+        return self.roster.tasks
+
+    def order_preemption(self, task: str, checkpoint: bool) -> None:
+        """Stop a running task, or checkpoint it, to make room for others."""
+        hosted = self.roster.tasks.get(task)
+        if hosted is not None and hosted.state == "running":
+            self.roster.set_cause(hosted, "preempted")
+            self.order_stop(task, hosted.attempt, checkpoint)
+
     def order_stop(self, task: str, attempt: int, checkpoint: bool = False) -> None:
         """Stop a task, or checkpoint it first."""
         hosted = self.roster.find(task, attempt)
@@ -191,6 +209,7 @@
         if found.sequence < self._sequence:
             self._set_doubtful(True)
         self._sequence = found.sequence
+        self._rooms.observe(found.usage)
         for report in found.tasks:
             self.roster.absorb(report)
         if is_whole:
@@ -242,7 +261,7 @@
     async def _send_start(self, hosted: Hosted) -> None:
         answer: Accepted | Rejected | Lost = Lost("owner_changed")
         if self._may_act():
-            order = make_order(hosted.start, self._lease)
+            order = self._make_order(hosted.start)
             answer = await self._port.start(self.worker, self.epoch, order)
         hosted = self.roster.find(hosted.task, hosted.attempt)
         if hosted is None or hosted.state != "unsure":
@@ -273,15 +292,13 @@
         if names and self._may_act():
             await self._port.acknowledge(self.worker, self.epoch, names)
 
-
-def make_order(start: Start, lease: timedelta) -> StartOrder:
-    """Return what the worker needs to start a task."""
-    size = start["size"]
-    return StartOrder(
-        start["task"],
-        start["attempt"],
-        Size(size["millicores"], size["memory"], size["accelerators"]),
-        lease,
-        start["payload"],
-        start.get("checkpoint", ""),
-    )
+    def _make_order(self, start: Start) -> StartOrder:
+        held = self._accounts.find(start["task"])
+        return StartOrder(
+            start["task"],
+            start["attempt"],
+            held.need.size if held else ZERO_SIZE,
+            self._lease,
+            start["payload"],
+            start.get("resume", ""),
+        )
--- a/src/damaskdeck/protocol/jobs.py
+++ b/src/damaskdeck/protocol/jobs.py
@@ -121,7 +121,8 @@
 class TaskAttempt(TypedDict):
     """An attempt of a task on a worker, under the epoch of the worker's owner.
 
-    ``started`` tells whether it is known to have started.
+    ``started`` tells whether it is known to have started; what follows tells an
+    owner of a task that it adopted.
     """
 
     task: str
@@ -129,6 +130,10 @@
     worker: str
     epoch: NotRequired[int]
     started: NotRequired[bool]
+    urgency: NotRequired[str]
+    group: NotRequired[str]
+    idempotent: NotRequired[bool]
+    checkpoint: NotRequired[bool]
 
 
 class SizeData(TypedDict):
@@ -139,10 +144,24 @@
     accelerators: int
 
 
-class Reservation(TaskAttempt):
-    """Room asked for a task."""
+class Request(TypedDict):
+    """Room asked for an attempt, wherever its owner finds it best.
+
+    ``avoid`` names workers that it failed on; with ``is_pressed`` the owner may
+    choose one of them if there is no other.
+    """
 
+    task: str
+    attempt: int
     size: SizeData
+    workload: NotRequired[str]
+    urgency: NotRequired[str]
+    group: NotRequired[str]
+    idempotent: NotRequired[bool]
+    checkpoint: NotRequired[bool]
+    zones: NotRequired[list[str]]
+    avoid: NotRequired[list[str]]
+    is_pressed: NotRequired[bool]
 
 
 @message("reserve_tasks")
@@ -151,7 +170,7 @@
 
     ledger: str
     epoch: int
-    tasks: list[Reservation]
+    tasks: list[Request]
 
 
 class Refusal(TypedDict):
@@ -170,12 +189,11 @@
     refused: list[Refusal]
 
 
-class Start(Reservation):
-    """A task to start; sent once for each attempt."""
+class Start(TaskAttempt):
+    """A task to start in the room reserved for it; sent once for each attempt."""
 
     payload: bytes
-    checkpoint: NotRequired[str]
-    idempotent: NotRequired[bool]
+    resume: NotRequired[str]
 
 
 @message("start_tasks")
@@ -205,12 +223,15 @@
 
 @message("stop_tasks")
 class StopTasks(TypedDict):
-    """Stop or checkpoint tasks; their ends are reported."""
+    """Stop tasks; their ends are reported.
+
+    Unless it is their last end, those that can be checkpointed are.
+    """
 
     ledger: str
     epoch: int
     tasks: list[TaskAttempt]
-    checkpoint: NotRequired[bool]
+    is_last: NotRequired[bool]
 
 
 @message("check_tasks")
--- a/src/damaskdeck/state/names.py
+++ b/src/damaskdeck/state/names.py
@@ -45,6 +45,11 @@
     return task.rpartition("-")[0]
 
 
+def read_workload(task: str) -> str:
+    """Return the workload of a task, shortened if its name is long."""
+    return read_job(task).rsplit("-", 2)[0]
+
+
 def digest(payload: bytes) -> bytes:
     """Return a digest that tells payloads apart."""
     return xxhash.xxh3_128_digest(payload)
