--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,278 @@
+"""What membership and ownership cost, and how long nobody decides.
+
+Messages, bytes and times come from the real modules on the manual clock and
+the stand-ins; processor time from real streams on loopback and the machine's
+clock, all daemons in one process.
+"""
+
+import asyncio
+import itertools
+import statistics
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from damaskdeck.clock import Clock, SystemClock
+from damaskdeck.coordination.membership import Membership
+from damaskdeck.coordination.ownership import StoreOwnership
+from damaskdeck.protocol.members import Member
+from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.ports import Store
+from damaskdeck.transport.peers import PeerNetwork
+from standins.clock import ManualClock
+from standins.peers import PeerSwitch
+from standins.store import MemoryStore
+
+SIZES = (3, 6, 12, 27)
+ZONE_SIZE = 3
+WORKERS_PER_ZONE = 88
+TARGETS_PER_ZONE = 3
+LEDGERS = 4
+REPORT_BYTES = 1024
+STORE_DELAY = timedelta(milliseconds=5)
+PEER_DELAY = timedelta(milliseconds=1)
+WARM_UP = timedelta(seconds=15)
+TOKEN = "token-of-the-benchmark"
+
+
+class Daemon(NamedTuple):
+    """The parts of a daemon that are measured."""
+
+    members: Membership
+    ownership: StoreOwnership
+    tasks: list[asyncio.Task[None]]
+
+
+class Deployment:
+    """Daemons in zones of three, with workers, targets and ledgers."""
+
+    def __init__(self, size: int) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.store.faults.delay = STORE_DELAY
+        self.switch = PeerSwitch(self.clock)
+        self.switch.delay = PEER_DELAY
+        self.daemons = [
+            start_daemon(
+                member, self.switch.connect(member.name), self.store, self.clock
+            )
+            for member in make_members(size)
+        ]
+
+    async def advance(self, duration: timedelta) -> None:
+        """Let time pass; each daemon has a new report every second."""
+        for _ in range(round(duration / timedelta(seconds=1))):
+            publish(self.daemons)
+            await self.clock.advance(timedelta(seconds=1))
+
+    async def measure_gap(
+        self, owner: Daemon, things: tuple[str, ...], step: timedelta
+    ) -> float:
+        """Return the seconds from the first thing lost to the last one regained."""
+        others = [daemon for daemon in self.daemons if daemon is not owner]
+        began = self.clock.monotonic()
+        while not is_decided(others, things):
+            if not owner.tasks[0].cancelling() and is_decided([owner], things):
+                began = self.clock.monotonic()
+            await self.clock.advance(step)
+        return (self.clock.monotonic() - began).total_seconds()
+
+    async def close(self) -> None:
+        """End all daemons."""
+        stop(self.daemons)
+        self.switch.close()
+        await asyncio.sleep(0)
+
+
+def is_decided(daemons: list[Daemon], things: tuple[str, ...]) -> bool:
+    """Tell whether some daemon decides about each of ``things``."""
+    return all(
+        any(daemon.ownership.get_epoch(thing) is not None for daemon in daemons)
+        for thing in things
+    )
+
+
+def make_members(size: int) -> Iterator[Member]:
+    """Yield members in zones of three."""
+    for index in range(size):
+        zone = f"zone-{index // ZONE_SIZE}"
+        name = f"entry-{index:02}"
+        address = f"10.0.{index}.1:7400"
+        yield Member(name, zone, "region-1", address, address, f"{name}-1a2b3c4d")
+
+
+def start_daemon(
+    member: Member, peers: Peers, store: MemoryStore, clock: Clock
+) -> Daemon:
+    """Start membership and ownership of one daemon."""
+    client: Store = store.connect(member.name)
+    members = Membership(member, peers, client, clock)
+    ownership = StoreOwnership(members, peers, client, clock)
+    scopes = {"worker": WORKERS_PER_ZONE, "target": TARGETS_PER_ZONE}
+    for scope, count in scopes.items():
+        names = tuple(f"{member.zone}-{scope}-{index:03}" for index in range(count))
+        ownership.set_things(scope, names)
+    ownership.set_things("ledger", tuple(f"{index:02}" for index in range(LEDGERS)))
+    runs = (members.run(), ownership.run())
+    return Daemon(members, ownership, [asyncio.ensure_future(run) for run in runs])
+
+
+def publish(daemons: list[Daemon]) -> None:
+    """Give each daemon a new report."""
+    for daemon in daemons:
+        stamp = str(time.monotonic_ns()).encode()
+        daemon.members.publish("load", stamp.ljust(REPORT_BYTES, b"."))
+
+
+def stop(daemons: list[Daemon]) -> None:
+    """Cancel all tasks of the daemons."""
+    for daemon in daemons:
+        for task in daemon.tasks:
+            task.cancel()
+
+
+async def measure_traffic(size: int, duration: timedelta) -> dict[str, Any]:
+    """Measure messages, bytes and store calls per daemon and second."""
+    deployment = Deployment(size)
+    await deployment.advance(WARM_UP)
+    switch, store = deployment.switch, deployment.store
+    messages, sent = Counter(switch.messages), Counter(switch.bytes)
+    calls = Counter(store.calls)
+    await deployment.advance(duration)
+    seconds = duration.total_seconds()
+    names = [daemon.members.self.name for daemon in deployment.daemons]
+    rates = [(switch.messages[name] - messages[name]) / seconds for name in names]
+    sizes = [(switch.bytes[name] - sent[name]) / seconds for name in names]
+    live = min(len(daemon.members.list_live()) for daemon in deployment.daemons)
+    await deployment.close()
+    return {
+        "messages_per_second_mean": round(statistics.mean(rates), 1),
+        "messages_per_second_max": round(max(rates), 1),
+        "bytes_per_second_mean": round(statistics.mean(sizes)),
+        "bytes_per_second_max": round(max(sizes)),
+        "store_calls_per_second": {
+            kind: round((count - calls[kind]) / seconds / size, 2)
+            for kind, count in sorted(store.calls.items())
+            if count > calls[kind]
+        },
+        "live_members_seen_min": live,
+    }
+
+
+async def measure_gaps(
+    trials: int, leave: Callable[[Deployment, Daemon], None], step: timedelta
+) -> dict[str, float]:
+    """Let an owner go at different moments; seconds until others decide."""
+    gaps = []
+    for trial in range(trials):
+        deployment = Deployment(ZONE_SIZE)
+        await deployment.advance(WARM_UP)
+        await deployment.clock.advance(timedelta(milliseconds=137 * trial))
+        daemon = deployment.daemons[trial % ZONE_SIZE]
+        owner = daemon.ownership
+        things = owner.list_held("worker") + owner.list_held("ledger")
+        leave(deployment, daemon)
+        gaps.append(await deployment.measure_gap(daemon, things, step))
+        await deployment.close()
+    return {"median": statistics.median(gaps), "max": max(gaps), "trials": trials}
+
+
+def kill(deployment: Deployment, daemon: Daemon) -> None:
+    """End a daemon without a word."""
+    stop([daemon])
+    deployment.switch.disconnect(daemon.members.self.name)
+
+
+def drain(deployment: Deployment, daemon: Daemon) -> None:
+    """Let a daemon hand over everything."""
+    daemon.tasks.append(asyncio.ensure_future(daemon.ownership.drain()))
+
+
+async def measure_processor(size: int, seconds: float) -> dict[str, Any]:
+    """Measure processor time per daemon with real streams on loopback."""
+    clock = SystemClock()
+    store = MemoryStore(clock)
+    daemons: list[Daemon] = []
+    networks = []
+    for member in make_members(size):
+        network = PeerNetwork(
+            member.name, "127.0.0.1", 0, TOKEN, clock, _make_finder(daemons, networks)
+        )
+        await network.start()
+        networks.append(network)
+        member = member._replace(peer_address=network.address)
+        daemons.append(start_daemon(member, network, store, clock))
+    await asyncio.sleep(seconds)
+    began, used = time.monotonic(), time.process_time()
+    for _ in range(int(seconds)):
+        publish(daemons)
+        await asyncio.sleep(1)
+    share = (time.process_time() - used) / (time.monotonic() - began) / size
+    live = min(len(daemon.members.list_live()) for daemon in daemons)
+    stop(daemons)
+    await asyncio.gather(*(network.close() for network in networks))
+    return {
+        "processor_percent_per_daemon": round(100 * share, 2),
+        "live_members_seen_min": live,
+    }
+
+
+def _make_finder(
+    daemons: list[Daemon], networks: list[PeerNetwork]
+) -> Callable[[str], str | None]:
+    index = len(networks)
+    return lambda name: daemons[index].members.find_address(name)
+
+
+def measure_heartbeat(rounds: int) -> dict[str, float]:
+    """Measure the processor time of writing and of taking one heartbeat."""
+
+    async def measure() -> dict[str, float]:
+        deployment = Deployment(27)
+        await deployment.advance(WARM_UP)
+        one, other = (daemon.members for daemon in deployment.daemons[:2])
+        contact = one._contacts[other.self.name]
+        now = deployment.clock.monotonic()
+        writing = _time(lambda: one._write_heartbeat(contact, now), rounds)
+        beat = one._write_heartbeat(contact, now)
+        began = time.process_time()
+        for number in itertools.islice(itertools.count(10_000), rounds):
+            beat["number"] = number
+            await other._take_heartbeat(one.self.name, beat)
+        taking = (time.process_time() - began) / rounds * 1e6
+        await deployment.close()
+        return {"write_us": round(writing, 1), "take_us": round(taking, 1)}
+
+    return asyncio.run(measure())
+
+
+def _time(act: Callable[[], object], rounds: int) -> float:
+    began = time.process_time()
+    for _ in range(rounds):
+        act()
+    return (time.process_time() - began) / rounds * 1e6
+
+
+def run(quick: bool) -> dict[str, Any]:
+    """Run all measurements; below half a minute, quick below ten seconds."""
+    sizes = SIZES[:2] if quick else SIZES
+    duration = timedelta(seconds=10 if quick else 20)
+    trials = 3 if quick else 12
+    return {
+        "traffic_by_members": {
+            str(size): asyncio.run(measure_traffic(size, duration)) for size in sizes
+        },
+        "processor_by_members": {
+            str(size): asyncio.run(measure_processor(size, 2 if quick else 5))
+            for size in (sizes[0], sizes[-1])
+        },
+        "heartbeat": measure_heartbeat(200 if quick else 2000),
+        "takeover_seconds": asyncio.run(
+            measure_gaps(trials, kill, timedelta(milliseconds=50))
+        ),
+        "handover_seconds": asyncio.run(
+            measure_gaps(trials, drain, timedelta(milliseconds=1))
+        ),
+    }
--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -36,8 +36,9 @@
 PREFIX = "member/"
 SEED_PREFIX = "seed/"
 REPORT_LIMIT = 4096
-DIGEST_LIMIT = 4096
+DIGEST_LIMIT = 2048
 AGE_LIMIT = 256
+FAR_ROUNDS = 2
 DIGEST_ROUNDS = 4
 FULL_ROUNDS = 10
 SENT_LIMIT = 64
@@ -73,7 +74,7 @@
     :param heard: when it was heard last, by itself or through others.
     :param seen_session: the session under which the store showed it last.
     :param first_hand: when it was heard last, but not through this zone.
-    :param is_direct: whether it sends heartbeats to this daemon.
+    :param direct: when it was heard last by its own heartbeat.
     :param echoed: when the heartbeat was sent that it echoed last.
     :param vouched_until: how long it takes over nothing from this daemon.
     :param promised: the last of its heartbeats that a promise answered.
@@ -84,7 +85,7 @@
     seen_session: str = ""
     heard: timedelta = NEVER
     first_hand: timedelta = NEVER
-    is_direct: bool = False
+    direct: timedelta = NEVER
     number: int = 0
     echoed: timedelta = NEVER
     vouched_until: timedelta = NEVER
@@ -166,11 +167,12 @@
         if contact is None:
             return False
         now = self._clock.monotonic()
-        if not contact.is_direct:
-            return now - contact.heard < FAR_SILENCE
-        if now - contact.heard >= SILENCE_LIMIT:
+        limit = SILENCE_LIMIT if self._is_near(contact) else FAR_SILENCE
+        if now - contact.heard >= limit:
             return False
-        return name not in self._list_targets() or self._is_reached(contact, now)
+        if now - contact.direct >= limit or name not in self._list_targets():
+            return True
+        return now - contact.echoed < 2 * SILENCE_LIMIT
 
     def publish(self, topic: str, value: bytes) -> None:
         """Attach a report to this daemon's next heartbeats, at most 4 KiB."""
@@ -290,7 +292,8 @@
         self._own.heard = now
         for name in self._list_targets():
             contact = self._contacts[name]
-            self._peers.send(name, self._write_heartbeat(contact, now), Heartbeat)
+            if self._is_near(contact) or self._number % FAR_ROUNDS == 0:
+                self._peers.send(name, self._write_heartbeat(contact, now), Heartbeat)
         if self._number % DIGEST_ROUNDS == 1:
             self._greet_seeds(now)
         self._prolong(now)
@@ -368,7 +371,7 @@
         return links.union(zones[self._member.zone]) - {self._member.name}
 
     def _write_heartbeat(self, contact: Contact, now: timedelta) -> Heartbeat:
-        is_near = contact.member.zone == self._member.zone
+        is_near = self._is_near(contact)
         heartbeat: Heartbeat = {
             "member": _to_fields(self._member),
             "number": self._number,
@@ -412,9 +415,8 @@
         return sorted(
             name
             for name, contact in self._contacts.items()
-            if (contact.member.zone != self._member.zone) == is_near
-            and (is_near or contact.is_direct)
-            and now - contact.first_hand < FAR_SILENCE
+            if self._is_near(contact) != is_near
+            and now - (contact.first_hand if is_near else contact.direct) < FAR_SILENCE
         )
 
     def _write_digests(self, is_near: bool, now: timedelta) -> list[Digest]:
@@ -454,13 +456,12 @@
         if heartbeat["number"] <= contact.number and member == contact.member:
             return
         contact.member = member
-        contact.is_direct = True
-        contact.heard = contact.first_hand = now
+        contact.heard = contact.first_hand = contact.direct = now
         contact.number = heartbeat["number"]
         contact.session = heartbeat["session"]
         contact.is_leaving = heartbeat.get("leaving", False)
         self._take_reports(contact, heartbeat.get("reports", {}), now)
-        is_far = member.zone != self._member.zone
+        is_far = not self._is_near(contact)
         self._take_digests(heartbeat.get("digests", []), now)
         self._take_ages(heartbeat.get("ages", {}), now, is_far)
         if "echo" in heartbeat:
@@ -504,7 +505,7 @@
     def _take_ages(self, ages: dict[str, int], now: timedelta, is_far: bool) -> None:
         for name, age in ages.items():
             contact = self._contacts.get(name)
-            if contact is None or contact.member.zone == self._member.zone:
+            if contact is None or self._is_near(contact):
                 continue
             heard = now - timedelta(milliseconds=age)
             contact.heard = max(contact.heard, heard)
@@ -550,8 +551,8 @@
                 self._targets = None
         return contact
 
-    def _is_reached(self, contact: Contact, now: timedelta) -> bool:
-        return now - contact.echoed < 2 * SILENCE_LIMIT
+    def _is_near(self, contact: Contact) -> bool:
+        return contact.member.zone == self._member.zone
 
     def _forget_contacts(self) -> None:
         """Forget silent members that the store shows no more.
@@ -572,7 +573,7 @@
         vouched = [
             contact.vouched_until
             for contact in self._contacts.values()
-            if contact.member.zone == self._member.zone
+            if self._is_near(contact)
         ]
         until = min(vouched, default=now + PROMISE_TIME)
         for tenure in self._tenures:
@@ -594,6 +595,7 @@
         for contact in self._contacts.values():
             if contact.heard != NEVER:
                 contact.heard += gap
+                contact.direct += gap
                 contact.echoed += gap
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -65,6 +65,16 @@
         await self.deployment.advance(2)
         self.assertTrue(self.members["a1"].is_live("a2"))
 
+    async def test_zones_that_one_link_joins_no_more_still_see_each_other(self):
+        near = self.members["a1"]._list_targets() - {"a2"}
+        for far in near:
+            self.deployment.switch.cut_both("a1", far)
+        await self.deployment.advance(10)
+        linked = self.members["a2"]._list_targets() - {"a1"}
+        self.assertTrue(linked - near)
+        for far in linked - near:
+            self.assertIn(far, self.list_live("a1"))
+
     async def test_paused_daemon_takes_nobody_for_dead_because_of_its_own_pause(self):
         self.deployment.pause("a1")
         await self.deployment.advance(5)
