Keep declared services running and forget old results

Change: the keeper of a team's ledger submits one endless job for each declared service, replaces it when the declaration changes (the old version ends once the new one runs, or after 30 s) and ends it when it is deleted. Results and keys older than RESULT_RETENTION are forgotten, many in one commit; a forgotten job and a repeat of its key say so.

Tests: gangs, preemption, quarantine, quotas, impossible jobs, services and retention through the whole path.

--- a/src/damaskdeck/coordination/desks.py
+++ b/src/damaskdeck/coordination/desks.py
@@ -12,6 +12,8 @@
 from damaskdeck.coordination.launches import Launcher
 from damaskdeck.coordination.owners import Owners
 from damaskdeck.coordination.queueing import JobQueue
+from damaskdeck.coordination.retention import Retention
+from damaskdeck.coordination.services import Services
 from damaskdeck.coordination.shapes import Shapes
 from damaskdeck.coordination.submissions import Submissions
 from damaskdeck.logs import get_logger
@@ -46,6 +48,7 @@
         configuration: ConfigurationReader,
         clock: Clock,
         watch: Callable[[asyncio.Task[None]], None],
+        ledger_count: int,
     ) -> None:
         self.kept = kept
         self._watch = watch
@@ -64,6 +67,8 @@
         self.submissions = Submissions(
             kept, configuration, self.shapes.find_impossible, self.dispatcher.explain
         )
+        self.services = Services(kept, configuration, clock, ledger_count)
+        self._retention = Retention(kept, clock)
         self._configuration = configuration
         self._runner: asyncio.Task[None] | None = None
 
@@ -107,3 +112,5 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.followups.run())
             group.create_task(self.dispatcher.run())
+            group.create_task(self.services.run())
+            group.create_task(self._retention.run())
--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -121,6 +121,7 @@
             self._configuration,
             self._clock,
             self._supervisor.watch,
+            self._count,
         )
         self.desks[name] = desk
         await desk.open(self._fleet.list(InstanceRole.WORKER))
@@ -146,9 +147,11 @@
             desk.set_workers(workers)
 
     def _take_resource(self, kind: Kind, name: str, resource: Resource | None) -> None:
-        if kind is Kind.TEAM:
-            for desk in self.desks.values():
+        for desk in self.desks.values():
+            if kind is Kind.TEAM:
                 desk.set_team(name, resource)
+            elif kind is Kind.WORKLOAD:
+                desk.services.wake()
 
     def _find_desk(self, ledger: str | None) -> Desk | None:
         desk = self.desks.get(ledger or "")
--- a/src/damaskdeck/coordination/news.py
+++ b/src/damaskdeck/coordination/news.py
@@ -73,8 +73,11 @@
 
 
 def is_idempotent(spec: WorkloadSpec) -> bool:
-    """Tell whether tasks of a workload may run more than once."""
-    return spec.get("idempotent", False)
+    """Tell whether tasks of a workload may run more than once.
+
+    A service's replicas may, unless it says otherwise: they are replaced.
+    """
+    return spec.get("idempotent", spec["type"] == "service")
 
 
 def _judge_stranger(verdict: Verdict, attempt: TaskAttempt, state: str) -> None:
@@ -94,6 +97,9 @@
 @judges("succeeded")
 def _judge_success(verdict: Verdict, job: Job, task: Task, news: TaskNews) -> None:
     result = news.get("result", b"")
+    if job.spec["type"] == "service" and not job.stopping:
+        _return(verdict, job, task, news, "its task ended", failed=True)
+        return
     if len(result) > defaults.RESULT_LIMIT:
         _end(verdict, task, TaskState.FAILED, "result_too_large")
         return
--- a/src/damaskdeck/coordination/submissions.py
+++ b/src/damaskdeck/coordination/submissions.py
@@ -121,6 +121,8 @@
         spec: WorkloadSpec = resource.get("spec", {})
         if spec["team"] != submission.team:
             return Refused("wrong_team", "the workload belongs to another team")
+        if spec["type"] == "service":
+            return Refused("not_a_job", "a service runs as declared, without jobs")
         dimension = self._find_impossible(spec)
         if dimension is not None:
             return refuse_impossible(dimension)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -8,6 +8,8 @@
 from damaskdeck import defaults
 from damaskdeck.protocol.handlers import Claimed, JobState, Known, Submission
 from damaskdeck.protocol.outcomes import Completed, Refused
+from damaskdeck.protocol.resources import Kind
+from damaskdeck.protocol.sizes import Size
 from tests.plane import Plane, virtual
 
 RESULT = b'{"run_time": 2, "result": "done"}'
@@ -221,3 +223,176 @@
         await plane.clock.sleep(4 * SECOND)
         known = await keeper.claim_key(*claim)
         self.assertEqual(known.outcome.code, "answer_lost")
+
+
+class TestPolicy(unittest.TestCase):
+    """The policy of placement and of queues, through the whole path."""
+
+    @virtual
+    async def test_gang_starts_all_tasks_at_once_or_none(self):
+        plane = await Plane(workers=2).start()
+        plane.declare("small")
+        plane.declare("gang", type="gang", tasks=8)
+        await submit(plane, ENDLESS, "small")
+        await plane.clock.sleep(2 * SECOND)
+        view = await submit(plane, ENDLESS, "gang")
+        await plane.clock.sleep(10 * SECOND)
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+        jobs = await plane.find("d1").keeper.list_jobs("team", "", 10)
+        small = next(job for job in jobs if job.workload == "small")
+        await plane.find("d1").keeper.cancel_job(small.name)
+        await plane.clock.sleep(5 * SECOND)
+        self.assertEqual(len(plane.platform.runs.starts), 9)
+        self.assertEqual((await submit_read(plane, view)).state, JobState.RUNNING)
+
+    @virtual
+    async def test_gang_is_stopped_and_run_again_when_one_of_it_is_lost(self):
+        plane = await Plane(workers=3).start()
+        plane.declare("gang", type="gang", tasks=8)
+        view = await submit(plane, b'{"run_time": 30}', "gang")
+        await plane.clock.sleep(5 * SECOND)
+        victim = plane.platform.workers[plane.platform.runs.starts[0].worker]
+        victim.die()
+        victim.replace()
+        ended = await plane.wait_for_end(view.name, seconds=200)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertEqual(len(plane.platform.runs.starts), 16)
+        self.assertEqual(plane.platform.runs.overlaps, [])
+
+    @virtual
+    async def test_urgent_job_takes_the_room_of_a_checkpointed_one(self):
+        plane = await Plane(workers=1).start()
+        quota = {"processors": 2, "memory": 4000}
+        plane.configuration.declare(Kind.TEAM, "team", {"quota": quota})
+        plane.declare("low", "other", urgency="low", checkpoint=True, tasks=4)
+        plane.declare("urgent", urgency="urgent")
+        low = await plane.find("d1").keeper.submit_job(
+            Submission("low", "other", b'{"run_time": 20}')
+        )
+        await plane.clock.sleep(5 * SECOND)
+        urgent = await submit(plane, b'{"run_time": 1}', "urgent")
+        before = plane.clock.monotonic()
+        ended = await plane.wait_for_end(urgent.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertLess(plane.clock.monotonic() - before, 4.6 * SECOND)
+        ended = await plane.wait_for_end(low.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertTrue(any("preempted" in reason for reason in ended.reasons))
+        self.assertEqual(len(plane.platform.runs.starts), 6)
+        self.assertEqual(plane.platform.runs.overfills, [])
+
+    @virtual
+    async def test_non_idempotent_task_without_checkpoint_is_not_preempted(self):
+        plane = await Plane(workers=1).start()
+        plane.declare("low", urgency="low", idempotent=False, tasks=4)
+        plane.declare("urgent", urgency="urgent")
+        low = await submit(plane, b'{"run_time": 20}', "low")
+        await plane.clock.sleep(5 * SECOND)
+        await plane.registry.hand_over("worker/w1", "d2")
+        urgent = await submit(plane, b'{"run_time": 1}', "urgent")
+        self.assertEqual((await plane.wait_for_end(low.name)).state, "completed")
+        self.assertEqual((await plane.wait_for_end(urgent.name)).state, "completed")
+        self.assertEqual(len(plane.platform.runs.starts), 5)
+
+    @virtual
+    async def test_worker_that_fails_everything_gets_no_more_work(self):
+        plane = await Plane(daemons=1, workers=3).start()
+        plane.platform.workers["w2"].fails_everything = True
+        plane.declare("first")
+        plane.declare("second")
+        views = []
+        for index in range(30):
+            view = await submit(plane, workload=("first", "second")[index % 2], at="d1")
+            views.append(view)
+            await plane.clock.sleep(SECOND)
+        for view in views:
+            ended = await plane.wait_for_end(view.name)
+            self.assertEqual(ended.state, JobState.COMPLETED)
+        failed = [s for s in plane.platform.runs.starts if s.worker == "w2"]
+        self.assertLess(len(failed), 10)
+
+    @virtual
+    async def test_job_of_a_full_quota_waits_and_says_so(self):
+        plane = await Plane(workers=1).start()
+        quota = {"processors": 1, "memory": 1000}
+        plane.configuration.declare(Kind.TEAM, "team", {"quota": quota})
+        plane.configuration.declare(Kind.TEAM, "other", {"quota": {"processors": 3}})
+        plane.declare("batch", size={"processors": 1, "memory": 1000})
+        plane.declare("others", "other", size={"processors": 3})
+        await plane.find("d1").keeper.submit_job(Submission("others", "other", ENDLESS))
+        await submit(plane, ENDLESS)
+        await plane.clock.sleep(2 * SECOND)
+        view = await submit(plane, ENDLESS)
+        await plane.clock.sleep(2 * SECOND)
+        view = await submit_read(plane, view)
+        self.assertEqual(view.state, JobState.QUEUED)
+        self.assertTrue(any("quota" in reason for reason in view.reasons), view)
+
+    @virtual
+    async def test_job_that_no_worker_can_hold_any_more_is_told_then_refused(self):
+        plane = await Plane(workers=1).start()
+        large = plane.platform.add_worker("w9", "z1", Size(8000, 8000, 0))
+        await plane.clock.sleep(3 * SECOND)
+        plane.declare(size={"processors": 8, "memory": 1})
+        view = await submit(plane, RESULT)
+        plane.platform.remove(large.instance.name)
+        await plane.clock.sleep(10 * SECOND)
+        waiting = await submit_read(plane, view)
+        self.assertEqual(waiting.state, JobState.QUEUED)
+        self.assertTrue(any("millicores" in reason for reason in waiting.reasons))
+        ended = await plane.wait_for_end(view.name)
+        self.assertEqual((ended.state, ended.code), (JobState.REFUSED, "impossible"))
+
+
+class TestServices(unittest.TestCase):
+    """Declared services run by themselves, as many tasks as declared."""
+
+    @virtual
+    async def test_service_is_started_scaled_and_ended_as_declared(self):
+        plane = await Plane(workers=2).start()
+        plane.declare("web", type="service", tasks=2)
+        await plane.clock.sleep(3 * SECOND)
+        self.assertEqual(count_running(plane), 2)
+        plane.declare("web", type="service", tasks=3)
+        await plane.clock.sleep(10 * SECOND)
+        self.assertEqual(count_running(plane), 3)
+        plane.configuration.declare(Kind.WORKLOAD, "web", None)
+        await plane.clock.sleep(5 * SECOND)
+        self.assertEqual(count_running(plane), 0)
+
+    @virtual
+    async def test_lost_replica_is_replaced(self):
+        plane = await Plane(workers=2).start()
+        plane.declare("web", type="service", tasks=2)
+        await plane.clock.sleep(3 * SECOND)
+        plane.platform.remove(plane.platform.runs.starts[0].worker)
+        await plane.clock.sleep(90 * SECOND)
+        self.assertEqual(count_running(plane), 2)
+        self.assertEqual(plane.platform.runs.overlaps, [])
+
+
+class TestRetention(unittest.TestCase):
+    """Results are kept for a stated time, then forgotten in a stated way."""
+
+    @virtual
+    async def test_old_job_is_forgotten_and_its_key_is_not_run_again(self):
+        plane = await Plane().start()
+        plane.declare()
+        view = await submit(plane, key="k")
+        await plane.wait_for_end(view.name)
+        desk = plane.find("d1").keeper.desks["00"]
+        desk._retention._retention = 60 * SECOND
+        await plane.clock.sleep(150 * SECOND)
+        self.assertEqual((await submit_read(plane, view)).code, "forgotten")
+        self.assertEqual((await submit(plane, key="k")).code, "forgotten")
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+
+
+async def submit_read(plane, view):
+    """Read a job again."""
+    return await plane.find("d2").keeper.read_job(view.name)
+
+
+def count_running(plane):
+    """Count the tasks that run on all workers."""
+    return sum(len(worker.list_running()) for worker in plane.platform.workers.values())
