--- a/src/damaskdeck/coordination/index.py
+++ b/src/damaskdeck/coordination/index.py
@@ -16,6 +16,7 @@
 
 ANY_ZONE = ""
 _CELL_SAMPLE = 4
+_ROWS_AT_ONCE = 5
 _RACK_SAMPLE = 2
 _RACK_SCAN = 64
 # A group's next task is offered workers of so many zones.
@@ -59,21 +60,39 @@
             del self.columns[row]
             self.rows &= ~(1 << row)
 
-    def list_cells(self, row: int, column: int) -> list[tuple[int, int, int]]:
-        """List the tightest cell of each row from ``row`` on, tightest first."""
-        found = []
-        rows = self.rows >> row
+    def iterate_cells(
+        self, row: int, column: int, is_thorough: bool
+    ) -> Iterator[tuple[int, int]]:
+        """Yield cells from ``row`` and ``column`` on, the tightest of some rows first.
+
+        :param is_thorough: whether to yield all cells, not only those of a row up
+            to the first in which every worker has room.
+        """
+        rows = self.rows >> row << row
         while rows:
-            step = (rows & -rows).bit_length() - 1
-            rows &= rows - 1
-            columns = self.columns[row + step] >> column
-            while columns:
-                shift = (columns & -columns).bit_length() - 1
-                columns &= columns - 1
-                found.append((step + shift, row + step, column + shift))
-                if step and shift:
+            found = []
+            for _ in range(_ROWS_AT_ONCE):
+                low = rows & -rows
+                rows ^= low
+                found += self._list_row(low.bit_length() - 1, row, column, is_thorough)
+                if not rows:
                     break
-        found.sort()
+            found.sort()
+            for _, cell_row, cell_column in found:
+                yield cell_row, cell_column
+
+    def _list_row(
+        self, at: int, row: int, column: int, is_thorough: bool
+    ) -> list[tuple[int, int, int]]:
+        found = []
+        columns = self.columns[at] >> column << column
+        while columns:
+            low = columns & -columns
+            columns ^= low
+            cell_column = low.bit_length() - 1
+            found.append((at + cell_column, at, cell_column))
+            if at > row and cell_column > column and not is_thorough:
+                break
         return found
 
 
@@ -97,30 +116,29 @@
         limit: int,
         predicates: Sequence[Predicate] = (),
         mix_classes: bool = False,
-    ) -> Iterator[WorkerAccount]:
-        """Yield open workers that can hold ``need``, roughly the tightest first.
+    ) -> list[WorkerAccount]:
+        """List open workers that can hold ``need``, roughly the tightest first.
 
-        :param limit: the most workers to yield for each class.
+        :param limit: about how many workers to list of each class and zone.
         :param predicates: that workers must pass besides.
-        :param mix_classes: for needs without accelerators, offer workers that
+        :param mix_classes: for needs without accelerators, list workers that
             have some even when there are others.
         """
+        found: list[WorkerAccount] = []
         found_zones = 0
         for zone in self._list_zones(need):
             classes = self._grids.get(zone)
             if classes is None:
                 continue
-            found = False
+            before = len(found)
             for is_accelerated in (True,) if need.size[2] else (False, True):
-                accounts = self._search(classes[is_accelerated], need, predicates)
-                for account in islice(accounts, limit):
-                    found = True
-                    yield account
-                if found and not mix_classes:
+                found += self._search(classes[is_accelerated], need, limit, predicates)
+                if len(found) > before and not mix_classes:
                     break
-            found_zones += found
+            found_zones += len(found) > before
             if found_zones == _SPREAD_ZONES:
                 break
+        return found
 
     def name_lack(self, need: TaskNeed) -> str:
         """Name a dimension that all open workers allowed to ``need`` lack."""
@@ -168,42 +186,26 @@
         )
 
     def _search(
-        self, grids: dict[int, _Grid], need: TaskNeed, predicates: Sequence[Predicate]
-    ) -> Iterator[WorkerAccount]:
-        """Yield workers of one class; a group's from as many racks as possible."""
-        sample = None if need.group or predicates else _CELL_SAMPLE
-        found = self._search_cells(grids, need.size, sample)
-        for predicate in predicates:
-            found = filter(predicate, found)
-        return _limit_racks(found) if need.group else found
-
-    def _search_cells(
-        self, grids: dict[int, _Grid], size: Size, sample: int | None
-    ) -> Iterator[WorkerAccount]:
-        millicores, memory, accelerators = size
-        row, column = get_level(millicores), get_level(memory)
-        for count in sorted(grids):
-            if count < accelerators:
-                continue
-            grid = grids[count]
-            for _, cell_row, cell_column in grid.list_cells(row, column):
-                cell = grid.cells[cell_row, cell_column]
-                if cell_row > row and cell_column > column:
-                    yield from islice(cell.values(), sample)
-                    continue
-                for account in cell.values():
-                    free = account.free
-                    if millicores <= free[0] and memory <= free[1]:
-                        yield account
+        self,
+        grids: dict[int, _Grid],
+        need: TaskNeed,
+        limit: int,
+        predicates: Sequence[Predicate],
+    ) -> list[WorkerAccount]:
+        """List workers of one class; a group's from as many racks as possible."""
+        if not need.group:
+            return _search_cells(grids, need.size, limit, predicates, _CELL_SAMPLE)
+        found = _search_cells(grids, need.size, _RACK_SCAN, predicates, None)
+        return list(islice(_limit_racks(found), limit))
 
     def _update(self, account: WorkerAccount, is_present: bool) -> None:
         place = self._find_place(account) if is_present and not account.closed else None
         former = self._places.get(account.name)
         if place != former:
             self._move(account, former, place)
-        shape = (account.instance.zone, account.size) if is_present else None
-        if shape != self._shape_of.get(account.name):
-            self._change_shape(account.name, shape)
+        shape = self._shape_of.get(account.name)
+        if not is_present or shape != (account.instance.zone, account.size):
+            self._change_shape(account, is_present)
 
     def _find_place(self, account: WorkerAccount) -> _Place:
         millicores, memory, accelerators = account.free
@@ -233,20 +235,61 @@
                 grid.add(place.row, place.column, account)
             self._places[account.name] = place
 
-    def _change_shape(self, name: str, shape: tuple[str, Size] | None) -> None:
-        former = self._shape_of.pop(name, None)
+    def _change_shape(self, account: WorkerAccount, is_present: bool) -> None:
+        former = self._shape_of.pop(account.name, None)
         if former is not None:
             self._shapes[former] -= 1
             if not self._shapes[former]:
                 del self._shapes[former]
-        if shape is not None:
+        if is_present:
+            shape = (account.instance.zone, account.size)
             self._shapes[shape] = self._shapes.get(shape, 0) + 1
-            self._shape_of[name] = shape
+            self._shape_of[account.name] = shape
+
+
+def _search_cells(
+    grids: dict[int, _Grid],
+    size: Size,
+    limit: int,
+    predicates: Sequence[Predicate],
+    sample: int | None,
+) -> list[WorkerAccount]:
+    row, column = get_level(size[0]), get_level(size[1])
+    found: list[WorkerAccount] = []
+    for accelerators in sorted(grids):
+        if accelerators < size[2]:
+            continue
+        grid = grids[accelerators]
+        for cell in grid.iterate_cells(row, column, bool(predicates)):
+            accounts = grid.cells[cell].values()
+            is_inside = cell[0] > row and cell[1] > column
+            if is_inside and not predicates:
+                found += islice(accounts, sample)
+            else:
+                found += islice(_pick(accounts, size, predicates), sample)
+            if len(found) >= limit:
+                return found
+    return found
+
+
+def _pick(
+    accounts: Iterable[WorkerAccount], size: Size, predicates: Sequence[Predicate]
+) -> Iterator[WorkerAccount]:
+    millicores, memory, _ = size
+    for account in accounts:
+        free = account.free
+        if free[0] < millicores or free[1] < memory:
+            continue
+        for predicate in predicates:
+            if not predicate(account):
+                break
+        else:
+            yield account
 
 
-def _limit_racks(accounts: Iterator[WorkerAccount]) -> Iterator[WorkerAccount]:
+def _limit_racks(accounts: Iterable[WorkerAccount]) -> Iterator[WorkerAccount]:
     seen: dict[str, int] = {}
-    for account in islice(accounts, _RACK_SCAN):
+    for account in accounts:
         rack = account.instance.rack
         seen[rack] = seen.get(rack, 0) + 1
         if seen[rack] <= _RACK_SAMPLE:
--- a/src/damaskdeck/coordination/placement.py
+++ b/src/damaskdeck/coordination/placement.py
@@ -1,11 +1,11 @@
 """Placement: chooses a worker for a task among those this daemon owns."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from damaskdeck.coordination.filters import Prepare, find_refusal, list_filters
 from damaskdeck.coordination.index import WorkerIndex
-from damaskdeck.coordination.scores import prepare_scores, rate
+from damaskdeck.coordination.scores import prepare_measure, select_scores
 from damaskdeck.defaults import WEIGHTS
 from damaskdeck.metrics import count_refusal
 from damaskdeck.state.accounts import Accounts, NoRoom, TaskNeed, WorkerAccount
@@ -41,7 +41,12 @@
         self._index = WorkerIndex(accounts)
         self._filters = [item.prepare for item in list_filters() if not item.is_indexed]
         self._added: dict[str, Prepare] = {}
-        self.weights = dict(weights)
+        self.set_weights(weights)
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Score by other weights from now on."""
+        self._scores = select_scores(weights)
+        self._mix_classes = not weights.get("keep_accelerators")
 
     def add_filter(self, name: str, prepare: Prepare) -> None:
         """Add a filter of this placer only, as one that keeps claimed room."""
@@ -74,25 +79,18 @@
 
     def _choose(self, need: TaskNeed) -> Placed | None:
         candidates = self._list_candidates(need)
-        best = next(candidates, None)
-        if best is None:
+        if not candidates:
             return None
-        measures = prepare_scores(need, self._accounts, self.weights)
-        best_score = rate(best, measures)
-        for account in candidates:
-            value = rate(account, measures)
-            if value > best_score:
-                best, best_score = account, value
-        return Placed(best.name, best_score)
-
-    def _list_candidates(self, need: TaskNeed) -> Iterator[WorkerAccount]:
+        measure = prepare_measure(need, self._accounts, self._scores)
+        ratings = [measure(account) for account in candidates]
+        best = max(ratings)
+        return Placed(candidates[ratings.index(best)].name, best)
+
+    def _list_candidates(self, need: TaskNeed) -> list[WorkerAccount]:
         limit = _SPREAD_CANDIDATES if need.group else _CANDIDATES
-        predicates = [
-            prepare(need) for prepare in (*self._filters, *self._added.values())
-        ]
-        return self._index.find_candidates(
-            need,
-            limit,
-            [predicate for predicate in predicates if predicate is not None],
-            not self.weights.get("keep_accelerators"),
-        )
+        predicates = []
+        for prepare in (*self._filters, *self._added.values()):
+            predicate = prepare(need)
+            if predicate is not None:
+                predicates.append(predicate)
+        return self._index.find_candidates(need, limit, predicates, self._mix_classes)
--- a/src/damaskdeck/coordination/scores.py
+++ b/src/damaskdeck/coordination/scores.py
@@ -9,11 +9,11 @@
 Prepare = Callable[[TaskNeed, Accounts], Measure | None]
 
 
-class WeightedMeasure(NamedTuple):
-    """A score made ready for one need."""
+class WeightedScore(NamedTuple):
+    """A score with its weight in a policy."""
 
     weight: float
-    measure: Measure
+    prepare: Prepare
 
 
 _scores: dict[str, Prepare] = {}
@@ -39,27 +39,35 @@
     return tuple(_scores)
 
 
-def prepare_scores(
-    need: TaskNeed, accounts: Accounts, weights: Mapping[str, float]
-) -> list[WeightedMeasure]:
-    """Prepare the scores that have something to say about a need."""
-    prepared = []
-    for name, weight in weights.items():
-        prepare = _scores.get(name)
-        if prepare is None or not weight:
-            continue
-        measure = prepare(need, accounts)
-        if measure is not None:
-            prepared.append(WeightedMeasure(weight, measure))
-    return prepared
+def select_scores(weights: Mapping[str, float]) -> list[WeightedScore]:
+    """Select the scores that a policy gives a weight; unknown names are ignored."""
+    return [
+        WeightedScore(weight, _scores[name])
+        for name, weight in weights.items()
+        if weight and name in _scores
+    ]
 
 
-def rate(account: WorkerAccount, measures: Iterable[WeightedMeasure]) -> float:
-    """Add up the weighted measures of a worker."""
-    total = 0.0
-    for weight, measure in measures:
-        total += weight * measure(account)
-    return total
+def prepare_measure(
+    need: TaskNeed, accounts: Accounts, scores: Iterable[WeightedScore]
+) -> Measure:
+    """Prepare the weighted sum of the scores that speak about a need."""
+    measures = []
+    for weight, prepare in scores:
+        measure = prepare(need, accounts)
+        if measure is not None:
+            measures.append((weight, measure))
+    if len(measures) == 2:
+        (weight_a, a), (weight_b, b) = measures
+        return lambda account: weight_a * a(account) + weight_b * b(account)
+
+    def add_up(account: WorkerAccount) -> float:
+        total = 0.0
+        for weight, measure in measures:
+            total += weight * measure(account)
+        return total
+
+    return add_up
 
 
 @score("best_fit")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -106,6 +106,14 @@
         need = TaskNeed("t", Size(1000, 1000, 0), avoid=frozenset(NAMES))
         self.assertEqual(placer.place(need).worker, "fast")
 
+    def test_a_refused_cell_hides_no_looser_one(self):
+        accounts = Accounts()
+        placer = Placer(accounts)
+        accounts.set_worker(make_worker("tight", Size(8000, 4000, 0)))
+        accounts.set_worker(make_worker("loose", Size(8000, 64_000, 0)))
+        need = TaskNeed("t", Size(1000, 1000, 0), avoid=frozenset({"tight"}))
+        self.assertEqual(placer.place(need).worker, "loose")
+
     def test_impossible_names_the_dimension_that_fails(self):
         accounts = Accounts()
         placer = Placer(accounts)
