--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -1,12 +1,13 @@
 """Dispatch: takes waiting tasks in order and launches them where they fit."""
 
 import asyncio
-import heapq
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import Any
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.deferrals import Deferrals
+from damaskdeck.coordination.impossible import ImpossibleJobs
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.coordination.launches import Launcher, Pick
 from damaskdeck.coordination.needs import (
@@ -20,37 +21,17 @@
 from damaskdeck.coordination.queueing import JobQueue
 from damaskdeck.coordination.shapes import Shapes
 from damaskdeck.coordination.waiting import WaitingJob
-from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.sizes import Size
-from damaskdeck.state import records
-from damaskdeck.state.jobs import Job, Task, TaskState
+from damaskdeck.state.jobs import FINAL_TASK_STATES, Job, Task, TaskState
 
 PASS_INTERVAL = timedelta(milliseconds=20)
 IDLE_INTERVAL = timedelta(milliseconds=250)
 BATCH_LIMIT = 500
-BACKOFF = timedelta(seconds=1)
-BACKOFF_LIMIT = timedelta(seconds=60)
-PRESSED_AFTER = timedelta(seconds=5)
 REFUSED_PAUSE = timedelta(milliseconds=200)
 ROOM_PAUSE = timedelta(milliseconds=50)
-IMPOSSIBLE_LIMIT = timedelta(seconds=60)
 ON_WORKER = (TaskState.PLACED, TaskState.RUNNING)
 
-_log = get_logger("dispatch")
-
-
-class Impossible(NamedTuple):
-    """Since when no listed worker could ever hold a job, and what they lack."""
-
-    since: timedelta
-    lack: str
-
-    @property
-    def reason(self) -> str:
-        """Plain words for people."""
-        return f"no worker of the fleet has enough {self.lack}"
-
 
 class Dispatcher:
     """Keeps the queue of one kept ledger in step with its table, and empties it.
@@ -73,18 +54,14 @@
         self._owners = owners
         self._shapes = shapes
         self._watch = watch
-        self._judged: frozenset[str] | None = None
-        self._next_refusal = timedelta()
-        self._impossible: dict[str, Impossible] = {}
-        self._pauses: dict[str, timedelta] = {}
+        self._impossible = ImpossibleJobs(kept, shapes, clock)
+        self._deferrals = Deferrals(clock)
         self._launcher = launcher
         self._queue = queue
         self._clock = clock
         self._waiting: dict[str, dict[str, None]] = {}
         self._charged: dict[str, tuple[str, Size]] = {}
         self._launching: set[str] = set()
-        self._deferred: list[tuple[timedelta, str]] = []
-        self._deferrals: dict[str, tuple[int, timedelta]] = {}
         self._changed = asyncio.Event()
         self._launches: set[asyncio.Task[None]] = set()
         kept.on_change(self.follow)
@@ -116,9 +93,9 @@
 
     def explain(self, job: Job) -> tuple[str, ...]:
         """Tell in plain words why a job waits."""
-        found = self._impossible.get(job.name)
+        reason = self._impossible.find_reason(job.name)
         reasons = self._queue.describe(job.name)
-        return (*reasons, found.reason) if found else reasons
+        return (*reasons, reason) if reason else reasons
 
     # Keeping in step -------------------------------------------------------------
 
@@ -144,28 +121,17 @@
             waiting[name] = None
         else:
             waiting.pop(name, None)
+        if task is None or task.state in FINAL_TASK_STATES:
+            self._deferrals.forget(name)
+            self._owners.forget(name)
         return job
 
     def _is_waiting(self, task: Task) -> bool:
         if task.state is not TaskState.QUEUED or task.name in self._launching:
             return False
-        return not self._kept.table.jobs[task.job].stopping and not self._defer(task)
-
-    def _defer(self, task: Task) -> bool:
-        """Tell whether a task that failed or was refused must wait longer."""
-        now = self._clock.monotonic()
-        if self._pauses.get(task.name, now) > now:
-            return True
-        self._pauses.pop(task.name, None)
-        if not task.failures:
-            return False
-        failures, until = self._deferrals.get(task.name, (0, now))
-        if failures != task.failures:
-            delay = min(BACKOFF * 2 ** (task.failures - 1), BACKOFF_LIMIT)
-            until = now + delay
-            self._deferrals[task.name] = (task.failures, until)
-            heapq.heappush(self._deferred, (until, task.name))
-        return until > now
+        return not self._kept.table.jobs[
+            task.job
+        ].stopping and not self._deferrals.is_deferred(task)
 
     def _sync_queue(self, name: str) -> None:
         job = self._kept.table.jobs.get(name)
@@ -208,10 +174,12 @@
         await self._clock.sleep(IDLE_INTERVAL - PASS_INTERVAL)
 
     async def _place_all(self) -> None:
-        self._wake_deferred()
+        due = self._deferrals.take_due()
+        if due:
+            self.follow(due)
         if self._owners.refresh():
             self._queue.note_room(self._shapes.capacity)
-        await self._judge_impossible()
+        await self._impossible.judge(self._waiting)
         if not len(self._queue):
             return
         groups: dict[str, list[Pick]] = {}
@@ -220,8 +188,9 @@
             offer = turn.next()
             if offer is None:
                 break
-            if offer.name in self._impossible:
-                turn.skip(offer, self._impossible[offer.name].reason)
+            reason = self._impossible.find_reason(offer.name)
+            if reason is not None:
+                turn.skip(offer, reason)
             elif offer.gang:
                 self._try_gang(turn, offer)
             else:
@@ -229,14 +198,6 @@
         for picks in groups.values():
             self._start_launch(self._launcher.launch(picks), picks)
 
-    def _wake_deferred(self) -> None:
-        now = self._clock.monotonic()
-        due = []
-        while self._deferred and self._deferred[0][0] <= now:
-            due.append(heapq.heappop(self._deferred)[1])
-        if due:
-            self.follow(tuple(due))
-
     def _try_single(
         self, turn: Pass, offer: WaitingJob, groups: dict[str, list[Pick]]
     ) -> None:
@@ -246,7 +207,7 @@
         if owner is None:
             turn.fail(offer, "no worker has enough of it free")
             return
-        pick = Pick(owner, make_request(job, task, self._is_pressed(task)))
+        pick = Pick(owner, make_request(job, task, self._deferrals.is_pressed(task)))
         self._note_picks(offer, [pick])
         turn.take(offer)
         groups.setdefault(owner, []).append(pick)
@@ -263,11 +224,6 @@
         turn.take(offer)
         self._start_launch(self._launcher.launch_gang(picks, owners), picks)
 
-    def _is_pressed(self, task: Task) -> bool:
-        """Tell whether a task has waited long for a worker it hasn't failed on."""
-        _, until = self._deferrals.get(task.name, (0, timedelta()))
-        return self._clock.monotonic() - until >= PRESSED_AFTER
-
     def _note_picks(self, offer: WaitingJob, picks: list[Pick]) -> None:
         waiting = self._waiting[offer.name]
         for pick in picks:
@@ -309,43 +265,4 @@
         elif pick.owner:
             need = make_need(self._kept.table.jobs[task.job], task)
             self._owners.note_refused(pick.owner, need)
-        until = self._clock.monotonic() + delay
-        self._pauses[pick.task] = until
-        heapq.heappush(self._deferred, (until, pick.task))
-
-    # Jobs that can never run -----------------------------------------------------
-
-    async def _judge_impossible(self) -> None:
-        """Tell jobs that no listed worker can hold, and refuse them after a while.
-
-        A rack that is being replaced doesn't cost the jobs that wait for it.
-        """
-        now = self._clock.monotonic()
-        if self._judged is self._shapes.names and now < self._next_refusal:
-            return
-        self._judged = self._shapes.names
-        self._next_refusal = now + IMPOSSIBLE_LIMIT / 10
-        found: dict[str, Impossible] = {}
-        for name in self._waiting:
-            job = self._kept.table.jobs.get(name)
-            lack = self._shapes.find_impossible(job.spec) if job else None
-            if lack is not None:
-                known = self._impossible.get(name)
-                found[name] = Impossible(known.since if known else now, lack)
-        self._impossible = found
-        late = [n for n, i in found.items() if now - i.since >= IMPOSSIBLE_LIMIT]
-        await self._refuse_all(late)
-
-    async def _refuse_all(self, names: list[str]) -> None:
-        changes: list[tuple[object, type]] = []
-        for name in names:
-            _log.info("A job can never run.", job=name)
-            refused = records.RefusedJobs(
-                jobs=[name],
-                code="impossible",
-                detail=self._impossible[name].reason,
-                at=self._kept.get_time(),
-            )
-            changes.append((refused, records.RefusedJobs))
-        if changes:
-            await self._kept.commit(*changes)
+        self._deferrals.pause(pick.task, delay)
--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/owners.py
@@ -1,7 +1,6 @@
 """A keeper's choice of the owners of workers to ask for room."""
 
 import random
-from collections.abc import Iterable
 from datetime import timedelta
 
 import msgspec
@@ -81,10 +80,9 @@
         """Note that an owner makes room for a task; it is asked again."""
         self._rooms[task] = (owner, self._clock.monotonic() + ROOM_LIFE)
 
-    def forget(self, tasks: Iterable[str]) -> None:
-        """Forget tasks that need no room any more."""
-        for task in tasks:
-            self._rooms.pop(task, None)
+    def forget(self, task: str) -> None:
+        """Forget a task that needs no room any more."""
+        self._rooms.pop(task, None)
 
     def _choose_preemptible(self, need: TaskNeed) -> str | None:
         views = self._list_preemptible(need)
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -79,6 +79,7 @@
         self._bound = compute_takeover_bound(lease)
         self._gained = clock.monotonic()
         self._is_doubtful = False
+        self._is_deposed = False
         self._forgotten: set[str] = set()
         self._sequence = 0
         self._orders: asyncio.Queue[Order] = asyncio.Queue()
@@ -205,6 +206,7 @@
     ) -> bool:
         if not isinstance(found, Inventory):
             count_retry("workers", found.code)
+            self._note_rejected(found.code)
             return False
         if found.sequence < self._sequence:
             self._set_doubtful(True)
@@ -235,8 +237,14 @@
         self.roster.note_sent(hosted)
         self._orders.put_nowait(lambda: self._send_start(hosted))
 
+    def _note_rejected(self, code: str) -> None:
+        """Place no more on a worker that has seen a newer owner than this one."""
+        if code == "stale_epoch":
+            self._is_deposed = True
+            self._accounts.close_worker(self.worker.name, code)
+
     def _set_doubtful(self, is_doubtful: bool) -> None:
-        if is_doubtful != self._is_doubtful:
+        if is_doubtful != self._is_doubtful and not self._is_deposed:
             self._is_doubtful = is_doubtful
             code = "unreachable" if is_doubtful else ""
             self._accounts.close_worker(self.worker.name, code)
@@ -269,6 +277,7 @@
         if isinstance(answer, Accepted):
             self.roster.absorb(answer.report)
         elif isinstance(answer, Rejected) and not hosted.is_repeat:
+            self._note_rejected(answer.code)
             self.roster.note(hosted, "unstarted", code=answer.code)
         else:
             count_retry("workers", "start_lost")
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -130,6 +130,15 @@
         await self.sleep(1)
         self.check_runs(1)
 
+    @virtual
+    async def test_deposed_owner_places_no_more_once_the_worker_refused_it(self):
+        await self.start(ENDLESS)
+        await self.sleep(2)
+        await self.plane.registry.usurp("worker/w1", "d1")
+        await self.sleep(10)
+        reply = await self.reserve("d2", 10)
+        self.assertEqual(reply["refused"][0]["code"], "no_room")
+
     @virtual
     async def test_start_bound_to_an_old_epoch_is_refused_by_the_new_owner(self):
         await self.start(ENDLESS)
