--- a/src/damaskdeck/state/compaction.py
+++ b/src/damaskdeck/state/compaction.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
-from damaskdeck.clock import Clock
 from damaskdeck.logs import get_logger
-from damaskdeck.protocol.ports import Lost, Rejected, Store, Written
+from damaskdeck.protocol.ports import Lost, Rejected, Written
+from damaskdeck.state.backing import Backing
 from damaskdeck.state.log import Deposed, Log
 from damaskdeck.state.pace import Pace
-from damaskdeck.state.segments import Keys, decode_head, encode, split_records
+from damaskdeck.state.segments import decode_head, encode, split_records
 from damaskdeck.state.writes import Backoff, Clash, Write, write_once
 
 COMPACTION_INTERVAL = timedelta(milliseconds=100)
@@ -28,31 +28,23 @@
     died in between is removed by the next, once its epoch stands in the head.
 
     :param leftovers: keys of parts that no head names.
-    :param value_limit: bytes of the largest value that the store takes.
     """
 
     def __init__(
         self,
-        store: Store,
-        clock: Clock,
-        keys: Keys,
+        backing: Backing,
         log: Log,
         take_snapshot: Callable[[], tuple[bytes, ...]],
         leftovers: tuple[str, ...],
-        value_limit: int,
-        identify: Callable[[], str],
     ) -> None:
-        self._store = store
-        self._clock = clock
-        self._keys = keys
+        self._backing = backing
+        self._keys = backing.keys
         self._ledger_log = log
         self._take_snapshot = take_snapshot
         self._leftovers = list(leftovers)
         self._written: list[str] = []
-        self._value_limit = value_limit
-        self._identify = identify
         self._large = log.list_large(LARGE_SLOT)
-        self._pace = Pace(clock, COMPACTION_INTERVAL)
+        self._pace = Pace(backing.clock, COMPACTION_INTERVAL)
         self.snapshot_size = 0
 
     @property
@@ -62,7 +54,7 @@
 
     async def run(self, is_due: Callable[[], bool]) -> None:
         """Compact while it is due, then remove what is left over."""
-        backoff = Backoff(self._clock)
+        backoff = Backoff(self._backing.clock)
         while self._ledger_log.deposed is None:
             outcome = await self._remove_leftovers()
             if outcome is None and is_due():
@@ -77,8 +69,8 @@
 
     async def _compact(self) -> Written | Deposed | Rejected | Lost:
         base = self._ledger_log.closed
-        parts = list(split_records(self._take_snapshot(), self._value_limit))
-        name = f"{base:012d}-{self._identify()}"
+        parts = list(split_records(self._take_snapshot(), self._backing.value_limit))
+        name = f"{base:012d}-{self._backing.identify()}"
         values = [encode(part) for part in parts]
         self.snapshot_size = sum(len(value) for value in values)
         outcome = await self._write_parts(name, values)
@@ -96,7 +88,7 @@
             await self._pace.wait()
             key = self._keys.part(name, number)
             write = Write(key, value, 0, value.__eq__)
-            outcome = await write_once(self._store, self._clock, write)
+            outcome = await write_once(self._backing, write)
             if not isinstance(outcome, Written):
                 return outcome
             self._written.append(key)
@@ -110,7 +102,7 @@
         old = log.head
         head = msgspec.structs.replace(
             old,
-            identifier=self._identify(),
+            identifier=self._backing.identify(),
             base=base,
             snapshot=name,
             parts=parts,
@@ -120,7 +112,7 @@
             self._keys.head, encode(head), log.head_revision, head.is_stored_in
         )
         await self._pace.wait()
-        outcome = await write_once(self._store, self._clock, write)
+        outcome = await write_once(self._backing, write)
         if isinstance(outcome, Clash):
             return log.depose(decode_head(outcome.current.value).epoch)
         if isinstance(outcome, Written):
@@ -132,7 +124,7 @@
     async def _remove_leftovers(self) -> Rejected | Lost | None:
         while self._leftovers:
             await self._pace.wait()
-            outcome = await self._store.delete(self._leftovers[-1], None)
+            outcome = await self._backing.store.delete(self._leftovers[-1], None)
             if isinstance(outcome, Rejected | Lost):
                 return outcome
             self._leftovers.pop()
--- a/src/damaskdeck/state/log.py
+++ b/src/damaskdeck/state/log.py
@@ -5,14 +5,13 @@
 
 import msgspec
 
-from damaskdeck.clock import Clock
 from damaskdeck.errors import InvariantError
 from damaskdeck.logs import get_logger
-from damaskdeck.protocol.ports import Found, Lost, Rejected, Store, Written
+from damaskdeck.protocol.ports import Found, Lost, Rejected, Written
+from damaskdeck.state.backing import Backing
 from damaskdeck.state.images import Image
 from damaskdeck.state.segments import (
     Head,
-    Keys,
     Segment,
     decode_segment,
     encode,
@@ -48,22 +47,11 @@
 
     :param image: what the ledger held when it was opened.
     :param epoch: of this keeper.
-    :param value_limit: bytes of the largest value that the store takes.
-    :param identify: returns a new unique identifier for a write.
 
     ``size`` counts the bytes of the segments that the snapshot doesn't cover.
     """
 
-    def __init__(
-        self,
-        store: Store,
-        clock: Clock,
-        keys: Keys,
-        image: Image,
-        epoch: int,
-        value_limit: int,
-        identify: Callable[[], str],
-    ) -> None:
+    def __init__(self, backing: Backing, image: Image, epoch: int) -> None:
         self.epoch = epoch
         self.head = image.head
         self.head_revision = image.head_revision
@@ -72,11 +60,8 @@
         self.deposed: Deposed | None = None
         self.revisions = dict(image.revisions)
         self.sizes = dict(image.sizes)
-        self._store = store
-        self._clock = clock
-        self._keys = keys
-        self._value_limit = value_limit
-        self._identify = identify
+        self._backing = backing
+        self._keys = backing.keys
         self.size = self._measure()
 
     @property
@@ -97,14 +82,14 @@
         May race with an append to the same slot, and its answer may be lost:
         the append then finds an old segment in its way and takes its revision.
         """
-        found = await self._store.get(key)
+        found = await self._backing.store.get(key)
         if not isinstance(found, Found):
             return found
         segment = decode_segment(found.entry.value)
         if segment.sequence > self.head.base:
             return Clash(found.entry, False)
         value = encode(msgspec.structs.replace(segment, records=()))
-        answer = await self._store.put(key, value, found.entry.revision)
+        answer = await self._backing.store.put(key, value, found.entry.revision)
         if isinstance(answer, Written) and self.revisions[key] < answer.revision:
             self.revisions[key] = answer.revision
             self.sizes[key] = len(value)
@@ -131,7 +116,7 @@
         :param is_wanted: asked before a later segment of a group is tried again.
         :returns: ``Rejected`` and ``Deposed`` only if the group never counts.
         """
-        runs = list(split_records(records, self._value_limit))
+        runs = list(split_records(records, self._backing.value_limit))
         if len(runs) > self.head.slots // LARGEST_SHARE:
             return Rejected("value_too_large", "the records need too many segments")
         for number, run in enumerate(runs):
@@ -150,7 +135,7 @@
         closes: bool,
         is_wanted: Callable[[], bool],
     ) -> Appended | Deposed | Rejected | Lost:
-        backoff = Backoff(self._clock)
+        backoff = Backoff(self._backing.clock)
         while True:
             if self.length >= self.head.slots - self.head.slots // RESERVED_SHARE:
                 return Rejected("ledger_full")
@@ -166,14 +151,14 @@
     ) -> Appended | Deposed | Rejected | Lost:
         """Write one segment after the last one."""
         segment = Segment(
-            self.epoch, self.last + 1, self._identify(), opens, closes, records
+            self.epoch, self.last + 1, self._backing.identify(), opens, closes, records
         )
         key = self._keys.slot(segment.sequence, self.head.slots)
         value = encode(segment)
         while True:
             expected = self.revisions.get(key, 0)
             write = Write(key, value, expected, segment.is_stored_in)
-            outcome = await write_once(self._store, self._clock, write)
+            outcome = await write_once(self._backing, write)
             if isinstance(outcome, Written):
                 self.last = segment.sequence
                 self.revisions[key] = outcome.revision
--- a/src/damaskdeck/state/opening.py
+++ b/src/damaskdeck/state/opening.py
@@ -1,16 +1,14 @@
 """Taking over a ledger: fence off older keepers, then read what they wrote."""
 
-from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 
-from damaskdeck.clock import Clock
-from damaskdeck.protocol.ports import Listing, Lost, Rejected, Store, Written
+from damaskdeck.protocol.ports import Listing, Lost, Rejected, Written
+from damaskdeck.state.backing import Backing
 from damaskdeck.state.images import Image, read_image
 from damaskdeck.state.segments import (
     Head,
-    Keys,
     Segment,
     decode_segment,
     encode,
@@ -32,28 +30,16 @@
 
     :param slots: how many keys the log gets if the ledger is new.
     :param until: monotonic time at which the try is given up.
-    :param value_limit: bytes of the largest value that the store takes.
     """
 
     def __init__(
-        self,
-        store: Store,
-        clock: Clock,
-        keys: Keys,
-        slots: int,
-        epoch: int,
-        until: timedelta,
-        value_limit: int,
-        identify: Callable[[], str],
+        self, backing: Backing, slots: int, epoch: int, until: timedelta
     ) -> None:
-        self._store = store
-        self._clock = clock
-        self._keys = keys
+        self._backing = backing
+        self._keys = backing.keys
         self._slots = slots
         self._epoch = epoch
         self._until = until
-        self._value_limit = value_limit
-        self._identify = identify
 
     async def run(self) -> Image | Rejected | Lost:
         """Fence and read; the image is all that older keepers ever committed."""
@@ -72,18 +58,18 @@
         return Rejected("ledger_contended", "another keeper goes on writing")
 
     async def _read(self) -> Image | Rejected | Lost:
-        backoff = Backoff(self._clock)
+        backoff = Backoff(self._backing.clock)
         while True:
-            listing = await self._store.list(self._keys.prefix)
+            listing = await self._backing.store.list(self._keys.prefix)
             if isinstance(listing, Listing):
                 return read_image(self._keys, listing, self._slots)
-            if self._clock.monotonic() >= self._until:
+            if self._backing.clock.monotonic() >= self._until:
                 return Rejected("store_unavailable", listing.code)
             await backoff.wait(listing.code)
 
     async def _fence_head(self, image: Image) -> Image | Clash | Rejected | Lost:
         head = msgspec.structs.replace(
-            image.head, epoch=self._epoch, identifier=self._identify()
+            image.head, epoch=self._epoch, identifier=self._backing.identify()
         )
         outcome = await self._write(self._keys.head, head, image.head_revision)
         if isinstance(outcome, Written):
@@ -102,17 +88,17 @@
         covered = [s for s in image.segments if s.sequence <= last]
         moved = (*image.moved, *join_groups(covered))
         runs = [
-            list(split_records(records, self._value_limit))
+            list(split_records(records, self._backing.value_limit))
             for records in (image.snapshot, moved)
         ]
-        name = f"{last:012d}-{self._identify()}"
+        name = f"{last:012d}-{self._backing.identify()}"
         for number, run in enumerate(runs[0] + runs[1]):
             outcome = await self._write(self._keys.part(name, number), run, 0)
             if not isinstance(outcome, Written):
                 return outcome
         head = msgspec.structs.replace(
             image.head,
-            identifier=self._identify(),
+            identifier=self._backing.identify(),
             base=last,
             snapshot=name,
             parts=len(runs[0]) + len(runs[1]),
@@ -133,7 +119,7 @@
         for _ in range(RACE_LIMIT):
             if len(image.segments) >= image.head.slots:
                 return Rejected("ledger_contended", "no slot is left")
-            segment = Segment(self._epoch, image.last + 1, self._identify())
+            segment = Segment(self._epoch, image.last + 1, self._backing.identify())
             key = self._keys.slot(segment.sequence, image.head.slots)
             expected = image.revisions.get(key, 0)
             outcome = await self._write(key, segment, expected)
@@ -153,11 +139,11 @@
         encoded = encode(value)
         is_own = encoded.__eq__ if isinstance(value, tuple) else value.is_stored_in
         write = Write(key, encoded, expected, is_own)
-        backoff = Backoff(self._clock)
+        backoff = Backoff(self._backing.clock)
         while True:
-            outcome = await write_once(self._store, self._clock, write, self._until)
+            outcome = await write_once(self._backing, write, self._until)
             if not isinstance(outcome, Rejected) or outcome.code == "store_full":
                 return outcome
-            if self._clock.monotonic() >= self._until:
+            if self._backing.clock.monotonic() >= self._until:
                 return Rejected("store_unavailable", outcome.code)
             await backoff.wait(outcome.code)
--- a/src/damaskdeck/state/writes.py
+++ b/src/damaskdeck/state/writes.py
@@ -15,6 +15,7 @@
     Store,
     Written,
 )
+from damaskdeck.state.backing import Backing
 
 FIRST_BACKOFF = timedelta(milliseconds=50)
 LAST_BACKOFF = timedelta(seconds=1)
@@ -59,7 +60,7 @@
 
 
 async def write_once(
-    store: Store, clock: Clock, write: Write, until: timedelta | None = None
+    backing: Backing, write: Write, until: timedelta | None = None
 ) -> Written | Clash | Rejected | Lost:
     """Write and find out what became of it.
 
@@ -71,6 +72,7 @@
         ``Lost``; never, if ``None``.
     :returns: ``Rejected`` only if the write is proved to have no effect.
     """
+    store, clock = backing.store, backing.clock
     backoff = Backoff(clock)
     answer = await store.put(write.key, write.value, write.expected)
     if isinstance(answer, Rejected):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -692,6 +692,16 @@
             self.assertEqual(bench.states[ledger], expected)
         self.assertEqual(await bench.replay(), expected)
 
+    async def test_a_fault_of_the_state_reaches_every_caller(self):
+        bench = self.make_bench()
+        ledger = await bench.open(1)
+        ledger._apply = lambda records: bytes(records[0], "none")
+        calls = [bench.start(ledger.commit((b"%d" % n,))) for n in range(2)]
+        await bench.clock.advance(SECOND)
+        calls.append(bench.start(ledger.commit((b"later",))))
+        await settle()
+        self.assertEqual([type(call.exception()) for call in calls], [TypeError] * 3)
+
     async def test_a_key_lost_by_the_store_is_a_broken_invariant(self):
         for lost, count in (("log/00002", 4), ("snapshot/", SLOTS)):
             bench = self.make_bench()
