Bound the watches of a daemon and tell when one breaks

Watches were unbounded; one whose reading failed ended as if all were well, silently; a daemon without a configuration refused jobs of workloads that it could not know (404), it says now that it isn't ready (503).

--- a/src/damaskdeck/transport/api/app.py
+++ b/src/damaskdeck/transport/api/app.py
@@ -38,6 +38,7 @@
     is_ready: Callable[[], bool] | None = None,
     body_limit: int = defaults.BODY_LIMIT,
     request_timeout: timedelta = defaults.REQUEST_TIMEOUT,
+    watch_limit: int = defaults.WATCH_LIMIT,
 ) -> Starlette:
     """Build the application.
 
@@ -46,6 +47,7 @@
         readiness unless given.
     :param body_limit: longest body, in bytes.
     :param request_timeout: of requests that don't carry one.
+    :param watch_limit: watches that run at a time.
     """
     status.install_exporter()
     context = Context(
@@ -65,6 +67,7 @@
         body_limit=body_limit,
         request_timeout=request_timeout,
         stopping=asyncio.Event(),
+        watch_slots=asyncio.Semaphore(watch_limit),
     )
     app = Starlette(
         routes=[_make_route(entry, context) for entry in ROUTES],
--- a/src/damaskdeck/transport/api/callers.py
+++ b/src/damaskdeck/transport/api/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import uuid
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncGenerator, Coroutine
 from datetime import timedelta
 from typing import Any, TypeVar
 
@@ -28,7 +28,7 @@
 )
 from damaskdeck.transport.api.credentials import Role
 from damaskdeck.transport.api.problems import ProblemError, make_problem
-from damaskdeck.transport.api.routes import Call, route
+from damaskdeck.transport.api.routes import Call, require_loaded, route
 from damaskdeck.transport.api.streams import LineStream
 
 KEY_LIMIT = 128
@@ -80,6 +80,7 @@
 )
 async def submit_job(call: Call) -> Response:
     """Submit a job of a workload."""
+    require_loaded(call)
     name = call.path("name")
     workload = call.context.configuration.get(Kind.WORKLOAD, name)
     if workload is None:
@@ -127,7 +128,7 @@
     view = await _read_job(call)
     if read_flag(call, "watch"):
         lines = _watch_job(call, view, read_number(call, "revision", -1))
-        return LineStream(lines, call.context.stopping)
+        return LineStream(lines, call.context)
     return render_resource(describe_job(view))
 
 
@@ -173,7 +174,7 @@
 
 async def _watch_job(
     call: Call, view: JobView, after: int
-) -> AsyncIterator[dict[str, Any]]:
+) -> AsyncGenerator[dict[str, Any], None]:
     context, shown, poll = call.context, None, SHORTEST_POLL
     while True:
         if view != shown and (view.revision > after or shown is not None):
--- a/src/damaskdeck/transport/api/observed.py
+++ b/src/damaskdeck/transport/api/observed.py
@@ -52,7 +52,7 @@
 def _watch(call: Call, kind: Kind, name: str = "") -> LineStream:
     context, select = call.context, read_selector(call)
     lines = list_changes(context.pollers[kind], context.clock, select, name)
-    return LineStream(lines, context.stopping)
+    return LineStream(lines, context)
 
 
 for _plural, _kind in PLURALS.items():
--- a/src/damaskdeck/transport/api/polls.py
+++ b/src/damaskdeck/transport/api/polls.py
@@ -1,7 +1,7 @@
 """Watches of observed resources, by reading them again and again for all watchers."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncGenerator, Callable, Mapping
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -66,7 +66,7 @@
 
 async def list_changes(
     poller: Poller, clock: Clock, select: Selector, name: str = ""
-) -> AsyncIterator[dict[str, Any]]:
+) -> AsyncGenerator[dict[str, Any], None]:
     """Yield what there is and then what changes, as lines of a watch.
 
     A bookmark tells that everything read so far was sent; there is nothing to
--- a/src/damaskdeck/transport/api/problems.py
+++ b/src/damaskdeck/transport/api/problems.py
@@ -43,6 +43,7 @@
     "precondition_failed": Code(412, "The revision is another one"),
     "invalid_resource": Code(422, "The resource has faults"),
     "too_old": Code(410, "The revision is too old, list again"),
+    "too_many_watches": Code(429, "Too many watches run"),
     "slow_reader": Code(410, "Read too slowly, watch again"),
     "store_unavailable": Code(503, "The store can't be reached"),
     "store_busy": Code(503, "The store refused the call"),
--- a/src/damaskdeck/transport/api/resources.py
+++ b/src/damaskdeck/transport/api/resources.py
@@ -23,7 +23,7 @@
 )
 from damaskdeck.transport.api.credentials import Role
 from damaskdeck.transport.api.problems import ProblemError, make_problem
-from damaskdeck.transport.api.routes import Call, route
+from damaskdeck.transport.api.routes import Call, require_loaded, route
 from damaskdeck.transport.api.streams import watch_configuration
 
 PLURALS = {
@@ -72,7 +72,7 @@
 def list_declared(call: Call, kind: Kind) -> Response:
     """List or watch the resources of a kind."""
     configuration = call.context.configuration
-    _require_loaded(call)
+    require_loaded(call)
     if read_flag(call, "watch"):
         after = read_number(call, "revision", configuration.revision)
         return watch_configuration(call.context, kind, after, read_selector(call))
@@ -81,7 +81,7 @@
 
 def get_declared(call: Call, kind: Kind) -> Response:
     """Read or watch a resource."""
-    _require_loaded(call)
+    require_loaded(call)
     name = call.path("name")
     if read_flag(call, "watch"):
         after = read_number(call, "revision", call.context.configuration.revision)
@@ -92,7 +92,7 @@
 
 async def put_declared(call: Call, kind: Kind) -> Response:
     """Create or replace a resource."""
-    _require_loaded(call)
+    require_loaded(call)
     resource = await call.read_json()
     expected = _read_condition(call)
     if expected is None:
@@ -108,7 +108,7 @@
     Without ``If-Match`` the patch is applied again when another write came
     first.
     """
-    _require_loaded(call)
+    require_loaded(call)
     if call.header("content-type").partition(";")[0].strip() != PATCH_TYPE:
         raise ProblemError("unsupported_media_type", f"must be {PATCH_TYPE}")
     name, patch = call.path("name"), await call.read_json()
@@ -126,7 +126,7 @@
 
 async def delete_declared(call: Call, kind: Kind) -> Response:
     """Delete a resource."""
-    _require_loaded(call)
+    require_loaded(call)
     name = call.path("name")
     done = await call.context.relay.delete(kind, name, _read_condition(call))
     return _render_written(call, done)
@@ -152,11 +152,6 @@
     return resource
 
 
-def _require_loaded(call: Call) -> None:
-    if not call.context.relay.is_ready:
-        raise ProblemError("not_ready", "the configuration hasn't come yet")
-
-
 def _read_condition(call: Call) -> int | None:
     """Return the revision that the call expects, 0 for none, ``None`` for any."""
     if call.header("if-none-match"):
--- a/src/damaskdeck/transport/api/routes.py
+++ b/src/damaskdeck/transport/api/routes.py
@@ -31,6 +31,7 @@
     :param pollers: by observed kind, for its watchers.
     :param read_status: further members of ``GET /v1/status``.
     :param is_ready: whether the balancer may send calls here.
+    :param watch_slots: one is held by each running watch.
     :param stopping: set once the server is about to stop.
     """
 
@@ -47,6 +48,7 @@
     body_limit: int
     request_timeout: timedelta
     stopping: asyncio.Event
+    watch_slots: asyncio.Semaphore
 
 
 class Call(NamedTuple):
@@ -145,6 +147,12 @@
     return register
 
 
+def require_loaded(call: Call) -> None:
+    """Refuse a call that this daemon can't judge yet."""
+    if not call.context.relay.is_ready:
+        raise ProblemError("not_ready", "the configuration hasn't come yet")
+
+
 async def serve_call(entry: Route, context: Context, request: Request) -> Response:
     """Check the credential, run the endpoint and render its problems."""
     try:
--- a/src/damaskdeck/transport/api/server.py
+++ b/src/damaskdeck/transport/api/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import Iterator
 from datetime import timedelta
@@ -14,6 +15,8 @@
 
 TICK_SECONDS = 1
 
+logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+
 
 class _Server(uvicorn.Server):
     def __init__(self, config: uvicorn.Config) -> None:
--- a/src/damaskdeck/transport/api/streams.py
+++ b/src/damaskdeck/transport/api/streams.py
@@ -1,7 +1,8 @@
 """Watches: JSON lines until the caller leaves, lags or the server stops."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from datetime import timedelta
 from typing import Any
 
@@ -18,6 +19,7 @@
 from damaskdeck.transport.api.routes import Context
 
 BOOKMARK_INTERVAL = timedelta(seconds=10)
+RETRY_AFTER = timedelta(seconds=5)
 SEND_LIMIT_SECONDS = 15
 LINES_TYPE = "application/x-ndjson"
 
@@ -28,19 +30,30 @@
     """Sends JSON lines; a caller that takes none for long is dropped.
 
     :param lines: the documents to send.
-    :param stopping: set once the server is about to stop; ends the stream.
+    :raises ProblemError: ``too_many_watches`` when all slots are taken.
     """
 
     media_type = LINES_TYPE
 
-    def __init__(self, lines: AsyncIterator[Any], stopping: asyncio.Event) -> None:
+    def __init__(self, lines: AsyncGenerator[Any, None], context: Context) -> None:
+        if context.watch_slots.locked():
+            raise ProblemError("too_many_watches", retry_after=RETRY_AFTER)
         super().__init__()
         del self.headers["content-length"]
         self._lines = lines
-        self._stopping = stopping
+        self._slots = context.watch_slots
+        self._stopping = context.stopping
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Send until one of the ends is reached."""
+        async with self._slots, aclosing(self._lines):
+            start = {"type": "http.response.start", "status": self.status_code}
+            await send({**start, "headers": self.raw_headers})
+            if await self._run(receive, send):
+                await self._end(send)
+
+    async def _run(self, receive: Receive, send: Send) -> bool:
+        """Send the lines; return whether the stream has come to a proper end."""
         tasks = [
             asyncio.ensure_future(work)
             for work in (
@@ -56,12 +69,11 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
         lines, gone, _ = tasks
-        if gone.cancelled() and (lines.cancelled() or lines.exception() is None):
-            await self._end(send)
+        if not gone.cancelled():
+            return False
+        return lines.cancelled() or lines.result()
 
-    async def _send_lines(self, send: Send) -> None:
-        start = {"type": "http.response.start", "status": self.status_code}
-        await send({**start, "headers": self.raw_headers})
+    async def _send_lines(self, send: Send) -> bool:
         try:
             async for line in self._lines:
                 body = msgspec.json.encode(line) + b"\n"
@@ -70,7 +82,11 @@
         except TimeoutError:
             _log.info("A watcher took nothing for long and was dropped.")
             count_drop("api", "slow_reader")
-            raise
+            return False
+        except Exception as error:
+            _log.error("A watch failed.", error=repr(error))
+            return False
+        return True
 
     async def _end(self, send: Send) -> None:
         try:
@@ -101,12 +117,12 @@
         raise ProblemError("too_old", oldest=found.oldest, revision=history.revision)
     reader = Reader(history, after, context.clock)
     lines = _list_lines(reader, kind, select, name)
-    return LineStream(lines, context.stopping)
+    return LineStream(lines, context)
 
 
 async def _list_lines(
     reader: Reader, kind: Kind, select: Selector, name: str
-) -> AsyncIterator[dict[str, Any]]:
+) -> AsyncGenerator[dict[str, Any], None]:
     yield _bookmark(reader.revision)
     while True:
         found = await reader.read(BOOKMARK_INTERVAL)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -19,7 +19,7 @@
 from damaskdeck.protocol.resources import Kind, Resource, Urgency
 from damaskdeck.state.versions import encode_resource
 from damaskdeck.state.watches import Changes
-from damaskdeck.transport.api import streams
+from damaskdeck.transport.api import routes, streams
 from damaskdeck.transport.api.app import build_app
 from damaskdeck.transport.api.credentials import Credentials, Role
 from damaskdeck.transport.api.openapi import describe_api
@@ -133,6 +133,7 @@
             ),
             self.cluster.clock,
             body_limit=10_000,
+            watch_limit=2,
         )
         self.server = ApiServer(self.app, "127.0.0.1", 0, timedelta(seconds=5))
         await self.server.start()
@@ -439,6 +440,26 @@
                 await stream({}, self.wait_forever, send)
         self.assertFalse([m for m in sent if not m.get("more_body", True)])
 
+    async def test_only_so_many_watches_run_and_each_that_ends_makes_room(self):
+        await self.declare()
+        path = "/v1/teams?watch=true"
+        slots = self.find_context().watch_slots
+        for _ in range(2):
+            async with self.watch(path) as first, self.watch(path) as second:
+                self.assertEqual((await first.next())["type"], "BOOKMARK")
+                self.assertEqual((await second.next())["type"], "BOOKMARK")
+                await self.assert_problem("GET", path, 429, "too_many_watches")
+            await self.wait_until(lambda: slots._value == 2)
+
+    async def test_a_watch_that_breaks_is_not_ended_as_if_all_were_well(self):
+        await self.declare()
+        self.resources.refusal = 1
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.session.get(
+                "/v1/workers?watch=true", headers=OPERATOR
+            ) as answer:
+                await answer.read()
+
     async def test_a_job_is_watched_until_its_end(self):
         await self.declare()
         await self.call("POST", "/v1/workloads/tiles/jobs", b"", **TEAM)
@@ -641,6 +662,11 @@
         _, listed, _ = await self.call("GET", "/v1/jobs?team=maps", **OTHER)
         self.assertEqual(listed["items"], [])
 
+    async def test_a_daemon_that_is_not_ready_does_not_judge_workloads(self):
+        self.daemon.relay._is_ready = False
+        path = "/v1/workloads/tiles/jobs"
+        await self.assert_problem("POST", path, 503, "not_ready", body=b"", **TEAM)
+
     async def test_a_job_that_is_refused_or_unknown_is_told_so(self):
         await self.declare()
         jobs = "/v1/workloads/tiles/jobs"
@@ -690,6 +716,17 @@
         self.assertEqual((await self.call("POST", path, b"x" * 10_000, **TEAM))[0], 200)
         self.assertEqual(len(self.requests.requests), 1)
 
+    async def test_a_body_that_does_not_come_is_not_waited_for(self):
+        async def chunks() -> Any:
+            yield b"x"
+            await asyncio.Event().wait()
+
+        path = "/v1/services/api/requests"
+        with mock.patch.object(routes, "BODY_TIMEOUT_SECONDS", 0.01):
+            async with self.session.post(path, data=chunks(), headers=TEAM) as answer:
+                self.assertEqual(answer.status, 408)
+                self.assertEqual((await answer.json())["code"], "body_timeout")
+
     async def test_a_body_told_to_be_too_long_is_refused_before_it_is_sent(self):
         host, port = self.server.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
