Let a zone's owners outlive a peer's restart in an outage

While the store was away, the death of one member stopped all owners of its zone after 2.5 s, until the store was back. The price: who dies within 30 s after an outage is taken over later.

--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -44,6 +44,7 @@
 SENT_LIMIT = 64
 REFRESH_INTERVAL = timedelta(milliseconds=1500)
 PROMISE_TIME = timedelta(milliseconds=2500)
+OUTAGE_PROMISE = timedelta(seconds=30)
 PAUSE_LIMIT = timedelta(seconds=1)
 FAR_SILENCE = 3 * SILENCE_LIMIT
 FORGET_TIME = timedelta(seconds=30)
@@ -143,6 +144,7 @@
         self._familiar: dict[str, str] = {}
         self._tenured_since: timedelta = NEVER
         self._refreshed: timedelta = NEVER
+        self._is_out = False
         peers.register(Heartbeat, self._take_heartbeat)
         peers.register(Goodbye, self._take_goodbye)
 
@@ -242,7 +244,8 @@
 
     async def refresh(self) -> bool:
         """Read who is registered; tell whether the store answered."""
-        if not await self._mirror.refresh():
+        self._is_out = not await self._mirror.refresh()
+        if self._is_out:
             return False
         self._refreshed = self._clock.monotonic()
         self._registered = {}
@@ -395,10 +398,20 @@
         name = contact.member.name
         if is_near and contact.number > contact.promised:
             contact.promised = contact.number
-            self._promises[name] = now + PROMISE_TIME * (1 + CLOCK_DRIFT)
-            echo["promise"] = True
+            duration = self._choose_promise(now)
+            until = now + duration * (1 + CLOCK_DRIFT)
+            self._promises[name] = max(self._promises.get(name, NEVER), until)
+            echo["promise"] = _to_age(duration)
         return echo
 
+    def _choose_promise(self, now: timedelta) -> timedelta:
+        """Promise for longer while the store is out, as a takeover can't be written.
+
+        Then a peer's restart doesn't stop the owners of its zone.
+        """
+        is_leased = self.tenure is not None and self.tenure.is_leased(now)
+        return OUTAGE_PROMISE if self._is_out and not is_leased else PROMISE_TIME
+
     def _write_reports(self, contact: Contact) -> dict[str, ReportFields]:
         is_full = self._number % FULL_ROUNDS == 0
         reports: dict[str, ReportFields] = {}
@@ -472,8 +485,9 @@
         sent = self._sent.get(echo["number"], NEVER)
         contact.echoed = max(contact.echoed, sent)
         self._familiar[contact.member.name] = echo["session"]
-        if echo.get("promise") and sent != NEVER:
-            until = sent + PROMISE_TIME * (1 - CLOCK_DRIFT)
+        if "promise" in echo and sent != NEVER:
+            promise = timedelta(milliseconds=echo["promise"])
+            until = sent + promise * (1 - CLOCK_DRIFT)
             contact.vouched_until = max(contact.vouched_until, until)
 
     def _take_reports(
--- a/src/damaskdeck/protocol/heartbeats.py
+++ b/src/damaskdeck/protocol/heartbeats.py
@@ -21,13 +21,13 @@
 
     :ivar number: its number.
     :ivar session: the session that it named.
-    :ivar promise: whether the sender takes over nothing from the receiver for
-        a known time from now on.
+    :ivar promise: for how many milliseconds from now on the sender takes over
+        nothing from the receiver.
     """
 
     number: int
     session: str
-    promise: NotRequired[bool]
+    promise: NotRequired[int]
 
 
 class ReportFields(TypedDict):
