--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -182,13 +182,38 @@
     return jobs
 
 
-def replay(jobs: list[PoolJob], pool: Pool, queue: PoolQueue) -> float:
-    """Run all arrivals; returns the greatest deviation from a fair share.
+class Service:
+    """What each team got, against what filling up all evenly would give it.
 
-    The deviation of a team is how far its dominant share lies below the one
-    that filling up all teams evenly by weight would give it.
+    :param greatest_lack: of any team at any time, as a share of the capacity.
     """
-    worst = 0.0
+
+    def __init__(self, weights: dict[str, float]) -> None:
+        self.greatest_lack = 0.0
+        self._weights = weights
+        self._due: dict[str, float] = {}
+        self._got: dict[str, float] = {}
+
+    def sample(self, pool: Pool, queue: PoolQueue) -> None:
+        """Compare the dominant shares of all teams with their fair ones now."""
+        demand = dict(pool.use)
+        for job in queue.list_waiting():
+            demand[job.team] = add_sizes(demand.get(job.team, Size()), job.size)
+        weights = {team: self._weights.get(team, 1.0) for team in demand}
+        fair = _fill_evenly(demand, weights, pool.capacity)
+        for team, due in fair.items():
+            got = compute_dominant_share(pool.use.get(team, Size()), pool.capacity)
+            self._due[team] = self._due.get(team, 0.0) + due
+            self._got[team] = self._got.get(team, 0.0) + min(got, due)
+            self.greatest_lack = max(self.greatest_lack, due - got)
+
+    def list_shares(self) -> list[float]:
+        """List which part of its fair share each team got over time, sorted."""
+        return sorted(self._got[team] / due for team, due in self._due.items() if due)
+
+
+def replay(jobs: list[PoolJob], pool: Pool, queue: PoolQueue, service: Service) -> None:
+    """Run all arrivals, then count those that still wait as having waited."""
     sample = timedelta(seconds=60)
     end = jobs[-1].waiting.submitted
     arrivals = iter(jobs)
@@ -199,7 +224,7 @@
         pool.now = min(*moments, sample) if moments else sample
         if pool.now >= sample:
             sample += timedelta(seconds=10)
-            worst = max(worst, find_deviation(pool, queue))
+            service.sample(pool, queue)
         while arrival and arrival.waiting.submitted <= pool.now:
             queue.push(arrival)
             arrival = next(arrivals, None)
@@ -208,24 +233,6 @@
         queue.step(pool)
     for waiting in queue.list_waiting():
         pool.waits[waiting.urgency].append((end - waiting.submitted).total_seconds())
-    return worst
-
-
-def find_deviation(pool: Pool, queue: PoolQueue) -> float:
-    """Return how far the worst served team lies below its fair share."""
-    demand = dict(pool.use)
-    for job in queue.list_waiting():
-        demand[job.team] = add_sizes(demand.get(job.team, Size()), job.size)
-    weights = {team: WEIGHTS.read(team).weight for team in demand}
-    fair = _fill_evenly(demand, weights, pool.capacity)
-    return max(
-        (
-            fair[team]
-            - compute_dominant_share(pool.use.get(team, Size()), pool.capacity)
-            for team in demand
-        ),
-        default=0.0,
-    )
 
 
 def _fill_evenly(
@@ -268,6 +275,3 @@
         for index, amount in enumerate(_draw_size(rng)):
             work[index] += amount * run_time / count
     return load / max(a / b for a, b in zip(work, CAPACITY, strict=True))
-
-
-WEIGHTS = make_quotas(1)
--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -8,10 +8,12 @@
 from typing import Any
 
 from benchmarks.pool import (
+    CAPACITY,
     TEAMS,
     ArrivalOrder,
     Ours,
     Pool,
+    Service,
     make_jobs,
     make_quotas,
     replay,
@@ -105,7 +107,8 @@
     for name, make in (("ours", Ours), ("arrival_order", ArrivalOrder)):
         pool = Pool()
         started = time.process_time()
-        replay(jobs, pool, make(pool, make_quotas(SEED)))
+        quotas = make_quotas(SEED)
+        replay(jobs, pool, make(pool, quotas), Service({}))
         figures[name] = {
             urgency.value: _describe(pool.waits[urgency]) for urgency in Urgency
         }
@@ -116,15 +119,26 @@
 
 
 def compare_fairness(duration: float) -> Figures:
-    """Compare the worst deviation from the fair share, of the whole capacity."""
+    """Compare what the teams got of their fair shares, without quotas that bind."""
     jobs = make_jobs(SEED, duration, 1.5, one_class=True)
     figures: Figures = {"teams": TEAMS, "jobs": len(jobs)}
+    weights = {
+        team: quotas.read(team).weight
+        for quotas in [make_quotas(SEED)]
+        for team in quotas.list_teams()
+    }
     for name, make in (("ours", Ours), ("arrival_order", ArrivalOrder)):
-        pool = Pool()
-        deviation = replay(jobs, pool, make(pool, make_quotas(SEED)))
+        pool, quotas = Pool(), make_quotas(SEED)
+        for team, weight in weights.items():
+            quotas.set_quota(team, CAPACITY, weight)
+        service = Service(weights)
+        replay(jobs, pool, make(pool, quotas), service)
+        shares = service.list_shares()
         figures[name] = {
-            "max_deviation": round(deviation, 5),
-            "of_equal_share": round(deviation * TEAMS, 3),
+            "least_served_team": round(shares[0], 3),
+            "tenth_of_teams": round(shares[len(shares) // 10], 3),
+            "median_team": round(shares[len(shares) // 2], 3),
+            "greatest_lack_at_once": round(service.greatest_lack, 4),
         }
     return figures
 
