Call an attempt lost only after an inventory taken since it was in doubt

Change: an owner calls a former owner's attempt lost only by an inventory asked for after the keeper's question; only an owner's answer, not old news, settles the doubt about a running task.

--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -97,16 +97,24 @@
         groups = self._group(self._doubts)
         await asyncio.gather(*(self._check(o, g) for o, g in groups.items()))
 
-    async def take_news(self, news: list[jobs.TaskNews]) -> jobs.TasksNoted | None:
-        """Note news of tasks; ``None`` while they can't be made durable."""
+    async def take_news(
+        self, news: list[jobs.TaskNews], is_answer: bool = False
+    ) -> jobs.TasksNoted | None:
+        """Note news of tasks; ``None`` while they can't be made durable.
+
+        :param is_answer: whether the owner was asked for them just now; only
+            then is a task that is said to run no longer in doubt.
+        """
         verdict = judge_news(self._kept.table, news)
         changes = verdict.list_records(self._kept.get_time())
         if changes:
             outcome = await self._kept.commit(*changes)
             if not isinstance(outcome, Committed):
                 return None
-        for attempt in verdict.noted:
-            self._doubts.pop(attempt["task"], None)
+        for item in news:
+            is_settled = is_answer or item["state"] != "running"
+            if is_settled and item["state"] not in ("unsure", "starting"):
+                self._doubts.pop(item["task"], None)
         return jobs.TasksNoted(noted=verdict.noted, stop=verdict.stop)
 
     async def _wait(self) -> None:
@@ -185,7 +193,7 @@
                 owner, message, jobs.CheckTasks, CALL_TIMEOUT
             )
             if isinstance(answer, Answered) and answer.message is not None:
-                await self.take_news(answer.message["tasks"])
+                await self.take_news(answer.message["tasks"], True)
 
     async def _stop_all(self) -> None:
         groups = self._group(self._stops)
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -80,6 +80,7 @@
         self._supervisor = Supervisor()
         self._ledger_epochs: dict[str, int] = {}
         self._fenced: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._asked: OrderedDict[tuple[str, int], timedelta] = OrderedDict()
         ownership.on_gain("worker", self._gain)
         ownership.on_loss("worker", self._lose)
         fleet.on_change(self._take_fleet)
@@ -275,11 +276,28 @@
             self._fence(task, attempt)
             self._drop_hold(task, worker)
             news["state"] = "unstarted"
-        elif session.is_ready or (item.get("started") and session.has_lapsed):
+        elif self._is_lost(session, item):
             news["state"] = "lost"
             news["code"] = "worker_lost"
         return news
 
+    def _is_lost(self, session: Session, item: jobs.TaskAttempt) -> bool:
+        """Tell whether an attempt under a former owner surely doesn't run.
+
+        It takes an inventory sent after the question: a worker that restarted
+        since the last one may have forgotten that it was fenced.
+        """
+        if item.get("started") and session.has_lapsed and not session.is_ready:
+            return True
+        now = self._clock.monotonic()
+        asked = self._asked.setdefault((item["task"], item["attempt"]), now)
+        if session.inventoried >= asked and session.is_ready:
+            return True
+        if len(self._asked) > FENCED_LIMIT:
+            self._asked.popitem(last=False)
+        session.order_inventory()
+        return False
+
     def _drop_hold(self, task: str, worker: str) -> None:
         held = self.accounts.find(task)
         if held is not None and held.worker == worker:
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -40,6 +40,9 @@
     the epoch, the inventory comes before the first placement, and a task is
     reported lost only when its lease must have lapsed.
 
+    ``inventoried`` is the monotonic time when the last whole inventory that
+    came was asked for.
+
     :param worker: as the platform lists it; set anew when that changes.
     :param may_act: tells whether this daemon still owns the worker.
     :param put_news: takes news for the keepers.
@@ -78,6 +81,8 @@
         self._renewal = renewal
         self._bound = compute_takeover_bound(lease)
         self._gained = clock.monotonic()
+        self.inventoried = timedelta.min
+        self._is_asked = False
         self._is_doubtful = False
         self._is_deposed = False
         self._forgotten: set[str] = set()
@@ -122,6 +127,12 @@
             return
         self._orders.put_nowait(lambda: self._stop(task, attempt, checkpoint))
 
+    def order_inventory(self) -> None:
+        """Take inventory soon, as some attempt is in doubt."""
+        if not self._is_asked:
+            self._is_asked = True
+            self._orders.put_nowait(self._take_inventory)
+
     def order_forget(self, task: str, attempt: int) -> None:
         """Let the worker forget an ended task that its keeper has noted."""
         hosted = self.roster.find(task, attempt)
@@ -160,12 +171,20 @@
         self._accounts.close_worker(self.worker.name, "")
         _log.info("Took a worker over.", worker=self.worker.name, epoch=self.epoch)
 
+    async def _take_inventory(self) -> None:
+        if not await self._read_inventory():
+            self._is_asked = False
+
     async def _read_inventory(self) -> bool:
         if not self._may_act():
             return False
         sent = self._clock.monotonic()
         found = await self._port.read_inventory(self.worker, self.epoch)
-        return self._absorb(found, sent, True)
+        if not self._absorb(found, sent, True):
+            return False
+        self.inventoried = sent
+        self._is_asked = False
+        return True
 
     # Following and renewing ------------------------------------------------------
 
--- a/tests/plane.py
+++ b/src/standins/plane.py
@@ -1,7 +1,6 @@
-"""Daemons' task planes in one process and in virtual time, for tests to break."""
+"""Task planes of several daemons in one process, whose owners are given."""
 
 import asyncio
-import functools
 from datetime import timedelta
 
 from damaskdeck.coordination.fleet import Fleet
@@ -10,23 +9,13 @@
 from damaskdeck.protocol.members import Member, Owner, Report
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.protocol.sizes import Size
-from standins.loops import LoopClock, run_virtual
+from standins.loops import LoopClock
 from standins.peers import PeerSwitch
 from standins.platform import Platform
 
 WORKER_SIZE = Size(4000, 8000, 0)
 
 
-def virtual(test):
-    """Run an asynchronous test in virtual time."""
-
-    @functools.wraps(test)
-    def run(self):
-        run_virtual(test(self))
-
-    return run
-
-
 class Registry:
     """Who owns what, decided by the test."""
 
@@ -53,11 +42,9 @@
         await self.grant(thing, name)
 
 
-class TestOwnership:
+class FixedOwnership:
     """One daemon's view of a :class:`Registry`; implements ``Ownership``."""
 
-    __test__ = False
-
     def __init__(self, registry):
         self.registry = registry
         self.held = {}
@@ -97,11 +84,9 @@
             await self.losses[thing.partition("/")[0]](thing, epoch)
 
 
-class TestMembers:
+class FixedMembers:
     """The members of a :class:`Registry`; implements ``Members``."""
 
-    __test__ = False
-
     def __init__(self, name, zone, plane):
         self.self = Member(name, zone, "r", "", "", "1")
         self.plane = plane
@@ -122,11 +107,9 @@
         return self.plane.reports.get(topic, {})
 
 
-class TestConfiguration:
+class FixedConfiguration:
     """Declared resources; implements ``ConfigurationReader``."""
 
-    __test__ = False
-
     def __init__(self):
         self.resources = {}
         self.handlers = []
@@ -150,17 +133,15 @@
             handler(kind, name, resource if spec is not None else None)
 
 
-class TestDaemon:
+class PlaneDaemon:
     """The task plane of one daemon."""
 
-    __test__ = False
-
     def __init__(self, plane, name, zone):
         self.name = name
         ports = plane.platform.connect(name)
         self.peers = plane.switch.connect(name)
-        self.ownership = TestOwnership(plane.registry)
-        self.members = TestMembers(name, zone, plane)
+        self.ownership = FixedOwnership(plane.registry)
+        self.members = FixedMembers(name, zone, plane)
         self.fleet = Fleet(ports.instances, plane.clock)
         self.host = WorkerHost(
             self.members,
@@ -206,7 +187,7 @@
         self.clock = LoopClock()
         self.platform = Platform(self.clock)
         self.switch = PeerSwitch(self.clock)
-        self.configuration = TestConfiguration()
+        self.configuration = FixedConfiguration()
         self.registry = Registry()
         self.reports = {}
         for index in range(workers):
@@ -224,7 +205,7 @@
         return self
 
     async def add_daemon(self, name):
-        daemon = TestDaemon(self, name, "z1")
+        daemon = PlaneDaemon(self, name, "z1")
         self.registry.daemons[name] = daemon
         await daemon.start()
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -6,7 +6,8 @@
 from damaskdeck.protocol.handlers import JobState, Submission
 from damaskdeck.protocol.jobs import SizeData, Start
 from standins.faults import FaultKind
-from tests.plane import Plane, virtual
+from standins.plane import Plane
+from tests.virtual import virtual
 
 LONG = b'{"run_time": 6, "result": "done"}'
 ENDLESS = b'{"run_time": 600}'
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -10,7 +10,8 @@
 from damaskdeck.protocol.outcomes import Completed, Refused
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.protocol.sizes import Size
-from tests.plane import Plane, virtual
+from standins.plane import Plane
+from tests.virtual import virtual
 
 RESULT = b'{"run_time": 2, "result": "done"}'
 FAILING = b'{"run_time": 1, "fail": true}'
@@ -195,6 +196,24 @@
         self.assertEqual(len(noted["noted"]), 1)
         self.assertEqual(desk.kept.table.tasks[task.name], task)
 
+    @virtual
+    async def test_late_news_of_a_former_owner_settle_no_doubt(self):
+        plane = await Plane(workers=1).start()
+        plane.declare()
+        view = await submit(plane, b'{"run_time": 9}')
+        await plane.clock.sleep(2 * SECOND)
+        worker = plane.platform.workers["w1"]
+        worker.die()
+        worker.replace()
+        await plane.registry.hand_over("worker/w1", "d2")
+        followups = plane.find("d1").keeper.desks["00"].followups
+        task = f"{view.name}-0"
+        news = {"task": task, "attempt": 1, "worker": "w1", "state": "running"}
+        followups._note_owners()
+        await followups.take_news([news])
+        ended = await plane.wait_for_end(view.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+
 
 class TestKeys(unittest.TestCase):
     """Keys of requests: one claim, one outcome, also after a failover."""
--- a/tests/test_task_plane.py
+++ b/tests/test_task_plane.py
@@ -11,7 +11,7 @@
 from damaskdeck.protocol.handlers import FINAL_JOB_STATES, JobView, Submission
 from standins.faults import FaultKind
 from standins.loops import VirtualLoop
-from tests.plane import Plane
+from standins.plane import Plane
 
 DAEMONS = ("d1", "d2", "d3")
 WORKERS = ("w1", "w2", "w3")
