--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -64,7 +64,7 @@
         for team, quota in cell.mix.quotas.items():
             self.quotas.set_quota(team, quota.size, quota.weight)
         clock = CellClock(cell)
-        self.queue = JobQueue(clock, self.quotas, overdue_turn=10**9)
+        self.queue = JobQueue(clock, self.quotas)
         budget = PreemptionBudget(clock)
         self.preemptor = Preemptor(
             self.accounts, clock, budget, find_refusal=self.placer.find_refusal
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -107,7 +107,7 @@
         self.assertEqual(set(self.count_choices([stale], need)), {"stale"})
 
     def test_keepers_do_not_all_ask_the_same_owner(self):
-        views = [make_view(f"o{number}", [Size(4, 4, 0)]) for number in range(9)]
+        views = [make_view(f"o{n}", [Size(4 + n, 4, 0)]) for n in range(9)]
         counts = self.count_choices(views, TaskNeed("t", Size(1, 1, 0)))
         self.assertLess(max(counts.values()), 150)
 
