Split membership by its jobs and mend a pause that hid a death

After its own pause a daemon moves forward when it heard the others. Those whose messages were handled before its loop woke up were then heard in the future, and a death right after looked like life for as long as the pause.

--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import NamedTuple
-
-import msgspec
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.coordination.contacts import (
+    NEVER,
+    Contact,
+    to_fields,
+    to_milliseconds,
+)
+from damaskdeck.coordination.digests import Relay, write_ages
+from damaskdeck.coordination.registration import Registered, Registry
 from damaskdeck.coordination.rendezvous import choose_links
 from damaskdeck.coordination.tenures import Tenure
 from damaskdeck.defaults import (
@@ -20,24 +23,20 @@
     ZONE_LINKS,
 )
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_drop, count_retry, count_store_call
+from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.heartbeats import (
     Digest,
     Echo,
     Goodbye,
     Heartbeat,
-    MemberFields,
     ReportFields,
 )
 from damaskdeck.protocol.members import Member, Report
 from damaskdeck.protocol.messages import Peers
-from damaskdeck.protocol.ports import Granted, Lapsed, Store, Written
+from damaskdeck.protocol.ports import Store
 
-PREFIX = "member/"
 SEED_PREFIX = "seed/"
 REPORT_LIMIT = 4096
-DIGEST_LIMIT = 2048
-AGE_LIMIT = 256
 FAR_ROUNDS = 2
 DIGEST_ROUNDS = 4
 FULL_ROUNDS = 10
@@ -49,54 +48,10 @@
 FAR_SILENCE = 3 * SILENCE_LIMIT
 FORGET_TIME = timedelta(seconds=30)
 NEWCOMER_WAIT = timedelta(seconds=10)
-NEVER = timedelta(days=-36500)
 
 _log = get_logger("members")
 
 
-class Registration(msgspec.Struct):
-    """The value of a member's key in the store."""
-
-    member: MemberFields
-    session: str
-
-
-class Registered(NamedTuple):
-    """A member as the store shows it."""
-
-    member: Member
-    session: str
-
-
-@dataclass
-class Contact:
-    """What this daemon knows of another one.
-
-    :param heard: when it was heard last, by itself or through others.
-    :param seen_session: the session under which the store showed it last.
-    :param first_hand: when it was heard last, but not through this zone.
-    :param direct: when it was heard last by its own heartbeat.
-    :param echoed: when the heartbeat was sent that it echoed last.
-    :param vouched_until: how long it takes over nothing from this daemon.
-    :param promised: the last of its heartbeats that a promise answered.
-    """
-
-    member: Member
-    session: str = ""
-    seen_session: str = ""
-    heard: timedelta = NEVER
-    first_hand: timedelta = NEVER
-    direct: timedelta = NEVER
-    number: int = 0
-    echoed: timedelta = NEVER
-    vouched_until: timedelta = NEVER
-    promised: int = 0
-    is_leaving: bool = False
-    sent_versions: dict[str, int] = field(default_factory=dict)
-    versions: dict[str, int] = field(default_factory=dict)
-    reports: dict[str, Report] = field(default_factory=dict)
-
-
 class Membership:
     """This daemon's view of all members; implements ``Members``.
 
@@ -117,34 +72,25 @@
         zone_links: int = ZONE_LINKS,
         newcomer_wait: timedelta = NEWCOMER_WAIT,
     ) -> None:
-        self.tenure: Tenure | None = None
         self.is_leaving = False
         self._member = member
+        self._registry = Registry(member, store, clock, member_lease)
         self._peers = peers
-        self._store = store
         self._clock = clock
         self._seeds = seeds
         self._interval = heartbeat_interval
-        self._lease = member_lease
         self._zone_links = zone_links
         self._newcomer_wait = newcomer_wait
-        self._mirror = Mirror(store, PREFIX)
-        self._registered: dict[str, Registered] = {}
-        self._tenures: list[Tenure] = []
-        self._session_count = 0
         self._has_left = False
         self._contacts: dict[str, Contact] = {}
         self._targets: set[str] | None = None
         self._number = 0
         self._sent: dict[int, timedelta] = {}
-        self._digest_starts = {True: 0, False: 0}
+        self._relays = {True: Relay(), False: Relay()}
         self._last_beat = clock.monotonic()
         self._own = Contact(member, heard=clock.monotonic())
         self._promises: dict[str, timedelta] = {}
         self._familiar: dict[str, str] = {}
-        self._tenured_since: timedelta = NEVER
-        self._refreshed: timedelta = NEVER
-        self._is_out = False
         peers.register(Heartbeat, self._take_heartbeat)
         peers.register(Goodbye, self._take_goodbye)
 
@@ -208,20 +154,25 @@
 
     def get_registered(self, name: str) -> Registered | None:
         """Return a member as the store showed it last."""
-        return self._registered.get(name)
+        return self._registry.registered.get(name)
 
     def list_candidates(self, zone: str = "") -> list[Registered]:
         """List registered members that may own things, in order of name."""
         return [
             found
-            for name, found in sorted(self._registered.items())
+            for name, found in sorted(self._registry.registered.items())
             if zone in ("", found.member.zone) and not self._get_leaving(name)
         ]
 
     @property
     def revision(self) -> int:
         """The store's revision up to which registrations are known."""
-        return self._mirror.revision
+        return self._registry.revision
+
+    @property
+    def tenure(self) -> Tenure | None:
+        """The time in which this daemon may decide; ``None`` before it registers."""
+        return self._registry.tenure
 
     def may_take_from(self, name: str) -> bool:
         """Tell whether things of a member of this zone may be taken over.
@@ -231,7 +182,7 @@
         doesn't go on without this daemon's promise.
         """
         now = self._clock.monotonic()
-        if name in self._registered or self.tenure is None:
+        if name in self._registry.registered or self.tenure is None:
             return False
         if now < self._promises.get(name, NEVER):
             return False
@@ -240,50 +191,33 @@
             return False
         if self._familiar.get(name) == self.tenure.session:
             return True
-        return now - self._tenured_since >= self._newcomer_wait
+        return now - self._registry.since >= self._newcomer_wait
 
     async def refresh(self) -> bool:
         """Read who is registered; tell whether the store answered."""
-        self._is_out = not await self._mirror.refresh()
-        if self._is_out:
+        if not await self._registry.refresh():
             return False
-        self._refreshed = self._clock.monotonic()
-        self._registered = {}
-        for entry in self._mirror.entries.values():
-            found = _decode_registration(entry.value)
-            if found is not None:
-                self._take_registered(found)
+        for found in self._registry.registered.values():
+            contact = self._contacts.get(found.member.name) or self._meet(found.member)
+            contact.seen_session = found.session
         self._forget_contacts()
         return True
 
-    def _take_registered(self, found: Registered) -> None:
-        name = found.member.name
-        self._registered[name] = found
-        contact = self._contacts.get(name) or self._meet(found.member)
-        contact.seen_session = found.session
-
     # Running --------------------------------------------------------------------
 
     async def run(self) -> None:
         """Take part until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._keep_registered())
+            group.create_task(self._registry.keep())
             group.create_task(self._keep_refreshed())
             group.create_task(self._keep_beating())
 
     async def leave(self) -> None:
         """Give up the registration and tell the others; the end of a drain."""
         self._has_left = True
-        tenure, self.tenure = self.tenure, None
-        if tenure is None:
-            return
-        for each in self._tenures:
-            each.end()
-        self._tenures.clear()
-        count_store_call("revoke_lease")
-        await self._store.revoke_lease(tenure.lease)
-        for name in self._list_targets():
-            self._peers.send(name, {"session": tenure.session}, Goodbye)
+        session = await self._registry.leave()
+        for name in self._list_targets() if session else ():
+            self._peers.send(name, {"session": session}, Goodbye)
 
     def beat(self) -> None:
         """Send a heartbeat to each peer that gets them from this daemon."""
@@ -309,54 +243,10 @@
     async def _keep_refreshed(self) -> None:
         while not self._has_left:
             now = self._clock.monotonic()
-            if now - self._refreshed >= REFRESH_INTERVAL:
+            if now - self._registry.refreshed >= REFRESH_INTERVAL:
                 await self.refresh()
             await self._clock.sleep(REFRESH_INTERVAL / 2)
 
-    # Registration ---------------------------------------------------------------
-
-    async def _keep_registered(self) -> None:
-        while not self._has_left:
-            await self._renew()
-            is_in = self.tenure is not None and not self.tenure.has_lapsed
-            await self._clock.sleep(self._lease / 3 if is_in else self._interval)
-
-    async def _renew(self) -> None:
-        tenure = self.tenure
-        if tenure is not None and not tenure.has_lapsed:
-            before = self._clock.monotonic()
-            count_store_call("renew_lease")
-            answer = await self._store.renew_lease(tenure.lease)
-            if isinstance(answer, Granted):
-                tenure.renew(before, answer.ttl)
-            if not isinstance(answer, Lapsed):
-                return
-            _log.warn("The lease lapsed.", session=tenure.session)
-            tenure.lapse()
-        await self._register()
-
-    async def _register(self) -> None:
-        before = self._clock.monotonic()
-        count_store_call("grant_lease")
-        granted = await self._store.grant_lease(self._lease)
-        if not isinstance(granted, Granted):
-            return
-        self._session_count += 1
-        session = f"{self._member.incarnation}.{self._session_count}"
-        value = msgspec.msgpack.encode(Registration(_to_fields(self._member), session))
-        key = f"{PREFIX}{self._member.zone}/{self._member.name}"
-        count_store_call("put")
-        written = await self._store.put(key, value, 0, granted.lease)
-        if not isinstance(written, Written) or self._has_left:
-            count_retry("members", "registration")
-            await self._store.revoke_lease(granted.lease)
-            return
-        tenure = Tenure(session, granted.lease, written.revision)
-        tenure.renew(before, granted.ttl)
-        self.tenure = tenure
-        self._tenures.append(tenure)
-        self._tenured_since = self._clock.monotonic()
-
     # Heartbeats -----------------------------------------------------------------
 
     def _list_targets(self) -> set[str]:
@@ -376,9 +266,9 @@
     def _write_heartbeat(self, contact: Contact, now: timedelta) -> Heartbeat:
         is_near = self._is_near(contact)
         heartbeat: Heartbeat = {
-            "member": _to_fields(self._member),
+            "member": to_fields(self._member),
             "number": self._number,
-            "session": self.tenure.session if self.tenure else "",
+            "session": self._registry.session,
             "reports": self._write_reports(contact),
         }
         if self.is_leaving:
@@ -386,11 +276,9 @@
         if contact.number:
             heartbeat["echo"] = self._write_echo(contact, is_near, now)
         if self._number % DIGEST_ROUNDS == 0:
-            heartbeat["ages"] = {
-                name: _to_age(now - self._contacts[name].first_hand)
-                for name in self._list_relayed(is_near, now)[:AGE_LIMIT]
-            }
-            heartbeat["digests"] = self._write_digests(is_near, now)
+            relayed = self._list_relayed(is_near, now)
+            heartbeat["ages"] = write_ages(relayed, now)
+            heartbeat["digests"] = self._relays[is_near].write_digests(relayed, now)
         return heartbeat
 
     def _write_echo(self, contact: Contact, is_near: bool, now: timedelta) -> Echo:
@@ -401,16 +289,15 @@
             duration = self._choose_promise(now)
             until = now + duration * (1 + CLOCK_DRIFT)
             self._promises[name] = max(self._promises.get(name, NEVER), until)
-            echo["promise"] = _to_age(duration)
+            echo["promise"] = to_milliseconds(duration)
         return echo
 
     def _choose_promise(self, now: timedelta) -> timedelta:
-        """Promise for longer while the store is out, as a takeover can't be written.
+        """Promise for longer while no takeover can be written anyway.
 
-        Then a peer's restart doesn't stop the owners of its zone.
+        Then a peer's restart in an outage doesn't stop the owners of its zone.
         """
-        is_leased = self.tenure is not None and self.tenure.is_leased(now)
-        return OUTAGE_PROMISE if self._is_out and not is_leased else PROMISE_TIME
+        return PROMISE_TIME if self._registry.can_write(now) else OUTAGE_PROMISE
 
     def _write_reports(self, contact: Contact) -> dict[str, ReportFields]:
         is_full = self._number % FULL_ROUNDS == 0
@@ -423,42 +310,14 @@
                 contact.sent_versions[topic] = version
         return reports
 
-    def _list_relayed(self, is_near: bool, now: timedelta) -> list[str]:
+    def _list_relayed(self, is_near: bool, now: timedelta) -> list[Contact]:
         """List whom a peer hears of through this daemon; one relay on each side."""
-        return sorted(
-            name
-            for name, contact in self._contacts.items()
+        return [
+            contact
+            for _, contact in sorted(self._contacts.items())
             if self._is_near(contact) != is_near
             and now - (contact.first_hand if is_near else contact.direct) < FAR_SILENCE
-        )
-
-    def _write_digests(self, is_near: bool, now: timedelta) -> list[Digest]:
-        chosen = self._list_relayed(is_near, now)
-        start = self._digest_starts[is_near] % (len(chosen) or 1)
-        room = DIGEST_LIMIT
-        digests: list[Digest] = []
-        for name in chosen[start:] + chosen[:start]:
-            digest, size = self._write_digest(self._contacts[name], now, room)
-            room -= size
-            if room < 0:
-                break
-            digests.append(digest)
-        self._digest_starts[is_near] = start + len(digests)
-        return digests
-
-    def _write_digest(
-        self, contact: Contact, now: timedelta, room: int
-    ) -> tuple[Digest, int]:
-        fields = _to_fields(contact.member)
-        size = 80 + sum(len(value) for value in contact.member)
-        reports = {}
-        for topic, report in contact.reports.items():
-            cost = len(topic) + len(report.value) + 4
-            if size + cost <= room:
-                reports[topic] = report.value
-                size += cost
-        age = _to_age(now - contact.first_hand)
-        return {"member": fields, "age": age, "reports": reports}, size
+        ]
 
     async def _take_heartbeat(self, instance: str, heartbeat: Heartbeat) -> None:
         member = Member(**heartbeat["member"])
@@ -531,7 +390,7 @@
         if contact is not None and contact.session == goodbye["session"]:
             del self._contacts[instance]
             self._targets = None
-            self._registered.pop(instance, None)
+            self._registry.registered.pop(instance, None)
 
     def _greet_seeds(self, now: timedelta) -> None:
         known = {contact.member.peer_address for contact in self._contacts.values()}
@@ -579,7 +438,7 @@
             # A read that lags may not show yet what a heartbeat has named.
             was_shown = contact.seen_session == contact.session
             limit = SILENCE_LIMIT if was_shown else FORGET_TIME
-            if name not in self._registered and now - contact.heard >= limit:
+            if name not in self._registry.registered and now - contact.heard >= limit:
                 del self._contacts[name]
                 self._targets = None
 
@@ -589,15 +448,7 @@
             for contact in self._contacts.values()
             if self._is_near(contact)
         ]
-        until = min(vouched, default=now + PROMISE_TIME)
-        for tenure in self._tenures:
-            if self._mirror.revision >= tenure.revision:
-                tenure.prolong(until, now)
-        self._tenures = [
-            tenure
-            for tenure in self._tenures
-            if tenure is self.tenure or tenure.is_valid(now)
-        ]
+        self._registry.prolong(min(vouched, default=now + PROMISE_TIME), now)
 
     def _check_pause(self, now: timedelta) -> None:
         gap = now - self._last_beat - self._interval
@@ -608,23 +459,6 @@
         _log.warn("This daemon was paused.", seconds=gap.total_seconds())
         for contact in self._contacts.values():
             if contact.heard != NEVER:
-                contact.heard += gap
-                contact.direct += gap
-                contact.echoed += gap
-
-
-def _to_age(duration: timedelta) -> int:
-    return duration // timedelta(milliseconds=1)
-
-
-def _to_fields(member: Member) -> MemberFields:
-    return member._asdict()  # type: ignore[return-value]
-
-
-def _decode_registration(value: bytes) -> Registered | None:
-    try:
-        found = msgspec.msgpack.decode(value, type=Registration)
-    except msgspec.MsgspecError:
-        count_drop("members", "invalid_registration")
-        return None
-    return Registered(Member(**found.member), found.session)
+                contact.heard = min(now, contact.heard + gap)
+                contact.direct = min(now, contact.direct + gap)
+                contact.echoed = min(now, contact.echoed + gap)
--- /dev/null
+++ b/src/damaskdeck/coordination/registration.py
@@ -0,0 +1,166 @@
+"""Registration of this daemon in the store, and who else is registered."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.contacts import NEVER, to_fields
+from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop, count_retry, count_store_call
+from damaskdeck.protocol.heartbeats import MemberFields
+from damaskdeck.protocol.members import Member
+from damaskdeck.protocol.ports import Granted, Lapsed, Store, Written
+
+PREFIX = "member/"
+RETRY_INTERVAL = timedelta(milliseconds=500)
+
+_log = get_logger("members")
+
+
+class Registration(msgspec.Struct):
+    """The value of a member's key in the store."""
+
+    member: MemberFields
+    session: str
+
+
+class Registered(NamedTuple):
+    """A member as the store shows it."""
+
+    member: Member
+    session: str
+
+
+class Registry:
+    """Keeps this daemon's key under a lease and reads the others' keys.
+
+    A key of the same name is never overwritten: its lease must lapse first.
+
+    :ivar tenure: the time in which this daemon may decide; ``None`` at first.
+    :ivar since: when the present session began.
+    :ivar registered: the members as the store showed them last, by name.
+    :ivar refreshed: when the store last told them.
+    """
+
+    def __init__(
+        self, member: Member, store: Store, clock: Clock, lease: timedelta
+    ) -> None:
+        self.tenure: Tenure | None = None
+        self.since: timedelta = NEVER
+        self.registered: dict[str, Registered] = {}
+        self.refreshed: timedelta = NEVER
+        self._member = member
+        self._store = store
+        self._clock = clock
+        self._lease = lease
+        self._mirror = Mirror(store, PREFIX)
+        self._tenures: list[Tenure] = []
+        self._session_count = 0
+        self._has_left = False
+        self._is_out = False
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which registrations are known."""
+        return self._mirror.revision
+
+    @property
+    def session(self) -> str:
+        """The present session, empty when there is none."""
+        return self.tenure.session if self.tenure else ""
+
+    def can_write(self, now: timedelta) -> bool:
+        """Tell whether this daemon may write to the store, as far as it knows."""
+        is_leased = self.tenure is not None and self.tenure.is_leased(now)
+        return is_leased or not self._is_out
+
+    async def refresh(self) -> bool:
+        """Read who is registered; tell whether the store answered."""
+        self._is_out = not await self._mirror.refresh()
+        if self._is_out:
+            return False
+        self.refreshed = self._clock.monotonic()
+        entries = self._mirror.entries.values()
+        decoded = [_decode_registration(entry.value) for entry in entries]
+        self.registered = {each.member.name: each for each in decoded if each}
+        return True
+
+    def prolong(self, until: timedelta, now: timedelta) -> None:
+        """Prolong the tenures, as all others of the zone promised until ``until``."""
+        for tenure in self._tenures:
+            if self._mirror.revision >= tenure.revision:
+                tenure.prolong(until, now)
+        self._tenures = [
+            tenure
+            for tenure in self._tenures
+            if tenure is self.tenure or tenure.is_valid(now)
+        ]
+
+    async def leave(self) -> str:
+        """End all tenures and revoke the lease; return the last session."""
+        self._has_left = True
+        tenure, self.tenure = self.tenure, None
+        for each in self._tenures:
+            each.end()
+        self._tenures.clear()
+        if tenure is None:
+            return ""
+        count_store_call("revoke_lease")
+        await self._store.revoke_lease(tenure.lease)
+        return tenure.session
+
+    async def keep(self) -> None:
+        """Register and renew the lease until :meth:`leave`."""
+        while not self._has_left:
+            await self._renew()
+            is_in = self.tenure is not None and not self.tenure.has_lapsed
+            await self._clock.sleep(self._lease / 3 if is_in else RETRY_INTERVAL)
+
+    async def _renew(self) -> None:
+        tenure = self.tenure
+        if tenure is not None and not tenure.has_lapsed:
+            before = self._clock.monotonic()
+            count_store_call("renew_lease")
+            answer = await self._store.renew_lease(tenure.lease)
+            if isinstance(answer, Granted):
+                tenure.renew(before, answer.ttl)
+            if not isinstance(answer, Lapsed):
+                return
+            _log.warn("The lease lapsed.", session=tenure.session)
+            tenure.lapse()
+        await self._register()
+
+    async def _register(self) -> None:
+        before = self._clock.monotonic()
+        count_store_call("grant_lease")
+        granted = await self._store.grant_lease(self._lease)
+        if not isinstance(granted, Granted):
+            return
+        self._session_count += 1
+        session = f"{self._member.incarnation}.{self._session_count}"
+        value = msgspec.msgpack.encode(Registration(to_fields(self._member), session))
+        key = f"{PREFIX}{self._member.zone}/{self._member.name}"
+        count_store_call("put")
+        written = await self._store.put(key, value, 0, granted.lease)
+        if not isinstance(written, Written) or self._has_left:
+            count_retry("members", "registration")
+            await self._store.revoke_lease(granted.lease)
+            return
+        tenure = Tenure(session, granted.lease, written.revision)
+        tenure.renew(before, granted.ttl)
+        self.tenure = tenure
+        self._tenures.append(tenure)
+        self.since = self._clock.monotonic()
+
+
+def _decode_registration(value: bytes) -> Registered | None:
+    try:
+        found = msgspec.msgpack.decode(value, type=Registration)
+    except msgspec.MsgspecError:
+        count_drop("members", "invalid_registration")
+        return None
+    return Registered(Member(**found.member), found.session)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,11 +4,12 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.membership import DIGEST_LIMIT, PROMISE_TIME, Membership
+from damaskdeck.coordination.digests import DIGEST_LIMIT, Relay
+from damaskdeck.coordination.membership import PROMISE_TIME, Membership
 from damaskdeck.coordination.rendezvous import choose_links
 from damaskdeck.coordination.tenures import Tenure
 from damaskdeck.protocol.members import Member
-from standins.clock import ManualClock
+from standins.clock import ManualClock, settle
 from standins.peers import PeerSwitch
 from standins.store import MemoryStore
 from tests.daemons import Deployment
@@ -84,6 +85,17 @@
         self.members["a1"].beat()
         self.assertIn("a2", self.list_live("a1"))
 
+    async def test_death_after_the_own_pause_is_noticed_in_time(self):
+        self.deployment.pause("a1")
+        await self.deployment.advance(5)
+        self.deployment.switch.resume("a1")
+        await settle()
+        self.deployment.resume("a1")
+        await settle()
+        self.deployment.kill("a2")
+        await self.deployment.advance(2)
+        self.assertNotIn("a2", self.list_live("a1"))
+
     async def test_zone_cut_off_from_the_rest_still_sees_itself(self):
         for inner in ("a1", "a2"):
             self.deployment.store.faults.cut_off.add(inner)
@@ -192,9 +204,9 @@
             beat["reports"] = {"load": {"version": 1, "value": bytes(200)}}
             await daemon.members._take_heartbeat(name, beat)
         seen = set()
+        relay, relayed = Relay(), daemon.members._list_relayed(True, timedelta())
         for _ in range(80):
-            daemon.members._number += 4
-            digests = daemon.members._write_digests(True, timedelta())
+            digests = relay.write_digests(relayed, timedelta())
             size = sum(len(digest["reports"].get("load", b"")) for digest in digests)
             self.assertLess(size, DIGEST_LIMIT)
             seen.update(digest["member"]["name"] for digest in digests)
