--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 from damaskdeck.state import records
-from damaskdeck.state.jobs import JobTable, TaskState
+from damaskdeck.state.jobs import JobTable
 from damaskdeck.state.ledger import Committed, Ledger, Opened
 from damaskdeck.state.names import name_task
+from damaskdeck.state.work import TaskState
 from standins.loops import LoopClock, run_virtual
 from standins.store import MemoryStore
 
@@ -48,8 +49,11 @@
     opened = run_virtual(_open(store, EPOCH + 2))
     read = time.perf_counter() - begun
     begun = time.perf_counter()
-    _replay(opened)
+    table = _replay(opened)
     replayed = time.perf_counter() - begun
+    begun = time.perf_counter()
+    tuple(table.snapshot())
+    taken = time.perf_counter() - begun
     table, kept, peak = _measure_memory(store)
     running = sum(t.state is TaskState.RUNNING for t in table.tasks.values())
     assert (len(table.jobs), running) == (jobs, tasks), (len(table.jobs), running)
@@ -64,6 +68,7 @@
         "decoding ms": round(read * 1000, 1),
         "replaying ms": round(replayed * 1000, 1),
         "total s": round(waited.total_seconds() + read + replayed, 3),
+        "taking a snapshot ms": round(taken * 1000, 1),
         "kept MB": round(kept / 1e6, 1),
         "peak MB": round(peak / 1e6, 1),
     }
--- a/src/damaskdeck/coordination/deferrals.py
+++ b/src/damaskdeck/coordination/deferrals.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.state.jobs import Task
+from damaskdeck.state.work import Task
 
 BACKOFF = timedelta(seconds=1)
 BACKOFF_LIMIT = timedelta(seconds=60)
--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -23,7 +23,7 @@
 from damaskdeck.coordination.waiting import WaitingJob
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.sizes import Size
-from damaskdeck.state.jobs import FINAL_TASK_STATES, Job, Task, TaskState
+from damaskdeck.state.work import FINAL_TASK_STATES, Job, Task, TaskState
 
 PASS_INTERVAL = timedelta(milliseconds=20)
 IDLE_INTERVAL = timedelta(milliseconds=250)
--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -12,8 +12,8 @@
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.messages import Answered, Peers
-from damaskdeck.state.jobs import Job, Task, TaskState
 from damaskdeck.state.ledger import Committed
+from damaskdeck.state.work import Job, Task, TaskState
 
 CHECK_INTERVAL = timedelta(seconds=1)
 CHECK_BATCH = 500
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -1,13 +1,13 @@
 """Hosts workers: the one place that reserves their room and talks to them."""
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Coroutine
 from datetime import timedelta
 from typing import Any, Protocol
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.fences import Fences
 from damaskdeck.coordination.fleet import Change
 from damaskdeck.coordination.outbox import Outbox
 from damaskdeck.coordination.rooms import Held, Rooms
@@ -24,7 +24,6 @@
 from damaskdeck.state.accounts import Accounts
 
 PUBLISH_INTERVAL = timedelta(milliseconds=250)
-FENCED_LIMIT = 10_000
 
 _log = get_logger("workers")
 
@@ -78,9 +77,7 @@
         self._outbox = Outbox(ownership, peers, clock, self._take_noted)
         self._runners: dict[str, asyncio.Task[None]] = {}
         self._supervisor = Supervisor()
-        self._ledger_epochs: dict[str, int] = {}
-        self._fenced: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self._asked: OrderedDict[tuple[str, int], timedelta] = OrderedDict()
+        self._fences = Fences(ownership)
         ownership.on_gain("worker", self._gain)
         ownership.on_loss("worker", self._lose)
         fleet.on_change(self._take_fleet)
@@ -177,19 +174,9 @@
 
     # Messages of keepers ---------------------------------------------------------
 
-    def _admit(self, ledger: str, epoch: int) -> bool:
-        """Fence off keepers older than the newest that is known."""
-        owner = self._ownership.find_owner(f"ledger/{ledger}")
-        known = max(self._ledger_epochs.get(ledger, 0), owner.epoch if owner else 0)
-        if epoch < known:
-            count_refusal("workers", "stale_keeper")
-            return False
-        self._ledger_epochs[ledger] = epoch
-        return True
-
     async def _reserve(self, _: str, message: jobs.ReserveTasks) -> jobs.TasksReserved:
         reply = jobs.TasksReserved(granted=[], refused=[])
-        is_admitted = self._admit(message["ledger"], message["epoch"])
+        is_admitted = self._fences.admit(message["ledger"], message["epoch"])
         for request in message["tasks"]:
             found = self.rooms.hold(request) if is_admitted else "stale_keeper"
             if isinstance(found, Held):
@@ -212,11 +199,11 @@
 
     async def _start(self, _: str, message: jobs.StartTasks) -> jobs.TasksTaken:
         reply = jobs.TasksTaken(refused=[])
-        is_admitted = self._admit(message["ledger"], message["epoch"])
+        is_admitted = self._fences.admit(message["ledger"], message["epoch"])
         for start in message["tasks"]:
             code = self._refuse_start(start) if is_admitted else "stale_keeper"
             if code:
-                self._fence(start["task"], start["attempt"])
+                self._fences.fence(start["task"], start["attempt"])
                 count_refusal("workers", code)
                 reply["refused"].append(_refuse(start, code))
                 continue
@@ -229,7 +216,7 @@
         epoch = self._get_epoch(start["worker"])
         if session is None or epoch is None or epoch != start.get("epoch"):
             return "not_owner"
-        if (task, attempt) in self._fenced:
+        if self._fences.is_fenced(task, attempt):
             return "fenced"
         hosted = session.roster.tasks.get(task)
         if hosted and (hosted.state in OPEN_STATES or hosted.attempt >= attempt):
@@ -244,7 +231,7 @@
 
     async def _stop(self, _: str, message: jobs.StopTasks) -> jobs.TasksTaken:
         reply = jobs.TasksTaken(refused=[])
-        is_admitted = self._admit(message["ledger"], message["epoch"])
+        is_admitted = self._fences.admit(message["ledger"], message["epoch"])
         for item in message["tasks"]:
             session = self.sessions.get(item["worker"])
             if session is None or not is_admitted:
@@ -256,7 +243,7 @@
         return reply
 
     async def _check(self, _: str, message: jobs.CheckTasks) -> jobs.TaskReports | None:
-        if not self._admit(message["ledger"], message["epoch"]):
+        if not self._fences.admit(message["ledger"], message["epoch"]):
             return None
         found = [self._tell(item) for item in message["tasks"]]
         return jobs.TaskReports(ledger=message["ledger"], tasks=found)
@@ -273,7 +260,7 @@
             news["state"] = "running" if is_running else "unsure"
             self.rooms.describe(item)
         elif item.get("epoch") == session.epoch:
-            self._fence(task, attempt)
+            self._fences.fence(task, attempt)
             self._drop_hold(task, worker)
             news["state"] = "unstarted"
         elif self._is_lost(session, item):
@@ -290,11 +277,9 @@
         if item.get("started") and session.has_lapsed and not session.is_ready:
             return True
         now = self._clock.monotonic()
-        asked = self._asked.setdefault((item["task"], item["attempt"]), now)
+        asked = self._fences.note_question(item["task"], item["attempt"], now)
         if session.inventoried >= asked and session.is_ready:
             return True
-        if len(self._asked) > FENCED_LIMIT:
-            self._asked.popitem(last=False)
         session.order_inventory()
         return False
 
@@ -306,12 +291,6 @@
     def _get_epoch(self, worker: str) -> int | None:
         return self._ownership.get_epoch(f"worker/{worker}")
 
-    def _fence(self, task: str, attempt: int) -> None:
-        """Refuse an attempt from now on, should its start still come."""
-        self._fenced[task, attempt] = None
-        if len(self._fenced) > FENCED_LIMIT:
-            self._fenced.popitem(last=False)
-
 
 def _refuse(item: jobs.TaskAttempt | jobs.Request, code: str) -> jobs.Refusal:
     return jobs.Refusal(task=item["task"], attempt=item["attempt"], code=code)
--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -8,6 +8,7 @@
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.desks import Desk
+from damaskdeck.coordination.inbox import RETRY_AFTER, Inbox, refuse_no_keeper
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.coordination.supervisor import Supervisor
 from damaskdeck.metrics import count_refusal, count_retry
@@ -27,9 +28,7 @@
     read_job,
     read_outcome,
     read_reply,
-    show_job,
     show_outcome,
-    show_reply,
 )
 from damaskdeck.protocol.resources import Kind, Resource
 from damaskdeck.state.names import pick_ledger, read_ledger
@@ -37,7 +36,6 @@
 CALL_TIMEOUT = timedelta(seconds=6)
 RETRY_INTERVAL = timedelta(milliseconds=200)
 RETRY_LIMIT = 10
-RETRY_AFTER = timedelta(seconds=1)
 NO_KEEPER = frozenset({"no_keeper", "keeper_unreachable"})
 
 
@@ -85,17 +83,7 @@
         ownership.on_loss("ledger", self._lose)
         fleet.on_change(self._take_fleet)
         configuration.subscribe(self._take_resource)
-        self._register()
-
-    def _register(self) -> None:
-        register = self._peers.register
-        register(jobs.SubmitJob, self._take_submission)
-        register(jobs.ReadJob, self._take_reading)
-        register(jobs.CancelJob, self._take_cancellation)
-        register(jobs.ListJobs, self._take_listing)
-        register(jobs.ClaimKey, self._take_claim)
-        register(jobs.SettleKey, self._take_settlement)
-        register(jobs.TaskReports, self._take_reports)
+        self._inbox = Inbox(peers, self._find_desk, ledger_count)
 
     async def run(self) -> None:
         """Wait until cancelled; raises what made a kept ledger's work fail."""
@@ -277,76 +265,6 @@
             return Refused("keeper_unreachable", answer.code, RETRY_AFTER)
         return Unknown("answer_lost", "the keeper of the job's ledger didn't answer")
 
-    # Messages of other daemons ---------------------------------------------------
-
-    async def _take_submission(self, _: str, message: jobs.SubmitJob) -> jobs.JobReply:
-        desk = self._find_desk(pick_ledger(message["team"], self._count))
-        if desk is None:
-            return show_reply(refuse_no_keeper())
-        return show_reply(await desk.submissions.submit(Submission(**message)))
-
-    async def _take_reading(self, _: str, message: jobs.ReadJob) -> jobs.JobReply:
-        desk = self._find_desk(read_ledger(message["job"]))
-        if desk is None:
-            return show_reply(refuse_no_keeper())
-        return show_reply(desk.submissions.read(message["job"]))
-
-    async def _take_cancellation(
-        self, _: str, message: jobs.CancelJob
-    ) -> jobs.JobReply:
-        desk = self._find_desk(read_ledger(message["job"]))
-        if desk is None:
-            return show_reply(refuse_no_keeper())
-        return show_reply(await desk.submissions.cancel(message["job"]))
-
-    async def _take_listing(self, _: str, message: jobs.ListJobs) -> jobs.JobsReply:
-        desk = self._find_desk(message["ledger"])
-        if desk is None:
-            return jobs.JobsReply(outcome=show_outcome(refuse_no_keeper()))
-        found = desk.submissions.list(
-            message["team"], message["after"], message["limit"]
-        )
-        return jobs.JobsReply(jobs=[show_job(view) for view in found])
-
-    async def _take_claim(self, _: str, message: jobs.ClaimKey) -> jobs.KeyReply:
-        desk = self._find_desk(pick_ledger(message["team"], self._count))
-        if desk is None:
-            return jobs.KeyReply(
-                state="failed", outcome=show_outcome(refuse_no_keeper())
-            )
-        index = (message["team"], message["service"], message["key"])
-        timeout = timedelta(seconds=message["timeout"])
-        found = await desk.keys.claim(index, message["digest"], timeout)
-        if isinstance(found, Claimed):
-            return jobs.KeyReply(state="claimed")
-        if isinstance(found, Known):
-            return jobs.KeyReply(state="known", outcome=show_outcome(found.outcome))
-        return jobs.KeyReply(state="failed", outcome=show_outcome(found))
-
-    async def _take_settlement(self, _: str, message: jobs.SettleKey) -> jobs.KeyReply:
-        desk = self._find_desk(pick_ledger(message["team"], self._count))
-        if desk is None:
-            return jobs.KeyReply(
-                state="failed", outcome=show_outcome(refuse_no_keeper())
-            )
-        index = (message["team"], message["service"], message["key"])
-        outcome = read_outcome(message["outcome"])
-        is_durable = await desk.keys.settle(index, outcome)
-        return jobs.KeyReply(state="settled" if is_durable else "failed")
-
-    async def _take_reports(
-        self, _: str, message: jobs.TaskReports
-    ) -> jobs.TasksNoted | None:
-        desk = self._find_desk(message["ledger"])
-        if desk is None:
-            return None
-        return await desk.followups.take_news(message["tasks"])
-
-
-def refuse_no_keeper() -> Refused:
-    """Return the refusal of a call while its ledger has no keeper here."""
-    return Refused("no_keeper", "the team's ledger is changing hands", RETRY_AFTER)
-
 
 def _find_refusal(reply: Any) -> Refused | None:
     if isinstance(reply, Refused):
--- a/src/damaskdeck/coordination/keys.py
+++ b/src/damaskdeck/coordination/keys.py
@@ -7,8 +7,8 @@
 from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
 from damaskdeck.protocol.replies import read_outcome, show_outcome
 from damaskdeck.state import records
-from damaskdeck.state.jobs import Key, KeyIndex
 from damaskdeck.state.ledger import Committed
+from damaskdeck.state.work import Key, KeyIndex
 
 IN_PROGRESS_RETRY = timedelta(seconds=1)
 
--- a/src/damaskdeck/coordination/launches.py
+++ b/src/damaskdeck/coordination/launches.py
@@ -13,8 +13,8 @@
 from damaskdeck.protocol.messages import Answered, Peers, Unsent
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.state import records
-from damaskdeck.state.jobs import TaskState
 from damaskdeck.state.ledger import Committed
+from damaskdeck.state.work import TaskState
 
 CALL_TIMEOUT = timedelta(seconds=3)
 
--- a/src/damaskdeck/coordination/needs.py
+++ b/src/damaskdeck/coordination/needs.py
@@ -5,7 +5,7 @@
 from damaskdeck.protocol.resources import Urgency, WorkloadSpec, read_size
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.accounts import TaskNeed
-from damaskdeck.state.jobs import Job, Task, TaskState
+from damaskdeck.state.work import Job, Task, TaskState
 
 
 def get_urgency(spec: WorkloadSpec) -> Urgency:
--- a/src/damaskdeck/coordination/news.py
+++ b/src/damaskdeck/coordination/news.py
@@ -8,7 +8,8 @@
 from damaskdeck.protocol.jobs import TaskAttempt, TaskNews
 from damaskdeck.protocol.resources import WorkloadSpec
 from damaskdeck.state import records
-from damaskdeck.state.jobs import Job, JobTable, Task, TaskState
+from damaskdeck.state.jobs import JobTable
+from damaskdeck.state.work import Job, Task, TaskState
 
 DEFAULT_ATTEMPTS = 3
 
--- a/src/damaskdeck/coordination/services.py
+++ b/src/damaskdeck/coordination/services.py
@@ -14,8 +14,8 @@
 )
 from damaskdeck.protocol.resources import Kind, Resource, WorkloadSpec
 from damaskdeck.state import records
-from damaskdeck.state.jobs import Job
 from damaskdeck.state.names import digest, name_job, pick_ledger
+from damaskdeck.state.work import Job
 
 SYNC_INTERVAL = timedelta(seconds=5)
 # How long a former version runs on while the new one finds no room beside it.
--- a/src/damaskdeck/coordination/submissions.py
+++ b/src/damaskdeck/coordination/submissions.py
@@ -15,7 +15,7 @@
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.resources import Kind, WorkloadSpec
 from damaskdeck.state import names, records
-from damaskdeck.state.jobs import Job
+from damaskdeck.state.work import Job
 
 FindImpossible = Callable[[WorkloadSpec], str | None]
 Explain = Callable[[Job], tuple[str, ...]]
