--- a/src/damaskdeck/coordination/queueing.py
+++ b/src/damaskdeck/coordination/queueing.py
@@ -176,16 +176,22 @@
         return job.submitted + self._limits[job.urgency]
 
     def find_longest_overdue(self) -> WaitingJob | None:
-        """Return the job that a reservation should be made for, if any."""
+        """Return the job that room should be planned for, if any is overdue.
+
+        Jobs that their team's quota doesn't allow now are left out. Looks at
+        all groups, so call it every few seconds, not for each decision.
+        """
         heads = [
             head.job
             for lines in self._classes
             for line in lines.values()
             for group in line.groups.values()
-            if (head := group.heap.peek())
+            if (head := group.heap.peek()) and self.is_overdue(head.job)
         ]
-        first = min(heads, default=None, key=self.find_due)
-        return first if first and self.is_overdue(first) else None
+        allowed = (
+            job for job in heads if not self.quotas.find_shortfall(job.team, job.need)
+        )
+        return min(allowed, default=None, key=self.find_due)
 
     def is_overdue_turn(self) -> bool:
         """Tell whether the next job taken should be an overdue one."""
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -219,6 +219,20 @@
             offers.take(job)
         self.assertEqual("".join(order), "10243")
 
+    def test_room_is_planned_for_the_longest_overdue_job_that_its_quota_allows(self):
+        clock, quotas = ManualClock(), make_quotas()
+        queue = make_queue(quotas, clock)
+        quotas.charge("ash", CAPACITY)
+        queue.push(make_job("at-quota", "ash", Urgency.URGENT))
+        queue.push(make_job("second", "birch", Urgency.LOW))
+        queue.push(make_job("first", "cedar", Urgency.NORMAL))
+        clock.move(LIMITS[Urgency.NORMAL] - timedelta(seconds=1))
+        self.assertIsNone(queue.find_longest_overdue())
+        clock.move(timedelta(seconds=20))
+        self.assertEqual(queue.find_longest_overdue().name, "first")
+        queue.remove("first")
+        self.assertEqual(queue.find_longest_overdue().name, "second")
+
     def test_a_team_served_out_of_turn_is_charged_in_its_turn(self):
         clock, quotas = ManualClock(), Quotas(Size(100, 100, 0))
         queue = JobQueue(clock, quotas, wait_limits=LIMITS, overdue_turn=2)
