Look at looser cells only when filters refused the nearest

Cause: with any filter in force (claimed, planned, probed) the search listed all cells of each row. Change: the nearest cells first, all of them only when every worker there was refused.

--- a/src/damaskdeck/coordination/index.py
+++ b/src/damaskdeck/coordination/index.py
@@ -256,19 +256,22 @@
 ) -> list[WorkerAccount]:
     row, column = get_level(size[0]), get_level(size[1])
     found: list[WorkerAccount] = []
-    for accelerators in sorted(grids):
-        if accelerators < size[2]:
-            continue
-        grid = grids[accelerators]
-        for cell in grid.iterate_cells(row, column, bool(predicates)):
-            accounts = grid.cells[cell].values()
-            is_inside = cell[0] > row and cell[1] > column
-            if is_inside and not predicates:
-                found += islice(accounts, sample)
-            else:
-                found += islice(_pick(accounts, size, predicates), sample)
-            if len(found) >= limit:
-                return found
+    # Filters seldom refuse all of the nearest cells; only then look at the rest.
+    for is_thorough in (False, True) if predicates else (False,):
+        for accelerators in sorted(grids):
+            if accelerators < size[2]:
+                continue
+            grid = grids[accelerators]
+            for cell in grid.iterate_cells(row, column, is_thorough):
+                accounts = grid.cells[cell].values()
+                if predicates or cell[0] == row or cell[1] == column:
+                    found += islice(_pick(accounts, size, predicates), sample)
+                else:
+                    found += islice(accounts, sample)
+                if len(found) >= limit:
+                    return found
+        if found:
+            break
     return found
 
 
