Doubt placed tasks of which nothing is heard, and tell where tasks are

Change: a placed task without news for 10 s is asked for at the worker's owner. Views of jobs tell how many tasks start and run, where, and what they are kept off. Orders to a worker are a module of their own; stops go in batches of 500.

Tests: test_task_given_to_a_deposed_owner_is_asked_for_at_the_new_one fails without the change.

--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -1,6 +1,7 @@
 """Follow-ups of placed tasks: news of them, doubts about them, and stops."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
@@ -16,8 +17,9 @@
 from damaskdeck.state.work import Job, Task, TaskState
 
 CHECK_INTERVAL = timedelta(seconds=1)
-CHECK_BATCH = 500
+BATCH_LIMIT = 500
 CALL_TIMEOUT = timedelta(seconds=3)
+QUIET_LIMIT = timedelta(seconds=10)
 GONE_LIMIT = compute_takeover_bound() + timedelta(seconds=15)
 ON_WORKER = (TaskState.PLACED, TaskState.RUNNING)
 
@@ -45,6 +47,7 @@
         self._peers = peers
         self._clock = clock
         self._doubts: dict[str, None] = {}
+        self._quiet: deque[tuple[timedelta, str, int]] = deque()
         self._stops: dict[str, None] = {}
         self._epochs: dict[str, int] = {}
         self._on_worker: dict[str, dict[str, None]] = {}
@@ -67,6 +70,9 @@
             if task is None:
                 continue
             job = self._get_job(task)
+            if task.state is TaskState.PLACED:
+                due = self._clock.monotonic() + QUIET_LIMIT
+                self._quiet.append((due, name, task.attempt))
             if is_on_worker and job.stopping:
                 self._stops[name] = None
                 self._changed.set()
@@ -75,6 +81,15 @@
         for name in gangs:
             self._stop_rest(self._kept.table.jobs[name])
 
+    def _doubt_quiet(self) -> None:
+        """Doubt placed tasks of which nothing has been heard for long."""
+        now = self._clock.monotonic()
+        while self._quiet and self._quiet[0][0] <= now:
+            _, name, attempt = self._quiet.popleft()
+            task = self._kept.table.find_attempt(name, attempt)
+            if task is not None and task.state is TaskState.PLACED:
+                self._doubts[name] = None
+
     def _stop_rest(self, job: Job) -> None:
         """Stop what runs of a gang when some of it must wait: all or none."""
         for task in self._kept.table.list_tasks(job):
@@ -86,6 +101,7 @@
         """Ask about doubts and send stops until cancelled."""
         while True:
             self._note_owners()
+            self._doubt_quiet()
             await self._drop_gone()
             await self.check_all()
             await self._stop_all()
@@ -183,11 +199,11 @@
         return groups
 
     async def _check(self, owner: str, tasks: list[Task]) -> None:
-        for start in range(0, len(tasks), CHECK_BATCH):
+        for start in range(0, len(tasks), BATCH_LIMIT):
             message = jobs.CheckTasks(
                 ledger=self._kept.name,
                 epoch=self._kept.epoch,
-                tasks=[self._name(task) for task in tasks[start : start + CHECK_BATCH]],
+                tasks=[self._name(task) for task in tasks[start : start + BATCH_LIMIT]],
             )
             answer = await self._peers.call(
                 owner, message, jobs.CheckTasks, CALL_TIMEOUT
@@ -203,15 +219,14 @@
         """Stop tasks; those that will run again are checkpointed if they can."""
         for is_last in (True, False):
             part = [task for task in tasks if self._get_job(task).stopping is is_last]
-            if not part:
-                continue
-            message = jobs.StopTasks(
-                ledger=self._kept.name,
-                epoch=self._kept.epoch,
-                tasks=[self._name(task) for task in part],
-                is_last=is_last,
-            )
-            await self._peers.call(owner, message, jobs.StopTasks, CALL_TIMEOUT)
+            for start in range(0, len(part), BATCH_LIMIT):
+                message = jobs.StopTasks(
+                    ledger=self._kept.name,
+                    epoch=self._kept.epoch,
+                    tasks=[self._name(t) for t in part[start : start + BATCH_LIMIT]],
+                    is_last=is_last,
+                )
+                await self._peers.call(owner, message, jobs.StopTasks, CALL_TIMEOUT)
 
     def _name(self, task: Task) -> jobs.TaskAttempt:
         return name_attempt(self._get_job(task), task)
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -166,11 +166,11 @@
         for attempt in noted["stop"]:
             session = self.sessions.get(attempt["worker"])
             if session is not None:
-                session.order_stop(attempt["task"], attempt["attempt"])
+                session.orders.stop(attempt["task"], attempt["attempt"])
         for attempt in noted["noted"]:
             session = self.sessions.get(attempt["worker"])
             if session is not None:
-                session.order_forget(attempt["task"], attempt["attempt"])
+                session.orders.forget(attempt["task"], attempt["attempt"])
 
     # Messages of keepers ---------------------------------------------------------
 
@@ -195,7 +195,7 @@
         )
 
     def _preempt(self, worker: str, task: str, checkpoint: bool) -> None:
-        self.sessions[worker].order_preemption(task, checkpoint)
+        self.sessions[worker].orders.preempt(task, checkpoint)
 
     async def _start(self, _: str, message: jobs.StartTasks) -> jobs.TasksTaken:
         reply = jobs.TasksTaken(refused=[])
@@ -207,7 +207,7 @@
                 count_refusal("workers", code)
                 reply["refused"].append(_refuse(start, code))
                 continue
-            self.sessions[start["worker"]].order_start(start)
+            self.sessions[start["worker"]].orders.start(start)
         return reply
 
     def _refuse_start(self, start: jobs.Start) -> str:
@@ -239,7 +239,7 @@
                 continue
             is_last = message.get("is_last", True)
             checkpoint = not is_last and item.get("checkpoint", False)
-            session.order_stop(item["task"], item["attempt"], checkpoint)
+            session.orders.stop(item["task"], item["attempt"], checkpoint)
         return reply
 
     async def _check(self, _: str, message: jobs.CheckTasks) -> jobs.TaskReports | None:
@@ -280,7 +280,7 @@
         asked = self._fences.note_question(item["task"], item["attempt"], now)
         if session.inventoried >= asked and session.is_ready:
             return True
-        session.order_inventory()
+        session.orders.take_inventory()
         return False
 
     def _drop_hold(self, task: str, worker: str) -> None:
--- a/src/damaskdeck/coordination/submissions.py
+++ b/src/damaskdeck/coordination/submissions.py
@@ -4,6 +4,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.reasons import explain_tasks
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.handlers import (
     FINAL_JOB_STATES,
@@ -130,6 +131,9 @@
 
     def _show(self, job: Job) -> JobView:
         tasks = list(self._kept.table.list_tasks(job))
+        reasons = job.reasons
+        if job.state not in FINAL_JOB_STATES:
+            reasons = (*reasons, *explain_tasks(job, tasks), *self._explain(job))
         results: tuple[bytes, ...] = ()
         if job.state is JobState.COMPLETED:
             results = tuple(task.result for task in tasks)
@@ -139,7 +143,7 @@
             team=job.team,
             state=job.state,
             code="cancelled" if job.cancelled and not job.code else job.code,
-            reasons=(*job.reasons, *self._explain(job)),
+            reasons=reasons,
             results=results,
             tasks=tuple(task.name for task in tasks),
             workers=tuple(task.worker for task in tasks),
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -127,7 +127,7 @@
         await self.plane.registry.usurp("worker/w1", "d1")
         await self.sleep(1)
         start = Start(task="x-00-1-0", attempt=1, worker="w1", payload=b"")
-        old.order_start(start)
+        old.orders.start(start)
         await self.sleep(1)
         self.check_runs(1)
 
@@ -156,6 +156,30 @@
         reply = await self.reserve("d2", 10)
         self.assertEqual(reply["refused"][0]["code"], "stale_keeper")
 
+    @virtual
+    async def test_task_given_to_a_deposed_owner_is_asked_for_at_the_new_one(self):
+        self.plane = await Plane(daemons=2, workers=1).start()
+        self.runs = self.plane.platform.runs
+        self.plane.declare()
+        await self.plane.registry.hand_over("worker/w1", "d2")
+        await self.sleep(2)
+        worker = self.plane.platform.workers["w1"]
+        self.plane.platform.cut_off("d1", "w1")
+        await self.plane.registry.usurp("worker/w1", "d1")
+        followups = self.plane.find("d1").keeper.desks["00"].followups
+        followups._epochs["w1"] = self.plane.registry.owners["worker/w1"].epoch
+        worker.pause()
+        job = await self.submit(LONG)
+        await self.sleep(1)
+        self.plane.platform.reconnect("d1", "w1")
+        self.plane.platform.cut_off("d2", "w1")
+        worker.die()
+        worker.replace()
+        worker.resume()
+        ended = await self.plane.wait_for_end(job)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.check_runs(1)
+
 
 class TestOrders(WithPlane):
     """What an owner refuses of a keeper's orders."""
