Let a drain try again when its write was refused or overtaken

A drain wrote the successors once. When the store refused the write, or another daemon's came first, it ended with everything still held. It now tries four times; in an outage it ends after a second and keeps what it has, so that peers go on until the daemon leaves. The new test failed with one attempt.

--- a/src/damaskdeck/coordination/ownership.py
+++ b/src/damaskdeck/coordination/ownership.py
@@ -28,6 +28,7 @@
 HANDOVER_DELAY = timedelta(seconds=2)
 ORPHAN_DELAY = timedelta(seconds=2)
 RELEASE_DELAY = timedelta(seconds=10)
+DRAIN_ATTEMPTS = 4
 
 _log = get_logger("ownership")
 
@@ -141,8 +142,13 @@
         self._members.is_leaving = True
         self._members.beat()
         async with self._lock:
-            for scope in list(self._things):
-                await self._hand_over_all(scope)
+            for _ in range(DRAIN_ATTEMPTS):
+                for scope in list(self._things):
+                    await self._hand_over_all(scope)
+                if not self._held:
+                    return
+                await self._clock.sleep(HASTE_INTERVAL)
+                await self._mirror.refresh()
 
     async def _settle(self) -> bool:
         """Bring what is held in line with the store; tell whether to hurry."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -387,6 +387,24 @@
         self.assert_all_owned()
         self.assertEqual(self.daemons["a"].list_held(), ())
 
+    async def test_drain_tries_again_when_a_write_is_refused_or_overtaken(self):
+        for kind in (FaultKind.REFUSE, FaultKind.LOSE_CALL):
+            self.faults.plan("put", kind)
+        self.daemons["a"].tasks.pop().cancel()
+        drain = asyncio.ensure_future(self.daemons["a"].ownership.drain())
+        await self.deployment.advance(2)
+        await drain
+        self.assertEqual(self.daemons["a"].list_held(), ())
+        self.assert_all_owned()
+
+    async def test_drain_in_an_outage_ends_and_keeps_what_it_cannot_hand_over(self):
+        before = self.count_held()
+        self.faults.outage = True
+        drain = asyncio.ensure_future(self.daemons["a"].ownership.drain())
+        await self.deployment.advance(2)
+        await drain
+        self.assertEqual(self.count_held(), before)
+
     async def test_racing_claims_of_new_things_have_one_winner(self):
         self.faults.delay = timedelta(milliseconds=100)
         for index, daemon in enumerate(self.daemons.values()):
