Keep asking for inventories while a start is in doubt

Change: as long as a start is in doubt its owner asks for inventories.

Tests: test_inventory_from_before_the_loss_leaves_the_doubt fails without the change; tests for adopted tasks, gangs and late news made sharp enough that removing their fence fails one of them.

--- a/src/damaskdeck/coordination/rosters.py
+++ b/src/damaskdeck/coordination/rosters.py
@@ -98,6 +98,13 @@
         now = self._clock.monotonic()
         self.tasks[hosted.task] = hosted._replace(settled=now)
 
+    def has_doubts(self) -> bool:
+        """Tell whether a start whose answer was lost still isn't settled."""
+        return any(
+            hosted.state == "unsure" and hosted.settled != timedelta.max
+            for hosted in self.tasks.values()
+        )
+
     def note_renewed(self, tasks: Iterable[str], is_answered: bool) -> None:
         """Note that leases were renewed, or may have been."""
         now = self._clock.monotonic()
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -160,7 +160,7 @@
         while True:
             wait = RETRY_INTERVAL if self.is_doubtful else self._renewal
             await self._clock.sleep(wait)
-            if self.is_doubtful:
+            if self.is_doubtful or self.roster.has_doubts():
                 self.set_doubtful(not await self.read_inventory())
             if not self.is_doubtful and self.may_act():
                 await self._renew()
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -81,8 +81,19 @@
         await self.sleep(2)
         await self.plane.registry.hand_over("worker/w1", "d1")
         await self.sleep(1)
-        free = self.plane.find("d1").host.accounts.totals.free
-        self.assertEqual(free.millicores, 1000)
+        accounts = self.plane.find("d1").host.accounts
+        self.assertEqual(accounts.totals.free.millicores, 1000)
+
+    @virtual
+    async def test_adopted_task_is_spared_until_its_keeper_tells_of_it(self):
+        await self.start(ENDLESS, urgency="low")
+        await self.sleep(2)
+        self.plane.find("d1").keeper.desks["00"]._runner.cancel()
+        await self.plane.registry.hand_over("worker/w1", "d1")
+        await self.sleep(1)
+        accounts = self.plane.find("d1").host.accounts
+        need = accounts.find(f"{self.job}-0").need
+        self.assertFalse(need.idempotent or need.checkpoint)
 
     @virtual
     async def test_worker_takes_no_work_before_its_inventory(self):
@@ -312,6 +323,24 @@
 class TestLostAnswers(WithPlane):
     """A start whose answer is lost is settled by the inventory."""
 
+    @virtual
+    async def test_inventory_from_before_the_loss_leaves_the_doubt(self):
+        self.plane = await Plane(daemons=1, workers=1).start()
+        self.runs = self.plane.platform.runs
+        worker = self.plane.platform.workers["w1"]
+        worker.faults.plan("start", FaultKind.LOSE_CALL)
+        self.plane.declare()
+        await self.sleep(2)
+        session = self.plane.find("d1").host.sessions["w1"]
+        keeper = self.plane.find("d1").keeper
+        view = await keeper.submit_job(Submission("batch", "team", LONG))
+        while not session.roster.has_doubts():
+            await self.sleep(0.001)
+        session.set_doubtful(False)
+        ended = await self.plane.wait_for_end(view.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.check_runs(1)
+
     async def lose(self, kind, **fields):
         self.plane = await Plane(daemons=2, workers=1).start()
         self.runs = self.plane.platform.runs
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -200,19 +200,16 @@
     async def test_late_news_of_a_former_owner_settle_no_doubt(self):
         plane = await Plane(workers=1).start()
         plane.declare()
-        view = await submit(plane, b'{"run_time": 9}')
+        view = await submit(plane, ENDLESS)
         await plane.clock.sleep(2 * SECOND)
-        worker = plane.platform.workers["w1"]
-        worker.die()
-        worker.replace()
-        await plane.registry.hand_over("worker/w1", "d2")
         followups = plane.find("d1").keeper.desks["00"].followups
         task = f"{view.name}-0"
+        followups.doubt([task])
         news = {"task": task, "attempt": 1, "worker": "w1", "state": "running"}
-        followups._note_owners()
         await followups.take_news([news])
-        ended = await plane.wait_for_end(view.name)
-        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertIn(task, followups._doubts)
+        await plane.clock.sleep(2 * SECOND)
+        self.assertNotIn(task, followups._doubts)
 
 
 class TestKeys(unittest.TestCase):
@@ -250,6 +247,8 @@
     @virtual
     async def test_gang_starts_all_tasks_at_once_or_none(self):
         plane = await Plane(workers=2).start()
+        quota = {"processors": 16, "memory": 16_000}
+        plane.configuration.declare(Kind.TEAM, "team", {"quota": quota})
         plane.declare("small")
         plane.declare("gang", type="gang", tasks=8)
         await submit(plane, ENDLESS, "small")
@@ -303,6 +302,8 @@
     @virtual
     async def test_non_idempotent_task_without_checkpoint_is_not_preempted(self):
         plane = await Plane(workers=1).start()
+        quota = {"processors": 8, "memory": 8000}
+        plane.configuration.declare(Kind.TEAM, "team", {"quota": quota})
         plane.declare("low", urgency="low", idempotent=False, tasks=4)
         plane.declare("urgent", urgency="urgent")
         low = await submit(plane, b'{"run_time": 20}', "low")
