Ask a summary for its fitting slices by the call that stays

Cause: OwnerView.find_tightest is going; gangs raised on it.

Change: the owners of a gang are listed by count_fitting, which both forms have.

--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/owners.py
@@ -64,7 +64,7 @@
         fitting = {
             view.name
             for view in self._views.values()
-            if view.find_tightest(need) is not None
+            if view.count_fitting(need)
             and (not need.zones or view.zone in need.zones)
         }
         fitting.update(view.name for view in self._list_preemptible(need))
