--- a/src/damaskdeck/coordination/submissions.py
+++ b/src/damaskdeck/coordination/submissions.py
@@ -27,7 +27,8 @@
 
     :param find_impossible: names the dimension in which no worker of the fleet
         could ever hold a task of a workload.
-    :param explain: tells in plain words why a job waits.
+    :param explain: tells in plain words why a job waits; its work grows with
+        the queue, so only the reader of one job is told.
     """
 
     def __init__(
@@ -74,7 +75,10 @@
         """Tell the state of a job."""
         job = self._kept.table.jobs.get(name)
         if job is not None:
-            return self._show(job)
+            view = self._show(job)
+            if job.state in FINAL_JOB_STATES:
+                return view
+            return view._replace(reasons=(*view.reasons, *self._explain(job)))
         if name in self._kept.table.forgotten:
             return Refused("forgotten", "its result was kept for as long as stated")
         return Refused("no_such_job")
@@ -133,7 +137,7 @@
         tasks = list(self._kept.table.list_tasks(job))
         reasons = job.reasons
         if job.state not in FINAL_JOB_STATES:
-            reasons = (*reasons, *explain_tasks(job, tasks), *self._explain(job))
+            reasons = (*reasons, *explain_tasks(job, tasks))
         results: tuple[bytes, ...] = ()
         if job.state is JobState.COMPLETED:
             results = tuple(task.result for task in tasks)
