--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -8,7 +8,7 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.routing import Router
-from damaskdeck.protocol.handlers import KeyMemory, ServiceRequest
+from damaskdeck.protocol.handlers import KeyMemory, RequestHandler, ServiceRequest
 from damaskdeck.protocol.members import Member, Owner, OwnershipHandler, Report
 from damaskdeck.protocol.outcomes import Outcome
 from damaskdeck.protocol.ports import (
@@ -143,17 +143,28 @@
     def kill_entry(self, name: str) -> None:
         """Let a daemon die: nobody hears of it any more."""
         self.stop_entry(name)
+        self.table.views[name].held.clear()
         self.switch.disconnect(name)
         for other in self.routers:
             self.switch.cut_both(name, other)
         self.members.dead.add(name)
 
-    async def ask(self, entry: str, identifier: str, **changes: Any) -> Outcome:
-        """Send a request to one entry; its body is its identifier."""
+    async def ask(
+        self,
+        entry: str,
+        identifier: str,
+        handler: RequestHandler | None = None,
+        **changes: Any,
+    ) -> Outcome:
+        """Send a request to one entry; its body is its identifier.
+
+        :param handler: answers in place of the entry's router.
+        """
         request = ServiceRequest(
             identifier, SERVICE, "team", identifier.encode(), timedelta(seconds=1)
         )
-        return await self.routers[entry].handle_request(request._replace(**changes))
+        handler = handler or self.routers[entry]
+        return await handler.handle_request(request._replace(**changes))
 
     def _connect_target(self, name: str) -> TargetPort:
         return TargetsClient(self.targets, name)
