--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from benchmarks import decisions
 from benchmarks.arrivals import (
     Mix,
     make_cielo_austral,
@@ -14,6 +15,7 @@
 from benchmarks.naive import NaiveQueue
 from benchmarks.policy import Policy
 from benchmarks.replay import Cell, Scheduler, compute_fluid_bound
+from benchmarks.split import SplitPlacer, make_split
 from damaskdeck.protocol.resources import Urgency
 
 Make = Callable[[Cell], Scheduler]
@@ -31,6 +33,7 @@
     for make in (make_maji_tamu, make_cielo_austral, make_target_size):
         mix = make(SEED, (make.__defaults__ or ())[0] * factor)
         figures[mix.name] = compare(mix)
+    figures["decisions"] = decisions.run(quick)
     return figures
 
 
@@ -40,7 +43,9 @@
     ours = measure(mix, Policy, bound)
     naive = measure(mix, NaiveQueue, bound)
     figures = {"ours": ours, "naive": naive}
-    if len(mix.workers) < 100:
+    if len(mix.workers) > 100:
+        figures["ours_by_27_owners"] = measure(mix, make_split, bound)
+    else:
         figures["naive_skipping"] = measure(
             mix, lambda cell: NaiveQueue(cell, skips=True), bound
         )
@@ -96,7 +101,11 @@
 
 def _describe_cost(policy: Policy) -> Figures:
     times = sorted(policy.decisions)
-    return {
+    figures: Figures = {}
+    if isinstance(policy.placer, SplitPlacer):
+        placer = policy.placer
+        figures["refused_by_owners"] = _divide(placer.refused, placer.asked)
+    return figures | {
         "decisions": len(times),
         "decisions_per_s": round(len(times) / policy.spent),
         "decision_us": round(1e6 * policy.spent / len(times), 1),
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -142,7 +142,7 @@
             n for victims in chosen for n in victims.checkpointed + victims.stopped
         }
         self._cleared[job.name] = job, names
-        for name in names:
+        for name in sorted(names):
             self._clearing[name] = job.name
             cell.stop(cell.tasks[name])
         return True
--- a/benchmarks/split.py
+++ b/benchmarks/split.py
@@ -28,9 +28,10 @@
 class OwnedAccounts:
     """The part of the accounts that one owner sees."""
 
-    def __init__(self, accounts: Accounts, names: frozenset[str]) -> None:
+    def __init__(self, accounts: Accounts, names: tuple[str, ...]) -> None:
         self._accounts = accounts
         self._names = names
+        self._owned = frozenset(names)
 
     @property
     def workers(self) -> Mapping[str, WorkerAccount]:
@@ -42,7 +43,7 @@
         """Pass on changes of the owner's workers."""
 
         def handle(account: WorkerAccount, is_present: bool) -> None:
-            if account.name in self._names:
+            if account.name in self._owned:
                 handler(account, is_present)
 
         self._accounts.subscribe(handle)
@@ -62,7 +63,7 @@
         self,
         accounts: Accounts,
         weights: Mapping[str, float],
-        owners: Mapping[str, frozenset[str]],
+        owners: Mapping[str, tuple[str, ...]],
         read_clock: Callable[[], timedelta],
     ) -> None:
         super().__init__(accounts, weights)
@@ -121,7 +122,7 @@
         zones.setdefault(worker.zone, []).append(worker.name)
     each = max(1, count // len(zones))
     owners = {
-        f"{zone}-{part}": frozenset(names[part::each])
+        f"{zone}-{part}": tuple(names[part::each])
         for zone, names in zones.items()
         for part in range(each)
         if names[part::each]
--- a/src/damaskdeck/coordination/summaries.py
+++ b/src/damaskdeck/coordination/summaries.py
@@ -25,6 +25,8 @@
 _TRUST_TIME = timedelta(seconds=2)
 # So many owners are drawn; the one that the task fits tightest is asked.
 _DRAWN = 3
+# So many owners are looked at first; all of them when none of these has room.
+_SAMPLED = 9
 
 
 def summarize_workers(accounts: Accounts, zone: str) -> WorkerSummary:
@@ -66,17 +68,24 @@
 
 
 def _sum_preemptible(accounts: Iterable[WorkerAccount]) -> Iterator[Size]:
-    sums = {urgency: ZERO_SIZE for urgency in Urgency}
-    probes = [TaskNeed("", ZERO_SIZE, urgency=urgency) for urgency in Urgency]
+    """Yield what each class of urgency could clear, the most urgent first."""
+    sums: dict[tuple[Urgency, bool], list[int]] = {}
     for account in accounts:
         for held in account.reservations.values():
             running = held.need
-            if not (running.checkpoint or running.idempotent):
-                continue
-            for probe in probes:
-                if may_preempt(probe, running):
-                    sums[probe.urgency] = add_sizes(sums[probe.urgency], running.size)
-    yield from sums.values()
+            if running.checkpoint or running.idempotent:
+                key = running.urgency, running.checkpoint
+                total = sums.setdefault(key, [0, 0, 0])
+                for index, amount in enumerate(running.size):
+                    total[index] += amount
+    for urgency in Urgency:
+        taker = TaskNeed("", ZERO_SIZE, urgency=urgency)
+        cleared = ZERO_SIZE
+        for (held_urgency, checkpoint), total in sums.items():
+            victim = TaskNeed("", ZERO_SIZE, "", held_urgency, True, checkpoint)
+            if may_preempt(taker, victim):
+                cleared = add_sizes(cleared, Size(*total))
+        yield cleared
 
 
 class OwnerView:
@@ -145,20 +154,32 @@
     fresh their summaries are, so that keepers don't all ask the same one; the
     one that it fits tightest is taken.
     """
-    choices: list[Choice] = []
-    weights: list[float] = []
+    allowed = [view for view in views if not need.zones or view.zone in need.zones]
+    if len(allowed) > _SAMPLED:
+        choices, weights = _list_choices(rng.sample(allowed, _SAMPLED), need, now)
+        if choices:
+            return _draw(choices, weights, need, rng)
+    choices, weights = _list_choices(allowed, need, now)
+    return _draw(choices, weights, need, rng) if choices else None
+
+
+def _list_choices(
+    views: Iterable[OwnerView], need: TaskNeed, now: timedelta
+) -> tuple[list[Choice], list[float]]:
+    choices, weights = [], []
     for view in views:
-        if need.zones and view.zone not in need.zones:
-            continue
         found = view.find_tightest(need)
         if found is None:
             continue
-        slot = view.classes[found[0]][found[1]]
-        rest = slot[0] - need.size[0]
+        rest = view.classes[found[0]][found[1]][0] - need.size[0]
         choices.append(Choice(view, found[0] == 1 and not need.size[2], rest))
         weights.append(view.count_fitting(need) * _weigh_age(view, now))
-    if not choices:
-        return None
+    return choices, weights
+
+
+def _draw(
+    choices: list[Choice], weights: list[float], need: TaskNeed, rng: random.Random
+) -> OwnerView:
     drawn = rng.choices(choices, weights, k=_DRAWN)
     best = min(drawn, key=lambda c: (c.is_accelerated, _is_far(c, need), c.rest))
     return best.view
