--- a/src/damaskdeck/state/images.py
+++ b/src/damaskdeck/state/images.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import msgspec
+
 from damaskdeck.errors import InvariantError
 from damaskdeck.protocol.ports import Entry, Listing
 from damaskdeck.state.segments import (
@@ -57,6 +59,15 @@
         """The highest epoch that wrote to the ledger."""
         return max([self.head.epoch, *(s.epoch for s in self.segments)])
 
+    def move_log(self) -> "Image":
+        """Return the image with all closed groups moved out of the segments."""
+        count = self.closed - self.head.base
+        return self._replace(
+            head=msgspec.structs.replace(self.head, base=self.closed),
+            segments=self.segments[count:],
+            moved=(*self.moved, *join_groups(self.segments[:count])),
+        )
+
     def add(self, segment: Segment, key: str, revision: int) -> "Image":
         """Return the image with one more segment at its end."""
         return self._replace(
--- a/src/damaskdeck/state/opening.py
+++ b/src/damaskdeck/state/opening.py
@@ -12,7 +12,6 @@
     Segment,
     decode_segment,
     encode,
-    join_groups,
     split_records,
 )
 from damaskdeck.state.writes import Backoff, Clash, Write, write_once
@@ -84,35 +83,28 @@
         """
         if len(image.segments) < image.head.slots * ROOM_SHARE:
             return image
-        last = image.closed
-        covered = [s for s in image.segments if s.sequence <= last]
-        moved = (*image.moved, *join_groups(covered))
-        runs = [
-            list(split_records(records, self._backing.value_limit))
-            for records in (image.snapshot, moved)
-        ]
-        name = f"{last:012d}-{self._backing.identify()}"
-        for number, run in enumerate(runs[0] + runs[1]):
-            outcome = await self._write(self._keys.part(name, number), run, 0)
-            if not isinstance(outcome, Written):
-                return outcome
+        roomy = image.move_log()
+        limit = self._backing.value_limit
+        snapshot = list(split_records(roomy.snapshot, limit))
+        moved = list(split_records(roomy.moved, limit))
         head = msgspec.structs.replace(
-            image.head,
+            roomy.head,
             identifier=self._backing.identify(),
-            base=last,
-            snapshot=name,
-            parts=len(runs[0]) + len(runs[1]),
-            log_parts=len(runs[1]),
+            snapshot=f"{roomy.head.base:012d}-{self._backing.identify()}",
+            parts=len(snapshot) + len(moved),
+            log_parts=len(moved),
         )
+        keys = self._keys.list_parts(head)
+        for key, run in zip(keys, snapshot + moved, strict=True):
+            outcome = await self._write(key, run, 0)
+            if not isinstance(outcome, Written):
+                return outcome
         outcome = await self._write(self._keys.head, head, image.head_revision)
         if not isinstance(outcome, Written):
             return outcome
-        return image._replace(
-            head=head,
-            head_revision=outcome.revision,
-            segments=image.segments[len(covered) :],
-            moved=moved,
-            leftovers=(*image.leftovers, *self._keys.list_parts(image.head)),
+        leftovers = (*image.leftovers, *self._keys.list_parts(image.head))
+        return roomy._replace(
+            head=head, head_revision=outcome.revision, leftovers=leftovers
         )
 
     async def _fence_log(self, image: Image) -> Image | Clash | Rejected | Lost:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -462,6 +462,10 @@
         for epoch in range(2, 4 * SLOTS):
             ledger = await bench.open(epoch)
             self.assertEqual(bench.states[ledger], records)
+        self.assertGreater(bench.read_head().parts, 0)
+        opened = await bench.finish(bench.make().open(epoch))
+        self.assertEqual(opened, Opened((), tuple(records)))
+        ledger = await bench.open(epoch)
         await bench.commit(ledger, b"on")
         await bench.clock.advance(5 * SECOND)
         self.assertEqual(bench.list_parts(), bench.list_named_parts())
@@ -487,6 +491,51 @@
                 self.assertEqual(bench.list_parts(), bench.list_named_parts())
                 self.assertEqual(await bench.replay(), [*records, b"on"])
 
+    async def test_a_keeper_paused_while_making_room_changes_nothing_later(self):
+        bench = self.make_bench()
+        await self._fill_with_takeovers(bench)
+        await bench.open(11)
+        resumed = asyncio.Event()
+        client = bench.store.connect("paused")
+        paused = HookedStore(client, (Keys("03").head,), 1, resumed.wait)
+        call = bench.start(bench.make(paused).open(20))
+        await bench.clock.advance(SECOND)
+        new = await bench.open(21)
+        await bench.commit(new, b"new")
+        await bench.clock.advance(5 * SECOND)
+        resumed.set()
+        outcome = await bench.finish(call)
+        self.assertEqual((type(outcome), outcome.code), (Rejected, "epoch_passed"))
+        self.assertEqual(await bench.replay(), [b"first", b"new"])
+
+    async def test_making_room_does_not_cut_a_large_commit_in_progress(self):
+        bench = self.make_bench()
+        await self._fill_with_takeovers(bench)
+        go_on = asyncio.Event()
+        held = (Keys("03").slot(14, SLOTS), Keys("03").snapshots)
+        client = bench.store.connect("old")
+        old = await bench.open(15, HookedStore(client, held, 0, go_on.wait))
+        large = (b"a" * 600_000, b"b" * 600_000)
+        call = bench.start(old.commit(large))
+        await bench.clock.advance(SECOND)
+
+        async def let_go_on() -> None:
+            go_on.set()
+            await settle()
+
+        client = bench.store.connect("new")
+        new_store = HookedStore(client, (Keys("03").head,), 1, let_go_on)
+        new = await bench.open(16, new_store)
+        self.assertIsInstance(await bench.finish(call), Committed)
+        self.assertEqual(bench.states[new], [b"first", *large])
+        self.assertEqual(await bench.replay(), [b"first", *large])
+
+    async def _fill_with_takeovers(self, bench: Bench) -> None:
+        """Use eleven slots of sixteen, one below making room."""
+        await bench.commit(await bench.open(1), b"first")
+        for epoch in range(2, 11):
+            await bench.open(epoch)
+
     async def test_opening_takes_one_read_and_two_writes(self):
         bench = self.make_bench()
         old = await bench.open(1)
@@ -743,6 +792,31 @@
         return call
 
 
+class HookedStore:
+    """Wraps a client; calls ``wait`` before some of its writes.
+
+    :param prefixes: of the keys concerned.
+    :param skip: how many writes to them go first.
+    """
+
+    def __init__(self, client, prefixes: tuple[str, ...], skip: int, wait) -> None:
+        self._client = client
+        self._prefixes = prefixes
+        self._skip = skip
+        self._wait = wait
+
+    def __getattr__(self, name):
+        return getattr(self._client, name)
+
+    async def put(self, key, *arguments):
+        """Write a key, perhaps later."""
+        if key.startswith(self._prefixes):
+            self._skip -= 1
+            if self._skip < 0:
+                await self._wait()
+        return await self._client.put(key, *arguments)
+
+
 class LateStore:
     """Wraps a client; may hold a write back, refuse writes or read late."""
 
