--- a/src/damaskdeck/coordination/quarantine.py
+++ b/src/damaskdeck/coordination/quarantine.py
@@ -15,6 +15,8 @@
 PAUSE_LIMIT = timedelta(hours=1)
 # Probes that must succeed before a worker is open again.
 PROBES = 3
+# How often held workers are looked at again, while workloads fail everywhere.
+ACQUITTAL_INTERVAL = timedelta(seconds=1)
 
 _log = get_logger("quarantine")
 
@@ -66,6 +68,7 @@
         self._fleet: frozenset[str] = frozenset()
         self._held: dict[str, _Held] = {}
         self._pauses: dict[str, timedelta] = {}
+        self._acquitted = -ACQUITTAL_INTERVAL
 
     @property
     def cap(self) -> int:
@@ -159,6 +162,9 @@
 
     def _acquit(self, now: timedelta) -> None:
         """Let go the workers that only failed what fails everywhere."""
+        if now - self._acquitted < ACQUITTAL_INTERVAL:
+            return
+        self._acquitted = now
         for worker in tuple(self._held):
             others = self.held - {worker}
             if not self._failures.is_worker_failing(worker, now, others):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -99,6 +99,14 @@
             cell.run(worker, "checks", False)
         self.assertEqual(cell.quarantine.held, frozenset())
 
+    def test_several_broken_workloads_hold_no_worker_that_runs_others_well(self):
+        cell, rng = Cell(cap_share=1.0), random.Random(3)
+        broken = ("fits", "plans", "routes", "sums")
+        for _ in range(3000):
+            workload = rng.choice((*broken, "checks", "reports", "orders"))
+            cell.run(rng.choice(sorted(FLEET)), workload, workload not in broken)
+            self.assertEqual(cell.quarantine.held, frozenset())
+
     def test_many_failing_workers_do_not_make_workloads_look_broken(self):
         cell, rng = Cell(cap_share=0.5), random.Random(2)
         failing = frozenset(f"w{number}" for number in range(6))
