Keep values with faults in the store from reaching the daemons' parts

Cause: a value that decodes but lacks fields of its kind was put in force; subscribers rely on the type, so one hand-written value would have stopped every daemon, again and again (the new test raised KeyError).

Values are converted to their type on reading; what fails leaves the earlier value in force. Fields of a newer daemon are accepted. A gauge tells the revision in force.

--- a/src/damaskdeck/coordination/rules.py
+++ b/src/damaskdeck/coordination/rules.py
@@ -11,19 +11,11 @@
 from damaskdeck.protocol.handlers import ConfigurationReader
 from damaskdeck.protocol.resources import (
     Kind,
-    PolicySpec,
     Resource,
-    TeamSpec,
-    WorkloadSpec,
     read_size,
 )
 from damaskdeck.protocol.sizes import ZERO_SIZE, name_shortfall
-
-SPECS: dict[Kind, Any] = {
-    Kind.TEAM: TeamSpec,
-    Kind.WORKLOAD: WorkloadSpec,
-    Kind.POLICY: PolicySpec,
-}
+from damaskdeck.state.versions import SPECS
 
 Rule = Callable[[Resource, ConfigurationReader], Iterable[Fault]]
 
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -37,6 +37,11 @@
 )
 
 
+_revision = _meter.create_gauge(
+    "damaskdeck_configuration_revision", description="in force on this daemon"
+)
+
+
 def count_refusal(part: str, code: str, amount: int = 1) -> None:
     """Count work refused by ``part`` with ``code``."""
     _refusals.add(amount, {"part": part, "code": code})
@@ -71,3 +76,8 @@
 def set_packing(dimension: str, share: float) -> None:
     """Record the share of owned instances in use, in one dimension."""
     _packing.set(share, {"dimension": dimension})
+
+
+def set_revision(revision: int) -> None:
+    """Record the revision of the configuration that is in force."""
+    _revision.set(revision)
--- a/src/damaskdeck/state/configuration.py
+++ b/src/damaskdeck/state/configuration.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_drop
+from damaskdeck.metrics import count_drop, set_revision
 from damaskdeck.protocol.handlers import ConfigurationHandler
 from damaskdeck.protocol.ports import Event
 from damaskdeck.protocol.resources import DECLARED_KINDS, Kind, Resource
@@ -97,6 +97,7 @@
         versions = [v for e in events if e.revision > known and (v := _read(e))]
         changes, notices = self._replace_all(versions)
         self.history.record(changes, revision)
+        set_revision(revision)
         self._notify(notices)
         return True
 
@@ -118,6 +119,7 @@
         self._is_loaded, self._revision = True, revision
         _, notices = self._replace_all(versions)
         self.history.reset(revision)
+        set_revision(revision)
         self._notify(notices)
         return True
 
--- a/src/damaskdeck/state/versions.py
+++ b/src/damaskdeck/state/versions.py
@@ -1,13 +1,25 @@
 """Versions of declared resources and the store's values that hold them."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
 from damaskdeck.protocol.ports import Event
-from damaskdeck.protocol.resources import DECLARED_KINDS, Kind, Resource
+from damaskdeck.protocol.resources import (
+    DECLARED_KINDS,
+    Kind,
+    PolicySpec,
+    Resource,
+    TeamSpec,
+    WorkloadSpec,
+)
 
 PREFIX = "config/"
+SPECS: dict[Kind, Any] = {
+    Kind.TEAM: TeamSpec,
+    Kind.WORKLOAD: WorkloadSpec,
+    Kind.POLICY: PolicySpec,
+}
 
 _encoder = msgspec.json.Encoder(order="sorted")
 
@@ -91,7 +103,10 @@
 
 
 def read_version(event: Event) -> Version | None:
-    """Decode a change of a key; ``None`` when it holds no readable resource."""
+    """Decode a change of a key; ``None`` when it holds no readable resource.
+
+    Fields that only a newer daemon knows are no fault.
+    """
     split = split_key(event.key)
     if split is None:
         return None
@@ -105,4 +120,9 @@
         return Version(kind, name, event.revision, None)
     metadata = {**stored.metadata, "name": name, "revision": event.revision}
     resource = Resource(kind=kind.value, metadata=metadata, spec=stored.spec)
+    try:
+        msgspec.convert(resource, Resource)
+        msgspec.convert(stored.spec, SPECS[kind])
+    except msgspec.ValidationError:
+        return None
     return Version(kind, name, event.revision, resource)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -92,6 +92,19 @@
         self.load(9, Event("config/team/a", b"{", 6), make_event("b", 7))
         self.assertEqual(read_weights(self.configuration), {"a": 5, "b": 7})
 
+    def test_a_value_with_faults_leaves_the_earlier_one_in_force(self):
+        self.load(5, make_event("a", 5))
+        for value in (b'{"kind":"team","metadata":{},"spec":{}}', b"[]"):
+            revision = self.configuration.revision + 1
+            self.change(revision - 1, Event("config/team/a", value, revision))
+        self.assertEqual(read_weights(self.configuration), {"a": 5})
+
+    def test_a_field_that_only_a_newer_daemon_knows_is_no_fault(self):
+        team = make_team("a", 5)
+        team["spec"]["new"] = 1
+        self.load(5, Event("config/team/a", encode_resource(team), 5))
+        self.assertEqual(read_weights(self.configuration), {"a": 5})
+
     def test_a_write_ahead_is_in_force_at_once_and_told_once(self):
         self.load(5, make_event("a", 5))
         self.configuration.apply_ahead(read_version(make_event("a", 8)))
