End kept connections with an answer while a daemon drains

A request that a caller sends on a kept connection at the moment the server closes it is cut off. While the daemon isn't ready, each answer now says that the connection ends; the test fails without it. The wait for a caller's leaving stood twice and stands once.

--- a/src/damaskdeck/transport/api/callers.py
+++ b/src/damaskdeck/transport/api/callers.py
@@ -28,7 +28,12 @@
 )
 from damaskdeck.transport.api.credentials import Role
 from damaskdeck.transport.api.problems import ProblemError, make_problem
-from damaskdeck.transport.api.routes import Call, require_loaded, route
+from damaskdeck.transport.api.routes import (
+    Call,
+    require_loaded,
+    route,
+    wait_for_disconnect,
+)
 from damaskdeck.transport.api.streams import LineStream
 
 KEY_LIMIT = 128
@@ -195,7 +200,7 @@
 async def _run_while_connected(call: Call, work: Coroutine[Any, Any, T]) -> T:
     """Await ``work``, but cancel it when its caller leaves."""
     task = asyncio.ensure_future(work)
-    gone = asyncio.ensure_future(_wait_for_disconnect(call))
+    gone = asyncio.ensure_future(wait_for_disconnect(call.request.receive))
     try:
         await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
         if task.done():
@@ -207,11 +212,6 @@
         await asyncio.wait({task, gone})
 
 
-async def _wait_for_disconnect(call: Call) -> None:
-    while (await call.request.receive())["type"] != "http.disconnect":
-        pass
-
-
 def _pick_team(call: Call, workload: str) -> str:
     """Return the caller's team; operators act for the workload's team."""
     if call.caller and call.caller.team:
--- a/src/damaskdeck/transport/api/routes.py
+++ b/src/damaskdeck/transport/api/routes.py
@@ -8,6 +8,7 @@
 import msgspec
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
+from starlette.types import Receive
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.relay import ConfigurationRelay
@@ -153,8 +154,18 @@
         raise ProblemError("not_ready", "the configuration hasn't come yet")
 
 
+async def wait_for_disconnect(receive: Receive) -> None:
+    """Return once the caller has left; the body must have been read."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 async def serve_call(entry: Route, context: Context, request: Request) -> Response:
-    """Check the credential, run the endpoint and render its problems."""
+    """Check the credential, run the endpoint and render its problems.
+
+    While the daemon isn't ready, as when it drains, each answer ends its
+    connection, so that no later request meets the server's end on it.
+    """
     try:
         caller = _authorize(entry, context, request)
         response = await entry.endpoint(Call(request, context, caller))
@@ -166,7 +177,7 @@
         _log.error("A call failed.", path=entry.path, error=repr(error))
         detail = "see the daemon's log"
         response = render_problem(ProblemError("internal", detail, "unknown"))
-    if context.stopping.is_set():
+    if context.stopping.is_set() or not context.is_ready():
         response.headers["Connection"] = "close"
     return response
 
--- a/src/damaskdeck/transport/api/streams.py
+++ b/src/damaskdeck/transport/api/streams.py
@@ -16,7 +16,7 @@
 from damaskdeck.state.watches import Change, Changes, Expired, Lagging, Reader
 from damaskdeck.transport.api.polls import Selector
 from damaskdeck.transport.api.problems import ProblemError
-from damaskdeck.transport.api.routes import Context
+from damaskdeck.transport.api.routes import Context, wait_for_disconnect
 
 BOOKMARK_INTERVAL = timedelta(seconds=10)
 RETRY_AFTER = timedelta(seconds=5)
@@ -58,7 +58,7 @@
             asyncio.ensure_future(work)
             for work in (
                 self._send_lines(send),
-                _wait_for_disconnect(receive),
+                wait_for_disconnect(receive),
                 self._stopping.wait(),
             )
         ]
@@ -100,11 +100,6 @@
     return {"type": "http.response.body", "body": body, "more_body": more}
 
 
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 def watch_configuration(
     context: Context, kind: Kind, after: int, select: Selector, name: str = ""
 ) -> LineStream:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -786,6 +786,14 @@
         self.daemon.relay._is_ready = False
         await self.assert_problem("GET", "/readyz", 503, "not_ready")
 
+    async def test_a_daemon_that_drains_ends_each_connection_with_its_answer(self):
+        path = "/v1/services/api/requests"
+        _, _, headers = await self.call("POST", path, b"", **TEAM)
+        self.assertNotIn("Connection", headers)
+        self.daemon.relay._is_ready = False
+        status, _, headers = await self.call("POST", path, b"", **TEAM)
+        self.assertEqual((status, headers["Connection"]), (200, "close"))
+
     async def test_stopping_lets_requests_end_and_ends_watches(self):
         await self.declare()
         self.requests.release.clear()
