Relieve full workers, limit results, and move work off leaving workers

A keeper reads summaries only while something waits, and looks for new owners of its workers every 3 s.

Tests: TestPressure, TestLeavingWorkers, TestWorkersWithoutEpochs and the limit of results; without the move two tests of leaving workers fail, without trying again one does.

--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -177,11 +177,11 @@
         due = self._deferrals.take_due()
         if due:
             self.follow(due)
-        if self._owners.refresh():
-            self._queue.note_room(self._shapes.capacity)
         await self._impossible.judge(self._waiting)
         if not len(self._queue):
             return
+        if self._owners.refresh():
+            self._queue.note_room(self._shapes.capacity)
         groups: dict[str, list[Pick]] = {}
         turn = Pass(self._queue)
         for _ in range(BATCH_LIMIT):
--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -19,6 +19,7 @@
 CHECK_INTERVAL = timedelta(seconds=1)
 BATCH_LIMIT = 500
 CALL_TIMEOUT = timedelta(seconds=3)
+OWNERS_INTERVAL = timedelta(seconds=3)
 QUIET_LIMIT = timedelta(seconds=10)
 GONE_LIMIT = compute_takeover_bound() + timedelta(seconds=15)
 ON_WORKER = (TaskState.PLACED, TaskState.RUNNING)
@@ -50,6 +51,7 @@
         self._quiet: deque[tuple[timedelta, str, int]] = deque()
         self._stops: dict[str, None] = {}
         self._epochs: dict[str, int] = {}
+        self._next_look = timedelta()
         self._on_worker: dict[str, dict[str, None]] = {}
         self._places: dict[str, str] = {}
         self._changed = asyncio.Event()
@@ -157,6 +159,10 @@
 
     def _note_owners(self) -> None:
         """Doubt the tasks of workers that have a new owner."""
+        now = self._clock.monotonic()
+        if now < self._next_look:
+            return
+        self._next_look = now + OWNERS_INTERVAL
         for worker, tasks in self._on_worker.items():
             owner = self._ownership.find_owner(f"worker/{worker}")
             if owner is None or not tasks:
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -20,7 +20,7 @@
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Peers, encode_message
-from damaskdeck.protocol.ports import Instance, WorkerPort
+from damaskdeck.protocol.ports import Instance, InstanceState, WorkerPort
 from damaskdeck.state.accounts import Accounts
 
 PUBLISH_INTERVAL = timedelta(milliseconds=250)
@@ -158,10 +158,21 @@
     async def _publish_all(self) -> None:
         while True:
             self.rooms.expire()
+            self._clear_leaving()
             summary = summarize_workers(self.accounts, self._members.self.zone)
             self._members.publish(TOPIC, encode_message(summary))
             await self._clock.sleep(PUBLISH_INTERVAL)
 
+    def _clear_leaving(self) -> None:
+        """Move what can move off workers that are leaving; the rest may end."""
+        for name, session in self.sessions.items():
+            if session.worker.state is not InstanceState.LEAVING:
+                continue
+            for task, checkpoint in self.rooms.list_movable(name):
+                hosted = session.tasks.get(task)
+                if hosted is not None and not hosted.cause:
+                    session.orders.preempt(task, checkpoint, "worker_leaving")
+
     async def _take_noted(self, noted: jobs.TasksNoted) -> None:
         for attempt in noted["stop"]:
             session = self.sessions.get(attempt["worker"])
--- a/src/damaskdeck/coordination/news.py
+++ b/src/damaskdeck/coordination/news.py
@@ -101,7 +101,8 @@
     if job.spec["type"] == "service" and not job.stopping:
         _return(verdict, job, task, news, "its task ended", failed=True)
         return
-    if len(result) > defaults.RESULT_LIMIT:
+    total = job.result_size + len(result)
+    if len(result) > defaults.RESULT_LIMIT or total > defaults.RESULTS_LIMIT:
         _end(verdict, task, TaskState.FAILED, "result_too_large")
         return
     _end(verdict, task, TaskState.SUCCEEDED, result=result)
--- a/src/damaskdeck/coordination/orders.py
+++ b/src/damaskdeck/coordination/orders.py
@@ -52,13 +52,17 @@
         self._roster.note_sent(hosted)
         self._waiting.put_nowait(lambda: self._send_start(hosted))
 
-    def preempt(self, task: str, checkpoint: bool) -> None:
+    def preempt(self, task: str, checkpoint: bool, cause: str = "preempted") -> None:
         """Stop a running task, or checkpoint it, to make room for others."""
         hosted = self._roster.tasks.get(task)
         if hosted is not None and hosted.state == "running":
-            self._roster.set_cause(hosted, "preempted")
+            self._roster.set_cause(hosted, cause)
             self.stop(task, hosted.attempt, checkpoint)
 
+    def throttle(self, task: str, millicores: int) -> None:
+        """Bound the processors of a running task."""
+        self._waiting.put_nowait(lambda: self._throttle(task, millicores))
+
     def stop(self, task: str, attempt: int, checkpoint: bool = False) -> None:
         """Stop a task, or checkpoint it first."""
         hosted = self._roster.find(task, attempt)
@@ -123,9 +127,23 @@
         answer = await call(session.worker, session.epoch, task)
         if isinstance(answer, Accepted):
             self._roster.absorb(answer.report)
-        elif isinstance(answer, Lost):
+            return
+        self._forget_cause(task, attempt)
+        if isinstance(answer, Lost):
             session.set_doubtful(True)
 
+    def _forget_cause(self, task: str, attempt: int) -> None:
+        """Let a task be stopped again after a call that came to nothing."""
+        hosted = self._roster.find(task, attempt)
+        if hosted is not None:
+            self._roster.set_cause(hosted, "")
+
+    async def _throttle(self, task: str, millicores: int) -> None:
+        session = self._session
+        hosted = self._roster.tasks.get(task)
+        if hosted is not None and hosted.state == "running" and session.may_act():
+            await session.port.throttle(session.worker, session.epoch, task, millicores)
+
     async def _take_inventory(self) -> None:
         await self._session.read_inventory()
         self._is_asked = False
--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/owners.py
@@ -64,8 +64,7 @@
         fitting = {
             view.name
             for view in self._views.values()
-            if view.count_fitting(need)
-            and (not need.zones or view.zone in need.zones)
+            if view.count_fitting(need) and (not need.zones or view.zone in need.zones)
         }
         fitting.update(view.name for view in self._list_preemptible(need))
         return sorted(fitting)
--- a/src/damaskdeck/coordination/rooms.py
+++ b/src/damaskdeck/coordination/rooms.py
@@ -1,6 +1,6 @@
 """Room on the workers of one owner: placement, holds, preemption, quarantine."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -15,7 +15,9 @@
     Preemptor,
     Victims,
 )
+from damaskdeck.coordination.pressure import PressureAction
 from damaskdeck.coordination.quarantine import Quarantine
+from damaskdeck.coordination.relief import Relief
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.jobs import Request, SizeData, TaskAttempt
 from damaskdeck.protocol.ports import Usage
@@ -55,6 +57,7 @@
             accounts, clock, self._budget, find_refusal=self._placer.find_refusal
         )
         self._estimates = Estimates()
+        self._relief = Relief(accounts)
         self._quarantine = Quarantine(clock, Failures())
         self._claims: dict[str, timedelta] = {}
         self._placer.add_filter(CLAIMED, self._preemptor.prepare_claims)
@@ -102,15 +105,32 @@
         """Note which workers are owned."""
         self._quarantine.set_fleet(frozenset(workers))
 
-    def observe(self, usage: Iterable[Usage]) -> None:
-        """Learn from what tasks were seen to use."""
+    def observe(self, worker: str, usage: Collection[Usage]) -> list[PressureAction]:
+        """Learn from what tasks were seen to use, and choose what to relieve."""
         for item in usage:
             workload = read_workload(item.task)
             self._estimates.observe_use(workload, item.task, item.size)
+        return self._relief.choose(worker, usage)
+
+    def list_movable(self, worker: str) -> list[tuple[str, bool]]:
+        """List tasks that lose nothing by moving: checkpointable ones, services.
+
+        :returns: each with whether it can be checkpointed.
+        """
+        account = self._accounts.workers.get(worker)
+        if account is None:
+            return []
+        needs = [held.need for held in account.reservations.values()]
+        return [
+            (need.task, need.checkpoint)
+            for need in needs
+            if need.checkpoint or (need.group and need.idempotent)
+        ]
 
     def note_end(self, worker: str, task: str, state: str) -> None:
         """Note that an attempt has ended, and learn from it."""
         self._preemptor.note_end(task)
+        self._relief.forget(task)
         workload = read_workload(task)
         self._estimates.observe_end(workload, task, None)
         succeeded = {"succeeded": True, "failed": False}.get(state)
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -8,6 +8,7 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.leases import compute_takeover_bound
 from damaskdeck.coordination.orders import Orders
+from damaskdeck.coordination.pressure import Checkpoint, Throttle
 from damaskdeck.coordination.rooms import Rooms
 from damaskdeck.coordination.rosters import Hosted, Roster
 from damaskdeck.logs import get_logger
@@ -18,6 +19,7 @@
     Inventory,
     Lost,
     Rejected,
+    Usage,
     WorkerPort,
 )
 from damaskdeck.state.accounts import Accounts
@@ -186,7 +188,7 @@
         if found.sequence < self._sequence:
             self.set_doubtful(True)
         self._sequence = found.sequence
-        self._rooms.observe(found.usage)
+        self._relieve(found.usage)
         for report in found.tasks:
             self.roster.absorb(report)
         if is_whole:
@@ -195,6 +197,19 @@
                 self._settle_missing(hosted)
         return True
 
+    def _relieve(self, usage: tuple[Usage, ...]) -> None:
+        """Throttle or stop tasks of a worker whose use nears its size."""
+        tasks = self.roster.tasks
+        staying = [
+            item for item in usage if item.task in tasks and not tasks[item.task].cause
+        ]
+        for action in self._rooms.observe(self.worker.name, staying):
+            if isinstance(action, Throttle):
+                self.orders.throttle(action.task, action.millicores)
+            else:
+                checkpoint = isinstance(action, Checkpoint)
+                self.orders.preempt(action.task, checkpoint, "worker_full")
+
     def _settle_missing(self, hosted: Hosted) -> None:
         """Settle an attempt that the worker doesn't know, as after a restart."""
         if hosted.state == "running":
--- a/src/damaskdeck/defaults.py
+++ b/src/damaskdeck/defaults.py
@@ -21,6 +21,7 @@
 LEASE_MARGIN = timedelta(seconds=2)
 PAYLOAD_LIMIT = 256_000
 RESULT_LIMIT = 256_000
+RESULTS_LIMIT = 1_000_000
 
 # Requests.
 REQUEST_TIMEOUT = timedelta(seconds=10)
--- a/src/damaskdeck/state/changes.py
+++ b/src/damaskdeck/state/changes.py
@@ -132,6 +132,9 @@
         if state in (TaskState.FAILED, TaskState.UNKNOWN):
             _give_up(table, task, code or "task_failed", value["at"])
         result = end.get("result", b"")
+        if result:
+            job = table.jobs[task.job]
+            table.change_job(job, result_size=job.result_size + len(result))
         table.settle_task(task, value["at"], state=state, code=code, result=result)
 
 
--- a/src/damaskdeck/state/work.py
+++ b/src/damaskdeck/state/work.py
@@ -52,6 +52,8 @@
 class Job(NamedTuple):
     """A job; ``unsettled`` counts its tasks that haven't ended.
 
+    ``result_size`` is the sum of their results, in bytes.
+
     :param submitted: time of day in seconds since 1970, as all times here.
     :param ran: whether some task may have run.
     :param cancelled: whether a caller asked to cancel it.
@@ -70,6 +72,7 @@
     ran: bool = False
     cancelled: bool = False
     unsettled: int = 0
+    result_size: int = 0
     code: str = ""
     ended: float = 0.0
     reasons: tuple[str, ...] = ()
--- a/src/standins/plane.py
+++ b/src/standins/plane.py
@@ -150,6 +150,7 @@
             ports.workers,
             self.fleet,
             plane.clock,
+            checks_epochs=plane.checks_epochs,
         )
         self.keeper = Keeper(
             self.members,
@@ -185,6 +186,7 @@
 
     def __init__(self, daemons=2, workers=2, size=WORKER_SIZE):
         self.clock = LoopClock()
+        self.checks_epochs = True
         self.platform = Platform(self.clock)
         self.switch = PeerSwitch(self.clock)
         self.configuration = FixedConfiguration()
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,6 +3,7 @@
 import unittest
 from datetime import timedelta
 
+from damaskdeck.defaults import MEMBER_LEASE
 from damaskdeck.protocol.handlers import JobState, Submission
 from damaskdeck.protocol.jobs import SizeData, Start
 from standins.faults import FaultKind
@@ -372,3 +373,85 @@
         ended = await self.lose(FaultKind.REFUSE, idempotent=False)
         self.assertEqual(ended.state, JobState.COMPLETED)
         self.check_runs(1)
+
+
+class TestLeavingWorkers(WithPlane):
+    """A leaving worker gets no new work; what can move does, the rest ends."""
+
+    async def leave(self, **fields):
+        await self.start(LONG, workers=2, **fields)
+        await self.sleep(3)
+        name, other = self.find_busy()
+        self.plane.platform.leave(name)
+        ended = await self.plane.wait_for_end(self.job)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        return [start.worker for start in self.runs.starts], name, other
+
+    @virtual
+    async def test_task_that_can_be_checkpointed_goes_on_elsewhere(self):
+        workers, name, other = await self.leave(checkpoint=True, idempotent=False)
+        self.assertEqual(workers, [name, other])
+
+    @virtual
+    async def test_refused_checkpoint_is_tried_again(self):
+        await self.start(LONG, workers=2, checkpoint=True)
+        await self.sleep(1)
+        name, other = self.find_busy()
+        stand_in = self.plane.platform.workers[name]
+        stand_in.faults.plan("checkpoint", FaultKind.REFUSE, FaultKind.LOSE_CALL)
+        self.plane.platform.leave(name)
+        await self.plane.wait_for_end(self.job)
+        workers = [start.worker for start in self.runs.starts]
+        self.assertEqual(workers, [name, other])
+
+    @virtual
+    async def test_task_that_cannot_move_ends_where_it_is(self):
+        workers, name, _ = await self.leave(idempotent=False)
+        self.assertEqual(workers, [name])
+
+
+class TestPressure(WithPlane):
+    """Wrong declarations don't overload a worker."""
+
+    async def overload(self, **fields):
+        self.plane = await Plane(daemons=1, workers=1).start()
+        worker = self.plane.platform.workers["w1"]
+        worker.usage_factor = 1.5
+        size = {"processors": 1, "memory": 1900}
+        self.plane.declare(tasks=4, size=size, **fields)
+        self.job = await self.submit(ENDLESS)
+        await self.sleep(40)
+        return worker
+
+    @virtual
+    async def test_idempotent_task_makes_room_and_waits(self):
+        worker = await self.overload()
+        self.assertGreater(worker.calls["stop"], 0)
+        self.assertLess(len(worker.list_running()), 4)
+        view = await self.plane.find("d1").keeper.read_job(self.job)
+        self.assertTrue(any("worker_full" in reason for reason in view.reasons))
+
+    @virtual
+    async def test_non_idempotent_task_is_throttled_and_never_stopped(self):
+        worker = await self.overload(idempotent=False)
+        self.assertEqual(worker.calls["stop"], 0)
+        self.assertEqual(len(worker.list_running()), 4)
+
+
+class TestWorkersWithoutEpochs(unittest.TestCase):
+    """A new owner waits out the old one where the worker can't fence it off."""
+
+    @virtual
+    async def test_worker_that_cannot_check_epochs_gets_work_after_the_old_lease(self):
+        plane = Plane(daemons=2, workers=1)
+        plane.checks_epochs = False
+        await plane.start()
+        await plane.clock.sleep(timedelta(seconds=10))
+        plane.declare()
+        await plane.registry.hand_over("worker/w1", "d2")
+        before = plane.clock.monotonic()
+        keeper = plane.find("d1").keeper
+        await keeper.submit_job(Submission("batch", "team", ENDLESS))
+        await plane.clock.sleep(timedelta(seconds=10))
+        waited = plane.platform.runs.starts[0].time - before
+        self.assertGreaterEqual(waited, 2 * MEMBER_LEASE)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -149,6 +149,17 @@
         self.assertEqual(ended.state, JobState.FAILED)
         self.assertEqual(ended.code, "result_too_large")
 
+    @virtual
+    async def test_results_of_a_job_are_limited_together(self):
+        plane = await Plane(workers=1).start()
+        plane.declare(tasks=3, size={"processors": 4, "memory": 1})
+        with mock.patch.object(defaults, "RESULTS_LIMIT", 9):
+            view = await submit(plane)
+            ended = await plane.wait_for_end(view.name)
+        self.assertEqual(
+            (ended.state, ended.code), (JobState.FAILED, "result_too_large")
+        )
+
 
 class TestFailover(unittest.TestCase):
     """A new keeper goes on where the old one was stopped."""
