Charge urgent work to the team's quota for itself

Cause: of the samples of waiting urgent tasks nearly all were held back by the quota that their own team's batch work had used up, though it may be preempted for them. Conclusion: the keeper must charge in the same way when it is wired up.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -30,6 +30,15 @@
 PREEMPTING = (Urgency.URGENT, Urgency.HIGH)
 
 
+def find_quota_account(team: str, urgency: Urgency) -> str:
+    """Return under which name a team's work is charged to its quota.
+
+    Urgent work has the quota for itself: the rest of the team's work, which it
+    may preempt, must not keep it from being offered.
+    """
+    return f"{team}/urgent" if urgency is Urgency.URGENT else team
+
+
 class CellClock:
     """The clock of a cell, for those who only read it."""
 
@@ -62,7 +71,9 @@
             self.accounts.set_worker(worker)
         self.quotas = Quotas(self.accounts.totals.size)
         for team, quota in cell.mix.quotas.items():
-            self.quotas.set_quota(team, quota.size, quota.weight)
+            for urgency in (Urgency.URGENT, Urgency.NORMAL):
+                account = find_quota_account(team, urgency)
+                self.quotas.set_quota(account, quota.size, quota.weight)
         clock = CellClock(cell)
         self.queue = JobQueue(clock, self.quotas)
         budget = PreemptionBudget(clock)
@@ -99,7 +110,8 @@
         self._note_cleared(task.name)
         self._note_run_time(cell, task)
         self._note_quarantine(task, has_failed)
-        self.quotas.release(task.arrival.team, task.size)
+        account = find_quota_account(task.arrival.team, task.arrival.urgency)
+        self.quotas.release(account, task.size)
         if has_failed:
             task.avoid |= {task.worker}
         self.queue.note_room(self.accounts.workers[task.worker].free)
@@ -271,7 +283,7 @@
         self.queue.push(
             WaitingJob(
                 name,
-                arrival.team,
+                find_quota_account(arrival.team, arrival.urgency),
                 arrival.urgency,
                 first.size,
                 arrival.time,
