--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -387,6 +387,28 @@
         self.assertEqual(task.result().code, "answer_lost")
         self.assertIsInstance(task.result(), Unknown)
 
+    async def test_calls_that_a_paused_store_carries_out_later_write_once(self):
+        faults, before = self.cluster.store.faults, self.cluster.store.revision
+        faults.pause()
+        task = asyncio.ensure_future(self.cluster["d00"].put_weight(2.0))
+        await self.cluster.pass_time(7)
+        self.assertFalse(task.done())
+        faults.resume()
+        await self.cluster.pass_time(3)
+        self.assertIsInstance(task.result(), Declared)
+        self.assertEqual(self.cluster.store.revision, before + 1)
+        self.assert_all(2.0)
+
+    async def test_a_write_told_as_unknown_may_come_into_force_later(self):
+        self.cluster.store.faults.pause()
+        task = asyncio.ensure_future(self.cluster["d00"].put_weight(2.0))
+        await self.cluster.pass_time(20)
+        self.assertIsInstance(task.result(), Unknown)
+        self.assert_all(1.0)
+        self.cluster.store.faults.resume()
+        await self.cluster.pass_time(5)
+        self.assert_all(2.0)
+
     async def test_a_delayed_creation_does_not_bring_back_what_was_deleted(self):
         relay = self.cluster["d00"].relay
         self.cluster.store.faults.plan("put", LOSE_CALL)
