Summarise workers only after a change, and ask no owner that is silent

Cause: an owner of 30 workers with 480 tasks worked its summary out four times a second. A silent owner's summary had a weight of zero after half an hour, which stopped the keeper's placement with a ValueError.

Change: the summary is worked out after a change only and published as before; owners not heard of for 30 s aren't asked.

Tests: test_owner_that_is_silent_for_long_is_not_asked failed with the ValueError before.

--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -21,7 +21,7 @@
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Peers, encode_message
 from damaskdeck.protocol.ports import Instance, InstanceState, WorkerPort
-from damaskdeck.state.accounts import Accounts
+from damaskdeck.state.accounts import Accounts, WorkerAccount
 
 PUBLISH_INTERVAL = timedelta(milliseconds=250)
 
@@ -77,6 +77,9 @@
         self._outbox = Outbox(ownership, peers, clock, self._take_noted)
         self._runners: dict[str, asyncio.Task[None]] = {}
         self._supervisor = Supervisor()
+        self._summary = b""
+        self._is_changed = True
+        self.accounts.subscribe(self._note_change)
         self._fences = Fences(ownership)
         ownership.on_gain("worker", self._gain)
         ownership.on_loss("worker", self._lose)
@@ -159,10 +162,16 @@
         while True:
             self.rooms.expire()
             self._clear_leaving()
-            summary = summarize_workers(self.accounts, self._members.self.zone)
-            self._members.publish(TOPIC, encode_message(summary))
+            if self._is_changed:
+                self._is_changed = False
+                summary = summarize_workers(self.accounts, self._members.self.zone)
+                self._summary = encode_message(summary)
+            self._members.publish(TOPIC, self._summary)
             await self._clock.sleep(PUBLISH_INTERVAL)
 
+    def _note_change(self, account: WorkerAccount, is_present: bool) -> None:
+        self._is_changed = True
+
     def _clear_leaving(self) -> None:
         """Move what can move off workers that are leaving; the rest may end."""
         for name, session in self.sessions.items():
--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/owners.py
@@ -19,6 +19,8 @@
 
 ROOM_LIFE = timedelta(seconds=5)
 PREEMPTIBLE_LIMIT = 3
+# An owner that isn't heard of for so long isn't asked.
+SUMMARY_LIFE = timedelta(seconds=30)
 
 _decoder = msgspec.msgpack.Decoder(WorkerSummary)
 
@@ -36,7 +38,12 @@
 
     def refresh(self) -> bool:
         """Take in new summaries; returns whether there were any."""
-        reports = self._members.read_reports(TOPIC)
+        oldest = self._clock.monotonic() - SUMMARY_LIFE
+        reports = {
+            name: report
+            for name, report in self._members.read_reports(TOPIC).items()
+            if report.received >= oldest
+        }
         for name in [name for name in self._views if name not in reports]:
             del self._views[name]
             self._seen.pop(name, None)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -374,6 +374,20 @@
         ended = await plane.wait_for_end(view.name)
         self.assertEqual((ended.state, ended.code), (JobState.REFUSED, "impossible"))
 
+    @virtual
+    async def test_owner_that_is_silent_for_long_is_not_asked(self):
+        plane = await Plane(daemons=1, workers=1).start()
+        plane.declare()
+        await plane.clock.sleep(2 * SECOND)
+        plane.find("d1").members.publish = lambda topic, value: None
+        await plane.clock.sleep(2000 * SECOND)
+        view = await submit(plane, at="d1")
+        await plane.clock.sleep(5 * SECOND)
+        self.assertEqual(plane.platform.runs.starts, [])
+        del plane.find("d1").members.publish
+        ended = await plane.wait_for_end(view.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+
 
 class TestServices(unittest.TestCase):
     """Declared services run by themselves, as many tasks as declared."""
