Count the first read-back after a lost answer as a retry

Cause: a lost answer that was resolved at the first read left no trace in the retry counter, so an operator would not see a store that loses answers.

Change: it is counted with its reason; two parameters of Ledger are described.

--- a/src/damaskdeck/state/ledger.py
+++ b/src/damaskdeck/state/ledger.py
@@ -59,10 +59,12 @@
     :param apply: called with the records of each commit, in order of the log,
         once they are durable and before :meth:`commit` returns, also when the
         caller has gone; must not wait. Not called for what :meth:`open` returns.
-    :param append_interval: shortest time between two appends under load.
+    :param append_interval: shortest time between two appends under load; all
+        ledgers together make ``count / append_interval`` store writes a second.
     :param commit_timeout: longest time that :meth:`commit` waits.
     :param value_limit: bytes of the largest value that the store takes.
     :param slots: how many keys the log uses in turn, if the ledger is new.
+    :param queue_limit: how many commits may wait.
     :param identify: returns a new unique identifier for a write.
     """
 
--- a/src/damaskdeck/state/writes.py
+++ b/src/damaskdeck/state/writes.py
@@ -88,6 +88,7 @@
             return Lost(answer.code, answer.detail)
         if is_first:
             is_first = False
+            count_retry("ledger", answer.code)
         else:
             await backoff.wait(answer.code)
         answer = await _read_back(store, write)
