Bind a returning member to the promises made before it was known

The state machine found two deciders: B was prolonged for 30 s by A, which had lost the store; C, paused and forgotten by B, came back, was known again and took over from B, which was paused now, while A's promise still let B decide. With its first echo of a session, a member now says how long the promises of others still let it decide, and the receiver keeps to that. A newcomer that was never echoed waits for longer than the longest promise (30.6 s in place of 10 s).

--- a/src/damaskdeck/coordination/contacts.py
+++ b/src/damaskdeck/coordination/contacts.py
@@ -3,11 +3,10 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from damaskdeck.coordination.tenures import NEVER
 from damaskdeck.protocol.heartbeats import MemberFields
 from damaskdeck.protocol.members import Member, Report
 
-NEVER = timedelta(days=-36500)
-
 
 @dataclass
 class Contact:
--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -6,7 +6,6 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.contacts import (
-    NEVER,
     Contact,
     to_fields,
     to_milliseconds,
@@ -14,7 +13,7 @@
 from damaskdeck.coordination.digests import Relay, write_ages
 from damaskdeck.coordination.registration import Registered, Registry
 from damaskdeck.coordination.rendezvous import choose_links
-from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.coordination.tenures import NEVER, Tenure
 from damaskdeck.defaults import (
     CLOCK_DRIFT,
     HEARTBEAT_INTERVAL,
@@ -47,7 +46,7 @@
 PAUSE_LIMIT = timedelta(seconds=1)
 FAR_SILENCE = 3 * SILENCE_LIMIT
 FORGET_TIME = timedelta(seconds=30)
-NEWCOMER_WAIT = timedelta(seconds=10)
+NEWCOMER_WAIT = OUTAGE_PROMISE * (1 + 2 * CLOCK_DRIFT)
 
 _log = get_logger("members")
 
@@ -287,9 +286,11 @@
         if is_near and contact.number > contact.promised:
             contact.promised = contact.number
             duration = self._choose_promise(now)
-            until = now + duration * (1 + CLOCK_DRIFT)
-            self._promises[name] = max(self._promises.get(name, NEVER), until)
+            self._promise(name, duration, now)
             echo["promise"] = to_milliseconds(duration)
+        if is_near:
+            promised = self._registry.get_promised(now)
+            echo["promised"] = to_milliseconds(promised) + 1
         return echo
 
     def _choose_promise(self, now: timedelta) -> timedelta:
@@ -337,18 +338,34 @@
         self._take_digests(heartbeat.get("digests", []), now)
         self._take_ages(heartbeat.get("ages", {}), now, is_far)
         if "echo" in heartbeat:
-            self._take_echo(contact, heartbeat["echo"])
+            self._take_echo(contact, heartbeat["echo"], now)
         self._prolong(now)
 
-    def _take_echo(self, contact: Contact, echo: Echo) -> None:
+    def _take_echo(self, contact: Contact, echo: Echo, now: timedelta) -> None:
         sent = self._sent.get(echo["number"], NEVER)
         contact.echoed = max(contact.echoed, sent)
-        self._familiar[contact.member.name] = echo["session"]
+        self._get_known(contact.member.name, echo, now)
         if "promise" in echo and sent != NEVER:
             promise = timedelta(milliseconds=echo["promise"])
             until = sent + promise * (1 - CLOCK_DRIFT)
             contact.vouched_until = max(contact.vouched_until, until)
 
+    def _get_known(self, name: str, echo: Echo, now: timedelta) -> None:
+        """Note that a member knows this session, and so needs our promise.
+
+        What others had promised it before still holds and binds us as well.
+        """
+        if self._familiar.get(name) == echo["session"]:
+            return
+        self._familiar[name] = echo["session"]
+        longest = to_milliseconds(OUTAGE_PROMISE)
+        promised = timedelta(milliseconds=echo.get("promised", longest))
+        self._promise(name, promised, now)
+
+    def _promise(self, name: str, duration: timedelta, now: timedelta) -> None:
+        until = now + duration * (1 + CLOCK_DRIFT)
+        self._promises[name] = max(self._promises.get(name, NEVER), until)
+
     def _take_reports(
         self, contact: Contact, reports: dict[str, ReportFields], now: timedelta
     ) -> None:
--- a/src/damaskdeck/coordination/registration.py
+++ b/src/damaskdeck/coordination/registration.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.contacts import NEVER, to_fields
+from damaskdeck.coordination.contacts import to_fields
 from damaskdeck.coordination.mirrors import Mirror
-from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.coordination.tenures import NEVER, Tenure
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry, count_store_call
 from damaskdeck.protocol.heartbeats import MemberFields
@@ -100,6 +100,11 @@
             if tenure is self.tenure or tenure.is_valid(now)
         ]
 
+    def get_promised(self, now: timedelta) -> timedelta:
+        """Return for how long promises let this daemon decide from now on."""
+        promised = (tenure.get_promised(now) for tenure in self._tenures)
+        return max(promised, default=timedelta())
+
     async def leave(self) -> str:
         """End all tenures and revoke the lease; return the last session."""
         self._has_left = True
--- a/src/damaskdeck/coordination/tenures.py
+++ b/src/damaskdeck/coordination/tenures.py
@@ -4,6 +4,8 @@
 
 from damaskdeck.defaults import CLOCK_DRIFT
 
+NEVER = timedelta(days=-36500)
+
 
 class Tenure:
     """The time during which what is bound to one session may be decided.
@@ -23,8 +25,8 @@
         self.lease = lease
         self.revision = revision
         self.has_lapsed = False
-        self._leased_until = timedelta.min
-        self._promised_until = timedelta.min
+        self._leased_until = NEVER
+        self._promised_until = NEVER
 
     def is_leased(self, now: timedelta) -> bool:
         """Tell whether the lease must still be valid in the store."""
@@ -34,6 +36,10 @@
         """Tell whether the lease or every promise still holds."""
         return now < self._leased_until or now < self._promised_until
 
+    def get_promised(self, now: timedelta) -> timedelta:
+        """Return for how long the promises of others still hold."""
+        return max(self._promised_until - now, timedelta())
+
     def renew(self, before: timedelta, ttl: timedelta) -> None:
         """Note a renewed lease.
 
@@ -50,9 +56,9 @@
     def lapse(self) -> None:
         """Note that the store doesn't know the lease any more."""
         self.has_lapsed = True
-        self._leased_until = timedelta.min
+        self._leased_until = NEVER
 
     def end(self) -> None:
         """End the tenure at once, as its holder leaves."""
         self.lapse()
-        self._promised_until = timedelta.min
+        self._promised_until = NEVER
--- a/src/damaskdeck/protocol/heartbeats.py
+++ b/src/damaskdeck/protocol/heartbeats.py
@@ -23,11 +23,14 @@
     :ivar session: the session that it named.
     :ivar promise: for how many milliseconds from now on the sender takes over
         nothing from the receiver.
+    :ivar promised: for how many milliseconds more the promises of others let
+        the sender decide; the receiver may not be among those who gave them.
     """
 
     number: int
     session: str
     promise: NotRequired[int]
+    promised: NotRequired[int]
 
 
 class ReportFields(TypedDict):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -232,6 +232,18 @@
             self.assertEqual(len(self.deployment.find_deciders(thing)), 1)
         self.assertEqual(self.daemons["a"].list_held(), ())
 
+    async def test_promises_from_before_a_return_bind_the_one_that_returns(self):
+        self.deployment.pause("c")
+        self.faults.cut_off.add("a")
+        await self.deployment.advance(18)
+        self.deployment.resume("c")
+        await self.deployment.advance(2)
+        self.faults.cut_off.clear()
+        self.assertTrue(self.daemons["b"].list_held())
+        self.deployment.pause("b")
+        await self.deployment.advance(45)
+        self.assert_all_owned()
+
     async def test_only_member_of_a_zone_goes_on(self):
         for name in ("b", "c"):
             await self.drain(name)
