--- a/src/damaskdeck/coordination/queueing.py
+++ b/src/damaskdeck/coordination/queueing.py
@@ -270,9 +270,12 @@
         lines = self._classes[RANKS[job.urgency]].values()
         teams = {team for line in lines for team in line.groups}
         ahead = sum(self.shares.compute_share(team) < share for team in teams)
+        if not ahead:
+            return "no team that waits in the class uses less of its share"
+        teams_ahead = "1 team" if ahead == 1 else f"{ahead} teams"
         return (
-            f"{ahead} teams that wait in the class use less of their share; team "
-            f"{job.team} uses {share:.1%} by weight"
+            f"comes after {teams_ahead} of the class by fair share; team {job.team} "
+            f"uses {share:.1%} by weight"
         )
 
     def _drop_entry(self, entry: Entry) -> None:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -440,7 +440,8 @@
         queue.push(make_job("a", size=Size(2, 2, 0)))
         queue.push(make_job("b", size=Size(2, 2, 0), submitted=timedelta(seconds=1)))
         self.assertIn("number 2 of team ash in class normal", queue.describe("b")[0])
-        self.assertIn("0 teams", queue.describe("b")[1])
+        order = "no team that waits in the class uses less of its share"
+        self.assertEqual(queue.describe("b")[1], order)
         _fail_all(queue)
         self.assertEqual(queue.describe("b")[1], "no worker has room: memory")
         quotas.charge("birch", CAPACITY)
