Ask a keeper again after a lost reply where a repeat is harmless

Change: readings, cancellations, settled keys and submissions with a key are asked once more when the keeper's reply is lost; they meet the first one's outcome. A submission without a key stays answer_lost.

--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -243,9 +243,18 @@
         return reply if isinstance(reply, Refused | Unknown) else read_reply(reply)
 
     async def _ask(self, ledger: str, message: Any, kind: type) -> Any:
-        """Ask a ledger's keeper; asks again only if it surely did nothing."""
+        """Ask a ledger's keeper; asks again only if that changes nothing more.
+
+        That is when the keeper surely did nothing, or once after a lost answer
+        when a repeat meets the first one's outcome.
+        """
+        repeats = 1 if is_repeatable(message, kind) else 0
         for _ in range(RETRY_LIMIT):
             reply = await self._ask_once(ledger, message, kind)
+            if isinstance(reply, Unknown) and repeats:
+                count_retry("jobs", reply.code)
+                repeats -= 1
+                continue
             refused = _find_refusal(reply)
             if refused is None or refused.code not in NO_KEEPER:
                 return reply
@@ -266,6 +275,13 @@
         return Unknown("answer_lost", "the keeper of the job's ledger didn't answer")
 
 
+def is_repeatable(message: Any, kind: type) -> bool:
+    """Tell whether asking twice does no more than asking once."""
+    if kind is jobs.SubmitJob:
+        return bool(message["key"])
+    return kind is not jobs.ClaimKey
+
+
 def _find_refusal(reply: Any) -> Refused | None:
     if isinstance(reply, Refused):
         return reply
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -69,6 +69,27 @@
     return await plane.find(at).keeper.submit_job(submission)
 
 
+class TestLostReplies(unittest.TestCase):
+    """An entry asks again after a lost reply only where that is harmless."""
+
+    async def submit(self, key):
+        plane = await Plane().start()
+        plane.declare()
+        plane.switch.lose_replies("d2", "d1")
+        view = await submit(plane, key=key)
+        await plane.clock.sleep(10 * SECOND)
+        self.assertEqual(len(plane.platform.runs.starts), 1)
+        return view
+
+    @virtual
+    async def test_submission_with_a_key_is_repeated(self):
+        self.assertEqual((await self.submit("k")).workload, "batch")
+
+    @virtual
+    async def test_submission_without_a_key_is_not_repeated(self):
+        self.assertEqual((await self.submit("")).code, "answer_lost")
+
+
 class TestOutcomes(unittest.TestCase):
     """Each job ends in one of the four outcomes, and truthfully."""
 
