--- a/src/damaskdeck/coordination/loads.py
+++ b/src/damaskdeck/coordination/loads.py
@@ -61,12 +61,13 @@
         known = load["free"] - load["queued"]
         return weight * known + (1 - weight) * self.average - self.sent
 
-    def estimate_wait(self, now: timedelta) -> float:
-        """Return how many seconds a newcomer would wait there."""
+    def estimate_wait(self, free: float) -> float:
+        """Return how many seconds a newcomer would wait there.
+
+        :param free: what :meth:`estimate_free` said.
+        """
         load = self.load
-        if not load["slots"]:
-            return math.inf
-        missing = max(0.0, 1 - self.estimate_free(now))
+        missing = max(0.0, 1 - free)
         return missing * load["service_time"] / load["slots"]
 
 
@@ -151,10 +152,21 @@
         ]
         if not views:
             return None
-        drawn = views if len(views) <= 2 else self._random.sample(views, 2)
-        best = max(drawn, key=lambda view: view.estimate_free(now))
-        free, wait = best.estimate_free(now), best.estimate_wait(now)
-        return Choice(best.instance, free, wait, near)
+        best, free = views[0], -math.inf
+        for view in self._draw(views):
+            estimate = view.estimate_free(now)
+            if estimate > free:
+                best, free = view, estimate
+        return Choice(best.instance, free, best.estimate_wait(free), near)
+
+    def _draw(self, views: list[LoadView]) -> list[LoadView]:
+        """Draw two of them."""
+        count = len(views)
+        if count <= 2:
+            return views
+        first = int(self._random.random() * count)
+        second = int(self._random.random() * (count - 1))
+        return [views[first], views[second + (second >= first)]]
 
     def list_owners(self, service: str, near: bool) -> list[str]:
         """List the live daemons that have slots of a service."""
