Split the router by owned targets and keyed requests

test_a_target_off_the_list_gets_nothing_and_comes_back_with_it fails when the gain is forgotten, and when a target that vanished counts as live.

--- /dev/null
+++ b/src/damaskdeck/coordination/keyed.py
@@ -0,0 +1,71 @@
+"""Requests with an idempotency key: claimed before the first byte, settled after."""
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable
+
+from damaskdeck.coordination.attempts import Course, Gone
+from damaskdeck.protocol.handlers import Claimed, KeyMemory, Known
+from damaskdeck.protocol.outcomes import (
+    Completed,
+    Failed,
+    Outcome,
+    Refused,
+    Unknown,
+)
+
+
+class KeyedRequests:
+    """Serves a request at most once for each key.
+
+    Promise: "A request marked as non-idempotent [...] runs at most once."
+
+    :param serve: runs a request whose key was claimed.
+    """
+
+    def __init__(
+        self, keys: KeyMemory, serve: Callable[[Course], Awaitable[Outcome]]
+    ) -> None:
+        self._keys = keys
+        self._serve = serve
+        self._closings: set[asyncio.Task[None]] = set()
+
+    async def serve(self, course: Course) -> Outcome:
+        """Run a request once for its key, or return what became of it."""
+        request = course.request
+        digest = hashlib.sha256(request.body).digest()
+        name = (request.team, request.service, request.key)
+        claim = await self._keys.claim_key(*name, digest, request.timeout)
+        if isinstance(claim, Known):
+            return claim.outcome
+        if not isinstance(claim, Claimed):
+            return claim
+        try:
+            outcome = await self._serve(course)
+        except asyncio.CancelledError:
+            self._settle_later(name, course)
+            raise
+        await self._keys.settle_key(*name, outcome)
+        return outcome
+
+    def _settle_later(self, name: tuple[str, str, str], course: Course) -> None:
+        """Remember what became of a keyed request whose caller has gone."""
+        task = asyncio.ensure_future(self._settle_cancelled(name, course))
+        self._closings.add(task)
+        task.add_done_callback(self._closings.discard)
+
+    async def _settle_cancelled(
+        self, name: tuple[str, str, str], course: Course
+    ) -> None:
+        outcome: Outcome = Refused("cancelled")
+        if course.lost:
+            outcome = Unknown(course.lost)
+        if course.call is not None:
+            result = await course.call
+            if isinstance(result, Completed | Failed):
+                outcome = result
+            elif isinstance(result, Gone):
+                outcome = Unknown(result.code)
+        elif course.is_sent:
+            outcome = Unknown("cancelled")
+        await self._keys.settle_key(*name, outcome)
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import functools
-import hashlib
 import random
-from collections.abc import Callable
 from datetime import timedelta
-from typing import Protocol
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.attempts import (
@@ -19,19 +16,18 @@
     Result,
 )
 from damaskdeck.coordination.forwards import Forwarder
-from damaskdeck.coordination.handover import SlotHandover
-from damaskdeck.coordination.health import TargetHealth, may_eject
+from damaskdeck.coordination.keyed import KeyedRequests
 from damaskdeck.coordination.lanes import Lane
 from damaskdeck.coordination.loads import Choice, LoadTable
+from damaskdeck.coordination.owned import FleetReader, OwnedTargets
 from damaskdeck.coordination.retries import ATTEMPT_LIMIT, RetryBudget, draw_backoff
-from damaskdeck.coordination.sending import TargetSender, is_fault
+from damaskdeck.coordination.sending import TargetSender
 from damaskdeck.coordination.sharing import SlotSharing
-from damaskdeck.coordination.slots import SlotPool
 from damaskdeck.coordination.timers import Timers
 from damaskdeck.defaults import HEARTBEAT_INTERVAL, LEASE_MARGIN, REQUEST_TIMEOUT
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal, count_retry, observe_wait
-from damaskdeck.protocol.handlers import Claimed, KeyMemory, Known, ServiceRequest
+from damaskdeck.protocol.handlers import KeyMemory, ServiceRequest
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Peers
 from damaskdeck.protocol.outcomes import (
@@ -41,21 +37,11 @@
     Refused,
     Unknown,
 )
-from damaskdeck.protocol.ports import (
-    Instance,
-    InstanceRole,
-    InstanceState,
-    TargetPort,
-    Written,
-)
+from damaskdeck.protocol.ports import TargetPort
 
 PART = "routing"
-SCOPE = "target"
 RETRY_HINT = timedelta(seconds=1)
-GAIN_TIME = timedelta(milliseconds=10)
 TICK = timedelta(milliseconds=5)
-PROBE_INTERVAL = timedelta(milliseconds=500)
-PROBE_TIMEOUT = timedelta(milliseconds=500)
 HOP_TIME = 0.001
 FAR_HOP_TIME = 0.003
 
@@ -72,19 +58,6 @@
 _log = get_logger(PART)
 
 
-class FleetReader(Protocol):
-    """What the instance list says, as ``coordination.fleet`` keeps it."""
-
-    def list(self, role: InstanceRole, zone: str = "") -> tuple[Instance, ...]:
-        """List the instances of a role, of one zone or of all."""
-
-    def get(self, name: str) -> Instance | None:
-        """Return an instance by name."""
-
-    def on_change(self, handler: Callable[..., None]) -> None:
-        """Call ``handler`` whenever the list has changed."""
-
-
 class Router:
     """Answers callers' requests; implements ``protocol.handlers.RequestHandler``.
 
@@ -108,45 +81,52 @@
         margin: timedelta = LEASE_MARGIN,
         chooser: random.Random | None = None,
     ) -> None:
-        self._members = members
-        self._ownership = ownership
-        self._targets = targets
-        self._fleet = fleet
         self._clock = clock
-        self._keys = keys
-        self._longest = longest
-        self._hold = longest + margin
-        self._timers = Timers(clock)
         self._random = chooser or random.Random()
-        self._lanes: dict[str, Lane] = {}
+        self._timers = Timers(clock)
         self._budget = RetryBudget()
-        self._gained: dict[str, SlotPool] = {}
         self._open = 0
         self._is_draining = False
-        self._closings: set[asyncio.Task[None]] = set()
+        self._keyed = KeyedRequests(keys, self._serve) if keys else None
         self._loads = LoadTable(members, clock, self._random)
+        self._owned = OwnedTargets(
+            members,
+            ownership,
+            peers,
+            targets,
+            fleet,
+            clock,
+            self._timers,
+            self._loads,
+            self._random,
+            longest,
+            margin,
+            self._offer,
+        )
         self._sharing = SlotSharing(
-            peers, self._loads, clock, self._timers, self._get_lane
+            peers, self._loads, clock, self._timers, self._owned.get_lane
         )
         self._sender = TargetSender(
-            ownership, targets, clock, longest, margin, self._timers, self._note_result
+            ownership,
+            targets,
+            clock,
+            longest,
+            margin,
+            self._timers,
+            self._owned.note_result,
         )
         self._forwarder = Forwarder(
-            peers, self._loads, self._sharing, clock, self._get_lane, self._serve_peer
+            peers,
+            self._loads,
+            self._sharing,
+            clock,
+            self._owned.get_lane,
+            self._serve_peer,
         )
-        self._handover = SlotHandover(
-            members, ownership, peers, clock, longest, margin, self._give_places
-        )
-        ownership.on_gain(SCOPE, self._gain)
-        ownership.on_loss(SCOPE, self._lose)
-        fleet.on_change(self._read_fleet)
-        self._read_fleet()
 
     async def run(self) -> None:
         """Publish loads, refuse what has become hopeless and probe targets."""
-        await asyncio.gather(
-            self._run_reports(), self._timers.run(), self._run_probes()
-        )
+        await asyncio.gather(self._run_reports(), self._timers.run(), self._owned.run())
 
     async def drain(self) -> None:
         """Take no new requests and wait until the accepted ones have ended.
@@ -168,10 +148,8 @@
         course = Course(request, self._clock)
         self._open += 1
         try:
-            if request.key:
-                outcome = await self._serve_keyed(course)
-            else:
-                outcome = await self._serve(course)
+            serve = self._serve_keyed if request.key else self._serve
+            outcome = await serve(course)
         finally:
             self._open -= 1
         if isinstance(outcome, Refused):
@@ -179,49 +157,12 @@
         return outcome
 
     async def _serve_keyed(self, course: Course) -> Outcome:
-        request = course.request
         refused = self._refuse_early(course)
         if refused is not None:
             return refused
-        if self._keys is None:
+        if self._keyed is None:
             return Refused("keys_unsupported")
-        digest = hashlib.sha256(request.body).digest()
-        name = (request.team, request.service, request.key)
-        claim = await self._keys.claim_key(*name, digest, request.timeout)
-        if isinstance(claim, Known):
-            return claim.outcome
-        if not isinstance(claim, Claimed):
-            return claim
-        try:
-            outcome = await self._serve(course)
-        except asyncio.CancelledError:
-            self._settle_later(name, course)
-            raise
-        await self._keys.settle_key(*name, outcome)
-        return outcome
-
-    def _settle_later(self, name: tuple[str, str, str], course: Course) -> None:
-        """Remember what became of a keyed request whose caller has gone."""
-        task = asyncio.ensure_future(self._settle_cancelled(name, course))
-        self._closings.add(task)
-        task.add_done_callback(self._closings.discard)
-
-    async def _settle_cancelled(
-        self, name: tuple[str, str, str], course: Course
-    ) -> None:
-        outcome: Outcome = Refused("cancelled")
-        if course.lost:
-            outcome = Unknown(course.lost)
-        if course.call is not None:
-            result = await course.call
-            if isinstance(result, Completed | Failed):
-                outcome = result
-            elif isinstance(result, Gone):
-                outcome = Unknown(result.code)
-        elif course.is_sent:
-            outcome = Unknown("cancelled")
-        if self._keys is not None:
-            await self._keys.settle_key(*name, outcome)
+        return await self._keyed.serve(course)
 
     async def _serve_peer(self, course: Course) -> Outcome:
         if self._is_draining:
@@ -249,7 +190,7 @@
     def _find_place(self, course: Course) -> Place | Redirect | Refused | None:
         """Decide where a request goes now; ``None`` when it is to wait here."""
         service = course.request.service
-        lane = self._get_lane(service)
+        lane = self._owned.get_lane(service)
         if not (self._is_draining and course.may_forward):
             if not len(lane.queue):
                 place = lane.take(course.avoided)
@@ -287,7 +228,7 @@
     async def _wait(self, course: Course) -> Place | Redirect | Refused | Moved:
         """Wait in the queue for a slot, here or wherever one is offered."""
         request = course.request
-        lane = self._get_lane(request.service)
+        lane = self._owned.get_lane(request.service)
         waiter = lane.make_waiter(course)
         now = self._clock.monotonic()
         slots = lane.count_slots()
@@ -333,14 +274,14 @@
         result = await self._sender.wait(course.call, until)
         if not course.call.done():
             silence = (self._clock.monotonic() - start).total_seconds()
-            self._note_health(place.pool, result, silence)
+            self._owned.note_health(place.pool, result, silence)
         return result
 
     def _choose_patience(self, course: Course, now: timedelta) -> timedelta:
         """Return when an attempt is given up; earlier while another may be made."""
         if not course.request.idempotent or course.retries + 1 >= ATTEMPT_LIMIT:
             return course.deadline
-        durations = self._get_lane(course.request.service).durations
+        durations = self._owned.get_lane(course.request.service).durations
         ample = timedelta(seconds=SILENCE_FACTOR * durations.high)
         return min(course.deadline, now + max(ample, (course.deadline - now) / 2))
 
@@ -384,7 +325,7 @@
 
     def _refuse_early(self, course: Course) -> Refused | None:
         """Refuse what can't make its deadline before a key is claimed for it."""
-        lane = self._get_lane(course.request.service)
+        lane = self._owned.get_lane(course.request.service)
         slots = lane.count_slots()
         if not len(lane.queue) or not slots:
             return None
@@ -395,80 +336,8 @@
             return None
         return lane.queue.refuse("deadline_unmeetable", 0, slots, excess)
 
-    # Targets ---------------------------------------------------------------
-
-    def _get_lane(self, service: str) -> Lane:
-        lane = self._lanes.get(service)
-        if lane is None:
-            lane = self._lanes[service] = Lane(
-                service,
-                self._ownership,
-                self._clock,
-                self._random,
-                self._longest,
-                self._sharing.offer,
-            )
-        return lane
-
-    def _note_result(self, pool: SlotPool, result: Result, seconds: float) -> None:
-        target = pool.target
-        lane = self._get_lane(target.service)
-        if isinstance(result, Completed):
-            lane.durations.observe(seconds)
-        self._note_health(pool, result, seconds)
-        if isinstance(result, NotRun) and result.code == "target_leaving":
-            lane.update_target(target._replace(state=InstanceState.LEAVING))
-        lane.give_places()
-        if isinstance(result, Gone):
-            until = self._clock.monotonic() + self._hold
-            self._timers.call_at(until, lane.give_places)
-
-    def _note_health(self, pool: SlotPool, result: Result, seconds: float) -> None:
-        lane = self._get_lane(pool.target.service)
-        if result == Gone("timeout") and seconds < lane.durations.high:
-            return
-        bad = lane.note_result(pool.target.name, not is_fault(result))
-        if bad is not None and self._may_eject(lane):
-            bad.eject()
-
-    def _may_eject(self, lane: Lane) -> bool:
-        others = self._loads.list_near(lane.service)
-        ejected = lane.count_ejected() + sum(load["ejected"] for load in others)
-        targets = len(lane.pools) + sum(load["targets"] for load in others)
-        return may_eject(ejected, targets)
-
-    def _give_places(self, pool: SlotPool) -> None:
-        self._get_lane(pool.target.service).give_places()
-
-    def _read_fleet(self, *_: object) -> None:
-        zone = self._members.self.zone
-        targets = self._fleet.list(InstanceRole.TARGET, zone)
-        listed = {target.name: target for target in targets}
-        for pool in self._gained.values():
-            last = pool.target._replace(state=InstanceState.LEAVING)
-            target = listed.get(last.name, last)
-            self._get_lane(target.service).update_target(target)
-        self._ownership.set_things(SCOPE, tuple(t.name for t in targets))
-
-    async def _gain(self, thing: str, epoch: int) -> None:
-        target = self._fleet.get(thing.partition("/")[2])
-        if target is None:
-            return
-        pool = self._gained[target.name] = SlotPool(target, self._clock)
-        await self._handover.fill(pool, epoch)
-        lane = self._get_lane(target.service)
-        lane.add_pool(pool)
-        self._timers.call_at(self._clock.monotonic() + GAIN_TIME, lane.give_places)
-
-    async def _lose(self, thing: str, epoch: int) -> None:
-        target = thing.partition("/")[2]
-        for lane in self._lanes.values():
-            lane.remove_pool(target)
-        pool = self._gained.pop(target, None)
-        if pool is not None:
-            self._handover.keep(pool, epoch)
-
-    # Loops -----------------------------------------------------------------
+    def _offer(self, lane: Lane) -> None:
+        self._sharing.offer(lane)
 
     async def _run_reports(self) -> None:
         while True:
@@ -477,24 +346,9 @@
             await self._clock.sleep(HEARTBEAT_INTERVAL)
 
     def _publish_loads(self) -> None:
-        loads = {} if self._is_draining else self._lanes
+        loads = {} if self._is_draining else self._owned.lanes
         self._loads.publish({name: lane.read_load() for name, lane in loads.items()})
 
-    async def _run_probes(self) -> None:
-        while True:
-            await self._clock.sleep(PROBE_INTERVAL)
-            for lane in self._lanes.values():
-                for health in lane.list_returning():
-                    await self._probe(health)
-
-    async def _probe(self, health: TargetHealth) -> None:
-        """Let an ejected target come back when it says that it lives."""
-        answer = await self._targets.probe(health.pool.target, PROBE_TIMEOUT)
-        if isinstance(answer, Written):
-            health.bring_back()
-        else:
-            health.postpone()
-
 
 def _allow_wait(slots: int, choice: Choice, left: float) -> float:
     """Return how long a request may wait at the daemon that was chosen.
--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -218,6 +218,11 @@
         self._instances[instance.name] = instance
         self._tell()
 
+    def remove(self, name: str) -> None:
+        """Take an instance off the list."""
+        del self._instances[name]
+        self._tell()
+
     def mark_leaving(self, name: str) -> None:
         """List an instance as leaving."""
         self.put(self._instances[name]._replace(state=InstanceState.LEAVING))
--- a/tests/test_requests_model.py
+++ b/tests/test_requests_model.py
@@ -203,7 +203,7 @@
         """Count slots and queue places that nobody will give back."""
         leaks = 0
         for name in self.alive:
-            for lane in self.deployment.routers[name]._lanes.values():
+            for lane in self.deployment.routers[name]._owned.lanes.values():
                 leaks += len(lane.queue)
                 leaks += sum(pool.busy for pool in lane.pools.values())
         return leaks
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -138,6 +138,24 @@
 
         self.assertEqual(play(scenario), {"target-0-1"})
 
+    def test_a_target_off_the_list_gets_nothing_and_comes_back_with_it(self):
+        async def scenario(deployment):
+            instance = deployment.fleet.get("target-0-0")
+            deployment.fleet.remove("target-0-0")
+            await deployment.ask("entry-0-0", "r")
+            await deployment.table.hand_over("target/target-0-0", "entry-0-1")
+            for number in range(6):
+                await deployment.ask("entry-0-1", f"r{number}")
+            before = {e.target for e in deployment.log.executions}
+            deployment.fleet.put(instance)
+            await asyncio.sleep(1)
+            for number in range(6, 12):
+                await deployment.ask("entry-0-1", f"r{number}")
+            return before, {e.target for e in deployment.log.executions}
+
+        before, after = play(scenario)
+        self.assertEqual((before, len(after)), ({"target-0-1"}, 2))
+
     def test_a_target_that_refuses_as_leaving_is_asked_once(self):
         async def scenario(deployment):
             target = deployment.targets["target-0-0"]
@@ -263,7 +281,7 @@
 
     def test_a_place_that_came_while_its_caller_went_is_given_back(self):
         async def scenario(deployment):
-            lane = deployment.routers["entry-0-0"]._get_lane(SERVICE)
+            lane = deployment.routers["entry-0-0"]._owned.get_lane(SERVICE)
             pool = lane.pools["target-0-0"]
             first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
             first = [asyncio.ensure_future(ask) for ask in first]
