Know a quiet owner by its heartbeats, not by its report's age

Membership sends a report only when it has changed, so an idle owner's report grows old while its heartbeats come. The router left out owners whose report was 1.5 s old, and so never forwarded to an idle one; is_live tells of a cut link instead. The stand-in sent each report again and hid this; it now doesn't, and counts members behind a cut link as gone. test_a_quiet_owner_is_still_known_after_a_long_time fails with the old rule.

--- a/src/damaskdeck/coordination/loads.py
+++ b/src/damaskdeck/coordination/loads.py
@@ -15,9 +15,6 @@
 TOPIC = "load"
 REPORT_LIMIT = 4096
 
-# A daemon that was not heard of for so long may be cut off; nothing is sent to it.
-OLDEST_REPORT = timedelta(milliseconds=1500)
-
 _AVERAGE_WEIGHT = 0.2
 _LEAST_TIME = 0.001
 
@@ -142,13 +139,10 @@
         side = self._near if near else self._far
         views = side.get(service, ())
         now = self._clock.monotonic()
-        oldest = now - OLDEST_REPORT
         views = [
             view
             for view in views
-            if view.load["slots"]
-            and view.instance not in avoided
-            and view.time >= oldest
+            if view.load["slots"] and view.instance not in avoided
         ]
         if not views:
             return None
--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -310,7 +310,10 @@
 
 
 class MemberTable:
-    """Which daemons live; their reports arrive over links that aren't cut."""
+    """Which daemons live; their reports arrive over links that aren't cut.
+
+    As in the real membership, a report that says the same again isn't sent.
+    """
 
     def __init__(self, clock: Clock, switch: ZonedSwitch) -> None:
         self.clock = clock
@@ -329,9 +332,18 @@
         """Bring a report of a member to all others."""
         report = Report(name, value, self.clock.monotonic())
         for other, view in self._views.items():
-            if not self._switch.is_cut(name, other):
+            known = view.reports.get((topic, name))
+            is_news = known is None or known.value != value
+            if is_news and not self._switch.is_cut(name, other):
                 view.reports[topic, name] = report
 
+    def is_heard(self, name: str, other: str) -> bool:
+        """Tell whether a member lives and no link to or from it is cut."""
+        if name not in self.members or name in self.dead:
+            return False
+        cut = self._switch.is_cut
+        return not (cut(name, other) or cut(other, name))
+
     def list_live(self, zone: str = "") -> tuple[Member, ...]:
         """List live members in order of name."""
         return tuple(
@@ -356,11 +368,11 @@
 
     def list_live(self, zone: str = "") -> tuple[Member, ...]:
         """List live members in order of name."""
-        return self._table.list_live(zone)
+        return tuple(m for m in self._table.list_live(zone) if self.is_live(m.name))
 
     def is_live(self, name: str) -> bool:
         """Tell whether a member lives."""
-        return name in self._table.members and name not in self._table.dead
+        return self._table.is_heard(name, self._name)
 
     def publish(self, topic: str, value: bytes) -> None:
         """Show a report to the others at once."""
@@ -371,5 +383,5 @@
         return {
             name: report
             for (kind, name), report in self.reports.items()
-            if kind == topic and name not in self._table.dead
+            if kind == topic and self.is_live(name)
         }
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -61,6 +61,15 @@
         self.assertIsNotNone(outcome.retry_after)
         self.assertLessEqual(sent, 1)
 
+    def test_a_quiet_owner_is_still_known_after_a_long_time(self):
+        async def scenario(deployment):
+            await asyncio.sleep(60)
+            asks = [deployment.ask("entry-0-0", f"r{i}") for i in range(4)]
+            await asyncio.gather(*asks)
+            return deployment.clock.monotonic()
+
+        self.assertLess(play(scenario), timedelta(seconds=60.06))
+
     def test_other_zones_are_used_only_without_room_in_the_own(self):
         async def scenario(deployment):
             first = await asyncio.gather(
