Run routers over the real membership, ownership and fleet

tests/test_request_plane.py joins the modules in virtual time: targets find owners and serve whoever asks, a dead owner's targets serve again without an overfill, a daemon that drains hands over without a pause, and after a minute without the store requests are served without a call to it.

--- /dev/null
+++ b/tests/test_request_plane.py
@@ -0,0 +1,195 @@
+"""Routers over the real membership, ownership and fleet, on stand-ins."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from damaskdeck.coordination.fleet import Fleet
+from damaskdeck.coordination.membership import Membership
+from damaskdeck.coordination.ownership import StoreOwnership
+from damaskdeck.coordination.routing import Router
+from damaskdeck.protocol.handlers import ServiceRequest
+from damaskdeck.protocol.members import Member
+from damaskdeck.protocol.outcomes import Completed
+from damaskdeck.protocol.ports import Instance, InstanceRole
+from standins.instances import MemoryInstanceList
+from standins.loops import LoopClock, run_virtual
+from standins.peers import PeerSwitch
+from standins.store import MemoryStore
+from standins.targets import (
+    ExecutionLog,
+    MemoryTarget,
+    TargetsClient,
+    take_constant_time,
+)
+
+SECOND = timedelta(seconds=1)
+TARGETS = tuple(f"target-{number}" for number in range(4))
+
+
+class Daemon:
+    """One daemon's request plane, without its edges."""
+
+    def __init__(self, plane: "Plane", name: str) -> None:
+        member = Member(name, "z1", "r1", f"{name}:1", f"{name}:2", f"{name}/1")
+        peers, store = plane.switch.connect(name), plane.store.connect(name)
+        self.members = Membership(
+            member, peers, store, plane.clock, newcomer_wait=SECOND
+        )
+        self.ownership = StoreOwnership(self.members, peers, store, plane.clock)
+        self.fleet = Fleet(plane.instances.connect(name), plane.clock)
+        self.router = Router(
+            self.members,
+            self.ownership,
+            peers,
+            TargetsClient(plane.targets, name),
+            self.fleet,
+            plane.clock,
+        )
+        parts = (self.members, self.ownership, self.fleet, self.router)
+        self.tasks = [asyncio.ensure_future(part.run()) for part in parts]
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+class Plane:
+    """Three entries and four targets of one zone."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.switch = PeerSwitch(self.clock)
+        self.store = MemoryStore(self.clock)
+        self.instances = MemoryInstanceList(self.clock)
+        self.log = ExecutionLog()
+        self.targets: dict[str, MemoryTarget] = {}
+        for name in TARGETS:
+            instance = Instance(
+                name,
+                InstanceRole.TARGET,
+                "z1",
+                f"{name}:1",
+                service="orders",
+                slots=2,
+                connections=64,
+            )
+            self.instances.put(instance)
+            time = take_constant_time(SECOND / 2)
+            target = MemoryTarget(instance, self.clock, self.log, time)
+            target.refuses_when_full = False
+            self.targets[name] = target
+        self.daemons = {name: Daemon(self, name) for name in ("a", "b", "c")}
+
+    async def ask(self, daemon: str, name: str) -> object:
+        request = ServiceRequest(name, "orders", "t", name.encode(), 5 * SECOND)
+        return await self.daemons[daemon].router.handle_request(request)
+
+    async def ask_many(self, daemon: str, names: list[str]) -> list[object]:
+        return await asyncio.gather(*(self.ask(daemon, name) for name in names))
+
+    def kill(self, name: str) -> None:
+        daemon = self.daemons.pop(name)
+        daemon.stop()
+        self.switch.disconnect(name)
+        for other in self.daemons:
+            self.switch.cut_both(name, other)
+
+    def count_held(self) -> dict[str, int]:
+        return {
+            name: len(daemon.ownership.list_held("target"))
+            for name, daemon in self.daemons.items()
+        }
+
+
+class TestRequestPlane(unittest.TestCase):
+    def play(self, scenario):
+        async def run():
+            plane = Plane()
+            await asyncio.sleep(10)
+            try:
+                result = await scenario(plane)
+            finally:
+                for daemon in plane.daemons.values():
+                    daemon.stop()
+            overfills = sum(t.slot_overfills for t in plane.targets.values())
+            self.assertEqual(overfills, 0)
+            return result
+
+        return run_virtual(run())
+
+    def test_all_targets_have_owners_and_serve_whoever_asks(self):
+        async def scenario(plane):
+            held = plane.count_held()
+            names = [f"r{number}" for number in range(8)]
+            start = plane.clock.monotonic()
+            outcomes = await plane.ask_many("a", names)
+            return held, outcomes, plane.clock.monotonic() - start
+
+        held, outcomes, time = self.play(scenario)
+        self.assertEqual(sum(held.values()), len(TARGETS))
+        self.assertEqual(outcomes, [Completed(f"r{n}".encode()) for n in range(8)])
+        self.assertLess(time, 0.6 * SECOND)
+
+    def test_a_dead_owners_targets_serve_again_without_being_overfilled(self):
+        async def scenario(plane):
+            name = next(name for name, held in plane.count_held().items() if held)
+            doomed = [
+                asyncio.ensure_future(plane.ask(name, f"d{number}"))
+                for number in range(8)
+            ]
+            await asyncio.sleep(0.1)
+            plane.kill(name)
+            for task in doomed:
+                task.cancel()
+            other = next(iter(plane.daemons))
+            waited = 0
+            while sum(plane.count_held().values()) < len(TARGETS):
+                waited += 1
+                await asyncio.sleep(1)
+            await asyncio.sleep(13)
+            names = [f"r{number}" for number in range(8)]
+            start = plane.clock.monotonic()
+            outcomes = await plane.ask_many(other, names)
+            return waited, outcomes, plane.clock.monotonic() - start
+
+        waited, outcomes, time = self.play(scenario)
+        self.assertLess(waited, 20)
+        self.assertLess(time, 0.6 * SECOND)
+        self.assertEqual({type(outcome) for outcome in outcomes}, {Completed})
+
+    def test_a_daemon_that_shuts_down_hands_its_targets_over_at_once(self):
+        async def scenario(plane):
+            name = next(name for name, held in plane.count_held().items() if held)
+            daemon = plane.daemons[name]
+            asks = [
+                asyncio.ensure_future(plane.ask(name, f"d{number}"))
+                for number in range(12)
+            ]
+            await asyncio.sleep(0.1)
+            await daemon.router.drain()
+            await daemon.ownership.drain()
+            done = await asyncio.gather(*asks)
+            other = next(other for other in plane.daemons if other != name)
+            await asyncio.sleep(2)
+            start = plane.clock.monotonic()
+            names = [f"r{number}" for number in range(8)]
+            later = await plane.ask_many(other, names)
+            return done + later, plane.clock.monotonic() - start
+
+        outcomes, time = self.play(scenario)
+        self.assertEqual({type(outcome) for outcome in outcomes}, {Completed})
+        self.assertLess(time, 0.6 * SECOND)
+
+    def test_requests_go_on_while_the_store_is_down(self):
+        async def scenario(plane):
+            plane.store.faults.outage = True
+            await asyncio.sleep(60)
+            calls = sum(plane.store.calls.values())
+            names = [f"r{number}" for number in range(8)]
+            outcomes = await plane.ask_many("a", names)
+            return outcomes, sum(plane.store.calls.values()) - calls
+
+        outcomes, calls = self.play(scenario)
+        self.assertEqual({type(outcome) for outcome in outcomes}, {Completed})
+        self.assertEqual(calls, 0)
