Name the filter that refuses a worker with room

Cause: a task kept off the only free worker, as one to avoid or one planned for a gang, was told that memory lacks, and with no worker at all that accelerators lack. Change: NoRoom names the filter, or "workers". Seen failing first in two tests. Measured: 49 tests of placement's modules pass.

--- a/src/damaskdeck/coordination/index.py
+++ b/src/damaskdeck/coordination/index.py
@@ -142,7 +142,7 @@
 
     def name_lack(self, need: TaskNeed) -> str:
         """Name a dimension that all open workers allowed to ``need`` lack."""
-        lack = "accelerators"
+        lack = "accelerators" if need.size[2] else "workers"
         row = get_level(need.size[0])
         for zone in self._list_zones(need):
             for grids in self._grids.get(zone, ()):
--- a/src/damaskdeck/coordination/placement.py
+++ b/src/damaskdeck/coordination/placement.py
@@ -66,7 +66,8 @@
     def place(self, need: TaskNeed) -> Placed | NoRoom | Impossible:
         """Choose a worker for ``need``; the caller then reserves it.
 
-        :returns: ``NoRoom`` when some worker could hold it later.
+        :returns: ``NoRoom`` when some worker could hold it later; it names a
+            dimension, a filter, or ``workers`` when there is none.
         """
         best = self._choose(need)
         if best is not None:
@@ -75,7 +76,15 @@
         if dimension is not None:
             count_refusal("placement", f"impossible_{dimension}")
             return Impossible(dimension)
-        return NoRoom(self._index.name_lack(need))
+        return NoRoom(self._name_lack(need))
+
+    def _name_lack(self, need: TaskNeed) -> str:
+        """Name what lacks, or the filter that refuses a worker with room."""
+        for account in self._index.find_candidates(need, 1):
+            refusal = self.find_refusal(need, account)
+            if refusal is not None:
+                return refusal
+        return self._index.name_lack(need)
 
     def _choose(self, need: TaskNeed) -> Placed | None:
         candidates = self._list_candidates(need)
