Tell other owners than the first six of waiting requests

With more than six owners of a service the same six heard each time that requests wait, those of the own zone first; now the others are drawn. test_each_of_many_owners_hears_in_time_of_requests_that_wait heard of 6 of 11 owners at most before.

--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -104,7 +104,12 @@
             self._offer,
         )
         self._sharing = SlotSharing(
-            peers, self._loads, clock, self._timers, self._owned.get_lane
+            peers,
+            self._loads,
+            clock,
+            self._timers,
+            self._owned.get_lane,
+            self._random,
         )
         self._sender = TargetSender(
             ownership,
--- a/src/damaskdeck/coordination/sharing.py
+++ b/src/damaskdeck/coordination/sharing.py
@@ -1,6 +1,7 @@
 """Brings free slots of one daemon and requests that wait at another together."""
 
 import functools
+import random
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -45,12 +46,14 @@
         clock: Clock,
         timers: Timers,
         get_lane: Callable[[str], Lane],
+        chooser: random.Random,
     ) -> None:
         self._peers = peers
         self._loads = loads
         self._clock = clock
         self._timers = timers
         self._get_lane = get_lane
+        self._random = chooser
         self._waiting: dict[str, dict[str, _Waiting]] = {}
         self._offers: dict[str, list[timedelta]] = {}
         self._told: dict[str, timedelta] = {}
@@ -75,7 +78,9 @@
         message = RequestsWaiting(service=lane.service, count=len(lane.queue))
         near = self._loads.list_owners(lane.service, near=True)
         far = self._loads.list_owners(lane.service, near=False)
-        for instance in (near + far)[:TOLD_LIMIT]:
+        near = self._random.sample(near, min(TOLD_LIMIT, len(near)))
+        far = self._random.sample(far, min(TOLD_LIMIT - len(near), len(far)))
+        for instance in near + far:
             self._peers.send(instance, message, RequestsWaiting)
 
     def note_waiting(self, instance: str, service: str, count: int) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,13 +8,14 @@
 from datetime import timedelta
 from typing import Any
 
-from damaskdeck.protocol.forwarding import ForwardRequest
+from damaskdeck.protocol.forwarding import ForwardRequest, RequestsWaiting
 from damaskdeck.protocol.handlers import Claimed, Known
 from damaskdeck.protocol.outcomes import Completed, Failed, Refused, Unknown
 from damaskdeck.protocol.ports import InstanceState, TargetAnswer, TargetCall
 from standins.faults import FaultKind
 from standins.loops import LoopClock, run_virtual
 from standins.requests import SERVICE, Layout, RequestDeployment
+from standins.targets import take_constant_time
 
 SECOND = timedelta(seconds=1)
 
@@ -86,6 +87,31 @@
         self.assertEqual((before, after), (0, 4))
 
 
+class TestSharing(unittest.TestCase):
+    def test_each_of_many_owners_hears_in_time_of_requests_that_wait(self):
+        async def scenario(deployment):
+            told = set()
+            send = deployment.switch.find("entry-0-0").send
+
+            def note(instance, message, kind):
+                if kind is RequestsWaiting:
+                    told.add(instance)
+                return send(instance, message, kind)
+
+            deployment.switch.find("entry-0-0").send = note
+            asks = []
+            for number in range(200):
+                ask = deployment.ask("entry-0-0", f"r{number}")
+                asks.append(asyncio.ensure_future(ask))
+                await asyncio.sleep(0.005)
+            await asyncio.gather(*asks)
+            return told
+
+        layout = Layout(zones=12, entries=1, targets=1, slots=1)
+        slow = take_constant_time(timedelta(seconds=0.2))
+        self.assertEqual(len(play(scenario, layout, service_time=slow)), 11)
+
+
 class TestOutcomes(unittest.TestCase):
     def test_a_lost_answer_of_a_non_idempotent_request_is_unknown(self):
         async def scenario(deployment):
