--- a/src/damaskdeck/coordination/forwards.py
+++ b/src/damaskdeck/coordination/forwards.py
@@ -24,12 +24,11 @@
     CancelForward,
     ForwardOutcome,
     ForwardRequest,
-    read_outcome,
-    write_outcome,
 )
 from damaskdeck.protocol.handlers import ServiceRequest
 from damaskdeck.protocol.messages import Answered, Peers, Unsent
 from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
+from damaskdeck.protocol.replies import read_outcome, show_outcome
 from damaskdeck.protocol.resources import Urgency
 
 PART = "forwards"
@@ -125,7 +124,7 @@
             return Gone("answer_crossed")
         if "load" in answer:
             self._loads.note(instance, request.service, answer["load"])
-        outcome = read_outcome(answer)
+        outcome = read_outcome(answer["outcome"])
         if isinstance(outcome, Refused):
             is_free = outcome.code in FREE_CODES
             return NotRun(outcome.code, outcome.retry_after, is_free)
@@ -154,9 +153,12 @@
             outcome = Unknown("cancelled")
         finally:
             self._taken[key] = None
-        reply = write_outcome(message["identifier"], message["attempt"], outcome)
-        reply["load"] = self._get_lane(service).read_load()
-        return reply
+        return ForwardOutcome(
+            identifier=message["identifier"],
+            attempt=message["attempt"],
+            outcome=show_outcome(outcome),
+            load=self._get_lane(service).read_load(),
+        )
 
     async def _cancel(self, instance: str, message: CancelForward) -> None:
         key = (instance, message["identifier"], message["attempt"])
--- a/src/damaskdeck/coordination/handover.py
+++ b/src/damaskdeck/coordination/handover.py
@@ -32,7 +32,7 @@
     ended.
 
     :param longest: no call to a target is open for longer.
-    :param margin: time after a call's deadline by which a target has stopped.
+    :param margin: added to ``longest`` where a slot must be free without an answer.
     :param on_free: called when slots of a pool may have become free.
     """
 
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -64,7 +64,7 @@
     :param keys: remembers idempotency keys; without it keyed requests are refused.
     :param longest: no call to a target is open for longer; a new owner waits as
         long for what a dead one may have in progress.
-    :param margin: time after a call's deadline by which a target has stopped.
+    :param margin: added to ``longest`` where a slot must be free without an answer.
     :param chooser: seeded, for the same choices in each run of a test.
     """
 
--- a/src/damaskdeck/protocol/forwarding.py
+++ b/src/damaskdeck/protocol/forwarding.py
@@ -1,16 +1,9 @@
 """Messages by which daemons pass requests to the owners of targets."""
 
-from datetime import timedelta
 from typing import NotRequired, TypedDict
 
+from damaskdeck.protocol.jobs import OutcomeData
 from damaskdeck.protocol.messages import message
-from damaskdeck.protocol.outcomes import (
-    Completed,
-    Failed,
-    Outcome,
-    Refused,
-    Unknown,
-)
 
 
 class Load(TypedDict):
@@ -51,20 +44,11 @@
 
 @message("forward_outcome")
 class ForwardOutcome(TypedDict):
-    """What became of a forwarded request.
-
-    ``state`` is ``completed``, ``failed``, ``refused`` or ``unknown``;
-    ``retry_after`` in seconds; ``load`` is the owner's load at the reply.
-    """
+    """What became of a forwarded request; ``load`` is the owner's at the reply."""
 
     identifier: str
     attempt: int
-    state: str
-    body: NotRequired[bytes]
-    content_type: NotRequired[str]
-    code: NotRequired[str]
-    detail: NotRequired[str]
-    retry_after: NotRequired[float]
+    outcome: OutcomeData
     load: NotRequired[Load]
 
 
@@ -113,34 +97,3 @@
     epoch: int
     remaining: list[float]
     inherited: dict[str, list[float]]
-
-
-def write_outcome(identifier: str, attempt: int, outcome: Outcome) -> ForwardOutcome:
-    """Turn an outcome into its message."""
-    state = type(outcome).__name__.lower()
-    reply = ForwardOutcome(identifier=identifier, attempt=attempt, state=state)
-    if isinstance(outcome, Completed):
-        reply["body"] = outcome.body
-        reply["content_type"] = outcome.content_type
-        return reply
-    reply["code"] = outcome.code
-    reply["detail"] = outcome.detail
-    if isinstance(outcome, Refused) and outcome.retry_after is not None:
-        reply["retry_after"] = outcome.retry_after.total_seconds()
-    return reply
-
-
-def read_outcome(reply: ForwardOutcome) -> Outcome:
-    """Turn a message back into the outcome; an unfamiliar state is ``Unknown``."""
-    state = reply["state"]
-    code = reply.get("code", "")
-    detail = reply.get("detail", "")
-    if state == "completed":
-        return Completed(reply.get("body", b""), reply.get("content_type", ""))
-    if state == "failed":
-        return Failed(code, detail)
-    if state == "refused":
-        seconds = reply.get("retry_after")
-        wait = None if seconds is None else timedelta(seconds=seconds)
-        return Refused(code, detail, wait)
-    return Unknown(code or "unfamiliar_state", detail)
