--- a/src/damaskdeck/settings.py
+++ b/src/damaskdeck/settings.py
@@ -125,7 +125,7 @@
 
     :raises SettingsError: with every fault found.
     """
-    faults = find_faults(document, SettingsDocument)
+    faults = find_faults(document, SettingsDocument) or _find_shared_tokens(document)
     if faults:
         raise SettingsError(faults)
     listen, platform = document["listen"], document["platform"]
@@ -149,6 +149,20 @@
     )
 
 
+def _find_shared_tokens(document: SettingsDocument) -> tuple[Fault, ...]:
+    """Find tokens that two roles have; whose call it is could not be told."""
+    tokens = document["tokens"]
+    holders = {tokens["operator"]: "operator"}
+    faults = []
+    others = {f"teams.{name}": t for name, t in tokens.get("teams", {}).items()}
+    for holder, token in {"peer": tokens["peer"], **others}.items():
+        if token in holders:
+            detail = f"the same as tokens.{holders[token]}"
+            faults.append(Fault(f"tokens.{holder}", "shared_token", detail))
+        holders.setdefault(token, holder)
+    return tuple(faults)
+
+
 def _read_limits(limits: LimitsSection) -> dict[str, Any]:
     counts = {"ledgers": "ledger_count", "queue": "queue_limit", "body": "body_limit"}
     read: dict[str, Any] = {}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,6 +46,17 @@
             },
         )
 
+    def test_tokens_that_two_have_are_refused(self):
+        document = copy.deepcopy(DOCUMENT)
+        shared = document["tokens"]["operator"]
+        document["tokens"]["teams"] = {"ash": "a-token-1", "oak": "a-token-1"}
+        document["tokens"]["peer"] = shared
+        with self.assertRaises(SettingsError) as caught:
+            read_settings(document)
+        found = [(fault.path, fault.code) for fault in caught.exception.faults]
+        expected = ["tokens.peer", "tokens.teams.oak"]
+        self.assertEqual(found, [(path, "shared_token") for path in expected])
+
     def test_unreadable_and_broken_files_are_coded(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings.yaml"
