--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -335,8 +335,11 @@
         session = self.plane.find("d1").host.sessions["w1"]
         keeper = self.plane.find("d1").keeper
         view = await keeper.submit_job(Submission("batch", "team", LONG))
-        while not session.roster.has_doubts():
+        for _ in range(2000):
+            if session.roster.has_doubts():
+                break
             await self.sleep(0.001)
+        self.assertTrue(session.roster.has_doubts())
         session.set_doubtful(False)
         ended = await self.plane.wait_for_end(view.name)
         self.assertEqual(ended.state, JobState.COMPLETED)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -205,7 +205,9 @@
         await plane.clock.sleep(SECOND)
         view = await submit(plane, at="d1")
         table = plane.find("d1").keeper.desks["00"].kept.table
-        while table.tasks[f"{view.name}-0"].state == "queued":
+        for _ in range(5000):
+            if table.tasks[f"{view.name}-0"].state != "queued":
+                break
             await plane.clock.sleep(SECOND / 1000)
         plane.switch.cut("d1", "d2")
         starts = len(plane.platform.runs.starts)
