Give a running task its room beside a hold of the same task elsewhere

Change: an adopted task has room of its own; a new request for room replaces the hold of the former one, and a start is only confirmed on the worker of its hold. Out of reach, an attempt is lost one bound after the keeper first asked about it as started.

--- a/src/damaskdeck/coordination/fences.py
+++ b/src/damaskdeck/coordination/fences.py
@@ -18,7 +18,7 @@
         self._ownership = ownership
         self._epochs: dict[str, int] = {}
         self._fenced: OrderedDict[Attempt, None] = OrderedDict()
-        self._asked: OrderedDict[Attempt, timedelta] = OrderedDict()
+        self._asked: OrderedDict[tuple[str, int, bool], timedelta] = OrderedDict()
 
     def admit(self, ledger: str, epoch: int) -> bool:
         """Fence off keepers older than the newest that is known."""
@@ -40,9 +40,11 @@
         """Tell whether an attempt must never start."""
         return (task, attempt) in self._fenced
 
-    def note_question(self, task: str, attempt: int, now: timedelta) -> timedelta:
-        """Return when a keeper first asked about an attempt."""
-        asked = self._asked.setdefault((task, attempt), now)
+    def note_question(
+        self, task: str, attempt: int, started: bool, now: timedelta
+    ) -> timedelta:
+        """Return when a keeper first asked about an attempt in this state."""
+        asked = self._asked.setdefault((task, attempt, started), now)
         if len(self._asked) > LIMIT:
             self._asked.popitem(last=False)
         return asked
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -241,7 +241,7 @@
         hosted = session.roster.tasks.get(task)
         if hosted and (hosted.state in OPEN_STATES or hosted.attempt >= attempt):
             return "already_started"
-        if not self.rooms.confirm(task):
+        if not self.rooms.confirm(task, start["worker"]):
             return "hold_expired"
         return ""
 
@@ -292,14 +292,17 @@
         """Tell whether an attempt under a former owner surely doesn't run.
 
         It takes an inventory sent after the question: a worker that restarted
-        since the last one may have forgotten that it was fenced.
+        since the last one may have forgotten that it was fenced. Out of reach,
+        an attempt that had started by the question is over once its lease must
+        have lapsed; one that hadn't may start late.
         """
-        if item.get("started") and session.has_lapsed and not session.is_ready:
-            return True
         now = self._clock.monotonic()
-        asked = self._fences.note_question(item["task"], item["attempt"], now)
-        if session.inventoried >= asked and session.is_ready:
+        started = item.get("started", False)
+        asked = self._fences.note_question(item["task"], item["attempt"], started, now)
+        if session.is_ready and session.inventoried >= asked:
             return True
+        if not session.is_ready:
+            return started and now - asked >= session.bound
         session.orders.take_inventory()
         return False
 
--- a/src/damaskdeck/coordination/rooms.py
+++ b/src/damaskdeck/coordination/rooms.py
@@ -64,7 +64,11 @@
         self._placer.add_filter("quarantined", self._prepare_quarantine)
 
     def hold(self, request: Request) -> Held | str:
-        """Set room aside for an attempt, or return why not."""
+        """Set room aside for an attempt, or return why not.
+
+        A hold that was asked for before is given up: its answer was lost.
+        """
+        self.release_hold(request["task"])
         need = self._make_need(request)
         found = self._placer.place(need)
         if isinstance(found, Impossible):
@@ -82,8 +86,11 @@
         self._quarantine.note_start(found.worker, need.task)
         return Held(found.worker)
 
-    def confirm(self, task: str) -> bool:
+    def confirm(self, task: str, worker: str) -> bool:
         """Turn a hold into a lasting reservation; false once it has ended."""
+        held = self._accounts.find(task)
+        if held is None or held.worker != worker:
+            return False
         return self._accounts.confirm(task, self._clock.monotonic())
 
     def release_hold(self, task: str) -> None:
--- a/src/damaskdeck/coordination/rosters.py
+++ b/src/damaskdeck/coordination/rosters.py
@@ -183,16 +183,24 @@
         self.tasks[hosted.task] = hosted._replace(cause=cause)
 
     def _adopt(self, report: TaskReport) -> None:
-        """Set its room aside; it isn't stopped before its keeper tells of it."""
-        need = TaskNeed(
-            report.task, report.size, urgency=Urgency.URGENT, idempotent=False
-        )
+        """Set its room aside; it isn't stopped before its keeper tells of it.
+
+        Room that the same task has on another worker of this owner, as for an
+        attempt that isn't settled, doesn't count for this one.
+        """
+        held = self._accounts.find(report.task)
+        name = report.task if held is None else self._name_other(report.task)
+        need = TaskNeed(name, report.size, urgency=Urgency.URGENT, idempotent=False)
         outcome = self._accounts.adopt(need, self._worker)
         if not isinstance(outcome, Reserved):
             count_refusal("workers", "adoption")
             _log.warn("A running task has no room.", task=report.task)
 
     def _release(self, task: str) -> None:
-        held = self._accounts.find(task)
-        if held is not None and held.worker == self._worker:
-            self._accounts.release(task)
+        for name in (task, self._name_other(task)):
+            held = self._accounts.find(name)
+            if held is not None and held.worker == self._worker:
+                self._accounts.release(name)
+
+    def _name_other(self, task: str) -> str:
+        return f"{task}@{self._worker}"
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -41,7 +41,7 @@
     reported lost only when its lease must have lapsed.
 
     ``inventoried`` is the monotonic time when the last whole inventory that
-    came was asked for.
+    came was asked for; ``bound`` is how long leases of earlier owners may last.
 
     :param worker: as the platform lists it; set anew when that changes.
     :param may_act: tells whether this daemon still owns the worker.
@@ -79,7 +79,7 @@
         self._grace = grace
         self._lease = lease
         self._renewal = renewal
-        self._bound = compute_takeover_bound(lease)
+        self.bound = compute_takeover_bound(lease)
         self._gained = clock.monotonic()
         self.inventoried = timedelta.min
         self.is_doubtful = False
@@ -95,11 +95,6 @@
             group.create_task(self._renew_all())
             group.create_task(self.orders.run())
 
-    @property
-    def has_lapsed(self) -> bool:
-        """Whether all leases given before this session must have lapsed."""
-        return self._clock.monotonic() - self._gained >= self._bound
-
     @property
     def tasks(self) -> dict[str, Hosted]:
         """The attempts on this worker by task."""
@@ -113,7 +108,7 @@
 
     async def abandon(self) -> None:
         """Report all tasks of a worker that is gone, once they have lapsed."""
-        await self._clock.sleep(self._bound)
+        await self._clock.sleep(self.bound)
         for hosted in self.roster.list_open():
             self.roster.note(hosted, "lost", code="worker_gone")
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -6,6 +6,8 @@
 from damaskdeck.defaults import MEMBER_LEASE
 from damaskdeck.protocol.handlers import JobState, Submission
 from damaskdeck.protocol.jobs import SizeData, Start
+from damaskdeck.protocol.ports import StartOrder
+from damaskdeck.protocol.sizes import Size
 from standins.faults import FaultKind
 from standins.plane import Plane
 from tests.virtual import virtual
@@ -220,6 +222,34 @@
         reply = await self.order("d2", granted["epoch"])
         self.assertEqual(reply["refused"][0]["code"], "hold_expired")
 
+    @virtual
+    async def test_room_asked_for_again_replaces_the_first_hold(self):
+        await self.start(ENDLESS)
+        await self.sleep(2)
+        for _ in range(3):
+            reply = await self.reserve("d2", 3000)
+            self.assertEqual(reply["refused"], [])
+
+    @virtual
+    async def test_task_found_running_gets_room_beside_its_hold_elsewhere(self):
+        self.plane = await Plane(daemons=1, workers=2).start()
+        self.runs = self.plane.platform.runs
+        await self.sleep(2)
+        host = self.plane.find("d1").host
+        granted = (await self.reserve("d1", 3000))["granted"][0]
+        other = "w2" if granted["worker"] == "w1" else "w1"
+        order = StartOrder("x-00-1-0", 1, Size(3000, 1, 0), LEASE, ENDLESS)
+        stand_in = self.plane.platform.workers[other]
+        stand_in.start(host.sessions[other].epoch, order)
+        await self.sleep(0.005)
+        self.assertEqual(host.accounts.workers[other].free.millicores, 1000)
+        wrong = Start(**(granted | {"worker": other}), payload=ENDLESS)
+        message = {"ledger": "00", "epoch": 1, "tasks": [wrong]}
+        reply = await host._start("d1", message)
+        self.assertTrue(reply["refused"])
+        await self.sleep(1)
+        self.assertEqual(host.accounts.workers[other].free.millicores, 4000)
+
     @virtual
     async def test_start_that_comes_twice_is_refused_the_second_time(self):
         await self.start(ENDLESS)
