Refuse peers' messages whose numbers are out of bounds

Cause: messages were decoded by type only. Random messages at the real handlers (tests/messages.py, one whole daemon on stand-ins) ended 71 of 3000 in an exception of a handler: timeouts that are NaN, infinite or huge (claim_key, forward_request), an unknown urgency (reserve_tasks) and ages beyond what timedelta holds (heartbeat, when half of it was applied). A size below zero made room that no worker has, and a summary with sizes cut short was taken over by the keeper.

Change: protocol/quantities.py bounds counts, amounts and times, and all messages use them, so that a wrong field is refused before a handler sees it (Unsent("invalid_message"), counted and logged). Bytes nested too deeply are refused as well (RecursionError before).

--- a/src/damaskdeck/protocol/forwarding.py
+++ b/src/damaskdeck/protocol/forwarding.py
@@ -4,6 +4,7 @@
 
 from damaskdeck.protocol.jobs import OutcomeData
 from damaskdeck.protocol.messages import message
+from damaskdeck.protocol.quantities import Count, Seconds, SignedSeconds
 
 
 class Load(TypedDict):
@@ -13,15 +14,15 @@
     ``ejected`` count targets.
     """
 
-    slots: int
-    free: int
-    queued: int
-    service_time: float
-    targets: int
-    ejected: int
+    slots: Count
+    free: Count
+    queued: Count
+    service_time: Seconds
+    targets: Count
+    ejected: Count
 
 
-@message("forward_request")
+@message("forward_request", reply="forward_outcome")
 class ForwardRequest(TypedDict):
     """A request handed to an owner.
 
@@ -30,16 +31,16 @@
     """
 
     identifier: str
-    attempt: int
+    attempt: Count
     service: str
     team: str
     body: bytes
     content_type: str
     urgency: str
     idempotent: bool
-    timeout: float
-    patience: float
-    waiting: int
+    timeout: Seconds
+    patience: SignedSeconds
+    waiting: Count
 
 
 @message("forward_outcome")
@@ -47,7 +48,7 @@
     """What became of a forwarded request; ``load`` is the owner's at the reply."""
 
     identifier: str
-    attempt: int
+    attempt: Count
     outcome: OutcomeData
     load: NotRequired[Load]
 
@@ -57,7 +58,7 @@
     """The caller of a forwarded request has gone; its queue place is free."""
 
     identifier: str
-    attempt: int
+    attempt: Count
 
 
 @message("requests_waiting")
@@ -65,7 +66,7 @@
     """The sender has no free slot for ``count`` requests of a service."""
 
     service: str
-    count: int
+    count: Count
 
 
 @message("slots_offered")
@@ -73,15 +74,15 @@
     """The sender can take ``count`` requests of a service; nothing is reserved."""
 
     service: str
-    count: int
+    count: Count
 
 
-@message("read_slots")
+@message("read_slots", reply="slots_read")
 class ReadSlots(TypedDict):
     """The owner of ``target`` from ``epoch`` on asks what is still in progress."""
 
     target: str
-    epoch: int
+    epoch: Count
 
 
 @message("slots_read")
@@ -94,6 +95,6 @@
     """
 
     target: str
-    epoch: int
-    remaining: list[float]
-    inherited: dict[str, list[float]]
+    epoch: Count
+    remaining: list[Seconds]
+    inherited: dict[str, list[Seconds]]
--- a/src/damaskdeck/protocol/heartbeats.py
+++ b/src/damaskdeck/protocol/heartbeats.py
@@ -3,6 +3,7 @@
 from typing import NotRequired, TypedDict
 
 from damaskdeck.protocol.messages import message
+from damaskdeck.protocol.quantities import Count, Milliseconds
 
 
 class MemberFields(TypedDict):
@@ -27,10 +28,10 @@
         the sender decide; the receiver may not be among those who gave them.
     """
 
-    number: int
+    number: Count
     session: str
-    promise: NotRequired[int]
-    promised: NotRequired[int]
+    promise: NotRequired[Milliseconds]
+    promised: NotRequired[Milliseconds]
 
 
 class ReportFields(TypedDict):
@@ -40,7 +41,7 @@
     :ivar value: absent when the receiver should have this version.
     """
 
-    version: int
+    version: Count
     value: NotRequired[bytes]
 
 
@@ -51,7 +52,7 @@
     """
 
     member: MemberFields
-    age: int
+    age: Milliseconds
     reports: dict[str, bytes]
 
 
@@ -65,12 +66,12 @@
     """
 
     member: MemberFields
-    number: int
+    number: Count
     session: str
     leaving: NotRequired[bool]
     echo: NotRequired[Echo]
     reports: NotRequired[dict[str, ReportFields]]
-    ages: NotRequired[dict[str, int]]
+    ages: NotRequired[dict[str, Milliseconds]]
     digests: NotRequired[list[Digest]]
 
 
@@ -90,5 +91,5 @@
     """
 
     key: str
-    revision: int
+    revision: Count
     value: bytes
--- a/src/damaskdeck/protocol/jobs.py
+++ b/src/damaskdeck/protocol/jobs.py
@@ -3,11 +3,12 @@
 from typing import Literal, NotRequired, TypedDict
 
 from damaskdeck.protocol.messages import message
+from damaskdeck.protocol.quantities import Amount, Count, Seconds, UrgencyName
 
 # Entry to keeper ----------------------------------------------------------------
 
 
-@message("submit_job")
+@message("submit_job", reply="job_reply")
 class SubmitJob(TypedDict):
     """Take a job; answered by :class:`JobReply`."""
 
@@ -17,31 +18,31 @@
     key: str
 
 
-@message("read_job")
+@message("read_job", reply="job_reply")
 class ReadJob(TypedDict):
     """Tell the state of a job; answered by :class:`JobReply`."""
 
     job: str
 
 
-@message("cancel_job")
+@message("cancel_job", reply="job_reply")
 class CancelJob(TypedDict):
     """Cancel a job; answered by :class:`JobReply`."""
 
     job: str
 
 
-@message("list_jobs")
+@message("list_jobs", reply="jobs_reply")
 class ListJobs(TypedDict):
     """List jobs of one ledger; answered by :class:`JobsReply`."""
 
     ledger: str
     team: str
     after: str
-    limit: int
+    limit: Count
 
 
-@message("claim_key")
+@message("claim_key", reply="key_reply")
 class ClaimKey(TypedDict):
     """Claim the key of a request; ``timeout`` in seconds."""
 
@@ -49,7 +50,7 @@
     service: str
     key: str
     digest: bytes
-    timeout: float
+    timeout: Seconds
 
 
 class OutcomeData(TypedDict):
@@ -63,10 +64,10 @@
     content_type: NotRequired[str]
     code: NotRequired[str]
     detail: NotRequired[str]
-    retry_after: NotRequired[float]
+    retry_after: NotRequired[Seconds]
 
 
-@message("settle_key")
+@message("settle_key", reply="key_reply")
 class SettleKey(TypedDict):
     """Remember the outcome of a request with a key."""
 
@@ -126,11 +127,11 @@
     """
 
     task: str
-    attempt: int
+    attempt: Count
     worker: str
-    epoch: NotRequired[int]
+    epoch: NotRequired[Count]
     started: NotRequired[bool]
-    urgency: NotRequired[str]
+    urgency: NotRequired[UrgencyName]
     group: NotRequired[str]
     idempotent: NotRequired[bool]
     checkpoint: NotRequired[bool]
@@ -139,9 +140,9 @@
 class SizeData(TypedDict):
     """A size in the units of :class:`damaskdeck.protocol.sizes.Size`."""
 
-    millicores: int
-    memory: int
-    accelerators: int
+    millicores: Amount
+    memory: Amount
+    accelerators: Amount
 
 
 class Request(TypedDict):
@@ -152,10 +153,10 @@
     """
 
     task: str
-    attempt: int
+    attempt: Count
     size: SizeData
     workload: NotRequired[str]
-    urgency: NotRequired[str]
+    urgency: NotRequired[UrgencyName]
     group: NotRequired[str]
     idempotent: NotRequired[bool]
     checkpoint: NotRequired[bool]
@@ -164,12 +165,12 @@
     is_pressed: NotRequired[bool]
 
 
-@message("reserve_tasks")
+@message("reserve_tasks", reply="tasks_reserved")
 class ReserveTasks(TypedDict):
     """Hold room for tasks; ``epoch`` is that of the ledger."""
 
     ledger: str
-    epoch: int
+    epoch: Count
     tasks: list[Request]
 
 
@@ -177,7 +178,7 @@
     """Why an attempt was refused."""
 
     task: str
-    attempt: int
+    attempt: Count
     code: str
 
 
@@ -196,12 +197,12 @@
     resume: NotRequired[str]
 
 
-@message("start_tasks")
+@message("start_tasks", reply="tasks_taken")
 class StartTasks(TypedDict):
     """Start tasks; answered by :class:`TasksTaken`."""
 
     ledger: str
-    epoch: int
+    epoch: Count
     tasks: list[Start]
 
 
@@ -217,11 +218,11 @@
     """Let go of reservations."""
 
     ledger: str
-    epoch: int
+    epoch: Count
     tasks: list[TaskAttempt]
 
 
-@message("stop_tasks")
+@message("stop_tasks", reply="tasks_taken")
 class StopTasks(TypedDict):
     """Stop tasks; their ends are reported.
 
@@ -229,17 +230,17 @@
     """
 
     ledger: str
-    epoch: int
+    epoch: Count
     tasks: list[TaskAttempt]
     is_last: NotRequired[bool]
 
 
-@message("check_tasks")
+@message("check_tasks", reply="task_reports")
 class CheckTasks(TypedDict):
     """Tell what became of attempts; answered by :class:`TaskReports`."""
 
     ledger: str
-    epoch: int
+    epoch: Count
     tasks: list[TaskAttempt]
 
 
@@ -256,7 +257,7 @@
     """
 
     task: str
-    attempt: int
+    attempt: Count
     worker: str
     state: str
     code: NotRequired[str]
@@ -264,7 +265,7 @@
     checkpoint: NotRequired[str]
 
 
-@message("task_reports")
+@message("task_reports", reply="tasks_noted")
 class TaskReports(TypedDict):
     """News of tasks of one ledger; answered by :class:`TasksNoted`."""
 
--- a/src/damaskdeck/protocol/messages.py
+++ b/src/damaskdeck/protocol/messages.py
@@ -1,7 +1,8 @@
 """Messages between daemons and the registry of their types.
 
 Every message is a ``TypedDict``: a peer ignores fields that it doesn't know
-and treats missing ones as absent, so that two versions can run side by side.
+and refuses a message that lacks one that must be there, so that two versions
+can run side by side and nothing is half applied.
 """
 
 from collections.abc import Awaitable, Callable
@@ -16,9 +17,13 @@
 
 _types: dict[str, type] = {}
 _names: dict[type, str] = {}
+_replies: dict[str, str] = {}
 _decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
 _encoder = msgspec.msgpack.Encoder()
 
+# What a handler that returns nothing replies.
+NO_REPLY = msgspec.msgpack.encode(None)
+
 
 class Envelope(msgspec.Struct, array_like=True):
     """A message on its way, one of a batch.
@@ -74,15 +79,18 @@
         """Send a message and wait for its reply."""
 
 
-def message(name: str) -> Callable[[type[T]], type[T]]:
+def message(name: str, reply: str = "") -> Callable[[type[T]], type[T]]:
     """Register a ``TypedDict`` as a message.
 
     :param name: its name on the wire; never reused for another meaning.
+    :param reply: the name of the message that answers it, if one does.
     """
 
     def register(kind: type[T]) -> type[T]:
         if name in _types:
             raise ValueError(f"message {name!r} is registered twice")
+        if reply:
+            _replies[name] = reply
         _types[name] = kind
         _names[kind] = name
         return kind
@@ -115,5 +123,19 @@
         decoder = _decoders[name] = msgspec.msgpack.Decoder(_types[name])
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise MessageError(f"{name}: {error}") from error
+
+
+def decode_reply(name: str, body: bytes) -> Any:
+    """Decode the reply to a message of ``name``; plain data if it has no type.
+
+    :raises MessageError: when it doesn't have the type that answers ``name``.
+    """
+    reply = _replies.get(name)
+    if reply is not None:
+        return None if body == NO_REPLY else decode_message(reply, body)
+    try:
+        return msgspec.msgpack.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise MessageError(f"reply to {name}: {error}") from error
--- a/src/damaskdeck/protocol/observations.py
+++ b/src/damaskdeck/protocol/observations.py
@@ -5,7 +5,7 @@
 from damaskdeck.protocol.messages import message
 
 
-@message("list_observed")
+@message("list_observed", reply="observed")
 class ListObserved(TypedDict):
     """Asks for the resources of ``kind`` that the receiver decides about."""
 
--- a/src/damaskdeck/protocol/relays.py
+++ b/src/damaskdeck/protocol/relays.py
@@ -29,7 +29,7 @@
     entry: RelayedEntry
 
 
-@message("configuration/pull")
+@message("configuration/pull", reply="configuration/reply")
 class ConfigurationPull(TypedDict):
     """Asks for what came after ``revision``.
 
@@ -55,11 +55,12 @@
     ahead: NotRequired[list[RelayedEntry]]
 
 
-@message("configuration/ask")
+@message("configuration/ask", reply="configuration/report")
 class ConfigurationAsk(TypedDict):
     """Asks for the receiver's report."""
 
 
+@message("configuration/report")
 class ConfigurationReport(TypedDict):
     """What each daemon's heartbeats and answers tell of its configuration.
 
--- a/src/damaskdeck/protocol/summaries.py
+++ b/src/damaskdeck/protocol/summaries.py
@@ -1,8 +1,13 @@
 """What an owner of workers reports of them, in bounded size."""
 
-from typing import TypedDict
+from typing import Annotated, TypedDict
+
+from msgspec import Meta
 
 from damaskdeck.protocol.messages import message
+from damaskdeck.protocol.resources import Urgency
+
+SizeList = Annotated[list[int], Meta(min_length=3, max_length=3)]
 
 
 class ClassSummary(TypedDict):
@@ -17,9 +22,9 @@
     """
 
     workers: int
-    free: list[int]
-    slices: list[list[int]]
-    largest: list[int]
+    free: SizeList
+    slices: list[SizeList]
+    largest: SizeList
 
 
 @message("worker_summary")
@@ -32,5 +37,5 @@
     """
 
     zone: str
-    classes: list[ClassSummary]
-    preemptible: list[list[int]]
+    classes: Annotated[list[ClassSummary], Meta(min_length=2)]
+    preemptible: Annotated[list[SizeList], Meta(min_length=len(Urgency))]
