Answer odd bodies, revisions and page tokens as bad input

A path with a slash too many was answered by a 307 without a body, which no page describes.

Change: JSON is at most 32 levels deep, revisions are parsed by one function with the bound that query parameters had, any unreadable token is bad_parameter, and no path is redirected.

--- a/src/damaskdeck/transport/api/answers.py
+++ b/src/damaskdeck/transport/api/answers.py
@@ -1,7 +1,6 @@
 """Answers in JSON, lists in pages, and label selectors."""
 
 import base64
-import binascii
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -49,7 +48,7 @@
         raise ProblemError("bad_parameter", f"limit: 1 to {PAGE_LIMIT}")
     try:
         return limit, base64.urlsafe_b64decode(token).decode()
-    except (binascii.Error, UnicodeDecodeError) as error:
+    except ValueError as error:
         raise ProblemError(
             "bad_parameter", "continue: not from an earlier page"
         ) from error
@@ -60,9 +59,16 @@
     text = call.query(name)
     if not text:
         return default
-    if not (text.isascii() and text.isdigit() and len(text) < 19):
+    number = parse_number(text)
+    if number is None:
         raise ProblemError("bad_parameter", f"{name}: must be a whole number")
-    return int(text)
+    return number
+
+
+def parse_number(text: str) -> int | None:
+    """Return a whole number, ``None`` when it isn't one that the store could give."""
+    is_number = text.isascii() and text.isdigit() and len(text) < 19
+    return int(text) if is_number else None
 
 
 def read_flag(call: Call, name: str) -> bool:
--- a/src/damaskdeck/transport/api/app.py
+++ b/src/damaskdeck/transport/api/app.py
@@ -74,6 +74,7 @@
         exception_handlers={HTTPException: _render_http_error},
     )
     app.state.stopping = context.stopping
+    app.router.redirect_slashes = False
     return app
 
 
--- a/src/damaskdeck/transport/api/resources.py
+++ b/src/damaskdeck/transport/api/resources.py
@@ -14,6 +14,7 @@
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.resources import Kind, Resource
 from damaskdeck.transport.api.answers import (
+    parse_number,
     read_flag,
     read_number,
     read_selector,
@@ -161,10 +162,10 @@
     text = call.header("if-match")
     if text in ("", "*"):
         return None
-    digits = text.strip('"')
-    if not (digits.isascii() and digits.isdigit() and int(digits) > 0):
+    revision = parse_number(text.strip('"'))
+    if not revision:
         raise ProblemError("bad_header", "If-Match: must be a revision")
-    return int(digits)
+    return revision
 
 
 def _read_own_revision(resource: Any) -> int | None:
--- a/src/damaskdeck/transport/api/routes.py
+++ b/src/damaskdeck/transport/api/routes.py
@@ -21,6 +21,7 @@
 from damaskdeck.transport.api.problems import ProblemError, render_problem
 
 BODY_TIMEOUT_SECONDS = 30
+NESTING_LIMIT = 32
 GONE_STATUS = 499
 
 _log = get_logger("api")
@@ -89,9 +90,12 @@
     async def read_json(self) -> Any:
         """Read the body as JSON."""
         try:
-            return msgspec.json.decode(await self.read_body())
-        except msgspec.DecodeError as error:
+            document = msgspec.json.decode(await self.read_body())
+        except (msgspec.DecodeError, RecursionError) as error:
             raise ProblemError("bad_json", str(error)) from error
+        if _is_deep(document):
+            raise ProblemError("bad_json", f"at most {NESTING_LIMIT} levels deep")
+        return document
 
     async def _read_chunks(self, limit: int) -> bytes:
         body = bytearray()
@@ -148,6 +152,19 @@
     return register
 
 
+def _is_deep(document: Any) -> bool:
+    """Tell whether a document has more levels than any resource needs."""
+    level = [document] if isinstance(document, dict | list) else []
+    for _ in range(NESTING_LIMIT):
+        parts = [each.values() if isinstance(each, dict) else each for each in level]
+        level = [
+            item for part in parts for item in part if isinstance(item, dict | list)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def require_loaded(call: Call) -> None:
     """Refuse a call that this daemon can't judge yet."""
     if not call.context.relay.is_ready:
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -1,9 +1,11 @@
 """Whatever comes from outside: it is used whole, or refused with a code."""
 
 import asyncio
+import json
 import unittest
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -30,8 +32,16 @@
 )
 from damaskdeck.protocol.relays import ConfigurationReport
 from damaskdeck.protocol.summaries import WorkerSummary
+from damaskdeck.transport.api.app import build_app
+from damaskdeck.transport.api.credentials import Credentials
+from damaskdeck.transport.api.problems import CODES, PROBLEM_TYPE
+from damaskdeck.transport.api.resources import PATCH_TYPE
+from damaskdeck.transport.api.routes import ROUTES, Route
+from standins.clock import settle
 from standins.loops import run_virtual
+from tests.cluster import Cluster, make_team, make_workload
 from tests.messages import WholeDaemon, draw_message
+from tests.test_api import FakeJobs, FakeRequests, FakeResources
 from tests.virtual import virtual
 
 REFUSED = Unsent("invalid_message")
@@ -220,3 +230,169 @@
         answer = await deliver(daemon, ReserveTasks, {**message, "colour": 1})
         self.assertEqual(answer.message["granted"][0]["worker"], "w1")
         await daemon.close()
+
+
+TEXTS = st.one_of(
+    st.sampled_from(("maps", "tiles", "0", "1", "9" * 5000, "true", "*", "x=1,!y")),
+    st.text(max_size=8),
+)
+DOCUMENTS = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+FIELDS = ("kind", "metadata", "spec", "name", "labels", "revision", "quota", "team")
+BODIES = st.one_of(
+    st.binary(max_size=20),
+    st.sampled_from((b"[" * 9000, b'{"a":' * 500 + b"1" + b"}" * 500)),
+    DOCUMENTS.map(lambda document: json.dumps(document).encode()),
+    st.tuples(st.booleans(), st.sampled_from(FIELDS), DOCUMENTS).map(
+        lambda case: spoil_resource(*case)
+    ),
+)
+
+
+def spoil_resource(is_team: bool, field: str, value: Any) -> bytes:
+    """Return a resource in which one field is something else."""
+    resource = make_team() if is_team else make_workload()
+    for part in (resource, *filter(lambda p: isinstance(p, dict), resource.values())):
+        if field in part:
+            part[field] = value
+    return json.dumps(resource).encode()
+
+
+class AppCall(NamedTuple):
+    """A call as it reaches the application."""
+
+    entry: Route
+    name: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@st.composite
+def draw_call(draw: st.DrawFn) -> AppCall:
+    """Draw a call of some route with odd parameters."""
+    entry = draw(st.sampled_from(ROUTES))
+    headers = [name for name in entry.parameters if name[0].isupper()]
+    query = [name for name in entry.parameters if not name[0].isupper()]
+    return AppCall(
+        entry,
+        draw(TEXTS),
+        {name: draw(TEXTS) for name in query if draw(st.booleans())},
+        {name: draw(TEXTS) for name in headers if draw(st.booleans())},
+        draw(BODIES),
+    )
+
+
+class Api:
+    """The application over a lone daemon's relay, called without a socket."""
+
+    def __init__(self) -> None:
+        self.cluster = Cluster(1)
+        daemon = self.cluster["d00"]
+        self.requests, self.jobs = FakeRequests(), FakeJobs()
+        self.app = build_app(
+            daemon.configuration,
+            daemon.relay,
+            self.requests,
+            self.jobs,
+            FakeResources(),
+            Credentials("operator-token", {"maps": "maps-token"}),
+            self.cluster.clock,
+            body_limit=10_000,
+        )
+
+    def read_effects(self) -> tuple[int, int, int]:
+        """Return what only an accepted call may change."""
+        store, taken = self.cluster.store, self.jobs.submissions
+        return store.revision, len(self.requests.requests), len(taken)
+
+    async def call(self, call: AppCall) -> tuple[int, dict[str, str], bytes]:
+        """Return status, headers and body of the answer."""
+        headers = {"Authorization": "Bearer operator-token", **call.headers}
+        if call.entry.method == "PATCH":
+            headers["Content-Type"] = PATCH_TYPE
+        path = call.entry.path.replace("{name}", call.name)
+        path = path.replace("{revision}", call.name)
+        scope = {
+            "type": "http",
+            "method": call.entry.method,
+            "path": path,
+            "query_string": urlencode(call.query).encode(),
+            "headers": [
+                (name.lower().encode(), value.encode("latin-1", "replace"))
+                for name, value in headers.items()
+            ],
+        }
+        sent: list[dict[str, Any]] = []
+        received = iter([{"type": "http.request", "body": call.body}])
+
+        async def receive() -> dict[str, Any]:
+            found = next(received, None)
+            if found is None:
+                await settle()
+            return found or {"type": "http.disconnect"}
+
+        async def send(part: dict[str, Any]) -> None:
+            sent.append(part)
+
+        await self.app(scope, receive, send)
+        told = {name.decode(): value.decode() for name, value in sent[0]["headers"]}
+        return sent[0]["status"], told, b"".join(p.get("body", b"") for p in sent)
+
+
+class TestApi(unittest.TestCase):
+    """Calls of any kind: a documented answer, and nothing half done."""
+
+    @fuzz
+    @given(st.lists(draw_call(), min_size=10, max_size=30))
+    def test_each_answer_is_documented_and_what_is_refused_was_not_done(self, calls):
+        async def run() -> None:
+            api = Api()
+            await api.cluster.pass_time(3)
+            for call in calls:
+                before = api.read_effects()
+                status, headers, body = await api.call(call)
+                if status < 400:
+                    self.assertIn(status, call.entry.answers, call)
+                    continue
+                problem = json.loads(body)
+                self.assertEqual(headers["content-type"], PROBLEM_TYPE)
+                self.assertEqual(CODES[problem["code"]].status, status, call)
+                self.assertEqual(problem["outcome"], "refused", (call, problem))
+                self.assertEqual(api.read_effects(), before, call)
+            await api.cluster.stop()
+
+        asyncio.run(run())
+
+    def assert_refused(self, method: str, path: str, code: str, **fields: Any) -> None:
+        """Check the code of one call's refusal."""
+
+        async def run() -> bytes:
+            api = Api()
+            await api.cluster.pass_time(3)
+            entry = next(r for r in ROUTES if (r.method, r.path) == (method, path))
+            call = AppCall(entry, "maps", {}, {}, b"")._replace(**fields)
+            _, _, body = await api.call(call)
+            await api.cluster.stop()
+            return body
+
+        self.assertEqual(json.loads(asyncio.run(run()))["code"], code)
+
+    def test_a_body_nested_too_deeply_is_no_json(self):
+        for body in (b"[" * 9000, b'{"a":' * 500 + b"1" + b"}" * 500):
+            self.assert_refused("PUT", "/v1/teams/{name}", "bad_json", body=body)
+
+    def test_a_revision_of_thousands_of_digits_is_a_bad_header(self):
+        headers = {"If-Match": "9" * 5000}
+        path = "/v1/teams/{name}"
+        self.assert_refused("DELETE", path, "bad_header", headers=headers)
+
+    def test_a_page_token_that_is_no_ascii_is_a_bad_parameter(self):
+        query = {"continue": "é"}
+        self.assert_refused("GET", "/v1/teams", "bad_parameter", query=query)
