Tell outcomes with equal fields apart

Change: a decorator makes outcomes, answers of the platform and of peers equal to values of their own type only.

--- a/src/damaskdeck/protocol/handlers.py
+++ b/src/damaskdeck/protocol/handlers.py
@@ -7,6 +7,7 @@
 
 from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
 from damaskdeck.protocol.resources import Kind, Resource, Urgency
+from damaskdeck.protocol.values import distinct
 
 
 class ServiceRequest(NamedTuple):
@@ -111,10 +112,12 @@
         """List what this daemon and its peers know of ``kind``."""
 
 
+@distinct
 class Claimed(NamedTuple):
     """A key was used for the first time and is durable; run the request now."""
 
 
+@distinct
 class Known(NamedTuple):
     """A key was used before; this is what became of its request."""
 
--- a/src/damaskdeck/protocol/messages.py
+++ b/src/damaskdeck/protocol/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from damaskdeck.errors import MessageError
+from damaskdeck.protocol.values import distinct
 
 T = TypeVar("T")
 
@@ -40,18 +41,21 @@
     body: bytes
 
 
+@distinct
 class Answered(NamedTuple):
     """A peer replied with ``message``."""
 
     message: Any
 
 
+@distinct
 class Unsent(NamedTuple):
     """The message did not leave this daemon; the peer did nothing."""
 
     code: str
 
 
+@distinct
 class Unanswered(NamedTuple):
     """The message left and no reply came; the peer may have acted on it."""
 
--- a/src/damaskdeck/protocol/outcomes.py
+++ b/src/damaskdeck/protocol/outcomes.py
@@ -3,7 +3,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from damaskdeck.protocol.values import distinct
 
+
+@distinct
 class Completed(NamedTuple):
     """It ran and ended well.
 
@@ -15,6 +18,7 @@
     content_type: str = "application/json"
 
 
+@distinct
 class Failed(NamedTuple):
     """It ran and ended badly.
 
@@ -26,6 +30,7 @@
     detail: str = ""
 
 
+@distinct
 class Refused(NamedTuple):
     """It did not run, nor will it.
 
@@ -41,6 +46,7 @@
     retry_after: timedelta | None = None
 
 
+@distinct
 class Unknown(NamedTuple):
     """It may have run; its end can't be learned.
 
--- a/src/damaskdeck/protocol/ports.py
+++ b/src/damaskdeck/protocol/ports.py
@@ -10,8 +10,10 @@
 from typing import NamedTuple, Protocol
 
 from damaskdeck.protocol.sizes import Size
+from damaskdeck.protocol.values import distinct
 
 
+@distinct
 class Rejected(NamedTuple):
     """The call is proved to have had no effect.
 
@@ -22,6 +24,7 @@
     detail: str = ""
 
 
+@distinct
 class Lost(NamedTuple):
     """The answer was lost; the call may have taken effect.
 
@@ -48,18 +51,21 @@
     lease: str = ""
 
 
+@distinct
 class Found(NamedTuple):
     """A read key."""
 
     entry: Entry
 
 
+@distinct
 class Missing(NamedTuple):
     """There is no such key, as of the store's ``revision``."""
 
     revision: int
 
 
+@distinct
 class Listing(NamedTuple):
     """All keys below a prefix, in order, as of the store's ``revision``."""
 
@@ -67,18 +73,21 @@
     revision: int
 
 
+@distinct
 class Written(NamedTuple):
     """The write took effect at ``revision``."""
 
     revision: int
 
 
+@distinct
 class Conflict(NamedTuple):
     """The expected revision was wrong; ``current`` is the entry now, if any."""
 
     current: Entry | None
 
 
+@distinct
 class Granted(NamedTuple):
     """A lease was granted or renewed for ``ttl`` from the time of the call."""
 
@@ -86,6 +95,7 @@
     ttl: timedelta
 
 
+@distinct
 class Lapsed(NamedTuple):
     """There is no such lease any more; its keys are gone."""
 
@@ -100,6 +110,7 @@
     revision: int
 
 
+@distinct
 class Events(NamedTuple):
     """Changes after the asked revision, in order; may be empty.
 
@@ -110,6 +121,7 @@
     revision: int
 
 
+@distinct
 class TooOld(NamedTuple):
     """The asked revision is no longer kept; list again."""
 
@@ -199,6 +211,7 @@
     size: Size = Size()
 
 
+@distinct
 class Instances(NamedTuple):
     """The instance list as of some earlier time."""
 
@@ -267,12 +280,14 @@
     lag: timedelta
 
 
+@distinct
 class Accepted(NamedTuple):
     """The worker did what it was told; ``report`` is the task after it."""
 
     report: TaskReport
 
 
+@distinct
 class Inventory(NamedTuple):
     """All tasks that a worker knows, ended ones until acknowledged.
 
@@ -348,6 +363,7 @@
     content_type: str = "application/json"
 
 
+@distinct
 class TargetAnswer(NamedTuple):
     """A target's whole answer.
 
