Refuse YAML that can't be converted, sent or named

Cause: a trial of 3000 random files against load_settings and load_resources found faults that end in a traceback: bytes that are no UTF-8 (settings), scalars that PyYAML's own constructors can't convert (!!bool x: KeyError, 2001-99-99: ValueError, !!int '': IndexError), nesting beyond the parser's recursion, and an alias that refers to itself, which was loaded and failed only when it was to be sent. A name with slashes or a question mark named another path of the API.

Change: documents.load_documents is the one reader of YAML for both, with a DocumentError; resources that aren't JSON are told by number before anything is sent; get_path quotes the name.

--- a/src/damaskdeck/cli/declarations.py
+++ b/src/damaskdeck/cli/declarations.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 import typer
-import yaml
 
 from damaskdeck.cli.app import app
 from damaskdeck.cli.descriptions import print_description
@@ -13,6 +13,8 @@
 from damaskdeck.cli.output import Style, print_document, print_note
 from damaskdeck.cli.session import Output, check_reply, choose_style, get_path, run
 from damaskdeck.client import Client, Reply
+from damaskdeck.documents import load_documents
+from damaskdeck.errors import DocumentError
 
 Kind = Annotated[str, typer.Argument(help="As in workload or workloads.")]
 Name = Annotated[str, typer.Argument(help="Name of the resource.")]
@@ -52,14 +54,20 @@
 def load_resources(file: Path) -> list[dict[str, Any]]:
     """Read YAML documents; all must name a kind and a name."""
     try:
-        text = sys.stdin.read() if str(file) == "-" else file.read_text("utf-8")
-        documents = [each for each in yaml.safe_load_all(text) if each is not None]
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        is_input = str(file) == "-"
+        content = sys.stdin.buffer.read() if is_input else file.read_bytes()
+        loaded = load_documents(content, str(file))
+    except (OSError, DocumentError) as error:
         print_note(f"unreadable: {error}")
         raise typer.Exit(Exit.USAGE) from error
+    documents = [each for each in loaded if each is not None]
     faults = [n for n, each in enumerate(documents, 1) if not _is_named(each)]
     for number in faults:
         print_note(f"document {number}: missing_field: kind and metadata.name")
+    for number, each in enumerate(documents, 1):
+        if not _is_json(each):
+            print_note(f"document {number}: bad_value: refers to itself or isn't JSON")
+            faults.append(number)
     if faults or not documents:
         raise typer.Exit(Exit.USAGE)
     return documents
@@ -169,6 +177,15 @@
     return isinstance(metadata, dict) and isinstance(metadata.get("name"), str)
 
 
+def _is_json(document: Any) -> bool:
+    """Tell whether a document can be sent; YAML's aliases may form a circle."""
+    try:
+        msgspec.json.encode(document)
+    except (TypeError, ValueError, OverflowError, RecursionError):
+        return False
+    return True
+
+
 def _compare(current: dict[str, Any] | None) -> dict[str, str]:
     if current is None:
         return {"If-None-Match": "*"}
--- a/src/damaskdeck/cli/session.py
+++ b/src/damaskdeck/cli/session.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Annotated, Any, NamedTuple, NoReturn
+from urllib.parse import quote
 
 import aiohttp
 import typer
@@ -66,7 +67,7 @@
     plural = PLURALS.get(kind, kind)
     if plural not in PLURALS.values():
         raise typer.BadParameter(f"one of {', '.join(PLURALS)}", param_hint="kind")
-    return f"/v1/{plural}/{name}" if name else f"/v1/{plural}"
+    return f"/v1/{plural}/{quote(name, safe='')}" if name else f"/v1/{plural}"
 
 
 def check_reply(reply: Reply) -> None:
--- a/src/damaskdeck/settings.py
+++ b/src/damaskdeck/settings.py
@@ -3,11 +3,11 @@
 from datetime import timedelta
 from typing import Annotated, Any, Literal, NamedTuple, NotRequired, TypedDict
 
-import yaml
 from msgspec import Meta
 
 from damaskdeck import defaults
-from damaskdeck.errors import Fault, SettingsError
+from damaskdeck.documents import load_documents
+from damaskdeck.errors import DocumentError, Fault, SettingsError
 from damaskdeck.protocol.checks import find_faults
 from damaskdeck.protocol.resources import Name, Seconds
 
@@ -111,13 +111,15 @@
     :raises SettingsError: with every fault found.
     """
     try:
-        with open(path, encoding="utf-8") as file:
-            document = yaml.safe_load(file)
+        with open(path, "rb") as file:
+            documents = load_documents(file.read(), path)
     except OSError as error:
         raise SettingsError((Fault(path, "unreadable", str(error)),)) from error
-    except yaml.YAMLError as error:
-        raise SettingsError((Fault(path, "not_yaml", str(error)),)) from error
-    return read_settings(document)
+    except DocumentError as error:
+        raise SettingsError(error.faults) from error
+    if len(documents) > 1:
+        raise SettingsError((Fault(path, "not_yaml", "must be one document"),))
+    return read_settings(documents[0] if documents else None)
 
 
 def read_settings(document: Any) -> Settings:
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -1,17 +1,27 @@
 """Whatever comes from outside: it is used whole, or refused with a code."""
 
 import asyncio
+import contextlib
+import copy
+import io
 import json
+import tempfile
 import unittest
 from datetime import timedelta
+from pathlib import Path
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
+import typer
+import yaml
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from damaskdeck.cli.declarations import load_resources
+from damaskdeck.cli.exits import Exit
+from damaskdeck.cli.session import get_path
 from damaskdeck.coordination.attempts import Course
-from damaskdeck.errors import MessageError
+from damaskdeck.errors import MessageError, SettingsError
 from damaskdeck.protocol.forwarding import Load
 from damaskdeck.protocol.handlers import ServiceRequest
 from damaskdeck.protocol.heartbeats import (
@@ -32,6 +42,7 @@
 )
 from damaskdeck.protocol.relays import ConfigurationReport
 from damaskdeck.protocol.summaries import WorkerSummary
+from damaskdeck.settings import Settings, load_settings
 from damaskdeck.transport.api.app import build_app
 from damaskdeck.transport.api.credentials import Credentials
 from damaskdeck.transport.api.problems import CODES, PROBLEM_TYPE
@@ -396,3 +407,83 @@
     def test_a_page_token_that_is_no_ascii_is_a_bad_parameter(self):
         query = {"continue": "é"}
         self.assert_refused("GET", "/v1/teams", "bad_parameter", query=query)
+
+
+SETTINGS = {
+    "name": "d1",
+    "zone": "z1",
+    "listen": {"host": "127.0.0.1"},
+    "platform": {"store": "127.0.0.1:1", "instances": "127.0.0.1:2"},
+    "tokens": {"operator": "operator-token", "peer": "peer-token"},
+    "limits": {"ledgers": 3},
+}
+CIRCLE = b"kind: team\nmetadata: {name: maps}\nspec: &spec {spec: *spec}"
+BAD_SCALARS = (b"a: !!bool x", b"a: 2001-99-99", b"a: !!int ''", b"\xff", b"- " * 1200)
+
+
+@st.composite
+def draw_file(draw: st.DrawFn) -> bytes:
+    """Draw a settings file with odd fields, or other bytes."""
+    if draw(st.booleans()):
+        odd = st.sampled_from((*BAD_SCALARS, CIRCLE, b"a: &a [*a]", b"--- 1\n--- 2"))
+        return draw(odd | st.binary(max_size=20))
+    document = copy.deepcopy(SETTINGS)
+    part = document
+    while draw(st.booleans()) and isinstance(part, dict) and part:
+        part = part[draw(st.sampled_from(sorted(part)))]
+    if isinstance(part, dict):
+        name = draw(st.sampled_from(sorted(part)) | st.text(max_size=3))
+        part[name] = draw(DOCUMENTS)
+    return yaml.safe_dump(document).encode()
+
+
+class TestFiles(unittest.TestCase):
+    """Settings and resources in YAML: used whole, or refused with faults."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name, "file.yaml")
+
+    def load_settings(self, content: bytes) -> Settings | SettingsError:
+        """Return the settings, or the error with their faults."""
+        self.path.write_bytes(content)
+        try:
+            return load_settings(str(self.path))
+        except SettingsError as error:
+            return error
+
+    def load_resources(self, content: bytes) -> list[Any] | int:
+        """Return the resources, or the command's exit code."""
+        self.path.write_bytes(content)
+        try:
+            with contextlib.redirect_stderr(io.StringIO()):
+                return load_resources(self.path)
+        except typer.Exit as end:
+            return end.exit_code
+
+    @settings(fuzz, max_examples=40)
+    @given(draw_file())
+    def test_each_is_read_or_refused(self, content):
+        found = self.load_settings(content)
+        if isinstance(found, SettingsError):
+            self.assertTrue(all(fault.code for fault in found.faults), content)
+        resources = self.load_resources(content)
+        if resources != Exit.USAGE:
+            self.assertTrue(all("name" in each["metadata"] for each in resources))
+
+    def test_scalars_that_yaml_cannot_convert_are_refused(self):
+        for content in BAD_SCALARS:
+            self.assertEqual(self.load_settings(content).faults[0].code, "not_yaml")
+            self.assertEqual(self.load_resources(content), Exit.USAGE)
+
+    def test_a_resource_that_refers_to_itself_is_refused(self):
+        self.assertEqual(self.load_resources(CIRCLE), Exit.USAGE)
+
+    def test_a_second_document_of_settings_is_refused(self):
+        content = yaml.safe_dump_all([SETTINGS, {"limits": {}}]).encode()
+        self.assertEqual(self.load_settings(content).faults[0].code, "not_yaml")
+
+    def test_a_name_names_no_other_path(self):
+        path = get_path("team", "../policies/default?x#y")
+        self.assertEqual(path, "/v1/teams/..%2Fpolicies%2Fdefault%3Fx%23y")
