Bound each step of a shutdown, and tell a taken port as a fault of the settings

Cause: read while landing: one time limit covered all steps of a shutdown, so that requests which used it up cost the handover, and the successors would have waited for a lapsed lease; and a taken port ended the daemon as a broken invariant (70). Change: requests have the grace, handover, ledgers and leaving 5 s each, and a step that takes too long is logged; an address that can't be bound is a fault of the settings (78). Measured: the test of the taken port failed before (70 != 78) and passes after; the process test of a shutdown under load passes. Not tested: a handover after the grace has passed.

--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -2,12 +2,12 @@
 
 import argparse
 import asyncio
-import contextlib
 import os
 import signal
 import sys
 import uuid
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
+from datetime import timedelta
 from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock, SystemClock
@@ -45,6 +45,7 @@
 
 EXIT_SETTINGS = 78
 EXIT_INVARIANT = 70
+HANDOVER_LIMIT = timedelta(seconds=5)
 
 _log = get_logger("daemon")
 
@@ -244,14 +245,21 @@
         self._is_draining = True
         _log.info("Shutting down.", grace=self.settings.grace.total_seconds())
         await self._clock.sleep(self.settings.drain_delay)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.settings.grace.total_seconds()):
-                await self.router.drain()
-                await self.ownership.drain()
-                await self.keeper.close()
-        await self.membership.leave()
+        await self._finish("requests", self.router.drain(), self.settings.grace)
+        await self._finish("handover", self.ownership.drain(), HANDOVER_LIMIT)
+        await self._finish("ledgers", self.keeper.close(), HANDOVER_LIMIT)
+        await self._finish("leave", self.membership.leave(), HANDOVER_LIMIT)
         await self._server.stop()
 
+    async def _finish(
+        self, step: str, work: Coroutine[Any, Any, None], limit: timedelta
+    ) -> None:
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                await work
+        except TimeoutError:
+            _log.warn("A step of the shutdown took too long.", step=step)
+
     async def _close(self) -> None:
         await self._server.stop()
         await self._network.close()
@@ -290,13 +298,12 @@
     args = parser.parse_args()
     try:
         settings = load_settings(args.settings)
+        install_handler(settings.log_style, settings.log_level)
+        asyncio.run(serve(settings))
     except SettingsError as error:
         for fault in error.faults:
             print(f"{fault.path}: {fault.code}: {fault.detail}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    install_handler(settings.log_style, settings.log_level)
-    try:
-        asyncio.run(serve(settings))
     except Exception as error:
         _log.error("A broken invariant stops the process.", error=repr(error))
         sys.stderr.flush()
--- a/src/damaskdeck/transport/listeners.py
+++ b/src/damaskdeck/transport/listeners.py
@@ -2,6 +2,8 @@
 
 import socket
 
+from damaskdeck.errors import Fault, SettingsError
+
 BACKLOG = 1024
 
 
@@ -13,9 +15,14 @@
     an answer of two writes would wait 40 ms for an acknowledgement.
 
     :param port: 0 takes a free one.
+    :raises SettingsError: when the address isn't this machine's or is taken.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server((host, port), family=family)
+    try:
+        listener = socket.create_server((host, port), family=family)
+    except OSError as error:
+        fault = Fault("listen", "cannot_listen", f"{host} port {port}: {error}")
+        raise SettingsError((fault,)) from error
     listener.setblocking(False)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listener
