Re-export what users of the package need from damaskdeck

Cause: the package's __init__ held a version only; a newcomer had to know in which module Settings, the outcomes and the errors live.

Change: damaskdeck exports Settings, load_settings, the four outcomes, the errors of the edges and the clock; Client, Reply and Daemon are imported on first use (PEP 562), so that the command line loads none of the daemon's libraries.

--- a/src/damaskdeck/__init__.py
+++ b/src/damaskdeck/__init__.py
@@ -1,3 +1,60 @@
-"""damaskdeck, a cluster scheduler for services, batch jobs and gangs."""
+"""damaskdeck, a cluster scheduler for services, batch jobs and gangs.
+
+What a user of the package needs is here; everything else may change.
+"""
+
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+from damaskdeck.clock import Clock, SystemClock
+from damaskdeck.errors import (
+    DamaskdeckError,
+    DocumentError,
+    Fault,
+    InvariantError,
+    SettingsError,
+)
+from damaskdeck.protocol.outcomes import Completed, Failed, Outcome, Refused, Unknown
+from damaskdeck.settings import Settings, load_settings
+
+if TYPE_CHECKING:
+    from damaskdeck.client import Client, Reply
+    from damaskdeck.daemon import Daemon
 
 __version__ = "0.1.0"
+
+__all__ = [
+    "Client",
+    "Clock",
+    "Completed",
+    "Daemon",
+    "DamaskdeckError",
+    "DocumentError",
+    "Failed",
+    "Fault",
+    "InvariantError",
+    "Outcome",
+    "Refused",
+    "Reply",
+    "Settings",
+    "SettingsError",
+    "SystemClock",
+    "Unknown",
+    "load_settings",
+]
+
+# Imported on first use: the command line must not pay for the daemon's
+# libraries, nor the daemon for the client's.
+_LAZY = {"Client": "client", "Reply": "client", "Daemon": "daemon"}
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _LAZY:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(import_module(f"{__name__}.{_LAZY[name]}"), name)
+    globals()[name] = value
+    return value
+
+
+def __dir__() -> list[str]:
+    return sorted({*globals(), *__all__})
