Run a service's version again when it is declared again

A version that was declared again after another, or after a deletion, met its own cancelled job: nothing was submitted, and the version in force was ended. Change: a version whose job was cancelled, or forgotten, gets a numbered key and thus another job. A caller's cancellation of a service's job therefore restarts it; jobs that failed or were refused stay as they ended.

--- a/src/damaskdeck/coordination/services.py
+++ b/src/damaskdeck/coordination/services.py
@@ -1,6 +1,7 @@
 """Keeps declared services running: one job without an end for each."""
 
 import asyncio
+import itertools
 from datetime import timedelta
 
 import msgspec
@@ -86,9 +87,9 @@
             return None
         workload = resource["metadata"]["name"]
         version = digest(_encoder.encode(spec))
-        key = KEY_PREFIX + version.hex()
+        name, key = self._pick_name(workload, spec["team"], version.hex())
         return records.Submitted(
-            job=name_job(workload, spec["team"], ledger, key),
+            job=name,
             workload=workload,
             team=spec["team"],
             key=key,
@@ -98,6 +99,21 @@
             at=self._kept.get_time(),
         )
 
+    def _pick_name(self, workload: str, team: str, version: str) -> tuple[str, str]:
+        """Name the job of a version, and its key.
+
+        A version that is declared again after its end is another job.
+        """
+        table = self._kept.table
+        for number in itertools.count():
+            key = KEY_PREFIX + version + (f"/{number}" if number else "")
+            name = name_job(workload, team, self._kept.name, key)
+            job = table.jobs.get(name)
+            is_past = job.cancelled if job else name in table.forgotten
+            if not is_past:
+                break
+        return name, key
+
     def _is_over(self, job: Job, wanted: dict[str, records.Submitted]) -> bool:
         """Tell whether a version of a service must end now."""
         if not job.key.startswith(KEY_PREFIX) or job.name in wanted:
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,38 @@
+"""A declared service runs as declared, whatever was declared before."""
+
+import unittest
+from datetime import timedelta
+
+from damaskdeck.protocol.resources import Kind
+from standins.plane import Plane
+from tests.virtual import virtual
+
+SECOND = timedelta(seconds=1)
+
+
+def count_running(plane):
+    """Count the tasks that run."""
+    return sum(len(w.list_running()) for w in plane.platform.workers.values())
+
+
+class TestReturn(unittest.TestCase):
+    """A version that was ended may be declared again."""
+
+    @virtual
+    async def test_version_declared_again_replaces_the_one_between(self):
+        plane = await Plane(workers=2).start()
+        for tasks in (2, 3, 2):
+            plane.declare("web", type="service", tasks=tasks)
+            await plane.clock.sleep(40 * SECOND)
+            self.assertEqual(count_running(plane), tasks)
+
+    @virtual
+    async def test_service_deleted_and_declared_again_runs(self):
+        plane = await Plane(workers=2).start()
+        for _ in range(3):
+            plane.declare("web", type="service", tasks=2)
+            await plane.clock.sleep(10 * SECOND)
+            self.assertEqual(count_running(plane), 2)
+            plane.configuration.declare(Kind.WORKLOAD, "web", None)
+            await plane.clock.sleep(10 * SECOND)
+            self.assertEqual(count_running(plane), 0)
