Give no place to a waiter whose caller has just gone

Cause: a cancelled task's future is done at once, but its waiter leaves the queue only when the task runs. A slot that freed in between was taken for that waiter and given to nobody: the target had one slot less for good. An offer of a peer in between raised InvalidStateError and was lost to those who wait. Change: such a waiter is passed over and the next one gets the place. Before: the two new tests of TestCancellation, run over the former sources, failed: 1 slot busy of an idle target, and InvalidStateError.

--- a/src/damaskdeck/coordination/lanes.py
+++ b/src/damaskdeck/coordination/lanes.py
@@ -138,7 +138,8 @@
             waiter = self.queue.pop()
             if waiter is None:
                 break
-            _settle(waiter, self.take(waiter.avoided))
+            if not waiter.future.done():
+                waiter.future.set_result(self.take(waiter.avoided))
         self._on_room(self)
 
     def give_up(self, waiter: Waiter) -> None:
--- a/src/damaskdeck/coordination/sharing.py
+++ b/src/damaskdeck/coordination/sharing.py
@@ -137,9 +137,13 @@
 
     async def _take_offer(self, instance: str, message: SlotsOffered) -> None:
         lane = self._get_lane(message["service"])
-        for _ in range(message["count"]):
+        count = message["count"]
+        while count > 0:
             waiter = lane.queue.pop_local()
             if waiter is None:
                 return
+            if waiter.future.done():
+                continue
             left = (waiter.give_up - self._clock.monotonic()).total_seconds()
             waiter.future.set_result(Redirect(instance, left))
+            count -= 1
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import Any
 
-from damaskdeck.protocol.forwarding import ForwardRequest, RequestsWaiting
+from damaskdeck.protocol.forwarding import ForwardRequest, RequestsWaiting, SlotsOffered
 from damaskdeck.protocol.handlers import Claimed, Known
 from damaskdeck.protocol.outcomes import Completed, Failed, Refused, Unknown
 from damaskdeck.protocol.ports import InstanceState, TargetAnswer, TargetCall
@@ -330,6 +330,41 @@
 
         self.assertEqual(play(scenario), 0)
 
+    def test_a_slot_that_frees_while_a_caller_goes_is_not_lost(self):
+        async def scenario(deployment):
+            lane = deployment.routers["entry-0-0"]._owned.get_lane(SERVICE)
+            pool = lane.pools["target-0-0"]
+            first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
+            first = [asyncio.ensure_future(ask) for ask in first]
+            await asyncio.sleep(0.01)
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "b"))
+            await asyncio.sleep(0)
+            pool.target = pool.target._replace(slots=3)
+            ask.cancel()
+            lane.give_places()
+            await asyncio.gather(*first, ask, return_exceptions=True)
+            return pool.busy
+
+        self.assertEqual(play(scenario), 0)
+
+    def test_an_offer_that_comes_while_a_caller_goes_is_the_next_ones(self):
+        async def scenario(deployment):
+            first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
+            first = [asyncio.ensure_future(ask) for ask in first]
+            await asyncio.sleep(0.01)
+            asks = [deployment.ask("entry-0-0", f"b{i}") for i in range(2)]
+            asks = [asyncio.ensure_future(ask) for ask in asks]
+            await asyncio.sleep(0)
+            asks[0].cancel()
+            router = deployment.routers["entry-0-0"]
+            offer = SlotsOffered(service=SERVICE, count=1)
+            await router._sharing._take_offer("entry-0-1", offer)
+            waiting = len(router._owned.get_lane(SERVICE).queue)
+            await asyncio.gather(*first, return_exceptions=True)
+            return waiting, await asks[1]
+
+        self.assertEqual(play(scenario), (0, Completed(b"b1")))
+
     def test_a_cancelled_forward_gives_up_its_place_at_the_owner(self):
         async def scenario(deployment):
             await deployment.table.drop("target/target-0-0")
