Let a new service be named while a target is probed

Cause: the loop that probes ejected targets went over the dict of lanes across an await; a request for a service that this daemon had not seen added a lane meanwhile. RuntimeError ended the loop, and with it the router's run(). Change: the loop goes over a copy. Before: the new test found the loop ended after one probe. After: it passes, with test_routing, test_request_plane, test_requests_model and test_slots (57).

--- a/src/damaskdeck/coordination/owned.py
+++ b/src/damaskdeck/coordination/owned.py
@@ -95,7 +95,7 @@
         """Probe ejected targets, and let those return that live."""
         while True:
             await self._clock.sleep(PROBE_INTERVAL)
-            for lane in self.lanes.values():
+            for lane in list(self.lanes.values()):
                 for health in lane.list_returning():
                     await self._probe(health)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -11,7 +11,7 @@
 from damaskdeck.protocol.forwarding import ForwardRequest, RequestsWaiting, SlotsOffered
 from damaskdeck.protocol.handlers import Claimed, Known
 from damaskdeck.protocol.outcomes import Completed, Failed, Refused, Unknown
-from damaskdeck.protocol.ports import InstanceState, TargetAnswer, TargetCall
+from damaskdeck.protocol.ports import InstanceState, Lost, TargetAnswer, TargetCall
 from standins.faults import FaultKind
 from standins.loops import LoopClock, run_virtual
 from standins.requests import SERVICE, Layout, RequestDeployment
@@ -203,6 +203,27 @@
         self.assertEqual((refused, state), (1, InstanceState.LIVE))
 
 
+class TestOwnedTargets(unittest.TestCase):
+    def test_a_service_named_first_during_a_probe_ends_no_loop(self):
+        async def scenario(deployment):
+            owned = deployment.routers["entry-0-0"]._owned
+            owned.get_lane(SERVICE)._health["target-0-0"].eject()
+            probed = []
+
+            async def probe(target, timeout):
+                probed.append(target.name)
+                owned.get_lane("another")
+                return Lost("timeout")
+
+            owned._targets.probe = probe
+            await asyncio.sleep(10)
+            return len(probed), deployment._loops["entry-0-0"].done()
+
+        count, has_ended = play(scenario)
+        self.assertFalse(has_ended)
+        self.assertGreater(count, 1)
+
+
 class TestDrain(unittest.TestCase):
     def test_what_was_accepted_is_finished_and_what_is_new_goes_elsewhere(self):
         async def scenario(deployment):
