Note what the list says of a target while it is taken over

Cause: while a new owner asks for the slots of earlier ones, the pool is in no lane yet, and a change of the instance list was taken over only into lanes. A target that began to leave meanwhile entered its lane as live, and stayed so until the list changed again. Change: the pool itself follows the list from its gain on. Before: the new test read "live" for a leaving target.

--- a/src/damaskdeck/coordination/owned.py
+++ b/src/damaskdeck/coordination/owned.py
@@ -154,7 +154,7 @@
         listed = {target.name: target for target in targets}
         for pool in self._gained.values():
             last = pool.target._replace(state=InstanceState.LEAVING)
-            target = listed.get(last.name, last)
+            target = pool.target = listed.get(last.name, last)
             self.get_lane(target.service).update_target(target)
         if targets:
             self._ownership.set_things(SCOPE, tuple(listed))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -223,6 +223,23 @@
         self.assertFalse(has_ended)
         self.assertGreater(count, 1)
 
+    def test_a_target_that_leaves_while_it_is_taken_over_is_known_to_leave(self):
+        async def scenario(deployment):
+            owned = deployment.routers["entry-0-0"]._owned
+            target = deployment.targets["target-0-0"].instance
+            await deployment.table.drop("target/target-0-0")
+            fill = owned._handover.fill
+
+            async def fill_slowly(pool, epoch):
+                deployment.fleet.put(target._replace(state=InstanceState.LEAVING))
+                await fill(pool, epoch)
+
+            owned._handover.fill = fill_slowly
+            await deployment.table.assign("target/target-0-0", "entry-0-0")
+            return owned.get_lane(SERVICE).pools["target-0-0"].target.state
+
+        self.assertEqual(play(scenario), InstanceState.LEAVING)
+
 
 class TestDrain(unittest.TestCase):
     def test_what_was_accepted_is_finished_and_what_is_new_goes_elsewhere(self):
