Don't tell a job as refused whose first ask lost its reply

Cause: a keyed submission whose reply was lost is asked again. If the keeper was gone by then, all repeats met "no_keeper" and that refusal was told, though the first ask may have made the job durable, and here had: it would still run. Change: after a lost reply, a refusal that only bids to try later is told as Unknown("answer_lost"); final refusals, and those of reads, are told as before. Before: the first test of tests/test_lost_replies.py met "no_keeper" while the ledger held the job. After: it passes, with test_keeper, test_task_plane, test_services, test_loopback and test_layers.

--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -37,6 +37,7 @@
 RETRY_INTERVAL = timedelta(milliseconds=200)
 RETRY_LIMIT = 10
 NO_KEEPER = frozenset({"no_keeper", "keeper_unreachable"})
+READS = frozenset({jobs.ReadJob, jobs.ListJobs})
 
 
 class ListedFleet(Protocol):
@@ -246,22 +247,26 @@
         """Ask a ledger's keeper; asks again only if that changes nothing more.
 
         That is when the keeper surely did nothing, or once after a lost answer
-        when a repeat meets the first one's outcome.
+        when a repeat meets the first one's outcome. A refusal of the repeat
+        that only bids to try later doesn't tell what became of the first.
         """
         repeats = 1 if is_repeatable(message, kind) else 0
+        doubt: Unknown | None = None
         for _ in range(RETRY_LIMIT):
             reply = await self._ask_once(ledger, message, kind)
             if isinstance(reply, Unknown) and repeats:
                 count_retry("jobs", reply.code)
                 repeats -= 1
+                doubt = None if kind in READS else reply
                 continue
             refused = _find_refusal(reply)
             if refused is None or refused.code not in NO_KEEPER:
-                return reply
+                is_open = refused is not None and refused.retry_after is not None
+                return doubt if doubt is not None and is_open else reply
             count_retry("jobs", refused.code)
             await self._clock.sleep(RETRY_INTERVAL)
         count_refusal("jobs", refused.code)
-        return refused
+        return doubt or refused
 
     async def _ask_once(self, ledger: str, message: Any, kind: type) -> Any:
         owner = self._ownership.find_owner(f"ledger/{ledger}")
--- /dev/null
+++ b/tests/test_lost_replies.py
@@ -0,0 +1,38 @@
+"""What a caller is told after a keeper's reply was lost."""
+
+import asyncio
+import unittest
+
+from damaskdeck.protocol.handlers import JobView, Submission
+from damaskdeck.protocol.outcomes import Unknown
+from standins.plane import Plane
+from tests.virtual import virtual
+
+
+class TestLostReplyAndLostKeeper(unittest.TestCase):
+    """A refusal of the second ask doesn't tell what became of the first."""
+
+    async def submit(self, during):
+        """Submit with a key; the first reply is lost."""
+        plane = await Plane().start()
+        plane.declare()
+        plane.switch.lose_replies("d2", "d1")
+        submission = Submission("batch", "team", b"{}", "k")
+        keeper = plane.find("d2").keeper
+        task = asyncio.ensure_future(keeper.submit_job(submission))
+        await asyncio.sleep(1)
+        during(plane)
+        answer = await task
+        self.assertEqual(len(plane.find("d1").keeper.desks["00"].kept.table.jobs), 1)
+        return answer
+
+    @virtual
+    async def test_job_that_was_taken_is_not_refused_when_its_keeper_is_gone(self):
+        answer = await self.submit(lambda p: p.registry.owners.pop("ledger/00"))
+        self.assertEqual(answer.code, "answer_lost")
+        self.assertIsInstance(answer, Unknown)
+
+    @virtual
+    async def test_job_that_was_taken_is_found_by_the_second_ask(self):
+        answer = await self.submit(lambda p: None)
+        self.assertIsInstance(answer, JobView)
