Remove functions, errors and a gauge that nothing uses

Cause: a script over src (definitions less uses by name, attribute, keyword or string) listed five that neither the source nor tests, benchmarks or demo name: errors.ResourceError and UsageError, metrics.set_packing with its gauge, scores.list_scores, History.count_after. None is named in docs/design as built and not joined yet.

Change: removed. The gauge damaskdeck_packing never had a value, so /metrics loses nothing. The docstring of errors named uses that there weren't.

Tests run: configuration, placement, metrics, layers, package, api, relay, settings: 129 passed.

--- a/src/damaskdeck/coordination/scores.py
+++ b/src/damaskdeck/coordination/scores.py
@@ -34,11 +34,6 @@
     return register
 
 
-def list_scores() -> tuple[str, ...]:
-    """List the names of all scores."""
-    return tuple(_scores)
-
-
 def select_scores(weights: Mapping[str, float]) -> list[WeightedScore]:
     """Select the scores that a policy gives a weight; unknown names are ignored."""
     return [
--- a/src/damaskdeck/errors.py
+++ b/src/damaskdeck/errors.py
@@ -1,8 +1,8 @@
 """Exceptions, each with a stable code.
 
 Expected failures are outcome values (:mod:`damaskdeck.protocol.outcomes`);
-an exception is raised for a broken invariant and at the edges only: settings,
-resources and the command line.
+an exception is raised for a broken invariant and at the edges only, as for
+settings and for bytes that can't be decoded.
 """
 
 from typing import ClassVar, NamedTuple
@@ -52,19 +52,7 @@
     code = "invalid_settings"
 
 
-class ResourceError(DocumentError):
-    """A declared resource can't be used."""
-
-    code = "invalid_resource"
-
-
 class MessageError(DamaskdeckError):
     """A peer or the platform sent bytes that can't be decoded."""
 
     code = "invalid_message"
-
-
-class UsageError(DamaskdeckError):
-    """The command line was called wrongly."""
-
-    code = "usage"
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -12,7 +12,6 @@
 _drops = _meter.create_counter("damaskdeck_drops", description="by part and reason")
 _store_calls = _meter.create_counter("damaskdeck_store_calls", description="by kind")
 _waits = _meter.create_histogram("damaskdeck_waiting_time", unit="s")
-_packing = _meter.create_gauge("damaskdeck_packing", description="share in use")
 
 # Batches come so often that the counters' own cost would show: plain numbers,
 # read when somebody asks for them.
@@ -73,11 +72,6 @@
     _waits.record(wait.total_seconds(), {"part": part, "urgency": urgency})
 
 
-def set_packing(dimension: str, share: float) -> None:
-    """Record the share of owned instances in use, in one dimension."""
-    _packing.set(share, {"dimension": dimension})
-
-
 def set_revision(revision: int) -> None:
     """Record the revision of the configuration that is in force."""
     _revision.set(revision)
--- a/src/damaskdeck/state/watches.py
+++ b/src/damaskdeck/state/watches.py
@@ -88,10 +88,6 @@
         changes = tuple(islice(self._changes, self._find(after), None))
         return Changes(changes, max(after, self._revision))
 
-    def count_after(self, after: int) -> int:
-        """Count the changes after a revision."""
-        return len(self._changes) - self._find(after)
-
     async def wait(self, after: int, timeout: timedelta, clock: Clock) -> None:
         """Wait until there is more than ``after``, at most for ``timeout``."""
         if self._revision > after or self._oldest > after:
