Take no value of the store for less than it was

Cause: values were decoded with defaults for what is missing. A member whose registration can't be read, as one of a newer version, counted as gone and its ledgers were taken over while its lease was valid.

Change: heads and segments must have all their items and possible numbers, tables must have their things; replay wraps what makes no sense. A ledger that can't be read stays closed alone, with the code unreadable_ledger in the log and the counter of drops; tables and registrations that can't be read are logged once and nothing is written over or taken over because of them.

--- a/src/damaskdeck/coordination/kept.py
+++ b/src/damaskdeck/coordination/kept.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
+from damaskdeck.errors import LedgerError, MessageError
 from damaskdeck.metrics import count_refusal, count_retry
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.ports import Lost, Rejected, Store
@@ -51,11 +52,14 @@
         self._handlers.append(handler)
 
     async def open(self) -> bool:
-        """Fence off earlier keepers and replay; false if there is a newer one."""
+        """Fence off earlier keepers and replay; false if there is a newer one.
+
+        :raises LedgerError: when what the store holds can't be read.
+        """
         while not self._is_closed:
             opened = await self._ledger.open(self.epoch)
             if isinstance(opened, Opened):
-                self._apply(opened.snapshot + opened.records)
+                self._replay(opened.snapshot + opened.records)
                 return not self._is_closed
             if opened.code == "epoch_passed":
                 return False
@@ -93,6 +97,16 @@
     def _take_snapshot(self) -> tuple[bytes, ...]:
         return tuple(self.table.snapshot())
 
+    def _replay(self, records: tuple[bytes, ...]) -> None:
+        """Apply what the store holds.
+
+        :raises LedgerError: when a record makes no sense.
+        """
+        try:
+            self._apply(records)
+        except (MessageError, LookupError, TypeError, ValueError) as error:
+            raise LedgerError(f"a record makes no sense: {error!r}") from error
+
     def _apply(self, records: tuple[bytes, ...]) -> None:
         for record in records:
             self.table.apply(record)
--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/membership.py
@@ -155,6 +155,11 @@
         """Return a member as the store showed it last."""
         return self._registry.registered.get(name)
 
+    def is_registered(self, name: str) -> bool:
+        """Tell whether the store shows a member, be it unreadable."""
+        registry = self._registry
+        return name in registry.registered or name in registry.unreadable
+
     def list_candidates(self, zone: str = "") -> list[Registered]:
         """List registered members that may own things, in order of name."""
         return [
@@ -181,7 +186,7 @@
         doesn't go on without this daemon's promise.
         """
         now = self._clock.monotonic()
-        if name in self._registry.registered or self.tenure is None:
+        if self.is_registered(name) or self.tenure is None:
             return False
         if now < self._promises.get(name, NEVER):
             return False
@@ -455,7 +460,7 @@
             # A read that lags may not show yet what a heartbeat has named.
             was_shown = contact.seen_session == contact.session
             limit = SILENCE_LIMIT if was_shown else FORGET_TIME
-            if name not in self._registry.registered and now - contact.heard >= limit:
+            if not self.is_registered(name) and now - contact.heard >= limit:
                 del self._contacts[name]
                 self._targets = None
 
--- a/src/damaskdeck/coordination/ownership.py
+++ b/src/damaskdeck/coordination/ownership.py
@@ -13,9 +13,10 @@
 from damaskdeck.coordination.membership import Membership, Registered
 from damaskdeck.coordination.mirrors import Mirror
 from damaskdeck.coordination.rendezvous import assign_things, rank_members
-from damaskdeck.coordination.tables import Change, Holder, Table
+from damaskdeck.coordination.tables import Change, Holder, Table, decode_document
 from damaskdeck.coordination.tenures import Tenure
 from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.heartbeats import TableChange
 from damaskdeck.protocol.members import Owner, OwnershipHandler
 from damaskdeck.protocol.messages import Peers
@@ -232,7 +233,7 @@
 
     def _is_gone(self, holder: Holder, table: Table) -> bool:
         is_known = self._members.revision >= table.revision
-        return is_known and self._members.get_registered(holder.instance) is None
+        return is_known and not self._members.is_registered(holder.instance)
 
     def _may_take(self, scope: str, name: str, holder: Holder, is_wanted: bool) -> bool:
         if scope not in GLOBAL_SCOPES and not self._members.may_take_from(
@@ -260,6 +261,8 @@
                 self._peers.send(member.name, change, TableChange)
 
     async def _take_change(self, instance: str, change: TableChange) -> None:
+        if decode_document(change["value"]) is None:
+            return
         self._mirror.note(change["key"], change["value"], change["revision"])
         for scope in self._things:
             table = self._get_table(scope)
@@ -370,7 +373,11 @@
             for handler in self._gain_handlers.get(scope, ()):
                 await handler(thing, holding.epoch)
         except Exception as error:
-            _log.error("A gain handler failed.", thing=thing, error=repr(error))
+            code = getattr(error, "code", "internal")
+            count_drop("ownership", code)
+            _log.error(
+                "A gain handler failed.", thing=thing, code=code, error=repr(error)
+            )
             if self._held.get(thing) is holding:
                 del self._held[thing]
             return
--- a/src/damaskdeck/coordination/registration.py
+++ b/src/damaskdeck/coordination/registration.py
@@ -43,6 +43,8 @@
     :ivar tenure: the time in which this daemon may decide; ``None`` at first.
     :ivar since: when the present session began.
     :ivar registered: the members as the store showed them last, by name.
+    :ivar unreadable: names of members whose values can't be read; they have a
+        lease nevertheless, so that nothing may be taken over from them.
     :ivar refreshed: when the store last told them.
     """
 
@@ -52,6 +54,7 @@
         self.tenure: Tenure | None = None
         self.since: timedelta = NEVER
         self.registered: dict[str, Registered] = {}
+        self.unreadable: frozenset[str] = frozenset()
         self.refreshed: timedelta = NEVER
         self._member = member
         self._store = store
@@ -84,9 +87,16 @@
         if self._is_out:
             return False
         self.refreshed = self._clock.monotonic()
-        entries = self._mirror.entries.values()
-        decoded = [_decode_registration(entry.value) for entry in entries]
-        self.registered = {each.member.name: each for each in decoded if each}
+        decoded = {
+            key.rpartition("/")[2]: _decode_registration(entry.value)
+            for key, entry in self._mirror.entries.items()
+        }
+        self.registered = {each.member.name: each for each in decoded.values() if each}
+        unreadable = frozenset(name for name, each in decoded.items() if each is None)
+        for name in unreadable - self.unreadable:
+            count_drop("members", "invalid_registration")
+            _log.error("A registration can't be read.", member=name)
+        self.unreadable = unreadable
         return True
 
     def prolong(self, until: timedelta, now: timedelta) -> None:
@@ -165,7 +175,6 @@
 def _decode_registration(value: bytes) -> Registered | None:
     try:
         found = msgspec.msgpack.decode(value, type=Registration)
-    except msgspec.MsgspecError:
-        count_drop("members", "invalid_registration")
+    except (msgspec.MsgspecError, RecursionError):
         return None
     return Registered(Member(**found.member), found.session)
--- a/src/damaskdeck/coordination/tables.py
+++ b/src/damaskdeck/coordination/tables.py
@@ -9,11 +9,14 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry, count_store_call
 from damaskdeck.protocol.ports import Conflict, Lost, Store, Written
 
 RETRY_INTERVAL = timedelta(milliseconds=250)
 
+_log = get_logger("ownership")
+
 
 class Holder(msgspec.Struct, array_like=True, frozen=True):
     """Who owns a thing.
@@ -38,7 +41,7 @@
     after: Holder | None
 
 
-class Document(msgspec.Struct):
+class Document(msgspec.Struct, kw_only=True):
     """The value of a table's key.
 
     :param write: identifies the write, to know it again after a lost answer.
@@ -47,7 +50,7 @@
 
     write: str = ""
     floor: int = 0
-    things: dict[str, Holder] = {}
+    things: dict[str, Holder]
 
 
 class Table:
@@ -62,7 +65,7 @@
         self._mirror = mirror
         self._store = store
         self._clock = clock
-        self._document = Document()
+        self._document = Document(things={})
         self._decoded = 0
 
     @property
@@ -76,8 +79,10 @@
         """The table as last seen; the last readable one if it was damaged."""
         if self._decoded != self.revision:
             entry = self._mirror.entries.get(self.key)
-            found = decode_document(entry.value) if entry else Document()
+            found = decode_document(entry.value) if entry else Document(things={})
             self.is_readable = found is not None
+            if found is None:
+                _log.error("A table of owners can't be read.", key=self.key)
             self._document = found or self._document
             self._decoded = self.revision
         return self._document
@@ -96,7 +101,8 @@
                 things[name] = change.after
             elif change.before is not None:
                 floor = max(floor, things.pop(name).epoch)
-        return msgspec.msgpack.encode(Document(secrets.token_hex(8), floor, things))
+        write = secrets.token_hex(8)
+        return msgspec.msgpack.encode(Document(write=write, floor=floor, things=things))
 
     async def commit(self, changes: Mapping[str, Change]) -> bool:
         """Write ``changes`` and return once it is certain what became of them.
@@ -141,6 +147,6 @@
     """Decode a table; ``None`` when it can't be read."""
     try:
         return msgspec.msgpack.decode(value, type=Document)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         count_drop("ownership", "invalid_table")
         return None
--- a/src/damaskdeck/errors.py
+++ b/src/damaskdeck/errors.py
@@ -56,3 +56,9 @@
     """A peer or the platform sent bytes that can't be decoded."""
 
     code = "invalid_message"
+
+
+class LedgerError(DamaskdeckError):
+    """A ledger's values in the store can't be read; it stays closed."""
+
+    code = "unreadable_ledger"
--- a/src/damaskdeck/state/records.py
+++ b/src/damaskdeck/state/records.py
@@ -226,7 +226,7 @@
         if kind is None:
             return None
         return kind, _get_decoder(frame.kind).decode(frame.body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise MessageError(f"record: {error}") from error
 
 
--- a/src/damaskdeck/state/segments.py
+++ b/src/damaskdeck/state/segments.py
@@ -1,10 +1,12 @@
 """What a ledger keeps in the store: its keys, the head and the log's segments."""
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
+from damaskdeck.errors import LedgerError
+
 RECORD_OVERHEAD = 5
 SEGMENT_OVERHEAD = 200
 
@@ -96,6 +98,11 @@
         return [self.part(head.snapshot, number) for number in range(head.parts)]
 
 
+T = TypeVar("T")
+
+# MessagePack's header of an array of up to 15 items.
+_SHORT_ARRAY = range(0x90, 0xA0)
+
 _encoder = msgspec.msgpack.Encoder()
 _segment_decoder = msgspec.msgpack.Decoder(Segment)
 _head_decoder = msgspec.msgpack.Decoder(Head)
@@ -108,18 +115,47 @@
 
 
 def decode_segment(value: bytes) -> Segment:
-    """Decode the value of a slot."""
-    return _segment_decoder.decode(value)
+    """Decode the value of a slot.
+
+    :raises LedgerError: when it isn't a whole segment.
+    """
+    return _decode_whole(_segment_decoder, value, len(Segment.__struct_fields__))
 
 
 def decode_head(value: bytes) -> Head:
-    """Decode the value of the head key."""
-    return _head_decoder.decode(value)
+    """Decode the value of the head key.
+
+    :raises LedgerError: when it isn't a whole head.
+    """
+    head = _decode_whole(_head_decoder, value, len(Head.__struct_fields__))
+    if head.slots < 1 or head.base < 0 or not 0 <= head.log_parts <= head.parts:
+        raise LedgerError("a head with impossible numbers")
+    return head
 
 
 def decode_part(value: bytes) -> tuple[bytes, ...]:
-    """Decode one part of a snapshot."""
-    return _records_decoder.decode(value)
+    """Decode one part of a snapshot.
+
+    :raises LedgerError: when it isn't a list of records.
+    """
+    return _decode_whole(_records_decoder, value, 0)
+
+
+def _decode_whole(
+    decoder: "msgspec.msgpack.Decoder[T]", value: bytes, length: int
+) -> T:
+    """Decode an array that has all its items.
+
+    A decoder alone would fill in defaults for what was cut off, and what was
+    committed would be gone without a word.
+    """
+    try:
+        found = decoder.decode(value)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise LedgerError(str(error)) from error
+    if value[0] in _SHORT_ARRAY and value[0] - _SHORT_ARRAY.start < length:
+        raise LedgerError("an array that was cut short")
+    return found
 
 
 def measure_records(records: Iterable[bytes]) -> int:
--- a/src/damaskdeck/state/versions.py
+++ b/src/damaskdeck/state/versions.py
@@ -98,7 +98,7 @@
     """Decode the store's value; ``None`` when it can't be read."""
     try:
         return _decoder.decode(value)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
 
 
--- a/tests/messages.py
+++ b/tests/messages.py
@@ -98,12 +98,13 @@
 class WholeDaemon:
     """All parts of daemon ``d1``, on stand-ins and with a peer ``d2``."""
 
-    def __init__(self) -> None:
+    def __init__(self, platform: Platform | None = None) -> None:
         self.clock = clock = LoopClock()
         self.switch = PeerSwitch(clock)
-        self.platform = Platform(clock)
-        self.platform.add_worker("w1", "z1", Size(4000, 8000, 0))
-        self.platform.add_target("t1", "z1", "s", slots=2)
+        self.platform = platform or Platform(clock)
+        if platform is None:
+            self.platform.add_worker("w1", "z1", Size(4000, 8000, 0))
+            self.platform.add_target("t1", "z1", "s", slots=2)
         ports = self.platform.connect("d1")
         self.peers = self.switch.connect("d1")
         self.other = self.switch.connect("d2")
@@ -118,12 +119,12 @@
         self.fleet = Fleet(ports.instances, clock)
         shared = (self.members, self.ownership, self.peers)
         self.keeper = Keeper(
-            *shared, ports.store, self.configuration, self.fleet, clock, 1
+            *shared, ports.store, self.configuration, self.fleet, clock, 2
         )
         self.host = WorkerHost(*shared, ports.workers, self.fleet, clock)
         self.router = Router(*shared, ports.targets, self.fleet, clock, self.keeper)
         self.observer = Observer(*shared, self.fleet, self.host)
-        self.ownership.set_things("ledger", ("00",))
+        self.ownership.set_things("ledger", ("00", "01"))
         self.ownership.set_things("worker", ("w1",))
         self.ownership.set_things("target", ("t1",))
         self.tasks: list[asyncio.Task[None]] = []
@@ -142,6 +143,17 @@
         self.check()
         return self
 
+    async def restart(self) -> "WholeDaemon":
+        """Return a daemon that knows only what the store holds."""
+        await self.close()
+        await asyncio.sleep(12)
+        return await WholeDaemon(self.platform).start()
+
+    def overwrite(self, key: str, value: bytes) -> None:
+        """Let the store hold another value, as by a fault or another version."""
+        store = self.platform.store
+        store.put(key, value, None, store.get(key).entry.lease)
+
     def check(self) -> None:
         """Fail when a part has ended."""
         for task in self.tasks:
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -12,6 +12,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
+import logbook
+import msgspec
 import typer
 import yaml
 from hypothesis import HealthCheck, given, settings
@@ -21,14 +23,16 @@
 from damaskdeck.cli.exits import Exit
 from damaskdeck.cli.session import get_path
 from damaskdeck.coordination.attempts import Course
+from damaskdeck.coordination.tables import Document, Holder
 from damaskdeck.errors import MessageError, SettingsError
 from damaskdeck.protocol.forwarding import Load
-from damaskdeck.protocol.handlers import ServiceRequest
+from damaskdeck.protocol.handlers import ServiceRequest, Submission
 from damaskdeck.protocol.heartbeats import (
     Echo,
     Heartbeat,
     MemberFields,
     ReportFields,
+    TableChange,
 )
 from damaskdeck.protocol.jobs import ClaimKey, ReserveTasks
 from damaskdeck.protocol.messages import (
@@ -40,9 +44,14 @@
     get_message_name,
     get_message_type,
 )
+from damaskdeck.protocol.outcomes import Refused
 from damaskdeck.protocol.relays import ConfigurationReport
+from damaskdeck.protocol.resources import Kind
 from damaskdeck.protocol.summaries import WorkerSummary
 from damaskdeck.settings import Settings, load_settings
+from damaskdeck.state.names import read_ledger
+from damaskdeck.state.records import JobImage, encode_record
+from damaskdeck.state.segments import Head, decode_segment, encode
 from damaskdeck.transport.api.app import build_app
 from damaskdeck.transport.api.credentials import Credentials
 from damaskdeck.transport.api.problems import CODES, PROBLEM_TYPE
@@ -487,3 +496,133 @@
     def test_a_name_names_no_other_path(self):
         path = get_path("team", "../policies/default?x#y")
         self.assertEqual(path, "/v1/teams/..%2Fpolicies%2Fdefault%3Fx%23y")
+
+
+async def start_with_job() -> tuple[WholeDaemon, str]:
+    """Return a daemon with a job in its ledger, and the name of the job."""
+    daemon = await WholeDaemon().start()
+    await daemon.relay.put(Kind.TEAM, make_team(), None)
+    await daemon.relay.put(Kind.WORKLOAD, make_workload(), None)
+    view = await daemon.keeper.submit_job(Submission("tiles", "maps", b"{}"))
+    return daemon, view.name
+
+
+def spoil_value(value: bytes, cut: int, place: int, byte: int) -> bytes:
+    """Return a stored value that was cut off and in which one byte is another."""
+    spoilt = bytearray(value[: max(0, len(value) - cut)])
+    if spoilt:
+        spoilt[place % len(spoilt)] = byte
+    return bytes(spoilt)
+
+
+SPOILS = st.tuples(
+    st.sampled_from((0, 0, 1, 30)), st.integers(0, 200), st.integers(0, 255)
+)
+
+
+class TestStored(unittest.TestCase):
+    """Values of the store that are unreadable: nothing is made up from them."""
+
+    @settings(fuzz, max_examples=25)
+    @given(st.integers(0, 99), SPOILS)
+    def test_no_value_stops_a_daemon_that_runs_or_starts(self, choice, spoil):
+        async def run() -> None:
+            daemon, _ = await start_with_job()
+            entries = daemon.platform.store.list("").entries
+            entry = entries[choice % len(entries)]
+            daemon.overwrite(entry.key, spoil_value(entry.value, *spoil))
+            await asyncio.sleep(5)
+            daemon.check()
+            daemon = await daemon.restart()
+            await daemon.close()
+
+        run_virtual(run())
+
+    async def restart_with(self, key: str, make: Any) -> tuple[WholeDaemon, str]:
+        """Restart with another value at a key of the job's ledger."""
+        daemon, job = await start_with_job()
+        prefix = f"ledger/{read_ledger(job)}/"
+        entries = daemon.platform.store.list(prefix + key).entries
+        entry = max(entries, key=lambda entry: entry.revision)
+        daemon.overwrite(entry.key, make(entry.value))
+        daemon = await daemon.restart()
+        held = daemon.ownership.list_held("ledger")
+        self.assertEqual(len(held), 1, "the other ledger is open")
+        self.assertNotIn(f"ledger/{read_ledger(job)}", held)
+        return daemon, job
+
+    async def assert_closed(self, key: str, make: Any) -> None:
+        """Check that a ledger is closed to all its callers."""
+        with logbook.TestHandler() as logged:
+            daemon, job = await self.restart_with(key, make)
+        told = {record.extra.get("code") for record in logged.records}
+        self.assertIn("unreadable_ledger", told)
+        answer = await daemon.keeper.read_job(job)
+        self.assertIsInstance(answer, Refused)
+        self.assertEqual(answer.code, "no_keeper")
+        await daemon.close()
+
+    @virtual
+    async def test_a_segment_cut_short_closes_its_ledger_alone(self):
+        await self.assert_closed("log/", lambda value: cut_array(value, 3))
+
+    @virtual
+    async def test_a_head_cut_short_closes_its_ledger_alone(self):
+        await self.assert_closed("head", lambda value: cut_array(value, 4))
+
+    @virtual
+    async def test_a_head_without_slots_closes_its_ledger_alone(self):
+        await self.assert_closed("head", lambda value: encode(Head()))
+
+    @virtual
+    async def test_a_record_that_makes_no_sense_closes_its_ledger_alone(self):
+        fields = {"fields": {"name": "x", "state": "odd", "reasons": None}}
+        record = encode_record(fields, JobImage)
+
+        def replace(value: bytes) -> bytes:
+            segment = decode_segment(value)
+            return encode(msgspec.structs.replace(segment, records=(record,)))
+
+        await self.assert_closed("log/", replace)
+
+    @virtual
+    async def test_a_table_without_its_things_is_not_taken_for_an_empty_one(self):
+        daemon = await WholeDaemon().start()
+        for value in (b"\x80", b"\x81\xa5floor\x00", b"[]"):
+            daemon.overwrite("ownership/z1/worker", value)
+            await asyncio.sleep(5)
+            self.assertEqual(daemon.ownership.list_held("worker"), ("worker/w1",))
+            self.assertEqual(daemon.ownership.get_epoch("worker/w1"), 1)
+            entry = daemon.platform.store.get("ownership/z1/worker").entry
+            self.assertEqual(entry.value, value, "written over")
+        await daemon.close()
+
+    @virtual
+    async def test_a_table_from_a_peer_that_is_unreadable_is_ignored(self):
+        daemon = await WholeDaemon().start()
+        key = "ownership/z1/worker"
+        change = {"key": key, "revision": 2**40, "value": b"\x80"}
+        await deliver(daemon, TableChange, change)
+        self.assertLess(daemon.ownership._mirror.entries[key].revision, 2**40)
+        await daemon.close()
+
+    @virtual
+    async def test_nothing_is_taken_over_from_a_member_that_is_unreadable(self):
+        daemon = await WholeDaemon().start()
+        store = daemon.platform.store.connect("d2")
+        lease = (await store.grant_lease(timedelta(hours=1))).lease
+        await store.put("member/z1/d2", b"of a newer version", 0, lease)
+        holder = Holder("d2", "d2-1.1", 5)
+        table = Document(things={"00": holder, "01": holder})
+        daemon.overwrite("ownership/ledger", msgspec.msgpack.encode(table))
+        await asyncio.sleep(60)
+        self.assertEqual(daemon.ownership.list_held("ledger"), ())
+        await store.revoke_lease(lease)
+        await asyncio.sleep(60)
+        self.assertEqual(daemon.ownership.get_epoch("ledger/00"), 6)
+        await daemon.close()
+
+
+def cut_array(value: bytes, count: int) -> bytes:
+    """Return an encoded array without its last items."""
+    return msgspec.msgpack.encode(msgspec.msgpack.decode(value)[:-count])
