Remember a keyed outcome though its caller goes meanwhile

Cause: the outcome of a keyed request was settled on the caller's own task. A caller that went during that await cancelled the settlement: the request had run, and a repeat with the key met "in_progress", then "unknown", in place of its answer. Draining waited for no settlement of a caller that had gone. Change: a settlement is its own task, and draining waits for those begun.

--- a/src/damaskdeck/coordination/keyed.py
+++ b/src/damaskdeck/coordination/keyed.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import hashlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from damaskdeck.coordination.attempts import Course, Gone
 from damaskdeck.protocol.handlers import Claimed, KeyMemory, Known
@@ -28,7 +29,12 @@
     ) -> None:
         self._keys = keys
         self._serve = serve
-        self._closings: set[asyncio.Task[None]] = set()
+        self._settlings: set[asyncio.Task[Any]] = set()
+
+    @property
+    def count_settling(self) -> int:
+        """Return how many outcomes are about to be remembered."""
+        return len(self._settlings)
 
     async def serve(self, course: Course) -> Outcome:
         """Run a request once for its key, or return what became of it."""
@@ -43,20 +49,23 @@
         try:
             outcome = await self._serve(course)
         except asyncio.CancelledError:
-            self._settle_later(name, course)
+            self._start(self._settle_cancelled(name, course))
             raise
-        await self._keys.settle_key(*name, outcome)
+        settling = self._start(self._keys.settle_key(*name, outcome))
+        await asyncio.shield(settling)
         return outcome
 
-    def _settle_later(self, name: tuple[str, str, str], course: Course) -> None:
-        """Remember what became of a keyed request whose caller has gone."""
-        task = asyncio.ensure_future(self._settle_cancelled(name, course))
-        self._closings.add(task)
-        task.add_done_callback(self._closings.discard)
+    def _start(self, settling: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+        """Remember an outcome also when the caller goes meanwhile."""
+        task = asyncio.ensure_future(settling)
+        self._settlings.add(task)
+        task.add_done_callback(self._settlings.discard)
+        return task
 
     async def _settle_cancelled(
         self, name: tuple[str, str, str], course: Course
     ) -> None:
+        """Remember what became of a keyed request whose caller has gone."""
         outcome: Outcome = Refused("cancelled")
         if course.lost:
             outcome = Unknown(course.lost)
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -141,9 +141,14 @@
         """
         self._is_draining = True
         self._publish_loads()
-        while self._open or self._sender.open_calls or self._forwarder.count_taken:
+        while self._count_open():
             await self._clock.sleep(TICK)
 
+    def _count_open(self) -> int:
+        settling = self._keyed.count_settling if self._keyed else 0
+        calls = len(self._sender.open_calls)
+        return self._open + calls + self._forwarder.count_taken + settling
+
     async def handle_request(self, request: ServiceRequest) -> Outcome:
         """Serve a request; there is exactly one outcome.
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -615,6 +615,41 @@
         self.assertEqual({type(o) for o in outcomes}, {Completed})
         self.assertEqual(keys.calls, [])
 
+    def settle_slowly(self, keys):
+        """Let it take 50 ms until an outcome is remembered."""
+        settle = keys.settle_key
+
+        async def settle_late(*args):
+            await asyncio.sleep(0.05)
+            return await settle(*args)
+
+        keys.settle_key = settle_late
+
+    def test_an_outcome_is_remembered_though_its_caller_goes_meanwhile(self):
+        async def scenario(deployment, keys):
+            self.settle_slowly(keys)
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "a", key="k"))
+            await asyncio.sleep(0.07)
+            ask.cancel()
+            await asyncio.sleep(0.1)
+            return await deployment.ask("entry-0-0", "b", key="k")
+
+        outcome, counts, _ = self.play(scenario)
+        self.assertEqual((outcome, counts), (Completed(b"a"), {"a": 1}))
+
+    def test_draining_waits_until_outcomes_are_remembered(self):
+        async def scenario(deployment, keys):
+            self.settle_slowly(keys)
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "a", key="k"))
+            await asyncio.sleep(0.01)
+            ask.cancel()
+            await asyncio.sleep(0)
+            await deployment.routers["entry-0-0"].drain()
+            return keys.claimed["k"]
+
+        outcome, _, _ = self.play(scenario)
+        self.assertEqual(outcome, Completed(b"a"))
+
     def test_a_keyed_request_whose_caller_goes_is_settled_with_its_answer(self):
         async def scenario(deployment, keys):
             ask = asyncio.ensure_future(deployment.ask("entry-0-0", "a", key="k"))
