Hold urgent work back by no less urgent use of its team

Change: Quotas counts use and wants by class. Urgent work is held back by urgent use alone, high by these two, normal and low by all use of the team (they may have nothing stopped). A claim is the most that a team's waiting work may add in any class. Fair shares count all use, as before.

--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -18,7 +18,7 @@
 )
 from damaskdeck.coordination.owners import Owners
 from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.queueing import JobQueue
+from damaskdeck.coordination.queueing import RANKS, JobQueue
 from damaskdeck.coordination.shapes import Shapes
 from damaskdeck.coordination.waiting import WaitingJob
 from damaskdeck.metrics import count_refusal
@@ -60,7 +60,7 @@
         self._queue = queue
         self._clock = clock
         self._waiting: dict[str, dict[str, None]] = {}
-        self._charged: dict[str, tuple[str, Size]] = {}
+        self._charged: dict[str, tuple[str, Size, int]] = {}
         self._launching: set[str] = set()
         self._changed = asyncio.Event()
         self._launches: set[asyncio.Task[None]] = set()
@@ -105,12 +105,13 @@
         is_due = name in self._launching
         is_due = is_due or (task is not None and task.state in ON_WORKER)
         if not is_due and name in self._charged:
-            team, size = self._charged.pop(name)
-            self._queue.quotas.release(team, size)
-            self._queue.note_room(size)
+            charged = self._charged.pop(name)
+            self._queue.quotas.release(*charged)
+            self._queue.note_room(charged[1])
         elif is_due and name not in self._charged:
             job = self._kept.table.jobs[task.job]
-            self._charged[name] = (job.team, get_size(job.spec))
+            rank = RANKS[get_urgency(job.spec)]
+            self._charged[name] = (job.team, get_size(job.spec), rank)
             self._queue.quotas.charge(*self._charged[name])
 
     def _sync_waiting(self, name: str) -> str:
@@ -229,7 +230,8 @@
         for pick in picks:
             del waiting[pick.task]
             self._launching.add(pick.task)
-            self._charged[pick.task] = (offer.team, offer.size)
+            rank = RANKS[offer.urgency]
+            self._charged[pick.task] = (offer.team, offer.size, rank)
 
     def _start_launch(
         self, launch: Coroutine[Any, Any, dict[str, str]], picks: list[Pick]
--- a/src/damaskdeck/coordination/passes.py
+++ b/src/damaskdeck/coordination/passes.py
@@ -40,8 +40,8 @@
         self._heads: dict[str, list[_Head]] = {}
         self._late: list[_Head] | None = None
         self._open: dict[int, list[Group]] = {}
-        self._at_quota: dict[str, bool] = {}
-        self._short: dict[str, tuple[float, ...]] = {}
+        self._at_quota: dict[tuple[str, int], bool] = {}
+        self._short: dict[tuple[str, int], tuple[float, ...]] = {}
         self._is_overdue = False
         self._offered_team = ""
         queue.expire_blocks()
@@ -65,8 +65,9 @@
         :param reason: plain words, as the dimension that fails.
         """
         self._tries -= 1
-        within = self._queue.quotas.is_within(job.team, job.need)
-        block = Block(RANKS[job.urgency], within, job.shape, reason)
+        rank = RANKS[job.urgency]
+        within = self._queue.quotas.is_within(job.team, job.need, rank)
+        block = Block(rank, within, job.shape, reason)
         self._queue.blocks.add(block)
 
     def skip(self, job: WaitingJob, reason: str) -> None:
@@ -143,14 +144,15 @@
                 group
                 for line in self._queue.list_open_lines(rank)
                 for team, group in line.groups.items()
-                if not self._is_at_quota(team)
+                if not self._is_at_quota(team, rank)
             ]
         return groups
 
-    def _is_at_quota(self, team: str) -> bool:
-        is_at_quota = self._at_quota.get(team)
+    def _is_at_quota(self, team: str, rank: int) -> bool:
+        is_at_quota = self._at_quota.get((team, rank))
         if is_at_quota is None:
-            is_at_quota = self._at_quota[team] = self._queue.is_at_quota(team)
+            is_at_quota = self._queue.is_at_quota(team, rank)
+            self._at_quota[team, rank] = is_at_quota
         return is_at_quota
 
     def _find_first(self, heads: list[_Head], find_time: FindTime) -> WaitingJob | None:
@@ -174,17 +176,18 @@
 
     def _may_fit(self, group: Group) -> bool:
         """Tell whether neither the quota nor an earlier failure is in the way."""
-        team, need = group.team, group.line.need
-        short = self._short.get(team, _ENDLESS)
+        team, need, rank = group.team, group.line.need, group.line.rank
+        short = self._short.get((team, rank), _ENDLESS)
         if short is not _ENDLESS and any(map(_reaches, need, short)):
             return False
         quotas = self._queue.quotas
-        within = quotas.is_within(team, need)
-        dimension = None if within else quotas.find_shortfall(team, need)
+        within = quotas.is_within(team, need, rank)
+        dimension = None if within else quotas.find_shortfall(team, need, rank)
         if dimension is None:
             return not self._queue.is_closed(group.line, within)
         index = Size._fields.index(dimension)
-        self._short[team] = (*short[:index], need[index], *short[index + 1 :])
+        limits = *short[:index], need[index], *short[index + 1 :]
+        self._short[team, rank] = limits
         return False
 
 
--- a/src/damaskdeck/coordination/queueing.py
+++ b/src/damaskdeck/coordination/queueing.py
@@ -66,7 +66,7 @@
         self._limits = wait_limits
         self._entries: dict[str, Entry] = {}
         self._classes: tuple[dict[Shape, Line], ...] = tuple({} for _ in CLASSES)
-        self._teams: dict[str, TeamNeed] = {}
+        self._needs: dict[tuple[str, int], TeamNeed] = {}
         self._closed_classes = [-1] * len(CLASSES)
         self._reasons: dict[str, str] = {}
         self._order = 0
@@ -97,8 +97,9 @@
         self._entries[job.name] = entry
         entry.group.heap.push(job.submitted, entry)
         self._closed_classes[entry.group.line.rank] = -1
-        self._teams.setdefault(job.team, TeamNeed()).add(entry.group.line.need)
-        self.quotas.add_want(job.team, job.want)
+        key = job.team, entry.group.line.rank
+        self._needs.setdefault(key, TeamNeed()).add(entry.group.line.need)
+        self.quotas.add_want(job.team, job.want, entry.group.line.rank)
         self._work += 1
 
     def push_all(self, jobs: Iterable[WaitingJob]) -> None:
@@ -112,7 +113,7 @@
         if entry is None:
             return None
         self._drop_entry(entry)
-        self.quotas.drop_want(entry.job.team, entry.job.want)
+        self.quotas.drop_want(entry.job.team, entry.job.want, entry.group.line.rank)
         return entry.job
 
     def remove_all(self, names: Iterable[str]) -> int:
@@ -128,7 +129,8 @@
         entry = self._entries[name]
         job = entry.job
         self._since_overdue = 0 if overdue else self._since_overdue + 1
-        self.quotas.charge_wanted(job.team, entry.group.line.need)
+        line = entry.group.line
+        self.quotas.charge_wanted(job.team, line.need, line.rank)
         if job.gang or job.tasks == 1:
             del self._entries[name]
             self._drop_entry(entry)
@@ -140,7 +142,7 @@
 
         :param job: as it was offered; it keeps its place by its time.
         """
-        self.quotas.release(job.team, job.need)
+        self.quotas.release(job.team, job.need, RANKS[job.urgency])
         waiting = self.get(job.name)
         left = waiting.tasks if waiting else 0
         self.push(job._replace(tasks=left + job.offered))
@@ -182,19 +184,21 @@
             for group in line.groups.values()
             if (head := group.heap.peek()) and self.is_overdue(head.job)
         ]
-        allowed = (
-            job for job in heads if not self.quotas.find_shortfall(job.team, job.need)
-        )
+        allowed = (job for job in heads if not self.find_shortfall(job))
         return min(allowed, default=None, key=self.find_due)
 
     def is_overdue_turn(self) -> bool:
         """Tell whether the next job taken should be an overdue one."""
         return self._since_overdue >= self.overdue_turn - 1
 
-    def is_at_quota(self, team: str) -> bool:
-        """Tell whether a team's quota allows none of its jobs."""
-        least = self._teams[team].least
-        return self.quotas.find_shortfall(team, least) is not None
+    def find_shortfall(self, job: WaitingJob) -> str | None:
+        """Tell in which dimension its team's quota keeps a job out, if any."""
+        return self.quotas.find_shortfall(job.team, job.need, RANKS[job.urgency])
+
+    def is_at_quota(self, team: str, rank: int) -> bool:
+        """Tell whether a team's quota allows none of its jobs of a class."""
+        least = self._needs[team, rank].least
+        return self.quotas.find_shortfall(team, least, rank) is not None
 
     def list_open_lines(self, rank: int) -> list[Line]:
         """List the lines of a class whose shape isn't known to find no room."""
@@ -253,9 +257,10 @@
         )
 
     def _describe_causes(self, job: WaitingJob) -> Iterator[str]:
-        shortfall = self.quotas.find_shortfall(job.team, job.need)
-        within = self.quotas.is_within(job.team, job.need)
-        block = self.blocks.find(RANKS[job.urgency], within, job.shape)
+        rank = RANKS[job.urgency]
+        shortfall = self.find_shortfall(job)
+        within = self.quotas.is_within(job.team, job.need, rank)
+        block = self.blocks.find(rank, within, job.shape)
         if shortfall:
             yield f"the team's quota of {shortfall} is used and none is idle to borrow"
         if block:
@@ -280,13 +285,13 @@
 
     def _drop_entry(self, entry: Entry) -> None:
         entry.alive = False
-        team = entry.job.team
+        key = entry.job.team, entry.group.line.rank
         self._reasons.pop(entry.job.name, None)
         self._work += entry.group.heap.discount()
         if not entry.group.heap.live:
             self._drop_group(entry.group)
-        if self._teams[team].drop():
-            del self._teams[team]
+        if self._needs[key].drop():
+            del self._needs[key]
 
     def _get_group(self, job: WaitingJob) -> Group:
         rank = RANKS[job.urgency]
--- a/src/damaskdeck/state/quotas.py
+++ b/src/damaskdeck/state/quotas.py
@@ -11,6 +11,9 @@
 from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
 
 DIMENSIONS = range(len(Size._fields))
+# Classes of a lower rank may have less urgent tasks stopped, so the less urgent use
+# of their own team doesn't hold them back. All others are held back by all use.
+PREEMPTING_RANKS = 2
 
 
 class Giver(NamedTuple):
@@ -33,24 +36,36 @@
 
 
 class _Team:
-    """The mutable record behind :class:`TeamState`."""
+    """The mutable record behind :class:`TeamState`.
 
-    __slots__ = ("claim", "quota", "use", "want", "weight")
+    :param uses: what jobs of each rank are held back by: the use of this rank
+        and lower ones; the last counts everything, as all further ranks do.
+    :param wants: the same sums of what waiting work wants.
+    """
+
+    __slots__ = ("claim", "quota", "uses", "wants", "weight")
 
     def __init__(self) -> None:
         self.quota = ZERO_SIZE
         self.weight = 1.0
-        self.use = ZERO_SIZE
-        self.want = ZERO_SIZE
+        self.uses = [ZERO_SIZE] * (PREEMPTING_RANKS + 1)
+        self.wants = [ZERO_SIZE] * (PREEMPTING_RANKS + 1)
         self.claim = ZERO_SIZE
 
+    @property
+    def use(self) -> Size:
+        """All that the team uses."""
+        return self.uses[-1]
+
 
 class Quotas:
     """Counts what teams use and decides who may use more.
 
     A team may always go up to its quota. Above it, it borrows what is idle
     after the claims of the others: a team's claim is what its waiting work
-    wants and its quota still allows.
+    wants and its quota still allows. Use is counted for each class by rank, 0
+    the most urgent: urgent work is held back by its own class alone, high by
+    these two, the rest by all use of the team.
 
     :param capacity: what the instances under this ledger hold together.
     """
@@ -99,7 +114,7 @@
         record = self._teams.get(team)
         if record is None:
             return TeamState(ZERO_SIZE, 1.0, ZERO_SIZE, ZERO_SIZE)
-        return TeamState(record.quota, record.weight, record.use, record.want)
+        return TeamState(record.quota, record.weight, record.use, record.wants[-1])
 
     def read_use(self, team: str) -> tuple[Size, float]:
         """Return what a team uses, and its weight."""
@@ -110,47 +125,58 @@
         """List all known teams in order of name."""
         return tuple(sorted(self._teams))
 
-    def charge(self, team: str, size: Size) -> None:
-        """Count ``size`` as used by ``team``."""
+    def charge(self, team: str, size: Size, rank: int = PREEMPTING_RANKS) -> None:
+        """Count ``size`` as used by ``team``.
+
+        :param rank: of the work's class; 0 is the most urgent.
+        """
         record = self._get(team)
-        record.use = add_sizes(record.use, size)
+        _add_up(record.uses, size, rank)
         self._use = add_sizes(self._use, size)
         self._update_claim(record)
 
-    def release(self, team: str, size: Size) -> None:
+    def release(self, team: str, size: Size, rank: int = PREEMPTING_RANKS) -> None:
         """Count ``size`` as no longer used.
 
+        :param rank: for which it was charged.
         :raises InvariantError: when more is given back than was charged.
         """
         record = self._get(team)
-        record.use = _subtract(record.use, size, team)
+        _take_off(record.uses, size, rank, team)
         self._use = subtract_sizes(self._use, size)
         self._update_claim(record)
 
-    def add_want(self, team: str, size: Size) -> None:
+    def add_want(self, team: str, size: Size, rank: int = PREEMPTING_RANKS) -> None:
         """Count ``size`` as wanted by waiting work of ``team``."""
         record = self._get(team)
-        record.want = add_sizes(record.want, size)
+        _add_up(record.wants, size, rank)
         self._update_claim(record)
 
-    def drop_want(self, team: str, size: Size) -> None:
+    def drop_want(self, team: str, size: Size, rank: int = PREEMPTING_RANKS) -> None:
         """Count ``size`` as no longer wanted."""
         record = self._get(team)
-        record.want = _subtract(record.want, size, team)
+        _take_off(record.wants, size, rank, team)
         self._update_claim(record)
 
-    def charge_wanted(self, team: str, size: Size) -> None:
+    def charge_wanted(
+        self, team: str, size: Size, rank: int = PREEMPTING_RANKS
+    ) -> None:
         """Count ``size`` as used instead of wanted, as a waiting job starts."""
         record = self._get(team)
-        record.want = _subtract(record.want, size, team)
-        record.use = add_sizes(record.use, size)
+        _take_off(record.wants, size, rank, team)
+        _add_up(record.uses, size, rank)
         self._use = add_sizes(self._use, size)
         self._update_claim(record)
 
-    def find_shortfall(self, team: str, need: Size) -> str | None:
-        """Tell in which dimension ``team`` may not use ``need`` more, if any."""
+    def find_shortfall(
+        self, team: str, need: Size, rank: int = PREEMPTING_RANKS
+    ) -> str | None:
+        """Tell in which dimension ``team`` may not use ``need`` more, if any.
+
+        :param rank: of the class that needs it; 0 is the most urgent.
+        """
         record = self._get(team)
-        use, quota = record.use, record.quota
+        use, quota = record.uses[_clip_rank(rank)], record.quota
         for index in DIMENSIONS:
             wanted = need[index]
             is_above = wanted and use[index] + wanted > quota[index]
@@ -158,10 +184,10 @@
                 return Size._fields[index]
         return None
 
-    def is_within(self, team: str, need: Size) -> bool:
+    def is_within(self, team: str, need: Size, rank: int = PREEMPTING_RANKS) -> bool:
         """Tell whether ``team`` stays within its own quota with ``need`` more."""
         record = self._get(team)
-        use, quota = record.use, record.quota
+        use, quota = record.uses[_clip_rank(rank)], record.quota
         for index in DIMENSIONS:
             if need[index] and use[index] + need[index] > quota[index]:
                 return False
@@ -211,9 +237,12 @@
         return self._capacity[index] - self._use[index] - others
 
     def _update_claim(self, record: _Team) -> None:
-        (w0, w1, w2), (q0, q1, q2) = record.want, record.quota
-        u0, u1, u2 = record.use
-        claim = Size(_clip(w0, q0 - u0), _clip(w1, q1 - u1), _clip(w2, q2 - u2))
+        claim = _compute_claim(record.wants[-1], record.uses[-1], record.quota)
+        for rank in range(PREEMPTING_RANKS):
+            want = record.wants[rank]
+            if want != ZERO_SIZE:
+                more = _compute_claim(want, record.uses[rank], record.quota)
+                claim = Size(*map(max, claim, more))
         if claim != record.claim:
             rest = subtract_sizes(self._claims, record.claim)
             self._claims = add_sizes(rest, claim)
@@ -239,16 +268,33 @@
     return Size(size[0] * count, size[1] * count, size[2] * count)
 
 
+def _compute_claim(want: Size, use: Size, quota: Size) -> Size:
+    (w0, w1, w2), (u0, u1, u2), (q0, q1, q2) = want, use, quota
+    return Size(_clip(w0, q0 - u0), _clip(w1, q1 - u1), _clip(w2, q2 - u2))
+
+
 def _clip(want: int, left: int) -> int:
     least = want if want < left else left
     return least if least > 0 else 0
 
 
-def _subtract(amount: Size, size: Size, team: str) -> Size:
-    rest = subtract_sizes(amount, size)
-    if min(rest) < 0:
+def _clip_rank(rank: int) -> int:
+    return rank if rank < PREEMPTING_RANKS else PREEMPTING_RANKS
+
+
+def _add_up(sums: list[Size], size: Size, rank: int) -> None:
+    """Add to the sums of a rank and of all less urgent ones."""
+    for index in range(_clip_rank(rank), len(sums)):
+        sums[index] = add_sizes(sums[index], size)
+
+
+def _take_off(sums: list[Size], size: Size, rank: int, team: str) -> None:
+    """Subtract from the sums of a rank and of all less urgent ones."""
+    first = _clip_rank(rank)
+    rests = [subtract_sizes(amount, size) for amount in sums[first:]]
+    if min(map(min, rests)) < 0:
         raise InvariantError(f"team {team} gives back more than it was charged")
-    return rest
+    sums[first:] = rests
 
 
 def _find_excess(record: _Team) -> Size:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -333,6 +333,24 @@
         self.assertEqual(len(plane.platform.runs.starts), 6)
         self.assertEqual(plane.platform.runs.overfills, [])
 
+    @virtual
+    async def test_urgent_job_is_not_held_back_by_less_urgent_use_of_its_team(self):
+        plane = await Plane(workers=1).start()
+        quota = {"processors": 4, "memory": 4000}
+        plane.configuration.declare(Kind.TEAM, "team", {"quota": quota})
+        plane.declare("low", urgency="low", checkpoint=True, tasks=4)
+        plane.declare("urgent", urgency="urgent")
+        low = await submit(plane, b'{"run_time": 20}', "low")
+        await plane.clock.sleep(5 * SECOND)
+        self.assertEqual(len(plane.platform.runs.starts), 4)
+        urgent = await submit(plane, b'{"run_time": 1}', "urgent")
+        before = plane.clock.monotonic()
+        ended = await plane.wait_for_end(urgent.name)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertLess(plane.clock.monotonic() - before, 4.6 * SECOND)
+        ended = await plane.wait_for_end(low.name)
+        self.assertTrue(any("preempted" in reason for reason in ended.reasons))
+
     @virtual
     async def test_non_idempotent_task_without_checkpoint_is_not_preempted(self):
         plane = await Plane(workers=1).start()
