Limit the results of a job together also when they come at once

Cause: each success was judged by the sum that the table held, which grows only once news are durable. Change: results on their way to the ledger count by job and task until the table has them or the commit came to nothing; a repeat counts once. Before: two tests of tests/test_news.py met a completed job with 12 bytes where 9 were allowed. After: all three pass, with test_keeper, test_task_plane and test_gang_plane.

--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -9,11 +9,12 @@
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.coordination.leases import compute_takeover_bound
 from damaskdeck.coordination.needs import name_attempt
-from damaskdeck.coordination.news import judge_news
+from damaskdeck.coordination.news import ResultSizes, judge_news
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.messages import Answered, Peers
 from damaskdeck.state.ledger import Committed
+from damaskdeck.state.names import read_job
 from damaskdeck.state.work import Job, Task, TaskState
 
 CHECK_INTERVAL = timedelta(seconds=1)
@@ -54,6 +55,7 @@
         self._next_look = timedelta()
         self._on_worker: dict[str, dict[str, None]] = {}
         self._places: dict[str, str] = {}
+        self._sizes: ResultSizes = {}
         self._changed = asyncio.Event()
         kept.on_change(self.follow)
 
@@ -69,6 +71,8 @@
             task = self._kept.table.tasks.get(name)
             is_on_worker = task is not None and task.state in ON_WORKER
             self._set_place(name, task.worker if is_on_worker else "")
+            if self._sizes and not is_on_worker:
+                self._drop_size(name)
             if task is None:
                 continue
             job = self._get_job(task)
@@ -123,10 +127,14 @@
         :param is_answer: whether the owner was asked for them just now; only
             then is a task that is said to run no longer in doubt.
         """
-        verdict = judge_news(self._kept.table, news)
+        verdict = judge_news(self._kept.table, news, self._sizes)
         changes = verdict.list_records(self._kept.get_time())
         if changes:
-            outcome = await self._kept.commit(*changes)
+            try:
+                outcome = await self._kept.commit(*changes)
+            finally:
+                for end in verdict.ends:
+                    self._drop_size(end["task"])
             if not isinstance(outcome, Committed):
                 return None
         for item in news:
@@ -135,6 +143,13 @@
                 self._doubts.pop(item["task"], None)
         return jobs.TasksNoted(noted=verdict.noted, stop=verdict.stop)
 
+    def _drop_size(self, task: str) -> None:
+        """Forget a result that is durable by now, or didn't become so."""
+        sizes = self._sizes.get(read_job(task), {})
+        sizes.pop(task, None)
+        if not sizes:
+            self._sizes.pop(read_job(task), None)
+
     async def _wait(self) -> None:
         timer = asyncio.ensure_future(self._clock.sleep(CHECK_INTERVAL))
         changed = asyncio.ensure_future(self._changed.wait())
--- a/src/damaskdeck/coordination/news.py
+++ b/src/damaskdeck/coordination/news.py
@@ -14,11 +14,15 @@
 DEFAULT_ATTEMPTS = 3
 
 
+ResultSizes = dict[str, dict[str, int]]
+
+
 class Verdict(NamedTuple):
     """What follows from some news.
 
     :param noted: attempts whose news are settled once the records are durable.
     :param stop: attempts that run and must not.
+    :param sizes: bytes of the results that aren't durable yet, by job and task.
     """
 
     started: list[records.Attempt]
@@ -26,6 +30,7 @@
     ends: list[records.End]
     noted: list[TaskAttempt]
     stop: list[TaskAttempt]
+    sizes: ResultSizes
 
     def list_records(self, at: float) -> list[tuple[object, type]]:
         """Return the records to commit, if any."""
@@ -56,9 +61,13 @@
     return register
 
 
-def judge_news(table: JobTable, news: list[TaskNews]) -> Verdict:
-    """Return what follows from news; those of other attempts change nothing."""
-    verdict = Verdict([], [], [], [], [])
+def judge_news(table: JobTable, news: list[TaskNews], sizes: ResultSizes) -> Verdict:
+    """Return what follows from news; those of other attempts change nothing.
+
+    :param sizes: of results on their way to the ledger; those of ``news`` are
+        added.
+    """
+    verdict = Verdict([], [], [], [], [], sizes)
     for item in news:
         attempt = TaskAttempt(
             task=item["task"], attempt=item["attempt"], worker=item["worker"]
@@ -101,10 +110,14 @@
     if job.spec["type"] == "service" and not job.stopping:
         _return(verdict, job, task, news, "its task ended", failed=True)
         return
-    total = job.result_size + len(result)
+    others = dict(verdict.sizes.get(job.name, {}))
+    others.pop(task.name, None)
+    total = job.result_size + sum(others.values()) + len(result)
     if len(result) > defaults.RESULT_LIMIT or total > defaults.RESULTS_LIMIT:
         _end(verdict, task, TaskState.FAILED, "result_too_large")
         return
+    if result:
+        verdict.sizes.setdefault(job.name, {})[task.name] = len(result)
     _end(verdict, task, TaskState.SUCCEEDED, result=result)
 
 
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,54 @@
+"""News of tasks, taken together or at the same time, count as one after another."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from damaskdeck import defaults
+from damaskdeck.protocol import jobs
+from damaskdeck.protocol.handlers import JobState, Submission
+from standins.plane import Plane
+from tests.virtual import virtual
+
+RESULT = b'{"run_time": 600}'
+
+
+class TestResults(unittest.TestCase):
+    """The results of a job are limited together, however they come."""
+
+    async def run_job(self, split):
+        """Run a job of three tasks, whose news come in batches as ``split`` says."""
+        plane = await Plane(workers=1).start()
+        plane.declare(tasks=3, size={"processors": 1, "memory": 1})
+        submission = Submission("batch", "team", RESULT)
+        view = await plane.find("d1").keeper.submit_job(submission)
+        await asyncio.sleep(3)
+        desk = plane.find("d1").keeper.desks["00"]
+        news = [
+            jobs.TaskNews(
+                task=task.name,
+                attempt=task.attempt,
+                worker=task.worker,
+                state="succeeded",
+                result=b"done",
+            )
+            for task in desk.kept.table.tasks.values()
+        ]
+        with mock.patch.object(defaults, "RESULTS_LIMIT", 9):
+            await asyncio.gather(*(desk.followups.take_news(n) for n in split(news)))
+        return desk.kept.table.jobs[view.name]
+
+    @virtual
+    async def test_results_of_one_batch_are_limited_together(self):
+        job = await self.run_job(lambda news: [news])
+        self.assertEqual((job.state, job.code), (JobState.FAILED, "result_too_large"))
+
+    @virtual
+    async def test_results_that_come_at_once_are_limited_together(self):
+        job = await self.run_job(lambda news: [[item] for item in news])
+        self.assertEqual((job.state, job.code), (JobState.FAILED, "result_too_large"))
+
+    @virtual
+    async def test_news_that_come_twice_at_once_count_once(self):
+        job = await self.run_job(lambda news: [news[:2], news[:2], news[:2]])
+        self.assertEqual((job.code, job.result_size), ("", 8))
