Forget workers that are gone and hold no task

Cause: a keeper remembered every worker that ever had a task of its ledger, and went over all of them each second; workers are replaced all the time. Change: one that isn't listed and has no task is forgotten. Before: the new test found w1 60 s after it was removed. After: it passes, with test_keeper, test_task_plane and test_gang_plane.

--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -193,12 +193,19 @@
         """
         now = self._clock.monotonic()
         for worker, tasks in list(self._on_worker.items()):
-            if not tasks or self._is_listed(worker):
+            if self._is_listed(worker):
                 self._gone.pop(worker, None)
+            elif not tasks:
+                self._forget_worker(worker)
             elif now - self._gone.setdefault(worker, now) >= GONE_LIMIT:
                 news = [self._lose(self._kept.table.tasks[name]) for name in tasks]
                 await self.take_news(news)
 
+    def _forget_worker(self, worker: str) -> None:
+        del self._on_worker[worker]
+        self._epochs.pop(worker, None)
+        self._gone.pop(worker, None)
+
     def _lose(self, task: Task) -> jobs.TaskNews:
         return jobs.TaskNews(
             task=task.name,
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -52,3 +52,21 @@
     async def test_news_that_come_twice_at_once_count_once(self):
         job = await self.run_job(lambda news: [news[:2], news[:2], news[:2]])
         self.assertEqual((job.code, job.result_size), ("", 8))
+
+
+class TestReplacedWorkers(unittest.TestCase):
+    """What is remembered of workers doesn't grow as they are replaced."""
+
+    @virtual
+    async def test_worker_that_is_gone_and_empty_is_forgotten(self):
+        plane = await Plane(workers=2).start()
+        plane.declare(tasks=2, size={"processors": 4, "memory": 1})
+        submission = Submission("batch", "team", b'{"run_time": 5}')
+        view = await plane.find("d1").keeper.submit_job(submission)
+        await plane.wait_for_end(view.name)
+        followups = plane.find("d1").keeper.desks["00"].followups
+        self.assertEqual(set(followups._on_worker), {"w1", "w2"})
+        plane.platform.remove("w1")
+        await asyncio.sleep(60)
+        known = (followups._on_worker, followups._epochs, followups._gone)
+        self.assertEqual([set(names) for names in known], [{"w2"}, {"w2"}, set()])
