Place by the weights of the declared policy

Cause: a policy's weights were checked and stored, but no worker owner read them.

Change: WorkerHost gets the ConfigurationReader, takes over the policy that is there and each change of it, and gives the weights to its Placer. Scores that the policy doesn't name keep their default weights; a deleted policy brings all of them back. The daemon and the plane of the tests pass their configuration.

Tests: a changed policy moves a task to another worker, an empty or deleted one back; a policy declared before the daemon starts holds on it. Both failed with the code before (w1 instead of a1). That the daemon's own call passes it has no test.

--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -18,9 +18,11 @@
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol import jobs
+from damaskdeck.protocol.handlers import ConfigurationReader
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Peers, encode_message
 from damaskdeck.protocol.ports import Instance, InstanceState, WorkerPort
+from damaskdeck.protocol.resources import POLICY_NAME, Kind, Resource
 from damaskdeck.state.accounts import Accounts, WorkerAccount
 
 PUBLISH_INTERVAL = timedelta(milliseconds=250)
@@ -45,6 +47,8 @@
     accelerators can hold": only the owner reserves, in one account.
 
     :param workers: the port to the workers.
+    :param configuration: has the policy, whose weights placement goes by; the
+        scores that it doesn't name keep their weights of the defaults.
     :param checks_epochs: whether workers refuse calls of an older epoch; if
         not, a new owner waits out the old one's lease before it places.
     """
@@ -58,6 +62,7 @@
         fleet: WorkerFleet,
         clock: Clock,
         *,
+        configuration: ConfigurationReader | None = None,
         checks_epochs: bool = True,
         member_lease: timedelta = defaults.MEMBER_LEASE,
         lease: timedelta = defaults.TASK_LEASE,
@@ -80,6 +85,10 @@
         self._summary = b""
         self._is_changed = True
         self.accounts.subscribe(self._note_change)
+        if configuration is not None:
+            policy = configuration.get(Kind.POLICY, POLICY_NAME)
+            self._take_resource(Kind.POLICY, POLICY_NAME, policy)
+            configuration.subscribe(self._take_resource)
         self._fences = Fences(ownership)
         ownership.on_gain("worker", self._gain)
         ownership.on_loss("worker", self._lose)
@@ -150,6 +159,12 @@
                 self.sessions[worker.name].worker = worker
                 self.accounts.set_worker(worker)
 
+    def _take_resource(self, kind: Kind, name: str, resource: Resource | None) -> None:
+        """Take over the policy's weights, or the defaults when it was deleted."""
+        if kind is Kind.POLICY and name == POLICY_NAME:
+            spec = resource["spec"] if resource else {}
+            self.rooms.set_weights({**defaults.WEIGHTS, **spec.get("weights", {})})
+
     def _end_session(self, name: str) -> None:
         self.sessions.pop(name, None)
         runner = self._runners.pop(name, None)
--- a/src/damaskdeck/coordination/rooms.py
+++ b/src/damaskdeck/coordination/rooms.py
@@ -1,6 +1,6 @@
 """Room on the workers of one owner: placement, holds, preemption, quarantine."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -63,6 +63,10 @@
         self._placer.add_filter(CLAIMED, self._preemptor.prepare_claims)
         self._placer.add_filter("quarantined", self._prepare_quarantine)
 
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Place by other weights of the scores from now on."""
+        self._placer.set_weights(weights)
+
     def hold(self, request: Request) -> Held | str:
         """Set room aside for an attempt, or return why not.
 
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -148,6 +148,7 @@
             self._platform.workers,
             self.fleet,
             clock,
+            configuration=self.configuration,
             member_lease=settings.member_lease,
             lease=settings.task_lease,
             renewal=settings.task_lease / 3,
--- a/src/standins/plane.py
+++ b/src/standins/plane.py
@@ -151,6 +151,7 @@
             self.fleet,
             plane.clock,
             checks_epochs=plane.checks_epochs,
+            configuration=plane.configuration,
         )
         self.keeper = Keeper(
             self.members,
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -8,7 +8,7 @@
 from damaskdeck import defaults
 from damaskdeck.protocol.handlers import Claimed, JobState, Known, Submission
 from damaskdeck.protocol.outcomes import Completed, Refused
-from damaskdeck.protocol.resources import Kind
+from damaskdeck.protocol.resources import POLICY_NAME, Kind
 from damaskdeck.protocol.sizes import Size
 from standins.plane import Plane
 from tests.virtual import virtual
@@ -366,6 +366,38 @@
         self.assertEqual((await plane.wait_for_end(urgent.name)).state, "completed")
         self.assertEqual(len(plane.platform.runs.starts), 5)
 
+    @virtual
+    async def test_weights_of_the_policy_change_placement_until_it_is_deleted(self):
+        plane = Plane(daemons=1, workers=1)
+        plane.platform.add_worker("a1", "z1", Size(4000, 4000, 1))
+        await plane.start()
+        weights = {"weights": {"keep_accelerators": 0, "balance": 100}}
+        plane.declare()
+        for policy, expected in ((None, "w1"), (weights, "a1"), ({}, "w1")):
+            with self.subTest(policy=policy):
+                if policy is not None:
+                    plane.configuration.declare(Kind.POLICY, POLICY_NAME, policy)
+                view = await submit(plane, at="d1")
+                await plane.wait_for_end(view.name)
+                self.assertEqual(plane.platform.runs.starts[-1].worker, expected)
+        plane.configuration.declare(Kind.POLICY, POLICY_NAME, weights)
+        plane.configuration.declare(Kind.POLICY, POLICY_NAME, None)
+        view = await submit(plane, at="d1")
+        await plane.wait_for_end(view.name)
+        self.assertEqual(plane.platform.runs.starts[-1].worker, "w1")
+
+    @virtual
+    async def test_weights_declared_before_a_daemon_starts_hold_on_it(self):
+        plane = Plane(daemons=1, workers=1)
+        plane.platform.add_worker("a1", "z1", Size(4000, 4000, 1))
+        weights = {"weights": {"keep_accelerators": 0, "balance": 100}}
+        plane.configuration.declare(Kind.POLICY, POLICY_NAME, weights)
+        await plane.start()
+        plane.declare()
+        view = await submit(plane, at="d1")
+        await plane.wait_for_end(view.name)
+        self.assertEqual(plane.platform.runs.starts[-1].worker, "a1")
+
     @virtual
     async def test_worker_that_fails_everything_gets_no_more_work(self):
         plane = await Plane(daemons=1, workers=3).start()
