Keep a forwarded request in mind until it has ended

Cause: a request that a peer had passed on was forgotten a second after its deadline, also while it was still served, as after a pause of the daemon. A doubled message was then served a second time, draining didn't wait for the first, and its end left an entry that nothing removed. Change: only those that have ended are forgotten. Before: the new test saw "a" served twice. After: it passes, with test_routing, test_request_plane and test_requests_model.

--- a/src/damaskdeck/coordination/forwards.py
+++ b/src/damaskdeck/coordination/forwards.py
@@ -170,7 +170,10 @@
         now = self._clock.monotonic()
         while self._deadlines and self._deadlines[0][0] + KEPT_TIME < now:
             _, key = self._deadlines.popleft()
-            self._taken.pop(key, None)
+            if self._taken[key] is None:
+                del self._taken[key]
+            else:
+                self._deadlines.append((now, key))
 
     def _read_course(self, message: ForwardRequest) -> Course:
         request = ServiceRequest(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -403,6 +403,50 @@
 
         self.assertEqual(play(scenario), (0, Completed(b"b1")))
 
+    def test_a_forward_that_ends_long_after_its_time_leaves_nothing(self):
+        async def scenario(deployment):
+            forwarder = deployment.routers["entry-0-0"]._forwarder
+            served = []
+
+            async def serve(course):
+                served.append(course.request.identifier)
+                await asyncio.sleep(5 if course.request.identifier == "a" else 0)
+                return Completed(b"")
+
+            forwarder._serve = serve
+            counts = []
+            takes = [
+                asyncio.ensure_future(self.take(forwarder, "a")),
+                asyncio.ensure_future(self.take(forwarder, "b", 2.5)),
+                asyncio.ensure_future(self.take(forwarder, "a", 3)),
+            ]
+            await asyncio.sleep(4)
+            counts.append(forwarder.count_taken)
+            await asyncio.gather(*takes)
+            await asyncio.sleep(10)
+            await self.take(forwarder, "c")
+            return served, counts, len(forwarder._taken)
+
+        self.assertEqual(play(scenario), (["a", "b", "c"], [1], 1))
+
+    async def take(self, forwarder, identifier, wait=0.0):
+        """Let a peer pass a request on."""
+        await asyncio.sleep(wait)
+        message = ForwardRequest(
+            identifier=identifier,
+            attempt=1,
+            service=SERVICE,
+            team="team",
+            body=b"",
+            content_type="",
+            urgency="normal",
+            idempotent=False,
+            timeout=1.0,
+            patience=1.0,
+            waiting=0,
+        )
+        return await forwarder._take("entry-0-1", message)
+
     def test_a_cancelled_forward_gives_up_its_place_at_the_owner(self):
         async def scenario(deployment):
             await deployment.table.drop("target/target-0-0")
