Read a reply by its type, in one place, or tell it as unanswered

Cause: replies were handed on as plain data, so that each caller met what a peer of another version had left out: KeyError in the API for a forwarded request without "outcome" (seen between two versions), and likewise in the keeper's callers, the relay's pull and the list of observed resources. A grant without its epoch would have been committed as a placement that no replay can read. An address that is none ended the task of a stream.

Change: transport/replies.read_reply is used by the streams, the loopback and the stand-in; what isn't of the type that the message names is Unanswered("invalid_reply"), counted and logged, and nothing where a reply is due is Unanswered("no_reply"): the peer may have acted. Grants have an epoch, a job's state is one of six, observed items have names, and a keeper's reply without result or reason is Unknown; a refused list is no longer an empty one.

--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -221,8 +221,8 @@
             reply["refused"].append(_refuse(request, found))
         return reply
 
-    def _grant(self, request: jobs.Request, worker: str) -> jobs.TaskAttempt:
-        return jobs.TaskAttempt(
+    def _grant(self, request: jobs.Request, worker: str) -> jobs.Grant:
+        return jobs.Grant(
             task=request["task"],
             attempt=request["attempt"],
             worker=worker,
--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -27,6 +27,7 @@
 from damaskdeck.protocol.replies import (
     read_job,
     read_outcome,
+    read_refusal,
     read_reply,
     show_outcome,
 )
@@ -204,10 +205,9 @@
             return reply
         if reply["state"] == "claimed":
             return Claimed()
-        outcome = read_outcome(reply["outcome"])
-        if reply["state"] == "known":
-            return Known(outcome)
-        return outcome if isinstance(outcome, Refused) else Unknown("answer_lost")
+        if reply["state"] == "known" and "outcome" in reply:
+            return Known(read_outcome(reply["outcome"]))
+        return read_refusal(reply)
 
     async def settle_key(
         self, team: str, service: str, key: str, outcome: Outcome
@@ -227,7 +227,9 @@
         reply = await self._ask(ledger, message, jobs.ListJobs)
         if isinstance(reply, Refused | Unknown):
             return reply
-        return tuple(read_job(job) for job in reply.get("jobs", ()))
+        if "jobs" not in reply:
+            return read_refusal(reply)
+        return tuple(read_job(job) for job in reply["jobs"])
 
     async def _ask_named(
         self, job: str, message: Any, kind: type
--- a/src/damaskdeck/coordination/pulls.py
+++ b/src/damaskdeck/coordination/pulls.py
@@ -61,6 +61,9 @@
             return False
         if not reply.get("more"):
             return configuration.apply_snapshot(events, revision)
+        if not events or events[-1].key <= message.get("after", ""):
+            count_retry(PART, "snapshot_stuck")
+            return False
         first = revision
         message = ConfigurationPull(revision=asked, after=events[-1].key)
 
--- a/src/damaskdeck/protocol/jobs.py
+++ b/src/damaskdeck/protocol/jobs.py
@@ -83,7 +83,7 @@
     name: str
     workload: str
     team: str
-    state: str
+    state: Literal["queued", "running", "completed", "failed", "refused", "unknown"]
     code: NotRequired[str]
     reasons: NotRequired[list[str]]
     results: NotRequired[list[bytes]]
@@ -182,11 +182,20 @@
     code: str
 
 
+class Grant(TypedDict):
+    """Room that is held for an attempt; ``epoch`` is that of the worker's owner."""
+
+    task: str
+    attempt: Count
+    worker: str
+    epoch: Count
+
+
 @message("tasks_reserved")
 class TasksReserved(TypedDict):
-    """What was granted; each ``epoch`` is that of the worker's owner."""
+    """What was granted and what not."""
 
-    granted: list[TaskAttempt]
+    granted: list[Grant]
     refused: list[Refusal]
 
 
--- a/src/damaskdeck/protocol/messages.py
+++ b/src/damaskdeck/protocol/messages.py
@@ -131,6 +131,11 @@
         raise MessageError(f"{name}: {error}") from error
 
 
+def has_reply(name: str) -> bool:
+    """Tell whether a message of another type answers messages of ``name``."""
+    return name in _replies
+
+
 def decode_reply(name: str, body: bytes) -> Any:
     """Decode the reply to a message of ``name``; plain data if it has no type.
 
--- a/src/damaskdeck/protocol/observations.py
+++ b/src/damaskdeck/protocol/observations.py
@@ -1,6 +1,6 @@
 """Messages by which daemons tell each other what they observe."""
 
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 from damaskdeck.protocol.messages import message
 
@@ -12,8 +12,25 @@
     kind: str
 
 
+class ObservedMetadata(TypedDict):
+    """Who an observed resource is."""
+
+    name: str
+    revision: NotRequired[int]
+    labels: NotRequired[dict[str, str]]
+
+
+class ObservedItem(TypedDict):
+    """A resource as the API shows it."""
+
+    kind: str
+    metadata: ObservedMetadata
+    spec: NotRequired[dict[str, Any]]
+    status: NotRequired[dict[str, Any]]
+
+
 @message("observed")
 class Observed(TypedDict):
     """The resources asked for, as the API shows them."""
 
-    items: list[dict[str, Any]]
+    items: list[ObservedItem]
--- a/src/damaskdeck/protocol/replies.py
+++ b/src/damaskdeck/protocol/replies.py
@@ -3,7 +3,13 @@
 from datetime import timedelta
 
 from damaskdeck.protocol.handlers import JobState, JobView
-from damaskdeck.protocol.jobs import JobData, JobReply, OutcomeData
+from damaskdeck.protocol.jobs import (
+    JobData,
+    JobReply,
+    JobsReply,
+    KeyReply,
+    OutcomeData,
+)
 from damaskdeck.protocol.outcomes import Completed, Failed, Outcome, Refused, Unknown
 
 _KINDS: dict[str, type] = {
@@ -86,7 +92,12 @@
     """Turn a message into an answer about a job."""
     if "job" in reply:
         return read_job(reply["job"])
-    outcome = read_outcome(reply["outcome"])
+    return read_refusal(reply)
+
+
+def read_refusal(reply: JobReply | JobsReply | KeyReply) -> Refused | Unknown:
+    """Return why a keeper's reply has no result."""
+    outcome = read_outcome(reply["outcome"]) if "outcome" in reply else None
     if isinstance(outcome, Refused | Unknown):
         return outcome
     return Unknown("answer_lost", "a keeper's answer made no sense")
--- a/src/damaskdeck/transport/loopback.py
+++ b/src/damaskdeck/transport/loopback.py
@@ -5,8 +5,6 @@
 from datetime import timedelta
 from typing import Any
 
-import msgspec
-
 from damaskdeck.clock import Clock
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
@@ -19,6 +17,7 @@
     encode_message,
     get_message_name,
 )
+from damaskdeck.transport.replies import read_reply
 
 _log = get_logger("peers")
 
@@ -84,4 +83,4 @@
             _log.error("A handler failed.", kind=name, error=repr(error))
             count_drop("peers", "handler_failed")
             return Unanswered("handler_failed")
-        return Answered(msgspec.msgpack.decode(encode_message(answer)))
+        return read_reply(name, encode_message(answer))
--- a/src/standins/peers.py
+++ b/src/standins/peers.py
@@ -8,8 +8,6 @@
 from random import Random
 from typing import Any
 
-import msgspec
-
 from damaskdeck.clock import Clock
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
@@ -23,6 +21,7 @@
     encode_message,
     get_message_name,
 )
+from damaskdeck.transport.replies import read_reply
 
 _log = get_logger("peers")
 
@@ -30,7 +29,7 @@
 class PeerSwitch:
     """Joins the daemons of one process; all links work at first.
 
-    Replies arrive as plain data, as they do from a real stream.
+    Replies are decoded by their type, as from a real stream.
 
     :param clock: decides about delays and timeouts.
     """
@@ -187,7 +186,7 @@
         if not await switch.carry(instance, self._name, len(body)):
             return
         if isinstance(answer, Answered):
-            answer = Answered(msgspec.msgpack.decode(body))
+            answer = read_reply(envelope.kind, body)
         if not reply.done():
             reply.set_result(answer)
 
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -9,7 +9,7 @@
 import unittest
 from datetime import timedelta
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, is_typeddict
 from urllib.parse import urlencode
 
 import logbook
@@ -22,7 +22,9 @@
 from damaskdeck.cli.declarations import load_resources
 from damaskdeck.cli.exits import Exit
 from damaskdeck.cli.session import get_path
-from damaskdeck.coordination.attempts import Course
+from damaskdeck.clock import SystemClock
+from damaskdeck.coordination.attempts import Course, Gone, Redirect
+from damaskdeck.coordination.pulls import pull
 from damaskdeck.coordination.tables import Document, Holder
 from damaskdeck.errors import MessageError, SettingsError
 from damaskdeck.protocol.forwarding import Load
@@ -34,17 +36,20 @@
     ReportFields,
     TableChange,
 )
-from damaskdeck.protocol.jobs import ClaimKey, ReserveTasks
+from damaskdeck.protocol.jobs import ClaimKey, ReadJob, ReserveTasks
+from damaskdeck.protocol.members import Owner
 from damaskdeck.protocol.messages import (
     Answered,
     Envelope,
+    Unanswered,
     Unsent,
+    _replies,
     decode_message,
     encode_message,
     get_message_name,
     get_message_type,
 )
-from damaskdeck.protocol.outcomes import Refused
+from damaskdeck.protocol.outcomes import Completed, Refused, Unknown
 from damaskdeck.protocol.relays import ConfigurationReport
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.protocol.summaries import WorkerSummary
@@ -57,6 +62,8 @@
 from damaskdeck.transport.api.problems import CODES, PROBLEM_TYPE
 from damaskdeck.transport.api.resources import PATCH_TYPE
 from damaskdeck.transport.api.routes import ROUTES, Route
+from damaskdeck.transport.peers import PeerNetwork
+from damaskdeck.transport.replies import read_reply
 from standins.clock import settle
 from standins.loops import run_virtual
 from tests.cluster import Cluster, make_team, make_workload
@@ -65,6 +72,9 @@
 from tests.virtual import virtual
 
 REFUSED = Unsent("invalid_message")
+INVALID_REPLY = Unanswered("invalid_reply")
+LOAD = Load(slots=1, free=1, queued=0, service_time=0.1, targets=1, ejected=0)
+ODD_REPLIES = (None, {}, [], 1, {"outcome": {}}, {"state": "known"}, {"jobs": [{}]})
 
 fuzz = settings(
     derandomize=True,
@@ -520,6 +530,136 @@
 )
 
 
+class OddPeer:
+    """Lets ``d2`` answer calls of ``d1`` with given bytes."""
+
+    def __init__(self, daemon: WholeDaemon) -> None:
+        self.body = b""
+        daemon.other.handle = self.handle
+
+    async def handle(self, instance: str, envelope: Envelope) -> Any:
+        """Answer any message."""
+        return Answered(msgspec.Raw(self.body))
+
+
+def list_asked() -> list[tuple[type, Any]]:
+    """List the types of messages that have a reply, and the replies' types."""
+    return [
+        (get_message_type(name), get_message_type(reply))
+        for name, reply in sorted(_replies.items())
+    ]
+
+
+class TestReplies(unittest.TestCase):
+    """Replies of other versions, at the callers that wait for them."""
+
+    CASES = st.sampled_from(list_asked()).flatmap(
+        lambda pair: st.tuples(st.just(pair[0]), draw_message(pair[1]))
+    )
+
+    @settings(fuzz, max_examples=60)
+    @given(CASES, st.none() | st.binary(max_size=8))
+    def test_each_has_its_type_or_is_told_as_unanswered(self, case, body):
+        kind, value = case
+        body = encode_message(value) if body is None else body
+        found = read_reply(get_message_name(kind), body)
+        if isinstance(found, Unanswered):
+            self.assertIn(found.code, ("invalid_reply", "no_reply"))
+        else:
+            reply = dict(list_asked())[kind]
+            self.assertLessEqual(set(found.message), set(reply.__annotations__))
+
+    def test_each_call_names_the_type_of_its_reply(self):
+        for kind, reply in list_asked():
+            self.assertTrue(is_typeddict(reply), kind)
+
+    @virtual
+    async def test_no_caller_dies_of_a_reply(self):
+        daemon = await WholeDaemon().start()
+        await daemon.relay.put(Kind.TEAM, make_team(), None)
+        await daemon.relay.put(Kind.WORKLOAD, make_workload(), None)
+        await send_reports(daemon, 1, {"load": encode_message({"s": LOAD})})
+        await asyncio.sleep(0.1)
+        daemon.ownership.find_owner = lambda thing: Owner("d2", 9)
+        peer, keeper = OddPeer(daemon), daemon.keeper
+        for value in ODD_REPLIES:
+            peer.body = encode_message(value)
+            told = [
+                await keeper.submit_job(Submission("tiles", "maps", b"")),
+                await keeper.read_job("tiles-00-x"),
+                await keeper.cancel_job("tiles-00-x"),
+                await keeper.list_jobs("maps", "", 5),
+                await keeper.claim_key("maps", "s", "k", b"", timedelta(seconds=1)),
+            ]
+            self.assertTrue(all(isinstance(each, Unknown) for each in told), told)
+            self.assertFalse(
+                await keeper.settle_key("maps", "s", "k", Completed()), value
+            )
+            forwarded = await daemon.router._forwarder.forward(
+                Redirect("d2", 1.0), make_course(daemon)
+            )
+            self.assertIsInstance(forwarded, Gone)
+            self.assertFalse(await pull(daemon.peers, "d2", daemon.configuration))
+            await daemon.observer.list_resources("worker")
+            await daemon.relay.ask_in_force()
+            await asyncio.sleep(1)
+            daemon.check()
+        await daemon.close()
+
+    def test_a_grant_without_its_epoch_is_never_committed(self):
+        grant = {"task": "tiles-00-x.0", "attempt": 1, "worker": "w1"}
+        body = encode_message({"granted": [grant], "refused": []})
+        self.assertEqual(read_reply("reserve_tasks", body), INVALID_REPLY)
+
+    @virtual
+    async def test_parts_of_a_snapshot_that_lead_nowhere_are_given_up(self):
+        daemon = await WholeDaemon().start()
+        peer = OddPeer(daemon)
+        entry = {"key": "config/team/a", "revision": 1}
+        for entries in ([], [entry]):
+            reply = {"revision": 99, "entries": entries, "more": True}
+            peer.body = encode_message({**reply, "is_snapshot": True})
+            async with asyncio.timeout(30):
+                done = await pull(daemon.peers, "d2", daemon.configuration)
+            self.assertFalse(done)
+        await daemon.close()
+
+
+class TestStreams(unittest.IsolatedAsyncioTestCase):
+    """The same over real streams and from a daemon to itself."""
+
+    async def asyncSetUp(self) -> None:
+        addresses: dict[str, str] = {"nowhere": "no address"}
+        clock = SystemClock()
+        self.networks = [
+            PeerNetwork(name, "127.0.0.1", 0, "token", clock, addresses.get)
+            for name in ("d1", "d2")
+        ]
+        for name, network in zip(("d1", "d2"), self.networks, strict=True):
+            await network.start()
+            self.addAsyncCleanup(network.close)
+            addresses[name] = network.address
+            network.register(ReadJob, self.answer)
+
+    async def answer(self, instance: str, message: ReadJob) -> Any:
+        """Answer as a peer that knows another type of reply."""
+        return {"job": {"name": message["job"]}}
+
+    async def ask(self, instance: str) -> Any:
+        """Let ``d1`` ask a daemon for a job."""
+        second = timedelta(seconds=1)
+        return await self.networks[0].call(instance, ReadJob(job="x"), ReadJob, second)
+
+    async def test_a_reply_without_a_field_is_told_as_unanswered(self):
+        self.assertEqual(await self.ask("d2"), INVALID_REPLY)
+        self.assertEqual(await self.ask("d1"), INVALID_REPLY)
+
+    async def test_an_address_that_is_none_proves_that_nothing_was_sent(self):
+        self.assertEqual(await self.ask("nowhere"), Unsent("unreachable"))
+        link, task = self.networks[0]._links["nowhere"]
+        self.assertFalse(task.done(), "the stream's task died")
+
+
 class TestStored(unittest.TestCase):
     """Values of the store that are unreadable: nothing is made up from them."""
 
