--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -29,9 +29,18 @@
 WATCHERS = 2
 PLATFORM = "platform"
 LIBRARIES = (
-    "aiohttp, grpclib.client, grpclib.server, msgspec, opentelemetry.sdk.metrics, "
-    "opentelemetry.exporter.prometheus, sortedcontainers, starlette.applications, "
-    "uvicorn, xxhash, yaml, logbook"
+    "asyncio",
+    "msgspec",
+    "sortedcontainers",
+    "xxhash",
+    "yaml",
+    "logbook",
+    "opentelemetry.sdk.metrics",
+    "opentelemetry.exporter.prometheus",
+    "grpclib.client, grpclib.server",
+    "aiohttp",
+    "starlette.applications",
+    "uvicorn",
 )
 
 
@@ -54,7 +63,7 @@
     zones: tuple[int, ...]
     target_workers: int = 0
     target_tasks: int = 0
-    target_starts: float = 0
+    target_starts: tuple[float, ...] = ()
 
 
 QUICK = Plan(
@@ -78,7 +87,7 @@
     zones=(1, 2, 4, 9),
     target_workers=790,
     target_tasks=13_000,
-    target_starts=100,
+    target_starts=(100, 200),
 )
 
 
@@ -332,11 +341,14 @@
     running = await fill(fleet, plan.target_tasks)
     await asyncio.sleep(plan.window)
     found["running"] = _show_sample(await fleet.measure(plan.window), settled, running)
-    rate = plan.target_starts / fleets.TASKS_PER_JOB
-    load = Load(fleet, rate, partial(_submit_short, SHORT))
-    sample = await fleet.measure(2 * plan.window, load)
-    found["starting"] = _show_sample(sample, settled, running)
-    found["starting"]["statuses"] = dict(load.statuses)
+    for rate in plan.target_starts:
+        act = partial(_submit_short, SHORT)
+        load = Load(fleet, rate / fleets.TASKS_PER_JOB, act)
+        sample = await fleet.measure(2 * plan.window, load)
+        label = f"{rate} starts/s asked for"
+        found[label] = _show_sample(sample, settled, running)
+        found[label]["statuses"] = dict(load.statuses)
+    found["overlaps"] = len(fleet.platform.runs.overlaps)
     return found
 
 
@@ -345,7 +357,7 @@
     figures = {
         name: {
             "average": round(sample.average(name), 4),
-            "highest": round(max(d.get(name, 0.0) for d in sample.daemons.values()), 4),
+            "highest": round(_find_highest(sample, name), 4),
         }
         for name in sample.list_figures()
         if "bucket" not in name and "waiting_time" not in name
@@ -359,14 +371,22 @@
     }
 
 
+def _find_highest(sample: Sample, figure: str) -> float:
+    """Return the busiest daemon's figure; the platform sees the average only."""
+    if figure in sample.fleet:
+        return sample.average(figure)
+    return max(figures.get(figure, 0.0) for figures in sample.daemons.values())
+
+
 def measure_imports() -> dict[str, float]:
-    """Return the megabytes of processes that only import, by what they import."""
-    return {
-        "interpreter": _measure_import("sys"),
-        "asyncio": _measure_import("asyncio"),
-        "libraries": _measure_import(LIBRARIES),
-        "daemon": _measure_import("damaskdeck.daemon"),
-    }
+    """Return the megabytes of a process that only imports, after each import."""
+    found = {"interpreter": _measure_import("sys")}
+    names = "sys"
+    for library in LIBRARIES:
+        names = f"{names}, {library}"
+        found[library] = _measure_import(names)
+    found["daemon"] = _measure_import("damaskdeck.daemon")
+    return found
 
 
 def _measure_import(names: str) -> float:
--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -7,7 +7,7 @@
 import json
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -42,11 +42,11 @@
 
 
 class Stage(NamedTuple):
-    """A running fleet, and what its idle daemons spend together in a second."""
+    """A running fleet, and what it spends while nothing fails."""
 
     fleet: Fleet
     plan: Plan
-    idle: dict[str, float]
+    idle: Sample
 
 
 Scene = Callable[[Stage], Awaitable[dict[str, Any]]]
@@ -59,10 +59,11 @@
     return function
 
 
-def add_up(sample: Sample) -> dict[str, float]:
-    """Return the figures of all daemons together."""
+def add_up(sample: Sample, names: Collection[str] = ()) -> dict[str, float]:
+    """Return the figures of the named daemons together, or of all."""
+    count = len(names or sample.daemons)
     return {
-        name: sample.average(name) * len(sample.daemons)
+        name: sample.average(name, () if name in sample.fleet else names) * count
         for name in sample.list_figures()
     }
 
@@ -74,7 +75,8 @@
 ) -> dict[str, Any]:
     """Let something fail and measure until it has settled.
 
-    :returns: the seconds, and what was spent beyond an idle fleet's.
+    :returns: the seconds, and what the daemons that stayed spent beyond what
+        they spend while nothing fails.
     """
     fleet = stage.fleet
     before = await fleet.read(is_first=True)
@@ -85,11 +87,13 @@
         await asyncio.sleep(POLL_SECONDS)
     seconds = time.monotonic() - before.time
     after = await fleet.read(is_first=False)
-    spent = add_up(fleets.compare(before, after))
+    sample = fleets.compare(before, after)
+    stayed = [name for name in sample.daemons if name in stage.idle.daemons]
+    spent, idle = add_up(sample, stayed), add_up(stage.idle, stayed)
     lasted = after.time - before.time
 
     def exceed(*names: str) -> float:
-        grown = sum(spent.get(n, 0.0) - stage.idle.get(n, 0.0) for n in names)
+        grown = sum(spent.get(n, 0.0) - idle.get(n, 0.0) for n in names)
         return round(grown * lasted, 1)
 
     return {
@@ -108,43 +112,71 @@
 
 
 async def is_owned(stage: Stage) -> bool:
-    """Tell whether each worker and target has an owner that lives."""
+    """Tell whether each worker and target has an owner that lives.
+
+    Daemons ask each other for the answer, so this isn't for use while the
+    messages are counted.
+    """
     owned = await stage.fleet.count_owned()
     return owned >= stage.fleet.count_listed()
 
 
+class Moves:
+    """Workers that get a new owner, told by the epochs that they see."""
+
+    def __init__(self, stage: Stage, names: Collection[str]) -> None:
+        workers = stage.fleet.platform.workers
+        self._workers = [workers[name] for name in names]
+        self._before = [worker.epoch for worker in self._workers]
+
+    async def has_moved(self, count: int) -> bool:
+        """Tell whether so many have a new owner."""
+        epochs = zip(self._workers, self._before, strict=True)
+        return sum(worker.epoch > before for worker, before in epochs) >= count
+
+
+async def list_held(stage: Stage, daemon: str) -> list[str]:
+    """List the workers that a daemon owns."""
+    reply = await stage.fleet.clients[daemon].call("GET", "/v1/status")
+    things = reply.read_json()["owned"]["worker"]
+    return [thing.partition("/")[2] or thing for thing in things]
+
+
+async def lose_daemon(
+    stage: Stage, end: Callable[[str], Awaitable[None]]
+) -> dict[str, Any]:
+    """End a daemon and wait until its workers have new owners."""
+    name = f"entry-{ZONE[-1]}0"
+    held = await list_held(stage, name)
+    moves = Moves(stage, held)
+    found = await watch(stage, partial(end, name), partial(moves.has_moved, len(held)))
+    return {**found, "workers moved": len(held)}
+
+
 @scene
 async def fail_daemon(stage: Stage) -> dict[str, Any]:
     """An entry instance fails."""
-    name = f"entry-{ZONE[-1]}0"
-    return await watch(
-        stage, partial(stage.fleet.drop_daemon, name), partial(is_owned, stage)
-    )
+    return await lose_daemon(stage, stage.fleet.drop_daemon)
 
 
 @scene
 async def replace_daemon(stage: Stage) -> dict[str, Any]:
     """An entry instance comes, and gets its share of the zone."""
     fleet, name = stage.fleet, f"entry-{ZONE[-1]}0"
-    listed = [w for w in fleet.platform.workers.values() if w.instance.zone == ZONE]
-    share = len(listed) // stage.plan.daemons // 2
-
-    async def has_share() -> bool:
-        reply = await fleet.clients[name].call("GET", "/v1/status")
-        owned = reply.read_json()["owned"]["worker"]
-        return len(owned) >= share and await is_owned(stage)
-
-    return await watch(stage, partial(fleet.add_daemon, name, ZONE), has_share)
+    near = [n for n, w in fleet.platform.workers.items() if w.instance.zone == ZONE]
+    share = len(near) // stage.plan.daemons // 2
+    moves = Moves(stage, near)
+    found = await watch(
+        stage, partial(fleet.add_daemon, name, ZONE), partial(moves.has_moved, share)
+    )
+    return {**found, "workers moved": share}
 
 
 @scene
 async def shut_down_daemon(stage: Stage) -> dict[str, Any]:
     """An entry instance is shut down gracefully."""
-    name = f"entry-{ZONE[-1]}0"
-    found = await watch(
-        stage, partial(stage.fleet.stop_daemon, name), partial(is_owned, stage)
-    )
-    await stage.fleet.add_daemon(name, ZONE)
+    found = await lose_daemon(stage, stage.fleet.stop_daemon)
+    await stage.fleet.add_daemon(f"entry-{ZONE[-1]}0", ZONE)
     await stage.fleet.wait_settled()
     return found
 
@@ -195,7 +227,10 @@
         for name in names:
             fleet.platform.reconnect(name, "store", "instances")
 
-    found = await watch(stage, cut, partial(is_owned, stage))
+    async def has_ended() -> bool:
+        return True
+
+    found = await watch(stage, cut, has_ended)
     lost = running - fleet.count_running()
     return {**found, "tasks lost": lost, "cut seconds": CUT_SECONDS}
 
@@ -302,7 +337,7 @@
             await fleet.wait_settled()
             found["running"] = await fill(fleet, plan.tasks)
             await asyncio.sleep(plan.window)
-            idle = add_up(await fleet.measure(plan.window))
+            idle = await fleet.measure(2 * plan.window)
             stage = Stage(fleet, plan, idle)
             for act in _scenes:
                 label = act.__doc__.splitlines()[0]
--- a/benchmarks/pages.py
+++ b/benchmarks/pages.py
@@ -1,6 +1,7 @@
 """Writes the tables of docs/CAPACITY.md from the committed figures."""
 
 import json
+import math
 import re
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -19,20 +20,34 @@
 WRITES_LIMIT = 300
 READS_LIMIT = 2000
 
+SMALLEST = 1e-3
+
 Writer = Callable[[Slopes], str]
 
 _writers: dict[str, Writer] = {}
 _MARKED = re.compile(r"(<!-- begin (\w+) -->\n).*?(<!-- end \2 -->)", re.DOTALL)
 
+_STATES = {
+    "peer": "members and their reports; the platform's list; owners of all things",
+    "workers": "a session, a connection and an account for each worker",
+    "tasks": "each task's order, attempt and lease",
+    "starts": "holds of 10 s and orders on their way",
+    "kept_tasks": "the table of jobs and tasks; the log's tail",
+    "kept_starts": "the queue, quotas and shares, picks on their way",
+    "watcher": "all declared resources and 2,000 changes of history",
+    "follower": "all declared resources and 2,000 changes of history",
+    "writer": "the same; a write on its way",
+}
 _MECHANISMS = {
     "peer": "heartbeats in the zone, two links for each pair of zones, one lease",
-    "workers": "long polls on each worker; free room in the heartbeat's report",
+    "workers": "a long poll on each worker; a bounded summary in the heartbeat",
     "tasks": "one renewal for all tasks of a worker each 4 s",
     "starts": "batched reservations and starts; one call to the worker for each start",
-    "kept_tasks": "job table in memory; log and snapshots in the store",
+    "kept_tasks": "log and snapshots in the store; doubts settled by owners",
     "kept_starts": "passes over the queue, group commit, batches to owners",
     "watcher": "one waiting watch; relays to its zone",
-    "follower": "takes what watchers and writers relay; applies higher revisions only",
+    "follower": "applies what is relayed if its revision is higher",
+    "writer": "one write by compare-and-swap; tells all daemons of it",
 }
 
 
@@ -71,11 +86,13 @@
 
 
 def show(value: float, digits: int = 3) -> str:
-    """Show a number with so many significant digits."""
-    if value and abs(value) < 1e-3:
+    """Show a number with so many significant digits, more before the point."""
+    if not value:
+        return "0"
+    if abs(value) < SMALLEST:
         return f"{value:.1e}"
-    size = len(str(int(abs(value))))
-    return f"{value:,.{max(0, digits - size)}f}"
+    places = digits - 1 - math.floor(math.log10(abs(value)))
+    return f"{value:,.{max(0, places)}f}"
 
 
 def lay_out(head: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
@@ -133,17 +150,24 @@
         "kept_starts": f"ledger keeper: {show(scale.starts * kept)} starts/s",
         "watcher": f"configuration watcher: {scale.changes:.0f} changes a day",
         "follower": f"configuration, others: {scale.changes:.0f} changes a day",
+        "writer": f"entry of operators: all {scale.changes:.0f} changes a day",
     }
     rows = [
-        [labels[name], *_list_cost(getattr(roles, name)), _MECHANISMS[name]]
+        [
+            labels[name],
+            _STATES[name],
+            *_list_cost(getattr(roles, name)),
+            _MECHANISMS[name],
+        ]
         for name in Roles._fields
     ]
     sums = [
-        ["sum: owner of workers, idle", *_list_cost(roles.idle), ""],
-        ["sum: owner of workers, peak", *_list_cost(roles.owner), ""],
-        ["sum: owner that keeps a ledger, peak", *_list_cost(roles.keeper), ""],
+        ["sum: owner of workers, idle", "", *_list_cost(roles.idle), ""],
+        ["sum: owner of workers, peak", "", *_list_cost(roles.owner), ""],
+        ["sum: owner that keeps a ledger, peak", "", *_list_cost(roles.keeper), ""],
     ]
-    return lay_out(("role and its load", *_COST_HEAD, "carried by"), rows + sums)
+    head = ("role and its load", "state", *_COST_HEAD, "carried by")
+    return lay_out(head, rows + sums)
 
 
 @table("target")
@@ -211,14 +235,19 @@
 def _judge(value: float, budget: float) -> str:
     if value <= budget:
         return show(value)
-    return f"**{show(value)}**, over by {show(value / budget - 1, 2)} of the budget"
+    return f"**{show(value)}**, over: {show(value / budget, 2)} times"
 
 
 @table("imports")
 def write_imports(slopes: Slopes) -> str:
-    """Write what imports alone take."""
-    rows = slopes.figures["imports MB"].items()
-    return lay_out(("a process that imports only", "resident MB"), rows)
+    """Write what imports alone take, each after those before it."""
+    rows = []
+    last = 0.0
+    for name, size in slopes.figures["imports MB"].items():
+        rows.append([name, size, size - last])
+        last = size
+    head = ("a process that imports only", "resident MB", "more than the row before")
+    return lay_out(head, rows)
 
 
 @table("store")
@@ -282,6 +311,8 @@
     """Compare a whole fleet as measured with what the slopes foretell."""
     rows = []
     for state, found in slopes.figures["whole"].items():
+        if not isinstance(found, dict):
+            continue
         foretold = _foretell(slopes, found)
         for figure, value in (
             ("processor ms", foretold.processor),
@@ -294,6 +325,8 @@
             measured = found["figures"].get(figure, {"average": 0.0, "highest": 0.0})
             average, highest = float(measured["average"]), float(measured["highest"])
             rows.append([state, found["running"], figure, value, average, highest])
+        share = float(found["benchmark's share of a core"])
+        rows.append([state, found["running"], "benchmark's own cores", "", share, ""])
     head = ("state", "tasks running", "figure of a daemon", "worked out")
     return lay_out((*head, "measured, average", "measured, highest"), rows)
 
@@ -308,3 +341,53 @@
     roles = sizing.work_out(slopes, scale)
     kept = roles.kept_tasks.plus(roles.kept_starts)
     return roles.owner.plus(kept.times(scale.ledgers / daemons))
+
+
+@table("growth")
+def write_growth(slopes: Slopes) -> str:
+    """Write how messages and state grow as the fleet doubles."""
+    rows = []
+    for label, growth in sizing.list_growth(sizing.TARGET).items():
+        total = "**workers x daemons**" if growth.is_product else ""
+        rows.append([label, growth.law, *growth.amounts, total])
+    head = ("what", "grows with", "target", "twice the zones", "twice in each zone")
+    return lay_out((*head, "over all daemons"), rows)
+
+
+_FAILURE_COLUMNS = (
+    "seconds",
+    "tasks started",
+    "peer messages",
+    "peer KB",
+    "store writes",
+    "store reads",
+    "overlaps",
+)
+
+
+@table("failures")
+def write_failures(slopes: Slopes) -> str:
+    """Write what failures set off, as measured."""
+    rows = []
+    for label, found in slopes.figures["failures"]["scenes"].items():
+        if "seconds" not in found:
+            continue
+        seconds = show(float(found["seconds"]))
+        cells = [found[name] for name in _FAILURE_COLUMNS[1:]]
+        rows.append([label, seconds if found["settled"] else "not settled", *cells])
+    head = ("failure", "settled after, s", *_FAILURE_COLUMNS[1:-1])
+    return lay_out((*head, "tasks in two places"), rows)
+
+
+@table("limit")
+def write_limit(slopes: Slopes) -> str:
+    """Write what happens when the store refuses calls."""
+    found = slopes.figures["failures"]["scenes"]
+    tight = next(scene for scene in found.values() if "limit" in scene)
+    free, limited = tight["without limit"], tight["with limit"]
+    rows = [
+        [name, float(free.get(name, 0)), float(limited.get(name, 0))]
+        for name in sorted({*free, *limited})
+    ]
+    head = ("a second, all daemons", "no limit", f"{tight['limit']} calls/s let in")
+    return lay_out(head, rows)
--- a/benchmarks/sizing.py
+++ b/benchmarks/sizing.py
@@ -3,8 +3,16 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from damaskdeck import defaults
+from damaskdeck.coordination.membership import FAR_ROUNDS
+from damaskdeck.coordination.rendezvous import choose_links
+
 SECONDS_PER_DAY = 86_400
 MEASURED_DAEMONS_PER_ZONE = 3
+# Failures and replacements of an ordinary day, each of which changes the list.
+LIST_CHANGES_PER_DAY = 8 + 51
+# Of an instance in the platform's list; see docs/design/ports.md.
+BYTES_PER_LISTED = 99
 
 
 class Scale(NamedTuple):
@@ -145,6 +153,15 @@
         platform_bytes = self.get_slope(f"{experiment}/platform/platform bytes")
         return growth._replace(platform_bytes=platform_bytes)
 
+    def measure_writer(self, daemons: int) -> Cost:
+        """Return what a change a second costs the daemon that takes the calls.
+
+        It tells every other daemon; the slope is of six.
+        """
+        growth = self.measure_growth("changes", "writer")
+        measured = 2 * MEASURED_DAEMONS_PER_ZONE
+        return growth.times((daemons - 1) / (measured - 1))
+
 
 class Roles(NamedTuple):
     """What each role costs one daemon, beside what it spends as a peer."""
@@ -157,6 +174,7 @@
     kept_starts: Cost
     watcher: Cost
     follower: Cost
+    writer: Cost
 
     @property
     def idle(self) -> Cost:
@@ -187,6 +205,7 @@
         kept_starts=slopes.measure_keeper("starts").times(scale.starts * kept),
         watcher=slopes.measure_growth("changes", "watcher").times(changes),
         follower=slopes.measure_growth("changes", "follower").times(changes),
+        writer=slopes.measure_writer(scale.daemons).times(changes),
     )
 
 
@@ -229,3 +248,107 @@
         task_writes=slopes.get_slope("starts/platform/store put") * scale.starts,
         change_writes=slopes.get_slope("changes/platform/store put") * changes,
     )
+
+
+class Growth(NamedTuple):
+    """How much there is of something, by how it grows.
+
+    :param law: what it grows with, in words.
+    :param amounts: at each size.
+    :param is_product: whether all daemons together have it as workers times
+        daemons.
+    """
+
+    law: str
+    amounts: tuple[float, ...]
+    is_product: bool = False
+
+
+def double(scale: Scale) -> tuple[Scale, Scale]:
+    """Return a fleet of twice the size: by zones, and within its zones."""
+    twice = scale._replace(
+        daemons=2 * scale.daemons,
+        workers=2 * scale.workers,
+        tasks=2 * scale.tasks,
+        starts=2 * scale.starts,
+        changes=2 * scale.changes,
+    )
+    return twice._replace(zones=2 * scale.zones), twice
+
+
+def count_links(scale: Scale) -> tuple[float, float]:
+    """Return how many peers a daemon beats to, in its zone and in others."""
+    each = scale.daemons // scale.zones
+    zones = {
+        f"zone-{zone}": [f"entry-{zone}-{number}" for number in range(each)]
+        for zone in range(scale.zones)
+    }
+    links = [
+        len(choose_links(name, zone, zones, defaults.ZONE_LINKS))
+        for zone, names in zones.items()
+        for name in names
+    ]
+    return each - 1, sum(links) / len(links)
+
+
+def list_growth(scale: Scale) -> dict[str, Growth]:
+    """Return what grows how, at a size and twice that."""
+    scales = (scale, *double(scale))
+    links = [count_links(each) for each in scales]
+    beat = defaults.HEARTBEAT_INTERVAL.total_seconds()
+    renewal = defaults.TASK_RENEWAL.total_seconds()
+
+    def compute(law: str, get: Any, is_product: bool = False) -> Growth:
+        return Growth(law, tuple(float(get(each)) for each in scales), is_product)
+
+    return {
+        "heartbeats a daemon sends to its zone, a second": Growth(
+            "daemons of the zone", tuple(near / beat for near, _ in links)
+        ),
+        "heartbeats a daemon sends to other zones, a second": Growth(
+            "zones / daemons of a zone",
+            tuple(far / beat / FAR_ROUNDS for _, far in links),
+        ),
+        "renewals of members' leases, a second, all": compute(
+            "daemons",
+            lambda s: 3 * s.daemons / defaults.MEMBER_LEASE.total_seconds(),
+        ),
+        "waiting watches, all": compute(
+            "zones", lambda s: defaults.WATCHERS_PER_ZONE * s.zones
+        ),
+        "messages for a change of configuration, all": compute(
+            "daemons",
+            lambda s: (
+                s.daemons - 1 + defaults.WATCHERS_PER_ZONE * (s.daemons - s.zones)
+            ),
+        ),
+        "long polls to workers, for each daemon": compute(
+            "workers / daemons", lambda s: s.workers / s.daemons
+        ),
+        "renewals of tasks' leases, a second, for each daemon": compute(
+            "workers / daemons", lambda s: s.workers / s.daemons / renewal
+        ),
+        "tasks of a ledger": compute("tasks", lambda s: s.tasks / s.ledgers),
+        "starts a second of a ledger": compute(
+            "starts", lambda s: s.starts / s.ledgers
+        ),
+        "summaries of owners, for each daemon": compute("daemons", lambda s: s.daemons),
+        "listed workers that a daemon knows": compute(
+            "workers", lambda s: s.workers, is_product=True
+        ),
+        "owners of workers that a daemon knows": compute(
+            "workers", lambda s: s.workers, is_product=True
+        ),
+        "bytes of lists that a daemon reads, a day": compute(
+            "workers x changes of the list",
+            lambda s: (
+                BYTES_PER_LISTED
+                * s.workers
+                * 2
+                * LIST_CHANGES_PER_DAY
+                * s.workers
+                / scale.workers
+            ),
+            is_product=True,
+        ),
+    }
