Let urgent work go on when overdue jobs find no room

Change: eight overdue offers in vain end the turn if urgent work may be placed; the next ordinary ones go first, then the overdue that weren't tried. As each of the eight was due before whatever is found later, the bound on what is taken before an overdue job is kept. Weighed: no overdue turn at all while urgent work may be placed; then a lasting stream of urgent work starves the others, and test_no_class_and_no_team_starves, which is unchanged in its bound, fails (seen, with a put-off of four turns).

--- a/src/damaskdeck/coordination/passes.py
+++ b/src/damaskdeck/coordination/passes.py
@@ -12,6 +12,8 @@
 
 # How many offers of one pass may fail.
 TRIES = 32
+# How many overdue offers of one turn may fail before urgent work goes on.
+OVERDUE_TRIES = 8
 # A group's oldest job: its time, its order among equals, and the group.
 _Head = tuple[timedelta, int, Group]
 FindTime = Callable[[WaitingJob], timedelta]
@@ -33,11 +35,18 @@
 
     :param queue: what is passed over; one pass at a time.
     :param tries: how many offers may fail.
+    :param overdue_tries: how many overdue ones in a turn, if urgent work may be
+        placed. Each is due before any that is found later, so the bound of
+        :class:`JobQueue` on what is taken before an overdue job holds.
     """
 
-    def __init__(self, queue: JobQueue, tries: int = TRIES) -> None:
+    def __init__(
+        self, queue: JobQueue, tries: int = TRIES, overdue_tries: int = OVERDUE_TRIES
+    ) -> None:
         self._queue = queue
         self._tries = tries
+        self._overdue_tries = overdue_tries
+        self._vain = 0
         self._is_overdue = False
         self._offered_team = ""
         self._start(lends_claims=False)
@@ -59,7 +68,7 @@
 
         :param reason: plain words, as the dimension that fails.
         """
-        self._tries -= 1
+        self._note_vain()
         rank = RANKS[job.urgency]
         within = self._queue.quotas.is_within(job.team, job.need, rank)
         block = Block(rank, within, job.shape, reason)
@@ -67,7 +76,7 @@
 
     def skip(self, job: WaitingJob, reason: str) -> None:
         """Note that only this job can't be placed now; its likes may."""
-        self._tries -= 1
+        self._note_vain()
         self._queue.skip(job.name, reason)
 
     def _start(self, lends_claims: bool) -> None:
@@ -83,10 +92,36 @@
         self._short: dict[tuple[str, int], tuple[float, ...]] = {}
 
     def _choose(self) -> WaitingJob | None:
-        job = self._find_overdue() if self._queue.is_overdue_turn() else None
+        job = self._find_overdue() if self._is_overdue_turn() else None
         self._is_overdue = job is not None
         return job or self._find_next()
 
+    def _is_overdue_turn(self) -> bool:
+        """Tell whether an overdue job goes first; enough in vain end its turn."""
+        if not self._queue.is_overdue_turn():
+            return False
+        if self._vain < self._overdue_tries or not self._has_urgent():
+            return True
+        self._queue.end_overdue_turn()
+        self._vain = 0
+        return False
+
+    def _has_urgent(self) -> bool:
+        """Tell whether the pass still has a job of the most urgent class."""
+        if self._rank < 0:
+            self._rank = 0
+            self._open_class()
+        if self._rank > 0:
+            return False
+        return any(
+            self._find_first(self._get_heads(team), _get_submitted)
+            for _, team in self._teams
+        )
+
+    def _note_vain(self) -> None:
+        self._tries -= 1
+        self._vain += self._is_overdue
+
     def _choose_lent(self) -> WaitingJob | None:
         """Return the next job when claims that found no room are lent."""
         if self._lends_claims or not any(self._queue.quotas.claims):
--- a/src/damaskdeck/coordination/queueing.py
+++ b/src/damaskdeck/coordination/queueing.py
@@ -195,6 +195,10 @@
         """Tell in which dimension its team's quota keeps a job out, if any."""
         return self.quotas.find_shortfall(job.team, job.need, RANKS[job.urgency])
 
+    def end_overdue_turn(self) -> None:
+        """Let others go on, as the overdue jobs tried found no room."""
+        self._since_overdue = 0
+
     def is_at_quota(self, team: str, rank: int, lends_claims: bool = False) -> bool:
         """Tell whether a team's quota allows none of its jobs of a class.
 
