Refuse to give back use under another class

Change: giving back more of a class than it was charged breaks an invariant, also when the team's use as a whole would allow it; the pool tells the class.

Test: a release under a less urgent class is refused and changes nothing; it passed silently before.

--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -10,7 +10,7 @@
 
 from damaskdeck.coordination.fairness import compute_dominant_share
 from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.queueing import JobQueue
+from damaskdeck.coordination.queueing import RANKS, JobQueue
 from damaskdeck.coordination.waiting import WaitingJob
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import Size, add_sizes, fits, subtract_sizes
@@ -126,7 +126,8 @@
 
     def end(self, job: PoolJob) -> None:
         """Give back what the job used."""
-        self._quotas.release(job.waiting.team, job.waiting.need)
+        waiting = job.waiting
+        self._quotas.release(waiting.team, waiting.need, RANKS[waiting.urgency])
 
     def step(self, pool: Pool) -> None:
         """Make one pass."""
--- a/src/damaskdeck/state/quotas.py
+++ b/src/damaskdeck/state/quotas.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from damaskdeck.errors import InvariantError
-from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, fits, subtract_sizes
 
 DIMENSIONS = range(len(Size._fields))
 # Classes of a lower rank may have less urgent tasks stopped, so the less urgent use
@@ -299,10 +299,13 @@
 def _take_off(sums: list[Size], size: Size, rank: int, team: str) -> None:
     """Subtract from the sums of a rank and of all less urgent ones."""
     first = _clip_rank(rank)
-    rests = [subtract_sizes(amount, size) for amount in sums[first:]]
-    if min(map(min, rests)) < 0:
+    rest = subtract_sizes(sums[first], size)
+    below = sums[first - 1] if first else ZERO_SIZE
+    if not fits(below, rest):
         raise InvariantError(f"team {team} gives back more than it was charged")
-    sums[first:] = rests
+    sums[first] = rest
+    for index in range(first + 1, len(sums)):
+        sums[index] = subtract_sizes(sums[index], size)
 
 
 def _find_excess(record: _Team) -> Size:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -183,7 +183,11 @@
         quotas.charge("birch", Size(5, 0, 0))
         with self.assertRaises(InvariantError):
             quotas.release("ash", Size(3, 0, 0))
-        self.assertEqual(quotas.use, Size(7, 0, 0))
+        quotas.charge("ash", Size(1, 0, 0), 0)
+        with self.assertRaises(InvariantError):
+            quotas.release("ash", Size(3, 0, 0), 3)
+        self.assertEqual(quotas.use, Size(8, 0, 0))
+        self.assertEqual(quotas.read("ash").use, Size(3, 0, 0))
 
 
 class TestBorrowing(unittest.TestCase):
