Expect no room of victims whose worker was lost

Cause: a victim lends its worker the room that it is to leave, until its end is noted. The end isn't noted here once the worker has gone to another owner; when it came back, it had the room of its former victims on top of its own for good: twice its size in the test. Claims were then granted, and too few victims chosen, on room that wasn't there (reservations stayed exact). Change: the preemptor follows the accounts, and a worker's removal ends what its victims lend. After: it passes, with test_preemption, test_placement, test_hosting, test_keeper and test_layers.

--- a/src/damaskdeck/coordination/preemption.py
+++ b/src/damaskdeck/coordination/preemption.py
@@ -140,6 +140,7 @@
         self._claims: dict[str, Claim] = {}
         self._leaving: dict[str, Claim] = {}
         self._claimed: dict[str, Size] = {}
+        accounts.subscribe(self._follow)
 
     def choose(self, need: TaskNeed) -> Victims | NoVictims:
         """Choose victims that make room for ``need`` and claim it for it.
@@ -219,6 +220,14 @@
         if claim is not None:
             self._change(claim, 1)
 
+    def _follow(self, account: WorkerAccount, is_present: bool) -> None:
+        """Expect no room of victims whose worker has another owner or is gone."""
+        if is_present:
+            return
+        left = [t for t, c in self._leaving.items() if c.worker == account.name]
+        for task in left:
+            self.note_end(task)
+
     def prepare_claims(self, need: TaskNeed) -> Predicate | None:
         """Keep others off claimed room; a filter for a :class:`Placer`."""
         if not self._claimed:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -160,6 +160,26 @@
             preemptor.drop_claim(f"u{number}")
         self.assertEqual(victims, NoVictims("no_victims"))
 
+    def test_victims_of_a_worker_that_was_lost_lend_it_no_room_later(self):
+        for size in (Size(1, 1, 0), Size(2, 2, 0)):
+            with self.subTest(size=size):
+                self.lose_worker(size)
+
+    def lose_worker(self, size):
+        """Lose a worker whose task is a victim, and get it back without it."""
+        worker = make_worker("w", Size(2, 2, 0))
+        accounts, _, preemptor = make_preemptor([worker])
+        low = TaskNeed("low", Size(2, 2, 0), urgency=Urgency.LOW, checkpoint=True)
+        accounts.reserve(low, "w")
+        urgent = TaskNeed("u", size, urgency=Urgency.URGENT)
+        self.assertIsInstance(preemptor.choose(urgent), Victims)
+        accounts.remove_worker("w")
+        preemptor.drop_claim("u")
+        accounts.set_worker(worker)
+        self.assertEqual(preemptor.find_room("w"), Size(2, 2, 0))
+        accounts.reserve(low._replace(task="other"), "w")
+        self.assertEqual(preemptor.choose(urgent).checkpointed, ("other",))
+
     def test_the_budget_refills_with_time(self):
         workers = [make_worker(f"w{number}", Size(1, 1, 0)) for number in range(3)]
         accounts, clock, preemptor = make_preemptor(workers, limit=2)
