Let a declared service wait while no worker could hold it

Cause: a job that no listed worker could hold is refused after 60 s. A service has nobody to be refused to, and its job keeps its name, so that it never ran, also not once a large enough worker was there, until its spec was changed. Change: services are judged and told as impossible, but not refused. Before: the new test met a refused job after 200 s. After: the service waits and runs once the worker is listed; test_services, test_keeper and test_task_plane pass. A batch job is refused as before (test_keeper).

--- a/src/damaskdeck/coordination/impossible.py
+++ b/src/damaskdeck/coordination/impossible.py
@@ -60,7 +60,11 @@
                 found[name] = Impossible(known.since if known else now, lack)
         self._found = found
         late = [n for n, i in found.items() if now - i.since >= IMPOSSIBLE_LIMIT]
-        await self._refuse_all(late)
+        await self._refuse_all([name for name in late if not self._is_service(name)])
+
+    def _is_service(self, name: str) -> bool:
+        """Tell whether a job is declared to run, so that it waits on."""
+        return self._kept.table.jobs[name].spec["type"] == "service"
 
     async def _refuse_all(self, names: list[str]) -> None:
         changes: list[tuple[object, type]] = []
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -3,7 +3,9 @@
 import unittest
 from datetime import timedelta
 
+from damaskdeck.protocol.handlers import JobState
 from damaskdeck.protocol.resources import Kind
+from damaskdeck.protocol.sizes import Size
 from standins.plane import Plane
 from tests.virtual import virtual
 
@@ -36,3 +38,20 @@
             plane.configuration.declare(Kind.WORKLOAD, "web", None)
             await plane.clock.sleep(10 * SECOND)
             self.assertEqual(count_running(plane), 0)
+
+
+class TestRoom(unittest.TestCase):
+    """A service that no worker could hold waits for one that can."""
+
+    @virtual
+    async def test_service_runs_once_a_large_enough_worker_is_listed(self):
+        plane = await Plane(workers=1).start()
+        plane.declare("web", type="service", size={"processors": 8, "memory": 1})
+        await plane.clock.sleep(200 * SECOND)
+        jobs = plane.find("d1").keeper.desks["00"].kept.table.jobs.values()
+        self.assertEqual([job.state for job in jobs], [JobState.QUEUED])
+        plane.platform.add_worker("big", "z1", Size(8000, 8000, 0))
+        await plane.clock.sleep(5 * SECOND)
+        await plane.registry.grant("worker/big", "d1")
+        await plane.clock.sleep(20 * SECOND)
+        self.assertEqual(count_running(plane), 1)
