Keep room for gangs that have waited for 30 seconds

Cause: a gang of most of the cell starved behind small tasks. In a pass the small tasks that found no room closed its shape, and where no quota is declared nothing was ever idle enough to borrow, so the keeper didn't even ask.

Change: a late gang is asked for outside the pass, once a second, with its time of submission in the requests of ReserveTasks. An owner that lacks the room plans it (Backfill) for the first gang by class, submission and name, the same at all owners, and answers "room_kept"; other work is let in beneath if it should end before, by learnt run time. Kept room is no hold: it ends 5 s after a keeper last asked, at the gang's start, when the rest can't be had, or after an hour. Run times are learnt at the owners now. An adopted task counts as started when it was adopted.

Conclusion: it starts as soon as what ran has ended; the room that stands empty meanwhile is the price.

--- a/src/damaskdeck/coordination/backfill.py
+++ b/src/damaskdeck/coordination/backfill.py
@@ -78,11 +78,7 @@
         """
         now = self._clock.monotonic()
         need, count = needs[0], len(needs)
-        rooms = {
-            account.name: account.free
-            for account in self._accounts.workers.values()
-            if self._find_refusal(need, account) in (None, "fits")
-        }
+        rooms = self._list_rooms(need)
         counts = {name: count_slices(need.size, room) for name, room in rooms.items()}
         total = sum(counts.values())
         start = now
@@ -106,6 +102,15 @@
             self._plan = Plan(job, needs, start, limit, spare)
         return self._plan
 
+    def count_within_horizon(self, need: TaskNeed) -> int:
+        """Count how many tasks like ``need`` should fit at once within a day."""
+        now = self._clock.monotonic()
+        rooms = self._list_rooms(need)
+        for end, name, size in self._list_ends(rooms, now):
+            if end <= now + _HORIZON:
+                rooms[name] = add_sizes(rooms[name], size)
+        return sum(count_slices(need.size, room) for room in rooms.values())
+
     def refresh(self) -> None:
         """Plan anew once the plan is old, as tasks end early or late."""
         plan = self._plan
@@ -143,6 +148,14 @@
     def _ends_in_time(self, need: TaskNeed, plan: Plan) -> bool:
         return self._clock.monotonic() + self._estimate(need) <= plan.limit
 
+    def _list_rooms(self, need: TaskNeed) -> dict[str, Size]:
+        """List what is free on the workers that may take ``need`` at some time."""
+        return {
+            account.name: account.free
+            for account in self._accounts.workers.values()
+            if self._find_refusal(need, account) in (None, "fits")
+        }
+
     def _list_ends(
         self, names: Iterable[str], now: timedelta
     ) -> list[tuple[timedelta, str, Size]]:
--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -9,10 +9,12 @@
 from damaskdeck.coordination.deferrals import Deferrals
 from damaskdeck.coordination.impossible import ImpossibleJobs
 from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.lategangs import ASK_INTERVAL, LateGangs
 from damaskdeck.coordination.launches import Launcher, Pick
 from damaskdeck.coordination.needs import (
     get_size,
     get_urgency,
+    make_gang,
     make_need,
     make_request,
 )
@@ -62,6 +64,9 @@
         self._waiting: dict[str, dict[str, None]] = {}
         self._charged: dict[str, tuple[str, Size, int]] = {}
         self._launching: set[str] = set()
+        self._gangs = LateGangs(
+            queue, clock, lambda job: self._impossible.find_reason(job) is not None
+        )
         self._changed = asyncio.Event()
         self._launches: set[asyncio.Task[None]] = set()
         kept.on_change(self.follow)
@@ -141,8 +146,11 @@
             self._waiting.pop(name, None)
         if job is None or not waiting or not self._is_complete(job, waiting):
             self._queue.remove(name)
+            self._gangs.discard(name)
             return
         entry = self._make_entry(job, len(waiting))
+        if entry.gang:
+            self._gangs.add(name)
         if self._queue.get(name) != entry:
             self._queue.push(entry)
 
@@ -185,6 +193,8 @@
             self._queue.note_room(self._shapes.capacity)
         groups: dict[str, list[Pick]] = {}
         turn = Pass(self._queue)
+        for offer in self._gangs.list():
+            self._try_gang(turn, offer)
         for _ in range(BATCH_LIMIT):
             offer = turn.next()
             if offer is None:
@@ -216,11 +226,17 @@
     def _try_gang(self, turn: Pass, offer: WaitingJob) -> None:
         job = self._kept.table.jobs[offer.name]
         tasks = [self._kept.table.tasks[name] for name in self._waiting[offer.name]]
-        owners = self._owners.list_fitting(make_need(job, tasks[0]))
+        need = make_need(job, tasks[0])
+        is_late = self._gangs.is_late(offer)
+        list_owners = self._owners.list_able if is_late else self._owners.list_fitting
+        owners = list_owners(need)
         if not owners:
             turn.fail(offer, "no worker has enough of it free")
             return
         picks = [Pick("", make_request(job, task, True)) for task in tasks]
+        if is_late:
+            for pick in picks:
+                pick.request["gang"] = make_gang(job)
         self._note_picks(offer, picks)
         turn.take(offer)
         self._start_launch(self._launcher.launch_gang(picks, owners), picks)
@@ -260,7 +276,7 @@
         task = self._kept.table.tasks.get(pick.task)
         if task is None:
             return
-        delay = REFUSED_PAUSE
+        delay = ASK_INTERVAL if "gang" in pick.request else REFUSED_PAUSE
         if code == "making_room" and pick.owner:
             self._owners.note_making_room(pick.owner, pick.task)
             delay = ROOM_PAUSE
--- a/src/damaskdeck/coordination/launches.py
+++ b/src/damaskdeck/coordination/launches.py
@@ -68,18 +68,28 @@
         """Start all tasks of a gang at once, or none.
 
         Owners are asked in order of their names and holds end by themselves, so
-        that gangs neither wait for each other nor leave anything behind.
+        that gangs neither wait for each other nor leave anything behind. What an
+        owner keeps room for isn't asked of the others; unless all the rest is
+        granted or kept as well, that room is given up.
         """
         parts: dict[str, Grants] = {}
+        kept: dict[str, list[Pick]] = {}
         left = {pick.task: pick for pick in picks}
         codes: dict[str, str] = {}
         for owner in sorted(owners):
-            parts[owner], codes = await self._reserve(owner, list(left.values()))
-            left = {task: left[task] for task in left if task not in parts[owner]}
+            asked = _number_gang(list(left.values()))
+            parts[owner], refused = await self._reserve(owner, asked)
+            codes |= refused
+            kept[owner] = [p for p in asked if refused.get(p.task) == "room_kept"]
+            done = {*parts[owner], *(pick.task for pick in kept[owner])}
+            left = {task: left[task] for task in left if task not in done}
             if not left:
                 break
-        if left or not all(self._is_waiting(pick.request) for pick in picks):
+        is_whole = all(self._is_waiting(pick.request) for pick in picks)
+        if left or not is_whole or any(kept.values()):
             await self._release(parts)
+            if left or not is_whole:
+                await self._release(_name_kept(kept))
             return {pick.task: codes.get(pick.task, "gang_short") for pick in picks}
         return await self._commit(parts)
 
@@ -212,3 +222,28 @@
                 tasks=list(grants.values()),
             )
             self._peers.send(owner, message, jobs.ReleaseTasks)
+
+
+def _number_gang(picks: list[Pick]) -> list[Pick]:
+    """Let each request of a long waiting gang tell its place in the message."""
+    numbered = []
+    for index, pick in enumerate(picks):
+        request = pick.request.copy()
+        if "gang" in request:
+            gang = request["gang"] | {"index": index, "count": len(picks)}
+            request["gang"] = gang
+        numbered.append(pick._replace(request=request))
+    return numbered
+
+
+def _name_kept(kept: dict[str, list[Pick]]) -> dict[str, Grants]:
+    """Name one task of each owner that keeps room: it is kept for all."""
+    return {
+        owner: {
+            pick.task: jobs.TaskAttempt(
+                task=pick.task, attempt=pick.request["attempt"], worker=""
+            )
+            for pick in picks[:1]
+        }
+        for owner, picks in kept.items()
+    }
--- a/src/damaskdeck/coordination/needs.py
+++ b/src/damaskdeck/coordination/needs.py
@@ -1,7 +1,7 @@
 """What tasks of a workload need, as queues, owners and messages ask for it."""
 
 from damaskdeck.coordination.news import is_idempotent
-from damaskdeck.protocol.jobs import Request, SizeData, TaskAttempt
+from damaskdeck.protocol.jobs import GangRequest, Request, SizeData, TaskAttempt
 from damaskdeck.protocol.resources import Urgency, WorkloadSpec, read_size
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.accounts import TaskNeed
@@ -46,6 +46,8 @@
         checkpoint=spec.get("checkpoint", False),
         is_pressed=is_pressed,
     )
+    if "run_time" in spec:
+        request["run_time"] = spec["run_time"]
     if "zones" in spec:
         request["zones"] = spec["zones"]
     if task.avoid:
@@ -53,6 +55,11 @@
     return request
 
 
+def make_gang(job: Job) -> GangRequest:
+    """Return what orders a gang among those that room is kept for."""
+    return GangRequest(submitted=round(job.submitted * 1000), index=0, count=1)
+
+
 def name_attempt(job: Job, task: Task) -> TaskAttempt:
     """Return the message that names a task's present attempt."""
     spec = job.spec
--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/owners.py
@@ -76,6 +76,14 @@
         fitting.update(view.name for view in self._list_preemptible(need))
         return sorted(fitting)
 
+    def list_able(self, need: TaskNeed) -> list[str]:
+        """List the owners of workers that could hold ``need`` if empty."""
+        return sorted(
+            view.name
+            for view in self._views.values()
+            if view.is_able(need) and (not need.zones or view.zone in need.zones)
+        )
+
     def note_refused(self, owner: str, need: TaskNeed) -> None:
         """Note that an owner has no room for ``need`` after all."""
         view = self._views.get(owner)
--- a/src/damaskdeck/coordination/rooms.py
+++ b/src/damaskdeck/coordination/rooms.py
@@ -8,6 +8,7 @@
 from damaskdeck.coordination.estimates import Estimates
 from damaskdeck.coordination.failures import Failures
 from damaskdeck.coordination.filters import Predicate
+from damaskdeck.coordination.gangrooms import GangRooms
 from damaskdeck.coordination.placement import Impossible, Placed, Placer
 from damaskdeck.coordination.preemption import (
     CLAIMED,
@@ -28,6 +29,10 @@
 
 HOLD_LIMIT = timedelta(seconds=10)
 CLAIM_LIMIT = timedelta(seconds=5)
+# What a task is reckoned to run when neither learnt nor declared.
+UNKNOWN_RUN_TIME = timedelta(minutes=30)
+# Tasks of services don't end.
+ENDLESS = timedelta(days=366)
 
 Stop = Callable[[str, str, bool], None]
 
@@ -60,8 +65,13 @@
         self._relief = Relief(accounts)
         self._quarantine = Quarantine(clock, Failures())
         self._claims: dict[str, timedelta] = {}
+        self._begun: dict[str, timedelta] = {}
+        self._gangs = GangRooms(
+            accounts, clock, self._estimate_run_time, self._placer.find_refusal
+        )
         self._placer.add_filter(CLAIMED, self._preemptor.prepare_claims)
         self._placer.add_filter("quarantined", self._prepare_quarantine)
+        self._placer.add_filter("planned", self._gangs.prepare)
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Place by other weights of the scores from now on."""
@@ -72,8 +82,11 @@
 
         A hold that was asked for before is given up: its answer was lost.
         """
-        self.release_hold(request["task"])
+        self._give_up(request["task"])
         need = self._make_need(request)
+        gang = request.get("gang")
+        if gang is not None and not gang["index"]:
+            self._gangs.ask(need, gang)
         found = self._placer.place(need)
         if isinstance(found, Impossible):
             need = need._replace(size=read_size(request["size"]))
@@ -81,13 +94,16 @@
         if not isinstance(found, Placed) and need.avoid and request.get("is_pressed"):
             found = self._placer.place(need._replace(avoid=frozenset()))
         if not isinstance(found, Placed):
-            return self._make_room(need)
+            code = self._make_room(need)
+            is_kept = gang is not None and self._gangs.covers(need.task, gang)
+            return "room_kept" if is_kept and code == "no_room" else code
         deadline = self._clock.monotonic() + HOLD_LIMIT
         outcome = self._accounts.reserve(need, found.worker, deadline)
         if not isinstance(outcome, Reserved):
             return "already_reserved"
         self._drop_claim(need.task)
         self._quarantine.note_start(found.worker, need.task)
+        self._gangs.note_start(need, found.worker)
         return Held(found.worker)
 
     def confirm(self, task: str, worker: str) -> bool:
@@ -95,23 +111,41 @@
         held = self._accounts.find(task)
         if held is None or held.worker != worker:
             return False
-        return self._accounts.confirm(task, self._clock.monotonic())
+        now = self._clock.monotonic()
+        if not self._accounts.confirm(task, now):
+            return False
+        self._begun[task] = now
+        self._gangs.drop(task)
+        return True
 
     def release_hold(self, task: str) -> None:
-        """Let go of a hold; what was started keeps its room."""
+        """Let go of a hold, or of room that is kept for the task's gang.
+
+        What was started keeps its room.
+        """
+        if self._accounts.find(task) is None:
+            self._gangs.drop(task)
+        self._give_up(task)
+
+    def _give_up(self, task: str) -> None:
         held = self._accounts.find(task)
         if held is not None and held.deadline is not None:
             self._accounts.release(task)
             self._quarantine.note_end(held.worker, "", "", task, None)
 
     def expire(self) -> None:
-        """End holds and claims whose time has come."""
+        """End holds, claims and kept room whose time has come."""
         now = self._clock.monotonic()
+        self._gangs.expire()
         for held in self._accounts.expire(now):
             self._quarantine.note_end(held.worker, "", "", held.need.task, None)
         for task in [task for task, until in self._claims.items() if until <= now]:
             self._drop_claim(task)
 
+    def find_kept(self) -> str:
+        """Return the job of the gang that room is kept for, else nothing."""
+        return self._gangs.job
+
     def set_workers(self, workers: Iterable[str]) -> None:
         """Note which workers are owned."""
         self._quarantine.set_fleet(frozenset(workers))
@@ -143,7 +177,10 @@
         self._preemptor.note_end(task)
         self._relief.forget(task)
         workload = read_workload(task)
-        self._estimates.observe_end(workload, task, None)
+        begun = self._begun.pop(task, None)
+        is_whole = begun is not None and state == "succeeded"
+        run_time = self._clock.monotonic() - begun if is_whole else None
+        self._estimates.observe_end(workload, task, run_time)
         succeeded = {"succeeded": True, "failed": False}.get(state)
         job = read_job(task)
         self._quarantine.note_end(worker, workload, job, task, succeeded)
@@ -176,8 +213,16 @@
             zones=frozenset(request.get("zones", ())),
             avoid=frozenset(request.get("avoid", ())),
             started=self._clock.monotonic(),
+            run_time=timedelta(seconds=request.get("run_time", 0)),
         )
 
+    def _estimate_run_time(self, need: TaskNeed) -> timedelta:
+        if need.group:
+            return ENDLESS
+        workload = read_workload(need.task)
+        declared = need.run_time or UNKNOWN_RUN_TIME
+        return self._estimates.estimate_run_time(workload, declared)
+
     def _make_room(self, need: TaskNeed) -> str:
         """Stop less urgent tasks for ``need``; it is to ask again."""
         victims = self._preemptor.choose(need)
--- a/src/damaskdeck/coordination/rosters.py
+++ b/src/damaskdeck/coordination/rosters.py
@@ -190,7 +190,13 @@
         """
         held = self._accounts.find(report.task)
         name = report.task if held is None else self._name_other(report.task)
-        need = TaskNeed(name, report.size, urgency=Urgency.URGENT, idempotent=False)
+        need = TaskNeed(
+            name,
+            report.size,
+            urgency=Urgency.URGENT,
+            idempotent=False,
+            started=self._clock.monotonic(),
+        )
         outcome = self._accounts.adopt(need, self._worker)
         if not isinstance(outcome, Reserved):
             count_refusal("workers", "adoption")
--- a/src/damaskdeck/coordination/summaries.py
+++ b/src/damaskdeck/coordination/summaries.py
@@ -94,7 +94,7 @@
     :param received: monotonic time when the summary came.
     """
 
-    __slots__ = ("classes", "name", "preemptible", "received", "zone")
+    __slots__ = ("classes", "largest", "name", "preemptible", "received", "zone")
 
     def __init__(self, name: str, summary: WorkerSummary, received: timedelta) -> None:
         self.name = name
@@ -104,6 +104,11 @@
         self.classes = [
             [Size(*size) for size in part["slices"]] for part in summary["classes"]
         ]
+        self.largest = [Size(*part["largest"]) for part in summary["classes"]]
+
+    def is_able(self, need: TaskNeed) -> bool:
+        """Tell whether the owner's workers may hold ``need`` when empty."""
+        return any(fits(need.size, size) for size in self.largest)
 
     def find_tightest(self, need: TaskNeed) -> tuple[int, int] | None:
         """Return class and place of the smallest slice that holds ``need``."""
--- a/src/damaskdeck/protocol/jobs.py
+++ b/src/damaskdeck/protocol/jobs.py
@@ -145,11 +145,24 @@
     accelerators: Amount
 
 
+class GangRequest(TypedDict):
+    """Which of a long waiting gang's tasks, to have room kept for all of them.
+
+    ``submitted`` in milliseconds since 1970 orders gangs alike at all owners;
+    ``index`` counts from 0 among the ``count`` tasks of one message.
+    """
+
+    submitted: Count
+    index: Count
+    count: Count
+
+
 class Request(TypedDict):
     """Room asked for an attempt, wherever its owner finds it best.
 
     ``avoid`` names workers that it failed on; with ``is_pressed`` the owner may
-    choose one of them if there is no other.
+    choose one of them if there is no other. ``run_time`` is declared, in seconds.
+    With ``gang``, an owner that lacks the room keeps it, and answers ``room_kept``.
     """
 
     task: str
@@ -163,6 +176,8 @@
     zones: NotRequired[list[str]]
     avoid: NotRequired[list[str]]
     is_pressed: NotRequired[bool]
+    run_time: NotRequired[Seconds]
+    gang: NotRequired[GangRequest]
 
 
 @message("reserve_tasks", reply="tasks_reserved")
--- a/src/damaskdeck/state/accounts.py
+++ b/src/damaskdeck/state/accounts.py
@@ -27,6 +27,7 @@
     :param near: preferred availability zones, as those of its data.
     :param avoid: workers on which it was seen failing.
     :param started: monotonic time of its start, for the work lost when stopped.
+    :param run_time: as declared; zero when it isn't.
     """
 
     task: str
@@ -39,6 +40,7 @@
     near: frozenset[str] = frozenset()
     avoid: frozenset[str] = frozenset()
     started: timedelta = timedelta()
+    run_time: timedelta = timedelta()
 
 
 class Reservation(NamedTuple):
--- a/src/standins/plane.py
+++ b/src/standins/plane.py
@@ -161,7 +161,7 @@
             plane.configuration,
             self.fleet,
             plane.clock,
-            ledger_count=1,
+            ledger_count=plane.ledgers,
         )
         self.tasks = []
 
@@ -183,11 +183,12 @@
 
 
 class Plane:
-    """Daemons ``d1`` to ``dN`` with one ledger and workers ``w1`` to ``wN``."""
+    """Daemons ``d1`` to ``dN``, workers ``w1`` to ``wN``, and few ledgers."""
 
-    def __init__(self, daemons=2, workers=2, size=WORKER_SIZE):
+    def __init__(self, daemons=2, workers=2, size=WORKER_SIZE, ledgers=1):
         self.clock = LoopClock()
         self.checks_epochs = True
+        self.ledgers = ledgers
         self.platform = Platform(self.clock)
         self.switch = PeerSwitch(self.clock)
         self.configuration = FixedConfiguration()
@@ -198,13 +199,15 @@
         self.names = [f"d{index + 1}" for index in range(daemons)]
 
     async def start(self):
-        """Start all daemons; the first keeps the ledger, all share the workers."""
+        """Start all daemons; the ledgers and workers are dealt out in turn."""
         for name in self.names:
             await self.add_daemon(name)
         for index, worker in enumerate(self.platform.workers):
             owner = self.names[index % len(self.names)]
             await self.registry.grant(f"worker/{worker}", owner)
-        await self.registry.grant("ledger/00", self.names[0])
+        for index in range(self.ledgers):
+            owner = self.names[index % len(self.names)]
+            await self.registry.grant(f"ledger/{index:02d}", owner)
         return self
 
     async def add_daemon(self, name):
--- /dev/null
+++ b/tests/test_gang_plane.py
@@ -0,0 +1,193 @@
+"""Gangs through the whole task plane: they start whole, and all of them do."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+from damaskdeck.coordination import lategangs
+from damaskdeck.protocol.handlers import Submission
+from damaskdeck.state.names import pick_ledger
+from standins.loops import VirtualLoop
+from standins.plane import Plane
+
+SECOND = timedelta(seconds=1)
+SMALL = b'{"run_time": 6}'
+LONG = b'{"run_time": 20}'
+# Gangs wait for 30 s; then small tasks of 6 s end, with the time of their calls.
+START_LIMIT = 75
+
+
+class GangPlaneCase(unittest.TestCase):
+    """Three daemons and six workers of four cores under small tasks."""
+
+    ledgers = 1
+
+    def setUp(self):
+        self.runner = asyncio.Runner(loop_factory=VirtualLoop)
+        self.addCleanup(self.runner.close)
+        self.counts = set()
+        self.keys = 0
+
+    def run_plane(self, test):
+        async def run():
+            self.plane = await Plane(3, 6, ledgers=self.ledgers).start()
+            self.plane.declare("small")
+            for team in ("team", *self.find_teams()):
+                self.plane.declare(f"gang-{team}", team, type="gang", tasks=20)
+            await self.plane.clock.sleep(2 * SECOND)
+            stream = asyncio.ensure_future(self.stream())
+            watch = asyncio.ensure_future(self.watch())
+            await self.plane.clock.sleep(20 * SECOND)
+            await test()
+            stream.cancel()
+            watch.cancel()
+
+        self.runner.run(run())
+        self.assertLessEqual(self.counts, {0, 20})
+        self.assertFalse(self.plane.platform.runs.overfills)
+        self.assertFalse(self.plane.platform.runs.overlaps)
+
+    def find_teams(self):
+        """Find a team of each ledger."""
+        names = [f"t{number}" for number in range(40)]
+        ledgers = {pick_ledger(name, self.ledgers): name for name in names}
+        return [ledgers[ledger] for ledger in sorted(ledgers)]
+
+    async def stream(self):
+        """Submit five small tasks a second, more than the cell can run."""
+        while True:
+            for _ in range(5):
+                await self.submit("small", "team", SMALL)
+            await self.plane.clock.sleep(SECOND)
+
+    async def watch(self):
+        """Note how many of each gang run at a time, but for its start and end."""
+        steady = {}
+        while True:
+            await self.plane.clock.sleep(SECOND / 4)
+            for job, count in self.count_running().items():
+                if steady.get(job) == count:
+                    self.counts.add(count)
+                steady[job] = count
+
+    def count_running(self):
+        counts = {}
+        for worker in self.plane.platform.workers.values():
+            for task in worker.list_running():
+                if task.startswith("gang"):
+                    job = task.rpartition("-")[0]
+                    counts[job] = counts.get(job, 0) + 1
+        return counts
+
+    async def submit(self, workload, team, payload=LONG):
+        self.keys += 1
+        submission = Submission(workload, team, payload, f"k{self.keys}")
+        daemon = sorted(self.plane.registry.daemons)[-1]
+        return await self.plane.find(daemon).keeper.submit_job(submission)
+
+    async def submit_gang(self, team="team"):
+        return (await self.submit(f"gang-{team}", team)).name
+
+    async def wait_for_start(self, job, limit=START_LIMIT):
+        """Return after how many seconds all of a gang run; ``None`` if not."""
+        for step in range(limit * 4):
+            if self.count_running().get(job) == 20:
+                return step / 4
+            await self.plane.clock.sleep(SECOND / 4)
+        return None
+
+    async def wait_for_kept_room(self):
+        """Wait until room is kept by some owner; returns the owner."""
+        for _ in range(400):
+            for name, daemon in self.plane.registry.daemons.items():
+                if daemon.host.rooms.find_kept():
+                    return name
+            await self.plane.clock.sleep(SECOND / 10)
+        self.fail("no room was kept")
+
+    async def restart(self, name):
+        await self.plane.kill(name)
+        self.plane.platform.reconnect(name)
+        await self.plane.add_daemon(name)
+
+
+class TestGangUnderLoad(GangPlaneCase):
+    """A gang of most of the cell under a steady stream of small tasks."""
+
+    def test_gang_starts_within_its_bound(self):
+        async def test():
+            job = await self.submit_gang()
+            self.assertIsNotNone(await self.wait_for_start(job))
+
+        self.run_plane(test)
+
+    def test_gang_starves_if_no_room_is_kept(self):
+        async def test():
+            with mock.patch.object(lategangs, "GANG_WAIT", timedelta(days=1)):
+                job = await self.submit_gang()
+                self.assertIsNone(await self.wait_for_start(job, 300))
+
+        self.run_plane(test)
+
+    def test_no_room_is_kept_once_a_gang_is_cancelled(self):
+        async def test():
+            job = await self.submit_gang()
+            await self.wait_for_kept_room()
+            await self.plane.find("d2").keeper.cancel_job(job)
+            await self.plane.clock.sleep(6 * SECOND)
+            for daemon in self.plane.registry.daemons.values():
+                self.assertEqual(daemon.host.rooms.find_kept(), "")
+
+        self.run_plane(test)
+
+
+class TestGangAndDeaths(GangPlaneCase):
+    """Deaths while room is kept."""
+
+    def test_gang_starts_after_its_keeper_died(self):
+        async def test():
+            job = await self.submit_gang()
+            await self.wait_for_kept_room()
+            await self.restart("d1")
+            self.assertIsNotNone(await self.wait_for_start(job, 2 * START_LIMIT))
+
+        self.run_plane(test)
+
+    def test_gang_starts_after_an_owner_died(self):
+        async def test():
+            job = await self.submit_gang()
+            await self.wait_for_kept_room()
+            await self.restart("d2")
+            self.assertIsNotNone(await self.wait_for_start(job, 2 * START_LIMIT))
+
+        self.run_plane(test)
+
+    def test_no_room_is_kept_for_a_keeper_that_is_gone(self):
+        async def test():
+            await self.submit_gang()
+            await self.wait_for_kept_room()
+            self.plane.platform.cut_off("d1")
+            self.plane.switch.disconnect("d1")
+            self.plane.find("d1").die()
+            await self.plane.clock.sleep(6 * SECOND)
+            for name in ("d2", "d3"):
+                self.assertEqual(self.plane.find(name).host.rooms.find_kept(), "")
+
+        self.run_plane(test)
+
+
+class TestGangsOfTwoLedgers(GangPlaneCase):
+    """Two gangs, each of most of the cell, with different keepers."""
+
+    ledgers = 2
+
+    def test_both_complete(self):
+        async def test():
+            first, second = self.find_teams()
+            names = [await self.submit_gang(first), await self.submit_gang(second)]
+            for name in names:
+                view = await self.plane.wait_for_end(name, 200)
+                self.assertEqual(view.state, "completed")
+
+        self.run_plane(test)
