Let late news of an earlier attempt end no doubt about the next

Cause: any news but "running" ended the doubt about their task, by the task's name. Repeated news of an earlier attempt thus ended the doubt about the one that followed; if its start was lost too, it was asked about again only by the check of quiet tasks, which each placement has once. Change: only news of the present attempt end the doubt. Before: the new test found no doubt left. After: it passes, with test_keeper, test_task_plane, test_gang_plane and test_services.

--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -138,11 +138,17 @@
             if not isinstance(outcome, Committed):
                 return None
         for item in news:
-            is_settled = is_answer or item["state"] != "running"
-            if is_settled and item["state"] not in ("unsure", "starting"):
-                self._doubts.pop(item["task"], None)
+            if is_answer or item["state"] != "running":
+                self._settle_doubt(item)
         return jobs.TasksNoted(noted=verdict.noted, stop=verdict.stop)
 
+    def _settle_doubt(self, news: jobs.TaskNews) -> None:
+        """End the doubt about an attempt, unless the news leave it in doubt."""
+        task = self._kept.table.tasks.get(news["task"])
+        is_current = task is None or task.attempt == news["attempt"]
+        if is_current and news["state"] not in ("unsure", "starting"):
+            self._doubts.pop(news["task"], None)
+
     def _drop_size(self, task: str) -> None:
         """Forget a result that is durable by now, or didn't become so."""
         sizes = self._sizes.get(read_job(task), {})
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -70,3 +70,21 @@
         await asyncio.sleep(60)
         known = (followups._on_worker, followups._epochs, followups._gone)
         self.assertEqual([set(names) for names in known], [{"w2"}, {"w2"}, set()])
+
+
+class TestDoubts(unittest.TestCase):
+    """Only news of the attempt in doubt end the doubt."""
+
+    @virtual
+    async def test_late_news_of_an_earlier_attempt_leave_the_next_in_doubt(self):
+        plane = await Plane(workers=2).start()
+        plane.declare()
+        submission = Submission("batch", "team", RESULT)
+        await plane.find("d1").keeper.submit_job(submission)
+        await asyncio.sleep(3)
+        desk = plane.find("d1").keeper.desks["00"]
+        (name,) = desk.kept.table.tasks
+        late = jobs.TaskNews(task=name, attempt=0, worker="w1", state="stopped")
+        desk.followups.doubt([name])
+        await desk.followups.take_news([late])
+        self.assertIn(name, desk.followups._doubts)
