Name the demo's steps and the command line's options plainly

The command line called the daemon that it talks to Target, which is the word for a back end of a service everywhere else. output.Row was used by nothing.

Behaviour is unchanged.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,7 +9,7 @@
 from damaskdeck.clock import SystemClock
 from damaskdeck.protocol.sizes import Size
 from demo.checks import Checks
-from demo.scenes import SCENES, Stage
+from demo.steps import STEPS, Context
 from standins.deployment import OPERATOR_TOKEN, Deployment
 from standins.platform import Platform
 from standins.waiting import wait_until
@@ -32,8 +32,8 @@
     return platform
 
 
-async def play(folder: Path) -> Checks:
-    """Start the deployment, run each scene and end what was started."""
+async def run_demo(folder: Path) -> Checks:
+    """Start the deployment, run each step and end what was started."""
     checks = Checks()
     platform = await build_platform()
     deployment = Deployment(platform, folder, TEAM_TOKENS)
@@ -41,36 +41,36 @@
         for name, zone in DAEMONS:
             daemon = await deployment.start(name, zone)
             print(f"{name} in {zone} listens on {daemon.address}", flush=True)
-        await run_scenes(deployment, checks)
+        await run_steps(deployment, checks)
     finally:
         await deployment.close()
         await platform.close()
     return checks
 
 
-async def run_scenes(deployment: Deployment, checks: Checks) -> None:
-    """Run the scenes in order against all daemons."""
+async def run_steps(deployment: Deployment, checks: Checks) -> None:
+    """Run the steps in order against all daemons."""
     servers = [f"http://{d.address}" for d in deployment.daemons.values()]
     async with (
         Client(servers[0], OPERATOR_TOKEN) as operator,
         Client(servers[1], TEAM_TOKENS["riders"]) as riders,
         Client(servers[2], TEAM_TOKENS["invoices"]) as invoices,
     ):
-        stage = Stage(deployment, checks, operator, riders, invoices)
+        context = Context(deployment, checks, operator, riders, invoices)
         for client in (operator, riders, invoices):
             ready = await wait_until(
                 lambda c=client: c.call("GET", "/readyz"), lambda r: r.status == 200
             )
             checks.check("a daemon is ready", ready.status == 200, ready.body)
-        for scene in SCENES:
-            print(f"\n{scene.__doc__.splitlines()[0]}", flush=True)
-            await scene(stage)
+        for step in STEPS:
+            print(f"\n{step.__doc__.splitlines()[0]}", flush=True)
+            await step(context)
 
 
 def main() -> None:
     """Run the demo; the exit code is 0 only when all checks held."""
     with tempfile.TemporaryDirectory() as folder:
-        checks = asyncio.run(play(Path(folder)))
+        checks = asyncio.run(run_demo(Path(folder)))
     print(f"\n{checks.count - len(checks.failed)} of {checks.count} checks held")
     sys.exit(1 if checks.failed else 0)
 
--- a/demo/checks.py
+++ b/demo/checks.py
@@ -4,14 +4,18 @@
 
 
 class Checks:
-    """Prints each thing that became true; remembers what did not."""
+    """Prints each check; remembers those that failed."""
 
     def __init__(self) -> None:
         self.failed: list[str] = []
         self.count = 0
 
     def check(self, sentence: str, is_true: bool, found: Any = "") -> None:
-        """Note whether ``sentence`` is true; ``found`` is shown when it isn't."""
+        """Record a check.
+
+        :param sentence: what is expected, for people.
+        :param found: shown when the check failed.
+        """
         self.count += 1
         if is_true:
             print(f"  ok      {sentence}", flush=True)
--- a/src/damaskdeck/cli/app.py
+++ b/src/damaskdeck/cli/app.py
@@ -5,7 +5,7 @@
 import typer
 
 from damaskdeck.cli.output import Style
-from damaskdeck.cli.session import Target
+from damaskdeck.cli.session import CallOptions
 
 app = typer.Typer(
     name="damaskdeck",
@@ -16,7 +16,7 @@
 
 
 @app.callback()
-def set_target(
+def set_options(
     context: typer.Context,
     server: Annotated[
         str, typer.Option(envvar="DAMASKDECK_SERVER", help="URL of a daemon.")
@@ -29,7 +29,7 @@
     ] = Style.TABLE,
 ) -> None:
     """Set what all commands share."""
-    context.obj = Target(server, token, output)
+    context.obj = CallOptions(server, token, output)
 
 
 def main() -> None:
--- a/src/damaskdeck/cli/output.py
+++ b/src/damaskdeck/cli/output.py
@@ -1,14 +1,13 @@
 """What the command line prints: tables, JSON or YAML."""
 
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
 import msgspec
 import yaml
 
-Row = Sequence[Any]
 Column = Callable[[dict[str, Any]], Any]
 
 
--- a/src/damaskdeck/cli/session.py
+++ b/src/damaskdeck/cli/session.py
@@ -27,24 +27,36 @@
 PATCH_HEADERS = {"Content-Type": "application/merge-patch+json"}
 
 
-class Target(NamedTuple):
-    """Which daemon to call and how to print."""
+class CallOptions(NamedTuple):
+    """Which daemon to call and how to print.
+
+    :param server: base URL of the daemon.
+    :param token: bearer token; an empty string sends none.
+    """
 
     server: str
     token: str
     style: Style
 
 
-def run(target: Target, work: Callable[[Client], Awaitable[Exit | None]]) -> NoReturn:
-    """Run ``work`` with a client and exit with what became of it."""
-    raise typer.Exit(asyncio.run(_run(target, work)))
+def run(
+    options: CallOptions, work: Callable[[Client], Awaitable[Exit | None]]
+) -> NoReturn:
+    """Run ``work`` with a client and exit with what became of it.
+
+    No connection is ``REFUSED``, as nothing was sent; one that broke later is
+    ``UNKNOWN``.
+
+    :raises typer.Exit: always.
+    """
+    raise typer.Exit(asyncio.run(_run(options, work)))
 
 
 async def _run(
-    target: Target, work: Callable[[Client], Awaitable[Exit | None]]
+    options: CallOptions, work: Callable[[Client], Awaitable[Exit | None]]
 ) -> Exit:
     try:
-        async with Client(target.server, target.token) as client:
+        async with Client(options.server, options.token) as client:
             return await work(client) or Exit.COMPLETED
     except aiohttp.ClientConnectorError as error:
         print_note(f"unreachable: nothing was sent: {error}")
