Settle a key that was claimed while its caller went

Cause: a caller that went while its key was being claimed left a claim that nobody settled: repeats met "in_progress" until the deadline, then "unknown", for a request that was never sent. Change: the claim goes on by itself and, if it is granted, is settled as refused with "cancelled", which is true. Before: the new test met "in_progress". After: it passes, with test_routing, test_request_plane, test_requests_model and test_api.

--- a/src/damaskdeck/coordination/keyed.py
+++ b/src/damaskdeck/coordination/keyed.py
@@ -33,7 +33,7 @@
 
     @property
     def count_settling(self) -> int:
-        """Return how many outcomes are about to be remembered."""
+        """Return how many keys are being claimed or settled."""
         return len(self._settlings)
 
     async def serve(self, course: Course) -> Outcome:
@@ -41,7 +41,12 @@
         request = course.request
         digest = hashlib.sha256(request.body).digest()
         name = (request.team, request.service, request.key)
-        claim = await self._keys.claim_key(*name, digest, request.timeout)
+        claiming = self._start(self._keys.claim_key(*name, digest, request.timeout))
+        try:
+            claim = await asyncio.shield(claiming)
+        except asyncio.CancelledError:
+            self._start(self._settle_unserved(name, claiming))
+            raise
         if isinstance(claim, Known):
             return claim.outcome
         if not isinstance(claim, Claimed):
@@ -55,13 +60,20 @@
         await asyncio.shield(settling)
         return outcome
 
-    def _start(self, settling: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
-        """Remember an outcome also when the caller goes meanwhile."""
-        task = asyncio.ensure_future(settling)
+    def _start(self, call: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+        """Let a call to the keeper end also when the caller goes meanwhile."""
+        task = asyncio.ensure_future(call)
         self._settlings.add(task)
         task.add_done_callback(self._settlings.discard)
         return task
 
+    async def _settle_unserved(
+        self, name: tuple[str, str, str], claiming: "asyncio.Task[Any]"
+    ) -> None:
+        """Remember that a request whose caller went too early has not run."""
+        if isinstance(await claiming, Claimed):
+            await self._keys.settle_key(*name, Refused("cancelled"))
+
     async def _settle_cancelled(
         self, name: tuple[str, str, str], course: Course
     ) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -681,6 +681,25 @@
         outcome, counts, _ = self.play(scenario)
         self.assertEqual((outcome, counts), (Completed(b"a"), {"a": 1}))
 
+    def test_a_key_claimed_while_its_caller_goes_is_known_not_to_have_run(self):
+        async def scenario(deployment, keys):
+            claim = keys.claim_key
+
+            async def claim_slowly(*args):
+                found = await claim(*args)
+                await asyncio.sleep(0.05)
+                return found
+
+            keys.claim_key = claim_slowly
+            ask = asyncio.ensure_future(deployment.ask("entry-0-0", "a", key="k"))
+            await asyncio.sleep(0.01)
+            ask.cancel()
+            await asyncio.sleep(0.1)
+            return await deployment.ask("entry-0-0", "b", key="k")
+
+        outcome, counts, _ = self.play(scenario)
+        self.assertEqual((outcome, counts), (Refused("cancelled"), {}))
+
     def test_draining_waits_until_outcomes_are_remembered(self):
         async def scenario(deployment, keys):
             self.settle_slowly(keys)
