Keep an unreadable ledger closed without stopping its daemon

Cause: when another value stood in the next slot of an open ledger, the fault stopped the whole daemon, and with it all other ledgers that it kept. A ledger that couldn't be replayed was opened again at each round of ownership: 40 lists of the whole ledger and 80 writes a minute (a trial of 60 s).

Change: the ledger alone takes no more commits, refused as unreadable_ledger, or lost for those on their way; what is known is still read. After a failed opening, logged with the code, the next comes after 30 s: 2 lists and 4 writes in the same trial.

Before: both new tests failed (answer_lost in place of unreadable_ledger and the daemon's task ended; 40 lists in place of 3). After: test_fuzzing, test_ledger*, test_keeper, test_layers, test_ownership: 163 passed.

--- a/src/damaskdeck/coordination/kept.py
+++ b/src/damaskdeck/coordination/kept.py
@@ -5,6 +5,7 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.errors import LedgerError, MessageError
+from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal, count_retry
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.ports import Lost, Rejected, Store
@@ -14,6 +15,9 @@
 
 RETRY_AFTER = timedelta(seconds=1)
 REOPEN_INTERVAL = timedelta(milliseconds=250)
+UNREADABLE_INTERVAL = timedelta(seconds=30)
+
+_log = get_logger("keeper")
 
 ChangeHandler = Callable[[tuple[str, ...]], None]
 Record = tuple[object, type]
@@ -57,10 +61,16 @@
         :raises LedgerError: when what the store holds can't be read.
         """
         while not self._is_closed:
-            opened = await self._ledger.open(self.epoch)
-            if isinstance(opened, Opened):
-                self._replay(opened.snapshot + opened.records)
-                return not self._is_closed
+            try:
+                opened = await self._ledger.open(self.epoch)
+                if isinstance(opened, Opened):
+                    self._replay(opened.snapshot + opened.records)
+                    return not self._is_closed
+            except LedgerError as error:
+                _log.error("Stays closed.", ledger=self.name, code=error.code)
+                # Each new try reads all of the ledger and writes to it.
+                await self._clock.sleep(UNREADABLE_INTERVAL)
+                raise
             if opened.code == "epoch_passed":
                 return False
             count_retry("keeper", opened.code)
--- a/src/damaskdeck/state/ledger.py
+++ b/src/damaskdeck/state/ledger.py
@@ -9,6 +9,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
+from damaskdeck.errors import LedgerError
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.ports import Lost, Rejected, Store
@@ -98,6 +99,7 @@
         self._is_closing = False
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._failure: Exception | None = None
+        self._unreadable: Rejected | None = None
 
     async def open(self, epoch: int) -> Opened | Rejected | Lost:
         """Fence off all keepers of lower epochs, then read what they committed.
@@ -156,6 +158,8 @@
     def _refuse(self, records: tuple[bytes, ...]) -> Deposed | Rejected | None:
         if self._failure is not None:
             raise self._failure
+        if self._unreadable is not None:
+            return self._unreadable
         if self._log is None or self._is_closing:
             return Rejected("not_open")
         if self._log.deposed is not None:
@@ -175,11 +179,22 @@
     async def _guard(self, act: Callable[[], object]) -> None:
         try:
             await act()
+        except LedgerError as error:
+            self._give_up(error)
         except Exception as error:
             _log.error("Stopped by a fault.", ledger=self.name, fault=repr(error))
             self._failure = failure = error
             self._queue.settle_all(lambda commit: commit.fail(failure))
 
+    def _give_up(self, error: LedgerError) -> None:
+        """Take no more commits, as what others wrote to the ledger is unreadable."""
+        _log.error("Can't be read.", ledger=self.name, code=error.code, why=str(error))
+        refusal = self._unreadable = Rejected(error.code, str(error))
+        lost = Lost(error.code, str(error))
+        self._queue.settle_all(
+            lambda commit: commit.settle(lost if commit.is_sent else refusal)
+        )
+
     async def _append_all(self) -> None:
         backoff = Backoff(self._clock)
         while self._queue:
--- a/src/damaskdeck/transport/api/problems.py
+++ b/src/damaskdeck/transport/api/problems.py
@@ -63,6 +63,7 @@
     "payload_too_large": Code(413, "The payload is too large"),
     "queue_full": Code(429, "The queue is full"),
     "ledger_full": Code(507, "The ledger is full"),
+    "unreadable_ledger": Code(503, "The ledger can't be read"),
     "deadline_passed": Code(503, "The deadline came first"),
     "deadline_unmeetable": Code(503, "The deadline can't be met"),
     "no_target": Code(503, "No target of the service is known"),
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -725,6 +725,31 @@
 
         await self.assert_closed("log/", replace)
 
+    @virtual
+    async def test_a_ledger_spoilt_under_its_keeper_refuses_and_others_go_on(self):
+        daemon, job = await start_with_job()
+        log = daemon.keeper.desks[read_ledger(job)].kept._ledger._log
+        slot = log._keys.slot(log.last + 1, log.head.slots)
+        daemon.platform.store.put(slot, b"odd", None, "")
+        submission = Submission("tiles", "maps", b"{}")
+        first = await daemon.keeper.submit_job(submission)
+        self.assertIsInstance(first, Unknown)
+        second = await daemon.keeper.submit_job(submission)
+        self.assertEqual(second.code, "unreadable_ledger")
+        await asyncio.sleep(10)
+        daemon.check()
+        self.assertEqual((await daemon.keeper.read_job(job)).name, job)
+        await daemon.close()
+
+    @virtual
+    async def test_an_unreadable_ledger_is_tried_again_only_now_and_then(self):
+        daemon, _ = await self.restart_with("head", lambda value: b"odd")
+        calls = daemon.platform.store.calls
+        before = calls["list"]
+        await asyncio.sleep(60)
+        self.assertLessEqual(calls["list"] - before, 3)
+        await daemon.close()
+
     @virtual
     async def test_a_table_without_its_things_is_not_taken_for_an_empty_one(self):
         daemon = await WholeDaemon().start()
