Work out claims of classes only where the quota limits them

Change: claims of the preempting classes are worked out only when the whole claim is below the want; a pass has a second round only if a quota kept something out.

--- a/src/damaskdeck/coordination/passes.py
+++ b/src/damaskdeck/coordination/passes.py
@@ -126,6 +126,8 @@
         """Return the next job when claims that found no room are lent."""
         if self._lends_claims or not any(self._queue.quotas.claims):
             return None
+        if not self._short and not any(self._at_quota.values()):
+            return None
         self._start(lends_claims=True)
         return self._choose()
 
--- a/src/damaskdeck/state/quotas.py
+++ b/src/damaskdeck/state/quotas.py
@@ -246,11 +246,8 @@
 
     def _update_claim(self, record: _Team) -> None:
         claim = _compute_claim(record.wants[-1], record.uses[-1], record.quota)
-        for rank in range(PREEMPTING_RANKS):
-            want = record.wants[rank]
-            if want != ZERO_SIZE:
-                more = _compute_claim(want, record.uses[rank], record.quota)
-                claim = Size(*map(max, claim, more))
+        if claim != record.wants[-1]:
+            claim = _add_preempting(claim, record)
         if claim != record.claim:
             rest = subtract_sizes(self._claims, record.claim)
             self._claims = add_sizes(rest, claim)
@@ -281,6 +278,16 @@
     return Size(_clip(w0, q0 - u0), _clip(w1, q1 - u1), _clip(w2, q2 - u2))
 
 
+def _add_preempting(claim: Size, record: _Team) -> Size:
+    """Raise a claim to what the classes that may preempt can add by themselves."""
+    for rank in range(PREEMPTING_RANKS):
+        want = record.wants[rank]
+        if want != ZERO_SIZE:
+            more = _compute_claim(want, record.uses[rank], record.quota)
+            claim = Size(*map(max, claim, more))
+    return claim
+
+
 def _clip(want: int, left: int) -> int:
     least = want if want < left else left
     return least if least > 0 else 0
