Say units, errors and why in the docstrings of the shared modules

Cause: read as a newcomer.

Change: docstrings and comments of clock, client, daemon, logs, metrics, settings, protocol/{handlers,outcomes,resources} and state/work; resources.Seconds uses quantities.LONGEST_SECONDS, the same value.

--- a/src/damaskdeck/client.py
+++ b/src/damaskdeck/client.py
@@ -13,7 +13,8 @@
 class Reply(NamedTuple):
     """An answer of the API.
 
-    :param outcome: completed, failed, refused or unknown; see ``Outcome``.
+    :param outcome: the header ``Outcome``: completed, failed, refused or
+        unknown; an empty string on calls that run nothing.
     """
 
     status: int
@@ -69,6 +70,8 @@
         """Call the API once; nothing is retried.
 
         :param document: sent as JSON when ``body`` is ``None``.
+        :raises aiohttp.ClientConnectorError: when nothing was sent.
+        :raises aiohttp.ClientError: when the call may have had its effect.
         """
         if body is None and document is not None:
             body = msgspec.json.encode(document)
@@ -81,7 +84,13 @@
             return Reply(answer.status, answer.headers, content, outcome)
 
     async def watch(self, path: str) -> AsyncIterator[Any]:
-        """Yield the JSON lines of a watch until the server ends it."""
+        """Yield the JSON lines of a watch until the server ends it.
+
+        A watch that is refused yields its problem body only, which has no
+        ``type`` of a change.
+
+        :raises aiohttp.ClientError: when the connection breaks.
+        """
         async with self.session.get(self._server + path) as answer:
             if answer.status != 200:
                 yield msgspec.json.decode(await answer.read())
--- a/src/damaskdeck/clock.py
+++ b/src/damaskdeck/clock.py
@@ -6,6 +6,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
+# Sleeps shorter than the second value keep their length, as a tenth would show.
 GRID_SECONDS = 0.1
 ALIGNED_FROM_SECONDS = 0.2
 
@@ -23,7 +24,7 @@
         """
 
     async def sleep(self, duration: timedelta) -> None:
-        """Wait for ``duration``."""
+        """Wait for ``duration``, or somewhat longer."""
 
 
 class SystemClock:
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -43,8 +43,10 @@
 from damaskdeck.transport.targets import HttpTargets
 from damaskdeck.transport.workers import HttpWorkers
 
+# Those of sysexits.h: EX_CONFIG and EX_SOFTWARE.
 EXIT_SETTINGS = 78
 EXIT_INVARIANT = 70
+# For each step of handing over: a store that is away must not hold up the exit.
 HANDOVER_LIMIT = timedelta(seconds=5)
 
 _log = get_logger("daemon")
@@ -63,6 +65,7 @@
     """All parts of one daemon, put together.
 
     :param platform: adapters; those over HTTP unless given.
+    :ivar api_address: ``IP:port`` of the API, once :meth:`start` has returned.
     """
 
     def __init__(
@@ -80,7 +83,10 @@
         self._fleet_known = False
 
     async def start(self) -> None:
-        """Bind the addresses and put the parts together."""
+        """Bind the addresses and put the parts together.
+
+        :raises SettingsError: when an address is taken or isn't of this machine.
+        """
         settings, clock = self.settings, self._clock
         self._network = PeerNetwork(
             settings.name,
@@ -221,10 +227,12 @@
         self._stop.set()
 
     async def run(self) -> None:
-        """Run until asked to stop, then shut down gracefully.
+        """Run until asked to stop, then shut down gracefully; call it once.
 
         Promise: "A graceful shutdown of an instance or process cuts off no
         request in progress."
+
+        :raises Exception: that of the first part that failed; nothing is drained.
         """
         parts = [self.fleet, self.membership, self.ownership, self.relay]
         parts += [self.keeper, self.host, self.router]
@@ -283,7 +291,7 @@
 
 
 async def serve(settings: Settings) -> None:
-    """Run a daemon until a signal ends it."""
+    """Run a daemon until SIGTERM or SIGINT ends it."""
     daemon = Daemon(settings, SystemClock())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/damaskdeck/logs.py
+++ b/src/damaskdeck/logs.py
@@ -48,6 +48,7 @@
 
     :param style: ``text`` or ``json`` (a line for each record).
     :param level: lowest level that is written, as in ``info``.
+    :param stream: a text stream.
     """
     handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
     handler.formatter = _format_json if style == "json" else _format_text
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -62,13 +62,18 @@
 
 
 def count_peer_batch(direction: str, messages: int, size: int) -> None:
-    """Count a batch on a stream; ``direction`` is ``in`` or ``out``."""
+    """Count a batch on a stream.
+
+    :param direction: ``in`` or ``out``.
+    :param messages: how many it holds.
+    :param size: in bytes, without the framing of HTTP/2.
+    """
     _peer_messages[direction] += messages
     _peer_bytes[direction] += size
 
 
 def observe_wait(part: str, urgency: str, wait: timedelta) -> None:
-    """Record how long a piece of work waited before it ran."""
+    """Record how long a piece of work waited before it ran, in seconds."""
     _waits.record(wait.total_seconds(), {"part": part, "urgency": urgency})
 
 
--- a/src/damaskdeck/protocol/handlers.py
+++ b/src/damaskdeck/protocol/handlers.py
@@ -33,6 +33,7 @@
     """A caller's job.
 
     :param key: the caller's ``Idempotency-Key``, or an empty string.
+    :param workload: name of a declared workload, a batch or a gang.
     :param payload: handed to each task as it is.
     """
 
@@ -63,6 +64,9 @@
 
     :param code: why, for a job that failed, was refused or is unknown.
     :param reasons: plain words: why it waits, where it ran, why it was moved.
+    :param results: of its tasks in their order, once it has completed; not in lists.
+    :param workers: where each of ``tasks`` was last placed, or an empty string.
+    :param revision: rises with each change of the job.
     """
 
     name: str
--- a/src/damaskdeck/protocol/outcomes.py
+++ b/src/damaskdeck/protocol/outcomes.py
@@ -10,6 +10,8 @@
 class Completed(NamedTuple):
     """It ran and ended well.
 
+    Promise: "Every caller gets the whole answer to its own request".
+
     :param body: the whole answer.
     :param content_type: media type of ``body``.
     """
--- a/src/damaskdeck/protocol/resources.py
+++ b/src/damaskdeck/protocol/resources.py
@@ -5,17 +5,22 @@
 
 from msgspec import Meta
 
+from damaskdeck.protocol.quantities import LONGEST_SECONDS
 from damaskdeck.protocol.sizes import Size
 
 Name = Annotated[
     str, Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$", max_length=63)
 ]
 Labels = dict[str, str]
-Seconds = Annotated[float, Meta(gt=0, le=366 * 86400)]
+Seconds = Annotated[float, Meta(gt=0, le=LONGEST_SECONDS)]
 
 
 class Kind(StrEnum):
-    """Kinds of resource; the first two are declared and kept in the store."""
+    """Kinds of resource.
+
+    Those in ``DECLARED_KINDS`` are written by operators and kept in the store;
+    the others are observed.
+    """
 
     TEAM = "team"
     WORKLOAD = "workload"
--- a/src/damaskdeck/settings.py
+++ b/src/damaskdeck/settings.py
@@ -20,7 +20,7 @@
 
 
 class ListenSection(TypedDict):
-    """Where the daemon listens; port 0 takes a free one."""
+    """Where the daemon listens; port 0 takes a free one, also if left out."""
 
     host: Host
     api_port: NotRequired[Port]
@@ -50,7 +50,10 @@
 
 
 class LimitsSection(TypedDict):
-    """Bounds and times; seconds where nothing else is said."""
+    """Bounds and times.
+
+    ``ledgers`` and ``queue`` count, ``body`` is in bytes, all others in seconds.
+    """
 
     ledgers: NotRequired[Annotated[int, Meta(ge=1, le=64)]]
     queue: NotRequired[Annotated[int, Meta(ge=1, le=1_000_000)]]
@@ -78,7 +81,12 @@
 
 
 class Settings(NamedTuple):
-    """Settings as the daemon uses them; see :class:`SettingsDocument`."""
+    """Settings as the daemon uses them; see :class:`SettingsDocument`.
+
+    :param api_port: 0 takes a free one, as for ``peer_port``.
+    :param seeds: peer addresses of some daemons, as ``IP:port``.
+    :param body_limit: bytes.
+    """
 
     name: str
     zone: str
--- a/src/damaskdeck/state/work.py
+++ b/src/damaskdeck/state/work.py
@@ -85,13 +85,20 @@
 
 
 class Key(NamedTuple):
-    """An idempotency key of a request."""
+    """An idempotency key of a request.
+
+    :param digest: of the request, to recognise another one under the same key.
+    :param deadline: time of day in seconds since 1970, after which an unsettled
+        key counts as unknown.
+    :param outcome: ``None`` until the request is settled.
+    """
 
     digest: bytes
     deadline: float
     outcome: OutcomeData | None = None
 
 
+# Team, service and key.
 KeyIndex = tuple[str, str, str]
 
 
