Treat too deep nesting and endless leases as unreadable

Cause: bytes nested beyond the decoder's recursion raise RecursionError, which only some places expected; such a report on a heartbeat ended the relay and with it the daemon. A lease of infinite length from the store raised OverflowError in the member's registration.

Change: errors.DECODE_ERRORS is what each decoder of outside bytes expects; the store's adapter tells such an answer as lost.

Before: both new tests ended in RecursionError and OverflowError.

--- a/src/damaskdeck/coordination/loads.py
+++ b/src/damaskdeck/coordination/loads.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from damaskdeck.clock import Clock
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.forwarding import Load
 from damaskdeck.protocol.members import Members
@@ -180,7 +181,7 @@
     def _read(self, name: str, value: bytes, received: timedelta) -> None:
         try:
             loads = _decoder.decode(value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             _log.warn("A load report is unreadable.", member=name, error=str(error))
             return
         for service, load in loads.items():
--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/owners.py
@@ -12,6 +12,7 @@
     choose_owner,
     list_preemptible,
 )
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.members import Members, Report
 from damaskdeck.protocol.summaries import WorkerSummary
@@ -109,7 +110,7 @@
     def _take(self, report: Report) -> None:
         try:
             summary = _decoder.decode(report.value)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             count_drop("keeper", "bad_summary")
             return
         view = OwnerView(report.instance, summary, report.received)
--- a/src/damaskdeck/coordination/registration.py
+++ b/src/damaskdeck/coordination/registration.py
@@ -9,6 +9,7 @@
 from damaskdeck.coordination.contacts import to_fields
 from damaskdeck.coordination.mirrors import Mirror
 from damaskdeck.coordination.tenures import NEVER, Tenure
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry, count_store_call
 from damaskdeck.protocol.heartbeats import MemberFields
@@ -175,6 +176,6 @@
 def _decode_registration(value: bytes) -> Registered | None:
     try:
         found = msgspec.msgpack.decode(value, type=Registration)
-    except (msgspec.MsgspecError, RecursionError):
+    except DECODE_ERRORS:
         return None
     return Registered(Member(**found.member), found.session)
--- a/src/damaskdeck/coordination/reports.py
+++ b/src/damaskdeck/coordination/reports.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.metrics import count_drop, count_retry
 from damaskdeck.protocol.members import Members
 from damaskdeck.protocol.messages import Answered, Peers
@@ -62,7 +63,7 @@
         for name, report in self._members.read_reports(TOPIC).items():
             try:
                 reports[name] = _decoder.decode(report.value)
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 count_drop(PART, "invalid_report")
         reports[self._members.self.name] = self.make_own()
         return reports
--- a/src/damaskdeck/coordination/tables.py
+++ b/src/damaskdeck/coordination/tables.py
@@ -9,6 +9,7 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry, count_store_call
 from damaskdeck.protocol.ports import Conflict, Lost, Store, Written
@@ -147,6 +148,6 @@
     """Decode a table; ``None`` when it can't be read."""
     try:
         return msgspec.msgpack.decode(value, type=Document)
-    except (msgspec.MsgspecError, RecursionError):
+    except DECODE_ERRORS:
         count_drop("ownership", "invalid_table")
         return None
--- a/src/damaskdeck/errors.py
+++ b/src/damaskdeck/errors.py
@@ -7,6 +7,11 @@
 
 from typing import ClassVar, NamedTuple
 
+import msgspec
+
+# What decoding ends with, whatever the bytes; nesting has no limit of its own.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
 
 class Fault(NamedTuple):
     """One thing wrong with a document.
--- a/src/damaskdeck/protocol/messages.py
+++ b/src/damaskdeck/protocol/messages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from damaskdeck.errors import MessageError
+from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.protocol.values import distinct
 
 T = TypeVar("T")
@@ -127,7 +127,7 @@
         decoder = _decoders[name] = msgspec.msgpack.Decoder(_types[name])
     try:
         return decoder.decode(body)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(f"{name}: {error}") from error
 
 
@@ -146,5 +146,5 @@
         return None if body == NO_REPLY else decode_message(reply, body)
     try:
         return msgspec.msgpack.decode(body)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(f"reply to {name}: {error}") from error
--- a/src/damaskdeck/state/records.py
+++ b/src/damaskdeck/state/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from damaskdeck.errors import MessageError
+from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.protocol.jobs import OutcomeData
 from damaskdeck.protocol.resources import WorkloadSpec
 
@@ -226,7 +226,7 @@
         if kind is None:
             return None
         return kind, _get_decoder(frame.kind).decode(frame.body)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(f"record: {error}") from error
 
 
--- a/src/damaskdeck/state/segments.py
+++ b/src/damaskdeck/state/segments.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from damaskdeck.errors import LedgerError
+from damaskdeck.errors import DECODE_ERRORS, LedgerError
 
 RECORD_OVERHEAD = 5
 SEGMENT_OVERHEAD = 200
@@ -151,7 +151,7 @@
     """
     try:
         found = decoder.decode(value)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise LedgerError(str(error)) from error
     if value[0] in _SHORT_ARRAY and value[0] - _SHORT_ARRAY.start < length:
         raise LedgerError("an array that was cut short")
--- a/src/damaskdeck/state/versions.py
+++ b/src/damaskdeck/state/versions.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.protocol.ports import Event
 from damaskdeck.protocol.resources import (
     DECLARED_KINDS,
@@ -98,7 +99,7 @@
     """Decode the store's value; ``None`` when it can't be read."""
     try:
         return _decoder.decode(value)
-    except (msgspec.MsgspecError, RecursionError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/damaskdeck/transport/api/routes.py
+++ b/src/damaskdeck/transport/api/routes.py
@@ -12,6 +12,7 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.relay import ConfigurationRelay
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.handlers import JobHandler, RequestHandler, ResourceReader
 from damaskdeck.protocol.resources import Kind
@@ -91,7 +92,7 @@
         """Read the body as JSON."""
         try:
             document = msgspec.json.decode(await self.read_body())
-        except (msgspec.DecodeError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             raise ProblemError("bad_json", str(error)) from error
         if _is_deep(document):
             raise ProblemError("bad_json", f"at most {NESTING_LIMIT} levels deep")
--- a/src/damaskdeck/transport/instances.py
+++ b/src/damaskdeck/transport/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from damaskdeck.clock import Clock
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.protocol.ports import Instances, Lost, Rejected
 from damaskdeck.transport.pool import BAD_ANSWER, HttpPool
 
@@ -55,7 +56,7 @@
         if reply.status == 200:
             try:
                 self._known = _decoder.decode(reply.body)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 return Lost(BAD_ANSWER, str(error))
             self._etag = reply.headers.get("etag", "")
         elif reply.status != 304 or not self._etag:
--- a/src/damaskdeck/transport/store.py
+++ b/src/damaskdeck/transport/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from damaskdeck.clock import Clock
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.metrics import count_store_call
 from damaskdeck.protocol.ports import (
     Conflict,
@@ -147,7 +148,7 @@
             return reply
         try:
             answer = read(reply)
-        except (KeyError, ValueError, msgspec.MsgspecError) as error:
+        except (KeyError, ValueError, OverflowError, *DECODE_ERRORS) as error:
             return Lost(BAD_ANSWER, f"{reply.status} {error!r}")
         self._last_answer = self._clock.monotonic()
         return answer
--- a/src/damaskdeck/transport/workers.py
+++ b/src/damaskdeck/transport/workers.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.protocol.ports import (
     Accepted,
     Instance,
@@ -131,5 +132,5 @@
             return Lost(BAD_ANSWER, f"unexpected status {reply.status}")
         try:
             return decoder.decode(reply.body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return Lost(BAD_ANSWER, str(error))
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -50,6 +50,7 @@
     get_message_type,
 )
 from damaskdeck.protocol.outcomes import Completed, Refused, Unknown
+from damaskdeck.protocol.ports import Lost
 from damaskdeck.protocol.relays import ConfigurationReport
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.protocol.summaries import WorkerSummary
@@ -63,7 +64,9 @@
 from damaskdeck.transport.api.resources import PATCH_TYPE
 from damaskdeck.transport.api.routes import ROUTES, Route
 from damaskdeck.transport.peers import PeerNetwork
+from damaskdeck.transport.pool import Reply
 from damaskdeck.transport.replies import read_reply
+from damaskdeck.transport.store import HttpStore, _read_granted
 from standins.clock import settle
 from standins.loops import run_virtual
 from tests.cluster import Cluster, make_team, make_workload
@@ -167,6 +170,16 @@
 
         run_virtual(run())
 
+    @virtual
+    async def test_reports_nested_too_deeply_are_dropped(self):
+        daemon = await WholeDaemon().start()
+        deep = b"\x81\xa1x" * 2000
+        await send_reports(daemon, 1, dict.fromkeys(read_topics(), deep))
+        await asyncio.sleep(0.5)
+        daemon.check()
+        self.assertEqual(set(daemon.relay._reports.read()), {"d1"})
+        await daemon.close()
+
     @virtual
     async def test_a_summary_with_a_size_cut_short_is_dropped(self):
         daemon = await WholeDaemon().start()
@@ -660,6 +673,16 @@
         self.assertFalse(task.done(), "the stream's task died")
 
 
+class TestPlatform(unittest.TestCase):
+    """Odd answers of the platform's service."""
+
+    def test_a_lease_without_end_is_not_taken_for_one(self):
+        store = HttpStore("127.0.0.1:1", SystemClock())
+        for ttl in ("inf", "nan", "x", "1e400", ""):
+            reply = Reply(200, {"x-lease": "a", "x-ttl": ttl}, b"")
+            self.assertIsInstance(store._read(reply, _read_granted), Lost, ttl)
+
+
 class TestStored(unittest.TestCase):
     """Values of the store that are unreadable: nothing is made up from them."""
 
