--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -32,7 +32,7 @@
     show_outcome,
 )
 from damaskdeck.protocol.resources import Kind, Resource
-from damaskdeck.state.names import pick_ledger, read_ledger
+from damaskdeck.state.names import name_ledger, pick_ledger, read_ledger
 
 CALL_TIMEOUT = timedelta(seconds=6)
 RETRY_INTERVAL = timedelta(milliseconds=200)
@@ -178,7 +178,7 @@
             )
         pages = await asyncio.gather(
             *(
-                self._list_one(f"{number:02d}", team, after, limit)
+                self._list_one(name_ledger(number), team, after, limit)
                 for number in range(self._count)
             )
         )
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -32,6 +32,7 @@
 from damaskdeck.protocol.resources import POLICY_NAME, Kind, Resource
 from damaskdeck.settings import Settings, load_settings
 from damaskdeck.state.configuration import Configuration
+from damaskdeck.state.names import name_ledger
 from damaskdeck.state.watches import History
 from damaskdeck.transport.api.app import build_app
 from damaskdeck.transport.api.credentials import Credentials
@@ -168,7 +169,10 @@
             longest=settings.request_timeout,
         )
         self.observer = Observer(*shared, self.fleet, self.host)
-        ledgers = tuple(f"{number:02d}" for number in range(settings.ledger_count))
+        self._follow_changes()
+
+    def _follow_changes(self) -> None:
+        ledgers = tuple(map(name_ledger, range(self.settings.ledger_count)))
         self.ownership.set_things("ledger", ledgers)
         self.fleet.on_change(lambda changes: self._list_things())
         self.configuration.subscribe(self._take_policy)
--- a/src/damaskdeck/state/names.py
+++ b/src/damaskdeck/state/names.py
@@ -8,12 +8,17 @@
 _SUFFIX_BYTES = 6
 
 
+def name_ledger(number: int) -> str:
+    """Name a ledger by its number from 0 on, as in ``03``."""
+    return f"{number:02d}"
+
+
 def pick_ledger(team: str, count: int) -> str:
     """Return the ledger of a team, as in ``03``.
 
     :param count: how many ledgers there are.
     """
-    return f"{xxhash.xxh3_64_intdigest(team.encode()) % count:02d}"
+    return name_ledger(xxhash.xxh3_64_intdigest(team.encode()) % count)
 
 
 def name_job(workload: str, team: str, ledger: str, key: str) -> str:
