Type and document the stand-in of the task plane

Change: types, docstrings, FINAL_JOB_STATES; declare() tells a deletion plainly in place of two conditional expressions. Behaviour is unchanged.

--- a/src/standins/plane.py
+++ b/src/standins/plane.py
@@ -1,14 +1,24 @@
 """Task planes of several daemons in one process, whose owners are given."""
 
+from __future__ import annotations
+
 import asyncio
+from collections.abc import Mapping
 from datetime import timedelta
+from typing import Any, Self
 
 from damaskdeck.coordination.fleet import Fleet
 from damaskdeck.coordination.hosting import WorkerHost
 from damaskdeck.coordination.keeper import Keeper
-from damaskdeck.protocol.members import Member, Owner, Report
-from damaskdeck.protocol.resources import Kind
+from damaskdeck.protocol.handlers import (
+    FINAL_JOB_STATES,
+    ConfigurationHandler,
+    JobView,
+)
+from damaskdeck.protocol.members import Member, Owner, OwnershipHandler, Report
+from damaskdeck.protocol.resources import Kind, Resource
 from damaskdeck.protocol.sizes import Size
+from damaskdeck.state.names import name_ledger
 from standins.loops import LoopClock
 from standins.peers import PeerSwitch
 from standins.platform import Platform
@@ -19,22 +29,22 @@
 class Registry:
     """Who owns what, decided by the test."""
 
-    def __init__(self):
-        self.owners = {}
-        self.daemons = {}
+    def __init__(self) -> None:
+        self.owners: dict[str, Owner] = {}
+        self.daemons: dict[str, PlaneDaemon] = {}
 
-    async def grant(self, thing, name):
+    async def grant(self, thing: str, name: str) -> None:
         """Let a daemon own a thing under the next epoch."""
         former = self.owners.get(thing)
         epoch = former.epoch + 1 if former else 1
         self.owners[thing] = Owner(name, epoch)
         await self.daemons[name].ownership.gain(thing, epoch)
 
-    async def usurp(self, thing, name):
+    async def usurp(self, thing: str, name: str) -> None:
         """Give a thing away while its owner, paused, still believes it owns it."""
         await self.grant(thing, name)
 
-    async def hand_over(self, thing, name):
+    async def hand_over(self, thing: str, name: str) -> None:
         """Let the present owner lose a thing first."""
         former = self.owners[thing]
         if former.instance in self.daemons:
@@ -45,40 +55,46 @@
 class FixedOwnership:
     """One daemon's view of a :class:`Registry`; implements ``Ownership``."""
 
-    def __init__(self, registry):
+    def __init__(self, registry: Registry) -> None:
         self.registry = registry
-        self.held = {}
-        self.gains = {}
-        self.losses = {}
+        self.held: dict[str, int] = {}
+        self.gains: dict[str, OwnershipHandler] = {}
+        self.losses: dict[str, OwnershipHandler] = {}
 
-    def get_epoch(self, thing):
+    def get_epoch(self, thing: str) -> int | None:
+        """Return the epoch of a thing that this daemon believes it owns."""
         return self.held.get(thing)
 
-    def find_owner(self, thing):
+    def find_owner(self, thing: str) -> Owner | None:
+        """Return the owner by the registry."""
         return self.registry.owners.get(thing)
 
-    def list_held(self, scope):
+    def list_held(self, scope: str) -> tuple[str, ...]:
+        """List what this daemon believes it owns."""
         return tuple(t for t in self.held if t.startswith(f"{scope}/"))
 
-    def set_things(self, scope, names):
-        pass
+    def set_things(self, scope: str, names: tuple[str, ...]) -> None:
+        """Change nothing: the test says what there is to own."""
 
-    def on_gain(self, scope, handler):
+    def on_gain(self, scope: str, handler: OwnershipHandler) -> None:
+        """Let ``handler`` know of gains."""
         self.gains[scope] = handler
 
-    def on_loss(self, scope, handler):
+    def on_loss(self, scope: str, handler: OwnershipHandler) -> None:
+        """Let ``handler`` know of losses."""
         self.losses[scope] = handler
 
-    async def gain(self, thing, epoch):
+    async def gain(self, thing: str, epoch: int) -> None:
         """Tell of a gain; it lasts while the store can't be reached."""
-        task = asyncio.ensure_future(self.finish_gain(thing, epoch))
+        task = asyncio.ensure_future(self._finish_gain(thing, epoch))
         await asyncio.wait({task}, timeout=1)
 
-    async def finish_gain(self, thing, epoch):
+    async def _finish_gain(self, thing: str, epoch: int) -> None:
         await self.gains[thing.partition("/")[0]](thing, epoch)
         self.held[thing] = max(epoch, self.held.get(thing, 0))
 
-    async def lose(self, thing):
+    async def lose(self, thing: str) -> None:
+        """Tell of a loss; a thing that wasn't held changes nothing."""
         epoch = self.held.pop(thing, None)
         if epoch is not None:
             await self.losses[thing.partition("/")[0]](thing, epoch)
@@ -87,56 +103,66 @@
 class FixedMembers:
     """The members of a :class:`Registry`; implements ``Members``."""
 
-    def __init__(self, name, zone, plane):
+    def __init__(self, name: str, zone: str, plane: Plane) -> None:
         self.self = Member(name, zone, "r", "", "", "1")
         self.plane = plane
 
-    def list_live(self, zone=""):
+    def list_live(self, zone: str = "") -> tuple[Member, ...]:
+        """List the daemons that haven't been killed."""
         found = [d.members.self for d in self.plane.registry.daemons.values()]
         return tuple(m for m in found if zone in ("", m.zone))
 
-    def is_live(self, name):
+    def is_live(self, name: str) -> bool:
+        """Tell whether a daemon hasn't been killed."""
         return name in self.plane.registry.daemons
 
-    def publish(self, topic, value):
+    def publish(self, topic: str, value: bytes) -> None:
+        """Give a report to all daemons at once."""
         now = self.plane.clock.monotonic()
         reports = self.plane.reports.setdefault(topic, {})
         reports[self.self.name] = Report(self.self.name, value, now)
 
-    def read_reports(self, topic):
+    def read_reports(self, topic: str) -> Mapping[str, Report]:
+        """Return the latest report of each daemon."""
         return self.plane.reports.get(topic, {})
 
 
 class FixedConfiguration:
     """Declared resources; implements ``ConfigurationReader``."""
 
-    def __init__(self):
-        self.resources = {}
-        self.handlers = []
+    def __init__(self) -> None:
+        self.resources: dict[tuple[Kind, str], Resource] = {}
+        self.handlers: list[ConfigurationHandler] = []
         self.revision = 1
 
-    def get(self, kind, name):
+    def get(self, kind: Kind, name: str) -> Resource | None:
+        """Return a declared resource."""
         return self.resources.get((kind, name))
 
-    def list(self, kind):
+    def list(self, kind: Kind) -> tuple[Resource, ...]:
+        """List the declared resources of a kind in order of name."""
         return tuple(r for (k, _), r in sorted(self.resources.items()) if k is kind)
 
-    def subscribe(self, handler):
+    def subscribe(self, handler: ConfigurationHandler) -> None:
+        """Call ``handler`` on each change."""
         self.handlers.append(handler)
 
-    def declare(self, kind, name, spec):
-        resource = {"kind": kind.value, "metadata": {"name": name}, "spec": spec}
-        self.resources[kind, name] = resource if spec is not None else None
+    def declare(self, kind: Kind, name: str, spec: dict[str, Any] | None) -> None:
+        """Put a resource in force at once; without a ``spec`` it is deleted."""
+        resource = None
         if spec is None:
             del self.resources[kind, name]
+        else:
+            resource = Resource(kind=kind.value, metadata={"name": name}, spec=spec)
+            self.resources[kind, name] = resource
         for handler in self.handlers:
-            handler(kind, name, resource if spec is not None else None)
+            handler(kind, name, resource)
 
 
 class PlaneDaemon:
     """The task plane of one daemon."""
 
-    def __init__(self, plane, name, zone):
+    def __init__(self, plane: Plane, name: str, zone: str) -> None:
         self.name = name
         ports = plane.platform.connect(name)
         self.peers = plane.switch.connect(name)
@@ -163,9 +189,9 @@
             plane.clock,
             ledger_count=plane.ledgers,
         )
-        self.tasks = []
+        self.tasks: list[asyncio.Future[None]] = []
 
-    def die(self):
+    def die(self) -> None:
         """End everything at once, as a killed process does."""
         for task in self.tasks:
             task.cancel()
@@ -173,7 +199,8 @@
             if desk._runner is not None:
                 desk._runner.cancel()
 
-    async def start(self):
+    async def start(self) -> None:
+        """Read the instance list once and begin to run."""
         await self.fleet.poll()
         self.tasks = [
             asyncio.ensure_future(self.fleet.run()),
@@ -185,7 +212,13 @@
 class Plane:
     """Daemons ``d1`` to ``dN``, workers ``w1`` to ``wN``, and few ledgers."""
 
-    def __init__(self, daemons=2, workers=2, size=WORKER_SIZE, ledgers=1):
+    def __init__(
+        self,
+        daemons: int = 2,
+        workers: int = 2,
+        size: Size = WORKER_SIZE,
+        ledgers: int = 1,
+    ) -> None:
         self.clock = LoopClock()
         self.checks_epochs = True
         self.ledgers = ledgers
@@ -193,12 +226,12 @@
         self.switch = PeerSwitch(self.clock)
         self.configuration = FixedConfiguration()
         self.registry = Registry()
-        self.reports = {}
+        self.reports: dict[str, dict[str, Report]] = {}
         for index in range(workers):
             self.platform.add_worker(f"w{index + 1}", "z1", size, rack=f"r{index}")
         self.names = [f"d{index + 1}" for index in range(daemons)]
 
-    async def start(self):
+    async def start(self) -> Self:
         """Start all daemons; the ledgers and workers are dealt out in turn."""
         for name in self.names:
             await self.add_daemon(name)
@@ -207,15 +240,16 @@
             await self.registry.grant(f"worker/{worker}", owner)
         for index in range(self.ledgers):
             owner = self.names[index % len(self.names)]
-            await self.registry.grant(f"ledger/{index:02d}", owner)
+            await self.registry.grant(f"ledger/{name_ledger(index)}", owner)
         return self
 
-    async def add_daemon(self, name):
+    async def add_daemon(self, name: str) -> None:
+        """Start a daemon that owns nothing yet."""
         daemon = PlaneDaemon(self, name, "z1")
         self.registry.daemons[name] = daemon
         await daemon.start()
 
-    async def kill(self, name):
+    async def kill(self, name: str) -> None:
         """Let a daemon die; others take over once its lease has lapsed."""
         self.platform.cut_off(name)
         self.switch.disconnect(name)
@@ -226,14 +260,14 @@
         await self.clock.sleep(timedelta(seconds=4))
         await self.redistribute(name)
 
-    async def redistribute(self, name):
+    async def redistribute(self, name: str) -> None:
         """Give what a daemon owned to the others in turn."""
         others = sorted(other for other in self.registry.daemons if other != name)
         things = [t for t, o in self.registry.owners.items() if o.instance == name]
         for index, thing in enumerate(sorted(things)):
             await self.registry.grant(thing, others[index % len(others)])
 
-    def declare(self, name="batch", team="team", **fields):
+    def declare(self, name: str = "batch", team: str = "team", **fields: Any) -> None:
         """Declare a workload with one small task unless ``fields`` say more."""
         spec = {
             "team": team,
@@ -243,21 +277,24 @@
         }
         self.configuration.declare(Kind.WORKLOAD, name, spec | fields)
 
-    def find(self, name):
+    def find(self, name: str) -> PlaneDaemon:
+        """Return a daemon that hasn't been killed."""
         return self.registry.daemons[name]
 
-    async def wait_for_end(self, job, seconds=120, at=None):
-        """Read a job until it has ended."""
+    async def wait_for_end(
+        self, job: str, seconds: int = 120, at: str | None = None
+    ) -> JobView:
+        """Read a job until it has ended.
+
+        :param seconds: how long at most, by the loop's clock.
+        :param at: the daemon to ask; the first one unless given.
+        :raises AssertionError: when it hasn't ended by then.
+        """
         keeper = self.find(at or self.names[0]).keeper
         view = None
         for _ in range(seconds * 10):
             view = await keeper.read_job(job)
-            if getattr(view, "state", "") in (
-                "completed",
-                "failed",
-                "refused",
-                "unknown",
-            ):
+            if isinstance(view, JobView) and view.state in FINAL_JOB_STATES:
                 return view
             await self.clock.sleep(timedelta(milliseconds=100))
         raise AssertionError(f"{job} has not ended: {view}")
