Say take_over for a takeover in the stand-in of owners

Cause: Registry.usurp was a metaphor; the field and docs/design/ownership.md say takeover.

Change: the method is take_over, and so is the rule of the state machine that calls it; no check is changed.

Tests run: hosting, task_plane: 36 passed.

--- a/src/standins/plane.py
+++ b/src/standins/plane.py
@@ -40,7 +40,7 @@
         self.owners[thing] = Owner(name, epoch)
         await self.daemons[name].ownership.gain(thing, epoch)
 
-    async def usurp(self, thing: str, name: str) -> None:
+    async def take_over(self, thing: str, name: str) -> None:
         """Give a thing away while its owner, paused, still believes it owns it."""
         await self.grant(thing, name)
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -138,7 +138,7 @@
         await self.start(ENDLESS)
         await self.sleep(2)
         old = self.plane.find("d2").host.sessions["w1"]
-        await self.plane.registry.usurp("worker/w1", "d1")
+        await self.plane.registry.take_over("worker/w1", "d1")
         await self.sleep(1)
         start = Start(task="x-00-1-0", attempt=1, worker="w1", payload=b"")
         old.orders.start(start)
@@ -149,7 +149,7 @@
     async def test_deposed_owner_places_no_more_once_the_worker_refused_it(self):
         await self.start(ENDLESS)
         await self.sleep(2)
-        await self.plane.registry.usurp("worker/w1", "d1")
+        await self.plane.registry.take_over("worker/w1", "d1")
         await self.sleep(10)
         reply = await self.reserve("d2", 10)
         self.assertEqual(reply["refused"][0]["code"], "no_room")
@@ -166,7 +166,7 @@
     async def test_keeper_of_an_older_epoch_is_refused(self):
         await self.start(ENDLESS)
         await self.sleep(2)
-        await self.plane.registry.usurp("ledger/00", "d2")
+        await self.plane.registry.take_over("ledger/00", "d2")
         reply = await self.reserve("d2", 10)
         self.assertEqual(reply["refused"][0]["code"], "stale_keeper")
 
@@ -179,7 +179,7 @@
         await self.sleep(2)
         worker = self.plane.platform.workers["w1"]
         self.plane.platform.cut_off("d1", "w1")
-        await self.plane.registry.usurp("worker/w1", "d1")
+        await self.plane.registry.take_over("worker/w1", "d1")
         followups = self.plane.find("d1").keeper.desks["00"].followups
         followups._epochs["w1"] = self.plane.registry.owners["worker/w1"].epoch
         worker.pause()
--- a/tests/test_task_plane.py
+++ b/tests/test_task_plane.py
@@ -104,11 +104,13 @@
     @rule(
         thing=st.sampled_from(("ledger/00", "worker/w1", "worker/w2")), data=st.data()
     )
-    def usurp(self, thing, data):
+    def take_over(self, thing, data):
         """A paused owner still believes in its lease while another takes over."""
         owner = self.plane.registry.owners[thing].instance
         others = [name for name in DAEMONS if name != owner]
-        self.run(self.plane.registry.usurp(thing, data.draw(st.sampled_from(others))))
+        self.run(
+            self.plane.registry.take_over(thing, data.draw(st.sampled_from(others)))
+        )
 
     @rule(thing=st.sampled_from(("ledger/00", "worker/w1")), data=st.data())
     def hand_over(self, thing, data):
