Count a store call once, in the adapter

Change: the callers no longer do. docs/CAPACITY.md counts at the stand-in and is not affected. Measured: a new test of who calls the counter failed before (six modules of coordination) and passes after; 104 tests of the callers pass. Conclusion: a counter belongs to one place.

--- a/src/damaskdeck/coordination/marks.py
+++ b/src/damaskdeck/coordination/marks.py
@@ -4,7 +4,6 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.metrics import count_store_call
 from damaskdeck.protocol.ports import Entry, Listing, Store, Written
 from damaskdeck.state.versions import PREFIX, decode_value
 
@@ -20,7 +19,6 @@
     At most :data:`ROUND_LIMIT` are removed, ten a second, so that a wave of
     deletions doesn't use up the store's writes.
     """
-    count_store_call("list")
     found = await store.list(PREFIX)
     if not isinstance(found, Listing):
         return 0
@@ -28,7 +26,6 @@
     old = [entry for entry in found.entries if _is_old(entry, limit)]
     removed = 0
     for entry in old[:ROUND_LIMIT]:
-        count_store_call("delete")
         answer = await store.delete(entry.key, entry.revision)
         removed += isinstance(answer, Written)
         await clock.sleep(PAUSE)
--- a/src/damaskdeck/coordination/mirrors.py
+++ b/src/damaskdeck/coordination/mirrors.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from damaskdeck.metrics import count_drop, count_store_call
+from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.ports import Entry, Events, Listing, Store, TooOld
 
 _NO_WAIT = timedelta()
@@ -25,7 +25,6 @@
         """Read what has changed; tell whether the store answered."""
         if self.revision < 0:
             return await self._list()
-        count_store_call("watch")
         found = await self._store.watch(self._prefix, self.revision, _NO_WAIT)
         if isinstance(found, TooOld):
             return await self._list()
@@ -41,7 +40,6 @@
         self._apply(key, value, revision)
 
     async def _list(self) -> bool:
-        count_store_call("list")
         found = await self._store.list(self._prefix)
         if not isinstance(found, Listing):
             return False
--- a/src/damaskdeck/coordination/registration.py
+++ b/src/damaskdeck/coordination/registration.py
@@ -11,7 +11,7 @@
 from damaskdeck.coordination.tenures import NEVER, Tenure
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_drop, count_retry, count_store_call
+from damaskdeck.metrics import count_drop, count_retry
 from damaskdeck.protocol.heartbeats import MemberFields
 from damaskdeck.protocol.members import Member
 from damaskdeck.protocol.ports import Granted, Lapsed, Store, Written
@@ -125,7 +125,6 @@
         self._tenures.clear()
         if tenure is None:
             return ""
-        count_store_call("revoke_lease")
         await self._store.revoke_lease(tenure.lease)
         return tenure.session
 
@@ -140,7 +139,6 @@
         tenure = self.tenure
         if tenure is not None and not tenure.has_lapsed:
             before = self._clock.monotonic()
-            count_store_call("renew_lease")
             answer = await self._store.renew_lease(tenure.lease)
             if isinstance(answer, Granted):
                 tenure.renew(before, answer.ttl)
@@ -152,7 +150,6 @@
 
     async def _register(self) -> None:
         before = self._clock.monotonic()
-        count_store_call("grant_lease")
         granted = await self._store.grant_lease(self._lease)
         if not isinstance(granted, Granted):
             return
@@ -160,7 +157,6 @@
         session = f"{self._member.incarnation}.{self._session_count}"
         value = msgspec.msgpack.encode(Registration(to_fields(self._member), session))
         key = f"{PREFIX}{self._member.zone}/{self._member.name}"
-        count_store_call("put")
         written = await self._store.put(key, value, 0, granted.lease)
         if not isinstance(written, Written) or self._has_left:
             count_retry("members", "registration")
--- a/src/damaskdeck/coordination/tables.py
+++ b/src/damaskdeck/coordination/tables.py
@@ -11,7 +11,7 @@
 from damaskdeck.coordination.mirrors import Mirror
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_drop, count_retry, count_store_call
+from damaskdeck.metrics import count_drop, count_retry
 from damaskdeck.protocol.ports import Conflict, Lost, Store, Written
 
 RETRY_INTERVAL = timedelta(milliseconds=250)
@@ -120,7 +120,6 @@
         value = self._encode(changes)
         has_lost = False
         while True:
-            count_store_call("put")
             answer = await self._store.put(self.key, value, expected)
             if isinstance(answer, Written):
                 self._mirror.note(self.key, value, answer.revision)
--- a/src/damaskdeck/coordination/watchers.py
+++ b/src/damaskdeck/coordination/watchers.py
@@ -9,7 +9,7 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.reports import Reports
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_retry, count_store_call
+from damaskdeck.metrics import count_retry
 from damaskdeck.protocol.members import Members
 from damaskdeck.protocol.ports import Event, Events, Listing, Store, TooOld
 from damaskdeck.state.configuration import PART, Configuration
@@ -105,7 +105,6 @@
             return await self._list()
         after = max(self._cursor, self._configuration.revision)
         wait = self._watch_wait if self._reports.reaches_store else timedelta()
-        count_store_call("watch")
         found = await self._store.watch(PREFIX, after, wait)
         if isinstance(found, Events):
             self._take_events(found)
@@ -116,7 +115,6 @@
         return False
 
     async def _list(self) -> bool:
-        count_store_call("list")
         found = await self._store.list(PREFIX)
         if not isinstance(found, Listing):
             self._note_failure(found.code)
--- a/src/damaskdeck/coordination/writes.py
+++ b/src/damaskdeck/coordination/writes.py
@@ -10,7 +10,7 @@
 from damaskdeck.coordination.rules import check_delete, check_write
 from damaskdeck.errors import Fault
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_refusal, count_retry, count_store_call
+from damaskdeck.metrics import count_refusal, count_retry
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.ports import (
     Conflict,
@@ -145,7 +145,6 @@
 
     async def _refresh(self, kind: Kind, name: str) -> None:
         """Look for a resource that another daemon has just accepted."""
-        count_store_call("get")
         found = await self._store.get(make_key(kind, name))
         if isinstance(found, Found):
             entry = found.entry
@@ -208,7 +207,6 @@
         return answer
 
     async def _put(self, call: "_Call") -> Written | Conflict | Rejected | Lost:
-        count_store_call("put")
         return await self._store.put(call.key, call.value, call.compared)
 
     async def _find_effect(
@@ -218,7 +216,6 @@
         current = conflict.current
         if current is None or is_written_by(current.value, call.write):
             return Written(current.revision) if current else conflict
-        count_store_call("watch")
         found = await self._store.watch(call.key, call.compared, timedelta())
         if not isinstance(found, Events):
             return found if isinstance(found, Lost | Rejected) else Lost("too_old")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -41,3 +41,11 @@
         for path in PACKAGE.glob("*.py"):
             if path.stem not in EDGES:
                 self.assertNotIn("transport", set(list_imports(path)), path.name)
+
+    def test_a_store_call_is_counted_in_the_adapter_alone(self):
+        callers = [
+            path.relative_to(PACKAGE).as_posix()
+            for path in sorted(PACKAGE.rglob("*.py"))
+            if "count_store_call(" in path.read_text()
+        ]
+        self.assertEqual(callers, ["metrics.py", "transport/store.py"])
