Wait only for the lease of each task of a worker that was let go

Once ownership lets the worker go (10 s after it was listed last) abandon() slept the whole bound of a takeover, though the roster knows when each lease ends. Change: it reports each task once its own lease and the margin have passed. That alone would have been unsafe: a renewal that was on its way when the session was cancelled was not counted; now it is, as an unanswered one. The new test of the renewal on its way shows the task in two places without the count. Conclusion: the lease, not the takeover, decides.

--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/sessions.py
@@ -107,8 +107,11 @@
                 self.roster.note(hosted, "unstarted", code="owner_changed")
 
     async def abandon(self) -> None:
-        """Report all tasks of a worker that is gone, once they have lapsed."""
-        await self._clock.sleep(self.bound)
+        """Report each task of a worker that is gone, once it has lapsed."""
+        deadline = self._clock.monotonic() + self.bound
+        while self.roster.list_open() and self._clock.monotonic() < deadline:
+            self.roster.drop_lapsed()
+            await self._clock.sleep(RETRY_INTERVAL)
         for hosted in self.roster.list_open():
             self.roster.note(hosted, "lost", code="worker_gone")
 
@@ -168,7 +171,11 @@
         if not names:
             return
         sent = self._clock.monotonic()
-        found = await self.port.renew(self.worker, self.epoch, names, self._lease)
+        try:
+            found = await self.port.renew(self.worker, self.epoch, names, self._lease)
+        except asyncio.CancelledError:
+            self.roster.note_renewed(names, False)
+            raise
         if not isinstance(found, Rejected):
             self.roster.note_renewed(names, isinstance(found, Inventory))
         self.set_doubtful(not self._absorb(found, sent, True))
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,7 +3,12 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.defaults import MEMBER_LEASE
+from damaskdeck.defaults import (
+    LEASE_MARGIN,
+    MEMBER_LEASE,
+    TASK_LEASE,
+    TASK_RENEWAL,
+)
 from damaskdeck.protocol.handlers import JobState, Submission
 from damaskdeck.protocol.jobs import SizeData, Start
 from damaskdeck.protocol.ports import StartOrder
@@ -330,6 +335,42 @@
         await self.sleep(90)
         self.assertEqual(len(self.plane.platform.workers[other].list_running()), 2)
 
+    async def let_go(self, name):
+        """Let a worker's owner lose it."""
+        registry, thing = self.plane.registry, f"worker/{name}"
+        await registry.daemons[registry.owners[thing].instance].ownership.lose(thing)
+
+    @virtual
+    async def test_renewal_on_its_way_when_a_worker_is_let_go_is_counted(self):
+        await self.start(ENDLESS, workers=2, tasks=2)
+        await self.sleep(3.5)
+        name, other = self.find_busy()
+        worker = self.plane.platform.workers[name]
+        worker.pause()
+        self.plane.platform.instances.remove(name)
+        await self.sleep(4.5)
+        await self.let_go(name)
+        await self.sleep(2.5)
+        worker.resume()
+        await self.sleep(60)
+        self.assertEqual(len(self.plane.platform.workers[other].list_running()), 2)
+        self.assertEqual(self.runs.overlaps, [])
+
+    @virtual
+    async def test_task_of_a_worker_that_was_let_go_starts_after_its_own_lease(self):
+        await self.start(ENDLESS, workers=2, tasks=2)
+        await self.sleep(2)
+        name, other = self.find_busy()
+        removed = self.plane.clock.monotonic()
+        self.plane.platform.remove(name)
+        await self.sleep(10)
+        await self.let_go(name)
+        await self.sleep(60)
+        self.assertEqual(len(self.plane.platform.workers[other].list_running()), 2)
+        waited = self.runs.starts[-1].time - removed
+        self.assertGreater(waited, TASK_LEASE - TASK_RENEWAL)
+        self.assertLess(waited, TASK_LEASE + 2 * LEASE_MARGIN)
+
     @virtual
     async def test_idempotent_task_of_a_restarted_worker_runs_again(self):
         await self.start()
