Allow quotas of the target size, and be ready in an empty cell

Change: the caps are a million; readiness asks whether the list was read. Measured: the test of the quota failed before and passes after; readiness in an empty cell has no test. Conclusion: none else.

--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -81,7 +81,6 @@
         self._platform = platform or connect_platform(settings, clock)
         self._is_draining = False
         self._stop = asyncio.Event()
-        self._fleet_known = False
 
     async def start(self) -> None:
         """Bind the addresses and put the parts together.
@@ -194,7 +193,6 @@
         )
 
     def _list_things(self) -> None:
-        self._fleet_known = True
         for scope, role in (
             ("target", InstanceRole.TARGET),
             ("worker", InstanceRole.WORKER),
@@ -209,7 +207,8 @@
 
     def is_ready(self) -> bool:
         """Whether the balancer may send calls here."""
-        return self.relay.is_ready and self._fleet_known and not self._is_draining
+        is_fleet_known = self.fleet.last_answer is not None
+        return self.relay.is_ready and is_fleet_known and not self._is_draining
 
     def read_status(self) -> Mapping[str, Any]:
         """Return this daemon's part of ``GET /v1/status``."""
--- a/src/damaskdeck/protocol/resources.py
+++ b/src/damaskdeck/protocol/resources.py
@@ -70,9 +70,9 @@
     ``processors`` in cores, ``memory`` in MiB, ``accelerators`` whole.
     """
 
-    processors: NotRequired[Annotated[float, Meta(ge=0, le=4096)]]
+    processors: NotRequired[Annotated[float, Meta(ge=0, le=1_000_000)]]
     memory: NotRequired[Annotated[int, Meta(ge=0, le=1 << 30)]]
-    accelerators: NotRequired[Annotated[int, Meta(ge=0, le=1024)]]
+    accelerators: NotRequired[Annotated[int, Meta(ge=0, le=1_000_000)]]
 
 
 class TeamSpec(TypedDict):
