--- a/src/damaskdeck/cli/declarations.py
+++ b/src/damaskdeck/cli/declarations.py
@@ -11,7 +11,14 @@
 from damaskdeck.cli.descriptions import print_description
 from damaskdeck.cli.exits import Exit
 from damaskdeck.cli.output import Style, print_document, print_note
-from damaskdeck.cli.session import Output, check_reply, choose_style, get_path, run
+from damaskdeck.cli.session import (
+    PLURALS,
+    Output,
+    check_reply,
+    choose_style,
+    get_path,
+    run,
+)
 from damaskdeck.client import Client, Reply
 from damaskdeck.documents import load_documents
 from damaskdeck.errors import DocumentError
@@ -65,6 +72,9 @@
     for number in faults:
         print_note(f"document {number}: missing_field: kind and metadata.name")
     for number, each in enumerate(documents, 1):
+        if number not in faults and each["kind"] not in PLURALS:
+            print_note(f"document {number}: bad_value: kind: {', '.join(PLURALS)}")
+            faults.append(number)
         if not _is_json(each):
             print_note(f"document {number}: bad_value: refers to itself or isn't JSON")
             faults.append(number)
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -512,6 +512,11 @@
     def test_a_resource_that_refers_to_itself_is_refused(self):
         self.assertEqual(self.load_resources(CIRCLE), Exit.USAGE)
 
+    def test_an_unknown_kind_is_refused_before_anything_is_sent(self):
+        resources = [make_team(), {"kind": "odd", "metadata": {"name": "x"}}]
+        content = yaml.safe_dump_all(resources).encode()
+        self.assertEqual(self.load_resources(content), Exit.USAGE)
+
     def test_a_second_document_of_settings_is_refused(self):
         content = yaml.safe_dump_all([SETTINGS, {"limits": {}}]).encode()
         self.assertEqual(self.load_settings(content).faults[0].code, "not_yaml")
