Tell packing and tasks' waiting time, bound queues as set, end a refused follow

Change: a gauge of the reserved share of the owned workers by dimension, the wait until a task's first start in the histogram, the queue's limit handed to each service's queue, a refused follow ends with the refusal's exit code, names are quoted. Not tested: that the daemon hands the limit on (the queue's own limit is).

--- a/src/damaskdeck/cli/calls.py
+++ b/src/damaskdeck/cli/calls.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 from typing import Annotated
+from urllib.parse import quote
 
 import typer
 
@@ -33,7 +34,7 @@
         headers["Idempotency-Key"] = key
 
     async def work(client: Client) -> None:
-        path = f"/v1/services/{service}/requests"
+        path = f"/v1/services/{quote(service, safe='')}/requests"
         reply = await client.call("POST", path, body=body, headers=headers)
         check_reply(reply)
         sys.stdout.buffer.write(reply.body)
--- a/src/damaskdeck/cli/declarations.py
+++ b/src/damaskdeck/cli/declarations.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import msgspec
 import typer
@@ -109,7 +110,7 @@
 
 async def list_all(client: Client, path: str, selector: str = "") -> list[Any]:
     """Read all pages of a list."""
-    query, items = f"?selector={selector}" if selector else "?", []
+    query, items = f"?selector={quote(selector)}" if selector else "?", []
     after = ""
     while True:
         reply = await client.call("GET", path + query + after)
--- a/src/damaskdeck/cli/jobs.py
+++ b/src/damaskdeck/cli/jobs.py
@@ -1,5 +1,6 @@
 """Commands on jobs: submit and cancel."""
 
+import asyncio
 import time
 from pathlib import Path
 from typing import Annotated, Any
@@ -12,6 +13,8 @@
 from damaskdeck.cli.session import Output, check_reply, choose_style, get_path, run
 from damaskdeck.client import Client
 
+WATCH_PAUSE_SECONDS = 0.5
+
 
 @app.command()
 def submit(
@@ -30,7 +33,7 @@
     headers = {"Idempotency-Key": key} if key else {}
 
     async def work(client: Client) -> Exit | None:
-        path = f"/v1/workloads/{workload}/jobs"
+        path = get_path("workload", workload) + "/jobs"
         reply = await client.call("POST", path, body=body, headers=headers)
         check_reply(reply)
         job = reply.read_json()
@@ -47,14 +50,18 @@
 async def follow_job(client: Client, name: str) -> dict[str, Any]:
     """Watch a job to its end and tell of its progress."""
     started = time.monotonic()
+    path = get_path("job", name)
     while True:
-        async for line in client.watch(f"{get_path('job', name)}?watch=true"):
+        async for line in client.watch(f"{path}?watch=true"):
             if "resource" not in line:
                 continue
             job = line["resource"]
             _tell_progress(job, time.monotonic() - started)
             if job["status"]["state"] in BY_OUTCOME:
                 return job
+        # The watch ended early, as when its daemon shuts down, or was refused.
+        check_reply(await client.call("GET", path))
+        await asyncio.sleep(WATCH_PAUSE_SECONDS)
 
 
 def _tell_progress(job: dict[str, Any], elapsed: float) -> None:
--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/dispatch.py
@@ -23,7 +23,7 @@
 from damaskdeck.coordination.queueing import RANKS, JobQueue
 from damaskdeck.coordination.shapes import Shapes
 from damaskdeck.coordination.waiting import WaitingJob
-from damaskdeck.metrics import count_refusal
+from damaskdeck.metrics import count_refusal, observe_wait
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.work import FINAL_TASK_STATES, Job, Task, TaskState
 
@@ -267,10 +267,21 @@
         for pick in picks:
             self._launching.discard(pick.task)
             code = refused.get(pick.task)
-            if code is not None:
+            if code is None:
+                self._observe_wait(pick.task)
+            else:
                 self._note_refused(pick, code)
         self.follow(tuple(pick.task for pick in picks))
 
+    def _observe_wait(self, name: str) -> None:
+        """Record how long a task waited before its first start."""
+        task = self._kept.table.tasks.get(name)
+        if task is None or task.attempt > 1:
+            return
+        job = self._kept.table.jobs[task.job]
+        waited = timedelta(seconds=max(0.0, self._kept.get_time() - job.submitted))
+        observe_wait("jobs", get_urgency(job.spec).value, waited)
+
     def _note_refused(self, pick: Pick, code: str) -> None:
         count_refusal("dispatch", code)
         task = self._kept.table.tasks.get(pick.task)
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -16,13 +16,14 @@
 from damaskdeck.coordination.summaries import TOPIC, summarize_workers
 from damaskdeck.coordination.supervisor import Supervisor
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_refusal
+from damaskdeck.metrics import count_refusal, set_packing
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.handlers import ConfigurationReader
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Peers, encode_message
 from damaskdeck.protocol.ports import Instance, InstanceState, WorkerPort
 from damaskdeck.protocol.resources import POLICY_NAME, Kind, Resource
+from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.accounts import Accounts, WorkerAccount
 
 PUBLISH_INTERVAL = timedelta(milliseconds=250)
@@ -181,9 +182,17 @@
                 self._is_changed = False
                 summary = summarize_workers(self.accounts, self._members.self.zone)
                 self._summary = encode_message(summary)
+                self._tell_packing()
             self._members.publish(TOPIC, self._summary)
             await self._clock.sleep(PUBLISH_INTERVAL)
 
+    def _tell_packing(self) -> None:
+        totals = self.accounts.totals
+        for name, size, free in zip(
+            Size._fields, totals.size, totals.free, strict=True
+        ):
+            set_packing(name, 1 - free / size if size else 0.0)
+
     def _note_change(self, account: WorkerAccount, is_present: bool) -> None:
         self._is_changed = True
 
--- a/src/damaskdeck/coordination/lanes.py
+++ b/src/damaskdeck/coordination/lanes.py
@@ -31,6 +31,7 @@
 
     :param ownership: asked before each slot is filled.
     :param longest: no call to a target is open for longer.
+    :param queue_limit: waiters of one team and urgency class.
     :param on_room: called when slots were given to all who wait, or none is left.
     """
 
@@ -41,12 +42,13 @@
         clock: Clock,
         chooser: random.Random,
         longest: timedelta,
+        queue_limit: int,
         on_room: Callable[["Lane"], None],
     ) -> None:
         self.service = service
         self.pools: dict[str, SlotPool] = {}
         self.durations = Durations()
-        self.queue = AdmissionQueue(self.durations, chooser)
+        self.queue = AdmissionQueue(self.durations, chooser, queue_limit)
         self._health: dict[str, TargetHealth] = {}
         self._ownership = ownership
         self._clock = clock
--- a/src/damaskdeck/coordination/owned.py
+++ b/src/damaskdeck/coordination/owned.py
@@ -50,6 +50,7 @@
 
     :param longest: no request runs on a target for longer.
     :param margin: added to it where a slot must be free without an answer.
+    :param queue_limit: waiters of one team and urgency class for a service.
     :param on_room: called when slots of a lane were given to all who wait.
     """
 
@@ -66,6 +67,7 @@
         chooser: random.Random,
         longest: timedelta,
         margin: timedelta,
+        queue_limit: int,
         on_room: Callable[[Lane], None],
     ) -> None:
         self.lanes: dict[str, Lane] = {}
@@ -79,6 +81,7 @@
         self._random = chooser
         self._longest = longest
         self._hold = longest + margin
+        self._queue_limit = queue_limit
         self._on_room = on_room
         self._gained: dict[str, SlotPool] = {}
         self._unlisted: dict[str, int] = {}
@@ -109,6 +112,7 @@
                 self._clock,
                 self._random,
                 self._longest,
+                self._queue_limit,
                 self._on_room,
             )
         return lane
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/routing.py
@@ -24,7 +24,12 @@
 from damaskdeck.coordination.sending import TargetSender
 from damaskdeck.coordination.sharing import SlotSharing
 from damaskdeck.coordination.timers import Timers
-from damaskdeck.defaults import HEARTBEAT_INTERVAL, LEASE_MARGIN, REQUEST_TIMEOUT
+from damaskdeck.defaults import (
+    HEARTBEAT_INTERVAL,
+    LEASE_MARGIN,
+    QUEUE_LIMIT,
+    REQUEST_TIMEOUT,
+)
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal, count_retry, observe_wait
 from damaskdeck.protocol.handlers import KeyMemory, ServiceRequest
@@ -65,6 +70,7 @@
     :param longest: no call to a target is open for longer; a new owner waits as
         long for what a dead one may have in progress.
     :param margin: added to ``longest`` where a slot must be free without an answer.
+    :param queue_limit: waiters of one team and urgency class for a service.
     :param chooser: seeded, for the same choices in each run of a test.
     """
 
@@ -80,6 +86,7 @@
         longest: timedelta = REQUEST_TIMEOUT,
         margin: timedelta = LEASE_MARGIN,
         chooser: random.Random | None = None,
+        queue_limit: int = QUEUE_LIMIT,
     ) -> None:
         self._clock = clock
         self._random = chooser or random.Random()
@@ -101,6 +108,7 @@
             self._random,
             longest,
             margin,
+            queue_limit,
             self._offer,
         )
         self._sharing = SlotSharing(
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -166,6 +166,7 @@
             clock,
             self.keeper,
             longest=settings.request_timeout,
+            queue_limit=settings.queue_limit,
         )
         self.observer = Observer(*shared, self.fleet, self.host)
         self._follow_changes()
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -12,6 +12,9 @@
 _drops = _meter.create_counter("damaskdeck_drops", description="by part and reason")
 _store_calls = _meter.create_counter("damaskdeck_store_calls", description="by kind")
 _waits = _meter.create_histogram("damaskdeck_waiting_time", unit="s")
+_packing = _meter.create_gauge(
+    "damaskdeck_packing", description="share of the owned workers that is reserved"
+)
 
 # Batches come so often that the counters' own cost would show: plain numbers,
 # read when somebody asks for them.
@@ -41,6 +44,11 @@
 )
 
 
+def set_packing(dimension: str, share: float) -> None:
+    """Tell which share of the owned workers is reserved, in one dimension."""
+    _packing.set(share, {"dimension": dimension})
+
+
 def count_refusal(part: str, code: str, amount: int = 1) -> None:
     """Count work refused by ``part`` with ``code``."""
     _refusals.add(amount, {"part": part, "code": code})
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -338,6 +338,23 @@
         code, text = await self.run_command(*words)
         self.assertEqual(code, 4, text)
 
+    async def test_metrics_tell_waiting_packing_and_control_cost(self):
+        client = self.clients["entry-1"]
+        path = await self.submit(client, "plans", "k", run_time=0)
+        await self.wait_for_job(client, path)
+        text = ""
+        for each in self.clients.values():
+            text += (await each.call("GET", "/metrics")).body.decode()
+        for name, label in (
+            ("damaskdeck_waiting_time_seconds_count", 'part="jobs"'),
+            ("damaskdeck_packing", 'dimension="memory"'),
+            ("damaskdeck_store_calls_total", 'kind="renew_lease"'),
+            ("damaskdeck_peer_bytes_total", 'direction="out"'),
+            ("process_cpu_seconds_total", ""),
+        ):
+            lines = [line for line in text.splitlines() if line.startswith(name)]
+            self.assertTrue([line for line in lines if label in line], name)
+
     async def test_drained_target_gets_nothing_new_and_is_used_again(self):
         code, text = await self.run_command("drain", "t-a0")
         self.assertEqual(code, 0, text)
