Host a worker that is gained before it is listed

Cause: found by a reader: a worker gained by a daemon whose instance list lags never got a session, so nothing was placed on it and what ran there was not renewed. Change: its epoch is kept until the list shows it, or it is lost again. Measured: the new test failed before (KeyError 'w9') and passes after. Conclusion: as the request plane already does for targets.

--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/hosting.py
@@ -71,6 +71,7 @@
     ) -> None:
         self.accounts = Accounts()
         self.sessions: dict[str, Session] = {}
+        self._unlisted: dict[str, int] = {}
         self.rooms = Rooms(self.accounts, clock, self._preempt)
         self._members = members
         self._ownership = ownership
@@ -117,8 +118,14 @@
         name = thing.partition("/")[2]
         worker = self._fleet.get(name)
         if worker is None:
-            _log.warn("Gained a worker that isn't listed.", worker=name)
-            return
+            _log.warn("Gained a worker that isn't listed yet.", worker=name)
+            self._unlisted[name] = epoch
+        else:
+            self._open_session(worker, epoch)
+
+    def _open_session(self, worker: Instance, epoch: int) -> None:
+        name = worker.name
+        thing = f"worker/{name}"
         self._end_session(name)
         self.accounts.set_worker(worker)
         self.accounts.close_worker(name, "inventory")
@@ -141,6 +148,8 @@
 
     async def _lose(self, thing: str, epoch: int) -> None:
         name = thing.partition("/")[2]
+        if self._unlisted.get(name) == epoch:
+            del self._unlisted[name]
         session = self.sessions.get(name)
         if session is None or session.epoch != epoch:
             return
@@ -156,7 +165,11 @@
     def _take_fleet(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
             worker = change.after
-            if worker is not None and worker.name in self.sessions:
+            if worker is None:
+                continue
+            if worker.name in self._unlisted:
+                self._open_session(worker, self._unlisted.pop(worker.name))
+            elif worker.name in self.sessions:
                 self.sessions[worker.name].worker = worker
                 self.accounts.set_worker(worker)
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1,5 +1,6 @@
 """Owners of workers: takeovers, leases, lost answers and lost workers."""
 
+import asyncio
 import unittest
 from datetime import timedelta
 
@@ -200,6 +201,23 @@
         self.check_runs(1)
 
 
+class TestListing(unittest.TestCase):
+    """The instance list lags behind ownership."""
+
+    @virtual
+    async def test_worker_gained_before_it_is_listed_is_hosted_once_it_is(self):
+        plane = await Plane(workers=1).start()
+        host = plane.find("d1").host
+        plane.platform.cut_off("d1", "instances")
+        plane.platform.add_worker("w9", "zone-1", Size(4000, 8000, 0))
+        await plane.registry.grant("worker/w9", "d1")
+        self.assertNotIn("w9", host.sessions)
+        plane.platform.reconnect("d1", "instances")
+        await asyncio.sleep(10)
+        self.assertTrue(host.sessions["w9"].is_ready)
+        self.assertEqual(host.accounts.workers["w9"].closed, "")
+
+
 class TestOrders(WithPlane):
     """What an owner refuses of a keeper's orders."""
 
