--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/keeper.py
@@ -102,6 +102,7 @@
             self._store,
             self._clock,
             lambda: self._ownership.get_epoch(thing) == epoch,
+            self._count,
         )
         desk = Desk(
             kept,
--- a/src/damaskdeck/coordination/kept.py
+++ b/src/damaskdeck/coordination/kept.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from damaskdeck import defaults
 from damaskdeck.clock import Clock
 from damaskdeck.errors import LedgerError, MessageError
 from damaskdeck.logs import get_logger
@@ -31,6 +32,7 @@
 
     :param name: of the ledger, as in ``03``.
     :param may_act: tells whether this daemon still keeps the ledger.
+    :param ledger_count: how many ledgers share the store's writes.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         store: Store,
         clock: Clock,
         may_act: Callable[[], bool],
+        ledger_count: int = defaults.LEDGER_COUNT,
     ) -> None:
         self.name = name
         self.epoch = epoch
@@ -49,7 +52,14 @@
         self._clock = clock
         self._is_closed = False
         self._handlers: list[ChangeHandler] = []
-        self._ledger = Ledger(name, store, clock, self._take_snapshot, self._apply)
+        self._ledger = Ledger(
+            name,
+            store,
+            clock,
+            self._take_snapshot,
+            self._apply,
+            append_interval=compute_append_interval(ledger_count),
+        )
 
     def on_change(self, handler: ChangeHandler) -> None:
         """Call ``handler(tasks)`` after each change of the table."""
@@ -123,3 +133,12 @@
         touched = self.table.take_touched()
         for handler in self._handlers:
             handler(touched)
+
+
+def compute_append_interval(ledger_count: int) -> timedelta:
+    """Return the least time between two appends of one ledger under load.
+
+    All ledgers together stay within the writes of the default number of them.
+    """
+    share = max(1.0, ledger_count / defaults.LEDGER_COUNT)
+    return defaults.APPEND_INTERVAL * share
--- /dev/null
+++ b/tests/test_kept.py
@@ -0,0 +1,64 @@
+"""Ledgers that a daemon keeps."""
+
+import asyncio
+import unittest
+
+from damaskdeck import defaults
+from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.state.records import KeyClaimed
+from standins.loops import LoopClock
+from standins.store import MemoryStore
+from tests.virtual import virtual
+
+SECONDS = 5
+# Of the store's several hundred writes a second, those that ledgers may use.
+WRITES_A_SECOND = 150
+
+
+class TestPace(unittest.TestCase):
+    """All ledgers together stay within their writes, however many there are."""
+
+    async def count_writes(self, ledger_count: int) -> float:
+        """Return the writes a second of ledgers that always have a commit waiting."""
+        clock = LoopClock()
+        store = MemoryStore(clock)
+        ledgers = [
+            KeptLedger(
+                f"{number:02d}",
+                1,
+                store.connect("entry-1"),
+                clock,
+                lambda: True,
+                ledger_count,
+            )
+            for number in range(ledger_count)
+        ]
+        for ledger in ledgers:
+            self.assertTrue(await ledger.open())
+        before = store.calls["put"]
+        tasks = [asyncio.ensure_future(self.commit_all(each)) for each in ledgers]
+        await asyncio.sleep(SECONDS)
+        for task in tasks:
+            task.cancel()
+        return (store.calls["put"] - before) / SECONDS
+
+    async def commit_all(self, ledger: KeptLedger) -> None:
+        """Commit one record after the other."""
+        number = 0
+        while True:
+            number += 1
+            record = KeyClaimed(
+                team="ash",
+                service="maps",
+                key=str(number),
+                digest=b"",
+                deadline=0.0,
+            )
+            await ledger.commit((record, KeyClaimed))
+
+    @virtual
+    async def test_more_ledgers_write_no_more(self):
+        for ledger_count in (defaults.LEDGER_COUNT, 16):
+            writes = await self.count_writes(ledger_count)
+            self.assertGreater(writes, 0)
+            self.assertLessEqual(writes, WRITES_A_SECOND, ledger_count)
