--- a/tests/test_gang_plane.py
+++ b/tests/test_gang_plane.py
@@ -196,6 +196,7 @@
         async def test():
             job = await self.submit_gang()
             await self.wait_for_kept_room()
+            self.assertEqual(self.plane.find("d2").host.rooms.find_kept(), job)
             await self.restart("d2")
             self.assertIsNotNone(await self.wait_for_start(job, 2 * START_LIMIT))
 
