Close streams that carry no messages

A daemon chose its heartbeat links anew as others joined, and kept the old streams for ever: of 27 daemons in 9 zones one had 8 links in use but 19 serving ends, 11 of which only answered pings. A link now retires when it has carried no message for 10 s and no call waits; the next message opens a new one, so nothing is sent on a link that is closing. A link to a peer that can't be reached and that nobody uses ends its reconnects as well.

Each test was seen to fail with its rule taken out: without the check in the network the call after an idle stream takes the old link; without the check of waiting calls, or without noting use, the link is given up.

Other suites passed: peers, membership, ownership, relay, task and request plane, fuzzing, daemon.

--- a/src/damaskdeck/transport/links.py
+++ b/src/damaskdeck/transport/links.py
@@ -28,6 +28,7 @@
 REPLY_BUSY = "!busy"
 PING_AFTER = timedelta(milliseconds=900)
 PING_RETRY = timedelta(milliseconds=300)
+IDLE_LIMIT = timedelta(seconds=10)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 BACKOFF_START = timedelta(milliseconds=50)
 BACKOFF_LIMIT = timedelta(seconds=1)
@@ -82,6 +83,8 @@
 
     :param find_address: tells the peer's address, ``None`` when it is unknown.
     :param metadata: sent when the stream is opened.
+    :ivar is_retired: whether it was given up as unused; the next message needs
+        a new link.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         random: Random,
     ) -> None:
         self.instance = instance
+        self.is_retired = False
         self._find_address = find_address
         self._metadata = metadata
         self._clock = clock
@@ -100,10 +104,11 @@
         self._outbox = Outbox()
         self._calls: dict[int, PendingCall] = {}
         self._is_open = True
-        self._heard = clock.monotonic()
+        self._heard = self._used = clock.monotonic()
 
     def send(self, envelope: Envelope) -> Unsent | None:
         """Queue a message that asks for no reply."""
+        self._used = self._clock.monotonic()
         if not self._is_open:
             return Unsent("unreachable")
         return None if self._outbox.put(envelope) else Unsent("peer_busy")
@@ -125,9 +130,11 @@
             call.future.set_result(Unanswered(code) if call.written else Unsent(code))
 
     async def run(self) -> None:
-        """Keep the stream open until the peer's address is no longer known."""
+        """Keep the stream open while the peer's address is known and it is used."""
         backoff = BACKOFF_START
         while (address := self._find_address(self.instance)) is not None:
+            if self._retire_if_idle():
+                return
             began = self._clock.monotonic()
             self._is_open = True
             try:
@@ -136,6 +143,8 @@
                 _log.debug("A stream broke.", peer=self.instance, error=repr(error))
             finally:
                 self._break()
+            if self.is_retired:
+                return
             if self._clock.monotonic() - began > BACKOFF_LIMIT:
                 backoff = BACKOFF_START
             count_retry("peers", "reconnect")
@@ -155,7 +164,10 @@
                     await stream.recv_initial_metadata()
                 self._heard = self._clock.monotonic()
                 await run_until_first(
-                    self._write(stream), self._read(stream), self._watch()
+                    self._write(stream),
+                    self._read(stream),
+                    self._watch(),
+                    self._wait_until_idle(),
                 )
         finally:
             channel.close()
@@ -198,6 +210,18 @@
             self._clock, lambda: self._heard, SILENCE_LIMIT, self._outbox.put_ping
         )
 
+    async def _wait_until_idle(self) -> None:
+        while not self._retire_if_idle():
+            unused = self._clock.monotonic() - self._used
+            is_used = unused < IDLE_LIMIT
+            await self._clock.sleep(IDLE_LIMIT - unused if is_used else IDLE_LIMIT)
+
+    def _retire_if_idle(self) -> bool:
+        """Give the link up if nobody has used it for long; it costs pings."""
+        unused = self._clock.monotonic() - self._used
+        self.is_retired = not self._calls and unused >= IDLE_LIMIT
+        return self.is_retired
+
     def _break(self) -> None:
         self._is_open = False
         left = self._outbox.clear()
--- a/src/damaskdeck/transport/peers.py
+++ b/src/damaskdeck/transport/peers.py
@@ -151,7 +151,7 @@
 
     def _get_link(self, instance: str) -> Link | None:
         found = self._links.get(instance)
-        if found is not None and not found[1].done():
+        if found is not None and not (found[0].is_retired or found[1].done()):
             return found[0]
         if self._find_address(instance) is None:
             self._links.pop(instance, None)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -18,7 +18,12 @@
     message,
 )
 from damaskdeck.transport.batches import QUEUE_MESSAGES, BatchCodec, Outbox
-from damaskdeck.transport.links import Link, SilenceError, watch_silence
+from damaskdeck.transport.links import (
+    IDLE_LIMIT,
+    Link,
+    SilenceError,
+    watch_silence,
+)
 from damaskdeck.transport.peers import PeerNetwork, _Inlet
 from standins.clock import ManualClock
 
@@ -183,6 +188,16 @@
             await asyncio.sleep(0.02)
         assert_same(self, reply, Answered({"number": 6}))
 
+    async def test_calls_after_an_idle_stream_was_given_up_open_a_new_one(self):
+        self.assertEqual(await self.ask(1), Answered({"number": 2}))
+        old, task = self.a._links["b"]
+        old._used -= IDLE_LIMIT
+        self.assertTrue(old._retire_if_idle())
+        replies = await asyncio.gather(self.ask(2), self.ask(3))
+        self.assertEqual(replies, [Answered({"number": n}) for n in (3, 4)])
+        self.assertIsNot(self.a._links["b"][0], old)
+        task.cancel()
+
     async def test_peer_that_accepts_and_says_nothing_leaves_calls_unsent(self):
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.addresses["c"] = f"127.0.0.1:{listener.getsockname()[1]}"
@@ -288,11 +303,13 @@
         parts = [link._write(self.near), link._read(self.near), inlet.run(self.far)]
         self.tasks = [asyncio.ensure_future(part) for part in parts]
         self.watch = asyncio.ensure_future(link._watch())
+        self.idle = asyncio.ensure_future(link._wait_until_idle())
 
     async def asyncTearDown(self):
-        for task in (*self.tasks, self.watch):
+        tasks = (*self.tasks, self.watch, self.idle)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, self.watch, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def take(self, instance, message):
         """Take a heartbeat."""
@@ -334,3 +351,23 @@
         await self.beat(3)
         self.assertTrue(self.watch.done())
         self.assertIsInstance(self.watch.exception(), SilenceError)
+
+    async def test_unused_stream_is_given_up(self):
+        await self.beat(2)
+        await self.clock.advance(IDLE_LIMIT / 2)
+        self.assertFalse(self.idle.done())
+        await self.clock.advance(IDLE_LIMIT / 2)
+        self.assertTrue(self.idle.done())
+        self.assertTrue(self.link.is_retired)
+
+    async def test_heartbeats_and_waiting_calls_keep_a_stream(self):
+        await self.beat(40)
+        self.assertFalse(self.idle.done())
+        self.far.is_cut = True
+        self.link.start_call(Envelope("test.newer", 1, 0, HEARTBEAT.body))
+        await self.clock.advance(3 * IDLE_LIMIT)
+        self.assertFalse(self.idle.done())
+        self.assertFalse(self.link.is_retired)
+        self.link.end_call(1, "timeout")
+        await self.clock.advance(IDLE_LIMIT)
+        self.assertTrue(self.link.is_retired)
