Tell at once why a daemon did not start

Change: the stand-in notices the end of the process and raises with its last lines. Conclusion: the cause of the two failures stays unproved; the next one will say it.

--- a/src/standins/deployment.py
+++ b/src/standins/deployment.py
@@ -16,9 +16,18 @@
 OPERATOR_TOKEN = "operator-token"
 PEER_TOKEN = "peer-token-1"
 LINES_KEPT = 2000
+LINES_TOLD = 20
 START_LIMIT_SECONDS = 30
 
 
+class StartError(Exception):
+    """A daemon ended, or said nothing, before it listened."""
+
+    def __init__(self, name: str, lines: list[dict[str, Any]]) -> None:
+        told = "\n".join(str(line.get("message", line)) for line in lines)
+        super().__init__(f"{name} doesn't listen; its last lines:\n{told}")
+
+
 class DaemonProcess:
     """One ``damaskdeckd`` process; its log lines are kept.
 
@@ -54,8 +63,17 @@
             stderr=PIPE,
         )
         self._reader = asyncio.ensure_future(self._read_lines())
-        async with asyncio.timeout(START_LIMIT_SECONDS):
-            await self._listening.wait()
+        listening = asyncio.ensure_future(self._listening.wait())
+        try:
+            await asyncio.wait(
+                {listening, self._reader},
+                timeout=START_LIMIT_SECONDS,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            listening.cancel()
+        if not self._listening.is_set():
+            raise StartError(self.name, list(self.lines)[-LINES_TOLD:])
 
     async def stop(self) -> int:
         """Shut down gracefully; returns the exit code."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -11,6 +11,7 @@
 import yaml
 
 from damaskdeck.daemon import EXIT_SETTINGS
+from standins.deployment import DaemonProcess, StartError
 
 DOCUMENT = {
     "name": "entry-1",
@@ -54,3 +55,13 @@
             code, errors = await self.run_daemon({**DOCUMENT, "listen": listen})
         self.assertEqual(code, EXIT_SETTINGS, errors)
         self.assertIn("listen: cannot_listen", errors)
+
+
+class TestStart(unittest.IsolatedAsyncioTestCase):
+    """The stand-in that starts daemons."""
+
+    async def test_daemon_that_ends_at_its_start_is_told_with_its_last_lines(self):
+        with tempfile.TemporaryDirectory() as folder:
+            daemon = DaemonProcess({**DOCUMENT, "zone": "Zone A"}, Path(folder))
+            with self.assertRaisesRegex(StartError, "zone: bad_value"):
+                await daemon.start()
