Let stand-in workers report no use that nobody stated

The stand-in reported as used what the owner had set aside, the owner adds its margin of 15 % to what is used, and so each round of tasks that last longer than the reports' lag grew: 1,000 to 1,665 millicores after six rounds. A platform's report doesn't follow our reservations. Change: use is reported where the payload or the worker states it. A first form of the test, with endless tasks, passed on the old stand-in, as running tasks are not counted yet; the one that lands runs tasks of 15 s, failed before (1,665 against 1,000) and passes after. Conclusion: that keepers choose owners by declared sizes while owners set aside learnt ones stays open.

--- a/src/standins/workers.py
+++ b/src/standins/workers.py
@@ -33,7 +33,8 @@
     """What a payload asks of a task.
 
     :param run_time: at full speed; ``None`` runs until it is stopped.
-    :param usage_factor: observed use over the declared; ``None`` for the worker's.
+    :param usage_factor: observed use over what the task was started with;
+        ``None`` for the worker's, and no report when that has none either.
     """
 
     run_time: timedelta | None
@@ -111,7 +112,7 @@
         self.is_leaving = False
         self.is_dead = False
         self.fails_everything = False
-        self.usage_factor = 1.0
+        self.usage_factor: float | None = None
         self.usage_lag = USAGE_LAG
         self.most_used = ZERO_SIZE
         self.epoch = 0
@@ -306,14 +307,14 @@
     def _read_usage(self) -> tuple[Usage, ...]:
         settled = self.clock.monotonic() - self.usage_lag
         return tuple(
-            Usage(run.order.task, self._observe(run), self.usage_lag)
+            Usage(run.order.task, self._observe(run, factor), self.usage_lag)
             for run in self._running.values()
             if run.start.time <= settled
+            and (factor := run.work.usage_factor or self.usage_factor)
         )
 
-    def _observe(self, run: Run) -> Size:
+    def _observe(self, run: Run, factor: float) -> Size:
         declared = run.order.size
-        factor = run.work.usage_factor or self.usage_factor
         millicores = round(declared.millicores * factor)
         if run.limit is not None:
             millicores = min(millicores, run.limit)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -502,6 +502,28 @@
         self.assertEqual(workers, [name])
 
 
+class TestLearntSizes(WithPlane):
+    """Sizes follow what is reported, and nothing else."""
+
+    @virtual
+    async def test_sizes_stay_as_declared_where_nothing_is_reported(self):
+        await self.start(b'{"run_time": 15}')
+        await self.sleep(5)
+        declared = self.list_sizes()
+        self.assertEqual(len(declared), 1)
+        for _ in range(6):
+            await self.sleep(15)
+            await self.submit(b'{"run_time": 15}')
+            await self.sleep(5)
+        self.assertEqual(self.list_sizes(), declared)
+
+    def list_sizes(self):
+        """List what is set aside on the worker for each task."""
+        accounts = self.plane.find("d2").host.accounts
+        reservations = accounts.workers["w1"].reservations.values()
+        return [reservation.need.size for reservation in reservations]
+
+
 class TestPressure(WithPlane):
     """Wrong declarations don't overload a worker."""
 
