--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -94,19 +94,18 @@
 
 async def measure_store(platform: Platform, count: int) -> dict[str, Any]:
     """Measure the store and the instance list."""
-    clock = platform.clock
     relay = CountingRelay(platform.address)
     address = await relay.start()
-    store = HttpStore(address, clock, CLIENT)
-    instances = HttpInstanceList(address, clock, CLIENT)
+    store = HttpStore(address, CLIENT)
+    instances = HttpInstanceList(address, CLIENT)
     lease = (await store.grant_lease(LEASE)).lease
     figures = {"changed list": await relay.count(instances.list_instances)}
     for name, call in list_calls(store, instances, lease).items():
         figures[name] = await relay.count(call)
     await store.close()
     await instances.close()
-    store = HttpStore(platform.address, clock, CLIENT)
-    instances = HttpInstanceList(platform.address, clock, CLIENT)
+    store = HttpStore(platform.address, CLIENT)
+    instances = HttpInstanceList(platform.address, CLIENT)
     for name, call in list_calls(store, instances, lease).items():
         figures[name]["processor us"] = await measure_time(call, count)
     await store.close()
--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/followups.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from damaskdeck.clock import Clock
+from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.coordination.leases import compute_takeover_bound
 from damaskdeck.coordination.needs import name_attempt
@@ -112,7 +112,7 @@
             await self.check_all()
             await self._stop_all()
             self._changed.clear()
-            await self._wait()
+            await wait_for_event(self._changed, CHECK_INTERVAL, self._clock)
 
     async def check_all(self) -> None:
         """Ask once about each task in doubt."""
@@ -156,15 +156,6 @@
         if not sizes:
             self._sizes.pop(read_job(task), None)
 
-    async def _wait(self) -> None:
-        timer = asyncio.ensure_future(self._clock.sleep(CHECK_INTERVAL))
-        changed = asyncio.ensure_future(self._changed.wait())
-        try:
-            await asyncio.wait({timer, changed}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            timer.cancel()
-            changed.cancel()
-
     def _set_place(self, name: str, worker: str) -> None:
         former = self._places.get(name, "")
         if former == worker:
--- a/src/damaskdeck/coordination/services.py
+++ b/src/damaskdeck/coordination/services.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from damaskdeck.clock import Clock
+from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.kept import KeptLedger
 from damaskdeck.protocol.handlers import (
     FINAL_JOB_STATES,
@@ -54,13 +54,7 @@
         while True:
             self._changed.clear()
             await self._sync_all()
-            timer = asyncio.ensure_future(self._clock.sleep(SYNC_INTERVAL))
-            change = asyncio.ensure_future(self._changed.wait())
-            try:
-                await asyncio.wait({timer, change}, return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                timer.cancel()
-                change.cancel()
+            await wait_for_event(self._changed, SYNC_INTERVAL, self._clock)
 
     async def _sync_all(self) -> None:
         wanted = {}
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -78,7 +78,7 @@
         self.settings = settings
         self.api_address = ""
         self._clock = clock
-        self._platform = platform or connect_platform(settings, clock)
+        self._platform = platform or connect_platform(settings)
         self._is_draining = False
         self._stop = asyncio.Event()
 
@@ -283,12 +283,12 @@
         _log.info("Stopped.")
 
 
-def connect_platform(settings: Settings, clock: Clock) -> Platform:
+def connect_platform(settings: Settings) -> Platform:
     """Return the adapters over HTTP."""
     name = settings.name
     return Platform(
-        HttpStore(settings.store_address, clock, name),
-        HttpInstanceList(settings.instances_address, clock, name),
+        HttpStore(settings.store_address, name),
+        HttpInstanceList(settings.instances_address, name),
         HttpWorkers(name),
         HttpTargets(name),
     )
--- a/src/damaskdeck/transport/instances.py
+++ b/src/damaskdeck/transport/instances.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from damaskdeck.clock import Clock
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.protocol.ports import Instances, Lost, Rejected
 from damaskdeck.transport.pool import BAD_ANSWER, HttpPool
@@ -30,22 +29,14 @@
     def __init__(
         self,
         address: str,
-        clock: Clock,
         client_name: str = "",
         timeout: timedelta = CALL_TIMEOUT,
     ) -> None:
         self._url = f"http://{address}/instances"
-        self._clock = clock
         self._timeout = timeout
         self._pool = HttpPool(CONNECTION_LIMIT, client_name=client_name)
         self._etag = ""
         self._known = Instances(())
-        self._last_answer: timedelta | None = None
-
-    @property
-    def last_answer(self) -> timedelta | None:
-        """Monotonic time of the last answer; ``None`` before the first."""
-        return self._last_answer
 
     async def list_instances(self) -> Instances | Rejected | Lost:
         """Read the whole list, or learn cheaply that it is unchanged."""
@@ -61,7 +52,6 @@
             self._etag = reply.headers.get("etag", "")
         elif reply.status != 304 or not self._etag:
             return Lost(BAD_ANSWER, f"unexpected status {reply.status}")
-        self._last_answer = self._clock.monotonic()
         return self._known
 
     async def close(self) -> None:
--- a/src/damaskdeck/transport/store.py
+++ b/src/damaskdeck/transport/store.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from damaskdeck.clock import Clock
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.metrics import count_store_call
 from damaskdeck.protocol.ports import (
@@ -53,20 +52,12 @@
     def __init__(
         self,
         address: str,
-        clock: Clock,
         client_name: str = "",
         timeout: timedelta = CALL_TIMEOUT,
     ) -> None:
         self._base = f"http://{address}/store"
-        self._clock = clock
         self._timeout = timeout
         self._pool = HttpPool(CONNECTION_LIMIT, client_name=client_name)
-        self._last_answer: timedelta | None = None
-
-    @property
-    def last_answer(self) -> timedelta | None:
-        """Monotonic time of the last answer; ``None`` before the first."""
-        return self._last_answer
 
     async def get(self, key: str) -> Found | Missing | Rejected | Lost:
         """Read one key."""
@@ -147,11 +138,9 @@
         if not isinstance(reply, Reply):
             return reply
         try:
-            answer = read(reply)
+            return read(reply)
         except (KeyError, ValueError, OverflowError, *DECODE_ERRORS) as error:
             return Lost(BAD_ANSWER, f"{reply.status} {error!r}")
-        self._last_answer = self._clock.monotonic()
-        return answer
 
 
 def _expect(reply: Reply, status: int) -> None:
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -70,10 +70,9 @@
     async def connect(self, platform: Platform) -> Ports:
         """Return the ports of a client."""
         await platform.serve()
-        clock = platform.clock
         self.ports = Ports(
-            HttpStore(platform.address, clock, client_name="entry-1"),
-            HttpInstanceList(platform.address, clock, client_name="entry-1"),
+            HttpStore(platform.address, client_name="entry-1"),
+            HttpInstanceList(platform.address, client_name="entry-1"),
             HttpWorkers(client_name="entry-1"),
             HttpTargets(client_name="entry-1"),
         )
@@ -482,7 +481,7 @@
     async def test_server_fault_without_proof_is_no_refusal(self):
         url = await self._serve(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
         address = url.removeprefix("http://").rstrip("/")
-        store = HttpStore(address, ManualClock())
+        store = HttpStore(address)
         answer = await store.put("a", b"1", 0)
         await store.close()
         self.assertEqual(answer.code, "bad_answer")
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -682,7 +682,7 @@
     """Odd answers of the platform's service."""
 
     def test_a_lease_without_end_is_not_taken_for_one(self):
-        store = HttpStore("127.0.0.1:1", SystemClock())
+        store = HttpStore("127.0.0.1:1")
         for ttl in ("inf", "nan", "x", "1e400", ""):
             reply = Reply(200, {"x-lease": "a", "x-ttl": ttl}, b"")
             self.assertIsInstance(store._read(reply, _read_granted), Lost, ttl)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -22,6 +22,12 @@
 Scenario = Callable[[RequestDeployment], Awaitable[Any]]
 
 
+def start_asks(deployment: Any, prefix: str, count: int) -> list[asyncio.Task[Any]]:
+    """Start requests at the first entry; their names count up from ``prefix`` 0."""
+    asks = [deployment.ask("entry-0-0", f"{prefix}{i}") for i in range(count)]
+    return [asyncio.ensure_future(ask) for ask in asks]
+
+
 def play(scenario: Scenario, layout: Layout | None = None, **options: Any) -> Any:
     """Run ``scenario(deployment)`` in virtual time."""
 
@@ -355,8 +361,7 @@
         async def scenario(deployment):
             lane = deployment.routers["entry-0-0"]._owned.get_lane(SERVICE)
             pool = lane.pools["target-0-0"]
-            first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
-            first = [asyncio.ensure_future(ask) for ask in first]
+            first = start_asks(deployment, "a", 4)
             await asyncio.sleep(0.01)
             ask = asyncio.ensure_future(deployment.ask("entry-0-0", "b"))
             await asyncio.sleep(0)
@@ -372,8 +377,7 @@
         async def scenario(deployment):
             lane = deployment.routers["entry-0-0"]._owned.get_lane(SERVICE)
             pool = lane.pools["target-0-0"]
-            first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
-            first = [asyncio.ensure_future(ask) for ask in first]
+            first = start_asks(deployment, "a", 4)
             await asyncio.sleep(0.01)
             ask = asyncio.ensure_future(deployment.ask("entry-0-0", "b"))
             await asyncio.sleep(0)
@@ -387,11 +391,9 @@
 
     def test_an_offer_that_comes_while_a_caller_goes_is_the_next_ones(self):
         async def scenario(deployment):
-            first = [deployment.ask("entry-0-0", f"a{i}") for i in range(4)]
-            first = [asyncio.ensure_future(ask) for ask in first]
+            first = start_asks(deployment, "a", 4)
             await asyncio.sleep(0.01)
-            asks = [deployment.ask("entry-0-0", f"b{i}") for i in range(2)]
-            asks = [asyncio.ensure_future(ask) for ask in asks]
+            asks = start_asks(deployment, "b", 2)
             await asyncio.sleep(0)
             asks[0].cancel()
             router = deployment.routers["entry-0-0"]
