Split the tests of pools by subject

Change: takeovers, workers and doubted workers have files of their own; the case that closes the cluster stands with the cluster. No test was changed.

--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import unittest
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -325,3 +326,19 @@
         for daemon in self.daemons.values():
             daemon.kill()
         self.switch.close()
+
+
+class PoolCase(unittest.TestCase):
+    """Closes the cluster and checks what must always hold."""
+
+    async def begin(self, **options) -> PoolCluster:
+        """Start a cluster."""
+        self.cluster = PoolCluster(**options)
+        await self.cluster.start()
+        return self.cluster
+
+    def end(self) -> None:
+        """Check and close."""
+        broken = self.cluster.find_broken_promises()
+        self.cluster.close()
+        self.assertEqual(broken, [])
--- /dev/null
+++ b/tests/test_pools_takeover.py
@@ -0,0 +1,239 @@
+"""Takeovers and handovers of pools: deaths, cuts, late and lost answers."""
+
+import asyncio
+from datetime import timedelta
+
+from damaskdeck.protocol.ports import Lost, Written
+from damaskdeck.protocol.queues import QueuedState, StepSpec
+from damaskdeck.state.jobrecords import LEAD_KEY, OWNER_KEY
+from standins.pools import Work
+from tests.poolcluster import (
+    SECOND,
+    SMALL,
+    PoolCase,
+    PoolCluster,
+    make_job,
+)
+from tests.virtual import virtual
+
+HALF = timedelta(milliseconds=500)
+
+
+class TestTakeover(PoolCase):
+    """Another owner takes over what the one before did."""
+
+    @virtual
+    async def test_running_tasks_are_adopted_and_their_ends_are_kept(self):
+        cluster = await self.begin(behave=lambda t, a: Work(timedelta(seconds=4)))
+        await cluster.submit("j1", make_job(StepSpec(6, SMALL, SECOND)))
+        await asyncio.sleep(1)
+        cluster.find_owner().kill()
+        survivor = cluster.find_other().name
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, survivor)
+        self.assertEqual(len(cluster.list_starts()), 6)
+        self.end()
+
+    @virtual
+    async def test_ends_that_were_listed_but_not_stored_are_not_lost(self):
+        cluster = await self.begin()
+        owner = cluster.find_owner()
+        await cluster.submit("j1", make_job(StepSpec(6, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        owner.store.faults.outage = True
+        await asyncio.sleep(1)
+        owner.kill()
+        survivor = cluster.find_other().name
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, survivor)
+        self.assertEqual(len(cluster.list_starts()), 6)
+        self.end()
+
+    @virtual
+    async def test_workers_known_from_the_roster_get_tasks_from_the_successor(self):
+        cluster = await self.begin()
+        await cluster.submit("j0", make_job())
+        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        cluster.find_owner().kill()
+        survivor = cluster.find_other().name
+        await cluster.wait(lambda: cluster.find_owner() is not None)
+        await cluster.submit("j1", make_job(StepSpec(8, SMALL, SECOND)), survivor)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, survivor, 5)
+        self.end()
+
+    @virtual
+    async def test_a_successor_starts_within_three_seconds_of_a_death(self):
+        cluster = await self.begin()
+        await cluster.submit("j0", make_job())
+        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        other = cluster.find_other().name
+        cluster.find_owner().kill()
+        died = cluster.clock.monotonic()
+        await cluster.submit("j1", make_job(), other)
+        await cluster.wait(lambda: bool(cluster.list_starts("j1")))
+        began = cluster.list_starts("j1")[0][0]
+        self.assertLess(began - died, 3 * SECOND)
+        self.end()
+
+    @virtual
+    async def test_daemons_that_hear_no_owner_do_not_wait_for_its_lease(self):
+        cluster = await self.begin(daemons=5)
+        other = cluster.find_other().name
+        cluster.find_owner().kill()
+        died = cluster.clock.monotonic()
+        await cluster.submit("j1", make_job(), other)
+        await cluster.wait(lambda: bool(cluster.list_starts("j1")))
+        began = cluster.list_starts("j1")[0][0]
+        self.assertLess(began - died, SECOND)
+        self.end()
+
+    @virtual
+    async def test_the_strongest_daemon_succeeds(self):
+        self.cluster = cluster = PoolCluster(daemons=3)
+        strong = cluster.add_daemon("d9", power=2.0)
+        await cluster.start()
+        await asyncio.sleep(1)
+        owner = cluster.find_owner()
+        if owner is not strong:
+            self.assertEqual(owner.leadership.find_stronger(), "d9")
+            await owner.owner.drain()
+            await owner.leadership.release(is_leaving=False)
+        await cluster.wait(lambda: cluster.find_owner() is strong)
+        self.assertEqual(strong.leadership.find_stronger(), "")
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.end()
+
+    @virtual
+    async def test_a_minority_that_is_cut_off_takes_nothing_over(self):
+        cluster = await self.begin(daemons=5)
+        owner = cluster.find_owner()
+        minority = [d for d in cluster.daemons.values() if d is not owner][:2]
+        for daemon in cluster.daemons.values():
+            for cut in minority:
+                if daemon not in minority:
+                    cluster.switch.cut_both(daemon.name, cut.name)
+        await asyncio.sleep(5)
+        self.assertIs(cluster.find_owner(), owner)
+        self.assertEqual([d.mandates for d in minority], [[], []])
+        self.end()
+
+    @virtual
+    async def test_an_explicit_handover_takes_less_than_a_third_of_a_second(self):
+        cluster = await self.begin()
+        await cluster.submit("j0", make_job())
+        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        owner, other = cluster.find_owner(), cluster.find_other().name
+        left = cluster.clock.monotonic()
+        await owner.stop()
+        del cluster.daemons[owner.name]
+        await cluster.submit("j1", make_job(), other)
+        await cluster.wait(lambda: bool(cluster.list_starts("j1")))
+        began = cluster.list_starts("j1")[0][0]
+        self.assertLess(began - left, timedelta(milliseconds=300))
+        self.end()
+
+    @virtual
+    async def test_a_task_on_an_unreachable_worker_waits_for_its_lease(self):
+        cluster = await self.begin(
+            workers=1, behave=lambda t, a: Work(timedelta(seconds=60))
+        )
+        await cluster.submit("j1", make_job())
+        await asyncio.sleep(0.5)
+        owner = cluster.find_owner()
+        cluster.add_worker("w9", "10.0.0.9:1")
+        for daemon in cluster.daemons.values():
+            if daemon is not owner:
+                daemon.workers.cut_off.add("w0")
+        cluster.switch.cut_both(owner.name, cluster.find_other().name)
+        owner.store.faults.pause()
+        await cluster.wait(
+            lambda: any(task.job == "j1" for task in cluster.workers["w9"].running)
+        )
+        self.assertNotEqual(cluster.find_owner(), None)
+        self.end()
+
+    @virtual
+    async def test_a_deposed_owner_that_sees_nothing_stops_by_its_clock(self):
+        cluster = await self.begin(behave=lambda t, a: Work(timedelta(seconds=60)))
+        await cluster.submit("j1", make_job())
+        await asyncio.sleep(0.5)
+        owner = cluster.find_owner()
+        owner.store.faults.pause()
+        await asyncio.sleep(cluster.times.tenure.total_seconds() + 2)
+        self.assertFalse(owner.leadership.may_decide())
+        self.end()
+
+    @virtual
+    async def test_an_answer_to_a_takeover_that_was_overtaken_is_not_believed(self):
+        cluster = await self.begin(daemons=4)
+        owner = cluster.find_owner()
+        heir = cluster.daemons[cluster.find_other().leadership._rank_heirs()[0]]
+        commit = heir.store.commit
+
+        async def commit_slowly(transaction, timeout=None):
+            done = await commit(transaction, timeout)
+            if any(write.key == OWNER_KEY for write in transaction.writes):
+                await asyncio.sleep(3)
+            return done
+
+        heir.store.commit = commit_slowly
+        owner.kill()
+        await cluster.wait(lambda: cluster.find_owner() is not None)
+        successor = cluster.find_owner()
+        self.assertIsNot(successor, heir)
+        await asyncio.sleep(5)
+        self.assertEqual(heir.mandates, [])
+        self.assertIs(cluster.find_owner(), successor)
+        self.end()
+
+    @virtual
+    async def test_a_takeover_that_was_carried_out_late_leaves_no_empty_seat(self):
+        self.cluster = cluster = PoolCluster(daemons=1)
+        daemon = cluster.daemons["d0"]
+        commit = daemon.store.commit
+        delayed = []
+
+        async def commit_late(transaction, timeout=None):
+            is_takeover = any(write.key == OWNER_KEY for write in transaction.writes)
+            if delayed or not is_takeover:
+                return await commit(transaction, timeout)
+            delayed.append(transaction)
+            daemon.store.faults.outage = True
+            return Lost("timeout")
+
+        daemon.store.commit = commit_late
+        daemon.start()
+        await cluster.wait(lambda: bool(delayed))
+        await asyncio.sleep(0.4)
+        self.assertIsInstance(cluster.store.commit(delayed[0]), Written)
+        daemon.store.faults.outage = False
+        await cluster.wait(lambda: cluster.find_owner() is not None, seconds=5)
+        self.assertEqual([m.epoch for m in daemon.mandates], [2])
+        self.end()
+
+    @virtual
+    async def test_a_revoked_hint_deposes_nobody_for_good(self):
+        cluster = await self.begin()
+        for number in range(3):
+            cluster.store.revoke(LEAD_KEY)
+            await cluster.submit(f"j{number}", make_job())
+            await cluster.wait_for_state(f"j{number}", QueuedState.COMPLETED)
+        self.assertEqual(len(cluster.list_starts()), 3)
+        self.end()
+
+    @virtual
+    async def test_all_daemons_killed_at_once_go_on_within_four_seconds(self):
+        cluster = await self.begin(behave=lambda t, a: Work(timedelta(seconds=3)))
+        await cluster.submit("j1", make_job(StepSpec(40, SMALL, SECOND)))
+        await asyncio.sleep(1)
+        for name in list(cluster.daemons):
+            cluster.daemons[name].kill()
+        await asyncio.sleep(1)
+        before = len(cluster.list_starts())
+        for name in list(cluster.daemons):
+            cluster.add_daemon(name)
+        back = cluster.clock.monotonic()
+        await cluster.start()
+        await cluster.wait(lambda: len(cluster.list_starts()) > before)
+        self.assertLess(cluster.clock.monotonic() - back, 4 * SECOND)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.end()
--- /dev/null
+++ b/tests/test_pools_workers.py
@@ -0,0 +1,160 @@
+"""Workers of pools under failure: silent, lost, replaced, doubted."""
+
+import asyncio
+from datetime import timedelta
+
+from damaskdeck.protocol.pools import EndKind
+from damaskdeck.protocol.queues import QueuedState, StepSpec
+from standins.faults import FaultKind
+from standins.pools import Work
+from tests.poolcluster import (
+    SECOND,
+    SMALL,
+    PoolCase,
+    make_job,
+    make_queue,
+)
+from tests.virtual import virtual
+
+HALF = timedelta(milliseconds=500)
+
+
+class TestWorkers(PoolCase):
+    """Workers that crash, fall silent or carry orders out late."""
+
+    @virtual
+    async def test_an_order_without_an_answer_is_settled_by_the_inventory(self):
+        cluster = await self.begin()
+        cluster.find_owner().workers.faults.plan("start", FaultKind.LOSE_ANSWER)
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=5)
+        self.assertEqual(len(cluster.list_starts()), 1)
+        self.end()
+
+    @virtual
+    async def test_an_order_that_is_carried_out_late_runs_nothing_twice(self):
+        cluster = await self.begin()
+        owner = cluster.find_owner()
+        owner.workers.late = True
+        owner.workers.faults.plan("start", *[FaultKind.LOSE_ANSWER] * 3)
+        await cluster.submit("j1", make_job(StepSpec(3, SMALL, SECOND)))
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=8)
+        await asyncio.sleep(5)
+        self.assertEqual(len(cluster.list_starts()), 3)
+        self.end()
+
+    @virtual
+    async def test_tasks_of_a_worker_that_came_back_anew_start_again_at_once(self):
+        cluster = await self.begin(
+            workers=1, behave=lambda t, a: Work(timedelta(seconds=5))
+        )
+        await cluster.submit("j1", make_job(StepSpec(2, SMALL, SECOND)))
+        await asyncio.sleep(1)
+        cluster.workers["w0"].kill()
+        cluster.add_worker("w0b", "10.0.0.0:1")
+        crashed = cluster.clock.monotonic()
+        await cluster.wait(lambda: len(cluster.workers["w0b"].starts) == 2)
+        self.assertLess(cluster.clock.monotonic() - crashed, 3 * SECOND)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.end()
+
+    @virtual
+    async def test_tasks_of_a_silent_worker_start_elsewhere_after_its_lease(self):
+        cluster = await self.begin(
+            workers=2, behave=lambda t, a: Work(timedelta(seconds=20))
+        )
+        await cluster.submit("j1", make_job(StepSpec(8, SMALL, SECOND)))
+        await asyncio.sleep(1)
+        owner = cluster.find_owner()
+        owner.workers.cut_off.add("w0")
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=90)
+        self.end()
+
+    @virtual
+    async def test_leases_go_on_while_the_store_is_away(self):
+        cluster = await self.begin(behave=lambda t, a: Work(timedelta(seconds=9)))
+        await cluster.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        await asyncio.sleep(5)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = False
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.assertEqual(len(cluster.list_starts()), 4)
+        self.end()
+
+    @virtual
+    async def test_history_that_is_gone_is_read_anew(self):
+        cluster = await self.begin()
+        cluster.store.forget_history()
+        await cluster.submit("j1", make_job(), cluster.find_other().name)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        cluster.add_worker("w9", "10.0.0.9:1")
+        cluster.store.forget_history()
+        await cluster.submit("j2", make_job(StepSpec(30, SMALL, SECOND)))
+        await cluster.wait_for_state("j2", QueuedState.COMPLETED)
+        self.assertTrue(cluster.workers["w9"].starts)
+        self.end()
+
+
+class TestTrust(PoolCase):
+    """Workers that fail everything, or on which everything stands still."""
+
+    @virtual
+    async def test_a_worker_that_fails_everything_is_told_from_failing_jobs(self):
+        cluster = await self.begin(queues=(make_queue(attempts=6),))
+        await cluster.submit("first", make_job(StepSpec(16, SMALL, SECOND)))
+        await cluster.wait_for_state("first", QueuedState.COMPLETED)
+        bad = cluster.workers["w1"]
+        bad._behave = lambda task, attempt: Work(
+            timedelta(milliseconds=100), EndKind.FAILED
+        )
+        for number in range(60):
+            await cluster.submit(f"j{number}", make_job(StepSpec(2, SMALL, SECOND)))
+            await asyncio.sleep(0.1)
+        for number in range(60):
+            await cluster.wait_for_state(f"j{number}", QueuedState.COMPLETED)
+        failed = sum(row[2] is EndKind.FAILED for row in bad.history)
+        self.assertGreater(failed, 3)
+        self.assertLess(failed, 15)
+        self.end()
+
+    @virtual
+    async def test_tasks_on_a_worker_that_stands_still_start_elsewhere(self):
+        cluster = await self.begin()
+        for worker in cluster.workers.values():
+            worker.hangs = worker.info.identifier == "w0"
+        await cluster.submit("j1", make_job(StepSpec(8, SMALL, SECOND)))
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=5)
+        stopped = [row[2] for row in cluster.workers["w0"].history]
+        self.assertTrue(stopped)
+        self.assertEqual(set(stopped), {EndKind.STOPPED})
+        self.end()
+
+    @virtual
+    async def test_a_run_that_has_done_its_work_does_not_stand_still(self):
+        cluster = await self.begin(
+            workers=1, behave=lambda t, a: Work(timedelta(seconds=4))
+        )
+        worker = cluster.workers["w0"]
+        worker._measure = lambda run: 100
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.assertEqual(len(cluster.list_starts()), 1)
+        self.end()
+
+    @virtual
+    async def test_what_a_task_has_gained_is_not_given_up_at_once(self):
+        cluster = await self.begin(
+            workers=1, behave=lambda t, a: Work(timedelta(seconds=8))
+        )
+        long = StepSpec(1, SMALL, timedelta(seconds=8))
+        await cluster.submit("j1", make_job(long))
+        await asyncio.sleep(4)
+        cluster.workers["w0"].hangs = True
+        await asyncio.sleep(1.5)
+        cluster.workers["w0"].hangs = False
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.assertEqual(len(cluster.list_starts()), 1)
+        self.end()
