Serve steps of every kind as their submitters expect

Cause: steps of the kinds that the two sites don't send had no test, and the tests found faults. A gang for one rack that no rack can hold never started; a step near its data never waited for it and ran there only by luck; a lasting task and an occurrence of a timed job were judged by when the job came, so after a while they came last; of a timed job whose first and third occurrence had lasted through a takeover the second never ran; a worker that rejects an order for want of room was asked again each 4 ms (494 times in 2 s of virtual time). may_miss was refused, though nothing here ends a lasting task that is at work. Change: choosy steps wait for their best racks for what they gain there, at most 2 s, and go elsewhere at once when no such rack could hold them; urgency follows from the occurrence; each occurrence is opened by its number; a worker whose answer differs from our book is left alone for 0.3 s; may_miss is taken. Orders by heartbeat and a store in the form of a log are refused at the start with their names, duties of machines and upkeep waves are told as not served, once each. Decoding of jobs stands in a module of its own, with tests of each field.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -227,7 +227,9 @@
         if answer.clock is not None:
             self._note_clock(answer.clock, now)
         self._heed_epoch(answer.code)
-        if answer.code is RefusalCode.UNHEALTHY:
+        # Without its ticket another step may still start there; else what it knows
+        # differs from what we know, and asking at once would only repeat that.
+        if answer.code is not RefusalCode.NO_TICKET:
             self.paused_until = now + DECLINE_PAUSE_SECONDS
 
     def stop(self, run: Run) -> None:
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -12,6 +12,8 @@
 from damaskdeck.coordination.pools.placing import (
     Plan,
     Seat,
+    has_best_rack,
+    is_choosy,
     plan_step,
     suits,
     take_seats,
@@ -34,6 +36,10 @@
 # So many steps in the order of urgency have their tickets kept fresh.
 REFRESH_STEPS = 12
 
+# A step waits for the racks where it runs best for what it gains there, at most so
+# long: with room elsewhere nothing may wait for 3 s (the platform's rule).
+FAR_PATIENCE_SECONDS = 2.0
+
 _log = get_logger("dispatching")
 
 
@@ -78,7 +84,8 @@
         self._is_draining = False
         self._starts: set[asyncio.Task[None]] = set()
         self._has_waiting = False
-        self._timed: dict[str, Job] = {}
+        # The first occurrence that isn't open yet, by job.
+        self._timed: dict[str, int] = {}
 
     def wake(self) -> None:
         """Ask for a pass."""
@@ -92,7 +99,7 @@
     def take(self, job: Job) -> None:
         """Take note of a new job."""
         if job.record.spec.repeats and not job.is_final:
-            self._timed[job.identifier] = job
+            self._timed[job.identifier] = 0
         self.wake()
 
     def close(self) -> None:
@@ -168,19 +175,44 @@
             seat
             for seat in seats
             if seat.contact.info.pool == pool
-            and suits(step.spec, seat)
+            and suits(step.spec, seat.contact.info)
             and self._trust.may_start(seat.key, step.job)
         ]
         if step.job.queue.advice is not None:
             verdicts = self._desk.get(step)
             self._ask(step, verdicts, pool, urgency, place, now)
             suited = [s for s in suited if verdicts.find_ticket(s.key, now)]
-        plan = plan_step(step, tasks, suited) if suited else []
+        if not suited:
+            return 0
+        may_go_far = is_choosy(step.spec) and self._may_go_far(step, pool, now)
+        plan = plan_step(step, tasks, suited, may_go_far)
+        if len(plan) == len(tasks):
+            step.pinched_at = None
+        elif step.pinched_at is None:
+            step.pinched_at = now
         if plan:
             take_seats(plan)
             self._order(step, plan, now)
         return len(plan)
 
+    def _may_go_far(self, step: Step, pool: str, now: float) -> bool:
+        """Whether a choosy step has waited long enough for its best racks."""
+        gain = (self._times.far_factor - 1) * step.spec.estimate.total_seconds()
+        since = step.pinched_at if step.pinched_at is not None else now
+        if now - since >= min(gain, FAR_PATIENCE_SECONDS):
+            return True
+        refused = self._desk.get(step).refused
+        workers = [
+            contact.info
+            for key, contact in self._owner.contacts.items()
+            if contact.info.pool == pool
+            and contact.is_listed
+            and not contact.info.is_leaving
+            and suits(step.spec, contact.info)
+            and key not in refused
+        ]
+        return not has_best_rack(step, workers)
+
     def _ask(
         self,
         step: Step,
@@ -290,8 +322,12 @@
                 self._give_up(run)
         if self._timed:
             wall = self._clock.now().timestamp()
-            for job in list(self._timed.values()):
-                self._open_due(job, wall)
+            for identifier in list(self._timed):
+                job = self._owner.board.open.get(identifier)
+                if job is None:
+                    del self._timed[identifier]
+                else:
+                    self._open_due(job, wall)
 
     def _give_up(self, run: Run) -> None:
         """Stop a run that stands still, and with it its gang."""
@@ -309,14 +345,14 @@
 
     def _open_due(self, job: Job, wall: float) -> None:
         spec = job.record.spec
-        start, interval = spec.start_at, spec.interval
-        opened = len(job.occurrences)
-        while opened < spec.repeats:
-            due = (start + interval * opened).total_seconds()
-            if wall < due:
+        now = self._owner.now()
+        for number in range(self._timed[job.identifier], spec.repeats):
+            since = wall - (spec.start_at + spec.interval * number).total_seconds()
+            if since < 0:
                 return
-            job.open_occurrence(opened)
-            opened += 1
+            # One that was opened before, by what lasted of it, gets its time too.
+            job.open_occurrence(number, now - since)
+            self._timed[job.identifier] = number + 1
             self.wake()
         del self._timed[job.identifier]
         if job.close_if_completed(self._owner.now()):
--- a/src/damaskdeck/coordination/pools/ordering.py
+++ b/src/damaskdeck/coordination/pools/ordering.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from damaskdeck.protocol.queues import JobSpec, Queue, StepSpec
-from damaskdeck.state.board import Job, Step
+from damaskdeck.state.board import Step
 
 # A job earns less from its objective on, and nothing from this multiple of it on.
 LATE_MULTIPLE = 3.0
@@ -31,13 +31,14 @@
     slack: float
 
 
-def measure_chain(job: Job) -> float:
-    """Return the longest chain of work that is left, in seconds, by estimates."""
-    longest = 0.0
-    for steps in job.occurrences.values():
-        left = ((s.spec, 0.0 if s.is_completed else _estimate(s.spec)) for s in steps)
-        longest = max(longest, _find_longest(left))
-    return longest
+def measure_chain(steps: Iterable[Step]) -> float:
+    """Return the longest chain of work that is left, in seconds, by estimates.
+
+    :param steps: all those of one occurrence.
+    """
+    return _find_longest(
+        (s.spec, 0.0 if s.is_completed else _estimate(s.spec)) for s in steps
+    )
 
 
 def measure_whole_chain(spec: JobSpec) -> float:
@@ -64,10 +65,16 @@
 
 
 def judge_step(step: Step, now: float) -> Urgency:
-    """Return how urgent a step is."""
+    """Return how urgent a step is.
+
+    A task that lasts is missed for as long as it is away, however late it is.
+    """
     job = step.job
+    if step.spec.is_lasting:
+        return Urgency(Outlook.PUNCTUAL, job.queue.rank, 0.0)
     objective = find_objective(job.queue, job.record.spec)
-    start_by = job.arrived_at + objective - measure_chain(job)
+    chain = measure_chain(job.occurrences[step.occurrence])
+    start_by = step.due_at + objective - chain
     if now <= start_by:
         return Urgency(Outlook.PUNCTUAL, job.queue.rank, start_by - now)
     late_by = start_by + (LATE_MULTIPLE - 1) * objective
--- a/src/damaskdeck/coordination/pools/placing.py
+++ b/src/damaskdeck/coordination/pools/placing.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.protocol.pools import PoolWorker
 from damaskdeck.protocol.queues import StepSpec
 from damaskdeck.protocol.sizes import Size, fits, subtract_sizes
 from damaskdeck.state.board import Step, Task
@@ -14,22 +15,24 @@
     :ivar free: room, lowered as the pass places tasks.
     """
 
-    __slots__ = ("contact", "free", "key", "labels", "rack")
+    __slots__ = ("contact", "free", "key", "rack")
 
     def __init__(self, contact: WorkerContact) -> None:
         self.contact = contact
         self.key = contact.info.identifier
         self.free = contact.free
         self.rack = contact.info.rack
-        self.labels = contact.info.labels
 
 
 Plan = list[tuple[Task, Seat]]
 
+# More tasks than any rack is asked for.
+UNBOUNDED = 1_000_000
 
-def suits(spec: StepSpec, seat: Seat) -> bool:
+
+def suits(spec: StepSpec, worker: PoolWorker) -> bool:
     """Tell whether a worker's kind lets it run a step, room aside."""
-    return not spec.label or spec.label in seat.labels
+    return not spec.label or spec.label in worker.labels
 
 
 def count_on_workers(step: Step) -> Counter[str]:
@@ -37,22 +40,61 @@
     return Counter(run.worker for run in step.list_runs())
 
 
-def plan_step(step: Step, tasks: list[Task], seats: list[Seat]) -> Plan:
+def is_choosy(spec: StepSpec) -> bool:
+    """Tell whether the racks that a step runs on change how long it takes."""
+    return spec.needs_one_rack or bool(spec.near)
+
+
+def has_best_rack(step: Step, workers: list[PoolWorker]) -> bool:
+    """Tell whether a choosy step could run on the racks that it runs best on.
+
+    :param workers: those that may run it, room aside.
+    """
+    spec = step.spec
+    racks: Counter[str] = Counter()
+    for worker in workers:
+        if not spec.near or worker.rack == spec.near:
+            racks[worker.rack] += _count_fitting(spec, worker.size)
+    needed = len(step.tasks) if spec.is_gang else 1
+    most = max(racks.values(), default=0)
+    return most >= needed
+
+
+def _count_fitting(spec: StepSpec, size: Size) -> int:
+    pairs = zip(spec.size, size, strict=True)
+    counts = [room // need for need, room in pairs if need > 0]
+    fitting = min(counts, default=UNBOUNDED)
+    return min(fitting, spec.spread) if spec.spread else fitting
+
+
+def plan_step(
+    step: Step, tasks: list[Task], seats: list[Seat], may_go_far: bool
+) -> Plan:
     """Place tasks of a step; of a gang all, or none.
 
     :param seats: those that suit the step and may run it; not changed.
+    :param may_go_far: a choosy step is placed beside its best racks too.
     """
-    spec = step.spec
-    if spec.needs_one_rack:
-        return _plan_on_one_rack(step, tasks, seats)
+    if not is_choosy(step.spec):
+        return _plan_tasks(step, tasks, seats)
+    plan = _plan_on_best_rack(step, tasks, seats)
+    if not may_go_far or len(plan) == len(tasks):
+        return plan
+    if step.spec.needs_one_rack and (plan or any(step.list_runs())):
+        # All of it slows down as soon as a part runs elsewhere.
+        return plan
     return _plan_tasks(step, tasks, seats)
 
 
-def _plan_on_one_rack(step: Step, tasks: list[Task], seats: list[Seat]) -> Plan:
+def _plan_on_best_rack(step: Step, tasks: list[Task], seats: list[Seat]) -> Plan:
     running = {run.worker for run in step.list_runs()}
     racks = {seat.rack for seat in seats if seat.key in running}
+    if not (racks and step.spec.needs_one_rack):
+        racks = {seat.rack for seat in seats}
+    if step.spec.near:
+        racks &= {step.spec.near}
     best: Plan = []
-    for rack in sorted(racks or {seat.rack for seat in seats}):
+    for rack in sorted(racks):
         plan = _plan_tasks(step, tasks, [s for s in seats if s.rack == rack])
         if len(plan) > len(best):
             best = plan
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -14,12 +14,14 @@
     :param lease_shortest: shortest lease of the store.
     :param grace: time from the order to stop until a daemon is killed.
     :param status_kept: states of ended jobs are asked for at least so long.
+    :param far_factor: a step takes so many times as long away from its best racks.
     """
 
     hold_longest: timedelta
     lease_shortest: timedelta
     grace: timedelta
     status_kept: timedelta
+    far_factor: float = 2.0
 
 
 class PoolTimes(NamedTuple):
@@ -39,6 +41,7 @@
     unready_after: timedelta
     forget_after: timedelta
     linger: timedelta
+    far_factor: float
 
 
 def derive_times(bounds: PoolBounds) -> PoolTimes:
@@ -79,4 +82,5 @@
         forget_after=bounds.status_kept * 1.5,
         # Ends of one moment share a commit and a look.
         linger=timedelta(milliseconds=35),
+        far_factor=bounds.far_factor,
     )
--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any, NotRequired, Protocol, TypedDict
+from typing import Any, Protocol
 
 import msgspec
 
@@ -15,12 +15,11 @@
     Unsettled,
     Untold,
 )
-from damaskdeck.errors import DECODE_ERRORS
-from damaskdeck.protocol.queues import JobSpec, Queue, QueuedState, QueueTable, StepSpec
-from damaskdeck.protocol.sizes import Size
+from damaskdeck.errors import MessageError
+from damaskdeck.platform.jobs import read_job
+from damaskdeck.protocol.queues import JobSpec, Queue, QueuedState, QueueTable
 
 _IDENTIFIER = re.compile(r"^[0-9a-fA-F]{16}$")
-_PAYLOAD_LIMIT = 4000
 _STATES = {
     QueuedState.QUEUED: "queued",
     QueuedState.RUNNING: "running",
@@ -37,38 +36,6 @@
 _encoder = msgspec.json.Encoder()
 
 
-class _Step(TypedDict):
-    task_count: NotRequired[int]
-    cpu: NotRequired[int]
-    mem_mb: NotRequired[int]
-    gpu: NotRequired[int]
-    estimated_ms: NotRequired[float]
-    after: NotRequired[list[int]]
-    gang: NotRequired[bool]
-    same_rack: NotRequired[bool]
-    checkpointing: NotRequired[bool]
-    speculative: NotRequired[bool]
-    long_running: NotRequired[bool]
-    constraints: NotRequired[str]
-    affinity: NotRequired[str]
-    anti_affinity: NotRequired[int]
-    image: NotRequired[str]
-    may_miss: NotRequired[int]
-    target_ms: NotRequired[float]
-    fills: NotRequired[bool]
-
-
-class _Job(TypedDict):
-    spec: str
-    steps: list[_Step]
-    repeat_count: NotRequired[int]
-    start_at_ms: NotRequired[float]
-    interval_ms: NotRequired[float]
-
-
-_job = msgspec.json.Decoder(_Job)
-
-
 class Desk(Protocol):
     """What answers callers; see :class:`damaskdeck.coordination.pools.JobDesk`."""
 
@@ -213,8 +180,8 @@
         await answer.give(413)
         return
     try:
-        spec = _read_job(_job.decode(body))
-    except (*DECODE_ERRORS, _InvalidError) as error:
+        spec = read_job(body)
+    except MessageError as error:
         await answer.give(400, {"error": str(error)})
         return
     done = await desk.submit(queue, identifier, spec)
@@ -227,52 +194,6 @@
         await answer.give(504, {"error": done.code})
 
 
-class _InvalidError(ValueError):
-    """A job that makes no sense."""
-
-
-def _read_job(job: _Job) -> JobSpec:
-    if len(job["spec"].encode()) > _PAYLOAD_LIMIT:
-        raise _InvalidError("spec is too long")
-    if not job["steps"]:
-        raise _InvalidError("a job has a step at least")
-    steps = tuple(_read_step(n, step) for n, step in enumerate(job["steps"]))
-    return JobSpec(
-        job["spec"],
-        steps,
-        max(0, job.get("repeat_count", 0)),
-        timedelta(milliseconds=job.get("start_at_ms", 0)),
-        timedelta(milliseconds=job.get("interval_ms", 0)),
-    )
-
-
-def _read_step(number: int, step: _Step) -> StepSpec:
-    for name in ("may_miss", "target_ms", "fills"):
-        if step.get(name):
-            raise _InvalidError(f"unsupported: {name}")
-    after = tuple(step.get("after", ()))
-    if any(not 0 <= earlier < number for earlier in after):
-        raise _InvalidError("after names a step that is not earlier")
-    tasks = step.get("task_count", 1)
-    if tasks < 1:
-        raise _InvalidError("a step has a task at least")
-    return StepSpec(
-        tasks,
-        Size(step.get("cpu", 0), step.get("mem_mb", 0), step.get("gpu", 0)),
-        timedelta(milliseconds=step.get("estimated_ms", 0)),
-        after,
-        step.get("gang", False),
-        step.get("checkpointing", False),
-        step.get("speculative", False),
-        step.get("long_running", False),
-        step.get("same_rack", False),
-        step.get("constraints", ""),
-        step.get("affinity", ""),
-        step.get("anti_affinity", 0),
-        step.get("image", ""),
-    )
-
-
 def _read_host(scope: Scope) -> str:
     for name, value in scope["headers"]:
         if name == b"host":
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -12,6 +12,9 @@
 # Where metrics are served on every instance; the deploy file names it too.
 METRICS_PORT = 9464
 FILE_VARIABLE = "DAMASKDECK_NODE_FILE"
+# Ways of the platform of which one is served: orders to workers by calls rather
+# than by heartbeats, and a store of keys and values rather than a log.
+_SERVED = {"commands": "call", "platform.form": "kv"}
 
 
 class NodeSettings(NamedTuple):
@@ -23,6 +26,7 @@
     :param metrics_port: 0 takes any where ``peer_port`` does.
     :param power: processing power of the instance, in cores.
     :param advisor_address: an empty string where there is no advisor.
+    :param unserved_duties: what the platform asks for and this version doesn't do.
     """
 
     instance: str
@@ -37,6 +41,7 @@
     store_address: str
     advisor_address: str
     bounds: PoolBounds
+    unserved_duties: tuple[str, ...] = ()
 
 
 def load_node(environment: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -60,6 +65,8 @@
     :raises SettingsError: with every fault found.
     """
     reader = _Reader(text)
+    for name, served in _SERVED.items():
+        reader.expect(name, served)
     ports = reader.take("internal_ports").split(",")
     first = int(ports[0]) if ports[0].isdigit() else 0
     settings = NodeSettings(
@@ -80,7 +87,9 @@
             reader.take_time("platform.ttl_min_ms", 1000, 1),
             reader.take_time("bounds.grace_s", 6, 1000),
             reader.take_time("bounds.status_s", 120, 1000),
+            reader.take_number("bounds.remote_factor", 2),
         ),
+        tuple(filter(None, reader.values.get("cloud_api.duties", "").split(","))),
     )
     if reader.faults:
         raise SettingsError(tuple(reader.faults))
@@ -105,6 +114,13 @@
             self.faults.append(Fault(name, "missing", "must be set"))
         return value
 
+    def expect(self, name: str, served: str) -> None:
+        """Refuse a value other than the one that is served; it may be left out."""
+        value = self.values.get(name, "") or served
+        if value != served:
+            detail = f"{value}: only {served} is served"
+            self.faults.append(Fault(name, "unsupported", detail))
+
     def take_time(self, name: str, default: float, scale: int) -> timedelta:
         """Return a duration.
 
--- a/src/damaskdeck/platform/registry.py
+++ b/src/damaskdeck/platform/registry.py
@@ -28,7 +28,9 @@
 from damaskdeck.protocol.transactions import TransactionalStore, read_all
 
 _WORKERS = "servers/"
+_OPERATOR = "op/"
 _QUEUES = "op/config"
+_WAVES = "op/wave/"
 _LEAVING = "draining"
 _RACK = re.compile(r"^r\d")
 _BODY_LIMIT = 262_144
@@ -136,13 +138,17 @@
         self, revision: int, wait: timedelta
     ) -> Declared | TooOld | Rejected | Lost:
         """Return the newest document after ``revision``."""
-        found = await self._store.watch(_QUEUES, revision, wait)
+        found = await self._store.watch(_OPERATOR, revision, wait)
         if not isinstance(found, Events):
             return found
         table = None
         for event in found.events:
             if event.key == _QUEUES and event.value is not None:
                 table = _read_table(event.value) or table
+            elif event.key.startswith(_WAVES) and event.value is not None:
+                _log.error(
+                    "An upkeep wave is not served.", code="unsupported", key=event.key
+                )
         return Declared(table, found.revision)
 
 
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -130,6 +130,12 @@
             metrics=self.metrics_address,
             peers=self._network.address,
         )
+        if settings.unserved_duties:
+            _log.error(
+                "The platform asks for duties that are not served.",
+                code="unsupported",
+                duties=settings.unserved_duties,
+            )
 
     def _build_server(self) -> HttpServer:
         settings = self.settings
--- a/src/damaskdeck/protocol/queues.py
+++ b/src/damaskdeck/protocol/queues.py
@@ -81,6 +81,7 @@
     :param spread: at most so many tasks on one worker; 0 sets no limit.
     :param is_lasting: tasks run until the job is cancelled.
     :param image: tasks of one image behave alike.
+    :param may_miss: so many tasks of a lasting step may be away by our doing.
     """
 
     tasks: int
@@ -96,6 +97,7 @@
     near: str = ""
     spread: int = 0
     image: str = ""
+    may_miss: int = 0
 
 
 class JobSpec(NamedTuple):
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -104,17 +104,22 @@
 class Step:
     """One step of one occurrence of a job.
 
+    :ivar due_at: monotonic seconds when its occurrence was due, or its job came.
     :ivar failures: the attempts that failed, by index; :data:`GANG` for a gang.
+    :ivar pinched_at: since when it has had no room where it runs best, ``None``
+        if it has.
     :ivar not_before: monotonic seconds; a gang that could not start waits so long.
     """
 
     __slots__ = (
         "completed",
+        "due_at",
         "failures",
         "job",
         "not_before",
         "number",
         "occurrence",
+        "pinched_at",
         "spec",
         "tasks",
     )
@@ -126,6 +131,8 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
+        self.due_at = job.arrived_at
+        self.pinched_at: float | None = None
         self.completed = 0
         self.failures: dict[int, set[int]] = {}
         self.not_before = 0.0
@@ -231,7 +238,6 @@
         self.shown = QueuedState.QUEUED
         self.has_record = True
         self.occurrences: dict[int, tuple[Step, ...]] = {}
-        self.closed_occurrences: set[int] = set()
         if not record.spec.repeats:
             self.open_occurrence(0)
 
@@ -240,13 +246,21 @@
         """Whether nothing of it starts any more."""
         return self.final is not None
 
-    def open_occurrence(self, number: int) -> tuple[Step, ...]:
-        """Return the steps of an occurrence, made when it is first needed."""
+    def open_occurrence(
+        self, number: int, due_at: float | None = None
+    ) -> tuple[Step, ...]:
+        """Return the steps of an occurrence, made when it is first needed.
+
+        :param due_at: monotonic seconds when it was due, if that is known.
+        """
         if number not in self.occurrences:
             self.occurrences[number] = tuple(
                 Step(self, number, index, spec)
                 for index, spec in enumerate(self.record.spec.steps)
             )
+        if due_at is not None:
+            for step in self.occurrences[number]:
+                step.due_at = due_at
         return self.occurrences[number]
 
     def list_steps(self) -> Iterator[Step]:
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -47,10 +47,15 @@
 
 
 class Work(NamedTuple):
-    """How a task behaves: for how long, and how it ends."""
+    """How a task behaves: for how long, and how it ends.
+
+    :param startup: a task that lasts is at work, at 100 percent, after so long;
+        ``None`` for one that works towards its end.
+    """
 
     duration: timedelta = timedelta(seconds=1)
     kind: EndKind = EndKind.COMPLETED
+    startup: timedelta | None = None
 
 
 class _Running(NamedTuple):
@@ -203,6 +208,9 @@
     def _measure(self, run: _Running) -> int:
         if self.hangs:
             return 30
+        if run.work.startup is not None:
+            done = (self._now() - run.began) / run.work.startup
+            return min(100, int(100 * done))
         done = (self._now() - run.began) / run.work.duration
         return min(99, int(100 * done))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 import aiohttp
+from logbook import TestHandler
 
 from damaskdeck.clock import SystemClock
-from damaskdeck.errors import SettingsError
+from damaskdeck.errors import MessageError, SettingsError
 from damaskdeck.platform import (
     PlatformAdvisor,
     PlatformClient,
@@ -21,6 +22,7 @@
     PlatformStore,
     PlatformWorkers,
 )
+from damaskdeck.platform.jobs import read_job
 from damaskdeck.platform.nodes import read_node
 from damaskdeck.platform.tasks import format_task, parse_task
 from damaskdeck.protocol.pools import (
@@ -48,7 +50,8 @@
     TooOld,
     Written,
 )
-from damaskdeck.protocol.queues import TaskName
+from damaskdeck.protocol.queues import StepSpec, TaskName
+from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import Mismatch, Page, Transaction, Write
 from standins.faults import FaultKind
 from standins.nodes import NodeProcess
@@ -232,6 +235,18 @@
         followed = await queues.follow_queues(found.revision, SECOND)
         self.assertEqual(followed.table.version, 9)
 
+    async def test_an_upkeep_wave_is_told_as_not_served(self):
+        queues = PlatformQueues(self.store)
+        self.platform.declare(7)
+        found = await queues.read_queues()
+        self.platform.store.store.set("op/wave/3", b'{"wave":3}')
+        with TestHandler() as handler:
+            followed = await queues.follow_queues(found.revision, SECOND)
+        self.assertIsNone(followed.table)
+        (record,) = handler.records
+        self.assertEqual(record.extra["code"], "unsupported")
+        self.assertEqual(record.extra["key"], "op/wave/3")
+
     async def test_the_advisor_consents(self):
         advisor = PlatformAdvisor(self.client, self.platform.advisor.listener.address)
         answer = await advisor.ask("j.0.0", ("i-0",), SECOND)
@@ -242,9 +257,80 @@
         self.assertIsInstance(await nobody.ask("j.0.0", ("i-0",), SECOND), Rejected)
 
 
+class TestCallersJobs(unittest.TestCase):
+    """Jobs as callers write them."""
+
+    def read(self, **fields: Any) -> StepSpec:
+        """Decode a job of one step."""
+        body = json.dumps({"spec": "s", "steps": [fields]}).encode()
+        (step,) = read_job(body).steps
+        return step
+
+    def test_each_field_of_a_step_is_decoded(self):
+        step = self.read(
+            task_count=3,
+            cpu=500,
+            mem_mb=64,
+            gpu=1,
+            estimated_ms=900,
+            gang=True,
+            same_rack=True,
+            checkpointing=True,
+            speculative=True,
+            long_running=True,
+            constraints="b",
+            affinity="r1-2",
+            anti_affinity=2,
+            image="i",
+            may_miss=1,
+        )
+        wanted = StepSpec(
+            3,
+            Size(500, 64, 1),
+            timedelta(milliseconds=900),
+            is_gang=True,
+            is_checkpointing=True,
+            is_speculative=True,
+            is_lasting=True,
+            needs_one_rack=True,
+            label="b",
+            near="r1-2",
+            spread=2,
+            image="i",
+            may_miss=1,
+        )
+        self.assertEqual(step, wanted)
+
+    def test_what_is_not_served_is_refused_by_its_name(self):
+        for field in ({"target_ms": 40}, {"fills": True}):
+            with self.assertRaisesRegex(MessageError, "unsupported: " + min(field)):
+                self.read(**field)
+
+    def test_what_makes_no_sense_is_refused(self):
+        for step in ({"task_count": 0}, {"after": [0]}, {"cpu": "much"}):
+            with self.assertRaises(MessageError):
+                self.read(**step)
+        for body in (b"{", b'{"spec":"s","steps":[]}', b'{"steps":[{}]}'):
+            with self.assertRaises(MessageError):
+                read_job(body)
+
+
 class TestSettings(unittest.TestCase):
     """The platform's settings file."""
 
+    def test_an_installation_that_cannot_be_served_is_refused(self):
+        with self.assertRaises(SettingsError) as caught:
+            read_node("commands=heartbeat\nplatform.form=log")
+        codes = {fault.path: fault.code for fault in caught.exception.faults}
+        self.assertEqual(codes["commands"], "unsupported")
+        self.assertEqual(codes["platform.form"], "unsupported")
+
+    def test_duties_that_are_not_served_are_named(self):
+        reader = Path(__file__).with_name("node.conf").read_text()
+        settings = read_node(reader + "cloud_api.duties=upkeep,move\n")
+        self.assertEqual(settings.unserved_duties, ("upkeep", "move"))
+        self.assertEqual(read_node(reader).unserved_duties, ())
+
     def test_what_is_missing_is_named_all_at_once(self):
         with self.assertRaises(SettingsError) as caught:
             read_node("node_name=a\nbounds.grace_s=soon")
