Stop what would outlast a leaving worker's stay, in time

Change: the owner keeps until when a worker stays, by the remaining time that it tells, and stops what won't end by then: what keeps checkpoints when only the registry's lag and the longest stop are left, the rest as soon as that is clear. A gang goes as a whole, a lasting task at once.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -81,6 +81,7 @@
     :ivar paused_until: no orders before this time.
     :ivar looked_at: when its last inventory came.
     :ivar lease_until: when all that it runs has ended if it never answers again.
+    :ivar leaves_at: until when it stays at least, ``None`` unless it said so.
 
     :param bound: that time for the leases that predecessors granted.
     """
@@ -119,10 +120,28 @@
         self._answer_due = float("inf")
         self._ordering: dict[Run, float] = {}
         self.lease_until = bound
+        self.leaves_at: float | None = None
         self._stops: set[asyncio.Task[None]] = set()
         # Set when something is in doubt that a look at the worker would settle.
         self._hurry = asyncio.Event()
 
+    def update(self, info: PoolWorker) -> None:
+        """Take note of what the registry lists."""
+        if info.is_leaving and not self.info.is_leaving:
+            _log.info(
+                "A worker is leaving.",
+                worker=info.identifier,
+                remaining=str(info.remaining),
+                runs=len(self.runs),
+            )
+        self.info = info
+        self.is_listed = True
+        if info.is_leaving and info.remaining is not None:
+            until = self._now() + info.remaining.total_seconds()
+            self.leaves_at = min(until, self.leaves_at or until)
+        elif not info.is_leaving:
+            self.leaves_at = None
+
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
@@ -419,9 +438,7 @@
             self.add_run(run)
         now = self._now()
         self._note_running(run, now)
-        if row.percent != run.percent:
-            run.percent = row.percent
-            run.moved_at = now
+        run.note_percent(row.percent, now)
         run.checkpoint = row.checkpoint or run.checkpoint
         if run.stopping_since is not None:
             self.stop(run)
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -8,6 +8,7 @@
 from damaskdeck.coordination.pools.advising import AdviceDesk, Verdicts
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
+from damaskdeck.coordination.pools.leaving import find_departing
 from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
 from damaskdeck.coordination.pools.placing import (
     Plan,
@@ -319,7 +320,10 @@
         self._trust.set_workers(frozenset(contacts))
         for contact in contacts.values():
             for run in list(self._trust.find_stalled(contact, now)):
-                self._give_up(run)
+                self._give_up(run, "A run stands still.")
+        longest = self._times.stop_longest
+        for run in list(find_departing(contacts.values(), longest, now)):
+            self._give_up(run, "A run would outlast its worker's stay.")
         if self._timed:
             wall = self._clock.now().timestamp()
             for identifier in list(self._timed):
@@ -329,11 +333,13 @@
                 else:
                     self._open_due(job, wall)
 
-    def _give_up(self, run: Run) -> None:
-        """Stop a run that stands still, and with it its gang."""
+    def _give_up(self, run: Run, reason: str) -> None:
+        """Stop a run that won't end where it is, and with it its gang."""
         step = run.task.step
+        if run.stopping_since is not None:
+            return
         _log.info(
-            "A run stands still.",
+            reason,
             id=step.job.identifier,
             task=run.task.name[1:],
             attempt=run.attempt,
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -15,6 +15,7 @@
     :param grace: time from the order to stop until a daemon is killed.
     :param status_kept: states of ended jobs are asked for at least so long.
     :param far_factor: a step takes so many times as long away from its best racks.
+    :param stop_longest: a run that is told to stop takes so long at most.
     """
 
     hold_longest: timedelta
@@ -22,6 +23,7 @@
     grace: timedelta
     status_kept: timedelta
     far_factor: float = 2.0
+    stop_longest: timedelta = timedelta(seconds=1)
 
 
 class PoolTimes(NamedTuple):
@@ -42,6 +44,7 @@
     forget_after: timedelta
     linger: timedelta
     far_factor: float
+    stop_longest: timedelta
 
 
 def derive_times(bounds: PoolBounds) -> PoolTimes:
@@ -83,4 +86,5 @@
         # Ends of one moment share a commit and a look.
         linger=timedelta(milliseconds=35),
         far_factor=bounds.far_factor,
+        stop_longest=bounds.stop_longest,
     )
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -9,7 +9,6 @@
 from damaskdeck.coordination.pools.contacts import ContactOwner, WorkerContact
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
 from damaskdeck.coordination.pools.times import PoolTimes
-from damaskdeck.logs import get_logger
 from damaskdeck.protocol.pools import (
     PoolWorker,
     PoolWorkers,
@@ -30,8 +29,6 @@
 # Registrations change with each heartbeat; gathering them saves calls.
 REGISTRY_INTERVAL = timedelta(milliseconds=200)
 
-_log = get_logger("workforce")
-
 
 class WorkforceParts(NamedTuple):
     """What a workforce works with."""
@@ -182,10 +179,7 @@
         if contact is None:
             contact = self._add(worker)
             self._events.roster()
-        if worker.is_leaving and not contact.info.is_leaving:
-            _log.info("A worker is leaving.", worker=worker.identifier)
-        contact.info = worker
-        contact.is_listed = True
+        contact.update(worker)
 
     async def _follow(self) -> None:
         registry = self._parts.registry
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -88,6 +88,7 @@
             reader.take_time("bounds.grace_s", 6, 1000),
             reader.take_time("bounds.status_s", 120, 1000),
             reader.take_number("bounds.remote_factor", 2),
+            reader.take_time("bounds.stop_timeout_ms", 1000, 1),
         ),
         tuple(filter(None, reader.values.get("cloud_api.duties", "").split(","))),
     )
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -40,11 +40,14 @@
     :ivar stopped_at: when the worker first confirmed a stop; later ones don't count.
     :ivar percent: of its work, as last reported.
     :ivar moved_at: when that percent last rose.
+    :ivar first_percent: as it was first reported, at ``first_at``.
     """
 
     __slots__ = (
         "attempt",
         "checkpoint",
+        "first_at",
+        "first_percent",
         "moved_at",
         "ordered_at",
         "percent",
@@ -67,8 +70,18 @@
         self.stop_sent_at: float | None = None
         self.stopped_at: float | None = None
         self.percent = 0
+        self.first_percent: int | None = None
+        self.first_at = now
         self.checkpoint = ""
 
+    def note_percent(self, percent: int, now: float) -> None:
+        """Take note of the progress that the worker tells."""
+        if self.first_percent is None:
+            self.first_percent, self.first_at = percent, now
+        if percent != self.percent:
+            self.percent = percent
+            self.moved_at = now
+
 
 class Task:
     """One task; it waits when it has neither completed nor a run.
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -40,6 +40,7 @@
     lease_shortest=timedelta(seconds=1),
     grace=timedelta(seconds=6),
     status_kept=timedelta(seconds=120),
+    stop_longest=timedelta(milliseconds=900),
 )
 SECOND = timedelta(seconds=1)
 TERMS = AdviceTerms(timedelta(milliseconds=10), timedelta(), timedelta(seconds=2))
@@ -227,10 +228,10 @@
         self.store.set(StandinRegistry.prefix + name, b"1")
         return worker
 
-    def retire(self, name: str) -> None:
+    def retire(self, name: str, remaining: timedelta | None = None) -> None:
         """Let a worker announce that it is leaving."""
         worker = self.workers[name]
-        worker.info = worker.info._replace(is_leaving=True)
+        worker.info = worker.info._replace(is_leaving=True, remaining=remaining)
         self.store.set(StandinRegistry.prefix + name, b"2")
 
     def add_daemon(self, name: str, power: float = 1.0) -> ClusterDaemon:
