Tell slow workers by progress, avoid them, and move what would be late there

Cause: a worker that turns slow answers in time and its runs advance, so nothing spoke against it. Slow workers come last in placing. A run that would be late there, and end in less than half the time elsewhere, is stopped and starts again if sound workers have room; a gang as a whole; twice at most.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -9,6 +9,7 @@
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.leaving import find_departing
+from damaskdeck.coordination.pools.moving import find_moves, has_room
 from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
 from damaskdeck.coordination.pools.placing import (
     Plan,
@@ -19,11 +20,12 @@
     suits,
     take_seats,
 )
+from damaskdeck.coordination.pools.speeds import Speeds
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.trust import Trust
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
-from damaskdeck.protocol.pools import EndedTask
+from damaskdeck.protocol.pools import EndedTask, EndKind
 from damaskdeck.protocol.queues import QueuedState, QueueTable
 from damaskdeck.protocol.sizes import fits
 from damaskdeck.state.board import Board, Job, Run, RunPhase, Step, Task
@@ -81,6 +83,7 @@
         self._times = times
         self._desk = desk
         self._trust = Trust(clock)
+        self._speeds = Speeds()
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starts: set[asyncio.Task[None]] = set()
@@ -129,7 +132,7 @@
     def _pass(self) -> None:
         now = self._owner.now()
         seats = [
-            Seat(contact)
+            Seat(contact, self._speeds.is_slow(contact.info.identifier, now))
             for contact in self._owner.contacts.values()
             if contact.is_usable(now)
         ]
@@ -302,8 +305,12 @@
 
     # Ends and time -----------------------------------------------------------
 
-    def note_end(self, contact: WorkerContact, task: Task, end: EndedTask) -> None:
+    def note_end(
+        self, contact: WorkerContact, task: Task, end: EndedTask, run: Run | None
+    ) -> None:
         """Take note of how a run ended."""
+        if run is not None and end.kind is EndKind.COMPLETED:
+            self._speeds.note_completed(run, self._owner.now())
         self._trust.note_end(contact.info.identifier, task, end)
         _log.info(
             "A run has ended.",
@@ -318,12 +325,15 @@
         """Open occurrences that are due, and give up runs that stand still."""
         contacts = self._owner.contacts
         self._trust.set_workers(frozenset(contacts))
+        self._speeds.judge(contacts.values(), now)
         for contact in contacts.values():
             for run in list(self._trust.find_stalled(contact, now)):
                 self._give_up(run, "A run stands still.")
         longest = self._times.stop_longest
         for run in list(find_departing(contacts.values(), longest, now)):
             self._give_up(run, "A run would outlast its worker's stay.")
+        for run in list(find_moves(contacts, self._speeds, now)):
+            self._move(run, now)
         if self._timed:
             wall = self._clock.now().timestamp()
             for identifier in list(self._timed):
@@ -333,6 +343,24 @@
                 else:
                     self._open_due(job, wall)
 
+    def _move(self, run: Run, now: float) -> None:
+        """Take a run, or its whole gang, off a slow worker if there is room."""
+        task, step = run.task, run.task.step
+        tasks = step.tasks if step.spec.is_gang else [task]
+        is_possible = has_room(
+            step.spec,
+            self._find_pool(step),
+            self._owner.contacts,
+            self._speeds,
+            self._desk.get(step),
+            len(tasks),
+            now,
+        )
+        if is_possible:
+            for moved in tasks:
+                moved.moves += 1
+            self._give_up(run, "A run would end earlier elsewhere.")
+
     def _give_up(self, run: Run, reason: str) -> None:
         """Stop a run that won't end where it is, and with it its gang."""
         step = run.task.step
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/moving.py
@@ -0,0 +1,69 @@
+"""Which runs to take off slow workers, as they would end earlier elsewhere."""
+
+from collections.abc import Iterator
+
+from damaskdeck.coordination.pools.advising import Verdicts
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.ordering import Outlook, judge_step
+from damaskdeck.coordination.pools.placing import count_fitting, suits
+from damaskdeck.coordination.pools.speeds import Speeds
+from damaskdeck.coordination.pools.trust import is_working
+from damaskdeck.protocol.queues import StepSpec
+from damaskdeck.state.board import Run
+
+# Slowness passes, and what was done is lost: elsewhere it must take less than half.
+GAIN_FACTOR = 2.0
+# For the stop, the new start and the way to them.
+MOVE_SECONDS = 0.4
+# A task that was moved so often stays where it is.
+MOVES_LIMIT = 2
+
+
+def find_moves(
+    contacts: dict[str, WorkerContact], speeds: Speeds, now: float
+) -> Iterator[Run]:
+    """Yield the runs on slow workers that would end much earlier elsewhere."""
+    for contact in contacts.values():
+        if not contact.is_known or not speeds.is_slow(contact.info.identifier, now):
+            continue
+        for run in contact.runs.values():
+            spec = run.task.step.spec
+            if spec.is_lasting or run.task.moves >= MOVES_LIMIT:
+                continue
+            if is_working(run) and _gains(run, speeds, now):
+                yield run
+
+
+def _gains(run: Run, speeds: Speeds, now: float) -> bool:
+    pace = run.pace
+    sound, _ = speeds.expect(run)
+    if pace is None or not sound:
+        return False
+    here = (100 - run.percent) * pace.seconds / max(pace.gained, 0.5)
+    outlook, _, slack = judge_step(run.task.step, now)
+    estimate = run.task.step.spec.estimate.total_seconds()
+    if outlook is Outlook.LOST or here <= slack + estimate:
+        return False
+    is_kept = run.task.step.spec.is_checkpointing and bool(run.checkpoint)
+    there = (100 - run.percent if is_kept else 100) / sound
+    return here > GAIN_FACTOR * there + MOVE_SECONDS
+
+
+def has_room(
+    spec: StepSpec,
+    pool: str,
+    contacts: dict[str, WorkerContact],
+    speeds: Speeds,
+    verdicts: Verdicts,
+    tasks: int,
+    now: float,
+) -> bool:
+    """Tell whether sound workers that may run a step have room for so many tasks."""
+    room = 0
+    for key, contact in contacts.items():
+        info = contact.info
+        if info.pool != pool or key in verdicts.refused or not suits(spec, info):
+            continue
+        if contact.is_usable(now) and not speeds.is_slow(key, now):
+            room += count_fitting(spec, contact.free)
+    return room >= tasks
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -411,7 +411,7 @@
         task.attempt = max(task.attempt, end.attempt)
         step, job = task.step, task.step.job
         step.keep_checkpoint(task, end.checkpoint)
-        self.dispatcher.note_end(contact, task, end)
+        self.dispatcher.note_end(contact, task, end, run)
         if end.kind is EndKind.COMPLETED and not step.spec.is_lasting:
             self._complete(step, task, run)
         elif end.kind is EndKind.FAILED and not step.spec.is_lasting:
--- a/src/damaskdeck/coordination/pools/placing.py
+++ b/src/damaskdeck/coordination/pools/placing.py
@@ -15,13 +15,14 @@
     :ivar free: room, lowered as the pass places tasks.
     """
 
-    __slots__ = ("contact", "free", "key", "rack")
+    __slots__ = ("contact", "free", "is_slow", "key", "rack")
 
-    def __init__(self, contact: WorkerContact) -> None:
+    def __init__(self, contact: WorkerContact, is_slow: bool = False) -> None:
         self.contact = contact
         self.key = contact.info.identifier
         self.free = contact.free
         self.rack = contact.info.rack
+        self.is_slow = is_slow
 
 
 Plan = list[tuple[Task, Seat]]
@@ -54,13 +55,14 @@
     racks: Counter[str] = Counter()
     for worker in workers:
         if not spec.near or worker.rack == spec.near:
-            racks[worker.rack] += _count_fitting(spec, worker.size)
+            racks[worker.rack] += count_fitting(spec, worker.size)
     needed = len(step.tasks) if spec.is_gang else 1
     most = max(racks.values(), default=0)
     return most >= needed
 
 
-def _count_fitting(spec: StepSpec, size: Size) -> int:
+def count_fitting(spec: StepSpec, size: Size) -> int:
+    """Return how many tasks of a step find room in ``size``."""
     pairs = zip(spec.size, size, strict=True)
     counts = [room // need for need, room in pairs if need > 0]
     fitting = min(counts, default=UNBOUNDED)
@@ -128,10 +130,10 @@
 ) -> Seat | None:
     """Return the seat that is left with the least.
 
-    One where the task has failed before comes last, one far from its data after
-    those near it.
+    One where the task has failed before comes last, slow ones before it, one far
+    from its data after those near it.
     """
-    best, best_score = None, (True, True, 0)
+    best, best_score = None, (True, True, True, 0)
     for seat in seats:
         left = room[seat.key]
         if not fits(spec.size, left) or (
@@ -139,7 +141,8 @@
         ):
             continue
         is_far = bool(spec.near) and seat.rack != spec.near
-        score = (seat.key in task.failed_on, is_far, left.millicores)
+        has_failed = seat.key in task.failed_on
+        score = (has_failed, seat.is_slow, is_far, left.millicores)
         if best is None or score < best_score:
             best, best_score = seat, score
     return best
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterator
 from enum import Enum, auto
+from typing import NamedTuple
 
 from damaskdeck.protocol.queues import (
     QueuedState,
@@ -20,6 +21,10 @@
 
 # The index under which a gang's failures are kept.
 GANG = -1
+# A run's pace is taken over so long at least: a look at a worker comes this often.
+PACE_SECONDS = 0.45
+# Whole percent are too coarse for a pace below this.
+TELLING_GAIN = 3
 
 
 class RunPhase(Enum):
@@ -30,6 +35,13 @@
     DOUBTFUL = auto()
 
 
+class Pace(NamedTuple):
+    """What a run has gained lately, in percent of its work, and in which time."""
+
+    gained: int
+    seconds: float
+
+
 class Run:
     """One start of a task on a worker; it takes room there until it is gone.
 
@@ -41,15 +53,20 @@
     :ivar percent: of its work, as last reported.
     :ivar moved_at: when that percent last rose.
     :ivar first_percent: as it was first reported, at ``first_at``.
+    :ivar pace: what it has gained lately, ``None`` while that isn't known.
+    :ivar best_pace: the most percent in a second that it gained before.
     """
 
     __slots__ = (
         "attempt",
+        "best_pace",
         "checkpoint",
         "first_at",
         "first_percent",
+        "mark",
         "moved_at",
         "ordered_at",
+        "pace",
         "percent",
         "phase",
         "settled_at",
@@ -72,12 +89,23 @@
         self.percent = 0
         self.first_percent: int | None = None
         self.first_at = now
+        self.mark = (0, now)
+        self.pace: Pace | None = None
+        self.best_pace = 0.0
         self.checkpoint = ""
 
     def note_percent(self, percent: int, now: float) -> None:
         """Take note of the progress that the worker tells."""
         if self.first_percent is None:
             self.first_percent, self.first_at = percent, now
+            self.mark = percent, now
+        since, seconds = self.mark[0], now - self.mark[1]
+        if seconds >= PACE_SECONDS:
+            if self.pace is not None and self.pace.gained >= TELLING_GAIN:
+                before = self.pace.gained / self.pace.seconds
+                self.best_pace = max(self.best_pace, before)
+            self.pace = Pace(percent - since, seconds)
+            self.mark = percent, now
         if percent != self.percent:
             self.percent = percent
             self.moved_at = now
@@ -87,6 +115,7 @@
     """One task; it waits when it has neither completed nor a run.
 
     :ivar failed_on: workers on which an attempt of it failed.
+    :ivar moves: how often it was taken off a slow worker.
     """
 
     __slots__ = (
@@ -94,6 +123,7 @@
         "checkpoint",
         "failed_on",
         "is_completed",
+        "moves",
         "name",
         "runs",
         "step",
@@ -105,6 +135,7 @@
         self.attempt = 0
         self.checkpoint = ""
         self.failed_on: set[str] = set()
+        self.moves = 0
         self.is_completed = False
         self.runs: list[Run] = []
 
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -70,6 +70,7 @@
 
     :param behave: tells how a task's attempt behaves.
     :ivar hangs: its tasks stand still.
+    :ivar slowness: its tasks take so many times as long.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.faults = Faults()
         self.is_up = True
         self.hangs = False
+        self.slowness = 1.0
         self.token = 0
         self.lease_ends = timedelta()
         self.running: dict[TaskName, _Running] = {}
@@ -159,6 +161,7 @@
         if current is not None or order.attempt <= self._barred.get(order.task, 0):
             return Declined(RefusalCode.STALE_ATTEMPT, now)
         work = self._behave(order.task, order.attempt)
+        work = work._replace(duration=work.duration * self.slowness)
         self.running[order.task] = _Running(order.attempt, now, work, order.payload)
         self.starts.append((now, order.task, order.attempt, epoch))
         return Done(now)
--- a/tests/test_pools_workers.py
+++ b/tests/test_pools_workers.py
@@ -218,3 +218,69 @@
         await cluster.wait_for_state("j1", QueuedState.COMPLETED)
         self.assertEqual(len(cluster.list_starts()), 1)
         self.end()
+
+
+class TestSlowness(PoolCase):
+    """Workers on which everything takes several times as long."""
+
+    async def begin_slowly(self, step: StepSpec, jobs: int) -> None:
+        """Let all tasks of some jobs run on four workers of which one is slow."""
+        cluster = await self.begin(
+            behave=lambda t, a: Work(timedelta(seconds=2)),
+            queues=(make_queue(slack=1.5),),
+        )
+        await cluster.submit("first", make_job(StepSpec(8, SMALL, 2 * SECOND)))
+        await cluster.wait_for_state("first", QueuedState.COMPLETED)
+        cluster.workers["w0"].slowness = 8.0
+        for number in range(jobs):
+            await cluster.submit(f"j{number}", make_job(step))
+        for number in range(jobs):
+            await cluster.wait_for_state(f"j{number}", QueuedState.COMPLETED)
+
+    @virtual
+    async def test_what_would_be_late_on_a_slow_worker_starts_elsewhere(self):
+        step = StepSpec(3, SMALL, timedelta(seconds=2))
+        await self.begin_slowly(step, 4)
+        took = self.cluster.clock.monotonic()
+        self.assertLess(took, timedelta(seconds=12))
+        kinds = {row[2] for row in self.cluster.workers["w0"].history}
+        self.assertIn(EndKind.STOPPED, kinds)
+        self.end()
+
+    @virtual
+    async def test_a_slow_worker_gets_tasks_last(self):
+        cluster = await self.begin(behave=lambda t, a: Work(timedelta(seconds=9)))
+        cluster.workers["w0"].slowness = 8.0
+        wide = StepSpec(8, SMALL, timedelta(seconds=9), spread=2)
+        await cluster.submit("wide", make_job(wide))
+        await asyncio.sleep(2)
+        starts = len(cluster.workers["w0"].starts)
+        await cluster.submit("late", make_job(StepSpec(4, SMALL, 2 * SECOND)))
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(cluster.list_starts("late")), 4)
+        self.assertEqual(len(cluster.workers["w0"].starts), starts)
+        self.end()
+
+    @virtual
+    async def test_estimates_that_are_wrong_make_no_worker_slow(self):
+        cluster = await self.begin(behave=lambda t, a: Work(timedelta(seconds=9)))
+        step = StepSpec(3, SMALL, SECOND)
+        for number in range(4):
+            await cluster.submit(f"j{number}", make_job(step))
+        for number in range(4):
+            await cluster.wait_for_state(f"j{number}", QueuedState.COMPLETED)
+        self.assertEqual(len(cluster.list_starts()), 12)
+        self.end()
+
+    @virtual
+    async def test_a_gang_is_moved_as_a_whole(self):
+        gang = StepSpec(6, SMALL, timedelta(seconds=2), is_gang=True)
+        await self.begin_slowly(gang, 1)
+        attempts = {}
+        for _, task, attempt, _ in self.cluster.list_starts():
+            attempts.setdefault(task.job, {}).setdefault(attempt, set()).add(task)
+        del attempts["first"]
+        self.assertGreater(max(map(len, attempts.values())), 1)
+        for runs in attempts.values():
+            self.assertEqual({len(tasks) for tasks in runs.values()}, {6})
+        self.end()
