Start a copy beside a slow run where copies are allowed

Cause: a task of a speculative step on a slow worker was stopped and lost its work, though its submitter allows copies side by side; the model carried the permission and nothing used it. Change: such a run goes on and a second one starts on another worker; the first to end stops the other. With fewer than three workers measured their median is not taken for what is usual. A test with overlapping runs.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.advising import AdviceDesk, Verdicts
+from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.leaving import find_departing
@@ -134,11 +134,7 @@
 
     def _pass(self) -> None:
         now = self._owner.now()
-        seats = [
-            Seat(contact, self._speeds.is_slow(contact.info.identifier, now))
-            for contact in self._owner.contacts.values()
-            if contact.is_usable(now)
-        ]
+        seats = self._list_seats(now)
         order = self._list_due(now)
         self._has_waiting = False
         place = 0
@@ -151,6 +147,13 @@
             if self._place(step, tasks, seats, urgency, place, now) < len(tasks):
                 self._has_waiting = True
 
+    def _list_seats(self, now: float) -> list[Seat]:
+        return [
+            Seat(contact, self._speeds.is_slow(contact.info.identifier, now))
+            for contact in self._owner.contacts.values()
+            if contact.is_usable(now)
+        ]
+
     def _list_due(self, now: float) -> list[tuple[Urgency, str, Step]]:
         order = []
         for job in self._owner.board.open.values():
@@ -178,17 +181,8 @@
     ) -> int:
         """Place what fits of a step; returns how many tasks were placed."""
         pool = self._find_pool(step)
-        suited = [
-            seat
-            for seat in seats
-            if seat.contact.info.pool == pool
-            and suits(step.spec, seat.contact.info)
-            and self._trust.may_start(seat.key, step.job)
-        ]
-        if step.job.queue.advice is not None:
-            verdicts = self._desk.get(step)
-            self._ask(step, verdicts, pool, urgency, place, now)
-            suited = [s for s in suited if verdicts.find_ticket(s.key, now)]
+        self._ask(step, pool, urgency, place, now)
+        suited = self._find_suited(step, seats, now)
         if not suited:
             return 0
         may_go_far = is_choosy(step.spec) and self._may_go_far(step, pool, now)
@@ -202,6 +196,21 @@
             self._order(step, plan, now)
         return len(plan)
 
+    def _find_suited(self, step: Step, seats: list[Seat], now: float) -> list[Seat]:
+        """Return the seats that may run a step, room aside."""
+        pool = self._find_pool(step)
+        suited = [
+            seat
+            for seat in seats
+            if seat.contact.info.pool == pool
+            and suits(step.spec, seat.contact.info)
+            and self._trust.may_start(seat.key, step.job)
+        ]
+        if step.job.queue.advice is None:
+            return suited
+        verdicts = self._desk.get(step)
+        return [s for s in suited if verdicts.find_ticket(s.key, now)]
+
     def _may_go_far(self, step: Step, pool: str, now: float) -> bool:
         """Whether a choosy step has waited long enough for its best racks."""
         gain = (self._times.far_factor - 1) * step.spec.estimate.total_seconds()
@@ -221,17 +230,14 @@
         return not has_best_rack(step, workers)
 
     def _ask(
-        self,
-        step: Step,
-        verdicts: Verdicts,
-        pool: str,
-        urgency: Urgency,
-        place: int,
-        now: float,
+        self, step: Step, pool: str, urgency: Urgency, place: int, now: float
     ) -> None:
         """Ask about workers without a verdict, or whose tickets are ending."""
         terms = step.job.queue.advice
-        if verdicts.is_asked or terms is None:
+        if terms is None:
+            return
+        verdicts = self._desk.get(step)
+        if verdicts.is_asked:
             return
         if urgency.outlook is Outlook.LOST and place >= REFRESH_STEPS:
             return
@@ -365,8 +371,13 @@
                     self._open_due(job, wall)
 
     def _move(self, run: Run, now: float) -> None:
-        """Take a run, or its whole gang, off a slow worker if there is room."""
+        """Take a run, or its whole gang, off a slow worker if there is room.
+
+        Where copies may run side by side the slow one goes on, as it may yet win.
+        """
         task, step = run.task, run.task.step
+        if len(task.runs) > 1:
+            return
         tasks = step.tasks if step.spec.is_gang else [task]
         is_possible = has_room(
             step.spec,
@@ -377,11 +388,24 @@
             len(tasks),
             now,
         )
-        if is_possible:
-            for moved in tasks:
-                moved.moves += 1
+        if not is_possible:
+            return
+        for moved in tasks:
+            moved.moves += 1
+        if step.spec.is_speculative and not step.spec.is_gang:
+            self._copy(run, now)
+        else:
             self._give_up(run, "A run would end earlier elsewhere.")
 
+    def _copy(self, run: Run, now: float) -> None:
+        """Start a second run of a task on another worker."""
+        task, step = run.task, run.task.step
+        step.keep_checkpoint(task, run.checkpoint)
+        seats = [seat for seat in self._list_seats(now) if seat.key != run.worker]
+        plan = plan_step(step, [task], self._find_suited(step, seats, now), True)
+        if plan:
+            self._order(step, plan, now)
+
     def _give_up(self, run: Run, reason: str) -> None:
         """Stop a run that won't end where it is, and with it its gang."""
         step = run.task.step
--- a/src/damaskdeck/coordination/pools/speeds.py
+++ b/src/damaskdeck/coordination/pools/speeds.py
@@ -33,6 +33,8 @@
 OWN_VARIANCE = 0.02
 SIBLING_VARIANCE = 0.08
 LEAST_OTHERS = 2
+# Workers whose median is taken for what is usual.
+LEAST_MEASURED = 3
 
 _Told = tuple[str, float]
 
@@ -85,7 +87,8 @@
         self._paces = _gather_paces(listed)
         measured = [(c, found) for c in listed if (found := self._measure(c))]
         # Where all seem slow it is what was expected of them that is wrong.
-        usual = median(found[0] for _, found in measured) if measured else 0.0
+        is_telling = len(measured) >= LEAST_MEASURED
+        usual = median(found[0] for _, found in measured) if is_telling else 0.0
         for contact, (speed, error) in measured:
             speed -= min(usual, 0.0)
             name = contact.info.identifier
--- a/tests/test_pools_workers.py
+++ b/tests/test_pools_workers.py
@@ -284,3 +284,16 @@
         for runs in attempts.values():
             self.assertEqual({len(tasks) for tasks in runs.values()}, {6})
         self.end()
+
+    @virtual
+    async def test_a_speculative_step_gets_a_copy_beside_the_slow_run(self):
+        step = StepSpec(3, SMALL, timedelta(seconds=2), is_speculative=True)
+        await self.begin_slowly(step, 1)
+        cluster = self.cluster
+        self.assertLess(cluster.clock.monotonic(), timedelta(seconds=9))
+        slow = cluster.workers["w0"].history[-1]
+        self.assertIs(slow[2], EndKind.STOPPED)
+        copies = [row for row in cluster.list_starts("j0") if row[2] > 1]
+        self.assertEqual(len(copies), 3)
+        self.assertLess(max(row[0] for row in copies), slow[4])
+        cluster.close()
