Untwist two import circles and turn data that changes into plain classes

Cause: orders and sessions, changes and jobs imported each other, hidden behind TYPE_CHECKING; five classes were dataclasses though they change all the time; outcomes of callers' questions lay in the job desk, so that the adapter imported coordination for them; the parts of an owner and of its workforce shared six fields. Change: orders name a protocol of what they need; records are applied by a function beside their appliers; the classes are plain, as Run and Task are; outcomes stand in protocol/callers.py; an owner's parts hold its workforce's.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from damaskdeck.state import records
+from damaskdeck.state.changes import apply_record
 from damaskdeck.state.jobs import JobTable
 from damaskdeck.state.ledger import Committed, Ledger, Opened
 from damaskdeck.state.names import name_task
@@ -81,7 +82,7 @@
 
     def apply(encoded: tuple[bytes, ...]) -> None:
         for record in encoded:
-            table.apply(record)
+            apply_record(table, record)
 
     ledger = Ledger(
         "00", store.connect("old"), clock, lambda: tuple(table.snapshot()), apply
@@ -155,7 +156,7 @@
 def _replay(opened: Opened) -> JobTable:
     table = JobTable()
     for record in opened.snapshot + opened.records:
-        table.apply(record)
+        apply_record(table, record)
     return table
 
 
--- a/src/damaskdeck/coordination/contacts.py
+++ b/src/damaskdeck/coordination/contacts.py
@@ -1,6 +1,5 @@
 """What this daemon knows of each other one, and how that is written."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 from damaskdeck.coordination.tenures import NEVER
@@ -8,33 +7,33 @@
 from damaskdeck.protocol.members import Member, Report
 
 
-@dataclass
 class Contact:
     """What this daemon knows of another one.
 
-    :param heard: when it was heard last, by itself or through others.
-    :param seen_session: the session under which the store showed it last.
-    :param first_hand: when it was heard last, but not through this zone.
-    :param direct: when it was heard last by its own heartbeat.
-    :param echoed: when the heartbeat was sent that it echoed last.
-    :param vouched_until: how long it takes over nothing from this daemon.
-    :param promised: the last of its heartbeats that a promise answered.
+    :ivar heard: when it was heard last, by itself or through others.
+    :ivar seen_session: the session under which the store showed it last.
+    :ivar first_hand: when it was heard last, but not through this zone.
+    :ivar direct: when it was heard last by its own heartbeat.
+    :ivar echoed: when the heartbeat was sent that it echoed last.
+    :ivar vouched_until: how long it takes over nothing from this daemon.
+    :ivar promised: the last of its heartbeats that a promise answered.
     """
 
-    member: Member
-    session: str = ""
-    seen_session: str = ""
-    heard: timedelta = NEVER
-    first_hand: timedelta = NEVER
-    direct: timedelta = NEVER
-    number: int = 0
-    echoed: timedelta = NEVER
-    vouched_until: timedelta = NEVER
-    promised: int = 0
-    is_leaving: bool = False
-    sent_versions: dict[str, int] = field(default_factory=dict)
-    versions: dict[str, int] = field(default_factory=dict)
-    reports: dict[str, Report] = field(default_factory=dict)
+    def __init__(self, member: Member, heard: timedelta = NEVER) -> None:
+        self.member = member
+        self.session = ""
+        self.seen_session = ""
+        self.heard = heard
+        self.first_hand = NEVER
+        self.direct = NEVER
+        self.number = 0
+        self.echoed = NEVER
+        self.vouched_until = NEVER
+        self.promised = 0
+        self.is_leaving = False
+        self.sent_versions: dict[str, int] = {}
+        self.versions: dict[str, int] = {}
+        self.reports: dict[str, Report] = {}
 
 
 def to_fields(member: Member) -> MemberFields:
--- a/src/damaskdeck/coordination/kept.py
+++ b/src/damaskdeck/coordination/kept.py
@@ -10,6 +10,7 @@
 from damaskdeck.metrics import count_refusal, count_retry
 from damaskdeck.protocol.outcomes import Refused, Unknown
 from damaskdeck.protocol.ports import Lost, Rejected, Store
+from damaskdeck.state.changes import apply_record
 from damaskdeck.state.jobs import JobTable
 from damaskdeck.state.ledger import Committed, Deposed, Ledger, Opened
 from damaskdeck.state.records import encode_record
@@ -129,7 +130,7 @@
 
     def _apply(self, records: tuple[bytes, ...]) -> None:
         for record in records:
-            self.table.apply(record)
+            apply_record(self.table, record)
         touched = self.table.take_touched()
         for handler in self._handlers:
             handler(touched)
--- a/src/damaskdeck/coordination/orders.py
+++ b/src/damaskdeck/coordination/orders.py
@@ -3,27 +3,55 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from damaskdeck.coordination.rosters import OPEN_STATES, Hosted
+from damaskdeck.coordination.rosters import OPEN_STATES, Hosted, Roster
 from damaskdeck.metrics import count_retry
 from damaskdeck.protocol.jobs import Start
-from damaskdeck.protocol.ports import Accepted, Lost, Rejected, StartOrder
+from damaskdeck.protocol.ports import (
+    Accepted,
+    Instance,
+    Lost,
+    Rejected,
+    StartOrder,
+    WorkerPort,
+)
 from damaskdeck.protocol.sizes import ZERO_SIZE
-
-if TYPE_CHECKING:
-    from damaskdeck.coordination.sessions import Session
+from damaskdeck.state.accounts import Accounts
 
 Order = Callable[[], Awaitable[None]]
 
 
+class OrderSession(Protocol):
+    """What orders need of the session that they are sent in."""
+
+    roster: Roster
+    accounts: Accounts
+    port: WorkerPort
+    worker: Instance
+    epoch: int
+    is_doubtful: bool
+
+    def may_act(self) -> bool:
+        """Whether this daemon owns the worker."""
+
+    def note_rejected(self, code: str) -> None:
+        """Take note that the worker turned a start down."""
+
+    def set_doubtful(self, is_doubtful: bool) -> None:
+        """Take note of whether an attempt is in doubt."""
+
+    async def read_inventory(self) -> bool:
+        """Take in a whole inventory; false when it didn't come."""
+
+
 class Orders:
     """Starts, stops and acknowledges tasks on the worker of a session.
 
     :param lease: given to each task at its start.
     """
 
-    def __init__(self, session: "Session", lease: timedelta) -> None:
+    def __init__(self, session: OrderSession, lease: timedelta) -> None:
         self._session = session
         self._roster = session.roster
         self._lease = lease
--- a/src/damaskdeck/coordination/ownership.py
+++ b/src/damaskdeck/coordination/ownership.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
 from damaskdeck.clock import Clock, wait_for_event
@@ -34,17 +33,20 @@
 _log = get_logger("ownership")
 
 
-@dataclass(eq=False)
 class Holding:
     """A thing that the store's table gives to this daemon.
 
-    :param is_ready: whether the handlers have returned.
+    :ivar is_ready: whether the handlers have returned.
+    :ivar gain: the task that runs the handlers.
     """
 
-    epoch: int
-    tenure: Tenure
-    is_ready: bool = False
-    gain: asyncio.Task[None] | None = None
+    __slots__ = ("epoch", "gain", "is_ready", "tenure")
+
+    def __init__(self, epoch: int, tenure: Tenure) -> None:
+        self.epoch = epoch
+        self.tenure = tenure
+        self.is_ready = False
+        self.gain: asyncio.Task[None] | None = None
 
 
 class StoreOwnership:
--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, Literal, NamedTuple
+from typing import Any, Literal
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.health import HealthyStore
@@ -13,6 +13,14 @@
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal, count_retry, observe_latency
+from damaskdeck.protocol.callers import (
+    NoJob,
+    NotTaken,
+    Taken,
+    Told,
+    Unsettled,
+    Untold,
+)
 from damaskdeck.protocol.messages import Answered, Peers, Unsent
 from damaskdeck.protocol.poolcalls import (
     AdviceReply,
@@ -36,7 +44,6 @@
     Transaction,
     Write,
 )
-from damaskdeck.protocol.values import distinct
 from damaskdeck.state.jobrecords import (
     CANCELS,
     JOBS,
@@ -56,54 +63,12 @@
 UNHEARD_SECONDS = 1.0
 OWNER_TIMEOUT = timedelta(milliseconds=400)
 CANCEL_TIMEOUT = timedelta(milliseconds=1200)
-# A refused caller is told to come back after so long.
-COME_BACK = timedelta(seconds=1)
 # Final states never change, so entries answer them from memory.
 KNOWN_LIMIT = 5000
 
 _log = get_logger("desk")
 
 
-@distinct
-class Taken(NamedTuple):
-    """The job is stored, now or before."""
-
-
-@distinct
-class NotTaken(NamedTuple):
-    """The job was not stored and never will be; come back after ``retry``."""
-
-    code: str
-    retry: timedelta = COME_BACK
-
-
-@distinct
-class Unsettled(NamedTuple):
-    """The job may have been stored, or may yet be."""
-
-    code: str
-
-
-@distinct
-class Told(NamedTuple):
-    """The state of a job."""
-
-    state: QueuedState
-
-
-@distinct
-class NoJob(NamedTuple):
-    """There is no such job."""
-
-
-@distinct
-class Untold(NamedTuple):
-    """Nobody who knows could be asked."""
-
-    code: str
-    retry: timedelta = COME_BACK
-
-
 class JobDesk:
     """Answers callers on one daemon; the owner's part is reached over peers.
 
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -10,13 +10,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.dispatching import Dispatcher
 from damaskdeck.coordination.pools.journal import Batch, Journal
-from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
-from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Mandate
 from damaskdeck.coordination.pools.workforce import (
     Workforce,
     WorkforceEvents,
@@ -28,13 +26,11 @@
 from damaskdeck.protocol.pools import (
     EndedTask,
     EndKind,
-    PoolWorkers,
     RunningTask,
-    WorkerRegistry,
 )
 from damaskdeck.protocol.ports import Entry, Events, TooOld
 from damaskdeck.protocol.queues import QueuedState, QueueTable
-from damaskdeck.protocol.transactions import TransactionalStore, Write, read_all
+from damaskdeck.protocol.transactions import Write, read_all
 from damaskdeck.state.board import Board, Job, Run, Step, Task
 from damaskdeck.state.jobrecords import (
     CANCELS,
@@ -62,15 +58,13 @@
 
 
 class OwnerParts(NamedTuple):
-    """What an owner works with."""
+    """What an owner works with.
 
-    leadership: Leadership
-    store: TransactionalStore
-    workers: PoolWorkers
-    registry: WorkerRegistry
+    :param basis: what it shares with its workforce.
+    """
+
+    basis: WorkforceParts
     peers: Peers
-    clock: Clock
-    times: PoolTimes
     get_table: Callable[[], QueueTable | None]
 
 
@@ -84,23 +78,24 @@
         self.mandate = mandate
         self.board = Board()
         self.is_loaded = False
-        self._parts = parts
-        self._clock = parts.clock
+        basis = self._basis = parts.basis
+        self._clock = basis.clock
+        self._get_table = parts.get_table
         self._journal = Journal(
             mandate,
-            parts.leadership,
-            parts.store,
-            parts.clock,
-            parts.times,
+            basis.leadership,
+            basis.store,
+            basis.clock,
+            basis.times,
             self._gather,
         )
         self.desk = AdviceDesk(
             parts.peers,
-            parts.clock,
-            parts.leadership.list_members,
+            basis.clock,
+            basis.leadership.list_members,
             lambda: self.dispatcher.wake(),
         )
-        self.dispatcher = Dispatcher(self, parts.clock, parts.times, self.desk)
+        self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
         self._dirty: dict[str, Job] = {}
         self._removed: list[str] = []
         self._dirty_contacts: set[WorkerContact] = set()
@@ -109,14 +104,7 @@
         self._inbox_revision = 0
         self._workforce = Workforce(
             mandate,
-            WorkforceParts(
-                parts.leadership,
-                parts.store,
-                parts.workers,
-                parts.registry,
-                parts.clock,
-                parts.times,
-            ),
+            basis,
             self,
             WorkforceEvents(self.dispatcher.wake, self._change_roster, self._make_sure),
         )
@@ -132,11 +120,11 @@
 
     def get_table(self) -> QueueTable | None:
         """Return the declared queues in force here."""
-        return self._parts.get_table()
+        return self._get_table()
 
     def may_decide(self) -> bool:
         """Whether the mandate is fresh enough to act on."""
-        return self._parts.leadership.may_decide()
+        return self._basis.leadership.may_decide()
 
     # Life --------------------------------------------------------------------
 
@@ -195,7 +183,7 @@
 
     async def _read_all(self, prefix: str) -> tuple[tuple[Entry, ...], int]:
         while True:
-            found = await read_all(self._parts.store, prefix)
+            found = await read_all(self._basis.store, prefix)
             if isinstance(found[0], tuple):
                 return found  # type: ignore[return-value]
             await self._clock.sleep(RETRY_DELAY)
@@ -456,7 +444,7 @@
 
     async def _follow_inbox(self) -> None:
         while True:
-            answer = await self._parts.store.watch(
+            answer = await self._basis.store.watch(
                 INBOX, self._inbox_revision, WATCH_WAIT
             )
             if isinstance(answer, Events):
@@ -479,7 +467,7 @@
             self.dispatcher.wake_if_waiting()
 
     def _forget_ended(self, now: float) -> None:
-        limit = self._parts.times.forget_after.total_seconds()
+        limit = self._basis.times.forget_after.total_seconds()
         for job in list(self.board.jobs.values()):
             if not job.is_final or job.shown != job.final:
                 # Jobs stand in the order in which they came.
--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
-from damaskdeck.coordination.pools.desk import (
+from damaskdeck.errors import MessageError
+from damaskdeck.platform.jobs import read_job
+from damaskdeck.protocol.callers import (
     NoJob,
     NotTaken,
     Taken,
@@ -15,8 +17,6 @@
     Unsettled,
     Untold,
 )
-from damaskdeck.errors import MessageError
-from damaskdeck.platform.jobs import read_job
 from damaskdeck.protocol.queues import JobSpec, Queue, QueuedState, QueueTable
 
 _IDENTIFIER = re.compile(r"^[0-9a-fA-F]{16}$")
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -14,6 +14,7 @@
 from damaskdeck.coordination.pools.owner import OwnerParts, PoolOwner
 from damaskdeck.coordination.pools.times import derive_times
 from damaskdeck.coordination.pools.watching import OwnerWatch
+from damaskdeck.coordination.pools.workforce import WorkforceParts
 from damaskdeck.errors import SettingsError
 from damaskdeck.lines import LineHandler, LineWriter
 from damaskdeck.logs import get_logger
@@ -181,13 +182,15 @@
         owner = PoolOwner(
             mandate,
             OwnerParts(
-                self.leadership,
-                self._store,
-                PlatformWorkers(self._client),
-                PlatformRegistry(self._store),
+                WorkforceParts(
+                    self.leadership,
+                    self._store,
+                    PlatformWorkers(self._client),
+                    PlatformRegistry(self._store),
+                    self._clock,
+                    self._times,
+                ),
                 self._network,
-                self._clock,
-                self._times,
                 lambda: self.declarations.table,
             ),
         )
--- a/src/damaskdeck/state/changes.py
+++ b/src/damaskdeck/state/changes.py
@@ -1,21 +1,18 @@
 """How each kind of record changes the table of jobs."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from damaskdeck.protocol.handlers import FINAL_JOB_STATES, JobState
 from damaskdeck.state import records
+from damaskdeck.state.jobs import JobTable
 from damaskdeck.state.names import name_task, read_job
 from damaskdeck.state.work import Job, Key, Task, TaskState
 
-if TYPE_CHECKING:
-    from damaskdeck.state.jobs import JobTable
-
 FORGOTTEN_LIMIT = 10_000
-REASON_LIMIT = 8
 AVOID_LIMIT = 8
 
-Apply = Callable[["JobTable", Any], None]
+Apply = Callable[[JobTable, Any], None]
 
 _appliers: dict[type, Apply] = {}
 
@@ -30,13 +27,18 @@
     return register
 
 
-def get_applier(kind: type) -> Apply:
-    """Return how records of ``kind`` change the table."""
-    return _appliers[kind]
+def apply_record(table: JobTable, data: bytes) -> None:
+    """Apply one encoded record; one of a kind that isn't known changes nothing."""
+    decoded = records.decode_record(data)
+    if decoded is None:
+        return
+    kind, value = decoded
+    table.revision += 1
+    _appliers[kind](table, value)
 
 
 @applies(records.Submitted)
-def _submit(table: "JobTable", value: records.Submitted) -> None:
+def _submit(table: JobTable, value: records.Submitted) -> None:
     if value["job"] in table.jobs:
         return
     count = value["spec"].get("tasks", 1)
@@ -60,7 +62,7 @@
 
 
 @applies(records.Placed)
-def _place(table: "JobTable", value: records.Placed) -> None:
+def _place(table: JobTable, value: records.Placed) -> None:
     for placement in value["tasks"]:
         task = table.tasks.get(placement["task"])
         if task is None or task.state is not TaskState.QUEUED:
@@ -75,7 +77,7 @@
 
 
 @applies(records.StartMarked)
-def _mark(table: "JobTable", value: records.StartMarked) -> None:
+def _mark(table: JobTable, value: records.StartMarked) -> None:
     for name in value["tasks"]:
         task = table.tasks.get(name)
         if task is not None:
@@ -83,7 +85,7 @@
 
 
 @applies(records.Started)
-def _start(table: "JobTable", value: records.Started) -> None:
+def _start(table: JobTable, value: records.Started) -> None:
     for attempt in value["tasks"]:
         task = table.find_attempt(attempt["task"], attempt["attempt"])
         if task is None or task.state is TaskState.RUNNING:
@@ -93,7 +95,7 @@
 
 
 @applies(records.Requeued)
-def _requeue(table: "JobTable", value: records.Requeued) -> None:
+def _requeue(table: JobTable, value: records.Requeued) -> None:
     for back in value["tasks"]:
         task = table.find_attempt(back["task"], back["attempt"])
         if task is None:
@@ -121,7 +123,7 @@
 
 
 @applies(records.Ended)
-def _end(table: "JobTable", value: records.Ended) -> None:
+def _end(table: JobTable, value: records.Ended) -> None:
     for end in value["tasks"]:
         task = table.find_attempt(end["task"], end["attempt"])
         if task is None:
@@ -139,7 +141,7 @@
 
 
 @applies(records.Cancelled)
-def _cancel(table: "JobTable", value: records.Cancelled) -> None:
+def _cancel(table: JobTable, value: records.Cancelled) -> None:
     for name in value["jobs"]:
         job = table.jobs.get(name)
         if job is None or job.state in FINAL_JOB_STATES or job.cancelled:
@@ -150,7 +152,7 @@
 
 
 @applies(records.RefusedJobs)
-def _refuse(table: "JobTable", value: records.RefusedJobs) -> None:
+def _refuse(table: JobTable, value: records.RefusedJobs) -> None:
     for name in value["jobs"]:
         job = table.jobs.get(name)
         if job is None or job.state is not JobState.QUEUED:
@@ -161,14 +163,14 @@
 
 
 @applies(records.KeyClaimed)
-def _claim(table: "JobTable", value: records.KeyClaimed) -> None:
+def _claim(table: JobTable, value: records.KeyClaimed) -> None:
     index = (value["team"], value["service"], value["key"])
     if index not in table.keys:
         table.keys[index] = Key(value["digest"], value["deadline"])
 
 
 @applies(records.KeySettled)
-def _settle(table: "JobTable", value: records.KeySettled) -> None:
+def _settle(table: JobTable, value: records.KeySettled) -> None:
     index = (value["team"], value["service"], value["key"])
     key = table.keys.get(index)
     if key is not None and key.outcome is None:
@@ -176,7 +178,7 @@
 
 
 @applies(records.Forgotten)
-def _forget(table: "JobTable", value: records.Forgotten) -> None:
+def _forget(table: JobTable, value: records.Forgotten) -> None:
     for name in value["jobs"]:
         job = table.jobs.pop(name, None)
         if job is not None:
@@ -191,7 +193,7 @@
 
 
 @applies(records.JobImage)
-def _restore_job(table: "JobTable", value: records.JobImage) -> None:
+def _restore_job(table: JobTable, value: records.JobImage) -> None:
     fields = _keep_known(value["fields"], Job)
     fields["state"] = JobState(fields["state"])
     fields["reasons"] = tuple(fields["reasons"])
@@ -204,7 +206,7 @@
 
 
 @applies(records.TaskImage)
-def _restore_task(table: "JobTable", value: records.TaskImage) -> None:
+def _restore_task(table: JobTable, value: records.TaskImage) -> None:
     fields = _keep_known(value["fields"], Task)
     fields["state"] = TaskState(fields["state"])
     fields["avoid"] = tuple(fields["avoid"])
@@ -213,7 +215,7 @@
 
 
 @applies(records.KeyImage)
-def _restore_key(table: "JobTable", value: records.KeyImage) -> None:
+def _restore_key(table: JobTable, value: records.KeyImage) -> None:
     index = (value["team"], value["service"], value["key"])
     table.keys[index] = Key(value["digest"], value["deadline"], value.get("outcome"))
 
@@ -223,14 +225,14 @@
     return {name: value for name, value in fields.items() if name in kind._fields}
 
 
-def _note_run(table: "JobTable", task: Task) -> None:
+def _note_run(table: JobTable, task: Task) -> None:
     job = table.jobs[task.job]
     if job.state is JobState.QUEUED:
         reason = f"ran on {task.worker}"
         table.change_job(job, reason, ran=True, state=JobState.RUNNING)
 
 
-def _give_up(table: "JobTable", task: Task, code: str, at: float) -> None:
+def _give_up(table: JobTable, task: Task, code: str, at: float) -> None:
     job = table.jobs[read_job(task.name)]
     if not job.stopping:
         job = table.change_job(job, f"{task.name} ended: {code}", code=code)
--- a/src/damaskdeck/state/jobs.py
+++ b/src/damaskdeck/state/jobs.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from damaskdeck.state import records
-from damaskdeck.state.changes import REASON_LIMIT, get_applier
 from damaskdeck.state.names import name_task
 from damaskdeck.state.work import (
     FINAL_TASK_STATES,
@@ -17,12 +16,15 @@
     judge_job,
 )
 
+REASON_LIMIT = 8
+
 
 class JobTable:
     """The jobs, tasks and keys of one ledger.
 
-    Applying the same records in the same order gives the same table, on
-    whichever daemon: nothing here reads a clock or a random number.
+    :func:`damaskdeck.state.changes.apply_record` changes it. Applying the same
+    records in the same order gives the same table, on whichever daemon: nothing
+    here reads a clock or a random number.
     """
 
     def __init__(self) -> None:
@@ -33,15 +35,6 @@
         self.revision = 0
         self.touched: dict[str, None] = {}
 
-    def apply(self, data: bytes) -> None:
-        """Apply one encoded record."""
-        decoded = records.decode_record(data)
-        if decoded is None:
-            return
-        kind, value = decoded
-        self.revision += 1
-        get_applier(kind)(self, value)
-
     def take_touched(self) -> tuple[str, ...]:
         """Return the tasks changed since the last call, in order."""
         touched = tuple(self.touched)
--- a/src/damaskdeck/transport/links.py
+++ b/src/damaskdeck/transport/links.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -65,17 +64,19 @@
     code = "silent_peer"
 
 
-@dataclass
 class PendingCall:
     """A call that waits for its reply.
 
     :param kind: the wire name of its message, which says how to read the reply.
-    :param written: whether it may have left this daemon.
+    :ivar written: whether it may have left this daemon.
     """
 
-    kind: str
-    future: asyncio.Future[CallResult]
-    written: bool = False
+    __slots__ = ("future", "kind", "written")
+
+    def __init__(self, kind: str, future: asyncio.Future[CallResult]) -> None:
+        self.kind = kind
+        self.future = future
+        self.written = False
 
 
 class Link:
--- a/src/standins/faults.py
+++ b/src/standins/faults.py
@@ -1,7 +1,6 @@
 """Faults that tests, benchmarks and demos inject into a stand-in."""
 
 import asyncio
-from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
 
@@ -14,25 +13,22 @@
     LOSE_CALL = "lose_call"
 
 
-@dataclass
 class Faults:
     """Faults of one stand-in; all off at first.
 
-    :param outage: every call is refused as unreachable.
-    :param delay: time that each call takes.
-    :param planned: faults of the next calls by operation, first come first used.
-    :param cut_off: instances whose calls don't arrive.
-    :param resumed: set unless the stand-in is paused.
+    :ivar outage: every call is refused as unreachable.
+    :ivar delay: time that each call takes.
+    :ivar planned: faults of the next calls by operation, first come first used.
+    :ivar cut_off: instances whose calls don't arrive.
+    :ivar resumed: set unless the stand-in is paused.
     """
 
-    outage: bool = False
-    delay: timedelta = timedelta()
-    planned: dict[str, list[FaultKind]] = field(default_factory=dict)
-    cut_off: set[str] = field(default_factory=set)
-    resumed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def __post_init__(self) -> None:
-        """Start unpaused."""
+    def __init__(self) -> None:
+        self.outage = False
+        self.delay = timedelta()
+        self.planned: dict[str, list[FaultKind]] = {}
+        self.cut_off: set[str] = set()
+        self.resumed = asyncio.Event()
         self.resumed.set()
 
     @property
--- a/src/standins/workers.py
+++ b/src/standins/workers.py
@@ -1,7 +1,6 @@
 """In-memory workers that run tasks under leases."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, NamedTuple, TypeVar
 
@@ -43,26 +42,38 @@
     usage_factor: float | None = None
 
 
-@dataclass
 class Run:
     """A task on a worker.
 
-    :param speed: share of full speed, below 1 when throttled.
-    :param updated: monotonic time up to which ``progress`` is counted.
+    :param lease_end: monotonic time.
+    :ivar updated: monotonic time up to which ``progress`` is counted.
+    :ivar limit: processors when throttled, in thousandths.
     """
 
-    order: StartOrder
-    work: Work
-    epoch: int
-    start: Start
-    state: TaskState
-    lease_end: timedelta
-    progress: timedelta
-    updated: timedelta
-    sequence: int = 0
-    limit: int | None = None
-    checkpoint: str = ""
-    result: bytes = b""
+    def __init__(
+        self,
+        order: StartOrder,
+        work: Work,
+        epoch: int,
+        start: Start,
+        state: TaskState,
+        lease_end: timedelta,
+        progress: timedelta,
+        updated: timedelta,
+        checkpoint: str = "",
+    ) -> None:
+        self.order = order
+        self.work = work
+        self.epoch = epoch
+        self.start = start
+        self.state = state
+        self.lease_end = lease_end
+        self.progress = progress
+        self.updated = updated
+        self.sequence = 0
+        self.limit: int | None = None
+        self.checkpoint = checkpoint
+        self.result = b""
 
     @property
     def speed(self) -> float:
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from damaskdeck.coordination.pools.desk import JobDesk, NoJob, Taken, Told
+from damaskdeck.coordination.pools.desk import JobDesk
 from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.leadership import Leadership, Mandate
 from damaskdeck.coordination.pools.owner import OwnerParts, PoolOwner
 from damaskdeck.coordination.pools.times import PoolBounds, derive_times
 from damaskdeck.coordination.pools.watching import OwnerWatch
+from damaskdeck.coordination.pools.workforce import WorkforceParts
+from damaskdeck.protocol.callers import NoJob, Taken, Told
 from damaskdeck.protocol.pools import EndKind, PoolWorker
 from damaskdeck.protocol.queues import (
     AdviceTerms,
@@ -140,16 +142,15 @@
     def _take(self, mandate: Mandate) -> None:
         self.mandates.append(mandate)
         self._cluster.epochs.append(mandate.epoch)
-        parts = OwnerParts(
+        basis = WorkforceParts(
             self.leadership,
             self.store,
             self.workers,
             StandinRegistry(self.store, self._cluster.workers),
-            self._peers,
             self.clock,
             self._cluster.times,
-            lambda: self._cluster.table,
         )
+        parts = OwnerParts(basis, self._peers, lambda: self._cluster.table)
         self.owner = PoolOwner(mandate, parts)
         self._owner_task = self._spawn(self.owner.run())
 
@@ -278,6 +279,11 @@
         if done != Taken():
             raise AssertionError(f"not taken: {done}")
 
+    async def complete_a_job(self) -> None:
+        """Let a first job pass, so that all parts have met."""
+        await self.submit("j0", make_job())
+        await self.wait_for_state("j0", QueuedState.COMPLETED)
+
     async def wait_for_state(
         self, job: str, state: QueuedState, daemon: str = "", seconds: float = 60
     ) -> None:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -8,6 +8,7 @@
 from damaskdeck.errors import MessageError
 from damaskdeck.protocol.handlers import FINAL_JOB_STATES, JobState
 from damaskdeck.state import names, records
+from damaskdeck.state.changes import apply_record
 from damaskdeck.state.jobs import JobTable
 from damaskdeck.state.records import encode_record
 from damaskdeck.state.work import FINAL_TASK_STATES, TaskState
@@ -83,7 +84,7 @@
     """Apply records to a table."""
     table = table or JobTable()
     for value, kind in changes:
-        table.apply(encode_record(value, kind))
+        apply_record(table, encode_record(value, kind))
     return table
 
 
@@ -97,7 +98,7 @@
         half = apply_all(changes[:cut])
         restored = JobTable()
         for record in half.snapshot():
-            restored.apply(record)
+            apply_record(restored, record)
         restored.revision = half.revision
         apply_all(changes[cut:], restored)
         self.assertEqual(restored.jobs, whole.jobs)
@@ -122,11 +123,11 @@
     def test_unknown_kinds_and_fields_are_passed_over_and_bad_bytes_are_not(self):
         table = JobTable()
         value, kind = submitted("a-00-1")
-        table.apply(encode_record({**value, "later": 1}, kind))
-        table.apply(records._encoder.encode(("of_a_later_version", {})))
+        apply_record(table, encode_record({**value, "later": 1}, kind))
+        apply_record(table, records._encoder.encode(("of_a_later_version", {})))
         self.assertEqual(list(table.jobs), ["a-00-1"])
         with self.assertRaises(MessageError):
-            table.apply(b"\xc1")
+            apply_record(table, b"\xc1")
 
 
 class TestOutcomes(unittest.TestCase):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,7 +3,7 @@
 import asyncio
 from datetime import timedelta
 
-from damaskdeck.coordination.pools.desk import NoJob, NotTaken, Taken, Told, Unsettled
+from damaskdeck.protocol.callers import NoJob, NotTaken, Taken, Told, Unsettled
 from damaskdeck.protocol.pools import EndKind
 from damaskdeck.protocol.queues import QueuedState, StepSpec
 from damaskdeck.protocol.sizes import Size
@@ -278,8 +278,7 @@
     @virtual
     async def test_a_leaving_worker_gets_no_more_tasks(self):
         cluster = await self.begin(workers=2)
-        await cluster.submit("j0", make_job())
-        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        await cluster.complete_a_job()
         cluster.retire("w0")
         await asyncio.sleep(0.5)
         await cluster.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from random import Random
 
-from damaskdeck.coordination.pools.desk import Taken, Told
+from damaskdeck.protocol.callers import Taken, Told
 from damaskdeck.protocol.pools import EndKind
 from damaskdeck.protocol.queues import FINAL_STATES, JobSpec, QueuedState, StepSpec
 from damaskdeck.protocol.sizes import Size, add_sizes, fits
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -50,8 +50,7 @@
     @virtual
     async def test_workers_known_from_the_roster_get_tasks_from_the_successor(self):
         cluster = await self.begin()
-        await cluster.submit("j0", make_job())
-        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        await cluster.complete_a_job()
         cluster.find_owner().kill()
         survivor = cluster.find_other().name
         await cluster.wait(lambda: cluster.find_owner() is not None)
@@ -62,8 +61,7 @@
     @virtual
     async def test_a_successor_starts_within_three_seconds_of_a_death(self):
         cluster = await self.begin()
-        await cluster.submit("j0", make_job())
-        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        await cluster.complete_a_job()
         other = cluster.find_other().name
         cluster.find_owner().kill()
         died = cluster.clock.monotonic()
@@ -119,8 +117,7 @@
     @virtual
     async def test_an_explicit_handover_takes_less_than_a_third_of_a_second(self):
         cluster = await self.begin()
-        await cluster.submit("j0", make_job())
-        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        await cluster.complete_a_job()
         owner, other = cluster.find_owner(), cluster.find_other().name
         left = cluster.clock.monotonic()
         await owner.stop()
@@ -134,8 +131,7 @@
     @virtual
     async def test_a_slow_store_is_asked_all_at_once_by_an_heir(self):
         cluster = await self.begin()
-        await cluster.submit("j0", make_job())
-        await cluster.wait_for_state("j0", QueuedState.COMPLETED)
+        await cluster.complete_a_job()
         owner, other = cluster.find_owner(), cluster.find_other()
         for daemon in cluster.daemons.values():
             daemon.store.faults.delay = timedelta(milliseconds=200)
