--- a/src/damaskdeck/coordination/pools/advising.py
+++ b/src/damaskdeck/coordination/pools/advising.py
@@ -176,6 +176,8 @@
         now = self._clock.monotonic().total_seconds()
         observe_latency("advice", "ask", now - sent)
         if isinstance(reply, Answered) and not reply.message["code"]:
+            if self._paused.pop(asker, None) is not None:
+                _log.info("Advice comes again.", asker=asker)
             self._take(question, reply.message, now)
         else:
             code = reply.message["code"] if isinstance(reply, Answered) else reply.code
--- a/src/damaskdeck/transport/links.py
+++ b/src/damaskdeck/transport/links.py
@@ -105,6 +105,7 @@
         self._outbox = Outbox()
         self._calls: dict[int, PendingCall] = {}
         self._is_open = True
+        self._lost_at: timedelta | None = None
         self._heard = self._used = clock.monotonic()
 
     def send(self, envelope: Envelope) -> Unsent | None:
@@ -141,7 +142,7 @@
             try:
                 await self._exchange(address)
             except (*STREAM_ERRORS, SilenceError) as error:
-                _log.debug("A stream broke.", peer=self.instance, error=repr(error))
+                self._note_lost(error)
             finally:
                 self._break()
             if self.is_retired:
@@ -152,6 +153,17 @@
             await self._clock.sleep(backoff * (0.5 + self._random.random() / 2))
             backoff = min(backoff * 2, BACKOFF_LIMIT)
 
+    def _note_lost(self, error: Exception) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._clock.monotonic()
+            _log.warn("A peer is lost.", peer=self.instance, reason=repr(error))
+
+    def _note_open(self) -> None:
+        if self._lost_at is not None:
+            away = self._clock.monotonic() - self._lost_at
+            _log.info("A peer is back.", peer=self.instance, away=str(away))
+            self._lost_at = None
+
     async def _exchange(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         channel = Channel(
@@ -164,6 +176,7 @@
                     await stream.send_request()
                     await stream.recv_initial_metadata()
                 self._heard = self._clock.monotonic()
+                self._note_open()
                 await run_until_first(
                     self._write(stream),
                     self._read(stream),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 from typing import NotRequired, TypedDict
 
 import msgspec
+from logbook import TestHandler
 
 from damaskdeck.clock import SystemClock
 from damaskdeck.protocol.messages import (
@@ -181,12 +182,16 @@
         await self.b.close()
         again = await self.start("b", port=port)
         again.register(Question, self.answer)
-        for _ in range(200):
-            reply = await self.ask(5)
-            if isinstance(reply, Answered):
-                break
-            await asyncio.sleep(0.02)
+        with TestHandler().applicationbound() as handler:
+            for _ in range(200):
+                reply = await self.ask(5)
+                if isinstance(reply, Answered):
+                    break
+                await asyncio.sleep(0.02)
         assert_same(self, reply, Answered({"number": 6}))
+        told = [r.message for r in handler.records if r.extra["peer"] == "b"]
+        self.assertEqual(told[-1], "A peer is back.")
+        self.assertLessEqual(told.count("A peer is lost."), 1)
 
     async def test_calls_after_an_idle_stream_was_given_up_open_a_new_one(self):
         self.assertEqual(await self.ask(1), Answered({"number": 2}))
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,6 +3,8 @@
 import asyncio
 from datetime import timedelta
 
+from logbook import TestHandler
+
 from damaskdeck.protocol.callers import NoJob, NotTaken, Taken, Told, Unsettled
 from damaskdeck.protocol.pools import EndKind
 from damaskdeck.protocol.queues import QueuedState, StepSpec
@@ -257,6 +259,20 @@
         self.assertEqual({row[3] for row in cluster.list_starts()}, {"w2"})
         self.end()
 
+    @virtual
+    async def test_advice_that_is_lost_and_comes_again_is_told(self):
+        cluster = await self.begin(queues=(make_queue(advice=TERMS),))
+        for daemon in cluster.daemons.values():
+            daemon.advisor.faults.plan("ask", FaultKind.REFUSE)
+        with TestHandler().applicationbound() as handler:
+            for number in range(8):
+                await cluster.submit(f"j{number}", make_job())
+                await cluster.wait_for_state(f"j{number}", QueuedState.COMPLETED)
+        told = [r.message for r in handler.records if r.channel == "advising"]
+        self.assertEqual(told[0], "No advice.")
+        self.assertIn("Advice comes again.", told)
+        self.end()
+
     @virtual
     async def test_waiting_steps_get_tickets_while_many_others_run(self):
         slow = Work(timedelta(seconds=20))
