Forget a worker that left empty at once

Change: what was read under this epoch and has no runs, no strangers and no end to take note of can run nothing, so its contact ends as soon as the registry drops it. One that never answered waits for its lease as before.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -106,6 +106,7 @@
         self.observed = 0
         self.runs: dict[RunKey, Run] = {}
         self.used = ZERO_SIZE
+        self._is_read = False
         self.strangers: set[RunKey] = set()
         self.paused_until = 0.0
         self.looked_at = 0.0
@@ -312,7 +313,14 @@
                 sending.cancel()
 
     def _has_duties(self) -> bool:
-        return bool(self.runs) or self._now() < self.lease_until
+        """Whether something may run there, so that the worker can't be forgotten.
+
+        One that was read runs what we know of, whatever its lease says: a worker
+        that left empty must not hold up a successor, who can't ask it any more.
+        """
+        if self.runs or self.strangers or self.observed < self.processed:
+            return True
+        return not self._is_read and self._now() < self.lease_until
 
     async def _look(self) -> None:
         sent = self._now()
@@ -370,7 +378,7 @@
         before = self.processed
         self.looked_at = now
         self._reconcile(answer, sent)
-        self.is_known = True
+        self.is_known = self._is_read = True
         self._owner.note_contact(self)
         if self.processed == before and self.observed == self.processed:
             return
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -128,6 +128,25 @@
         self.assertLess(began - left, timedelta(milliseconds=300))
         self.end()
 
+    @virtual
+    async def test_a_worker_that_left_empty_holds_up_no_successor(self):
+        cluster = await self.begin(
+            workers=2, behave=lambda t, a: Work(timedelta(seconds=3))
+        )
+        await cluster.complete_a_job()
+        cluster.retire("w1")
+        await asyncio.sleep(1)
+        cluster.workers["w1"].kill()
+        cluster.store.set("workers/w1", None)
+        await cluster.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
+        await cluster.submit("j2", make_job(StepSpec(4, SMALL, SECOND)))
+        await asyncio.sleep(1.5)
+        cluster.find_owner().kill()
+        died = cluster.clock.monotonic()
+        await cluster.wait(lambda: bool(cluster.list_starts("j2")))
+        self.assertLess(cluster.clock.monotonic() - died, timedelta(seconds=3))
+        self.end()
+
     @virtual
     async def test_a_slow_store_is_asked_all_at_once_by_an_heir(self):
         cluster = await self.begin()
