Give a copy a fresh ticket

Cause: found in reading: nobody asks the advisor for a step without waiting tasks, and tickets last 2.5 s, so on queues with advice a copy mostly found none, and after two tries the slow run was left alone for good. Change: before a copy its step's tickets are asked for, and a try that found no seat isn't counted. The rate of a run and the least gain have one place each; workers that are no longer slow are forgotten. Figures: a test with tickets of 0.4 s failed before (18 s instead of less than 9).

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -390,21 +390,25 @@
         )
         if not is_possible:
             return
-        for moved in tasks:
-            moved.moves += 1
         if step.spec.is_speculative and not step.spec.is_gang:
-            self._copy(run, now)
+            if not self._copy(run, now):
+                return
         else:
             self._give_up(run, "A run would end earlier elsewhere.")
+        for moved in tasks:
+            moved.moves += 1
 
-    def _copy(self, run: Run, now: float) -> None:
-        """Start a second run of a task on another worker."""
+    def _copy(self, run: Run, now: float) -> bool:
+        """Start a second run of a task on another worker; returns whether it could."""
         task, step = run.task, run.task.step
-        step.keep_checkpoint(task, run.checkpoint)
+        # No task of the step may be waiting, so nobody else keeps its tickets fresh.
+        self._ask(step, self._find_pool(step), judge_step(step, now), 0, now)
         seats = [seat for seat in self._list_seats(now) if seat.key != run.worker]
         plan = plan_step(step, [task], self._find_suited(step, seats, now), True)
         if plan:
+            step.keep_checkpoint(task, run.checkpoint)
             self._order(step, plan, now)
+        return bool(plan)
 
     def _give_up(self, run: Run, reason: str) -> None:
         """Stop a run that won't end where it is, and with it its gang."""
--- a/src/damaskdeck/coordination/pools/moving.py
+++ b/src/damaskdeck/coordination/pools/moving.py
@@ -39,7 +39,8 @@
     sound, _ = speeds.expect(run)
     if pace is None or not sound:
         return False
-    here = (100 - run.percent) * pace.seconds / max(pace.gained, 0.5)
+    here = (100 - run.percent) / pace.rate
+    # Slack counts until a start: a run may end its whole estimate later.
     outlook, _, slack = judge_step(run.task.step, now)
     estimate = run.task.step.spec.estimate.total_seconds()
     if outlook is Outlook.LOST or here <= slack + estimate:
--- a/src/damaskdeck/coordination/pools/speeds.py
+++ b/src/damaskdeck/coordination/pools/speeds.py
@@ -28,7 +28,8 @@
 LEARNING_SHARE = 0.1
 FIRST_VARIANCE = 0.25
 LEAST_VARIANCE = 0.04
-
+# A run that was seen for less of its work says little about its whole.
+LEAST_SHARE = 0.5
 # What a run gained before, and what others of its step gain, differs by less.
 OWN_VARIANCE = 0.02
 SIBLING_VARIANCE = 0.08
@@ -65,7 +66,7 @@
             return
         queue = run.task.step.job.queue.name
         share = (100 - run.first_percent) / 100
-        if share < 0.5:
+        if share < LEAST_SHARE:
             return
         off = math.log(estimate * share / took)
         bias = self._biases.get(queue, Bias())
@@ -83,6 +84,7 @@
 
     def judge(self, contacts: Iterable[WorkerContact], now: float) -> None:
         """Judge all workers by what their runs gain."""
+        self._slow_until = {n: t for n, t in self._slow_until.items() if t > now}
         listed = list(contacts)
         self._paces = _gather_paces(listed)
         measured = [(c, found) for c in listed if (found := self._measure(c))]
@@ -115,9 +117,8 @@
             if not expected:
                 continue
             # Progress comes in whole percent.
-            gained = max(run.pace.gained, 0.5)
-            variance += 1 / (gained * gained)
-            total += math.log(gained / run.pace.seconds / expected) / variance
+            variance += 1 / (run.pace.rate * run.pace.seconds) ** 2
+            total += math.log(run.pace.rate / expected) / variance
             weights += 1 / variance
         return (total / weights, weights**-0.5) if weights else None
 
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -25,6 +25,8 @@
 PACE_SECONDS = 0.45
 # Whole percent are too coarse for a pace below this.
 TELLING_GAIN = 3
+# What is taken for the gain where none is seen.
+UNSEEN_GAIN = 0.5
 
 
 class RunPhase(Enum):
@@ -41,6 +43,11 @@
     gained: int
     seconds: float
 
+    @property
+    def rate(self) -> float:
+        """Percent in a second; above 0, as less than a percent may not show."""
+        return max(self.gained, UNSEEN_GAIN) / self.seconds
+
 
 class Run:
     """One start of a task on a worker; it takes room there until it is gone.
--- a/tests/test_pools_workers.py
+++ b/tests/test_pools_workers.py
@@ -10,6 +10,7 @@
 from tests.poolcluster import (
     SECOND,
     SMALL,
+    TERMS,
     PoolCase,
     make_job,
     make_queue,
@@ -223,11 +224,11 @@
 class TestSlowness(PoolCase):
     """Workers on which everything takes several times as long."""
 
-    async def begin_slowly(self, step: StepSpec, jobs: int) -> None:
+    async def begin_slowly(self, step: StepSpec, jobs: int, **terms) -> None:
         """Let all tasks of some jobs run on four workers of which one is slow."""
         cluster = await self.begin(
             behave=lambda t, a: Work(timedelta(seconds=2)),
-            queues=(make_queue(slack=1.5),),
+            queues=(make_queue(slack=1.5, **terms),),
         )
         await cluster.submit("first", make_job(StepSpec(8, SMALL, 2 * SECOND)))
         await cluster.wait_for_state("first", QueuedState.COMPLETED)
@@ -297,3 +298,13 @@
         self.assertEqual(len(copies), 3)
         self.assertLess(max(row[0] for row in copies), slow[4])
         cluster.close()
+
+    @virtual
+    async def test_a_copy_gets_a_fresh_ticket(self):
+        step = StepSpec(3, SMALL, timedelta(seconds=2), is_speculative=True)
+        brief = TERMS._replace(validity=timedelta(milliseconds=400))
+        await self.begin_slowly(step, 1, advice=brief)
+        self.assertLess(self.cluster.clock.monotonic(), timedelta(seconds=9))
+        copies = [row for row in self.cluster.list_starts("j0") if row[2] > 1]
+        self.assertEqual(len(copies), 3)
+        self.cluster.close()
