--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from damaskdeck.coordination.membership import Membership
-from damaskdeck.coordination.relay import ConfigurationRelay
-from damaskdeck.coordination.writes import Declared
+from damaskdeck.coordination.configuration.relay import ConfigurationRelay
+from damaskdeck.coordination.configuration.writes import Declared
+from damaskdeck.coordination.members.membership import Membership
 from damaskdeck.defaults import HISTORY_LIMIT
 from damaskdeck.protocol.members import Member
 from damaskdeck.protocol.ports import Event
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from benchmarks.arrivals import Mix, make_target_size
-from damaskdeck.coordination.placement import Placed, Placer
+from damaskdeck.coordination.places.placement import Placed, Placer
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.accounts import Accounts, TaskNeed
 
--- a/benchmarks/gangs.py
+++ b/benchmarks/gangs.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from damaskdeck.coordination import lategangs
+from damaskdeck.coordination.queues import lategangs
 from damaskdeck.protocol.handlers import Submission
 from damaskdeck.protocol.sizes import Size
 from standins.loops import run_virtual
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -8,9 +8,9 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from damaskdeck.coordination.estimates import MARGIN, Estimates
-from damaskdeck.coordination.placement import Placed, Placer
-from damaskdeck.coordination.pressure import (
+from damaskdeck.coordination.places.estimates import MARGIN, Estimates
+from damaskdeck.coordination.places.placement import Placed, Placer
+from damaskdeck.coordination.queues.pressure import (
     ObservedTask,
     Throttle,
     choose_pressure_action,
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -15,8 +15,8 @@
 from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock, SystemClock
-from damaskdeck.coordination.membership import Membership
-from damaskdeck.coordination.ownership import StoreOwnership
+from damaskdeck.coordination.members.membership import Membership
+from damaskdeck.coordination.members.ownership import StoreOwnership
 from damaskdeck.protocol.members import Member
 from damaskdeck.protocol.messages import Peers
 from damaskdeck.protocol.ports import Store
--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from damaskdeck.clock import SystemClock
-from damaskdeck.coordination.fleet import Fleet
+from damaskdeck.coordination.workers.fleet import Fleet
 from damaskdeck.protocol.ports import StartOrder, TargetCall
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.transport.instances import HttpInstanceList
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -7,21 +7,21 @@
 from itertools import islice
 
 from benchmarks.replay import Cell, Task
-from damaskdeck.coordination.backfill import Backfill, count_slices
-from damaskdeck.coordination.estimates import Estimates
-from damaskdeck.coordination.failures import Failures
-from damaskdeck.coordination.filters import Predicate
-from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.placement import Impossible, Placed, Placer
-from damaskdeck.coordination.preemption import (
+from damaskdeck.coordination.places.backfill import Backfill, count_slices
+from damaskdeck.coordination.places.estimates import Estimates
+from damaskdeck.coordination.places.failures import Failures
+from damaskdeck.coordination.places.filters import Predicate
+from damaskdeck.coordination.places.placement import Impossible, Placed, Placer
+from damaskdeck.coordination.places.preemption import (
     CLAIMED,
     NoVictims,
     PreemptionBudget,
     Preemptor,
 )
-from damaskdeck.coordination.quarantine import Quarantine, WorkerState
-from damaskdeck.coordination.queueing import RANKS, JobQueue
-from damaskdeck.coordination.waiting import WaitingJob
+from damaskdeck.coordination.places.quarantine import Quarantine, WorkerState
+from damaskdeck.coordination.queues.passes import Pass
+from damaskdeck.coordination.queues.queueing import RANKS, JobQueue
+from damaskdeck.coordination.queues.waiting import WaitingJob
 from damaskdeck.defaults import WEIGHTS
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.state.accounts import Accounts, NoRoom, Reserved, TaskNeed
--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -8,10 +8,10 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
-from damaskdeck.coordination.fairness import compute_dominant_share
-from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.queueing import RANKS, JobQueue
-from damaskdeck.coordination.waiting import WaitingJob
+from damaskdeck.coordination.queues.fairness import compute_dominant_share
+from damaskdeck.coordination.queues.passes import Pass
+from damaskdeck.coordination.queues.queueing import RANKS, JobQueue
+from damaskdeck.coordination.queues.waiting import WaitingJob
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import Size, add_sizes, fits, subtract_sizes
 from damaskdeck.state.quotas import Quotas
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from typing import Any
 
-from damaskdeck.coordination.failures import Failures
-from damaskdeck.coordination.quarantine import Quarantine
+from damaskdeck.coordination.places.failures import Failures
+from damaskdeck.coordination.places.quarantine import Quarantine
 from standins.clock import ManualClock
 
 Figures = dict[str, Any]
--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -18,9 +18,9 @@
     make_quotas,
     replay,
 )
-from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.queueing import CLASSES, JobQueue
-from damaskdeck.coordination.waiting import WaitingJob
+from damaskdeck.coordination.queues.passes import Pass
+from damaskdeck.coordination.queues.queueing import CLASSES, JobQueue
+from damaskdeck.coordination.queues.waiting import WaitingJob
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import Size
 
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -21,7 +21,7 @@
     start_lazy,
     start_naive,
 )
-from damaskdeck.coordination.routing import Router
+from damaskdeck.coordination.requests.routing import Router
 from damaskdeck.protocol.outcomes import Completed, Refused
 from damaskdeck.protocol.resources import Urgency
 from standins.loops import run_virtual
--- a/benchmarks/sizing.py
+++ b/benchmarks/sizing.py
@@ -4,8 +4,8 @@
 from typing import Any, NamedTuple
 
 from damaskdeck import defaults
-from damaskdeck.coordination.membership import FAR_ROUNDS
-from damaskdeck.coordination.rendezvous import choose_links
+from damaskdeck.coordination.members.membership import FAR_ROUNDS
+from damaskdeck.coordination.members.rendezvous import choose_links
 
 SECONDS_PER_DAY = 86_400
 MEASURED_DAEMONS_PER_ZONE = 3
--- a/benchmarks/split.py
+++ b/benchmarks/split.py
@@ -6,9 +6,9 @@
 
 from benchmarks.policy import Policy
 from benchmarks.replay import Cell
-from damaskdeck.coordination.filters import Prepare
-from damaskdeck.coordination.placement import Impossible, Placed, Placer
-from damaskdeck.coordination.summaries import (
+from damaskdeck.coordination.places.filters import Prepare
+from damaskdeck.coordination.places.placement import Impossible, Placed, Placer
+from damaskdeck.coordination.workers.summaries import (
     OwnerView,
     choose_owner,
     summarize_workers,
--- /dev/null
+++ b/src/damaskdeck/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The declared configuration, and how it reaches every daemon."""
--- a/src/damaskdeck/coordination/relay.py
+++ b/src/damaskdeck/coordination/configuration/relay.py
@@ -6,17 +6,17 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.marks import remove_marks
-from damaskdeck.coordination.pulls import (
+from damaskdeck.coordination.configuration.marks import remove_marks
+from damaskdeck.coordination.configuration.pulls import (
     answer_pull,
     apply_ahead,
     pack,
     pull,
     unpack,
 )
-from damaskdeck.coordination.reports import InForce, Reports
-from damaskdeck.coordination.watchers import StoreWatcher
-from damaskdeck.coordination.writes import (
+from damaskdeck.coordination.configuration.reports import InForce, Reports
+from damaskdeck.coordination.configuration.watchers import StoreWatcher
+from damaskdeck.coordination.configuration.writes import (
     Absent,
     ConfigurationWriter,
     Declared,
--- a/src/damaskdeck/coordination/watchers.py
+++ b/src/damaskdeck/coordination/configuration/watchers.py
@@ -7,7 +7,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.reports import Reports
+from damaskdeck.coordination.configuration.reports import Reports
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry
 from damaskdeck.protocol.members import Members
--- a/src/damaskdeck/coordination/writes.py
+++ b/src/damaskdeck/coordination/configuration/writes.py
@@ -7,7 +7,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.rules import check_delete, check_write
+from damaskdeck.coordination.configuration.rules import check_delete, check_write
 from damaskdeck.errors import Fault
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal, count_retry
--- /dev/null
+++ b/src/damaskdeck/coordination/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs from their submission to their end, kept in ledgers."""
--- a/src/damaskdeck/coordination/desks.py
+++ b/src/damaskdeck/coordination/jobs/desks.py
@@ -5,17 +5,17 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.dispatch import Dispatcher
-from damaskdeck.coordination.followups import Followups
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.keys import Keys
-from damaskdeck.coordination.launches import Launcher
-from damaskdeck.coordination.owners import Owners
-from damaskdeck.coordination.queueing import JobQueue
-from damaskdeck.coordination.retention import Retention
-from damaskdeck.coordination.services import Services
-from damaskdeck.coordination.shapes import Shapes
-from damaskdeck.coordination.submissions import Submissions
+from damaskdeck.coordination.jobs.dispatch import Dispatcher
+from damaskdeck.coordination.jobs.followups import Followups
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.jobs.keys import Keys
+from damaskdeck.coordination.jobs.launches import Launcher
+from damaskdeck.coordination.jobs.retention import Retention
+from damaskdeck.coordination.jobs.services import Services
+from damaskdeck.coordination.jobs.shapes import Shapes
+from damaskdeck.coordination.jobs.submissions import Submissions
+from damaskdeck.coordination.queues.queueing import JobQueue
+from damaskdeck.coordination.workers.owners import Owners
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.handlers import ConfigurationReader
 from damaskdeck.protocol.members import Members, Ownership
--- a/src/damaskdeck/coordination/dispatch.py
+++ b/src/damaskdeck/coordination/jobs/dispatch.py
@@ -6,23 +6,23 @@
 from typing import Any
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.deferrals import Deferrals
-from damaskdeck.coordination.impossible import ImpossibleJobs
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.lategangs import ASK_INTERVAL, LateGangs
-from damaskdeck.coordination.launches import Launcher, Pick
-from damaskdeck.coordination.needs import (
+from damaskdeck.coordination.jobs.deferrals import Deferrals
+from damaskdeck.coordination.jobs.impossible import ImpossibleJobs
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.jobs.launches import Launcher, Pick
+from damaskdeck.coordination.jobs.needs import (
     get_size,
     get_urgency,
     make_gang,
     make_need,
     make_request,
 )
-from damaskdeck.coordination.owners import Owners
-from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.queueing import RANKS, JobQueue
-from damaskdeck.coordination.shapes import Shapes
-from damaskdeck.coordination.waiting import WaitingJob
+from damaskdeck.coordination.jobs.shapes import Shapes
+from damaskdeck.coordination.queues.lategangs import ASK_INTERVAL, LateGangs
+from damaskdeck.coordination.queues.passes import Pass
+from damaskdeck.coordination.queues.queueing import RANKS, JobQueue
+from damaskdeck.coordination.queues.waiting import WaitingJob
+from damaskdeck.coordination.workers.owners import Owners
 from damaskdeck.metrics import count_refusal, observe_wait
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.work import FINAL_TASK_STATES, Job, Task, TaskState
--- a/src/damaskdeck/coordination/followups.py
+++ b/src/damaskdeck/coordination/jobs/followups.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock, wait_for_event
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.leases import compute_takeover_bound
-from damaskdeck.coordination.needs import name_attempt
-from damaskdeck.coordination.news import ResultSizes, judge_news
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.jobs.needs import name_attempt
+from damaskdeck.coordination.jobs.news import ResultSizes, judge_news
+from damaskdeck.coordination.workers.leases import compute_takeover_bound
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.messages import Answered, Peers
--- a/src/damaskdeck/coordination/impossible.py
+++ b/src/damaskdeck/coordination/jobs/impossible.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.shapes import Shapes
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.jobs.shapes import Shapes
 from damaskdeck.logs import get_logger
 from damaskdeck.state import records
 
--- a/src/damaskdeck/coordination/inbox.py
+++ b/src/damaskdeck/coordination/jobs/inbox.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from damaskdeck.coordination.desks import Desk
+from damaskdeck.coordination.jobs.desks import Desk
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.handlers import Claimed, Known, Submission
 from damaskdeck.protocol.messages import Peers
--- a/src/damaskdeck/coordination/keeper.py
+++ b/src/damaskdeck/coordination/jobs/keeper.py
@@ -7,10 +7,10 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.desks import Desk
-from damaskdeck.coordination.inbox import RETRY_AFTER, Inbox, refuse_no_keeper
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.supervisor import Supervisor
+from damaskdeck.coordination.jobs.desks import Desk
+from damaskdeck.coordination.jobs.inbox import RETRY_AFTER, Inbox, refuse_no_keeper
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.workers.supervisor import Supervisor
 from damaskdeck.metrics import count_refusal, count_retry
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.handlers import (
--- a/src/damaskdeck/coordination/keys.py
+++ b/src/damaskdeck/coordination/jobs/keys.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.jobs.kept import KeptLedger
 from damaskdeck.protocol.handlers import Claimed, Known
 from damaskdeck.protocol.outcomes import Outcome, Refused, Unknown
 from damaskdeck.protocol.replies import read_outcome, show_outcome
--- a/src/damaskdeck/coordination/launches.py
+++ b/src/damaskdeck/coordination/jobs/launches.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.news import is_idempotent
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.jobs.news import is_idempotent
 from damaskdeck.metrics import count_retry
 from damaskdeck.protocol import jobs
 from damaskdeck.protocol.members import Ownership
--- a/src/damaskdeck/coordination/needs.py
+++ b/src/damaskdeck/coordination/jobs/needs.py
@@ -1,6 +1,6 @@
 """What tasks of a workload need, as queues, owners and messages ask for it."""
 
-from damaskdeck.coordination.news import is_idempotent
+from damaskdeck.coordination.jobs.news import is_idempotent
 from damaskdeck.protocol.jobs import GangRequest, Request, SizeData, TaskAttempt
 from damaskdeck.protocol.resources import Urgency, WorkloadSpec, read_size
 from damaskdeck.protocol.sizes import Size
--- a/src/damaskdeck/coordination/retention.py
+++ b/src/damaskdeck/coordination/jobs/retention.py
@@ -5,7 +5,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.jobs.kept import KeptLedger
 from damaskdeck.protocol.handlers import FINAL_JOB_STATES
 from damaskdeck.state import records
 
--- a/src/damaskdeck/coordination/services.py
+++ b/src/damaskdeck/coordination/jobs/services.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from damaskdeck.clock import Clock, wait_for_event
-from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.jobs.kept import KeptLedger
 from damaskdeck.protocol.handlers import (
     FINAL_JOB_STATES,
     ConfigurationReader,
--- a/src/damaskdeck/coordination/submissions.py
+++ b/src/damaskdeck/coordination/jobs/submissions.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from damaskdeck import defaults
-from damaskdeck.coordination.kept import KeptLedger
-from damaskdeck.coordination.reasons import explain_tasks
+from damaskdeck.coordination.jobs.kept import KeptLedger
+from damaskdeck.coordination.jobs.reasons import explain_tasks
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.handlers import (
     FINAL_JOB_STATES,
--- /dev/null
+++ b/src/damaskdeck/coordination/members/__init__.py
@@ -0,0 +1,1 @@
+"""Who is up, and who decides about what."""
--- a/src/damaskdeck/coordination/contacts.py
+++ b/src/damaskdeck/coordination/members/contacts.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from damaskdeck.coordination.tenures import NEVER
+from damaskdeck.coordination.members.tenures import NEVER
 from damaskdeck.protocol.heartbeats import MemberFields
 from damaskdeck.protocol.members import Member, Report
 
--- a/src/damaskdeck/coordination/digests.py
+++ b/src/damaskdeck/coordination/members/digests.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-from damaskdeck.coordination.contacts import Contact, to_fields, to_milliseconds
+from damaskdeck.coordination.members.contacts import Contact, to_fields, to_milliseconds
 from damaskdeck.protocol.heartbeats import Digest
 
 DIGEST_LIMIT = 2048
--- a/src/damaskdeck/coordination/membership.py
+++ b/src/damaskdeck/coordination/members/membership.py
@@ -5,15 +5,15 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.contacts import (
+from damaskdeck.coordination.members.contacts import (
     Contact,
     to_fields,
     to_milliseconds,
 )
-from damaskdeck.coordination.digests import Relay, write_ages
-from damaskdeck.coordination.registration import Registered, Registry
-from damaskdeck.coordination.rendezvous import choose_links
-from damaskdeck.coordination.tenures import NEVER, Tenure
+from damaskdeck.coordination.members.digests import Relay, write_ages
+from damaskdeck.coordination.members.registration import Registered, Registry
+from damaskdeck.coordination.members.rendezvous import choose_links
+from damaskdeck.coordination.members.tenures import NEVER, Tenure
 from damaskdeck.defaults import (
     CLOCK_DRIFT,
     HEARTBEAT_INTERVAL,
--- a/src/damaskdeck/coordination/ownership.py
+++ b/src/damaskdeck/coordination/members/ownership.py
@@ -9,11 +9,16 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock, wait_for_event
-from damaskdeck.coordination.membership import Membership, Registered
-from damaskdeck.coordination.mirrors import Mirror
-from damaskdeck.coordination.rendezvous import assign_things, rank_members
-from damaskdeck.coordination.tables import Change, Holder, Table, decode_document
-from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.coordination.members.membership import Membership, Registered
+from damaskdeck.coordination.members.mirrors import Mirror
+from damaskdeck.coordination.members.rendezvous import assign_things, rank_members
+from damaskdeck.coordination.members.tables import (
+    Change,
+    Holder,
+    Table,
+    decode_document,
+)
+from damaskdeck.coordination.members.tenures import Tenure
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.heartbeats import TableChange
--- a/src/damaskdeck/coordination/registration.py
+++ b/src/damaskdeck/coordination/members/registration.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.contacts import to_fields
-from damaskdeck.coordination.mirrors import Mirror
-from damaskdeck.coordination.tenures import NEVER, Tenure
+from damaskdeck.coordination.members.contacts import to_fields
+from damaskdeck.coordination.members.mirrors import Mirror
+from damaskdeck.coordination.members.tenures import NEVER, Tenure
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry
--- a/src/damaskdeck/coordination/tables.py
+++ b/src/damaskdeck/coordination/members/tables.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.mirrors import Mirror
+from damaskdeck.coordination.members.mirrors import Mirror
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry
--- /dev/null
+++ b/src/damaskdeck/coordination/places/__init__.py
@@ -0,0 +1,1 @@
+"""Where tasks go: filters, scores, room, quarantine."""
--- a/src/damaskdeck/coordination/backfill.py
+++ b/src/damaskdeck/coordination/places/backfill.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.filters import Predicate, find_refusal
-from damaskdeck.coordination.preemption import RANKS, FindRefusal
+from damaskdeck.coordination.places.filters import Predicate, find_refusal
+from damaskdeck.coordination.places.preemption import RANKS, FindRefusal
 from damaskdeck.protocol.sizes import Size, add_sizes, fits, subtract_sizes
 from damaskdeck.state.accounts import Accounts, TaskNeed, WorkerAccount
 
--- a/src/damaskdeck/coordination/estimates.py
+++ b/src/damaskdeck/coordination/places/estimates.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.coordination.histograms import Histogram
+from damaskdeck.coordination.places.histograms import Histogram
 from damaskdeck.protocol.sizes import Size
 
 # Tasks observed before a size is corrected downward, or a run time believed.
--- a/src/damaskdeck/coordination/gangrooms.py
+++ b/src/damaskdeck/coordination/places/gangrooms.py
@@ -4,9 +4,9 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.backfill import Backfill, Estimate
-from damaskdeck.coordination.filters import Predicate
-from damaskdeck.coordination.preemption import RANKS, FindRefusal
+from damaskdeck.coordination.places.backfill import Backfill, Estimate
+from damaskdeck.coordination.places.filters import Predicate
+from damaskdeck.coordination.places.preemption import RANKS, FindRefusal
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.jobs import GangRequest
 from damaskdeck.state.accounts import Accounts, TaskNeed
--- a/src/damaskdeck/coordination/index.py
+++ b/src/damaskdeck/coordination/places/index.py
@@ -10,7 +10,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from damaskdeck.coordination.filters import Predicate
+from damaskdeck.coordination.places.filters import Predicate
 from damaskdeck.protocol.sizes import Size, name_shortfall
 from damaskdeck.state.accounts import Accounts, TaskNeed, WorkerAccount
 
--- a/src/damaskdeck/coordination/placement.py
+++ b/src/damaskdeck/coordination/places/placement.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from damaskdeck.coordination.filters import Prepare, find_refusal, list_filters
-from damaskdeck.coordination.index import WorkerIndex
-from damaskdeck.coordination.scores import prepare_measure, select_scores
+from damaskdeck.coordination.places.filters import Prepare, find_refusal, list_filters
+from damaskdeck.coordination.places.index import WorkerIndex
+from damaskdeck.coordination.places.scores import prepare_measure, select_scores
 from damaskdeck.defaults import WEIGHTS
 from damaskdeck.metrics import count_refusal
 from damaskdeck.state.accounts import Accounts, NoRoom, TaskNeed, WorkerAccount
--- a/src/damaskdeck/coordination/preemption.py
+++ b/src/damaskdeck/coordination/places/preemption.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.filters import Predicate, find_refusal
+from damaskdeck.coordination.places.filters import Predicate, find_refusal
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, fits, subtract_sizes
--- a/src/damaskdeck/coordination/quarantine.py
+++ b/src/damaskdeck/coordination/places/quarantine.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.failures import Failures
+from damaskdeck.coordination.places.failures import Failures
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 
--- a/src/damaskdeck/coordination/relief.py
+++ b/src/damaskdeck/coordination/places/relief.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from damaskdeck.coordination.pressure import (
+from damaskdeck.coordination.queues.pressure import (
     ObservedTask,
     PressureAction,
     Throttle,
--- a/src/damaskdeck/coordination/rooms.py
+++ b/src/damaskdeck/coordination/places/rooms.py
@@ -5,20 +5,20 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.estimates import Estimates
-from damaskdeck.coordination.failures import Failures
-from damaskdeck.coordination.filters import Predicate
-from damaskdeck.coordination.gangrooms import GangRooms
-from damaskdeck.coordination.placement import Impossible, Placed, Placer
-from damaskdeck.coordination.preemption import (
+from damaskdeck.coordination.places.estimates import Estimates
+from damaskdeck.coordination.places.failures import Failures
+from damaskdeck.coordination.places.filters import Predicate
+from damaskdeck.coordination.places.gangrooms import GangRooms
+from damaskdeck.coordination.places.placement import Impossible, Placed, Placer
+from damaskdeck.coordination.places.preemption import (
     CLAIMED,
     PreemptionBudget,
     Preemptor,
     Victims,
 )
-from damaskdeck.coordination.pressure import PressureAction
-from damaskdeck.coordination.quarantine import Quarantine
-from damaskdeck.coordination.relief import Relief
+from damaskdeck.coordination.places.quarantine import Quarantine
+from damaskdeck.coordination.places.relief import Relief
+from damaskdeck.coordination.queues.pressure import PressureAction
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.jobs import Request, SizeData, TaskAttempt
 from damaskdeck.protocol.ports import Usage
--- a/src/damaskdeck/coordination/pools/trust.py
+++ b/src/damaskdeck/coordination/pools/trust.py
@@ -9,9 +9,9 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.failures import Failures
+from damaskdeck.coordination.places.failures import Failures
+from damaskdeck.coordination.places.quarantine import Quarantine
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.quarantine import Quarantine
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry
 from damaskdeck.protocol.pools import EndedTask, EndKind
--- /dev/null
+++ b/src/damaskdeck/coordination/queues/__init__.py
@@ -0,0 +1,1 @@
+"""In which order waiting work gets its turn."""
--- a/src/damaskdeck/coordination/blocks.py
+++ b/src/damaskdeck/coordination/queues/blocks.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.coordination.waiting import Shape
+from damaskdeck.coordination.queues.waiting import Shape
 from damaskdeck.protocol.sizes import Size, fits
 
 
--- a/src/damaskdeck/coordination/lategangs.py
+++ b/src/damaskdeck/coordination/queues/lategangs.py
@@ -4,8 +4,8 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.queueing import RANKS, JobQueue
-from damaskdeck.coordination.waiting import WaitingJob
+from damaskdeck.coordination.queues.queueing import RANKS, JobQueue
+from damaskdeck.coordination.queues.waiting import WaitingJob
 from damaskdeck.protocol.sizes import Size, add_sizes, fits, subtract_sizes
 
 # A gang that has waited so long has room kept for it.
--- a/src/damaskdeck/coordination/passes.py
+++ b/src/damaskdeck/coordination/queues/passes.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 
-from damaskdeck.coordination.blocks import Block
-from damaskdeck.coordination.queueing import CLASSES, RANKS, JobQueue
-from damaskdeck.coordination.waiting import Group, WaitingJob
+from damaskdeck.coordination.queues.blocks import Block
+from damaskdeck.coordination.queues.queueing import CLASSES, RANKS, JobQueue
+from damaskdeck.coordination.queues.waiting import Group, WaitingJob
 from damaskdeck.protocol.sizes import Size
 
 # How many offers of one pass may fail.
--- a/src/damaskdeck/coordination/pressure.py
+++ b/src/damaskdeck/coordination/queues/pressure.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.coordination.queueing import RANKS
+from damaskdeck.coordination.queues.queueing import RANKS
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import Size
 
--- a/src/damaskdeck/coordination/queueing.py
+++ b/src/damaskdeck/coordination/queues/queueing.py
@@ -4,9 +4,9 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.blocks import Blocks
-from damaskdeck.coordination.fairness import FairShares
-from damaskdeck.coordination.waiting import (
+from damaskdeck.coordination.queues.blocks import Blocks
+from damaskdeck.coordination.queues.fairness import FairShares
+from damaskdeck.coordination.queues.waiting import (
     Entry,
     Group,
     Line,
--- /dev/null
+++ b/src/damaskdeck/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to services: admission, slots, forwarding, retries."""
--- a/src/damaskdeck/coordination/admission.py
+++ b/src/damaskdeck/coordination/requests/admission.py
@@ -9,7 +9,7 @@
 
 from sortedcontainers import SortedList
 
-from damaskdeck.coordination.durations import Durations
+from damaskdeck.coordination.requests.durations import Durations
 from damaskdeck.defaults import QUEUE_LIMIT
 from damaskdeck.protocol.handlers import ServiceRequest
 from damaskdeck.protocol.outcomes import Refused
--- a/src/damaskdeck/coordination/attempts.py
+++ b/src/damaskdeck/coordination/requests/attempts.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.slots import SlotPool
+from damaskdeck.coordination.requests.slots import SlotPool
 from damaskdeck.protocol.handlers import ServiceRequest
 from damaskdeck.protocol.outcomes import Completed, Failed
 
--- a/src/damaskdeck/coordination/forwards.py
+++ b/src/damaskdeck/coordination/requests/forwards.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.attempts import (
+from damaskdeck.coordination.requests.attempts import (
     FREE_CODES,
     HOP_FACTOR,
     Course,
@@ -16,9 +16,9 @@
     Redirect,
     Result,
 )
-from damaskdeck.coordination.lanes import Lane
-from damaskdeck.coordination.loads import LoadTable
-from damaskdeck.coordination.sharing import SlotSharing
+from damaskdeck.coordination.requests.lanes import Lane
+from damaskdeck.coordination.requests.loads import LoadTable
+from damaskdeck.coordination.requests.sharing import SlotSharing
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.forwarding import (
     CancelForward,
--- a/src/damaskdeck/coordination/handover.py
+++ b/src/damaskdeck/coordination/requests/handover.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.lanes import name_thing
-from damaskdeck.coordination.slots import SlotPool
+from damaskdeck.coordination.requests.lanes import name_thing
+from damaskdeck.coordination.requests.slots import SlotPool
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.forwarding import ReadSlots, SlotsRead
 from damaskdeck.protocol.members import Members, Ownership
--- a/src/damaskdeck/coordination/health.py
+++ b/src/damaskdeck/coordination/requests/health.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.slots import SlotPool
+from damaskdeck.coordination.requests.slots import SlotPool
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 
--- a/src/damaskdeck/coordination/keyed.py
+++ b/src/damaskdeck/coordination/requests/keyed.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from damaskdeck.coordination.attempts import Course, Gone
+from damaskdeck.coordination.requests.attempts import Course, Gone
 from damaskdeck.protocol.handlers import Claimed, KeyMemory, Known
 from damaskdeck.protocol.outcomes import (
     Completed,
--- a/src/damaskdeck/coordination/lanes.py
+++ b/src/damaskdeck/coordination/requests/lanes.py
@@ -6,11 +6,11 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.admission import AdmissionQueue, Waiter
-from damaskdeck.coordination.attempts import Course, Moved, Place
-from damaskdeck.coordination.durations import Durations
-from damaskdeck.coordination.health import TargetHealth
-from damaskdeck.coordination.slots import SlotPool
+from damaskdeck.coordination.requests.admission import AdmissionQueue, Waiter
+from damaskdeck.coordination.requests.attempts import Course, Moved, Place
+from damaskdeck.coordination.requests.durations import Durations
+from damaskdeck.coordination.requests.health import TargetHealth
+from damaskdeck.coordination.requests.slots import SlotPool
 from damaskdeck.protocol.forwarding import Load
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.ports import Instance
--- a/src/damaskdeck/coordination/owned.py
+++ b/src/damaskdeck/coordination/requests/owned.py
@@ -7,14 +7,14 @@
 from typing import Protocol
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.attempts import Gone, NotRun, Result
-from damaskdeck.coordination.handover import SlotHandover
-from damaskdeck.coordination.health import TargetHealth, may_eject
-from damaskdeck.coordination.lanes import Lane
-from damaskdeck.coordination.loads import LoadTable
-from damaskdeck.coordination.sending import is_fault
-from damaskdeck.coordination.slots import SlotPool
-from damaskdeck.coordination.timers import Timers
+from damaskdeck.coordination.requests.attempts import Gone, NotRun, Result
+from damaskdeck.coordination.requests.handover import SlotHandover
+from damaskdeck.coordination.requests.health import TargetHealth, may_eject
+from damaskdeck.coordination.requests.lanes import Lane
+from damaskdeck.coordination.requests.loads import LoadTable
+from damaskdeck.coordination.requests.sending import is_fault
+from damaskdeck.coordination.requests.slots import SlotPool
+from damaskdeck.coordination.requests.timers import Timers
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Peers
 from damaskdeck.protocol.outcomes import Completed
--- a/src/damaskdeck/coordination/routing.py
+++ b/src/damaskdeck/coordination/requests/routing.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.attempts import (
+from damaskdeck.coordination.requests.attempts import (
     Course,
     Gone,
     Moved,
@@ -15,15 +15,19 @@
     Redirect,
     Result,
 )
-from damaskdeck.coordination.forwards import Forwarder
-from damaskdeck.coordination.keyed import KeyedRequests
-from damaskdeck.coordination.lanes import Lane
-from damaskdeck.coordination.loads import Choice, LoadTable
-from damaskdeck.coordination.owned import FleetReader, OwnedTargets
-from damaskdeck.coordination.retries import ATTEMPT_LIMIT, RetryBudget, draw_backoff
-from damaskdeck.coordination.sending import TargetSender
-from damaskdeck.coordination.sharing import SlotSharing
-from damaskdeck.coordination.timers import Timers
+from damaskdeck.coordination.requests.forwards import Forwarder
+from damaskdeck.coordination.requests.keyed import KeyedRequests
+from damaskdeck.coordination.requests.lanes import Lane
+from damaskdeck.coordination.requests.loads import Choice, LoadTable
+from damaskdeck.coordination.requests.owned import FleetReader, OwnedTargets
+from damaskdeck.coordination.requests.retries import (
+    ATTEMPT_LIMIT,
+    RetryBudget,
+    draw_backoff,
+)
+from damaskdeck.coordination.requests.sending import TargetSender
+from damaskdeck.coordination.requests.sharing import SlotSharing
+from damaskdeck.coordination.requests.timers import Timers
 from damaskdeck.defaults import (
     HEARTBEAT_INTERVAL,
     LEASE_MARGIN,
--- a/src/damaskdeck/coordination/sending.py
+++ b/src/damaskdeck/coordination/requests/sending.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.attempts import (
+from damaskdeck.coordination.requests.attempts import (
     FREE_CODES,
     Course,
     Gone,
@@ -15,9 +15,9 @@
     Place,
     Result,
 )
-from damaskdeck.coordination.lanes import name_thing
-from damaskdeck.coordination.slots import SlotPool
-from damaskdeck.coordination.timers import Timers
+from damaskdeck.coordination.requests.lanes import name_thing
+from damaskdeck.coordination.requests.slots import SlotPool
+from damaskdeck.coordination.requests.timers import Timers
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.members import Ownership
 from damaskdeck.protocol.outcomes import Completed, Failed
--- a/src/damaskdeck/coordination/sharing.py
+++ b/src/damaskdeck/coordination/requests/sharing.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.attempts import Redirect
-from damaskdeck.coordination.lanes import Lane
-from damaskdeck.coordination.loads import LoadTable
-from damaskdeck.coordination.timers import Timers
+from damaskdeck.coordination.requests.attempts import Redirect
+from damaskdeck.coordination.requests.lanes import Lane
+from damaskdeck.coordination.requests.loads import LoadTable
+from damaskdeck.coordination.requests.timers import Timers
 from damaskdeck.protocol.forwarding import RequestsWaiting, SlotsOffered
 from damaskdeck.protocol.messages import Peers
 
--- /dev/null
+++ b/src/damaskdeck/coordination/workers/__init__.py
@@ -0,0 +1,1 @@
+"""What runs on workers: sessions, leases, orders, inventories."""
--- a/src/damaskdeck/coordination/hosting.py
+++ b/src/damaskdeck/coordination/workers/hosting.py
@@ -7,14 +7,14 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.fences import Fences
-from damaskdeck.coordination.fleet import Change
-from damaskdeck.coordination.outbox import Outbox
-from damaskdeck.coordination.rooms import Held, Rooms
-from damaskdeck.coordination.rosters import OPEN_STATES
-from damaskdeck.coordination.sessions import Session
-from damaskdeck.coordination.summaries import TOPIC, summarize_workers
-from damaskdeck.coordination.supervisor import Supervisor
+from damaskdeck.coordination.places.rooms import Held, Rooms
+from damaskdeck.coordination.workers.fences import Fences
+from damaskdeck.coordination.workers.fleet import Change
+from damaskdeck.coordination.workers.outbox import Outbox
+from damaskdeck.coordination.workers.rosters import OPEN_STATES
+from damaskdeck.coordination.workers.sessions import Session
+from damaskdeck.coordination.workers.summaries import TOPIC, summarize_workers
+from damaskdeck.coordination.workers.supervisor import Supervisor
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal, set_packing
 from damaskdeck.protocol import jobs
--- a/src/damaskdeck/coordination/observations.py
+++ b/src/damaskdeck/coordination/workers/observations.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 from typing import Any
 
-from damaskdeck.coordination.fleet import Fleet
-from damaskdeck.coordination.hosting import WorkerHost
+from damaskdeck.coordination.workers.fleet import Fleet
+from damaskdeck.coordination.workers.hosting import WorkerHost
 from damaskdeck.protocol.members import Members, Ownership
 from damaskdeck.protocol.messages import Answered, Peers
 from damaskdeck.protocol.observations import ListObserved, Observed
--- a/src/damaskdeck/coordination/orders.py
+++ b/src/damaskdeck/coordination/workers/orders.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from damaskdeck.coordination.rosters import OPEN_STATES, Hosted, Roster
+from damaskdeck.coordination.workers.rosters import OPEN_STATES, Hosted, Roster
 from damaskdeck.metrics import count_retry
 from damaskdeck.protocol.jobs import Start
 from damaskdeck.protocol.ports import (
--- a/src/damaskdeck/coordination/owners.py
+++ b/src/damaskdeck/coordination/workers/owners.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.summaries import (
+from damaskdeck.coordination.workers.summaries import (
     TOPIC,
     OwnerView,
     choose_owner,
--- a/src/damaskdeck/coordination/rosters.py
+++ b/src/damaskdeck/coordination/workers/rosters.py
@@ -6,7 +6,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.leases import compute_takeover_bound, stretch_lease
+from damaskdeck.coordination.workers.leases import compute_takeover_bound, stretch_lease
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
 from damaskdeck.protocol.jobs import Start, TaskNews
--- a/src/damaskdeck/coordination/sessions.py
+++ b/src/damaskdeck/coordination/workers/sessions.py
@@ -6,11 +6,11 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.leases import compute_takeover_bound
-from damaskdeck.coordination.orders import Orders
-from damaskdeck.coordination.pressure import Checkpoint, Throttle
-from damaskdeck.coordination.rooms import Rooms
-from damaskdeck.coordination.rosters import Hosted, Roster
+from damaskdeck.coordination.places.rooms import Rooms
+from damaskdeck.coordination.queues.pressure import Checkpoint, Throttle
+from damaskdeck.coordination.workers.leases import compute_takeover_bound
+from damaskdeck.coordination.workers.orders import Orders
+from damaskdeck.coordination.workers.rosters import Hosted, Roster
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry
 from damaskdeck.protocol.jobs import TaskNews
--- a/src/damaskdeck/coordination/summaries.py
+++ b/src/damaskdeck/coordination/workers/summaries.py
@@ -12,7 +12,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from damaskdeck.coordination.preemption import RANKS, may_preempt
+from damaskdeck.coordination.places.preemption import RANKS, may_preempt
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, fits, subtract_sizes
 from damaskdeck.protocol.summaries import ClassSummary, WorkerSummary
--- a/src/damaskdeck/daemon.py
+++ b/src/damaskdeck/daemon.py
@@ -8,14 +8,14 @@
 from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock, SystemClock
-from damaskdeck.coordination.fleet import Fleet
-from damaskdeck.coordination.hosting import WorkerHost
-from damaskdeck.coordination.keeper import Keeper
-from damaskdeck.coordination.membership import Membership
-from damaskdeck.coordination.observations import Observer
-from damaskdeck.coordination.ownership import StoreOwnership
-from damaskdeck.coordination.relay import ConfigurationRelay
-from damaskdeck.coordination.routing import Router
+from damaskdeck.coordination.configuration.relay import ConfigurationRelay
+from damaskdeck.coordination.jobs.keeper import Keeper
+from damaskdeck.coordination.members.membership import Membership
+from damaskdeck.coordination.members.ownership import StoreOwnership
+from damaskdeck.coordination.requests.routing import Router
+from damaskdeck.coordination.workers.fleet import Fleet
+from damaskdeck.coordination.workers.hosting import WorkerHost
+from damaskdeck.coordination.workers.observations import Observer
 from damaskdeck.logs import get_logger, install_handler
 from damaskdeck.protocol.members import Member
 from damaskdeck.protocol.ports import (
--- a/src/damaskdeck/transport/api/app.py
+++ b/src/damaskdeck/transport/api/app.py
@@ -14,7 +14,7 @@
 
 from damaskdeck import defaults
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.relay import ConfigurationRelay
+from damaskdeck.coordination.configuration.relay import ConfigurationRelay
 from damaskdeck.protocol.handlers import JobHandler, RequestHandler, ResourceReader
 from damaskdeck.state.configuration import Configuration
 from damaskdeck.transport.api import callers, observed, openapi, resources, status
--- a/src/damaskdeck/transport/api/resources.py
+++ b/src/damaskdeck/transport/api/resources.py
@@ -4,7 +4,7 @@
 
 from starlette.responses import Response
 
-from damaskdeck.coordination.writes import (
+from damaskdeck.coordination.configuration.writes import (
     Absent,
     Declared,
     Deleted,
--- a/src/damaskdeck/transport/api/routes.py
+++ b/src/damaskdeck/transport/api/routes.py
@@ -11,7 +11,7 @@
 from starlette.types import Receive
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.relay import ConfigurationRelay
+from damaskdeck.coordination.configuration.relay import ConfigurationRelay
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.handlers import JobHandler, RequestHandler, ResourceReader
--- a/src/standins/plane.py
+++ b/src/standins/plane.py
@@ -7,9 +7,9 @@
 from datetime import timedelta
 from typing import Any, Self
 
-from damaskdeck.coordination.fleet import Fleet
-from damaskdeck.coordination.hosting import WorkerHost
-from damaskdeck.coordination.keeper import Keeper
+from damaskdeck.coordination.jobs.keeper import Keeper
+from damaskdeck.coordination.workers.fleet import Fleet
+from damaskdeck.coordination.workers.hosting import WorkerHost
 from damaskdeck.protocol.handlers import (
     FINAL_JOB_STATES,
     ConfigurationHandler,
--- a/src/standins/requests.py
+++ b/src/standins/requests.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.routing import Router
+from damaskdeck.coordination.requests.routing import Router
 from damaskdeck.protocol.handlers import KeyMemory, RequestHandler, ServiceRequest
 from damaskdeck.protocol.members import Member, Owner, OwnershipHandler, Report
 from damaskdeck.protocol.outcomes import Outcome
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Any
 
-from damaskdeck.coordination.relay import ConfigurationRelay
+from damaskdeck.coordination.configuration.relay import ConfigurationRelay
 from damaskdeck.protocol.members import Member, Report
 from damaskdeck.protocol.ports import Events, Listing
 from damaskdeck.protocol.resources import Kind, Resource
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -4,8 +4,8 @@
 import itertools
 from datetime import datetime, timedelta
 
-from damaskdeck.coordination.membership import Membership
-from damaskdeck.coordination.ownership import StoreOwnership
+from damaskdeck.coordination.members.membership import Membership
+from damaskdeck.coordination.members.ownership import StoreOwnership
 from damaskdeck.protocol.members import Member
 from standins.clock import ManualClock, settle
 from standins.peers import PeerSwitch
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,8 +5,8 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.admission import AdmissionQueue, Waiter
-from damaskdeck.coordination.durations import Durations
+from damaskdeck.coordination.requests.admission import AdmissionQueue, Waiter
+from damaskdeck.coordination.requests.durations import Durations
 from damaskdeck.protocol.handlers import ServiceRequest
 from damaskdeck.protocol.outcomes import Completed, Refused
 from damaskdeck.protocol.resources import Urgency
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.estimates import MARGIN, Estimates
-from damaskdeck.coordination.histograms import Histogram
-from damaskdeck.coordination.pressure import (
+from damaskdeck.coordination.places.estimates import MARGIN, Estimates
+from damaskdeck.coordination.places.histograms import Histogram
+from damaskdeck.coordination.queues.pressure import (
     Checkpoint,
     ObservedTask,
     Stop,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,7 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.fleet import ABSENCE_LIMIT, LEAVING_MEMORY, Fleet
+from damaskdeck.coordination.workers.fleet import ABSENCE_LIMIT, LEAVING_MEMORY, Fleet
 from damaskdeck.protocol.ports import (
     Instance,
     InstanceRole,
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -23,9 +23,9 @@
 from damaskdeck.cli.exits import Exit
 from damaskdeck.cli.session import get_path
 from damaskdeck.clock import SystemClock
-from damaskdeck.coordination.attempts import Course, Gone, Redirect
-from damaskdeck.coordination.pulls import pull
-from damaskdeck.coordination.tables import Document, Holder
+from damaskdeck.coordination.configuration.pulls import pull
+from damaskdeck.coordination.members.tables import Document, Holder
+from damaskdeck.coordination.requests.attempts import Course, Gone, Redirect
 from damaskdeck.errors import MessageError, SettingsError
 from damaskdeck.protocol.forwarding import Load
 from damaskdeck.protocol.handlers import ServiceRequest, Submission
--- a/tests/test_gang_plane.py
+++ b/tests/test_gang_plane.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from unittest import mock
 
-from damaskdeck.coordination import lategangs
+from damaskdeck.coordination.queues import lategangs
 from damaskdeck.protocol.handlers import Submission
 from damaskdeck.protocol.resources import Kind
 from damaskdeck.state.names import pick_ledger
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -3,10 +3,10 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.backfill import Backfill
-from damaskdeck.coordination.gangrooms import KEEP_LIMIT, REST_TIME
-from damaskdeck.coordination.placement import Placed, Placer
-from damaskdeck.coordination.rooms import Held, Rooms
+from damaskdeck.coordination.places.backfill import Backfill
+from damaskdeck.coordination.places.gangrooms import KEEP_LIMIT, REST_TIME
+from damaskdeck.coordination.places.placement import Placed, Placer
+from damaskdeck.coordination.places.rooms import Held, Rooms
 from damaskdeck.protocol.jobs import GangRequest, Request, SizeData
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import Size
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -4,7 +4,7 @@
 import unittest
 
 from damaskdeck import defaults
-from damaskdeck.coordination.kept import KeptLedger
+from damaskdeck.coordination.jobs.kept import KeptLedger
 from damaskdeck.state.records import KeyClaimed
 from standins.loops import LoopClock
 from standins.store import MemoryStore
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,6 +10,17 @@
 # The adapter to the users' platform stands beside transport.
 ADAPTERS = ("transport", "platform")
 EDGES = ("__main__", "daemon", "pooldaemon", "cli")
+# The groups of coordination, and the ones below that each may import.
+GROUPS = {
+    "members": frozenset(),
+    "configuration": frozenset(),
+    "requests": frozenset(),
+    "queues": frozenset(),
+    "places": frozenset({"queues"}),
+    "workers": frozenset({"queues", "places"}),
+    "jobs": frozenset({"queues", "places", "workers"}),
+    "pools": frozenset({"places"}),
+}
 # What only the platform's pages call things so.
 WIRE_NAMES = (
     "fencing_token",
@@ -27,19 +38,31 @@
 )
 
 
-def list_imports(path: Path) -> Iterator[str]:
-    """Yield the first part below the package of each import in a module."""
+def list_modules(path: Path) -> Iterator[str]:
+    """Yield the names that a module imports."""
     for node in ast.walk(ast.parse(path.read_text())):
         names = []
         if isinstance(node, ast.ImportFrom) and node.module:
             names = [f"{node.module}.{alias.name}" for alias in node.names]
         elif isinstance(node, ast.Import):
             names = [alias.name for alias in node.names]
-        for name in names:
-            if name.startswith("damaskdeck."):
-                yield name.split(".")[1]
-            elif name.split(".")[0] == "standins":
-                yield "standins"
+        yield from names
+
+
+def list_imports(path: Path) -> Iterator[str]:
+    """Yield the first part below the package of each import in a module."""
+    for name in list_modules(path):
+        if name.startswith("damaskdeck."):
+            yield name.split(".")[1]
+        elif name.split(".")[0] == "standins":
+            yield "standins"
+
+
+def list_groups(path: Path) -> Iterator[str]:
+    """Yield the groups of coordination that a module imports from."""
+    for name in list_modules(path):
+        if name.startswith("damaskdeck.coordination."):
+            yield name.split(".")[2]
 
 
 class TestLayers(unittest.TestCase):
@@ -56,6 +79,16 @@
                 found = forbidden.intersection(list_imports(path))
                 self.assertEqual(found, set(), path.name)
 
+    def test_groups_of_coordination_import_only_what_stands_below(self):
+        folder = PACKAGE / "coordination"
+        self.assertEqual([p.name for p in folder.glob("*.py")], ["__init__.py"])
+        found = {p.name for p in folder.iterdir() if p.name in GROUPS}
+        self.assertEqual(found, set(GROUPS))
+        for group, allowed in GROUPS.items():
+            for path in sorted((folder / group).glob("*.py")):
+                others = set(list_groups(path)) - {group} - allowed
+                self.assertEqual(others, set(), path.name)
+
     def test_layers_below_coordination_know_no_adapter(self):
         for path in PACKAGE.glob("*.py"):
             if path.stem not in EDGES:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,10 +4,10 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.digests import DIGEST_LIMIT, Relay
-from damaskdeck.coordination.membership import PROMISE_TIME, Membership
-from damaskdeck.coordination.rendezvous import choose_links
-from damaskdeck.coordination.tenures import Tenure
+from damaskdeck.coordination.members.digests import DIGEST_LIMIT, Relay
+from damaskdeck.coordination.members.membership import PROMISE_TIME, Membership
+from damaskdeck.coordination.members.rendezvous import choose_links
+from damaskdeck.coordination.members.tenures import Tenure
 from damaskdeck.protocol.members import Member
 from standins.clock import ManualClock, settle
 from standins.peers import PeerSwitch
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from damaskdeck.coordination.membership import NEWCOMER_WAIT, OUTAGE_PROMISE
-from damaskdeck.coordination.mirrors import Mirror
-from damaskdeck.coordination.rendezvous import assign_things
-from damaskdeck.coordination.tables import Change, Holder, Table
+from damaskdeck.coordination.members.membership import NEWCOMER_WAIT, OUTAGE_PROMISE
+from damaskdeck.coordination.members.mirrors import Mirror
+from damaskdeck.coordination.members.rendezvous import assign_things
+from damaskdeck.coordination.members.tables import Change, Holder, Table
 from standins.clock import ManualClock, settle
 from standins.faults import FaultKind
 from standins.store import MemoryStore
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.filters import find_refusal
-from damaskdeck.coordination.placement import Impossible, Placed, Placer
+from damaskdeck.coordination.places.filters import find_refusal
+from damaskdeck.coordination.places.placement import Impossible, Placed, Placer
 from damaskdeck.protocol.ports import InstanceState
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.accounts import Accounts, NoRoom, Reserved, TaskNeed
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.placement import Placed, Placer
-from damaskdeck.coordination.preemption import (
+from damaskdeck.coordination.places.placement import Placed, Placer
+from damaskdeck.coordination.places.preemption import (
     RANKS,
     NoVictims,
     PreemptionBudget,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.failures import Failures
-from damaskdeck.coordination.quarantine import (
+from damaskdeck.coordination.places.failures import Failures
+from damaskdeck.coordination.places.quarantine import (
     PAUSE,
     PAUSE_LIMIT,
     Quarantine,
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -8,10 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.blocks import Block, Blocks
-from damaskdeck.coordination.passes import Pass
-from damaskdeck.coordination.queueing import CLASSES, JobQueue
-from damaskdeck.coordination.waiting import EntryHeap, Shape, WaitingJob
+from damaskdeck.coordination.queues.blocks import Block, Blocks
+from damaskdeck.coordination.queues.passes import Pass
+from damaskdeck.coordination.queues.queueing import CLASSES, JobQueue
+from damaskdeck.coordination.queues.waiting import EntryHeap, Shape, WaitingJob
 from damaskdeck.protocol.resources import Urgency
 from damaskdeck.protocol.sizes import Size, fits, subtract_sizes
 from damaskdeck.state.quotas import Quotas, sum_sizes
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.marks import remove_marks
-from damaskdeck.coordination.writes import (
+from damaskdeck.coordination.configuration.marks import remove_marks
+from damaskdeck.coordination.configuration.writes import (
     Absent,
     Declared,
     Deleted,
--- a/tests/test_request_plane.py
+++ b/tests/test_request_plane.py
@@ -4,10 +4,10 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.fleet import Fleet
-from damaskdeck.coordination.membership import Membership
-from damaskdeck.coordination.ownership import StoreOwnership
-from damaskdeck.coordination.routing import Router
+from damaskdeck.coordination.members.membership import Membership
+from damaskdeck.coordination.members.ownership import StoreOwnership
+from damaskdeck.coordination.requests.routing import Router
+from damaskdeck.coordination.workers.fleet import Fleet
 from damaskdeck.protocol.handlers import ServiceRequest
 from damaskdeck.protocol.members import Member
 from damaskdeck.protocol.outcomes import Completed
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -5,13 +5,13 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.health import (
+from damaskdeck.coordination.requests.health import (
     EJECTION_TIME,
     STREAK_LIMIT,
     TargetHealth,
     may_eject,
 )
-from damaskdeck.coordination.retries import (
+from damaskdeck.coordination.requests.retries import (
     BACKOFF,
     BACKOFF_LIMIT,
     RETRY_BURST,
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,7 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.slots import SlotPool
+from damaskdeck.coordination.requests.slots import SlotPool
 from damaskdeck.errors import InvariantError
 from damaskdeck.protocol.outcomes import Completed, Refused
 from damaskdeck.protocol.ports import Instance, InstanceRole
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damaskdeck.coordination.placement import Placed, Placer
-from damaskdeck.coordination.summaries import (
+from damaskdeck.coordination.places.placement import Placed, Placer
+from damaskdeck.coordination.workers.summaries import (
     OwnerView,
     choose_owner,
     list_preemptible,
