Start tasks in one place, and judge only steps that wait

Change: background.start_task serves all nine; a pass lists only steps with tasks to start, with those tasks, and finds their pool once; one list of candidates; the unread attributes are gone; a pace tells its rate. Processor time was not compared. Conclusion: no behaviour changed.

--- a/src/damaskdeck/coordination/pools/advising.py
+++ b/src/damaskdeck/coordination/pools/advising.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry, observe_latency
@@ -142,9 +143,7 @@
             self._busy[asker] = question.duration.total_seconds() > (
                 LONG_QUESTION_SECONDS
             )
-            task = asyncio.ensure_future(self._send(asker, question))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            start_task(self._send(asker, question), self._tasks)
         for entry in left:
             heapq.heappush(self._queue, entry)
 
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.leadership import Leadership, Mandate
 from damaskdeck.coordination.pools.times import CLOCK_SLOWNESS, PoolTimes
@@ -266,9 +267,7 @@
         self._send_stop(run.task.name, run.attempt, run)
 
     def _send_stop(self, task: TaskName, attempt: int, run: Run | None) -> None:
-        sending = asyncio.ensure_future(self._order_stop(task, attempt, run))
-        self._stops.add(sending)
-        sending.add_done_callback(self._stops.discard)
+        start_task(self._order_stop(task, attempt, run), self._stops)
 
     async def _order_stop(self, task: TaskName, attempt: int, run: Run | None) -> None:
         answer = await self._port.stop(self.info, self._epoch, task, attempt)
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -1,9 +1,11 @@
 """Gives room to waiting tasks: passes over the open jobs, and the orders to start."""
 
 import asyncio
+from collections.abc import Iterator
 from datetime import timedelta
 from typing import Protocol
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.contacts import WorkerContact
@@ -25,7 +27,7 @@
 from damaskdeck.coordination.pools.trust import Trust
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
-from damaskdeck.protocol.pools import EndedTask, EndKind
+from damaskdeck.protocol.pools import EndedTask, EndKind, PoolWorker
 from damaskdeck.protocol.queues import QueuedState, QueueTable
 from damaskdeck.protocol.sizes import fits
 from damaskdeck.state.board import Board, Job, Run, RunPhase, Step, Task
@@ -138,10 +140,9 @@
         order = self._list_due(now)
         self._has_waiting = False
         place = 0
-        for urgency, _, step in order:
-            tasks = step.list_waiting()
-            if not tasks or step.not_before > now:
-                self._has_waiting = self._has_waiting or bool(tasks)
+        for urgency, _, step, tasks in order:
+            if step.not_before > now:
+                self._has_waiting = True
                 continue
             place += 1
             if self._place(step, tasks, seats, urgency, place, now) < len(tasks):
@@ -154,14 +155,15 @@
             if contact.is_usable(now)
         ]
 
-    def _list_due(self, now: float) -> list[tuple[Urgency, str, Step]]:
+    def _list_due(self, now: float) -> list[tuple[Urgency, str, Step, list[Task]]]:
+        """List the steps with tasks to start, most urgent first."""
         order = []
         for job in self._owner.board.open.values():
             if job.is_unsure:
                 continue
             for step in job.list_steps():
-                if step.is_due:
-                    order.append((judge_step(step, now), step.name, step))
+                if step.is_due and (tasks := step.list_waiting()):
+                    order.append((judge_step(step, now), step.name, step, tasks))
         order.sort(key=lambda entry: entry[:2])
         return order
 
@@ -182,7 +184,7 @@
         """Place what fits of a step; returns how many tasks were placed."""
         pool = self._find_pool(step)
         self._ask(step, pool, urgency, place, now)
-        suited = self._find_suited(step, seats, now)
+        suited = self._find_suited(step, pool, seats, now)
         if not suited:
             return 0
         may_go_far = is_choosy(step.spec) and self._may_go_far(step, pool, now)
@@ -196,9 +198,10 @@
             self._order(step, plan, now)
         return len(plan)
 
-    def _find_suited(self, step: Step, seats: list[Seat], now: float) -> list[Seat]:
+    def _find_suited(
+        self, step: Step, pool: str, seats: list[Seat], now: float
+    ) -> list[Seat]:
         """Return the seats that may run a step, room aside."""
-        pool = self._find_pool(step)
         suited = [
             seat
             for seat in seats
@@ -217,18 +220,19 @@
         since = step.pinched_at if step.pinched_at is not None else now
         if now - since >= min(gain, FAR_PATIENCE_SECONDS):
             return True
-        refused = self._desk.get(step).refused
-        workers = [
-            contact.info
-            for key, contact in self._owner.contacts.items()
-            if contact.info.pool == pool
-            and contact.is_listed
-            and not contact.info.is_leaving
-            and suits(step.spec, contact.info)
-            and key not in refused
-        ]
+        listed = self._list_candidates(step, pool)
+        workers = [worker for worker in listed if suits(step.spec, worker)]
         return not has_best_rack(step, workers)
 
+    def _list_candidates(self, step: Step, pool: str) -> Iterator[PoolWorker]:
+        """Yield the workers that may get tasks of a step, as far as is known."""
+        refused = self._desk.get(step).refused
+        for contact in self._owner.contacts.values():
+            info = contact.info
+            is_staying = contact.is_listed and not info.is_leaving
+            if info.pool == pool and is_staying and info.identifier not in refused:
+                yield info
+
     def _ask(
         self, step: Step, pool: str, urgency: Urgency, place: int, now: float
     ) -> None:
@@ -244,11 +248,9 @@
         need = step.spec.size
         wanted, needed = [], False
         limit = now + REFRESH_SLACK_SECONDS + terms.base.total_seconds()
-        for contact in self._owner.contacts.values():
-            info, key = contact.info, contact.info.identifier
-            if info.pool != pool or info.is_leaving or not contact.is_listed:
-                continue
-            if key in verdicts.refused or not fits(need, info.size):
+        for info in self._list_candidates(step, pool):
+            key = info.identifier
+            if not fits(need, info.size):
                 continue
             ticket, until = verdicts.tickets.get(key, ("", 0.0))
             if until < limit:
@@ -285,9 +287,7 @@
             age=round(now - step.job.arrived_at, 3),
             epoch=self._owner.mandate.epoch,
         )
-        starting = asyncio.ensure_future(self._start(step, runs))
-        self._starts.add(starting)
-        starting.add_done_callback(self._starts.discard)
+        start_task(self._start(step, runs), self._starts)
 
     async def _start(self, step: Step, runs: list[tuple[Run, WorkerContact]]) -> None:
         verdicts = self._desk.get(step)
@@ -379,9 +379,10 @@
         if len(task.runs) > 1:
             return
         tasks = step.tasks if step.spec.is_gang else [task]
+        pool = self._find_pool(step)
         is_possible = has_room(
             step.spec,
-            self._find_pool(step),
+            pool,
             self._owner.contacts,
             self._speeds,
             self._desk.get(step),
@@ -391,20 +392,20 @@
         if not is_possible:
             return
         if step.spec.is_speculative and not step.spec.is_gang:
-            if not self._copy(run, now):
+            if not self._copy(run, pool, now):
                 return
         else:
             self._give_up(run, "A run would end earlier elsewhere.")
         for moved in tasks:
             moved.moves += 1
 
-    def _copy(self, run: Run, now: float) -> bool:
+    def _copy(self, run: Run, pool: str, now: float) -> bool:
         """Start a second run of a task on another worker; returns whether it could."""
         task, step = run.task, run.task.step
         # No task of the step may be waiting, so nobody else keeps its tickets fresh.
-        self._ask(step, self._find_pool(step), judge_step(step, now), 0, now)
+        self._ask(step, pool, judge_step(step, now), 0, now)
         seats = [seat for seat in self._list_seats(now) if seat.key != run.worker]
-        plan = plan_step(step, [task], self._find_suited(step, seats, now), True)
+        plan = plan_step(step, [task], self._find_suited(step, pool, seats, now), True)
         if plan:
             step.keep_checkpoint(task, run.checkpoint)
             self._order(step, plan, now)
--- a/src/damaskdeck/coordination/pools/journal.py
+++ b/src/damaskdeck/coordination/pools/journal.py
@@ -73,7 +73,6 @@
         self._has_work = asyncio.Event()
         self._is_urgent = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
-        self.is_failing = False
 
     def wake(self) -> None:
         """Say that there is something to gather."""
@@ -138,9 +137,7 @@
                 observe_latency("journal", "commit", took)
                 self.revision = done.revision
                 self._leadership.confirm(sent)
-                self.is_failing = False
                 return True
-            self.is_failing = True
             count_retry("journal", getattr(done, "code", "lapsed"))
             await self._clock.sleep(RETRY_DELAY)
 
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -98,7 +98,6 @@
         self._take = take
         self._lose = lose
         self._lease = ""
-        self._lease_changed = asyncio.Event()
         self._members: dict[str, MemberRecord] = {}
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
--- a/src/damaskdeck/coordination/pools/speeds.py
+++ b/src/damaskdeck/coordination/pools/speeds.py
@@ -117,7 +117,7 @@
             if not expected:
                 continue
             # Progress comes in whole percent.
-            variance += 1 / (run.pace.rate * run.pace.seconds) ** 2
+            variance += 1 / run.pace.least**2
             total += math.log(run.pace.rate / expected) / variance
             weights += 1 / variance
         return (total / weights, weights**-0.5) if weights else None
--- a/src/damaskdeck/coordination/requests/handover.py
+++ b/src/damaskdeck/coordination/requests/handover.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.requests.lanes import name_thing
 from damaskdeck.coordination.requests.slots import SlotPool
@@ -76,9 +77,7 @@
         if not self._inherit(pool, epoch, await self._ask(pool, epoch)):
             name = pool.target.name
             _log.warn("A target's last owner doesn't answer.", target=name)
-        task = asyncio.ensure_future(self._follow(pool, epoch))
-        self._follows.add(task)
-        task.add_done_callback(self._follows.discard)
+        start_task(self._follow(pool, epoch), self._follows)
 
     async def _follow(self, pool: SlotPool, epoch: int) -> None:
         while pool.count_inherited() and not self._is_lost(pool):
--- a/src/damaskdeck/coordination/requests/keyed.py
+++ b/src/damaskdeck/coordination/requests/keyed.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from damaskdeck.background import start_task
 from damaskdeck.coordination.requests.attempts import Course, Gone
 from damaskdeck.protocol.handlers import Claimed, KeyMemory, Known
 from damaskdeck.protocol.outcomes import (
@@ -62,10 +63,7 @@
 
     def _start(self, call: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
         """Let a call to the keeper end also when the caller goes meanwhile."""
-        task = asyncio.ensure_future(call)
-        self._settlings.add(task)
-        task.add_done_callback(self._settlings.discard)
-        return task
+        return start_task(call, self._settlings)
 
     async def _settle_unserved(
         self, name: tuple[str, str, str], claiming: "asyncio.Task[Any]"
--- a/src/damaskdeck/coordination/requests/owned.py
+++ b/src/damaskdeck/coordination/requests/owned.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.requests.attempts import Gone, NotRun, Result
 from damaskdeck.coordination.requests.handover import SlotHandover
@@ -164,9 +165,7 @@
             self._ownership.set_things(SCOPE, tuple(listed))
         for name in [name for name in self._unlisted if name in listed]:
             gain = self._gain(f"{SCOPE}/{name}", self._unlisted.pop(name))
-            task = asyncio.ensure_future(gain)
-            self._gains.add(task)
-            task.add_done_callback(self._gains.discard)
+            start_task(gain, self._gains)
 
     async def _gain(self, thing: str, epoch: int) -> None:
         name = thing.partition("/")[2]
--- a/src/damaskdeck/coordination/requests/sending.py
+++ b/src/damaskdeck/coordination/requests/sending.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import Any
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.requests.attempts import (
     FREE_CODES,
@@ -93,10 +94,7 @@
     def start(self, place: Place, course: Course) -> "asyncio.Task[Result]":
         """Begin a call to the target whose slot was taken."""
         attempt = course.begin_attempt(place.pool.target.name)
-        task = asyncio.ensure_future(self._run(place, course, attempt))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
-        return task
+        return start_task(self._run(place, course, attempt), self._calls)
 
     async def _run(self, place: Place, course: Course, attempt: int) -> Result:
         pool = place.pool
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -43,10 +43,15 @@
     gained: int
     seconds: float
 
+    @property
+    def least(self) -> float:
+        """What it gained; above 0, as less than a percent may not show."""
+        return max(self.gained, UNSEEN_GAIN)
+
     @property
     def rate(self) -> float:
-        """Percent in a second; above 0, as less than a percent may not show."""
-        return max(self.gained, UNSEEN_GAIN) / self.seconds
+        """Percent in a second, above 0."""
+        return self.least / self.seconds
 
 
 class Run:
@@ -60,6 +65,7 @@
     :ivar percent: of its work, as last reported.
     :ivar moved_at: when that percent last rose.
     :ivar first_percent: as it was first reported, at ``first_at``.
+    :ivar mark: percent and time that the next pace is taken from.
     :ivar pace: what it has gained lately, ``None`` while that isn't known.
     :ivar best_pace: the most percent in a second that it gained before.
     """
@@ -109,8 +115,7 @@
         since, seconds = self.mark[0], now - self.mark[1]
         if seconds >= PACE_SECONDS:
             if self.pace is not None and self.pace.gained >= TELLING_GAIN:
-                before = self.pace.gained / self.pace.seconds
-                self.best_pace = max(self.best_pace, before)
+                self.best_pace = max(self.best_pace, self.pace.rate)
             self.pace = Pace(percent - since, seconds)
             self.mark = percent, now
         if percent != self.percent:
@@ -287,7 +292,6 @@
         self.final: QueuedState | None = None
         self.final_at = 0.0
         self.shown = QueuedState.QUEUED
-        self.has_record = True
         self.occurrences: dict[int, tuple[Step, ...]] = {}
         if not record.spec.repeats:
             self.open_occurrence(0)
--- a/src/damaskdeck/transport/loopback.py
+++ b/src/damaskdeck/transport/loopback.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
@@ -69,10 +70,7 @@
         if handler is None:
             return None
         copy = decode_message(name, encode_message(message))
-        task = asyncio.ensure_future(self._handle(handler, name, copy))
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-        return task
+        return start_task(self._handle(handler, name, copy), self._running)
 
     async def _handle(
         self, handler: Handler, name: str, message: Any
--- a/src/damaskdeck/transport/peers.py
+++ b/src/damaskdeck/transport/peers.py
@@ -15,6 +15,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.defaults import SILENCE_LIMIT
 from damaskdeck.errors import MessageError
@@ -254,9 +255,7 @@
             count_refusal("peers", "peer_busy")
             self._reply(envelope, REPLY_BUSY)
         else:
-            task = asyncio.ensure_future(self._handle(handler, envelope))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
+            start_task(self._handle(handler, envelope), self._running)
 
     async def _handle(self, handler: Handler, envelope: Envelope) -> None:
         try:
