Leave alone what other writers of the store get wrong

Cause: one entry below the workers' prefix with a remaining time of 1e300 raised OverflowError out of list_workers and ended every owner; an unknown or missing state and an address that isn't one gave a usable worker; a route's target of 1e300 did the same to the operators' document, a job's estimate of 1e300 was answered with 500, a progress record of a step that isn't there ended each successor, as did a roster that can't be read. A worker of a pool that nobody declared was contacted and held up successors.

Change: fields of the wire carry the values that make sense (platform/fields.py); an entry that can't be used names no worker, is told once per revision with its code, and the rest of the listing holds. A job whose progress can't be read is left alone, since started anew it would run twice.

Left: an owner's record that can't be read stops takeovers (told in the log).

--- a/src/damaskdeck/coordination/pools/declarations.py
+++ b/src/damaskdeck/coordination/pools/declarations.py
@@ -28,6 +28,10 @@
         self._source = source
         self._clock = clock
 
+    def knows_pool(self, pool: str) -> bool:
+        """Tell whether a pool is declared; before any document all may be."""
+        return self.table is None or pool in self.table.pools
+
     async def run(self) -> None:
         """Read the newest document, then follow its changes."""
         revision = 0
--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -50,8 +50,8 @@
     OWNER_KEY,
     PROGRESS,
     JobRecord,
-    ProgressRecord,
-    decode_record,
+    decode_job,
+    decode_progress,
     encode_record,
 )
 
@@ -213,7 +213,7 @@
 
     async def _take_for(self, peer: str, message: TakeJob) -> TakeReply:
         try:
-            record = decode_record(JobRecord, message["record"])
+            record = decode_job(message["record"])
         except MessageError as error:
             _log.error("A job can't be read.", peer=peer, error=str(error))
             return {"outcome": "not_taken", "code": "unreadable"}
@@ -323,7 +323,7 @@
         if not isinstance(progress, Found):
             return Told(QueuedState.QUEUED)
         try:
-            record = decode_record(ProgressRecord, progress.entry.value)
+            record = decode_progress(progress.entry.value)
         except MessageError as error:
             _log.error("Progress can't be read.", id=identifier, error=str(error))
             return Untold("unreadable")
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -39,7 +39,8 @@
     PROGRESS,
     JobRecord,
     ProgressRecord,
-    decode_record,
+    decode_job,
+    decode_progress,
     encode_record,
 )
 
@@ -101,6 +102,7 @@
         self._dirty_contacts: set[WorkerContact] = set()
         self._roster_changed = False
         self._cancelled: set[str] = set()
+        self._unreadable: set[str] = set()
         self._inbox_revision = 0
         self._workforce = Workforce(
             mandate,
@@ -191,9 +193,22 @@
     def _decode_progress(self, entry: Entry, known: dict[str, ProgressRecord]) -> None:
         identifier = entry.key.removeprefix(PROGRESS)
         try:
-            known[identifier] = decode_record(ProgressRecord, entry.value)
+            known[identifier] = decode_progress(entry.value)
         except MessageError as error:
-            _log.error("A record can't be read.", key=entry.key, error=str(error))
+            self._hold_back(identifier, str(error))
+
+    def _hold_back(self, identifier: str, reason: str) -> None:
+        """Leave a job alone whose progress can't be read.
+
+        Started anew, it would run twice what has run.
+        """
+        self._unreadable.add(identifier)
+        _log.error(
+            "A job's progress can't be read: it is left alone.",
+            id=identifier,
+            code=MessageError.code,
+            error=reason,
+        )
 
     # Jobs --------------------------------------------------------------------
 
@@ -206,7 +221,9 @@
             elif key.startswith(CANCELS) and value is not None:
                 self._take_cancel(key.removeprefix(CANCELS))
         except MessageError as error:
-            _log.error("A record can't be read.", key=key, error=str(error))
+            _log.error(
+                "A record can't be read.", key=key, code=error.code, error=str(error)
+            )
 
     def take_job(
         self, value: bytes, known: dict[str, ProgressRecord] | None = None
@@ -215,18 +232,23 @@
 
         :raises MessageError: when it can't be read.
         """
-        record = decode_record(JobRecord, value)
-        if record.identifier in self.board.jobs:
+        record = decode_job(value)
+        identifier = record.identifier
+        if identifier in self.board.jobs or identifier in self._unreadable:
             return
         now = self.now()
         age = self._clock.now().timestamp() - record.taken_at
         job = Job(record, now - min(max(age, 0.0), OLDEST_ARRIVAL_SECONDS))
-        progress = (known or {}).get(record.identifier)
+        progress = (known or {}).get(identifier)
         if progress is not None:
-            job.restore(progress, now)
+            try:
+                job.restore(progress, now)
+            except MessageError as error:
+                self._hold_back(identifier, str(error))
+                return
         job.is_unsure = self._may_be_started(record)
         self.board.add(job)
-        if record.identifier in self._cancelled:
+        if identifier in self._cancelled:
             self.cancel(job)
         self.dispatcher.take(job)
 
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -9,6 +9,8 @@
 from damaskdeck.coordination.pools.contacts import ContactOwner, WorkerContact
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
 from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.errors import MessageError
+from damaskdeck.logs import get_logger
 from damaskdeck.protocol.pools import (
     PoolWorker,
     PoolWorkers,
@@ -26,12 +28,19 @@
 )
 
 WATCH_WAIT = timedelta(seconds=1)
+# Stands for the workers of a roster that can't be read; no worker has this name.
+_UNREADABLE = ""
 # Registrations change with each heartbeat; gathering them saves calls.
 REGISTRY_INTERVAL = timedelta(milliseconds=200)
 
+_log = get_logger("workforce")
+
 
 class WorkforceParts(NamedTuple):
-    """What a workforce works with."""
+    """What a workforce works with.
+
+    :param knows_pool: tells whether the operators have declared a pool.
+    """
 
     leadership: Leadership
     store: TransactionalStore
@@ -39,6 +48,7 @@
     registry: WorkerRegistry
     clock: Clock
     times: PoolTimes
+    knows_pool: Callable[[str], bool]
 
 
 class WorkforceEvents(NamedTuple):
@@ -75,6 +85,8 @@
         self._events = events
         self._revision = 0
         self._unaccounted: set[str] = set()
+        # Registered for a pool that isn't declared: nobody's orders go there.
+        self._strays: dict[str, PoolWorker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: asyncio.Future[None] | None = None
 
@@ -83,8 +95,8 @@
         """How many workers may run what a predecessor ordered without our knowing."""
         return len(self._unaccounted)
 
-    async def read(self) -> tuple[Registered, RosterRecord]:
-        """Read registry and roster."""
+    async def read(self) -> tuple[Registered, RosterRecord | None]:
+        """Read registry and roster, ``None`` for one that can't be read."""
         parts = self._parts
         while True:
             found, roster = await asyncio.gather(
@@ -95,13 +107,17 @@
             await parts.clock.sleep(RETRY_DELAY)
         if isinstance(roster, Missing):
             return found, RosterRecord()
-        return found, decode_record(RosterRecord, roster.entry.value)
+        try:
+            return found, decode_record(RosterRecord, roster.entry.value)
+        except MessageError as error:
+            _log.error("The roster can't be read.", code=error.code, error=str(error))
+            return found, None
 
-    def load(self, workers: tuple[Registered, RosterRecord]) -> None:
+    def load(self, workers: tuple[Registered, RosterRecord | None]) -> None:
         """Begin to contact all workers that :meth:`read` has found."""
         found, roster = workers
         self._revision = found.revision
-        for worker in roster.workers:
+        for worker in roster.workers if roster is not None else ():
             contact = self._add(worker)
             contact.is_listed = False
             contact.is_rostered = True
@@ -109,6 +125,15 @@
             self._list(worker)
         if self._mandate.predecessor is not None:
             self._unaccounted = set(self.contacts)
+        if roster is None:
+            self._unaccounted.add(_UNREADABLE)
+            self._spawn(self._wait_for_unknown())
+
+    async def _wait_for_unknown(self) -> None:
+        """Wait until nothing runs on workers that an unreadable roster named."""
+        now = self._parts.clock.monotonic().total_seconds()
+        await self._parts.clock.sleep(timedelta(seconds=self._find_bound() - now))
+        self._account(_UNREADABLE)
 
     async def run(self) -> None:
         """Follow the registry until cancelled.
@@ -125,7 +150,9 @@
 
     def account(self, contact: WorkerContact) -> None:
         """Take note that nothing unknown runs on a worker any more."""
-        identifier = contact.info.identifier
+        self._account(contact.info.identifier)
+
+    def _account(self, identifier: str) -> None:
         if identifier in self._unaccounted:
             self._unaccounted.discard(identifier)
             if not self._unaccounted:
@@ -183,14 +210,30 @@
 
     def _list(self, worker: PoolWorker) -> None:
         contact = self.contacts.get(worker.identifier)
+        if contact is None and not self._parts.knows_pool(worker.pool):
+            self._note_stray(worker)
+            return
+        self._strays.pop(worker.identifier, None)
         if contact is None:
             contact = self._add(worker)
             self._events.roster()
         contact.update(worker)
 
+    def _note_stray(self, worker: PoolWorker) -> None:
+        if worker.identifier not in self._strays:
+            _log.warn(
+                "A worker's pool isn't declared.",
+                code="unknown_pool",
+                worker=worker.identifier,
+                pool=worker.pool,
+            )
+        self._strays[worker.identifier] = worker
+
     async def _follow(self) -> None:
         registry = self._parts.registry
         while True:
+            for stray in list(self._strays.values()):
+                self._list(stray)
             answer = await registry.follow_workers(self._revision, WATCH_WAIT)
             if isinstance(answer, RegistryChanges):
                 self._revision = answer.revision
@@ -199,6 +242,8 @@
                         self._list(change.worker)
                     elif change.identifier in self.contacts:
                         self.contacts[change.identifier].is_listed = False
+                    else:
+                        self._strays.pop(change.identifier, None)
                 self._events.change()
             elif isinstance(answer, TooOld):
                 await self._list_anew()
@@ -209,6 +254,8 @@
         if isinstance(found, Registered):
             self._revision = found.revision
             present = {worker.identifier for worker in found.workers}
+            for gone in self._strays.keys() - present:
+                del self._strays[gone]
             for identifier, contact in self.contacts.items():
                 contact.is_listed = identifier in present
             for worker in found.workers:
--- a/src/damaskdeck/platform/jobs.py
+++ b/src/damaskdeck/platform/jobs.py
@@ -1,25 +1,28 @@
 """Jobs as callers hand them in, decoded once."""
 
-from datetime import timedelta
 from typing import NotRequired, TypedDict
 
 import msgspec
 
 from damaskdeck.errors import DECODE_ERRORS, MessageError
+from damaskdeck.platform.fields import Milliseconds, Moment, Quantity, read_duration
 from damaskdeck.protocol.queues import JobSpec, StepSpec
 from damaskdeck.protocol.sizes import Size
 
 _PAYLOAD_LIMIT = 4000
+# Tasks of one job; ten times what the largest deployment runs at a time. More would
+# take the memory of the daemon that knows them.
+_TASKS_LIMIT = 100_000
 # Targets of response times need tasks that fill to be paced down beside them.
 UNSERVED = ("target_ms", "fills")
 
 
 class _Step(TypedDict):
     task_count: NotRequired[int]
-    cpu: NotRequired[int]
-    mem_mb: NotRequired[int]
-    gpu: NotRequired[int]
-    estimated_ms: NotRequired[float]
+    cpu: NotRequired[Quantity]
+    mem_mb: NotRequired[Quantity]
+    gpu: NotRequired[Quantity]
+    estimated_ms: NotRequired[Milliseconds]
     after: NotRequired[list[int]]
     gang: NotRequired[bool]
     same_rack: NotRequired[bool]
@@ -28,9 +31,9 @@
     long_running: NotRequired[bool]
     constraints: NotRequired[str]
     affinity: NotRequired[str]
-    anti_affinity: NotRequired[int]
+    anti_affinity: NotRequired[Quantity]
     image: NotRequired[str]
-    may_miss: NotRequired[int]
+    may_miss: NotRequired[Quantity]
     target_ms: NotRequired[float]
     fills: NotRequired[bool]
 
@@ -39,8 +42,8 @@
     spec: str
     steps: list[_Step]
     repeat_count: NotRequired[int]
-    start_at_ms: NotRequired[float]
-    interval_ms: NotRequired[float]
+    start_at_ms: NotRequired[Moment]
+    interval_ms: NotRequired[Milliseconds]
 
 
 _job = msgspec.json.Decoder(_Job)
@@ -59,13 +62,15 @@
         raise MessageError("spec is too long")
     if not job["steps"]:
         raise MessageError("a job has a step at least")
+    if sum(step.get("task_count", 1) for step in job["steps"]) > _TASKS_LIMIT:
+        raise MessageError(f"a job has {_TASKS_LIMIT} tasks at most")
     steps = tuple(_read_step(n, step) for n, step in enumerate(job["steps"]))
     return JobSpec(
         job["spec"],
         steps,
         max(0, job.get("repeat_count", 0)),
-        timedelta(milliseconds=job.get("start_at_ms", 0)),
-        timedelta(milliseconds=job.get("interval_ms", 0)),
+        read_duration(job.get("start_at_ms", 0)),
+        read_duration(job.get("interval_ms", 0)),
     )
 
 
@@ -82,7 +87,7 @@
     return StepSpec(
         tasks,
         Size(step.get("cpu", 0), step.get("mem_mb", 0), step.get("gpu", 0)),
-        timedelta(milliseconds=step.get("estimated_ms", 0)),
+        read_duration(step.get("estimated_ms", 0)),
         after,
         step.get("gang", False),
         step.get("checkpointing", False),
--- a/src/damaskdeck/platform/registry.py
+++ b/src/damaskdeck/platform/registry.py
@@ -2,12 +2,20 @@
 
 import re
 from datetime import timedelta
-from typing import Any, NotRequired, TypedDict
+from typing import Any, Literal, NotRequired, TypedDict
 
 import msgspec
 
-from damaskdeck.errors import DECODE_ERRORS
+from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.logs import get_logger
+from damaskdeck.platform.fields import (
+    Factor,
+    Milliseconds,
+    Name,
+    Quantity,
+    is_address,
+    read_duration,
+)
 from damaskdeck.protocol.pools import (
     Declared,
     PoolWorker,
@@ -34,54 +42,56 @@
 _LEAVING = "draining"
 _RACK = re.compile(r"^r\d")
 _BODY_LIMIT = 262_144
+# Characters of a foreign text that a log line holds.
+_SHOWN = 64
 
 _log = get_logger("registry")
 
 
 class _Capacity(TypedDict):
-    cpu: NotRequired[int]
-    mem_mb: NotRequired[int]
-    gpu: NotRequired[int]
+    cpu: NotRequired[Quantity]
+    mem_mb: NotRequired[Quantity]
+    gpu: NotRequired[Quantity]
 
 
 class _Worker(TypedDict):
-    service: str
+    service: Name
     address: str
     zone: NotRequired[str]
-    state: NotRequired[str]
+    state: Literal["ready", "draining"]
     capacity: NotRequired[_Capacity]
     labels: NotRequired[list[str]]
-    remaining_ms: NotRequired[float | None]
+    remaining_ms: NotRequired[Milliseconds | None]
 
 
 class _Advice(TypedDict):
-    decide_ms: NotRequired[float]
-    period_ms: NotRequired[float]
-    valid_ms: NotRequired[float]
+    decide_ms: NotRequired[Milliseconds]
+    period_ms: NotRequired[Milliseconds]
+    valid_ms: NotRequired[Milliseconds]
 
 
 class _Route(TypedDict):
-    name: str
+    name: Name
     host: str
     path_prefix: str
-    service: str
-    target_latency_ms: NotRequired[float]
-    priority: NotRequired[int]
-    max_attempts: NotRequired[int]
-    slack_factor: NotRequired[float]
+    service: Name
+    target_latency_ms: NotRequired[Milliseconds]
+    priority: NotRequired[Quantity]
+    max_attempts: NotRequired[Quantity]
+    slack_factor: NotRequired[Factor]
     advice: NotRequired[_Advice | None]
 
 
 class _Service(TypedDict):
-    name: str
+    name: Name
 
 
 class _Limits(TypedDict):
-    max_body_bytes: NotRequired[int]
+    max_body_bytes: NotRequired[Quantity]
 
 
 class _Document(TypedDict):
-    version: int
+    version: Quantity
     routes: list[_Route]
     services: NotRequired[list[_Service]]
     limits: NotRequired[_Limits]
@@ -96,6 +106,8 @@
 
     def __init__(self, store: TransactionalStore) -> None:
         self._store = store
+        # Revisions of entries that can't be used and were told of, by key.
+        self._told: dict[str, int] = {}
 
     async def list_workers(self) -> Registered | Rejected | Lost:
         """Read all workers."""
@@ -103,8 +115,8 @@
         if isinstance(found, Rejected | Lost):
             return found
         entries, revision = found
-        changes = (_read_change(entry.key, entry.value) for entry in entries)
-        workers = (c.worker for c in changes if c is not None and c.worker is not None)
+        changes = (self._read(e.key, e.value, e.revision) for e in entries)
+        workers = (change.worker for change in changes if change.worker is not None)
         return Registered(tuple(workers), revision)
 
     async def follow_workers(
@@ -114,9 +126,37 @@
         found = await self._store.watch(_WORKERS, revision, wait)
         if not isinstance(found, Events):
             return found
-        newest = {event.key: event.value for event in found.events}
-        changes = (_read_change(key, value) for key, value in newest.items())
-        return RegistryChanges(tuple(c for c in changes if c), found.revision)
+        newest = {event.key: event for event in found.events}
+        changes = (self._read(e.key, e.value, e.revision) for e in newest.values())
+        return RegistryChanges(tuple(changes), found.revision)
+
+    def _read(self, key: str, value: bytes | None, revision: int) -> RegistryChange:
+        """Return what an entry says; one that can't be used names no worker."""
+        identifier = key.removeprefix(_WORKERS)
+        if value is None:
+            self._told.pop(key, None)
+            return RegistryChange(identifier, None)
+        try:
+            worker = _read_worker(identifier, _worker.decode(value))
+        except (MessageError, *DECODE_ERRORS) as error:
+            self._tell(key, revision, str(error))
+            return RegistryChange(identifier, None)
+        if self._told.pop(key, None) is not None:
+            _log.info("A registration can be used again.", key=key, revision=revision)
+        return RegistryChange(identifier, worker)
+
+    def _tell(self, key: str, revision: int, reason: str) -> None:
+        """Write a line on an entry that can't be used, once for each revision."""
+        if self._told.get(key) == revision:
+            return
+        self._told[key] = revision
+        _log.error(
+            "A registration can't be used.",
+            code=MessageError.code,
+            key=key,
+            revision=revision,
+            error=reason,
+        )
 
 
 class PlatformQueues:
@@ -152,19 +192,15 @@
         return Declared(table, found.revision)
 
 
-def _read_change(key: str, value: bytes | None) -> RegistryChange | None:
-    identifier = key.removeprefix(_WORKERS)
-    if value is None:
-        return RegistryChange(identifier, None)
-    try:
-        worker = _worker.decode(value)
-    except DECODE_ERRORS as error:
-        _log.error("A registration can't be read.", key=key, error=str(error))
-        return None
-    return RegistryChange(identifier, _read_worker(identifier, worker))
-
-
 def _read_worker(identifier: str, worker: _Worker) -> PoolWorker:
+    """Return the worker of an entry.
+
+    :raises MessageError: when it can't be called.
+    """
+    if not identifier:
+        raise MessageError("its key names no worker")
+    if not is_address(worker["address"]):
+        raise MessageError(f"no address: {worker['address'][:_SHOWN]!r}")
     capacity = worker.get("capacity", {})
     labels = worker.get("labels", [])
     remaining = worker.get("remaining_ms")
@@ -176,8 +212,8 @@
         Size(capacity.get("cpu", 0), capacity.get("mem_mb", 0), capacity.get("gpu", 0)),
         frozenset(labels),
         next((label for label in labels if _RACK.match(label)), ""),
-        worker.get("state") == _LEAVING,
-        None if remaining is None else timedelta(milliseconds=remaining),
+        worker["state"] == _LEAVING,
+        None if remaining is None else read_duration(remaining),
     )
 
 
@@ -185,7 +221,9 @@
     try:
         document = _document.decode(value)
     except DECODE_ERRORS as error:
-        _log.error("The declarations can't be read.", error=str(error))
+        _log.error(
+            "The declarations can't be read.", code=MessageError.code, error=str(error)
+        )
         return None
     return QueueTable(
         document["version"],
@@ -204,7 +242,7 @@
         route.get("priority", 0),
         max(1, route.get("max_attempts", 1)),
         route.get("slack_factor", 1.0),
-        timedelta(milliseconds=route.get("target_latency_ms", 0)),
+        read_duration(route.get("target_latency_ms", 0)),
         _read_terms(route.get("advice")),
     )
 
@@ -213,7 +251,7 @@
     if not advice:
         return None
     return AdviceTerms(
-        timedelta(milliseconds=advice.get("decide_ms", 0)),
-        timedelta(milliseconds=advice.get("period_ms", 0)),
-        timedelta(milliseconds=advice.get("valid_ms", 0)),
+        read_duration(advice.get("decide_ms", 0)),
+        read_duration(advice.get("period_ms", 0)),
+        read_duration(advice.get("valid_ms", 0)),
     )
--- a/src/damaskdeck/platform/workers.py
+++ b/src/damaskdeck/platform/workers.py
@@ -12,6 +12,7 @@
     decode_body,
     to_milliseconds,
 )
+from damaskdeck.platform.fields import Moment, read_duration
 from damaskdeck.platform.tasks import format_task, parse_task
 from damaskdeck.protocol.pools import (
     Contents,
@@ -56,12 +57,12 @@
 
 
 class _Ordered(TypedDict):
-    clock_ms: NotRequired[float]
+    clock_ms: NotRequired[Moment]
     reason: NotRequired[str]
 
 
 class _Held(TypedDict):
-    clock_ms: float
+    clock_ms: Moment
     running: list[list[Any]]
     finished: list[list[Any]]
 
@@ -121,7 +122,7 @@
         answer = decode_body(reply, _ordered)
         if isinstance(answer, Lost):
             return answer
-        return Done(timedelta(milliseconds=answer.get("clock_ms", 0)))
+        return Done(read_duration(answer.get("clock_ms", 0)))
 
     async def hold(
         self,
@@ -150,14 +151,21 @@
         refusal = _read_refusal(reply)
         if refusal is not None:
             return refusal
-        answer = decode_body(reply, _held)
-        if isinstance(answer, Lost):
-            return answer
-        try:
-            return _read_contents(answer)
-        except (ValueError, TypeError, KeyError, IndexError) as error:
-            _log.error("An inventory makes no sense.", error=repr(error))
-            return Lost("unreadable_answer", repr(error))
+        return read_inventory(reply)
+
+
+def read_inventory(reply: Reply) -> Contents | Lost:
+    """Read what a worker runs and what has ended there."""
+    answer = decode_body(reply, _held)
+    if isinstance(answer, Lost):
+        return answer
+    try:
+        return _read_contents(answer)
+    except (ValueError, TypeError, KeyError, IndexError, OverflowError) as error:
+        _log.error(
+            "An inventory makes no sense.", code="unreadable_answer", error=repr(error)
+        )
+        return Lost("unreadable_answer", repr(error))
 
 
 def _read_refusal(reply: Reply) -> Declined | Replaced | Lost | None:
@@ -171,7 +179,7 @@
             return answer
         code = _REASONS.get(answer.get("reason", ""), RefusalCode.INVALID)
         clock = answer.get("clock_ms")
-        return Declined(code, timedelta(milliseconds=clock) if clock else None)
+        return Declined(code, read_duration(clock) if clock else None)
     if reply.status == 400:
         _log.error("An order was malformed.", answer=reply.body[:200].decode("latin-1"))
         return Declined(RefusalCode.INVALID)
@@ -183,14 +191,30 @@
         RunningTask(
             parse_task(row[0]),
             int(row[1]),
-            row[2] or "",
+            _read_text(row[2] or ""),
             int(row[3]),
             int(row[4]) if len(row) > 4 else 0,
         )
         for row in answer["running"]
     )
     ended = tuple(
-        EndedTask(int(row[0]), parse_task(row[1]), int(row[2]), _ENDS[row[3]], row[4])
+        EndedTask(
+            int(row[0]),
+            parse_task(row[1]),
+            int(row[2]),
+            _ENDS[row[3]],
+            _read_text(row[4]),
+        )
         for row in answer["finished"]
     )
-    return Contents(timedelta(milliseconds=answer["clock_ms"]), running, ended)
+    return Contents(read_duration(answer["clock_ms"]), running, ended)
+
+
+def _read_text(value: Any) -> str:
+    """Return a text.
+
+    :raises TypeError: when it is something else.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"no text: {type(value).__name__}")
+    return value
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -189,6 +189,7 @@
                     PlatformRegistry(self._store),
                     self._clock,
                     self._times,
+                    self.declarations.knows_pool,
                 ),
                 self._network,
                 lambda: self.declarations.table,
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -8,6 +8,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from damaskdeck.errors import MessageError
 from damaskdeck.protocol.queues import (
     QueuedState,
     StepSpec,
@@ -365,15 +366,30 @@
         )
 
     def restore(self, progress: ProgressRecord, now: float) -> None:
-        """Take over what lasted."""
+        """Take over what lasted.
+
+        :raises MessageError: when it tells of what the job doesn't have.
+        """
         for kept in progress.steps:
-            self.open_occurrence(kept.occurrence)[kept.step].restore(kept)
+            self._find_step(kept).restore(kept)
         if progress.has_started:
             self.note_start()
         if progress.final:
             self.close(QueuedState(progress.final), now)
             self.shown = QueuedState(progress.final)
 
+    def _find_step(self, kept: StepProgress) -> Step:
+        indexes = (*kept.completed, *kept.checkpoints) or (0,)
+        lowest = self.find_task(
+            TaskName(self.identifier, kept.occurrence, kept.step, min(indexes))
+        )
+        highest = self.find_task(
+            TaskName(self.identifier, kept.occurrence, kept.step, max(indexes))
+        )
+        if lowest is None or highest is None:
+            raise MessageError(f"progress of {kept.occurrence}.{kept.step}: no such")
+        return highest.step
+
 
 class Board:
     """All jobs of an owner, by identifier."""
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -11,7 +11,7 @@
 
 from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.protocol.pools import PoolWorker
-from damaskdeck.protocol.queues import JobSpec, Queue
+from damaskdeck.protocol.queues import FINAL_STATES, JobSpec, Queue
 
 T = TypeVar("T")
 
@@ -132,3 +132,26 @@
         return msgspec.msgpack.decode(value, type=kind)
     except DECODE_ERRORS as error:
         raise MessageError(f"{kind.__name__}: {error}") from error
+
+
+def decode_job(value: bytes) -> JobRecord:
+    """Decode a job's record.
+
+    :raises MessageError: when it is none, or its steps make no sense.
+    """
+    record = decode_record(JobRecord, value)
+    for number, step in enumerate(record.spec.steps):
+        if step.tasks < 1 or not all(0 <= n < number for n in step.after):
+            raise MessageError(f"JobRecord: step {number} makes no sense")
+    return record
+
+
+def decode_progress(value: bytes) -> ProgressRecord:
+    """Decode a job's progress.
+
+    :raises MessageError: when it is none, or names a state that there isn't.
+    """
+    record = decode_record(ProgressRecord, value)
+    if record.final and record.final not in FINAL_STATES:
+        raise MessageError(f"ProgressRecord: no final state: {record.final[:32]!r}")
+    return record
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -14,7 +14,7 @@
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
 from damaskdeck.protocol.callers import NoJob, Taken, Told
-from damaskdeck.protocol.pools import EndKind, PoolWorker
+from damaskdeck.protocol.pools import EndKind, PoolWorker, WorkerRegistry
 from damaskdeck.protocol.queues import (
     AdviceTerms,
     JobSpec,
@@ -146,9 +146,10 @@
             self.leadership,
             self.store,
             self.workers,
-            StandinRegistry(self.store, self._cluster.workers),
+            self._cluster.build_registry(self.store),
             self.clock,
             self._cluster.times,
+            lambda pool: pool in self._cluster.table.pools,
         )
         parts = OwnerParts(basis, self._peers, lambda: self._cluster.table)
         self.owner = PoolOwner(mandate, parts)
@@ -222,12 +223,20 @@
         for number in range(daemons):
             self.add_daemon(f"d{number}")
 
+    def build_registry(self, store: PoolStoreClient) -> WorkerRegistry:
+        """Return the registry as a daemon sees it."""
+        return StandinRegistry(store, self.workers)
+
+    def register(self, worker: StandinWorker) -> None:
+        """Write a worker's registration."""
+        self.store.set(StandinRegistry.prefix + worker.info.identifier, b"1")
+
     def add_worker(self, name: str, address: str, rack: str = "r0") -> StandinWorker:
         """Register a worker."""
         info = PoolWorker(name, "hub", address, "z", SIZE, frozenset({"a", rack}), rack)
         worker = StandinWorker(info, self.clock, self._behave, BOUNDS.hold_longest)
         self.workers[name] = worker
-        self.store.set(StandinRegistry.prefix + name, b"1")
+        self.register(worker)
         return worker
 
     def retire(self, name: str, remaining: timedelta | None = None) -> None:
@@ -339,9 +348,11 @@
 class PoolCase(unittest.TestCase):
     """Closes the cluster and checks what must always hold."""
 
+    kind = PoolCluster
+
     async def begin(self, **options) -> PoolCluster:
         """Start a cluster."""
-        self.cluster = PoolCluster(**options)
+        self.cluster = self.kind(**options)
         await self.cluster.start()
         return self.cluster
 
