Tell what late jobs waited for, and write log lines in pieces that pipes take

Change: damaskdeck losses splits each late job's time by what it waited for, from the daemons' lines, which now tell the queue, the age, the parts of the objective, and when a final state is durable; a write is as long as a pipe takes in one piece.

--- a/src/damaskdeck/cli/app.py
+++ b/src/damaskdeck/cli/app.py
@@ -40,6 +40,7 @@
         declarations,
         jobs,
         logs,
+        losses,
         operations,
     )
 
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -273,7 +273,16 @@
     def end_job(self, job: Job, state: QueuedState, reason: str) -> None:
         """Give a job its final state and stop what still runs of it."""
         job.close(state, self.now())
-        _log.info("A job has ended.", id=job.identifier, state=state, reason=reason)
+        _log.info(
+            "A job has ended.",
+            id=job.identifier,
+            queue=job.queue.name,
+            state=state,
+            reason=reason,
+            age=round(job.final_at - job.arrived_at, 3),
+            slack=job.queue.slack,
+            allowance=job.queue.allowance.total_seconds(),
+        )
         self.board.close(job)
         self.mark_dirty(job)
         for step in job.list_steps():
@@ -317,8 +326,9 @@
 
         def finish() -> None:
             for job, final in finals:
-                if final is not None:
+                if final is not None and job.shown != final:
                     job.shown = final
+                    _log.info("A final state is durable.", id=job.identifier)
             for contact, number in contacts:
                 contact.observed = max(contact.observed, number)
             for contact in listed:
@@ -359,6 +369,7 @@
 
     def _make_sure(self) -> None:
         """All workers have told what they run: the rest may be started."""
+        _log.info("All workers are accounted for.", epoch=self.mandate.epoch)
         for job in self.board.open.values():
             job.is_unsure = False
             for step in job.list_steps():
--- a/src/damaskdeck/lines.py
+++ b/src/damaskdeck/lines.py
@@ -20,7 +20,8 @@
 # Lines wait so long for company: one write in place of dozens.
 FLUSH_SECONDS = 0.1
 QUEUE_BYTES = 4 << 20
-WRITE_BYTES = 64 << 10
+# A pipe takes so much in one piece; a reader may keep only the start of a longer write.
+WRITE_BYTES = 4096
 # Of one sentence without an id, and of one id, in a second.
 SENTENCE_LIMIT = 40
 IDENTIFIER_LIMIT = 60
@@ -91,10 +92,10 @@
     def _gather(self) -> bytes:
         parts, size = [], 0
         for line in self._lines:
-            parts.append(line)
             size += len(line)
-            if size >= WRITE_BYTES:
+            if parts and size > WRITE_BYTES:
                 break
+            parts.append(line)
         return b"".join(parts)
 
     def _take(self, written: int) -> None:
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import os
+import select
 import unittest
+import unittest.mock
 
 from typer.testing import CliRunner
 
@@ -21,7 +23,8 @@
     "Taken.": {"id", "queue"},
     "Ordered.": {"id", "step", "attempt", "tasks", "workers", "age", "epoch"},
     "A run has ended.": {"id", "task", "attempt", "worker", "outcome"},
-    "A job has ended.": {"id", "state", "reason"},
+    "A job has ended.": {"id", "state", "reason", "queue", "age", "slack"},
+    "A final state is durable.": {"id"},
 }
 
 
@@ -94,6 +97,24 @@
             self.assertEqual(asyncio.run(flood()), 30)
         self.assertGreater(self.writer.dropped, 0)
 
+    def test_no_write_is_longer_than_a_pipe_takes_in_one_piece(self):
+        writes = []
+        write = os.write
+
+        def note(descriptor: int, chunk: bytes) -> int:
+            writes.append(len(chunk))
+            return write(descriptor, chunk)
+
+        with unittest.mock.patch("os.write", note):
+            with self.handler.applicationbound():
+                for number in range(60):
+                    get_logger("part").info(
+                        "A sentence.", id=str(number), text="x" * 90
+                    )
+            self.handler.flush()
+        self.assertEqual(len(self.read()), 60)
+        self.assertLessEqual(max(writes), select.PIPE_BUF)
+
     def test_one_job_does_not_drown_another(self):
         log = get_logger("part")
         with self.handler.applicationbound():
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,97 @@
+"""``damaskdeck losses``: what late jobs waited for, told from lines of logs."""
+
+import unittest
+
+from typer.testing import CliRunner
+
+from damaskdeck.cli import app, losses
+from damaskdeck.cli.logs import read_lines
+from tests.test_lines import write_line
+
+
+def write_job(
+    job: str, begin: int, end: int, durable: int, *runs: tuple[int, int, str, str]
+) -> list[str]:
+    """Write a job's life of one step whose work took what its runs took.
+
+    :param runs: begin, end, worker and outcome of each.
+    """
+    lines = [write_line(begin, "Taken.", id=job, queue="quick")]
+    for attempt, (since, until, worker, outcome) in enumerate(runs, 1):
+        run = {"id": job, "attempt": attempt}
+        lines += [
+            write_line(
+                since, "Ordered.", step=0, tasks=[attempt], workers=[worker], **run
+            ),
+            write_line(
+                until,
+                "A run has ended.",
+                task=[0, 0, attempt],
+                worker=worker,
+                outcome=outcome,
+                **run,
+            ),
+        ]
+    ended = {"queue": "quick", "state": "completed", "age": end - begin}
+    return [
+        *lines,
+        write_line(end, "A job has ended.", id=job, slack=1.5, allowance=0.25, **ended),
+        write_line(durable, "A final state is durable.", id=job),
+    ]
+
+
+class TestLosses(unittest.TestCase):
+    """Seconds of late jobs, by what they waited for."""
+
+    def split(self, *lines: str) -> dict[str, float]:
+        """Split the life of the one job that the lines tell of."""
+        read = sorted(read_lines(lines), key=lambda line: line.time)
+        (life,) = losses.read_lives(read)
+        return dict(losses.split_life(life, losses.read_history(read)))
+
+    def test_a_wait_for_room_and_for_the_store_are_told_apart(self):
+        split = self.split(*write_job("j1", 1, 7, 9, (5, 7, "w1", "completed")))
+        self.assertEqual(split["room, advice or order"], 4)
+        self.assertEqual(split["work"], 2)
+        self.assertEqual(split["end not durable"], 2)
+
+    def test_a_silent_worker_is_named_while_it_is_silent(self):
+        split = self.split(
+            *write_job(
+                "j1", 1, 9, 9, (1, 3, "w1", "completed"), (1, 9, "w2", "lapsed")
+            ),
+            write_line(3, "A worker does not answer.", worker="w2"),
+            write_line(9, "A worker answers.", worker="w2"),
+        )
+        noticed = losses.NOTICED_AFTER
+        self.assertAlmostEqual(split["lease of a silent worker"], 6 + noticed, 3)
+
+    def test_the_time_without_an_owner_is_a_takeover(self):
+        split = self.split(
+            write_line(1, "Loaded.", epoch=1),
+            *write_job("j1", 2, 8, 8, (6, 8, "w1", "completed")),
+            write_line(5, "Loaded.", epoch=2),
+        )
+        self.assertEqual(split["takeover"], 3)
+
+    def test_runs_that_failed_are_told(self):
+        split = self.split(
+            *write_job("j1", 1, 5, 5, (1, 3, "w1", "failed"), (3, 5, "w2", "completed"))
+        )
+        self.assertEqual(split["run that failed"], 2)
+
+    def test_only_what_was_late_is_summed(self):
+        lines = [
+            *write_job("j1", 1, 3, 3, (1, 3, "w1", "completed")),
+            *write_job("j2", 1, 9, 9, (7, 9, "w1", "completed")),
+        ]
+        result = CliRunner().invoke(app, ["losses"], input="\n".join(lines))
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertIn("quick: 2 jobs, 1 late", result.output)
+        self.assertIn("room, advice or order", result.output)
+        self.assertIn("j2", result.output)
+        self.assertNotIn("j1", result.output)
+
+    def test_logs_without_jobs_are_said_so(self):
+        result = CliRunner().invoke(app, ["losses"], input="nothing")
+        self.assertNotEqual(result.exit_code, 0)
