Place a step in as few availability zones as hold it

Cause: best fit over all workers spread a quick step of 6 tasks over all zones, and a job is late as soon as one of its tasks is, so a zone that is cut off made most jobs in flight late. Change: sound workers are grouped by zone; a step goes where it runs already, else to the zone that holds all of it with the most room, else fills zones one after the other.

--- a/src/damaskdeck/coordination/pools/placing.py
+++ b/src/damaskdeck/coordination/pools/placing.py
@@ -105,47 +105,91 @@
 
 def _plan_tasks(step: Step, tasks: list[Task], seats: list[Seat]) -> Plan:
     spec = step.spec
-    need = spec.size
-    room = {seat.key: seat.free for seat in seats}
-    counts = count_on_workers(step) if spec.spread else Counter()
-    plan: Plan = []
-    for task in tasks:
-        seat = _find_seat(task, spec, seats, room, counts)
-        if seat is None:
-            if spec.is_gang:
-                return []
-            break
-        room[seat.key] = subtract_sizes(room[seat.key], need)
-        counts[seat.key] += 1
-        plan.append((task, seat))
-    return plan
-
-
-def _find_seat(
-    task: Task,
-    spec: StepSpec,
-    seats: list[Seat],
-    room: dict[str, Size],
-    counts: Counter[str],
-) -> Seat | None:
-    """Return the seat that is left with the least.
-
-    One where the task has failed before comes last, slow ones before it, one far
-    from its data after those near it.
+    room = _Room(step, seats)
+    for group in _list_groups(step, len(tasks), seats):
+        room.place(tasks, group)
+        if len(room.plan) == len(tasks):
+            return room.plan
+    room.place(tasks, seats, is_last=True)
+    is_whole = len(room.plan) == len(tasks)
+    return room.plan if is_whole or not spec.is_gang else []
+
+
+def _list_groups(step: Step, needed: int, seats: list[Seat]) -> list[list[Seat]]:
+    """Group sound seats by availability zone, best first.
+
+    What hits a zone, or a rack of it, then hits the fewest jobs: a job is late as
+    soon as one of its tasks is. Zones where the step runs already come first, then
+    those that hold all of it, those with the most room before others.
     """
-    best, best_score = None, (True, True, True, 0)
+    if is_choosy(step.spec):
+        return []
+    zones: dict[str, list[Seat]] = {}
     for seat in seats:
-        left = room[seat.key]
-        if not fits(spec.size, left) or (
-            spec.spread and counts[seat.key] >= spec.spread
-        ):
-            continue
-        is_far = bool(spec.near) and seat.rack != spec.near
-        has_failed = seat.key in task.failed_on
-        score = (has_failed, seat.is_slow, is_far, left.millicores)
-        if best is None or score < best_score:
-            best, best_score = seat, score
-    return best
+        if not seat.is_slow:
+            zones.setdefault(seat.contact.info.zone, []).append(seat)
+    running = {run.worker for run in step.list_runs()}
+
+    def rank(group: list[Seat]) -> tuple[bool, bool, int]:
+        holds = sum(count_fitting(step.spec, seat.free) for seat in group)
+        is_elsewhere = not any(seat.key in running for seat in group)
+        return is_elsewhere, holds < needed, -holds
+
+    return sorted(zones.values(), key=rank)
+
+
+class _Room:
+    """The room that a plan leaves, and the plan."""
+
+    def __init__(self, step: Step, seats: list[Seat]) -> None:
+        self.plan: Plan = []
+        self._spec = step.spec
+        self._left = {seat.key: seat.free for seat in seats}
+        self._counts = count_on_workers(step) if step.spec.spread else Counter()
+        self._placed: set[Task] = set()
+
+    def place(
+        self, tasks: list[Task], seats: list[Seat], is_last: bool = False
+    ) -> None:
+        """Place what fits of the tasks that have no place yet.
+
+        :param is_last: a task goes even to where it has failed.
+        """
+        for task in tasks:
+            if task in self._placed:
+                continue
+            seat = self._find_seat(task, seats, is_last)
+            if seat is None:
+                if is_last or not task.failed_on:
+                    return
+                continue
+            self._left[seat.key] = subtract_sizes(self._left[seat.key], self._spec.size)
+            self._counts[seat.key] += 1
+            self._placed.add(task)
+            self.plan.append((task, seat))
+
+    def _find_seat(self, task: Task, seats: list[Seat], is_last: bool) -> Seat | None:
+        """Return the seat that is left with the least.
+
+        One where the task has failed before comes last, slow ones before it, one far
+        from its data after those near it.
+        """
+        spec = self._spec
+        best, best_score = None, (True, True, True, 0)
+        for seat in seats:
+            left = self._left[seat.key]
+            if not fits(spec.size, left) or (
+                spec.spread and self._counts[seat.key] >= spec.spread
+            ):
+                continue
+            is_far = bool(spec.near) and seat.rack != spec.near
+            has_failed = seat.key in task.failed_on
+            if has_failed and not is_last:
+                continue
+            score = (has_failed, seat.is_slow, is_far, left.millicores)
+            if best is None or score < best_score:
+                best, best_score = seat, score
+        return best
 
 
 def take_seats(plan: Plan) -> None:
