Confine jobs that can't wait for a lease to few availability zones

Change: the daemon that takes a job writes into its record in which zones it may run, the fewest that have twice the room of its widest step, chosen at random by the room that the owner tells twice a second; the owner lets it into more zones by a commit when those don't hold it. A takeover is sure of a job as soon as all workers of its zones have told what they run. Jobs whose slack outlasts a lease stay unconfined.

--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -6,6 +6,7 @@
 from typing import Any, Literal
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.confining import ZoneRooms
 from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.owner import PoolOwner
@@ -33,6 +34,7 @@
     Submitted,
     TakeJob,
     TakeReply,
+    TellRoom,
     ToldReply,
     WaitingReply,
 )
@@ -97,6 +99,7 @@
         self._get_owner = get_owner
         self._known: dict[str, QueuedState] = {}
         self._unheard: dict[str, float] = {}
+        self._rooms = ZoneRooms(clock, times.lease)
         peers.register(Submitted, self._take_submitted)
         peers.register(AskState, self._tell_state)
         peers.register(AskCancel, self._cancel)
@@ -104,6 +107,7 @@
         peers.register(AskAdvice, self._ask_advisor)
         peers.register(TakeJob, self._take_for)
         peers.register(AskFor, self._do_for)
+        peers.register(TellRoom, self._take_room)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
@@ -118,7 +122,8 @@
         Where the store doesn't answer this daemon, others are asked to store it.
         """
         began = self._now()
-        record = JobRecord(identifier, queue, spec, 0, 0.0)
+        zones = self._rooms.choose(queue, identifier, spec)
+        record = JobRecord(identifier, queue, spec, 0, 0.0, zones)
         done = await self._store_job(record)
         if not isinstance(done, Taken):
             is_unsettled = isinstance(done, Unsettled)
@@ -238,6 +243,9 @@
             message: Submitted = {"record": encode_record(record)}
             self._peers.send(owner.instance, message, Submitted)
 
+    async def _take_room(self, peer: str, message: TellRoom) -> None:
+        self._rooms.take(message)
+
     async def _take_submitted(self, peer: str, message: Submitted) -> None:
         owner = self._get_owner()
         if owner is not None and owner.is_loaded:
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -76,6 +76,9 @@
     def end_job(self, job: Job, state: QueuedState, reason: str) -> None:
         """Give a job its final state."""
 
+    def widen(self, job: Job, zones: frozenset[str]) -> None:
+        """Let workers of more zones run a job, as soon as that is durable."""
+
 
 class Dispatcher:
     """Places tasks of one owner's jobs."""
@@ -184,8 +187,10 @@
         """Place what fits of a step; returns how many tasks were placed."""
         pool = self._find_pool(step)
         self._ask(step, pool, urgency, place, now)
-        suited = self._find_suited(step, pool, seats, now)
+        able = self._find_able(step, pool, seats, now)
+        suited = _select_confined(step.job, able)
         if not suited:
+            self._widen(step, tasks, able)
             return 0
         may_go_far = is_choosy(step.spec) and self._may_go_far(step, pool, now)
         plan = plan_step(step, tasks, suited, may_go_far)
@@ -196,12 +201,22 @@
         if plan:
             take_seats(plan)
             self._order(step, plan, now)
+        if len(plan) < len(tasks) and len(able) > len(suited):
+            placed = {task for task, _ in plan}
+            self._widen(step, [t for t in tasks if t not in placed], able)
         return len(plan)
 
-    def _find_suited(
+    def _widen(self, step: Step, tasks: list[Task], able: list[Seat]) -> None:
+        """Ask for the zones that would hold what the job's own don't."""
+        plan = plan_step(step, tasks, able, True)
+        zones = frozenset(seat.contact.info.zone for _, seat in plan)
+        if zones - step.job.zones:
+            self._owner.widen(step.job, zones)
+
+    def _find_able(
         self, step: Step, pool: str, seats: list[Seat], now: float
     ) -> list[Seat]:
-        """Return the seats that may run a step, room aside."""
+        """Return the seats that may run a step, room and the job's zones aside."""
         suited = [
             seat
             for seat in seats
@@ -381,7 +396,7 @@
         tasks = step.tasks if step.spec.is_gang else [task]
         pool = self._find_pool(step)
         is_possible = has_room(
-            step.spec,
+            step,
             pool,
             self._owner.contacts,
             self._speeds,
@@ -405,7 +420,8 @@
         # No task of the step may be waiting, so nobody else keeps its tickets fresh.
         self._ask(step, pool, judge_step(step, now), 0, now)
         seats = [seat for seat in self._list_seats(now) if seat.key != run.worker]
-        plan = plan_step(step, [task], self._find_suited(step, pool, seats, now), True)
+        able = self._find_able(step, pool, seats, now)
+        plan = plan_step(step, [task], _select_confined(step.job, able), True)
         if plan:
             step.keep_checkpoint(task, run.checkpoint)
             self._order(step, plan, now)
@@ -441,3 +457,8 @@
         del self._timed[job.identifier]
         if job.close_if_completed(self._owner.now()):
             self._owner.end_job(job, QueuedState.COMPLETED, "all tasks completed")
+
+
+def _select_confined(job: Job, seats: list[Seat]) -> list[Seat]:
+    """Return the seats in the zones that a job is confined to."""
+    return [seat for seat in seats if job.may_run_in(seat.contact.info.zone)]
--- a/src/damaskdeck/coordination/pools/journal.py
+++ b/src/damaskdeck/coordination/pools/journal.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from damaskdeck.clock import Clock
+from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
@@ -78,12 +78,16 @@
         """Say that there is something to gather."""
         self._has_work.set()
 
+    def hasten(self) -> None:
+        """Commit what has changed without waiting for company."""
+        self._has_work.set()
+        self._is_urgent.set()
+
     async def flush(self) -> None:
         """Wait until all that has changed up to now is durable."""
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
-        self._has_work.set()
-        self._is_urgent.set()
+        self.hasten()
         await waiter
 
     async def flush_lazily(self) -> None:
@@ -98,7 +102,7 @@
         while True:
             await self._has_work.wait()
             if not self._is_urgent.is_set():
-                await self._clock.sleep(self._times.linger)
+                await wait_for_event(self._is_urgent, self._times.linger, self._clock)
             self._has_work.clear()
             self._is_urgent.clear()
             waiters, self._waiters = self._waiters, []
--- a/src/damaskdeck/coordination/pools/moving.py
+++ b/src/damaskdeck/coordination/pools/moving.py
@@ -8,8 +8,7 @@
 from damaskdeck.coordination.pools.placing import count_fitting, suits
 from damaskdeck.coordination.pools.speeds import Speeds
 from damaskdeck.coordination.pools.trust import is_working
-from damaskdeck.protocol.queues import StepSpec
-from damaskdeck.state.board import Run
+from damaskdeck.state.board import Run, Step
 
 # Slowness passes, and what was done is lost: elsewhere it must take less than half.
 GAIN_FACTOR = 2.0
@@ -51,7 +50,7 @@
 
 
 def has_room(
-    spec: StepSpec,
+    step: Step,
     pool: str,
     contacts: dict[str, WorkerContact],
     speeds: Speeds,
@@ -60,11 +59,14 @@
     now: float,
 ) -> bool:
     """Tell whether sound workers that may run a step have room for so many tasks."""
+    spec = step.spec
     room = 0
     for key, contact in contacts.items():
         info = contact.info
         if info.pool != pool or key in verdicts.refused or not suits(spec, info):
             continue
+        if not step.job.may_run_in(info.zone):
+            continue
         if contact.is_usable(now) and not speeds.is_slow(key, now):
             room += count_fitting(spec, contact.free)
     return room >= tasks
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.confining import measure_rooms
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.dispatching import Dispatcher
 from damaskdeck.coordination.pools.journal import Batch, Journal
@@ -23,6 +24,7 @@
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.poolcalls import TellRoom
 from damaskdeck.protocol.pools import (
     EndedTask,
     EndKind,
@@ -37,7 +39,6 @@
     INBOX,
     JOBS,
     PROGRESS,
-    JobRecord,
     ProgressRecord,
     decode_job,
     decode_progress,
@@ -48,6 +49,8 @@
 INBOX_INTERVAL = timedelta(milliseconds=200)
 WATCH_WAIT = timedelta(seconds=1)
 SWEEP_INTERVAL = timedelta(milliseconds=100)
+# A few messages a second for each daemon; room changes with each second's jobs.
+ROOM_INTERVAL = timedelta(milliseconds=500)
 # How long a contact waits for the store before it looks at its worker again.
 DURABLE_WAIT = timedelta(milliseconds=300)
 # A record's time of day may be off; a job is never taken for older than this.
@@ -82,6 +85,7 @@
         basis = self._basis = parts.basis
         self._clock = basis.clock
         self._get_table = parts.get_table
+        self._peers = parts.peers
         self._journal = Journal(
             mandate,
             basis.leadership,
@@ -142,6 +146,7 @@
                 self._workforce.run(),
                 self._follow_inbox(),
                 self._sweep(),
+                self._tell_room(),
             )
         finally:
             self.desk.close()
@@ -246,7 +251,7 @@
             except MessageError as error:
                 self._hold_back(identifier, str(error))
                 return
-        job.is_unsure = self._may_be_started(record)
+        job.is_unsure = self._may_be_started(job)
         self.board.add(job)
         if identifier in self._cancelled:
             self.cancel(job)
@@ -313,6 +318,7 @@
         self._dirty_contacts.clear()
         self._removed.clear()
         finals = [(job, job.final) for job in jobs]
+        widened = [(j, j.wider_zones) for j in jobs if j.wider_zones is not None]
         writes = [
             Write(PROGRESS + job.identifier, encode_record(job.summarize()))
             for job in jobs
@@ -329,11 +335,13 @@
                 if final is not None and job.shown != final:
                     job.shown = final
                     _log.info("A final state is durable.", id=job.identifier)
+            for job, zones in widened:
+                job.zones, job.wider_zones = zones, None
             for contact, number in contacts:
                 contact.observed = max(contact.observed, number)
             for contact in listed:
                 contact.is_rostered = True
-            if listed:
+            if listed or widened:
                 self.dispatcher.wake()
 
         return Batch(tuple(writes), removals, finish)
@@ -354,28 +362,47 @@
 
     def _mark_unsure(self) -> None:
         for job in self.board.open.values():
-            job.is_unsure = self._may_be_started(job.record)
-        if not self._workforce.unaccounted:
-            self._make_sure()
+            job.is_unsure = self._may_be_started(job)
+        self._make_sure()
+
+    def _may_be_started(self, job: Job) -> bool:
+        """Whether a predecessor may have started a job without our knowing.
 
-    def _may_be_started(self, record: JobRecord) -> bool:
-        """Whether a predecessor may have started a job without our knowing."""
-        is_older = record.epoch < self.mandate.epoch
-        return is_older and bool(self._workforce.unaccounted)
+        Only on workers of the zones that the job was confined to when this owner's
+        takeover ended the commits of the one before.
+        """
+        is_older = job.record.epoch < self.mandate.epoch
+        return is_older and not self._workforce.is_accounted(job.zones)
 
     def _change_roster(self) -> None:
         self._roster_changed = True
         self._journal.wake()
 
     def _make_sure(self) -> None:
-        """All workers have told what they run: the rest may be started."""
-        _log.info("All workers are accounted for.", epoch=self.mandate.epoch)
+        """Let the jobs start of which all workers have told what they run."""
+        if not self._workforce.unaccounted:
+            _log.info("All workers are accounted for.", epoch=self.mandate.epoch)
         for job in self.board.open.values():
+            if not job.is_unsure or self._may_be_started(job):
+                continue
             job.is_unsure = False
             for step in job.list_steps():
                 self.stop_if_incomplete(step)
         self.dispatcher.wake()
 
+    def widen(self, job: Job, zones: frozenset[str]) -> None:
+        """Let workers of more zones run a job, as soon as that is durable."""
+        if job.wider_zones is not None or not job.zones:
+            return
+        job.wider_zones = job.zones | zones
+        _log.info(
+            "A job is let into more zones.",
+            id=job.identifier,
+            zones=sorted(job.wider_zones),
+        )
+        self.mark_dirty(job)
+        self._journal.hasten()
+
     def stop_if_incomplete(self, step: Step) -> None:
         """Stop the runs of a gang of which a member is missing."""
         if not step.spec.is_gang:
@@ -490,6 +517,15 @@
                     self._apply_inbox(entry.key, entry.value, {})
             await self._clock.sleep(INBOX_INTERVAL)
 
+    async def _tell_room(self) -> None:
+        """Let the daemons that take jobs know where there is room."""
+        while True:
+            await self._clock.sleep(ROOM_INTERVAL)
+            rooms = measure_rooms(self.contacts.values(), self.now())
+            message: TellRoom = {"epoch": self.mandate.epoch, "zones": rooms}
+            for name in self._basis.leadership.list_members():
+                self._peers.send(name, message, TellRoom)
+
     async def _sweep(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_INTERVAL)
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -56,7 +56,8 @@
 
     :param change: which workers may be used has changed.
     :param roster: the roster has to be written.
-    :param account: every worker that a predecessor may have used is accounted for.
+    :param account: all workers of another availability zone that a predecessor
+        may have used are accounted for.
     """
 
     change: Callable[[], None]
@@ -84,12 +85,22 @@
         self._owner = owner
         self._events = events
         self._revision = 0
-        self._unaccounted: set[str] = set()
+        # With the availability zone of each, an empty string where it isn't known.
+        self._unaccounted: dict[str, str] = {}
         # Registered for a pool that isn't declared: nobody's orders go there.
         self._strays: dict[str, PoolWorker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: asyncio.Future[None] | None = None
 
+    def is_accounted(self, zones: frozenset[str]) -> bool:
+        """Whether nothing unknown can run on the workers of availability zones.
+
+        :param zones: all when empty.
+        """
+        if not zones:
+            return not self._unaccounted
+        return not any(not zone or zone in zones for zone in self._unaccounted.values())
+
     @property
     def unaccounted(self) -> int:
         """How many workers may run what a predecessor ordered without our knowing."""
@@ -124,9 +135,11 @@
         for worker in found.workers:
             self._list(worker)
         if self._mandate.predecessor is not None:
-            self._unaccounted = set(self.contacts)
+            self._unaccounted = {
+                name: contact.info.zone for name, contact in self.contacts.items()
+            }
         if roster is None:
-            self._unaccounted.add(_UNREADABLE)
+            self._unaccounted[_UNREADABLE] = ""
             self._spawn(self._wait_for_unknown())
 
     async def _wait_for_unknown(self) -> None:
@@ -154,8 +167,8 @@
 
     def _account(self, identifier: str) -> None:
         if identifier in self._unaccounted:
-            self._unaccounted.discard(identifier)
-            if not self._unaccounted:
+            zone = self._unaccounted.pop(identifier)
+            if zone not in self._unaccounted.values():
                 self._events.account()
 
     def write_roster(self) -> tuple[Write, list[WorkerContact]]:
--- a/src/damaskdeck/protocol/poolcalls.py
+++ b/src/damaskdeck/protocol/poolcalls.py
@@ -3,7 +3,7 @@
 from typing import Literal, TypedDict
 
 from damaskdeck.protocol.messages import message
-from damaskdeck.protocol.quantities import Count
+from damaskdeck.protocol.quantities import Amount, Count
 
 
 @message("pool.submitted")
@@ -147,3 +147,26 @@
     """Ask the owner for a sign of life."""
 
     epoch: Count
+
+
+@message("pool.room")
+class TellRoom(TypedDict):
+    """Free room of the workers that get orders, as the owner knows it.
+
+    :ivar epoch: of the owner.
+    :ivar zones: pool, availability zone, millicores and MiB of each.
+    """
+
+    epoch: Count
+    zones: list[tuple[str, str, Amount, Amount]]
+
+
+@message("pool.stand")
+class StandFor(TypedDict):
+    """Nobody hears the owner of that epoch; the receiver should succeed it.
+
+    :ivar absent: daemons that did not answer when they were asked.
+    """
+
+    epoch: Count
+    absent: list[str]
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -281,6 +281,8 @@
     :ivar arrived_at: monotonic seconds when it was taken, as far as known.
     :ivar is_unsure: an earlier owner may have started some of its tasks on a
         worker that has not answered yet.
+    :ivar zones: whose workers may run it, durably; all when empty.
+    :ivar wider_zones: what those shall become, ``None`` when nothing is asked for.
     """
 
     def __init__(self, record: JobRecord, arrived_at: float) -> None:
@@ -289,6 +291,8 @@
         self.queue = record.queue
         self.arrived_at = arrived_at
         self.is_unsure = False
+        self.zones = frozenset(record.zones)
+        self.wider_zones: frozenset[str] | None = None
         self.has_started = False
         self.final: QueuedState | None = None
         self.final_at = 0.0
@@ -319,6 +323,10 @@
                 step.due_at = due_at
         return self.occurrences[number]
 
+    def may_run_in(self, zone: str) -> bool:
+        """Tell whether workers of an availability zone may run its tasks."""
+        return not self.zones or zone in self.zones
+
     def list_steps(self) -> Iterator[Step]:
         """Yield the steps of all occurrences that were opened."""
         for steps in self.occurrences.values():
@@ -363,8 +371,14 @@
             self.final or "",
             self.has_started,
             tuple(step for step in steps if step is not None),
+            self._summarize_zones(),
         )
 
+    def _summarize_zones(self) -> tuple[str, ...] | None:
+        zones = self.zones if self.wider_zones is None else self.wider_zones
+        is_kept = zones == frozenset(self.record.zones)
+        return None if is_kept else tuple(sorted(zones))
+
     def restore(self, progress: ProgressRecord, now: float) -> None:
         """Take over what lasted.
 
@@ -372,6 +386,8 @@
         """
         for kept in progress.steps:
             self._find_step(kept).restore(kept)
+        if progress.zones is not None:
+            self.zones = frozenset(progress.zones)
         if progress.has_started:
             self.note_start()
         if progress.final:
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -82,6 +82,8 @@
     :param epoch: of the owner that the job was stored for: only that owner and
         later ones can have started it.
     :param taken_at: seconds since 1970 by the clock of the daemon that took it.
+    :param zones: availability zones whose workers alone may run it, until its
+        progress names more; all where none is named.
     """
 
     identifier: str
@@ -89,6 +91,7 @@
     spec: JobSpec
     epoch: int
     taken_at: float
+    zones: tuple[str, ...] = ()
 
 
 class StepProgress(NamedTuple):
@@ -111,11 +114,13 @@
 
     :param final: the final state, or an empty string.
     :param has_started: a task of it has started.
+    :param zones: in place of those of the job's record, unless ``None``.
     """
 
     final: str = ""
     has_started: bool = False
     steps: tuple[StepProgress, ...] = ()
+    zones: tuple[str, ...] | None = None
 
 
 def encode_record(record: Any) -> bytes:
