Notice a silent owner and a returning store sooner, and let the youngest succeed

A takeover that learnt of the owner by a refused commit before the watch told the hint took over once more.

Change: a commit is tried again after four times the usual answer, 0.3 to 1.5 s (the fence settles both); a failing store is probed by renewals every 0.15 s, watches that it has outlived are given up on its return, failures of calls that were sent before an answer came count no more; a majority that hears nothing is enough, absent daemons lose their turn and the best heir is told; of equal power the last started succeeds.

--- a/src/damaskdeck/coordination/pools/health.py
+++ b/src/damaskdeck/coordination/pools/health.py
@@ -1,5 +1,6 @@
 """Whether the store answers this daemon, told by all calls that are made anyway."""
 
+import asyncio
 from datetime import timedelta
 from typing import TypeVar
 
@@ -24,6 +25,14 @@
 
 # One refusal may be a full rate; so many one after the other are an outage.
 FAILURES = 2
+# A commit is given up after so many times what the last ones took, within these
+# bounds: one that hangs is tried again at once when the store is back, and a store
+# that answers 60 times as slowly as its usual 4 ms is still waited for.
+PATIENCE_FACTOR = 4.0
+LEAST_PATIENCE = timedelta(milliseconds=300)
+LONGEST_PATIENCE = timedelta(milliseconds=1500)
+# Weight of a call in the usual time of an answer.
+LATEST_SHARE = 0.3
 
 T = TypeVar("T")
 
@@ -42,6 +51,16 @@
         self._clock = clock
         self._failures = 0
         self._failing_since: float | None = None
+        self._usual = 0.0
+        self._answered_at = float("-inf")
+        # Set, and replaced, when the store answers again.
+        self._returned = asyncio.Event()
+
+    @property
+    def patience(self) -> timedelta:
+        """How long to wait for a commit before it is tried again."""
+        wanted = timedelta(seconds=PATIENCE_FACTOR * self._usual)
+        return min(max(wanted, LEAST_PATIENCE), LONGEST_PATIENCE)
 
     @property
     def entry_limit(self) -> int:
@@ -57,46 +76,84 @@
         """Return for how long the store has been failing."""
         if self._failing_since is None:
             return timedelta()
-        now = self._clock.monotonic().total_seconds()
-        return timedelta(seconds=now - self._failing_since)
+        return timedelta(seconds=self._now() - self._failing_since)
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
 
-    def _note(self, answer: T) -> T:
+    def _note(self, answer: T, sent: float) -> T:
+        """Take note of an answer to a call of then.
+
+        That a call failed says nothing when another that was sent later, or was on
+        its way at the same time, has been answered since.
+        """
         if not isinstance(answer, Rejected | Lost):
-            if self._failing_since is not None:
-                _log.info("The store answers again.", away=str(self.measure_outage()))
-            self._failures = 0
+            self._note_answer()
+        elif sent >= self._answered_at:
+            self._note_failure(answer)
+        return answer
+
+    def _note_answer(self) -> None:
+        self._answered_at = self._now()
+        self._failures = 0
+        if self._failing_since is not None:
+            _log.info("The store answers again.", away=str(self.measure_outage()))
             self._failing_since = None
-            return answer
+            self._returned.set()
+            self._returned = asyncio.Event()
+
+    def _note_failure(self, answer: Rejected | Lost) -> None:
         self._failures += 1
         if self._failures >= FAILURES and self._failing_since is None:
-            self._failing_since = self._clock.monotonic().total_seconds()
+            self._failing_since = self._now()
             _log.warn("The store does not answer.", reason=answer.code)
-        return answer
 
     async def read(self, key: str) -> Found | Missing | Rejected | Lost:
         """Read one key."""
-        return self._note(await self._store.read(key))
+        sent = self._now()
+        return self._note(await self._store.read(key), sent)
 
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
         """Read a page of keys."""
-        return self._note(await self._store.read_page(prefix, after))
+        sent = self._now()
+        return self._note(await self._store.read_page(prefix, after), sent)
 
     async def commit(
         self, transaction: Transaction, timeout: timedelta | None = None
     ) -> CommitResult:
         """Make changes that take effect together or not at all."""
-        return self._note(await self._store.commit(transaction, timeout))
+        limit = self.patience if timeout is None else min(timeout, self.patience)
+        sent = self._now()
+        done = self._note(await self._store.commit(transaction, limit), sent)
+        self._usual += LATEST_SHARE * (self._now() - sent - self._usual)
+        return done
 
     async def watch(
         self, prefix: str, revision: int, wait: timedelta
     ) -> Events | TooOld | Rejected | Lost:
-        """Return the changes after ``revision``."""
-        return self._note(await self._store.watch(prefix, revision, wait))
+        """Return the changes after ``revision``.
+
+        A watch that an outage has outlived may never be answered: it is given up as
+        soon as the store answers another call.
+        """
+        sent = self._now()
+        call = asyncio.ensure_future(self._store.watch(prefix, revision, wait))
+        returned = asyncio.ensure_future(self._returned.wait())
+        try:
+            await asyncio.wait({call, returned}, return_when=asyncio.FIRST_COMPLETED)
+            if not call.done():
+                return Lost("outage_over")
+            return self._note(call.result(), sent)
+        finally:
+            returned.cancel()
+            call.cancel()
 
     async def grant_lease(self, ttl: timedelta) -> Granted | Rejected | Lost:
         """Open a lease."""
-        return self._note(await self._store.grant_lease(ttl))
+        sent = self._now()
+        return self._note(await self._store.grant_lease(ttl), sent)
 
     async def renew_lease(self, lease: str) -> Granted | Lapsed | Rejected | Lost:
         """Renew a lease."""
-        return self._note(await self._store.renew_lease(lease))
+        sent = self._now()
+        return self._note(await self._store.renew_lease(lease), sent)
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -12,7 +12,9 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
@@ -28,7 +30,6 @@
 from damaskdeck.protocol.transactions import (
     Mismatch,
     Transaction,
-    TransactionalStore,
     Write,
     read_all,
 )
@@ -46,6 +47,11 @@
 )
 
 RETRY_DELAY = timedelta(milliseconds=100)
+# Between two looks whether a failing store is back.
+PROBE_INTERVAL = timedelta(milliseconds=150)
+# Daemons whose starts differ by less are of one age: clocks differ, and all start
+# within a second when the whole system does.
+AGE_GRAIN = timedelta(seconds=1)
 # Daemons try one after the other, so that one takeover isn't undone by the next.
 RANK_DELAY = timedelta(milliseconds=120)
 # After the store was away, the owner gets the first turn to renew its hint.
@@ -85,7 +91,7 @@
     def __init__(
         self,
         member: MemberRecord,
-        store: TransactionalStore,
+        store: HealthyStore,
         clock: Clock,
         times: PoolTimes,
         take: Callable[[Mandate], None],
@@ -107,6 +113,8 @@
         self._confirmed_at = float("-inf")
         self._wakeup = asyncio.Event()
         self._suspected_epoch = 0
+        self._absent: frozenset[str] = frozenset()
+        self._probes: set[asyncio.Task[None]] = set()
         self._is_leaving = False
         self._mandate: Mandate | None = None
 
@@ -165,9 +173,13 @@
         if entry is not None:
             self._apply(entry.key, entry.value, entry.revision)
 
-    def suspect(self, epoch: int) -> None:
-        """Stand for election, as nobody hears the owner of that epoch."""
+    def suspect(self, epoch: int, absent: frozenset[str] = frozenset()) -> None:
+        """Stand for election, as nobody hears the owner of that epoch.
+
+        :param absent: daemons that nobody has to wait for.
+        """
         self._suspected_epoch = max(self._suspected_epoch, epoch)
+        self._absent = absent
         self._wakeup.set()
 
     def step_down(self, reason: str) -> None:
@@ -180,7 +192,13 @@
 
     async def run(self) -> None:
         """Hold the member's lease, follow the control keys and stand for election."""
-        await asyncio.gather(self._keep_lease(), self._follow(), self._stand())
+        try:
+            await asyncio.gather(
+                self._keep_lease(), self._probe(), self._follow(), self._stand()
+            )
+        finally:
+            for probe in self._probes:
+                probe.cancel()
 
     # Lease -------------------------------------------------------------------
 
@@ -200,6 +218,20 @@
                 _log.warn("The member's lease lapsed.", lease=self._lease)
                 self._lease = ""
 
+    async def _probe(self) -> None:
+        """Ask a store that is failing again and again, whatever is on its way.
+
+        A call that hangs holds up its loop for its time-out; the return of the store
+        is noticed by the first call that is sent after it. A renewal costs least.
+        """
+        while True:
+            await self._clock.sleep(PROBE_INTERVAL)
+            if self._store.is_failing and self._lease:
+                start_task(self._renew(self._lease), self._probes)
+
+    async def _renew(self, lease: str) -> None:
+        await self._store.renew_lease(lease)
+
     async def _write_member(self) -> None:
         key = MEMBERS + self._member.instance
         value = encode_record(self._member)
@@ -248,10 +280,9 @@
         for name in list(self._members):
             if MEMBERS + name not in present:
                 del self._members[name]
-        if LEAD_KEY not in present:
-            self._has_lead = False
         for entry in entries:
             self._apply(entry.key, entry.value, entry.revision)
+        self._has_lead = LEAD_KEY in present
         self._is_synced = True
         self._note_contact(sent)
         return revision
@@ -281,7 +312,12 @@
     def _apply_owner(self, value: bytes | None, revision: int) -> None:
         if value is None or revision < self._owner_revision:
             return
-        self._owner = decode_record(OwnerRecord, value)
+        owner = decode_record(OwnerRecord, value)
+        if revision > self._owner_revision:
+            # A takeover writes its hint with it; the watch tells when that goes. Who
+            # learns of the owner by a refused commit may not have seen the hint yet.
+            self._has_lead = not owner.is_released
+        self._owner = owner
         self._owner_revision = revision
         if self._mandate is not None and not self._is_own(self._owner):
             self.step_down("the store names another owner")
@@ -330,16 +366,33 @@
         return base + rank * RANK_DELAY
 
     def _rank_heirs(self) -> list[str]:
-        """List who should own next: the strongest, by turns among equals."""
+        """List who should own next: the strongest, of these the youngest.
+
+        In a rolling restart the one that was restarted last is stopped last again.
+        Those of one age come by turns.
+        """
         own = self._member.instance
         owner = self._owner
         members = {**self._members, own: self._member}
         if owner is not None and owner.instance != own:
             members.pop(owner.instance, None)
+        if owner is not None and owner.epoch == self._suspected_epoch:
+            for name in self._absent - {own}:
+                members.pop(name, None)
         names = sorted(members)
         turn = owner.epoch % len(names) if owner else 0
         names = names[turn:] + names[:turn]
-        return sorted(names, key=lambda name: -members[name].power)
+
+        def rank(name: str) -> tuple[float, float]:
+            age = round(members[name].started_at / AGE_GRAIN.total_seconds())
+            return -members[name].power, -age
+
+        return sorted(names, key=rank)
+
+    def find_heir(self, epoch: int, absent: frozenset[str]) -> str:
+        """Return who should succeed the owner of an epoch that nobody hears."""
+        self.suspect(epoch, absent)
+        return self._rank_heirs()[0]
 
     def find_stronger(self) -> str:
         """Return a member that should own in this daemon's place, or nothing."""
--- a/src/damaskdeck/coordination/pools/watching.py
+++ b/src/damaskdeck/coordination/pools/watching.py
@@ -14,7 +14,13 @@
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.messages import Answered, Peers
-from damaskdeck.protocol.poolcalls import AskBeat, AskHeard, BeatReply, HeardReply
+from damaskdeck.protocol.poolcalls import (
+    AskBeat,
+    AskHeard,
+    BeatReply,
+    HeardReply,
+    StandFor,
+)
 
 BEAT_INTERVAL = timedelta(milliseconds=120)
 BEAT_TIMEOUT = timedelta(milliseconds=200)
@@ -50,6 +56,7 @@
         self._heard_at = 0.0
         peers.register(AskBeat, self._beat)
         peers.register(AskHeard, self._tell_heard)
+        peers.register(StandFor, self._stand_for)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
@@ -83,24 +90,58 @@
         return self._now() - self._heard_at < SILENCE_SECONDS
 
     async def _doubt(self, owner: str, epoch: int) -> None:
+        """Ask the others; let the best heir know when nobody hears the owner.
+
+        Who hears it answers at once, who doesn't after its own time-out: as soon as
+        more than half hear nothing, nothing else is to be learnt by waiting.
+        """
         names = [
             name
             for name in self._leadership.list_members()
             if name not in (owner, self._instance)
         ]
+        asked = {
+            asyncio.ensure_future(self._ask_heard(name, epoch)): name for name in names
+        }
+        silent = 1
+        try:
+            for answer in asyncio.as_completed(asked):
+                hears = await answer
+                if hears:
+                    return
+                silent += hears is False
+                if 2 * silent > 1 + len(names):
+                    break
+        finally:
+            absent = [name for call, name in asked.items() if not _has_answered(call)]
+            for call in asked:
+                call.cancel()
+        if 2 * silent > 1 + len(names):
+            await self._call_heir(owner, epoch, absent)
+
+    async def _ask_heard(self, name: str, epoch: int) -> bool | None:
+        """Ask a daemon whether it hears the owner; ``None`` without an answer."""
         message: AskHeard = {"epoch": epoch}
-        replies = await asyncio.gather(
-            *(
-                self._peers.call(name, message, AskHeard, 2 * BEAT_TIMEOUT)
-                for name in names
-            )
+        reply = await self._peers.call(name, message, AskHeard, 2 * BEAT_TIMEOUT)
+        return reply.message["hears"] if isinstance(reply, Answered) else None
+
+    async def _call_heir(self, owner: str, epoch: int, absent: list[str]) -> None:
+        heir = self._leadership.find_heir(epoch, frozenset(absent))
+        _log.info(
+            "Nobody hears the owner.",
+            owner=owner,
+            epoch=epoch,
+            absent=absent,
+            heir=heir,
         )
-        told = [r.message["hears"] for r in replies if isinstance(r, Answered)]
-        is_majority = 2 * (1 + len(told)) > 1 + len(names)
-        if any(told) or not is_majority:
-            return
-        _log.info("Nobody hears the owner.", owner=owner, epoch=epoch, asked=len(told))
-        self._leadership.suspect(epoch)
+        if heir != self._instance:
+            message: StandFor = {"epoch": epoch, "absent": absent}
+            self._peers.send(heir, message, StandFor)
+
+    async def _stand_for(self, peer: str, message: StandFor) -> None:
+        owner = self._leadership.owner
+        if owner is not None and owner.epoch == message["epoch"]:
+            self._leadership.suspect(owner.epoch, frozenset(message["absent"]))
 
     async def _beat(self, peer: str, message: AskBeat) -> BeatReply:
         return {"epoch": self._get_epoch()}
@@ -114,3 +155,7 @@
         if owner.epoch != self._epoch:
             self._epoch, self._heard_at = owner.epoch, float("-inf")
         return {"hears": await self._hear(owner.instance, owner.epoch)}
+
+
+def _has_answered(call: "asyncio.Future[bool | None]") -> bool:
+    return call.done() and not call.cancelled() and call.result() is not None
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -99,6 +99,7 @@
             self._network.address,
             settings.zone,
             settings.power,
+            clock.now().timestamp(),
         )
         self.leadership = Leadership(
             member, self._store, clock, self._times, self._begin_mandate, self._end
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -53,6 +53,7 @@
 
     :param address: for peers, as ``IP:port``.
     :param power: processing power in cores; owners are chosen by it.
+    :param started_at: of the process, seconds since 1970 by its own clock.
     """
 
     instance: str
@@ -60,6 +61,7 @@
     address: str
     zone: str
     power: float = 1.0
+    started_at: float = 0.0
 
 
 class FenceRecord(NamedTuple):
