Keep a run that was given up away from its worker

Change: a worker on which a run was given up counts for that task like one where it failed; a slow worker stays slow until its time is over or it is measured to be faster.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -440,6 +440,7 @@
             worker=run.worker,
             percent=run.percent,
         )
+        run.task.failed_on.add(run.worker)
         for stopped in list(step.list_runs()) if step.spec.is_gang else (run,):
             self._owner.stop(stopped)
 
--- a/src/damaskdeck/coordination/pools/speeds.py
+++ b/src/damaskdeck/coordination/pools/speeds.py
@@ -104,7 +104,7 @@
                         runs=len(contact.runs),
                     )
                 self._slow_until[name] = now + SLOW_SECONDS
-            else:
+            elif speed >= math.log(SLOW_SPEED):
                 self._slow_until.pop(name, None)
 
     def _measure(self, contact: WorkerContact) -> tuple[float, float] | None:
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -127,7 +127,7 @@
 class Task:
     """One task; it waits when it has neither completed nor a run.
 
-    :ivar failed_on: workers on which an attempt of it failed.
+    :ivar failed_on: workers on which an attempt of it failed or was given up.
     :ivar moves: how often it was taken off a slow worker.
     """
 
