Start copies beside silent workers, ask the advisor ahead, look on while ends are stored

Cause: tasks that may have copies waited for the lease of a silent worker, and jobs whose steps may have copies for workers unaccounted for; each later step waited for the advisor; a look at a worker waited up to 0.45 s while the store was slow. Change: a worker not heard for a second has its copyable tasks started elsewhere; such steps don't wait after a takeover; steps that are due within 0.5 s are asked about; a contact waits 0.1 s at most for the store.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -33,6 +33,9 @@
 # An answer that is this much later than it was asked for makes a worker doubtful:
 # it gets no orders, as each that stays without an answer binds room for a lease.
 LATENESS_SECONDS = 0.15
+# A worker that was not heard for so long is taken for silent: a look takes 0.5 s, and
+# the next one 0.35 s to fail.
+SILENCE_SECONDS = 1.0
 # A stop without an answer is sent again after so long.
 STOP_RETRY_SECONDS = 0.4
 # A worker that turned an order down gets no other for so long.
@@ -166,6 +169,11 @@
             and not self._is_slow_to_start(now)
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Whether it has not answered for so long that it isn't one lost answer."""
+        is_waited_for = not self.is_known and not self.is_gone
+        return is_waited_for and now - self.looked_at > SILENCE_SECONDS
+
     def _is_slow_to_start(self, now: float) -> bool:
         """Whether an order has been without an answer for longer than is usual."""
         oldest = next(iter(self._ordering.values()), now)
@@ -383,8 +391,6 @@
             return
         if await self._owner.wait_until_durable(self):
             observe_latency("contacts", "end_noted", self._now() - now)
-        else:
-            await self._clock.sleep(SILENT_DELAY)
 
     async def _take_silence(self, answer: object, now: float) -> None:
         code = getattr(answer, "code", "")
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -11,8 +11,18 @@
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.leaving import find_departing
-from damaskdeck.coordination.pools.moving import find_moves, has_room
-from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
+from damaskdeck.coordination.pools.moving import (
+    find_moves,
+    find_silent,
+    has_room,
+    may_have_copies,
+)
+from damaskdeck.coordination.pools.ordering import (
+    Outlook,
+    Urgency,
+    is_due_soon,
+    judge_step,
+)
 from damaskdeck.coordination.pools.placing import (
     Plan,
     Seat,
@@ -162,9 +172,9 @@
         """List the steps with tasks to start, most urgent first."""
         order = []
         for job in self._owner.board.open.values():
-            if job.is_unsure:
-                continue
             for step in job.list_steps():
+                if job.is_unsure and not may_have_copies(step):
+                    continue
                 if step.is_due and (tasks := step.list_waiting()):
                     order.append((judge_step(step, now), step.name, step, tasks))
         order.sort(key=lambda entry: entry[:2])
@@ -376,6 +386,15 @@
             self._give_up(run, "A run would outlast its worker's stay.")
         for run in list(find_moves(contacts, self._speeds, now)):
             self._move(run, now)
+        for run in list(find_silent(contacts, now)):
+            if self._copy(run, self._find_pool(run.task.step), now):
+                _log.info(
+                    "A task is started beside a run that nothing is heard of.",
+                    id=run.task.name.job,
+                    task=run.task.name[1:],
+                    worker=run.worker,
+                )
+        self._ask_ahead(now)
         if self._timed:
             wall = self._clock.now().timestamp()
             for identifier in list(self._timed):
@@ -385,6 +404,16 @@
                 else:
                     self._open_due(job, wall)
 
+    def _ask_ahead(self, now: float) -> None:
+        """Ask the advisor about steps that are about to become due."""
+        for job in self._owner.board.open.values():
+            if job.queue.advice is None or job.is_unsure:
+                continue
+            for step in job.list_steps():
+                if is_due_soon(step, job.queue.advice, now):
+                    pool = self._find_pool(step)
+                    self._ask(step, pool, judge_step(step, now), 0, now)
+
     def _move(self, run: Run, now: float) -> None:
         """Take a run, or its whole gang, off a slow worker if there is room.
 
@@ -406,7 +435,7 @@
         )
         if not is_possible:
             return
-        if step.spec.is_speculative and not step.spec.is_gang:
+        if may_have_copies(step):
             if not self._copy(run, pool, now):
                 return
         else:
@@ -425,6 +454,8 @@
         if plan:
             step.keep_checkpoint(task, run.checkpoint)
             self._order(step, plan, now)
+        else:
+            self._widen(step, [task], able)
         return bool(plan)
 
     def _give_up(self, run: Run, reason: str) -> None:
--- a/src/damaskdeck/coordination/pools/moving.py
+++ b/src/damaskdeck/coordination/pools/moving.py
@@ -49,6 +49,26 @@
     return here > GAIN_FACTOR * there + MOVE_SECONDS
 
 
+def may_have_copies(step: Step) -> bool:
+    """Whether a task of a step may start beside a run of it."""
+    return step.spec.is_speculative and not step.spec.is_gang
+
+
+def find_silent(contacts: dict[str, WorkerContact], now: float) -> Iterator[Run]:
+    """Yield the only runs of tasks that may have copies on workers that are silent.
+
+    What runs there is not lost yet, but nothing is learnt of it before its worker
+    answers or its lease is over, 6 s and more.
+    """
+    for contact in contacts.values():
+        if not contact.is_silent(now):
+            continue
+        for run in contact.runs.values():
+            is_wanted = run.stopping_since is None and not run.task.is_completed
+            if is_wanted and len(run.task.runs) == 1 and may_have_copies(run.task.step):
+                yield run
+
+
 def has_room(
     step: Step,
     pool: str,
--- a/src/damaskdeck/coordination/pools/ordering.py
+++ b/src/damaskdeck/coordination/pools/ordering.py
@@ -4,9 +4,13 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from damaskdeck.protocol.queues import JobSpec, Queue, StepSpec
-from damaskdeck.state.board import Step
+from damaskdeck.coordination.pools.leaving import measure_rest
+from damaskdeck.protocol.queues import AdviceTerms, JobSpec, Queue, StepSpec
+from damaskdeck.state.board import RunPhase, Step
 
+# The advisor is asked about a step while the steps before it have so long to go, and
+# what its answer takes: a fifth of the time that its tickets last is then gone.
+AHEAD_SECONDS = 0.5
 # A job earns less from its objective on, and nothing from this multiple of it on.
 LATE_MULTIPLE = 3.0
 
@@ -81,3 +85,24 @@
     if now <= late_by:
         return Urgency(Outlook.LATE, job.queue.rank, late_by - now)
     return Urgency(Outlook.LOST, job.queue.rank, now - late_by)
+
+
+def is_due_soon(step: Step, terms: AdviceTerms, now: float) -> bool:
+    """Tell whether the steps before one will have completed in a moment.
+
+    :param terms: of the advice that its tasks need.
+    """
+    steps = step.job.occurrences[step.occurrence]
+    earlier = [steps[n] for n in step.spec.after if not steps[n].is_completed]
+    if not earlier or step.is_completed:
+        return False
+    limit = AHEAD_SECONDS + terms.base.total_seconds()
+    return all(_ends_within(before, limit, now) for before in earlier)
+
+
+def _ends_within(step: Step, limit: float, now: float) -> bool:
+    """Tell whether what is left of a step runs, and needs no more than ``limit``."""
+    if any(task.is_waiting for task in step.tasks):
+        return False
+    runs = [run for run in step.list_runs() if run.phase is RunPhase.RUNNING]
+    return bool(runs) and all(measure_rest(run, now) <= limit for run in runs)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -51,8 +51,9 @@
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # A few messages a second for each daemon; room changes with each second's jobs.
 ROOM_INTERVAL = timedelta(milliseconds=500)
-# How long a contact waits for the store before it looks at its worker again.
-DURABLE_WAIT = timedelta(milliseconds=300)
+# How long a contact waits for the store before it looks at its worker again: so much
+# later at most a next step starts while the store is slow or away.
+DURABLE_WAIT = timedelta(milliseconds=100)
 # A record's time of day may be off; a job is never taken for older than this.
 OLDEST_ARRIVAL_SECONDS = 60.0
 # Attempts of a later epoch start above those of the ones before.
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -206,6 +206,7 @@
         behave: Callable[[TaskName, int], Work] = lambda task, attempt: Work(),
         allow: Callable[[str, str], bool] = lambda step, worker: True,
         queues: tuple[Queue, ...] = (make_queue(),),
+        zones: int = 1,
     ) -> None:
         self.clock = LoopClock()
         self.numbers = itertools.count(1)
@@ -218,7 +219,12 @@
         self.table = QueueTable(1, queues, frozenset({"hub"}), 100_000)
         self._behave = behave
         for number in range(workers):
-            self.add_worker(f"w{number}", f"10.0.0.{number}:1", f"r{number % 2}")
+            self.add_worker(
+                f"w{number}",
+                f"10.0.0.{number}:1",
+                f"r{number % 2}",
+                f"z{number % zones}",
+            )
         self.daemons: dict[str, ClusterDaemon] = {}
         for number in range(daemons):
             self.add_daemon(f"d{number}")
@@ -231,9 +237,12 @@
         """Write a worker's registration."""
         self.store.set(StandinRegistry.prefix + worker.info.identifier, b"1")
 
-    def add_worker(self, name: str, address: str, rack: str = "r0") -> StandinWorker:
+    def add_worker(
+        self, name: str, address: str, rack: str = "r0", zone: str = "z0"
+    ) -> StandinWorker:
         """Register a worker."""
-        info = PoolWorker(name, "hub", address, "z", SIZE, frozenset({"a", rack}), rack)
+        labels = frozenset({"a", rack})
+        info = PoolWorker(name, "hub", address, zone, SIZE, labels, rack)
         worker = StandinWorker(info, self.clock, self._behave, BOUNDS.hold_longest)
         self.workers[name] = worker
         self.register(worker)
@@ -338,6 +347,28 @@
                     broken.append(f"{task} starts after it completed: {second}")
         return broken
 
+    def cut_zone(self, zone: str, inside: tuple[str, ...] = ()) -> None:
+        """Cut an availability zone off from the others and from the store.
+
+        :param inside: the daemons that are in it.
+        """
+        for daemon in self.daemons.values():
+            is_inside = daemon.name in inside
+            daemon.store.faults.outage = is_inside
+            for name, worker in self.workers.items():
+                if (worker.info.zone == zone) != is_inside:
+                    daemon.workers.cut_off.add(name)
+            for other in self.daemons:
+                if (other in inside) != is_inside:
+                    self.switch.cut_both(daemon.name, other)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.switch.heal_all()
+        for daemon in self.daemons.values():
+            daemon.store.faults.outage = False
+            daemon.workers.cut_off.clear()
+
     def close(self) -> None:
         """End everything."""
         for daemon in self.daemons.values():
--- /dev/null
+++ b/tests/test_pools_zones.py
@@ -0,0 +1,205 @@
+"""A zone that is cut off under load: which jobs it holds up, and which go on.
+
+The pattern: quick jobs of a few tasks, some 10 a second, with a second of slack, while
+an availability zone is cut off for 5 to 6 s. What runs there can't be known before it
+answers or its leases, 6 s, are over; what doesn't must not wait for it.
+"""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from damaskdeck.coordination.pools.confining import ROOM_LASTS, ZoneRooms
+from damaskdeck.protocol.queues import JobSpec, QueuedState, StepSpec
+from damaskdeck.state.jobrecords import JOBS, decode_job
+from standins.loops import LoopClock
+from standins.pools import Work
+from tests.poolcluster import SECOND, SMALL, PoolCase, make_job, make_queue
+from tests.virtual import virtual
+
+QUICK = make_queue(slack=1.5, allowance=SECOND / 4)
+# Twelve workers in three zones hold 16 small tasks a zone.
+SHAPE = {"workers": 12, "zones": 3, "queues": (QUICK,)}
+ROOMS = [("hub", "z0", 9000, 9000), ("hub", "z1", 9000, 9000), ("hub", "z2", 500, 500)]
+
+
+def make_quick(tasks: int = 4) -> JobSpec:
+    """Return a quick job."""
+    return make_job(StepSpec(tasks, SMALL, SECOND))
+
+
+class TestChoice(unittest.TestCase):
+    """The zones that a job is confined to when it is taken."""
+
+    def setUp(self) -> None:
+        self.clock = _Clock()
+        self.rooms = ZoneRooms(self.clock, timedelta(seconds=6))
+        self.rooms.take({"epoch": 2, "zones": ROOMS})
+
+    def choose(self, spec: JobSpec, job: str = "j") -> tuple[str, ...]:
+        """Choose for a quick job."""
+        return self.rooms.choose(QUICK, job, spec)
+
+    def test_a_job_gets_the_fewest_zones_that_hold_it(self):
+        chosen = {self.choose(make_quick(), f"j{n}") for n in range(30)}
+        self.assertEqual({c for c in chosen if len(c) == 1}, {("z0",), ("z1",)})
+
+    def test_a_wide_job_gets_more_and_a_very_wide_one_all(self):
+        self.assertEqual(len(self.choose(make_quick(8))), 2)
+        self.assertEqual(self.choose(make_quick(12)), ())
+
+    def test_what_can_wait_for_a_lease_is_not_confined(self):
+        slow = make_job(StepSpec(4, SMALL, timedelta(seconds=20)))
+        self.assertEqual(self.choose(slow), ())
+
+    def test_what_lasts_or_is_choosy_is_not_confined(self):
+        for step in (
+            StepSpec(2, SMALL, SECOND, is_lasting=True),
+            StepSpec(2, SMALL, SECOND, near="r1"),
+            StepSpec(2, SMALL, SECOND, label="b"),
+        ):
+            self.assertEqual(self.choose(make_job(step)), ())
+        self.assertEqual(self.choose(make_job(repeats=2)), ())
+
+    def test_what_was_told_long_ago_confines_nothing(self):
+        self.clock.time += ROOM_LASTS + SECOND
+        self.assertEqual(self.choose(make_quick()), ())
+
+    def test_an_older_owner_is_not_heard(self):
+        self.rooms.take({"epoch": 1, "zones": [("hub", "z2", 90000, 90000)]})
+        self.assertNotIn("z2", self.choose(make_quick()))
+
+
+class _Clock(LoopClock):
+    """A clock that stands until it is moved."""
+
+    def __init__(self) -> None:
+        self.time = timedelta(seconds=100)
+
+    def monotonic(self) -> timedelta:
+        """Return the time that was set."""
+        return self.time
+
+
+class TestZoneCut(PoolCase):
+    """What a zone that is cut off holds up."""
+
+    async def begin_quick(self, **options):
+        """Start a cluster and let its daemons learn of the room."""
+        cluster = await self.begin(**{**SHAPE, **options})
+        await cluster.complete_a_job()
+        await asyncio.sleep(1.2)
+        return cluster
+
+    def find_zones(self, job: str) -> tuple[str, ...]:
+        """Return the zones that a job's record names."""
+        return decode_job(self.cluster.store.entries[JOBS + job].value).zones
+
+    def find_used(self, job: str) -> set[str]:
+        """Return the zones in which a job's tasks started."""
+        workers = self.cluster.workers
+        return {workers[row[3]].info.zone for row in self.cluster.list_starts(job)}
+
+    @virtual
+    async def test_each_quick_job_runs_in_one_zone(self):
+        cluster = await self.begin_quick()
+        for number in range(9):
+            await cluster.submit(f"j{number + 1}", make_quick())
+        for number in range(9):
+            await cluster.wait_for_state(f"j{number + 1}", QueuedState.COMPLETED)
+            job = f"j{number + 1}"
+            self.assertEqual(self.find_used(job), set(self.find_zones(job)))
+        self.end()
+
+    @virtual
+    async def test_jobs_of_other_zones_do_not_wait_for_the_owners_zone(self):
+        cluster = await self.begin_quick(
+            daemons=5, behave=lambda t, a: Work(SECOND / 2)
+        )
+        owner = cluster.find_owner()
+        jobs = [f"j{number + 1}" for number in range(10)]
+        for job in jobs:
+            spec = make_job(
+                StepSpec(2, SMALL, SECOND), StepSpec(2, SMALL, SECOND, (0,))
+            )
+            await cluster.submit(job, spec, cluster.find_other().name)
+        cut_at = cluster.clock.monotonic()
+        cluster.cut_zone("z0", (owner.name,))
+        outside = next(d for d in cluster.daemons.values() if d is not owner).name
+        free = [job for job in jobs if "z0" not in self.find_zones(job)]
+        self.assertGreater(len(free), 3)
+        for job in free:
+            await cluster.wait_for_state(job, QueuedState.COMPLETED, outside, 5)
+        took = cluster.clock.monotonic() - cut_at
+        self.assertLess(took, timedelta(seconds=3.5))
+        cluster.heal()
+        for job in jobs:
+            await cluster.wait_for_state(job, QueuedState.COMPLETED, outside)
+        self.end()
+
+    @virtual
+    async def test_a_job_whose_zones_have_no_room_is_let_into_more(self):
+        cluster = await self.begin_quick(behave=lambda t, a: Work(4 * SECOND))
+        await cluster.submit("j1", make_quick())
+        (zone,) = self.find_zones("j1")
+        for worker in cluster.workers.values():
+            if worker.info.zone == zone:
+                cluster.retire(worker.info.identifier)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=20)
+        again = make_quick()
+        await cluster.submit("j2", again)
+        await cluster.wait_for_state("j2", QueuedState.COMPLETED, seconds=20)
+        self.end()
+
+    @virtual
+    async def test_a_task_moves_to_another_zone_only_once_that_is_durable(self):
+        cluster = await self.begin_quick(workers=6, behave=lambda t, a: Work(SECOND))
+        full = make_job(StepSpec(24, SMALL, SECOND))
+        await cluster.submit("j1", make_quick(4))
+        owner = cluster.find_owner()
+        await cluster.submit("j2", make_quick(4))
+        # What fills the zones of the job after it was confined.
+        await cluster.submit("j3", full)
+        owner.store.faults.outage = True
+        await asyncio.sleep(1.5)
+        for job in ("j1", "j2"):
+            zones = set(self.find_zones(job))
+            if zones:
+                self.assertLessEqual(self.find_used(job), zones)
+        owner.store.faults.outage = False
+        for job in ("j1", "j2", "j3"):
+            await cluster.wait_for_state(job, QueuedState.COMPLETED, seconds=20)
+        self.end()
+
+    @virtual
+    async def test_a_copy_starts_where_copies_may_while_a_zone_is_silent(self):
+        cluster = await self.begin_quick(behave=lambda t, a: Work(2 * SECOND))
+        step = StepSpec(4, SMALL, SECOND, is_speculative=True)
+        await cluster.submit("j1", make_job(step))
+        await asyncio.sleep(0.3)
+        (zone,) = self.find_used("j1")
+        cluster.cut_zone(zone)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=5)
+        cluster.heal()
+        await asyncio.sleep(3)
+        self.cluster.close()
+
+
+class TestCopies(PoolCase):
+    """Copies beside runs that nothing is heard of."""
+
+    @virtual
+    async def test_a_task_that_has_completed_gets_no_copy(self):
+        cluster = await self.begin(
+            workers=3,
+            behave=lambda t, a: Work((1 if t.step == 0 and a > 1 else 8) * SECOND),
+        )
+        step = StepSpec(1, SMALL, SECOND, is_speculative=True)
+        await cluster.submit("j1", make_job(step, StepSpec(1, SMALL, SECOND, (0,))))
+        await cluster.wait(lambda: len(cluster.list_starts("j1")) == 1)
+        ((_, _, _, name),) = cluster.list_starts("j1")
+        cluster.find_owner().workers.cut_off.add(name)
+        await asyncio.sleep(6)
+        firsts = [row for row in cluster.list_starts("j1") if row[1].step == 0]
+        self.assertEqual(len(firsts), 2)
+        self.cluster.close()
