Give tasks the faster of the sound workers

Change: what each run of a completed step took against its step's mean tells its worker's speed (10 runs and a tenth say something); faster workers come first, for tasks that last slower ones.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -23,6 +23,7 @@
     is_due_soon,
     judge_step,
 )
+from damaskdeck.coordination.pools.paces import Paces
 from damaskdeck.coordination.pools.placing import (
     Plan,
     Seat,
@@ -102,6 +103,7 @@
         self._desk = desk
         self._trust = Trust(clock)
         self._speeds = Speeds()
+        self._paces = Paces()
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starts: set[asyncio.Task[None]] = set()
@@ -124,6 +126,10 @@
             self._timed[job.identifier] = 0
         self.wake()
 
+    def forget(self, step: Step) -> None:
+        """Drop what was gathered of a step of a job that has ended."""
+        self._paces.forget(step)
+
     def close(self) -> None:
         """Stop at once."""
         for task in self._starts:
@@ -163,7 +169,11 @@
 
     def _list_seats(self, now: float) -> list[Seat]:
         return [
-            Seat(contact, self._speeds.is_slow(contact.info.identifier, now))
+            Seat(
+                contact,
+                self._speeds.is_slow(contact.info.identifier, now),
+                self._paces.rank(contact.info.identifier),
+            )
             for contact in self._owner.contacts.values()
             if contact.is_usable(now)
         ]
@@ -363,6 +373,7 @@
         """Take note of how a run ended."""
         if run is not None and end.kind is EndKind.COMPLETED:
             self._speeds.note_completed(run, self._owner.now())
+            self._paces.note_completed(run, self._owner.now())
         self._trust.note_end(contact.info.identifier, task, end)
         _log.info(
             "A run has ended.",
@@ -376,7 +387,9 @@
     def sweep(self, now: float) -> None:
         """Open occurrences that are due, and give up runs that stand still."""
         contacts = self._owner.contacts
-        self._trust.set_workers(frozenset(contacts))
+        names = frozenset(contacts)
+        self._trust.set_workers(names)
+        self._paces.set_workers(names)
         self._speeds.judge(contacts.values(), now)
         for contact in contacts.values():
             for run in list(self._trust.find_stalled(contact, now)):
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -293,6 +293,7 @@
         self.mark_dirty(job)
         for step in job.list_steps():
             self.desk.forget(step)
+            self.dispatcher.forget(step)
             for run in list(step.list_runs()):
                 self.stop(run)
 
--- a/src/damaskdeck/coordination/pools/placing.py
+++ b/src/damaskdeck/coordination/pools/placing.py
@@ -13,11 +13,15 @@
     """A worker with the room that a pass has left on it.
 
     :ivar free: room, lowered as the pass places tasks.
+    :ivar pace: -1 for a fast worker, 1 for a slow one of the sound ones.
     """
 
-    __slots__ = ("contact", "free", "is_slow", "key", "rack")
+    __slots__ = ("contact", "free", "is_slow", "key", "pace", "rack")
 
-    def __init__(self, contact: WorkerContact, is_slow: bool = False) -> None:
+    def __init__(
+        self, contact: WorkerContact, is_slow: bool = False, pace: int = 0
+    ) -> None:
+        self.pace = pace
         self.contact = contact
         self.key = contact.info.identifier
         self.free = contact.free
@@ -172,10 +176,11 @@
         """Return the seat that is left with the least.
 
         One where the task has failed before comes last, slow ones before it, one far
-        from its data after those near it.
+        from its data after those near it; of the others those of faster workers come
+        first, and for tasks that last those of slower ones, which they don't mind.
         """
         spec = self._spec
-        best, best_score = None, (True, True, True, 0)
+        best, best_score = None, (True, True, True, 0, 0)
         for seat in seats:
             left = self._left[seat.key]
             if not fits(spec.size, left) or (
@@ -186,7 +191,8 @@
             has_failed = seat.key in task.failed_on
             if has_failed and not is_last:
                 continue
-            score = (has_failed, seat.is_slow, is_far, left.millicores)
+            pace = -seat.pace if spec.is_lasting else seat.pace
+            score = (has_failed, seat.is_slow, is_far, pace, left.millicores)
             if best is None or score < best_score:
                 best, best_score = seat, score
         return best
