Start no job that is stored for a newer owner

The safety argument says that a job stored under an epoch is started by its owner and later ones only; nothing kept an older one from it. Change: an owner that meets a job of a newer epoch knows that it is deposed.

--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -242,6 +242,10 @@
         identifier = record.identifier
         if identifier in self.board.jobs or identifier in self._unreadable:
             return
+        if record.epoch > self.mandate.epoch:
+            # Its owner may start it where nobody has heard of that epoch yet.
+            self._basis.leadership.step_down("a job is stored for a newer owner")
+            return
         now = self.now()
         age = self._clock.now().timestamp() - record.taken_at
         job = Job(record, now - min(max(age, 0.0), OLDEST_ARRIVAL_SECONDS))
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -87,7 +87,9 @@
 class ClusterDaemon:
     """What one daemon does for the pools; :meth:`kill` ends it at once."""
 
-    def __init__(self, cluster: "PoolCluster", name: str, power: float) -> None:
+    def __init__(
+        self, cluster: "PoolCluster", name: str, power: float, started_at: float
+    ) -> None:
         self.name = name
         self.is_killed = False
         clock = self.clock = GatedClock()
@@ -103,7 +105,7 @@
         incarnation = f"{name}-{next(cluster.numbers)}"
         healthy = HealthyStore(self.store, clock)
         self.leadership = Leadership(
-            MemberRecord(name, incarnation, f"{name}:1", "z", power),
+            MemberRecord(name, incarnation, f"{name}:1", "z", power, started_at),
             healthy,
             clock,
             cluster.times,
@@ -254,9 +256,12 @@
         worker.info = worker.info._replace(is_leaving=True, remaining=remaining)
         self.store.set(StandinRegistry.prefix + name, b"2")
 
-    def add_daemon(self, name: str, power: float = 1.0) -> ClusterDaemon:
+    def add_daemon(
+        self, name: str, power: float = 1.0, started_at: float = 0.0
+    ) -> ClusterDaemon:
         """Make a daemon; one of that name that was killed is replaced."""
-        daemon = self.daemons[name] = ClusterDaemon(self, name, power)
+        daemon = ClusterDaemon(self, name, power, started_at)
+        self.daemons[name] = daemon
         return daemon
 
     async def start(self) -> None:
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -37,7 +37,12 @@
 
 
 class Chaos:
-    """One run: jobs, faults, and what must hold of them."""
+    """One run: jobs, faults, and what must hold of them.
+
+    :cvar zones: of the workers; with several, jobs are confined to some of them.
+    """
+
+    zones = 1
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
@@ -48,7 +53,9 @@
             behave=self.behave,
             allow=self.allow,
             queues=queues,
+            zones=self.zones,
         )
+        self.faults = list(_faults)
         self.specs: dict[str, JobSpec] = {}
         self.unsettled: set[str] = set()
         self.cancelled: dict[str, timedelta] = {}
@@ -154,7 +161,7 @@
                 target = self.random.randrange(number)
                 jobs.append(asyncio.ensure_future(self.cancel(target)))
             else:
-                chosen = self.random.choice(_faults)
+                chosen = self.random.choice(self.faults)
                 now = self.cluster.clock.monotonic() - began
                 self.log.append(f"{now.total_seconds():.2f} {chosen.__name__}")
                 chosen(self)
@@ -362,10 +369,10 @@
     chaos.cluster.store.set(f"workers/{worker.info.identifier}", None)
     chaos._lives += 1
     name = f"{worker.info.identifier.split('+')[0]}+{chaos._lives}"
-    address, rack = worker.info.address, worker.info.rack
+    address, rack, zone = worker.info.address, worker.info.rack, worker.info.zone
     chaos.later(
         chaos.random.uniform(0.2, 4),
-        lambda: chaos.cluster.add_worker(name, address, rack),
+        lambda: chaos.cluster.add_worker(name, address, rack, zone),
     )
 
 
@@ -385,18 +392,43 @@
     chaos.cluster.store.forget_history()
 
 
+def cut_zone(chaos: Chaos) -> None:
+    """Cut a zone off, with the owner in it by preference."""
+    cluster = chaos.cluster
+    zone = chaos.random.choice(sorted({w.info.zone for w in cluster.workers.values()}))
+    cluster.cut_zone(zone, (chaos.pick_daemon().name,))
+    chaos.later(chaos.random.uniform(1, 7), cluster.heal)
+
+
+class ZonedChaos(Chaos):
+    """A run in three availability zones that are cut off, too."""
+
+    zones = 3
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.faults += [cut_zone] * 4
+
+
 class TestChaos(unittest.TestCase):
     """Whatever happens, no task runs twice and every job ends."""
 
-    def test_the_promises_hold_whatever_fails(self):
+    def play(self, kind: type[Chaos]) -> None:
+        """Play all seeds."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 chaos = None
 
                 async def play(seed: int = seed) -> list[str]:
                     nonlocal chaos
-                    chaos = Chaos(seed)
+                    chaos = kind(seed)
                     return await chaos.run()
 
                 problems = run_virtual(play())
                 self.assertEqual(problems, [], chaos.log if chaos else "")
+
+    def test_the_promises_hold_whatever_fails(self):
+        self.play(Chaos)
+
+    def test_the_promises_hold_where_zones_are_cut_off(self):
+        self.play(ZonedChaos)
--- /dev/null
+++ b/tests/test_pools_store.py
@@ -0,0 +1,167 @@
+"""A store that is slow, hangs, or comes back, as one daemon sees it.
+
+The patterns: a store that answers 40 to 80 times as slowly as its usual 4 ms, and one
+that is silent for 4 s, so that calls hang until they are given up. Figures: commits are
+given up after four times the usual answer, 0.3 to 1.5 s.
+"""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from damaskdeck.coordination.pools.health import (
+    LEAST_PATIENCE,
+    LONGEST_PATIENCE,
+    HealthyStore,
+)
+from damaskdeck.protocol.ports import Events, Lost, Rejected, Written
+from damaskdeck.protocol.queues import QueuedState, StepSpec
+from damaskdeck.protocol.transactions import Transaction
+from standins.loops import LoopClock
+from standins.pools import Work
+from tests.poolcluster import SECOND, SMALL, PoolCase, make_job
+from tests.virtual import virtual
+
+MILLISECOND = timedelta(milliseconds=1)
+LOST = Lost("timeout")
+
+
+class ScriptedStore:
+    """Answers commits after a delay, unless the caller gives up before."""
+
+    entry_limit = 32
+
+    def __init__(self, clock: LoopClock) -> None:
+        self.clock = clock
+        self.delay = 4 * MILLISECOND
+        self.is_silent = False
+        self.limits: list[timedelta] = []
+
+    async def commit(self, transaction: Transaction, timeout: timedelta | None = None):
+        """Commit after the delay."""
+        self.limits.append(timeout)
+        if self.is_silent or self.delay > timeout:
+            await self.clock.sleep(timeout)
+            return LOST
+        await self.clock.sleep(self.delay)
+        return Written(1)
+
+    async def watch(self, prefix: str, revision: int, wait: timedelta):
+        """Wait; a watch that the store was silent for is never answered."""
+        if self.is_silent:
+            await self.clock.sleep(timedelta(minutes=1))
+        await self.clock.sleep(wait)
+        return Events((), revision)
+
+    async def read(self, key: str):
+        """Refuse."""
+        return Rejected("busy")
+
+
+class TestHealth(unittest.TestCase):
+    """What a daemon learns of the store from its calls."""
+
+    def setUp(self) -> None:
+        self.clock = LoopClock()
+        self.script = ScriptedStore(self.clock)
+        self.store = HealthyStore(self.script, self.clock)
+
+    @virtual
+    async def test_a_commit_that_hangs_is_given_up_soon(self):
+        await self.store.commit(Transaction())
+        self.assertEqual(self.store.patience, LEAST_PATIENCE)
+
+    @virtual
+    async def test_a_slow_store_is_waited_for_longer(self):
+        self.script.delay = 240 * MILLISECOND
+        for _ in range(8):
+            self.assertIsInstance(await self.store.commit(Transaction()), Written)
+        self.assertGreater(self.store.patience, 3 * self.script.delay)
+        self.assertLessEqual(self.store.patience, LONGEST_PATIENCE)
+
+    @virtual
+    async def test_a_store_that_turns_very_slow_is_reached_all_the_same(self):
+        self.script.delay = 320 * MILLISECOND
+        done = [await self.store.commit(Transaction()) for _ in range(4)]
+        self.assertIsInstance(done[-1], Written)
+        self.assertFalse(self.store.is_failing)
+
+    @virtual
+    async def test_a_callers_own_limit_holds(self):
+        await self.store.commit(Transaction(), 50 * MILLISECOND)
+        self.assertEqual(self.script.limits, [50 * MILLISECOND])
+
+    @virtual
+    async def test_a_call_that_was_sent_before_an_answer_came_speaks_no_more(self):
+        self.script.is_silent = True
+        hanging = [asyncio.ensure_future(self.store.commit(Transaction()))]
+        hanging.append(asyncio.ensure_future(self.store.commit(Transaction())))
+        await asyncio.sleep(0.1)
+        self.script.is_silent = False
+        await self.store.commit(Transaction())
+        self.assertEqual(await asyncio.gather(*hanging), [LOST, LOST])
+        self.assertFalse(self.store.is_failing)
+
+    @virtual
+    async def test_a_watch_that_an_outage_has_outlived_is_given_up(self):
+        self.script.is_silent = True
+        watch = asyncio.ensure_future(self.store.watch("a", 1, SECOND))
+        for _ in range(2):
+            await self.store.commit(Transaction())
+        self.assertTrue(self.store.is_failing)
+        self.script.is_silent = False
+        began = self.clock.monotonic()
+        await self.store.commit(Transaction())
+        self.assertEqual(await watch, Lost("outage_over"))
+        self.assertLess(self.clock.monotonic() - began, 50 * MILLISECOND)
+        self.assertFalse(self.store.is_failing)
+
+    @virtual
+    async def test_refusals_in_a_row_are_an_outage(self):
+        await self.store.read("a")
+        self.assertFalse(self.store.is_failing)
+        await self.store.read("a")
+        self.assertTrue(self.store.is_failing)
+
+
+class TestReturn(PoolCase):
+    """A store that was away for all."""
+
+    @virtual
+    async def test_its_return_is_noticed_within_a_fifth_of_a_second(self):
+        cluster = await self.begin()
+        await cluster.complete_a_job()
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.pause()
+        await asyncio.sleep(4)
+        health = [daemon.desk._store for daemon in cluster.daemons.values()]
+        self.assertTrue(all(store.is_failing for store in health))
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.resume()
+        await asyncio.sleep(0.2)
+        self.assertFalse(any(store.is_failing for store in health))
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=3)
+        self.end()
+
+
+class TestSlowStore(PoolCase):
+    """A store that is sixty times as slow as usual."""
+
+    @virtual
+    async def test_later_steps_do_not_wait_for_the_ends_before_them(self):
+        def behave(task, attempt: int) -> Work:
+            return Work(SECOND / 2 + task.index * 40 * MILLISECOND)
+
+        cluster = await self.begin(behave=behave)
+        await cluster.complete_a_job()
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.delay = 240 * MILLISECOND
+        steps = [StepSpec(4, SMALL, SECOND, tuple(range(n))) for n in range(4)]
+        await cluster.submit("j1", make_job(*steps))
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=10)
+        starts = {row[1].step: row[0] for row in cluster.list_starts("j1")}
+        longest = SECOND / 2 + 3 * 40 * MILLISECOND
+        gaps = [starts[n + 1] - starts[n] - longest for n in range(3)]
+        self.assertLess(max(gaps), 130 * MILLISECOND)
+        self.end()
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -100,6 +100,43 @@
         await cluster.wait_for_state("j1", QueuedState.COMPLETED)
         self.end()
 
+    @virtual
+    async def test_of_equal_daemons_the_last_started_succeeds(self):
+        cluster = await self.begin(daemons=3)
+        owner = cluster.find_owner()
+        young = cluster.add_daemon("d7", started_at=100.0)
+        cluster.add_daemon("d8", started_at=50.0).start()
+        young.start()
+        await asyncio.sleep(1)
+        self.assertIs(cluster.find_owner(), owner)
+        await owner.stop()
+        del cluster.daemons[owner.name]
+        await cluster.wait(lambda: cluster.find_owner() is not None, seconds=2)
+        self.assertIs(cluster.find_owner(), young)
+        self.end()
+
+    @virtual
+    async def test_daemons_cut_off_with_the_owner_are_not_waited_for(self):
+        cluster = await self.begin(daemons=7, zones=3, workers=6)
+        await cluster.complete_a_job()
+        owner = cluster.find_owner()
+        # Those whose turn would come first.
+        heirs = owner.leadership._rank_heirs()
+        inside = [name for name in heirs if name != owner.name][:2]
+        cluster.cut_zone("z0", (owner.name, *inside))
+        cut_at = cluster.clock.monotonic()
+
+        def find_successor() -> bool:
+            rest = (d for d in cluster.daemons.values() if d is not owner)
+            return any(d.owner is not None and d.owner.is_loaded for d in rest)
+
+        await cluster.wait(find_successor, seconds=3)
+        took = cluster.clock.monotonic() - cut_at
+        self.assertLess(took, timedelta(milliseconds=560))
+        cluster.heal()
+        await asyncio.sleep(2)
+        self.end()
+
     @virtual
     async def test_a_minority_that_is_cut_off_takes_nothing_over(self):
         cluster = await self.begin(daemons=5)
--- a/tests/test_pools_zones.py
+++ b/tests/test_pools_zones.py
@@ -137,6 +137,41 @@
             await cluster.wait_for_state(job, QueuedState.COMPLETED, outside)
         self.end()
 
+    @virtual
+    async def test_a_deposed_owner_starts_no_job_of_its_successor(self):
+        cluster = await self.begin_quick(
+            daemons=5, behave=lambda t, a: Work(3 * SECOND)
+        )
+        owner = cluster.find_owner()
+        cluster.cut_zone("z0", (owner.name,))
+        outside = next(d for d in cluster.daemons.values() if d is not owner)
+        await cluster.wait(
+            lambda: any(d.owner for d in cluster.daemons.values() if d is not owner)
+        )
+        await asyncio.sleep(1)
+        # The old owner learns of the jobs before it learns of its successor, and the
+        # workers of its zone have not heard of the new epoch.
+        for number in range(6):
+            job = f"j{number + 1}"
+            unconfined = make_job(StepSpec(2, SMALL, 20 * SECOND))
+            await cluster.submit(job, unconfined, outside.name)
+            if owner.owner is not None:
+                owner.owner.take_job(cluster.store.entries[JOBS + job].value)
+        await asyncio.sleep(1.5)
+        by_old = [
+            row
+            for worker in cluster.workers.values()
+            for row in worker.starts
+            if row[3] == 1 and row[1].job != "j0"
+        ]
+        self.assertEqual(by_old, [])
+        cluster.heal()
+        for number in range(6):
+            await cluster.wait_for_state(
+                f"j{number + 1}", QueuedState.COMPLETED, outside.name
+            )
+        self.end()
+
     @virtual
     async def test_a_job_whose_zones_have_no_room_is_let_into_more(self):
         cluster = await self.begin_quick(behave=lambda t, a: Work(4 * SECOND))
