Give up a silent worker's lease only while still named after it was over

Cause, traced: a tenure counts from the last call that showed the owner named, a lease from the last look at its worker; where the worker fell silent before the store did, the lease was over first, while a successor had reached the worker and taken its ends. Change: what ran on a silent or gone worker is given up when a call sent after that moment names this owner; contacts share such a call.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -111,6 +111,9 @@
         self.runs: dict[RunKey, Run] = {}
         self.used = ZERO_SIZE
         self._is_read = False
+        # The lease that anybody may have granted is over, and nobody else's since.
+        self._is_over = False
+        self._gone_at = 0.0
         self.strangers: set[RunKey] = set()
         self.paused_until = 0.0
         self.looked_at = 0.0
@@ -315,6 +318,8 @@
         try:
             while not self.is_gone and (self.is_listed or self._has_duties()):
                 await self._look()
+            while self.runs or self.strangers:
+                await self._settle_end()
         finally:
             for sending in self._stops:
                 sending.cancel()
@@ -327,7 +332,7 @@
         """
         if self.runs or self.strangers or self.observed < self.processed:
             return True
-        return not self._is_read and self._now() < self.lease_until
+        return not self._is_read and not self._is_over
 
     async def _look(self) -> None:
         sent = self._now()
@@ -404,20 +409,41 @@
                 runs=len(self.runs),
             )
         if now >= self.lease_until:
-            if self.runs:
-                _log.warn("A worker's lease is over.", worker=self.info.identifier)
-                self._drop_runs()
-            self._owner.note_contact(self)
+            await self._note_lapse()
         await self._clock.sleep(SILENT_DELAY)
 
+    async def _note_lapse(self) -> None:
+        """Give up what ran under a lease that is over.
+
+        Only as long as the store names this owner after that: a successor may have
+        reached the worker meanwhile, extended its lease and taken its ends.
+        """
+        if not await self._leadership.is_confirmed_since(self.lease_until):
+            return
+        self._is_over = True
+        if self.runs:
+            _log.warn("A worker's lease is over.", worker=self.info.identifier)
+            self._drop_runs()
+        self._owner.note_contact(self)
+
     def _end_life(self) -> None:
-        if not self.is_gone:
-            _log.info("A worker's life is over.", worker=self.info.identifier)
+        if self.is_gone:
+            return
+        _log.info("A worker's life is over.", worker=self.info.identifier)
         self.is_gone = True
         self.is_known = False
-        self._drop_runs()
+        self._gone_at = self._now()
+        self._hurry.set()
         self._owner.note_contact(self)
 
+    async def _settle_end(self) -> None:
+        """Give up what ran in a life that is over, as after a lapse."""
+        if await self._leadership.is_confirmed_since(self._gone_at):
+            self._drop_runs()
+            self._owner.note_contact(self)
+        else:
+            await self._clock.sleep(SILENT_DELAY)
+
     def _drop_runs(self) -> None:
         self.strangers.clear()
         for run in list(self.runs.values()):
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -114,6 +114,7 @@
         self._wakeup = asyncio.Event()
         self._suspected_epoch = 0
         self._absent: frozenset[str] = frozenset()
+        self._asking: asyncio.Future[None] | None = None
         self._probes: set[asyncio.Task[None]] = set()
         self._is_leaving = False
         self._mandate: Mandate | None = None
@@ -168,6 +169,27 @@
         """
         self._confirmed_at = max(self._confirmed_at, since)
 
+    async def is_confirmed_since(self, moment: float) -> bool:
+        """Whether the store names this daemon in a call sent at ``moment`` or later.
+
+        It is asked if no call has told yet; those who ask at a time share a call.
+
+        :param moment: monotonic seconds.
+        """
+        if self._mandate is not None and self._confirmed_at < moment:
+            if self._asking is None or self._asking.done():
+                self._asking = asyncio.ensure_future(self._ask_for_owner())
+            await asyncio.shield(self._asking)
+        return self._mandate is not None and self._confirmed_at >= moment
+
+    async def _ask_for_owner(self) -> None:
+        sent = self._clock.monotonic().total_seconds()
+        found = await self._store.read(OWNER_KEY)
+        if isinstance(found, Found):
+            self.refresh(found.entry)
+            if self._mandate is not None and self._is_own(self._owner):
+                self.confirm(sent)
+
     def refresh(self, entry: Entry | None) -> None:
         """Take note of the owner's record as a call to the store showed it."""
         if entry is not None:
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -144,8 +144,11 @@
 
     async def _wait_for_unknown(self) -> None:
         """Wait until nothing runs on workers that an unreadable roster named."""
-        now = self._parts.clock.monotonic().total_seconds()
-        await self._parts.clock.sleep(timedelta(seconds=self._find_bound() - now))
+        parts, bound = self._parts, self._find_bound()
+        now = parts.clock.monotonic().total_seconds()
+        await parts.clock.sleep(timedelta(seconds=bound - now))
+        while not await parts.leadership.is_confirmed_since(bound):
+            await parts.clock.sleep(RETRY_DELAY)
         self._account(_UNREADABLE)
 
     async def run(self) -> None:
--- a/tests/test_pools_zones.py
+++ b/tests/test_pools_zones.py
@@ -172,6 +172,31 @@
             )
         self.end()
 
+    @virtual
+    async def test_a_lease_that_a_successor_extended_is_given_up_by_nobody_else(self):
+        cluster = await self.begin_quick(
+            daemons=5, behave=lambda t, a: Work(2 * SECOND)
+        )
+        owner = cluster.find_owner()
+        slow = make_job(StepSpec(1, SMALL, 20 * SECOND))
+        await cluster.submit("j1", slow)
+        await cluster.wait(lambda: len(cluster.list_starts("j1")) == 1)
+        name = cluster.list_starts("j1")[0][3]
+        zone = cluster.workers[name].info.zone
+        owner.workers.cut_off.add(name)
+        # The lease is over for the owner before its tenure is, which counts from the
+        # last commit.
+        await cluster.submit("j2", slow)
+        await cluster.wait_for_state("j2", QueuedState.COMPLETED)
+        other = "z1" if zone == "z0" else "z0"
+        cluster.cut_zone(other, (owner.name,))
+        await asyncio.sleep(9)
+        self.assertEqual(len(cluster.list_starts("j1")), 1)
+        cluster.heal()
+        outside = next(d for d in cluster.daemons.values() if d is not owner)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, outside.name)
+        self.end()
+
     @virtual
     async def test_a_job_whose_zones_have_no_room_is_let_into_more(self):
         cluster = await self.begin_quick(behave=lambda t, a: Work(4 * SECOND))
