Succeed an owner at once whose address refuses

Change: links tell when nobody listened; a watcher then asks the others at once. In virtual time a killed owner has a successor within 0.25 s (test, fails without).

--- a/src/damaskdeck/coordination/pools/watching.py
+++ b/src/damaskdeck/coordination/pools/watching.py
@@ -87,6 +87,9 @@
         if isinstance(reply, Answered) and reply.message["epoch"] >= epoch:
             self._heard_at = self._now()
             return True
+        if self._peers.is_refused(owner):
+            # Its process is gone: silence would tell no more.
+            return False
         return self._now() - self._heard_at < SILENCE_SECONDS
 
     async def _doubt(self, owner: str, epoch: int) -> None:
--- a/src/damaskdeck/protocol/messages.py
+++ b/src/damaskdeck/protocol/messages.py
@@ -82,6 +82,12 @@
     ) -> Answered | Unsent | Unanswered:
         """Send a message and wait for its reply."""
 
+    def is_refused(self, instance: str) -> bool:
+        """Whether nobody listened at a daemon's address when it was last called.
+
+        Its process is gone then, or the way to it refuses on its behalf.
+        """
+
 
 def message(name: str, reply: str = "") -> Callable[[type[T]], type[T]]:
     """Register a ``TypedDict`` as a message.
--- a/src/damaskdeck/transport/links.py
+++ b/src/damaskdeck/transport/links.py
@@ -86,6 +86,7 @@
     :param metadata: sent when the stream is opened.
     :ivar is_retired: whether it was given up as unused; the next message needs
         a new link.
+    :ivar is_refused: whether nobody listened at the peer's address.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
     ) -> None:
         self.instance = instance
         self.is_retired = False
+        self.is_refused = False
         self._find_address = find_address
         self._metadata = metadata
         self._clock = clock
@@ -142,6 +144,7 @@
             try:
                 await self._exchange(address)
             except (*STREAM_ERRORS, SilenceError) as error:
+                self.is_refused = isinstance(error, ConnectionRefusedError)
                 self._note_lost(error)
             finally:
                 self._break()
@@ -159,6 +162,7 @@
             _log.warn("A peer is lost.", peer=self.instance, reason=repr(error))
 
     def _note_open(self) -> None:
+        self.is_refused = False
         if self._lost_at is not None:
             away = self._clock.monotonic() - self._lost_at
             _log.info("A peer is back.", peer=self.instance, away=str(away))
--- a/src/damaskdeck/transport/peers.py
+++ b/src/damaskdeck/transport/peers.py
@@ -145,6 +145,11 @@
         finally:
             link.end_call(number, "cancelled")
 
+    def is_refused(self, instance: str) -> bool:
+        """Whether nobody listened at a daemon's address when it was last called."""
+        found = self._links.get(instance)
+        return found is not None and found[0].is_refused
+
     def __mapping__(self) -> dict[str, MethodHandler]:
         """Return the methods that the server offers, as grpclib asks for them."""
         kind = Cardinality.STREAM_STREAM
--- a/src/standins/peers.py
+++ b/src/standins/peers.py
@@ -159,6 +159,10 @@
             timer.cancel()
             reply.cancel()
 
+    def is_refused(self, instance: str) -> bool:
+        """Whether a daemon's process is gone."""
+        return self._switch.find(instance) is None
+
     def _pack(self, message: Any, kind: type, number: int) -> Envelope:
         return Envelope(get_message_name(kind), number, 0, encode_message(message))
 
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -83,6 +83,17 @@
         self.assertLess(began - died, SECOND)
         self.end()
 
+    @virtual
+    async def test_an_owner_whose_process_is_gone_is_succeeded_at_once(self):
+        cluster = await self.begin(daemons=5)
+        await cluster.complete_a_job()
+        cluster.find_owner().kill()
+        died = cluster.clock.monotonic()
+        await cluster.wait(lambda: cluster.find_owner() is not None)
+        took = cluster.clock.monotonic() - died
+        self.assertLess(took, timedelta(milliseconds=250))
+        self.end()
+
     @virtual
     async def test_the_strongest_daemon_succeeds(self):
         self.cluster = cluster = PoolCluster(daemons=3)
