--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -10,17 +10,12 @@
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
-from damaskdeck.coordination.pools.leaving import find_departing
 from damaskdeck.coordination.pools.moving import (
-    find_moves,
-    find_silent,
-    has_room,
     may_have_copies,
 )
 from damaskdeck.coordination.pools.ordering import (
     Outlook,
     Urgency,
-    is_due_soon,
     judge_step,
 )
 from damaskdeck.coordination.pools.paces import Paces
@@ -92,7 +87,12 @@
 
 
 class Dispatcher:
-    """Places tasks of one owner's jobs."""
+    """Places tasks of one owner's jobs.
+
+    :ivar trust: what speaks against workers.
+    :ivar speeds: which workers are slow just now.
+    :ivar paces: which of the sound ones are faster.
+    """
 
     def __init__(
         self, owner: DispatchOwner, clock: Clock, times: PoolTimes, desk: AdviceDesk
@@ -101,9 +101,9 @@
         self._clock = clock
         self._times = times
         self._desk = desk
-        self._trust = Trust(clock)
-        self._speeds = Speeds()
-        self._paces = Paces()
+        self.trust = Trust(clock)
+        self.speeds = Speeds()
+        self.paces = Paces()
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starts: set[asyncio.Task[None]] = set()
@@ -128,7 +128,7 @@
 
     def forget(self, step: Step) -> None:
         """Drop what was gathered of a step of a job that has ended."""
-        self._paces.forget(step)
+        self.paces.forget(step)
 
     def close(self) -> None:
         """Stop at once."""
@@ -171,8 +171,8 @@
         return [
             Seat(
                 contact,
-                self._speeds.is_slow(contact.info.identifier, now),
-                self._paces.rank(contact.info.identifier),
+                self.speeds.is_slow(contact.info.identifier, now),
+                self.paces.rank(contact.info.identifier),
             )
             for contact in self._owner.contacts.values()
             if contact.is_usable(now)
@@ -190,7 +190,7 @@
         order.sort(key=lambda entry: entry[:2])
         return order
 
-    def _find_pool(self, step: Step) -> str:
+    def find_pool(self, step: Step) -> str:
         table = self._owner.get_table()
         queue = table.get(step.job.queue.name) if table is not None else None
         return queue.pool if queue is not None else step.job.queue.pool
@@ -205,8 +205,8 @@
         now: float,
     ) -> int:
         """Place what fits of a step; returns how many tasks were placed."""
-        pool = self._find_pool(step)
-        self._ask(step, pool, urgency, place, now)
+        pool = self.find_pool(step)
+        self.ask(step, pool, urgency, place, now)
         able = self._find_able(step, pool, seats, now)
         suited = _select_confined(step.job, able)
         if not suited:
@@ -242,7 +242,7 @@
             for seat in seats
             if seat.contact.info.pool == pool
             and suits(step.spec, seat.contact.info)
-            and self._trust.may_start(seat.key, step.job)
+            and self.trust.may_start(seat.key, step.job)
         ]
         if step.job.queue.advice is None:
             return suited
@@ -268,7 +268,7 @@
             if info.pool == pool and is_staying and info.identifier not in refused:
                 yield info
 
-    def _ask(
+    def ask(
         self, step: Step, pool: str, urgency: Urgency, place: int, now: float
     ) -> None:
         """Ask about workers without a verdict, or whose tickets are ending."""
@@ -307,7 +307,7 @@
             run = Run(task, seat.key, attempt, now)
             task.runs.append(run)
             seat.contact.add_run(run)
-            self._trust.note_start(run)
+            self.trust.note_start(run)
             runs.append((run, seat.contact))
         if not step.job.has_started:
             waited = timedelta(seconds=max(0.0, now - step.job.arrived_at))
@@ -372,9 +372,9 @@
     ) -> None:
         """Take note of how a run ended."""
         if run is not None and end.kind is EndKind.COMPLETED:
-            self._speeds.note_completed(run, self._owner.now())
-            self._paces.note_completed(run, self._owner.now())
-        self._trust.note_end(contact.info.identifier, task, end)
+            self.speeds.note_completed(run, self._owner.now())
+            self.paces.note_completed(run, self._owner.now())
+        self.trust.note_end(contact.info.identifier, task, end)
         _log.info(
             "A run has ended.",
             id=task.name.job,
@@ -384,83 +384,12 @@
             outcome=end.kind,
         )
 
-    def sweep(self, now: float) -> None:
-        """Open occurrences that are due, and give up runs that stand still."""
-        contacts = self._owner.contacts
-        names = frozenset(contacts)
-        self._trust.set_workers(names)
-        self._paces.set_workers(names)
-        self._speeds.judge(contacts.values(), now)
-        for contact in contacts.values():
-            for run in list(self._trust.find_stalled(contact, now)):
-                self._give_up(run, "A run stands still.")
-        longest = self._times.stop_longest
-        for run in list(find_departing(contacts.values(), longest, now)):
-            self._give_up(run, "A run would outlast its worker's stay.")
-        for run in list(find_moves(contacts, self._speeds, now)):
-            self._move(run, now)
-        for run in list(find_silent(contacts, now)):
-            if self._copy(run, self._find_pool(run.task.step), now):
-                _log.info(
-                    "A task is started beside a run that nothing is heard of.",
-                    id=run.task.name.job,
-                    task=run.task.name[1:],
-                    worker=run.worker,
-                )
-        self._ask_ahead(now)
-        if self._timed:
-            wall = self._clock.now().timestamp()
-            for identifier in list(self._timed):
-                job = self._owner.board.open.get(identifier)
-                if job is None:
-                    del self._timed[identifier]
-                else:
-                    self._open_due(job, wall)
-
-    def _ask_ahead(self, now: float) -> None:
-        """Ask the advisor about steps that are about to become due."""
-        for job in self._owner.board.open.values():
-            if job.queue.advice is None or job.is_unsure:
-                continue
-            for step in job.list_steps():
-                if is_due_soon(step, job.queue.advice, now):
-                    pool = self._find_pool(step)
-                    self._ask(step, pool, judge_step(step, now), 0, now)
-
-    def _move(self, run: Run, now: float) -> None:
-        """Take a run, or its whole gang, off a slow worker if there is room.
-
-        Where copies may run side by side the slow one goes on, as it may yet win.
-        """
-        task, step = run.task, run.task.step
-        if len(task.runs) > 1:
-            return
-        tasks = step.tasks if step.spec.is_gang else [task]
-        pool = self._find_pool(step)
-        is_possible = has_room(
-            step,
-            pool,
-            self._owner.contacts,
-            self._speeds,
-            self._desk.get(step),
-            len(tasks),
-            now,
-        )
-        if not is_possible:
-            return
-        if may_have_copies(step):
-            if not self._copy(run, pool, now):
-                return
-        else:
-            self._give_up(run, "A run would end earlier elsewhere.")
-        for moved in tasks:
-            moved.moves += 1
-
-    def _copy(self, run: Run, pool: str, now: float) -> bool:
+    def copy(self, run: Run, now: float) -> bool:
         """Start a second run of a task on another worker; returns whether it could."""
         task, step = run.task, run.task.step
+        pool = self.find_pool(step)
         # No task of the step may be waiting, so nobody else keeps its tickets fresh.
-        self._ask(step, pool, judge_step(step, now), 0, now)
+        self.ask(step, pool, judge_step(step, now), 0, now)
         seats = [seat for seat in self._list_seats(now) if seat.key != run.worker]
         able = self._find_able(step, pool, seats, now)
         plan = plan_step(step, [task], _select_confined(step.job, able), True)
@@ -471,22 +400,17 @@
             self._widen(step, [task], able)
         return bool(plan)
 
-    def _give_up(self, run: Run, reason: str) -> None:
-        """Stop a run that won't end where it is, and with it its gang."""
-        step = run.task.step
-        if run.stopping_since is not None:
+    def open_occurrences(self) -> None:
+        """Open the occurrences of timed jobs that are due."""
+        if not self._timed:
             return
-        _log.info(
-            reason,
-            id=step.job.identifier,
-            task=run.task.name[1:],
-            attempt=run.attempt,
-            worker=run.worker,
-            percent=run.percent,
-        )
-        run.task.failed_on.add(run.worker)
-        for stopped in list(step.list_runs()) if step.spec.is_gang else (run,):
-            self._owner.stop(stopped)
+        wall = self._clock.now().timestamp()
+        for identifier in list(self._timed):
+            job = self._owner.board.open.get(identifier)
+            if job is None:
+                del self._timed[identifier]
+            else:
+                self._open_due(job, wall)
 
     def _open_due(self, job: Job, wall: float) -> None:
         spec = job.record.spec
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -12,9 +12,9 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.health import HealthyStore
+from damaskdeck.coordination.pools.membership import RETRY_DELAY, Membership
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
@@ -22,7 +22,6 @@
     Entry,
     Events,
     Found,
-    Granted,
     Lapsed,
     TooOld,
     Written,
@@ -46,9 +45,6 @@
     encode_record,
 )
 
-RETRY_DELAY = timedelta(milliseconds=100)
-# Between two looks whether a failing store is back.
-PROBE_INTERVAL = timedelta(milliseconds=150)
 # Daemons whose starts differ by less are of one age: clocks differ, and all start
 # within a second when the whole system does.
 AGE_GRAIN = timedelta(seconds=1)
@@ -103,7 +99,9 @@
         self._times = times
         self._take = take
         self._lose = lose
-        self._lease = ""
+        self._membership = Membership(
+            member, store, clock, times, lambda: self._wakeup.set()
+        )
         self._members: dict[str, MemberRecord] = {}
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
@@ -115,7 +113,6 @@
         self._suspected_epoch = 0
         self._absent: frozenset[str] = frozenset()
         self._asking: asyncio.Future[None] | None = None
-        self._probes: set[asyncio.Task[None]] = set()
         self._is_leaving = False
         self._mandate: Mandate | None = None
 
@@ -214,59 +211,7 @@
 
     async def run(self) -> None:
         """Hold the member's lease, follow the control keys and stand for election."""
-        try:
-            await asyncio.gather(
-                self._keep_lease(), self._probe(), self._follow(), self._stand()
-            )
-        finally:
-            for probe in self._probes:
-                probe.cancel()
-
-    # Lease -------------------------------------------------------------------
-
-    async def _keep_lease(self) -> None:
-        while True:
-            if not self._lease:
-                granted = await self._store.grant_lease(self._times.member_ttl)
-                if isinstance(granted, Granted):
-                    self._lease = granted.lease
-                    await self._write_member()
-                else:
-                    await self._clock.sleep(RETRY_DELAY)
-                continue
-            await self._clock.sleep(self._times.member_renewal)
-            renewed = await self._store.renew_lease(self._lease)
-            if isinstance(renewed, Lapsed):
-                _log.warn("The member's lease lapsed.", lease=self._lease)
-                self._lease = ""
-
-    async def _probe(self) -> None:
-        """Ask a store that is failing again and again, whatever is on its way.
-
-        A call that hangs holds up its loop for its time-out; the return of the store
-        is noticed by the first call that is sent after it. A renewal costs least.
-        """
-        while True:
-            await self._clock.sleep(PROBE_INTERVAL)
-            if self._store.is_failing and self._lease:
-                start_task(self._renew(self._lease), self._probes)
-
-    async def _renew(self, lease: str) -> None:
-        await self._store.renew_lease(lease)
-
-    async def _write_member(self) -> None:
-        key = MEMBERS + self._member.instance
-        value = encode_record(self._member)
-        write = Transaction(writes=(Write(key, value, self._lease),))
-        done = await self._store.commit(write)
-        if isinstance(done, Lapsed):
-            self._lease = ""
-        elif not isinstance(done, Written):
-            # Written twice at worst; the key says the same.
-            await self._clock.sleep(RETRY_DELAY)
-            await self._write_member()
-        else:
-            self._wakeup.set()
+        await asyncio.gather(self._membership.run(), self._follow(), self._stand())
 
     # Watch -------------------------------------------------------------------
 
@@ -354,7 +299,7 @@
         while True:
             await self._wakeup.wait()
             self._wakeup.clear()
-            if self._is_leaving or not self._is_synced or not self._lease:
+            if self._is_leaving or not self._is_synced or not self._membership.lease:
                 continue
             if self._mandate is not None:
                 if not self._has_lead:
@@ -464,7 +409,7 @@
             entry = done.find(FENCE_KEY)
             fence = entry.revision if entry is not None else 0
         if isinstance(done, Lapsed):
-            self._lease = ""
+            self._membership.note_lapse()
         await self._settle_takeover(record, old)
 
     def _build_takeover(
@@ -475,7 +420,7 @@
             (
                 Write(OWNER_KEY, encode_record(record)),
                 Write(FENCE_KEY, encode_record(FenceRecord(record.epoch, 0))),
-                Write(LEAD_KEY, encode_record(record.epoch), self._lease),
+                Write(LEAD_KEY, encode_record(record.epoch), self._membership.lease),
             ),
         )
 
@@ -518,13 +463,13 @@
         done = await self._store.commit(
             Transaction(
                 ((OWNER_KEY, self._owner_revision),),
-                (Write(LEAD_KEY, value, self._lease),),
+                (Write(LEAD_KEY, value, self._membership.lease),),
             )
         )
         if isinstance(done, Written):
             self._has_lead = True
         elif isinstance(done, Lapsed):
-            self._lease = ""
+            self._membership.note_lapse()
 
     # Leaving -----------------------------------------------------------------
 
@@ -556,5 +501,4 @@
     async def leave(self) -> None:
         """Take the member's key away, so that nobody forwards here."""
         self._is_leaving = True
-        key = MEMBERS + self._member.instance
-        await self._store.commit(Transaction(removals=(key,)))
+        await self._membership.leave()
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -16,6 +16,7 @@
 from damaskdeck.coordination.pools.dispatching import Dispatcher
 from damaskdeck.coordination.pools.journal import Batch, Journal
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Mandate
+from damaskdeck.coordination.pools.supervising import Supervisor
 from damaskdeck.coordination.pools.workforce import (
     Workforce,
     WorkforceEvents,
@@ -102,6 +103,7 @@
             lambda: self.dispatcher.wake(),
         )
         self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
+        self._supervisor = Supervisor(self, self.dispatcher, basis.times, self.desk)
         self._dirty: dict[str, Job] = {}
         self._removed: list[str] = []
         self._dirty_contacts: set[WorkerContact] = set()
@@ -537,7 +539,7 @@
             await self._clock.sleep(SWEEP_INTERVAL)
             now = self.now()
             self.desk.dispatch()
-            self.dispatcher.sweep(now)
+            self._supervisor.sweep(now)
             self._forget_ended(now)
             self.dispatcher.wake_if_waiting()
 
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/supervising.py
@@ -0,0 +1,117 @@
+"""Watches what runs: gives up what won't end where it is, and starts copies."""
+
+from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.dispatching import Dispatcher, DispatchOwner
+from damaskdeck.coordination.pools.leaving import find_departing
+from damaskdeck.coordination.pools.moving import (
+    find_moves,
+    find_silent,
+    has_room,
+    may_have_copies,
+)
+from damaskdeck.coordination.pools.ordering import is_due_soon, judge_step
+from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.logs import get_logger
+from damaskdeck.state.board import Run
+
+_log = get_logger("dispatching")
+
+
+class Supervisor:
+    """Looks after the runs of one owner."""
+
+    def __init__(
+        self,
+        owner: DispatchOwner,
+        dispatcher: Dispatcher,
+        times: PoolTimes,
+        desk: AdviceDesk,
+    ) -> None:
+        self._owner = owner
+        self._dispatcher = dispatcher
+        self._times = times
+        self._desk = desk
+
+    def sweep(self, now: float) -> None:
+        """Look at all workers and at what they run."""
+        contacts = self._owner.contacts
+        names = frozenset(contacts)
+        self._dispatcher.trust.set_workers(names)
+        self._dispatcher.paces.set_workers(names)
+        self._dispatcher.speeds.judge(contacts.values(), now)
+        for contact in contacts.values():
+            for run in list(self._dispatcher.trust.find_stalled(contact, now)):
+                self._give_up(run, "A run stands still.")
+        longest = self._times.stop_longest
+        for run in list(find_departing(contacts.values(), longest, now)):
+            self._give_up(run, "A run would outlast its worker's stay.")
+        for run in list(find_moves(contacts, self._dispatcher.speeds, now)):
+            self._move(run, now)
+        for run in list(find_silent(contacts, now)):
+            if self._dispatcher.copy(
+                run, self._dispatcher.find_pool(run.task.step), now
+            ):
+                _log.info(
+                    "A task is started beside a run that nothing is heard of.",
+                    id=run.task.name.job,
+                    task=run.task.name[1:],
+                    worker=run.worker,
+                )
+        self._ask_ahead(now)
+        self._dispatcher.open_occurrences()
+
+    def _ask_ahead(self, now: float) -> None:
+        """Ask the advisor about steps that are about to become due."""
+        for job in self._owner.board.open.values():
+            if job.queue.advice is None or job.is_unsure:
+                continue
+            for step in job.list_steps():
+                if is_due_soon(step, job.queue.advice, now):
+                    pool = self._dispatcher.find_pool(step)
+                    self._dispatcher.ask(step, pool, judge_step(step, now), 0, now)
+
+    def _move(self, run: Run, now: float) -> None:
+        """Take a run, or its whole gang, off a slow worker if there is room.
+
+        Where copies may run side by side the slow one goes on, as it may yet win.
+        """
+        task, step = run.task, run.task.step
+        if len(task.runs) > 1:
+            return
+        tasks = step.tasks if step.spec.is_gang else [task]
+        pool = self._dispatcher.find_pool(step)
+        is_possible = has_room(
+            step,
+            pool,
+            self._owner.contacts,
+            self._dispatcher.speeds,
+            self._desk.get(step),
+            len(tasks),
+            now,
+        )
+        if not is_possible:
+            return
+        if may_have_copies(step):
+            if not self._dispatcher.copy(run, now):
+                return
+        else:
+            self._give_up(run, "A run would end earlier elsewhere.")
+        for moved in tasks:
+            moved.moves += 1
+
+    def _give_up(self, run: Run, reason: str) -> None:
+        """Stop a run that won't end where it is, and with it its gang."""
+        step = run.task.step
+        if run.stopping_since is not None:
+            return
+        _log.info(
+            reason,
+            id=step.job.identifier,
+            task=run.task.name[1:],
+            attempt=run.attempt,
+            worker=run.worker,
+            percent=run.percent,
+        )
+        run.task.failed_on.add(run.worker)
+        for stopped in list(step.list_runs()) if step.spec.is_gang else (run,):
+            self._owner.stop(stopped)
