--- a/src/damaskdeck/coordination/pools/supervising.py
+++ b/src/damaskdeck/coordination/pools/supervising.py
@@ -48,9 +48,7 @@
         for run in list(find_moves(contacts, self._dispatcher.speeds, now)):
             self._move(run, now)
         for run in list(find_silent(contacts, now)):
-            if self._dispatcher.copy(
-                run, self._dispatcher.find_pool(run.task.step), now
-            ):
+            if self._dispatcher.copy(run, now):
                 _log.info(
                     "A task is started beside a run that nothing is heard of.",
                     id=run.task.name.job,
