Ask the store before a job of a newer epoch deposes an owner

Found in reading the diff: a record with an epoch that nobody has had, put into the inbox by another writer, would have deposed every owner. Change: the job is left alone and the store is asked who owns; a test of it plays such a record.

--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from damaskdeck.background import start_task
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.confining import measure_rooms
 from damaskdeck.coordination.pools.contacts import WorkerContact
@@ -40,6 +41,7 @@
     INBOX,
     JOBS,
     PROGRESS,
+    JobRecord,
     ProgressRecord,
     decode_job,
     decode_progress,
@@ -110,6 +112,7 @@
         self._roster_changed = False
         self._cancelled: set[str] = set()
         self._unreadable: set[str] = set()
+        self._doubts: set[asyncio.Task[None]] = set()
         self._inbox_revision = 0
         self._workforce = Workforce(
             mandate,
@@ -152,6 +155,8 @@
                 self._tell_room(),
             )
         finally:
+            for doubt in self._doubts:
+                doubt.cancel()
             self.desk.close()
             self.dispatcher.close()
             self._workforce.close()
@@ -246,7 +251,7 @@
             return
         if record.epoch > self.mandate.epoch:
             # Its owner may start it where nobody has heard of that epoch yet.
-            self._basis.leadership.step_down("a job is stored for a newer owner")
+            start_task(self._doubt_epoch(record), self._doubts)
             return
         now = self.now()
         age = self._clock.now().timestamp() - record.taken_at
@@ -264,6 +269,28 @@
             self.cancel(job)
         self.dispatcher.take(job)
 
+    async def _doubt_epoch(self, record: JobRecord) -> None:
+        """Settle whether a job's newer owner exists: this one is deposed then.
+
+        Where the store still names this one, no owner has had that epoch.
+        """
+        met = self.now()
+        _log.info(
+            "A job is stored for a newer owner.",
+            id=record.identifier,
+            epoch=record.epoch,
+            own=self.mandate.epoch,
+        )
+        while not await self._basis.leadership.is_confirmed_since(met):
+            await self._clock.sleep(RETRY_DELAY)
+        self._unreadable.add(record.identifier)
+        _log.error(
+            "A job names an epoch that there isn't: it is left alone.",
+            id=record.identifier,
+            code=MessageError.code,
+            epoch=record.epoch,
+        )
+
     def _take_cancel(self, identifier: str) -> None:
         self._cancelled.add(identifier)
         job = self.board.jobs.get(identifier)
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -362,6 +362,20 @@
         self.assertEqual(len(cluster.list_starts("j1")), 1)
         self.end()
 
+    @virtual
+    async def test_a_job_of_an_epoch_that_there_is_not_deposes_nobody(self):
+        cluster = await self.begin(workers=2)
+        await cluster.complete_a_job()
+        owner = cluster.find_owner()
+        odd = JobRecord("odd", make_queue(), make_job(), 10**9, 0.0)
+        cluster.store.set(JOBS + "odd", encode_record(odd))
+        await asyncio.sleep(1)
+        self.assertIs(cluster.find_owner(), owner)
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=5)
+        self.assertEqual(cluster.list_starts("odd"), [])
+        self.end()
+
     @virtual
     async def test_a_roster_that_cannot_be_read_makes_older_jobs_wait(self):
         cluster = await self.begin(workers=2)
