--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -10,14 +10,8 @@
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
-from damaskdeck.coordination.pools.moving import (
-    may_have_copies,
-)
-from damaskdeck.coordination.pools.ordering import (
-    Outlook,
-    Urgency,
-    judge_step,
-)
+from damaskdeck.coordination.pools.moving import may_have_copies
+from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
 from damaskdeck.coordination.pools.paces import Paces
 from damaskdeck.coordination.pools.placing import (
     Plan,
@@ -191,6 +185,7 @@
         return order
 
     def find_pool(self, step: Step) -> str:
+        """Return the pool that the operators declare for a step's queue now."""
         table = self._owner.get_table()
         queue = table.get(step.job.queue.name) if table is not None else None
         return queue.pool if queue is not None else step.job.queue.pool
