Look only at what has changed when room is given to waiting steps

Change: due steps are kept as their jobs change (pending.py); a step that was tried and has not changed looks only at workers whose room has grown since (candidates.py), all steps look at all workers again every 0.25 s, for what no event tells; room is tested before anything else, of queues with advice only workers with a ticket are looked at, and what to ask the advisor is searched for ten times a second in place of each pass. A seat is a candidate now. Placement itself is as it was.

What still grows with workers is the first look of a new step and of what to ask for it; a decision is not yet within 20 % from 24 to 790 workers.

--- /dev/null
+++ b/benchmarks/passes.py
@@ -0,0 +1,175 @@
+"""What a decision of the pools' dispatcher costs, by the number of workers.
+
+A full pool with fifty steps waiting, as an owner at its peak has: each run that ends
+makes room for one start. Measured is the processor time from the end to the order,
+without what calls to workers cost.
+"""
+
+import asyncio
+import itertools
+import statistics
+import time
+from datetime import timedelta
+
+from damaskdeck.clock import SystemClock
+from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.dispatching import Dispatcher
+from damaskdeck.coordination.pools.leadership import Mandate
+from damaskdeck.coordination.pools.times import PoolBounds, derive_times
+from damaskdeck.protocol.pools import Done, EndedTask, EndKind, PoolWorker
+from damaskdeck.protocol.queues import (
+    AdviceTerms,
+    JobSpec,
+    Queue,
+    QueueTable,
+    StepSpec,
+)
+from damaskdeck.protocol.sizes import Size
+from damaskdeck.state.board import Board, Job, Run, RunPhase
+from damaskdeck.state.jobrecords import JobRecord
+
+FLEETS = (24, 175, 270, 790)
+STEPS = 50
+DECISIONS = 400
+# A decision is one of so many that a worker's end makes possible for any step.
+CONSENT_EVERY = 3
+ROOM = Size(16_000, 64_000, 0)
+TASK = Size(4_000, 4_000, 0)
+BOUNDS = PoolBounds(
+    timedelta(seconds=6), timedelta(seconds=1), timedelta(seconds=6), timedelta(120)
+)
+TERMS = AdviceTerms(timedelta(milliseconds=20), timedelta(), timedelta(seconds=3600))
+QUEUE = Queue(
+    "quick", "a.example", "/quick/", "hub", 0, 3, 3.0, timedelta(seconds=9), TERMS
+)
+
+
+def run(quick: bool = False) -> dict:
+    """Return the median microseconds of a decision, by workers."""
+    decisions = DECISIONS // 10 if quick else DECISIONS
+    fleets = FLEETS[:2] if quick else FLEETS
+    return {
+        str(workers): asyncio.run(_measure(workers, decisions)) for workers in fleets
+    }
+
+
+class _Workers:
+    """Confirms every order."""
+
+    async def start(self, worker, epoch, order):
+        return Done(timedelta())
+
+
+class _Owner:
+    """As much of an owner as the dispatcher asks for."""
+
+    def __init__(self) -> None:
+        self.mandate = Mandate(1, 1, 1, None)
+        self.board = Board()
+        self.contacts: dict[str, WorkerContact] = {}
+        self._table = QueueTable(1, (QUEUE,), frozenset({"hub"}), 100_000)
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    def get_table(self) -> QueueTable:
+        return self._table
+
+    def may_decide(self) -> bool:
+        return True
+
+    def next_attempt(self, tasks) -> int:
+        return max(task.attempt for task in tasks) + 1
+
+    def note_running(self, run: Run) -> None:
+        """Nothing follows from it here."""
+
+
+async def _measure(workers: int, decisions: int) -> dict[str, float]:
+    clock, owner = SystemClock(), _Owner()
+    desk = AdviceDesk(None, clock, list, lambda step: None)
+    dispatcher = Dispatcher(owner, clock, derive_times(BOUNDS), desk)
+    numbers = itertools.count()
+    running = [run for n in range(workers) for run in _fill(_add(owner, clock, n))]
+    jobs = [
+        _submit(owner, dispatcher, desk, f"{next(numbers):016x}") for _ in range(STEPS)
+    ]
+    dispatcher._pass()
+    costs = []
+    for number in range(decisions):
+        while sum(map(_is_waiting, jobs)) < STEPS:
+            jobs = [job for job in jobs if _is_waiting(job)]
+            jobs.append(_submit(owner, dispatcher, desk, f"{next(numbers):016x}"))
+        dispatcher._pass()
+        run = running[number * 7 % len(running)]
+        contact = owner.contacts[run.worker]
+        began = time.perf_counter()
+        contact.remove_run(run)
+        dispatcher.note_end(contact, run.task, _end(run), run)
+        dispatcher.note_room(contact)
+        dispatcher._pass()
+        costs.append(1e6 * (time.perf_counter() - began))
+        await asyncio.sleep(0)
+        placed = next(iter(run for run in contact.runs.values() if run.worker), run)
+        running[number * 7 % len(running)] = placed
+    return {
+        "median_us": round(statistics.median(costs), 1),
+        "mean_us": round(statistics.mean(costs), 1),
+    }
+
+
+def _add(owner: _Owner, clock: SystemClock, number: int) -> WorkerContact:
+    info = PoolWorker(
+        f"w{number}", "hub", f"10.0.0.1:{number}", f"z{number % 5}", ROOM, frozenset()
+    )
+    mandate, times = owner.mandate, derive_times(BOUNDS)
+    contact = WorkerContact(
+        info, mandate, owner, _Workers(), None, clock, times, float("-inf")
+    )
+    contact.is_known = contact.is_rostered = True
+    contact._note_clock(timedelta(), owner.now())
+    owner.contacts[info.identifier] = contact
+    return contact
+
+
+def _fill(contact: WorkerContact) -> list[Run]:
+    """Let other jobs' tasks take all the room."""
+    count = ROOM.millicores // TASK.millicores
+    tasks = _build(f"full-{contact.info.identifier}", count).occurrences[0][0].tasks
+    runs = []
+    for task in tasks:
+        run = Run(task, contact.info.identifier, 1, time.monotonic())
+        run.phase = RunPhase.RUNNING
+        task.runs.append(run)
+        contact.add_run(run)
+        runs.append(run)
+    return runs
+
+
+def _is_waiting(job: Job) -> bool:
+    return any(task.is_waiting for step in job.list_steps() for task in step.tasks)
+
+
+def _build(identifier: str, tasks: int = 1) -> Job:
+    spec = JobSpec("", (StepSpec(tasks, TASK, timedelta(seconds=1)),))
+    return Job(JobRecord(identifier, QUEUE, spec, 1, 0.0, ()), time.monotonic())
+
+
+def _submit(
+    owner: _Owner, dispatcher: Dispatcher, desk: AdviceDesk, identifier: str
+) -> Job:
+    job = _build(identifier)
+    owner.board.add(job)
+    verdicts = desk.get(job.occurrences[0][0])
+    for number, worker in enumerate(owner.contacts):
+        if (number + int(identifier, 16)) % CONSENT_EVERY:
+            verdicts.refused.add(worker)
+        else:
+            verdicts.tickets[worker] = ("ticket", time.monotonic() + 3600)
+    dispatcher.take(job)
+    return job
+
+
+def _end(run: Run) -> EndedTask:
+    return EndedTask(1, run.task.name, run.attempt, EndKind.COMPLETED, "")
--- a/src/damaskdeck/coordination/pools/advising.py
+++ b/src/damaskdeck/coordination/pools/advising.py
@@ -8,7 +8,7 @@
 import asyncio
 import heapq
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -42,25 +42,35 @@
     :ivar tickets: by worker: ticket and until when it is good, monotonic seconds.
     :ivar refused: workers that may not run the step.
     :ivar is_asked: a question is waiting or on its way.
+    :ivar complete_until: nothing has to be asked before this time.
     """
 
-    __slots__ = ("is_asked", "refused", "tickets")
+    __slots__ = ("complete_until", "is_asked", "refused", "tickets")
 
     def __init__(self) -> None:
         self.tickets: dict[str, tuple[str, float]] = {}
         self.refused: set[str] = set()
         self.is_asked = False
+        self.complete_until = 0.0
 
-    def find_ticket(self, worker: str, now: float) -> str | None:
-        """Return a ticket that lasts long enough, ``None`` without one."""
-        ticket, until = self.tickets.get(worker, ("", 0.0))
-        return ticket if until > now + TICKET_MARGIN_SECONDS else None
+    def list_tickets(self, now: float, among: Iterable[str] | None) -> list[str]:
+        """List the workers with a ticket that lasts long enough.
+
+        :param among: whom to list; all when ``None``.
+        """
+        limit = now + TICKET_MARGIN_SECONDS
+        tickets = self.tickets
+        if among is None:
+            return [worker for worker, (_, until) in tickets.items() if until > limit]
+        none = ("", 0.0)
+        return [worker for worker in among if tickets.get(worker, none)[1] > limit]
 
     def drop(self, worker: str) -> None:
         """Forget a ticket that was turned down; the verdict stays."""
         ticket, _ = self.tickets.get(worker, ("", 0.0))
         if ticket:
             self.tickets[worker] = (ticket, 0.0)
+            self.complete_until = 0.0
 
 
 class _Question(NamedTuple):
@@ -78,7 +88,7 @@
     """Asks for verdicts through all daemons; lives as long as an owner's mandate.
 
     :param list_askers: names of the daemons that are up.
-    :param wake: called when a verdict has come.
+    :param wake: called with the step that an answer has come about, or none will.
     """
 
     def __init__(
@@ -86,7 +96,7 @@
         peers: Peers,
         clock: Clock,
         list_askers: Callable[[], list[str]],
-        wake: Callable[[], None],
+        wake: Callable[[Step], None],
     ) -> None:
         self._peers = peers
         self._clock = clock
@@ -184,7 +194,7 @@
             count_retry("advice", code)
             self._paused[asker] = now + FAILURE_PAUSE_SECONDS
         self.dispatch()
-        self._wake()
+        self._wake(step)
 
     def _take(self, question: _Question, reply: AdviceReply, now: float) -> None:
         verdicts = self.get(question.step)
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -80,6 +80,8 @@
     :ivar is_known: whether its inventory was read under this epoch and it has
         not fallen silent since.
     :ivar is_gone: whether this life is over for certain.
+    :ivar used: room that its runs take.
+    :ivar free: room that no run takes.
     :ivar processed: number of the last end taken from it.
     :ivar observed: number of the last end that is durable.
     :ivar paused_until: no orders before this time.
@@ -110,6 +112,7 @@
         self.observed = 0
         self.runs: dict[RunKey, Run] = {}
         self.used = ZERO_SIZE
+        self.free = info.size
         self._is_read = False
         # The lease that anybody may have granted is over, and nobody else's since.
         self._is_over = False
@@ -143,6 +146,7 @@
                 runs=len(self.runs),
             )
         self.info = info
+        self._set_used(self.used)
         self.is_listed = True
         if info.is_leaving and info.remaining is not None:
             until = self._now() + info.remaining.total_seconds()
@@ -153,10 +157,9 @@
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
-    @property
-    def free(self) -> Size:
-        """Room that no run takes."""
-        return subtract_sizes(self.info.size, self.used)
+    def _set_used(self, used: Size) -> None:
+        self.used = used
+        self.free = subtract_sizes(self.info.size, used)
 
     def is_usable(self, now: float) -> bool:
         """Whether orders may go to it."""
@@ -187,12 +190,12 @@
     def add_run(self, run: Run) -> None:
         """Let a run take its room."""
         self.runs[run.task.name, run.attempt] = run
-        self.used = add_sizes(self.used, run.task.step.spec.size)
+        self._set_used(add_sizes(self.used, run.task.step.spec.size))
 
     def remove_run(self, run: Run) -> None:
         """Give the room of a run back."""
         if self.runs.pop((run.task.name, run.attempt), None) is not None:
-            self.used = subtract_sizes(self.used, run.task.step.spec.size)
+            self._set_used(subtract_sizes(self.used, run.task.step.spec.size))
 
     # Orders ------------------------------------------------------------------
 
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -1,26 +1,25 @@
 """Gives room to waiting tasks: passes over the open jobs, and the orders to start."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from typing import Protocol
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
-from damaskdeck.coordination.pools.moving import may_have_copies
 from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
 from damaskdeck.coordination.pools.paces import Paces
+from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps
 from damaskdeck.coordination.pools.placing import (
     Plan,
-    Seat,
     has_best_rack,
     is_choosy,
     plan_step,
     suits,
-    take_seats,
 )
 from damaskdeck.coordination.pools.speeds import Speeds
 from damaskdeck.coordination.pools.times import PoolTimes
@@ -34,6 +33,11 @@
 
 # What happens within so short a time shares a pass.
 PASS_INTERVAL = timedelta(milliseconds=4)
+# What no event tells, such as a pause that ends, is seen after so long at most: each
+# pending step then looks at all workers again, some 0.1 ms of processor time a step.
+FULL_LOOK_SECONDS = 0.25
+# A step asks the advisor for what it lacks so often; looking for it reads all workers.
+ASK_INTERVAL_SECONDS = 0.1
 # A gang that could not start tries again after so long.
 GANG_PAUSE_SECONDS = 0.2
 # Members of a gang that are in doubt are waited for so long: with the time-out of
@@ -101,7 +105,11 @@
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starts: set[asyncio.Task[None]] = set()
-        self._has_waiting = False
+        self._pending = PendingSteps()
+        # Workers whose room has grown, or that may get orders again, since a pass.
+        self._opened: set[str] = set()
+        self._usable: set[str] = set()
+        self._looked_at = float("-inf")
         # The first occurrence that isn't open yet, by job.
         self._timed: dict[str, int] = {}
 
@@ -109,16 +117,40 @@
         """Ask for a pass."""
         self._has_work.set()
 
-    def wake_if_waiting(self) -> None:
-        """Ask for a pass if the last one left tasks without room."""
-        if self._has_waiting:
-            self._has_work.set()
+    def look_again(self) -> None:
+        """Let every pending step look at all workers again, in a pass."""
+        self._pending.retry_all()
+        self.wake()
+
+    def touch(self, job: Job) -> None:
+        """Take note that tasks of a job may wait, or no longer do."""
+        self._pending.touch(job)
+        self.wake()
+
+    def note_verdicts(self, step: Step) -> None:
+        """Take note that the advisor has answered about a step."""
+        self._pending.retry(step)
+        self.wake()
+
+    def note_room(self, contact: WorkerContact) -> None:
+        """Take note that a worker's room has grown."""
+        self._opened.add(contact.info.identifier)
+        self.wake()
+
+    def note_contact(self, contact: WorkerContact) -> None:
+        """Take note that a worker has answered, or has fallen silent."""
+        worker = contact.info.identifier
+        if not contact.is_usable(self._owner.now()):
+            self._usable.discard(worker)
+        elif worker not in self._usable:
+            self._usable.add(worker)
+            self.note_room(contact)
 
     def take(self, job: Job) -> None:
         """Take note of a new job."""
         if job.record.spec.repeats and not job.is_final:
             self._timed[job.identifier] = 0
-        self.wake()
+        self.touch(job)
 
     def forget(self, step: Step) -> None:
         """Drop what was gathered of a step of a job that has ended."""
@@ -149,40 +181,20 @@
 
     def _pass(self) -> None:
         now = self._owner.now()
-        seats = self._list_seats(now)
-        order = self._list_due(now)
-        self._has_waiting = False
+        if now - self._looked_at >= FULL_LOOK_SECONDS:
+            self._looked_at = now
+            self._pending.retry_all()
+        opened, self._opened = self._opened, set()
+        candidates = self._find_candidates(now)
         place = 0
-        for urgency, _, step, tasks in order:
-            if step.not_before > now:
-                self._has_waiting = True
+        for urgency, _, pending in self._pending.rank(now):
+            if pending.step.not_before > now:
                 continue
             place += 1
-            if self._place(step, tasks, seats, urgency, place, now) < len(tasks):
-                self._has_waiting = True
-
-    def _list_seats(self, now: float) -> list[Seat]:
-        return [
-            Seat(
-                contact,
-                self.speeds.is_slow(contact.info.identifier, now),
-                self.paces.rank(contact.info.identifier),
-            )
-            for contact in self._owner.contacts.values()
-            if contact.is_usable(now)
-        ]
+            self._place(pending, candidates, opened, urgency, place, now)
 
-    def _list_due(self, now: float) -> list[tuple[Urgency, str, Step, list[Task]]]:
-        """List the steps with tasks to start, most urgent first."""
-        order = []
-        for job in self._owner.board.open.values():
-            for step in job.list_steps():
-                if job.is_unsure and not may_have_copies(step):
-                    continue
-                if step.is_due and (tasks := step.list_waiting()):
-                    order.append((judge_step(step, now), step.name, step, tasks))
-        order.sort(key=lambda entry: entry[:2])
-        return order
+    def _find_candidates(self, now: float) -> Candidates:
+        return Candidates(self._owner.contacts, self.speeds, self.paces, now)
 
     def find_pool(self, step: Step) -> str:
         """Return the pool that the operators declare for a step's queue now."""
@@ -192,59 +204,101 @@
 
     def _place(
         self,
-        step: Step,
-        tasks: list[Task],
-        seats: list[Seat],
+        pending: PendingStep,
+        candidates: Candidates,
+        opened: set[str],
         urgency: Urgency,
         place: int,
         now: float,
-    ) -> int:
-        """Place what fits of a step; returns how many tasks were placed."""
+    ) -> None:
+        """Place what fits of a step.
+
+        One that was tried and has changed in nothing looks at the workers that have
+        opened since alone: the others had no room for it, and have no more now.
+        """
+        step, tasks = pending.step, pending.tasks
         pool = self.find_pool(step)
         self._ask(step, pool, urgency, place, now)
-        able = self._find_able(step, pool, seats, now)
+        is_whole_look = not pending.is_tried or is_choosy(step.spec)
+        if not (is_whole_look or opened):
+            return
+        pending.is_tried = True
+        able = self._find_able(
+            step, pool, candidates, now, None if is_whole_look else opened
+        )
+        if able and not is_whole_look and step.spec.is_gang:
+            able = self._find_able(step, pool, candidates, now, None)
         suited = _select_confined(step.job, able)
-        if not suited:
-            self._widen(step, tasks, able)
-            return 0
-        may_go_far = is_choosy(step.spec) and self._may_go_far(step, pool, now)
-        plan = plan_step(step, tasks, suited, may_go_far)
-        if len(plan) == len(tasks):
-            step.pinched_at = None
-        elif step.pinched_at is None:
-            step.pinched_at = now
+        plan = self._plan(step, tasks, suited, pool, now) if suited else []
         if plan:
-            take_seats(plan)
             self._order(step, plan, now)
         if len(plan) < len(tasks) and len(able) > len(suited):
             placed = {task for task, _ in plan}
             self._widen(step, [t for t in tasks if t not in placed], able)
-        return len(plan)
 
-    def _widen(self, step: Step, tasks: list[Task], able: list[Seat]) -> None:
+    def _plan(
+        self,
+        step: Step,
+        tasks: list[Task],
+        suited: list[Candidate],
+        pool: str,
+        now: float,
+    ) -> Plan:
+        may_go_far = is_choosy(step.spec) and self._may_go_far(step, pool, now)
+        plan = plan_step(step, tasks, suited, may_go_far, self._find_zones(step))
+        if len(plan) == len(tasks):
+            step.pinched_at = None
+        elif step.pinched_at is None:
+            step.pinched_at = now
+        return plan
+
+    def _find_zones(self, step: Step) -> frozenset[str]:
+        """Return the availability zones that a step runs in."""
+        contacts = self._owner.contacts
+        return frozenset(
+            contacts[run.worker].info.zone
+            for run in step.list_runs()
+            if run.worker in contacts
+        )
+
+    def _widen(self, step: Step, tasks: list[Task], able: list[Candidate]) -> None:
         """Ask for the zones that would hold what the job's own don't."""
         if not step.job.can_widen:
             return
-        plan = plan_step(step, tasks, able, True)
-        zones = frozenset(seat.contact.info.zone for _, seat in plan)
+        plan = plan_step(step, tasks, able, True, self._find_zones(step))
+        zones = frozenset(candidate.zone for _, candidate in plan)
         if zones - step.job.zones:
             self._owner.widen(step.job, zones)
 
     def _find_able(
-        self, step: Step, pool: str, seats: list[Seat], now: float
-    ) -> list[Seat]:
-        """Return the seats that may run a step, room and the job's zones aside."""
-        suited = [
-            seat
-            for seat in seats
-            if seat.contact.info.pool == pool
-            and suits(step.spec, seat.contact.info)
-            and self.trust.may_start(seat.key, step.job)
+        self,
+        step: Step,
+        pool: str,
+        candidates: Candidates,
+        now: float,
+        among: set[str] | None,
+    ) -> list[Candidate]:
+        """Return who may run a step, the job's zones aside.
+
+        Those without room for a task are left out, unless they tell a choosy step
+        where it runs.
+
+        :param among: the workers to look at, all when ``None``.
+        """
+        spec, contacts = step.spec, self._owner.contacts
+        keys: Iterable[str] = contacts if among is None else among
+        if step.job.queue.advice is not None:
+            keys = self._desk.get(step).list_tickets(now, among)
+        if not is_choosy(spec):
+            size = spec.size
+            keys = [k for k in keys if k in contacts and fits(size, contacts[k].free)]
+        return [
+            candidate
+            for candidate in candidates.find_all(keys)
+            if candidate.contact.info.pool == pool
+            and suits(spec, candidate.contact.info)
+            and self.trust.may_start(candidate.key, step.job)
         ]
-        if step.job.queue.advice is None:
-            return suited
-        verdicts = self._desk.get(step)
-        return [s for s in suited if verdicts.find_ticket(s.key, now)]
 
     def _may_go_far(self, step: Step, pool: str, now: float) -> bool:
         """Whether a choosy step has waited long enough for its best racks."""
@@ -279,7 +333,11 @@
         verdicts = self._desk.get(step)
         if verdicts.is_asked:
             return
-        if urgency.outlook is Outlook.LOST and place >= REFRESH_STEPS:
+        if place >= REFRESH_STEPS and (
+            verdicts.tickets or urgency.outlook is Outlook.LOST
+        ):
+            return
+        if now < verdicts.complete_until:
             return
         need = step.spec.size
         wanted, needed = [], False
@@ -294,22 +352,25 @@
                 needed = True
             elif ticket and until < limit + REFRESH_SLACK_SECONDS:
                 wanted.append(key)
-        if needed and (place < REFRESH_STEPS or not verdicts.tickets):
+        if needed:
             weight = terms.base.total_seconds() + max(urgency.slack, 0.0) / 10
             self._desk.ask(step, wanted, weight)
+        else:
+            verdicts.complete_until = now + ASK_INTERVAL_SECONDS
 
     # Orders ------------------------------------------------------------------
 
     def _order(self, step: Step, plan: Plan, now: float) -> None:
         attempt = self._owner.next_attempt([task for task, _ in plan])
         runs: list[tuple[Run, WorkerContact]] = []
-        for task, seat in plan:
+        for task, candidate in plan:
             task.attempt = attempt
-            run = Run(task, seat.key, attempt, now)
+            run = Run(task, candidate.key, attempt, now)
             task.runs.append(run)
-            seat.contact.add_run(run)
+            candidate.contact.add_run(run)
             self.trust.note_start(run)
-            runs.append((run, seat.contact))
+            runs.append((run, candidate.contact))
+        self._pending.touch(step.job)
         if not step.job.has_started:
             waited = timedelta(seconds=max(0.0, now - step.job.arrived_at))
             observe_wait("pools", str(step.job.queue.rank), waited)
@@ -319,7 +380,7 @@
             step=step.number,
             attempt=attempt,
             tasks=[task.name.index for task, _ in plan],
-            workers=[seat.key for _, seat in plan],
+            workers=[candidate.key for _, candidate in plan],
             age=round(now - step.job.arrived_at, 3),
             epoch=self._owner.mandate.epoch,
         )
@@ -347,7 +408,7 @@
             step.not_before = self._owner.now() + GANG_PAUSE_SECONDS
             for run in list(step.list_runs()):
                 self._owner.stop(run)
-        self.wake()
+        self.touch(step.job)
 
     async def _settle_gang(self, runs: list[Run]) -> bool:
         """Wait while members are in doubt; returns whether all of them run.
@@ -392,8 +453,8 @@
         pool = self.find_pool(step)
         # No task of the step may be waiting, so nobody else keeps its tickets fresh.
         self.ask_first(step, now)
-        seats = [seat for seat in self._list_seats(now) if seat.key != run.worker]
-        able = self._find_able(step, pool, seats, now)
+        found = self._find_able(step, pool, self._find_candidates(now), now, None)
+        able = [candidate for candidate in found if candidate.key != run.worker]
         plan = plan_step(step, [task], _select_confined(step.job, able), True)
         if plan:
             step.keep_checkpoint(task, run.checkpoint)
@@ -424,12 +485,12 @@
             # One that was opened before, by what lasted of it, gets its time too.
             job.open_occurrence(number, now - since)
             self._timed[job.identifier] = number + 1
-            self.wake()
+            self.touch(job)
         del self._timed[job.identifier]
         if job.close_if_completed(self._owner.now()):
             self._owner.end_job(job, QueuedState.COMPLETED, "all tasks completed")
 
 
-def _select_confined(job: Job, seats: list[Seat]) -> list[Seat]:
-    """Return the seats in the zones that a job is confined to."""
-    return [seat for seat in seats if job.may_run_in(seat.contact.info.zone)]
+def _select_confined(job: Job, able: list[Candidate]) -> list[Candidate]:
+    """Return those in the zones that a job is confined to."""
+    return [candidate for candidate in able if job.may_run_in(candidate.zone)]
--- a/src/damaskdeck/coordination/pools/ordering.py
+++ b/src/damaskdeck/coordination/pools/ordering.py
@@ -35,6 +35,17 @@
     slack: float
 
 
+class Deadlines(NamedTuple):
+    """Until when a step must start, in monotonic seconds.
+
+    :param start_by: for its job to be punctual.
+    :param late_by: for its job to earn anything.
+    """
+
+    start_by: float
+    late_by: float
+
+
 def measure_chain(steps: Iterable[Step]) -> float:
     """Return the longest chain of work that is left, in seconds, by estimates.
 
@@ -68,23 +79,38 @@
     return queue.slack * measure_whole_chain(spec) + queue.allowance.total_seconds()
 
 
-def judge_step(step: Step, now: float) -> Urgency:
-    """Return how urgent a step is.
-
-    A task that lasts is missed for as long as it is away, however late it is.
-    """
+def find_deadlines(step: Step) -> Deadlines:
+    """Return until when a step must start; changes when steps of its job end."""
     job = step.job
     if step.spec.is_lasting:
-        return Urgency(Outlook.PUNCTUAL, job.queue.rank, 0.0)
+        return Deadlines(0.0, 0.0)
     objective = find_objective(job.queue, job.record.spec)
     chain = measure_chain(job.occurrences[step.occurrence])
     start_by = step.due_at + objective - chain
+    return Deadlines(start_by, start_by + (LATE_MULTIPLE - 1) * objective)
+
+
+def judge_deadlines(step: Step, deadlines: Deadlines, now: float) -> Urgency:
+    """Return how urgent a step is.
+
+    A task that lasts is missed for as long as it is away, however late it is.
+
+    :param deadlines: those of the step.
+    """
+    rank = step.job.queue.rank
+    if step.spec.is_lasting:
+        return Urgency(Outlook.PUNCTUAL, rank, 0.0)
+    start_by, late_by = deadlines
     if now <= start_by:
-        return Urgency(Outlook.PUNCTUAL, job.queue.rank, start_by - now)
-    late_by = start_by + (LATE_MULTIPLE - 1) * objective
+        return Urgency(Outlook.PUNCTUAL, rank, start_by - now)
     if now <= late_by:
-        return Urgency(Outlook.LATE, job.queue.rank, late_by - now)
-    return Urgency(Outlook.LOST, job.queue.rank, now - late_by)
+        return Urgency(Outlook.LATE, rank, late_by - now)
+    return Urgency(Outlook.LOST, rank, now - late_by)
+
+
+def judge_step(step: Step, now: float) -> Urgency:
+    """Return how urgent a step is."""
+    return judge_deadlines(step, find_deadlines(step), now)
 
 
 def is_due_soon(step: Step, terms: AdviceTerms, now: float) -> bool:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -102,7 +102,7 @@
             parts.peers,
             basis.clock,
             basis.leadership.list_members,
-            lambda: self.dispatcher.wake(),
+            lambda step: self.dispatcher.note_verdicts(step),
         )
         self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
         self._supervisor = Supervisor(self, self.dispatcher, basis.times, self.desk)
@@ -118,7 +118,9 @@
             mandate,
             basis,
             self,
-            WorkforceEvents(self.dispatcher.wake, self._change_roster, self._make_sure),
+            WorkforceEvents(
+                self.dispatcher.look_again, self._change_roster, self._make_sure
+            ),
         )
 
     @property
@@ -145,7 +147,7 @@
         try:
             await self._load()
             self.is_loaded = True
-            self.dispatcher.wake()
+            self.dispatcher.look_again()
             await asyncio.gather(
                 self._journal.run(),
                 self.dispatcher.run(),
@@ -323,6 +325,7 @@
             allowance=job.queue.allowance.total_seconds(),
         )
         self.board.close(job)
+        self.dispatcher.touch(job)
         self.mark_dirty(job)
         for step in job.list_steps():
             self.desk.forget(step)
@@ -377,7 +380,7 @@
             for contact in listed:
                 contact.is_rostered = True
             if listed or widened:
-                self.dispatcher.wake()
+                self.dispatcher.look_again()
 
         return Batch(tuple(writes), removals, finish)
 
@@ -423,7 +426,7 @@
             job.is_unsure = False
             for step in job.list_steps():
                 self.stop_if_incomplete(step)
-        self.dispatcher.wake()
+            self.dispatcher.touch(job)
 
     def widen(self, job: Job, zones: frozenset[str]) -> None:
         """Let workers of more zones run a job, as soon as that is durable."""
@@ -461,6 +464,7 @@
         if task.runs and not task.step.spec.is_speculative:
             is_unwanted = True
         task.runs.append(run)
+        self.dispatcher.touch(task.step.job)
         if is_unwanted:
             contact.stop(run)
         return run
@@ -481,19 +485,21 @@
         if task.step.spec.is_gang:
             for other in list(task.step.list_runs()):
                 self.stop(other)
-        self.dispatcher.wake()
+        self.dispatcher.touch(task.step.job)
+        self.dispatcher.note_room(contact)
 
     def note_contact(self, contact: WorkerContact) -> None:
         """Take note that a worker has answered, or that its lease is over."""
         is_over = contact.is_gone or self.now() >= contact.lease_until
         if contact.is_known or is_over:
             self._workforce.account(contact)
-        self.dispatcher.wake_if_waiting()
+        self.dispatcher.note_contact(contact)
 
     def take_end(self, contact: WorkerContact, end: EndedTask, run: Run | None) -> None:
         """Take note of an end."""
         task = run.task if run is not None else self.board.find_task(end.task)
         self._dirty_contacts.add(contact)
+        self.dispatcher.note_room(contact)
         if task is None:
             return
         if run is not None and run in task.runs:
@@ -509,8 +515,7 @@
             self._fail(step, task, end.attempt)
         if job.is_final or end.kind in (EndKind.COMPLETED, EndKind.FAILED):
             self.mark_dirty(job)
-        if not job.is_final:
-            self.dispatcher.wake()
+        self.dispatcher.touch(job)
 
     def _complete(self, step: Step, task: Task, run: Run | None) -> None:
         step.complete(task)
@@ -568,7 +573,7 @@
             self.desk.dispatch()
             self._supervisor.sweep(now)
             self._forget_ended(now)
-            self.dispatcher.wake_if_waiting()
+            self.dispatcher.wake()
 
     def _forget_ended(self, now: float) -> None:
         limit = self._basis.times.forget_after.total_seconds()
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -161,6 +161,7 @@
 class Step:
     """One step of one occurrence of a job.
 
+    :ivar name: the name under which the advisor knows it.
     :ivar due_at: monotonic seconds when its occurrence was due, or its job came.
     :ivar failures: the attempts that failed, by index; :data:`GANG` for a gang.
     :ivar pinched_at: since when it has had no room where it runs best, ``None``
@@ -173,6 +174,7 @@
         "due_at",
         "failures",
         "job",
+        "name",
         "not_before",
         "number",
         "occurrence",
@@ -187,6 +189,7 @@
         self.job = job
         self.occurrence = occurrence
         self.number = number
+        self.name = f"{job.identifier}.{occurrence}.{number}"
         self.spec = spec
         self.due_at = job.arrived_at
         self.pinched_at: float | None = None
@@ -198,11 +201,6 @@
             for index in range(spec.tasks)
         ]
 
-    @property
-    def name(self) -> str:
-        """The name under which the advisor knows the step."""
-        return f"{self.job.identifier}.{self.occurrence}.{self.number}"
-
     @property
     def is_completed(self) -> bool:
         """Whether all tasks have completed."""
