Judge workers as often as looks at them tell something new

Change: both are judged four times a second; moves and copies stay at ten, as the tickets that they ask for don't last (test_a_copy_gets_a_fresh_ticket).

--- a/src/damaskdeck/coordination/pools/supervising.py
+++ b/src/damaskdeck/coordination/pools/supervising.py
@@ -14,6 +14,9 @@
 from damaskdeck.logs import get_logger
 from damaskdeck.state.board import Run
 
+# A look at a worker, which tells the progress of its runs, comes every half second.
+JUDGE_SECONDS = 0.25
+
 _log = get_logger("dispatching")
 
 
@@ -31,9 +34,23 @@
         self._dispatcher = dispatcher
         self._times = times
         self._desk = desk
+        self._judged_at = float("-inf")
 
     def sweep(self, now: float) -> None:
         """Look at all workers and at what they run."""
+        longest = self._times.stop_longest
+        contacts = self._owner.contacts
+        for run in list(find_departing(contacts.values(), longest, now)):
+            self._give_up(run, "A run would outlast its worker's stay.")
+        if now - self._judged_at >= JUDGE_SECONDS:
+            self._judged_at = now
+            self._judge(now)
+        self._move_runs(now)
+        self._ask_ahead(now)
+        self._dispatcher.open_occurrences()
+
+    def _judge(self, now: float) -> None:
+        """Judge workers by the progress that looks at them have told."""
         contacts = self._owner.contacts
         names = frozenset(contacts)
         self._dispatcher.trust.set_workers(names)
@@ -42,9 +59,13 @@
         for contact in contacts.values():
             for run in list(self._dispatcher.trust.find_stalled(contact, now)):
                 self._give_up(run, "A run stands still.")
-        longest = self._times.stop_longest
-        for run in list(find_departing(contacts.values(), longest, now)):
-            self._give_up(run, "A run would outlast its worker's stay.")
+
+    def _move_runs(self, now: float) -> None:
+        """Take runs off slow workers, and copy those that nothing is heard of.
+
+        As often as tickets for that may come: they don't last.
+        """
+        contacts = self._owner.contacts
         for run in list(find_moves(contacts, self._dispatcher.speeds, now)):
             self._move(run, now)
         for run in list(find_silent(contacts, now)):
@@ -55,8 +76,6 @@
                     task=run.task.name[1:],
                     worker=run.worker,
                 )
-        self._ask_ahead(now)
-        self._dispatcher.open_occurrences()
 
     def _ask_ahead(self, now: float) -> None:
         """Ask the advisor about steps that are about to become due."""
