Keep room for gangs that wait in a full pool

Change (reserving.py): EASY backfilling. Four times a second, for each gang that waits and can still earn, by urgency: the fewest workers from which its room will come first, by the progress and estimates of what runs there; others get room on them only if they will have ended by then, or come before the gang in the order and find room nowhere else. At most half of the workers are kept, none in a pool that is used by less than 0.6.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -13,7 +13,7 @@
 from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
 from damaskdeck.coordination.pools.paces import Paces
-from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps
+from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps, RankedStep
 from damaskdeck.coordination.pools.placing import (
     Plan,
     has_best_rack,
@@ -21,6 +21,7 @@
     plan_step,
     suits,
 )
+from damaskdeck.coordination.pools.reserving import Reservations, is_crowded
 from damaskdeck.coordination.pools.speeds import Speeds
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.trust import Trust
@@ -110,6 +111,7 @@
         self._opened: set[str] = set()
         self._usable: set[str] = set()
         self._looked_at = float("-inf")
+        self._reservations = Reservations()
         # The first occurrence that isn't open yet, by job.
         self._timed: dict[str, int] = {}
 
@@ -181,17 +183,49 @@
 
     def _pass(self) -> None:
         now = self._owner.now()
-        if now - self._looked_at >= FULL_LOOK_SECONDS:
+        is_full_look = now - self._looked_at >= FULL_LOOK_SECONDS
+        if is_full_look:
             self._looked_at = now
             self._pending.retry_all()
         opened, self._opened = self._opened, set()
         candidates = self._find_candidates(now)
+        ranked = self._pending.rank(now)
         place = 0
-        for urgency, _, pending in self._pending.rank(now):
+        for urgency, _, pending in ranked:
             if pending.step.not_before > now:
                 continue
             place += 1
             self._place(pending, candidates, opened, urgency, place, now)
+        if is_full_look:
+            self._keep_room(ranked, now)
+
+    def _keep_room(self, ranked: list[RankedStep], now: float) -> None:
+        """Keep room for the gangs that wait, in the order of their urgency."""
+        contacts = self._owner.contacts
+        gangs = [
+            pending.step
+            for urgency, _, pending in ranked
+            if pending.step.spec.is_gang and urgency.outlook is not Outlook.LOST
+            if not is_choosy(pending.step.spec) and pending.step.list_waiting()
+        ]
+        if not gangs or not is_crowded(contacts.values()):
+            self._reservations.retain(())
+            return
+        self._reservations.retain(step.name for step in gangs)
+        for step in gangs:
+            pool, job = self.find_pool(step), step.job
+            keys: Iterable[str] = contacts
+            if job.queue.advice is not None:
+                keys = self._desk.get(step).tickets
+            able = [
+                contact
+                for contact in (contacts[key] for key in keys if key in contacts)
+                if contact.info.pool == pool
+                and contact.is_usable(now)
+                and suits(step.spec, contact.info)
+                and job.may_run_in(contact.info.zone)
+            ]
+            self._reservations.keep(step, able, len(contacts), now)
 
     def _find_candidates(self, now: float) -> Candidates:
         return Candidates(self._owner.contacts, self.speeds, self.paces, now)
@@ -229,13 +263,44 @@
         if able and not is_whole_look and step.spec.is_gang:
             able = self._find_able(step, pool, candidates, now, None)
         suited = _select_confined(step.job, able)
-        plan = self._plan(step, tasks, suited, pool, now) if suited else []
+        plan = self._plan_beside(step, tasks, suited, pool, urgency, now)
         if plan:
+            self._reservations.drop(step)
             self._order(step, plan, now)
         if len(plan) < len(tasks) and len(able) > len(suited):
             placed = {task for task, _ in plan}
             self._widen(step, [t for t in tasks if t not in placed], able)
 
+    def _plan_beside(
+        self,
+        step: Step,
+        tasks: list[Task],
+        suited: list[Candidate],
+        pool: str,
+        urgency: Urgency,
+        now: float,
+    ) -> Plan:
+        """Plan without the room that is kept for others, if that is possible.
+
+        What comes before a gang in the order may take its room where it has no other.
+        """
+        kept = self._reservations
+        beside = [c for c in suited if kept.may_use(c.key, step, now)]
+        plan = self._plan(step, tasks, beside, pool, now) if beside else []
+        if len(plan) == len(tasks) or len(beside) == len(suited):
+            return plan
+        mine = urgency.outlook, urgency.rank
+        suited = [
+            c
+            for c in suited
+            if (held := kept.find(c.key)) is None
+            or held.step is step
+            or mine < (Outlook.PUNCTUAL, held.step.job.queue.rank)
+        ]
+        if len(suited) <= len(beside):
+            return plan
+        return self._plan(step, tasks, suited, pool, now)
+
     def _plan(
         self,
         step: Step,
--- /dev/null
+++ b/tests/test_reserving.py
@@ -0,0 +1,104 @@
+"""Room kept for gangs in a full pool.
+
+The pattern: gangs of some 20 tasks at once, 4 s each, beside batches whose tasks take
+any room that comes free, at nine tenths of the pool and more. On 270 workers a third
+of such gangs never started, and half of the others waited 3.8 s of the 5.8 s that they
+had.
+"""
+
+import asyncio
+import itertools
+import random
+from datetime import timedelta
+
+from damaskdeck.protocol.callers import Taken
+from damaskdeck.protocol.queues import StepSpec
+from standins.pools import Work
+from tests.poolcluster import SECOND, SMALL, PoolCase, make_job, make_queue
+from tests.virtual import virtual
+
+GANGS = make_queue("plans", rank=1)
+BATCHES = make_queue("batches", rank=2, slack=9.0)
+QUICK = make_queue("quick", rank=0, slack=1.5, allowance=SECOND / 4)
+WORKERS = 12
+# All workers hold so many small tasks.
+ROOM = 4 * WORKERS
+
+
+def behave(task, attempt) -> Work:
+    """Let tasks of batches take 0.5 to 1.5 s, others as long as they say."""
+    if task.job.startswith("b"):
+        return Work(timedelta(seconds=random.Random(str(task)).uniform(0.5, 1.5)))
+    return Work(SECOND / 2 if task.job.startswith("q") else 2 * SECOND)
+
+
+class TestGangs(PoolCase):
+    """When a gang starts beside batches that fill the pool."""
+
+    async def press(self, seconds: float) -> None:
+        """Hand batches in that want somewhat more than the pool has."""
+        for number in itertools.count():
+            if self.cluster.clock.monotonic().total_seconds() > seconds:
+                return
+            await self.hand_in(
+                BATCHES, f"b{number}", make_job(StepSpec(6, SMALL, SECOND))
+            )
+            await asyncio.sleep(6 / ROOM / 1.1)
+
+    async def hand_in(self, queue, name: str, spec) -> None:
+        """Hand a job in on a queue."""
+        done = await self.cluster.daemons["d0"].desk.submit(queue, name, spec)
+        self.assertEqual(done, Taken())
+
+    async def begin_pressed(self, seconds: float) -> None:
+        """Start a cluster and fill its pool."""
+        self.cluster = await self.begin(
+            workers=WORKERS, behave=behave, queues=(GANGS, BATCHES, QUICK)
+        )
+        self.pressing = asyncio.ensure_future(self.press(seconds))
+        await asyncio.sleep(4)
+
+    @virtual
+    async def test_a_wide_gang_starts_in_time_in_a_full_pool(self):
+        await self.begin_pressed(14)
+        came = self.cluster.clock.monotonic()
+        gang = StepSpec(20, SMALL, 2 * SECOND, is_gang=True)
+        await self.hand_in(GANGS, "gang", make_job(gang))
+        await self.cluster.wait(lambda: len(self.cluster.list_starts("gang")) == 20)
+        waited = self.cluster.list_starts("gang")[0][0] - came
+        self.assertLess(waited, 3 * SECOND)
+        await self.pressing
+        self.end()
+
+    @virtual
+    async def test_quick_jobs_go_on_beside_the_room_that_is_kept(self):
+        await self.begin_pressed(14)
+        gang = StepSpec(20, SMALL, 2 * SECOND, is_gang=True)
+        for number in range(6):
+            await self.hand_in(GANGS, f"gang{number}", make_job(gang))
+        quick = make_job(StepSpec(2, SMALL, SECOND / 2))
+        waits = []
+        for number in range(10):
+            came = self.cluster.clock.monotonic()
+            await self.hand_in(QUICK, f"q{number}", quick)
+            await asyncio.sleep(0.5)
+            starts = self.cluster.list_starts(f"q{number}")
+            waits.append(starts[0][0] - came if starts else SECOND)
+        self.assertLess(sorted(waits)[8], SECOND / 2)
+        await self.pressing
+        self.end()
+
+    @virtual
+    async def test_batches_go_on_beside_the_room_that_is_kept(self):
+        await self.begin_pressed(16)
+        gang = StepSpec(20, SMALL, 2 * SECOND, is_gang=True)
+        for number in range(4):
+            await self.hand_in(GANGS, f"gang{number}", make_job(gang))
+        before = len(self.cluster.list_starts())
+        await asyncio.sleep(8)
+        started = len(self.cluster.list_starts()) - before
+        # Seconds of tasks that began, of those that the pool has: gangs take 2 s each.
+        gangs = len([r for r in self.cluster.list_starts() if r[1].job[:4] == "gang"])
+        self.assertGreater(started - gangs + 2 * gangs, 0.75 * ROOM * 8)
+        await self.pressing
+        self.end()
