Watch the owner from all availability zones, and count only who was deposed

And a handover counted as a deposition, which doubled the patience for 10 s. Change: watchers are taken of the zones in turn; the leadership counts who was succeeded without having handed over.

--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -77,6 +77,11 @@
     predecessor: OwnerRecord | None
 
 
+class _Deposed(NamedTuple):
+    at: timedelta
+    owner: OwnerRecord
+
+
 class Leadership:
     """Membership of this daemon and the election of the owner.
 
@@ -106,6 +111,7 @@
         self._members: dict[str, MemberRecord] = {}
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
+        self._deposed: list[_Deposed] = []
         self._has_lead = False
         self._is_synced = False
         self._lost_contact_at = float("-inf")
@@ -308,11 +314,30 @@
             # A takeover writes its hint with it; the watch tells when that goes. Who
             # learns of the owner by a refused commit may not have seen the hint yet.
             self._has_lead = not owner.is_released
+        self._note_succession(owner)
         self._owner = owner
         self._owner_revision = revision
         if self._mandate is not None and not self._is_own(self._owner):
             self.step_down("the store names another owner")
 
+    def _note_succession(self, owner: OwnerRecord) -> None:
+        """Take note of an owner that was succeeded without having handed over."""
+        before = self._owner
+        if before is not None and before.epoch < owner.epoch and not before.is_released:
+            self._deposed.append(_Deposed(self._clock.monotonic(), before))
+
+    def count_deposed(self, lately: timedelta) -> int:
+        """Count the owners that were deposed lately though they are alive.
+
+        One that is gone is still counted until its lease in the store has ended.
+        """
+        since = self._clock.monotonic() - lately
+        self._deposed = [deposed for deposed in self._deposed if deposed.at > since]
+        return sum(
+            self.is_member(owner.instance, owner.incarnation)
+            for _, owner in self._deposed
+        )
+
     def _is_own(self, owner: OwnerRecord) -> bool:
         is_self = owner.incarnation == self._member.incarnation
         return is_self and not owner.is_released
@@ -479,6 +504,7 @@
         if self._owner_revision > revision:
             _log.info("Overtaken before it began.", epoch=record.epoch)
             return
+        self._note_succession(record)
         self._owner, self._owner_revision = record, revision
         self._has_lead = True
         self.confirm(sent)
--- a/src/damaskdeck/coordination/pools/watching.py
+++ b/src/damaskdeck/coordination/pools/watching.py
@@ -14,7 +14,6 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
@@ -39,7 +38,8 @@
 WITNESS_SHARE = 2 / 3
 # For the way to a witness and back, beyond what it waits for the owner.
 WITNESS_SLACK = timedelta(milliseconds=100)
-# How many daemons ask for beats; the others ask only when they are asked.
+# How many daemons ask for beats, of all availability zones in turn, as the owner's may
+# be cut off; the others ask only when they are asked.
 WATCHERS = 4
 # How many are asked whether they hear the owner: the best heirs, as one of them has to
 # stand, and others of all availability zones in turn, as a zone may be cut off.
@@ -54,11 +54,6 @@
 _log = get_logger("watching")
 
 
-class _Deposed(NamedTuple):
-    at: timedelta
-    owner: OwnerRecord
-
-
 class OwnerWatch:
     """Watches the owner from one daemon.
 
@@ -80,8 +75,6 @@
         self._clock = clock
         self._get_epoch = get_epoch
         self._signs = LifeSigns(clock)
-        self._owner: OwnerRecord | None = None
-        self._deposed: list[_Deposed] = []
         self._beats: set[asyncio.Task[None]] = set()
         self._fence = 0
         leadership.is_heard = self.is_heard
@@ -97,7 +90,7 @@
                 owner = self._leadership.owner
                 if owner is None or owner.is_released or self._leadership.mandate:
                     continue
-                self._follow(owner)
+                self._signs.follow(owner.epoch)
                 if self._is_watcher(owner.instance):
                     await self._watch(owner)
         finally:
@@ -117,20 +110,8 @@
         is_refused = self._peers.is_refused(owner.instance)
         return not is_refused and self._signs.measure_silence() < lasts
 
-    def _follow(self, owner: OwnerRecord) -> None:
-        before, self._owner = self._owner, owner
-        if before is not None and before.epoch < owner.epoch:
-            self._deposed.append(_Deposed(self._clock.monotonic(), before))
-        if owner.epoch > self._signs.epoch:
-            self._signs.follow(owner.epoch)
-
     def _find_patience(self) -> float:
-        since = self._clock.monotonic() - DEPOSED_LASTS
-        self._deposed = [deposed for deposed in self._deposed if deposed.at > since]
-        alive = sum(
-            self._leadership.is_member(owner.instance, owner.incarnation)
-            for _, owner in self._deposed
-        )
+        alive = self._leadership.count_deposed(DEPOSED_LASTS)
         return self._signs.find_patience(alive)
 
     def _is_silent(self, owner: str) -> bool:
@@ -140,7 +121,7 @@
         return self._signs.measure_silence() >= self._find_patience()
 
     def _is_watcher(self, owner: str) -> bool:
-        others = [n for n in self._leadership.list_members() if n != owner]
+        others = [n for n in self._leadership.list_spread() if n != owner]
         return self._instance in others[:WATCHERS]
 
     async def _watch(self, owner: OwnerRecord) -> None:
@@ -257,7 +238,7 @@
         if self._get_epoch() == owner.epoch:
             return {"hears": True}
         is_new = owner.epoch > self._signs.epoch
-        self._follow(owner)
+        self._signs.follow(owner.epoch)
         if not is_new and not self._is_silent(owner.instance):
             return {"hears": True}
         if self._is_watcher(owner.instance) and not is_new:
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -93,7 +93,12 @@
     """What one daemon does for the pools; :meth:`kill` ends it at once."""
 
     def __init__(
-        self, cluster: "PoolCluster", name: str, power: float, started_at: float
+        self,
+        cluster: "PoolCluster",
+        name: str,
+        power: float,
+        started_at: float,
+        zone: str,
     ) -> None:
         self.name = name
         self.is_killed = False
@@ -110,7 +115,7 @@
         incarnation = f"{name}-{next(cluster.numbers)}"
         healthy = HealthyStore(self.store, clock)
         self.leadership = Leadership(
-            MemberRecord(name, incarnation, f"{name}:1", "z", power, started_at),
+            MemberRecord(name, incarnation, f"{name}:1", zone, power, started_at),
             healthy,
             clock,
             cluster.times,
@@ -263,10 +268,14 @@
         self.store.set(StandinRegistry.prefix + name, b"2")
 
     def add_daemon(
-        self, name: str, power: float = 1.0, started_at: float = 0.0
+        self,
+        name: str,
+        power: float = 1.0,
+        started_at: float = 0.0,
+        zone: str = "z",
     ) -> ClusterDaemon:
         """Make a daemon; one of that name that was killed is replaced."""
-        daemon = ClusterDaemon(self, name, power, started_at)
+        daemon = ClusterDaemon(self, name, power, started_at, zone)
         self.daemons[name] = daemon
         return daemon
 
--- a/tests/test_pools_overload.py
+++ b/tests/test_pools_overload.py
@@ -20,7 +20,7 @@
 from damaskdeck.protocol.poolcalls import AskWaiting
 from damaskdeck.protocol.queues import QueuedState
 from standins.clock import ManualClock
-from tests.poolcluster import SECOND, PoolCase, make_job
+from tests.poolcluster import SECOND, PoolCase, PoolCluster, make_job
 from tests.virtual import virtual
 
 # What a message takes to serve on the smallest instances: 1.5 ms of a whole core.
@@ -93,6 +93,33 @@
         self.end()
 
 
+class TestZones(PoolCase):
+    """The owner's availability zone is cut off, and with it many who would watch."""
+
+    @virtual
+    async def test_some_watch_from_another_zone_than_the_owners(self):
+        self.cluster = cluster = PoolCluster(daemons=0, workers=6, zones=2)
+        inside = [f"a{number}" for number in range(4)]
+        for name in inside:
+            cluster.add_daemon(name, zone="z0")
+        for number in range(6):
+            cluster.add_daemon(f"b{number}", zone="z1")
+        cluster.add_daemon("a9", power=2.0, zone="z0")
+        await cluster.start()
+        await asyncio.sleep(1)
+        if cluster.find_named() != "a9":
+            await cluster.find_owner().leadership.release(is_leaving=False)
+        await cluster.wait(lambda: cluster.find_named() == "a9")
+        await asyncio.sleep(1)
+        cluster.cut_zone("z0", (*inside, "a9"))
+        cut_at = cluster.clock.monotonic()
+        await cluster.wait(lambda: cluster.find_named() != "a9", seconds=5)
+        self.assertLess(cluster.clock.monotonic() - cut_at, 0.9 * SECOND)
+        cluster.heal()
+        await asyncio.sleep(2)
+        self.end()
+
+
 class TestSigns(unittest.TestCase):
     """How long a daemon waits for signs of the owner."""
 
