Ask the advisor first about workers that can be used soonest

Change (asking.py, out of dispatching.py): where a question can't name all, those that consented before come first, then the zones of the job, then those with the most room, equal ones in an order of each step's own. Smaller systems ask as before. Figures: tests/test_asking.py: all of a zone's 54 workers named in place of 20, those with room first, under 15 of 30 others in common between two steps.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -1,13 +1,14 @@
 """Gives room to waiting tasks: passes over the open jobs, and the orders to start."""
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Protocol
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.asking import Asker
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
@@ -27,7 +28,7 @@
 from damaskdeck.coordination.pools.trust import Trust
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
-from damaskdeck.protocol.pools import EndedTask, EndKind, PoolWorker
+from damaskdeck.protocol.pools import EndedTask, EndKind
 from damaskdeck.protocol.queues import QueuedState, QueueTable
 from damaskdeck.protocol.sizes import fits
 from damaskdeck.state.board import Board, Job, Run, RunPhase, Step, Task
@@ -37,17 +38,11 @@
 # What no event tells, such as a pause that ends, is seen after so long at most: each
 # pending step then looks at all workers again, some 0.1 ms of processor time a step.
 FULL_LOOK_SECONDS = 0.25
-# A step asks the advisor for what it lacks so often; looking for it reads all workers.
-ASK_INTERVAL_SECONDS = 0.1
 # A gang that could not start tries again after so long.
 GANG_PAUSE_SECONDS = 0.2
 # Members of a gang that are in doubt are waited for so long: with the time-out of
 # an order it stays well below that of the workers, 3 s.
 GANG_DOUBT_SECONDS = 1.0
-# Tickets are asked for anew so long before they end, beyond the call's duration.
-REFRESH_SLACK_SECONDS = 0.3
-# So many steps in the order of urgency have their tickets kept fresh.
-REFRESH_STEPS = 12
 
 # A step waits for the racks where it runs best for what it gains there, at most so
 # long: with room elsewhere nothing may wait for 3 s (the platform's rule).
@@ -112,6 +107,7 @@
         self._usable: set[str] = set()
         self._looked_at = float("-inf")
         self._reservations = Reservations()
+        self._asker = Asker(desk, lambda: owner.contacts)
         # The first occurrence that isn't open yet, by job.
         self._timed: dict[str, int] = {}
 
@@ -252,7 +248,7 @@
         """
         step, tasks = pending.step, pending.tasks
         pool = self.find_pool(step)
-        self._ask(step, pool, urgency, place, now)
+        self._asker.ask(step, pool, urgency, place, now)
         is_whole_look = not pending.is_tried or is_choosy(step.spec)
         if not (is_whole_look or opened):
             return
@@ -371,57 +367,13 @@
         since = step.pinched_at if step.pinched_at is not None else now
         if now - since >= min(gain, FAR_PATIENCE_SECONDS):
             return True
-        listed = self._list_candidates(step, pool)
+        listed = self._asker.list_possible(step, pool)
         workers = [worker for worker in listed if suits(step.spec, worker)]
         return not has_best_rack(step, workers)
 
-    def _list_candidates(self, step: Step, pool: str) -> Iterator[PoolWorker]:
-        """Yield the workers that may get tasks of a step, as far as is known."""
-        refused = self._desk.get(step).refused
-        for contact in self._owner.contacts.values():
-            info = contact.info
-            is_staying = contact.is_listed and not info.is_leaving
-            if info.pool == pool and is_staying and info.identifier not in refused:
-                yield info
-
     def ask_first(self, step: Step, now: float) -> None:
         """Ask about a step as if it were the most urgent one."""
-        self._ask(step, self.find_pool(step), judge_step(step, now), 0, now)
-
-    def _ask(
-        self, step: Step, pool: str, urgency: Urgency, place: int, now: float
-    ) -> None:
-        """Ask about workers without a verdict, or whose tickets are ending."""
-        terms = step.job.queue.advice
-        if terms is None:
-            return
-        verdicts = self._desk.get(step)
-        if verdicts.is_asked:
-            return
-        if place >= REFRESH_STEPS and (
-            verdicts.tickets or urgency.outlook is Outlook.LOST
-        ):
-            return
-        if now < verdicts.complete_until:
-            return
-        need = step.spec.size
-        wanted, needed = [], False
-        limit = now + REFRESH_SLACK_SECONDS + terms.base.total_seconds()
-        for info in self._list_candidates(step, pool):
-            key = info.identifier
-            if not fits(need, info.size):
-                continue
-            ticket, until = verdicts.tickets.get(key, ("", 0.0))
-            if until < limit:
-                wanted.append(key)
-                needed = True
-            elif ticket and until < limit + REFRESH_SLACK_SECONDS:
-                wanted.append(key)
-        if needed:
-            weight = terms.base.total_seconds() + max(urgency.slack, 0.0) / 10
-            self._desk.ask(step, wanted, weight)
-        else:
-            verdicts.complete_until = now + ASK_INTERVAL_SECONDS
+        self._asker.ask(step, self.find_pool(step), judge_step(step, now), 0, now)
 
     # Orders ------------------------------------------------------------------
 
