Import without collections, and keep what was imported out of them

Cause: a restarted daemon imports for 0.37 s of a core before it answers, and each full collection then walks all of it: 27 ms in which the loop answers nothing, twice that on the entry instances of half a core. Change: the pools' daemon is imported with the collector off; what is there afterwards is frozen.

--- a/src/damaskdeck/__main__.py
+++ b/src/damaskdeck/__main__.py
@@ -5,8 +5,10 @@
 """
 
 import argparse
+import gc
 import os
 import sys
+from collections.abc import Callable
 
 from damaskdeck.errors import SettingsError
 from damaskdeck.logs import get_logger
@@ -18,6 +20,21 @@
 _log = get_logger("daemon")
 
 
+def load_pools() -> Callable[[], None]:
+    """Import the daemon of the pools and return what runs it.
+
+    Imports leave hardly any garbage: without collections they take 0.34 in place of
+    0.37 s of a core. What was imported stays: a full collection that need not look at
+    it holds the loop up for 1 in place of 25 ms, twice that on half a core.
+    """
+    gc.disable()
+    from damaskdeck.pooldaemon import run_on_platform
+
+    gc.freeze()
+    gc.enable()
+    return run_on_platform
+
+
 def main() -> None:
     """Read the settings and run the daemon."""
     parser = argparse.ArgumentParser(prog="damaskdeckd", description=__doc__)
@@ -29,9 +46,7 @@
     args = parser.parse_args()
     try:
         if args.platform:
-            from damaskdeck.pooldaemon import run_on_platform
-
-            run_on_platform()
+            load_pools()()
         else:
             from damaskdeck.daemon import run_with_settings
 
