Ask the advisor in parts, through several daemons, and again for who is kept

Change: a step asks about as many workers as should hold twice its tasks by the consent that its queue has had, in parts of 30 through daemons that are free, about others only once those lacked room; a gang with workers kept for it asks again about these and no others, wherever it stands in the order; long questions leave 15 % of the daemons alone. Up to 30 workers all are asked about at once, as before.

--- a/src/damaskdeck/coordination/pools/advising.py
+++ b/src/damaskdeck/coordination/pools/advising.py
@@ -27,8 +27,9 @@
 TICKET_MARGIN_SECONDS = 0.15
 # A question that takes longer may not have all daemons.
 LONG_QUESTION_SECONDS = 0.15
-# How many daemons long questions leave alone.
+# How many daemons long questions leave alone at least, and which share of them.
 RESERVED_ASKERS = 2
+RESERVED_SHARE = 0.15
 # Beyond what the advisor needs, for the ways between daemon and advisor.
 ANSWER_SLACK = timedelta(milliseconds=700)
 FAILURE_PAUSE_SECONDS = 0.5
@@ -41,16 +42,16 @@
 
     :ivar tickets: by worker: ticket and until when it is good, monotonic seconds.
     :ivar refused: workers that may not run the step.
-    :ivar is_asked: a question is waiting or on its way.
+    :ivar asked: workers that a question names that is waiting or on its way.
     :ivar complete_until: nothing has to be asked before this time.
     """
 
-    __slots__ = ("complete_until", "is_asked", "refused", "tickets")
+    __slots__ = ("asked", "complete_until", "refused", "tickets")
 
     def __init__(self) -> None:
         self.tickets: dict[str, tuple[str, float]] = {}
         self.refused: set[str] = set()
-        self.is_asked = False
+        self.asked: set[str] = set()
         self.complete_until = 0.0
 
     def list_tickets(self, now: float, among: Iterable[str] | None) -> list[str]:
@@ -73,6 +74,21 @@
             self.complete_until = 0.0
 
 
+class Consents(NamedTuple):
+    """How many workers the advisor was asked about for a queue, and consented to.
+
+    The first guess is a half, which a few answers outweigh.
+    """
+
+    asked: int = 4
+    given: int = 2
+
+    @property
+    def share(self) -> float:
+        """The share of workers that may run a step, above 0."""
+        return max(self.given, 1) / self.asked
+
+
 class _Question(NamedTuple):
     step: Step
     workers: tuple[str, ...]
@@ -103,6 +119,7 @@
         self._list_askers = list_askers
         self._wake = wake
         self._verdicts: dict[str, Verdicts] = {}
+        self._consents: dict[str, Consents] = {}
         self._queue: list[tuple[float, int, _Question]] = []
         self._numbers = itertools.count()
         self._busy: dict[str, bool] = {}
@@ -121,20 +138,30 @@
         self._verdicts.pop(step.name, None)
 
     def ask(self, step: Step, workers: list[str], urgency: float) -> None:
-        """Queue a question, unless one for the step is under way.
+        """Queue a question.
 
+        :param workers: at most :data:`QUESTION_LIMIT`.
         :param urgency: lower is asked first.
         """
-        verdicts = self.get(step)
         terms = step.job.queue.advice
-        if verdicts.is_asked or not workers or terms is None:
+        if not workers or terms is None:
             return
-        verdicts.is_asked = True
+        self.get(step).asked.update(workers)
         question = _Question(step, tuple(workers[:QUESTION_LIMIT]), terms)
         entry = (urgency, next(self._numbers), question)
         heapq.heappush(self._queue, entry)
         self.dispatch()
 
+    def count_free(self) -> int:
+        """Count the daemons that could ask now, beyond the questions that wait."""
+        now = self._clock.monotonic().total_seconds()
+        free = sum(self._is_free(name, now) for name in self._list_askers())
+        return max(0, free - len(self._queue))
+
+    def find_consents(self, step: Step) -> Consents:
+        """Return how often the advisor consents to workers for a step's queue."""
+        return self._consents.get(step.job.queue.name, Consents())
+
     def dispatch(self) -> None:
         """Give waiting questions to daemons that have none."""
         left = []
@@ -142,7 +169,7 @@
             entry = heapq.heappop(self._queue)
             question = entry[2]
             if question.step.job.is_final or question.step.is_completed:
-                self.get(question.step).is_asked = False
+                self.get(question.step).asked.difference_update(question.workers)
                 continue
             asker = self._find_asker(question)
             if asker is None:
@@ -159,15 +186,17 @@
 
     def _find_free(self) -> str | None:
         now = self._clock.monotonic().total_seconds()
-        for name in self._list_askers():
-            if name not in self._busy and self._paused.get(name, 0.0) <= now:
-                return name
-        return None
+        names = (name for name in self._list_askers() if self._is_free(name, now))
+        return next(names, None)
+
+    def _is_free(self, name: str, now: float) -> bool:
+        return name not in self._busy and self._paused.get(name, 0.0) <= now
 
     def _find_asker(self, question: _Question) -> str | None:
         if question.duration.total_seconds() > LONG_QUESTION_SECONDS:
-            long = sum(self._busy.values())
-            if long >= max(1, len(self._list_askers()) - RESERVED_ASKERS):
+            long, askers = sum(self._busy.values()), len(self._list_askers())
+            reserved = max(RESERVED_ASKERS, int(RESERVED_SHARE * askers))
+            if long >= max(1, askers - reserved):
                 return None
         return self._find_free()
 
@@ -181,7 +210,7 @@
         sent = self._clock.monotonic().total_seconds()
         reply = await self._peers.call(asker, message, AskAdvice, timeout)
         del self._busy[asker]
-        self.get(step).is_asked = False
+        self.get(step).asked.difference_update(question.workers)
         now = self._clock.monotonic().total_seconds()
         observe_latency("advice", "ask", now - sent)
         if isinstance(reply, Answered) and not reply.message["code"]:
@@ -200,6 +229,11 @@
         verdicts = self.get(question.step)
         until = now + question.terms.validity.total_seconds()
         consents = dict(reply["consents"])
+        queue = question.step.job.queue.name
+        known = self._consents.get(queue, Consents())
+        self._consents[queue] = Consents(
+            known.asked + len(question.workers), known.given + len(consents)
+        )
         for worker in question.workers:
             if worker in consents:
                 verdicts.tickets[worker] = (consents[worker], until)
--- a/src/damaskdeck/coordination/pools/asking.py
+++ b/src/damaskdeck/coordination/pools/asking.py
@@ -1,5 +1,6 @@
 """What the advisor is asked about a step: when, and about which workers."""
 
+import math
 from collections.abc import Callable, Iterator
 from random import Random
 
@@ -22,6 +23,13 @@
 REFRESH_STEPS = 12
 # A step asks the advisor for what it lacks so often; looking for it reads all workers.
 ASK_INTERVAL_SECONDS = 0.1
+# Workers of a question, where daemons are free to ask several at a time: the users
+# reckon with a call for so many, and more take longer than a second call beside it.
+QUESTION_SIZE = 30
+# One step may have this share of the daemons that are free.
+ASKERS_SHARE = 0.25
+# Room is asked for so many times over: others take some of it meanwhile.
+NEW_MARGIN = 2.0
 
 
 class Asker:
@@ -46,69 +54,106 @@
                 yield info
 
     def ask(
-        self, step: Step, pool: str, urgency: Urgency, place: int, now: float
+        self,
+        step: Step,
+        pool: str,
+        urgency: Urgency,
+        place: int,
+        now: float,
+        lacks_room: bool = False,
+        kept: frozenset[str] = frozenset(),
     ) -> None:
-        """Ask about workers without a verdict, or whose tickets are ending.
+        """Ask about workers whose tickets are ending, or that are not known yet.
 
         :param place: of the step in the order of urgency.
+        :param lacks_room: those that have consented had no room for all of it.
+        :param kept: the workers that are kept for it: no other's tickets matter.
         """
         terms = step.job.queue.advice
         if terms is None:
             return
         verdicts = self._desk.get(step)
-        if verdicts.is_asked or now < verdicts.complete_until:
+        if verdicts.asked or now < verdicts.complete_until:
             return
-        is_far_down = place >= REFRESH_STEPS
+        is_far_down = place >= REFRESH_STEPS and not kept
         if is_far_down and (verdicts.tickets or urgency.outlook is Outlook.LOST):
             return
-        wanted, is_needed = self._list_wanted(step, pool, verdicts, terms, now)
-        if not is_needed:
-            verdicts.complete_until = now + ASK_INTERVAL_SECONDS
+        wanted = self._list_ending(step, pool, verdicts, terms, now)
+        if kept:
+            wanted = [key for key in wanted if key in kept]
+        elif lacks_room or not verdicts.tickets:
+            wanted += self._choose_new(step, pool, verdicts)
+        if not wanted:
+            if lacks_room:
+                verdicts.complete_until = now + ASK_INTERVAL_SECONDS
             return
-        if len(wanted) > QUESTION_LIMIT:
-            wanted = self._sort(step, wanted, verdicts)
         weight = terms.base.total_seconds() + max(urgency.slack, 0.0) / 10
-        self._desk.ask(step, wanted, weight)
+        for part in self._split(wanted):
+            self._desk.ask(step, part, weight)
 
-    def _list_wanted(
+    def _list_ending(
         self,
         step: Step,
         pool: str,
         verdicts: Verdicts,
         terms: AdviceTerms,
         now: float,
-    ) -> tuple[list[str], bool]:
-        """Return whom to ask about, and whether that is due yet."""
-        need = step.spec.size
-        wanted, is_needed = [], False
+    ) -> list[str]:
+        """List the workers whose tickets are about to end.
+
+        None as long as all last; else also those that end a little later.
+        """
         limit = now + REFRESH_SLACK_SECONDS + terms.base.total_seconds()
-        for info in self.list_possible(step, pool):
-            key = info.identifier
-            if not fits(need, info.size):
-                continue
-            ticket, until = verdicts.tickets.get(key, ("", 0.0))
-            if until < limit:
-                wanted.append(key)
-                is_needed = True
-            elif ticket and until < limit + REFRESH_SLACK_SECONDS:
-                wanted.append(key)
-        return wanted, is_needed
-
-    def _sort(self, step: Step, wanted: list[str], verdicts: Verdicts) -> list[str]:
-        """Put first who can be used soonest, as a question names only so many.
-
-        Those that have consented before do so again; of the others come first those
-        in the zones that the job is confined to, then those with the most room. Equal
-        ones come in another order for each step, so that not all want the same.
+        ends = {key: until for key, (_, until) in verdicts.tickets.items()}
+        if not any(until < limit for until in ends.values()):
+            return []
+        limit += REFRESH_SLACK_SECONDS
+        possible = (info.identifier for info in self.list_possible(step, pool))
+        return [key for key in possible if ends.get(key, math.inf) < limit]
+
+    def _choose_new(self, step: Step, pool: str, verdicts: Verdicts) -> list[str]:
+        """Choose workers without a verdict: as many as should hold the step.
+
+        All where a question can name them. Else first those in the zones that the job
+        is confined to, then those with the most room. Equal ones come in another order
+        for each step, so that not all steps want the same.
         """
         contacts, spec = self._get_contacts(), step.spec
+        tasks = len(step.tasks)
+        rooms = {
+            info.identifier: min(
+                tasks, count_fitting(spec, contacts[info.identifier].free)
+            )
+            for info in self.list_possible(step, pool)
+            if info.identifier not in verdicts.tickets and fits(spec.size, info.size)
+        }
+
+        if len(rooms) <= QUESTION_SIZE:
+            return list(rooms)
 
-        def rank(key: str) -> tuple[bool, bool, int]:
-            contact = contacts[key]
-            room = min(count_fitting(spec, contact.free), len(step.tasks))
-            is_outside = not step.job.may_run_in(contact.info.zone)
-            return key not in verdicts.tickets, is_outside, -room
+        def rank(key: str) -> tuple[bool, int]:
+            return not step.job.may_run_in(contacts[key].info.zone), -rooms[key]
 
-        shuffled = list(wanted)
+        shuffled = list(rooms)
         Random(step.name).shuffle(shuffled)
-        return sorted(shuffled, key=rank)
+        needed = NEW_MARGIN * tasks / self._desk.find_consents(step).share
+        chosen: list[str] = []
+        for key in sorted(shuffled, key=rank):
+            if needed <= 0 and len(chosen) >= QUESTION_SIZE:
+                break
+            needed -= rooms[key]
+            chosen.append(key)
+        return chosen
+
+    def _split(self, wanted: list[str]) -> list[list[str]]:
+        """Split what to ask over daemons that have nothing to ask.
+
+        The advisor takes its time for each worker that a question names, and answers
+        one question at a time for each daemon.
+        """
+        least = math.ceil(len(wanted) / QUESTION_LIMIT)
+        most = math.ceil(len(wanted) / QUESTION_SIZE)
+        askers = int(ASKERS_SHARE * self._desk.count_free())
+        parts = max(least, min(most, askers))
+        size = math.ceil(len(wanted) / parts)
+        return [wanted[at : at + size] for at in range(0, len(wanted), size)]
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -248,7 +248,8 @@
         """
         step, tasks = pending.step, pending.tasks
         pool = self.find_pool(step)
-        self._asker.ask(step, pool, urgency, place, now)
+        kept = self._reservations.list_workers(step)
+        self._asker.ask(step, pool, urgency, place, now, pending.is_tried, kept)
         is_whole_look = not pending.is_tried or is_choosy(step.spec)
         if not (is_whole_look or opened):
             return
--- a/src/damaskdeck/coordination/pools/reserving.py
+++ b/src/damaskdeck/coordination/pools/reserving.py
@@ -57,6 +57,11 @@
         """Return the reservation that a worker is kept for."""
         return self._workers.get(worker)
 
+    def list_workers(self, step: Step) -> frozenset[str]:
+        """Return the workers that are kept for a step."""
+        kept = self._steps.get(step.name)
+        return kept.workers if kept is not None else frozenset()
+
     def may_use(self, worker: str, step: Step, now: float) -> bool:
         """Whether a step may start on a worker without delaying whom it is kept for."""
         kept = self._workers.get(worker)
