--- a/src/damaskdeck/coordination/pools/reserving.py
+++ b/src/damaskdeck/coordination/pools/reserving.py
@@ -19,9 +19,9 @@
 from damaskdeck.protocol.sizes import add_sizes
 from damaskdeck.state.board import Run, Step
 
-# So much of the workers may be kept at a time; the most urgent gang alone may have twice
-# that. What is kept stands half empty: with a half in place of a quarter of 270 workers
-# kept, 1,100 in place of 560 of 4,320 cores did, and gangs and others both started later.
+# So much of the workers may be kept at a time; the most urgent gang alone may have
+# twice that. What is kept stands half empty: with a half in place of a quarter of 270
+# workers, 1,100 in place of 560 of 4,320 cores did, and gangs and others started later.
 KEPT_SHARE = 0.25
 FIRST_SHARE = 0.5
 # A gang's room may be spread over so many times the workers that would hold it alone:
