Split starting off dispatching, and the order of members off leadership

Change: starting.py orders what was planned and settles answers, heirs.py ranks members, spreads them over zones and counts owners that were deposed alive. Behaviour as before; the tests call list_heirs in place of its private twin.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -5,13 +5,11 @@
 from datetime import timedelta
 from typing import Protocol
 
-from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.asking import Asker
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.ordering import Outlook, Urgency, judge_step
 from damaskdeck.coordination.pools.paces import Paces
 from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps, RankedStep
@@ -24,26 +22,20 @@
 )
 from damaskdeck.coordination.pools.reserving import Reservations, is_crowded
 from damaskdeck.coordination.pools.speeds import Speeds
+from damaskdeck.coordination.pools.starting import Starter, StartOwner
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.trust import Trust
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import observe_wait
 from damaskdeck.protocol.pools import EndedTask, EndKind
 from damaskdeck.protocol.queues import QueuedState, QueueTable
 from damaskdeck.protocol.sizes import fits
-from damaskdeck.state.board import Board, Job, Run, RunPhase, Step, Task
+from damaskdeck.state.board import Board, Job, Run, Step, Task
 
 # What happens within so short a time shares a pass.
 PASS_INTERVAL = timedelta(milliseconds=4)
 # What no event tells, such as a pause that ends, is seen after so long at most: each
 # pending step then looks at all workers again, some 0.1 ms of processor time a step.
 FULL_LOOK_SECONDS = 0.25
-# A gang that could not start tries again after so long.
-GANG_PAUSE_SECONDS = 0.2
-# Members of a gang that are in doubt are waited for so long: with the time-out of
-# an order it stays well below that of the workers, 3 s.
-GANG_DOUBT_SECONDS = 1.0
-
 # A step waits for the racks where it runs best for what it gains there, at most so
 # long: with room elsewhere nothing may wait for 3 s (the platform's rule).
 FAR_PATIENCE_SECONDS = 2.0
@@ -51,28 +43,18 @@
 _log = get_logger("dispatching")
 
 
-class DispatchOwner(Protocol):
+class DispatchOwner(StartOwner, Protocol):
     """What the dispatcher asks of the owner whose jobs it places."""
 
-    mandate: Mandate
     board: Board
     contacts: dict[str, WorkerContact]
 
-    def now(self) -> float:
-        """Return monotonic seconds."""
-
     def get_table(self) -> QueueTable | None:
         """Return the declared queues in force."""
 
     def may_decide(self) -> bool:
         """Whether the mandate is fresh enough to act on."""
 
-    def next_attempt(self, tasks: list[Task]) -> int:
-        """Return an attempt number above all that the tasks had."""
-
-    def stop(self, run: Run) -> None:
-        """Tell a run's worker to end it."""
-
     def end_job(self, job: Job, state: QueuedState, reason: str) -> None:
         """Give a job its final state."""
 
@@ -100,7 +82,7 @@
         self.paces = Paces()
         self._has_work = asyncio.Event()
         self._is_draining = False
-        self._starts: set[asyncio.Task[None]] = set()
+        self._starter = Starter(owner, clock, desk, self.touch)
         self._pending = PendingSteps()
         # Workers whose room has grown, or that may get orders again, since a pass.
         self._opened: set[str] = set()
@@ -156,15 +138,12 @@
 
     def close(self) -> None:
         """Stop at once."""
-        for task in self._starts:
-            task.cancel()
+        self._starter.close()
 
     async def drain(self) -> None:
         """Order nothing any more; wait for the answers to what was ordered."""
         self._is_draining = True
-        if self._starts:
-            timeout = self._times.start_timeout.total_seconds()
-            await asyncio.wait(self._starts, timeout=timeout)
+        await self._starter.drain(self._times.start_timeout)
 
     async def run(self) -> None:
         """Make a pass whenever something has changed."""
@@ -376,74 +355,10 @@
         """Ask about a step as if it were the most urgent one."""
         self._asker.ask(step, self.find_pool(step), judge_step(step, now), 0, now)
 
-    # Orders ------------------------------------------------------------------
-
     def _order(self, step: Step, plan: Plan, now: float) -> None:
-        attempt = self._owner.next_attempt([task for task, _ in plan])
-        runs: list[tuple[Run, WorkerContact]] = []
-        for task, candidate in plan:
-            task.attempt = attempt
-            run = Run(task, candidate.key, attempt, now)
-            task.runs.append(run)
-            candidate.contact.add_run(run)
+        for run in self._starter.order(step, plan, now):
             self.trust.note_start(run)
-            runs.append((run, candidate.contact))
         self._pending.touch(step.job)
-        if not step.job.has_started:
-            waited = timedelta(seconds=max(0.0, now - step.job.arrived_at))
-            observe_wait("pools", str(step.job.queue.rank), waited)
-        _log.info(
-            "Ordered.",
-            id=step.job.identifier,
-            step=step.number,
-            attempt=attempt,
-            tasks=[task.name.index for task, _ in plan],
-            workers=[candidate.key for _, candidate in plan],
-            age=round(now - step.job.arrived_at, 3),
-            epoch=self._owner.mandate.epoch,
-        )
-        start_task(self._start(step, runs), self._starts)
-
-    async def _start(self, step: Step, runs: list[tuple[Run, WorkerContact]]) -> None:
-        verdicts = self._desk.get(step)
-        needs_ticket = step.job.queue.advice is not None
-        payload = step.job.record.spec.payload
-
-        def start(run: Run, contact: WorkerContact):
-            ticket = verdicts.tickets.get(run.worker, ("", 0.0))[0]
-            return contact.start(
-                run, payload, run.task.checkpoint, ticket if needs_ticket else ""
-            )
-
-        results = await asyncio.gather(*(start(run, c) for run, c in runs))
-        if all(results):
-            return
-        for (run, _), is_started in zip(runs, results, strict=True):
-            if not is_started and run.phase is RunPhase.ORDERED:
-                verdicts.drop(run.worker)
-        is_gang = step.spec.is_gang and not step.is_completed
-        if is_gang and not await self._settle_gang([run for run, _ in runs]):
-            step.not_before = self._owner.now() + GANG_PAUSE_SECONDS
-            for run in list(step.list_runs()):
-                self._owner.stop(run)
-        self.touch(step.job)
-
-    async def _settle_gang(self, runs: list[Run]) -> bool:
-        """Wait while members are in doubt; returns whether all of them run.
-
-        An answer that is lost is no start that failed: the next look at the worker
-        tells, mostly within a few milliseconds.
-        """
-        latest = self._owner.now() + GANG_DOUBT_SECONDS
-        while any(run.phase is RunPhase.DOUBTFUL for run in runs):
-            is_lost = any(
-                run.stopping_since is not None or run not in run.task.runs
-                for run in runs
-            )
-            if is_lost or self._owner.now() >= latest:
-                return False
-            await self._clock.sleep(PASS_INTERVAL)
-        return all(run.phase is RunPhase.RUNNING for run in runs)
 
     # Ends and time -----------------------------------------------------------
 
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -8,13 +8,18 @@
 """
 
 import asyncio
-import itertools
 from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.health import HealthyStore
+from damaskdeck.coordination.pools.heirs import (
+    Successions,
+    find_stronger,
+    rank_heirs,
+    spread_over_zones,
+)
 from damaskdeck.coordination.pools.membership import RETRY_DELAY, Membership
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
@@ -46,9 +51,6 @@
     encode_record,
 )
 
-# Daemons whose starts differ by less are of one age: clocks differ, and all start
-# within a second when the whole system does.
-AGE_GRAIN = timedelta(seconds=1)
 # Daemons try one after the other, so that one takeover isn't undone by the next.
 RANK_DELAY = timedelta(milliseconds=120)
 # After the store was away, the owner gets the first turn to renew its hint.
@@ -56,9 +58,6 @@
 
 # One of them with the fence as it was last seen, one as the store then tells it.
 TAKEOVER_TRIES = 2
-# An owner hands over to a member that has so much more power; a handover costs a
-# tenth of a second without starts, a slow owner all day.
-STRONGER = 1.5
 
 _log = get_logger("leadership")
 
@@ -77,11 +76,6 @@
     predecessor: OwnerRecord | None
 
 
-class _Deposed(NamedTuple):
-    at: timedelta
-    owner: OwnerRecord
-
-
 class Leadership:
     """Membership of this daemon and the election of the owner.
 
@@ -111,7 +105,7 @@
         self._members: dict[str, MemberRecord] = {}
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
-        self._deposed: list[_Deposed] = []
+        self._successions = Successions()
         self._has_lead = False
         self._is_synced = False
         self._lost_contact_at = float("-inf")
@@ -149,22 +143,20 @@
         """List the daemons that are up, as last seen."""
         return sorted(self._members)
 
-    def is_member(self, instance: str, incarnation: str) -> bool:
-        """Whether a process is up, as last seen."""
-        member = self._members.get(instance)
-        return member is not None and member.incarnation == incarnation
-
     def list_heirs(self) -> list[str]:
         """List the members by who should own next, the best first."""
-        return self._rank_heirs()
+        own, owner = self._member.instance, self._owner
+        members = {**self._members, own: self._member}
+        if owner is not None and owner.instance != own:
+            members.pop(owner.instance, None)
+        if owner is not None and owner.epoch == self._suspected_epoch:
+            for name in self._absent - {own}:
+                members.pop(name, None)
+        return rank_heirs(members, owner.epoch if owner is not None else 0)
 
     def list_spread(self) -> list[str]:
         """List the members by turns of their availability zones."""
-        zones: dict[str, list[str]] = {}
-        for name in self.list_members():
-            zones.setdefault(self._members[name].zone, []).append(name)
-        rows = itertools.zip_longest(*zones.values())
-        return [name for row in rows for name in row if name is not None]
+        return spread_over_zones(self._members)
 
     def find_address(self, instance: str) -> str | None:
         """Return the peers' address of a daemon, ``None`` when it isn't known."""
@@ -314,29 +306,16 @@
             # A takeover writes its hint with it; the watch tells when that goes. Who
             # learns of the owner by a refused commit may not have seen the hint yet.
             self._has_lead = not owner.is_released
-        self._note_succession(owner)
+        self._successions.note(self._owner, owner, self._clock.monotonic())
         self._owner = owner
         self._owner_revision = revision
         if self._mandate is not None and not self._is_own(self._owner):
             self.step_down("the store names another owner")
 
-    def _note_succession(self, owner: OwnerRecord) -> None:
-        """Take note of an owner that was succeeded without having handed over."""
-        before = self._owner
-        if before is not None and before.epoch < owner.epoch and not before.is_released:
-            self._deposed.append(_Deposed(self._clock.monotonic(), before))
-
     def count_deposed(self, lately: timedelta) -> int:
-        """Count the owners that were deposed lately though they are alive.
-
-        One that is gone is still counted until its lease in the store has ended.
-        """
+        """Count the owners that were deposed lately though they are alive."""
         since = self._clock.monotonic() - lately
-        self._deposed = [deposed for deposed in self._deposed if deposed.at > since]
-        return sum(
-            self.is_member(owner.instance, owner.incarnation)
-            for _, owner in self._deposed
-        )
+        return self._successions.count_alive(self._members, since)
 
     def _is_own(self, owner: OwnerRecord) -> bool:
         is_self = owner.incarnation == self._member.incarnation
@@ -380,48 +359,21 @@
         own = self._member.instance
         if owner is not None and owner.is_released and owner.heir == own:
             return timedelta()
-        rank = self._rank_heirs().index(own)
+        rank = self.list_heirs().index(own)
         away = self._clock.monotonic().total_seconds() - self._lost_contact_at
         base = RETURN_DELAY if away < 1.0 else timedelta()
         if owner is not None and owner.is_released:
             base = RETURN_DELAY
         return base + rank * RANK_DELAY
 
-    def _rank_heirs(self) -> list[str]:
-        """List who should own next: the strongest, of these the youngest.
-
-        In a rolling restart the one that was restarted last is stopped last again.
-        Those of one age come by turns.
-        """
-        own = self._member.instance
-        owner = self._owner
-        members = {**self._members, own: self._member}
-        if owner is not None and owner.instance != own:
-            members.pop(owner.instance, None)
-        if owner is not None and owner.epoch == self._suspected_epoch:
-            for name in self._absent - {own}:
-                members.pop(name, None)
-        names = sorted(members)
-        turn = owner.epoch % len(names) if owner else 0
-        names = names[turn:] + names[:turn]
-
-        def rank(name: str) -> tuple[float, float]:
-            age = round(members[name].started_at / AGE_GRAIN.total_seconds())
-            return -members[name].power, -age
-
-        return sorted(names, key=rank)
-
     def find_heir(self, epoch: int, absent: frozenset[str]) -> str:
         """Return who should succeed the owner of an epoch that nobody hears."""
         self.suspect(epoch, absent)
-        return self._rank_heirs()[0]
+        return self.list_heirs()[0]
 
     def find_stronger(self) -> str:
         """Return a member that should own in this daemon's place, or nothing."""
-        limit = STRONGER * self._member.power
-        strong = [m for m in self._members.values() if m.power >= limit]
-        best = max(strong, key=lambda m: m.power, default=None)
-        return best.instance if best is not None else ""
+        return find_stronger(self._members.values(), self._member.power)
 
     async def find_fence(self) -> int:
         """Return the revision of the fence key, 0 when it isn't known."""
@@ -504,7 +456,7 @@
         if self._owner_revision > revision:
             _log.info("Overtaken before it began.", epoch=record.epoch)
             return
-        self._note_succession(record)
+        self._successions.note(self._owner, record, self._clock.monotonic())
         self._owner, self._owner_revision = record, revision
         self._has_lead = True
         self.confirm(sent)
@@ -541,7 +493,7 @@
             return
         self.step_down("handover")
         own = self._member.instance
-        heirs = [name for name in self._rank_heirs() if name != own]
+        heirs = [name for name in self.list_heirs() if name != own]
         heir = heirs[0] if heirs else ""
         record = OwnerRecord(
             mandate.epoch, own, self._member.incarnation, True, heir, fence
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/starting.py
@@ -0,0 +1,138 @@
+"""Orders to start what was placed, and what becomes of those without a clear answer."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+
+from damaskdeck.background import start_task
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.leadership import Mandate
+from damaskdeck.coordination.pools.placing import Plan
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import observe_wait
+from damaskdeck.state.board import Job, Run, RunPhase, Step, Task
+
+# A gang that could not start tries again after so long.
+GANG_PAUSE_SECONDS = 0.2
+# Members of a gang that are in doubt are waited for so long: with the time-out of
+# an order it stays well below that of the workers, 3 s.
+GANG_DOUBT_SECONDS = 1.0
+# Between two looks whether a doubt is settled.
+DOUBT_INTERVAL = timedelta(milliseconds=4)
+
+_log = get_logger("dispatching")
+
+
+class StartOwner(Protocol):
+    """What a starter asks of the owner."""
+
+    mandate: Mandate
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
+    def next_attempt(self, tasks: list[Task]) -> int:
+        """Return an attempt number above all that the tasks had."""
+
+    def stop(self, run: Run) -> None:
+        """Tell a run's worker to end it."""
+
+
+class Starter:
+    """Orders planned tasks on their workers.
+
+    :param touch: called with the job whose tasks may wait again.
+    """
+
+    def __init__(
+        self,
+        owner: StartOwner,
+        clock: Clock,
+        desk: AdviceDesk,
+        touch: Callable[[Job], None],
+    ) -> None:
+        self._owner = owner
+        self._clock = clock
+        self._desk = desk
+        self._touch = touch
+        self._starts: set[asyncio.Task[None]] = set()
+
+    def close(self) -> None:
+        """Stop at once."""
+        for task in self._starts:
+            task.cancel()
+
+    async def drain(self, timeout: timedelta) -> None:
+        """Wait for the answers to what was ordered."""
+        if self._starts:
+            await asyncio.wait(self._starts, timeout=timeout.total_seconds())
+
+    def order(self, step: Step, plan: Plan, now: float) -> list[Run]:
+        """Order what was planned; the runs take their room at once."""
+        attempt = self._owner.next_attempt([task for task, _ in plan])
+        runs: list[tuple[Run, WorkerContact]] = []
+        for task, candidate in plan:
+            task.attempt = attempt
+            run = Run(task, candidate.key, attempt, now)
+            task.runs.append(run)
+            candidate.contact.add_run(run)
+            runs.append((run, candidate.contact))
+        if not step.job.has_started:
+            waited = timedelta(seconds=max(0.0, now - step.job.arrived_at))
+            observe_wait("pools", str(step.job.queue.rank), waited)
+        _log.info(
+            "Ordered.",
+            id=step.job.identifier,
+            step=step.number,
+            attempt=attempt,
+            tasks=[task.name.index for task, _ in plan],
+            workers=[candidate.key for _, candidate in plan],
+            age=round(now - step.job.arrived_at, 3),
+            epoch=self._owner.mandate.epoch,
+        )
+        start_task(self._start(step, runs), self._starts)
+        return [run for run, _ in runs]
+
+    async def _start(self, step: Step, runs: list[tuple[Run, WorkerContact]]) -> None:
+        verdicts = self._desk.get(step)
+        needs_ticket = step.job.queue.advice is not None
+        payload = step.job.record.spec.payload
+
+        def start(run: Run, contact: WorkerContact):
+            ticket = verdicts.tickets.get(run.worker, ("", 0.0))[0]
+            return contact.start(
+                run, payload, run.task.checkpoint, ticket if needs_ticket else ""
+            )
+
+        results = await asyncio.gather(*(start(run, c) for run, c in runs))
+        if all(results):
+            return
+        for (run, _), is_started in zip(runs, results, strict=True):
+            if not is_started and run.phase is RunPhase.ORDERED:
+                verdicts.drop(run.worker)
+        is_gang = step.spec.is_gang and not step.is_completed
+        if is_gang and not await self._settle_gang([run for run, _ in runs]):
+            step.not_before = self._owner.now() + GANG_PAUSE_SECONDS
+            for run in list(step.list_runs()):
+                self._owner.stop(run)
+        self._touch(step.job)
+
+    async def _settle_gang(self, runs: list[Run]) -> bool:
+        """Wait while members are in doubt; returns whether all of them run.
+
+        An answer that is lost is no start that failed: the next look at the worker
+        tells, mostly within a few milliseconds.
+        """
+        latest = self._owner.now() + GANG_DOUBT_SECONDS
+        while any(run.phase is RunPhase.DOUBTFUL for run in runs):
+            is_lost = any(
+                run.stopping_since is not None or run not in run.task.runs
+                for run in runs
+            )
+            if is_lost or self._owner.now() >= latest:
+                return False
+            await self._clock.sleep(DOUBT_INTERVAL)
+        return all(run.phase is RunPhase.RUNNING for run in runs)
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -132,7 +132,7 @@
         await cluster.complete_a_job()
         owner = cluster.find_owner()
         # Those whose turn would come first.
-        heirs = owner.leadership._rank_heirs()
+        heirs = owner.leadership.list_heirs()
         inside = [name for name in heirs if name != owner.name][:2]
         cluster.cut_zone("z0", (owner.name, *inside))
         cut_at = cluster.clock.monotonic()
@@ -261,7 +261,7 @@
     async def test_an_answer_to_a_takeover_that_was_overtaken_is_not_believed(self):
         cluster = await self.begin(daemons=4)
         owner = cluster.find_owner()
-        heir = cluster.daemons[cluster.find_other().leadership._rank_heirs()[0]]
+        heir = cluster.daemons[cluster.find_other().leadership.list_heirs()[0]]
         commit = heir.store.commit
 
         async def commit_slowly(transaction, timeout=None):
