Revert "Let as many orders go at a time as are answered in time"

Answers are late there because the process is, not because of the orders: the window shrank to four, orders waited until their tickets had ended, and the owner fell further behind. Next hypothesis, not tried: an answer's time-out and the lateness that makes a worker doubtful (0.3 s, 0.15 s) should allow for the delay of our own loop.

--- a/src/damaskdeck/coordination/pools/starting.py
+++ b/src/damaskdeck/coordination/pools/starting.py
@@ -11,7 +11,6 @@
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.placing import Plan
-from damaskdeck.coordination.pools.windows import OrderWindow
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
 from damaskdeck.state.board import Job, Run, RunPhase, Step, Task
@@ -60,7 +59,6 @@
         self._desk = desk
         self._touch = touch
         self._starts: set[asyncio.Task[None]] = set()
-        self._window = OrderWindow()
 
     def close(self) -> None:
         """Stop at once."""
@@ -103,16 +101,11 @@
         needs_ticket = step.job.queue.advice is not None
         payload = step.job.record.spec.payload
 
-        async def start(run: Run, contact: WorkerContact) -> bool:
-            await self._window.enter(step.job.queue.rank)
-            sent = self._owner.now()
-            try:
-                ticket = verdicts.tickets.get(run.worker, ("", 0.0))[0]
-                return await contact.start(
-                    run, payload, run.task.checkpoint, ticket if needs_ticket else ""
-                )
-            finally:
-                self._window.leave(self._owner.now() - sent)
+        def start(run: Run, contact: WorkerContact):
+            ticket = verdicts.tickets.get(run.worker, ("", 0.0))[0]
+            return contact.start(
+                run, payload, run.task.checkpoint, ticket if needs_ticket else ""
+            )
 
         results = await asyncio.gather(*(start(run, c) for run, c in runs))
         if all(results):
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -42,8 +42,6 @@
 from standins.poolstore import PoolStoreClient
 
 LOSS_WAIT = timedelta(milliseconds=400)
-# How long a daemon waits for the answer to an order.
-ORDER_TIMEOUT = timedelta(milliseconds=300)
 # Before its deadline has passed, or it would only ever be refused.
 ORDER_LATE_BY = timedelta(milliseconds=700)
 
@@ -225,17 +223,12 @@
 
     :ivar cut_off: identifiers of workers that this daemon can't reach.
     :ivar late: orders that meet ``LOSE_ANSWER`` are carried out late.
-    :ivar link: what an order takes on this daemon's link, one after the other.
-    :ivar unheard: how many orders had no answer in time because of it.
     """
 
     def __init__(self, workers: dict[str, StandinWorker], clock: Clock) -> None:
         self.cut_off: set[str] = set()
         self.faults = Faults()
         self.late = False
-        self.link = timedelta()
-        self.unheard = 0
-        self._link_until = timedelta()
         self._workers = workers
         self._clock = clock
         self._later: set[asyncio.Task[None]] = set()
@@ -259,8 +252,6 @@
         found = await self._reach(worker)
         if not isinstance(found, StandinWorker):
             return found
-        if not await self._cross_link(lambda: found.start(epoch, order)):
-            return Lost("timeout")
         kind = self.faults.take("start")
         if kind is FaultKind.REFUSE:
             return Declined(RefusalCode.UNHEALTHY)
@@ -273,32 +264,12 @@
             return Lost("timeout")
         return found.start(epoch, order)
 
-    async def _cross_link(self, order: Callable[[], object]) -> bool:
-        """Wait for the link; an order that takes too long is carried out unheard."""
-        if not self.link:
-            return True
-        now = self._clock.monotonic()
-        self._link_until = max(now, self._link_until) + self.link
-        left = self._link_until - now
-        await self._clock.sleep(min(left, ORDER_TIMEOUT))
-        if left <= ORDER_TIMEOUT:
-            return True
-        self.unheard += 1
-        self._start_later(left - ORDER_TIMEOUT, order)
-        return False
-
     def _do_later(self, worker: StandinWorker, order: Callable[[], object]) -> None:
-        def carry_out() -> None:
+        async def wait() -> None:
+            await self._clock.sleep(ORDER_LATE_BY)
             if worker.is_up:
                 order()
 
-        self._start_later(ORDER_LATE_BY, carry_out)
-
-    def _start_later(self, delay: timedelta, order: Callable[[], object]) -> None:
-        async def wait() -> None:
-            await self._clock.sleep(delay)
-            order()
-
         task = asyncio.ensure_future(wait())
         self._later.add(task)
         task.add_done_callback(self._later.discard)
