Ask a successor for beats at once, and keep room by pools

Cause, found reading the diff: two beats to an owner that was lost hang for up to 2.4 s, and until then its successor was asked for none; an answer within no measurable time did not count as one; and crowdedness and what may be kept were taken over all pools together. Change: beats to an older owner are given up; answers are counted; each pool by itself. With one pool nothing is kept otherwise than before.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -177,20 +177,21 @@
     def _keep_room(self, ranked: list[RankedStep], now: float) -> None:
         """Keep room for the gangs that wait, in the order of their urgency."""
         contacts = self._owner.contacts
+        fleets: dict[str, list[WorkerContact]] = {}
+        for contact in contacts.values():
+            fleets.setdefault(contact.info.pool, []).append(contact)
+        crowded = {pool for pool, fleet in fleets.items() if is_crowded(fleet)}
         gangs = [
-            pending.step
+            (pending.step, pool)
             for urgency, _, pending in ranked
             if pending.step.spec.is_gang and urgency.outlook is not Outlook.LOST
             if not is_choosy(pending.step.spec) and pending.step.list_waiting()
+            if (pool := self.find_pool(pending.step)) in crowded
         ]
-        if not gangs or not is_crowded(contacts.values()):
-            self._reservations.retain(())
-            return
-        self._reservations.retain(step.name for step in gangs)
-        for step in gangs:
-            pool, job = self.find_pool(step), step.job
+        self._reservations.retain(step.name for step, _ in gangs)
+        for step, pool in gangs:
             keys: Iterable[str] = contacts
-            if job.queue.advice is not None:
+            if step.job.queue.advice is not None:
                 keys = self._desk.get(step).tickets
             able = [
                 contact
@@ -198,9 +199,9 @@
                 if contact.info.pool == pool
                 and contact.is_usable(now)
                 and suits(step.spec, contact.info)
-                and job.may_run_in(contact.info.zone)
+                and step.job.may_run_in(contact.info.zone)
             ]
-            self._reservations.keep(step, able, len(contacts), now)
+            self._reservations.keep(step, able, fleets[pool], now)
 
     def _find_candidates(self, now: float) -> Candidates:
         return Candidates(self._owner.contacts, self.speeds, self.paces, now)
--- a/src/damaskdeck/coordination/pools/reserving.py
+++ b/src/damaskdeck/coordination/pools/reserving.py
@@ -86,22 +86,27 @@
             self.drop(self._steps[name].step)
 
     def keep(
-        self, step: Step, contacts: list[WorkerContact], workers: int, now: float
+        self,
+        step: Step,
+        contacts: list[WorkerContact],
+        fleet: list[WorkerContact],
+        now: float,
     ) -> None:
         """Keep the workers from which a gang's room will come first.
 
         :param contacts: those that it may run on.
-        :param workers: how many there are in all.
+        :param fleet: all workers of its pool.
         """
         self.drop(step)
         able = [c for c in contacts if c.info.identifier not in self._workers]
         most = max((count_fitting(step.spec, c.info.size) for c in able), default=0)
         if not most:
             return
-        share = KEPT_SHARE if self._workers else FIRST_SHARE
+        kept = sum(contact.info.identifier in self._workers for contact in fleet)
+        share = KEPT_SHARE if kept else FIRST_SHARE
         limit = min(
             math.ceil(SPREAD * len(step.tasks) / most),
-            int(share * workers) - len(self._workers),
+            int(share * len(fleet)) - kept,
         )
         openings = sorted(
             opening
@@ -116,9 +121,9 @@
         if first > len(openings):
             return
         chosen = _choose(openings[:first], len(step.tasks), limit)
-        kept = Reservation(step, frozenset(chosen), openings[first - 1].at)
-        self._steps[step.name] = kept
-        self._workers.update(dict.fromkeys(chosen, kept))
+        reservation = Reservation(step, frozenset(chosen), openings[first - 1].at)
+        self._steps[step.name] = reservation
+        self._workers.update(dict.fromkeys(chosen, reservation))
 
 
 def _choose(openings: list[_Opening], needed: int, limit: int) -> list[str]:
--- a/src/damaskdeck/coordination/pools/signs.py
+++ b/src/damaskdeck/coordination/pools/signs.py
@@ -30,17 +30,20 @@
     """What answers to beats take, in seconds.
 
     :param error: mean of how far they are off.
+    :param answers: how many told it.
     """
 
     mean: float = 0.0
     error: float = 0.0
+    answers: int = 0
 
     def learn(self, took: float) -> "RoundTrips":
         """Return what is known with one more answer."""
-        if not self.mean:
-            return RoundTrips(took, took / 2)
+        if not self.answers:
+            return RoundTrips(took, took / 2, 1)
         error = self.error + ERROR_SHARE * (abs(took - self.mean) - self.error)
-        return RoundTrips(self.mean + TRIP_SHARE * (took - self.mean), error)
+        mean = self.mean + TRIP_SHARE * (took - self.mean)
+        return RoundTrips(mean, error, self.answers + 1)
 
     @property
     def longest(self) -> float:
@@ -106,7 +109,7 @@
         # The first owner of all finds nothing to load.
         is_loading = (
             self.epoch > 1
-            and not self._trips.mean
+            and not self._trips.answers
             and self._now() - self._followed_at < FIRST_SILENCE.total_seconds()
         )
         least = FIRST_SILENCE if is_loading else LEAST_SILENCE
--- a/src/damaskdeck/coordination/pools/watching.py
+++ b/src/damaskdeck/coordination/pools/watching.py
@@ -76,6 +76,7 @@
         self._get_epoch = get_epoch
         self._signs = LifeSigns(clock)
         self._beats: set[asyncio.Task[None]] = set()
+        self._followed = 0
         self._fence = 0
         leadership.is_heard = self.is_heard
         peers.register(AskBeat, self._beat)
@@ -90,7 +91,7 @@
                 owner = self._leadership.owner
                 if owner is None or owner.is_released or self._leadership.mandate:
                     continue
-                self._signs.follow(owner.epoch)
+                self._follow(owner.epoch)
                 if self._is_watcher(owner.instance):
                     await self._watch(owner)
         finally:
@@ -101,6 +102,15 @@
         """Take note of a message of an owner."""
         self._signs.note_sign(epoch)
 
+    def _follow(self, epoch: int) -> None:
+        if epoch > self._followed:
+            self._followed = epoch
+            # Those to an owner that was lost would keep the next from being asked.
+            for beat in self._beats:
+                beat.cancel()
+            self._beats.clear()
+        self._signs.follow(epoch)
+
     def is_heard(self) -> bool:
         """Whether the owner was heard lately, as far as this daemon listens."""
         owner = self._leadership.owner
@@ -238,7 +248,7 @@
         if self._get_epoch() == owner.epoch:
             return {"hears": True}
         is_new = owner.epoch > self._signs.epoch
-        self._signs.follow(owner.epoch)
+        self._follow(owner.epoch)
         if not is_new and not self._is_silent(owner.instance):
             return {"hears": True}
         if self._is_watcher(owner.instance) and not is_new:
--- a/tests/test_pools_overload.py
+++ b/tests/test_pools_overload.py
@@ -81,6 +81,24 @@
         await cluster.wait_for_state("j1", QueuedState.COMPLETED, survivor, seconds=5)
         self.end()
 
+    @virtual
+    async def test_a_successor_is_heard_while_beats_to_the_lost_owner_hang(self):
+        cluster = await self.begin(daemons=7)
+        await cluster.complete_a_job()
+        owner = cluster.find_owner()
+        cluster.switch.pause(owner.name)
+        owner.freeze()
+        await cluster.wait(lambda: cluster.find_named() != owner.name)
+        await asyncio.sleep(0.5)
+        successor = cluster.daemons[cluster.find_named()]
+        watches = [d.watch for d in cluster.daemons.values() if d is not successor]
+        answered = [w for w in watches if w._signs._trips.answers]
+        self.assertGreaterEqual(len(answered), 3)
+        cluster.switch.resume(owner.name)
+        owner.thaw()
+        await asyncio.sleep(1)
+        self.end()
+
     @virtual
     async def test_doubting_an_owner_asks_as_few_in_a_large_system(self):
         cluster = await self.begin(daemons=48, workers=2)
