--- /dev/null
+++ b/src/damaskdeck/coordination/pools/admitting.py
@@ -0,0 +1,90 @@
+"""Which calls go further: the queue that they mean, and whose key they show."""
+
+from typing import NamedTuple
+
+from damaskdeck.coordination.pools.declarations import Declarations
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_refusal
+from damaskdeck.protocol.accounts import digest_key
+from damaskdeck.protocol.callers import BarCode, Barred, Caller
+from damaskdeck.protocol.queues import Queue, QueueTable
+
+_log = get_logger("desk")
+
+
+class Admitted(NamedTuple):
+    """A call that goes on.
+
+    :param table: the document that it was judged by.
+    """
+
+    queue: Queue
+    caller: Caller
+    table: QueueTable
+
+
+class Admission:
+    """Judges calls by the document in force here.
+
+    A key may be judged only as long as the document is sure to have been the newest
+    a moment ago: what was sent later than the bound after a key was taken away must
+    not be served by anybody, cut off from the store or not.
+    """
+
+    def __init__(self, declarations: Declarations) -> None:
+        self._declarations = declarations
+
+    def judge(self, host: str, path: str, key: bytes | None) -> Admitted | Barred:
+        """Return the queue that a call means and who calls.
+
+        :param key: as shown, ``None`` where none is.
+        """
+        table = self._declarations.table
+        if table is None:
+            return self._bar(BarCode.NO_DOCUMENT, path)
+        queue = table.find(host, path)
+        if queue is None:
+            return Barred(BarCode.NO_QUEUE)
+        if queue.is_public:
+            return Admitted(queue, Caller(queue=queue.name), table)
+        if not self._declarations.may_serve:
+            return self._bar(BarCode.STALE_DOCUMENT, path)
+        if not key:
+            return self._bar(BarCode.MISSING_KEY, path)
+        digest = digest_key(key)
+        account = table.accounts.find(digest)
+        if account is None:
+            return self._bar(BarCode.UNKNOWN_KEY, path)
+        return Admitted(queue, Caller(account.name, queue.name, digest), table)
+
+    def judge_again(
+        self, queue: Queue, identifier: str, caller: Caller
+    ) -> Queue | Barred:
+        """Return the queue as declared now, if the caller may still use it."""
+        table = self._declarations.table
+        if table is None:
+            return Barred(BarCode.NO_DOCUMENT)
+        found = table.find(queue.host, queue.prefix + identifier)
+        if found is None:
+            return Barred(BarCode.NO_QUEUE)
+        if found.is_public:
+            return found
+        if not self._declarations.may_serve:
+            return self._bar(BarCode.STALE_DOCUMENT, identifier)
+        account = table.accounts.find(caller.digest)
+        if account is None or account.name != caller.account:
+            return self._bar(BarCode.UNKNOWN_KEY, identifier)
+        return found
+
+    def _bar(self, code: BarCode, what: str) -> Barred:
+        """Refuse; the line names what was called, never what was shown."""
+        table = self._declarations.table
+        _log.info(
+            "Turned away.",
+            id=what.rpartition("/")[2],
+            code=code,
+            version=table.version if table is not None else 0,
+            age=round(min(self._declarations.measure_age(), 1e6), 3),
+        )
+        count_refusal("admission", code)
+        return Barred(code)
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/allowances.py
@@ -0,0 +1,183 @@
+"""What client accounts may still start: quotas against all that may run of theirs.
+
+Counted as running is what runs, what was ordered without an answer, what is being
+stopped, copies, and on a worker that doesn't answer all until its lease is over. After
+a takeover that is more than is known: a worker that has not answered yet may run what
+the owner before has ordered there.
+"""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from damaskdeck.coordination.pools.placing import count_fitting
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_refusal
+from damaskdeck.protocol.accounts import UNLIMITED
+from damaskdeck.protocol.queues import QueueTable
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+from damaskdeck.state.board import Job, Run, Step
+from damaskdeck.state.quotas import Quotas, scale_size
+
+# What is unknown of workers that have not answered is counted anew after so long; in
+# between it is taken for what it was, and it only ever gets less.
+UNKNOWN_SECONDS = 0.1
+# How long an account must have been held back to be told of again.
+TELL_SECONDS = 5.0
+
+_log = get_logger("allowances")
+
+
+class AllowanceOwner(Protocol):
+    """What allowances ask of the owner."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
+    def get_table(self) -> QueueTable | None:
+        """Return the declared queues and accounts in force."""
+
+    def are_quotas_sure(self) -> bool:
+        """Whether the document in force is fresh enough to start work by it."""
+
+    def list_unaccounted(self) -> Iterable[Size]:
+        """List the sizes of the workers that may run what isn't known."""
+
+    def list_unsure(self) -> Iterable[Job]:
+        """List the jobs that may run on such workers without our knowing."""
+
+
+class Allowances:
+    """Counts what accounts use, by change, and judges what they may start.
+
+    :param owner: of the jobs.
+    """
+
+    def __init__(self, owner: AllowanceOwner) -> None:
+        self._owner = owner
+        self._quotas = Quotas()
+        self._unknown: dict[str, Size] = {}
+        self._unknown_at = float("-inf")
+        # The accounts that are held back, with when that was last told.
+        self._held: dict[str, float] = {}
+        self._steps: dict[str, set[str]] = {}
+        self._version = 0
+        self._declared: set[str] = set()
+
+    def charge(self, run: Run) -> None:
+        """Count a run from when it is ordered."""
+        step = run.task.step
+        self._quotas.charge(step.job.record.account, step.spec.size)
+
+    def release(self, run: Run) -> None:
+        """Count a run no longer, as nothing of it can run any more."""
+        step = run.task.step
+        self._quotas.release(step.job.record.account, step.spec.size)
+
+    def read_use(self, account: str) -> Size:
+        """Return what is counted as running of an account, the unknown aside."""
+        return self._quotas.read(account).use
+
+    def count_startable(self, step: Step, wanted: int) -> int:
+        """Return how many tasks of a step may start now; of a gang all or none."""
+        account = step.job.record.account
+        if not account:
+            return wanted
+        self._take_quotas()
+        if account not in self._declared:
+            # Nothing limits what no document that is known here ever named.
+            return wanted
+        left = subtract_sizes(
+            self._quotas.measure_left(account), self._measure_unknown(account)
+        )
+        if left[0] > UNLIMITED // 2 and left[1] > UNLIMITED // 2:
+            return wanted
+        if not self._owner.are_quotas_sure():
+            self._hold(step, "quotas_not_sure")
+            return 0
+        startable = max(0, min(wanted, count_fitting(_drop_spread(step), left)))
+        if startable < wanted:
+            self._hold(step, "quota")
+        return 0 if step.spec.is_gang and startable < wanted else startable
+
+    def _take_quotas(self) -> None:
+        """Take the quotas of the document in force.
+
+        An account that is no longer declared keeps its last quota: what was accepted
+        of it goes on as before.
+        """
+        table = self._owner.get_table()
+        if table is None or table.version == self._version:
+            return
+        self._version = table.version
+        for account in table.accounts:
+            self._declared.add(account.name)
+            self._quotas.set_quota(account.name, account.quota, account.weight)
+
+    # What isn't known --------------------------------------------------------
+
+    def _measure_unknown(self, account: str) -> Size:
+        """Return at most what may run of an account without our knowing."""
+        now = self._owner.now()
+        if now - self._unknown_at >= UNKNOWN_SECONDS:
+            self._unknown_at = now
+            self._unknown = self._count_unknown()
+        return self._unknown.get(account, ZERO_SIZE)
+
+    def _count_unknown(self) -> dict[str, Size]:
+        sizes = list(self._owner.list_unaccounted())
+        if not sizes:
+            return {}
+        room = ZERO_SIZE
+        for size in sizes:
+            room = add_sizes(room, size)
+        unknown: dict[str, Size] = {}
+        for job in self._owner.list_unsure():
+            account = job.record.account
+            more = add_sizes(unknown.get(account, ZERO_SIZE), _measure_unseen(job))
+            unknown[account] = more
+        return {
+            account: Size(*map(min, size, room)) for account, size in unknown.items()
+        }
+
+    # Telling -----------------------------------------------------------------
+
+    def _hold(self, step: Step, code: str) -> None:
+        account, now = step.job.record.account, self._owner.now()
+        steps = self._steps.setdefault(account, set())
+        steps.add(step.name)
+        told_at = self._held.get(account)
+        if told_at is not None and now - told_at < TELL_SECONDS:
+            return
+        self._held[account] = now
+        _log.info(
+            "An account is held back.",
+            id=step.job.identifier,
+            account=account,
+            code=code,
+            step=step.number,
+            steps=len(steps),
+            use=list(self.read_use(account)),
+            unknown=list(self._unknown.get(account, ZERO_SIZE)),
+            quota=list(self._quotas.read(account).quota),
+            version=self._version,
+        )
+        count_refusal("allowances", code, len(steps))
+        steps.clear()
+
+
+def _drop_spread(step: Step):
+    """Return a step's spec without what counts for one worker alone."""
+    return step.spec._replace(spread=0) if step.spec.spread else step.spec
+
+
+def _measure_unseen(job: Job) -> Size:
+    """Return the size of all runs that a job may have beside those that are known."""
+    total = ZERO_SIZE
+    for step in job.list_steps():
+        # A copy of a task that has completed may still run.
+        most = 2 if step.spec.is_speculative else 1
+        runs = sum(
+            max(0, most - task.is_completed - len(task.runs)) for task in step.tasks
+        )
+        total = add_sizes(total, scale_size(step.spec.size, runs))
+    return total
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -57,6 +57,12 @@
         ``None`` when the task isn't known; the worker then stays closed.
         """
 
+    def charge(self, run: Run) -> None:
+        """Count a run that takes room."""
+
+    def release(self, run: Run) -> None:
+        """Count a run no longer."""
+
     def note_running(self, run: Run) -> None:
         """Take note that a run was seen to run."""
 
@@ -195,11 +201,13 @@
         """Let a run take its room."""
         self.runs[run.task.name, run.attempt] = run
         self._set_used(add_sizes(self.used, run.task.step.spec.size))
+        self._owner.charge(run)
 
     def remove_run(self, run: Run) -> None:
         """Give the room of a run back."""
         if self.runs.pop((run.task.name, run.attempt), None) is not None:
             self._set_used(subtract_sizes(self.used, run.task.step.spec.size))
+            self._owner.release(run)
 
     # Orders ------------------------------------------------------------------
 
--- a/src/damaskdeck/coordination/pools/declarations.py
+++ b/src/damaskdeck/coordination/pools/declarations.py
@@ -1,47 +1,139 @@
-"""The declared queues in force on this daemon: only ever a newer document."""
+"""The declared queues and accounts in force on this daemon, and how sure that is."""
 
+import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import set_revision
 from damaskdeck.protocol.pools import Declared, QueueSource
-from damaskdeck.protocol.ports import TooOld
+from damaskdeck.protocol.ports import Lost, Rejected, TooOld
 from damaskdeck.protocol.queues import QueueTable
+from damaskdeck.protocol.transactions import Mismatch
 
 RETRY_DELAY = timedelta(milliseconds=100)
 # With what a silent channel takes to be noticed it stays below the bound in which
 # a document must be in force.
 WATCH_WAIT = timedelta(seconds=2)
+# The store is asked for the document's revision once so much of the time that a
+# confirmation is good for is over: it may then be slow or silent for the rest.
+REFRESH_SHARE = 0.4
+# A limit on the age of a confirmation is looked at so often.
+REFRESH_INTERVAL = timedelta(milliseconds=200)
 
 _log = get_logger("declarations")
 
 
 class Declarations:
-    """Follows the operators' document.
+    """Follows the operators' document, and confirms that it is the newest.
 
+    A document is sure to have been the newest when a question to the store was sent
+    whose answer shows its revision. What a watch doesn't tell proves nothing: it may
+    hear nothing while changes are made.
+
+    :param limit: how old a confirmation may be for callers to be served; ``None``
+        where nothing depends on it.
+    :param get_limit: a shorter limit that holds for the moment, if any.
     :ivar table: in force here; ``None`` until one has been read.
     """
 
-    def __init__(self, source: QueueSource, clock: Clock) -> None:
+    def __init__(
+        self,
+        source: QueueSource,
+        clock: Clock,
+        limit: timedelta | None = None,
+        get_limit: Callable[[], timedelta | None] = lambda: None,
+    ) -> None:
         self.table: QueueTable | None = None
         self._source = source
         self._clock = clock
+        self._limit = limit
+        self._get_limit = get_limit
+        # Revision of the document in force; 0 where a newer one can't be read.
+        self._document = 0
+        self._confirmed_at = float("-inf")
+        self._was_sure = False
 
     def knows_pool(self, pool: str) -> bool:
         """Tell whether a pool is declared; before any document all may be."""
         return self.table is None or pool in self.table.pools
 
+    # How sure it is ----------------------------------------------------------
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+    def measure_age(self) -> float:
+        """Return the seconds since the document was the newest for certain."""
+        return self._now() - self._confirmed_at
+
+    def is_sure(self, limit: timedelta | None) -> bool:
+        """Whether the document was the newest within ``limit``; ``None`` is no limit.
+
+        The clock counts suspends. Whatever was sent before this is asked was sent
+        less than the limit after the document was the newest.
+        """
+        return limit is None or self.measure_age() < limit.total_seconds()
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether callers' keys may be judged by the document in force."""
+        is_sure = self.is_sure(self._limit)
+        if is_sure is not self._was_sure:
+            self._was_sure = is_sure
+            _log.info(
+                "The document in force is sure."
+                if is_sure
+                else "The document in force may not be the newest.",
+                version=self.table.version if self.table else 0,
+                age=round(min(self.measure_age(), 1e6), 3),
+            )
+        return is_sure
+
+    @property
+    def expected(self) -> tuple[tuple[str, int], ...]:
+        """What a commit expects that must not go by an older document."""
+        if self._limit is None or not self._document:
+            return ()
+        return ((self._source.key, self._document),)
+
+    def confirm(self, expected: tuple[tuple[str, int], ...], sent: float) -> None:
+        """Take note that the store found what a commit expected.
+
+        :param expected: as :attr:`expected` was for that commit.
+        :param sent: when the commit was sent, monotonic seconds.
+        """
+        if expected and expected == self.expected:
+            self._confirmed_at = max(self._confirmed_at, sent)
+
+    def note_mismatch(self, done: Mismatch, sent: float) -> bool:
+        """Take the document that a refused commit shows; whether it is another one."""
+        entry = done.find(self._source.key)
+        if entry is None or entry.revision == self._document:
+            return False
+        self._apply(self._source.decode(entry), sent)
+        return True
+
+    # Following ---------------------------------------------------------------
+
     async def run(self) -> None:
-        """Read the newest document, then follow its changes."""
+        """Follow the document, and ask for its revision before that gets old."""
+        if self._limit is None:
+            await self._follow()
+        else:
+            await asyncio.gather(self._follow(), self._keep_sure(self._limit))
+
+    async def _follow(self) -> None:
         revision = 0
         while True:
             if not revision:
-                answer = await self._source.read_queues()
+                answer = await self._read()
             else:
                 answer = await self._source.follow_queues(revision, WATCH_WAIT)
+                if isinstance(answer, Declared):
+                    self._apply(answer, None)
             if isinstance(answer, Declared):
-                self._apply(answer.table)
                 # Before any document there is nothing to follow from.
                 revision = answer.revision if self.table is not None else 0
             elif isinstance(answer, TooOld):
@@ -49,11 +141,43 @@
             if not isinstance(answer, Declared) or not revision:
                 await self._clock.sleep(RETRY_DELAY)
 
-    def _apply(self, table: QueueTable | None) -> None:
-        if table is None:
+    async def _keep_sure(self, limit: timedelta) -> None:
+        while True:
+            await self._clock.sleep(REFRESH_INTERVAL)
+            shortest = min(limit, self._get_limit() or limit)
+            if not self.is_sure(shortest * REFRESH_SHARE):
+                await self._read()
+
+    async def _read(self) -> Declared | Rejected | Lost:
+        sent = self._now()
+        answer = await self._source.read_queues()
+        if isinstance(answer, Declared):
+            self._apply(answer, sent)
+        return answer
+
+    def _apply(self, declared: Declared, sent: float | None) -> None:
+        """Put a newer document in force.
+
+        :param sent: when the question was sent that this answers, monotonic
+            seconds; ``None`` for what proves nothing of what came after it.
+        """
+        if declared.document < self._document:
             return
-        if self.table is not None and table.version <= self.table.version:
+        table = declared.table
+        if table is not None and (
+            self.table is None or table.version > self.table.version
+        ):
+            self.table = table
+            set_revision(table.version)
+            _log.info(
+                "In force.",
+                version=table.version,
+                queues=len(table.queues),
+                accounts=len(table.accounts),
+            )
+        if not declared.document:
             return
-        self.table = table
-        set_revision(table.version)
-        _log.info("In force.", version=table.version, queues=len(table.queues))
+        is_in_force = table is not None and table.version == self.table.version
+        self._document = declared.document if is_in_force else 0
+        if is_in_force and sent is not None:
+            self._confirmed_at = max(self._confirmed_at, sent)
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -7,6 +7,7 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.allowances import Allowances
 from damaskdeck.coordination.pools.asking import Asker
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
@@ -48,6 +49,7 @@
 
     board: Board
     contacts: dict[str, WorkerContact]
+    allowances: Allowances
 
     def get_table(self) -> QueueTable | None:
         """Return the declared queues in force."""
@@ -185,7 +187,7 @@
             (pending.step, pool)
             for urgency, _, pending in ranked
             if pending.step.spec.is_gang and urgency.outlook is not Outlook.LOST
-            if not is_choosy(pending.step.spec) and pending.step.list_waiting()
+            if not is_choosy(pending.step.spec) and self._may_start(pending)
             if (pool := self.find_pool(pending.step)) in crowded
         ]
         self._reservations.retain(step.name for step, _ in gangs)
@@ -203,6 +205,12 @@
             ]
             self._reservations.keep(step, able, fleets[pool], now)
 
+    def _may_start(self, pending: PendingStep) -> bool:
+        """Whether a gang waits for room alone, and not for its account's quota."""
+        waiting = len(pending.step.list_waiting())
+        allowances = self._owner.allowances
+        return bool(waiting) and bool(allowances.count_startable(pending.step, waiting))
+
     def _find_candidates(self, now: float) -> Candidates:
         return Candidates(self._owner.contacts, self.speeds, self.paces, now)
 
@@ -227,13 +235,19 @@
         opened since alone: the others had no room for it, and have no more now.
         """
         step, tasks = pending.step, pending.tasks
+        allowed = self._owner.allowances.count_startable(step, len(tasks))
+        if not allowed:
+            return
+        is_whole = allowed == len(tasks)
+        tasks = tasks[:allowed]
         pool = self.find_pool(step)
         kept = self._reservations.list_workers(step)
         self._asker.ask(step, pool, urgency, place, now, pending.is_tried, kept)
         is_whole_look = not pending.is_tried or is_choosy(step.spec)
         if not (is_whole_look or opened):
             return
-        pending.is_tried = True
+        # What a quota holds back has not been tried: it has room as soon as it may.
+        pending.is_tried = is_whole
         able = self._find_able(
             step, pool, candidates, now, None if is_whole_look else opened
         )
@@ -384,6 +398,8 @@
     def copy(self, run: Run, now: float) -> bool:
         """Start a second run of a task on another worker; returns whether it could."""
         task, step = run.task, run.task.step
+        if not self._owner.allowances.count_startable(step, 1):
+            return False
         pool = self.find_pool(step)
         # No task of the step may be waiting, so nobody else keeps its tickets fresh.
         self.ask_first(step, now)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -6,14 +6,16 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Iterator
 from datetime import timedelta
 from typing import NamedTuple
 
 from damaskdeck.background import start_task
 from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.allowances import Allowances
 from damaskdeck.coordination.pools.confining import measure_rooms
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.dispatching import Dispatcher
 from damaskdeck.coordination.pools.journal import Batch, Journal
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Mandate
@@ -34,6 +36,7 @@
 )
 from damaskdeck.protocol.ports import Entry, Events, TooOld
 from damaskdeck.protocol.queues import QueuedState, QueueTable
+from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import Write, read_all
 from damaskdeck.state.board import Board, Job, Run, Step, Task
 from damaskdeck.state.jobrecords import (
@@ -69,11 +72,12 @@
     """What an owner works with.
 
     :param basis: what it shares with its workforce.
+    :param declarations: the queues and accounts in force on this daemon.
     """
 
     basis: WorkforceParts
     peers: Peers
-    get_table: Callable[[], QueueTable | None]
+    declarations: Declarations
 
 
 class PoolOwner:
@@ -88,7 +92,7 @@
         self.is_loaded = False
         basis = self._basis = parts.basis
         self._clock = basis.clock
-        self._get_table = parts.get_table
+        self._declarations = parts.declarations
         self._peers = parts.peers
         self._journal = Journal(
             mandate,
@@ -104,6 +108,7 @@
             basis.leadership.list_members,
             lambda step: self.dispatcher.note_verdicts(step),
         )
+        self.allowances = Allowances(self)
         self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
         self._supervisor = Supervisor(self, self.dispatcher, basis.times, self.desk)
         self._dirty: dict[str, Job] = {}
@@ -134,7 +139,19 @@
 
     def get_table(self) -> QueueTable | None:
         """Return the declared queues in force here."""
-        return self._get_table()
+        return self._declarations.table
+
+    def are_quotas_sure(self) -> bool:
+        """Whether the document in force is fresh enough to start work by it."""
+        return self._declarations.is_sure(self._basis.times.quotas_sure)
+
+    def list_unaccounted(self) -> list[Size]:
+        """List the sizes of the workers that may run what isn't known."""
+        return self._workforce.list_unaccounted()
+
+    def list_unsure(self) -> Iterator[Job]:
+        """Yield the jobs that may run without our knowing, ended ones too."""
+        return filter(self._may_be_started, self.board.jobs.values())
 
     def may_decide(self) -> bool:
         """Whether the mandate is fresh enough to act on."""
@@ -469,6 +486,14 @@
             contact.stop(run)
         return run
 
+    def charge(self, run: Run) -> None:
+        """Count a run that takes room."""
+        self.allowances.charge(run)
+
+    def release(self, run: Run) -> None:
+        """Count a run no longer."""
+        self.allowances.release(run)
+
     def note_running(self, run: Run) -> None:
         """Take note that a run was seen to run."""
         job = run.task.step.job
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -5,6 +5,9 @@
 
 # A worker's steady clock may run so much slower than ours (the platform's bound).
 CLOCK_SLOWNESS = 0.02
+# A document is taken for the newest for so much less than the bound allows: an order
+# takes a tenth of a second at most where workers answer.
+SURENESS_MARGIN = timedelta(milliseconds=250)
 
 
 class PoolBounds(NamedTuple):
@@ -16,6 +19,9 @@
     :param status_kept: states of ended jobs are asked for at least so long.
     :param far_factor: a step takes so many times as long away from its best racks.
     :param stop_longest: a run that is told to stop takes so long at most.
+    :param in_force: a document is in force so long after it was acknowledged.
+    :param revocation: what shows a key that was taken away longer ago is served by
+        nobody; ``None`` where that is only asked of daemons in touch.
     """
 
     hold_longest: timedelta
@@ -24,6 +30,8 @@
     status_kept: timedelta
     far_factor: float = 2.0
     stop_longest: timedelta = timedelta(seconds=1)
+    in_force: timedelta = timedelta(seconds=3)
+    revocation: timedelta | None = None
 
 
 class PoolTimes(NamedTuple):
@@ -45,6 +53,8 @@
     linger: timedelta
     far_factor: float
     stop_longest: timedelta
+    keys_sure: timedelta | None
+    quotas_sure: timedelta
 
 
 def derive_times(bounds: PoolBounds) -> PoolTimes:
@@ -87,4 +97,7 @@
         linger=timedelta(milliseconds=35),
         far_factor=bounds.far_factor,
         stop_longest=bounds.stop_longest,
+        keys_sure=bounds.revocation and bounds.revocation - SURENESS_MARGIN,
+        # Also an order that is under way begins within the bound.
+        quotas_sure=bounds.in_force - SURENESS_MARGIN,
     )
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -12,6 +12,7 @@
 from damaskdeck.delays import LoopDelay
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
+from damaskdeck.protocol.accounts import UNLIMITED
 from damaskdeck.protocol.pools import (
     PoolWorker,
     PoolWorkers,
@@ -20,6 +21,7 @@
     WorkerRegistry,
 )
 from damaskdeck.protocol.ports import Found, Missing, TooOld
+from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
     ROSTER_KEY,
@@ -31,6 +33,8 @@
 WATCH_WAIT = timedelta(seconds=1)
 # Stands for the workers of a roster that can't be read; no worker has this name.
 _UNREADABLE = ""
+# Of workers that nothing is known of.
+UNBOUNDED = Size(UNLIMITED, UNLIMITED, UNLIMITED)
 # Registrations change with each heartbeat; gathering them saves calls.
 REGISTRY_INTERVAL = timedelta(milliseconds=200)
 
@@ -109,6 +113,13 @@
         """How many workers may run what a predecessor ordered without our knowing."""
         return len(self._unaccounted)
 
+    def list_unaccounted(self) -> list[Size]:
+        """List the sizes of the workers that are not accounted for yet."""
+        return [
+            contact.info.size if (contact := self.contacts.get(name)) else UNBOUNDED
+            for name in self._unaccounted
+        ]
+
     async def read(self) -> tuple[Registered, RosterRecord | None]:
         """Read registry and roster, ``None`` for one that can't be read."""
         parts = self._parts
--- a/src/damaskdeck/platform/__init__.py
+++ b/src/damaskdeck/platform/__init__.py
@@ -7,8 +7,9 @@
 from damaskdeck.platform.advisor import PlatformAdvisor
 from damaskdeck.platform.callers import build_callers_app
 from damaskdeck.platform.client import PlatformClient
+from damaskdeck.platform.declarations import PlatformQueues
 from damaskdeck.platform.nodes import NodeSettings, load_node
-from damaskdeck.platform.registry import PlatformQueues, PlatformRegistry
+from damaskdeck.platform.registry import PlatformRegistry
 from damaskdeck.platform.store import PlatformStore
 from damaskdeck.platform.workers import PlatformWorkers
 
--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -10,6 +10,10 @@
 from damaskdeck.errors import MessageError
 from damaskdeck.platform.jobs import read_job
 from damaskdeck.protocol.callers import (
+    COME_BACK,
+    BarCode,
+    Barred,
+    Caller,
     NoJob,
     NotTaken,
     Taken,
@@ -28,6 +32,17 @@
     QueuedState.CANCELLED: "cancelled",
 }
 
+_BARS = {
+    BarCode.NO_DOCUMENT: 503,
+    BarCode.STALE_DOCUMENT: 503,
+    BarCode.NO_QUEUE: 404,
+    BarCode.MISSING_KEY: 401,
+    BarCode.UNKNOWN_KEY: 401,
+    BarCode.IDENTIFIER_IN_USE: 409,
+}
+# Where callers show the key of their account.
+_KEY_HEADER = b"x-api-key"
+
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -40,23 +55,40 @@
     """What answers callers; see :class:`damaskdeck.coordination.pools.JobDesk`."""
 
     async def submit(
-        self, queue: Queue, identifier: str, spec: JobSpec
-    ) -> Taken | NotTaken | Unsettled:
+        self, queue: Queue, identifier: str, spec: JobSpec, caller: Caller
+    ) -> Taken | NotTaken | Unsettled | Barred:
         """Store a job."""
 
-    async def read_state(self, identifier: str) -> Told | NoJob | Untold:
+    async def read_state(
+        self, identifier: str, caller: Caller
+    ) -> Told | NoJob | Untold:
         """Tell the state of a job."""
 
-    async def cancel(self, identifier: str) -> Told | NoJob | Untold:
+    async def cancel(self, identifier: str, caller: Caller) -> Told | NoJob | Untold:
         """Cancel a job."""
 
     async def count_waiting(self, queue: str) -> int | Untold:
         """Tell how many jobs of a queue have started nothing."""
 
 
+class Admitted(Protocol):
+    """A call that goes on."""
+
+    queue: Queue
+    caller: Caller
+    table: QueueTable
+
+
+class Gate(Protocol):
+    """Judges calls; see :class:`damaskdeck.coordination.pools.admitting.Admission`."""
+
+    def judge(self, host: str, path: str, key: bytes | None) -> Admitted | Barred:
+        """Return the queue that a call means and who calls."""
+
+
 def build_callers_app(
     desk: Desk,
-    get_table: Callable[[], QueueTable | None],
+    gate: Gate,
     is_ready: Callable[[], bool],
     is_turning_away: Callable[[], bool],
     read_metrics: Callable[[], bytes],
@@ -80,16 +112,16 @@
         if scope["server"][1] == metrics_port:
             await answer.give_text(read_metrics())
             return
-        table = get_table()
-        if table is None:
-            await answer.give(503, retry=timedelta(seconds=1))
-            return
-        queue = table.find(_read_host(scope), scope["path"])
-        if queue is None:
-            await answer.give(404)
-            return
-        rest = scope["path"][len(queue.prefix) :]
-        await _serve(scope, receive, answer, desk, queue, table, rest)
+        host = _read_header(scope, b"host") or b""
+        admitted = gate.judge(
+            host.decode("latin-1").partition(":")[0],
+            scope["path"],
+            _read_header(scope, _KEY_HEADER),
+        )
+        if isinstance(admitted, Barred):
+            await answer.bar(admitted)
+        else:
+            await _serve(scope, receive, answer, desk, admitted)
 
     return app
 
@@ -119,6 +151,12 @@
             headers.append((b"retry-after", str(seconds).encode()))
         await self._send_all(status, headers, data)
 
+    async def bar(self, barred: Barred) -> None:
+        """Turn a call away."""
+        status = _BARS[barred.code]
+        body = None if status == 404 else {"error": barred.code}
+        await self.give(status, body, COME_BACK if status == 503 else None)
+
     async def _send_all(
         self, status: int, headers: list[tuple[bytes, bytes]], data: bytes
     ) -> None:
@@ -136,11 +174,10 @@
     receive: Receive,
     answer: _Answer,
     desk: Desk,
-    queue: Queue,
-    table: QueueTable,
-    rest: str,
+    admitted: Admitted,
 ) -> None:
-    method = scope["method"]
+    method, queue = scope["method"], admitted.queue
+    rest = scope["path"][len(queue.prefix) :]
     if method == "GET" and not rest:
         count = await desk.count_waiting(queue.name)
         if isinstance(count, Untold):
@@ -150,10 +187,10 @@
     elif not _IDENTIFIER.match(rest):
         await answer.give(400 if method == "POST" else 410)
     elif method == "POST":
-        await _submit(receive, answer, desk, queue, table.body_limit, rest)
+        await _submit(receive, answer, desk, admitted, rest)
     elif method in ("GET", "DELETE"):
         ask = desk.read_state if method == "GET" else desk.cancel
-        await _tell(answer, await ask(rest), method)
+        await _tell(answer, await ask(rest, admitted.caller), method)
     else:
         await answer.give(405)
 
@@ -171,11 +208,10 @@
     receive: Receive,
     answer: _Answer,
     desk: Desk,
-    queue: Queue,
-    body_limit: int,
+    admitted: Admitted,
     identifier: str,
 ) -> None:
-    body = await _read_body(receive, body_limit)
+    body = await _read_body(receive, admitted.table.body_limit)
     if body is None:
         await answer.give(413)
         return
@@ -184,9 +220,11 @@
     except MessageError as error:
         await answer.give(400, {"error": str(error)})
         return
-    done = await desk.submit(queue, identifier, spec)
+    done = await desk.submit(admitted.queue, identifier, spec, admitted.caller)
     if isinstance(done, Taken):
         await answer.give(200, {"state": "queued"})
+    elif isinstance(done, Barred):
+        await answer.bar(done)
     elif isinstance(done, NotTaken):
         await answer.give(503, {"error": done.code}, done.retry)
     else:
@@ -194,11 +232,8 @@
         await answer.give(504, {"error": done.code})
 
 
-def _read_host(scope: Scope) -> str:
-    for name, value in scope["headers"]:
-        if name == b"host":
-            return value.decode("latin-1").partition(":")[0]
-    return ""
+def _read_header(scope: Scope, wanted: bytes) -> bytes | None:
+    return next((value for name, value in scope["headers"] if name == wanted), None)
 
 
 async def _read_body(receive: Receive, limit: int) -> bytes | None:
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -12,6 +12,8 @@
 # Where metrics are served on every instance; the deploy file names it too.
 METRICS_PORT = 9464
 FILE_VARIABLE = "DAMASKDECK_NODE_FILE"
+# The contract under which callers show keys of client accounts.
+_ACCOUNTS = "tenants"
 # Ways of the platform of which one is served: orders to workers by calls rather
 # than by heartbeats, and a store of keys and values rather than a log.
 _SERVED = {"commands": "call", "platform.form": "kv"}
@@ -26,6 +28,7 @@
     :param metrics_port: 0 takes any where ``peer_port`` does.
     :param power: processing power of the instance, in cores.
     :param advisor_address: an empty string where there is no advisor.
+    :param needs_keys: whether callers show keys of client accounts.
     :param unserved_duties: what the platform asks for and this version doesn't do.
     """
 
@@ -42,6 +45,7 @@
     advisor_address: str
     bounds: PoolBounds
     unserved_duties: tuple[str, ...] = ()
+    needs_keys: bool = False
 
 
 def load_node(environment: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -69,6 +73,9 @@
         reader.expect(name, served)
     ports = reader.take("internal_ports").split(",")
     first = int(ports[0]) if ports[0].isdigit() else 0
+    needs_keys = _ACCOUNTS in reader.values.get("contracts", "").split(",")
+    is_strict = reader.values.get("bounds.strict_revocation", "") == "true"
+    revocation = reader.take_time("bounds.revoke_ms", 5000, 1)
     settings = NodeSettings(
         reader.take("node_name"),
         reader.take("zone"),
@@ -89,8 +96,11 @@
             reader.take_time("bounds.status_s", 120, 1000),
             reader.take_number("bounds.remote_factor", 2),
             reader.take_time("bounds.stop_timeout_ms", 1000, 1),
+            reader.take_time("bounds.config_apply_ms", 3000, 1),
+            revocation if needs_keys and is_strict else None,
         ),
         tuple(filter(None, reader.values.get("cloud_api.duties", "").split(","))),
+        needs_keys,
     )
     if reader.faults:
         raise SettingsError(tuple(reader.faults))
--- a/src/damaskdeck/platform/registry.py
+++ b/src/damaskdeck/platform/registry.py
@@ -1,15 +1,14 @@
-"""Workers' registrations and operators' declarations in the platform's store."""
+"""Workers' registrations in the platform's store."""
 
 import re
 from datetime import timedelta
-from typing import Any, Literal, NotRequired, TypedDict
+from typing import Literal, NotRequired, TypedDict
 
 import msgspec
 
 from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.platform.fields import (
-    Factor,
     Milliseconds,
     Name,
     Quantity,
@@ -17,7 +16,6 @@
     read_duration,
 )
 from damaskdeck.protocol.pools import (
-    Declared,
     PoolWorker,
     Registered,
     RegistryChange,
@@ -25,23 +23,16 @@
 )
 from damaskdeck.protocol.ports import (
     Events,
-    Found,
     Lost,
-    Missing,
     Rejected,
     TooOld,
 )
-from damaskdeck.protocol.queues import AdviceTerms, Queue, QueueTable
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, read_all
 
 _WORKERS = "servers/"
-_OPERATOR = "op/"
-_QUEUES = "op/config"
-_WAVES = "op/wave/"
 _LEAVING = "draining"
 _RACK = re.compile(r"^r\d")
-_BODY_LIMIT = 262_144
 # Characters of a foreign text that a log line holds.
 _SHOWN = 64
 
@@ -64,41 +55,7 @@
     remaining_ms: NotRequired[Milliseconds | None]
 
 
-class _Advice(TypedDict):
-    decide_ms: NotRequired[Milliseconds]
-    period_ms: NotRequired[Milliseconds]
-    valid_ms: NotRequired[Milliseconds]
-
-
-class _Route(TypedDict):
-    name: Name
-    host: str
-    path_prefix: str
-    service: Name
-    target_latency_ms: NotRequired[Milliseconds]
-    priority: NotRequired[Quantity]
-    max_attempts: NotRequired[Quantity]
-    slack_factor: NotRequired[Factor]
-    advice: NotRequired[_Advice | None]
-
-
-class _Service(TypedDict):
-    name: Name
-
-
-class _Limits(TypedDict):
-    max_body_bytes: NotRequired[Quantity]
-
-
-class _Document(TypedDict):
-    version: Quantity
-    routes: list[_Route]
-    services: NotRequired[list[_Service]]
-    limits: NotRequired[_Limits]
-
-
 _worker = msgspec.json.Decoder(_Worker)
-_document = msgspec.json.Decoder(_Document)
 
 
 class PlatformRegistry:
@@ -159,39 +116,6 @@
         )
 
 
-class PlatformQueues:
-    """Implements ``QueueSource``."""
-
-    def __init__(self, store: TransactionalStore) -> None:
-        self._store = store
-
-    async def read_queues(self) -> Declared | Rejected | Lost:
-        """Read the newest document."""
-        found = await self._store.read(_QUEUES)
-        if isinstance(found, Missing):
-            return Declared(None, found.revision)
-        if not isinstance(found, Found):
-            return found
-        return Declared(_read_table(found.entry.value), found.entry.revision)
-
-    async def follow_queues(
-        self, revision: int, wait: timedelta
-    ) -> Declared | TooOld | Rejected | Lost:
-        """Return the newest document after ``revision``."""
-        found = await self._store.watch(_OPERATOR, revision, wait)
-        if not isinstance(found, Events):
-            return found
-        table = None
-        for event in found.events:
-            if event.key == _QUEUES and event.value is not None:
-                table = _read_table(event.value) or table
-            elif event.key.startswith(_WAVES) and event.value is not None:
-                _log.error(
-                    "An upkeep wave is not served.", code="unsupported", key=event.key
-                )
-        return Declared(table, found.revision)
-
-
 def _read_worker(identifier: str, worker: _Worker) -> PoolWorker:
     """Return the worker of an entry.
 
@@ -215,43 +139,3 @@
         worker["state"] == _LEAVING,
         None if remaining is None else read_duration(remaining),
     )
-
-
-def _read_table(value: bytes) -> QueueTable | None:
-    try:
-        document = _document.decode(value)
-    except DECODE_ERRORS as error:
-        _log.error(
-            "The declarations can't be read.", code=MessageError.code, error=str(error)
-        )
-        return None
-    return QueueTable(
-        document["version"],
-        tuple(map(_read_queue, document["routes"])),
-        frozenset(service["name"] for service in document.get("services", [])),
-        document.get("limits", {}).get("max_body_bytes", _BODY_LIMIT),
-    )
-
-
-def _read_queue(route: _Route) -> Queue:
-    return Queue(
-        route["name"],
-        route["host"],
-        route["path_prefix"],
-        route["service"],
-        route.get("priority", 0),
-        max(1, route.get("max_attempts", 1)),
-        route.get("slack_factor", 1.0),
-        read_duration(route.get("target_latency_ms", 0)),
-        _read_terms(route.get("advice")),
-    )
-
-
-def _read_terms(advice: Any) -> AdviceTerms | None:
-    if not advice:
-        return None
-    return AdviceTerms(
-        read_duration(advice.get("decide_ms", 0)),
-        read_duration(advice.get("period_ms", 0)),
-        read_duration(advice.get("valid_ms", 0)),
-    )
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock, SystemClock, wait_for_event
+from damaskdeck.coordination.pools.admitting import Admission
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.desk import JobDesk
 from damaskdeck.coordination.pools.health import HealthyStore
@@ -94,7 +95,14 @@
         self._platform_store = PlatformStore(self._client, settings.store_address)
         self._advisor = PlatformAdvisor(self._client, settings.advisor_address)
         self._store = HealthyStore(self._platform_store, clock)
-        self.declarations = Declarations(PlatformQueues(self._store), clock)
+        self.declarations = Declarations(
+            PlatformQueues(self._store, settings.needs_keys),
+            clock,
+            self._times.keys_sure,
+            # What an owner starts is bound by quotas, which may be lowered.
+            lambda: self._times.quotas_sure if self._owner is not None else None,
+        )
+        self._admission = Admission(self.declarations)
         member = MemberRecord(
             settings.instance,
             uuid.uuid4().hex,
@@ -114,6 +122,7 @@
             self._advisor,
             clock,
             self._times,
+            self.declarations,
             lambda: self._owner,
             lambda epoch: self.watch.note_sign(epoch),
         )
@@ -157,7 +166,7 @@
         self.callers_address, self.ready_address, self.metrics_address = shown
         app = build_callers_app(
             self.desk,
-            lambda: self.declarations.table,
+            self._admission,
             self.is_ready,
             lambda: not self.is_ready(),
             read_metrics,
@@ -172,7 +181,8 @@
         """Whether the balancer may send callers here."""
         is_informed = self.declarations.table is not None and self.leadership.is_synced
         is_cut_off = self._store.measure_outage() > self._times.unready_after
-        return is_informed and not is_cut_off and not self._is_leaving
+        is_sure = self.declarations.may_serve
+        return is_informed and is_sure and not is_cut_off and not self._is_leaving
 
     def get_epoch(self) -> int:
         """Return the epoch that this daemon decides under, 0 if it doesn't."""
@@ -197,7 +207,7 @@
                     self._delay,
                 ),
                 self._network,
-                lambda: self.declarations.table,
+                self.declarations,
             ),
         )
         self._owner = owner
--- a/src/damaskdeck/protocol/poolcalls.py
+++ b/src/damaskdeck/protocol/poolcalls.py
@@ -1,6 +1,6 @@
 """Messages between a daemon that takes callers' requests and the pools' owner."""
 
-from typing import Literal, TypedDict
+from typing import Literal, NotRequired, TypedDict
 
 from damaskdeck.protocol.messages import message
 from damaskdeck.protocol.quantities import Amount, Count
@@ -18,25 +18,31 @@
     """What the owner knows of a job; an empty state is not to be believed.
 
     :ivar epoch: of the owner, 0 from a daemon that owns nothing.
+    :ivar is_hidden: the job is another account's.
     """
 
     epoch: Count
     state: str
+    is_hidden: NotRequired[bool]
 
 
-@message("pool.ask_state", reply="pool.state")
-class AskState(TypedDict):
-    """Ask for the state of a job."""
+class _Asked(TypedDict):
+    """A job, and for whom it is asked: account and queue of the caller."""
 
     job: str
+    account: NotRequired[str]
+    queue: NotRequired[str]
+
+
+@message("pool.ask_state", reply="pool.state")
+class AskState(_Asked):
+    """Ask for the state of a job."""
 
 
 @message("pool.cancel", reply="pool.state")
-class AskCancel(TypedDict):
+class AskCancel(_Asked):
     """Cancel a job; the reply comes once that is durable."""
 
-    job: str
-
 
 @message("pool.waiting")
 class WaitingReply(TypedDict):
@@ -93,9 +99,12 @@
     """Store a job for a daemon that the store doesn't answer.
 
     :ivar record: the record; its epoch and time are the receiver's to fill in.
+    :ivar digest: of the key that the caller showed, for the receiver to judge by
+        its own document.
     """
 
     record: bytes
+    digest: NotRequired[bytes]
 
 
 @message("pool.told")
@@ -111,10 +120,9 @@
 
 
 @message("pool.ask_for", reply="pool.told")
-class AskFor(TypedDict):
+class AskFor(_Asked):
     """Tell the state of a job, or cancel it, for a daemon without the store."""
 
-    job: str
     wish: Literal["state", "cancel"]
 
 
--- a/src/damaskdeck/protocol/pools.py
+++ b/src/damaskdeck/protocol/pools.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-from damaskdeck.protocol.ports import Lost, Rejected, TooOld
+from damaskdeck.protocol.ports import Entry, Lost, Rejected, TooOld
 from damaskdeck.protocol.queues import QueueTable, TaskName
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.values import distinct
@@ -223,14 +223,23 @@
 
 @distinct
 class Declared(NamedTuple):
-    """The declared queues as of the store's ``revision``; ``None`` before any."""
+    """The declared queues as of the store's ``revision``; ``None`` before any.
+
+    :param document: revision of the document itself, 0 where it isn't told.
+    """
 
     table: QueueTable | None
     revision: int
+    document: int = 0
 
 
 class QueueSource(Protocol):
-    """Where operators declare the queues."""
+    """Where operators declare the queues.
+
+    :ivar key: of the document in the store, which commits may expect.
+    """
+
+    key: str
 
     async def read_queues(self) -> Declared | Rejected | Lost:
         """Read the newest document; the answer is linearizable."""
@@ -242,3 +251,6 @@
 
         The table is ``None`` when nothing has changed.
         """
+
+    def decode(self, entry: Entry) -> Declared:
+        """Return what the document's entry says, as a refused commit shows it."""
--- a/src/damaskdeck/protocol/queues.py
+++ b/src/damaskdeck/protocol/queues.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from damaskdeck.protocol.accounts import NO_ACCOUNTS, ClientAccounts
 from damaskdeck.protocol.sizes import ZERO_SIZE, Size
 
 
@@ -31,6 +32,7 @@
     :param slack: the objective is this times the longest chain of work.
     :param allowance: added to the objective.
     :param advice: ``None`` where every worker of the pool may run every step.
+    :param is_public: callers need no key.
     """
 
     name: str
@@ -42,6 +44,7 @@
     slack: float
     allowance: timedelta
     advice: AdviceTerms | None = None
+    is_public: bool = True
 
 
 class QueueTable(NamedTuple):
@@ -49,12 +52,14 @@
 
     :param pools: names of the pools of workers that exist.
     :param body_limit: bytes of a request's body.
+    :param accounts: whose keys open the queues that aren't public.
     """
 
     version: int
     queues: tuple[Queue, ...]
     pools: frozenset[str]
     body_limit: int
+    accounts: ClientAccounts = NO_ACCOUNTS
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest that ``path`` starts with."""
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -86,6 +86,7 @@
     :param taken_at: seconds since 1970 by the clock of the daemon that took it.
     :param zones: availability zones whose workers alone may run it, until its
         progress names more; all where none is named.
+    :param account: whose key handed it in, an empty string on a public queue.
     """
 
     identifier: str
@@ -94,6 +95,7 @@
     epoch: int
     taken_at: float
     zones: tuple[str, ...] = ()
+    account: str = ""
 
 
 class StepProgress(NamedTuple):
--- a/src/damaskdeck/state/quotas.py
+++ b/src/damaskdeck/state/quotas.py
@@ -1,7 +1,8 @@
 """Quotas of teams: exact use, borrowing of idle quota and taking it back.
 
 One ledger's keeper decides about the quotas of its teams; nothing is lent
-between ledgers.
+between ledgers. The pools' owner counts client accounts by the same rules, and lends
+nothing.
 """
 
 from collections.abc import Iterable
@@ -116,6 +117,11 @@
             return TeamState(ZERO_SIZE, 1.0, ZERO_SIZE, ZERO_SIZE)
         return TeamState(record.quota, record.weight, record.use, record.wants[-1])
 
+    def measure_left(self, team: str) -> Size:
+        """Return what is left of a team's own quota; negative where it uses more."""
+        record = self._get(team)
+        return subtract_sizes(record.quota, record.use)
+
     def read_use(self, team: str) -> tuple[Size, float]:
         """Return what a team uses, and its weight."""
         record = self._get(team)
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -31,8 +31,11 @@
     TaskStart,
 )
 from damaskdeck.protocol.ports import (
+    Entry,
     Events,
+    Found,
     Lost,
+    Missing,
     Rejected,
     TooOld,
 )
@@ -356,34 +359,38 @@
 
 
 class StandinQueues:
-    """The operator's document, held in memory."""
+    """The operators' document as one daemon finds it in the store.
 
-    def __init__(self, clock: Clock, table: QueueTable | None = None) -> None:
-        self.table = table
-        self.revision = 1
-        self.faults = Faults()
-        self._clock = clock
+    The store holds its version; what that says is in ``tables``.
+    """
 
-    def declare(self, table: QueueTable) -> None:
-        """Put a document in force."""
-        self.table = table
-        self.revision += 1
+    key = "operator/queues"
+
+    def __init__(self, store: PoolStoreClient, tables: dict[int, QueueTable]) -> None:
+        self._store = store
+        self._tables = tables
 
     async def read_queues(self) -> Declared | Rejected | Lost:
         """Read the document."""
-        await self._clock.sleep(timedelta(milliseconds=1))
-        if self.faults.outage:
-            return Rejected("unreachable")
-        return Declared(self.table, self.revision)
+        found = await self._store.read(self.key)
+        if isinstance(found, Missing):
+            return Declared(None, found.revision)
+        return self.decode(found.entry) if isinstance(found, Found) else found
+
+    def decode(self, entry: Entry) -> Declared:
+        """Return what the document's entry says."""
+        table = self._tables.get(int(entry.value))
+        return Declared(table, entry.revision, entry.revision)
 
     async def follow_queues(
         self, revision: int, wait: timedelta
     ) -> Declared | TooOld | Rejected | Lost:
         """Wait for a newer document."""
-        ends = self._clock.monotonic() + wait
-        while self.revision == revision and self._clock.monotonic() < ends:
-            await self._clock.sleep(timedelta(milliseconds=10))
-        if self.faults.outage:
-            return Rejected("unreachable")
-        table = self.table if self.revision != revision else None
-        return Declared(table, self.revision)
+        found = await self._store.watch(self.key, revision, wait)
+        if not isinstance(found, Events):
+            return found
+        if not found.events:
+            return Declared(None, found.revision)
+        newest = found.events[-1]
+        table = self._tables.get(int(newest.value))
+        return Declared(table, found.revision, newest.revision)
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from damaskdeck.coordination.pools.admitting import Admission
+from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.desk import JobDesk
 from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.leadership import Leadership, Mandate
@@ -14,6 +16,7 @@
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
 from damaskdeck.delays import LoopDelay
+from damaskdeck.protocol.accounts import ClientAccount, ClientAccounts
 from damaskdeck.protocol.callers import NoJob, Taken, Told
 from damaskdeck.protocol.pools import EndKind, PoolWorker, WorkerRegistry
 from damaskdeck.protocol.queues import (
@@ -36,6 +39,7 @@
 from standins.peers import PeerSwitch
 from standins.pools import (
     StandinAdvisor,
+    StandinQueues,
     StandinRegistry,
     StandinWorker,
     Work,
@@ -50,6 +54,8 @@
     status_kept=timedelta(seconds=120),
     stop_longest=timedelta(milliseconds=900),
 )
+# What shows a key that was taken away longer ago is served by nobody.
+REVOCATION = timedelta(seconds=5)
 SECOND = timedelta(seconds=1)
 TERMS = AdviceTerms(timedelta(milliseconds=10), timedelta(), timedelta(seconds=2))
 SIZE = Size(4000, 8000, 0)
@@ -124,6 +130,13 @@
             self._take,
             self._lose,
         )
+        self.declarations = Declarations(
+            StandinQueues(self.store, cluster.tables),
+            clock,
+            cluster.times.keys_sure,
+            lambda: cluster.times.quotas_sure if self.owner is not None else None,
+        )
+        self.admission = Admission(self.declarations)
         self.desk = JobDesk(
             name,
             healthy,
@@ -132,6 +145,7 @@
             self.advisor,
             clock,
             cluster.times,
+            self.declarations,
             lambda: self.owner,
             lambda epoch: self.watch.note_sign(epoch),
         )
@@ -143,6 +157,7 @@
     def start(self) -> None:
         """Let it run."""
         self._spawn(self.leadership.run())
+        self._spawn(self.declarations.run())
         self._spawn(self.watch.run())
 
     def _get_epoch(self) -> int:
@@ -164,10 +179,10 @@
             self._cluster.build_registry(self.store),
             self.clock,
             self._cluster.times,
-            lambda pool: pool in self._cluster.table.pools,
+            self.declarations.knows_pool,
             self.delay,
         )
-        parts = OwnerParts(basis, self.peers, lambda: self._cluster.table)
+        parts = OwnerParts(basis, self.peers, self.declarations)
         self.owner = PoolOwner(mandate, parts)
         self._owner_task = self._spawn(self.owner.run())
 
@@ -223,16 +238,19 @@
         allow: Callable[[str, str], bool] = lambda step, worker: True,
         queues: tuple[Queue, ...] = (make_queue(),),
         zones: int = 1,
+        accounts: tuple[ClientAccount, ...] = (),
     ) -> None:
         self.clock = LoopClock()
         self.numbers = itertools.count(1)
         self.allow = allow
-        self.times = derive_times(BOUNDS)
+        bounds = BOUNDS._replace(revocation=REVOCATION) if accounts else BOUNDS
+        self.times = derive_times(bounds)
         self.store = PoolStore(self.clock)
         self.switch = PeerSwitch(self.clock)
         self.workers: dict[str, StandinWorker] = {}
         self.epochs: list[int] = []
-        self.table = QueueTable(1, queues, frozenset({"hub"}), 100_000)
+        self.tables: dict[int, QueueTable] = {}
+        self.declare(queues, accounts)
         self._behave = behave
         for number in range(workers):
             self.add_worker(
@@ -245,6 +263,21 @@
         for number in range(daemons):
             self.add_daemon(f"d{number}")
 
+    @property
+    def table(self) -> QueueTable:
+        """The newest document."""
+        return self.tables[max(self.tables)]
+
+    def declare(
+        self, queues: tuple[Queue, ...], accounts: tuple[ClientAccount, ...] = ()
+    ) -> None:
+        """Put a document in the store, as the operators do."""
+        version = len(self.tables) + 1
+        self.tables[version] = QueueTable(
+            version, queues, frozenset({"hub"}), 100_000, ClientAccounts(accounts)
+        )
+        self.store.set(StandinQueues.key, str(version).encode())
+
     def build_registry(self, store: PoolStoreClient) -> WorkerRegistry:
         """Return the registry as a daemon sees it."""
         return StandinRegistry(store, self.workers)
@@ -287,6 +320,9 @@
         for daemon in self.daemons.values():
             daemon.start()
         await self.wait(lambda: self.find_owner() is not None)
+        await self.wait(
+            lambda: all(d.declarations.table for d in self.daemons.values())
+        )
 
     def find_owner(self) -> ClusterDaemon | None:
         """Return the daemon that decides."""
