Know client accounts: whose key a call shows, and what may run of them

Change: accounts are decoded once in the adapter, keys kept as digests; a call that shows none or nobody's is answered 401 before its body is read; a job's record names its account and another account sees it as absent; a document counts as the newest from when a question to the store was sent whose answer shows it, by commits that expect it and by reads where no commit has told, and beyond the bound calls that need a key are refused at once; the owner starts nothing that would bring an account above its quota, counted by change over all that may still run, also after takeovers, and nothing by a document that may be old.

--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -13,6 +13,7 @@
 
 from damaskdeck.clock import SystemClock
 from damaskdeck.coordination.pools.advising import AdviceDesk
+from damaskdeck.coordination.pools.allowances import Allowances
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.dispatching import Dispatcher
 from damaskdeck.coordination.pools.leadership import Mandate
@@ -70,6 +71,7 @@
         self.board = Board()
         self.contacts: dict[str, WorkerContact] = {}
         self._table = QueueTable(1, (QUEUE,), frozenset({"hub"}), 100_000)
+        self.allowances = Allowances(self)
 
     def now(self) -> float:
         return time.monotonic()
@@ -83,6 +85,14 @@
     def next_attempt(self, tasks) -> int:
         return max(task.attempt for task in tasks) + 1
 
+    def charge(self, run: Run) -> None:
+        """Count a run that takes room."""
+        self.allowances.charge(run)
+
+    def release(self, run: Run) -> None:
+        """Count a run no longer."""
+        self.allowances.release(run)
+
     def note_running(self, run: Run) -> None:
         """Nothing follows from it here."""
 
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -16,7 +16,7 @@
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
 from damaskdeck.delays import LoopDelay
-from damaskdeck.protocol.accounts import ClientAccount, ClientAccounts
+from damaskdeck.protocol.accounts import ClientAccount, ClientAccounts, digest_key
 from damaskdeck.protocol.callers import NoJob, Taken, Told
 from damaskdeck.protocol.pools import EndKind, PoolWorker, WorkerRegistry
 from damaskdeck.protocol.queues import (
@@ -78,6 +78,12 @@
     return Queue(**{**values, **fields})
 
 
+def make_account(name: str, *keys: str, **fields) -> ClientAccount:
+    """Return an account that has these keys."""
+    digests = frozenset(digest_key(key.encode()) for key in keys)
+    return ClientAccount(name, digests, **fields)
+
+
 def make_job(*steps: StepSpec, **fields) -> JobSpec:
     """Return a job of the steps, of one small task unless given."""
     return JobSpec("payload", steps or (StepSpec(1, SMALL, SECOND),), **fields)
@@ -250,6 +256,8 @@
         self.workers: dict[str, StandinWorker] = {}
         self.epochs: list[int] = []
         self.tables: dict[int, QueueTable] = {}
+        # When each version was acknowledged to the operators.
+        self.declared_at: dict[int, timedelta] = {}
         self.declare(queues, accounts)
         self._behave = behave
         for number in range(workers):
@@ -277,6 +285,7 @@
             version, queues, frozenset({"hub"}), 100_000, ClientAccounts(accounts)
         )
         self.store.set(StandinQueues.key, str(version).encode())
+        self.declared_at[version] = self.clock.monotonic()
 
     def build_registry(self, store: PoolStoreClient) -> WorkerRegistry:
         """Return the registry as a daemon sees it."""
--- /dev/null
+++ b/tests/test_pools_accounts.py
@@ -0,0 +1,325 @@
+"""Client accounts on whole clusters: whose jobs are served, and what may run."""
+
+import asyncio
+from datetime import timedelta
+from unittest import mock
+
+from damaskdeck.coordination.pools.allowances import Allowances
+from damaskdeck.coordination.pools.owner import PoolOwner
+from damaskdeck.protocol.accounts import digest_key
+from damaskdeck.protocol.callers import (
+    BarCode,
+    Barred,
+    Caller,
+    NoJob,
+    NotTaken,
+    Taken,
+    Told,
+)
+from damaskdeck.protocol.queues import QueuedState, StepSpec, TaskName
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes
+from standins.pools import Work
+from tests.poolcluster import (
+    BOUNDS,
+    SECOND,
+    SMALL,
+    PoolCase,
+    make_account,
+    make_job,
+    make_queue,
+)
+from tests.usage import find_overuse, read_jobs
+from tests.virtual import virtual
+
+QUEUE = make_queue(is_public=False)
+KIOSK = Caller("kiosk", "plans", digest_key(b"key-1"))
+OTHER = Caller("other", "plans", digest_key(b"key-2"))
+# Two tasks of a core and a GiB at a time.
+QUOTA = Size(2000, 2000, 0)
+
+
+def make_accounts(quota: Size = QUOTA, keys: tuple[str, ...] = ("key-1",)):
+    """Return the accounts of these tests."""
+    kiosk = make_account("kiosk", *keys, quota=quota)
+    return kiosk, make_account("other", "key-2", quota=Size(9000, 9000, 9))
+
+
+class AccountsCase(PoolCase):
+    """A cluster with two accounts."""
+
+    async def begin_accounts(self, quota: Size = QUOTA, **options):
+        """Start it."""
+        cluster = await self.begin(
+            queues=(QUEUE,), accounts=make_accounts(quota), **options
+        )
+        await asyncio.sleep(0.1)
+        return cluster
+
+    async def submit(self, job: str, spec=None, daemon: str = "d0", caller=KIOSK):
+        """Hand a job in."""
+        desk = self.cluster.daemons[daemon].desk
+        return await desk.submit(QUEUE, job, spec or make_job(), caller)
+
+    def find_overuse(self) -> list[str]:
+        """Return the starts beyond a quota, of all that the workers saw."""
+        jobs = read_jobs(self.cluster)
+
+        def find_size(task: TaskName) -> tuple[str, Size]:
+            record = jobs[task.job]
+            return record.account, record.spec.steps[task.step].size
+
+        return find_overuse(self.cluster, find_size)
+
+    def assert_within_quota(self) -> None:
+        """Check all starts that the workers saw."""
+        self.assertEqual(self.find_overuse(), [])
+
+
+class TestWhoCalls(AccountsCase):
+    """A job is its account's."""
+
+    @virtual
+    async def test_another_account_sees_a_job_as_absent(self):
+        cluster = await self.begin_accounts()
+        self.assertEqual(await self.submit("j1"), Taken())
+        for daemon in cluster.daemons.values():
+            self.assertEqual(await daemon.desk.read_state("j1", OTHER), NoJob())
+            self.assertEqual(await daemon.desk.cancel("j1", OTHER), NoJob())
+        await asyncio.sleep(3)
+        done = Told(QueuedState.COMPLETED)
+        for daemon in cluster.daemons.values():
+            self.assertEqual(await daemon.desk.read_state("j1", KIOSK), done)
+            self.assertEqual(await daemon.desk.read_state("j1", OTHER), NoJob())
+        self.end()
+
+    @virtual
+    async def test_another_account_does_not_hand_the_same_job_in(self):
+        cluster = await self.begin_accounts()
+        self.assertEqual(await self.submit("j1"), Taken())
+        self.assertEqual(await self.submit("j1", daemon="d1"), Taken())
+        again = await self.submit("j1", daemon="d1", caller=OTHER)
+        self.assertEqual(again, Barred(BarCode.IDENTIFIER_IN_USE))
+        await asyncio.sleep(2)
+        self.assertEqual(len(cluster.list_starts("j1")), 1)
+        self.end()
+
+    @virtual
+    async def test_jobs_of_a_queue_that_becomes_private_are_still_seen(self):
+        cluster = await self.begin_accounts()
+        cluster.declare((QUEUE._replace(is_public=True),), make_accounts())
+        await asyncio.sleep(0.1)
+        anyone = Caller(queue="plans")
+        self.assertEqual(await self.submit("j1", caller=anyone), Taken())
+        self.assertIsInstance(
+            await cluster.daemons["d1"].desk.read_state("j1", KIOSK), Told
+        )
+        self.end()
+
+    @virtual
+    async def test_without_the_owner_the_store_tells_whose_a_job_is(self):
+        cluster = await self.begin_accounts()
+        self.assertEqual(await self.submit("j1"), Taken())
+        daemon = cluster.find_other()
+        for other in cluster.daemons:
+            if other != daemon.name:
+                cluster.switch.cut_both(daemon.name, other)
+        self.assertIsInstance(await daemon.desk.read_state("j1", KIOSK), Told)
+        self.assertEqual(await daemon.desk.read_state("j1", OTHER), NoJob())
+        self.assertEqual(await daemon.desk.cancel("j1", OTHER), NoJob())
+        self.end()
+
+
+class TestKeysTakenAway(AccountsCase):
+    """What a key that was taken away still does: nothing."""
+
+    @virtual
+    async def test_a_commit_is_refused_whatever_the_daemon_believes(self):
+        cluster = await self.begin_accounts()
+        desk = cluster.daemons["d0"].desk
+        # The key goes while the call is under way; no watch has told yet.
+        cluster.declare((QUEUE,), make_accounts(keys=()))
+        done = await desk.submit(QUEUE, "j1", make_job(), KIOSK)
+        self.assertEqual(done, Barred(BarCode.UNKNOWN_KEY))
+        self.assertNotIn("damaskdeck/inbox/jobs/j1", cluster.store.entries)
+        self.end()
+
+    @virtual
+    async def test_another_document_keeps_a_call_that_is_still_allowed(self):
+        cluster = await self.begin_accounts()
+        cluster.declare((QUEUE,), make_accounts(keys=("key-1", "key-9")))
+        self.assertEqual(await self.submit("j1"), Taken())
+        self.end()
+
+    @virtual
+    async def test_a_daemon_that_is_turned_away_hands_nothing_in(self):
+        cluster = await self.begin_accounts()
+        daemon = cluster.find_other()
+        daemon.store.faults.outage = True
+        await asyncio.sleep(1)
+        # Its helpers have the store, and judge the key by their own document.
+        self.assertEqual(await self.submit("j1", daemon=daemon.name), Taken())
+        cluster.declare((QUEUE,), make_accounts(keys=()))
+        await asyncio.sleep(0.1)
+        done = await self.submit("j2", daemon=daemon.name)
+        self.assertIsInstance(done, NotTaken)
+        self.assertNotIn("damaskdeck/inbox/jobs/j2", cluster.store.entries)
+        self.end()
+
+    @virtual
+    async def test_a_restart_behind_a_cut_admits_nobody(self):
+        cluster = await self.begin_accounts()
+        daemon = cluster.find_other()
+        daemon.kill()
+        fresh = cluster.add_daemon(daemon.name)
+        fresh.store.faults.outage = True
+        fresh.start()
+        await asyncio.sleep(2)
+        judged = fresh.admission.judge("a.example", "/plans/0a", b"key-1")
+        self.assertEqual(judged, Barred(BarCode.NO_DOCUMENT))
+        self.end()
+
+    @virtual
+    async def test_a_suspend_ends_what_was_sure(self):
+        cluster = await self.begin_accounts()
+        daemon = cluster.find_other()
+        daemon.freeze()
+        daemon.store.faults.outage = True
+        await asyncio.sleep(6)
+        judged = daemon.admission.judge("a.example", "/plans/0a", b"key-1")
+        self.assertEqual(judged, Barred(BarCode.STALE_DOCUMENT))
+        daemon.thaw()
+        self.end()
+
+
+class TestQuotas(AccountsCase):
+    """What an account has running never passes its quota."""
+
+    @virtual
+    async def test_a_wide_step_runs_in_waves(self):
+        cluster = await self.begin_accounts()
+        spec = make_job(StepSpec(7, SMALL, SECOND))
+        self.assertEqual(await self.submit("j1", spec), Taken())
+        await asyncio.sleep(6)
+        self.assertEqual(
+            await cluster.daemons["d0"].desk.read_state("j1", KIOSK),
+            Told(QueuedState.COMPLETED),
+        )
+        self.assert_within_quota()
+        # Four waves of a second each, and hardly more.
+        starts = [at for at, *_ in cluster.list_starts("j1")]
+        self.assertLess(starts[-1] - starts[0], timedelta(seconds=3.6))
+        self.end()
+
+    @virtual
+    async def test_one_account_at_its_quota_does_not_hold_up_another(self):
+        cluster = await self.begin_accounts()
+        await self.submit("j1", make_job(StepSpec(8, SMALL, 5 * SECOND)))
+        await self.submit("j2", make_job(StepSpec(4, SMALL, SECOND)), caller=OTHER)
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(cluster.list_starts("j2")), 4)
+        self.assert_within_quota()
+        self.end()
+
+    @virtual
+    async def test_a_gang_above_the_quota_starts_when_that_is_raised(self):
+        cluster = await self.begin_accounts()
+        await self.submit("g", make_job(StepSpec(4, SMALL, SECOND, is_gang=True)))
+        await self.submit("j1")
+        await asyncio.sleep(5)
+        # It waits, and what is behind it does not.
+        self.assertEqual(cluster.list_starts("g"), [])
+        self.assertEqual(len(cluster.list_starts("j1")), 1)
+        cluster.declare((QUEUE,), make_accounts(Size(4000, 4000, 0)))
+        await asyncio.sleep(1)
+        self.assertEqual(len(cluster.list_starts("g")), 4)
+        self.end()
+
+    @virtual
+    async def test_a_lower_quota_holds_for_what_starts_then(self):
+        cluster = await self.begin_accounts(Size(6000, 6000, 0))
+        await self.submit("j1", make_job(StepSpec(12, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        cluster.declare((QUEUE,), make_accounts(Size(1000, 1000, 0)))
+        await asyncio.sleep(12)
+        self.assertEqual(len(cluster.list_starts("j1")), 12)
+        self.assert_within_quota()
+        self.end()
+
+    async def lower_behind_an_outage(self):
+        """Lower a quota that binds while the store answers no daemon, for 8 s."""
+        cluster = await self.begin_accounts(Size(6000, 6000, 0))
+        owner = cluster.find_owner()
+        await self.submit("j1", make_job(StepSpec(60, SMALL, SECOND)))
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        cluster.declare((QUEUE,), make_accounts(Size(1000, 1000, 0)))
+        lowered = cluster.clock.monotonic()
+        await asyncio.sleep(8)
+        self.assertIs(cluster.find_owner(), owner)
+        limit = lowered + BOUNDS.in_force
+        return cluster, [row for row in cluster.list_starts("j1") if row[0] > limit]
+
+    @virtual
+    async def test_an_owner_without_the_store_starts_nothing_by_an_old_quota(self):
+        cluster, late = await self.lower_behind_an_outage()
+        self.assertEqual(late, [])
+        self.assert_within_quota()
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = False
+        await asyncio.sleep(2)
+        self.assert_within_quota()
+        last, *_ = cluster.list_starts("j1")[-1]
+        self.assertGreater(last, cluster.clock.monotonic() - 2 * SECOND)
+        self.end()
+
+    @virtual
+    async def test_the_checker_sees_an_owner_that_goes_by_an_old_quota(self):
+        trusting = mock.patch.object(PoolOwner, "are_quotas_sure", lambda self: True)
+        with trusting:
+            _, late = await self.lower_behind_an_outage()
+        self.assertNotEqual(late, [])
+        self.assertNotEqual(self.find_overuse(), [])
+        self.end()
+
+    @virtual
+    async def test_a_successor_counts_what_silent_workers_may_run(self):
+        cluster = await self.begin_accounts(
+            workers=4, behave=lambda task, attempt: Work(20 * SECOND)
+        )
+        await self.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        (used,) = {row[3] for row in cluster.list_starts("j1")}
+        owner = cluster.find_owner()
+        for daemon in cluster.daemons.values():
+            if daemon is not owner:
+                daemon.workers.cut_off.add(used)
+        owner.kill()
+        await cluster.wait(lambda: cluster.find_owner() not in (None, owner))
+        daemon = cluster.find_owner()
+        await self.submit("j2", make_job(StepSpec(2, SMALL, SECOND)), daemon.name)
+        await asyncio.sleep(4)
+        self.assertEqual(cluster.list_starts("j2"), [])
+        await asyncio.sleep(16)
+        self.assertEqual(len(cluster.list_starts("j2")), 2)
+        self.assert_within_quota()
+        self.end()
+
+    @virtual
+    async def test_what_is_counted_is_what_the_contacts_have(self):
+        cluster = await self.begin_accounts(Size(6000, 6000, 0))
+        await self.submit("j1", make_job(StepSpec(9, SMALL, SECOND)))
+        await self.submit("j2", make_job(StepSpec(3, SMALL, SECOND)), caller=OTHER)
+        owner = cluster.find_owner().owner
+        allowances: Allowances = owner.allowances
+        for _ in range(60):
+            await asyncio.sleep(0.07)
+            counted = {"kiosk": ZERO_SIZE, "other": ZERO_SIZE}
+            for contact in owner.contacts.values():
+                for run in contact.runs.values():
+                    name = run.task.step.job.record.account
+                    size = run.task.step.spec.size
+                    counted[name] = add_sizes(counted[name], size)
+            for name, size in counted.items():
+                self.assertEqual(allowances.read_use(name), size)
+        self.assertEqual(allowances.read_use("kiosk"), ZERO_SIZE)
+        self.end()
