Count late jobs by account, and tell quotas apart from room

Cause: which accounts are worst served, and what their jobs wait for, could not be read from the logs. Change: lines of taking name the account; damaskdeck losses lists accounts by the share of late jobs, and sums what they waited for while their account was held back.

--- a/src/damaskdeck/cli/losses.py
+++ b/src/damaskdeck/cli/losses.py
@@ -19,9 +19,12 @@
 ANSWERS = "A worker answers."
 LOADED = "Loaded."
 UNCONFIRMED = "A start was not confirmed."
+HELD = "An account is held back."
 DURABLE = "A final state is durable."
 # A run that goes on for so many times as long as the median of its step ran slowly.
 SLOW_FACTOR = 2.0
+# An account that is held back is told of again after so long, as long as it is.
+HELD_SECONDS = 5.0
 # A look that gets no answer takes so many seconds: its wait and the slack.
 NOTICED_AFTER = 0.85
 
@@ -60,6 +63,7 @@
     final: float
     durable: float
     runs: list[Run]
+    account: str = ""
 
     @property
     def chain(self) -> float:
@@ -91,10 +95,14 @@
 
 
 class History(NamedTuple):
-    """What the logs tell of the system, beside its jobs."""
+    """What the logs tell of the system, beside its jobs.
+
+    :param held: when accounts were held back by their quota, about.
+    """
 
     silent: dict[str, list[Span]]
     takeovers: list[Span]
+    held: dict[str, list[Span]] = {}
 
 
 def parse_time(text: str) -> float:
@@ -107,6 +115,7 @@
     silent: dict[str, list[Span]] = defaultdict(list)
     since: dict[str, float] = {}
     takeovers: list[Span] = []
+    held: dict[str, list[Span]] = defaultdict(list)
     decided_at = 0.0
     for line in lines:
         at, fields = parse_time(line.time), line.fields
@@ -115,13 +124,16 @@
             since.setdefault(worker, at - NOTICED_AFTER)
         elif line.message == ANSWERS and worker in since:
             silent[worker].append(Span(since.pop(worker), at))
+        elif line.message == HELD:
+            account = str(line.fields.get("account", ""))
+            held[account].append(Span(at, at + HELD_SECONDS))
         elif line.message == LOADED and decided_at:
             takeovers.append(Span(decided_at, at))
         if line.message in (ORDERED, ENDED, DURABLE, LOADED):
             decided_at = at
     for worker, begin in since.items():
         silent[worker].append(Span(begin, float("inf")))
-    return History(silent, takeovers)
+    return History(silent, takeovers, held)
 
 
 def read_lives(lines: list[Line]) -> Iterator[Life]:
@@ -147,6 +159,7 @@
             ended_at,
             parse_time(durable.time) if durable is not None else ended_at,
             list(_read_runs(life)),
+            str(taken.fields.get("account", "")),
         )
 
 
@@ -177,7 +190,7 @@
         cuts |= set(run.span) | {run.span.begin + SLOW_FACTOR * usual[run.step]}
         for span in history.silent.get(run.worker, ()):
             cuts |= set(span)
-    for span in history.takeovers:
+    for span in (*history.takeovers, *history.held.get(life.account, ())):
         cuts |= set(span)
     inside = sorted(at for at in cuts if life.taken <= at <= life.durable)
     for begin, end in pairwise(inside):
@@ -214,7 +227,11 @@
         return "order in doubt"
     if outcomes - {"untold"}:
         return "run that failed"
-    return "untold" if outcomes else "room, advice or order"
+    if outcomes:
+        return "untold"
+    spans = history.held.get(life.account, ())
+    is_held = any(span.begin <= at < span.end for span in spans)
+    return "quota, or room beside it" if is_held else "room, advice or order"
 
 
 def print_losses(lives: list[Life], history: History, top: int) -> None:
@@ -231,6 +248,7 @@
             total += split_life(life, history)
         for reason in sorted(total, key=lambda r: -total[r]):
             print(f"  {total[reason]:8.1f} s  {reason}")
+    _print_accounts(lives)
     _print_seconds(late)
     late.sort(key=lambda life: life.objective - life.took)
     for life in late[:top]:
@@ -242,6 +260,14 @@
         )
 
 
+def _print_accounts(lives: list[Life]) -> None:
+    """Print how many jobs of each account were late, the worst served first."""
+    jobs = Counter(life.account for life in lives if life.account)
+    behind = Counter(life.account for life in lives if life.took > life.objective)
+    for account in sorted(jobs, key=lambda name: -behind[name] / jobs[name]):
+        print(f"account {account}: {jobs[account]} jobs, {behind[account]} late")
+
+
 def _print_seconds(late: list[Life]) -> None:
     seconds = Counter(int(life.taken) for life in late)
     for second, count in sorted(seconds.items()):
--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -291,7 +291,12 @@
         )
 
     def _tell_owner(self, record: JobRecord) -> None:
-        _log.info("Taken.", id=record.identifier, queue=record.queue.name)
+        _log.info(
+            "Taken.",
+            id=record.identifier,
+            queue=record.queue.name,
+            account=record.account,
+        )
         owner = self._leadership.owner
         if owner is not None:
             message: Submitted = {"record": encode_record(record)}
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -55,6 +55,20 @@
         self.assertEqual(split["work"], 2)
         self.assertEqual(split["end not durable"], 2)
 
+    def test_an_account_at_its_quota_is_told_apart(self):
+        lines = write_job("j1", 1, 7, 7, (5, 7, "w1", "completed"))
+        lines[0] = write_line(1, "Taken.", id="j1", queue="quick", account="kiosk")
+        held = write_line(2, "An account is held back.", account="kiosk", code="quota")
+        split = self.split(*lines, held)
+        self.assertEqual(split["room, advice or order"], 1)
+        self.assertEqual(split["quota, or room beside it"], 3)
+
+    def test_late_jobs_are_counted_by_account(self):
+        lines = write_job("j1", 1, 9, 9, (5, 7, "w1", "completed"))
+        lines[0] = write_line(1, "Taken.", id="j1", queue="quick", account="kiosk")
+        result = CliRunner().invoke(app, ["losses"], input="\n".join(lines))
+        self.assertIn("account kiosk: 1 jobs, 1 late", result.output)
+
     def test_a_silent_worker_is_named_while_it_is_silent(self):
         split = self.split(
             *write_job(
