Write down what silent and leaving workers may run, and what accounts may have

Change: cordons (a silent worker gets no order and no lease, a leaving one no order, until a commit says otherwise; the commit names the jobs that it may run) and ceilings (nothing starts beyond what is durable; a ceiling stays near what runs, so what a successor doesn't find running is at most the ceiling less what it finds).

--- a/src/damaskdeck/coordination/pools/allowances.py
+++ b/src/damaskdeck/coordination/pools/allowances.py
@@ -9,12 +9,18 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from damaskdeck.coordination.pools.ceilings import Ceilings
 from damaskdeck.coordination.pools.placing import count_fitting
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_refusal
-from damaskdeck.protocol.accounts import UNLIMITED
+from damaskdeck.protocol.accounts import UNLIMITED_SIZE
 from damaskdeck.protocol.queues import QueueTable
-from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+from damaskdeck.protocol.sizes import (
+    ZERO_SIZE,
+    Size,
+    add_sizes,
+    subtract_sizes,
+)
 from damaskdeck.state.board import Job, Run, Step
 from damaskdeck.state.quotas import Quotas, scale_size
 
@@ -50,10 +56,14 @@
     """Counts what accounts use, by change, and judges what they may start.
 
     :param owner: of the jobs.
+    :ivar ceilings: what accounts may have running under any owner.
     """
 
-    def __init__(self, owner: AllowanceOwner) -> None:
+    def __init__(self, owner: AllowanceOwner, ceilings: Ceilings) -> None:
+        self.ceilings = ceilings
         self._owner = owner
+        # What the owner before had running where that is known, by account.
+        self._found: dict[str, Size] = {}
         self._quotas = Quotas()
         self._unknown: dict[str, Size] = {}
         self._unknown_at = float("-inf")
@@ -73,6 +83,13 @@
         step = run.task.step
         self._quotas.release(step.job.record.account, step.spec.size)
 
+    def note_found(self, run: Run) -> None:
+        """Take note of a run that the owner before had ordered and counted."""
+        step = run.task.step
+        account = step.job.record.account
+        found = self._found.get(account, ZERO_SIZE)
+        self._found[account] = add_sizes(found, step.spec.size)
+
     def read_use(self, account: str) -> Size:
         """Return what is counted as running of an account, the unknown aside."""
         return self._quotas.read(account).use
@@ -86,17 +103,20 @@
         if account not in self._declared:
             # Nothing limits what no document that is known here ever named.
             return wanted
-        left = subtract_sizes(
-            self._quotas.measure_left(account), self._measure_unknown(account)
-        )
-        if left[0] > UNLIMITED // 2 and left[1] > UNLIMITED // 2:
+        state = self._quotas.read(account)
+        if state.quota == UNLIMITED_SIZE:
             return wanted
         if not self._owner.are_quotas_sure():
             self._hold(step, "quotas_not_sure")
             return 0
-        startable = max(0, min(wanted, count_fitting(_drop_spread(step), left)))
+        used = add_sizes(state.use, self._measure_unknown(account))
+        left = subtract_sizes(state.quota, used)
+        startable = _count_fitting(step, wanted, left)
         if startable < wanted:
             self._hold(step, "quota")
+        needed = add_sizes(used, scale_size(step.spec.size, startable))
+        limit = self.ceilings.limit(account, state.quota, needed)
+        startable = _count_fitting(step, startable, subtract_sizes(limit, used))
         return 0 if step.spec.is_gang and startable < wanted else startable
 
     def _take_quotas(self) -> None:
@@ -113,6 +133,16 @@
             self._declared.add(account.name)
             self._quotas.set_quota(account.name, account.quota, account.weight)
 
+    def sweep(self) -> None:
+        """Lower the ceilings of accounts that are seen to use less."""
+        self._take_quotas()
+        if any(True for _ in self._owner.list_unaccounted()):
+            return
+        for account in self._declared:
+            state = self._quotas.read(account)
+            if state.quota != UNLIMITED_SIZE:
+                self.ceilings.lower_to(account, state.quota, state.use)
+
     # What isn't known --------------------------------------------------------
 
     def _measure_unknown(self, account: str) -> Size:
@@ -136,9 +166,24 @@
             more = add_sizes(unknown.get(account, ZERO_SIZE), _measure_unseen(job))
             unknown[account] = more
         return {
-            account: Size(*map(min, size, room)) for account, size in unknown.items()
+            account: Size(*map(min, size, room, self._measure_rest(account)))
+            for account, size in unknown.items()
         }
 
+    def _measure_rest(self, account: str) -> Size:
+        """Return at most what the owner before had running where that isn't known.
+
+        Of its runs that were found it can't have learnt an end since: it counts them,
+        below its ceiling, for as long as it orders anything.
+        """
+        ceiling = self.ceilings.find_inherited(account)
+        if ceiling is None:
+            return UNLIMITED_SIZE
+        found = self._found.get(account, ZERO_SIZE)
+        return Size(
+            *(max(0, most - seen) for most, seen in zip(ceiling, found, strict=True))
+        )
+
     # Telling -----------------------------------------------------------------
 
     def _hold(self, step: Step, code: str) -> None:
@@ -165,9 +210,13 @@
         steps.clear()
 
 
-def _drop_spread(step: Step):
-    """Return a step's spec without what counts for one worker alone."""
-    return step.spec._replace(spread=0) if step.spec.spread else step.spec
+def _count_fitting(step: Step, wanted: int, left: Size) -> int:
+    """Return how many of so many tasks fit into what is left of a quota."""
+    spec = step.spec
+    if spec.spread:
+        # That limit counts for one worker alone.
+        spec = spec._replace(spread=0)
+    return max(0, min(wanted, count_fitting(spec, left)))
 
 
 def _measure_unseen(job: Job) -> Size:
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -87,6 +87,7 @@
     :ivar is_known: whether its inventory was read under this epoch and it has
         not fallen silent since.
     :ivar is_gone: whether this life is over for certain.
+    :ivar is_cordoned: gets no order; see :mod:`.cordons`.
     :ivar used: room that its runs take.
     :ivar free: room that no run takes.
     :ivar processed: number of the last end taken from it.
@@ -116,6 +117,8 @@
         self.is_listed = True
         self.is_known = False
         self.is_gone = False
+        self.is_cordoned = False
+        self._may_extend = True
         self.is_rostered = False
         self.processed = 0
         self.observed = 0
@@ -167,6 +170,11 @@
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
+    @property
+    def is_read(self) -> bool:
+        """Whether its inventory was taken in under this epoch."""
+        return self._is_read
+
     def _set_used(self, used: Size) -> None:
         self.used = used
         self.free = subtract_sizes(self.info.size, used)
@@ -178,6 +186,7 @@
             and self.is_listed
             and self.is_rostered
             and not self.is_gone
+            and not self.is_cordoned
             and not self.info.is_leaving
             and not self.strangers
             and now >= self.paused_until
@@ -190,6 +199,33 @@
         is_waited_for = not self.is_known and not self.is_gone
         return is_waited_for and now - self.looked_at > SILENCE_SECONDS
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has said that it leaves."""
+        return self.info.is_leaving
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether all that it may run is known, and no end of it is unknown to others.
+
+        That is so when it was read under this epoch and all ends that it told are
+        durable: what they end must not seem to be unknown to a successor.
+        """
+        is_known_of = self._is_read and not self.strangers and not self.is_gone
+        return is_known_of and self.observed == self.processed
+
+    def cordon(self, is_silent: bool) -> None:
+        """Let it have no order, and if it is silent no longer lease."""
+        self.is_cordoned = True
+        self._may_extend = not is_silent
+
+    def release(self) -> None:
+        """Let it have orders and leases again."""
+        self.is_cordoned = False
+        self._may_extend = True
+        self._hurry.set()
+        self._owner.note_contact(self)
+
     def _is_slow_to_start(self, now: float) -> bool:
         """Whether an order has been without an answer for longer than is usual."""
         oldest = next(iter(self._ordering.values()), now)
@@ -352,7 +388,8 @@
     async def _look(self) -> None:
         sent = self._now()
         deadline = self._find_deadline(sent)
-        wait = timedelta() if deadline is None else self._times.hold_wait
+        is_idle = deadline is None and not (self.is_known and self.is_cordoned)
+        wait = timedelta() if is_idle else self._times.hold_wait
         if self._hurry.is_set():
             self._hurry.clear()
             wait = timedelta()
@@ -375,7 +412,9 @@
         A silent worker's lease is left alone: who may have been extended can't
         be given up.
         """
-        if not self.is_known or not self._leadership.may_decide():
+        if not self.is_known or not self._may_extend:
+            return None
+        if not self._leadership.may_decide():
             return None
         self._extend_bound(now, self._times.lease)
         return self._estimate_clock(now) + self._times.lease
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -235,7 +235,8 @@
         opened since alone: the others had no room for it, and have no more now.
         """
         step, tasks = pending.step, pending.tasks
-        allowed = self._owner.allowances.count_startable(step, len(tasks))
+        allowances = self._owner.allowances
+        allowed = allowances.count_startable(step, len(tasks))
         if not allowed:
             return
         is_whole = allowed == len(tasks)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 from typing import NamedTuple
 
 from damaskdeck.background import start_task
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.allowances import Allowances
+from damaskdeck.coordination.pools.ceilings import Ceilings
 from damaskdeck.coordination.pools.confining import measure_rooms
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.declarations import Declarations
@@ -34,20 +35,23 @@
     EndKind,
     RunningTask,
 )
-from damaskdeck.protocol.ports import Entry, Events, TooOld
+from damaskdeck.protocol.ports import Entry, Events, Found, Missing, TooOld
 from damaskdeck.protocol.queues import QueuedState, QueueTable
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import Write, read_all
 from damaskdeck.state.board import Board, Job, Run, Step, Task
 from damaskdeck.state.jobrecords import (
     CANCELS,
+    CEILINGS_KEY,
     INBOX,
     JOBS,
     PROGRESS,
+    CeilingsRecord,
     JobRecord,
     ProgressRecord,
     decode_job,
     decode_progress,
+    decode_record,
     encode_record,
 )
 
@@ -108,13 +112,15 @@
             basis.leadership.list_members,
             lambda step: self.dispatcher.note_verdicts(step),
         )
-        self.allowances = Allowances(self)
+        self.allowances = Allowances(self, Ceilings(self._change_ceilings))
         self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
         self._supervisor = Supervisor(self, self.dispatcher, basis.times, self.desk)
         self._dirty: dict[str, Job] = {}
         self._removed: list[str] = []
         self._dirty_contacts: set[WorkerContact] = set()
         self._roster_changed = False
+        self._cordons_changed = False
+        self._ceilings_changed = False
         self._cancelled: set[str] = set()
         self._unreadable: set[str] = set()
         self._doubts: set[asyncio.Task[None]] = set()
@@ -124,7 +130,10 @@
             basis,
             self,
             WorkforceEvents(
-                self.dispatcher.look_again, self._change_roster, self._make_sure
+                self.dispatcher.look_again,
+                self._change_roster,
+                self._make_sure,
+                self._change_cordons,
             ),
         )
 
@@ -193,7 +202,9 @@
 
     async def _load(self) -> None:
         # Jobs come first: an inventory can only be read by who knows the jobs.
-        _, workers = await asyncio.gather(self._load_jobs(), self._workforce.read())
+        _, _, workers = await asyncio.gather(
+            self._load_jobs(), self._load_ceilings(), self._workforce.read()
+        )
         self._workforce.load(workers)
         self._mark_unsure()
         _log.info(
@@ -215,6 +226,22 @@
         for entry in inbox:
             self._apply_inbox(entry.key, entry.value, known)
 
+    async def _load_ceilings(self) -> None:
+        while True:
+            found = await self._basis.store.read(CEILINGS_KEY)
+            if isinstance(found, Missing):
+                return
+            if isinstance(found, Found):
+                break
+            await self._clock.sleep(RETRY_DELAY)
+        try:
+            record = decode_record(CeilingsRecord, found.entry.value)
+        except MessageError as error:
+            # Without one the most is assumed of the owner before.
+            _log.error("Ceilings can't be read.", code=error.code, error=str(error))
+            return
+        self.allowances.ceilings.load(record)
+
     async def _read_all(self, prefix: str) -> tuple[tuple[Entry, ...], int]:
         while True:
             found = await read_all(self._basis.store, prefix)
@@ -367,7 +394,10 @@
         jobs = list(self._dirty.values())
         contacts = [(c, c.processed) for c in self._dirty_contacts]
         removals = tuple(self._removed)
-        if not (jobs or contacts or removals or self._roster_changed):
+        has_changed = (
+            self._roster_changed or self._cordons_changed or self._ceilings_changed
+        )
+        if not (jobs or contacts or removals or has_changed):
             return None
         self._dirty.clear()
         self._dirty_contacts.clear()
@@ -379,11 +409,7 @@
             for job in jobs
             if job.identifier in self.board.jobs
         ]
-        listed: list[WorkerContact] = []
-        if self._roster_changed:
-            self._roster_changed = False
-            roster, listed = self._workforce.write_roster()
-            writes.append(roster)
+        more, note_durable = self._gather_workers()
 
         def finish() -> None:
             for job, final in finals:
@@ -394,12 +420,41 @@
                 job.zones, job.wider_zones = zones, None
             for contact, number in contacts:
                 contact.observed = max(contact.observed, number)
+            if note_durable() or widened:
+                self.dispatcher.look_again()
+
+        return Batch((*writes, *more), removals, finish)
+
+    def _gather_workers(self) -> tuple[list[Write], Callable[[], bool]]:
+        """Return what to write of the workers, and what to call once it is durable.
+
+        The call tells whether orders may go to more of them.
+        """
+        writes: list[Write] = []
+        listed: list[WorkerContact] = []
+        release: Callable[[], list[WorkerContact]] = list
+        if self._roster_changed:
+            self._roster_changed = False
+            roster, listed = self._workforce.write_roster()
+            writes.append(roster)
+        if self._cordons_changed:
+            self._cordons_changed = False
+            cordons, release = self._workforce.cordons.build_write()
+            writes.append(cordons)
+        note_ceilings: Callable[[], None] | None = None
+        if self._ceilings_changed:
+            self._ceilings_changed = False
+            ceilings, note_ceilings = self.allowances.ceilings.build_write()
+            writes.append(ceilings)
+
+        def note_durable() -> bool:
+            if note_ceilings is not None:
+                note_ceilings()
             for contact in listed:
                 contact.is_rostered = True
-            if listed or widened:
-                self.dispatcher.look_again()
+            return bool(release() or listed or note_ceilings)
 
-        return Batch(tuple(writes), removals, finish)
+        return writes, note_durable
 
     async def wait_until_durable(self, contact: WorkerContact) -> bool:
         """Wait for the ends taken so far; ``False`` while they can't be stored."""
@@ -427,12 +482,21 @@
         takeover ended the commits of the one before.
         """
         is_older = job.record.epoch < self.mandate.epoch
-        return is_older and not self._workforce.is_accounted(job.zones)
+        return is_older and not self._workforce.is_accounted(job.zones, job.identifier)
 
     def _change_roster(self) -> None:
         self._roster_changed = True
         self._journal.wake()
 
+    def _change_cordons(self) -> None:
+        self._cordons_changed = True
+        # A worker that answers again needs its lease.
+        self._journal.hasten()
+
+    def _change_ceilings(self) -> None:
+        self._ceilings_changed = True
+        self._journal.hasten()
+
     def _make_sure(self) -> None:
         """Let the jobs start of which all workers have told what they run."""
         if not self._workforce.unaccounted:
@@ -481,6 +545,8 @@
         if task.runs and not task.step.spec.is_speculative:
             is_unwanted = True
         task.runs.append(run)
+        if not contact.is_read:
+            self.allowances.note_found(run)
         self.dispatcher.touch(task.step.job)
         if is_unwanted:
             contact.stop(run)
@@ -600,7 +666,13 @@
             now = self.now()
             self.desk.dispatch()
             self._supervisor.sweep(now)
+            self._workforce.cordons.sweep(
+                now, may_add=not self._basis.leadership.is_cut_off()
+            )
             self._forget_ended(now)
+            if not self._basis.leadership.is_cut_off():
+                # What is lowered now could not be raised again.
+                self.allowances.sweep()
             self.dispatcher.wake()
 
     def _forget_ended(self, now: float) -> None:
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -3,16 +3,17 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.contacts import ContactOwner, WorkerContact
+from damaskdeck.coordination.pools.cordons import Cordons
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.delays import LoopDelay
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
-from damaskdeck.protocol.accounts import UNLIMITED
+from damaskdeck.protocol.accounts import UNLIMITED_SIZE
 from damaskdeck.protocol.pools import (
     PoolWorker,
     PoolWorkers,
@@ -24,7 +25,9 @@
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
+    CORDONS_KEY,
     ROSTER_KEY,
+    CordonsRecord,
     RosterRecord,
     decode_record,
     encode_record,
@@ -34,10 +37,12 @@
 # Stands for the workers of a roster that can't be read; no worker has this name.
 _UNREADABLE = ""
 # Of workers that nothing is known of.
-UNBOUNDED = Size(UNLIMITED, UNLIMITED, UNLIMITED)
+UNBOUNDED = UNLIMITED_SIZE
 # Registrations change with each heartbeat; gathering them saves calls.
 REGISTRY_INTERVAL = timedelta(milliseconds=200)
 
+T = TypeVar("T")
+
 _log = get_logger("workforce")
 
 
@@ -65,11 +70,24 @@
     :param roster: the roster has to be written.
     :param account: all workers of another availability zone that a predecessor
         may have used are accounted for.
+    :param cordons: the cordons have to be written.
     """
 
     change: Callable[[], None]
     roster: Callable[[], None]
     account: Callable[[], None]
+    cordons: Callable[[], None]
+
+
+class Inherited(NamedTuple):
+    """What a takeover finds.
+
+    :param roster: ``None`` where it can't be read.
+    """
+
+    registered: Registered
+    roster: RosterRecord | None
+    cordons: CordonsRecord
 
 
 class Workforce:
@@ -94,19 +112,24 @@
         self._revision = 0
         # With the availability zone of each, an empty string where it isn't known.
         self._unaccounted: dict[str, str] = {}
+        self.cordons = Cordons(self.contacts, events.cordons)
         # Registered for a pool that isn't declared: nobody's orders go there.
         self._strays: dict[str, PoolWorker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: asyncio.Future[None] | None = None
 
-    def is_accounted(self, zones: frozenset[str]) -> bool:
-        """Whether nothing unknown can run on the workers of availability zones.
+    def is_accounted(self, zones: frozenset[str], job: str) -> bool:
+        """Whether nothing unknown of a job can run on workers of availability zones.
 
         :param zones: all when empty.
         """
-        if not zones:
-            return not self._unaccounted
-        return not any(not zone or zone in zones for zone in self._unaccounted.values())
+        for worker, zone in self._unaccounted.items():
+            if zones and zone and zone not in zones:
+                continue
+            cordon = self.cordons.find(worker)
+            if cordon is None or job in cordon.jobs:
+                return False
+        return True
 
     @property
     def unaccounted(self) -> int:
@@ -120,30 +143,35 @@
             for name in self._unaccounted
         ]
 
-    async def read(self) -> tuple[Registered, RosterRecord | None]:
-        """Read registry and roster, ``None`` for one that can't be read."""
+    async def read(self) -> "Inherited":
+        """Read what the registry tells and the owner before has written."""
         parts = self._parts
         while True:
-            found, roster = await asyncio.gather(
-                parts.registry.list_workers(), parts.store.read(ROSTER_KEY)
+            found, roster, cordons = await asyncio.gather(
+                parts.registry.list_workers(),
+                parts.store.read(ROSTER_KEY),
+                parts.store.read(CORDONS_KEY),
             )
-            if isinstance(found, Registered) and isinstance(roster, Found | Missing):
+            answers = roster, cordons
+            if isinstance(found, Registered) and all(
+                isinstance(answer, Found | Missing) for answer in answers
+            ):
                 break
             await parts.clock.sleep(RETRY_DELAY)
-        if isinstance(roster, Missing):
-            return found, RosterRecord()
-        try:
-            return found, decode_record(RosterRecord, roster.entry.value)
-        except MessageError as error:
-            _log.error("The roster can't be read.", code=error.code, error=str(error))
-            return found, None
-
-    def load(self, workers: tuple[Registered, RosterRecord | None]) -> None:
+        return Inherited(
+            found,
+            _decode(RosterRecord, roster),
+            # Where nothing can be told of them, no worker counts as cordoned.
+            _decode(CordonsRecord, cordons) or CordonsRecord(),
+        )
+
+    def load(self, inherited: "Inherited") -> None:
         """Begin to contact all workers that :meth:`read` has found."""
-        found, roster = workers
+        found, roster = inherited.registered, inherited.roster
         self._revision = found.revision
+        silent = {c.worker for c in inherited.cordons.cordons if c.is_silent}
         for worker in roster.workers if roster is not None else ():
-            contact = self._add(worker)
+            contact = self._add(worker, worker.identifier in silent)
             contact.is_listed = False
             contact.is_rostered = True
         for worker in found.workers:
@@ -155,6 +183,8 @@
         if roster is None:
             self._unaccounted[_UNREADABLE] = ""
             self._spawn(self._wait_for_unknown())
+        else:
+            self.cordons.load(inherited.cordons)
 
     async def _wait_for_unknown(self) -> None:
         """Wait until nothing runs on workers that an unreadable roster named."""
@@ -185,7 +215,12 @@
     def _account(self, identifier: str) -> None:
         if identifier in self._unaccounted:
             zone = self._unaccounted.pop(identifier)
-            if zone not in self._unaccounted.values():
+            left = (
+                other
+                for worker, other in self._unaccounted.items()
+                if self.cordons.find(worker) is None
+            )
+            if zone not in left or self.cordons.find(identifier) is not None:
                 self._events.account()
 
     def write_roster(self) -> tuple[Write, list[WorkerContact]]:
@@ -194,18 +229,21 @@
         roster = RosterRecord(tuple(contact.info for contact in listed))
         return Write(ROSTER_KEY, encode_record(roster)), listed
 
-    def _find_bound(self) -> float:
-        """Return when a lease that a predecessor granted is over at the latest."""
+    def _find_bound(self, is_silent: bool = False) -> float:
+        """Return when a lease that a predecessor granted is over at the latest.
+
+        :param is_silent: the predecessor had ceased to extend it before.
+        """
         parts, old = self._parts, self._mandate.predecessor
         now = parts.clock.monotonic().total_seconds()
         if old is None:
             return now
         is_gone = parts.leadership.is_gone(old.instance, old.incarnation)
-        is_over = old.is_released or is_gone
+        is_over = old.is_released or is_gone or is_silent
         lasts = parts.times.lease_over if is_over else parts.times.succession
         return now + lasts.total_seconds()
 
-    def _add(self, worker: PoolWorker) -> WorkerContact:
+    def _add(self, worker: PoolWorker, is_silent: bool = False) -> WorkerContact:
         parts = self._parts
         contact = WorkerContact(
             worker,
@@ -215,7 +253,7 @@
             parts.leadership,
             parts.clock,
             parts.times,
-            self._find_bound(),
+            self._find_bound(is_silent),
             parts.delay,
         )
         self.contacts[worker.identifier] = contact
@@ -298,3 +336,19 @@
                 contact.is_listed = identifier in present
             for worker in found.workers:
                 self._list(worker)
+
+
+def _decode(kind: type[T], answer: Found | Missing) -> T | None:
+    """Return a record, an empty one where there is none, ``None`` if unreadable."""
+    if isinstance(answer, Missing):
+        return kind()
+    try:
+        return decode_record(kind, answer.entry.value)
+    except MessageError as error:
+        _log.error(
+            "What the owner before wrote can't be read.",
+            code=error.code,
+            key=answer.entry.key,
+            error=str(error),
+        )
+        return None
--- a/src/damaskdeck/protocol/accounts.py
+++ b/src/damaskdeck/protocol/accounts.py
@@ -13,6 +13,7 @@
 
 # A quota that nothing reaches; sums of it with what is used stay whole numbers.
 UNLIMITED = 2**50
+UNLIMITED_SIZE = Size(UNLIMITED, UNLIMITED, UNLIMITED)
 
 _log = get_logger("accounts")
 
@@ -32,7 +33,7 @@
     digests: frozenset[bytes] = frozenset()
     weight: float = 1.0
     rank: int = 0
-    quota: Size = Size(UNLIMITED, UNLIMITED, UNLIMITED)
+    quota: Size = UNLIMITED_SIZE
 
 
 class ClientAccounts:
@@ -93,5 +94,5 @@
     """
     declared = Size(millicores, memory, accelerators)
     if declared == ZERO_SIZE:
-        return Size(UNLIMITED, UNLIMITED, UNLIMITED)
+        return UNLIMITED_SIZE
     return Size(*(limit or UNLIMITED for limit in declared))
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -12,6 +12,7 @@
 from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.protocol.pools import PoolWorker
 from damaskdeck.protocol.queues import FINAL_STATES, JobSpec, Queue
+from damaskdeck.protocol.sizes import Size
 
 T = TypeVar("T")
 
@@ -26,6 +27,8 @@
 JOBS = f"{INBOX}jobs/"
 CANCELS = f"{INBOX}cancels/"
 PROGRESS = f"{ROOT}progress/"
+CORDONS_KEY = f"{ROOT}cordons"
+CEILINGS_KEY = f"{ROOT}ceilings"
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -77,6 +80,30 @@
     workers: tuple[PoolWorker, ...] = ()
 
 
+class Cordon(NamedTuple):
+    """A worker that gets no order until this is taken back.
+
+    :param jobs: whose tasks it may run.
+    :param is_silent: its lease isn't extended either.
+    """
+
+    worker: str
+    jobs: tuple[str, ...] = ()
+    is_silent: bool = True
+
+
+class CordonsRecord(NamedTuple):
+    """The workers that were silent or leaving when an owner last wrote this."""
+
+    cordons: tuple[Cordon, ...] = ()
+
+
+class CeilingsRecord(NamedTuple):
+    """The most that accounts may have running under any owner, by account."""
+
+    accounts: dict[str, Size] = {}
+
+
 class JobRecord(NamedTuple):
     """A job as it was taken.
 
--- a/src/damaskdeck/state/quotas.py
+++ b/src/damaskdeck/state/quotas.py
@@ -117,11 +117,6 @@
             return TeamState(ZERO_SIZE, 1.0, ZERO_SIZE, ZERO_SIZE)
         return TeamState(record.quota, record.weight, record.use, record.wants[-1])
 
-    def measure_left(self, team: str) -> Size:
-        """Return what is left of a team's own quota; negative where it uses more."""
-        record = self._get(team)
-        return subtract_sizes(record.quota, record.use)
-
     def read_use(self, team: str) -> tuple[Size, float]:
         """Return what a team uses, and its weight."""
         record = self._get(team)
--- a/tests/test_pools_accounts.py
+++ b/tests/test_pools_accounts.py
@@ -250,6 +250,7 @@
         cluster = await self.begin_accounts(Size(6000, 6000, 0))
         owner = cluster.find_owner()
         await self.submit("j1", make_job(StepSpec(60, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
         for daemon in cluster.daemons.values():
             daemon.store.faults.outage = True
         cluster.declare((QUEUE,), make_accounts(Size(1000, 1000, 0)))
