Let peers make the commits of an owner that the store turns away, and hand over

Change: while the store fails here, commits of the owner go through a peer; they expect the fence, so it makes no difference who sends them.

--- a/src/damaskdeck/coordination/pools/journal.py
+++ b/src/damaskdeck/coordination/pools/journal.py
@@ -10,6 +10,7 @@
 
 from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
+from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
@@ -18,7 +19,6 @@
 from damaskdeck.protocol.transactions import (
     Mismatch,
     Transaction,
-    TransactionalStore,
     Write,
 )
 from damaskdeck.state.jobrecords import (
@@ -57,7 +57,7 @@
         self,
         mandate: Mandate,
         leadership: Leadership,
-        store: TransactionalStore,
+        store: RelayedStore,
         clock: Clock,
         times: PoolTimes,
         gather: Callable[[], Batch | None],
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -33,6 +33,7 @@
     Written,
 )
 from damaskdeck.protocol.transactions import (
+    CommitResult,
     Mismatch,
     Transaction,
     Write,
@@ -58,6 +59,8 @@
 
 # One of them with the fence as it was last seen, one as the store then tells it.
 TAKEOVER_TRIES = 2
+# A third of the daemons may be turned away with an owner; of so many one is not.
+HEIRS_ASKED = 6
 
 _log = get_logger("leadership")
 
@@ -492,18 +495,40 @@
         if mandate is None:
             return
         self.step_down("handover")
-        own = self._member.instance
-        heirs = [name for name in self.list_heirs() if name != own]
+        heirs = self._list_other_heirs()
         heir = heirs[0] if heirs else ""
+        await self._store.commit(self._build_release(mandate, heir, fence))
+
+    async def release_through(
+        self,
+        fence: int,
+        commit_through: Callable[[str, Transaction], Awaitable[CommitResult]],
+    ) -> None:
+        """Hand over to the first heir that the store answers, by a commit of its own.
+
+        :param commit_through: lets a daemon make a commit.
+        """
+        mandate = self._mandate
+        if mandate is None:
+            return
+        self.step_down("handover")
+        for heir in self._list_other_heirs()[:HEIRS_ASKED]:
+            release = self._build_release(mandate, heir, fence)
+            if isinstance(await commit_through(heir, release), Written | Mismatch):
+                return
+
+    def _list_other_heirs(self) -> list[str]:
+        return [name for name in self.list_heirs() if name != self._member.instance]
+
+    def _build_release(self, mandate: Mandate, heir: str, fence: int) -> Transaction:
+        member = self._member
         record = OwnerRecord(
-            mandate.epoch, own, self._member.incarnation, True, heir, fence
+            mandate.epoch, member.instance, member.incarnation, True, heir, fence
         )
-        await self._store.commit(
-            Transaction(
-                ((OWNER_KEY, mandate.revision),),
-                (Write(OWNER_KEY, encode_record(record)),),
-                (LEAD_KEY,),
-            )
+        return Transaction(
+            ((OWNER_KEY, mandate.revision),),
+            (Write(OWNER_KEY, encode_record(record)),),
+            (LEAD_KEY,),
         )
 
     async def leave(self) -> None:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -20,6 +20,7 @@
 from damaskdeck.coordination.pools.dispatching import Dispatcher
 from damaskdeck.coordination.pools.journal import Batch, Journal
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Mandate
+from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.supervising import Supervisor
 from damaskdeck.coordination.pools.workforce import (
     Workforce,
@@ -77,11 +78,13 @@
 
     :param basis: what it shares with its workforce.
     :param declarations: the queues and accounts in force on this daemon.
+    :param commits: makes the owner's commits.
     """
 
     basis: WorkforceParts
     peers: Peers
     declarations: Declarations
+    commits: RelayedStore
 
 
 class PoolOwner:
@@ -101,7 +104,7 @@
         self._journal = Journal(
             mandate,
             basis.leadership,
-            basis.store,
+            parts.commits,
             basis.clock,
             basis.times,
             self._gather,
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -13,6 +13,7 @@
 from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.leadership import Leadership, Mandate
 from damaskdeck.coordination.pools.owner import OwnerParts, PoolOwner
+from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.times import derive_times
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
@@ -49,6 +50,8 @@
 SETTINGS_INTERVAL = timedelta(seconds=2)
 # Long enough for all to be up after a start of the whole system.
 STRENGTH_INTERVAL = timedelta(seconds=3)
+# Each tenth of a second without the store is one in which nothing new is taken in.
+AWAY_INTERVAL = timedelta(milliseconds=100)
 DRAIN_LIMIT = timedelta(milliseconds=800)
 
 _log = get_logger("daemon")
@@ -133,6 +136,13 @@
             clock,
             self.get_epoch,
         )
+        self._commits = RelayedStore(
+            settings.instance,
+            self._store,
+            self._network,
+            clock,
+            self.leadership.list_members,
+        )
         self._server = self._build_server()
         await self._server.start()
         _log.info(
@@ -208,6 +218,7 @@
                 ),
                 self._network,
                 self.declarations,
+                self._commits,
             ),
         )
         self._owner = owner
@@ -237,6 +248,22 @@
                     self.leadership.release(owner.fence, is_leaving=False)
                 )
 
+    async def _yield_when_turned_away(self) -> None:
+        """Hand over to a daemon that the store answers, once it turns this one away."""
+        while True:
+            await self._clock.sleep(AWAY_INTERVAL)
+            owner = self._owner
+            is_away = self._store.measure_outage() > self._times.unready_after
+            if owner is None or not is_away or not self._commits.is_helped:
+                continue
+            _log.info("Handing over, as the store turns this daemon away.")
+            await self._finish(owner.drain())
+            await self._finish(
+                self.leadership.release_through(
+                    owner.fence, self._commits.commit_through
+                )
+            )
+
     # Settings ----------------------------------------------------------------
 
     def note_settings(self) -> None:
@@ -286,6 +313,7 @@
             asyncio.ensure_future(self._delay.run(self._clock)),
             asyncio.ensure_future(self._follow_settings()),
             asyncio.ensure_future(self._yield_to_strength()),
+            asyncio.ensure_future(self._yield_when_turned_away()),
         ]
         stop = asyncio.ensure_future(self._stop.wait())
         try:
--- a/src/damaskdeck/protocol/poolcalls.py
+++ b/src/damaskdeck/protocol/poolcalls.py
@@ -179,3 +179,28 @@
 
     epoch: Count
     absent: list[str]
+
+
+@message("pool.relayed")
+class RelayedReply(TypedDict):
+    """What became of a commit that was passed on.
+
+    :ivar code: why, where it was rejected or its answer was lost.
+    :ivar revision: where it was written.
+    :ivar entries: where it was refused: key, value, revision and lease of each.
+    """
+
+    outcome: Literal["written", "mismatch", "lapsed", "rejected", "lost"]
+    code: str
+    revision: NotRequired[Count]
+    entries: NotRequired[list[tuple[str, bytes, Count, str]]]
+
+
+@message("pool.relay", reply="pool.relayed")
+class RelayCommit(TypedDict):
+    """Make a commit for an owner that the store turns away.
+
+    :ivar transaction: a :class:`~damaskdeck.protocol.transactions.Transaction`.
+    """
+
+    transaction: bytes
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -12,6 +12,7 @@
 from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.leadership import Leadership, Mandate
 from damaskdeck.coordination.pools.owner import OwnerParts, PoolOwner
+from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.times import PoolBounds, derive_times
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
@@ -156,6 +157,9 @@
             lambda epoch: self.watch.note_sign(epoch),
         )
 
+        self.commits = RelayedStore(
+            name, healthy, self.peers, clock, self.leadership.list_members
+        )
         self.watch = OwnerWatch(
             name, self.peers, self.leadership, clock, self._get_epoch
         )
@@ -188,7 +192,7 @@
             self.declarations.knows_pool,
             self.delay,
         )
-        parts = OwnerParts(basis, self.peers, self.declarations)
+        parts = OwnerParts(basis, self.peers, self.declarations, self.commits)
         self.owner = PoolOwner(mandate, parts)
         self._owner_task = self._spawn(self.owner.run())
 
