--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -17,8 +17,8 @@
 from damaskdeck.coordination.pools.ceilings import Ceilings
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.dispatching import Dispatcher
-from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.times import PoolBounds, derive_times
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.delays import LoopDelay
 from damaskdeck.protocol.pools import Done, EndedTask, EndKind, PoolWorker
 from damaskdeck.protocol.queues import (
--- a/src/damaskdeck/coordination/pools/ceilings.py
+++ b/src/damaskdeck/coordination/pools/ceilings.py
@@ -70,12 +70,16 @@
             self._wanted[account] = size
             self._note_change()
 
-    def build_write(self) -> tuple[Write, Callable[[], None]]:
-        """Return what to write, and what to call once that is durable."""
+    def build_write(self) -> tuple[Write, Callable[[], bool]]:
+        """Return what to write, and what to call once that is durable.
+
+        The call tells that tasks may start that had to wait for it.
+        """
         written = self._sent = dict(self._wanted)
 
-        def note_durable() -> None:
+        def note_durable() -> bool:
             self._durable, self._sent = written, {}
+            return True
 
         return Write(CEILINGS_KEY, encode_record(CeilingsRecord(written))), note_durable
 
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -6,8 +6,10 @@
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.leadership import Leadership, Mandate
-from damaskdeck.coordination.pools.times import CLOCK_SLOWNESS, PoolTimes
+from damaskdeck.coordination.pools.leadership import Leadership
+from damaskdeck.coordination.pools.leases import WorkerLease
+from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.delays import LoopDelay
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry, observe_latency
@@ -94,7 +96,6 @@
     :ivar observed: number of the last end that is durable.
     :ivar paused_until: no orders before this time.
     :ivar looked_at: when its last inventory came.
-    :ivar lease_until: when all that it runs has ended if it never answers again.
     :ivar leaves_at: until when it stays at least, ``None`` unless it said so.
 
     :param bound: that time for the leases that predecessors granted.
@@ -138,12 +139,10 @@
         self._leadership = leadership
         self._clock = clock
         self._times = times
-        self._clock_ref: timedelta | None = None
-        self._time_ref = 0.0
+        self._lease = WorkerLease(bound)
         self._answer_due = float("inf")
         self._ordering: dict[Run, float] = {}
         self._delay = delay
-        self.lease_until = bound
         self.leaves_at: float | None = None
         self._stops: set[asyncio.Task[None]] = set()
         # Set when something is in doubt that a look at the worker would settle.
@@ -175,6 +174,11 @@
         """Whether its inventory was taken in under this epoch."""
         return self._is_read
 
+    @property
+    def lease_until(self) -> float:
+        """When all that it runs has ended if it never answers again."""
+        return self._lease.over_at
+
     def _set_used(self, used: Size) -> None:
         self.used = used
         self.free = subtract_sizes(self.info.size, used)
@@ -250,9 +254,7 @@
     async def start(self, run: Run, payload: str, checkpoint: str, ticket: str) -> bool:
         """Order a run; returns whether the worker has confirmed it."""
         now = self._now()
-        window = self._times.start_window
-        deadline = self._estimate_clock(now) + window
-        self._extend_bound(now, window)
+        deadline = self._lease.extend(now, self._times.start_window)
         order = TaskStart(
             run.task.name, run.attempt, payload, deadline, checkpoint, ticket
         )
@@ -262,7 +264,7 @@
         now = self._now()
         observe_latency("contacts", "start", now - run.ordered_at)
         if isinstance(answer, Done):
-            self._note_clock(answer.clock, now)
+            self._lease.note_clock(answer.clock, now)
             self._note_running(run, now)
             return True
         self._take_refusal(run, answer, now)
@@ -308,7 +310,7 @@
 
     def _take_decline(self, run: Run, answer: Declined, now: float) -> None:
         if answer.clock is not None:
-            self._note_clock(answer.clock, now)
+            self._lease.note_clock(answer.clock, now)
         self._heed_epoch(answer.code)
         # Without its ticket another step may still start there; else what it knows
         # differs from what we know, and asking at once would only repeat that.
@@ -335,7 +337,7 @@
         answer = await self._port.stop(self.info, self._epoch, task, attempt)
         now = self._now()
         if isinstance(answer, Done):
-            self._note_clock(answer.clock, now)
+            self._lease.note_clock(answer.clock, now)
             if run is not None and run.stopped_at is None:
                 run.stopped_at = now
                 if run.phase is RunPhase.DOUBTFUL:
@@ -345,23 +347,6 @@
         else:
             self._heed_epoch(answer.code)
 
-    # Clock and lease ---------------------------------------------------------
-
-    def _estimate_clock(self, now: float) -> timedelta:
-        assert self._clock_ref is not None
-        return self._clock_ref + timedelta(seconds=now - self._time_ref)
-
-    def _note_clock(self, clock: timedelta, now: float) -> None:
-        if self._clock_ref is None or clock >= self._clock_ref:
-            self._clock_ref = clock
-            self._time_ref = now
-
-    def _extend_bound(self, now: float, lease: timedelta) -> None:
-        """Bound when a lease until ``lease`` from now is over, by our clock."""
-        since = now - self._time_ref
-        longest = (since + lease.total_seconds()) / (1 - CLOCK_SLOWNESS)
-        self.lease_until = max(self.lease_until, self._time_ref + longest)
-
     # Loop --------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -416,8 +401,7 @@
             return None
         if not self._leadership.may_decide():
             return None
-        self._extend_bound(now, self._times.lease)
-        return self._estimate_clock(now) + self._times.lease
+        return self._lease.extend(now, self._times.lease)
 
     async def _hold(self, deadline: timedelta | None, wait: timedelta) -> HoldResult:
         """Hold the lease; ``None`` when there is reason to look again at once."""
@@ -435,10 +419,10 @@
             call.cancel()
 
     async def _take_contents(self, answer: Contents, sent: float, now: float) -> None:
-        if self._clock_ref is None:
+        if not self._lease.is_known:
             # From now on it refuses the predecessor; what that granted ends first.
-            self.lease_until = now + self._times.lease_over.total_seconds()
-        self._note_clock(answer.clock, now)
+            self._lease.over_at = now + self._times.lease_over.total_seconds()
+        self._lease.note_clock(answer.clock, now)
         if not self.is_known:
             _log.info("A worker answers.", worker=self.info.identifier)
         before = self.processed
--- a/src/damaskdeck/coordination/pools/cordons.py
+++ b/src/damaskdeck/coordination/pools/cordons.py
@@ -81,16 +81,16 @@
             return True
         return contact.is_known if cordon.is_silent else not contact.is_leaving
 
-    def build_write(self) -> tuple[Write, Callable[[], list[WorkerContact]]]:
+    def build_write(self) -> tuple[Write, Callable[[], bool]]:
         """Return what to write, and what to call once that is durable.
 
-        The call returns the workers that may have orders and leases again.
+        The call tells whether workers may have orders and leases again.
         """
         over = [c.worker for c in self._cordons.values() if self._is_over(c)]
         for worker in over:
             del self._cordons[worker]
 
-        def release() -> list[WorkerContact]:
+        def release() -> bool:
             released = [
                 contact
                 for contact in map(self._contacts.get, over)
@@ -98,7 +98,7 @@
             ]
             for contact in released:
                 contact.release()
-            return released
+            return bool(released)
 
         record = CordonsRecord(tuple(self._cordons.values()))
         return Write(CORDONS_KEY, encode_record(record)), release
--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -6,19 +6,25 @@
 from typing import Literal
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.admitting import Admission
 from damaskdeck.coordination.pools.confining import ZoneRooms
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.health import HealthyStore
+from damaskdeck.coordination.pools.helpers import Helpers
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.owner import PoolOwner
+from damaskdeck.coordination.pools.storing import (
+    HELP_TIMEOUT,
+    HELPERS,
+    RETRY_DELAY,
+    JobStoring,
+    is_visible,
+)
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_refusal, count_retry, observe_latency
+from damaskdeck.metrics import observe_latency
 from damaskdeck.protocol.callers import (
     ANYONE,
-    BarCode,
     Barred,
     Caller,
     NoJob,
@@ -28,7 +34,7 @@
     Unsettled,
     Untold,
 )
-from damaskdeck.protocol.messages import Answered, Peers, Unsent
+from damaskdeck.protocol.messages import Answered, Peers
 from damaskdeck.protocol.poolcalls import (
     AdviceReply,
     AskAdvice,
@@ -38,8 +44,6 @@
     AskWaiting,
     StateReply,
     Submitted,
-    TakeJob,
-    TakeReply,
     TellRoom,
     ToldReply,
     WaitingReply,
@@ -48,27 +52,17 @@
 from damaskdeck.protocol.ports import Found, Lost, Missing, Rejected, Written
 from damaskdeck.protocol.queues import FINAL_STATES, JobSpec, Queue, QueuedState
 from damaskdeck.protocol.transactions import (
-    Mismatch,
     Transaction,
     Write,
 )
+from damaskdeck.state.board import Job
 from damaskdeck.state.jobrecords import (
     CANCELS,
     JOBS,
-    OWNER_KEY,
     PROGRESS,
-    JobRecord,
-    decode_job,
     decode_progress,
-    encode_record,
 )
 
-RETRY_DELAY = timedelta(milliseconds=60)
-# Daemons that are asked to store what the store doesn't take from here.
-HELPERS = 2
-HELP_TIMEOUT = timedelta(milliseconds=450)
-# A daemon that didn't answer is not asked for so long.
-UNHEARD_SECONDS = 1.0
 OWNER_TIMEOUT = timedelta(milliseconds=400)
 CANCEL_TIMEOUT = timedelta(milliseconds=1200)
 # Final states never change, so entries answer them from memory.
@@ -104,20 +98,27 @@
         self._advisor = advisor
         self._clock = clock
         self._times = times
-        self._declarations = declarations
-        self._admission = Admission(declarations)
         self._get_owner = get_owner
         self._note_owner = note_owner
         # By identifier and caller's account and queue.
         self._known: dict[tuple[str, str, str], QueuedState] = {}
-        self._unheard: dict[str, float] = {}
         self._rooms = ZoneRooms(clock, times.lease)
+        self._helpers = Helpers(instance, leadership, clock)
+        self._storing = JobStoring(
+            store,
+            peers,
+            leadership,
+            clock,
+            times,
+            declarations,
+            self._helpers,
+            self._rooms,
+        )
         peers.register(Submitted, self._take_submitted)
         peers.register(AskState, self._tell_state)
         peers.register(AskCancel, self._cancel)
         peers.register(AskWaiting, self._tell_waiting)
         peers.register(AskAdvice, self._ask_advisor)
-        peers.register(TakeJob, self._take_for)
         peers.register(AskFor, self._do_for)
         peers.register(TellRoom, self._take_room)
 
@@ -129,178 +130,8 @@
     async def submit(
         self, queue: Queue, identifier: str, spec: JobSpec, caller: Caller = ANYONE
     ) -> Taken | NotTaken | Unsettled | Barred:
-        """Store a job; the same identifier is the same job.
-
-        Where the store doesn't answer this daemon, others are asked to store it.
-        """
-        began = self._now()
-        zones = self._rooms.choose(queue, identifier, spec)
-        record = JobRecord(identifier, queue, spec, 0, 0.0, zones, caller.account)
-        done = await self._store_job(record, caller)
-        if not isinstance(done, Taken | Barred):
-            is_unsettled = isinstance(done, Unsettled)
-            passed = await self._pass_on(record, caller)
-            if isinstance(passed, Taken | Unsettled) or not is_unsettled:
-                done = passed
-        if not isinstance(done, Taken):
-            is_unsettled = isinstance(done, Unsettled)
-            _log.info(
-                "Not taken.",
-                id=identifier,
-                reason=done.code,
-                unsettled=is_unsettled,
-                account=caller.account,
-            )
-            count_refusal("submit", done.code)
-        observe_latency("desk", "submit", self._now() - began)
-        return done
-
-    async def _store_job(
-        self, record: JobRecord, caller: Caller
-    ) -> Taken | NotTaken | Unsettled | Barred:
-        """Store a job from here; a store that is failing is not even tried.
-
-        The commit expects the document by which the call was judged, so a key that
-        was taken away before hands nothing in, whatever this daemon believes.
-        """
-        until = self._now() + self._times.accept_patience.total_seconds()
-        may_be_stored = False
-        code = "store_failing"
-        while not self._store.is_failing:
-            owner = self._leadership.owner
-            record = record._replace(
-                epoch=owner.epoch if owner else 0,
-                taken_at=self._clock.now().timestamp(),
-            )
-            sent, expected = self._now(), self._declarations.expected
-            done = await self._store.commit(
-                self._build(record, expected), self._times.accept_patience
-            )
-            if isinstance(done, Written):
-                self._declarations.confirm(expected, sent)
-                self._tell_owner(record)
-                return Taken()
-            if isinstance(done, Mismatch):
-                judged = self._judge_mismatch(record, caller, done, sent)
-                if not isinstance(judged, JobRecord):
-                    return judged
-                record = judged
-                code = "document_or_owner_changing"
-            else:
-                may_be_stored = may_be_stored or isinstance(done, Lost)
-                code = getattr(done, "code", "lapsed")
-            if self._now() >= until:
-                break
-            count_retry("submit", code)
-            if not isinstance(done, Mismatch):
-                await self._clock.sleep(RETRY_DELAY)
-        return Unsettled(code) if may_be_stored else NotTaken(code)
-
-    def _judge_mismatch(
-        self, record: JobRecord, caller: Caller, done: Mismatch, sent: float
-    ) -> JobRecord | Taken | Barred:
-        """Return the record to store in place of one that was refused."""
-        if self._declarations.note_mismatch(done, sent):
-            queue = self._admission.judge_again(record.queue, record.identifier, caller)
-            if isinstance(queue, Barred):
-                return queue
-            record = record._replace(queue=queue)
-        stored = done.find(JOBS + record.identifier)
-        if stored is not None:
-            is_same = _is_visible(stored.value, caller)
-            return Taken() if is_same else Barred(BarCode.IDENTIFIER_IN_USE)
-        # Another owner: the job has to be stored for that one.
-        self._leadership.refresh(done.find(OWNER_KEY))
-        return record
-
-    async def _pass_on(
-        self, record: JobRecord, caller: Caller
-    ) -> Taken | NotTaken | Unsettled:
-        """Let other daemons store a job; the identifier makes it one job."""
-        asked = self._choose_helpers()
-        calls = [
-            asyncio.ensure_future(self._ask_to_take(name, record, caller))
-            for name in asked
-        ]
-        result: Taken | NotTaken | Unsettled = NotTaken("store_failing")
-        for call in asyncio.as_completed(calls):
-            done = await call
-            if isinstance(done, Taken):
-                return done
-            if isinstance(done, Unsettled) or isinstance(result, NotTaken):
-                result = done
-        return result
-
-    def _choose_helpers(self) -> list[str]:
-        """Choose the owner and another daemon, of those that answered lately."""
-        now = self._now()
-        owner = self._leadership.owner
-        names = self._leadership.list_members()
-        if owner is not None and owner.instance in names:
-            names.remove(owner.instance)
-            names.insert(0, owner.instance)
-        rested = [
-            name
-            for name in names
-            if name != self._instance and self._unheard.get(name, 0.0) <= now
-        ]
-        return rested[:HELPERS]
-
-    async def _ask_to_take(
-        self, name: str, record: JobRecord, caller: Caller
-    ) -> Taken | NotTaken | Unsettled:
-        message: TakeJob = {
-            "record": encode_record(record),
-            "digest": caller.digest,
-        }
-        reply = await self._peers.call(name, message, TakeJob, HELP_TIMEOUT)
-        if isinstance(reply, Answered):
-            outcome, code = reply.message["outcome"], reply.message["code"]
-            if outcome == "taken":
-                return Taken()
-            return Unsettled(code) if outcome == "unsettled" else NotTaken(code)
-        self._unheard[name] = self._now() + UNHEARD_SECONDS
-        if isinstance(reply, Unsent):
-            return NotTaken(reply.code)
-        return Unsettled(reply.code)
-
-    async def _take_for(self, peer: str, message: TakeJob) -> TakeReply:
-        try:
-            record = decode_job(message["record"])
-        except MessageError as error:
-            _log.error("A job can't be read.", peer=peer, error=str(error))
-            return {"outcome": "not_taken", "code": "unreadable"}
-        caller = Caller(record.account, record.queue.name, message.get("digest", b""))
-        queue = self._admission.judge_again(record.queue, record.identifier, caller)
-        done = queue
-        if not isinstance(queue, Barred):
-            done = await self._store_job(record._replace(queue=queue), caller)
-        if isinstance(done, Taken):
-            return {"outcome": "taken", "code": ""}
-        is_unsettled = isinstance(done, Unsettled)
-        outcome = "unsettled" if is_unsettled else "not_taken"
-        return {"outcome": outcome, "code": done.code}
-
-    def _build(
-        self, record: JobRecord, expected: tuple[tuple[str, int], ...]
-    ) -> Transaction:
-        key = JOBS + record.identifier
-        owner = (OWNER_KEY, self._leadership.owner_revision)
-        return Transaction(
-            (owner, (key, 0), *expected), (Write(key, encode_record(record)),)
-        )
-
-    def _tell_owner(self, record: JobRecord) -> None:
-        _log.info(
-            "Taken.",
-            id=record.identifier,
-            queue=record.queue.name,
-            account=record.account,
-        )
-        owner = self._leadership.owner
-        if owner is not None:
-            message: Submitted = {"record": encode_record(record)}
-            self._peers.send(owner.instance, message, Submitted)
+        """Store a job; the same identifier is the same job."""
+        return await self._storing.submit(queue, identifier, spec, caller)
 
     async def _take_room(self, peer: str, message: TellRoom) -> None:
         self._rooms.take(message)
@@ -310,7 +141,7 @@
         owner = self._get_owner()
         if owner is not None and owner.is_loaded:
             try:
-                owner.take_job(message["record"])
+                owner.intake.take_job(message["record"])
             except MessageError as error:
                 _log.error("A job can't be read.", peer=peer, error=str(error))
 
@@ -342,10 +173,10 @@
             "account": caller.account,
             "queue": caller.queue,
         }
-        for name in self._choose_helpers():
+        for name in self._helpers.choose(HELPERS):
             reply = await self._peers.call(name, message, AskFor, HELP_TIMEOUT)
             if not isinstance(reply, Answered):
-                self._unheard[name] = self._now() + UNHEARD_SECONDS
+                self._helpers.rest(name)
                 continue
             answer, state = reply.message["answer"], reply.message["state"]
             if answer == "no_job":
@@ -407,7 +238,7 @@
         )
         if isinstance(job, Missing):
             return NoJob()
-        if isinstance(job, Found) and not _is_visible(job.entry.value, caller):
+        if isinstance(job, Found) and not is_visible(job.entry.value, caller):
             return NoJob()
         if not isinstance(job, Found) or isinstance(progress, Rejected | Lost):
             code = getattr(progress, "code", getattr(job, "code", ""))
@@ -431,7 +262,7 @@
         if owner is None or not owner.is_loaded or not owner.may_decide():
             return {"epoch": 0, "state": ""}
         job = owner.board.jobs.get(message["job"])
-        if job is not None and not _may_see(job.record, _read_caller(message)):
+        if job is not None and not _may_see(job, _read_caller(message)):
             return {"epoch": owner.mandate.epoch, "state": "", "is_hidden": True}
         return {"epoch": owner.mandate.epoch, "state": job.shown if job else ""}
 
@@ -458,7 +289,7 @@
             found = await self._store.read(key)
             if isinstance(found, Missing):
                 return NoJob()
-            if isinstance(found, Found) and not _is_visible(found.entry.value, caller):
+            if isinstance(found, Found) and not is_visible(found.entry.value, caller):
                 return NoJob()
             done: object = found
             if isinstance(found, Found):
@@ -481,7 +312,7 @@
         job = owner.board.jobs.get(message["job"])
         if job is None:
             return {"epoch": owner.mandate.epoch, "state": ""}
-        if not _may_see(job.record, _read_caller(message)):
+        if not _may_see(job, _read_caller(message)):
             return {"epoch": owner.mandate.epoch, "state": "", "is_hidden": True}
         state = await owner.cancel_durably(job)
         return {"epoch": owner.mandate.epoch, "state": state}
@@ -522,14 +353,5 @@
     return Caller(message.get("account", ""), message.get("queue", ""))
 
 
-def _may_see(record: JobRecord, caller: Caller) -> bool:
-    return caller.may_see(record.account, record.queue.name)
-
-
-def _is_visible(stored: bytes, caller: Caller) -> bool:
-    """Whether a job as stored is one that the caller may know of."""
-    try:
-        return _may_see(decode_job(stored), caller)
-    except MessageError:
-        # Nobody's work can be told from it; that it can't be read the owner tells.
-        return True
+def _may_see(job: Job, caller: Caller) -> bool:
+    return caller.may_see(job.record.account, job.queue.name)
--- a/src/damaskdeck/coordination/pools/journal.py
+++ b/src/damaskdeck/coordination/pools/journal.py
@@ -9,9 +9,10 @@
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock, wait_for_event
-from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
+from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
 from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry, observe_latency
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.health import HealthyStore
@@ -22,6 +21,11 @@
 )
 from damaskdeck.coordination.pools.membership import RETRY_DELAY, Membership
 from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.transfers import (
+    Mandate,
+    build_release,
+    build_takeover,
+)
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.ports import (
@@ -45,7 +49,6 @@
     LEAD_KEY,
     MEMBERS,
     OWNER_KEY,
-    FenceRecord,
     MemberRecord,
     OwnerRecord,
     decode_record,
@@ -65,20 +68,6 @@
 _log = get_logger("leadership")
 
 
-class Mandate(NamedTuple):
-    """What an owner decides under.
-
-    :param revision: of the owner's record, which new jobs are stored against.
-    :param fence: revision of the fence key when the mandate began.
-    :param predecessor: whose orders may still be carried out, if any.
-    """
-
-    epoch: int
-    revision: int
-    fence: int
-    predecessor: OwnerRecord | None
-
-
 class Leadership:
     """Membership of this daemon and the election of the owner.
 
@@ -405,7 +394,7 @@
         for _ in range(TAKEOVER_TRIES):
             sent = self._clock.monotonic().total_seconds()
             done = await self._store.commit(
-                self._build_takeover(record, revision, fence)
+                build_takeover(record, revision, fence, self._membership.lease)
             )
             if isinstance(done, Written):
                 self._begin(record, done.revision, sent, old)
@@ -422,18 +411,6 @@
             self._membership.note_lapse()
         await self._settle_takeover(record, old)
 
-    def _build_takeover(
-        self, record: OwnerRecord, revision: int, fence: int
-    ) -> Transaction:
-        return Transaction(
-            ((OWNER_KEY, revision), (FENCE_KEY, fence)),
-            (
-                Write(OWNER_KEY, encode_record(record)),
-                Write(FENCE_KEY, encode_record(FenceRecord(record.epoch, 0))),
-                Write(LEAD_KEY, encode_record(record.epoch), self._membership.lease),
-            ),
-        )
-
     async def _settle_takeover(
         self, record: OwnerRecord, old: OwnerRecord | None
     ) -> None:
@@ -497,7 +474,7 @@
         self.step_down("handover")
         heirs = self._list_other_heirs()
         heir = heirs[0] if heirs else ""
-        await self._store.commit(self._build_release(mandate, heir, fence))
+        await self._store.commit(build_release(mandate, self._member, heir, fence))
 
     async def release_through(
         self,
@@ -513,24 +490,13 @@
             return
         self.step_down("handover")
         for heir in self._list_other_heirs()[:HEIRS_ASKED]:
-            release = self._build_release(mandate, heir, fence)
+            release = build_release(mandate, self._member, heir, fence)
             if isinstance(await commit_through(heir, release), Written | Mismatch):
                 return
 
     def _list_other_heirs(self) -> list[str]:
         return [name for name in self.list_heirs() if name != self._member.instance]
 
-    def _build_release(self, mandate: Mandate, heir: str, fence: int) -> Transaction:
-        member = self._member
-        record = OwnerRecord(
-            mandate.epoch, member.instance, member.incarnation, True, heir, fence
-        )
-        return Transaction(
-            ((OWNER_KEY, mandate.revision),),
-            (Write(OWNER_KEY, encode_record(record)),),
-            (LEAD_KEY,),
-        )
-
     async def leave(self) -> None:
         """Take the member's key away, so that nobody forwards here."""
         self._is_leaving = True
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -10,18 +10,20 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from damaskdeck.background import start_task
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.allowances import Allowances
 from damaskdeck.coordination.pools.ceilings import Ceilings
+from damaskdeck.coordination.pools.changes import ChangeKind, Changes
 from damaskdeck.coordination.pools.confining import measure_rooms
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.dispatching import Dispatcher
-from damaskdeck.coordination.pools.journal import Batch, Journal
-from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Mandate
+from damaskdeck.coordination.pools.intake import Intake
+from damaskdeck.coordination.pools.journal import Journal
+from damaskdeck.coordination.pools.leadership import RETRY_DELAY
 from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.supervising import Supervisor
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.coordination.pools.workforce import (
     Workforce,
     WorkforceEvents,
@@ -36,37 +38,23 @@
     EndKind,
     RunningTask,
 )
-from damaskdeck.protocol.ports import Entry, Events, Found, Missing, TooOld
+from damaskdeck.protocol.ports import Found, Missing
 from damaskdeck.protocol.queues import QueuedState, QueueTable
 from damaskdeck.protocol.sizes import Size
-from damaskdeck.protocol.transactions import Write, read_all
+from damaskdeck.protocol.transactions import Write
 from damaskdeck.state.board import Board, Job, Run, Step, Task
 from damaskdeck.state.jobrecords import (
-    CANCELS,
     CEILINGS_KEY,
-    INBOX,
-    JOBS,
-    PROGRESS,
     CeilingsRecord,
-    JobRecord,
-    ProgressRecord,
-    decode_job,
-    decode_progress,
     decode_record,
-    encode_record,
 )
 
-# Jobs come by messages of the daemons that took them; the watch is the safety net.
-INBOX_INTERVAL = timedelta(milliseconds=200)
-WATCH_WAIT = timedelta(seconds=1)
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # A few messages a second for each daemon; room changes with each second's jobs.
 ROOM_INTERVAL = timedelta(milliseconds=500)
 # How long a contact waits for the store before it looks at its worker again: so much
 # later at most a next step starts while the store is slow or away.
 DURABLE_WAIT = timedelta(milliseconds=100)
-# A record's time of day may be off; a job is never taken for older than this.
-OLDEST_ARRIVAL_SECONDS = 60.0
 # Attempts of a later epoch start above those of the ones before.
 ATTEMPTS_OF_EPOCH = 100
 
@@ -90,6 +78,7 @@
 class PoolOwner:
     """Decides for all pools under one mandate.
 
+    :ivar intake: how jobs come to it.
     :ivar is_loaded: whether the jobs have been read from the store.
     """
 
@@ -101,13 +90,19 @@
         self._clock = basis.clock
         self._declarations = parts.declarations
         self._peers = parts.peers
+        self._changes = Changes(
+            self.board,
+            lambda: self._journal,
+            self._write_workers,
+            lambda: self.dispatcher.look_again(),
+        )
         self._journal = Journal(
             mandate,
             basis.leadership,
             parts.commits,
             basis.clock,
             basis.times,
-            self._gather,
+            self._changes.gather,
         )
         self.desk = AdviceDesk(
             parts.peers,
@@ -115,28 +110,19 @@
             basis.leadership.list_members,
             lambda step: self.dispatcher.note_verdicts(step),
         )
-        self.allowances = Allowances(self, Ceilings(self._change_ceilings))
+        self.allowances = Allowances(self, Ceilings(self._changes.note_ceilings))
         self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
         self._supervisor = Supervisor(self, self.dispatcher, basis.times, self.desk)
-        self._dirty: dict[str, Job] = {}
-        self._removed: list[str] = []
-        self._dirty_contacts: set[WorkerContact] = set()
-        self._roster_changed = False
-        self._cordons_changed = False
-        self._ceilings_changed = False
-        self._cancelled: set[str] = set()
-        self._unreadable: set[str] = set()
-        self._doubts: set[asyncio.Task[None]] = set()
-        self._inbox_revision = 0
+        self.intake = Intake(self, basis.store, basis.leadership, basis.clock)
         self._workforce = Workforce(
             mandate,
             basis,
             self,
             WorkforceEvents(
                 self.dispatcher.look_again,
-                self._change_roster,
+                self._changes.note_roster,
                 self._make_sure,
-                self._change_cordons,
+                self._changes.note_cordons,
             ),
         )
 
@@ -163,7 +149,7 @@
 
     def list_unsure(self) -> Iterator[Job]:
         """Yield the jobs that may run without our knowing, ended ones too."""
-        return filter(self._may_be_started, self.board.jobs.values())
+        return filter(self.may_be_started, self.board.jobs.values())
 
     def may_decide(self) -> bool:
         """Whether the mandate is fresh enough to act on."""
@@ -181,13 +167,12 @@
                 self._journal.run(),
                 self.dispatcher.run(),
                 self._workforce.run(),
-                self._follow_inbox(),
+                self.intake.follow(),
                 self._sweep(),
                 self._tell_room(),
             )
         finally:
-            for doubt in self._doubts:
-                doubt.cancel()
+            self.intake.close()
             self.desk.close()
             self.dispatcher.close()
             self._workforce.close()
@@ -206,7 +191,7 @@
     async def _load(self) -> None:
         # Jobs come first: an inventory can only be read by who knows the jobs.
         _, _, workers = await asyncio.gather(
-            self._load_jobs(), self._load_ceilings(), self._workforce.read()
+            self.intake.load(), self._load_ceilings(), self._workforce.read()
         )
         self._workforce.load(workers)
         self._mark_unsure()
@@ -218,17 +203,6 @@
             unaccounted=self._workforce.unaccounted,
         )
 
-    async def _load_jobs(self) -> None:
-        # Nobody else writes progress under this mandate, so their order is free.
-        progress, (inbox, self._inbox_revision) = await asyncio.gather(
-            self._read_all(PROGRESS), self._read_all(INBOX)
-        )
-        known: dict[str, ProgressRecord] = {}
-        for entry in progress[0]:
-            self._decode_progress(entry, known)
-        for entry in inbox:
-            self._apply_inbox(entry.key, entry.value, known)
-
     async def _load_ceilings(self) -> None:
         while True:
             found = await self._basis.store.read(CEILINGS_KEY)
@@ -245,107 +219,8 @@
             return
         self.allowances.ceilings.load(record)
 
-    async def _read_all(self, prefix: str) -> tuple[tuple[Entry, ...], int]:
-        while True:
-            found = await read_all(self._basis.store, prefix)
-            if isinstance(found[0], tuple):
-                return found  # type: ignore[return-value]
-            await self._clock.sleep(RETRY_DELAY)
-
-    def _decode_progress(self, entry: Entry, known: dict[str, ProgressRecord]) -> None:
-        identifier = entry.key.removeprefix(PROGRESS)
-        try:
-            known[identifier] = decode_progress(entry.value)
-        except MessageError as error:
-            self._hold_back(identifier, str(error))
-
-    def _hold_back(self, identifier: str, reason: str) -> None:
-        """Leave a job alone whose progress can't be read.
-
-        Started anew, it would run twice what has run.
-        """
-        self._unreadable.add(identifier)
-        _log.error(
-            "A job's progress can't be read: it is left alone.",
-            id=identifier,
-            code=MessageError.code,
-            error=reason,
-        )
-
     # Jobs --------------------------------------------------------------------
 
-    def _apply_inbox(
-        self, key: str, value: bytes | None, known: dict[str, ProgressRecord]
-    ) -> None:
-        try:
-            if key.startswith(JOBS) and value is not None:
-                self.take_job(value, known)
-            elif key.startswith(CANCELS) and value is not None:
-                self._take_cancel(key.removeprefix(CANCELS))
-        except MessageError as error:
-            _log.error(
-                "A record can't be read.", key=key, code=error.code, error=str(error)
-            )
-
-    def take_job(
-        self, value: bytes, known: dict[str, ProgressRecord] | None = None
-    ) -> None:
-        """Take in a stored job, once.
-
-        :raises MessageError: when it can't be read.
-        """
-        record = decode_job(value)
-        identifier = record.identifier
-        if identifier in self.board.jobs or identifier in self._unreadable:
-            return
-        if record.epoch > self.mandate.epoch:
-            # Its owner may start it where nobody has heard of that epoch yet.
-            start_task(self._doubt_epoch(record), self._doubts)
-            return
-        now = self.now()
-        age = self._clock.now().timestamp() - record.taken_at
-        job = Job(record, now - min(max(age, 0.0), OLDEST_ARRIVAL_SECONDS))
-        progress = (known or {}).get(identifier)
-        if progress is not None:
-            try:
-                job.restore(progress, now)
-            except MessageError as error:
-                self._hold_back(identifier, str(error))
-                return
-        job.is_unsure = self._may_be_started(job)
-        self.board.add(job)
-        if identifier in self._cancelled:
-            self.cancel(job)
-        self.dispatcher.take(job)
-
-    async def _doubt_epoch(self, record: JobRecord) -> None:
-        """Settle whether a job's newer owner exists: this one is deposed then.
-
-        Where the store still names this one, no owner has had that epoch.
-        """
-        met = self.now()
-        _log.info(
-            "A job is stored for a newer owner.",
-            id=record.identifier,
-            epoch=record.epoch,
-            own=self.mandate.epoch,
-        )
-        while not await self._basis.leadership.is_confirmed_since(met):
-            await self._clock.sleep(RETRY_DELAY)
-        self._unreadable.add(record.identifier)
-        _log.error(
-            "A job names an epoch that there isn't: it is left alone.",
-            id=record.identifier,
-            code=MessageError.code,
-            epoch=record.epoch,
-        )
-
-    def _take_cancel(self, identifier: str) -> None:
-        self._cancelled.add(identifier)
-        job = self.board.jobs.get(identifier)
-        if job is not None:
-            self.cancel(job)
-
     def cancel(self, job: Job) -> None:
         """End a job as cancelled, unless it has ended; its runs are stopped."""
         if not job.is_final:
@@ -382,8 +257,7 @@
 
     def mark_dirty(self, job: Job) -> None:
         """Let the journal write a job's progress."""
-        self._dirty[job.identifier] = job
-        self._journal.wake()
+        self._changes.note_job(job)
 
     def stop(self, run: Run) -> None:
         """Tell a run's worker to end it."""
@@ -393,75 +267,20 @@
 
     # Journal -----------------------------------------------------------------
 
-    def _gather(self) -> Batch | None:
-        jobs = list(self._dirty.values())
-        contacts = [(c, c.processed) for c in self._dirty_contacts]
-        removals = tuple(self._removed)
-        has_changed = (
-            self._roster_changed or self._cordons_changed or self._ceilings_changed
-        )
-        if not (jobs or contacts or removals or has_changed):
-            return None
-        self._dirty.clear()
-        self._dirty_contacts.clear()
-        self._removed.clear()
-        finals = [(job, job.final) for job in jobs]
-        widened = [(j, j.wider_zones) for j in jobs if j.wider_zones is not None]
-        writes = [
-            Write(PROGRESS + job.identifier, encode_record(job.summarize()))
-            for job in jobs
-            if job.identifier in self.board.jobs
-        ]
-        more, note_durable = self._gather_workers()
-
-        def finish() -> None:
-            for job, final in finals:
-                if final is not None and job.shown != final:
-                    job.shown = final
-                    _log.info("A final state is durable.", id=job.identifier)
-            for job, zones in widened:
-                job.zones, job.wider_zones = zones, None
-            for contact, number in contacts:
-                contact.observed = max(contact.observed, number)
-            if note_durable() or widened:
-                self.dispatcher.look_again()
-
-        return Batch((*writes, *more), removals, finish)
-
-    def _gather_workers(self) -> tuple[list[Write], Callable[[], bool]]:
-        """Return what to write of the workers, and what to call once it is durable.
-
-        The call tells whether orders may go to more of them.
+    def _write_workers(self, kind: ChangeKind) -> tuple[Write, Callable[[], bool]]:
+        """Return what to write of one kind, and what to call once it is durable.
+
+        The call tells whether orders may go to more workers.
         """
-        writes: list[Write] = []
-        listed: list[WorkerContact] = []
-        release: Callable[[], list[WorkerContact]] = list
-        if self._roster_changed:
-            self._roster_changed = False
-            roster, listed = self._workforce.write_roster()
-            writes.append(roster)
-        if self._cordons_changed:
-            self._cordons_changed = False
-            cordons, release = self._workforce.cordons.build_write()
-            writes.append(cordons)
-        note_ceilings: Callable[[], None] | None = None
-        if self._ceilings_changed:
-            self._ceilings_changed = False
-            ceilings, note_ceilings = self.allowances.ceilings.build_write()
-            writes.append(ceilings)
-
-        def note_durable() -> bool:
-            if note_ceilings is not None:
-                note_ceilings()
-            for contact in listed:
-                contact.is_rostered = True
-            return bool(release() or listed or note_ceilings)
-
-        return writes, note_durable
+        if kind is ChangeKind.ROSTER:
+            return self._workforce.write_roster()
+        if kind is ChangeKind.CORDONS:
+            return self._workforce.cordons.build_write()
+        return self.allowances.ceilings.build_write()
 
     async def wait_until_durable(self, contact: WorkerContact) -> bool:
         """Wait for the ends taken so far; ``False`` while they can't be stored."""
-        self._dirty_contacts.add(contact)
+        self._changes.note_ends(contact)
         self._journal.wake()
         try:
             async with asyncio.timeout(DURABLE_WAIT.total_seconds()):
@@ -475,10 +294,10 @@
 
     def _mark_unsure(self) -> None:
         for job in self.board.open.values():
-            job.is_unsure = self._may_be_started(job)
+            job.is_unsure = self.may_be_started(job)
         self._make_sure()
 
-    def _may_be_started(self, job: Job) -> bool:
+    def may_be_started(self, job: Job) -> bool:
         """Whether a predecessor may have started a job without our knowing.
 
         Only on workers of the zones that the job was confined to when this owner's
@@ -487,25 +306,12 @@
         is_older = job.record.epoch < self.mandate.epoch
         return is_older and not self._workforce.is_accounted(job.zones, job.identifier)
 
-    def _change_roster(self) -> None:
-        self._roster_changed = True
-        self._journal.wake()
-
-    def _change_cordons(self) -> None:
-        self._cordons_changed = True
-        # A worker that answers again needs its lease.
-        self._journal.hasten()
-
-    def _change_ceilings(self) -> None:
-        self._ceilings_changed = True
-        self._journal.hasten()
-
     def _make_sure(self) -> None:
         """Let the jobs start of which all workers have told what they run."""
         if not self._workforce.unaccounted:
             _log.info("All workers are accounted for.", epoch=self.mandate.epoch)
         for job in self.board.open.values():
-            if not job.is_unsure or self._may_be_started(job):
+            if not job.is_unsure or self.may_be_started(job):
                 continue
             job.is_unsure = False
             for step in job.list_steps():
@@ -592,7 +398,7 @@
     def take_end(self, contact: WorkerContact, end: EndedTask, run: Run | None) -> None:
         """Take note of an end."""
         task = run.task if run is not None else self.board.find_task(end.task)
-        self._dirty_contacts.add(contact)
+        self._changes.note_ends(contact)
         self.dispatcher.note_room(contact)
         if task is None:
             return
@@ -636,21 +442,6 @@
 
     # Loops -------------------------------------------------------------------
 
-    async def _follow_inbox(self) -> None:
-        while True:
-            answer = await self._basis.store.watch(
-                INBOX, self._inbox_revision, WATCH_WAIT
-            )
-            if isinstance(answer, Events):
-                self._inbox_revision = answer.revision
-                for event in answer.events:
-                    self._apply_inbox(event.key, event.value, {})
-            elif isinstance(answer, TooOld):
-                inbox, self._inbox_revision = await self._read_all(INBOX)
-                for entry in inbox:
-                    self._apply_inbox(entry.key, entry.value, {})
-            await self._clock.sleep(INBOX_INTERVAL)
-
     async def _tell_room(self) -> None:
         """Let the daemons that take jobs know where there is room."""
         while True:
@@ -691,6 +482,4 @@
             if any(step.tasks and any(step.list_runs()) for step in job.list_steps()):
                 continue
             self.board.remove(job)
-            key = job.identifier
-            self._removed += [JOBS + key, CANCELS + key, PROGRESS + key]
-            self._journal.wake()
+            self._changes.note_forgotten(job)
--- a/src/damaskdeck/coordination/pools/relaying.py
+++ b/src/damaskdeck/coordination/pools/relaying.py
@@ -6,13 +6,13 @@
 to callers, while the owner waits for its successor: 1.6 s of each such outage.
 """
 
-from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.health import HealthyStore
+from damaskdeck.coordination.pools.helpers import Helpers
 from damaskdeck.errors import DECODE_ERRORS
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_retry
@@ -23,8 +23,6 @@
 
 # A helper that the store answers needs some 10 ms, and some 250 ms while it is slow.
 RELAY_TIMEOUT = timedelta(milliseconds=450)
-# A helper that could not help is not asked for so long.
-REST_SECONDS = 1.0
 # A commit that another daemon made tells for so long that the store answers others: an
 # owner makes some 25 a second.
 HELPED_SECONDS = 0.3
@@ -36,25 +34,19 @@
 
 
 class RelayedStore:
-    """Commits through the store, and through other daemons while that fails.
-
-    :param list_members: names of the daemons that are up, this one among them.
-    """
+    """Commits through the store, and through other daemons while that fails."""
 
     def __init__(
         self,
-        instance: str,
         store: HealthyStore,
         peers: Peers,
         clock: Clock,
-        list_members: Callable[[], list[str]],
+        helpers: Helpers,
     ) -> None:
-        self._instance = instance
         self._store = store
         self._peers = peers
         self._clock = clock
-        self._list_members = list_members
-        self._rests: dict[str, float] = {}
+        self._helpers = helpers
         self._helped_at = float("-inf")
         peers.register(RelayCommit, self._commit_for)
 
@@ -67,12 +59,13 @@
         self, transaction: Transaction, timeout: timedelta | None = None
     ) -> CommitResult:
         """Make changes that take effect together or not at all."""
-        helper = self._choose_helper() if self._store.is_failing else ""
-        if not helper:
+        helpers = self._helpers.choose(1) if self._store.is_failing else []
+        if not helpers:
             return await self._store.commit(transaction, timeout)
+        helper = helpers[0]
         done = await self.commit_through(helper, transaction)
         if isinstance(done, Rejected | Lost):
-            self._rests[helper] = self._now() + REST_SECONDS
+            self._helpers.rest(helper)
             count_retry("relay", done.code)
         else:
             self._helped_at = self._now()
@@ -99,12 +92,6 @@
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
-    def _choose_helper(self) -> str:
-        """Return a daemon to ask, an empty string when none is left."""
-        now = self._now()
-        names = (name for name in self._list_members() if name != self._instance)
-        return next((n for n in names if self._rests.get(n, 0.0) <= now), "")
-
     async def _commit_for(self, peer: str, message: RelayCommit) -> RelayedReply:
         if self._store.is_failing:
             return {"outcome": "rejected", "code": "store_failing"}
--- a/src/damaskdeck/coordination/pools/starting.py
+++ b/src/damaskdeck/coordination/pools/starting.py
@@ -9,8 +9,8 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.leadership import Mandate
 from damaskdeck.coordination.pools.placing import Plan
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
 from damaskdeck.state.board import Job, Run, RunPhase, Step, Task
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -8,8 +8,9 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.contacts import ContactOwner, WorkerContact
 from damaskdeck.coordination.pools.cordons import Cordons
-from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership, Mandate
+from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
 from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.delays import LoopDelay
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
@@ -223,11 +224,20 @@
             if zone not in left or self.cordons.find(identifier) is not None:
                 self._events.account()
 
-    def write_roster(self) -> tuple[Write, list[WorkerContact]]:
-        """Return the roster to write, and who is rostered once it is durable."""
+    def write_roster(self) -> tuple[Write, Callable[[], bool]]:
+        """Return the roster to write, and what to call once that is durable.
+
+        The call tells whether orders may go to more workers.
+        """
         listed = [c for c in self.contacts.values() if not c.is_gone]
         roster = RosterRecord(tuple(contact.info for contact in listed))
-        return Write(ROSTER_KEY, encode_record(roster)), listed
+
+        def note_durable() -> bool:
+            for contact in listed:
+                contact.is_rostered = True
+            return bool(listed)
+
+        return Write(ROSTER_KEY, encode_record(roster)), note_durable
 
     def _find_bound(self, is_silent: bool = False) -> float:
         """Return when a lease that a predecessor granted is over at the latest.
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -11,10 +11,12 @@
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.desk import JobDesk
 from damaskdeck.coordination.pools.health import HealthyStore
-from damaskdeck.coordination.pools.leadership import Leadership, Mandate
+from damaskdeck.coordination.pools.helpers import Helpers
+from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.owner import OwnerParts, PoolOwner
 from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.times import derive_times
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
 from damaskdeck.delays import LoopDelay
@@ -137,11 +139,10 @@
             self.get_epoch,
         )
         self._commits = RelayedStore(
-            settings.instance,
             self._store,
             self._network,
             clock,
-            self.leadership.list_members,
+            Helpers(settings.instance, self.leadership, clock),
         )
         self._server = self._build_server()
         await self._server.start()
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -10,10 +10,12 @@
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.desk import JobDesk
 from damaskdeck.coordination.pools.health import HealthyStore
-from damaskdeck.coordination.pools.leadership import Leadership, Mandate
+from damaskdeck.coordination.pools.helpers import Helpers
+from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.owner import OwnerParts, PoolOwner
 from damaskdeck.coordination.pools.relaying import RelayedStore
 from damaskdeck.coordination.pools.times import PoolBounds, derive_times
+from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.coordination.pools.watching import OwnerWatch
 from damaskdeck.coordination.pools.workforce import WorkforceParts
 from damaskdeck.delays import LoopDelay
@@ -158,7 +160,7 @@
         )
 
         self.commits = RelayedStore(
-            name, healthy, self.peers, clock, self.leadership.list_members
+            healthy, self.peers, clock, Helpers(name, self.leadership, clock)
         )
         self.watch = OwnerWatch(
             name, self.peers, self.leadership, clock, self._get_epoch
--- a/tests/test_pools_zones.py
+++ b/tests/test_pools_zones.py
@@ -145,7 +145,7 @@
             unconfined = make_job(StepSpec(2, SMALL, 20 * SECOND))
             await cluster.submit(job, unconfined, outside.name)
             if owner.owner is not None:
-                owner.owner.take_job(cluster.store.entries[JOBS + job].value)
+                owner.owner.intake.take_job(cluster.store.entries[JOBS + job].value)
         await asyncio.sleep(1.5)
         by_old = [
             row
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -68,7 +68,7 @@
     async def test_who_cannot_help_is_left_alone_for_a_while(self):
         cluster, owner = await self.turn_owner_away("d0", "d1", "d2")
         change = Transaction((("k", 0),), (Write("k", b"v"),))
-        owner.commits._rests.clear()
+        owner.commits._helpers._rests.clear()
         others = len(cluster.daemons) - 1
         asked = [await owner.commits.commit(change) for _ in range(others)]
         self.assertEqual({done.code for done in asked}, {"store_failing"})
