Prove keys on a daemon process, over the wire and on a channel that stays open

Change: one daemon process on the stand-in of the wire; missing, unknown, another account's and removed keys; no key in any line.

--- a/src/standins/wire.py
+++ b/src/standins/wire.py
@@ -316,8 +316,16 @@
             identifier = worker.worker.info.identifier
             self.store.store.set(f"servers/{identifier}", worker.describe())
 
-    def declare(self, version: int, **changes: Any) -> None:
-        """Put a document with one queue, with advice, in force."""
+    def declare(
+        self,
+        version: int,
+        tenants: list[dict[str, Any]] | None = None,
+        **changes: Any,
+    ) -> None:
+        """Put a document with one queue, with advice, in force.
+
+        :param tenants: client accounts, whose keys the queue then asks for.
+        """
         route = {
             "name": "r-plans",
             "host": "a.example",
@@ -338,6 +346,8 @@
             "services": [{"name": "hub", "health_path": "/health"}],
             "limits": {"max_body_bytes": 100_000},
         }
+        if tenants is not None:
+            document["tenants"] = tenants
         self.store.store.set("op/config", json.dumps(document).encode())
 
     def close(self) -> None:
