--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from damaskdeck.coordination.pools.accountmetrics import AccountMetrics
 from damaskdeck.coordination.pools.advising import AdviceDesk
 from damaskdeck.coordination.pools.allowances import Allowances
 from damaskdeck.coordination.pools.ceilings import Ceilings
@@ -111,6 +112,9 @@
             lambda step: self.dispatcher.note_verdicts(step),
         )
         self.allowances = Allowances(self, Ceilings(self._changes.note_ceilings))
+        self._account_metrics = AccountMetrics(
+            self.board, lambda name: self.allowances.read_use(name).millicores
+        )
         self.dispatcher = Dispatcher(self, basis.clock, basis.times, self.desk)
         self._supervisor = Supervisor(self, self.dispatcher, basis.times, self.desk)
         self.intake = Intake(self, basis.store, basis.leadership, basis.clock)
@@ -246,6 +250,7 @@
             slack=job.queue.slack,
             allowance=job.queue.allowance.total_seconds(),
         )
+        self._account_metrics.note_end(job)
         self.board.close(job)
         self.dispatcher.touch(job)
         self.mark_dirty(job)
@@ -464,6 +469,7 @@
                 now, may_add=not self._basis.leadership.is_cut_off()
             )
             self._forget_ended(now)
+            self._account_metrics.tell(now)
             if not self._basis.leadership.is_cut_off():
                 # What is lowered now could not be raised again.
                 self.allowances.sweep()
--- a/src/damaskdeck/coordination/pools/storing.py
+++ b/src/damaskdeck/coordination/pools/storing.py
@@ -13,7 +13,12 @@
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_refusal, count_retry, observe_latency
+from damaskdeck.metrics import (
+    count_account_job,
+    count_refusal,
+    count_retry,
+    observe_latency,
+)
 from damaskdeck.protocol.callers import (
     ANYONE,
     BarCode,
@@ -101,6 +106,8 @@
                 account=caller.account,
             )
             count_refusal("submit", done.code)
+            if caller.account:
+                count_account_job(caller.account, "refused")
         observe_latency("desk", "submit", self._now() - began)
         return done
 
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -15,6 +15,15 @@
 _latencies = _meter.create_histogram(
     "damaskdeck_latency", unit="s", description="by part and step"
 )
+_account_jobs = _meter.create_counter(
+    "damaskdeck_account_jobs", description="ended, by client account and outcome"
+)
+_account_waiting = _meter.create_gauge(
+    "damaskdeck_account_waiting", description="jobs that have started nothing"
+)
+_account_running = _meter.create_gauge(
+    "damaskdeck_account_running", description="millicores counted as running"
+)
 _packing = _meter.create_gauge(
     "damaskdeck_packing", description="share of the owned workers that is reserved"
 )
@@ -96,3 +105,14 @@
 def observe_latency(part: str, step: str, seconds: float) -> None:
     """Record how long a step of ``part`` took, in seconds."""
     _latencies.record(seconds, {"part": part, "step": step})
+
+
+def count_account_job(account: str, outcome: str) -> None:
+    """Count a job of a client account that ended, or was refused."""
+    _account_jobs.add(1, {"account": account, "outcome": outcome})
+
+
+def set_account(account: str, waiting: int, running: int) -> None:
+    """Tell the jobs of a client account that wait, and the millicores that run."""
+    _account_waiting.set(waiting, {"account": account})
+    _account_running.set(running, {"account": account})
