--- a/src/damaskdeck/coordination/pools/allowances.py
+++ b/src/damaskdeck/coordination/pools/allowances.py
@@ -115,7 +115,8 @@
         if startable < wanted:
             self._hold(step, "quota")
         needed = add_sizes(used, scale_size(step.spec.size, startable))
-        limit = self.ceilings.limit(account, state.quota, needed)
+        now = self._owner.now()
+        limit = self.ceilings.limit(account, state.quota, needed, now)
         startable = _count_fitting(step, startable, subtract_sizes(limit, used))
         return 0 if step.spec.is_gang and startable < wanted else startable
 
@@ -138,10 +139,11 @@
         self._take_quotas()
         if any(True for _ in self._owner.list_unaccounted()):
             return
+        now = self._owner.now()
         for account in self._declared:
             state = self._quotas.read(account)
             if state.quota != UNLIMITED_SIZE:
-                self.ceilings.lower_to(account, state.quota, state.use)
+                self.ceilings.lower_to(account, state.quota, state.use, now)
 
     # What isn't known --------------------------------------------------------
 
--- a/src/damaskdeck/coordination/pools/ceilings.py
+++ b/src/damaskdeck/coordination/pools/ceilings.py
@@ -14,8 +14,10 @@
 # A ceiling is raised to what is needed and this share of the quota: lower, and more
 # starts wait for a commit, some 10 ms; higher, and a successor fears more.
 HEADROOM_SHARE = 0.125
-# It is lowered when it is above what runs by more than this share of the quota.
+# It is lowered when it is above what runs by more than this share of the quota, and
+# nothing has needed as much for so long: a gang that waits asks four times a second.
 SLACK_SHARE = 0.25
+NEEDED_SECONDS = 2.0
 
 
 class Ceilings:
@@ -31,6 +33,8 @@
         # On its way: the store may hold it already, or never.
         self._sent: dict[str, Size] = {}
         self._wanted: dict[str, Size] = {}
+        # When about as much as the ceiling was last needed, monotonic seconds.
+        self._needed_at: dict[str, float] = {}
 
     def load(self, record: CeilingsRecord) -> None:
         """Take over those that the owner before has written."""
@@ -42,7 +46,7 @@
         """Return the ceiling of the owner before; ``None`` where it knew none."""
         return self._inherited.get(account)
 
-    def limit(self, account: str, quota: Size, needed: Size) -> Size:
+    def limit(self, account: str, quota: Size, needed: Size, now: float) -> Size:
         """Return what of a quota holds: no more than is durable, or will be.
 
         :param needed: what would run of the account: where that is more, the ceiling
@@ -53,15 +57,19 @@
             wanted = _add_share(needed, quota, HEADROOM_SHARE)
             known = Size(*map(max, known, map(min, quota, wanted)))
             self._want(account, known)
+        if not fits(_add_share(needed, quota, SLACK_SHARE), known):
+            self._needed_at[account] = now
         durable = self._durable.get(account, ZERO_SIZE)
         return Size(*map(min, quota, durable, known, self._sent.get(account, durable)))
 
-    def lower_to(self, account: str, quota: Size, used: Size) -> None:
+    def lower_to(self, account: str, quota: Size, used: Size, now: float) -> None:
         """Take note that no more runs of an account, for certain.
 
         As long as the ceiling is near that it stays: what runs goes up and down.
         """
         known = self._wanted.get(account, ZERO_SIZE)
+        if now - self._needed_at.get(account, 0.0) < NEEDED_SECONDS:
+            return
         if not fits(known, _add_share(used, quota, SLACK_SHARE)):
             self._want(account, _add_share(used, quota, HEADROOM_SHARE))
 
--- a/tests/test_ceilings.py
+++ b/tests/test_ceilings.py
@@ -35,6 +35,14 @@
         """Count."""
         self.changes += 1
 
+    def limit(self, quota: Size, needed: Size, now: float = 10.0) -> Size:
+        """Return what holds of an account's quota."""
+        return self.ceilings.limit("kiosk", quota, needed, now)
+
+    def lower(self, quota: Size, used: Size, now: float = 20.0) -> None:
+        """Take note of what runs, long after more was needed."""
+        self.ceilings.lower_to("kiosk", quota, used, now)
+
     def make_durable(self) -> CeilingsRecord:
         """Write, and take note that it is durable."""
         write, note_durable = self.ceilings.build_write()
@@ -42,53 +50,60 @@
         return decode_record(CeilingsRecord, write.value)
 
     def test_nothing_starts_before_its_ceiling_is_durable(self):
-        limit = self.ceilings.limit("kiosk", HIGH, LOW)
+        limit = self.limit(HIGH, LOW)
         self.assertEqual(limit, ZERO_SIZE)
         # With room for a little more, so that not each start waits.
         self.assertEqual(self.make_durable().accounts, {"kiosk": Size(1750, 2125, 0)})
-        limit = self.ceilings.limit("kiosk", HIGH, LOW)
+        limit = self.limit(HIGH, LOW)
         self.assertEqual(limit, Size(1750, 2125, 0))
         self.assertEqual(self.changes, 1)
 
     def test_it_never_passes_the_quota(self):
-        self.ceilings.limit("kiosk", LOW, HIGH)
+        self.limit(LOW, HIGH)
         self.assertEqual(self.make_durable().accounts, {"kiosk": LOW})
-        self.ceilings.limit("kiosk", LOW, HIGH)
+        self.limit(LOW, HIGH)
         self.assertEqual(self.changes, 1)
 
     def test_a_lower_one_holds_from_when_it_is_wanted(self):
-        self.ceilings.limit("kiosk", HIGH, HIGH)
+        self.limit(HIGH, HIGH)
         self.make_durable()
-        self.ceilings.lower_to("kiosk", HIGH, LOW)
-        self.assertEqual(self.ceilings.limit("kiosk", HIGH, LOW), Size(1750, 2125, 0))
+        self.lower(HIGH, LOW)
+        self.assertEqual(self.limit(HIGH, LOW), Size(1750, 2125, 0))
 
     def test_one_that_is_on_its_way_may_hold_already(self):
-        self.ceilings.limit("kiosk", HIGH, HIGH)
+        self.limit(HIGH, HIGH)
         self.make_durable()
-        self.ceilings.lower_to("kiosk", HIGH, LOW)
+        self.lower(HIGH, LOW)
         _, note_durable = self.ceilings.build_write()
         # Wanted high again, but a successor may find the low one.
         low = Size(1750, 2125, 0)
-        self.assertEqual(self.ceilings.limit("kiosk", HIGH, HIGH), low)
+        self.assertEqual(self.limit(HIGH, HIGH), low)
         note_durable()
-        self.assertEqual(self.ceilings.limit("kiosk", HIGH, HIGH), low)
+        self.assertEqual(self.limit(HIGH, HIGH), low)
         self.make_durable()
-        self.assertEqual(self.ceilings.limit("kiosk", HIGH, HIGH), HIGH)
+        self.assertEqual(self.limit(HIGH, HIGH), HIGH)
 
     def test_what_was_only_wanted_lower_is_had_at_once(self):
-        self.ceilings.limit("kiosk", HIGH, HIGH)
+        self.limit(HIGH, HIGH)
         self.make_durable()
-        self.ceilings.lower_to("kiosk", HIGH, LOW)
-        self.assertEqual(self.ceilings.limit("kiosk", HIGH, HIGH), HIGH)
+        self.lower(HIGH, LOW)
+        self.assertEqual(self.limit(HIGH, HIGH), HIGH)
 
     def test_it_stays_while_it_is_near_what_runs(self):
-        self.ceilings.limit("kiosk", HIGH, HIGH)
-        self.ceilings.lower_to("kiosk", HIGH, Size(5000, 7000, 0))
+        self.limit(HIGH, HIGH)
+        self.lower(HIGH, Size(5000, 7000, 0))
+        self.assertEqual(self.changes, 1)
+
+    def test_it_stays_while_something_waits_for_as_much(self):
+        self.limit(HIGH, HIGH)
+        for now in range(11, 30):
+            self.lower(HIGH, LOW, now)
+            self.limit(HIGH, HIGH, now)
         self.assertEqual(self.changes, 1)
 
     def test_it_never_falls_below_what_runs(self):
-        self.ceilings.limit("kiosk", HIGH, HIGH)
-        self.ceilings.lower_to("kiosk", LOW, Size(3000, 3000, 0))
+        self.limit(HIGH, HIGH)
+        self.lower(LOW, Size(3000, 3000, 0))
         written = self.make_durable().accounts["kiosk"]
         self.assertTrue(fits(Size(3000, 3000, 0), written))
 
