Ask the advisor about what waits for its quota

Cause: nothing was asked about a step that its account's quota held back, so when the quota came back a plan had to wait a second for its tickets, and others of its account took the quota. Change: the first such step of each account has its tickets kept.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -90,6 +90,8 @@
         self._opened: set[str] = set()
         self._usable: set[str] = set()
         self._looked_at = float("-inf")
+        # Accounts of which a step that waits for quota was asked about in this pass.
+        self._asked_held: set[str] = set()
         self._reservations = Reservations()
         self._asker = Asker(desk, lambda: owner.contacts)
         # The first occurrence that isn't open yet, by job.
@@ -167,6 +169,7 @@
         opened, self._opened = self._opened, set()
         candidates = self._find_candidates(now)
         ranked = self._pending.rank(now)
+        self._asked_held.clear()
         place = 0
         for urgency, _, pending in ranked:
             if pending.step.not_before > now:
@@ -238,6 +241,7 @@
         allowances = self._owner.allowances
         allowed = allowances.count_startable(step, len(tasks))
         if not allowed:
+            self._ask_while_held(step, urgency, place, now)
             return
         is_whole = allowed == len(tasks)
         tasks = tasks[:allowed]
@@ -263,6 +267,20 @@
             placed = {task for task, _ in plan}
             self._widen(step, [t for t in tasks if t not in placed], able)
 
+    def _ask_while_held(
+        self, step: Step, urgency: Urgency, place: int, now: float
+    ) -> None:
+        """Keep tickets of the first step of an account that its quota holds back.
+
+        The advisor needs a second for a plan's: meanwhile others of the account would
+        take what has come back of the quota.
+        """
+        account = step.job.record.account
+        if account in self._asked_held or urgency.outlook is Outlook.LOST:
+            return
+        self._asked_held.add(account)
+        self._asker.ask(step, self.find_pool(step), urgency, place, now)
+
     def _plan_beside(
         self,
         step: Step,
--- a/tests/test_pools_accounts.py
+++ b/tests/test_pools_accounts.py
@@ -23,6 +23,7 @@
     BOUNDS,
     SECOND,
     SMALL,
+    TERMS,
     PoolCase,
     make_account,
     make_job,
@@ -234,6 +235,28 @@
         self.assertEqual(len(cluster.list_starts("g")), 4)
         self.end()
 
+    @virtual
+    async def test_the_advisor_is_asked_about_what_waits_for_its_quota(self):
+        queue = QUEUE._replace(advice=TERMS)
+        cluster = await self.begin(queues=(queue,), accounts=make_accounts())
+        await asyncio.sleep(0.1)
+        desk = cluster.daemons["d0"].desk
+        gang = StepSpec(2, SMALL, SECOND, is_gang=True)
+        for name in ("g1", "g2", "g3"):
+            await desk.submit(queue, name, make_job(gang), KIOSK)
+            await asyncio.sleep(0.2)
+        asked = {
+            step.partition(".")[0]
+            for daemon in cluster.daemons.values()
+            for step, _ in daemon.advisor.calls
+        }
+        # The first that its quota holds back has its tickets, and no other.
+        self.assertEqual(len(asked), 2)
+        await asyncio.sleep(4)
+        self.assertEqual(len(cluster.list_starts()), 6)
+        self.assert_within_quota()
+        self.end()
+
     @virtual
     async def test_a_lower_quota_holds_for_what_starts_then(self):
         cluster = await self.begin_accounts(Size(6000, 6000, 0))
