Don't refuse a job that a try without an answer has stored

Cause: a commit whose answer was lost had stored a job; its next try met another document, under which the key no longer held, and the caller was told 401 while the job ran. Change: a refused commit is read for the job first, then for the document. Under another document no earlier try can take effect any more, so 401 is true then. Measured: the test fails before, passes after.

--- a/src/damaskdeck/coordination/pools/storing.py
+++ b/src/damaskdeck/coordination/pools/storing.py
@@ -156,16 +156,21 @@
     def _judge_mismatch(
         self, record: JobRecord, caller: Caller, done: Mismatch, sent: float
     ) -> JobRecord | Taken | Barred:
-        """Return the record to store in place of one that was refused."""
-        if self._declarations.note_mismatch(done, sent):
-            queue = self._admission.judge_again(record.queue, record.identifier, caller)
-            if isinstance(queue, Barred):
-                return queue
-            record = record._replace(queue=queue)
+        """Return the record to store in place of one that was refused.
+
+        What is stored comes first: a try without an answer may have stored it under
+        the document before, and then it runs. Under another document none can any more.
+        """
+        has_changed = self._declarations.note_mismatch(done, sent)
         stored = done.find(JOBS + record.identifier)
         if stored is not None:
             is_same = is_visible(stored.value, caller)
             return Taken() if is_same else Barred(BarCode.IDENTIFIER_IN_USE)
+        if has_changed:
+            queue = self._admission.judge_again(record.queue, record.identifier, caller)
+            if isinstance(queue, Barred):
+                return queue
+            record = record._replace(queue=queue)
         # Another owner: the job has to be stored for that one.
         self._leadership.refresh(done.find(OWNER_KEY))
         return record
--- a/tests/test_pools_accounts.py
+++ b/tests/test_pools_accounts.py
@@ -16,6 +16,7 @@
     Taken,
     Told,
 )
+from damaskdeck.protocol.ports import Written
 from damaskdeck.protocol.queues import QueuedState, StepSpec, TaskName
 from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes
 from standins.pools import Work
@@ -144,6 +145,23 @@
         self.assertNotIn("damaskdeck/inbox/jobs/j1", cluster.store.entries)
         self.end()
 
+    @virtual
+    async def test_what_was_stored_without_an_answer_is_not_refused(self):
+        cluster = await self.begin_accounts()
+        daemon = cluster.daemons["d0"]
+
+        async def lose_answer(transaction, timeout=None):
+            daemon.store.commit = commit
+            # Before it is tried again the key goes, and no watch tells of it yet; the
+            # job is stored, and will run.
+            self.assertIsInstance(await commit(transaction), Written)
+            cluster.declare((QUEUE,), make_accounts(keys=()))
+            return await commit(transaction)
+
+        commit, daemon.store.commit = daemon.store.commit, lose_answer
+        self.assertEqual(await self.submit("j1"), Taken())
+        self.end()
+
     @virtual
     async def test_another_document_keeps_a_call_that_is_still_allowed(self):
         cluster = await self.begin_accounts()
