Judge a call in one place, read sizes off the wire in one place

Admission judged a call twice by like code, first and again under another document; the wire's size was typed and read in two modules; sums of sizes were looped beside sum_sizes; where no account is declared ten lists of all workers were made each second for nothing. Behaviour as before, but that a key-less job whose queue became private under it is refused as missing_key in place of unknown_key (401 both), and no document is told again.

--- a/src/damaskdeck/coordination/pools/admitting.py
+++ b/src/damaskdeck/coordination/pools/admitting.py
@@ -39,6 +39,23 @@
 
         :param key: as shown, ``None`` where none is.
         """
+        return self._judge(host, path, digest_key(key) if key else b"")
+
+    def judge_again(
+        self, queue: Queue, identifier: str, caller: Caller
+    ) -> Queue | Barred:
+        """Return the queue as declared now, if the caller may still use it."""
+        path = queue.prefix + identifier
+        judged = self._judge(queue.host, path, caller.digest)
+        if isinstance(judged, Barred):
+            return judged
+        is_same = judged.caller.account == caller.account
+        if not (judged.queue.is_public or is_same):
+            return self._bar(BarCode.UNKNOWN_KEY, path)
+        return judged.queue
+
+    def _judge(self, host: str, path: str, digest: bytes) -> Admitted | Barred:
+        """Judge a call by the digest of its key, empty where none is shown."""
         table = self._declarations.table
         if table is None:
             return self._bar(BarCode.NO_DOCUMENT, path)
@@ -49,33 +66,13 @@
             return Admitted(queue, Caller(queue=queue.name), table)
         if not self._declarations.may_serve:
             return self._bar(BarCode.STALE_DOCUMENT, path)
-        if not key:
+        if not digest:
             return self._bar(BarCode.MISSING_KEY, path)
-        digest = digest_key(key)
         account = table.accounts.find(digest)
         if account is None:
             return self._bar(BarCode.UNKNOWN_KEY, path)
         return Admitted(queue, Caller(account.name, queue.name, digest), table)
 
-    def judge_again(
-        self, queue: Queue, identifier: str, caller: Caller
-    ) -> Queue | Barred:
-        """Return the queue as declared now, if the caller may still use it."""
-        table = self._declarations.table
-        if table is None:
-            return Barred(BarCode.NO_DOCUMENT)
-        found = table.find(queue.host, queue.prefix + identifier)
-        if found is None:
-            return Barred(BarCode.NO_QUEUE)
-        if found.is_public:
-            return found
-        if not self._declarations.may_serve:
-            return self._bar(BarCode.STALE_DOCUMENT, identifier)
-        account = table.accounts.find(caller.digest)
-        if account is None or account.name != caller.account:
-            return self._bar(BarCode.UNKNOWN_KEY, identifier)
-        return found
-
     def _bar(self, code: BarCode, what: str) -> Barred:
         """Refuse; the line names what was called, never what was shown."""
         table = self._declarations.table
--- a/src/damaskdeck/coordination/pools/allowances.py
+++ b/src/damaskdeck/coordination/pools/allowances.py
@@ -22,7 +22,7 @@
     subtract_sizes,
 )
 from damaskdeck.state.board import Job, Run, Step
-from damaskdeck.state.quotas import Quotas, scale_size
+from damaskdeck.state.quotas import Quotas, scale_size, sum_sizes
 
 # What is unknown of workers that have not answered is counted anew after so long; in
 # between it is taken for what it was, and it only ever gets less.
@@ -45,7 +45,7 @@
     def are_quotas_sure(self) -> bool:
         """Whether the document in force is fresh enough to start work by it."""
 
-    def list_unaccounted(self) -> Iterable[Size]:
+    def list_unaccounted(self) -> list[Size]:
         """List the sizes of the workers that may run what isn't known."""
 
     def list_unsure(self) -> Iterable[Job]:
@@ -137,7 +137,7 @@
     def sweep(self) -> None:
         """Lower the ceilings of accounts that are seen to use less."""
         self._take_quotas()
-        if any(True for _ in self._owner.list_unaccounted()):
+        if not self._declared or self._owner.list_unaccounted():
             return
         now = self._owner.now()
         for account in self._declared:
@@ -156,12 +156,10 @@
         return self._unknown.get(account, ZERO_SIZE)
 
     def _count_unknown(self) -> dict[str, Size]:
-        sizes = list(self._owner.list_unaccounted())
+        sizes = self._owner.list_unaccounted()
         if not sizes:
             return {}
-        room = ZERO_SIZE
-        for size in sizes:
-            room = add_sizes(room, size)
+        room = sum_sizes(sizes)
         unknown: dict[str, Size] = {}
         for job in self._owner.list_unsure():
             account = job.record.account
@@ -223,12 +221,14 @@
 
 def _measure_unseen(job: Job) -> Size:
     """Return the size of all runs that a job may have beside those that are known."""
-    total = ZERO_SIZE
-    for step in job.list_steps():
+    return sum_sizes(
         # A copy of a task that has completed may still run.
-        most = 2 if step.spec.is_speculative else 1
-        runs = sum(
-            max(0, most - task.is_completed - len(task.runs)) for task in step.tasks
-        )
-        total = add_sizes(total, scale_size(step.spec.size, runs))
-    return total
+        _measure_unseen_runs(step, 2 if step.spec.is_speculative else 1)
+        for step in job.list_steps()
+    )
+
+
+def _measure_unseen_runs(step: Step, most: int) -> Size:
+    """Return the size of the runs of a step that aren't known, if tasks have most."""
+    runs = sum(max(0, most - task.is_completed - len(task.runs)) for task in step.tasks)
+    return scale_size(step.spec.size, runs)
--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -167,12 +167,7 @@
         self, identifier: str, wish: Literal["state", "cancel"], caller: Caller
     ) -> Told | NoJob | Untold:
         """Let a daemon that the store answers do what the caller wishes."""
-        message: AskFor = {
-            "job": identifier,
-            "wish": wish,
-            "account": caller.account,
-            "queue": caller.queue,
-        }
+        message: AskFor = {"wish": wish, **_write_asked(identifier, caller)}
         for name in self._helpers.choose(HELPERS):
             reply = await self._peers.call(name, message, AskFor, HELP_TIMEOUT)
             if not isinstance(reply, Answered):
@@ -207,11 +202,7 @@
         owner = self._leadership.owner
         if owner is None:
             return None
-        message = {
-            "job": identifier,
-            "account": caller.account,
-            "queue": caller.queue,
-        }
+        message = _write_asked(identifier, caller)
         reply = await self._peers.call(owner.instance, message, kind, timeout)
         if not isinstance(reply, Answered):
             return None
@@ -349,6 +340,10 @@
         return {"code": answer.code, "consents": []}
 
 
+def _write_asked(identifier: str, caller: Caller) -> AskState:
+    return {"job": identifier, "account": caller.account, "queue": caller.queue}
+
+
 def _read_caller(message: AskState | AskCancel | AskFor) -> Caller:
     return Caller(message.get("account", ""), message.get("queue", ""))
 
--- a/src/damaskdeck/platform/declarations.py
+++ b/src/damaskdeck/platform/declarations.py
@@ -8,11 +8,13 @@
 from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.platform.fields import (
+    Amounts,
     Factor,
     Milliseconds,
     Name,
     Quantity,
     read_duration,
+    read_size,
 )
 from damaskdeck.protocol.accounts import (
     ClientAccount,
@@ -79,18 +81,12 @@
     tenants: NotRequired[list[msgspec.Raw] | None]
 
 
-class _Cap(TypedDict):
-    cpu: NotRequired[Quantity]
-    mem_mb: NotRequired[Quantity]
-    gpu: NotRequired[Quantity]
-
-
 class _Tenant(TypedDict):
     name: Name
     api_keys: NotRequired[list[str]]
     priority: NotRequired[Quantity]
     weight: NotRequired[Factor]
-    cap: NotRequired[_Cap | None]
+    cap: NotRequired[Amounts | None]
 
 
 _document = msgspec.json.Decoder(_Document)
@@ -186,7 +182,6 @@
 
 
 def _read_account(tenant: _Tenant) -> ClientAccount:
-    cap = tenant.get("cap") or {}
     keys = tenant.get("api_keys", [])
     usable = [key.encode() for key in keys if 0 < len(key) <= _KEY_LIMIT]
     if len(usable) < len(keys):
@@ -201,7 +196,7 @@
         frozenset(map(digest_key, usable)),
         tenant.get("weight", 1.0),
         tenant.get("priority", 0),
-        build_quota(cap.get("cpu", 0), cap.get("mem_mb", 0), cap.get("gpu", 0)),
+        build_quota(read_size(tenant.get("cap"))),
     )
 
 
--- a/src/damaskdeck/platform/fields.py
+++ b/src/damaskdeck/platform/fields.py
@@ -2,10 +2,12 @@
 
 import ipaddress
 from datetime import timedelta
-from typing import Annotated
+from typing import Annotated, NotRequired, TypedDict
 
 import msgspec
 
+from damaskdeck.protocol.sizes import Size
+
 # A week: nothing that the platform counts in milliseconds lasts longer, and sums of
 # such durations stay far below what a duration or a date can hold.
 LONGEST_MILLISECONDS = 7 * 24 * 3600 * 1000
@@ -23,6 +25,20 @@
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
+class Amounts(TypedDict):
+    """Processors in thousandths of a core, memory in MiB, accelerators."""
+
+    cpu: NotRequired[Quantity]
+    mem_mb: NotRequired[Quantity]
+    gpu: NotRequired[Quantity]
+
+
+def read_size(amounts: Amounts | None) -> Size:
+    """Return a size from the wire, where 0 and nothing may be left out."""
+    amounts = amounts or {}
+    return Size(amounts.get("cpu", 0), amounts.get("mem_mb", 0), amounts.get("gpu", 0))
+
+
 def read_duration(milliseconds: float) -> timedelta:
     """Return a duration from the wire."""
     return timedelta(milliseconds=milliseconds)
--- a/src/damaskdeck/platform/registry.py
+++ b/src/damaskdeck/platform/registry.py
@@ -9,11 +9,12 @@
 from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.platform.fields import (
+    Amounts,
     Milliseconds,
     Name,
-    Quantity,
     is_address,
     read_duration,
+    read_size,
 )
 from damaskdeck.protocol.pools import (
     PoolWorker,
@@ -27,7 +28,6 @@
     Rejected,
     TooOld,
 )
-from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, read_all
 
 _WORKERS = "servers/"
@@ -39,18 +39,12 @@
 _log = get_logger("registry")
 
 
-class _Capacity(TypedDict):
-    cpu: NotRequired[Quantity]
-    mem_mb: NotRequired[Quantity]
-    gpu: NotRequired[Quantity]
-
-
 class _Worker(TypedDict):
     service: Name
     address: str
     zone: NotRequired[str]
     state: Literal["ready", "draining"]
-    capacity: NotRequired[_Capacity]
+    capacity: NotRequired[Amounts]
     labels: NotRequired[list[str]]
     remaining_ms: NotRequired[Milliseconds | None]
 
@@ -125,7 +119,6 @@
         raise MessageError("its key names no worker")
     if not is_address(worker["address"]):
         raise MessageError(f"no address: {worker['address'][:_SHOWN]!r}")
-    capacity = worker.get("capacity", {})
     labels = worker.get("labels", [])
     remaining = worker.get("remaining_ms")
     return PoolWorker(
@@ -133,7 +126,7 @@
         worker["service"],
         worker["address"],
         worker.get("zone", ""),
-        Size(capacity.get("cpu", 0), capacity.get("mem_mb", 0), capacity.get("gpu", 0)),
+        read_size(worker.get("capacity")),
         frozenset(labels),
         next((label for label in labels if _RACK.match(label)), ""),
         worker["state"] == _LEAVING,
--- a/src/damaskdeck/protocol/accounts.py
+++ b/src/damaskdeck/protocol/accounts.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from damaskdeck.logs import get_logger
-from damaskdeck.protocol.sizes import ZERO_SIZE, Size
+from damaskdeck.protocol.sizes import Size
 
 # A quota that nothing reaches; sums of it with what is used stay whole numbers.
 UNLIMITED = 2**50
@@ -87,12 +87,6 @@
     return hashlib.sha256(key).digest()
 
 
-def build_quota(millicores: int, memory: int, accelerators: int) -> Size:
-    """Return a quota from declared limits, of which 0 sets none.
-
-    :param memory: in MiB.
-    """
-    declared = Size(millicores, memory, accelerators)
-    if declared == ZERO_SIZE:
-        return UNLIMITED_SIZE
+def build_quota(declared: Size) -> Size:
+    """Return a quota from declared limits, of which 0 sets none."""
     return Size(*(limit or UNLIMITED for limit in declared))
