Bring about a task that crashes one worker after the other

What callers saw: a job that runs for ever, and others that are late as the workers under them go. On the stand-ins a task ends the life of each worker 10 ms after its start, the worker is back 3 s later as a new life (figures of the users' record). The cluster of the tests checks from now on that no such task starts three times more after three crashes.

--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -54,11 +54,14 @@
 
     :param startup: a task that lasts is at work, at 100 percent, after so long;
         ``None`` for one that works towards its end.
+    :param crash_after: the life of its worker ends so long after the start, ``None``
+        for one that harms nobody.
     """
 
     duration: timedelta = timedelta(seconds=1)
     kind: EndKind = EndKind.COMPLETED
     startup: timedelta | None = None
+    crash_after: timedelta | None = None
 
 
 class _Running(NamedTuple):
@@ -74,6 +77,7 @@
     :param behave: tells how a task's attempt behaves.
     :ivar hangs: its tasks stand still.
     :ivar slowness: its tasks take so many times as long.
+    :ivar on_crash: called when one of its tasks ends its life.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         self.is_up = True
         self.hangs = False
         self.slowness = 1.0
+        self.on_crash: Callable[[], None] = self.kill
         self.token = 0
         self.lease_ends = timedelta()
         self.running: dict[TaskName, _Running] = {}
@@ -167,8 +172,18 @@
         work = work._replace(duration=work.duration * self.slowness)
         self.running[order.task] = _Running(order.attempt, now, work, order.payload)
         self.starts.append((now, order.task, order.attempt, epoch))
+        if work.crash_after is not None:
+            self._crash_later(order.task, order.attempt, work.crash_after)
         return Done(now)
 
+    def _crash_later(self, task: TaskName, attempt: int, delay: timedelta) -> None:
+        def crash() -> None:
+            run = self.running.get(task)
+            if self.is_up and run is not None and run.attempt == attempt:
+                self.on_crash()
+
+        asyncio.get_running_loop().call_later(delay.total_seconds(), crash)
+
     def stop(self, epoch: int, task: TaskName, attempt: int) -> Done | Declined:
         """Carry out an order to stop."""
         self.settle()
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -62,6 +62,11 @@
 SECOND = timedelta(seconds=1)
 TERMS = AdviceTerms(timedelta(milliseconds=10), timedelta(), timedelta(seconds=2))
 SIZE = Size(4000, 8000, 0)
+# A crashed worker is back after so long, as a new life at its address.
+BACK_AFTER = timedelta(seconds=3)
+# The bound of the users: a task may start twice more after three crashes.
+CRASHES_BORNE = 3
+STARTS_AFTER = 2
 SMALL = Size(1000, 1000, 0)
 
 
@@ -261,6 +266,8 @@
         self.switch = PeerSwitch(self.clock)
         self.workers: dict[str, StandinWorker] = {}
         self.epochs: list[int] = []
+        # When a worker crashed, with each task and attempt that it then ran.
+        self.crashes: list[tuple[timedelta, TaskName, int]] = []
         self.tables: dict[int, QueueTable] = {}
         # When each version was acknowledged to the operators.
         self.declared_at: dict[int, timedelta] = {}
@@ -308,10 +315,25 @@
         labels = frozenset({"a", rack})
         info = PoolWorker(name, "hub", address, zone, SIZE, labels, rack)
         worker = StandinWorker(info, self.clock, self._behave, BOUNDS.hold_longest)
+        worker.on_crash = lambda: self.crash(worker)
         self.workers[name] = worker
         self.register(worker)
         return worker
 
+    def crash(self, worker: StandinWorker) -> None:
+        """End a worker's life; a new one begins at its address after a while."""
+        now = self.clock.monotonic()
+        for task, run in worker.running.items():
+            self.crashes.append((now, task, run.attempt))
+        worker.kill()
+        info = worker.info
+        self.store.set(StandinRegistry.prefix + info.identifier, None)
+        name = f"{info.identifier.partition('+')[0]}+{next(self.numbers)}"
+        asyncio.get_running_loop().call_later(
+            BACK_AFTER.total_seconds(),
+            lambda: self.add_worker(name, info.address, info.rack, info.zone),
+        )
+
     def retire(self, name: str, remaining: timedelta | None = None) -> None:
         """Let a worker announce that it is leaving."""
         worker = self.workers[name]
@@ -423,6 +445,24 @@
                     broken.append(f"{task} runs twice: {first} {second}")
                 if first[2] is EndKind.COMPLETED:
                     broken.append(f"{task} starts after it completed: {second}")
+        return broken + self._find_crashing()
+
+    def _find_crashing(self) -> list[str]:
+        """List the tasks that were started too often after crashing workers.
+
+        Only those that crash each worker that starts them.
+        """
+        broken = []
+        starts = self.list_starts()
+        for task in sorted({task for _, task, _ in self.crashes}):
+            crashed = [at for at, name, _ in self.crashes if name == task]
+            mine = [row for row in starts if row[1] == task]
+            crashes = [self._behave(task, row[2]).crash_after for row in mine]
+            if len(crashed) < CRASHES_BORNE or None in crashes:
+                continue
+            after = sum(row[0] > crashed[CRASHES_BORNE - 1] for row in mine)
+            if after > STARTS_AFTER:
+                broken.append(f"{task} starts {after} times after three crashes")
         return broken
 
     def cut_zone(self, zone: str, inside: tuple[str, ...] = ()) -> None:
