Count no room where a worker that has shrunk holds too much

What callers would see: a gang for one rack waits though its rack has room. A worker's room may shrink while it runs; what it runs then exceeds it, and its free room is below nothing. count_fitting returned a number below 0 for it, which was taken off what the other workers of the rack hold. Bounded at 0, which is what a worker without room holds; kept room for gangs counts by the same function.

The cluster of the tests can resize workers now, and checks each start against the room that counted (what was so for contact and a beat).

--- a/src/damaskdeck/coordination/pools/placing.py
+++ b/src/damaskdeck/coordination/pools/placing.py
@@ -45,9 +45,13 @@
 
 
 def count_fitting(spec: StepSpec, size: Size) -> int:
-    """Return how many tasks of a step find room in ``size``."""
+    """Return how many tasks of a step find room in ``size``.
+
+    None where a worker that has shrunk holds more than it may: that takes no room
+    from the others.
+    """
     pairs = zip(spec.size, size, strict=True)
-    counts = [room // need for need, room in pairs if need > 0]
+    counts = [max(0, room) // need for need, room in pairs if need > 0]
     fitting = min(counts, default=UNBOUNDED)
     return min(fitting, spec.spread) if spec.spread else fitting
 
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -1,6 +1,7 @@
 """Daemons of one process on the pools' stand-ins, in virtual time."""
 
 import asyncio
+import functools
 import itertools
 import unittest
 from collections.abc import Callable
@@ -31,7 +32,7 @@
     StepSpec,
     TaskName,
 )
-from damaskdeck.protocol.sizes import Size
+from damaskdeck.protocol.sizes import Size, add_sizes, fits
 from damaskdeck.state.jobrecords import (
     OWNER_KEY,
     MemberRecord,
@@ -62,6 +63,9 @@
 SECOND = timedelta(seconds=1)
 TERMS = AdviceTerms(timedelta(milliseconds=10), timedelta(), timedelta(seconds=2))
 SIZE = Size(4000, 8000, 0)
+# A worker's room that has shrunk counts so much later, and one beat.
+CONTACT = timedelta(seconds=3)
+BEAT = timedelta(milliseconds=1500)
 # A crashed worker is back after so long, as a new life at its address.
 BACK_AFTER = timedelta(seconds=3)
 # The bound of the users: a task may start twice more after three crashes.
@@ -266,6 +270,9 @@
         self.switch = PeerSwitch(self.clock)
         self.workers: dict[str, StandinWorker] = {}
         self.epochs: list[int] = []
+        self.specs: dict[str, JobSpec] = {}
+        # What workers could hold from when on, by their name.
+        self.sizes: dict[str, list[tuple[timedelta, Size]]] = {}
         # When a worker crashed, with each task and attempt that it then ran.
         self.crashes: list[tuple[timedelta, TaskName, int]] = []
         self.tables: dict[int, QueueTable] = {}
@@ -317,9 +324,22 @@
         worker = StandinWorker(info, self.clock, self._behave, BOUNDS.hold_longest)
         worker.on_crash = lambda: self.crash(worker)
         self.workers[name] = worker
+        self.sizes[name] = [(self.clock.monotonic(), info.size)]
         self.register(worker)
         return worker
 
+    def resize(self, name: str, size: Size, lag: timedelta = BEAT) -> None:
+        """Let a worker's room shrink or grow, and let it say so a beat later."""
+        self.sizes[name].append((self.clock.monotonic(), size))
+        worker = self.workers[name]
+
+        def tell() -> None:
+            if worker.is_up:
+                worker.info = worker.info._replace(size=size)
+                self.store.set(StandinRegistry.prefix + name, str(size).encode())
+
+        asyncio.get_running_loop().call_later(lag.total_seconds(), tell)
+
     def crash(self, worker: StandinWorker) -> None:
         """End a worker's life; a new one begins at its address after a while."""
         self.note_crash(worker)
@@ -409,6 +429,7 @@
 
     async def submit(self, job: str, spec: JobSpec, daemon: str = "d0"):
         """Hand a job in and expect it to be taken."""
+        self.specs[job] = spec
         queue = self.table.queues[0]
         done = await self.daemons[daemon].desk.submit(queue, job, spec)
         if done != Taken():
@@ -462,7 +483,34 @@
                     broken.append(f"{task} runs twice: {first} {second}")
                 if first[2] is EndKind.COMPLETED:
                     broken.append(f"{task} starts after it completed: {second}")
-        return broken + self._find_crashing()
+        return broken + self._find_crashing() + self._find_overfilled()
+
+    def _find_overfilled(self) -> list[str]:
+        """List the starts that brought a worker over the room that counted."""
+        broken = []
+        for name, worker in self.workers.items():
+            spans = [(row[3], row[4], row[0]) for row in worker.history]
+            spans += [(r.began, timedelta.max, t) for t, r in worker.running.items()]
+            for at, task, _, _ in worker.starts:
+                there = [t for began, ended, t in spans if began <= at < ended]
+                used = functools.reduce(add_sizes, map(self._find_size, there), Size())
+                if not any(fits(used, size) for size in self._list_sizes(name, at)):
+                    broken.append(f"{task} at {at} overfills {name}: {used}")
+        return broken
+
+    def _find_size(self, task: TaskName) -> Size:
+        spec = self.specs.get(task.job)
+        return spec.steps[task.step].size if spec is not None else Size()
+
+    def _list_sizes(self, name: str, at: timedelta) -> list[Size]:
+        """List the sizes of a worker by which it may have had orders."""
+        sizes = self.sizes[name]
+        ends = [*(since for since, _ in sizes[1:]), timedelta.max]
+        return [
+            size
+            for (since, size), end in zip(sizes, ends, strict=True)
+            if since <= at < _add_bound(end)
+        ]
 
     def _find_crashing(self) -> list[str]:
         """List the tasks that were started too often after crashing workers.
@@ -511,6 +559,10 @@
         self.switch.close()
 
 
+def _add_bound(end: timedelta) -> timedelta:
+    return end if end == timedelta.max else end + CONTACT + BEAT
+
+
 class PoolCase(unittest.TestCase):
     """Closes the cluster and checks what must always hold."""
 
--- /dev/null
+++ b/tests/test_pools_capacity.py
@@ -0,0 +1,70 @@
+"""Workers whose room shrinks and grows while they run."""
+
+import asyncio
+from datetime import timedelta
+
+from damaskdeck.protocol.queues import QueuedState, StepSpec
+from damaskdeck.protocol.sizes import Size
+from standins.pools import Work
+from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
+from tests.virtual import virtual
+
+QUARTER = Size(1000, 2000, 0)
+
+
+class TestShrinking(PoolCase):
+    """Nothing starts beyond a room that has shrunk."""
+
+    @virtual
+    async def test_a_worker_that_has_shrunk_gets_what_it_can_hold(self):
+        cluster = await self.begin(workers=1)
+        await cluster.submit("j1", make_job(StepSpec(16, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        cluster.resize("w0", QUARTER)
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.assertGreater(len(cluster.list_starts("j1")), 12)
+        self.end()
+
+    @virtual
+    async def test_one_that_has_grown_again_is_filled(self):
+        cluster = await self.begin(workers=1)
+        cluster.resize("w0", QUARTER)
+        await asyncio.sleep(3)
+        cluster.resize("w0", SIZE)
+        await asyncio.sleep(3)
+        began = cluster.clock.monotonic()
+        await cluster.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.assertLess(cluster.clock.monotonic() - began, 2 * SECOND)
+        self.end()
+
+    @virtual
+    async def test_nothing_is_started_by_a_room_that_may_have_shrunk_long_ago(self):
+        cluster = await self.begin(
+            workers=2, behave=lambda t, a: Work(timedelta(seconds=0.9))
+        )
+        await cluster.submit("j1", make_job(StepSpec(60, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        for worker in ("w0", "w1"):
+            cluster.resize(worker, QUARTER)
+        await asyncio.sleep(9)
+        cluster.heal()
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED)
+        self.end()
+
+    @virtual
+    async def test_a_gang_starts_beside_a_worker_that_holds_more_than_it_may(self):
+        cluster = await self.begin(
+            workers=4, behave=lambda t, a: Work(timedelta(seconds=8))
+        )
+        await cluster.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        host = cluster.find_host("j1").info
+        cluster.resize(host.identifier, QUARTER)
+        await asyncio.sleep(3)
+        gang = StepSpec(4, SMALL, 9 * SECOND, is_gang=True, near=host.rack)
+        await cluster.submit("j2", make_job(gang))
+        await cluster.wait(lambda: len(cluster.list_starts("j2")) == 4, seconds=1)
+        self.end()
