Start nothing by workers' rooms that may have shrunk long ago

What the users would see: LIMIT, a start on a worker that has been smaller for seconds. A worker tells its room in its registration; an owner that the store doesn't answer goes on by what it read last for as long as its mandate lasts, 6 to 10 s, and a room that has shrunk counts contact and one beat later, 4.5 s. Nothing is started any more by a view of the registry that is as old as contact (3 s) less a quarter of a second: what shrank just after it was read counts a beat, and that, later. A watch that found nothing proves so for as long as it waited.

--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -20,6 +20,8 @@
     :param far_factor: a step takes so many times as long away from its best racks.
     :param stop_longest: a run that is told to stop takes so long at most.
     :param in_force: a document is in force so long after it was acknowledged.
+    :param contact: a worker whose room has shrunk may have orders by its old room for
+        so long after it has told that.
     :param revocation: what shows a key that was taken away longer ago is served by
         nobody; ``None`` where that is only asked of daemons in touch.
     """
@@ -31,6 +33,7 @@
     far_factor: float = 2.0
     stop_longest: timedelta = timedelta(seconds=1)
     in_force: timedelta = timedelta(seconds=3)
+    contact: timedelta = timedelta(seconds=3)
     revocation: timedelta | None = None
 
 
@@ -55,6 +58,7 @@
     stop_longest: timedelta
     keys_sure: timedelta | None
     quotas_sure: timedelta
+    rooms_sure: timedelta
 
 
 def derive_times(bounds: PoolBounds) -> PoolTimes:
@@ -100,4 +104,5 @@
         keys_sure=bounds.revocation and bounds.revocation - SURENESS_MARGIN,
         # Also an order that is under way begins within the bound.
         quotas_sure=bounds.in_force - SURENESS_MARGIN,
+        rooms_sure=bounds.contact - SURENESS_MARGIN,
     )
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -9,6 +9,7 @@
 from damaskdeck.coordination.pools.contacts import ContactOwner, WorkerContact
 from damaskdeck.coordination.pools.cordons import Cordons
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
+from damaskdeck.coordination.pools.registryview import RegistryView
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.delays import LoopDelay
@@ -86,9 +87,11 @@
 class Inherited(NamedTuple):
     """What a takeover finds.
 
+    :param read_at: monotonic seconds when the registry was asked.
     :param roster: ``None`` where it can't be read.
     """
 
+    read_at: float
     registered: Registered
     roster: RosterRecord | None
     cordons: CordonsRecord
@@ -99,6 +102,7 @@
 
     :param owner: whom the contacts tell.
     :ivar contacts: by the identifier of a worker's life.
+    :ivar view: how sure it is that they are as registered now.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         self._owner = owner
         self._events = events
         self._revision = 0
+        self.view = RegistryView(parts.times.rooms_sure)
         # With the availability zone of each, an empty string where it isn't known.
         self._unaccounted: dict[str, str] = {}
         self.cordons = Cordons(self.contacts, events.cordons)
@@ -147,10 +152,14 @@
             for name in self._unaccounted
         ]
 
+    def _now(self) -> float:
+        return self._parts.clock.monotonic().total_seconds()
+
     async def read(self) -> "Inherited":
         """Read what the registry tells and the owner before has written."""
         parts = self._parts
         while True:
+            sent = self._now()
             found, roster, cordons = await asyncio.gather(
                 parts.registry.list_workers(),
                 parts.store.read(ROSTER_KEY),
@@ -163,6 +172,7 @@
                 break
             await parts.clock.sleep(RETRY_DELAY)
         return Inherited(
+            sent,
             found,
             _decode(RosterRecord, roster),
             # Where nothing can be told of them, no worker counts as cordoned.
@@ -173,6 +183,7 @@
         """Begin to contact all workers that :meth:`read` has found."""
         found, roster = inherited.registered, inherited.roster
         self._revision = found.revision
+        self.view.note_read(inherited.read_at)
         silent = {c.worker for c in inherited.cordons.cordons if c.is_silent}
         for worker in roster.workers if roster is not None else ():
             contact = self._add(worker, worker.identifier in silent)
@@ -193,8 +204,7 @@
     async def _wait_for_unknown(self) -> None:
         """Wait until nothing runs on workers that an unreadable roster named."""
         parts, bound = self._parts, self._find_bound()
-        now = parts.clock.monotonic().total_seconds()
-        await parts.clock.sleep(timedelta(seconds=bound - now))
+        await parts.clock.sleep(timedelta(seconds=bound - self._now()))
         while not await parts.leadership.is_confirmed_since(bound):
             await parts.clock.sleep(RETRY_DELAY)
         self._account(_UNREADABLE)
@@ -248,7 +258,7 @@
         :param is_silent: the predecessor had ceased to extend it before.
         """
         parts, old = self._parts, self._mandate.predecessor
-        now = parts.clock.monotonic().total_seconds()
+        now = self._now()
         if old is None:
             return now
         is_gone = parts.leadership.is_gone(old.instance, old.incarnation)
@@ -324,8 +334,11 @@
         while True:
             for stray in list(self._strays.values()):
                 self._list(stray)
+            sent = self._now()
             answer = await registry.follow_workers(self._revision, WATCH_WAIT)
             if isinstance(answer, RegistryChanges):
+                is_empty = not answer.changes
+                self.view.note_watch(sent, WATCH_WAIT, self._now(), is_empty)
                 self._revision = answer.revision
                 is_new = False
                 for change in answer.changes:
@@ -343,8 +356,10 @@
             await self._parts.clock.sleep(REGISTRY_INTERVAL)
 
     async def _list_anew(self) -> None:
+        sent = self._now()
         found = await self._parts.registry.list_workers()
         if isinstance(found, Registered):
+            self.view.note_read(sent)
             self._revision = found.revision
             present = {worker.identifier for worker in found.workers}
             for gone in self._strays.keys() - present:
