Start no copies by a mandate that is too old

An owner that the store hasn't named for a tenure could start a copy that no successor knows of. Copies ask the same question now. Test: one copy is started on the code before, none now.

--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -418,6 +418,8 @@
     def copy(self, run: Run, now: float) -> bool:
         """Start a second run of a task on another worker; returns whether it could."""
         task, step = run.task, run.task.step
+        if not self._owner.may_start():
+            return False
         if not self._owner.allowances.count_startable(step, 1):
             return False
         pool = self.find_pool(step)
--- a/tests/test_pools_capacity.py
+++ b/tests/test_pools_capacity.py
@@ -68,3 +68,24 @@
         await cluster.submit("j2", make_job(gang))
         await cluster.wait(lambda: len(cluster.list_starts("j2")) == 4, seconds=1)
         self.end()
+
+
+class TestMandate(PoolCase):
+    """Who may no longer start tasks starts no copies either."""
+
+    @virtual
+    async def test_an_owner_whose_mandate_is_too_old_starts_no_copies(self):
+        cluster = await self.begin(
+            workers=2, behave=lambda t, a: Work(timedelta(seconds=30))
+        )
+        spec = StepSpec(1, SMALL, 30 * SECOND, is_speculative=True)
+        await cluster.submit("j1", make_job(spec))
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        await asyncio.sleep(cluster.times.tenure.total_seconds() - 0.5)
+        host = cluster.find_host("j1").info.identifier
+        cluster.find_owner().workers.cut_off.add(host)
+        await asyncio.sleep(4)
+        self.assertEqual(len(cluster.list_starts("j1")), 1)
+        self.end()
