Count restarts of workers against a batch task of our own interface, too

A worker that comes back without the task says worker_restarted; the third ends the task as failed, workers_crashed. Workers that were taken away or fell silent speak against no task, and services go on as before.

--- a/src/damaskdeck/coordination/jobs/news.py
+++ b/src/damaskdeck/coordination/jobs/news.py
@@ -12,7 +12,9 @@
 from damaskdeck.state.work import Job, Task, TaskState
 
 DEFAULT_ATTEMPTS = 3
-
+# A task under which so many workers have restarted would take more of them down.
+CRASHES_LIMIT = 3
+_RESTARTED = "worker_restarted"
 
 ResultSizes = dict[str, dict[str, int]]
 
@@ -157,10 +159,15 @@
 def _judge_loss(verdict: Verdict, job: Job, task: Task, news: TaskNews) -> None:
     """It isn't running any more, and how it ended can't be learned."""
     code = news.get("code") or "worker_lost"
-    if is_idempotent(job.spec) and not job.stopping:
-        _return(verdict, job, task, news, f"the worker was lost ({code})")
-    else:
+    has_crashed = code == _RESTARTED
+    if not is_idempotent(job.spec) or job.stopping:
         _end(verdict, task, TaskState.UNKNOWN, code)
+    elif has_crashed and not _may_crash_again(job, task):
+        # No worker will ever tell a failure of it.
+        _end(verdict, task, TaskState.FAILED, "workers_crashed")
+    else:
+        reason = f"the worker was lost ({code})"
+        _return(verdict, job, task, news, reason, crashed=has_crashed)
 
 
 @judges("unstarted")
@@ -178,6 +185,14 @@
     return task.failures + 1 < job.spec.get("attempts", DEFAULT_ATTEMPTS)
 
 
+def _may_crash_again(job: Job, task: Task) -> bool:
+    """Whether a task may start after one more worker has restarted under it.
+
+    A service's replica may: it has no end, and is started ever more seldom.
+    """
+    return job.spec["type"] == "service" or task.crashes + 1 < CRASHES_LIMIT
+
+
 def _end(
     verdict: Verdict,
     task: Task,
@@ -201,6 +216,7 @@
     reason: str,
     ran: bool = True,
     failed: bool = False,
+    crashed: bool = False,
 ) -> None:
     checkpoint = news.get("checkpoint", "")
     if ran and task.marked and not (is_idempotent(job.spec) or checkpoint):
@@ -210,4 +226,6 @@
     )
     if checkpoint:
         back["checkpoint"] = checkpoint
+    if crashed:
+        back["crashed"] = True
     verdict.returns.append(back)
--- a/src/damaskdeck/state/changes.py
+++ b/src/damaskdeck/state/changes.py
@@ -115,6 +115,7 @@
             epoch=0,
             marked=False,
             failures=task.failures + back["failed"],
+            crashes=task.crashes + back.get("crashed", False),
             avoid=avoid,
             checkpoint=back.get("checkpoint") or task.checkpoint,
         )
--- a/src/damaskdeck/state/records.py
+++ b/src/damaskdeck/state/records.py
@@ -99,7 +99,8 @@
     """An attempt is over and its task waits again.
 
     ``ran`` is false when it is proved that the attempt never started;
-    ``failed`` counts it against the workload's attempts.
+    ``failed`` counts it against the workload's attempts; ``crashed`` says that its
+    worker had restarted.
     """
 
     task: str
@@ -108,6 +109,7 @@
     ran: bool
     failed: bool
     checkpoint: NotRequired[str]
+    crashed: NotRequired[bool]
 
 
 @record("requeued")
--- a/src/damaskdeck/state/work.py
+++ b/src/damaskdeck/state/work.py
@@ -32,6 +32,7 @@
     :param epoch: of the owner that granted the last placement.
     :param marked: the start of this attempt must never be repeated.
     :param failures: attempts that count against the workload's.
+    :param crashes: attempts whose workers restarted under them.
     :param avoid: workers that it failed on.
     """
 
@@ -47,6 +48,7 @@
     checkpoint: str = ""
     code: str = ""
     result: bytes = b""
+    crashes: int = 0
 
 
 class Job(NamedTuple):
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -72,6 +72,52 @@
         self.assertEqual([set(names) for names in known], [{"w2"}, {"w2"}, set()])
 
 
+class TestCrashes(unittest.TestCase):
+    """A task that takes its workers down ends.
+
+    Seen on the users' platform: a task crashes each worker that starts it, and its
+    loss with the worker counted for nothing. A worker that restarts here tells no end
+    either.
+    """
+
+    async def lose(self, times: int, code: str = "worker_restarted"):
+        """Let a task be lost with its workers; return its job."""
+        plane = await Plane(workers=3).start()
+        plane.declare()
+        submission = Submission("batch", "team", RESULT)
+        view = await plane.find("d1").keeper.submit_job(submission)
+        desk = plane.find("d1").keeper.desks["00"]
+        for _ in range(times):
+            (task,) = desk.kept.table.tasks.values()
+            while not task.worker:
+                await asyncio.sleep(1)
+                (task,) = desk.kept.table.tasks.values()
+            news = jobs.TaskNews(
+                task=task.name,
+                attempt=task.attempt,
+                worker=task.worker,
+                state="lost",
+                code=code,
+            )
+            await desk.followups.take_news([news])
+        return desk.kept.table.jobs[view.name]
+
+    @virtual
+    async def test_a_batch_task_ends_after_three_workers(self):
+        job = await self.lose(3)
+        self.assertEqual((job.state, job.code), (JobState.FAILED, "workers_crashed"))
+
+    @virtual
+    async def test_two_may_be_chance(self):
+        job = await self.lose(2)
+        self.assertEqual(job.code, "")
+
+    @virtual
+    async def test_workers_that_were_taken_away_speak_against_no_task(self):
+        job = await self.lose(4, code="worker_gone")
+        self.assertEqual(job.code, "")
+
+
 class TestDoubts(unittest.TestCase):
     """Only news of the attempt in doubt end the doubt."""
 
