Hold nothing against what ran on a worker that left under the owner before

Found reading the change: cordons name attempts of workers that leave, too, so a successor that met the next life at their address counted a crash. A worker that leaves may go; its cordon names none now. Neither does a copy of a task that has completed count, nor what an owner before has written of a task that lasts: nobody knows how long that had been at work. Test: one crash counted before, none now; one that fell silent still counts.

--- a/src/damaskdeck/coordination/pools/cordons.py
+++ b/src/damaskdeck/coordination/pools/cordons.py
@@ -69,8 +69,9 @@
         is_silent = contact.is_silent(now)
         if not (is_silent or contact.is_leaving) or not contact.is_settled:
             return False
-        runs = tuple(CordonedRun(*key) for key in sorted(contact.runs))
-        cordon = Cordon(contact.info.identifier, _list_jobs(contact), is_silent, runs)
+        cordon = Cordon(
+            contact.info.identifier, _list_jobs(contact), is_silent, _list_runs(contact)
+        )
         if known is not None and not _says_more(cordon, known):
             return False
         contact.cordon(is_silent)
@@ -118,3 +119,9 @@
 
 def _list_jobs(contact: WorkerContact) -> tuple[str, ...]:
     return tuple(sorted({run.task.name.job for run in contact.runs.values()}))
+
+
+def _list_runs(contact: WorkerContact) -> tuple[CordonedRun, ...]:
+    """List the runs that are lost if a worker crashes; one that leaves may go."""
+    keys = () if contact.is_leaving else sorted(contact.runs)
+    return tuple(CordonedRun(*key) for key in keys)
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -73,7 +73,7 @@
 
         :param lost: runs that it had taken, or may have.
         """
-        taken = [run for run in lost if run.phase is not RunPhase.ORDERED]
+        taken = [run for run in lost if _may_be_to_blame(run)]
         if not taken or contact.is_leaving:
             return
         blamed = _find_blamed(contact, taken)
@@ -87,15 +87,20 @@
             step = run.task.step
             if step.spec.is_lasting and _measure_life(contact, run) >= WELL_SECONDS:
                 step.forget_crashes(run.task)
+                self._owner.mark_dirty(step.job)
             else:
                 self._count(step, run.task, run.attempt, run in blamed)
 
     def note_inherited(self, runs: Iterable[CordonedRun]) -> None:
-        """Take note of what the owner before has written of a worker that is gone."""
+        """Take note of what the owner before has written of a worker that is gone.
+
+        Of a task that lasts it isn't known how long it had been at work.
+        """
         for run in runs:
             task = self._owner.board.find_task(run.task)
-            if task is not None and not task.is_completed:
-                self._count(task.step, task, run.attempt, False)
+            if task is None or task.is_completed or task.step.spec.is_lasting:
+                continue
+            self._count(task.step, task, run.attempt, False)
 
     def _count(self, step: Step, task: Task, attempt: int, is_blamed: bool) -> None:
         step.note_crash(task, attempt, is_blamed)
@@ -108,6 +113,11 @@
             self._owner.end_job(job, QueuedState.FAILED, reason)
 
 
+def _may_be_to_blame(run: Run) -> bool:
+    """Whether a worker may have begun a run of a task that is still wanted."""
+    return run.phase is not RunPhase.ORDERED and not run.task.is_completed
+
+
 def _find_blamed(contact: WorkerContact, taken: list[Run]) -> list[Run]:
     """Return the runs that a worker may have crashed under, and hardly others.
 
--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -13,7 +13,7 @@
 
 from damaskdeck.coordination.pools.crashes import MOST_CRASHES
 from damaskdeck.protocol.queues import QueuedState, StepSpec, TaskName
-from standins.pools import Work
+from standins.pools import StandinRegistry, Work
 from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
 from tests.virtual import virtual
 
@@ -148,6 +148,37 @@
 class TestTakeovers(PoolCase):
     """What speaks against a task outlasts the owner that saw it."""
 
+    @virtual
+    async def test_what_left_under_the_owner_before_has_not_crashed(self):
+        cluster = await self.begin(workers=1, behave=run_for(5 * SECOND))
+        await cluster.submit("j1", make_job(), "d2")
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        worker = cluster.find_host("j1")
+        cluster.retire(worker.info.identifier, 30 * SECOND)
+        await asyncio.sleep(0.5)
+        cluster.find_owner().kill()
+        worker.kill()
+        cluster.store.set(StandinRegistry.prefix + worker.info.identifier, None)
+        cluster.add_worker("next", worker.info.address)
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        step = next(cluster.find_owner().owner.board.jobs["j1"].list_steps())
+        self.assertEqual(step.crashes, {})
+        self.end()
+
+    @virtual
+    async def test_what_fell_silent_under_the_owner_before_has(self):
+        cluster = await self.begin(workers=2, behave=run_for(5 * SECOND))
+        await cluster.submit("j1", make_job(), "d2")
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        await asyncio.sleep(1)
+        cluster.crash(cluster.find_host("j1"))
+        await asyncio.sleep(1.8)
+        cluster.find_owner().kill()
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        step = next(cluster.find_owner().owner.board.jobs["j1"].list_steps())
+        self.assertEqual(step.crashes, {0: {1}})
+        self.end()
+
     @virtual
     async def test_crashes_are_counted_across_owners(self):
         cluster = await self.begin(daemons=6, workers=8, behave=crash_under("bad"))
