Let the stand-in registry list more workers than a page holds

It read one page of the store, 500 workers; the adapter reads all. Found while measuring an owner with 1,000 and 3,000 stand-in workers, which told nothing more: the stand-ins' own waiting costs most (3.4 s of processor time a second at 1,000; 3,000 not done in 300 s).

--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -40,7 +40,7 @@
     TooOld,
 )
 from damaskdeck.protocol.queues import QueueTable, TaskName
-from damaskdeck.protocol.transactions import Page
+from damaskdeck.protocol.transactions import read_all
 from standins.faults import FaultKind, Faults
 from standins.poolstore import PoolStoreClient
 
@@ -327,13 +327,12 @@
 
     async def list_workers(self) -> Registered | Rejected | Lost:
         """Read all workers."""
-        page = await self._store.read_page(self.prefix, "")
-        if not isinstance(page, Page):
-            return page
-        names = (entry.key.removeprefix(self.prefix) for entry in page.entries)
-        return Registered(
-            tuple(self._workers[name].info for name in names), page.revision
-        )
+        found = await read_all(self._store, self.prefix)
+        if isinstance(found, Rejected | Lost):
+            return found
+        entries, revision = found
+        names = (entry.key.removeprefix(self.prefix) for entry in entries)
+        return Registered(tuple(self._workers[name].info for name in names), revision)
 
     async def follow_workers(
         self, revision: int, wait: timedelta
