Tell of answers of the platform that are given up while they come

The logs of the incident can't tell a document that is read too slowly from one that nobody tells of: an answer that a timeout ends in the middle leaves no line. Now it is a line with what was read of it and its size, and is counted.

TestClient.test_an_answer_that_is_given_up_while_it_comes_is_told_of.

--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.ports import Lost, Rejected
 
 # A peer that acknowledges nothing for so long ends the channel.
@@ -22,6 +24,8 @@
 _HEADERS = {"Content-Type": "application/json"}
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding")
 
+_log = get_logger("platform")
+
 
 class Reply(NamedTuple):
     """An answer of the platform."""
@@ -70,7 +74,7 @@
                 timeout=limits,
                 skip_auto_headers=_SKIPPED,
             ) as response:
-                reply = Reply(response.status, await response.read())
+                reply = Reply(response.status, await _read_body(response))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Rejected("unreachable", str(error))
         except TimeoutError:
@@ -100,6 +104,22 @@
             await session.close()
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read an answer's body; one that is given up while it comes is told of."""
+    try:
+        return await response.read()
+    except TimeoutError:
+        count_drop("platform", "answer_cut_short")
+        _log.warn(
+            "An answer was given up while it came.",
+            path=response.url.path,
+            status=response.status,
+            read=response.content.total_bytes,
+            size=response.content_length,
+        )
+        raise
+
+
 def _open_socket(info: Any) -> socket.socket:
     family, kind, proto, *_ = info
     opened = socket.socket(family=family, type=kind, proto=proto)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -85,6 +85,32 @@
         return Work(timedelta(minutes=5))
 
 
+class TestClient(unittest.IsolatedAsyncioTestCase):
+    """The one client, on a server that stops in the middle of an answer."""
+
+    async def test_an_answer_that_is_given_up_while_it_comes_is_told_of(self):
+        async def stall(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + b"x" * 70)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(stall, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        client = PlatformClient()
+        self.addAsyncCleanup(client.close)
+        with TestHandler() as handler:
+            reply = await client.call("GET", f"{host}:{port}", "/kv-key", SECOND / 5)
+        self.assertEqual(reply, Lost("timeout"))
+        (record,) = handler.records
+        self.assertEqual(record.message, "An answer was given up while it came.")
+        self.assertEqual(
+            (record.extra["path"], record.extra["read"], record.extra["size"]),
+            ("/kv-key", 70, 9000),
+        )
+
+
 class TestStore(WireCase):
     """The metadata store as a transactional store."""
 
