Bring about a document that is never read whole, and calls judged by the old one

A stand-in of one daemon's link (standins/narrow.py): answers share its bandwidth, and what came of one that is given up is thrown away. Over 5 Mbit/s a document of 2,845 queues never comes into force while jobs are handed in; with no change under way it fills the link (614 KB a second of the 23 that control may take), as do jobs that are handed in again. A daemon that the store answers judges calls by a document of 3 s ago, with keys and without.

The stand-in store leaves its revision alone for a transaction that writes nothing, as the platform does.

--- /dev/null
+++ b/src/standins/narrow.py
@@ -0,0 +1,73 @@
+"""Calls to the platform's store over a link of limited bandwidth, in virtual time."""
+
+import asyncio
+import json
+from datetime import timedelta
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from damaskdeck.clock import Clock
+from damaskdeck.platform.client import Reply
+from damaskdeck.protocol.ports import Lost, Rejected
+from standins.wire import WireStore
+
+LATENCY = timedelta(milliseconds=5)
+# Answers that come at the same time take turns on the link.
+TURN = timedelta(milliseconds=10)
+
+
+class NarrowClient:
+    """Stands in for ``PlatformClient`` on one daemon's link to a store.
+
+    :param rate: what the link carries, bytes a second.
+    :ivar received: bytes that have come, those of answers given up included.
+    :ivar is_cut: whether calls reach nobody.
+    """
+
+    def __init__(self, store: WireStore, clock: Clock, rate: float) -> None:
+        self.rate = rate
+        self.received = 0.0
+        self.is_cut = False
+        self._store = store
+        self._clock = clock
+        self._coming = 0
+
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeout: timedelta,
+        body: Any = None,
+        **options: Any,
+    ) -> Reply | Rejected | Lost:
+        """Make a call; what came of an answer that is given up is thrown away."""
+        if self.is_cut:
+            await self._clock.sleep(LATENCY)
+            return Rejected("unreachable")
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await self._exchange(method, path, body)
+        except TimeoutError:
+            return Lost("timeout")
+
+    async def _exchange(self, method: str, path: str, body: Any) -> Reply:
+        await self._clock.sleep(LATENCY)
+        parts = urlsplit(path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        status, answer = await self._store.answer(method, parts.path, query, {}, body)
+        data = b"" if answer is None else json.dumps(answer).encode()
+        await self._receive(len(data))
+        return Reply(status, data)
+
+    async def _receive(self, size: float) -> None:
+        self._coming += 1
+        try:
+            while size > 0:
+                await self._clock.sleep(TURN)
+                share = self.rate * TURN.total_seconds() / self._coming
+                part = min(size, share)
+                size -= part
+                self.received += part
+        finally:
+            self._coming -= 1
--- a/src/standins/poolstore.py
+++ b/src/standins/poolstore.py
@@ -67,6 +67,8 @@
             if write.lease and write.lease not in self._leases:
                 return Lapsed(write.lease)
         self.commits += 1
+        if not transaction.writes and not transaction.removals:
+            return Written(self.revision)
         # All changes of a transaction have one revision.
         self.revision += 1
         for key in transaction.removals:
--- a/src/standins/wire.py
+++ b/src/standins/wire.py
@@ -108,12 +108,13 @@
         self.store = PoolStore(clock)
         self.faults = Faults()
         self.calls: list[str] = []
-        self._endpoint = _Endpoint(self._answer, self.faults)
+        self._endpoint = _Endpoint(self.answer, self.faults)
         self.listener = self._endpoint.listener
 
-    async def _answer(
+    async def answer(
         self, method: str, path: str, query: dict, headers: dict, body: Any
     ) -> Answer:
+        """Answer one call with a status and a body."""
         self.calls.append(path)
         store = self.store
         if path == "/kv-key":
