Read a document once, as long as it comes, and only when it has changed

What callers saw: for ten seconds after a document of 2,845 queues more than half of the quick jobs were late or not served, and daemons answered by the document before it.

Cause: the document (948 KB on the wire, 1.5 s over 5 Mbit/s) was read again from its beginning by whoever wanted to know of it: each look whether it was the newest read all of it and gave up after 1.5 s, the watch after 3.2 s, each commit of a job that expected it was refused with all of it (also when the job was there already), and given up after 0.3 to 1.5 s. The copies shared the link, so none was ever whole. The class: a transfer that is given up by a fixed time is begun anew, and competes with itself.

Change: whether the document has changed is asked by a transaction that expects its revision and writes nothing, which answers a few bytes, or the newest document. One call at a time reads it, without an end as long as it comes. A watch and commits of jobs leave an answer that is too long unread: the one says that there is a newer document, the other that nothing was stored, and the job is stored by a commit that doesn't expect it; the age of the document, which a call is judged by anyway, keeps the promise on keys. Single values and watches of all kinds are waited for as long as they come.

The stub of one test of accounts takes the new argument; its check is as it was.

--- a/src/damaskdeck/coordination/pools/declarations.py
+++ b/src/damaskdeck/coordination/pools/declarations.py
@@ -10,7 +10,7 @@
 from damaskdeck.protocol.pools import Declared, QueueSource
 from damaskdeck.protocol.ports import Lost, Rejected, TooOld
 from damaskdeck.protocol.queues import QueueTable
-from damaskdeck.protocol.transactions import Mismatch
+from damaskdeck.protocol.transactions import Mismatch, TooLong
 
 RETRY_DELAY = timedelta(milliseconds=100)
 # With what a silent channel takes to be noticed it stays below the bound in which
@@ -21,6 +21,11 @@
 REFRESH_SHARE = 0.4
 # A limit on the age of a confirmation is looked at so often.
 REFRESH_INTERVAL = timedelta(milliseconds=200)
+# A refused commit shows all that it expected, whatever it was refused for: a document
+# beyond this is left out of what commits expect.
+WIDE_DOCUMENT_BYTES = 32_768
+# Longest answer to a commit that expects the document, of which it takes up 4/3.
+COMMIT_ANSWER_BYTES = 65_536
 
 _log = get_logger("declarations")
 
@@ -30,7 +35,8 @@
 
     A document is sure to have been the newest when a question to the store was sent
     whose answer shows its revision. What a watch doesn't tell proves nothing: it may
-    hear nothing while changes are made.
+    hear nothing while changes are made. It is read by one call at a time, and only
+    when it has changed: copies of a wide one would fill a narrow link for each other.
 
     :param limit: how old a confirmation may be for callers to be served; ``None``
         where nothing depends on it.
@@ -50,8 +56,13 @@
         self._clock = clock
         self._limit = limit
         self._get_limit = get_limit
-        # Revision of the document in force; 0 where a newer one can't be read.
+        # Revision of the newest document that was seen, and whether it is in force.
         self._document = 0
+        self._is_usable = False
+        self._is_wide = False
+        # Whether a newer one is known of that hasn't come yet.
+        self._is_behind = False
+        self._reading = asyncio.Lock()
         self._confirmed_at = float("-inf")
         self._was_sure = False
 
@@ -93,8 +104,12 @@
 
     @property
     def expected(self) -> tuple[tuple[str, int], ...]:
-        """What a commit expects that must not go by an older document."""
-        if self._limit is None or not self._document:
+        """What a commit expects that must not go by an older document.
+
+        Empty where the age of the document alone has to do.
+        """
+        is_asked = self._limit is not None and self._is_usable
+        if not is_asked or self._is_wide or self._is_behind:
             return ()
         return ((self._source.key, self._document),)
 
@@ -115,6 +130,10 @@
         self._apply(self._source.decode(entry), sent)
         return True
 
+    def note_unread(self) -> None:
+        """Take note that what refused a commit was too long to be read."""
+        self._is_behind = True
+
     # Following ---------------------------------------------------------------
 
     async def run(self) -> None:
@@ -136,24 +155,28 @@
             if isinstance(answer, Declared):
                 # Before any document there is nothing to follow from.
                 revision = answer.revision if self.table is not None else 0
-            elif isinstance(answer, TooOld):
+            elif isinstance(answer, TooOld | TooLong):
                 revision = 0
-            if not isinstance(answer, Declared) or not revision:
+            is_told = isinstance(answer, TooLong)
+            if not is_told and not (isinstance(answer, Declared) and revision):
                 await self._clock.sleep(RETRY_DELAY)
 
     async def _keep_sure(self, limit: timedelta) -> None:
         while True:
             await self._clock.sleep(REFRESH_INTERVAL)
             shortest = min(limit, self._get_limit() or limit)
-            if not self.is_sure(shortest * REFRESH_SHARE):
+            is_due = self._is_behind or not self.is_sure(shortest * REFRESH_SHARE)
+            if is_due and not self._reading.locked():
                 await self._read()
 
     async def _read(self) -> Declared | Rejected | Lost:
-        sent = self._now()
-        answer = await self._source.read_queues()
-        if isinstance(answer, Declared):
-            self._apply(answer, sent)
-        return answer
+        async with self._reading:
+            sent = self._now()
+            answer = await self._source.read_queues(self._document)
+            if isinstance(answer, Declared):
+                self._is_behind = False
+                self._apply(answer, sent)
+            return answer
 
     def _apply(self, declared: Declared, sent: float | None) -> None:
         """Put a newer document in force.
@@ -175,9 +198,9 @@
                 queues=len(table.queues),
                 accounts=len(table.accounts),
             )
-        if not declared.document:
-            return
-        is_in_force = table is not None and table.version == self.table.version
-        self._document = declared.document if is_in_force else 0
-        if is_in_force and sent is not None:
+        if declared.document > self._document:
+            self._document = declared.document
+            self._is_usable = table is not None and table.version == self.table.version
+            self._is_wide = declared.size > WIDE_DOCUMENT_BYTES
+        if declared.document and self._is_usable and sent is not None:
             self._confirmed_at = max(self._confirmed_at, sent)
--- a/src/damaskdeck/coordination/pools/health.py
+++ b/src/damaskdeck/coordination/pools/health.py
@@ -20,8 +20,10 @@
 from damaskdeck.protocol.transactions import (
     CommitResult,
     Page,
+    TooLong,
     Transaction,
     TransactionalStore,
+    Unchanged,
 )
 
 # One refusal may be a full rate; so many one after the other are an outage.
@@ -125,30 +127,39 @@
         """Read one key."""
         return await self._observe(self._store.read(key))
 
+    async def read_changed(
+        self, key: str, revision: int
+    ) -> Found | Missing | Unchanged | Rejected | Lost:
+        """Read one key unless ``revision`` still is its last."""
+        return await self._observe(self._store.read_changed(key, revision))
+
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
         """Read a page of keys."""
         return await self._observe(self._store.read_page(prefix, after))
 
     async def commit(
-        self, transaction: Transaction, timeout: timedelta | None = None
-    ) -> CommitResult:
+        self,
+        transaction: Transaction,
+        timeout: timedelta | None = None,
+        longest: int | None = None,
+    ) -> CommitResult | TooLong:
         """Make changes that take effect together or not at all."""
         limit = self.patience if timeout is None else min(timeout, self.patience)
         sent = self._now()
-        done = await self._observe(self._store.commit(transaction, limit))
+        done = await self._observe(self._store.commit(transaction, limit, longest))
         self._usual += LATEST_SHARE * (self._now() - sent - self._usual)
         return done
 
     async def watch(
-        self, prefix: str, revision: int, wait: timedelta
-    ) -> Events | TooOld | Rejected | Lost:
+        self, prefix: str, revision: int, wait: timedelta, longest: int | None = None
+    ) -> Events | TooOld | TooLong | Rejected | Lost:
         """Return the changes after ``revision``.
 
         A watch that an outage has outlived may never be answered: it is given up as
         soon as the store answers another call.
         """
         sent = self._now()
-        call = asyncio.ensure_future(self._store.watch(prefix, revision, wait))
+        call = asyncio.ensure_future(self._store.watch(prefix, revision, wait, longest))
         returned = asyncio.ensure_future(self._returned.wait())
         try:
             await asyncio.wait({call, returned}, return_when=asyncio.FIRST_COMPLETED)
--- a/src/damaskdeck/coordination/pools/storing.py
+++ b/src/damaskdeck/coordination/pools/storing.py
@@ -6,7 +6,10 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.admitting import Admission
 from damaskdeck.coordination.pools.confining import ZoneRooms
-from damaskdeck.coordination.pools.declarations import Declarations
+from damaskdeck.coordination.pools.declarations import (
+    COMMIT_ANSWER_BYTES,
+    Declarations,
+)
 from damaskdeck.coordination.pools.health import HealthyStore
 from damaskdeck.coordination.pools.helpers import Helpers
 from damaskdeck.coordination.pools.leadership import Leadership
@@ -32,7 +35,7 @@
 from damaskdeck.protocol.poolcalls import Submitted, TakeJob, TakeReply
 from damaskdeck.protocol.ports import Lost, Written
 from damaskdeck.protocol.queues import JobSpec, Queue
-from damaskdeck.protocol.transactions import Mismatch, Transaction, Write
+from damaskdeck.protocol.transactions import Mismatch, TooLong, Transaction, Write
 from damaskdeck.state.jobrecords import (
     JOBS,
     OWNER_KEY,
@@ -130,7 +133,9 @@
             )
             sent, expected = self._now(), self._declarations.expected
             done = await self._store.commit(
-                self._build(record, expected), self._times.accept_patience
+                self._build(record, expected),
+                self._times.accept_patience,
+                COMMIT_ANSWER_BYTES if expected else None,
             )
             if isinstance(done, Written):
                 self._declarations.confirm(expected, sent)
@@ -142,6 +147,9 @@
                     return judged
                 record = judged
                 code = "document_or_owner_changing"
+            elif isinstance(done, TooLong):
+                self._declarations.note_unread()
+                code = "document_changing"
             else:
                 may_be_stored = may_be_stored or isinstance(done, Lost)
                 code = getattr(done, "code", "lapsed")
--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -34,6 +34,13 @@
     body: bytes
 
 
+class Oversized(NamedTuple):
+    """An answer that was not read, as it has more bytes than are wanted."""
+
+    status: int
+    size: int
+
+
 class PlatformClient:
     """Calls the platform over HTTP/1.1 with JSON bodies."""
 
@@ -50,12 +57,14 @@
         headers: Mapping[str, str] | None = None,
         silence: timedelta | None = None,
         keep: float = KEEPALIVE_SECONDS,
-    ) -> Reply | Rejected | Lost:
+        longest: int | None = None,
+    ) -> Reply | Oversized | Rejected | Lost:
         """Make a call; ``Rejected`` proves that it had no effect.
 
         :param timeout: for all of it.
         :param silence: given up when nothing comes for so long.
         :param keep: for how many seconds the channel is kept for another call.
+        :param longest: bytes of a body beyond which it isn't read.
         """
         data = None if body is None else _encoder.encode(body)
         seconds = timeout.total_seconds()
@@ -74,6 +83,11 @@
                 timeout=limits,
                 skip_auto_headers=_SKIPPED,
             ) as response:
+                size = response.content_length or 0
+                if longest is not None and size > longest:
+                    # Else the rest of it would still come.
+                    response.close()
+                    return Oversized(response.status, size)
                 reply = Reply(response.status, await _read_body(response))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Rejected("unreachable", str(error))
--- a/src/damaskdeck/platform/declarations.py
+++ b/src/damaskdeck/platform/declarations.py
@@ -33,7 +33,11 @@
     TooOld,
 )
 from damaskdeck.protocol.queues import AdviceTerms, Queue, QueueTable
-from damaskdeck.protocol.transactions import TransactionalStore
+from damaskdeck.protocol.transactions import (
+    TooLong,
+    TransactionalStore,
+    Unchanged,
+)
 
 _OPERATOR = "op/"
 _QUEUES = "op/config"
@@ -41,6 +45,8 @@
 _BODY_LIMIT = 262_144
 # More characters than a header's line has room for.
 _KEY_LIMIT = 4096
+# A watch tells all documents of the meantime: wide ones are read, the newest alone.
+_WATCHED_BYTES = 65_536
 
 _log = get_logger("registry")
 
@@ -105,9 +111,14 @@
         self._store = store
         self._needs_keys = needs_keys
 
-    async def read_queues(self) -> Declared | Rejected | Lost:
+    async def read_queues(self, known: int = 0) -> Declared | Rejected | Lost:
         """Read the newest document."""
-        found = await self._store.read(_QUEUES)
+        if known:
+            found = await self._store.read_changed(_QUEUES, known)
+        else:
+            found = await self._store.read(_QUEUES)
+        if isinstance(found, Unchanged):
+            return Declared(None, found.revision, known)
         if isinstance(found, Missing):
             return Declared(None, found.revision)
         if not isinstance(found, Found):
@@ -116,25 +127,26 @@
 
     def decode(self, entry: Entry) -> Declared:
         """Return what the document's entry says."""
-        return Declared(self._read_table(entry.value), entry.revision, entry.revision)
+        table = self._read_table(entry.value)
+        return Declared(table, entry.revision, entry.revision, len(entry.value))
 
     async def follow_queues(
         self, revision: int, wait: timedelta
-    ) -> Declared | TooOld | Rejected | Lost:
+    ) -> Declared | TooOld | TooLong | Rejected | Lost:
         """Return the newest document after ``revision``."""
-        found = await self._store.watch(_OPERATOR, revision, wait)
+        found = await self._store.watch(_OPERATOR, revision, wait, _WATCHED_BYTES)
         if not isinstance(found, Events):
             return found
-        table, document = None, 0
+        table, document, size = None, 0, 0
         for event in found.events:
             if event.key == _QUEUES and event.value is not None:
                 table = self._read_table(event.value) or table
-                document = event.revision
+                document, size = event.revision, len(event.value)
             elif event.key.startswith(_WAVES) and event.value is not None:
                 _log.error(
                     "An upkeep wave is not served.", code="unsupported", key=event.key
                 )
-        return Declared(table, found.revision, document)
+        return Declared(table, found.revision, document, size)
 
     def _read_table(self, value: bytes) -> QueueTable | None:
         try:
--- a/src/damaskdeck/platform/store.py
+++ b/src/damaskdeck/platform/store.py
@@ -10,6 +10,7 @@
 
 from damaskdeck.metrics import count_store_call
 from damaskdeck.platform.client import (
+    Oversized,
     PlatformClient,
     Reply,
     decode_body,
@@ -33,15 +34,17 @@
     CommitResult,
     Mismatch,
     Page,
+    TooLong,
     Transaction,
+    Unchanged,
 )
 
 # Names that a transaction may hold, by the platform's pages.
 ENTRY_LIMIT = 32
-READ_TIMEOUT = timedelta(milliseconds=1500)
-# A page holds up to a megabyte, which takes 4 s on the slowest links, 2 Mbit/s: as long
-# as it comes it is waited for, or a takeover would ask for the same page for ever.
-PAGE_TIMEOUT = timedelta(seconds=12)
+READ_SILENCE = timedelta(milliseconds=1500)
+# A value or a page holds up to a megabyte, which takes 4 s on the slowest links, 2
+# Mbit/s: as long as it comes it is waited for, or it would be asked for for ever.
+TRANSFER_TIMEOUT = timedelta(seconds=12)
 COMMIT_TIMEOUT = timedelta(milliseconds=1500)
 # Renewals also tell how the store is; silence must show soon.
 LEASE_TIMEOUT = timedelta(milliseconds=700)
@@ -127,16 +130,19 @@
         timeout: timedelta,
         body: Any = None,
         silence: timedelta | None = None,
-    ) -> Reply | Rejected | Lost:
+        longest: int | None = None,
+    ) -> Reply | Oversized | Rejected | Lost:
         count_store_call(kind)
         return await self._client.call(
-            method, self._address, path, timeout, body, silence=silence
+            method, self._address, path, timeout, body, silence=silence, longest=longest
         )
 
     async def read(self, key: str) -> Found | Missing | Rejected | Lost:
         """Read one key."""
         path = f"/kv-key?key={quote(key, safe='/')}"
-        reply = await self._call("read", "GET", path, READ_TIMEOUT)
+        reply = await self._call(
+            "read", "GET", path, TRANSFER_TIMEOUT, silence=READ_SILENCE
+        )
         if not isinstance(reply, Reply):
             return reply
         if reply.status == 404:
@@ -145,13 +151,39 @@
         found = _decode(reply, 200, _one)
         return found if isinstance(found, Lost) else Found(_read_item(found))
 
+    async def read_changed(
+        self, key: str, revision: int
+    ) -> Found | Missing | Unchanged | Rejected | Lost:
+        """Read one key unless ``revision`` still is its last.
+
+        A transaction that writes nothing is refused with the entry as it is now.
+        """
+        body = {
+            "expected": [{"key": key, "revision": revision}],
+            "writes": [],
+            "remove": [],
+        }
+        reply = await self._call(
+            "check", "POST", "/kv-txn", TRANSFER_TIMEOUT, body, READ_SILENCE
+        )
+        if not isinstance(reply, Reply):
+            return reply
+        if reply.status == 412:
+            found = _read_mismatch(reply)
+            if isinstance(found, Lost):
+                return found
+            entry = found.find(key)
+            return Missing(0) if entry is None else Found(entry)
+        done = _decode(reply, 200, _revised)
+        return done if isinstance(done, Lost) else Unchanged(done["revision"])
+
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
         """Read a page of the keys below ``prefix``."""
         path = f"/kv-range?path_prefix={quote(prefix, safe='/')}"
         if after:
             path += f"&after={quote(after, safe='/')}"
         reply = await self._call(
-            "list", "GET", path, PAGE_TIMEOUT, silence=READ_TIMEOUT
+            "list", "GET", path, TRANSFER_TIMEOUT, silence=READ_SILENCE
         )
         if not isinstance(reply, Reply):
             return reply
@@ -162,8 +194,11 @@
         return Page(entries, found.get("has_more", False), found["as_of"])
 
     async def commit(
-        self, transaction: Transaction, timeout: timedelta | None = None
-    ) -> CommitResult:
+        self,
+        transaction: Transaction,
+        timeout: timedelta | None = None,
+        longest: int | None = None,
+    ) -> CommitResult | TooLong:
         """Make changes that take effect together or not at all."""
         body = {
             "expected": [
@@ -174,29 +209,40 @@
             "remove": list(transaction.removals),
         }
         limit = min(timeout or COMMIT_TIMEOUT, COMMIT_TIMEOUT)
-        reply = await self._call("commit", "POST", "/kv-txn", limit, body)
+        reply = await self._call(
+            "commit", "POST", "/kv-txn", limit, body, longest=longest
+        )
+        if isinstance(reply, Oversized):
+            is_refused = reply.status == 412
+            return TooLong(reply.size) if is_refused else Lost("unexpected_size")
         if not isinstance(reply, Reply):
             return reply
         if reply.status == 404:
             return Lapsed("")
         if reply.status == 412:
-            found = decode_body(reply, _mismatched)
-            if isinstance(found, Lost):
-                return found
-            present = (item for item in found["items"] if item["revision"])
-            return Mismatch(tuple(map(_read_item, present)))
+            return _read_mismatch(reply)
         done = _decode(reply, 200, _revised)
         return done if isinstance(done, Lost) else Written(done["revision"])
 
     async def watch(
-        self, prefix: str, revision: int, wait: timedelta
-    ) -> Events | TooOld | Rejected | Lost:
+        self, prefix: str, revision: int, wait: timedelta, longest: int | None = None
+    ) -> Events | TooOld | TooLong | Rejected | Lost:
         """Return the changes after ``revision``."""
         path = (
             f"/kv-watch?path_prefix={quote(prefix, safe='/')}"
             f"&after={revision}&wait_ms={to_milliseconds(wait)}"
         )
-        reply = await self._call("watch", "GET", path, wait + WATCH_SLACK)
+        reply = await self._call(
+            "watch",
+            "GET",
+            path,
+            wait + TRANSFER_TIMEOUT,
+            silence=wait + WATCH_SLACK,
+            longest=longest,
+        )
+        if isinstance(reply, Oversized):
+            is_told = reply.status == 200
+            return TooLong(reply.size) if is_told else Lost("unexpected_size")
         if not isinstance(reply, Reply):
             return reply
         if reply.status == 410:
@@ -237,6 +283,14 @@
     return decode_body(reply, decoder)
 
 
+def _read_mismatch(reply: Reply) -> Mismatch | Lost:
+    found = decode_body(reply, _mismatched)
+    if isinstance(found, Lost):
+        return found
+    present = (item for item in found["items"] if item["revision"])
+    return Mismatch(tuple(map(_read_item, present)))
+
+
 def _decode_value(text: str) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
--- a/src/damaskdeck/protocol/pools.py
+++ b/src/damaskdeck/protocol/pools.py
@@ -11,6 +11,7 @@
 from damaskdeck.protocol.ports import Entry, Lost, Rejected, TooOld
 from damaskdeck.protocol.queues import QueueTable, TaskName
 from damaskdeck.protocol.sizes import Size
+from damaskdeck.protocol.transactions import TooLong
 from damaskdeck.protocol.values import distinct
 
 
@@ -226,11 +227,13 @@
     """The declared queues as of the store's ``revision``; ``None`` before any.
 
     :param document: revision of the document itself, 0 where it isn't told.
+    :param size: of the document in bytes.
     """
 
     table: QueueTable | None
     revision: int
     document: int = 0
+    size: int = 0
 
 
 class QueueSource(Protocol):
@@ -241,15 +244,19 @@
 
     key: str
 
-    async def read_queues(self) -> Declared | Rejected | Lost:
-        """Read the newest document; the answer is linearizable."""
+    async def read_queues(self, known: int = 0) -> Declared | Rejected | Lost:
+        """Read the newest document; the answer is linearizable.
+
+        :param known: revision of a document whose table isn't asked for again.
+        """
 
     async def follow_queues(
         self, revision: int, wait: timedelta
-    ) -> Declared | TooOld | Rejected | Lost:
+    ) -> Declared | TooOld | TooLong | Rejected | Lost:
         """Return the newest document after ``revision``, waiting for one.
 
-        The table is ``None`` when nothing has changed.
+        The table is ``None`` when nothing has changed; a wide document is left to
+        be read.
         """
 
     def decode(self, entry: Entry) -> Declared:
--- a/src/damaskdeck/protocol/transactions.py
+++ b/src/damaskdeck/protocol/transactions.py
@@ -1,7 +1,7 @@
 """The port to a store with transactions over several keys and paged lists.
 
-It answers with the values of :mod:`damaskdeck.protocol.ports`; what it adds is
-:class:`Mismatch` and :class:`Page`.
+It answers with the values of :mod:`damaskdeck.protocol.ports`; what it adds are
+:class:`Mismatch`, :class:`Page`, :class:`Unchanged` and :class:`TooLong`.
 """
 
 from datetime import timedelta
@@ -55,6 +55,23 @@
         return next((entry for entry in self.entries if entry.key == key), None)
 
 
+@distinct
+class Unchanged(NamedTuple):
+    """The key is as it was, as of the store's ``revision``."""
+
+    revision: int
+
+
+@distinct
+class TooLong(NamedTuple):
+    """There is an answer of that many bytes, which was not read.
+
+    To a watch it says that there are changes, to a commit that nothing was changed.
+    """
+
+    size: int
+
+
 @distinct
 class Page(NamedTuple):
     """A page of the keys below a prefix, in order; pages are no snapshot.
@@ -81,21 +98,36 @@
     async def read(self, key: str) -> Found | Missing | Rejected | Lost:
         """Read one key; the answer is linearizable."""
 
+    async def read_changed(
+        self, key: str, revision: int
+    ) -> Found | Missing | Unchanged | Rejected | Lost:
+        """Read one key unless ``revision`` still is its last; linearizable.
+
+        :param revision: of the key as it is known, 0 when it didn't exist.
+        """
+
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
         """Read keys below ``prefix`` that come after the key ``after``."""
 
     async def commit(
-        self, transaction: Transaction, timeout: timedelta | None = None
-    ) -> CommitResult:
+        self,
+        transaction: Transaction,
+        timeout: timedelta | None = None,
+        longest: int | None = None,
+    ) -> CommitResult | TooLong:
         """Change up to :attr:`entry_limit` keys; ``Lost`` may still take effect.
 
         :param timeout: how long to wait for the answer, if less than usual.
+        :param longest: bytes of an answer beyond which it isn't read.
         """
 
     async def watch(
-        self, prefix: str, revision: int, wait: timedelta
-    ) -> Events | TooOld | Rejected | Lost:
-        """Return the changes after ``revision``, waiting up to ``wait`` for one."""
+        self, prefix: str, revision: int, wait: timedelta, longest: int | None = None
+    ) -> Events | TooOld | TooLong | Rejected | Lost:
+        """Return the changes after ``revision``, waiting up to ``wait`` for one.
+
+        :param longest: bytes of an answer beyond which it isn't read.
+        """
 
     async def grant_lease(self, ttl: timedelta) -> Granted | Rejected | Lost:
         """Open a lease."""
--- a/src/standins/narrow.py
+++ b/src/standins/narrow.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from damaskdeck.clock import Clock
-from damaskdeck.platform.client import Reply
+from damaskdeck.platform.client import Oversized, Reply
 from damaskdeck.protocol.ports import Lost, Rejected
 from standins.wire import WireStore
 
@@ -39,24 +39,29 @@
         path: str,
         timeout: timedelta,
         body: Any = None,
+        longest: int | None = None,
         **options: Any,
-    ) -> Reply | Rejected | Lost:
+    ) -> Reply | Oversized | Rejected | Lost:
         """Make a call; what came of an answer that is given up is thrown away."""
         if self.is_cut:
             await self._clock.sleep(LATENCY)
             return Rejected("unreachable")
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                return await self._exchange(method, path, body)
+                return await self._exchange(method, path, body, longest)
         except TimeoutError:
             return Lost("timeout")
 
-    async def _exchange(self, method: str, path: str, body: Any) -> Reply:
+    async def _exchange(
+        self, method: str, path: str, body: Any, longest: int | None
+    ) -> Reply | Oversized:
         await self._clock.sleep(LATENCY)
         parts = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         status, answer = await self._store.answer(method, parts.path, query, {}, body)
         data = b"" if answer is None else json.dumps(answer).encode()
+        if longest is not None and len(data) > longest:
+            return Oversized(status, len(data))
         await self._receive(len(data))
         return Reply(status, data)
 
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -40,7 +40,7 @@
     TooOld,
 )
 from damaskdeck.protocol.queues import QueueTable, TaskName
-from damaskdeck.protocol.transactions import read_all
+from damaskdeck.protocol.transactions import Unchanged, read_all
 from standins.faults import FaultKind, Faults
 from standins.poolstore import PoolStoreClient
 
@@ -384,9 +384,11 @@
         self._store = store
         self._tables = tables
 
-    async def read_queues(self) -> Declared | Rejected | Lost:
+    async def read_queues(self, known: int = 0) -> Declared | Rejected | Lost:
         """Read the document."""
-        found = await self._store.read(self.key)
+        found = await self._store.read_changed(self.key, known)
+        if isinstance(found, Unchanged):
+            return Declared(None, found.revision, known)
         if isinstance(found, Missing):
             return Declared(None, found.revision)
         return self.decode(found.entry) if isinstance(found, Found) else found
--- a/src/standins/poolstore.py
+++ b/src/standins/poolstore.py
@@ -19,7 +19,13 @@
     TooOld,
     Written,
 )
-from damaskdeck.protocol.transactions import Mismatch, Page, Transaction, Write
+from damaskdeck.protocol.transactions import (
+    Mismatch,
+    Page,
+    Transaction,
+    Unchanged,
+    Write,
+)
 from standins.faults import FaultKind, Faults
 
 PAGE_ENTRIES = 500
@@ -196,12 +202,23 @@
         entry = self._store.entries.get(key)
         return Found(entry) if entry else Missing(self._store.revision)
 
+    async def read_changed(
+        self, key: str, revision: int
+    ) -> Found | Missing | Unchanged | Rejected | Lost:
+        """Read one key unless it is as it was."""
+        found = await self.read(key)
+        is_known = isinstance(found, Found) and found.entry.revision == revision
+        return Unchanged(self._store.revision) if is_known else found
+
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
         """Read a page."""
         return await self._meet("list") or self._store.read_page(prefix, after)
 
     async def commit(
-        self, transaction: Transaction, timeout: timedelta | None = None
+        self,
+        transaction: Transaction,
+        timeout: timedelta | None = None,
+        longest: int | None = None,
     ) -> Written | Mismatch | Lapsed | Rejected | Lost:
         """Commit, unless a fault is planned."""
         fault = await self._meet("commit")
@@ -220,7 +237,7 @@
         self._store.commit(transaction)
 
     async def watch(
-        self, prefix: str, revision: int, wait: timedelta
+        self, prefix: str, revision: int, wait: timedelta, longest: int | None = None
     ) -> Events | TooOld | Rejected | Lost:
         """Watch a prefix."""
         fault = await self._meet("watch")
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -257,7 +257,7 @@
             await asyncio.sleep(wait.total_seconds())
             return Declared(None, revision + 1)
 
-        async def get_no_answer():
+        async def get_no_answer(known=0):
             await asyncio.sleep(1.5)
             return Lost("timeout")
 
