--- a/tests/test_pools_accounts.py
+++ b/tests/test_pools_accounts.py
@@ -151,7 +151,7 @@
         cluster = await self.begin_accounts()
         daemon = cluster.daemons["d0"]
 
-        async def lose_answer(transaction, timeout=None):
+        async def lose_answer(transaction, timeout=None, longest=None):
             daemon.store.commit = commit
             # Before it is tried again the key goes, and no watch tells of it yet; the
             # job is stored, and will run.
--- a/tests/test_pools_store.py
+++ b/tests/test_pools_store.py
@@ -37,7 +37,7 @@
         self.is_silent = False
         self.limits: list[timedelta] = []
 
-    async def commit(self, transaction: Transaction, timeout: timedelta | None = None):
+    async def commit(self, transaction: Transaction, timeout=None, longest=None):
         """Commit after the delay."""
         self.limits.append(timeout)
         if self.is_silent or self.delay > timeout:
@@ -46,7 +46,7 @@
         await self.clock.sleep(self.delay)
         return Written(1)
 
-    async def watch(self, prefix: str, revision: int, wait: timedelta):
+    async def watch(self, prefix: str, revision: int, wait: timedelta, longest=None):
         """Wait; a watch that the store was silent for is never answered."""
         if self.is_silent:
             await self.clock.sleep(timedelta(minutes=1))
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -264,7 +264,7 @@
         heir = cluster.daemons[cluster.find_other().leadership.list_heirs()[0]]
         commit = heir.store.commit
 
-        async def commit_slowly(transaction, timeout=None):
+        async def commit_slowly(transaction, timeout=None, longest=None):
             done = await commit(transaction, timeout)
             if any(write.key == OWNER_KEY for write in transaction.writes):
                 await asyncio.sleep(3)
@@ -287,7 +287,7 @@
         commit = daemon.store.commit
         delayed = []
 
-        async def commit_late(transaction, timeout=None):
+        async def commit_late(transaction, timeout=None, longest=None):
             is_takeover = any(write.key == OWNER_KEY for write in transaction.writes)
             if delayed or not is_takeover:
                 return await commit(transaction, timeout)
