Judge no call by a document that may have been replaced for too long

What callers saw: a count of a queue that a newer document had dropped was answered 200, 5.3 s after that document was acknowledged.

Cause: only calls with keys were held to an age of the document, and to the bound on keys (5 s) alone. That a document must be in force in time (3 s) was left to the watch: a daemon that knew itself behind, and told the balancer so, served queues without keys by the old one, and keys for 1.75 s too long.

Change: each call is judged by a document that was the newest less than the bound (less 250 ms) ago, else refused with 503 and a time to come back, also where it would have been a 404. On all deployments: where no keys are shown nothing was ever confirmed before. A daemon that the store has not answered for half of that time can't learn of a newer document and goes on, as the users ask of a zone that is cut off; the bound on keys holds there as before. Jobs' commits expect the document on all deployments, so most confirmations cost nothing. The owner's shorter limit went: all have it now.

--- a/src/damaskdeck/coordination/pools/admitting.py
+++ b/src/damaskdeck/coordination/pools/admitting.py
@@ -26,9 +26,9 @@
 class Admission:
     """Judges calls by the document in force here.
 
-    A key may be judged only as long as the document is sure to have been the newest
-    a moment ago: what was sent later than the bound after a key was taken away must
-    not be served by anybody, cut off from the store or not.
+    While the store answers, that may not have been replaced for longer than the
+    bound. Keys are judged by no older one, cut off from the store or not: what was
+    sent later than their bound after a key was taken away is served by nobody.
     """
 
     def __init__(self, declarations: Declarations) -> None:
@@ -60,12 +60,14 @@
         if table is None:
             return self._bar(BarCode.NO_DOCUMENT, path)
         queue = table.find(host, path)
+        needs_key = queue is not None and not queue.is_public
+        declarations = self._declarations
+        if not (declarations.may_serve if needs_key else declarations.is_current):
+            return self._bar(BarCode.STALE_DOCUMENT, path)
         if queue is None:
             return Barred(BarCode.NO_QUEUE)
         if queue.is_public:
             return Admitted(queue, Caller(queue=queue.name), table)
-        if not self._declarations.may_serve:
-            return self._bar(BarCode.STALE_DOCUMENT, path)
         if not digest:
             return self._bar(BarCode.MISSING_KEY, path)
         account = table.accounts.find(digest)
--- a/src/damaskdeck/coordination/pools/declarations.py
+++ b/src/damaskdeck/coordination/pools/declarations.py
@@ -19,6 +19,9 @@
 # The store is asked for the document's revision once so much of the time that a
 # confirmation is good for is over: it may then be slow or silent for the rest.
 REFRESH_SHARE = 0.4
+# Once the store has answered nothing for so much of the time in which a document must
+# be in force, this daemon is taken for cut off.
+SILENCE_SHARE = 0.5
 # A limit on the age of a confirmation is looked at so often.
 REFRESH_INTERVAL = timedelta(milliseconds=200)
 # A refused commit shows all that it expected, whatever it was refused for: a document
@@ -38,9 +41,11 @@
     hear nothing while changes are made. It is read by one call at a time, and only
     when it has changed: copies of a wide one would fill a narrow link for each other.
 
-    :param limit: how old a confirmation may be for callers to be served; ``None``
+    :param keys_sure: how old a confirmation may be for keys to be judged; ``None``
         where nothing depends on it.
-    :param get_limit: a shorter limit that holds for the moment, if any.
+    :param in_force: how old it may be for any call to be judged while the store
+        answers; ``None`` where nothing depends on it.
+    :param get_silence: returns the time since the store last answered this daemon.
     :ivar table: in force here; ``None`` until one has been read.
     """
 
@@ -48,14 +53,18 @@
         self,
         source: QueueSource,
         clock: Clock,
-        limit: timedelta | None = None,
-        get_limit: Callable[[], timedelta | None] = lambda: None,
+        keys_sure: timedelta | None = None,
+        in_force: timedelta | None = None,
+        get_silence: Callable[[], timedelta] = timedelta,
     ) -> None:
         self.table: QueueTable | None = None
         self._source = source
         self._clock = clock
-        self._limit = limit
-        self._get_limit = get_limit
+        self._keys_sure = keys_sure
+        self._in_force = in_force
+        self._get_silence = get_silence
+        limits = [limit for limit in (keys_sure, in_force) if limit is not None]
+        self._shortest_limit = min(limits, default=None)
         # Revision of the newest document that was seen, and whether it is in force.
         self._document = 0
         self._is_usable = False
@@ -87,10 +96,21 @@
         """
         return limit is None or self.measure_age() < limit.total_seconds()
 
+    @property
+    def is_current(self) -> bool:
+        """Whether calls may be judged by it at all.
+
+        A daemon that the store doesn't answer can't learn of a newer one: it goes on
+        by what it has.
+        """
+        if self._in_force is None or self.is_sure(self._in_force):
+            return True
+        return self._get_silence() > self._in_force * SILENCE_SHARE
+
     @property
     def may_serve(self) -> bool:
         """Whether callers' keys may be judged by the document in force."""
-        is_sure = self.is_sure(self._limit)
+        is_sure = self.is_sure(self._keys_sure) and self.is_current
         if is_sure is not self._was_sure:
             self._was_sure = is_sure
             _log.info(
@@ -108,7 +128,7 @@
 
         Empty where the age of the document alone has to do.
         """
-        is_asked = self._limit is not None and self._is_usable
+        is_asked = self._shortest_limit is not None and self._is_usable
         if not is_asked or self._is_wide or self._is_behind:
             return ()
         return ((self._source.key, self._document),)
@@ -138,10 +158,10 @@
 
     async def run(self) -> None:
         """Follow the document, and ask for its revision before that gets old."""
-        if self._limit is None:
+        if self._shortest_limit is None:
             await self._follow()
         else:
-            await asyncio.gather(self._follow(), self._keep_sure(self._limit))
+            await asyncio.gather(self._follow(), self._keep_sure(self._shortest_limit))
 
     async def _follow(self) -> None:
         revision = 0
@@ -164,8 +184,7 @@
     async def _keep_sure(self, limit: timedelta) -> None:
         while True:
             await self._clock.sleep(REFRESH_INTERVAL)
-            shortest = min(limit, self._get_limit() or limit)
-            is_due = self._is_behind or not self.is_sure(shortest * REFRESH_SHARE)
+            is_due = self._is_behind or not self.is_sure(limit * REFRESH_SHARE)
             if is_due and not self._reading.locked():
                 await self._read()
 
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -140,7 +140,7 @@
 
     def are_quotas_sure(self) -> bool:
         """Whether the document in force is fresh enough to start work by it."""
-        return self._declarations.is_sure(self._basis.times.quotas_sure)
+        return self._declarations.is_sure(self._basis.times.document_sure)
 
     def list_unaccounted(self) -> list[Size]:
         """List the sizes of the workers that may run what isn't known."""
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -57,7 +57,7 @@
     far_factor: float
     stop_longest: timedelta
     keys_sure: timedelta | None
-    quotas_sure: timedelta
+    document_sure: timedelta
     rooms_sure: timedelta
 
 
@@ -103,6 +103,6 @@
         stop_longest=bounds.stop_longest,
         keys_sure=bounds.revocation and bounds.revocation - SURENESS_MARGIN,
         # Also an order that is under way begins within the bound.
-        quotas_sure=bounds.in_force - SURENESS_MARGIN,
+        document_sure=bounds.in_force - SURENESS_MARGIN,
         rooms_sure=bounds.contact - SURENESS_MARGIN,
     )
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -104,8 +104,8 @@
             PlatformQueues(self._store, settings.needs_keys),
             clock,
             self._times.keys_sure,
-            # What an owner starts is bound by quotas, which may be lowered.
-            lambda: self._times.quotas_sure if self._owner is not None else None,
+            self._times.document_sure,
+            self._store.measure_silence,
         )
         self._admission = Admission(self.declarations)
         member = MemberRecord(
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -152,7 +152,8 @@
             StandinQueues(self.store, cluster.tables),
             clock,
             cluster.times.keys_sure,
-            lambda: cluster.times.quotas_sure if self.owner is not None else None,
+            cluster.times.document_sure,
+            healthy.measure_silence,
         )
         self.admission = Admission(self.declarations)
         self.desk = JobDesk(
--- a/tests/test_wide_documents.py
+++ b/tests/test_wide_documents.py
@@ -92,7 +92,13 @@
 
     def _build_declarations(self) -> Declarations:
         queues = PlatformQueues(self.store, needs_keys=True)
-        return Declarations(queues, self.clock, self.times.keys_sure)
+        return Declarations(
+            queues,
+            self.clock,
+            self.times.keys_sure,
+            self.times.document_sure,
+            self.store.measure_silence,
+        )
 
     def write(self, version: int, queues: int) -> None:
         """Let the operators write a document."""
