Ask again soon whether the document is the newest where no answer begins

A lost answer to that question was waited for 1.5 s, and the next was asked 0.2 s later: more than was left of the time in which a document may be judged by once all calls are held to it. Now no answer may begin for as long as four usual commits (0.3 s at least), twice as long after each loss up to 1.5 s; an answer that has begun is waited for as long as it comes.

TestLostAnswers.test_a_daemon_goes_on_where_every_other_answer_is_lost fails without the limit (calls refused) and holds; a second one, 300 s without any answer, guards the doubling.

--- a/src/damaskdeck/coordination/pools/health.py
+++ b/src/damaskdeck/coordination/pools/health.py
@@ -34,6 +34,8 @@
 PATIENCE_FACTOR = 4.0
 LEAST_PATIENCE = timedelta(milliseconds=300)
 LONGEST_PATIENCE = timedelta(milliseconds=1500)
+# A conditional read waits twice as long after each that was lost, so often.
+MOST_DOUBLINGS = 3
 # What is told of the silence of a store that has never answered.
 SILENCE_LIMIT_SECONDS = 1e6
 # Weight of a call in the usual time of an answer.
@@ -57,6 +59,8 @@
         self._failures = 0
         self._failing_since: float | None = None
         self._usual = 0.0
+        # Conditional reads without an answer, one after the other, up to a limit.
+        self._lost_reads = 0
         self._answered_at = float("-inf")
         # Set, and replaced, when the store answers again.
         self._returned = asyncio.Event()
@@ -130,8 +134,16 @@
     async def read_changed(
         self, key: str, revision: int
     ) -> Found | Missing | Unchanged | Rejected | Lost:
-        """Read one key unless ``revision`` still is its last."""
-        return await self._observe(self._store.read_changed(key, revision))
+        """Read one key unless ``revision`` still is its last.
+
+        A lost answer is soon noticed; one that only is late is waited for longer
+        each time, and once it has begun for as long as it comes.
+        """
+        within = min(self.patience * 2**self._lost_reads, LONGEST_PATIENCE)
+        done = await self._observe(self._store.read_changed(key, revision, within))
+        lost = self._lost_reads + 1 if isinstance(done, Lost) else 0
+        self._lost_reads = min(lost, MOST_DOUBLINGS)
+        return done
 
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
         """Read a page of keys."""
--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -1,5 +1,6 @@
 """The one HTTP client for all that the platform offers."""
 
+import asyncio
 import socket
 from collections.abc import Mapping
 from datetime import timedelta
@@ -58,6 +59,7 @@
         silence: timedelta | None = None,
         keep: float = KEEPALIVE_SECONDS,
         longest: int | None = None,
+        within: timedelta | None = None,
     ) -> Reply | Oversized | Rejected | Lost:
         """Make a call; ``Rejected`` proves that it had no effect.
 
@@ -65,6 +67,7 @@
         :param silence: given up when nothing comes for so long.
         :param keep: for how many seconds the channel is kept for another call.
         :param longest: bytes of a body beyond which it isn't read.
+        :param within: given up when no answer has begun by then.
         """
         data = None if body is None else _encoder.encode(body)
         seconds = timeout.total_seconds()
@@ -74,15 +77,18 @@
             sock_read=silence.total_seconds() if silence is not None else None,
         )
         session = self._get_session(keep)
+        request = session.request(
+            method,
+            f"http://{address}{path}",
+            data=data,
+            headers={**_HEADERS, **(headers or {})},
+            timeout=limits,
+            skip_auto_headers=_SKIPPED,
+        )
         try:
-            async with session.request(
-                method,
-                f"http://{address}{path}",
-                data=data,
-                headers={**_HEADERS, **(headers or {})},
-                timeout=limits,
-                skip_auto_headers=_SKIPPED,
-            ) as response:
+            async with asyncio.timeout((within or timeout).total_seconds()):
+                begun = await request
+            async with begun as response:
                 size = response.content_length or 0
                 if longest is not None and size > longest:
                     # Else the rest of it would still come.
--- a/src/damaskdeck/platform/store.py
+++ b/src/damaskdeck/platform/store.py
@@ -131,10 +131,18 @@
         body: Any = None,
         silence: timedelta | None = None,
         longest: int | None = None,
+        within: timedelta | None = None,
     ) -> Reply | Oversized | Rejected | Lost:
         count_store_call(kind)
         return await self._client.call(
-            method, self._address, path, timeout, body, silence=silence, longest=longest
+            method,
+            self._address,
+            path,
+            timeout,
+            body,
+            silence=silence,
+            longest=longest,
+            within=within,
         )
 
     async def read(self, key: str) -> Found | Missing | Rejected | Lost:
@@ -152,7 +160,7 @@
         return found if isinstance(found, Lost) else Found(_read_item(found))
 
     async def read_changed(
-        self, key: str, revision: int
+        self, key: str, revision: int, within: timedelta | None = None
     ) -> Found | Missing | Unchanged | Rejected | Lost:
         """Read one key unless ``revision`` still is its last.
 
@@ -164,7 +172,13 @@
             "remove": [],
         }
         reply = await self._call(
-            "check", "POST", "/kv-txn", TRANSFER_TIMEOUT, body, READ_SILENCE
+            "check",
+            "POST",
+            "/kv-txn",
+            TRANSFER_TIMEOUT,
+            body,
+            READ_SILENCE,
+            within=within,
         )
         if not isinstance(reply, Reply):
             return reply
--- a/src/damaskdeck/protocol/transactions.py
+++ b/src/damaskdeck/protocol/transactions.py
@@ -99,11 +99,12 @@
         """Read one key; the answer is linearizable."""
 
     async def read_changed(
-        self, key: str, revision: int
+        self, key: str, revision: int, within: timedelta | None = None
     ) -> Found | Missing | Unchanged | Rejected | Lost:
         """Read one key unless ``revision`` still is its last; linearizable.
 
         :param revision: of the key as it is known, 0 when it didn't exist.
+        :param within: given up when no answer has begun by then.
         """
 
     async def read_page(self, prefix: str, after: str) -> Page | Rejected | Lost:
--- a/src/standins/narrow.py
+++ b/src/standins/narrow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -22,12 +23,14 @@
     :param rate: what the link carries, bytes a second.
     :ivar received: bytes that have come, those of answers given up included.
     :ivar is_cut: whether calls reach nobody.
+    :ivar loses: tells of a call's path whether its answer never begins.
     """
 
     def __init__(self, store: WireStore, clock: Clock, rate: float) -> None:
         self.rate = rate
         self.received = 0.0
         self.is_cut = False
+        self.loses: Callable[[str], bool] = lambda path: False
         self._store = store
         self._clock = clock
         self._coming = 0
@@ -40,12 +43,16 @@
         timeout: timedelta,
         body: Any = None,
         longest: int | None = None,
+        within: timedelta | None = None,
         **options: Any,
     ) -> Reply | Oversized | Rejected | Lost:
         """Make a call; what came of an answer that is given up is thrown away."""
         if self.is_cut:
             await self._clock.sleep(LATENCY)
             return Rejected("unreachable")
+        if self.loses(path):
+            await self._clock.sleep(within or timeout)
+            return Lost("timeout")
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 return await self._exchange(method, path, body, longest)
--- a/tests/test_wide_documents.py
+++ b/tests/test_wide_documents.py
@@ -219,6 +219,32 @@
         self.end()
 
 
+class TestLostAnswers(WideDocumentCase):
+    """Answers that never come."""
+
+    # A lost answer was waited for until the document could no longer be judged by.
+    @virtual
+    async def test_a_daemon_goes_on_where_every_other_answer_is_lost(self):
+        daemon = await self.begin(FEW)
+        numbers = itertools.count()
+        daemon.client.loses = lambda path: path == "/kv-txn" and next(numbers) % 2 == 0
+        for _ in range(300):
+            await asyncio.sleep(0.1)
+            self.assertIsInstance(daemon.judge(1), Admitted)
+        self.end()
+
+    @virtual
+    async def test_it_recovers_from_minutes_without_an_answer(self):
+        daemon = await self.begin(FEW)
+        daemon.client.loses = lambda path: True
+        await asyncio.sleep(300)
+        daemon.client.loses = lambda path: False
+        daemon.write(2, FEW)
+        await asyncio.sleep(2)
+        self.assertEqual(daemon.version, 2)
+        self.end()
+
+
 class TestFence(WideDocumentCase):
     """Calls by a document that may have been replaced for longer than the bound."""
 
