Find queues in steps that don't grow with their number

Each call went through all declared queues for its own, and each step that waits for room did so in every pass of the owner.

A table of queues now keeps them by host and prefix, and by name.

--- a/src/damaskdeck/protocol/queues.py
+++ b/src/damaskdeck/protocol/queues.py
@@ -47,32 +47,45 @@
     is_public: bool = True
 
 
-class QueueTable(NamedTuple):
+class QueueTable:
     """The declared queues, one document under one version.
 
-    :param pools: names of the pools of workers that exist.
-    :param body_limit: bytes of a request's body.
-    :param accounts: whose keys open the queues that aren't public.
+    Calls and steps find their queue in steps that don't grow with the queues.
+
+    :ivar queues: all of them, as declared.
+    :ivar pools: names of the pools of workers that exist.
+    :ivar body_limit: bytes of a request's body.
+    :ivar accounts: whose keys open the queues that aren't public.
     """
 
-    version: int
-    queues: tuple[Queue, ...]
-    pools: frozenset[str]
-    body_limit: int
-    accounts: ClientAccounts = NO_ACCOUNTS
+    def __init__(
+        self,
+        version: int,
+        queues: tuple[Queue, ...],
+        pools: frozenset[str],
+        body_limit: int,
+        accounts: ClientAccounts = NO_ACCOUNTS,
+    ) -> None:
+        self.version = version
+        self.queues = queues
+        self.pools = pools
+        self.body_limit = body_limit
+        self.accounts = accounts
+        # Of queues declared twice the first counts.
+        self._names = {queue.name: queue for queue in reversed(queues)}
+        self._places = {(queue.host, queue.prefix): queue for queue in reversed(queues)}
+        lengths = {len(queue.prefix) for queue in queues}
+        self._lengths = sorted(lengths, reverse=True)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest that ``path`` starts with."""
-        matching = (
-            queue
-            for queue in self.queues
-            if queue.host == host and path.startswith(queue.prefix)
-        )
-        return max(matching, key=lambda queue: len(queue.prefix), default=None)
+        starts = (path[:length] for length in self._lengths)
+        found = (self._places.get((host, start)) for start in starts)
+        return next((queue for queue in found if queue is not None), None)
 
     def get(self, name: str) -> Queue | None:
         """Return the queue of that name."""
-        return next((queue for queue in self.queues if queue.name == name), None)
+        return self._names.get(name)
 
 
 class StepSpec(NamedTuple):
