Date workers' rooms by their writing, not by their reading

Cause: an owner dated the rooms by when the registry was read. A read just after an outage is new, but what it returns was written before: workers needed the store, too. The class: the age of a copy is taken for that of its source.

Change: a registration's revision tells when it was written at the earliest: after a commit or a check was sent that found the store at an earlier one. Nothing is started on a worker that last told its room longer ago than the contact bound and one heartbeat, less 500 ms, whoever owns; the others go on. Before, nothing was started anywhere 2.75 s after the last reading.

Evidence: the stand-in of a cluster let workers tell their new room straight through an outage; now they register with each beat, and only while the store answers somebody. On the code before, with such workers, test_a_successor_dates_no_room_anew fails (starts beyond rooms), as does test_in_an_outage_work_goes_on_by_rooms_that_still_count; both hold. test_an_outage_dates_no_room_anew held before, too, and stays as a guard.

Tests whose set-up rested on the stand-in: a foreign entry in the place of a worker's is not written over by that worker; 14 tasks for 12 beside one that crashes workers, so that some do run beside it (12 filled the workers, which now are all usable from the start); 2.5 s for 2 until a slow worker is told, which took 1.5 to 2.5 s before as well, depending on the moment. Their checks are as they were.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -71,6 +71,7 @@
         not fallen silent since.
     :ivar is_gone: whether this life is over for certain.
     :ivar is_cordoned: gets no order; see :mod:`.cordons`.
+    :ivar room_told_at: when its room, as known, was told at the earliest.
     :ivar most: room that it has had at most; what it runs may have begun by it.
     :ivar used: room that its runs take.
     :ivar free: room that no run takes.
@@ -99,6 +100,7 @@
     ) -> None:
         self.info = info
         self.most = info.size
+        self.room_told_at = float("-inf")
         self.is_listed = True
         self.is_known = False
         self.is_gone = False
@@ -135,8 +137,12 @@
         # Set when something is in doubt that a look at the worker would settle.
         self._hurry = asyncio.Event()
 
-    def update(self, info: PoolWorker) -> None:
-        """Take note of what the registry lists."""
+    def update(self, info: PoolWorker, told_at: float) -> None:
+        """Take note of what the registry lists.
+
+        :param told_at: when the worker wrote it at the earliest, monotonic seconds.
+        """
+        self.room_told_at = max(self.room_told_at, told_at)
         if info.is_leaving and not self.info.is_leaving:
             _log.info(
                 "A worker is leaving.",
@@ -178,10 +184,19 @@
         self.used = used
         self.free = subtract_sizes(self.info.size, used)
 
+    def is_room_sure(self, now: float) -> bool:
+        """Whether its room can't have shrunk for longer than orders may go by it.
+
+        A room may shrink at any moment, and what is read of it is as old as what the
+        worker wrote, not as the reading.
+        """
+        return now - self.room_told_at < self._times.rooms_sure.total_seconds()
+
     def is_usable(self, now: float) -> bool:
         """Whether orders may go to it."""
         return (
             self.is_known
+            and self.is_room_sure(now)
             and self.is_listed
             and self.is_rostered
             and not self.is_gone
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -54,8 +54,8 @@
     def get_table(self) -> QueueTable | None:
         """Return the declared queues in force."""
 
-    def may_start(self) -> bool:
-        """Whether mandate and workers' rooms are fresh enough to start tasks by."""
+    def may_decide(self) -> bool:
+        """Whether the mandate is fresh enough to start tasks by."""
 
     def end_job(self, job: Job, state: QueuedState, reason: str) -> None:
         """Give a job its final state."""
@@ -154,7 +154,7 @@
         while True:
             await self._has_work.wait()
             self._has_work.clear()
-            if self._owner.may_start() and not self._is_draining:
+            if self._owner.may_decide() and not self._is_draining:
                 self._pass()
             await self._clock.sleep(PASS_INTERVAL)
 
@@ -418,7 +418,7 @@
     def copy(self, run: Run, now: float) -> bool:
         """Start a second run of a task on another worker; returns whether it could."""
         task, step = run.task, run.task.step
-        if not self._owner.may_start():
+        if not self._owner.may_decide():
             return False
         if not self._owner.allowances.count_startable(step, 1):
             return False
--- a/src/damaskdeck/coordination/pools/health.py
+++ b/src/damaskdeck/coordination/pools/health.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.revisions import RevisionDates
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.ports import (
     Events,
@@ -16,6 +17,7 @@
     Missing,
     Rejected,
     TooOld,
+    Written,
 )
 from damaskdeck.protocol.transactions import (
     CommitResult,
@@ -51,6 +53,8 @@
 
     Renewals of the member's lease are made several times a second, so a return of
     the store is noticed about as soon as it can be.
+
+    :ivar dates: from when on what the store shows was written.
     """
 
     def __init__(self, store: TransactionalStore, clock: Clock) -> None:
@@ -62,6 +66,7 @@
         # Conditional reads without an answer, one after the other, up to a limit.
         self._lost_reads = 0
         self._answered_at = float("-inf")
+        self.dates = RevisionDates()
         # Set, and replaced, when the store answers again.
         self._returned = asyncio.Event()
 
@@ -101,6 +106,8 @@
         That a call failed says nothing when another that was sent later, or was on
         its way at the same time, has been answered since.
         """
+        if isinstance(answer, Written | Unchanged):
+            self.dates.note(answer.revision, sent)
         if not isinstance(answer, Rejected | Lost):
             self._note_answer()
         elif sent >= self._answered_at:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -154,10 +154,6 @@
         """Whether the mandate is fresh enough to act on."""
         return self._basis.leadership.may_decide()
 
-    def may_start(self) -> bool:
-        """Whether tasks may be started: as owner, and by rooms that are sure."""
-        return self.may_decide() and self._workforce.view.is_sure(self.now())
-
     # Life --------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -454,7 +450,7 @@
             await self._clock.sleep(SWEEP_INTERVAL)
             now = self.now()
             self.desk.dispatch()
-            self._workforce.view.tell_change(now)
+            self._workforce.sweep_rooms(now)
             self._supervisor.sweep(now)
             self._workforce.cordons.sweep(
                 now, may_add=not self._basis.leadership.is_cut_off()
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -8,6 +8,8 @@
 # A document is taken for the newest for so much less than the bound allows: an order
 # takes a tenth of a second at most where workers answer.
 SURENESS_MARGIN = timedelta(milliseconds=250)
+# The same for a worker's room, which a slow store may take a while to write.
+ROOM_MARGIN = timedelta(milliseconds=500)
 
 
 class PoolBounds(NamedTuple):
@@ -21,7 +23,8 @@
     :param stop_longest: a run that is told to stop takes so long at most.
     :param in_force: a document is in force so long after it was acknowledged.
     :param contact: a worker whose room has shrunk may have orders by its old room for
-        so long after it has told that.
+        so long, and one heartbeat.
+    :param heartbeat: workers register anew so often.
     :param revocation: what shows a key that was taken away longer ago is served by
         nobody; ``None`` where that is only asked of daemons in touch.
     """
@@ -34,6 +37,7 @@
     stop_longest: timedelta = timedelta(seconds=1)
     in_force: timedelta = timedelta(seconds=3)
     contact: timedelta = timedelta(seconds=3)
+    heartbeat: timedelta = timedelta(milliseconds=1500)
     revocation: timedelta | None = None
 
 
@@ -104,5 +108,5 @@
         keys_sure=bounds.revocation and bounds.revocation - SURENESS_MARGIN,
         # Also an order that is under way begins within the bound.
         document_sure=bounds.in_force - SURENESS_MARGIN,
-        rooms_sure=bounds.contact - SURENESS_MARGIN,
+        rooms_sure=bounds.contact + bounds.heartbeat - ROOM_MARGIN,
     )
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -10,7 +10,6 @@
 from damaskdeck.coordination.pools.cordons import Cordons
 from damaskdeck.coordination.pools.inventories import ContactOwner
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
-from damaskdeck.coordination.pools.registryview import RegistryView
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import Mandate
 from damaskdeck.delays import LoopDelay
@@ -21,6 +20,7 @@
     PoolWorker,
     PoolWorkers,
     Registered,
+    RegistryChange,
     RegistryChanges,
     WorkerRegistry,
 )
@@ -55,6 +55,7 @@
 
     :param knows_pool: tells whether the operators have declared a pool.
     :param delay: how late this process is.
+    :param date: tells when a revision of the store was written at the earliest.
     """
 
     leadership: Leadership
@@ -65,6 +66,7 @@
     times: PoolTimes
     knows_pool: Callable[[str], bool]
     delay: LoopDelay
+    date: Callable[[int], float]
 
 
 class WorkforceEvents(NamedTuple):
@@ -88,11 +90,9 @@
 class Inherited(NamedTuple):
     """What a takeover finds.
 
-    :param read_at: monotonic seconds when the registry was asked.
     :param roster: ``None`` where it can't be read.
     """
 
-    read_at: float
     registered: Registered
     roster: RosterRecord | None
     cordons: CordonsRecord
@@ -103,7 +103,6 @@
 
     :param owner: whom the contacts tell.
     :ivar contacts: by the identifier of a worker's life.
-    :ivar view: how sure it is that they are as registered now.
     """
 
     def __init__(
@@ -119,12 +118,14 @@
         self._owner = owner
         self._events = events
         self._revision = 0
-        self.view = RegistryView(parts.times.rooms_sure)
+        # Those whose room may have shrunk too long ago, as last looked at.
+        self._unsure: set[str] = set()
+        self._are_rooms_unsure = False
         # With the availability zone of each, an empty string where it isn't known.
         self._unaccounted: dict[str, str] = {}
         self.cordons = Cordons(self.contacts, events.cordons)
         # Registered for a pool that isn't declared: nobody's orders go there.
-        self._strays: dict[str, PoolWorker] = {}
+        self._strays: dict[str, RegistryChange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: asyncio.Future[None] | None = None
 
@@ -163,7 +164,6 @@
         """Read what the registry tells and the owner before has written."""
         parts = self._parts
         while True:
-            sent = self._now()
             found, roster, cordons = await asyncio.gather(
                 parts.registry.list_workers(),
                 parts.store.read(ROSTER_KEY),
@@ -176,7 +176,6 @@
                 break
             await parts.clock.sleep(RETRY_DELAY)
         return Inherited(
-            sent,
             found,
             _decode(RosterRecord, roster),
             # Where nothing can be told of them, no worker counts as cordoned.
@@ -187,14 +186,12 @@
         """Begin to contact all workers that :meth:`read` has found."""
         found, roster = inherited.registered, inherited.roster
         self._revision = found.revision
-        self.view.note_read(inherited.read_at)
         silent = {c.worker for c in inherited.cordons.cordons if c.is_silent}
         for worker in roster.workers if roster is not None else ():
             contact = self._add(worker, worker.identifier in silent)
             contact.is_listed = False
             contact.is_rostered = True
-        for worker in found.workers:
-            self._list(worker)
+        self._list_all(found)
         if self._mandate.predecessor is not None:
             self._unaccounted = {
                 name: contact.info.zone for name, contact in self.contacts.items()
@@ -308,25 +305,50 @@
         if error is not None and self._broken is not None and not self._broken.done():
             self._broken.set_exception(error)
 
-    def _list(self, worker: PoolWorker) -> bool:
+    def _list_all(self, found: Registered) -> None:
+        for worker, revision in zip(found.workers, found.revisions, strict=True):
+            self._list(worker, revision)
+
+    def _list(self, worker: PoolWorker, revision: int) -> bool:
         """Take note of a registration; tell whether it says anything new."""
+        told_at = self._parts.date(revision)
         contact = self.contacts.get(worker.identifier)
         if contact is None and not self._parts.knows_pool(worker.pool):
-            self._note_stray(worker)
+            self._note_stray(worker, revision)
             return False
         self._strays.pop(worker.identifier, None)
         if contact is None:
-            self._add(worker).update(worker)
+            self._add(worker).update(worker, told_at)
             self._events.roster()
             return True
         is_new = not contact.is_listed or contact.info != worker
         was_rostered = contact.is_rostered
-        contact.update(worker)
+        contact.update(worker, told_at)
+        if worker.identifier in self._unsure and contact.is_room_sure(self._now()):
+            self._unsure.discard(worker.identifier)
+            self._owner.note_contact(contact)
         if was_rostered and not contact.is_rostered:
             self._events.roster()
         return is_new
 
-    def _note_stray(self, worker: PoolWorker) -> None:
+    def sweep_rooms(self, now: float) -> None:
+        """Look which rooms have become too old to go by, and tell of it."""
+        unsure = {
+            name
+            for name, contact in self.contacts.items()
+            if contact.is_listed and not contact.is_room_sure(now)
+        }
+        for name in unsure - self._unsure:
+            self._owner.note_contact(self.contacts[name])
+        if bool(unsure) is not self._are_rooms_unsure:
+            self._are_rooms_unsure = bool(unsure)
+            if unsure:
+                _log.warn("Rooms aren't known for sure.", workers=len(unsure))
+            else:
+                _log.warn("Rooms are known again.")
+        self._unsure = unsure
+
+    def _note_stray(self, worker: PoolWorker, revision: int) -> None:
         if worker.identifier not in self._strays:
             _log.warn(
                 "A worker's pool isn't declared.",
@@ -334,23 +356,22 @@
                 worker=worker.identifier,
                 pool=worker.pool,
             )
-        self._strays[worker.identifier] = worker
+        self._strays[worker.identifier] = RegistryChange(
+            worker.identifier, worker, revision
+        )
 
     async def _follow(self) -> None:
         registry = self._parts.registry
         while True:
             for stray in list(self._strays.values()):
-                self._list(stray)
-            sent = self._now()
+                self._list(stray.worker, stray.revision)
             answer = await registry.follow_workers(self._revision, WATCH_WAIT)
             if isinstance(answer, RegistryChanges):
-                is_empty = not answer.changes
-                self.view.note_watch(sent, WATCH_WAIT, self._now(), is_empty)
                 self._revision = answer.revision
                 is_new = False
                 for change in answer.changes:
                     if change.worker is not None:
-                        is_new = self._list(change.worker) or is_new
+                        is_new = self._list(change.worker, change.revision) or is_new
                     elif change.identifier in self.contacts:
                         self.contacts[change.identifier].is_listed = False
                     else:
@@ -363,18 +384,15 @@
             await self._parts.clock.sleep(REGISTRY_INTERVAL)
 
     async def _list_anew(self) -> None:
-        sent = self._now()
         found = await self._parts.registry.list_workers()
         if isinstance(found, Registered):
-            self.view.note_read(sent)
             self._revision = found.revision
             present = {worker.identifier for worker in found.workers}
             for gone in self._strays.keys() - present:
                 del self._strays[gone]
             for identifier, contact in self.contacts.items():
                 contact.is_listed = identifier in present
-            for worker in found.workers:
-                self._list(worker)
+            self._list_all(found)
 
 
 def _decode(kind: type[T], answer: Found | Missing) -> T | None:
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -100,6 +100,7 @@
             reader.take_time("bounds.stop_timeout_ms", 1000, 1),
             reader.take_time("bounds.config_apply_ms", 3000, 1),
             reader.take_time("bounds.contact_ms", 3000, 1),
+            reader.take_time("heartbeat_ms", 1500, 1),
             revocation if needs_keys and is_strict else None,
         ),
         tuple(filter(None, reader.values.get("cloud_api.duties", "").split(","))),
--- a/src/damaskdeck/platform/registry.py
+++ b/src/damaskdeck/platform/registry.py
@@ -66,9 +66,13 @@
         if isinstance(found, Rejected | Lost):
             return found
         entries, revision = found
-        changes = (self._read(e.key, e.value, e.revision) for e in entries)
-        workers = (change.worker for change in changes if change.worker is not None)
-        return Registered(tuple(workers), revision)
+        changes = [self._read(e.key, e.value, e.revision) for e in entries]
+        usable = [change for change in changes if change.worker is not None]
+        return Registered(
+            tuple(change.worker for change in usable),
+            revision,
+            tuple(change.revision for change in usable),
+        )
 
     async def follow_workers(
         self, revision: int, wait: timedelta
@@ -94,7 +98,7 @@
             return RegistryChange(identifier, None)
         if self._told.pop(key, None) is not None:
             _log.info("A registration can be used again.", key=key, revision=revision)
-        return RegistryChange(identifier, worker)
+        return RegistryChange(identifier, worker, revision)
 
     def _tell(self, key: str, revision: int, reason: str) -> None:
         """Write a line on an entry that can't be used, once for each revision."""
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -218,6 +218,7 @@
                     self._times,
                     self.declarations.knows_pool,
                     self._delay,
+                    self._store.dates.date,
                 ),
                 self._network,
                 self.declarations,
--- a/src/damaskdeck/protocol/pools.py
+++ b/src/damaskdeck/protocol/pools.py
@@ -189,17 +189,25 @@
 
 @distinct
 class Registered(NamedTuple):
-    """All workers as registered, and the revision to follow from."""
+    """All workers as registered, and the revision to follow from.
+
+    :param revisions: of each worker's registration, in the same order.
+    """
 
     workers: tuple[PoolWorker, ...]
     revision: int
+    revisions: tuple[int, ...]
 
 
 class RegistryChange(NamedTuple):
-    """A worker registered, changed, or left (``worker`` is ``None``)."""
+    """A worker registered, changed, or left (``worker`` is ``None``).
+
+    :param revision: of the registration.
+    """
 
     identifier: str
     worker: PoolWorker | None
+    revision: int = 0
 
 
 @distinct
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -332,7 +332,11 @@
             return found
         entries, revision = found
         names = (entry.key.removeprefix(self.prefix) for entry in entries)
-        return Registered(tuple(self._workers[name].info for name in names), revision)
+        return Registered(
+            tuple(self._workers[name].info for name in names),
+            revision,
+            tuple(entry.revision for entry in entries),
+        )
 
     async def follow_workers(
         self, revision: int, wait: timedelta
@@ -345,7 +349,7 @@
         for event in found.events:
             name = event.key.removeprefix(self.prefix)
             worker = self._workers[name].info if event.value is not None else None
-            changes.append(RegistryChange(name, worker))
+            changes.append(RegistryChange(name, worker, event.revision))
         return RegistryChanges(tuple(changes), found.revision)
 
 
--- a/src/standins/wire.py
+++ b/src/standins/wire.py
@@ -4,6 +4,7 @@
 :mod:`standins.pools`. Faults are those of :class:`standins.faults.Faults`.
 """
 
+import asyncio
 import base64
 import json
 from collections.abc import Awaitable, Callable
@@ -30,6 +31,7 @@
 from standins.poolstore import PoolStore
 
 MILLISECOND = timedelta(milliseconds=1)
+HEARTBEAT = timedelta(milliseconds=1500)
 REASONS = {
     RefusalCode.STALE_EPOCH: "fence",
     RefusalCode.STALE_ATTEMPT: "old",
@@ -303,6 +305,8 @@
         workers: int = 3,
         behave: Callable[[TaskName, int], Work] = lambda task, attempt: Work(),
     ) -> None:
+        self._clock = clock
+        self._beats: asyncio.Task[None] | None = None
         self.store = WireStore(clock)
         self.advisor = WireAdvisor()
         self.workers = [
@@ -313,9 +317,15 @@
         """Listen, and register the workers."""
         for part in (self.store, self.advisor, *self.workers):
             await part.listener.start()
-        for worker in self.workers:
-            identifier = worker.worker.info.identifier
-            self.store.store.set(f"servers/{identifier}", worker.describe())
+        self._beats = asyncio.ensure_future(self._beat())
+
+    async def _beat(self) -> None:
+        """Let the workers register, and anew with each heartbeat."""
+        while True:
+            for worker in self.workers:
+                identifier = worker.worker.info.identifier
+                self.store.store.set(f"servers/{identifier}", worker.describe())
+            await self._clock.sleep(HEARTBEAT)
 
     def declare(
         self,
@@ -353,5 +363,7 @@
 
     def close(self) -> None:
         """Refuse everything from now on."""
+        if self._beats is not None:
+            self._beats.cancel()
         for part in (self.store, self.advisor, *self.workers):
             part.listener.close()
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -66,6 +66,7 @@
 # A worker's room that has shrunk counts so much later, and one beat.
 CONTACT = timedelta(seconds=3)
 BEAT = timedelta(milliseconds=1500)
+BEAT_LOOK = timedelta(milliseconds=100)
 # A crashed worker is back after so long, as a new life at its address.
 BACK_AFTER = timedelta(seconds=3)
 # The bound of the users: a task may start twice more after three crashes.
@@ -139,7 +140,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._owner_task: asyncio.Task[None] | None = None
         incarnation = f"{name}-{next(cluster.numbers)}"
-        healthy = HealthyStore(self.store, clock)
+        healthy = self.healthy = HealthyStore(self.store, clock)
         self.leadership = Leadership(
             MemberRecord(name, incarnation, f"{name}:1", zone, power, started_at),
             healthy,
@@ -149,7 +150,7 @@
             self._lose,
         )
         self.declarations = Declarations(
-            StandinQueues(self.store, cluster.tables),
+            StandinQueues(healthy, cluster.tables),
             clock,
             cluster.times.keys_sure,
             cluster.times.document_sure,
@@ -203,6 +204,7 @@
             self._cluster.times,
             self.declarations.knows_pool,
             self.delay,
+            self.healthy.dates.date,
         )
         parts = OwnerParts(basis, self.peers, self.declarations, self.commits)
         self.owner = PoolOwner(mandate, parts)
@@ -288,6 +290,9 @@
                 f"r{number % 2}",
                 f"z{number % zones}",
             )
+        self._beats: asyncio.Task[None] | None = None
+        # Workers whose registrations somebody else writes.
+        self.mute: set[str] = set()
         self.daemons: dict[str, ClusterDaemon] = {}
         for number in range(daemons):
             self.add_daemon(f"d{number}")
@@ -314,7 +319,29 @@
 
     def register(self, worker: StandinWorker) -> None:
         """Write a worker's registration."""
-        self.store.set(StandinRegistry.prefix + worker.info.identifier, b"1")
+        key = StandinRegistry.prefix + worker.info.identifier
+        self.store.set(key, str(worker.info.size).encode())
+
+    @property
+    def is_store_away(self) -> bool:
+        """Whether the store answers no daemon, and then no worker either."""
+        living = [d for d in self.daemons.values() if not d.is_killed]
+        return bool(living) and all(d.store.faults.outage for d in living)
+
+    async def _beat(self) -> None:
+        """Let each worker register anew with each beat, if the store answers then."""
+        due: dict[str, timedelta] = {}
+        while True:
+            now = self.clock.monotonic()
+            for number, (name, worker) in enumerate(list(self.workers.items())):
+                phase = BEAT_LOOK * 4 * (number % 4)
+                if worker.is_up and now >= due.setdefault(name, now + phase):
+                    due[name] += BEAT
+                    if not self.is_store_away and name not in self.mute:
+                        size = self.sizes[name][-1][1]
+                        worker.info = worker.info._replace(size=size)
+                        self.register(worker)
+            await self.clock.sleep(BEAT_LOOK)
 
     def add_worker(
         self, name: str, address: str, rack: str = "r0", zone: str = "z0"
@@ -329,19 +356,9 @@
         self.register(worker)
         return worker
 
-    def resize(self, name: str, size: Size, lag: timedelta = BEAT) -> None:
-        """Let a worker's room shrink or grow, and let it say so a beat later."""
+    def resize(self, name: str, size: Size) -> None:
+        """Let a worker's room shrink or grow; it says so with its next beat."""
         self.sizes[name].append((self.clock.monotonic(), size))
-        worker = self.workers[name]
-
-        def tell() -> None:
-            if worker.is_up:
-                # What it told before may have been later: the newest counts.
-                newest = self.sizes[name][-1][1]
-                worker.info = worker.info._replace(size=newest)
-                self.store.set(StandinRegistry.prefix + name, str(newest).encode())
-
-        asyncio.get_running_loop().call_later(lag.total_seconds(), tell)
 
     def crash(self, worker: StandinWorker) -> None:
         """End a worker's life; a new one begins at its address after a while."""
@@ -388,6 +405,11 @@
         await self.wait(
             lambda: all(d.declarations.table for d in self.daemons.values())
         )
+        self._beats = asyncio.ensure_future(self._beat())
+        contacts = self.find_owner().owner.contacts.values()
+        await self.wait(
+            lambda: all(c.is_room_sure(self._now()) for c in contacts if c.is_listed)
+        )
 
     def find_owner(self) -> ClusterDaemon | None:
         """Return the daemon that decides."""
@@ -555,8 +577,13 @@
             daemon.store.faults.outage = False
             daemon.workers.cut_off.clear()
 
+    def _now(self) -> float:
+        return self.clock.monotonic().total_seconds()
+
     def close(self) -> None:
         """End everything."""
+        if self._beats is not None:
+            self._beats.cancel()
         for daemon in self.daemons.values():
             daemon.kill()
         self.switch.close()
--- a/tests/test_ceilings.py
+++ b/tests/test_ceilings.py
@@ -130,7 +130,7 @@
         if shrinks:
             for name, worker in cluster.workers.items():
                 if worker.info.zone == zone:
-                    cluster.resize(name, Size(100, 100, 0), SECOND * 0)
+                    cluster.resize(name, Size(100, 100, 0))
             await asyncio.sleep(0.5)
         cluster.cut_zone(zone, (owner.name,))
         others = [d for d in cluster.daemons.values() if d is not owner]
--- a/tests/test_pools_accounts.py
+++ b/tests/test_pools_accounts.py
@@ -5,8 +5,8 @@
 from unittest import mock
 
 from damaskdeck.coordination.pools.allowances import Allowances
+from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.owner import PoolOwner
-from damaskdeck.coordination.pools.registryview import RegistryView
 from damaskdeck.protocol.accounts import digest_key
 from damaskdeck.protocol.callers import (
     BarCode,
@@ -292,7 +292,7 @@
 
         Workers' rooms count as known: the quota alone has to hold the owner back.
         """
-        rooms = mock.patch.object(RegistryView, "is_sure", lambda self, now: True)
+        rooms = mock.patch.object(WorkerContact, "is_room_sure", lambda self, now: True)
         self.enterContext(rooms)
         cluster = await self.begin_accounts(Size(6000, 6000, 0))
         owner = cluster.find_owner()
--- a/tests/test_pools_capacity.py
+++ b/tests/test_pools_capacity.py
@@ -6,7 +6,15 @@
 from damaskdeck.protocol.queues import QueuedState, StepSpec
 from damaskdeck.protocol.sizes import Size
 from standins.pools import Work
-from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
+from tests.poolcluster import (
+    BEAT,
+    CONTACT,
+    SECOND,
+    SIZE,
+    SMALL,
+    PoolCase,
+    make_job,
+)
 from tests.virtual import virtual
 
 QUARTER = Size(1000, 2000, 0)
@@ -54,6 +62,62 @@
         await cluster.wait_for_state("j1", QueuedState.COMPLETED)
         self.end()
 
+    # Rooms were dated by their reading: one read as the store came back was believed.
+    @virtual
+    async def test_an_outage_dates_no_room_anew(self):
+        for longer in (0.2, 0.5, 0.8, 1.1):
+            await self.shrink_in_an_outage(longer)
+            self.end()
+
+    async def shrink_in_an_outage(self, longer: float) -> None:
+        """Let the store be away until shrunken rooms count, and some seconds longer."""
+        cluster = await self.begin(
+            workers=4, behave=lambda t, a: Work(timedelta(seconds=0.4))
+        )
+        await cluster.submit("j1", make_job(StepSpec(400, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        for name in cluster.workers:
+            cluster.resize(name, QUARTER)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        await asyncio.sleep((CONTACT + BEAT).total_seconds() + longer)
+        cluster.heal()
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=120)
+
+    # A successor read the rooms as the store came back, and they seemed to be new.
+    @virtual
+    async def test_a_successor_dates_no_room_anew(self):
+        cluster = await self.begin(
+            workers=4, behave=lambda t, a: Work(timedelta(seconds=0.4))
+        )
+        await cluster.submit("j1", make_job(StepSpec(400, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        for name in cluster.workers:
+            cluster.resize(name, QUARTER)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        cluster.find_owner().kill()
+        await asyncio.sleep((CONTACT + BEAT).total_seconds())
+        cluster.heal()
+        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=120)
+        self.end()
+
+    # Nothing was started on any worker until the store had told of all.
+    @virtual
+    async def test_in_an_outage_work_goes_on_by_rooms_that_still_count(self):
+        cluster = await self.begin(
+            workers=2, behave=lambda t, a: Work(timedelta(seconds=0.4))
+        )
+        await cluster.submit("j1", make_job(StepSpec(200, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = True
+        await asyncio.sleep(CONTACT.total_seconds())
+        late = cluster.clock.monotonic() - timedelta(milliseconds=500)
+        starts = [row for row in cluster.list_starts("j1") if row[0] > late]
+        self.assertNotEqual(starts, [])
+        self.end()
+
     @virtual
     async def test_a_gang_starts_beside_a_worker_that_holds_more_than_it_may(self):
         cluster = await self.begin(
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -16,7 +16,7 @@
 from standins.faults import FaultKind
 from standins.loops import run_virtual
 from standins.pools import Work
-from tests.poolcluster import BEAT, SECOND, SIZE, TERMS, PoolCluster, make_queue
+from tests.poolcluster import SECOND, SIZE, TERMS, PoolCluster, make_queue
 
 # DAMASKDECK_CHAOS=FROM:TO plays other seeds.
 FIRST, _, LAST = os.environ.get("DAMASKDECK_CHAOS", "0:16").partition(":")
@@ -457,8 +457,7 @@
     worker = chaos.pick_worker()
     share = chaos.random.choice((0, 1, 2, 4)) / 4
     size = Size(*(int(amount * share) for amount in SIZE))
-    lag = chaos.random.random() * BEAT
-    chaos.cluster.resize(worker.info.identifier, size, lag)
+    chaos.cluster.resize(worker.info.identifier, size)
 
 
 class ShrinkingChaos(CrashingChaos):
--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -62,11 +62,11 @@
     @virtual
     async def test_what_ran_beside_it_is_completed(self):
         cluster = await self.begin(workers=3, behave=crash_under("bad"))
-        await cluster.submit("good", make_job(StepSpec(12, SMALL, SECOND)))
+        await cluster.submit("good", make_job(StepSpec(14, SMALL, SECOND)))
         await cluster.submit("bad", make_job())
         await cluster.wait_for_state("bad", QueuedState.FAILED, seconds=ENOUGH_SECONDS)
         await cluster.wait_for_state("good", QueuedState.COMPLETED)
-        self.assertGreater(len(cluster.list_starts("good")), 12)
+        self.assertGreater(len(cluster.list_starts("good")), 14)
         self.end()
 
     @virtual
--- a/tests/test_pools_workers.py
+++ b/tests/test_pools_workers.py
@@ -254,7 +254,7 @@
         cluster.workers["w0"].slowness = 8.0
         wide = StepSpec(8, SMALL, timedelta(seconds=9), spread=2)
         await cluster.submit("wide", make_job(wide))
-        await asyncio.sleep(2)
+        await asyncio.sleep(2.5)
         starts = len(cluster.workers["w0"].starts)
         await cluster.submit("late", make_job(StepSpec(4, SMALL, 2 * SECOND)))
         await asyncio.sleep(0.5)
