Call timeouts, suspects and unknown runs by the field's terms

Patience was a timeout, a blamed task a suspected one, a young worker one that warms up, strangers are runs that aren't known, strays workers of undeclared pools. The set-up of an outage in tests stands once.

--- a/src/damaskdeck/coordination/pools/ceilings.py
+++ b/src/damaskdeck/coordination/pools/ceilings.py
@@ -22,7 +22,7 @@
 )
 
 # A ceiling is raised to what is needed and this share of the quota: lower, and more
-# starts wait for a commit, some 10 ms; higher, and a successor fears more.
+# starts wait for a commit, some 10 ms; higher, and a successor has to reckon with more.
 HEADROOM_SHARE = 0.125
 # It is lowered when it is above what runs by more than this share of the quota, and
 # nothing has needed as much for so long: a gang that waits asks four times a second.
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -119,7 +119,7 @@
         self.last_order = LastOrder()
         self._failed_looks = 0
         self._known_at = clock.monotonic().total_seconds()
-        self.strangers: set[RunKey] = set()
+        self.unknown_runs: set[RunKey] = set()
         self.paused_until = 0.0
         self.looked_at = 0.0
         self._epoch = mandate.epoch
@@ -135,7 +135,7 @@
         self.leaves_at: float | None = None
         self._stops: set[asyncio.Task[None]] = set()
         # Set when something is in doubt that a look at the worker would settle.
-        self._hurry = asyncio.Event()
+        self._look_soon = asyncio.Event()
 
     def update(self, info: PoolWorker, told_at: float) -> None:
         """Take note of what the registry lists.
@@ -164,7 +164,7 @@
         most = join_sizes(self.most, size)
         if most != self.most:
             self.most = most
-            # A successor must fear what a larger room may hold before it is used.
+            # A successor must know what a larger room may hold before it is used.
             self.is_rostered = False
 
     def _now(self) -> float:
@@ -202,7 +202,7 @@
             and not self.is_gone
             and not self.is_cordoned
             and not self.info.is_leaving
-            and not self.strangers
+            and not self.unknown_runs
             and now >= self.paused_until
             and now < self._answer_due + self._delay.seconds
             and not self._is_slow_to_start(now)
@@ -233,7 +233,7 @@
         That is so when it was read under this epoch and all ends that it told are
         durable: what they end must not seem to be unknown to a successor.
         """
-        is_known_of = self._is_read and not self.strangers and not self.is_gone
+        is_known_of = self._is_read and not self.unknown_runs and not self.is_gone
         return is_known_of and self.observed == self.processed
 
     def cordon(self, is_silent: bool) -> None:
@@ -245,7 +245,7 @@
         """Let it have orders and leases again."""
         self.is_cordoned = False
         self._may_extend = True
-        self._hurry.set()
+        self._look_soon.set()
         self._owner.note_contact(self)
 
     def _is_slow_to_start(self, now: float) -> bool:
@@ -317,7 +317,7 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.DOUBTFUL
                 run.settled_at = now
-                self._hurry.set()
+                self._look_soon.set()
             self.paused_until = max(self.paused_until, now + DECLINE_PAUSE_SECONDS)
         else:
             if isinstance(answer, Declined):
@@ -361,7 +361,7 @@
             if run is not None and run.stopped_at is None:
                 run.stopped_at = now
                 if run.phase is RunPhase.DOUBTFUL:
-                    self._hurry.set()
+                    self._look_soon.set()
         elif isinstance(answer, Replaced):
             self._end_life()
         else:
@@ -374,7 +374,7 @@
         try:
             while not self.is_gone and (self.is_listed or self._has_duties()):
                 await self._look()
-            while self.runs or self.strangers:
+            while self.runs or self.unknown_runs:
                 await self._settle_end()
         finally:
             for sending in self._stops:
@@ -386,7 +386,7 @@
         One that was read runs what we know of, whatever its lease says: a worker
         that left empty must not hold up a successor, who can't ask it any more.
         """
-        if self.runs or self.strangers or self.observed < self.processed:
+        if self.runs or self.unknown_runs or self.observed < self.processed:
             return True
         return not self._is_read and not self._is_over
 
@@ -395,8 +395,8 @@
         deadline = self._find_deadline(sent)
         is_idle = deadline is None and not (self.is_known and self.is_cordoned)
         wait = timedelta() if is_idle else self._times.hold_wait
-        if self._hurry.is_set():
-            self._hurry.clear()
+        if self._look_soon.is_set():
+            self._look_soon.clear()
             wait = timedelta()
         self._answer_due = sent + wait.total_seconds() + LATENESS_SECONDS
         answer = await self._hold(deadline, wait)
@@ -430,12 +430,12 @@
         )
         if not wait:
             return await call
-        hurry = asyncio.ensure_future(self._hurry.wait())
+        soon = asyncio.ensure_future(self._look_soon.wait())
         try:
-            await asyncio.wait({call, hurry}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({call, soon}, return_when=asyncio.FIRST_COMPLETED)
             return call.result() if call.done() else None
         finally:
-            hurry.cancel()
+            soon.cancel()
             call.cancel()
 
     async def _take_contents(self, answer: Contents, sent: float, now: float) -> None:
@@ -493,7 +493,7 @@
         self.is_gone = True
         self.is_known = False
         self._gone_at = self._now()
-        self._hurry.set()
+        self._look_soon.set()
         self._owner.note_contact(self)
 
     async def _settle_end(self) -> None:
@@ -505,7 +505,7 @@
             await self._clock.sleep(SILENT_DELAY)
 
     def _drop_runs(self, reason: str) -> None:
-        self.strangers.clear()
+        self.unknown_runs.clear()
         lost = list(self.runs.values())
         for run in lost:
             tell_lost(self, run, reason)
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -2,7 +2,7 @@
 
 A worker that crashes lists no end of what it ran, so nothing but its going speaks
 against a task. What ran beside the guilty one is lost as well, and workers crash for
-their own reasons, too: so the blame goes to what a worker was last told to start, and
+their own reasons, too: so what a worker was last told to start is suspected, and
 only as long as it had hardly been heard since.
 """
 
@@ -22,9 +22,9 @@
 # next order to the same worker.
 AT_ONCE_SECONDS = 0.02
 # A worker that has only just come back may go again for its own reasons.
-YOUNG_SECONDS = 3.0
-# A task that was to blame so often is given up: it would take more workers down.
-MOST_BLAMED = 2
+WARM_UP_SECONDS = 3.0
+# A task that was suspected so often is given up: it would take more workers down.
+MOST_SUSPECTED = 2
 # So is one under which so many have crashed, whatever spoke against others: the users
 # allow two more starts then, and crashes may go unseen while nobody owns.
 MOST_CRASHES = 3
@@ -50,16 +50,16 @@
     """What speaks against a task.
 
     :param crashes: workers that have crashed under it.
-    :param blamed: those of them for which nothing else was as likely the cause.
+    :param suspected: those of them for which nothing else was as likely the cause.
     """
 
     crashes: int
-    blamed: int
+    suspected: int
 
     @property
     def is_enough(self) -> bool:
         """Whether the task is given up."""
-        return self.blamed >= MOST_BLAMED or self.crashes >= MOST_CRASHES
+        return self.suspected >= MOST_SUSPECTED or self.crashes >= MOST_CRASHES
 
 
 class Crashes:
@@ -73,15 +73,15 @@
 
         :param lost: runs that it had taken, or may have.
         """
-        taken = [run for run in lost if _may_be_to_blame(run)]
+        taken = [run for run in lost if _may_have_crashed(run)]
         if not taken or contact.is_leaving:
             return
-        blamed = _find_blamed(contact, taken)
+        suspected = _find_suspected(contact, taken)
         _log.warn(
             "A worker is gone with what it ran.",
             worker=contact.info.identifier,
             runs=len(taken),
-            blamed=sorted({run.task.name.job for run in blamed}),
+            suspected=sorted({run.task.name.job for run in suspected}),
         )
         for run in taken:
             step = run.task.step
@@ -89,7 +89,7 @@
                 step.forget_crashes(run.task)
                 self._owner.mark_dirty(step.job)
             else:
-                self._count(step, run.task, run.attempt, run in blamed)
+                self._count(step, run.task, run.attempt, run in suspected)
 
     def note_inherited(self, runs: Iterable[CordonedRun]) -> None:
         """Take note of what the owner before has written of a worker that is gone.
@@ -102,8 +102,8 @@
                 continue
             self._count(task.step, task, run.attempt, False)
 
-    def _count(self, step: Step, task: Task, attempt: int, is_blamed: bool) -> None:
-        step.note_crash(task, attempt, is_blamed)
+    def _count(self, step: Step, task: Task, attempt: int, is_suspected: bool) -> None:
+        step.note_crash(task, attempt, is_suspected)
         job = step.job
         self._owner.mark_dirty(job)
         count = CrashCount(*step.count_crashes(task))
@@ -113,18 +113,18 @@
             self._owner.end_job(job, QueuedState.FAILED, reason)
 
 
-def _may_be_to_blame(run: Run) -> bool:
+def _may_have_crashed(run: Run) -> bool:
     """Whether a worker may have begun a run of a task that is still wanted."""
     return run.phase is not RunPhase.ORDERED and not run.task.is_completed
 
 
-def _find_blamed(contact: WorkerContact, taken: list[Run]) -> list[Run]:
+def _find_suspected(contact: WorkerContact, taken: list[Run]) -> list[Run]:
     """Return the runs that a worker may have crashed under, and hardly others.
 
     Of what was ordered last; an owner can't tell when a run began that it found.
     """
     confirmed = [run for run in taken if run.phase is RunPhase.RUNNING]
-    if not confirmed or contact.age < YOUNG_SECONDS:
+    if not confirmed or contact.age < WARM_UP_SECONDS:
         return []
     last = max(run.ordered_at for run in confirmed)
     return [
--- a/src/damaskdeck/coordination/pools/desk.py
+++ b/src/damaskdeck/coordination/pools/desk.py
@@ -274,7 +274,7 @@
         self, identifier: str, caller: Caller
     ) -> Told | NoJob | Untold:
         """Store the wish to cancel, for the owner to find."""
-        until = self._now() + self._times.accept_patience.total_seconds()
+        until = self._now() + self._times.accept_timeout.total_seconds()
         key = JOBS + identifier
         while True:
             found = await self._store.read(key)
--- a/src/damaskdeck/coordination/pools/dispatching.py
+++ b/src/damaskdeck/coordination/pools/dispatching.py
@@ -39,7 +39,7 @@
 FULL_LOOK_SECONDS = 0.25
 # A step waits for the racks where it runs best for what it gains there, at most so
 # long: with room elsewhere nothing may wait for 3 s (the platform's rule).
-FAR_PATIENCE_SECONDS = 2.0
+FAR_WAIT_SECONDS = 2.0
 
 _log = get_logger("dispatching")
 
@@ -380,7 +380,7 @@
         """Whether a choosy step has waited long enough for its best racks."""
         gain = (self._times.far_factor - 1) * step.spec.estimate.total_seconds()
         since = step.pinched_at if step.pinched_at is not None else now
-        if now - since >= min(gain, FAR_PATIENCE_SECONDS):
+        if now - since >= min(gain, FAR_WAIT_SECONDS):
             return True
         listed = self._asker.list_possible(step, pool)
         workers = [worker for worker in listed if suits(step.spec, worker)]
--- a/src/damaskdeck/coordination/pools/health.py
+++ b/src/damaskdeck/coordination/pools/health.py
@@ -33,9 +33,9 @@
 # A commit is given up after so many times what the last ones took, within these
 # bounds: one that hangs is tried again at once when the store is back, and a store
 # that answers 60 times as slowly as its usual 4 ms is still waited for.
-PATIENCE_FACTOR = 4.0
-LEAST_PATIENCE = timedelta(milliseconds=300)
-LONGEST_PATIENCE = timedelta(milliseconds=1500)
+TIMEOUT_FACTOR = 4.0
+SHORTEST_TIMEOUT = timedelta(milliseconds=300)
+LONGEST_TIMEOUT = timedelta(milliseconds=1500)
 # A conditional read waits twice as long after each that was lost, so often.
 MOST_DOUBLINGS = 3
 # What is told of the silence of a store that has never answered.
@@ -71,10 +71,10 @@
         self._returned = asyncio.Event()
 
     @property
-    def patience(self) -> timedelta:
+    def commit_timeout(self) -> timedelta:
         """How long to wait for a commit before it is tried again."""
-        wanted = timedelta(seconds=PATIENCE_FACTOR * self._usual)
-        return min(max(wanted, LEAST_PATIENCE), LONGEST_PATIENCE)
+        wanted = timedelta(seconds=TIMEOUT_FACTOR * self._usual)
+        return min(max(wanted, SHORTEST_TIMEOUT), LONGEST_TIMEOUT)
 
     @property
     def entry_limit(self) -> int:
@@ -146,7 +146,7 @@
         A lost answer is soon noticed; one that only is late is waited for longer
         each time, and once it has begun for as long as it comes.
         """
-        within = min(self.patience * 2**self._lost_reads, LONGEST_PATIENCE)
+        within = min(self.commit_timeout * 2**self._lost_reads, LONGEST_TIMEOUT)
         done = await self._observe(self._store.read_changed(key, revision, within))
         lost = self._lost_reads + 1 if isinstance(done, Lost) else 0
         self._lost_reads = min(lost, MOST_DOUBLINGS)
@@ -163,7 +163,11 @@
         longest: int | None = None,
     ) -> CommitResult | TooLong:
         """Make changes that take effect together or not at all."""
-        limit = self.patience if timeout is None else min(timeout, self.patience)
+        limit = (
+            self.commit_timeout
+            if timeout is None
+            else min(timeout, self.commit_timeout)
+        )
         sent = self._now()
         done = await self._observe(self._store.commit(transaction, limit, longest))
         self._usual += LATEST_SHARE * (self._now() - sent - self._usual)
--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -69,7 +69,7 @@
         if end.number > contact.processed:
             contact.processed = end.number
             _take_end(contact, owner, end)
-    contact.strangers &= listed
+    contact.unknown_runs &= listed
     for key, run in list(contact.runs.items()):
         if key not in listed:
             _take_missing(contact, owner, run, sent)
@@ -83,7 +83,7 @@
     if run is None:
         run = owner.adopt(contact, row)
         if run is None:
-            contact.strangers.add(key)
+            contact.unknown_runs.add(key)
             contact.send_stop(row.task, row.attempt, None)
             return
         contact.add_run(run)
--- a/src/damaskdeck/coordination/pools/signs.py
+++ b/src/damaskdeck/coordination/pools/signs.py
@@ -101,7 +101,7 @@
         """Return the seconds since the last sign."""
         return self._now() - self._heard_at
 
-    def find_patience(self, doubted: int) -> float:
+    def find_timeout(self, doubted: int) -> float:
         """Return the seconds without a sign that tell of a loss.
 
         :param doubted: how many owners were deposed lately that are still alive.
--- a/src/damaskdeck/coordination/pools/storing.py
+++ b/src/damaskdeck/coordination/pools/storing.py
@@ -122,7 +122,7 @@
         The commit expects the document by which the call was judged, so a key that
         was taken away before hands nothing in, whatever this daemon believes.
         """
-        until = self._now() + self._times.accept_patience.total_seconds()
+        until = self._now() + self._times.accept_timeout.total_seconds()
         may_be_stored = False
         code = "store_failing"
         while not self._store.is_failing:
@@ -134,7 +134,7 @@
             sent, expected = self._now(), self._declarations.expected
             done = await self._store.commit(
                 self._build(record, expected),
-                self._times.accept_patience,
+                self._times.accept_timeout,
                 COMMIT_ANSWER_BYTES if expected else None,
             )
             if isinstance(done, Written):
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -54,7 +54,7 @@
     hold_wait: timedelta
     start_window: timedelta
     start_timeout: timedelta
-    accept_patience: timedelta
+    accept_timeout: timedelta
     unready_after: timedelta
     forget_after: timedelta
     linger: timedelta
@@ -97,7 +97,7 @@
         start_window=timedelta(milliseconds=1200),
         start_timeout=timedelta(milliseconds=600),
         # A store that answers a hundred times slower than usual is waited for.
-        accept_patience=timedelta(milliseconds=900),
+        accept_timeout=timedelta(milliseconds=900),
         # Callers are better off with daemons that the store answers.
         unready_after=timedelta(milliseconds=400),
         forget_after=bounds.status_kept * 1.5,
--- a/src/damaskdeck/coordination/pools/trust.py
+++ b/src/damaskdeck/coordination/pools/trust.py
@@ -27,7 +27,7 @@
 STILL_SECONDS = 0.9
 # What a task has gained is not given up before it has stood still for as long,
 # at most so long.
-PATIENCE_SECONDS = 3.0
+STANDSTILL_SECONDS = 3.0
 # Progress is a rough figure; from here on a run may have nothing left to do.
 DONE_PERCENT = 99
 # A worker on which everything stood still gets nothing for so long, then twice.
@@ -94,7 +94,7 @@
             count_retry("trust", "standing_still")
             _log.warn("Nothing moves on a worker.", worker=name, runs=len(runs))
         for run in runs:
-            if still >= min(measure_gain(run), PATIENCE_SECONDS):
+            if still >= min(measure_gain(run), STANDSTILL_SECONDS):
                 yield run
 
 
--- a/src/damaskdeck/coordination/pools/watching.py
+++ b/src/damaskdeck/coordination/pools/watching.py
@@ -8,7 +8,7 @@
 workers, and the successor of an owner that was only behind is behind as well. So late
 answers count, an owner that goes on storing what it does is alive, doubting costs the
 same number of messages however many daemons there are, and each owner that was deposed
-alive doubles the patience with the next.
+alive doubles the timeout with the next.
 """
 
 import asyncio
@@ -116,19 +116,19 @@
         owner = self._leadership.owner
         if owner is None or owner.epoch != self._signs.epoch:
             return False
-        lasts = max(self._find_patience(), HEARD_LASTS.total_seconds())
+        lasts = max(self._find_timeout(), HEARD_LASTS.total_seconds())
         is_refused = self._peers.is_refused(owner.instance)
         return not is_refused and self._signs.measure_silence() < lasts
 
-    def _find_patience(self) -> float:
+    def _find_timeout(self) -> float:
         alive = self._leadership.count_deposed(DEPOSED_LASTS)
-        return self._signs.find_patience(alive)
+        return self._signs.find_timeout(alive)
 
     def _is_silent(self, owner: str) -> bool:
         if self._peers.is_refused(owner):
             # Its process is gone: silence would tell no more.
             return True
-        return self._signs.measure_silence() >= self._find_patience()
+        return self._signs.measure_silence() >= self._find_timeout()
 
     def _is_watcher(self, owner: str) -> bool:
         others = [n for n in self._leadership.list_spread() if n != owner]
@@ -142,7 +142,7 @@
         if self._is_silent(owner.instance):
             if not await self._has_progressed():
                 await self._doubt(owner.instance, owner.epoch)
-        elif 2 * self._signs.measure_silence() < self._find_patience():
+        elif 2 * self._signs.measure_silence() < self._find_timeout():
             self._fence = 0
         elif not self._fence:
             self._fence = await self._leadership.find_fence()
@@ -211,10 +211,8 @@
     async def _ask_heard(self, name: str, epoch: int) -> bool | None:
         """Ask a daemon whether it hears the owner; ``None`` without an answer."""
         message: AskHeard = {"epoch": epoch}
-        patience = timedelta(seconds=self._find_patience())
-        reply = await self._peers.call(
-            name, message, AskHeard, patience + WITNESS_SLACK
-        )
+        timeout = timedelta(seconds=self._find_timeout())
+        reply = await self._peers.call(name, message, AskHeard, timeout + WITNESS_SLACK)
         return reply.message["hears"] if isinstance(reply, Answered) else None
 
     async def _call_heir(self, owner: str, epoch: int, absent: list[str]) -> None:
@@ -226,7 +224,7 @@
             absent=absent,
             heir=heir,
             silence=round(self._signs.measure_silence(), 3),
-            patience=round(self._find_patience(), 3),
+            timeout=round(self._find_timeout(), 3),
         )
         if heir != self._instance:
             message: StandFor = {"epoch": epoch, "absent": absent}
@@ -259,15 +257,15 @@
     async def _wait_for_sign(self, owner: OwnerRecord) -> bool:
         """Wait until the owner is heard, or for most of what is usual."""
         began = self._clock.monotonic()
-        patience = timedelta(seconds=WITNESS_SHARE * self._find_patience())
+        timeout = timedelta(seconds=WITNESS_SHARE * self._find_timeout())
         beats = set(self._beats)
         while beats and not self._peers.is_refused(owner.instance):
             spent = self._clock.monotonic() - began
             if self._signs.measure_silence() < spent.total_seconds():
                 return True
-            if spent >= patience:
+            if spent >= timeout:
                 return False
-            rest = asyncio.ensure_future(self._clock.sleep(patience - spent))
+            rest = asyncio.ensure_future(self._clock.sleep(timeout - spent))
             done, _ = await asyncio.wait(
                 {rest, *beats}, return_when=asyncio.FIRST_COMPLETED
             )
--- a/src/damaskdeck/coordination/pools/workforce.py
+++ b/src/damaskdeck/coordination/pools/workforce.py
@@ -124,8 +124,8 @@
         # With the availability zone of each, an empty string where it isn't known.
         self._unaccounted: dict[str, str] = {}
         self.cordons = Cordons(self.contacts, events.cordons)
-        # Registered for a pool that isn't declared: nobody's orders go there.
-        self._strays: dict[str, RegistryChange] = {}
+        # Registered for a pool that isn't declared yet: no orders go there.
+        self._undeclared: dict[str, RegistryChange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: asyncio.Future[None] | None = None
 
@@ -314,9 +314,9 @@
         told_at = self._parts.date(revision)
         contact = self.contacts.get(worker.identifier)
         if contact is None and not self._parts.knows_pool(worker.pool):
-            self._note_stray(worker, revision)
+            self._note_undeclared(worker, revision)
             return False
-        self._strays.pop(worker.identifier, None)
+        self._undeclared.pop(worker.identifier, None)
         if contact is None:
             self._add(worker).update(worker, told_at)
             self._events.roster()
@@ -348,23 +348,23 @@
                 _log.warn("Rooms are known again.")
         self._unsure = unsure
 
-    def _note_stray(self, worker: PoolWorker, revision: int) -> None:
-        if worker.identifier not in self._strays:
+    def _note_undeclared(self, worker: PoolWorker, revision: int) -> None:
+        if worker.identifier not in self._undeclared:
             _log.warn(
                 "A worker's pool isn't declared.",
                 code="unknown_pool",
                 worker=worker.identifier,
                 pool=worker.pool,
             )
-        self._strays[worker.identifier] = RegistryChange(
+        self._undeclared[worker.identifier] = RegistryChange(
             worker.identifier, worker, revision
         )
 
     async def _follow(self) -> None:
         registry = self._parts.registry
         while True:
-            for stray in list(self._strays.values()):
-                self._list(stray.worker, stray.revision)
+            for change in list(self._undeclared.values()):
+                self._list(change.worker, change.revision)
             answer = await registry.follow_workers(self._revision, WATCH_WAIT)
             if isinstance(answer, RegistryChanges):
                 self._revision = answer.revision
@@ -375,7 +375,7 @@
                     elif change.identifier in self.contacts:
                         self.contacts[change.identifier].is_listed = False
                     else:
-                        self._strays.pop(change.identifier, None)
+                        self._undeclared.pop(change.identifier, None)
                 if is_new:
                     # Heartbeats change a registration's time alone.
                     self._events.change()
@@ -388,8 +388,8 @@
         if isinstance(found, Registered):
             self._revision = found.revision
             present = {worker.identifier for worker in found.workers}
-            for gone in self._strays.keys() - present:
-                del self._strays[gone]
+            for gone in self._undeclared.keys() - present:
+                del self._undeclared[gone]
             for identifier, contact in self.contacts.items():
                 contact.is_listed = identifier in present
             self._list_all(found)
--- a/src/damaskdeck/state/board.py
+++ b/src/damaskdeck/state/board.py
@@ -168,14 +168,14 @@
     :ivar due_at: monotonic seconds when its occurrence was due, or its job came.
     :ivar failures: the attempts that failed, by index; :data:`GANG` for a gang.
     :ivar crashes: the attempts whose workers crashed, by index.
-    :ivar blamed: those of them that were the likely cause.
+    :ivar suspected: those of them that were the likely cause.
     :ivar pinched_at: since when it has had no room where it runs best, ``None``
         if it has.
     :ivar not_before: monotonic seconds; a gang that could not start waits so long.
     """
 
     __slots__ = (
-        "blamed",
+        "suspected",
         "completed",
         "crashes",
         "due_at",
@@ -203,7 +203,7 @@
         self.completed = 0
         self.failures: dict[int, set[int]] = {}
         self.crashes: dict[int, set[int]] = {}
-        self.blamed: dict[int, set[int]] = {}
+        self.suspected: dict[int, set[int]] = {}
         self.not_before = 0.0
         self.tasks = [
             Task(self, TaskName(job.identifier, occurrence, number, index))
@@ -253,7 +253,7 @@
         attempts.add(attempt)
         return len(attempts)
 
-    def note_crash(self, task: Task, attempt: int, is_blamed: bool) -> None:
+    def note_crash(self, task: Task, attempt: int, is_suspected: bool) -> None:
         """Take note of an attempt that was lost as its worker crashed.
 
         Of a gang only the members that ran there: others end with them, but crash
@@ -261,19 +261,19 @@
         """
         key = task.name.index
         self.crashes.setdefault(key, set()).add(attempt)
-        if is_blamed:
-            self.blamed.setdefault(key, set()).add(attempt)
+        if is_suspected:
+            self.suspected.setdefault(key, set()).add(attempt)
 
     def count_crashes(self, task: Task) -> tuple[int, int]:
-        """Return how many attempts crashed workers, and how many were blamed."""
+        """Return how many attempts crashed workers, and how many were suspected."""
         key = task.name.index
-        return len(self.crashes.get(key, ())), len(self.blamed.get(key, ()))
+        return len(self.crashes.get(key, ())), len(self.suspected.get(key, ()))
 
     def forget_crashes(self, task: Task) -> None:
         """Hold nothing against a task that has been at work."""
         key = task.name.index
         self.crashes.pop(key, None)
-        self.blamed.pop(key, None)
+        self.suspected.pop(key, None)
 
     def keep_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Remember a checkpoint; any member's is valid for its gang."""
@@ -299,7 +299,7 @@
             failures,
             checkpoints,
             _freeze(self.crashes),
-            _freeze(self.blamed),
+            _freeze(self.suspected),
         )
 
     def restore(self, progress: StepProgress) -> None:
@@ -310,7 +310,7 @@
                 self.completed += 1
         self.failures = _thaw(progress.failures)
         self.crashes = _thaw(progress.crashes)
-        self.blamed = _thaw(progress.blamed)
+        self.suspected = _thaw(progress.suspected)
         for index, checkpoint in progress.checkpoints.items():
             self.tasks[index].checkpoint = checkpoint
 
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -141,7 +141,7 @@
     :param failures: the attempts that have failed, by index; -1 is the gang.
     :param checkpoints: by index.
     :param crashes: the attempts whose workers crashed, by index.
-    :param blamed: those of them that were the likely cause.
+    :param suspected: those of them that were the likely cause.
     """
 
     occurrence: int
@@ -150,7 +150,7 @@
     failures: dict[int, tuple[int, ...]] = {}
     checkpoints: dict[int, str] = {}
     crashes: dict[int, tuple[int, ...]] = {}
-    blamed: dict[int, tuple[int, ...]] = {}
+    suspected: dict[int, tuple[int, ...]] = {}
 
 
 class ProgressRecord(NamedTuple):
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -570,6 +570,11 @@
                 if (other in inside) != is_inside:
                     self.switch.cut_both(daemon.name, other)
 
+    def begin_outage(self) -> None:
+        """Let the store answer nobody, until :meth:`heal`."""
+        for daemon in self.daemons.values():
+            daemon.store.faults.outage = True
+
     def heal(self) -> None:
         """End all cuts."""
         self.switch.heal_all()
--- a/tests/test_pools_capacity.py
+++ b/tests/test_pools_capacity.py
@@ -53,8 +53,7 @@
         )
         await cluster.submit("j1", make_job(StepSpec(60, SMALL, SECOND)))
         await asyncio.sleep(0.5)
-        for daemon in cluster.daemons.values():
-            daemon.store.faults.outage = True
+        cluster.begin_outage()
         for worker in ("w0", "w1"):
             cluster.resize(worker, QUARTER)
         await asyncio.sleep(9)
@@ -69,24 +68,16 @@
             await self.shrink_in_an_outage(longer)
             self.end()
 
-    async def shrink_in_an_outage(self, longer: float) -> None:
-        """Let the store be away until shrunken rooms count, and some seconds longer."""
-        cluster = await self.begin(
-            workers=4, behave=lambda t, a: Work(timedelta(seconds=0.4))
-        )
-        await cluster.submit("j1", make_job(StepSpec(400, SMALL, SECOND)))
-        await asyncio.sleep(0.5)
-        for name in cluster.workers:
-            cluster.resize(name, QUARTER)
-        for daemon in cluster.daemons.values():
-            daemon.store.faults.outage = True
-        await asyncio.sleep((CONTACT + BEAT).total_seconds() + longer)
-        cluster.heal()
-        await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=120)
-
     # A successor read the rooms as the store came back, and they seemed to be new.
     @virtual
     async def test_a_successor_dates_no_room_anew(self):
+        await self.shrink_in_an_outage(0.0, is_owner_killed=True)
+        self.end()
+
+    async def shrink_in_an_outage(
+        self, longer: float, is_owner_killed: bool = False
+    ) -> None:
+        """Let the store be away until shrunken rooms count, and some seconds longer."""
         cluster = await self.begin(
             workers=4, behave=lambda t, a: Work(timedelta(seconds=0.4))
         )
@@ -94,13 +85,12 @@
         await asyncio.sleep(0.5)
         for name in cluster.workers:
             cluster.resize(name, QUARTER)
-        for daemon in cluster.daemons.values():
-            daemon.store.faults.outage = True
-        cluster.find_owner().kill()
-        await asyncio.sleep((CONTACT + BEAT).total_seconds())
+        cluster.begin_outage()
+        if is_owner_killed:
+            cluster.find_owner().kill()
+        await asyncio.sleep((CONTACT + BEAT).total_seconds() + longer)
         cluster.heal()
         await cluster.wait_for_state("j1", QueuedState.COMPLETED, seconds=120)
-        self.end()
 
     # Nothing was started on any worker until the store had told of all.
     @virtual
@@ -110,8 +100,7 @@
         )
         await cluster.submit("j1", make_job(StepSpec(200, SMALL, SECOND)))
         await asyncio.sleep(0.5)
-        for daemon in cluster.daemons.values():
-            daemon.store.faults.outage = True
+        cluster.begin_outage()
         await asyncio.sleep(CONTACT.total_seconds())
         late = cluster.clock.monotonic() - timedelta(milliseconds=500)
         starts = [row for row in cluster.list_starts("j1") if row[0] > late]
@@ -145,8 +134,7 @@
         spec = StepSpec(1, SMALL, 30 * SECOND, is_speculative=True)
         await cluster.submit("j1", make_job(spec))
         await cluster.wait(lambda: cluster.find_host("j1") is not None)
-        for daemon in cluster.daemons.values():
-            daemon.store.faults.outage = True
+        cluster.begin_outage()
         await asyncio.sleep(cluster.times.tenure.total_seconds() - 0.5)
         host = cluster.find_host("j1").info.identifier
         cluster.find_owner().workers.cut_off.add(host)
--- a/tests/test_pools_overload.py
+++ b/tests/test_pools_overload.py
@@ -156,25 +156,25 @@
 
     def test_a_prompt_owner_is_missed_soon(self):
         self.answer(timedelta(milliseconds=4))
-        self.assertEqual(self.signs.find_patience(0), LEAST_SILENCE.total_seconds())
+        self.assertEqual(self.signs.find_timeout(0), LEAST_SILENCE.total_seconds())
 
     def test_a_successor_is_left_alone_until_it_has_answered(self):
         self.answer(timedelta(milliseconds=4))
         self.signs.follow(2)
-        self.assertEqual(self.signs.find_patience(0), FIRST_SILENCE.total_seconds())
+        self.assertEqual(self.signs.find_timeout(0), FIRST_SILENCE.total_seconds())
         self.clock.move(FIRST_SILENCE)
-        self.assertEqual(self.signs.find_patience(0), LEAST_SILENCE.total_seconds())
+        self.assertEqual(self.signs.find_timeout(0), LEAST_SILENCE.total_seconds())
 
     def test_a_slow_owner_is_waited_for_as_long_as_it_usually_takes(self):
         self.answer(timedelta(milliseconds=800))
-        self.assertGreater(self.signs.find_patience(0), 0.8)
+        self.assertGreater(self.signs.find_timeout(0), 0.8)
 
     def test_each_owner_that_was_deposed_alive_doubles_the_patience(self):
         self.answer(timedelta(milliseconds=4))
         least = LEAST_SILENCE.total_seconds()
-        self.assertEqual(self.signs.find_patience(2), 4 * least)
+        self.assertEqual(self.signs.find_timeout(2), 4 * least)
         longest = LONGEST_SILENCE.total_seconds()
-        self.assertEqual(self.signs.find_patience(9), longest)
+        self.assertEqual(self.signs.find_timeout(9), longest)
 
     def test_what_the_owner_stores_is_a_sign_for_a_while(self):
         self.clock.move(SECOND)
--- a/tests/test_pools_store.py
+++ b/tests/test_pools_store.py
@@ -10,8 +10,8 @@
 from datetime import timedelta
 
 from damaskdeck.coordination.pools.health import (
-    LEAST_PATIENCE,
-    LONGEST_PATIENCE,
+    LONGEST_TIMEOUT,
+    SHORTEST_TIMEOUT,
     HealthyStore,
 )
 from damaskdeck.protocol.ports import Events, Lost, Rejected, Written
@@ -69,15 +69,15 @@
     @virtual
     async def test_a_commit_that_hangs_is_given_up_soon(self):
         await self.store.commit(Transaction())
-        self.assertEqual(self.store.patience, LEAST_PATIENCE)
+        self.assertEqual(self.store.commit_timeout, SHORTEST_TIMEOUT)
 
     @virtual
     async def test_a_slow_store_is_waited_for_longer(self):
         self.script.delay = 240 * MILLISECOND
         for _ in range(8):
             self.assertIsInstance(await self.store.commit(Transaction()), Written)
-        self.assertGreater(self.store.patience, 3 * self.script.delay)
-        self.assertLessEqual(self.store.patience, LONGEST_PATIENCE)
+        self.assertGreater(self.store.commit_timeout, 3 * self.script.delay)
+        self.assertLessEqual(self.store.commit_timeout, LONGEST_TIMEOUT)
 
     @virtual
     async def test_a_store_that_turns_very_slow_is_reached_all_the_same(self):
