Say plainly how calls are held to a document, and let the bench of passes run

Docstrings, one expression of a timeout; benchmarks/passes.py called a method that had moved before and left workers' rooms unsure.

--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -140,7 +140,8 @@
         info, mandate, owner, _Workers(), None, clock, times, float("-inf"), LoopDelay()
     )
     contact.is_known = contact.is_rostered = True
-    contact._note_clock(timedelta(), owner.now())
+    contact.room_told_at = float("inf")
+    contact._lease.note_clock(timedelta(), owner.now())
     owner.contacts[info.identifier] = contact
     return contact
 
--- a/src/damaskdeck/coordination/pools/admitting.py
+++ b/src/damaskdeck/coordination/pools/admitting.py
@@ -26,9 +26,10 @@
 class Admission:
     """Judges calls by the document in force here.
 
-    While the store answers, that may not have been replaced for longer than the
-    bound. Keys are judged by no older one, cut off from the store or not: what was
-    sent later than their bound after a key was taken away is served by nobody.
+    While the store answers, a call is judged by no document that may have been
+    replaced for longer than the bound. Keys have a bound that holds for daemons that
+    are cut off from the store, too: what was sent later than that after a key was
+    taken away is served by nobody.
     """
 
     def __init__(self, declarations: Declarations) -> None:
--- a/src/damaskdeck/coordination/pools/declarations.py
+++ b/src/damaskdeck/coordination/pools/declarations.py
@@ -38,8 +38,10 @@
 
     A document is sure to have been the newest when a question to the store was sent
     whose answer shows its revision. What a watch doesn't tell proves nothing: it may
-    hear nothing while changes are made. It is read by one call at a time, and only
-    when it has changed: copies of a wide one would fill a narrow link for each other.
+    hear nothing while changes are made.
+
+    The document is read by one call at a time, and only when it has changed: copies
+    of a wide one would share a narrow link, and come too late together.
 
     :param keys_sure: how old a confirmation may be for keys to be judged; ``None``
         where nothing depends on it.
@@ -177,8 +179,8 @@
                 revision = answer.revision if self.table is not None else 0
             elif isinstance(answer, TooOld | TooLong):
                 revision = 0
-            is_told = isinstance(answer, TooLong)
-            if not is_told and not (isinstance(answer, Declared) and revision):
+            is_followed = isinstance(answer, Declared) and revision
+            if not is_followed and not isinstance(answer, TooLong):
                 await self._clock.sleep(RETRY_DELAY)
 
     async def _keep_sure(self, limit: timedelta) -> None:
--- a/src/damaskdeck/coordination/pools/health.py
+++ b/src/damaskdeck/coordination/pools/health.py
@@ -36,7 +36,7 @@
 TIMEOUT_FACTOR = 4.0
 SHORTEST_TIMEOUT = timedelta(milliseconds=300)
 LONGEST_TIMEOUT = timedelta(milliseconds=1500)
-# A conditional read waits twice as long after each that was lost, so often.
+# The wait for a conditional read is doubled after each that was lost, so often.
 MOST_DOUBLINGS = 3
 # What is told of the silence of a store that has never answered.
 SILENCE_LIMIT_SECONDS = 1e6
@@ -143,8 +143,8 @@
     ) -> Found | Missing | Unchanged | Rejected | Lost:
         """Read one key unless ``revision`` still is its last.
 
-        A lost answer is soon noticed; one that only is late is waited for longer
-        each time, and once it has begun for as long as it comes.
+        A lost answer is soon noticed. A late one is waited for twice as long each
+        time, and one that has begun for as long as it comes.
         """
         within = min(self.commit_timeout * 2**self._lost_reads, LONGEST_TIMEOUT)
         done = await self._observe(self._store.read_changed(key, revision, within))
@@ -163,11 +163,7 @@
         longest: int | None = None,
     ) -> CommitResult | TooLong:
         """Make changes that take effect together or not at all."""
-        limit = (
-            self.commit_timeout
-            if timeout is None
-            else min(timeout, self.commit_timeout)
-        )
+        limit = min(timeout or LONGEST_TIMEOUT, self.commit_timeout)
         sent = self._now()
         done = await self._observe(self._store.commit(transaction, limit, longest))
         self._usual += LATEST_SHARE * (self._now() - sent - self._usual)
