Test conditional reads and answers left unread on the platform's wire

Over real sockets: a value is read only when it has changed, a call that no answer begins to is given up in time, and a watch and a refused commit leave an answer beyond their limit unread, with nothing written.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -55,7 +55,14 @@
 )
 from damaskdeck.protocol.queues import StepSpec, TaskName
 from damaskdeck.protocol.sizes import Size
-from damaskdeck.protocol.transactions import Mismatch, Page, Transaction, Write
+from damaskdeck.protocol.transactions import (
+    Mismatch,
+    Page,
+    TooLong,
+    Transaction,
+    Unchanged,
+    Write,
+)
 from standins.faults import FaultKind
 from standins.nodes import NodeProcess
 from standins.pools import Work
@@ -159,6 +166,33 @@
         self.assertGreater(whole, 8 * SECOND)
         self.assertLess(silence, 2 * SECOND)
 
+    async def test_a_value_is_read_only_when_it_has_changed(self):
+        self.assertEqual(await self.store.read_changed("v", 7), Missing(0))
+        self.platform.store.store.set("v", b"1")
+        found = await self.store.read_changed("v", 0)
+        self.assertEqual(found.entry.value, b"1")
+        revision = self.platform.store.store.revision
+        again = await self.store.read_changed("v", found.entry.revision)
+        self.assertEqual(again, Unchanged(revision))
+        self.assertEqual(self.platform.store.store.revision, revision)
+
+    async def test_a_call_that_no_answer_begins_to_is_given_up_in_time(self):
+        self.platform.store.faults.pause()
+        lost = await self.store.read_changed("v", 7, SECOND / 10)
+        self.assertEqual(lost, Lost("timeout"))
+        self.platform.store.faults.resume()
+
+    async def test_an_answer_that_is_too_long_is_left_unread(self):
+        store = self.platform.store.store
+        store.set("w/wide", b"x" * 9000)
+        watched = await self.store.watch("w/", store.revision - 1, SECOND, 9000)
+        self.assertIsInstance(watched, TooLong)
+        transaction = Transaction((("w/wide", 1),), (Write("w/other", b"1"),))
+        refused = await self.store.commit(transaction, longest=9000)
+        self.assertIsInstance(refused, TooLong)
+        self.assertIsInstance(await self.store.read("w/other"), Missing)
+        self.assertIsInstance(await self.store.commit(transaction), Mismatch)
+
     async def test_pages_follow_each_other(self):
         for number in range(501):
             self.platform.store.store.set(f"p/{number:04}", b"x")
