--- a/src/standins/poolstore.py
+++ b/src/standins/poolstore.py
@@ -156,10 +156,12 @@
             if found or left <= timedelta():
                 return Events(found, self.revision)
             changed = asyncio.ensure_future(self._changed.wait())
-            await asyncio.wait(
-                {changed}, timeout=min(left, LEASE_SWEEP).total_seconds()
-            )
-            changed.cancel()
+            try:
+                await asyncio.wait(
+                    {changed}, timeout=min(left, LEASE_SWEEP).total_seconds()
+                )
+            finally:
+                changed.cancel()
 
 
 class PoolStoreClient:
