--- a/tests/test_wide_documents.py
+++ b/tests/test_wide_documents.py
@@ -34,6 +34,8 @@
 # What a daemon may receive for control, bytes a second.
 CONTROL_RATE = 23_000.0
 FEW, MANY = 45, 2845
+# Makes a document as wide as a value of the store may be, a megabyte.
+MOST = 4080
 HOST = "a.example"
 DOCUMENT = "op/config"
 
@@ -174,6 +176,16 @@
         self.assertEqual(daemon.version, 2)
         self.end()
 
+    @virtual
+    async def test_the_widest_document_there_may_be_is_in_force_within_the_bound(self):
+        daemon = await self.begin(FEW)
+        self.start_callers(daemon)
+        self.assertGreater(len(build_document(2, MOST)), 1_000_000)
+        daemon.write(2, MOST)
+        await asyncio.sleep(BOUNDS.in_force.total_seconds())
+        self.assertEqual(daemon.version, 2)
+        self.end()
+
     # The same for a small change of a document that is wide already.
     @virtual
     async def test_a_change_of_a_wide_document_is_in_force_within_the_bound(self):
