--- a/tests/test_pools_capacity.py
+++ b/tests/test_pools_capacity.py
@@ -13,6 +13,7 @@
     SIZE,
     SMALL,
     PoolCase,
+    PoolCluster,
     make_job,
 )
 from tests.virtual import virtual
@@ -23,6 +24,15 @@
 class TestShrinking(PoolCase):
     """Nothing starts beyond a room that has shrunk."""
 
+    async def begin_work(self, workers: int, tasks: int, seconds: float) -> PoolCluster:
+        """Start a cluster that is busy with one wide step."""
+        cluster = await self.begin(
+            workers=workers, behave=lambda t, a: Work(timedelta(seconds=seconds))
+        )
+        await cluster.submit("j1", make_job(StepSpec(tasks, SMALL, SECOND)))
+        await asyncio.sleep(0.5)
+        return cluster
+
     @virtual
     async def test_a_worker_that_has_shrunk_gets_what_it_can_hold(self):
         cluster = await self.begin(workers=1)
@@ -48,11 +58,7 @@
 
     @virtual
     async def test_nothing_is_started_by_a_room_that_may_have_shrunk_long_ago(self):
-        cluster = await self.begin(
-            workers=2, behave=lambda t, a: Work(timedelta(seconds=0.9))
-        )
-        await cluster.submit("j1", make_job(StepSpec(60, SMALL, SECOND)))
-        await asyncio.sleep(0.5)
+        cluster = await self.begin_work(workers=2, tasks=60, seconds=0.9)
         cluster.begin_outage()
         for worker in ("w0", "w1"):
             cluster.resize(worker, QUARTER)
@@ -78,11 +84,7 @@
         self, longer: float, is_owner_killed: bool = False
     ) -> None:
         """Let the store be away until shrunken rooms count, and some seconds longer."""
-        cluster = await self.begin(
-            workers=4, behave=lambda t, a: Work(timedelta(seconds=0.4))
-        )
-        await cluster.submit("j1", make_job(StepSpec(400, SMALL, SECOND)))
-        await asyncio.sleep(0.5)
+        cluster = await self.begin_work(workers=4, tasks=400, seconds=0.4)
         for name in cluster.workers:
             cluster.resize(name, QUARTER)
         cluster.begin_outage()
@@ -95,11 +97,7 @@
     # Nothing was started on any worker until the store had told of all.
     @virtual
     async def test_in_an_outage_work_goes_on_by_rooms_that_still_count(self):
-        cluster = await self.begin(
-            workers=2, behave=lambda t, a: Work(timedelta(seconds=0.4))
-        )
-        await cluster.submit("j1", make_job(StepSpec(200, SMALL, SECOND)))
-        await asyncio.sleep(0.5)
+        cluster = await self.begin_work(workers=2, tasks=200, seconds=0.4)
         cluster.begin_outage()
         await asyncio.sleep(CONTACT.total_seconds())
         late = cluster.clock.monotonic() - timedelta(milliseconds=500)
