Count registrations as signs of life of a worker that crashed

Cause: a run is suspected if its worker was hardly seen after the order, and only answers to the owner's polls were seen. The worker was cut off from the owner 0.919 s after the order, the run ended unseen, and 3.24 s after the order the worker crashed for a reason of its own; with one unrelated crash that made two suspicions. Change: the registration counts as a sign of life; the limit of 1 s is unchanged, and the loss still counts as one of three crashes. Why it holds: a worker that registered later than the limit can't have crashed at the start.

--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -147,6 +147,9 @@
 
 
 def _measure_time_seen(contact: WorkerContact, run: Run) -> float:
-    """Return the seconds from a run's order until its worker was last seen."""
-    last_seen_at = max(contact.polled_at, run.settled_at)
+    """Return the seconds from a run's order until its worker was last seen.
+
+    A worker that is cut off from its owner may still renew its registration.
+    """
+    last_seen_at = max(contact.polled_at, run.settled_at, contact.capacity_reported_at)
     return last_seen_at - run.ordered_at
--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -131,5 +131,6 @@
         reason=reason,
         phase=run.phase.name.lower(),
         heard_after=round(contact.polled_at - run.ordered_at, 3),
+        registered_after=round(contact.capacity_reported_at - run.ordered_at, 3),
     )
     count_retry("contacts", reason)
--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from damaskdeck.coordination.pools.crashes import MAX_CRASHES
+from damaskdeck.coordination.pools.crashes import MAX_CRASHES, WARM_UP_SECONDS
 from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
 from standins.pools import StandinRegistry, Work
 from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
@@ -139,6 +139,25 @@
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
         self.end()
 
+    # A job failed although its first run had ended, unseen, before its worker crashed.
+    @virtual
+    async def test_a_worker_that_registers_while_silent_did_not_crash_at_the_start(
+        self,
+    ):
+        cluster = await self.begin(workers=3, behave=run_for(SECOND / 2))
+        await asyncio.sleep(WARM_UP_SECONDS)
+        await cluster.submit("j1", make_job())
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        silent = cluster.find_host("j1")
+        for daemon in cluster.daemons.values():
+            daemon.workers.cut_off.add(silent.info.identifier)
+        await asyncio.sleep(3)
+        cluster.crash(silent)
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        cluster.crash(cluster.find_host("j1"))
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
     @virtual
     async def test_workers_that_have_left_do_not_count_as_crashed(self):
         cluster = await self.begin(workers=1, behave=run_for(5 * SECOND))
