Bind starts to the incarnation of the worker that they were decided on

Cause: the epoch fences a deposed owner only on a worker that remembers it. The worker was taken over and then restarted; the deposed owner filled it under epoch 1, and the present owner filled it again under epoch 2 by an inventory of the former incarnation. The taken-over ledger has no part in it. Evidence: a trace of every call to the workers with its epoch. Change: workers name their incarnation in each inventory and refuse a start for another one; an owner orders for the incarnation whose whole inventory it has read, reads again when it changes, releases its holds there first, and gives up starts that were sent to the former one. Why it holds: reading the present inventory fences the older owner, and a start is valid only where that was read. A restart between is no longer guessed from a lower sequence number. The stand-in worker and the port carry the incarnation; an empty one is accepted, as from an older daemon.

--- a/src/damaskdeck/coordination/places/allocator.py
+++ b/src/damaskdeck/coordination/places/allocator.py
@@ -145,6 +145,12 @@
             self._gang_reservations.release(task)
         self._release_hold(task)
 
+    def release_holds(self, worker: str) -> None:
+        """Release all holds on a worker, which has forgotten what it ran."""
+        account = self._accounts.workers.get(worker)
+        for task in list(account.reservations) if account is not None else ():
+            self._release_hold(task)
+
     def _release_hold(self, task: str) -> None:
         reservation = self._accounts.find(task)
         if reservation is not None and reservation.deadline is not None:
--- a/src/damaskdeck/coordination/workers/orders.py
+++ b/src/damaskdeck/coordination/workers/orders.py
@@ -30,6 +30,7 @@
     port: WorkerPort
     worker: Instance
     epoch: int
+    incarnation: str
     is_unconfirmed: bool
 
     def may_act(self) -> bool:
@@ -79,9 +80,9 @@
         if start is None or not start.get("idempotent"):
             self._roster.set_state(hosted, "lost", code="start_lost")
             return
-        hosted = hosted._replace(is_retry=True)
-        self._roster.mark_sent(hosted)
-        self._queue.put_nowait(lambda: self._send_start(hosted))
+        retried = hosted._replace(is_retry=True)
+        sent = self._roster.mark_sent(retried, self._session.incarnation)
+        self._queue.put_nowait(lambda: self._send_start(sent))
 
     def preempt(self, task: str, checkpoint: bool, cause: str = "preempted") -> None:
         """Stop a running task, or checkpoint it, to free capacity for others."""
@@ -127,14 +128,13 @@
             code = "unreachable" if session.is_unconfirmed else "owner_changed"
             self._roster.set_state(hosted, "unstarted", code=code)
             return
-        self._roster.mark_sent(hosted)
-        await self._send_start(hosted)
+        await self._send_start(self._roster.mark_sent(hosted, session.incarnation))
 
     async def _send_start(self, hosted: HostedTask) -> None:
         session = self._session
         answer: Accepted | Rejected | Lost = Lost("owner_changed")
         if session.may_act():
-            order = self._make_order(hosted.start)
+            order = self._make_order(hosted)
             answer = await session.port.start(session.worker, session.epoch, order)
         hosted = self._roster.find(hosted.task, hosted.attempt)
         if hosted is None or hosted.state != "unsure":
@@ -186,7 +186,8 @@
         if names and session.may_act():
             await session.port.acknowledge(session.worker, session.epoch, names)
 
-    def _make_order(self, start: TaskToStart) -> StartOrder:
+    def _make_order(self, hosted: HostedTask) -> StartOrder:
+        start = hosted.start
         reservation = self._session.accounts.find(start["task"])
         return StartOrder(
             start["task"],
@@ -195,4 +196,5 @@
             self._lease,
             start["payload"],
             start.get("resume", ""),
+            hosted.incarnation,
         )
--- a/src/damaskdeck/coordination/workers/rosters.py
+++ b/src/damaskdeck/coordination/workers/rosters.py
@@ -34,6 +34,7 @@
     :param start: the order by which it was started; ``None`` if by another owner.
     :param is_retry: whether an earlier start of this attempt may still arrive.
     :param cause: why its owner stops it, such as ``preempted``.
+    :param incarnation: the worker's incarnation to which its start was sent.
     """
 
     task: str
@@ -44,6 +45,7 @@
     start: TaskToStart | None = None
     is_retry: bool = False
     cause: str = ""
+    incarnation: str = ""
 
 
 class Roster:
@@ -92,10 +94,16 @@
         hosted = HostedTask(name, start["attempt"], "starting", now, now, start)
         self.tasks[name] = hosted
 
-    def mark_sent(self, hosted: HostedTask) -> None:
-        """Record that a start was sent; it may take effect at any time."""
-        sent = hosted._replace(state="unsure", expected_from=timedelta.max)
+    def mark_sent(self, hosted: HostedTask, incarnation: str) -> HostedTask:
+        """Record that a start is sent; it may take effect at any time.
+
+        :param incarnation: the incarnation of the worker that the start is meant for.
+        """
+        sent = hosted._replace(
+            state="unsure", expected_from=timedelta.max, incarnation=incarnation
+        )
         self.tasks[hosted.task] = sent
+        return sent
 
     def mark_unconfirmed(self, hosted: HostedTask) -> None:
         """Let the next inventory decide about a start whose answer was lost."""
--- a/src/damaskdeck/coordination/workers/sessions.py
+++ b/src/damaskdeck/coordination/workers/sessions.py
@@ -46,6 +46,7 @@
     :param allocator: is notified of ends and usage.
     :param grace: how long to wait before the first placement, for workers that
         don't check epochs.
+    :ivar incarnation: the worker's incarnation, as of the last full inventory.
     :ivar inventory_sent_at: monotonic time at which the last full inventory that
         arrived was requested.
     :ivar takeover_bound: how long leases of earlier owners may last.
@@ -81,6 +82,7 @@
         self._grace = grace
         self._lease = lease
         self._renewal = renewal
+        self.incarnation = ""
         self.takeover_bound = compute_takeover_bound(lease)
         self._gained_at = clock.monotonic()
         self.inventory_sent_at = timedelta.min
@@ -102,11 +104,11 @@
         """The attempts on this worker, by task."""
         return self.roster.tasks
 
-    def reject_unsent_starts(self) -> None:
+    def reject_unsent_starts(self, code: str = "owner_changed") -> None:
         """Report starts that were not sent as unstarted, as they never will be."""
         for hosted in self.roster.list_open():
             if hosted.state == "starting":
-                self.roster.set_state(hosted, "unstarted", code="owner_changed")
+                self.roster.set_state(hosted, "unstarted", code=code)
 
     async def report_lost_tasks(self) -> None:
         """Report each task of a removed worker as lost once its lease has expired."""
@@ -189,18 +191,39 @@
             count_retry("workers", found.code)
             self.handle_rejection(found.code)
             return False
-        if found.sequence < self._sequence:
-            self.set_unconfirmed(True)
+        if found.incarnation != self.incarnation:
+            if not is_whole:
+                # The changes since the last inventory of another incarnation are not
+                # all that the worker runs.
+                self.set_unconfirmed(True)
+                return False
+            self._begin_incarnation(found.incarnation)
         self._sequence = found.sequence
         self._handle_pressure(found.usage)
-        for report in found.tasks:
-            self.roster.merge_report(report)
         if is_whole:
+            # What is gone must release its capacity before other tasks are adopted.
             present = {report.task for report in found.tasks}
             for hosted in self.roster.list_missing(present, sent_at):
                 self._resolve_missing(hosted)
+        for report in found.tasks:
+            self.roster.merge_report(report)
         return True
 
+    def _begin_incarnation(self, incarnation: str) -> None:
+        """Give up the capacity that was granted on an earlier incarnation."""
+        if self.incarnation:
+            _log.warn(
+                "A worker has restarted.",
+                worker=self.worker.name,
+                epoch=self.epoch,
+                incarnation=incarnation,
+                former=self.incarnation,
+                tasks=len(self.roster.list_open()),
+            )
+            self.reject_unsent_starts("stale_incarnation")
+            self._allocator.release_holds(self.worker.name)
+        self.incarnation = incarnation
+
     def _handle_pressure(self, usage: tuple[Usage, ...]) -> None:
         """Throttle or stop tasks of a worker whose usage approaches its size."""
         tasks = self.roster.tasks
@@ -218,14 +241,18 @@
         """Handle an attempt that the worker doesn't list, as after a restart."""
         if hosted.state == "running":
             self.roster.set_state(hosted, "lost", code="worker_restarted")
+        elif hosted.state == "unsure" and hosted.incarnation != self.incarnation:
+            self.roster.set_state(hosted, "lost", code="start_lost")
         elif hosted.state == "unsure":
             self.orders.retry_start(hosted)
 
     def handle_rejection(self, code: str) -> None:
-        """Place no more tasks on a worker that has seen a newer owner."""
+        """Place no more tasks on a worker that has restarted or seen a newer owner."""
         if code == "stale_epoch":
             self._is_deposed = True
             self.accounts.close_worker(self.worker.name, code)
+        elif code == "stale_incarnation":
+            self.set_unconfirmed(True)
 
     def set_unconfirmed(self, is_unconfirmed: bool) -> None:
         """Close the worker while its state is unconfirmed, and request inventories."""
--- a/src/damaskdeck/protocol/ports.py
+++ b/src/damaskdeck/protocol/ports.py
@@ -249,6 +249,8 @@
     :param lease: the worker stops the task when the lease isn't renewed for this
         time.
     :param checkpoint: reference to resume from, or an empty string.
+    :param incarnation: the incarnation of the worker that the order is meant for, an
+        empty string if that is not known.
     """
 
     task: str
@@ -257,6 +259,7 @@
     lease: timedelta
     payload: bytes = b""
     checkpoint: str = ""
+    incarnation: str = ""
 
 
 class TaskReport(NamedTuple):
@@ -295,11 +298,14 @@
     """All tasks that a worker knows; ended ones are listed until acknowledged.
 
     :param sequence: rises with each change; :meth:`WorkerPort.follow` takes it.
+    :param incarnation: changes whenever the worker restarts, and with that forgets its
+        tasks and the epochs that it has seen.
     """
 
     tasks: tuple[TaskReport, ...]
     usage: tuple[Usage, ...]
     sequence: int
+    incarnation: str = ""
 
 
 class WorkerPort(Protocol):
@@ -312,7 +318,11 @@
     async def start(
         self, worker: Instance, epoch: int, order: StartOrder
     ) -> Accepted | Rejected | Lost:
-        """Start a task; repeating a call with the same attempt changes nothing."""
+        """Start a task; repeating a call with the same attempt changes nothing.
+
+        An order for another incarnation is answered with
+        ``Rejected("stale_incarnation")``.
+        """
 
     async def stop(
         self, worker: Instance, epoch: int, task: str
--- a/src/standins/workers.py
+++ b/src/standins/workers.py
@@ -134,13 +134,21 @@
         self.usage_lag = USAGE_LAG
         self.peak_usage = ZERO_SIZE
         self.epoch = 0
+        self.restarts = 0
         self.changed = ChangeSignal()
         self._runs: dict[str, Run] = {}
         self._running: dict[str, Run] = {}
         self._sequence = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Identifies the machine between two restarts."""
+        return f"{self.instance.name}+{self.restarts}"
+
     def start(self, epoch: int, order: StartOrder) -> Accepted | Rejected:
         """Start a task, even beyond the capacity, which is recorded as an overfill."""
+        if order.incarnation not in ("", self.incarnation):
+            return Rejected("stale_incarnation")
         existing = self._runs.get(order.task)
         if existing is not None and existing.order.attempt == order.attempt:
             return Accepted(existing.report())
@@ -214,7 +222,7 @@
         tasks = [run for run in self._runs.values() if run.sequence > after]
         tasks.sort(key=lambda run: run.sequence)
         reports = tuple(run.report() for run in tasks)
-        return Inventory(reports, self._read_usage(), self._sequence)
+        return Inventory(reports, self._read_usage(), self._sequence, self.incarnation)
 
     def acknowledge(self, tasks: tuple[str, ...]) -> Inventory:
         """Remove ended tasks; running ones are kept."""
@@ -281,6 +289,7 @@
     def replace(self) -> None:
         """Restart as a new machine of the same name, without any state."""
         self.epoch = 0
+        self.restarts += 1
         self._sequence = 0
         self.is_dead = False
         self.is_leaving = False
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -239,6 +239,18 @@
         ]
         self.assertEqual({answer.code for answer in answers}, {"stale_epoch"})
 
+    async def test_start_for_another_incarnation_is_refused(self):
+        former = await self.workers.read_inventory(self.instance, 1)
+        self.worker.die()
+        self.worker.replace()
+        order = self._order()._replace(incarnation=former.incarnation)
+        refused = await self.workers.start(self.instance, 1, order)
+        self.assertEqual(refused.code, "stale_incarnation")
+        present = await self.workers.read_inventory(self.instance, 1)
+        order = order._replace(incarnation=present.incarnation)
+        accepted = await self.workers.start(self.instance, 1, order)
+        self.assertIsInstance(accepted, Accepted)
+
     async def test_stop_checkpoint_and_throttle_return_the_new_task_state(self):
         await self.workers.start(self.instance, 1, self._order())
         throttled = await self.workers.throttle(self.instance, 1, "a", 500)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -42,17 +42,17 @@
     async def sleep(self, seconds):
         await self.plane.clock.sleep(timedelta(seconds=seconds))
 
-    async def reserve(self, daemon, millicores):
+    async def reserve(self, daemon, millicores, task="x-00-1-0"):
         """Request capacity for a task that its ledger owner doesn't know."""
         size = SizeData(millicores=millicores, memory=1, accelerators=0)
-        request = {"task": "x-00-1-0", "attempt": 1, "size": size}
+        request = {"task": task, "attempt": 1, "size": size}
         message = {"ledger": "00", "epoch": 1, "tasks": [request]}
         return await self.plane.find(daemon).host._handle_reserve("d1", message)
 
-    async def order(self, daemon, epoch):
+    async def order(self, daemon, epoch, task="x-00-1-0"):
         """Order the start of a task that its ledger owner doesn't know."""
         start = TaskToStart(
-            task="x-00-1-0",
+            task=task,
             attempt=1,
             worker="w1",
             epoch=epoch,
@@ -162,6 +162,28 @@
         reply = await self.reserve("d2", 10)
         self.assertEqual(reply["refused"][0]["code"], "no_room")
 
+    # A worker that forgot the newer epoch ran the tasks of two owners at once.
+    @virtual
+    async def test_restarted_worker_is_not_filled_by_a_deposed_owner_as_well(self):
+        await self.start(LONG)
+        await self.plane.registry.take_over("worker/w1", "d1")
+        await self.reserve("d2", 3000, "x-00-1-0")
+        await self.reserve("d1", 3000, "x-00-2-0")
+        self.worker.die()
+        self.worker.replace()
+        await self.order("d2", 2, "x-00-1-0")
+        await self.order("d1", 3, "x-00-2-0")
+        await self.sleep(10)
+        self.assertEqual(self.runs.overfills, [])
+        self.check_accounts()
+
+    def check_accounts(self):
+        """Check that the owner has reserved what the worker runs."""
+        account = self.plane.find("d1").host.accounts.workers["w1"]
+        used = account.size.millicores - account.free.millicores
+        sizes = [run.order.size.millicores for run in self.worker._running.values()]
+        self.assertEqual(used, sum(sizes))
+
     @virtual
     async def test_start_bound_to_an_old_epoch_is_refused_by_the_new_owner(self):
         await self.start(ENDLESS)
