Record starts of tasks that may have crashed workers before ordering them

Callers saw: a task that crashes workers was started six times (three starts after three crashes; two are allowed), and each start takes a worker and what runs beside it down. Cause: what a worker ran is in the owner's memory until the worker is cordoned, about a second after it falls silent. Why it holds: one crash may stay unseen, each later start is known to every successor, and the third counted crash ends the job: four starts of five. Weighed and left: cordons at the first failed poll, and word from the deposed owner.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -11,6 +11,7 @@
     CANCELS_PREFIX,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
+    STARTS_PREFIX,
     encode_record,
 )
 from damaskdeck.state.pooljobs import Job, JobIndex
@@ -63,6 +64,7 @@
             JOBS_PREFIX + key,
             CANCELS_PREFIX + key,
             PROGRESS_PREFIX + key,
+            STARTS_PREFIX + key,
         ]
         self._get_journal().wake()
 
@@ -102,9 +104,10 @@
         self._kinds.clear()
         records = [self._write(kind) for kind in kinds]
         writes = [
-            Write(PROGRESS_PREFIX + job.identifier, encode_record(job.summarize()))
+            write
             for job in jobs
             if job.identifier in self._job_index.jobs
+            for write in _build_job_writes(job)
         ]
         final_states = [(job, job.final) for job in jobs]
         widened = [(j, j.wider_zones) for j in jobs if j.wider_zones is not None]
@@ -124,3 +127,12 @@
         return Batch(
             (*writes, *(write for write, _ in records)), removals, apply_effects
         )
+
+
+def _build_job_writes(job: Job) -> list[Write]:
+    progress = encode_record(job.summarize())
+    writes = [Write(PROGRESS_PREFIX + job.identifier, progress)]
+    if job.recorded_starts:
+        starts = encode_record(job.recorded_starts.summarize())
+        writes.append(Write(STARTS_PREFIX + job.identifier, starts))
+    return writes
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -292,6 +292,21 @@
 
     # Orders ------------------------------------------------------------------
 
+    def may_send(self, run: Run) -> bool:
+        """Whether a run that has waited may still be ordered."""
+        return (
+            (run.task.name, run.attempt) in self.runs
+            and run.stopping_since is None
+            and self.is_synchronized
+            and not self.is_cordoned
+        )
+
+    def discard_unsent(self, run: Run) -> None:
+        """Remove a run that was not ordered."""
+        if (run.task.name, run.attempt) in self.runs:
+            self.remove_run(run)
+            self._owner.handle_lost_run(self, run)
+
     async def start(self, run: Run, payload: str, checkpoint: str, ticket: str) -> bool:
         """Order the worker to start a run.
 
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -14,7 +14,7 @@
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.queues import QueueJobState
-from damaskdeck.state.jobrecords import CordonedRun
+from damaskdeck.state.jobrecords import CordonedRun, RecordedStart
 from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step, Task
 
 # A worker that was seen for longer after a start did not crash because of it.
@@ -72,6 +72,10 @@
 
     def __init__(self, owner: CrashOwner) -> None:
         self._owner = owner
+        # Starts that the previous owner recorded, by the worker's incarnation.
+        self._inherited: dict[str, list[RecordedStart]] = {}
+        # Zones with a worker that this owner could not read.
+        self._unread_zones: set[str] = set()
 
     def record_crash(self, contact: WorkerContact, lost: Iterable[Run]) -> None:
         """Record the runs that were lost with a worker.
@@ -95,24 +99,70 @@
                 and _measure_time_seen(contact, run) >= STABLE_SECONDS
             ):
                 step.clear_crashes(run.task)
+                step.job.recorded_starts.discard(run.task.name)
                 self._owner.mark_dirty(step.job)
             else:
                 self._count(step, run.task, run.attempt, run in suspected)
 
-    def record_inherited(self, runs: Iterable[CordonedRun]) -> None:
+    def record_inherited(self, worker: str, runs: Iterable[CordonedRun]) -> None:
         """Record the runs that the previous owner stored for a worker that is gone.
 
         Long-running tasks are skipped, as it is not known how long they have run.
+
+        :param runs: The runs that the worker's cordon names.
         """
-        for run in runs:
+        recorded = self._inherited.pop(worker, ())
+        for run in {*runs, *(CordonedRun(s.task, s.attempt) for s in recorded)}:
             task = self._owner.job_index.find_task(run.task)
             if task is None or task.is_completed or task.step.spec.is_long_running:
                 continue
             self._count(task.step, task, run.attempt, False)
 
+    def load(self) -> None:
+        """Find the starts that the previous owner recorded, once jobs are loaded."""
+        for job in self._owner.job_index.open_jobs.values():
+            for start in job.recorded_starts.list_unsettled():
+                self._inherited.setdefault(start.worker, []).append(start)
+
+    def handle_reconciled(self, contact: WorkerContact, is_cordoned: bool) -> None:
+        """Handle a worker on which nothing unknown to this owner runs any more.
+
+        If this owner could not read what the worker ran, a crash may have gone unseen.
+
+        :param is_cordoned: Whether the previous owner recorded what the worker ran.
+        """
+        if contact.is_reconciled:
+            self._clear_unlisted(contact)
+        elif not is_cordoned:
+            self._require_records(contact.info.zone)
+
+    def _clear_unlisted(self, contact: WorkerContact) -> None:
+        """Clear the recorded starts that a worker doesn't list."""
+        for start in self._inherited.pop(contact.info.identifier, ()):
+            job = self._owner.job_index.open_jobs.get(start.task.job)
+            is_listed = (start.task, start.attempt) in contact.runs
+            if job is not None and not is_listed:
+                job.recorded_starts.clear(start.task, start.attempt)
+                self._owner.mark_dirty(job)
+
+    def _require_records(self, zone: str) -> None:
+        """Record further starts of the tasks that may have run in a zone."""
+        if zone in self._unread_zones:
+            return
+        self._unread_zones.add(zone)
+        for job in self._owner.job_index.open_jobs.values():
+            if not job.has_unconfirmed_runs or not job.may_run_in(zone):
+                continue
+            waiting = _list_waiting(job)
+            for task in waiting:
+                job.recorded_starts.require(task.name)
+            if waiting:
+                self._owner.mark_dirty(job)
+
     def _count(self, step: Step, task: Task, attempt: int, is_suspected: bool) -> None:
         step.record_crash(task, attempt, is_suspected)
         job = step.job
+        job.recorded_starts.require(task.name)
         self._owner.mark_dirty(job)
         count = CrashCount(*step.count_crashes(task))
         if count.is_at_limit and not job.is_final:
@@ -121,6 +171,17 @@
             self._owner.end_job(job, QueueJobState.FAILED, reason)
 
 
+def _list_waiting(job: Job) -> list[Task]:
+    """List the tasks that may have been started before and are not running."""
+    return [
+        task
+        for step in job.list_steps()
+        if step.is_due and not step.spec.is_long_running
+        for task in step.tasks
+        if task.is_waiting
+    ]
+
+
 def _may_have_started(run: Run) -> bool:
     """Whether a worker may have started a run of a task that is still needed."""
     return run.phase is not RunPhase.ORDERED and not run.task.is_completed
--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -18,10 +18,13 @@
     INBOX_PREFIX,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
+    STARTS_PREFIX,
     JobRecord,
     ProgressRecord,
+    StartsRecord,
     decode_job,
     decode_progress,
+    decode_record,
 )
 from damaskdeck.state.pooljobs import Job, JobIndex
 
@@ -79,16 +82,34 @@
 
     async def load(self) -> None:
         """Read all jobs and their progress."""
-        # Nobody else writes progress during this owner's term, so the order of the two
+        # Nobody else writes progress during this owner's term, so the order of the
         # reads doesn't matter.
-        progress, (inbox, self._inbox_revision) = await asyncio.gather(
-            self._read_all(PROGRESS_PREFIX), self._read_all(INBOX_PREFIX)
+        progress, starts, (inbox, self._inbox_revision) = await asyncio.gather(
+            self._read_all(PROGRESS_PREFIX),
+            self._read_all(STARTS_PREFIX),
+            self._read_all(INBOX_PREFIX),
         )
         progress_by_job: dict[str, ProgressRecord] = {}
         for entry in progress[0]:
             self._decode_progress(entry, progress_by_job)
         for entry in inbox:
             self._apply_inbox(entry.key, entry.value, progress_by_job)
+        for entry in starts[0]:
+            self._restore_starts(entry)
+
+    def _restore_starts(self, entry: Entry) -> None:
+        job = self._owner.job_index.jobs.get(entry.key.removeprefix(STARTS_PREFIX))
+        if job is None:
+            return
+        try:
+            job.recorded_starts.restore(decode_record(StartsRecord, entry.value))
+        except MessageError as error:
+            _log.error(
+                "Failed to decode a record.",
+                key=entry.key,
+                code=error.code,
+                error=str(error),
+            )
 
     async def _read_all(self, prefix: str) -> tuple[tuple[Entry, ...], int]:
         while True:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -129,6 +129,7 @@
                 self._changes.record_roster_change,
                 self._confirm_jobs,
                 self._changes.record_cordon_change,
+                self._crashes.handle_reconciled,
                 self._crashes.record_inherited,
             ),
         )
@@ -203,6 +204,7 @@
             self.account_limits.ceilings.read(self._shared.store, self._clock),
             self._fleet.read(),
         )
+        self._crashes.load()
         self._fleet.load(workers)
         self._mark_unconfirmed_jobs()
         _log.info(
@@ -262,6 +264,10 @@
 
     # Journal -----------------------------------------------------------------
 
+    async def flush(self) -> None:
+        """Wait until all changes up to now are durable."""
+        await self._journal.flush()
+
     def _build_write(self, kind: ChangeKind) -> tuple[Write, Callable[[], bool]]:
         """Return the write of one kind and the function to call once it is durable.
 
@@ -379,6 +385,7 @@
         task = run.task
         if run in task.runs:
             task.runs.remove(run)
+        self._clear_recorded_start(task, run.attempt)
         task.step.store_checkpoint(task, run.checkpoint)
         if task.step.spec.is_gang:
             for other in list(task.step.list_runs()):
@@ -409,6 +416,7 @@
         if run is not None and run in task.runs:
             task.runs.remove(run)
         task.attempt = max(task.attempt, end.attempt)
+        self._clear_recorded_start(task, end.attempt)
         step, job = task.step, task.step.job
         step.store_checkpoint(task, end.checkpoint)
         self.dispatcher.record_end(contact, task, end, run)
@@ -421,6 +429,11 @@
             self.mark_dirty(job)
         self.dispatcher.mark_changed(job)
 
+    def _clear_recorded_start(self, task: Task, attempt: int) -> None:
+        job = task.step.job
+        if job.recorded_starts.clear(task.name, attempt):
+            self.mark_dirty(job)
+
     def _complete_task(self, step: Step, task: Task, run: Run | None) -> None:
         step.complete(task)
         for member in step.tasks:
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -20,6 +20,8 @@
 # How long unconfirmed members of a gang are waited for. Together with the timeout of an
 # order this is well below that of the workers, 3 s.
 GANG_CONFIRM_SECONDS = 1.0
+# How long an order waits until its record is durable.
+RECORD_TIMEOUT = timedelta(milliseconds=500)
 # Interval at which unconfirmed members are checked.
 CONFIRM_POLL_INTERVAL = timedelta(milliseconds=4)
 
@@ -40,6 +42,15 @@
     def stop(self, run: Run) -> None:
         """Request the worker of a run to end it."""
 
+    def may_decide(self) -> bool:
+        """Whether the owner lease is fresh enough to start tasks by."""
+
+    def mark_dirty(self, job: Job) -> None:
+        """Write the progress of a job with the next commit."""
+
+    async def flush(self) -> None:
+        """Wait until all changes up to now are durable."""
+
 
 class Starter:
     """Orders planned tasks on their workers.
@@ -94,10 +105,60 @@
             age=round(now - step.job.arrived_at, 3),
             epoch=self._owner.term.epoch,
         )
-        start_task(self._start(step, runs), self._starts)
+        must_wait = self._record(step, [run for run, _ in runs])
+        start_task(self._start(step, runs, must_wait), self._starts)
         return [run for run, _ in runs]
 
-    async def _start(self, step: Step, runs: list[tuple[Run, WorkerContact]]) -> None:
+    def _record(self, step: Step, runs: list[Run]) -> bool:
+        """Record the starts for which that is required; return whether there are any.
+
+        A successor knows of them even if their workers crash at once.
+        """
+        records = step.job.recorded_starts
+        required = [run for run in runs if records.is_required(run.task.name)]
+        for run in required:
+            records.record(run.task.name, run.attempt, run.worker)
+        if required:
+            self._owner.mark_dirty(step.job)
+        return bool(required)
+
+    async def _wait_for_records(
+        self, step: Step, runs: list[tuple[Run, WorkerContact]]
+    ) -> bool:
+        """Wait until starts are recorded; return whether they may be ordered."""
+        is_durable = await self._flush()
+        may_send = self._owner.may_decide() and all(c.may_send(r) for r, c in runs)
+        if is_durable and may_send:
+            now = self._owner.now()
+            for run, contact in runs:
+                run.ordered_at = run.settled_at = now
+                contact.last_order.record(step, now)
+            return True
+        _log.info(
+            "A recorded start is not ordered.",
+            id=step.job.identifier,
+            step=step.number,
+            attempt=runs[0][0].attempt,
+            reason="changed" if is_durable else "not_durable",
+        )
+        for run, contact in runs:
+            contact.discard_unsent(run)
+        return False
+
+    async def _flush(self) -> bool:
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT.total_seconds()):
+                await self._owner.flush()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _start(
+        self, step: Step, runs: list[tuple[Run, WorkerContact]], must_wait: bool
+    ) -> None:
+        if must_wait and not await self._wait_for_records(step, runs):
+            self._mark_changed(step.job)
+            return
         step_advice = self._advice_scheduler.get(step)
         needs_ticket = step.job.queue.advice is not None
         payload = step.job.record.spec.payload
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -80,15 +80,18 @@
         cordoned ones aside, are reconciled in one more availability zone, and when a
         cordoned worker is reconciled.
     :param on_cordon_change: called when the cordons have to be written.
-    :param on_inherited_crash: called with the runs that a predecessor recorded for an
-        incarnation of a worker that is lost.
+    :param on_worker_reconciled: called with a worker before it counts as reconciled,
+        and whether it is cordoned.
+    :param on_inherited_crash: called with an incarnation of a worker that is lost, and
+        the runs that a predecessor recorded with its cordon.
     """
 
     on_change: Callable[[], None]
     on_roster_change: Callable[[], None]
     on_reconciled: Callable[[], None]
     on_cordon_change: Callable[[], None]
-    on_inherited_crash: Callable[[tuple[CordonedRun, ...]], None]
+    on_worker_reconciled: Callable[[WorkerContact, bool], None]
+    on_inherited_crash: Callable[[str, tuple[CordonedRun, ...]], None]
 
 
 class InheritedWorkers(NamedTuple):
@@ -232,7 +235,11 @@
 
     def mark_reconciled(self, contact: WorkerContact) -> None:
         """Record that a worker has no runs unknown to this owner any more."""
-        self._mark_reconciled(contact.info.identifier)
+        identifier = contact.info.identifier
+        if identifier in self._unreconciled:
+            is_cordoned = self.cordons.find(identifier) is not None
+            self._callbacks.on_worker_reconciled(contact, is_cordoned)
+        self._mark_reconciled(identifier)
 
     def _mark_reconciled(self, identifier: str) -> None:
         if identifier in self._unreconciled:
@@ -303,9 +310,10 @@
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
         cordon = self.cordons.find(contact.info.identifier)
-        if contact.is_gone and not contact.is_reconciled and cordon is not None:
+        if contact.is_gone and not contact.is_reconciled and not contact.is_leaving:
             # No other component knows of its runs any more.
-            self._callbacks.on_inherited_crash(cordon.runs)
+            runs = cordon.runs if cordon is not None else ()
+            self._callbacks.on_inherited_crash(contact.info.identifier, runs)
         self.contacts.pop(contact.info.identifier, None)
         self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -27,6 +27,7 @@
 JOBS_PREFIX = f"{INBOX_PREFIX}jobs/"
 CANCELS_PREFIX = f"{INBOX_PREFIX}cancels/"
 PROGRESS_PREFIX = f"{ROOT_PREFIX}progress/"
+STARTS_PREFIX = f"{ROOT_PREFIX}starts/"
 CORDONS_KEY = f"{ROOT_PREFIX}cordons"
 CEILINGS_KEY = f"{ROOT_PREFIX}ceilings"
 
@@ -155,6 +156,24 @@
     suspected: dict[int, tuple[int, ...]] = {}
 
 
+class RecordedStart(NamedTuple):
+    """A task whose starts are made durable before they are ordered.
+
+    :param attempt: its latest start, 0 if the outcome of that is known.
+    :param worker: the worker of that start, an empty string likewise.
+    """
+
+    task: TaskName
+    attempt: int = 0
+    worker: str = ""
+
+
+class StartsRecord(NamedTuple):
+    """The recorded starts of one job."""
+
+    starts: tuple[RecordedStart, ...] = ()
+
+
 class ProgressRecord(NamedTuple):
     """Durable progress of a job.
 
--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -19,6 +19,7 @@
     ProgressRecord,
     StepProgress,
 )
+from damaskdeck.state.recordedstarts import RecordedStarts
 
 # The index under which the failures of a gang are stored.
 GANG_INDEX = -1
@@ -344,6 +345,7 @@
         tasks on a worker that has not answered yet.
     :ivar zones: zones whose workers may run it, durable; all when empty.
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
+    :ivar recorded_starts: the starts of tasks that may have crashed workers.
     """
 
     def __init__(self, record: JobRecord, arrived_at: float) -> None:
@@ -354,6 +356,7 @@
         self.has_unconfirmed_runs = False
         self.zones = frozenset(record.zones)
         self.wider_zones: frozenset[str] | None = None
+        self.recorded_starts = RecordedStarts()
         self.has_started = False
         self.final: QueueJobState | None = None
         self.final_at = 0.0
@@ -451,7 +454,10 @@
         :raises MessageError: when the progress names a step or task that the job lacks.
         """
         for step_progress in progress.steps:
-            self._find_step(step_progress).restore(step_progress)
+            step = self._find_step(step_progress)
+            step.restore(step_progress)
+            for index in step.crashes:
+                self.recorded_starts.require(step.tasks[index].name)
         if progress.zones is not None:
             self.zones = frozenset(progress.zones)
         if progress.has_started:
--- /dev/null
+++ b/src/damaskdeck/state/recordedstarts.py
@@ -0,0 +1,50 @@
+"""Starts of one job's tasks that have to be durable before they are ordered."""
+
+from damaskdeck.protocol.queues import TaskName
+from damaskdeck.state.jobrecords import RecordedStart, StartsRecord
+
+
+class RecordedStarts:
+    """The tasks whose starts are recorded, each with its latest start."""
+
+    def __init__(self) -> None:
+        self._starts: dict[TaskName, RecordedStart] = {}
+
+    def require(self, task: TaskName) -> None:
+        """Require that each further start of a task is recorded."""
+        self._starts.setdefault(task, RecordedStart(task))
+
+    def is_required(self, task: TaskName) -> bool:
+        """Whether a start of a task has to be durable before it is ordered."""
+        return task in self._starts
+
+    def record(self, task: TaskName, attempt: int, worker: str) -> None:
+        """Record a start that is about to be ordered."""
+        self._starts[task] = RecordedStart(task, attempt, worker)
+
+    def clear(self, task: TaskName, attempt: int) -> bool:
+        """Forget a start whose outcome is known; return whether it was recorded."""
+        start = self._starts.get(task)
+        if start is None or start.attempt != attempt:
+            return False
+        self._starts[task] = RecordedStart(task)
+        return True
+
+    def discard(self, task: TaskName) -> None:
+        """Stop recording the starts of a task."""
+        self._starts.pop(task, None)
+
+    def list_unsettled(self) -> list[RecordedStart]:
+        """List the starts whose outcome is not known."""
+        return [start for start in self._starts.values() if start.attempt]
+
+    def summarize(self) -> StartsRecord:
+        """Return what is durable of this."""
+        return StartsRecord(tuple(self._starts.values()))
+
+    def restore(self, record: StartsRecord) -> None:
+        """Restore what is durable."""
+        self._starts.update((start.task, start) for start in record.starts)
+
+    def __bool__(self) -> bool:
+        return bool(self._starts)
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -497,6 +497,14 @@
         problems, faults = play(CrashingChaos, 631)
         self.assertEqual(problems, [], faults)
 
+    # Owners were replaced within about a second after crashes, before they had stored
+    # what ran on the workers, so that three crashes counted for nothing.
+    def test_crashes_shortly_before_takeovers_count(self):
+        for seed in (20000, 20010, 20052):
+            with self.subTest(seed=seed):
+                problems, faults = play(CrashingChaos, seed)
+                self.assertEqual(problems, [], faults)
+
 
 class TestChaos(unittest.TestCase):
     """Under all faults no task runs twice and every job ends."""
--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -225,6 +225,25 @@
         self.assertLessEqual(len(cluster.list_starts("bad")), MAX_CRASHES)
         self.end()
 
+    # Six starts and more: a crash right before a takeover was known to no successor.
+    @virtual
+    async def test_crashes_that_owners_have_not_stored_are_bounded(self):
+        cluster = await self.begin(daemons=8, workers=8, behave=crash_under("bad"))
+        await cluster.submit("bad", make_job())
+        await cluster.wait(lambda: cluster.crashes)
+        while cluster.is_open("bad") and len(cluster.crashes) < 7:
+            cluster.find_owner().kill()
+            await cluster.wait(lambda: cluster.find_owner() is not None)
+            await self.wait_for_crash(len(cluster.crashes))
+        await cluster.wait_for_state(
+            "bad",
+            QueueJobState.FAILED,
+            cluster.find_owner().name,
+            seconds=FAILURE_TIMEOUT_SECONDS,
+        )
+        self.assertLessEqual(len(cluster.list_starts("bad")), 5)
+        self.end()
+
     async def wait_for_crash(self, count: int) -> None:
         """Wait for one more crash or the end of the job."""
         cluster = self.cluster
