Close a worker that runs more than its account can hold

Callers saw nothing yet: a worker that ran too much got more. Cause: when an owner adopts running tasks, one that exceeds the free capacity of the account was logged and not counted, so once others had ended the account showed capacity that the worker did not have. Found by reading while the overfilled worker was traced: a restart with an order in flight, or a takeover of an overfilled worker, leads there. Evidence: a new owner of a worker with 6,000 millicores on 4,000 granted 3,000 more as soon as one of the two tasks had ended. Change: such tasks are kept, the worker is closed (overfull) and unsent starts are refused until all that it runs is reserved; leases are renewed meanwhile.

--- a/src/damaskdeck/coordination/workers/orders.py
+++ b/src/damaskdeck/coordination/workers/orders.py
@@ -32,6 +32,7 @@
     epoch: int
     incarnation: str
     is_unconfirmed: bool
+    is_overfull: bool
 
     def may_act(self) -> bool:
         """Return whether this daemon owns the worker."""
@@ -124,12 +125,16 @@
         if hosted is None or hosted.state != "starting":
             return
         session = self._session
-        if not session.may_act() or session.is_unconfirmed:
-            code = "unreachable" if session.is_unconfirmed else "owner_changed"
-            self._roster.set_state(hosted, "unstarted", code=code)
+        if not session.may_act() or session.is_unconfirmed or session.is_overfull:
+            self._roster.set_state(hosted, "unstarted", code=self._explain_refusal())
             return
         await self._send_start(self._roster.mark_sent(hosted, session.incarnation))
 
+    def _explain_refusal(self) -> str:
+        if self._session.is_unconfirmed:
+            return "unreachable"
+        return "overfull" if self._session.is_overfull else "owner_changed"
+
     async def _send_start(self, hosted: HostedTask) -> None:
         session = self._session
         answer: Accepted | Rejected | Lost = Lost("owner_changed")
--- a/src/damaskdeck/coordination/workers/rosters.py
+++ b/src/damaskdeck/coordination/workers/rosters.py
@@ -15,7 +15,12 @@
 from damaskdeck.protocol.jobs import TaskToStart, TaskUpdate
 from damaskdeck.protocol.ports import TaskReport
 from damaskdeck.protocol.resources import Urgency
-from damaskdeck.state.workeraccounts import Reserved, TaskNeed, WorkerAccounts
+from damaskdeck.state.workeraccounts import (
+    AlreadyReserved,
+    Reserved,
+    TaskNeed,
+    WorkerAccounts,
+)
 
 # States of an attempt that isn't known to have ended.
 OPEN_STATES = frozenset({"starting", "unsure", "running"})
@@ -66,6 +71,8 @@
         lease: timedelta = defaults.TASK_LEASE,
     ) -> None:
         self.tasks: dict[str, HostedTask] = {}
+        # Running tasks for which the account has no free capacity.
+        self._unreserved: dict[str, TaskReport] = {}
         self._worker = worker
         self._accounts = accounts
         self._clock = clock
@@ -117,6 +124,10 @@
             for hosted in self.tasks.values()
         )
 
+    def has_unreserved(self) -> bool:
+        """Return whether the worker runs more than its account can hold."""
+        return bool(self._unreserved)
+
     def record_renewal(self, tasks: Iterable[str], is_answered: bool) -> None:
         """Record that leases were renewed, or may have been if there was no answer."""
         now = self._clock.monotonic()
@@ -176,6 +187,7 @@
         if state != "running":
             self._release(hosted.task)
             self._record_end(self._worker, hosted.task, state)
+            self._reserve_remaining()
         if state in ("stopped", "checkpointed"):
             code = hosted.cause
         update = TaskUpdate(
@@ -215,11 +227,20 @@
             started=self._clock.monotonic(),
         )
         outcome = self._accounts.adopt(need, self._worker)
-        if not isinstance(outcome, Reserved):
+        if isinstance(outcome, Reserved | AlreadyReserved):
+            self._unreserved.pop(report.task, None)
+        elif report.task not in self._unreserved:
+            self._unreserved[report.task] = report
             count_refusal("workers", "adoption")
             _log.warn("An adopted task exceeds the capacity.", task=report.task)
 
+    def _reserve_remaining(self) -> None:
+        """Reserve capacity for running tasks that did not fit before."""
+        for report in list(self._unreserved.values()):
+            self._adopt(report)
+
     def _release(self, task: str) -> None:
+        self._unreserved.pop(task, None)
         for name in (task, self._make_adopted_name(task)):
             reservation = self._accounts.find(name)
             if reservation is not None and reservation.worker == self._worker:
--- a/src/damaskdeck/coordination/workers/sessions.py
+++ b/src/damaskdeck/coordination/workers/sessions.py
@@ -52,6 +52,7 @@
     :ivar takeover_bound: how long leases of earlier owners may last.
     :ivar is_unconfirmed: whether the state of the worker is unconfirmed, so that
         an inventory is needed.
+    :ivar is_overfull: whether the worker runs more than its account can hold.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self._gained_at = clock.monotonic()
         self.inventory_sent_at = timedelta.min
         self.is_unconfirmed = False
+        self.is_overfull = False
         self._is_deposed = False
         self._sequence = 0
         self.orders = Orders(self, lease)
@@ -132,7 +134,7 @@
             while not await self.read_inventory():
                 await self._clock.sleep(RETRY_INTERVAL)
         self.is_ready = True
-        self.accounts.close_worker(self.worker.name, "")
+        self._update_admission()
         _log.info("Took over a worker.", worker=self.worker.name, epoch=self.epoch)
 
     async def read_inventory(self) -> bool:
@@ -207,6 +209,7 @@
                 self._resolve_missing(hosted)
         for report in found.tasks:
             self.roster.merge_report(report)
+        self._set_overfull(self.roster.has_unreserved())
         return True
 
     def _begin_incarnation(self, incarnation: str) -> None:
@@ -258,5 +261,16 @@
         """Close the worker while its state is unconfirmed, and request inventories."""
         if is_unconfirmed != self.is_unconfirmed and not self._is_deposed:
             self.is_unconfirmed = is_unconfirmed
-            code = "unreachable" if is_unconfirmed else ""
-            self.accounts.close_worker(self.worker.name, code)
+            self._update_admission()
+
+    def _set_overfull(self, is_overfull: bool) -> None:
+        """Close the worker while it runs more than its account can hold."""
+        if is_overfull != self.is_overfull and not self._is_deposed:
+            self.is_overfull = is_overfull
+            if self.is_ready:
+                self._update_admission()
+
+    def _update_admission(self) -> None:
+        code = "overfull" if self.is_overfull else ""
+        code = "unreachable" if self.is_unconfirmed else code
+        self.accounts.close_worker(self.worker.name, code)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -177,6 +177,26 @@
         self.assertEqual(self.runs.overfills, [])
         self.check_accounts()
 
+    # What an owner could not reserve for was not counted, and the worker got more.
+    @virtual
+    async def test_worker_that_runs_too_much_gets_nothing_until_it_fits(self):
+        await self.start(LONG)
+        size = Size(3000, 1, 0)
+        lease = timedelta(minutes=5)
+        long, short = b'{"run_time": 20}', b'{"run_time": 5}'
+        self.worker.start(2, StartOrder("x-99-1-0", 1, size, lease, short))
+        self.worker.start(2, StartOrder("x-99-2-0", 1, size, lease, long))
+        before = len(self.runs.overfills)
+        await self.plane.registry.take_over("worker/w1", "d1")
+        for number in range(10):
+            await self.reserve("d1", 3000, f"x-00-{number + 3}-0")
+            await self.order("d1", 3, f"x-00-{number + 3}-0")
+            await self.sleep(1)
+        self.assertEqual(self.runs.overfills[before:], [])
+        await self.sleep(20)
+        granted = await self.reserve("d1", 3000, "x-00-20-0")
+        self.assertEqual(granted["refused"], [])
+
     def check_accounts(self):
         """Check that the owner has reserved what the worker runs."""
         account = self.plane.find("d1").host.accounts.workers["w1"]
