Test recorded starts that can't be stored or read

The starts of tasks that may have crashed workers are durable before they are ordered. Two tests show what that costs when the store fails: while it answers nobody such a start waits and comes once it is back, and records that can't be decoded, name unknown tasks or belong to no job hold up no job and end no owner (a coded line). No product code is changed.

--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -28,13 +28,16 @@
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import Lost
-from damaskdeck.protocol.queues import QueueJobState, StepSpec
+from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
 from damaskdeck.state.jobrecords import (
     JOBS_PREFIX,
     PROGRESS_PREFIX,
     ROSTER_KEY,
+    STARTS_PREFIX,
     JobRecord,
     ProgressRecord,
+    RecordedStart,
+    StartsRecord,
     StepProgress,
     decode_job,
     decode_record,
@@ -380,6 +383,28 @@
         self.assertEqual(len(cluster.list_starts("j1")), 1)
         self.end()
 
+    @virtual
+    async def test_unusable_recorded_starts_hold_up_no_job(self):
+        cluster = await self.begin(workers=2)
+        await cluster.run_first_job()
+        unknown = RecordedStart(TaskName("j1", 0, 9, 9), 1, "w0")
+        for name, value in (
+            ("j1", encode_record(StartsRecord((unknown,)))),
+            ("j2", b"\xc1"),
+            ("absent", encode_record(StartsRecord((unknown,)))),
+        ):
+            cluster.store.set(STARTS_PREFIX + name, value)
+        await cluster.submit("j1", make_job())
+        await cluster.submit("j2", make_job())
+        old = cluster.find_owner()
+        old.kill()
+        cluster.crash(cluster.workers["w0"])
+        await cluster.wait(lambda: cluster.find_owner() not in (None, old))
+        name = cluster.find_owner().name
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED, name, 20)
+        await cluster.wait_for_state("j2", QueueJobState.COMPLETED, name, 20)
+        self.end()
+
     @virtual
     async def test_job_with_unknown_epoch_deposes_no_owner(self):
         cluster = await self.begin(workers=2)
--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -244,6 +244,24 @@
         self.assertLessEqual(len(cluster.list_starts("bad")), 5)
         self.end()
 
+    @virtual
+    async def test_a_start_that_can_not_be_recorded_waits_for_the_store(self):
+        cluster = await self.begin(workers=2, behave=run_for(SECOND))
+        await cluster.submit("j1", make_job())
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        cluster.crash(cluster.find_host("j1"))
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.delay = 0.3 * SECOND
+        owner = cluster.find_owner().owner
+        step = next(owner.job_index.jobs["j1"].list_steps())
+        await cluster.wait(lambda: step.crashes)
+        cluster.begin_outage()
+        await asyncio.sleep(2)
+        self.assertEqual(len(cluster.list_starts("j1")), 1)
+        cluster.heal()
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
     async def wait_for_crash(self, count: int) -> None:
         """Wait for one more crash or the end of the job."""
         cluster = self.cluster
