--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -109,7 +109,8 @@
 
         Long-running tasks are skipped, as it is not known how long they have run.
 
-        :param runs: The runs that the worker's cordon names.
+        :param worker: The worker's incarnation.
+        :param runs: The runs that its cordon names.
         """
         recorded = self._inherited.pop(worker, ())
         for run in {*runs, *(CordonedRun(s.task, s.attempt) for s in recorded)}:
