List a case in which a successor forgets a lost worker

Cause, from its trace: the roster and the cordons leave a worker out as soon as its incarnation has ended, and the runs lost with it are recorded only once the store has confirmed the owner; between the two the store was away and the owner was replaced, so neither the crash nor the need to record starts was known.

--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -505,6 +505,12 @@
                 problems, faults = play(CrashingChaos, seed)
                 self.assertEqual(problems, [], faults)
 
+    # Two crashes went unseen: an owner removed a worker from the roster when it learned
+    # that it was gone, and was replaced before it had recorded what ran there.
+    def test_a_lost_worker_is_remembered_until_its_runs_are_recorded(self):
+        problems, faults = play(CrashingChaos, 20098)
+        self.assertEqual(problems, [], faults)
+
     # A job failed although two of its three starts never reached their workers.
     def test_starts_that_never_began_fail_no_job(self):
         problems, faults = play(CrashingChaos, 40136)
