Load a job whose progress names crashes of an unknown task

Callers would have seen: no owner loads, if one stored progress record names a task index that its job lacks. Change: the name is built without a look-up. Figures: the new test fails without the change (IndexError ends the owner) and passes; 7 tests of foreign records pass.

--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -457,7 +457,8 @@
             step = self._find_step(step_progress)
             step.restore(step_progress)
             for index in step.crashes:
-                self.recorded_starts.require(step.tasks[index].name)
+                name = TaskName(self.identifier, step.occurrence, step.number, index)
+                self.recorded_starts.require(name)
         if progress.zones is not None:
             self.zones = frozenset(progress.zones)
         if progress.has_started:
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -383,6 +383,20 @@
         self.assertEqual(len(cluster.list_starts("j1")), 1)
         self.end()
 
+    @virtual
+    async def test_crashes_of_an_unknown_task_end_no_owner(self):
+        cluster = await self.begin(workers=2)
+        await cluster.run_first_job()
+        progress = StepProgress(0, 0, crashes={9: (1,)})
+        record = ProgressRecord("", True, (progress,))
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        cluster.store.set(PROGRESS_PREFIX + "j1", encode_record(record))
+        old = cluster.find_owner()
+        old.kill()
+        await cluster.wait(lambda: cluster.find_owner() not in (None, old))
+        self.cluster.close()
+
     @virtual
     async def test_unusable_recorded_starts_hold_up_no_job(self):
         cluster = await self.begin(workers=2)
