Log on which evidence a worker counts as gone

Cause: the log could not tell two hypotheses of the failed job apart. A line for a worker that is gone said neither whether another incarnation had answered or the worker was only missing from the registry, nor how each run counted, nor that it answered later on.

Change: the line carries the evidence, each count against a task has its own line, and a worker that counted as gone by silence is logged and counted (retries of part crashes) when the same incarnation answers.

--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -12,7 +12,7 @@
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_drop
+from damaskdeck.metrics import count_drop, count_retry
 from damaskdeck.protocol.queues import QueueJobState
 from damaskdeck.state.jobrecords import CordonedRun, RecordedStart
 from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step, Task
@@ -76,6 +76,8 @@
         self._inherited: dict[str, list[RecordedStart]] = {}
         # Zones with a worker that this owner could not read.
         self._unread_zones: set[str] = set()
+        # Incarnations that were silent when their runs were recorded.
+        self._given_up: set[str] = set()
 
     def record_crash(self, contact: WorkerContact, lost: Iterable[Run]) -> None:
         """Record the runs that were lost with a worker.
@@ -91,7 +93,10 @@
             worker=contact.info.identifier,
             runs=len(started),
             suspected=sorted({run.task.name.job for run in suspected}),
+            evidence="replaced" if contact.is_gone else "not_listed",
         )
+        if not contact.is_gone:
+            self._given_up.add(contact.info.identifier)
         for run in started:
             step = run.task.step
             if (
@@ -104,6 +109,15 @@
             else:
                 self._count(step, run.task, run.attempt, run in suspected)
 
+    def handle_answer(self, contact: WorkerContact) -> None:
+        """Handle an answer of a worker, which may have been given up before."""
+        if contact.info.identifier in self._given_up:
+            self._given_up.discard(contact.info.identifier)
+            _log.warn(
+                "A worker that was given up answers.", worker=contact.info.identifier
+            )
+            count_retry("crashes", "answers")
+
     def record_inherited(self, worker: str, runs: Iterable[CordonedRun]) -> None:
         """Record the runs that the previous owner stored for a worker that is gone.
 
@@ -166,6 +180,15 @@
         job.recorded_starts.require(task.name)
         self._owner.mark_dirty(job)
         count = CrashCount(*step.count_crashes(task))
+        _log.warn(
+            "A crash counts against a task.",
+            id=job.identifier,
+            task=task.name[1:],
+            attempt=attempt,
+            is_suspected=is_suspected,
+            crashes=count.crashes,
+            suspected=count.suspected,
+        )
         if count.is_at_limit and not job.is_final:
             reason = f"{count.crashes} workers crashed under task {task.name[1:]}"
             count_drop("crashes", "given_up")
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -400,6 +400,8 @@
     def handle_contact_change(self, contact: WorkerContact) -> None:
         """Handle a worker that has answered, or whose lease has expired."""
         is_over = contact.is_gone or self.now() >= contact.lease_until
+        if contact.is_synchronized:
+            self._crashes.handle_answer(contact)
         if contact.is_synchronized or is_over:
             self._fleet.mark_reconciled(contact)
         self.dispatcher.handle_contact_change(contact)
