Reproduce jobs that are told failed because their workers were silent

The users saw a job told failed though no task had failed. On the stand-ins it is told failed after four workers, or after two that were cut off right after the start, were cut off until their leases were over. No worker crashes, and each returns as the same incarnation. Starts that reach no worker count in the same way, and so do gangs.

Found beside it: under successors nothing counts. A task that crashes workers which never return is started until no worker is left.

--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -12,7 +12,7 @@
 
 from damaskdeck.coordination.pools.crashes import MAX_CRASHES, WARM_UP_SECONDS
 from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
-from standins.pools import StandinRegistry, Work
+from standins.pools import StandinRegistry, StandinWorker, Work, WorkersClient
 from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
 from tests.virtual import virtual
 
@@ -22,6 +22,9 @@
 FAILURE_TIMEOUT_SECONDS = 40
 LONG_RUNNING = StepSpec(1, SMALL, SECOND, is_long_running=True)
 
+# More cuts than the crashes under one task that fail its job.
+CUTS = 6
+
 Behaviour = Callable[[TaskName, int], Work]
 
 
@@ -173,6 +176,188 @@
         self.end()
 
 
+class TestSilentWorkers(PoolCase):
+    """Workers that are only cut off have not crashed; they return as they were."""
+
+    async def cut_off_hosts(
+        self, after: float, count: int = CUTS, is_owner_killed: bool = False
+    ) -> None:
+        """Cut the hosts of j1 off one after the other until their leases are over.
+
+        :param after: the seconds from a start to the cut.
+        :param is_owner_killed: whether the owner is killed during each cut.
+        """
+        cluster = self.cluster
+        for _ in range(count):
+            await cluster.wait(
+                lambda: cluster.find_host("j1") is not None or self.has_ended("j1")
+            )
+            await asyncio.sleep(after)
+            hosts = [w for w in cluster.workers.values() if w.running]
+            for host in hosts:
+                cluster.isolate(host.info.identifier)
+            if is_owner_killed:
+                await asyncio.sleep(2)
+                self.replace_owner()
+            await self.wait_for_lapse(hosts)
+            await asyncio.sleep(3)
+            for host in hosts:
+                cluster.rejoin(host.info.identifier)
+
+    async def wait_for_lapse(self, workers: list[StandinWorker]) -> None:
+        """Wait until the leases of workers have expired."""
+        await self.cluster.wait(lambda: not any(map(self.has_runs, workers)))
+
+    def has_ended(self, job: str) -> bool:
+        """Whether the owner knows a final state of a job."""
+        daemon = self.cluster.find_owner()
+        known = daemon.owner.job_index.jobs.get(job) if daemon is not None else None
+        return known is not None and known.is_final
+
+    def replace_owner(self) -> None:
+        """Kill the owner, and start its daemon again."""
+        owner = self.cluster.find_owner()
+        owner.kill()
+        self.cluster.add_daemon(owner.name).start()
+
+    def has_runs(self, worker: StandinWorker) -> bool:
+        """Whether a worker runs anything."""
+        worker.settle()
+        return bool(worker.running)
+
+    async def begin_long_job(self, *steps: StepSpec) -> None:
+        """Start a cluster whose workers are warm, and a job of half a minute."""
+        cluster = await self.begin(workers=6, behave=run_for(30 * SECOND))
+        await asyncio.sleep(WARM_UP_SECONDS + 1)
+        await cluster.submit("j1", make_job(*steps))
+
+    # A job failed although none of its workers had crashed: each was cut off until its
+    # lease was over, and returned as the same incarnation.
+    @virtual
+    async def test_a_job_whose_workers_were_cut_off_is_completed(self):
+        await self.begin_long_job()
+        await self.cut_off_hosts(after=2)
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=90)
+        self.end()
+
+    # The same right after the start, for which two silent workers sufficed.
+    @virtual
+    async def test_a_job_whose_workers_were_cut_off_at_its_start_is_completed(self):
+        await self.begin_long_job()
+        await self.cut_off_hosts(after=0.05)
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=90)
+        self.end()
+
+    # The same for a gang, whose members each counted.
+    @virtual
+    async def test_a_gang_whose_workers_were_cut_off_is_completed(self):
+        await self.begin_long_job(StepSpec(3, SMALL, SECOND, is_gang=True))
+        await self.cut_off_hosts(after=0.3)
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=90)
+        self.end()
+
+    # The same under changing owners, which count what their predecessors stored.
+    @virtual
+    async def test_a_job_whose_workers_were_cut_off_survives_changes_of_owner(self):
+        await self.begin_long_job()
+        await self.cut_off_hosts(after=2, is_owner_killed=True)
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=90)
+        self.end()
+
+    # Starts that never reached their workers counted as crashes as well.
+    @virtual
+    async def test_starts_that_reach_no_worker_fail_no_job(self):
+        cluster = await self.begin(workers=6, behave=run_for(SECOND))
+        cut_off: list[str] = []
+        for daemon in cluster.daemons.values():
+            self.cut_off_at_starts(daemon.workers, cut_off)
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=90)
+        self.assertEqual(len(cut_off), CUTS)
+        self.assertEqual(len(cluster.list_starts("j1")), 1)
+        self.end()
+
+    def cut_off_at_starts(self, client: WorkersClient, cut_off: list[str]) -> None:
+        """Cut workers off right before the first starts, for longer than a lease."""
+        send, cluster = client.start, self.cluster
+        seconds = cluster.times.lease_expiry.total_seconds() + 3
+
+        async def start(worker, epoch, order):
+            name = worker.identifier
+            if len(cut_off) < CUTS:
+                cut_off.append(name)
+                cluster.isolate(name)
+                loop = asyncio.get_running_loop()
+                loop.call_later(seconds, cluster.rejoin, name)
+            return await send(worker, epoch, order)
+
+        client.start = start
+
+    # What a silent worker may have crashed under is told once it is replaced.
+    @virtual
+    async def test_a_worker_that_is_replaced_after_its_lease_has_crashed(self):
+        cluster = await self.begin(workers=2, behave=run_for(30 * SECOND))
+        await cluster.submit("j1", make_job())
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        host = cluster.find_host("j1")
+        cluster.isolate(host.info.identifier)
+        await asyncio.sleep(1)
+        host.kill()
+        await cluster.wait(lambda: cluster.find_host("j1") is not None)
+        step = next(cluster.find_owner().owner.job_index.jobs["j1"].list_steps())
+        self.assertEqual(step.crashes, {})
+        cluster.add_worker("next", host.info.address)
+        await cluster.wait(lambda: step.crashes == {0: {1}})
+        self.end()
+
+
+class TestLostWorkers(PoolCase):
+    """The bound holds if crashed workers return late or never."""
+
+    async def check_bound(self, delay: timedelta | None) -> None:
+        """Check that a job that crashes workers fails in time.
+
+        :param delay: after which a crashed worker returns, ``None`` for never.
+        """
+        cluster = await self.begin(workers=8, behave=crash_under("bad"))
+        cluster.restart_delay = delay
+        await cluster.submit("bad", make_job())
+        await cluster.wait_for_state("bad", QueueJobState.FAILED, seconds=180)
+        self.assertLessEqual(len(cluster.list_starts("bad")), 5)
+        self.end()
+
+    @virtual
+    async def test_workers_that_return_after_their_lease_are_bounded(self):
+        await self.check_bound(15 * SECOND)
+
+    @virtual
+    async def test_workers_that_never_return_are_bounded(self):
+        await self.check_bound(None)
+
+    # A successor counted nothing under a silent worker that never came back.
+    @virtual
+    async def test_workers_that_never_return_are_bounded_across_owners(self):
+        cluster = await self.begin(workers=8, behave=crash_under("bad"))
+        cluster.restart_delay = None
+        await cluster.submit("bad", make_job())
+        for count in range(8):
+            await cluster.wait(
+                lambda n=count: len(cluster.crashes) > n or not cluster.is_open("bad"),
+                seconds=90,
+            )
+            await asyncio.sleep(2)
+            owner = cluster.find_owner()
+            owner.kill()
+            cluster.add_daemon(owner.name).start()
+            await cluster.wait(lambda: cluster.find_owner() is not None)
+            if not cluster.is_open("bad"):
+                break
+        name = cluster.find_owner().name
+        await cluster.wait_for_state("bad", QueueJobState.FAILED, name, seconds=180)
+        self.assertLessEqual(len(cluster.list_starts("bad")), 5)
+        self.end()
+
+
 class TestTakeovers(PoolCase):
     """The evidence against a task survives the owner that recorded it."""
 
