Count a worker as crashed only when it is known to have ended

What callers saw: a job was told failed although no task had failed; its workers had been cut off until their leases were over and had come back as the same incarnations.

Cause: an owner that abandoned runs at the end of a lease counted them as crashes if the worker was missing from the registry. A worker that is cut off from the store is missing there too. Evidence, on the stand-ins: 'A crash counts against a task.' for each of two runs right after the start, or four, with evidence not_listed, followed by an answer of the same incarnation; no worker had crashed. In the users' record the same incarnations list the lapsed ends that had counted. Ruled out: ends added up or counted twice (only listed failures are counted, by attempt; a task that was lost once and failed three times under a queue of four attempts went on). Starts that never began count through the same path. Under a successor the opposite held: nothing counted on a silent worker, so a task was started until no worker was left.

Change: only another incarnation in the worker's place proves a crash. Runs abandoned on a silent worker are stored as unconfirmed crashes with the incarnation and its address. They are forgotten when the same incarnation answers or registers later than that; they count when another one answers for it or registers at its address, or after 30 s of absence in which the registry could be followed. Until then they fail no job; a task that would reach four crashes with them waits, so that the bound of five starts holds. Owners and successors go the same way: inherited cordons and recorded starts of silent workers too. Suspicion needs proof while the runs are still known.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -580,7 +580,6 @@
             log_lost_run(self, run, reason)
             self.remove_run(run)
             self._owner.handle_lost_run(self, run)
-        if self.is_gone or not self.is_listed:
-            # No end of these runs will ever be reported. If they did not count as
-            # crashes, a task could crash one worker after another without ever failing.
-            self._owner.record_crash(self, lost)
+        # A crashed worker reports no ends. If its runs did not count, a task could
+        # crash one worker after another without ever failing.
+        self._owner.record_loss(self, lost)
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -1,21 +1,31 @@
 """Detection of tasks that crash the workers that start them.
 
 A worker that crashes reports no ends of its runs, so the only evidence against a task
-is that the worker is gone. The tasks beside the faulty one are lost as well, and
-workers also crash for reasons of their own. A task is therefore suspect only if it was
-among the last that the worker was ordered to start, and if the worker hardly answered
-after that.
+is that another incarnation has taken the worker's place. The tasks beside the faulty
+one are lost as well, and workers also crash for reasons of their own. A task is
+therefore suspect only if it was among the last that the worker was ordered to start,
+and if the worker hardly answered after that.
+
+Runs that are abandoned on a silent worker count once it is known that the worker has
+crashed. Until then they only delay a further start that might exceed the limit.
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple, Protocol
-
+from typing import Protocol
+
+from damaskdeck.coordination.pools.absences import (
+    AbandonedRun,
+    Absence,
+    AbsenceOutcome,
+    Absences,
+)
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry
-from damaskdeck.protocol.queues import QueueJobState
-from damaskdeck.state.jobrecords import CordonedRun, RecordedStart
-from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step, Task
+from damaskdeck.protocol.pools import PoolWorker
+from damaskdeck.protocol.queues import QueueJobState, TaskName
+from damaskdeck.state.jobrecords import CordonedRun, RecordedStart, UnconfirmedCrash
+from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Task
 
 # A worker that was seen for longer after a start did not crash because of it.
 EARLY_CRASH_SECONDS = 1.0
@@ -24,13 +34,6 @@
 SIMULTANEOUS_SECONDS = 0.02
 # A worker that was restarted just now may crash again for its own reasons.
 WARM_UP_SECONDS = 3.0
-# A job fails when one of its tasks was suspect this often, because the task would
-# crash more workers.
-MAX_SUSPECTED_CRASHES = 2
-# A job also fails after this many crashes under one task, even if other tasks were
-# suspect. Users accept five starts, and one crash may go unseen. A start that was never
-# confirmed counts too, so with fewer a task would fail that hardly ran.
-MAX_CRASHES = 4
 # A long-running task that has run for this long does not crash workers by its start.
 STABLE_SECONDS = 10.0
 
@@ -42,29 +45,17 @@
 
     job_index: JobIndex
 
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+
     def end_job(self, job: Job, state: QueueJobState, reason: str) -> None:
         """Set the final state of a job."""
 
     def mark_dirty(self, job: Job) -> None:
         """Write the progress of a job with the next commit."""
 
-
-class CrashCount(NamedTuple):
-    """The evidence against a task.
-
-    :param crashes: The number of workers that crashed while they ran it or may have run
-        it.
-    :param suspected: The number of these crashes for which no other task was as likely
-        the cause.
-    """
-
-    crashes: int
-    suspected: int
-
-    @property
-    def is_at_limit(self) -> bool:
-        """Whether the task has reached a limit, so that its job fails."""
-        return self.suspected >= MAX_SUSPECTED_CRASHES or self.crashes >= MAX_CRASHES
+    def requeue(self, job: Job) -> None:
+        """Let the waiting tasks of a job be placed again."""
 
 
 class Crashes:
@@ -76,80 +67,190 @@
         self._inherited: dict[str, list[RecordedStart]] = {}
         # Zones with a worker that this owner could not read.
         self._unread_zones: set[str] = set()
-        # Incarnations that were silent when their runs were recorded.
-        self._given_up: set[str] = set()
+        self._absences = Absences()
 
-    def record_crash(self, contact: WorkerContact, lost: Iterable[Run]) -> None:
-        """Record the runs that were lost with a worker.
+    def record_loss(self, contact: WorkerContact, lost: Iterable[Run]) -> None:
+        """Record the runs that were lost with a worker or abandoned on it.
 
         :param lost: The runs that the worker had started, or may have started.
         """
         started = [run for run in lost if _may_have_started(run)]
         if not started or contact.is_leaving:
             return
+        if contact.is_gone:
+            self._record_crash(contact, started)
+        else:
+            self._record_silence(contact, started)
+
+    def _record_crash(self, contact: WorkerContact, started: list[Run]) -> None:
         suspected = _find_suspected(contact, started)
         _log.warn(
             "A worker is gone with its runs.",
             worker=contact.info.identifier,
             runs=len(started),
             suspected=sorted({run.task.name.job for run in suspected}),
-            evidence="replaced" if contact.is_gone else "not_listed",
         )
-        if not contact.is_gone:
-            self._given_up.add(contact.info.identifier)
         for run in started:
-            step = run.task.step
-            if (
-                step.spec.is_long_running
-                and _measure_time_seen(contact, run) >= STABLE_SECONDS
-            ):
-                step.clear_crashes(run.task)
-                step.job.recorded_starts.discard(run.task.name)
-                self._owner.mark_dirty(step.job)
+            if _has_run_well(contact, run):
+                self._clear(run.task)
             else:
-                self._count(step, run.task, run.attempt, run in suspected)
+                self._count(run.task, run.attempt, run in suspected)
 
-    def handle_answer(self, contact: WorkerContact) -> None:
-        """Handle an answer of a worker, which may have been given up before."""
-        if contact.info.identifier in self._given_up:
-            self._given_up.discard(contact.info.identifier)
+    def _record_silence(self, contact: WorkerContact, started: list[Run]) -> None:
+        _log.warn(
+            "Runs are abandoned on a silent worker.",
+            worker=contact.info.identifier,
+            runs=len(started),
+            is_listed=contact.is_listed,
+        )
+        for run in started:
+            if _has_run_well(contact, run):
+                self._clear(run.task)
+            else:
+                self._suspend_judgement(contact.info, run.task, run.attempt)
+
+    def _clear(self, task: Task) -> None:
+        """Clear the crashes of a long-running task that has run well."""
+        job = task.step.job
+        task.step.crash_counts.clear(task.name.index)
+        job.recorded_starts.discard(task.name)
+        self._owner.mark_dirty(job)
+
+    def _suspend_judgement(self, worker: PoolWorker, task: Task, attempt: int) -> None:
+        """Record a run whose silent worker may have crashed under it."""
+        counts, index = task.step.crash_counts, task.name.index
+        crash = UnconfirmedCrash(attempt, worker.identifier, worker.address)
+        if not counts.record_unconfirmed(index, crash):
+            return
+        self._absences.add(
+            worker.identifier,
+            worker.address,
+            AbandonedRun(task, attempt),
+            self._owner.now(),
+        )
+        job = task.step.job
+        job.recorded_starts.require(task.name)
+        self._owner.mark_dirty(job)
+        if counts.is_held(index):
             _log.warn(
-                "A worker that was given up answers.", worker=contact.info.identifier
+                "A task waits for silent workers under which it may have crashed.",
+                id=job.identifier,
+                task=task.name[1:],
+                crashes=counts.count(index),
+                unconfirmed=len(counts.unconfirmed[index]),
             )
-            count_retry("crashes", "answers")
+            self._owner.requeue(job)
+
+    def handle_answer(self, contact: WorkerContact) -> None:
+        """Handle an answer of a worker, which may have been silent."""
+        self._resolve_worker(contact.info.identifier, AbsenceOutcome.ALIVE)
 
-    def record_inherited(self, worker: str, runs: Iterable[CordonedRun]) -> None:
-        """Record the runs that the previous owner stored for a worker that is gone.
+    def handle_replacement(self, contact: WorkerContact) -> None:
+        """Handle the end of a worker's incarnation, which may have been silent."""
+        self._resolve_worker(contact.info.identifier, AbsenceOutcome.REPLACED)
 
-        Long-running tasks are skipped, as it is not known how long they have run.
+    def handle_registration(self, worker: PoolWorker, reported_at: float) -> None:
+        """Handle a registration, which may be of a worker that was silent.
 
-        :param worker: The worker's incarnation.
-        :param runs: The runs that its cordon names.
+        :param reported_at: The earliest monotonic time in seconds at which the worker
+            may have written it.
         """
-        recorded = self._inherited.pop(worker, ())
-        for run in {*runs, *(CordonedRun(s.task, s.attempt) for s in recorded)}:
-            task = self._owner.job_index.find_task(run.task)
-            if task is None or task.is_completed or task.step.spec.is_long_running:
+        if not self._absences:
+            return
+        ended = self._absences.take_registered(
+            worker.identifier, worker.address, reported_at
+        )
+        for absence, outcome in ended:
+            self._resolve(absence, outcome)
+
+    def sweep(self, now: float, followed_since: float) -> None:
+        """Count the workers as gone that have been absent for too long.
+
+        :param followed_since: Monotonic seconds since which the registry has been
+            followed without a failure.
+        """
+        for absence in self._absences.take_gone(now, followed_since):
+            self._resolve(absence, AbsenceOutcome.GONE)
+
+    def _resolve_worker(self, worker: str, outcome: AbsenceOutcome) -> None:
+        absence = self._absences.take(worker)
+        if absence is not None:
+            self._resolve(absence, outcome)
+
+    def _resolve(self, absence: Absence, outcome: AbsenceOutcome) -> None:
+        """Count the runs that were abandoned on a worker, or forget them."""
+        _log.warn(
+            "The absence of a worker has ended.",
+            worker=absence.worker,
+            outcome=outcome,
+            runs=len(absence.runs),
+            seconds=round(self._owner.now() - absence.since, 3),
+        )
+        count_retry("crashes", outcome)
+        for task, attempt in absence.runs:
+            counts, job = task.step.crash_counts, task.step.job
+            if job.is_final or not counts.discard_unconfirmed(task.name.index, attempt):
                 continue
-            self._count(task.step, task, run.attempt, False)
+            if outcome is not AbsenceOutcome.ALIVE and not task.is_completed:
+                self._count(task, attempt, False)
+            self._owner.mark_dirty(job)
+            self._owner.requeue(job)
 
     def load(self) -> None:
-        """Find the starts that the previous owner recorded, once jobs are loaded."""
+        """Find what the previous owner recorded, once jobs are loaded."""
         for job in self._owner.job_index.open_jobs.values():
             for start in job.recorded_starts.list_unsettled():
                 self._inherited.setdefault(start.worker, []).append(start)
-
-    def handle_reconciled(self, contact: WorkerContact, is_cordoned: bool) -> None:
+            self._load_unconfirmed(job)
+
+    def _load_unconfirmed(self, job: Job) -> None:
+        now = self._owner.now()
+        for step in job.list_steps():
+            for index, crashes in step.crash_counts.list_unconfirmed().items():
+                task = job.find_task(
+                    TaskName(job.identifier, step.occurrence, step.number, index)
+                )
+                for crash in crashes if task is not None else ():
+                    run = AbandonedRun(task, crash.attempt)
+                    self._absences.add(crash.worker, crash.address, run, now)
+
+    def handle_reconciled(
+        self, contact: WorkerContact, cordoned: tuple[CordonedRun, ...] | None
+    ) -> None:
         """Handle a worker on which nothing unknown to this owner runs any more.
 
         If this owner could not read what the worker ran, a crash may have gone unseen.
 
-        :param is_cordoned: Whether the previous owner recorded what the worker ran.
+        :param cordoned: The runs that the previous owner recorded with the worker's
+            cordon, ``None`` if it had none.
         """
         if contact.is_reconciled:
             self._clear_unlisted(contact)
-        elif not is_cordoned:
+            return
+        if cordoned is None:
             self._require_records(contact.info.zone)
+        self._record_inherited(contact, cordoned or ())
+
+    def _record_inherited(
+        self, contact: WorkerContact, cordoned: tuple[CordonedRun, ...]
+    ) -> None:
+        """Record the runs that the previous owner stored for a worker.
+
+        Long-running tasks are skipped, as it is not known how long they have run.
+        """
+        recorded = self._inherited.pop(contact.info.identifier, ())
+        if contact.is_leaving:
+            return
+        for run in {*cordoned, *(CordonedRun(s.task, s.attempt) for s in recorded)}:
+            task = self._owner.job_index.find_task(run.task)
+            if task is None or task.is_completed or task.step.spec.is_long_running:
+                continue
+            if task.step.job.is_final:
+                continue
+            if contact.is_gone:
+                self._count(task, run.attempt, False)
+            else:
+                self._suspend_judgement(contact.info, task, run.attempt)
 
     def _clear_unlisted(self, contact: WorkerContact) -> None:
         """Clear the recorded starts that a worker doesn't list."""
@@ -174,23 +275,28 @@
             if waiting:
                 self._owner.mark_dirty(job)
 
-    def _count(self, step: Step, task: Task, attempt: int, is_suspected: bool) -> None:
-        step.record_crash(task, attempt, is_suspected)
-        job = step.job
+    def _count(self, task: Task, attempt: int, is_suspected: bool) -> None:
+        """Count a crash, and fail the job if a limit is reached.
+
+        In a gang, only the members that ran on that worker count. The others end with
+        them, but crashed nothing.
+        """
+        counts, index, job = task.step.crash_counts, task.name.index, task.step.job
+        counts.record(index, attempt, is_suspected)
         job.recorded_starts.require(task.name)
         self._owner.mark_dirty(job)
-        count = CrashCount(*step.count_crashes(task))
+        crashes = counts.count(index)
         _log.warn(
             "A crash counts against a task.",
             id=job.identifier,
             task=task.name[1:],
             attempt=attempt,
             is_suspected=is_suspected,
-            crashes=count.crashes,
-            suspected=count.suspected,
+            crashes=crashes,
+            suspected=counts.count_suspected(index),
         )
-        if count.is_at_limit and not job.is_final:
-            reason = f"{count.crashes} workers crashed under task {task.name[1:]}"
+        if counts.is_at_limit(index) and not job.is_final:
+            reason = f"{crashes} workers crashed under task {task.name[1:]}"
             count_drop("crashes", "given_up")
             self._owner.end_job(job, QueueJobState.FAILED, reason)
 
@@ -211,6 +317,12 @@
     return run.phase is not RunPhase.ORDERED and not run.task.is_completed
 
 
+def _has_run_well(contact: WorkerContact, run: Run) -> bool:
+    """Whether a long-running task ran too long to have crashed its worker."""
+    is_long_running = run.task.step.spec.is_long_running
+    return is_long_running and _measure_time_seen(contact, run) >= STABLE_SECONDS
+
+
 def _find_suspected(contact: WorkerContact, started: list[Run]) -> list[Run]:
     """Return the runs that are the most likely cause of a worker's crash.
 
--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -42,8 +42,8 @@
     def handle_lost_run(self, contact: "WorkerContact", run: Run) -> None:
         """Handle a run that is gone without an end."""
 
-    def record_crash(self, contact: "WorkerContact", lost: list[Run]) -> None:
-        """Record the runs that were lost with an incarnation of a worker."""
+    def record_loss(self, contact: "WorkerContact", lost: list[Run]) -> None:
+        """Record the runs that were lost with a worker or abandoned on it."""
 
     def handle_contact_change(self, contact: "WorkerContact") -> None:
         """Handle a worker that has answered, or that is known to be gone."""
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -130,7 +130,7 @@
                 self._confirm_jobs,
                 self._changes.record_cordon_change,
                 self._crashes.handle_reconciled,
-                self._crashes.record_inherited,
+                self._crashes.handle_registration,
             ),
         )
 
@@ -256,6 +256,10 @@
         """Queue a job's progress for the next commit of the journal."""
         self._changes.record_job_change(job)
 
+    def requeue(self, job: Job) -> None:
+        """Let the waiting tasks of a job be placed again."""
+        self.dispatcher.mark_changed(job)
+
     def stop(self, run: Run) -> None:
         """Request the worker of a run to end it."""
         contact = self.contacts.get(run.worker)
@@ -393,15 +397,17 @@
         self.dispatcher.mark_changed(task.step.job)
         self.dispatcher.handle_freed_capacity(contact)
 
-    def record_crash(self, contact: WorkerContact, lost: list[Run]) -> None:
-        """Record the runs that were lost with an incarnation of a worker."""
-        self._crashes.record_crash(contact, lost)
+    def record_loss(self, contact: WorkerContact, lost: list[Run]) -> None:
+        """Record the runs that were lost with a worker or abandoned on it."""
+        self._crashes.record_loss(contact, lost)
 
     def handle_contact_change(self, contact: WorkerContact) -> None:
         """Handle a worker that has answered, or whose lease has expired."""
         is_over = contact.is_gone or self.now() >= contact.lease_until
         if contact.is_synchronized:
             self._crashes.handle_answer(contact)
+        elif contact.is_gone:
+            self._crashes.handle_replacement(contact)
         if contact.is_synchronized or is_over:
             self._fleet.mark_reconciled(contact)
         self.dispatcher.handle_contact_change(contact)
@@ -481,6 +487,7 @@
             self.advice_scheduler.dispatch()
             self._fleet.check_capacity_ages(now)
             self._supervisor.sweep(now)
+            self._crashes.sweep(now, self._fleet.followed_since)
             self._fleet.cordons.sweep(
                 now, may_add=not self._shared.leadership.is_cut_off()
             )
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -24,7 +24,7 @@
     RegistryChanges,
     WorkerRegistry,
 )
-from damaskdeck.protocol.ports import Found, Missing, RevisionTooOld
+from damaskdeck.protocol.ports import Found, Lost, Missing, Rejected, RevisionTooOld
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
@@ -81,17 +81,19 @@
         cordoned worker is reconciled.
     :param on_cordon_change: called when the cordons have to be written.
     :param on_worker_reconciled: called with a worker before it counts as reconciled,
-        and whether it is cordoned.
-    :param on_inherited_crash: called with an incarnation of a worker that is lost, and
-        the runs that a predecessor recorded with its cordon.
+        and the runs that a predecessor recorded with its cordon, ``None`` without one.
+    :param on_registration: called with a registration, and the earliest monotonic time
+        in seconds at which the worker may have written it.
     """
 
     on_change: Callable[[], None]
     on_roster_change: Callable[[], None]
     on_reconciled: Callable[[], None]
     on_cordon_change: Callable[[], None]
-    on_worker_reconciled: Callable[[WorkerContact, bool], None]
-    on_inherited_crash: Callable[[str, tuple[CordonedRun, ...]], None]
+    on_worker_reconciled: Callable[
+        [WorkerContact, tuple[CordonedRun, ...] | None], None
+    ]
+    on_registration: Callable[[PoolWorker, float], None]
 
 
 class InheritedWorkers(NamedTuple):
@@ -110,6 +112,8 @@
 
     :param owner: receives the callbacks of the contacts.
     :ivar contacts: by the identifier of the worker's incarnation.
+    :ivar followed_since: monotonic seconds since which the registry has been followed
+        without a failure, infinite while it can't be followed.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
         self._owner = owner
         self._callbacks = callbacks
         self._revision = 0
+        self.followed_since = float("inf")
         # Workers whose reported capacity was too old at the last check.
         self._stale: set[str] = set()
         self._has_stale_capacity = False
@@ -237,8 +242,9 @@
         """Record that a worker has no runs unknown to this owner any more."""
         identifier = contact.info.identifier
         if identifier in self._unreconciled:
-            is_cordoned = self.cordons.find(identifier) is not None
-            self._callbacks.on_worker_reconciled(contact, is_cordoned)
+            cordon = self.cordons.find(identifier)
+            runs = cordon.runs if cordon is not None else None
+            self._callbacks.on_worker_reconciled(contact, runs)
         self._mark_reconciled(identifier)
 
     def _mark_reconciled(self, identifier: str) -> None:
@@ -309,11 +315,6 @@
 
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
-        cordon = self.cordons.find(contact.info.identifier)
-        if contact.is_gone and not contact.is_reconciled and not contact.is_leaving:
-            # No other component knows of its runs any more.
-            runs = cordon.runs if cordon is not None else ()
-            self._callbacks.on_inherited_crash(contact.info.identifier, runs)
         self.contacts.pop(contact.info.identifier, None)
         self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
@@ -336,6 +337,7 @@
     def _apply_registration(self, worker: PoolWorker, revision: int) -> bool:
         """Apply a registration, and return whether it contains anything new."""
         reported_at = self._dependencies.find_write_time(revision)
+        self._callbacks.on_registration(worker, reported_at)
         contact = self.contacts.get(worker.identifier)
         if contact is None and not self._dependencies.is_pool_declared(worker.pool):
             self._record_undeclared(worker, revision)
@@ -395,6 +397,10 @@
             for change in list(self._undeclared.values()):
                 self._apply_registration(change.worker, change.revision)
             answer = await registry.follow_workers(self._revision, WATCH_WAIT)
+            if isinstance(answer, Rejected | Lost):
+                self.followed_since = float("inf")
+            else:
+                self.followed_since = min(self.followed_since, self._now())
             if isinstance(answer, RegistryChanges):
                 self._revision = answer.revision
                 is_new = False
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -137,6 +137,18 @@
     account: str = ""
 
 
+class UnconfirmedCrash(NamedTuple):
+    """A run that was abandoned on a silent worker, which may have crashed.
+
+    :param worker: the worker's incarnation.
+    :param address: its address; another incarnation there proves that it has ended.
+    """
+
+    attempt: int
+    worker: str
+    address: str
+
+
 class StepProgress(NamedTuple):
     """Durable progress of one step of one occurrence.
 
@@ -145,6 +157,7 @@
     :param checkpoints: last checkpoint by task index.
     :param crashes: attempts whose workers crashed, by task index.
     :param suspected: those of the crashes that the task is suspected to have caused.
+    :param unconfirmed: abandoned runs whose workers may have crashed, by task index.
     """
 
     occurrence: int
@@ -154,6 +167,7 @@
     checkpoints: dict[int, str] = {}
     crashes: dict[int, tuple[int, ...]] = {}
     suspected: dict[int, tuple[int, ...]] = {}
+    unconfirmed: dict[int, tuple[UnconfirmedCrash, ...]] = {}
 
 
 class RecordedStart(NamedTuple):
--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -14,6 +14,7 @@
     StepSpec,
     TaskName,
 )
+from damaskdeck.state.crashcounts import CrashCounts, to_sets, to_tuples
 from damaskdeck.state.jobrecords import (
     JobRecord,
     ProgressRecord,
@@ -179,17 +180,15 @@
     :ivar name: the name by which the advisor knows it.
     :ivar due_at: monotonic seconds when its occurrence was due, or its job arrived.
     :ivar failures: failed attempts by task index; :data:`GANG_INDEX` for a gang.
-    :ivar crashes: attempts whose workers crashed, by task index.
-    :ivar suspected: those of the crashes that the task is suspected to have caused.
+    :ivar crash_counts: crashes of the workers that ran its tasks.
     :ivar constrained_since: since when there is no capacity where it runs best,
         ``None`` if there is.
     :ivar not_before: monotonic seconds until which a gang waits that could not start.
     """
 
     __slots__ = (
-        "suspected",
         "completed",
-        "crashes",
+        "crash_counts",
         "due_at",
         "failures",
         "job",
@@ -214,8 +213,7 @@
         self.constrained_since: float | None = None
         self.completed = 0
         self.failures: dict[int, set[int]] = {}
-        self.crashes: dict[int, set[int]] = {}
-        self.suspected: dict[int, set[int]] = {}
+        self.crash_counts = CrashCounts()
         self.not_before = 0.0
         self.tasks = [
             Task(self, TaskName(job.identifier, occurrence, number, index))
@@ -227,10 +225,15 @@
         """Whether all tasks have completed."""
         return self.completed == len(self.tasks)
 
+    @property
+    def crashes(self) -> dict[int, set[int]]:
+        """Attempts whose workers crashed, by task index."""
+        return self.crash_counts.crashes
+
     @property
     def has_crashes(self) -> bool:
-        """Whether workers have crashed while they ran tasks of this step."""
-        return bool(self.crashes)
+        """Whether workers may have crashed while they ran tasks of this step."""
+        return bool(self.crash_counts)
 
     @property
     def is_due(self) -> bool:
@@ -249,7 +252,12 @@
         """List the tasks to start; all or none of a gang."""
         if self.spec.is_gang and any(task.runs for task in self.tasks):
             return []
-        return [task for task in self.tasks if task.is_waiting]
+        waiting = [task for task in self.tasks if task.is_waiting]
+        if not self.crash_counts.unconfirmed:
+            return waiting
+        startable = [t for t in waiting if not self.crash_counts.is_held(t.name.index)]
+        is_gang_held = self.spec.is_gang and len(startable) < len(waiting)
+        return [] if is_gang_held else startable
 
     def complete(self, task: Task) -> None:
         """Record that a task, or with it its whole gang, has completed."""
@@ -265,28 +273,6 @@
         attempts.add(attempt)
         return len(attempts)
 
-    def record_crash(self, task: Task, attempt: int, is_suspected: bool) -> None:
-        """Record an attempt that was lost because its worker crashed.
-
-        In a gang, only the members that ran on that worker are recorded. The others end
-        with them, but crashed nothing.
-        """
-        key = task.name.index
-        self.crashes.setdefault(key, set()).add(attempt)
-        if is_suspected:
-            self.suspected.setdefault(key, set()).add(attempt)
-
-    def count_crashes(self, task: Task) -> tuple[int, int]:
-        """Return the number of crashes, and that of suspected ones."""
-        key = task.name.index
-        return len(self.crashes.get(key, ())), len(self.suspected.get(key, ()))
-
-    def clear_crashes(self, task: Task) -> None:
-        """Remove the recorded crashes of a task once it has run well."""
-        key = task.name.index
-        self.crashes.pop(key, None)
-        self.suspected.pop(key, None)
-
     def store_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Store a checkpoint; that of any member is valid for its gang."""
         if checkpoint:
@@ -296,13 +282,13 @@
     def summarize(self) -> StepProgress | None:
         """Return the durable progress, ``None`` when there is none."""
         completed = tuple(t.name.index for t in self.tasks if t.is_completed)
-        failures = _to_tuples(self.failures)
+        failures = to_tuples(self.failures)
         checkpoints = {
             t.name.index: t.checkpoint
             for t in self.tasks
             if t.checkpoint and not t.is_completed
         }
-        if not (completed or failures or checkpoints or self.crashes):
+        if not (completed or failures or checkpoints or self.crash_counts):
             return None
         return StepProgress(
             self.occurrence,
@@ -310,8 +296,9 @@
             completed,
             failures,
             checkpoints,
-            _to_tuples(self.crashes),
-            _to_tuples(self.suspected),
+            to_tuples(self.crash_counts.crashes),
+            to_tuples(self.crash_counts.suspected),
+            self.crash_counts.list_unconfirmed(),
         )
 
     def restore(self, progress: StepProgress) -> None:
@@ -320,21 +307,12 @@
             if not self.tasks[index].is_completed:
                 self.tasks[index].is_completed = True
                 self.completed += 1
-        self.failures = _to_sets(progress.failures)
-        self.crashes = _to_sets(progress.crashes)
-        self.suspected = _to_sets(progress.suspected)
+        self.failures = to_sets(progress.failures)
+        self.crash_counts.restore(progress)
         for index, checkpoint in progress.checkpoints.items():
             self.tasks[index].checkpoint = checkpoint
 
 
-def _to_tuples(attempts: dict[int, set[int]]) -> dict[int, tuple[int, ...]]:
-    return {key: tuple(sorted(numbers)) for key, numbers in attempts.items()}
-
-
-def _to_sets(attempts: dict[int, tuple[int, ...]]) -> dict[int, set[int]]:
-    return {key: set(numbers) for key, numbers in attempts.items()}
-
-
 class Job:
     """A job with the steps of its occurrences.
 
@@ -456,7 +434,8 @@
         for step_progress in progress.steps:
             step = self._find_step(step_progress)
             step.restore(step_progress)
-            for index in step.crashes:
+            counts = step.crash_counts
+            for index in counts.crashes.keys() | counts.unconfirmed.keys():
                 name = TaskName(self.identifier, step.occurrence, step.number, index)
                 self.recorded_starts.require(name)
         if progress.zones is not None:
--- /dev/null
+++ b/tests/test_absences.py
@@ -0,0 +1,114 @@
+"""Tests when a silent worker counts as crashed, and when its tasks must wait."""
+
+import unittest
+
+from damaskdeck.coordination.pools.absences import (
+    MAX_ABSENCE_SECONDS,
+    AbandonedRun,
+    AbsenceOutcome,
+    Absences,
+)
+from damaskdeck.protocol.queues import TaskName
+from damaskdeck.state.crashcounts import MAX_CRASHES, CrashCounts
+from damaskdeck.state.jobrecords import StepProgress, UnconfirmedCrash
+from damaskdeck.state.pooljobs import Task
+
+ADDRESS = "10.0.0.1:1"
+NEVER = float("inf")
+
+
+def make_absences() -> Absences:
+    """Return the absence of w1 since the 10th second."""
+    absences = Absences()
+    task = Task(None, TaskName("j1", 0, 0, 0))
+    absences.add("w1", ADDRESS, AbandonedRun(task, 1), 10.0)
+    return absences
+
+
+class TestAbsences(unittest.TestCase):
+    """Silence proves nothing; a registration or a long absence does."""
+
+    def find_outcomes(self, worker: str, address: str, reported_at: float) -> list:
+        """Return the workers whose absence a registration ends, with outcomes."""
+        ended = make_absences().take_registered(worker, address, reported_at)
+        return [(absence.worker, outcome) for absence, outcome in ended]
+
+    def test_a_worker_that_registers_again_is_alive(self):
+        outcomes = self.find_outcomes("w1", ADDRESS, 11.0)
+        self.assertEqual(outcomes, [("w1", AbsenceOutcome.ALIVE)])
+
+    def test_another_incarnation_at_the_address_replaces_it(self):
+        outcomes = self.find_outcomes("w1+1", ADDRESS, 11.0)
+        self.assertEqual(outcomes, [("w1", AbsenceOutcome.REPLACED)])
+
+    def test_another_address_says_nothing(self):
+        self.assertEqual(self.find_outcomes("w2", "10.0.0.2:1", 11.0), [])
+
+    def test_registrations_from_before_the_absence_say_nothing(self):
+        self.assertEqual(self.find_outcomes("w1", ADDRESS, 9.0), [])
+        self.assertEqual(self.find_outcomes("w0", ADDRESS, 9.0), [])
+
+    def test_a_worker_is_gone_after_a_long_absence(self):
+        absences = make_absences()
+        until = 10.0 + MAX_ABSENCE_SECONDS
+        self.assertEqual(absences.take_gone(until - 0.1, 0.0), [])
+        self.assertEqual([a.worker for a in absences.take_gone(until, 0.0)], ["w1"])
+        self.assertFalse(absences)
+
+    def test_absence_does_not_count_while_the_registry_is_not_followed(self):
+        absences = make_absences()
+        until = 10.0 + MAX_ABSENCE_SECONDS
+        self.assertEqual(absences.take_gone(until, NEVER), [])
+        self.assertEqual(absences.take_gone(until + 5, 20.0), [])
+        self.assertEqual(len(absences.take_gone(until + 10, 20.0)), 1)
+
+    def test_an_absence_ends_once(self):
+        absences = make_absences()
+        self.assertEqual(absences.take("w1").runs[0].attempt, 1)
+        self.assertIsNone(absences.take("w1"))
+        self.assertEqual(absences.take_registered("w1+1", ADDRESS, 11.0), [])
+
+
+class TestCrashCounts(unittest.TestCase):
+    """Unconfirmed crashes hold a task and fail no job."""
+
+    def make_counts(self, crashes: int, unconfirmed: int) -> CrashCounts:
+        """Return the counts of a task with index 0."""
+        counts = CrashCounts()
+        for attempt in range(crashes):
+            counts.record(0, attempt, False)
+        for attempt in range(crashes, crashes + unconfirmed):
+            crash = UnconfirmedCrash(attempt, f"w{attempt}", ADDRESS)
+            counts.record_unconfirmed(0, crash)
+        return counts
+
+    def test_only_confirmed_crashes_reach_the_limit(self):
+        self.assertTrue(self.make_counts(MAX_CRASHES, 0).is_at_limit(0))
+        self.assertFalse(self.make_counts(MAX_CRASHES - 1, 9).is_at_limit(0))
+
+    def test_a_task_is_held_if_all_of_its_crashes_would_reach_the_limit(self):
+        self.assertTrue(self.make_counts(1, MAX_CRASHES - 1).is_held(0))
+        self.assertFalse(self.make_counts(1, MAX_CRASHES - 2).is_held(0))
+        self.assertFalse(self.make_counts(1, MAX_CRASHES - 1).is_held(1))
+
+    def test_a_refuted_crash_releases_the_task(self):
+        counts = self.make_counts(1, MAX_CRASHES - 1)
+        self.assertTrue(counts.discard_unconfirmed(0, 1))
+        self.assertFalse(counts.discard_unconfirmed(0, 1))
+        self.assertFalse(counts.is_held(0))
+
+    def test_a_confirmed_crash_counts_once(self):
+        counts = self.make_counts(0, 2)
+        counts.record(0, 0, False)
+        again = UnconfirmedCrash(0, "w0", ADDRESS)
+        self.assertFalse(counts.record_unconfirmed(0, again))
+        self.assertEqual((counts.count(0), len(counts.unconfirmed[0])), (1, 1))
+
+    def test_the_counts_are_restored(self):
+        counts = self.make_counts(1, 2)
+        restored = CrashCounts()
+        restored.restore(
+            StepProgress(0, 0, crashes={0: (0,)}, unconfirmed=counts.list_unconfirmed())
+        )
+        self.assertEqual(restored.crashes, counts.crashes)
+        self.assertEqual(restored.unconfirmed, counts.unconfirmed)
--- a/tests/test_pools_crashes.py
+++ b/tests/test_pools_crashes.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from damaskdeck.coordination.pools.crashes import MAX_CRASHES, WARM_UP_SECONDS
+from damaskdeck.coordination.pools.crashes import WARM_UP_SECONDS
 from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
+from damaskdeck.state.crashcounts import MAX_CRASHES
 from standins.pools import StandinRegistry, StandinWorker, Work, WorkersClient
 from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
 from tests.virtual import virtual
@@ -293,6 +294,29 @@
 
         client.start = start
 
+    # Workers that stay away may have crashed: a further start might exceed the bound.
+    @virtual
+    async def test_a_task_waits_for_silent_workers_and_does_not_fail(self):
+        await self.begin_long_job()
+        cluster = self.cluster
+        hosts: list[StandinWorker] = []
+        for _ in range(MAX_CRASHES):
+            hosts.append(await self.wait_for_host(hosts))
+            cluster.isolate(hosts[-1].info.identifier)
+            await self.wait_for_lapse(hosts)
+        await asyncio.sleep(5)
+        self.assertEqual(len(cluster.list_starts("j1")), MAX_CRASHES)
+        self.assertTrue(cluster.is_open("j1"))
+        cluster.rejoin(hosts[0].info.identifier)
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
+    async def wait_for_host(self, known: list[StandinWorker]) -> StandinWorker:
+        """Wait until a worker that is not known yet runs something."""
+        others = [w for w in self.cluster.workers.values() if w not in known]
+        await self.cluster.wait(lambda: any(map(self.has_runs, others)))
+        return next(filter(self.has_runs, others))
+
     # What a silent worker may have crashed under is told once it is replaced.
     @virtual
     async def test_a_worker_that_is_replaced_after_its_lease_has_crashed(self):
