Keep a worker that is gone until its runs are recorded

What callers saw: a task that crashes workers was started a sixth time.

Change: a gone worker stays in the roster and its cordon stays while the contact holds runs.

--- a/src/damaskdeck/coordination/pools/cordons.py
+++ b/src/damaskdeck/coordination/pools/cordons.py
@@ -83,7 +83,8 @@
     def _has_ended(self, cordon: Cordon) -> bool:
         contact = self._contacts.get(cordon.worker)
         if contact is None or contact.is_gone:
-            return True
+            # A successor must find the runs of a worker that is gone until they count.
+            return contact is None or not contact.runs
         if cordon.is_silent:
             return contact.is_synchronized
         # A worker that is no longer listed has left, whatever its last entry says.
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -263,7 +263,10 @@
 
         The function returns whether orders may now go to more workers.
         """
-        listed = [(c, c.peak_size) for c in self.contacts.values() if not c.is_gone]
+        # A successor must find the runs of a worker that is gone until they count.
+        listed = [
+            (c, c.peak_size) for c in self.contacts.values() if c.runs or not c.is_gone
+        ]
         roster = RosterRecord(
             tuple(c.info._replace(size=peak_size) for c, peak_size in listed)
         )
