Count a task as crashed only if its worker has restarted

Cause: the owner of a worker looked at the list of tasks alone, and not at the incarnation that the worker names with it. Change: a loss counts as a restart only if the incarnation is another than the one to which the start was sent or that first listed the task; else its code is not_listed, and the task is requeued without a count. A worker that names no incarnation counts as before. A lapsed lease has never counted here.

Before: the new test of a task that is no longer listed found one crash; after: none. Two tests show that restarts go on to count, also for a task that a new owner adopted; they passed before as well.

--- a/src/damaskdeck/coordination/workers/orders.py
+++ b/src/damaskdeck/coordination/workers/orders.py
@@ -145,7 +145,7 @@
         if hosted is None or hosted.state != "unsure":
             return
         if isinstance(answer, Accepted):
-            self._roster.merge_report(answer.report)
+            self._roster.merge_report(answer.report, hosted.incarnation)
         elif isinstance(answer, Rejected) and not hosted.is_retry:
             session.handle_rejection(answer.code)
             self._roster.set_state(hosted, "unstarted", code=answer.code)
@@ -162,7 +162,7 @@
         call = session.port.checkpoint if checkpoint else session.port.stop
         answer = await call(session.worker, session.epoch, task)
         if isinstance(answer, Accepted):
-            self._roster.merge_report(answer.report)
+            self._roster.merge_report(answer.report, hosted.incarnation)
             return
         self._clear_cause(task, attempt)
         if isinstance(answer, Lost):
--- a/src/damaskdeck/coordination/workers/rosters.py
+++ b/src/damaskdeck/coordination/workers/rosters.py
@@ -39,7 +39,8 @@
     :param start: the order by which it was started; ``None`` if by another owner.
     :param is_retry: whether an earlier start of this attempt may still arrive.
     :param cause: why its owner stops it, such as ``preempted``.
-    :param incarnation: the worker's incarnation to which its start was sent.
+    :param incarnation: the worker's incarnation to which its start was sent, or which
+        first listed it.
     """
 
     task: str
@@ -138,8 +139,8 @@
                 lease_end = max(hosted.lease_end, lease_end + self._lease)
                 self.tasks[name] = hosted._replace(lease_end=lease_end)
 
-    def merge_report(self, report: TaskReport) -> None:
-        """Apply a worker's report of a task."""
+    def merge_report(self, report: TaskReport, incarnation: str) -> None:
+        """Apply a report of a task by an incarnation of the worker."""
         hosted = self.tasks.get(report.task)
         if hosted is not None and hosted.attempt > report.attempt:
             return
@@ -150,7 +151,14 @@
         now = self._clock.monotonic()
         if not is_known:
             lease_end = now + self._takeover_bound
-            hosted = HostedTask(report.task, report.attempt, state, lease_end, now)
+            hosted = HostedTask(
+                report.task,
+                report.attempt,
+                state,
+                lease_end,
+                now,
+                incarnation=incarnation,
+            )
             if state == "running":
                 self._adopt(report)
         hosted = hosted._replace(lease_end=max(hosted.lease_end, now + self._lease))
--- a/src/damaskdeck/coordination/workers/sessions.py
+++ b/src/damaskdeck/coordination/workers/sessions.py
@@ -208,7 +208,7 @@
             for hosted in self.roster.list_missing(present, sent_at):
                 self._resolve_missing(hosted)
         for report in found.tasks:
-            self.roster.merge_report(report)
+            self.roster.merge_report(report, found.incarnation)
         self._set_overfull(self.roster.has_unreserved())
         return True
 
@@ -243,12 +243,20 @@
     def _resolve_missing(self, hosted: HostedTask) -> None:
         """Handle an attempt that the worker doesn't list, as after a restart."""
         if hosted.state == "running":
-            self.roster.set_state(hosted, "lost", code="worker_restarted")
+            code = "worker_restarted" if self._has_restarted(hosted) else "not_listed"
+            self.roster.set_state(hosted, "lost", code=code)
         elif hosted.state == "unsure" and hosted.incarnation != self.incarnation:
             self.roster.set_state(hosted, "lost", code="start_lost")
         elif hosted.state == "unsure":
             self.orders.retry_start(hosted)
 
+    def _has_restarted(self, hosted: HostedTask) -> bool:
+        """Return whether the worker has restarted since it ran an attempt.
+
+        A worker that names no incarnation counts as restarted.
+        """
+        return not self.incarnation or hosted.incarnation != self.incarnation
+
     def handle_rejection(self, code: str) -> None:
         """Place no more tasks on a worker that has restarted or seen a newer owner."""
         if code == "stale_epoch":
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -443,6 +443,44 @@
         self.assertEqual(ended.state, JobState.COMPLETED)
         self.check_runs(2)
 
+    def count_crashes(self):
+        """Return how many crashes count against the job's only task."""
+        controller = self.plane.find("d1").ledger_owner.controllers["00"]
+        (task,) = controller.ledger.table.tasks.values()
+        return task.crashes
+
+    @virtual
+    async def test_restart_of_a_worker_counts_against_its_task(self):
+        await self.start()
+        await self.sleep(2)
+        self.worker.die()
+        self.worker.replace()
+        await self.plane.wait_for_end(self.job)
+        self.assertEqual(self.count_crashes(), 1)
+
+    @virtual
+    async def test_restart_counts_against_a_task_that_a_new_owner_adopted(self):
+        await self.start()
+        await self.sleep(1)
+        await self.plane.registry.hand_over("worker/w1", "d1")
+        await self.sleep(2)
+        self.worker.die()
+        self.worker.replace()
+        await self.plane.wait_for_end(self.job)
+        self.assertEqual(self.count_crashes(), 1)
+
+    # A task ended as if its workers crashed, though they only listed it no longer.
+    @virtual
+    async def test_task_that_a_worker_no_longer_lists_counts_as_no_crash(self):
+        await self.start()
+        await self.sleep(2)
+        for name in self.worker.list_running():
+            self.worker.stop(name)
+            self.worker.acknowledge((name,))
+        ended = await self.plane.wait_for_end(self.job)
+        self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertEqual(self.count_crashes(), 0)
+
     @virtual
     async def test_non_idempotent_task_of_a_restarted_worker_is_unknown(self):
         await self.start(idempotent=False)
