Store unconfirmed crashes beside the recorded starts

Cause: a record with a field more can't be read by a daemon of an earlier version (msgspec: 'Expected array of length 1 to 2, got 3'). One that becomes owner in a rolling update ignores a job whose progress it can't read, so the job would never end. A record of starts that can't be read is only logged.

Change: unconfirmed crashes move from the progress to the record of starts. That record is now also replaced when it has become empty; it used to stay as it was, so a successor would have read crashes that had been cleared.

Tests: the progress of a job is the same with and without them, a successor finds them, crashes of unknown tasks are ignored, and an emptied record is stored.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -132,7 +132,7 @@
 def _build_job_writes(job: Job) -> list[Write]:
     progress = encode_record(job.summarize())
     writes = [Write(PROGRESS_PREFIX + job.identifier, progress)]
-    if job.recorded_starts:
-        starts = encode_record(job.recorded_starts.summarize())
+    if job.recorded_starts.must_store:
+        starts = encode_record(job.summarize_starts())
         writes.append(Write(STARTS_PREFIX + job.identifier, starts))
     return writes
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -23,7 +23,7 @@
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop, count_retry
 from damaskdeck.protocol.pools import PoolWorker
-from damaskdeck.protocol.queues import QueueJobState, TaskName
+from damaskdeck.protocol.queues import QueueJobState
 from damaskdeck.state.jobrecords import CordonedRun, RecordedStart, UnconfirmedCrash
 from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Task
 
@@ -119,8 +119,8 @@
     def _suspend_judgement(self, worker: PoolWorker, task: Task, attempt: int) -> None:
         """Record a run whose silent worker may have crashed under it."""
         counts, index = task.step.crash_counts, task.name.index
-        crash = UnconfirmedCrash(attempt, worker.identifier, worker.address)
-        if not counts.record_unconfirmed(index, crash):
+        crash = UnconfirmedCrash(task.name, attempt, worker.identifier, worker.address)
+        if not counts.record_unconfirmed(crash):
             return
         self._absences.add(
             worker.identifier,
@@ -206,13 +206,9 @@
     def _load_unconfirmed(self, job: Job) -> None:
         now = self._owner.now()
         for step in job.list_steps():
-            for index, crashes in step.crash_counts.list_unconfirmed().items():
-                task = job.find_task(
-                    TaskName(job.identifier, step.occurrence, step.number, index)
-                )
-                for crash in crashes if task is not None else ():
-                    run = AbandonedRun(task, crash.attempt)
-                    self._absences.add(crash.worker, crash.address, run, now)
+            for crash in step.crash_counts.list_unconfirmed():
+                run = AbandonedRun(step.tasks[crash.task.index], crash.attempt)
+                self._absences.add(crash.worker, crash.address, run, now)
 
     def handle_reconciled(
         self, contact: WorkerContact, cordoned: tuple[CordonedRun, ...] | None
--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -102,7 +102,7 @@
         if job is None:
             return
         try:
-            job.recorded_starts.restore(decode_record(StartsRecord, entry.value))
+            job.restore_starts(decode_record(StartsRecord, entry.value))
         except MessageError as error:
             _log.error(
                 "Failed to decode a record.",
--- a/src/damaskdeck/state/crashcounts.py
+++ b/src/damaskdeck/state/crashcounts.py
@@ -36,11 +36,12 @@
         if is_suspected:
             self.suspected.setdefault(index, set()).add(attempt)
 
-    def record_unconfirmed(self, index: int, crash: UnconfirmedCrash) -> bool:
+    def record_unconfirmed(self, crash: UnconfirmedCrash) -> bool:
         """Record an attempt whose worker may have crashed.
 
         :returns: Whether that is new.
         """
+        index = crash.task.index
         known = self.unconfirmed.get(index, {})
         if crash.attempt in known or crash.attempt in self.crashes.get(index, ()):
             return False
@@ -85,17 +86,13 @@
         return bool(unconfirmed) and self.count(index) + len(unconfirmed) >= MAX_CRASHES
 
     def restore(self, progress: StepProgress) -> None:
-        """Restore what is durable of a step."""
+        """Restore the confirmed crashes."""
         self.crashes = to_sets(progress.crashes)
         self.suspected = to_sets(progress.suspected)
-        self.unconfirmed = {
-            index: {crash.attempt: crash for crash in crashes}
-            for index, crashes in progress.unconfirmed.items()
-        }
-
-    def list_unconfirmed(self) -> dict[int, tuple[UnconfirmedCrash, ...]]:
-        """List the unconfirmed crashes by task index."""
-        return {index: tuple(c.values()) for index, c in self.unconfirmed.items()}
+
+    def list_unconfirmed(self) -> list[UnconfirmedCrash]:
+        """List the unconfirmed crashes of all tasks."""
+        return [c for known in self.unconfirmed.values() for c in known.values()]
 
 
 def to_tuples(attempts: dict[int, set[int]]) -> dict[int, tuple[int, ...]]:
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -137,18 +137,6 @@
     account: str = ""
 
 
-class UnconfirmedCrash(NamedTuple):
-    """A run that was abandoned on a silent worker, which may have crashed.
-
-    :param worker: the worker's incarnation.
-    :param address: its address; another incarnation there proves that it has ended.
-    """
-
-    attempt: int
-    worker: str
-    address: str
-
-
 class StepProgress(NamedTuple):
     """Durable progress of one step of one occurrence.
 
@@ -157,7 +145,6 @@
     :param checkpoints: last checkpoint by task index.
     :param crashes: attempts whose workers crashed, by task index.
     :param suspected: those of the crashes that the task is suspected to have caused.
-    :param unconfirmed: abandoned runs whose workers may have crashed, by task index.
     """
 
     occurrence: int
@@ -167,7 +154,6 @@
     checkpoints: dict[int, str] = {}
     crashes: dict[int, tuple[int, ...]] = {}
     suspected: dict[int, tuple[int, ...]] = {}
-    unconfirmed: dict[int, tuple[UnconfirmedCrash, ...]] = {}
 
 
 class RecordedStart(NamedTuple):
@@ -182,10 +168,28 @@
     worker: str = ""
 
 
+class UnconfirmedCrash(NamedTuple):
+    """A run that was abandoned on a silent worker, which may have crashed.
+
+    :param worker: the worker's incarnation.
+    :param address: its address; another incarnation there proves that it has ended.
+    """
+
+    task: TaskName
+    attempt: int
+    worker: str
+    address: str
+
+
 class StartsRecord(NamedTuple):
-    """The recorded starts of one job."""
+    """The recorded starts of one job.
+
+    :param unconfirmed: its abandoned runs whose workers may have crashed. They are not
+        part of the progress, which daemons of an earlier version must be able to read.
+    """
 
     starts: tuple[RecordedStart, ...] = ()
+    unconfirmed: tuple[UnconfirmedCrash, ...] = ()
 
 
 class ProgressRecord(NamedTuple):
--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -18,6 +18,7 @@
 from damaskdeck.state.jobrecords import (
     JobRecord,
     ProgressRecord,
+    StartsRecord,
     StepProgress,
 )
 from damaskdeck.state.recordedstarts import RecordedStarts
@@ -288,7 +289,7 @@
             for t in self.tasks
             if t.checkpoint and not t.is_completed
         }
-        if not (completed or failures or checkpoints or self.crash_counts):
+        if not (completed or failures or checkpoints or self.crashes):
             return None
         return StepProgress(
             self.occurrence,
@@ -298,7 +299,6 @@
             checkpoints,
             to_tuples(self.crash_counts.crashes),
             to_tuples(self.crash_counts.suspected),
-            self.crash_counts.list_unconfirmed(),
         )
 
     def restore(self, progress: StepProgress) -> None:
@@ -434,8 +434,7 @@
         for step_progress in progress.steps:
             step = self._find_step(step_progress)
             step.restore(step_progress)
-            counts = step.crash_counts
-            for index in counts.crashes.keys() | counts.unconfirmed.keys():
+            for index in step.crashes:
                 name = TaskName(self.identifier, step.occurrence, step.number, index)
                 self.recorded_starts.require(name)
         if progress.zones is not None:
@@ -446,6 +445,23 @@
             self.close(QueueJobState(progress.final), now)
             self.visible_state = QueueJobState(progress.final)
 
+    def summarize_starts(self) -> StartsRecord:
+        """Return its recorded starts and unconfirmed crashes, to be stored."""
+        unconfirmed = (
+            crash
+            for step in self.list_steps()
+            for crash in step.crash_counts.list_unconfirmed()
+        )
+        return self.recorded_starts.summarize(tuple(unconfirmed))
+
+    def restore_starts(self, record: StartsRecord) -> None:
+        """Restore recorded starts and unconfirmed crashes."""
+        self.recorded_starts.restore(record)
+        for crash in record.unconfirmed:
+            task = self.find_task(crash.task)
+            if task is not None:
+                task.step.crash_counts.record_unconfirmed(crash)
+
     def _find_step(self, step_progress: StepProgress) -> Step:
         indexes = (*step_progress.completed, *step_progress.checkpoints) or (0,)
         lowest = self.find_task(
--- a/src/damaskdeck/state/recordedstarts.py
+++ b/src/damaskdeck/state/recordedstarts.py
@@ -1,7 +1,7 @@
 """Starts of one job's tasks that have to be durable before they are ordered."""
 
 from damaskdeck.protocol.queues import TaskName
-from damaskdeck.state.jobrecords import RecordedStart, StartsRecord
+from damaskdeck.state.jobrecords import RecordedStart, StartsRecord, UnconfirmedCrash
 
 
 class RecordedStarts:
@@ -9,6 +9,7 @@
 
     def __init__(self) -> None:
         self._starts: dict[TaskName, RecordedStart] = {}
+        self._is_stored = False
 
     def require(self, task: TaskName) -> None:
         """Require that each further start of a task is recorded."""
@@ -38,13 +39,17 @@
         """List the starts whose outcome is not known."""
         return [start for start in self._starts.values() if start.attempt]
 
-    def summarize(self) -> StartsRecord:
-        """Return what is durable of this."""
-        return StartsRecord(tuple(self._starts.values()))
+    def summarize(self, unconfirmed: tuple[UnconfirmedCrash, ...]) -> StartsRecord:
+        """Return the record to store."""
+        self._is_stored = True
+        return StartsRecord(tuple(self._starts.values()), unconfirmed)
 
     def restore(self, record: StartsRecord) -> None:
         """Restore what is durable."""
+        self._is_stored = True
         self._starts.update((start.task, start) for start in record.starts)
 
-    def __bool__(self) -> bool:
-        return bool(self._starts)
+    @property
+    def must_store(self) -> bool:
+        """Whether there is anything to store, or to replace in the store."""
+        return bool(self._starts) or self._is_stored
--- a/tests/test_absences.py
+++ b/tests/test_absences.py
@@ -10,18 +10,24 @@
 )
 from damaskdeck.protocol.queues import TaskName
 from damaskdeck.state.crashcounts import MAX_CRASHES, CrashCounts
-from damaskdeck.state.jobrecords import StepProgress, UnconfirmedCrash
-from damaskdeck.state.pooljobs import Task
+from damaskdeck.state.jobrecords import JobRecord, StartsRecord, UnconfirmedCrash
+from damaskdeck.state.pooljobs import Job, Task
+from tests.poolcluster import make_job, make_queue
 
 ADDRESS = "10.0.0.1:1"
 NEVER = float("inf")
+TASK = TaskName("j1", 0, 0, 0)
+
+
+def make_crash(attempt: int) -> UnconfirmedCrash:
+    """Return an unconfirmed crash under the task."""
+    return UnconfirmedCrash(TASK, attempt, f"w{attempt}", ADDRESS)
 
 
 def make_absences() -> Absences:
     """Return the absence of w1 since the 10th second."""
     absences = Absences()
-    task = Task(None, TaskName("j1", 0, 0, 0))
-    absences.add("w1", ADDRESS, AbandonedRun(task, 1), 10.0)
+    absences.add("w1", ADDRESS, AbandonedRun(Task(None, TASK), 1), 10.0)
     return absences
 
 
@@ -78,8 +84,7 @@
         for attempt in range(crashes):
             counts.record(0, attempt, False)
         for attempt in range(crashes, crashes + unconfirmed):
-            crash = UnconfirmedCrash(attempt, f"w{attempt}", ADDRESS)
-            counts.record_unconfirmed(0, crash)
+            counts.record_unconfirmed(make_crash(attempt))
         return counts
 
     def test_only_confirmed_crashes_reach_the_limit(self):
@@ -100,15 +105,46 @@
     def test_a_confirmed_crash_counts_once(self):
         counts = self.make_counts(0, 2)
         counts.record(0, 0, False)
-        again = UnconfirmedCrash(0, "w0", ADDRESS)
-        self.assertFalse(counts.record_unconfirmed(0, again))
+        self.assertFalse(counts.record_unconfirmed(make_crash(0)))
         self.assertEqual((counts.count(0), len(counts.unconfirmed[0])), (1, 1))
 
-    def test_the_counts_are_restored(self):
-        counts = self.make_counts(1, 2)
-        restored = CrashCounts()
-        restored.restore(
-            StepProgress(0, 0, crashes={0: (0,)}, unconfirmed=counts.list_unconfirmed())
-        )
-        self.assertEqual(restored.crashes, counts.crashes)
-        self.assertEqual(restored.unconfirmed, counts.unconfirmed)
+
+class TestRecords(unittest.TestCase):
+    """A successor finds unconfirmed crashes, and an earlier version can go on."""
+
+    def make_job(self) -> Job:
+        """Return a job with one task."""
+        record = JobRecord("j1", make_queue(), make_job(), 1, 0.0)
+        return Job(record, 0.0)
+
+    def test_unconfirmed_crashes_are_restored(self):
+        job, other = self.make_job(), self.make_job()
+        (step,) = job.list_steps()
+        step.crash_counts.record_unconfirmed(make_crash(1))
+        other.restore_starts(job.summarize_starts())
+        (restored,) = other.list_steps()
+        self.assertEqual(restored.crash_counts.list_unconfirmed(), [make_crash(1)])
+
+    def test_crashes_of_unknown_tasks_are_ignored(self):
+        job = self.make_job()
+        crash = make_crash(1)._replace(task=TaskName("j1", 0, 0, 7))
+        job.restore_starts(StartsRecord((), (crash,)))
+        (step,) = job.list_steps()
+        self.assertFalse(step.crash_counts)
+
+    # A daemon that can't read the progress of a job ignores the job.
+    def test_the_progress_does_not_contain_them(self):
+        job = self.make_job()
+        expected = job.summarize()
+        (step,) = job.list_steps()
+        step.crash_counts.record_unconfirmed(make_crash(1))
+        self.assertEqual(job.summarize(), expected)
+
+    def test_a_stored_record_is_replaced_once_it_is_empty(self):
+        job = self.make_job()
+        self.assertFalse(job.recorded_starts.must_store)
+        job.recorded_starts.require(TASK)
+        job.summarize_starts()
+        job.recorded_starts.discard(TASK)
+        self.assertTrue(job.recorded_starts.must_store)
+        self.assertEqual(job.summarize_starts(), StartsRecord())
