Run the seeds of random faults in several processes

Change: seeds don't depend on each other, so a pool of processes runs them, and the tests check the same results as before, seed by seed.

--- a/tests/test_pools_accounts_chaos.py
+++ b/tests/test_pools_accounts_chaos.py
@@ -14,6 +14,7 @@
 from damaskdeck.protocol.sizes import Size
 from standins.loops import run_virtual
 from tests.poolcluster import REVOCATION, PoolCluster, make_account, make_queue
+from tests.seeds import map_seeds
 from tests.test_pools_chaos import SEEDS, Chaos, ZonedChaos
 from tests.usage import find_overuse
 
@@ -239,9 +240,9 @@
     """During faults no quota is exceeded and no revoked key is served."""
 
     def test_the_invariants_hold_under_faults(self):
-        for seed in SEEDS:
+        results = map_seeds(play, SEEDS)
+        for seed, (problems, log) in zip(SEEDS, results, strict=True):
             with self.subTest(seed=seed):
-                problems, log = play(seed)
                 self.assertEqual(problems, [], log)
 
 
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 from damaskdeck.protocol.callresults import JobAccepted, JobStateFound
@@ -17,6 +18,7 @@
 from standins.loops import run_virtual
 from standins.pools import Work
 from tests.poolcluster import ADVISOR_TIMING, SECOND, SIZE, PoolCluster, make_queue
+from tests.seeds import map_seeds
 
 # DAMASKDECK_CHAOS=FROM:TO selects other seeds.
 FIRST, _, LAST = os.environ.get("DAMASKDECK_CHAOS", "0:16").partition(":")
@@ -569,9 +571,9 @@
 
     def play(self, kind: type[Chaos], seeds: range = SEEDS) -> None:
         """Run all seeds."""
-        for seed in seeds:
+        results = map_seeds(partial(play, kind), seeds)
+        for seed, (problems, faults) in zip(seeds, results, strict=True):
             with self.subTest(seed=seed):
-                problems, faults = play(kind, seed)
                 self.assertEqual(problems, [], faults)
 
     def test_the_invariants_hold_under_faults(self):
