Presume a crash of an absent worker only if a task waits for it

Cause: a worker that had been missing for 30 s counted as crashed for all of its runs for good. Regions that lose each other for minutes would leave a crash on each of their tasks, although their workers return as the same incarnations.

Change: unconfirmed crashes stay refutable for as long as the owner knows them. An absence of 30 s counts only for a task that waits for it, as it would reach the limit.

Tests: a held task fails after the absence, not while the registry can't be followed, and starts once one worker registers; a task below the limit gets no crash.

--- a/src/damaskdeck/coordination/pools/absences.py
+++ b/src/damaskdeck/coordination/pools/absences.py
@@ -2,25 +2,21 @@
 
 Silence proves nothing: a worker that is cut off runs on until its lease expires and
 returns as the same incarnation. Only another incarnation at its address proves that it
-has ended. A worker that stays away for good is taken as gone after a while.
+has ended. A worker that has stayed away for long is presumed gone, but may return.
 """
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
 from damaskdeck.state.pooljobs import Task
 
-# A worker that has not registered for this long, while the registry could be followed,
-# counts as gone. A network partition rarely lasts longer.
-MAX_ABSENCE_SECONDS = 30.0
-
 
 class AbsenceOutcome(StrEnum):
     """How an absence ended; the values are those of a log field."""
 
     ALIVE = "alive"
     REPLACED = "replaced"
-    GONE = "gone"
 
 
 class AbandonedRun(NamedTuple):
@@ -92,17 +88,17 @@
             for name in sorted(ended)
         ]
 
-    def take_gone(self, now: float, followed_since: float) -> list[Absence]:
-        """Remove the absences that have lasted too long.
-
-        :param followed_since: monotonic seconds since which the registry has been
-            followed without a failure. Absence can't be told before.
-        """
-        latest = now - MAX_ABSENCE_SECONDS
-        if followed_since > latest:
-            return []
-        gone = [a.worker for a in self._absences.values() if a.since <= latest]
-        return [self.take(worker) for worker in gone]
+    def is_absent_since(self, worker: str, time: float) -> bool:
+        """Whether a worker has been absent since a monotonic time in seconds."""
+        absence = self._absences.get(worker)
+        return absence is not None and absence.since <= time
+
+    def retain(self, is_needed: Callable[[AbandonedRun], bool]) -> None:
+        """Remove the runs that are not needed, and absences without runs."""
+        for absence in list(self._absences.values()):
+            absence.runs[:] = filter(is_needed, absence.runs)
+            if not absence.runs:
+                self.take(absence.worker)
 
     def __bool__(self) -> bool:
         return bool(self._absences)
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -7,7 +7,8 @@
 and if the worker hardly answered after that.
 
 Runs that are abandoned on a silent worker count once it is known that the worker has
-crashed. Until then they only delay a further start that might exceed the limit.
+crashed. Until then they only delay a further start that might exceed the limit. If that
+takes too long, the workers that are still absent are presumed to have crashed.
 """
 
 from collections.abc import Iterable
@@ -34,6 +35,9 @@
 SIMULTANEOUS_SECONDS = 0.02
 # A worker that was restarted just now may crash again for its own reasons.
 WARM_UP_SECONDS = 3.0
+# A worker that has been absent for this long is presumed to have crashed if a task
+# waits for it. A network partition rarely lasts longer.
+MAX_ABSENCE_SECONDS = 30.0
 # A long-running task that has run for this long does not crash workers by its start.
 STABLE_SECONDS = 10.0
 
@@ -68,6 +72,9 @@
         # Zones with a worker that this owner could not read.
         self._unread_zones: set[str] = set()
         self._absences = Absences()
+        self._prune_at = 0.0
+        # Tasks that must not start until an absence ends or has lasted too long.
+        self._held: set[Task] = set()
 
     def record_loss(self, contact: WorkerContact, lost: Iterable[Run]) -> None:
         """Record the runs that were lost with a worker or abandoned on it.
@@ -107,7 +114,7 @@
             if _has_run_well(contact, run):
                 self._clear(run.task)
             else:
-                self._suspend_judgement(contact.info, run.task, run.attempt)
+                self._record_unconfirmed(contact.info, run.task, run.attempt)
 
     def _clear(self, task: Task) -> None:
         """Clear the crashes of a long-running task that has run well."""
@@ -116,7 +123,7 @@
         job.recorded_starts.discard(task.name)
         self._owner.mark_dirty(job)
 
-    def _suspend_judgement(self, worker: PoolWorker, task: Task, attempt: int) -> None:
+    def _record_unconfirmed(self, worker: PoolWorker, task: Task, attempt: int) -> None:
         """Record a run whose silent worker may have crashed under it."""
         counts, index = task.step.crash_counts, task.name.index
         crash = UnconfirmedCrash(task.name, attempt, worker.identifier, worker.address)
@@ -133,12 +140,13 @@
         self._owner.mark_dirty(job)
         if counts.is_held(index):
             _log.warn(
-                "A task waits for silent workers under which it may have crashed.",
+                "A task waits until it is known whether silent workers have crashed.",
                 id=job.identifier,
                 task=task.name[1:],
                 crashes=counts.count(index),
                 unconfirmed=len(counts.unconfirmed[index]),
             )
+            self._held.add(task)
             self._owner.requeue(job)
 
     def handle_answer(self, contact: WorkerContact) -> None:
@@ -164,13 +172,29 @@
             self._resolve(absence, outcome)
 
     def sweep(self, now: float, followed_since: float) -> None:
-        """Count the workers as gone that have been absent for too long.
+        """Decide on tasks that have waited for absent workers for too long.
 
         :param followed_since: Monotonic seconds since which the registry has been
-            followed without a failure.
+            followed without a failure. Absence can't be told before.
         """
-        for absence in self._absences.take_gone(now, followed_since):
-            self._resolve(absence, AbsenceOutcome.GONE)
+        latest = now - MAX_ABSENCE_SECONDS
+        for task in list(self._held):
+            if not _is_held(task):
+                self._held.discard(task)
+            elif followed_since <= latest:
+                self._presume_crashes(task, latest)
+        if now >= self._prune_at:
+            self._prune_at = now + MAX_ABSENCE_SECONDS
+            self._absences.retain(lambda run: _is_open(run.task))
+
+    def _presume_crashes(self, task: Task, latest: float) -> None:
+        """Count the crashes under a task whose workers have been absent for long."""
+        counts, index, job = task.step.crash_counts, task.name.index, task.step.job
+        for crash in list(counts.unconfirmed[index].values()):
+            if self._absences.is_absent_since(crash.worker, latest):
+                count_retry("crashes", "gone")
+                self._count(task, crash.attempt, False)
+        self._owner.requeue(job)
 
     def _resolve_worker(self, worker: str, outcome: AbsenceOutcome) -> None:
         absence = self._absences.take(worker)
@@ -180,7 +204,7 @@
     def _resolve(self, absence: Absence, outcome: AbsenceOutcome) -> None:
         """Count the runs that were abandoned on a worker, or forget them."""
         _log.warn(
-            "The absence of a worker has ended.",
+            "It is known whether a silent worker has crashed.",
             worker=absence.worker,
             outcome=outcome,
             runs=len(absence.runs),
@@ -191,7 +215,7 @@
             counts, job = task.step.crash_counts, task.step.job
             if job.is_final or not counts.discard_unconfirmed(task.name.index, attempt):
                 continue
-            if outcome is not AbsenceOutcome.ALIVE and not task.is_completed:
+            if outcome is AbsenceOutcome.REPLACED and not task.is_completed:
                 self._count(task, attempt, False)
             self._owner.mark_dirty(job)
             self._owner.requeue(job)
@@ -207,8 +231,11 @@
         now = self._owner.now()
         for step in job.list_steps():
             for crash in step.crash_counts.list_unconfirmed():
-                run = AbandonedRun(step.tasks[crash.task.index], crash.attempt)
+                task = step.tasks[crash.task.index]
+                run = AbandonedRun(task, crash.attempt)
                 self._absences.add(crash.worker, crash.address, run, now)
+                if _is_held(task):
+                    self._held.add(task)
 
     def handle_reconciled(
         self, contact: WorkerContact, cordoned: tuple[CordonedRun, ...] | None
@@ -239,14 +266,12 @@
             return
         for run in {*cordoned, *(CordonedRun(s.task, s.attempt) for s in recorded)}:
             task = self._owner.job_index.find_task(run.task)
-            if task is None or task.is_completed or task.step.spec.is_long_running:
-                continue
-            if task.step.job.is_final:
+            if task is None or not _is_open(task) or task.step.spec.is_long_running:
                 continue
             if contact.is_gone:
                 self._count(task, run.attempt, False)
             else:
-                self._suspend_judgement(contact.info, task, run.attempt)
+                self._record_unconfirmed(contact.info, task, run.attempt)
 
     def _clear_unlisted(self, contact: WorkerContact) -> None:
         """Clear the recorded starts that a worker doesn't list."""
@@ -308,6 +333,16 @@
     ]
 
 
+def _is_open(task: Task) -> bool:
+    """Whether a task may still be started."""
+    return not (task.is_completed or task.step.job.is_final)
+
+
+def _is_held(task: Task) -> bool:
+    """Whether a task must not start until an unconfirmed crash is resolved."""
+    return _is_open(task) and task.step.crash_counts.is_held(task.name.index)
+
+
 def _may_have_started(run: Run) -> bool:
     """Whether a worker may have started a run of a task that is still needed."""
     return run.phase is not RunPhase.ORDERED and not run.task.is_completed
