--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -449,25 +449,26 @@
         (task,) = controller.ledger.table.tasks.values()
         return task.crashes
 
-    @virtual
-    async def test_restart_of_a_worker_counts_against_its_task(self):
-        await self.start()
-        await self.sleep(2)
+    async def check_restart_counts(self):
+        """Check that a restart of the worker counts against the job's task."""
         self.worker.die()
         self.worker.replace()
         await self.plane.wait_for_end(self.job)
         self.assertEqual(self.count_crashes(), 1)
 
+    @virtual
+    async def test_restart_of_a_worker_counts_against_its_task(self):
+        await self.start()
+        await self.sleep(2)
+        await self.check_restart_counts()
+
     @virtual
     async def test_restart_counts_against_a_task_that_a_new_owner_adopted(self):
         await self.start()
         await self.sleep(1)
         await self.plane.registry.hand_over("worker/w1", "d1")
         await self.sleep(2)
-        self.worker.die()
-        self.worker.replace()
-        await self.plane.wait_for_end(self.job)
-        self.assertEqual(self.count_crashes(), 1)
+        await self.check_restart_counts()
 
     # A task ended as if its workers crashed, though they only listed it no longer.
     @virtual
