Correct pages and comments after a last reading

The listed case named the times since its workers were last heard, and inferred that one run had ended before the crash.

--- a/src/damaskdeck/coordination/pools/absences.py
+++ b/src/damaskdeck/coordination/pools/absences.py
@@ -2,7 +2,7 @@
 
 Silence proves nothing: a worker that is cut off runs on until its lease expires and
 returns as the same incarnation. Only another incarnation at its address proves that it
-has ended. A worker that has stayed away for long is presumed gone, but may return.
+has ended.
 """
 
 from collections.abc import Callable
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -559,8 +559,8 @@
         problems, faults = play(CrashingChaos, 40136)
         self.assertEqual(problems, [], faults)
 
-    # A job failed by four crashes, of which two starts never reached their workers and
-    # one run had ended before its worker crashed.
+    # A job failed by four crashes, though two starts were ordered after the crash and
+    # one run had ended before it.
     def test_starts_on_workers_that_had_just_crashed_fail_no_job(self):
         problems, faults = play(LateChaos, 507)
         self.assertEqual(problems, [], faults)
