--- /dev/null
+++ b/src/damaskdeck/coordination/pools/admission/control.py
@@ -0,0 +1,161 @@
+"""The decision of each daemon whether to store a job.
+
+A job is refused only if it is known that it can't end while it is still useful, by
+the lower bounds of its wait and of its work. In doubt it is accepted: if the outlook
+is old, of an earlier owner or missing.
+"""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.admission.returns import hash_job
+from damaskdeck.coordination.pools.urgency import (
+    LATE_MULTIPLE,
+    compute_objective,
+    measure_critical_path,
+)
+from damaskdeck.coordination.pools.zoneconfinement import ZoneCapacity
+from damaskdeck.protocol.poolmessages import ReportCapacity, ReportOutlook
+from damaskdeck.protocol.queues import JobSpec, Queue
+
+# An older outlook decides nothing. The owner reports twice a second.
+OUTLOOK_MAX_AGE = timedelta(milliseconds=1500)
+# Work may be shorter than estimated by this factor; estimates are off by up to a half.
+MIN_WORK_FACTOR = 0.5
+MIN_RETRY = timedelta(seconds=1)
+MAX_RETRY = timedelta(seconds=10)
+
+
+class AdmissionRefusal(NamedTuple):
+    """A job is not stored; its caller should return after ``retry``.
+
+    :param wait: the expected wait until it would have started.
+    """
+
+    wait: timedelta
+    retry: timedelta
+
+
+class _QueueOutlook(NamedTuple):
+    """What was reported of a queue, in seconds.
+
+    :param first_wait: lower bound of the wait of a job that goes first among those of
+        its rank.
+    :param last_wait: lower bound of the wait of a job that goes last among them.
+    :param return_interval: time between two callers that this daemon lets return.
+    """
+
+    first_wait: float
+    last_wait: float
+    return_interval: float
+
+
+class AdmissionControl:
+    """Decides by the latest outlook that the owner has reported to this daemon."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._epoch = 0
+        self._reported_at: timedelta | None = None
+        self._queues: dict[str, _QueueOutlook] = {}
+        self._limited_accounts: frozenset[str] = frozenset()
+        self._returning: frozenset[int] = frozenset()
+        self._free: dict[str, ZoneCapacity] = {}
+        # When the last refused caller of each queue was told to return.
+        self._last_returns: dict[str, timedelta] = {}
+
+    def update(self, message: ReportCapacity) -> None:
+        """Store the report of an owner, unless a newer owner has reported before."""
+        if message["epoch"] < self._epoch:
+            return
+        self._epoch = message["epoch"]
+        outlook: ReportOutlook | None = message.get("outlook")
+        if outlook is None:
+            self._reported_at = None
+            return
+        self._reported_at = self._clock.monotonic()
+        self._queues = {
+            name: _QueueOutlook(first / 1000, last / 1000, interval / 1000)
+            for name, first, last, interval in outlook["queues"]
+        }
+        self._limited_accounts = frozenset(outlook["accounts"])
+        self._returning = frozenset(outlook["returning"])
+        self._free = {}
+        for pool, _, millicores, memory in message["zones"]:
+            free = self._free.get(pool, ZoneCapacity(0, 0))
+            self._free[pool] = ZoneCapacity(
+                free.millicores + millicores, free.memory + memory
+            )
+
+    def measure_age(self) -> timedelta | None:
+        """Return the age of the outlook, ``None`` if there is none."""
+        if self._reported_at is None:
+            return None
+        return self._clock.monotonic() - self._reported_at
+
+    def check(
+        self, queue: Queue, identifier: str, spec: JobSpec, account: str
+    ) -> AdmissionRefusal | None:
+        """Return the refusal of a job, ``None`` if it may be stored.
+
+        :param account: the caller's account, an empty string without one.
+        """
+        age = self.measure_age()
+        if age is None or age > OUTLOOK_MAX_AGE or spec.repeats:
+            return None
+        outlook = self._queues.get(queue.name)
+        if outlook is None or _has_long_running(spec):
+            return None
+        if hash_job(identifier) in self._returning or self._is_capacity_free(
+            queue.pool, spec
+        ):
+            return None
+        if account and account not in self._limited_accounts:
+            return None
+        wait = outlook.last_wait if account else outlook.first_wait
+        excess = self._measure_excess(queue, spec, wait - age.total_seconds())
+        if excess <= 0:
+            return None
+        retry = self._schedule_return(queue.name, excess, outlook.return_interval)
+        return AdmissionRefusal(timedelta(seconds=wait), retry)
+
+    def _measure_excess(self, queue: Queue, spec: JobSpec, wait: float) -> float:
+        """Return by how many seconds a job would end too late to be useful."""
+        work = MIN_WORK_FACTOR * measure_critical_path(spec)
+        return wait + work - LATE_MULTIPLE * compute_objective(queue, spec)
+
+    def _is_capacity_free(self, pool: str, spec: JobSpec) -> bool:
+        """Whether the first steps of a job may fit into the free capacity."""
+        free = self._free.get(pool, ZoneCapacity(0, 0))
+        needed = [
+            (
+                (step.tasks if step.is_gang else 1) * step.size.millicores,
+                (step.tasks if step.is_gang else 1) * step.size.memory,
+            )
+            for step in spec.steps
+            if not step.after
+        ]
+        return any(
+            millicores <= free.millicores and memory <= free.memory
+            for millicores, memory in needed
+        )
+
+    def _schedule_return(self, queue: str, excess: float, interval: float) -> timedelta:
+        """Return when the caller should come back.
+
+        The backlog has to shrink first. Callers return in the order in which they were
+        refused, no faster than jobs of the queue are worked off.
+        """
+        now = self._clock.monotonic()
+        earliest = now + max(MIN_RETRY, timedelta(seconds=excess))
+        last = self._last_returns.get(queue)
+        if last is not None:
+            earliest = max(earliest, last + timedelta(seconds=interval))
+        at = min(earliest, now + MAX_RETRY)
+        self._last_returns[queue] = at
+        return at - now
+
+
+def _has_long_running(spec: JobSpec) -> bool:
+    return any(step.is_long_running for step in spec.steps)
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/admission/desk.py
@@ -0,0 +1,92 @@
+"""Admission control of one daemon: its decisions, their log lines and messages."""
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.admission.control import (
+    AdmissionControl,
+    AdmissionRefusal,
+)
+from damaskdeck.coordination.pools.admission.returns import hash_job
+from damaskdeck.coordination.pools.admission.work import estimate_job_work
+from damaskdeck.coordination.pools.leadership import Leadership
+from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_account_job, count_refusal
+from damaskdeck.protocol.callresults import OVERLOADED_CODE, Caller, JobNotAccepted
+from damaskdeck.protocol.messages import Peers
+from damaskdeck.protocol.poolmessages import ReportCapacity, ReportRefusal
+from damaskdeck.protocol.ports import Missing
+from damaskdeck.protocol.queues import JobSpec, Queue
+from damaskdeck.state.jobrecords import JOBS_PREFIX
+
+_log = get_logger("admission")
+
+
+class AdmissionDesk:
+    """Refuses jobs that the owner's outlook shows to be too late."""
+
+    def __init__(
+        self,
+        store: MonitoredStore,
+        peers: Peers,
+        leadership: Leadership,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._leadership = leadership
+        self._control = AdmissionControl(clock)
+
+    def update(self, message: ReportCapacity) -> None:
+        """Store the report of an owner."""
+        self._control.update(message)
+
+    async def refuse(
+        self, queue: Queue, identifier: str, spec: JobSpec, caller: Caller
+    ) -> JobNotAccepted | None:
+        """Return the refusal of a job, ``None`` if it may be stored.
+
+        A job that an earlier call has stored is not refused, as it may run. If that is
+        not known, the job goes on to be stored.
+        """
+        refusal = self._control.check(queue, identifier, spec, caller.account)
+        if refusal is None:
+            return None
+        stored = await self._store.read(JOBS_PREFIX + identifier)
+        if not isinstance(stored, Missing):
+            return None
+        self._report(queue, identifier, spec, caller, refusal)
+        return JobNotAccepted(OVERLOADED_CODE, refusal.retry)
+
+    def _report(
+        self,
+        queue: Queue,
+        identifier: str,
+        spec: JobSpec,
+        caller: Caller,
+        refusal: AdmissionRefusal,
+    ) -> None:
+        age = self._control.measure_age()
+        _log.info(
+            "A job is refused.",
+            id=identifier,
+            queue=queue.name,
+            account=caller.account,
+            code=OVERLOADED_CODE,
+            wait=round(refusal.wait.total_seconds(), 3),
+            retry=round(refusal.retry.total_seconds(), 3),
+            outlook_age=round(age.total_seconds(), 3) if age is not None else None,
+        )
+        count_refusal("admission", OVERLOADED_CODE)
+        if caller.account:
+            count_account_job(caller.account, "refused")
+        owner = self._leadership.owner
+        if owner is None:
+            return
+        work = estimate_job_work(spec)
+        message: ReportRefusal = {
+            "job": hash_job(identifier),
+            "due": round(refusal.retry.total_seconds() * 1000),
+            "processors": round(work.processors),
+            "memory": round(work.memory),
+        }
+        self._peers.send(owner.instance, message, ReportRefusal)
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -0,0 +1,206 @@
+"""The owner's outlook: how long a job that is accepted now would wait.
+
+The wait is a lower bound: the work that certainly goes first, divided by the rate at
+which work is finished. It is reported only for pools that are full.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
+
+from damaskdeck.coordination.pools.admission.returns import (
+    ReturningJobs,
+    hash_job,
+)
+from damaskdeck.coordination.pools.admission.work import (
+    NO_WORK,
+    Work,
+    estimate_work,
+    measure_seconds,
+)
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.pending import RankedStep
+from damaskdeck.coordination.pools.urgency import DeadlineStatus
+from damaskdeck.protocol.poolmessages import ReportOutlook
+from damaskdeck.protocol.queues import Queue, QueueTable
+from damaskdeck.state.pooljobs import Step
+
+# The rate at which work is finished is measured over this time: longer than most tasks
+# take, and shorter than most bursts last.
+RATE_SECONDS = 5.0
+# Below this used share of its capacity a pool is not full, and jobs wait for other
+# reasons than for capacity.
+FULL_SHARE = 0.85
+# The most queues and accounts that one report names; with the returning jobs it stays
+# below 4 KB.
+MAX_REPORTED_QUEUES = 24
+MAX_REPORTED_ACCOUNTS = 24
+
+
+class OutlookOwner(Protocol):
+    """What the outlook needs from the owner of the jobs."""
+
+    contacts: dict[str, WorkerContact]
+
+    def get_table(self) -> QueueTable | None:
+        """Return the declared queues in force."""
+
+    def find_pool(self, step: Step) -> str:
+        """Return the pool that is declared for a step's queue at present."""
+
+
+class _Finished(NamedTuple):
+    at: float
+    pool: str
+    work: Work
+
+
+class OutlookReporter:
+    """Measures the load of one owner's pools and builds its reports.
+
+    :param is_limited: returns whether an account is above its share or beyond its
+        declared rate.
+    :param returning: the jobs whose callers were told to return.
+    """
+
+    def __init__(
+        self,
+        owner: OutlookOwner,
+        is_limited: Callable[[str], bool],
+        returning: ReturningJobs,
+    ) -> None:
+        self._owner = owner
+        self._is_limited = is_limited
+        self._returning = returning
+        self._finished: deque[_Finished] = deque()
+        self._rates: dict[str, Work] = {}
+        self._measured_since: float | None = None
+
+    def record_completion(self, step: Step, now: float) -> None:
+        """Count a task of a step that has completed."""
+        if self._measured_since is None:
+            self._measured_since = now
+        work = estimate_work(step.spec, 1)
+        pool = self._owner.find_pool(step)
+        self._finished.append(_Finished(now, pool, work))
+        self._rates[pool] = self._rates.get(pool, NO_WORK).plus(work)
+        self._drop_old(now)
+
+    def _drop_old(self, now: float) -> None:
+        finished = self._finished
+        while finished and finished[0].at < now - RATE_SECONDS:
+            _, pool, work = finished.popleft()
+            total = self._rates[pool]
+            self._rates[pool] = Work(
+                total.processors - work.processors, total.memory - work.memory
+            )
+
+    def _measure_rate(self, pool: str, now: float) -> Work | None:
+        """Return the work finished per second, ``None`` while that is not known."""
+        self._drop_old(now)
+        since = self._measured_since
+        if since is None or now - since < RATE_SECONDS or pool not in self._rates:
+            return None
+        total = self._rates[pool]
+        return Work(total.processors / RATE_SECONDS, total.memory / RATE_SECONDS)
+
+    def build(
+        self, waiting: Callable[[], list[RankedStep]], members: int, now: float
+    ) -> ReportOutlook | None:
+        """Return the report, ``None`` if no pool is full.
+
+        :param waiting: returns the pending steps; called only if a pool is full.
+        :param members: the number of daemons that may refuse jobs.
+        """
+        table = self._owner.get_table()
+        full = find_full_pools(self._owner.contacts.values())
+        rates = {
+            pool: rate
+            for pool in full
+            if (rate := self._measure_rate(pool, now)) is not None
+        }
+        due = self._returning.list_due(now)
+        if table is None or not rates:
+            return {"queues": [], "accounts": [], "returning": due} if due else None
+        steps = waiting()
+        for entry in steps:
+            self._returning.discard(hash_job(entry.pending.step.job.identifier))
+        rows = [
+            self._build_row(queue, rates[queue.pool], steps, members, now)
+            for queue in table.queues
+            if queue.pool in rates
+        ]
+        rows = [row for row in rows if row[2]]
+        limited = {
+            account
+            for entry in steps
+            if (account := entry.pending.step.job.record.account)
+            and self._is_limited(account)
+        }
+        return {
+            "queues": heapq.nlargest(
+                MAX_REPORTED_QUEUES, rows, key=lambda row: (row[2], row[0])
+            ),
+            "accounts": sorted(limited)[:MAX_REPORTED_ACCOUNTS],
+            "returning": due,
+        }
+
+    def _build_row(
+        self,
+        queue: Queue,
+        rate: Work,
+        steps: Iterable[RankedStep],
+        members: int,
+        now: float,
+    ) -> tuple[str, int, int, int]:
+        """Return the queue, its two waits and the interval of returns of one daemon.
+
+        Jobs of accounts within their share go before everything that is late. For those
+        of other accounts, all that waits and can still be useful goes first.
+        """
+        first, all_useful = NO_WORK, self._returning.sum_work(now)
+        tasks_work, jobs = NO_WORK, 0
+        for urgency, _, pending in steps:
+            step = pending.step
+            if self._owner.find_pool(step) != queue.pool:
+                continue
+            work = estimate_work(step.spec, len(pending.tasks))
+            if step.job.queue.name == queue.name:
+                tasks_work, jobs = tasks_work.plus(work), jobs + 1
+            if urgency.rank > queue.rank:
+                continue
+            if urgency.deadline_status is DeadlineStatus.LOST:
+                continue
+            all_useful = all_useful.plus(work)
+            if urgency.deadline_status is DeadlineStatus.ON_TIME:
+                first = first.plus(work)
+        seconds_each = measure_seconds(tasks_work, rate) / jobs if jobs else 0.0
+        return (
+            queue.name,
+            _to_milliseconds(measure_seconds(first, rate)),
+            _to_milliseconds(measure_seconds(all_useful, rate)),
+            _to_milliseconds(seconds_each * members),
+        )
+
+
+def _to_milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
+def find_full_pools(contacts: Iterable[WorkerContact]) -> set[str]:
+    """Return the pools of whose processors or memory hardly anything is free."""
+    totals: dict[str, list[int]] = {}
+    for contact in contacts:
+        if not contact.is_listed or contact.info.is_leaving:
+            continue
+        total = totals.setdefault(contact.info.pool, [0, 0, 0, 0])
+        total[0] += contact.used.millicores
+        total[1] += contact.info.size.millicores
+        total[2] += contact.used.memory
+        total[3] += contact.info.size.memory
+    return {
+        pool
+        for pool, (processors, all_processors, memory, all_memory) in totals.items()
+        if processors > FULL_SHARE * all_processors or memory > FULL_SHARE * all_memory
+    }
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -121,6 +121,10 @@
         self._pending.mark_changed(job)
         self.wake()
 
+    def rank_pending(self, now: float) -> list[RankedStep]:
+        """List the pending steps, most urgent first."""
+        return self._pending.rank(now)
+
     def handle_advice(self, step: Step) -> None:
         """Check all workers again for a step that the advisor has answered about."""
         self._pending.retry(step)
--- a/src/damaskdeck/coordination/pools/jobfrontend.py
+++ b/src/damaskdeck/coordination/pools/jobfrontend.py
@@ -9,6 +9,7 @@
 from typing import Literal
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.admission import AdmissionDesk
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.delegates import Delegates
 from damaskdeck.coordination.pools.leadership import Leadership
@@ -50,6 +51,7 @@
     JobStateReply,
     ReadJobState,
     ReportCapacity,
+    ReportRefusal,
 )
 from damaskdeck.protocol.pools import Advice, Advisor
 from damaskdeck.protocol.ports import Found, Lost, Missing, Rejected, Written
@@ -120,6 +122,7 @@
             self._delegates,
             self._zone_capacities,
         )
+        self._admission = AdmissionDesk(store, peers, leadership, clock)
         peers.register(AnnounceJob, self._handle_announced_job)
         peers.register(ReadJobState, self._handle_read_state)
         peers.register(CancelPoolJob, self._handle_cancel)
@@ -127,6 +130,7 @@
         peers.register(GetAdvice, self._handle_get_advice)
         peers.register(DelegateJobOperation, self._handle_delegated_operation)
         peers.register(ReportCapacity, self._handle_capacity_report)
+        peers.register(ReportRefusal, self._handle_refusal_report)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
@@ -140,12 +144,21 @@
 
         Jobs with the same identifier are the same job.
         """
+        refusal = await self._admission.refuse(queue, identifier, spec, caller)
+        if refusal is not None:
+            return refusal
         return await self._submitter.submit(queue, identifier, spec, caller)
 
     async def _handle_capacity_report(self, peer: str, message: ReportCapacity) -> None:
         self._zone_capacities.update(message)
+        self._admission.update(message)
         self._on_owner_epoch(message["epoch"])
 
+    async def _handle_refusal_report(self, peer: str, message: ReportRefusal) -> None:
+        owner = self._get_owner()
+        if owner is not None and owner.is_loaded:
+            owner.record_refusal(message)
+
     async def _handle_announced_job(self, peer: str, message: AnnounceJob) -> None:
         owner = self._get_owner()
         if owner is not None and owner.is_loaded:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -12,6 +12,8 @@
 
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.accountmetrics import AccountMetrics
+from damaskdeck.coordination.pools.admission import OutlookReporter, ReturningJobs
+from damaskdeck.coordination.pools.admission.work import Work
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
 from damaskdeck.coordination.pools.changeset import ChangeKind, ChangeSet
@@ -32,7 +34,7 @@
 from damaskdeck.coordination.pools.zoneconfinement import measure_zone_capacities
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.messages import Peers
-from damaskdeck.protocol.poolmessages import ReportCapacity
+from damaskdeck.protocol.poolmessages import ReportCapacity, ReportRefusal
 from damaskdeck.protocol.pools import (
     EndedTask,
     EndKind,
@@ -118,6 +120,9 @@
         self._supervisor = RunSupervisor(
             self, self.dispatcher, shared.times, self.advice_scheduler
         )
+        self._returning = ReturningJobs()
+        # No account is limited here: that takes the weighted shares of accounts.
+        self._outlook = OutlookReporter(self, lambda account: False, self._returning)
         self._crashes = Crashes(self)
         self.intake = Intake(self, shared.store, shared.leadership, shared.clock)
         self._fleet = WorkerFleet(
@@ -217,6 +222,16 @@
 
     # Jobs --------------------------------------------------------------------
 
+    def record_refusal(self, message: ReportRefusal) -> None:
+        """Record a job that a daemon has refused, and when its caller returns."""
+        due_at = self.now() + message["due"] / 1000
+        work = Work(message["processors"], message["memory"])
+        self._returning.add(message["job"], due_at, work)
+
+    def find_pool(self, step: Step) -> str:
+        """Return the pool that is declared for a step's queue at present."""
+        return self.dispatcher.find_pool(step)
+
     def cancel(self, job: Job) -> None:
         """End a job as cancelled and stop its runs, unless it has already ended."""
         if not job.is_final:
@@ -429,6 +444,7 @@
         step.store_checkpoint(task, end.checkpoint)
         self.dispatcher.record_end(contact, task, end, run)
         if end.kind is EndKind.COMPLETED and not step.spec.is_long_running:
+            self._outlook.record_completion(step, self.now())
             self._complete_task(step, task, run)
         elif end.kind is EndKind.FAILED and not step.spec.is_long_running:
             task.failed_on.add(contact.info.identifier)
@@ -477,7 +493,15 @@
                 continue
             capacities = measure_zone_capacities(self.contacts.values(), self.now())
             message: ReportCapacity = {"epoch": self.term.epoch, "zones": capacities}
-            for name in self._shared.leadership.list_members():
+            members = self._shared.leadership.list_members()
+            outlook = self._outlook.build(
+                lambda: self.dispatcher.rank_pending(self.now()),
+                len(members),
+                self.now(),
+            )
+            if outlook is not None:
+                message["outlook"] = outlook
+            for name in members:
                 self._peers.send(name, message, ReportCapacity)
 
     async def _sweep(self) -> None:
--- a/src/damaskdeck/protocol/callresults.py
+++ b/src/damaskdeck/protocol/callresults.py
@@ -9,6 +9,8 @@
 
 # Used where no better estimate is known; outages of the store last for seconds.
 DEFAULT_RETRY_DELAY = timedelta(seconds=1)
+# Code of a job that could not end while it is still useful.
+OVERLOADED_CODE = "overloaded"
 
 
 class Caller(NamedTuple):
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -3,7 +3,7 @@
 from typing import Literal, NotRequired, TypedDict
 
 from damaskdeck.protocol.messages import message
-from damaskdeck.protocol.quantities import Amount, Count
+from damaskdeck.protocol.quantities import Amount, Count, JobHash, Milliseconds
 
 
 @message("pool.submitted")
@@ -164,16 +164,49 @@
     epoch: Count
 
 
+class ReportOutlook(TypedDict):
+    """How long jobs that are accepted now would wait, in full pools.
+
+    :ivar queues: name of each queue with a wait, the lower bound of that wait for
+        accounts within their share and for other accounts, and the time between two
+        refused callers that each daemon lets return; all in milliseconds.
+    :ivar accounts: accounts above their share or beyond their declared rate.
+    :ivar returning: hashes of the refused jobs whose callers may return now.
+    """
+
+    queues: list[tuple[str, Milliseconds, Milliseconds, Milliseconds]]
+    accounts: list[str]
+    returning: list[JobHash]
+
+
 @message("pool.room")
 class ReportCapacity(TypedDict):
     """Free capacity of the workers that get orders, as the owner knows it.
 
     :ivar epoch: epoch of the owner.
     :ivar zones: pool, availability zone, millicores and MiB of each.
+    :ivar outlook: missing while no pool is full.
     """
 
     epoch: Count
     zones: list[tuple[str, str, Amount, Amount]]
+    outlook: NotRequired[ReportOutlook]
+
+
+@message("pool.refused")
+class ReportRefusal(TypedDict):
+    """A daemon has refused a job and told its caller when to return.
+
+    :ivar job: hash of its identifier.
+    :ivar due: time until the caller may return, in milliseconds.
+    :ivar processors: work of the job in millicore-seconds, by its estimates.
+    :ivar memory: in MiB-seconds.
+    """
+
+    job: JobHash
+    due: Milliseconds
+    processors: Amount
+    memory: Amount
 
 
 @message("pool.stand")
