--- a/src/damaskdeck/cli/app.py
+++ b/src/damaskdeck/cli/app.py
@@ -42,6 +42,7 @@
         logs,
         losses,
         operations,
+        pools,
     )
 
     app()
--- a/src/damaskdeck/cli/output.py
+++ b/src/damaskdeck/cli/output.py
@@ -135,6 +135,22 @@
     for item in items:
         cells = [column(item) for column in chosen.values()]
         rows.append([item["metadata"]["name"], *map(str, cells)])
+    _print_cells(rows)
+
+
+def print_rows(rows: list[dict[str, Any]]) -> None:
+    """Print rows with the same keys as a table; the keys are its heading."""
+    if not rows:
+        print("Nothing found.")
+        return
+    _print_cells([[str(key) for key in rows[0]]] + [_format_row(row) for row in rows])
+
+
+def _format_row(row: dict[str, Any]) -> list[str]:
+    return [f"{v:g}" if isinstance(v, float) else str(v) for v in row.values()]
+
+
+def _print_cells(rows: list[list[str]]) -> None:
     widths = [max(map(len, cells)) for cells in zip(*rows, strict=True)]
     for row in rows:
         cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -44,6 +44,9 @@
 # Header in which callers send the key of their client account.
 _API_KEY_HEADER = b"x-api-key"
 
+# Path of the status of the pools on the port of the metrics.
+_STATUS_PATH = "/pools"
+
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -107,6 +110,7 @@
     is_ready: Callable[[], bool],
     is_closing_connections: Callable[[], bool],
     read_metrics: Callable[[], bytes],
+    read_status: Callable[[], Any],
     ready_port: int,
     metrics_port: int,
 ) -> App:
@@ -114,8 +118,9 @@
 
     :param is_closing_connections: whether responses close the connection, so that
         callers open their next one to another daemon.
+    :param read_status: returns the status of the pools, for operators.
     :param ready_port: local port that answers the balancer's readiness checks.
-    :param metrics_port: local port that serves the metrics.
+    :param metrics_port: local port that serves the metrics and the status.
     """
 
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
@@ -126,7 +131,10 @@
             await response.send_json(200 if is_ready() else 503)
             return
         if scope["server"][1] == metrics_port:
-            await response.send_text(read_metrics())
+            if scope["path"] == _STATUS_PATH:
+                await response.send_json(200, read_status())
+            else:
+                await response.send_text(read_metrics())
             return
         host = _read_header(scope, b"host") or b""
         call = authorizer.authorize(
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -19,6 +19,7 @@
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
 from damaskdeck.coordination.pools.owner import OwnerDependencies, PoolOwner
 from damaskdeck.coordination.pools.ownermonitor import OwnerMonitor
+from damaskdeck.coordination.pools.status import PoolStatus, build_sections
 from damaskdeck.coordination.pools.times import derive_times
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.workerfleet import FleetDependencies
@@ -188,6 +189,7 @@
             self.is_ready,
             lambda: not self.is_ready(),
             read_metrics,
+            self.read_status,
             listeners[1].getsockname()[1],
             listeners[2].getsockname()[1],
         )
@@ -208,6 +210,25 @@
         is_deciding = owner is not None and owner.may_decide()
         return owner.term.epoch if owner is not None and is_deciding else 0
 
+    def read_status(self) -> PoolStatus:
+        """Return the status of the pools, or where their owner serves it.
+
+        Daemons serve their metrics on the same port of all instances.
+        """
+        recorded, owner = self.leadership.owner, self._owner
+        name = recorded.instance if recorded is not None else ""
+        host = (self.leadership.find_address(name) or "").rpartition(":")[0]
+        port = self.metrics_address.rpartition(":")[2]
+        status: PoolStatus = {
+            "instance": self.settings.instance,
+            "owner": name,
+            "owner_address": f"{host}:{port}" if host else "",
+        }
+        if owner is not None and owner.is_loaded and owner.may_decide():
+            status["epoch"] = owner.term.epoch
+            status["sections"] = build_sections(owner)
+        return status
+
     # Owner term --------------------------------------------------------------
 
     def _begin_term(self, term: OwnerTerm) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -527,6 +527,7 @@
             f"http://{remaining[0].metrics_address}/metrics"
         ) as r:
             self.assertIn("damaskdeck_latency_seconds_bucket", await r.text())
+        await self.check_status(remaining)
         remaining[0].add_settings("advice=127.0.0.1:1")
         remaining[0].process.send_signal(signal.SIGHUP)
         await wait_until(
@@ -544,6 +545,15 @@
         await self.wait_state(remaining[1], "000000000000000d", "done")
         self.assertEqual(self.count_starts("000000000000000d"), 2)
 
+    async def check_status(self, nodes: list[NodeProcess]) -> None:
+        """Check that the owner shows the status of its pools, and all name it."""
+        owner = next(node for node in nodes if self.is_owner(node))
+        for node in nodes:
+            async with self.session.get(f"http://{node.metrics_address}/pools") as r:
+                status = await r.json()
+            self.assertEqual("sections" in status, node is owner)
+            self.assertTrue(status["owner"])
+
     def is_owner(self, node: NodeProcess) -> bool:
         """Return whether a daemon owns the pools according to its log."""
         messages = [line.get("message") for line in node.lines]
