--- a/src/damaskdeck/coordination/pools/accountlimits.py
+++ b/src/damaskdeck/coordination/pools/accountlimits.py
@@ -28,6 +28,8 @@
 # How long the estimate of unconfirmed usage is cached. A cached value is safe because
 # the usage that it bounds only ever shrinks.
 UNCONFIRMED_USAGE_MAX_AGE_SECONDS = 0.1
+# The weight of accounts that declare none at all, as shares are divided by weights.
+MIN_WEIGHT = 1e-6
 # The interval at which an account that stays held back is logged again.
 LOG_INTERVAL_SECONDS = 5.0
 
@@ -91,6 +93,11 @@
         inherited = self._inherited.get(account, ZERO_SIZE)
         self._inherited[account] = add_sizes(inherited, step.spec.size)
 
+    @property
+    def quotas(self) -> Quotas:
+        """The usage, quotas and weights of the accounts."""
+        return self._quotas
+
     def get_usage(self, account: str) -> Size:
         """Return the known usage of an account, without unconfirmed runs."""
         return self._quotas.read(account).use
@@ -103,7 +110,7 @@
         account = step.job.record.account
         if not account:
             return wanted
-        self._update_quotas()
+        self.update_quotas()
         if account not in self._declared:
             # An account that no known document has ever declared has no limit.
             return wanted
@@ -124,7 +131,7 @@
         startable = _count_fitting(step, startable, subtract_sizes(limit, used))
         return 0 if step.spec.is_gang and startable < wanted else startable
 
-    def _update_quotas(self) -> None:
+    def update_quotas(self) -> None:
         """Apply the quotas of the document in force.
 
         An account that is no longer declared keeps its last quota, so that its
@@ -136,11 +143,12 @@
         self._version = table.version
         for account in table.accounts:
             self._declared.add(account.name)
-            self._quotas.set_quota(account.name, account.quota, account.weight)
+            weight = max(account.weight, MIN_WEIGHT)
+            self._quotas.set_quota(account.name, account.quota, weight)
 
     def sweep(self) -> None:
         """Lower the ceilings of the accounts that use less."""
-        self._update_quotas()
+        self.update_quotas()
         if not self._declared or self._owner.list_unreconciled():
             return
         now = self._owner.now()
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -20,6 +20,7 @@
     plan_step,
 )
 from damaskdeck.coordination.pools.reservations import Reservations, is_contended
+from damaskdeck.coordination.pools.shares import AccountShares, Precedence
 from damaskdeck.coordination.pools.slowness import SlowWorkerDetector
 from damaskdeck.coordination.pools.speedranks import SpeedRanks
 from damaskdeck.coordination.pools.starter import Starter, StartOwner
@@ -76,6 +77,7 @@
     :ivar worker_health: The evidence against workers.
     :ivar slow_workers: Detects the workers that are slow at present.
     :ivar speed_ranks: Ranks the other workers by their speed.
+    :ivar shares: The standing of the client accounts.
     """
 
     def __init__(
@@ -95,7 +97,8 @@
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starter = Starter(owner, clock, advice_scheduler, self.mark_changed)
-        self._pending = PendingSteps()
+        self.shares = AccountShares(owner)
+        self._pending = PendingSteps(self.shares)
         # Workers with more free capacity, or usable again, since the last pass.
         self._freed: set[str] = set()
         self._usable: set[str] = set()
@@ -144,6 +147,7 @@
         """Add a job, whose steps are pending from now on."""
         if job.record.spec.repeats and not job.is_final:
             self._next_occurrences[job.identifier] = 0
+        self.shares.add_job(job)
         self.mark_changed(job)
 
     def discard(self, step: Step) -> None:
@@ -176,6 +180,8 @@
         if is_full_pass:
             self._full_pass_at = now
             self._pending.retry_all()
+            wall_time = self._clock.now().timestamp()
+            self.shares.update_capacity(self._owner.contacts.values(), now, wall_time)
         freed, self._freed = self._freed, set()
         candidates = self._build_candidates(now)
         ranked = self._pending.rank(now)
@@ -204,7 +210,11 @@
             if not has_rack_preference(pending.step.spec) and self._may_start(pending)
             if (pool := self.find_pool(pending.step)) in contended
         ]
-        self._reservations.retain(step.name for step, _ in gangs)
+        # Deferred gangs reserve anew in their order, as they must not hold reservations
+        # against steps that now precede them.
+        self._reservations.retain(
+            step.name for step, _ in gangs if not self.shares.is_deferred(step)
+        )
         for step, pool in gangs:
             keys: Iterable[str] = contacts
             if step.job.queue.advice is not None:
@@ -329,18 +339,23 @@
         plan = self._plan(step, tasks, available, pool, now) if available else []
         if len(plan) == len(tasks) or len(available) == len(confined):
             return plan
-        own_rank = urgency.deadline_status, urgency.rank
+        own = self.shares.find_precedence(step, urgency)
         confined = [
             c
             for c in confined
             if (reservation := reservations.find(c.key)) is None
             or reservation.step is step
-            or own_rank < (DeadlineStatus.ON_TIME, reservation.step.job.queue.rank)
+            or own < self._find_gang_precedence(reservation.step)
         ]
         if len(confined) <= len(available):
             return plan
         return self._plan(step, tasks, confined, pool, now)
 
+    def _find_gang_precedence(self, step: Step) -> Precedence:
+        """Return the precedence of a gang that has a reservation."""
+        on_time = Urgency(DeadlineStatus.ON_TIME, step.job.queue.rank, 0.0)
+        return self.shares.find_precedence(step, on_time)
+
     def _plan(
         self,
         step: Step,
--- a/src/damaskdeck/coordination/pools/pending.py
+++ b/src/damaskdeck/coordination/pools/pending.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from damaskdeck.coordination.pools.relocation import may_run_copies
+from damaskdeck.coordination.pools.shares import AccountShares
 from damaskdeck.coordination.pools.urgency import (
     Deadlines,
     Urgency,
@@ -43,9 +44,14 @@
 
 
 class PendingSteps:
-    """All pending steps of an owner's jobs."""
+    """All pending steps of an owner's jobs.
 
-    def __init__(self) -> None:
+    :param shares: ranks the steps of declared client accounts; without it, all steps
+        are ranked by urgency alone.
+    """
+
+    def __init__(self, shares: AccountShares | None = None) -> None:
+        self._shares = shares
         self._steps: dict[str, dict[str, PendingStep]] = {}
         self._changed_jobs: dict[str, Job] = {}
 
@@ -66,7 +72,7 @@
                 pending.is_tried = False
 
     def rank(self, now: float) -> list[RankedStep]:
-        """List the pending steps, most urgent first."""
+        """List the pending steps in the order in which they get capacity."""
         changed_jobs, self._changed_jobs = self._changed_jobs, {}
         for job in changed_jobs.values():
             self._renew(job)
@@ -77,17 +83,42 @@
             for steps in self._steps.values()
             for name, pending in steps.items()
         ]
+        if self._shares is not None and self._shares.begin_pass(now):
+            return _sort_by_shares(ranked, self._shares)
         ranked.sort(key=lambda entry: entry[:2])
         return ranked
 
     def _renew(self, job: Job) -> None:
         steps = {} if job.is_final else _list_pending(job)
+        if self._shares is not None:
+            self._shares.update_demand(
+                job, ((p.step, len(p.tasks)) for p in steps.values())
+            )
         if steps:
             self._steps[job.identifier] = steps
         else:
             self._steps.pop(job.identifier, None)
 
 
+def _sort_by_shares(
+    ranked: list[RankedStep], shares: AccountShares
+) -> list[RankedStep]:
+    """Return steps in the order of :class:`Precedence`, then of slack and name.
+
+    Plain tuples are compared, as some hundred steps are sorted in each pass.
+    """
+    beyond, above = shares.beyond_rate, shares.above_share
+    keyed = []
+    for entry in ranked:
+        (status, rank, slack), name, pending = entry
+        job = pending.step.job
+        is_above = job.record.account in above and shares.defer(pending.step)
+        is_beyond = job.identifier in beyond
+        keyed.append((status, is_beyond, rank, is_above, slack, name, entry))
+    keyed.sort()
+    return [key[-1] for key in keyed]
+
+
 def _list_pending(job: Job) -> dict[str, PendingStep]:
     return {
         step.name: PendingStep(step, tasks, find_deadlines(step))
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/shares/__init__.py
@@ -0,0 +1,23 @@
+"""Fair shares of a full pool between client accounts.
+
+Three questions are answered for the order of waiting steps: whether a job was accepted
+within the declared rate of its account, whether an account uses more than its fair
+share of the pools, and which of two steps goes first.
+"""
+
+from damaskdeck.coordination.pools.shares.accounts import (
+    AccountShares,
+    AccountStanding,
+    Precedence,
+)
+from damaskdeck.coordination.pools.shares.levels import Want, compute_level
+from damaskdeck.coordination.pools.shares.rates import DeclaredRates
+
+__all__ = [
+    "AccountShares",
+    "AccountStanding",
+    "DeclaredRates",
+    "Precedence",
+    "Want",
+    "compute_level",
+]
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/shares/accounts.py
@@ -0,0 +1,328 @@
+"""The standing of client accounts, and the order of their waiting steps."""
+
+from collections.abc import Iterable, Set
+from typing import NamedTuple, Protocol
+
+from damaskdeck.coordination.pools.accountlimits import AccountLimits
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.shares.levels import (
+    UNLIMITED_LEVEL,
+    Want,
+    compute_level,
+    measure_want,
+)
+from damaskdeck.coordination.pools.shares.rates import DeclaredRates
+from damaskdeck.coordination.pools.urgency import (
+    DeadlineStatus,
+    Urgency,
+    compute_objective,
+)
+from damaskdeck.coordination.queues.fairness import FairShares
+from damaskdeck.protocol.queues import QueueTable
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+from damaskdeck.state.pooljobs import Job, Step
+from damaskdeck.state.quotas import scale_size
+
+# Passes are at most about this far apart while the owner may decide. A longer pause is
+# no wait for an account's share.
+MAX_PASS_GAP_SECONDS = 0.25
+# Shares are quotients of integers; an account at its share must not count as above it.
+SHARE_TOLERANCE = 1e-9
+
+
+class Precedence(NamedTuple):
+    """What precedes the slack in the order of steps; lower comes first.
+
+    :param is_beyond_rate: Whether the job was accepted beyond the declared rate.
+    :param rank: Of the queue.
+    :param is_above_share: Whether the account is above its fair share while capacity is
+        short.
+    """
+
+    deadline_status: DeadlineStatus
+    is_beyond_rate: bool
+    rank: int
+    is_above_share: bool
+
+
+class AccountStanding(NamedTuple):
+    """What an account has of the pools.
+
+    :param share: The dominant share that it uses of the capacity, from 0 to 1.
+    :param fair_share: The most that it should use at present, infinite while there is
+        capacity for all wants.
+    :param borrowed: The part of ``share`` above its weight's fraction among the
+        accounts with work, which the others leave unused.
+    :param demand: What its waiting tasks need.
+    """
+
+    use: Size
+    demand: Size
+    share: float
+    fair_share: float
+    borrowed: float
+
+
+class _Deferral:
+    """How long a step has waited while its account was above its share.
+
+    :ivar seconds: The time that it has waited.
+    :ivar limit: The objective of its job in seconds, after which it isn't deferred.
+    """
+
+    __slots__ = ("limit", "seconds")
+
+    def __init__(self, job: Job) -> None:
+        self.seconds = 0.0
+        self.limit = compute_objective(job.queue, job.record.spec)
+
+
+class _Measure(NamedTuple):
+    """What an account wants, and the state of which that is true."""
+
+    use: Size
+    demand: Size
+    quota: Size
+    capacity: Size
+    want: Want | None
+
+
+class SharesOwner(Protocol):
+    """What shares need from the owner of the jobs."""
+
+    account_limits: AccountLimits
+
+    def get_table(self) -> QueueTable | None:
+        """Return the declared queues and accounts in force."""
+
+
+class AccountShares:
+    """Ranks the steps of the accounts that the document in force declares.
+
+    :ivar above_share: The accounts that are above their fair share while capacity is
+        short, as of the current pass.
+    """
+
+    def __init__(self, owner: SharesOwner) -> None:
+        self._owner = owner
+        self._quotas = owner.account_limits.quotas
+        self._fair_shares = FairShares(self._quotas)
+        self._rates = DeclaredRates()
+        self._demands: dict[str, Size] = {}
+        # By job and step.
+        self._deferrals: dict[str, dict[str, _Deferral]] = {}
+        self._pass_at = float("-inf")
+        self._elapsed = 0.0
+        self._table: QueueTable | None = None
+        # The weights of the declared accounts.
+        self._weights: dict[str, float] = {}
+        self._level = UNLIMITED_LEVEL
+        self._active_weight = 0.0
+        self._measures: dict[str, _Measure] = {}
+        self.above_share: frozenset[str] = frozenset()
+
+    @property
+    def beyond_rate(self) -> Set[str]:
+        """The open jobs that were accepted beyond the declared rate."""
+        return self._rates.beyond
+
+    # Jobs --------------------------------------------------------------------
+
+    def add_job(self, job: Job) -> None:
+        """Count an accepted job towards the rate of its account."""
+        record = job.record
+        if record.account:
+            self._rates.add(
+                record.account, job.identifier, record.accepted_at, not job.is_final
+            )
+
+    def update_demand(self, job: Job, waiting: Iterable[tuple[Step, int]]) -> None:
+        """Record the tasks of a job that wait.
+
+        :param waiting: The steps with the number of their waiting tasks.
+        """
+        account, identifier = job.record.account, job.identifier
+        if not account:
+            return
+        before = self._demands.pop(identifier, ZERO_SIZE)
+        demand = ZERO_SIZE
+        deferrals = self._deferrals.pop(identifier, {})
+        for step, tasks in waiting:
+            demand = add_sizes(demand, scale_size(step.spec.size, tasks))
+            if step.name in deferrals:
+                kept = self._deferrals.setdefault(identifier, {})
+                kept[step.name] = deferrals[step.name]
+        if demand != ZERO_SIZE:
+            self._demands[identifier] = demand
+        if demand != before:
+            self._quotas.remove_demand(account, before)
+            self._quotas.add_demand(account, demand)
+        if job.is_final:
+            self._rates.discard(identifier)
+
+    def is_beyond_rate(self, job: Job) -> bool:
+        """Whether a job was accepted beyond the declared rate of its account."""
+        return job.identifier in self._rates.beyond
+
+    # Standing ----------------------------------------------------------------
+
+    def begin_pass(self, now: float) -> bool:
+        """Update what the order depends on.
+
+        :returns: Whether any accounts are declared. The order is that of urgency
+            otherwise.
+        """
+        self._elapsed = min(now - self._pass_at, MAX_PASS_GAP_SECONDS)
+        self._pass_at = now
+        self._update_table()
+        if not self._weights:
+            self._level, self.above_share = UNLIMITED_LEVEL, frozenset()
+            return False
+        self._rates.judge()
+        self._measure_level()
+        self.above_share = frozenset(self._list_above())
+        return True
+
+    def update_capacity(
+        self, contacts: Iterable[WorkerContact], now: float, wall_time: float
+    ) -> None:
+        """Update the capacity of the pools, and drop old acceptances.
+
+        Runs on workers that are not usable count towards the use of their accounts, so
+        they count as capacity as well.
+
+        :param wall_time: Seconds since 1970.
+        """
+        self._update_table()
+        if not self._weights:
+            return
+        millicores = memory = accelerators = 0
+        for contact in contacts:
+            size = contact.info.size if contact.is_usable(now) else contact.used
+            millicores += size[0]
+            memory += size[1]
+            accelerators += size[2]
+        capacity = Size(millicores, memory, accelerators)
+        if capacity != self._quotas.capacity:
+            self._quotas.set_capacity(capacity)
+        self._rates.fold(wall_time)
+
+    def defer(self, step: Step) -> bool:
+        """Whether a step of an account above its share goes after other accounts.
+
+        So that no step starves, it doesn't once it has waited for the length of its
+        objective because of that share. The time since the last pass is counted, so
+        this is called once in each pass.
+        """
+        job = step.job
+        deferrals = self._deferrals.setdefault(job.identifier, {})
+        deferral = deferrals.get(step.name)
+        if deferral is None:
+            deferral = deferrals[step.name] = _Deferral(job)
+        if deferral.seconds >= deferral.limit:
+            return False
+        deferral.seconds += self._elapsed
+        return True
+
+    def find_precedence(self, step: Step, urgency: Urgency) -> Precedence:
+        """Return the precedence of a step."""
+        job = step.job
+        is_above = job.record.account in self.above_share
+        return Precedence(
+            urgency.deadline_status,
+            job.identifier in self._rates.beyond,
+            urgency.rank,
+            is_above and not self._is_starved(step),
+        )
+
+    def _is_starved(self, step: Step) -> bool:
+        deferral = self._deferrals.get(step.job.identifier, {}).get(step.name)
+        return deferral is not None and deferral.seconds >= deferral.limit
+
+    def is_deferred(self, step: Step) -> bool:
+        """Whether steps of other accounts precede a step for its rate or share."""
+        job = step.job
+        return self.is_beyond_rate(job) or job.record.account in self.above_share
+
+    def list_accounts(self) -> list[str]:
+        """List the declared accounts that have running or waiting work."""
+        return [
+            name for name in self._weights if _has_work(*self._quotas.read(name)[2:])
+        ]
+
+    def find_standing(self, account: str) -> AccountStanding:
+        """Return what a declared account has of the pools at present."""
+        state = self._quotas.read(account)
+        weight = state.weight
+        share = self._fair_shares.compute_share(account) * weight
+        own = weight / max(weight, self._active_weight)
+        return AccountStanding(
+            state.use,
+            state.demand,
+            share,
+            self._level * weight,
+            max(0.0, share - own) if account in self._weights else 0.0,
+        )
+
+    def _update_table(self) -> None:
+        """Apply the accounts of a new document."""
+        table = self._owner.get_table()
+        if table is None or table is self._table:
+            return
+        self._table = table
+        self._owner.account_limits.update_quotas()
+        self._weights = {account.name: account.weight for account in table.accounts}
+        self._rates.set_weights(self._weights)
+        self._measures.clear()
+
+    def _measure_level(self) -> None:
+        """Compute the level from the use and the demand of all accounts."""
+        capacity, use = self._quotas.capacity, self._quotas.use
+        millicores, memory, accelerators = subtract_sizes(capacity, use)
+        wants, weights = [], 0.0
+        for name, weight in self._weights.items():
+            measure = self._measure(name, capacity)
+            if measure.want is None:
+                continue
+            wants.append(measure.want)
+            weights += weight
+            # Work without a declared account isn't limited by any share, so its use
+            # remains subtracted.
+            millicores += measure.use[0]
+            memory += measure.use[1]
+            accelerators += measure.use[2]
+        self._active_weight = weights
+        self._level = compute_level(wants, Size(millicores, memory, accelerators))
+
+    def _measure(self, account: str, capacity: Size) -> _Measure:
+        """Return what an account wants, from the last measure if nothing has changed.
+
+        Sizes are compared by identity, which is fast and only ever measures anew.
+        """
+        state = self._quotas.read(account)
+        last = self._measures.get(account)
+        if (
+            last is not None
+            and last.use is state.use
+            and last.demand is state.demand
+            and last.quota is state.quota
+            and last.capacity is capacity
+        ):
+            return last
+        want = measure_want(state, capacity)
+        measure = _Measure(state.use, state.demand, state.quota, capacity, want)
+        self._measures[account] = measure
+        return measure
+
+    def _list_above(self) -> Iterable[str]:
+        """Yield the accounts above their share while capacity is short."""
+        if self._level == UNLIMITED_LEVEL:
+            return
+        limit = self._level * (1 + SHARE_TOLERANCE)
+        for name in self._weights:
+            if self._fair_shares.compute_share(name) > limit:
+                yield name
+
+
+def _has_work(use: Size, demand: Size) -> bool:
+    return use != ZERO_SIZE or demand != ZERO_SIZE
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,7 @@
     "places": frozenset({"queues"}),
     "workers": frozenset({"queues", "places"}),
     "jobs": frozenset({"queues", "places", "workers"}),
-    "pools": frozenset({"places"}),
+    "pools": frozenset({"places", "queues"}),
 }
 # Names that only the platform's interface uses.
 WIRE_NAMES = (
@@ -85,7 +85,7 @@
         found = {p.name for p in folder.iterdir() if p.name in GROUPS}
         self.assertEqual(found, set(GROUPS))
         for group, allowed in GROUPS.items():
-            for path in sorted((folder / group).glob("*.py")):
+            for path in sorted((folder / group).rglob("*.py")):
                 others = set(list_groups(path)) - {group} - allowed
                 self.assertEqual(others, set(), path.name)
 
