--- a/tests/test_hot_account.py
+++ b/tests/test_hot_account.py
@@ -232,3 +232,60 @@
             )
         # What the others leave goes to the hot account: far more than its usual load.
         self.assertGreater(sum(wait < 3 for wait in hot[HOT]), 100)
+
+
+class TestGangs(PoolCase):
+    """A wide gang of an account above its share has reserved workers in a full pool."""
+
+    async def submit(self, name: str, tasks: int, caller: str, **fields) -> None:
+        """Submit a job of one step."""
+        spec = make_job(StepSpec(tasks, SMALL, 4 * SECOND, **fields))
+        frontend = self.cluster.daemons["d0"].frontend
+        done = await frontend.submit(QUEUE, name, spec, CALLERS[caller])
+        self.assertEqual(done, JobAccepted())
+
+    async def begin_reserved(self) -> None:
+        """Fill a pool, and wait until workers are reserved for a gang."""
+        self.cluster = await self.begin(
+            workers=WORKERS,
+            queues=(QUEUE,),
+            accounts=tuple(make_account(name, name, weight=50.0) for name in CALLERS),
+            behave=lambda task, attempt: Work(
+                timedelta(seconds=random.Random(str(task)).uniform(1.0, 4.0))
+            ),
+        )
+        await asyncio.sleep(0.5)
+        await self.submit("full", SLOTS, HOT)
+        await asyncio.sleep(0.5)
+        await self.submit("gang", SLOTS // 2, HOT, is_gang=True)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.list_reserving(), {"gang"})
+
+    def list_reserving(self) -> set[str]:
+        """Return the jobs with reserved workers."""
+        reservations = self.cluster.find_owner().owner.dispatcher._reservations
+        return {r.step.job.identifier for r in reservations._workers.values()}
+
+    @virtual
+    async def test_tasks_of_an_account_below_its_share_use_the_reserved_workers(self):
+        # By ranks alone, the reserved workers are idle until the gang starts, and these
+        # tasks wait for 1.7 s.
+        await self.begin_reserved()
+        submitted_at = self.cluster.clock.monotonic()
+        await self.submit("calm", 8, "a1")
+        await self.cluster.wait(lambda: len(self.cluster.list_starts("calm")) == 8)
+        self.assertEqual(self.cluster.list_starts("gang"), [])
+        waited = self.cluster.list_starts("calm")[-1][0] - submitted_at
+        self.assertLess(waited, SECOND)
+        await self.cluster.wait(lambda: bool(self.cluster.list_starts("gang")))
+        self.end()
+
+    @virtual
+    async def test_a_gang_of_an_account_below_its_share_reserves_first(self):
+        await self.begin_reserved()
+        await self.submit("calm", SLOTS // 2, "a1", is_gang=True)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.list_reserving(), {"calm"})
+        for job in ("calm", "gang"):
+            await self.cluster.wait(lambda name=job: self.cluster.list_starts(name))
+        self.end()
