--- a/src/damaskdeck/cli/losses.py
+++ b/src/damaskdeck/cli/losses.py
@@ -28,6 +28,8 @@
 OWNER_LOADED = "Loaded."
 START_UNCONFIRMED = "A start was not confirmed."
 ACCOUNT_HELD_BACK = "An account is held back."
+SHARE_EXCEEDED = "An account is above its fair share."
+SHARE_KEPT = "An account is no longer above its fair share."
 END_DURABLE = "A final state is durable."
 # A run is slow when it takes more than this multiple of its step's median duration.
 SLOW_FACTOR = 2.0
@@ -68,6 +70,7 @@
     :param ended_at: when the job ended, in seconds since 1970.
     :param durable_at: when its end was durable, so that callers could learn of it, in
         seconds since 1970.
+    :param is_beyond_rate: whether it was accepted beyond its account's declared rate.
     """
 
     identifier: str
@@ -79,6 +82,7 @@
     durable_at: float
     runs: list[Run]
     account: str = ""
+    is_beyond_rate: bool = False
 
     @property
     def critical_path_seconds(self) -> float:
@@ -117,11 +121,14 @@
     :param takeovers: spans in which no owner took decisions.
     :param quota_holds: approximate spans in which an account was held back by its
         quota, by account.
+    :param share_excesses: spans in which an account was above its fair share while
+        others waited, by account.
     """
 
     silences: dict[str, list[Span]]
     takeovers: list[Span]
     quota_holds: dict[str, list[Span]] = {}
+    share_excesses: dict[str, list[Span]] = {}
 
 
 def parse_time(text: str) -> float:
@@ -152,7 +159,28 @@
             last_decision_at = at
     for worker, begin in silent_since.items():
         silences[worker].append(Span(begin, float("inf")))
-    return SystemHistory(silences, takeovers, quota_holds)
+    return SystemHistory(silences, takeovers, quota_holds, _read_excesses(lines))
+
+
+def _read_excesses(lines: list[Line]) -> dict[str, list[Span]]:
+    """Collect when accounts were above their fair share, as far as their owner knew."""
+    excesses: dict[str, list[Span]] = defaultdict(list)
+    begins: dict[str, float] = {}
+    for line in lines:
+        account = str(line.fields.get("account", ""))
+        if line.message == SHARE_EXCEEDED:
+            begins.setdefault(account, parse_time(line.time))
+            continue
+        # A new owner reports anew.
+        is_reset = line.message == OWNER_LOADED
+        ended = list(begins) if is_reset else [account] * (line.message == SHARE_KEPT)
+        for name in ended:
+            if name in begins:
+                span = Span(begins.pop(name), parse_time(line.time))
+                excesses[name].append(span)
+    for name, begin in begins.items():
+        excesses[name].append(Span(begin, float("inf")))
+    return excesses
 
 
 def read_timelines(lines: list[Line]) -> Iterator[JobTimeline]:
@@ -178,7 +206,8 @@
             ended_at,
             parse_time(durability.time) if durability is not None else ended_at,
             list(_read_runs(job_lines)),
-            str(acceptance.fields.get("account", "")),
+            str(acceptance.fields.get("account", end.fields.get("account", ""))),
+            bool(end.fields.get("beyond_rate", False)),
         )
 
 
@@ -217,7 +246,12 @@
         }
         for span in history.silences.get(run.worker, ()):
             boundaries |= set(span)
-    for span in (*history.takeovers, *history.quota_holds.get(timeline.account, ())):
+    account = timeline.account
+    for span in (
+        *history.takeovers,
+        *history.quota_holds.get(account, ()),
+        *history.share_excesses.get(account, ()),
+    ):
         boundaries |= set(span)
     inside = sorted(
         at for at in boundaries if timeline.accepted_at <= at <= timeline.durable_at
@@ -276,9 +310,21 @@
         return "run that failed"
     if outcomes:
         return "untold"
-    spans = history.quota_holds.get(timeline.account, ())
-    is_held_back = any(span.begin <= at < span.end for span in spans)
-    return "quota, or room beside it" if is_held_back else "room, advice or order"
+    return _find_wait_cause(timeline, history, at)
+
+
+def _find_wait_cause(timeline: JobTimeline, history: SystemHistory, at: float) -> str:
+    """Return what a job waited for at a moment at which nothing of it ran."""
+    account = timeline.account
+    for spans, cause in (
+        (history.quota_holds, "quota, or room beside it"),
+        (history.share_excesses, "fair share, or room beside it"),
+    ):
+        if any(span.begin <= at < span.end for span in spans.get(account, ())):
+            return cause
+    if timeline.is_beyond_rate:
+        return "declared rate, or room beside it"
+    return "room, advice or order"
 
 
 def print_losses(
@@ -295,12 +341,8 @@
     for queue, queue_jobs in sorted(by_queue.items()):
         late_jobs = [job for job in queue_jobs if job.duration > job.objective]
         print(f"{queue}: {len(queue_jobs)} jobs, {len(late_jobs)} late")
-        total: Counter[str] = Counter()
-        for timeline in late_jobs:
-            total += split_by_cause(timeline, history)
-        for cause in sorted(total, key=lambda c: -total[c]):
-            print(f"  {total[cause]:8.1f} s  {cause}")
-    _print_accounts(timelines)
+        _print_causes(late_jobs, history)
+    _print_accounts(timelines, history)
     _print_seconds(late)
     late.sort(key=lambda job: job.objective - job.duration)
     for timeline in late[:top]:
@@ -313,14 +355,34 @@
         )
 
 
-def _print_accounts(timelines: list[JobTimeline]) -> None:
-    """Print how many jobs of each account were late, the highest share first."""
-    jobs = Counter(job.account for job in timelines if job.account)
-    late_jobs = Counter(
-        job.account for job in timelines if job.duration > job.objective
-    )
-    for account in sorted(jobs, key=lambda name: -late_jobs[name] / jobs[name]):
-        print(f"account {account}: {jobs[account]} jobs, {late_jobs[account]} late")
+def _print_causes(late_jobs: list[JobTimeline], history: SystemHistory) -> None:
+    """Print the seconds of late jobs by what they waited for, the longest first."""
+    total: Counter[str] = Counter()
+    for timeline in late_jobs:
+        total += split_by_cause(timeline, history)
+    for cause in sorted(total, key=lambda c: -total[c]):
+        print(f"  {total[cause]:8.1f} s  {cause}")
+
+
+def _print_accounts(timelines: list[JobTimeline], history: SystemHistory) -> None:
+    """Print what late jobs of each account waited for, the worst served first."""
+    by_account: dict[str, list[JobTimeline]] = defaultdict(list)
+    late_by_account: dict[str, list[JobTimeline]] = defaultdict(list)
+    for job in timelines:
+        if job.account:
+            by_account[job.account].append(job)
+            if job.duration > job.objective:
+                late_by_account[job.account].append(job)
+
+    def measure_late(account: str) -> float:
+        return len(late_by_account[account]) / len(by_account[account])
+
+    for account in sorted(by_account, key=measure_late, reverse=True):
+        jobs, late_jobs = by_account[account], late_by_account[account]
+        beyond = sum(job.is_beyond_rate for job in jobs)
+        suffix = f", {beyond} beyond the declared rate" if beyond else ""
+        print(f"account {account}: {len(jobs)} jobs, {len(late_jobs)} late{suffix}")
+        _print_causes(late_jobs, history)
 
 
 def _print_seconds(late: list[JobTimeline]) -> None:
--- a/src/damaskdeck/coordination/pools/accountmetrics.py
+++ b/src/damaskdeck/coordination/pools/accountmetrics.py
@@ -1,10 +1,11 @@
 """Metrics of each client account, published by the owner."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from damaskdeck.coordination.pools.shares import AccountShares
 from damaskdeck.coordination.pools.urgency import compute_objective
-from damaskdeck.metrics import count_account_job, set_account
+from damaskdeck.metrics import count_account_job, set_account, set_account_share
 from damaskdeck.protocol.queues import QueueJobState
 from damaskdeck.state.pooljobs import Job, JobIndex
 
@@ -22,11 +23,18 @@
 
     :param job_index: The jobs of the owner.
     :param read_running: Returns the millicores that count as used by an account.
+    :param get_shares: Returns the accounts' shares; ``None`` if there are none.
     """
 
-    def __init__(self, job_index: JobIndex, read_running: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        job_index: JobIndex,
+        read_running: Callable[[str], int],
+        get_shares: Callable[[], AccountShares | None] = lambda: None,
+    ) -> None:
         self._job_index = job_index
         self._read_running = read_running
+        self._get_shares = get_shares
         self._labels: set[str] = set()
         self._published_at = float("-inf")
 
@@ -64,6 +72,31 @@
             totals[label] = total[0] + jobs, total[1] + running
         for label, (jobs, running) in totals.items():
             set_account(label, jobs, running)
+        shares = self._get_shares()
+        if shares is not None:
+            self._publish_shares(shares, waiting)
+
+    def _publish_shares(self, shares: AccountShares, accounts: Iterable[str]) -> None:
+        """Publish the share of each account.
+
+        :param accounts: The accounts with open jobs.
+        """
+        beyond = Counter(
+            job.record.account
+            for job in self._job_index.open_jobs.values()
+            if shares.is_beyond_rate(job)
+        )
+        totals = dict.fromkeys(self._labels, (0.0, 0.0, 0))
+        for account in accounts:
+            label, standing = self._get_label(account), shares.find_standing(account)
+            share, borrowed, jobs = totals.get(label, (0.0, 0.0, 0))
+            totals[label] = (
+                share + standing.share,
+                borrowed + standing.borrowed,
+                jobs + beyond[account],
+            )
+        for label, (share, borrowed, jobs) in totals.items():
+            set_account_share(label, share, borrowed, jobs)
 
     def _get_label(self, account: str) -> str:
         if account not in self._labels and len(self._labels) >= MAX_ACCOUNT_LABELS:
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -194,6 +194,7 @@
             self._place(pending, candidates, freed, urgency, position, now)
         if is_full_pass:
             self._reserve_for_gangs(ranked, now)
+            self.shares.report((entry.pending.step for entry in ranked), now)
 
     def _reserve_for_gangs(self, ranked: list[RankedStep], now: float) -> None:
         """Reserve workers for the waiting gangs, in the order of their urgency."""
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -110,7 +110,9 @@
             self, Ceilings(self._changes.record_ceiling_change)
         )
         self._account_metrics = AccountMetrics(
-            self.job_index, lambda name: self.account_limits.get_usage(name).millicores
+            self.job_index,
+            lambda name: self.account_limits.get_usage(name).millicores,
+            lambda: self.dispatcher.shares,
         )
         self.dispatcher = Dispatcher(
             self, shared.clock, shared.times, self.advice_scheduler
@@ -241,6 +243,7 @@
             age=round(job.final_at - job.arrived_at, 3),
             slack=job.queue.slack,
             allowance=job.queue.allowance.total_seconds(),
+            **self.dispatcher.shares.describe(job),
         )
         self._account_metrics.record_end(job)
         self.job_index.close(job)
--- a/src/damaskdeck/coordination/pools/shares/__init__.py
+++ b/src/damaskdeck/coordination/pools/shares/__init__.py
@@ -5,13 +5,13 @@
 share of the pools, and which of two steps goes first.
 """
 
-from damaskdeck.coordination.pools.shares.accounts import (
-    AccountShares,
+from damaskdeck.coordination.pools.shares.accounts import AccountShares
+from damaskdeck.coordination.pools.shares.levels import Want, compute_level
+from damaskdeck.coordination.pools.shares.rates import DeclaredRates
+from damaskdeck.coordination.pools.shares.standings import (
     AccountStanding,
     Precedence,
 )
-from damaskdeck.coordination.pools.shares.levels import Want, compute_level
-from damaskdeck.coordination.pools.shares.rates import DeclaredRates
 
 __all__ = [
     "AccountShares",
--- a/src/damaskdeck/coordination/pools/shares/accounts.py
+++ b/src/damaskdeck/coordination/pools/shares/accounts.py
@@ -12,8 +12,12 @@
     measure_want,
 )
 from damaskdeck.coordination.pools.shares.rates import DeclaredRates
+from damaskdeck.coordination.pools.shares.reports import ShareReports
+from damaskdeck.coordination.pools.shares.standings import (
+    AccountStanding,
+    Precedence,
+)
 from damaskdeck.coordination.pools.urgency import (
-    DeadlineStatus,
     Urgency,
     compute_objective,
 )
@@ -30,39 +34,6 @@
 SHARE_TOLERANCE = 1e-9
 
 
-class Precedence(NamedTuple):
-    """What precedes the slack in the order of steps; lower comes first.
-
-    :param is_beyond_rate: Whether the job was accepted beyond the declared rate.
-    :param rank: Of the queue.
-    :param is_above_share: Whether the account is above its fair share while capacity is
-        short.
-    """
-
-    deadline_status: DeadlineStatus
-    is_beyond_rate: bool
-    rank: int
-    is_above_share: bool
-
-
-class AccountStanding(NamedTuple):
-    """What an account has of the pools.
-
-    :param share: The dominant share that it uses of the capacity, from 0 to 1.
-    :param fair_share: The most that it should use at present, infinite while there is
-        capacity for all wants.
-    :param borrowed: The part of ``share`` above its weight's fraction among the
-        accounts with work, which the others leave unused.
-    :param demand: What its waiting tasks need.
-    """
-
-    use: Size
-    demand: Size
-    share: float
-    fair_share: float
-    borrowed: float
-
-
 class _Deferral:
     """How long a step has waited while its account was above its share.
 
@@ -120,6 +91,7 @@
         self._active_weight = 0.0
         self._measures: dict[str, _Measure] = {}
         self.above_share: frozenset[str] = frozenset()
+        self._reports = ShareReports(self)
 
     @property
     def beyond_rate(self) -> Set[str]:
@@ -164,6 +136,20 @@
         """Whether a job was accepted beyond the declared rate of its account."""
         return job.identifier in self._rates.beyond
 
+    def describe(self, job: Job) -> dict[str, object]:
+        """Return the fields of a log line about a job that tell of its account."""
+        account = job.record.account
+        if not account:
+            return {}
+        return {"account": account, "beyond_rate": self.is_beyond_rate(job)}
+
+    def report(self, steps: Iterable[Step], now: float) -> None:
+        """Log the accounts that have gone above their share, or back.
+
+        :param steps: The pending steps in their order.
+        """
+        self._reports.update(steps, now)
+
     # Standing ----------------------------------------------------------------
 
     def begin_pass(self, now: float) -> bool:
@@ -244,12 +230,6 @@
         job = step.job
         return self.is_beyond_rate(job) or job.record.account in self.above_share
 
-    def list_accounts(self) -> list[str]:
-        """List the declared accounts that have running or waiting work."""
-        return [
-            name for name in self._weights if _has_work(*self._quotas.read(name)[2:])
-        ]
-
     def find_standing(self, account: str) -> AccountStanding:
         """Return what a declared account has of the pools at present."""
         state = self._quotas.read(account)
@@ -322,7 +302,3 @@
         for name in self._weights:
             if self._fair_shares.compute_share(name) > limit:
                 yield name
-
-
-def _has_work(use: Size, demand: Size) -> bool:
-    return use != ZERO_SIZE or demand != ZERO_SIZE
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -27,6 +27,17 @@
 _account_running = _meter.create_gauge(
     "damaskdeck_account_running", description="millicores counted as running"
 )
+_account_share = _meter.create_gauge(
+    "damaskdeck_account_share", description="dominant share of the pools that is used"
+)
+_account_borrowed = _meter.create_gauge(
+    "damaskdeck_account_borrowed",
+    description="used share above the account's fraction by weight",
+)
+_account_beyond_rate = _meter.create_gauge(
+    "damaskdeck_account_beyond_rate",
+    description="open jobs that were accepted beyond the declared rate",
+)
 _packing = _meter.create_gauge(
     "damaskdeck_packing", description="share of the owned workers that is reserved"
 )
@@ -113,6 +124,18 @@
     _latencies.record(seconds, {"part": part, "step": step})
 
 
+def set_account_share(account: str, share: float, borrowed: float, beyond: int) -> None:
+    """Record the share of a client account.
+
+    :param share: dominant share of the pools that it uses, from 0 to 1.
+    :param borrowed: the part of it above its fraction by weight.
+    :param beyond: number of its open jobs beyond its declared rate.
+    """
+    _account_share.set(share, {"account": account})
+    _account_borrowed.set(borrowed, {"account": account})
+    _account_beyond_rate.set(beyond, {"account": account})
+
+
 def count_account_job(account: str, outcome: str) -> None:
     """Count a job of a client account that ended or was refused."""
     _account_jobs.add(1, {"account": account, "outcome": outcome})
--- a/tests/test_account_metrics.py
+++ b/tests/test_account_metrics.py
@@ -9,10 +9,11 @@
     OTHERS_LABEL,
     AccountMetrics,
 )
+from damaskdeck.coordination.pools.shares import AccountStanding
 from damaskdeck.protocol.queues import QueueJobState
 from damaskdeck.state.jobrecords import JobRecord
 from damaskdeck.state.pooljobs import Job, JobIndex
-from tests.poolcluster import make_job, make_queue
+from tests.poolcluster import SMALL, make_job, make_queue
 
 
 class TestAccountMetrics(unittest.TestCase):
@@ -20,11 +21,19 @@
 
     def setUp(self) -> None:
         self.job_index = JobIndex()
-        self.metrics = AccountMetrics(self.job_index, lambda name: 700)
+        self.shares: mock.Mock | None = None
+        self.metrics = AccountMetrics(
+            self.job_index, lambda name: 700, lambda: self.shares
+        )
         self.states: dict[str, tuple[int, int]] = {}
+        self.share_states: dict[str, tuple[float, float, int]] = {}
         self.ended: list[tuple[str, str]] = []
         for name, replacement in (
             ("set_account", lambda name, *state: self.states.update({name: state})),
+            (
+                "set_account_share",
+                lambda name, *state: self.share_states.update({name: state}),
+            ),
             ("count_account_job", lambda *row: self.ended.append(row)),
         ):
             patch = mock.patch.object(accountmetrics, name, replacement)
@@ -45,6 +54,20 @@
         self.metrics.publish(10.0)
         self.assertEqual(self.states, {"kiosk": (1, 700)})
 
+    def test_shares_are_published_and_return_to_zero(self):
+        self.shares = mock.Mock()
+        self.shares.find_standing.return_value = AccountStanding(
+            SMALL, SMALL, 0.5, 0.4, 0.25
+        )
+        self.shares.is_beyond_rate.side_effect = lambda job: job.identifier == "j2"
+        jobs = [self.add("j1", "kiosk"), self.add("j2", "kiosk")]
+        self.metrics.publish(10.0)
+        self.assertEqual(self.share_states, {"kiosk": (0.5, 0.25, 1)})
+        for job in jobs:
+            self.job_index.remove(job)
+        self.metrics.publish(12.0)
+        self.assertEqual(self.share_states, {"kiosk": (0.0, 0.0, 0)})
+
     def test_an_account_without_jobs_returns_to_zero(self):
         self.job_index.remove(self.add("j1", "kiosk"))
         job = self.add("j2", "kiosk")
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -1,5 +1,6 @@
 """``damaskdeck losses``: what late jobs waited for, reconstructed from log lines."""
 
+import json
 import unittest
 
 from typer.testing import CliRunner
@@ -66,6 +67,38 @@
         self.assertEqual(split["room, advice or order"], 1)
         self.assertEqual(split["quota, or room beside it"], 3)
 
+    def write_account_job(self, **fields) -> list[str]:
+        """Return the lines of a job of an account, late by its wait of 8 s."""
+        lines = write_job("j1", 1, 10, 10, (9, 10, "w1", "completed"))
+        lines[0] = write_line(1, "Taken.", id="j1", queue="quick", account="kiosk")
+        lines[-2] = lines[-2].replace('"id"', f'{json.dumps(fields)[1:-1]}, "id"')
+        return lines
+
+    def test_a_wait_for_the_share_of_an_account_is_distinguished(self):
+        above = "An account is above its fair share."
+        split = self.split(
+            *self.write_account_job(account="kiosk", beyond_rate=True),
+            write_line(2, above, account="kiosk"),
+            write_line(3, above, account="other"),
+            write_line(4, "An account is no longer above its fair share.", account="x"),
+            write_line(
+                5, "An account is no longer above its fair share.", account="kiosk"
+            ),
+            write_line(6, above, account="kiosk"),
+            # A successor doesn't report the end of what its predecessor has reported.
+            write_line(7, "Loaded."),
+        )
+        self.assertEqual(split["fair share, or room beside it"], 4)
+        self.assertEqual(split["declared rate, or room beside it"], 4)
+
+    def test_what_late_jobs_waited_for_is_printed_by_account(self):
+        lines = self.write_account_job(account="kiosk", beyond_rate=True)
+        result = CliRunner().invoke(app, ["losses"], input="\n".join(lines))
+        output = result.output
+        self.assertIn("account kiosk: 1 jobs, 1 late, 1 beyond the declared", output)
+        account = output.index("account kiosk")
+        self.assertIn("8.0 s  declared rate, or room beside it", output[account:])
+
     def test_late_jobs_are_counted_by_account(self):
         lines = write_job("j1", 1, 9, 9, (5, 7, "w1", "completed"))
         lines[0] = write_line(1, "Taken.", id="j1", queue="quick", account="kiosk")
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,12 +6,14 @@
 
 import random
 import unittest
+from unittest import mock
 
 from damaskdeck.coordination.pools.pending import PendingSteps
 from damaskdeck.coordination.pools.shares import (
     AccountShares,
     DeclaredRates,
     compute_level,
+    reports,
 )
 from damaskdeck.coordination.pools.shares import rates as rates_module
 from damaskdeck.coordination.pools.shares.levels import measure_want
@@ -254,6 +256,48 @@
         self.assertEqual(self.list_jobs(2.0), ["g", "p", "c"])
 
 
+class TestReports(OrderCase):
+    """Log lines about accounts above their share, at most one each in 5 s."""
+
+    def test_an_account_that_crosses_its_share_is_logged_at_intervals(self):
+        self.begin(make_account("hot", weight=9.0), make_account("calm", weight=9.0))
+        quotas = self.load.account_limits.quotas
+        with mock.patch.object(reports, "_log") as log:
+            for number in range(120):
+                # The account crosses its share each half second.
+                change = quotas.release if number % 10 == 5 else quotas.charge
+                if number % 5 == 0:
+                    change("hot", Size(7000, 7000, 0))
+                if number == 0:
+                    self.add("h", "hot", tasks=9)
+                    self.add("c", "calm", tasks=9)
+                ranked = self.pending.rank(number / 10)
+                self.shares.report((r.pending.step for r in ranked), number / 10)
+        lines = [call.args[0] for call in log.info.call_args_list]
+        self.assertEqual(len(lines), 3)
+        self.assertEqual(len(set(lines)), 2)
+        fields = log.info.call_args_list[0].kwargs
+        self.assertEqual(
+            [fields[name] for name in ("id", "account", "waiting", "waiting_others")],
+            ["h", "hot", 1, 1],
+        )
+        self.assertAlmostEqual(fields["share"], 0.7)
+        self.assertAlmostEqual(fields["fair_share"], 0.5)
+
+    def test_an_account_alone_borrows_and_is_not_logged(self):
+        self.begin(make_account("hot", weight=1.0), make_account("calm", weight=3.0))
+        self.use("hot", 8)
+        self.use("calm", 1)
+        self.add("h", "hot", tasks=9)
+        with mock.patch.object(reports, "_log") as log:
+            ranked = self.pending.rank(1.0)
+            self.shares.report((r.pending.step for r in ranked), 1.0)
+        log.info.assert_not_called()
+        standing = self.shares.find_standing("hot")
+        self.assertAlmostEqual(standing.borrowed, 0.8 - 0.25)
+        self.assertAlmostEqual(standing.fair_share, 0.9)
+
+
 class TestWithoutAccounts(OrderCase):
     """Where no accounts are declared, nothing changes."""
 
