--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -277,8 +277,9 @@
         tasks = tasks[:allowed]
         pool = self.find_pool(step)
         reserved = self._reservations.list_workers(step)
+        asked = self.shares.adjust_urgency(step, urgency)
         self._advice_planner.request_advice(
-            step, pool, urgency, position, now, pending.is_tried, reserved
+            step, pool, asked, position, now, pending.is_tried, reserved
         )
         checks_all_workers = not pending.is_tried or has_rack_preference(step.spec)
         if not (checks_all_workers or freed):
@@ -317,6 +318,7 @@
         ):
             return
         self._held_accounts.add(account)
+        urgency = self.shares.adjust_urgency(step, urgency)
         self._advice_planner.request_advice(
             step, self.find_pool(step), urgency, position, now
         )
@@ -341,13 +343,17 @@
         if len(plan) == len(tasks) or len(available) == len(confined):
             return plan
         own = self.shares.find_precedence(step, urgency)
-        confined = [
-            c
-            for c in confined
-            if (reservation := reservations.find(c.key)) is None
-            or reservation.step is step
-            or own < self._find_gang_precedence(reservation.step)
-        ]
+        precedes: dict[str, bool] = {step.name: True}
+
+        def may_use(worker: str) -> bool:
+            if (reservation := reservations.find(worker)) is None:
+                return True
+            gang = reservation.step
+            if gang.name not in precedes:
+                precedes[gang.name] = own < self._find_gang_precedence(gang)
+            return precedes[gang.name]
+
+        confined = [c for c in confined if may_use(c.key)]
         if len(confined) <= len(available):
             return plan
         return self._plan(step, tasks, confined, pool, now)
--- a/src/damaskdeck/coordination/pools/shares/__init__.py
+++ b/src/damaskdeck/coordination/pools/shares/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from damaskdeck.coordination.pools.shares.accounts import AccountShares
-from damaskdeck.coordination.pools.shares.levels import Want, compute_level
+from damaskdeck.coordination.pools.shares.levels import Want, compute_levels
 from damaskdeck.coordination.pools.shares.rates import DeclaredRates
 from damaskdeck.coordination.pools.shares.standings import (
     AccountStanding,
@@ -19,5 +19,5 @@
     "DeclaredRates",
     "Precedence",
     "Want",
-    "compute_level",
+    "compute_levels",
 ]
--- a/src/damaskdeck/coordination/pools/shares/accounts.py
+++ b/src/damaskdeck/coordination/pools/shares/accounts.py
@@ -8,7 +8,8 @@
 from damaskdeck.coordination.pools.shares.levels import (
     UNLIMITED_LEVEL,
     Want,
-    compute_level,
+    compute_levels,
+    find_level,
     measure_want,
 )
 from damaskdeck.coordination.pools.shares.rates import DeclaredRates
@@ -30,8 +31,11 @@
 # Passes are at most about this far apart while the owner may decide. A longer pause is
 # no wait for an account's share.
 MAX_PASS_GAP_SECONDS = 0.25
+# Added to the slack by which advisor queries are ordered, for deferred steps. No job
+# has as much time, so that these queries are sent last.
+DEFERRED_SLACK_SECONDS = 3600.0
 # Shares are quotients of integers; an account at its share must not count as above it.
-SHARE_TOLERANCE = 1e-9
+SHARE_MARGIN = 1 + 1e-9
 
 
 class _Deferral:
@@ -49,12 +53,16 @@
 
 
 class _Measure(NamedTuple):
-    """What an account wants, and the state of which that is true."""
+    """What an account wants, and the state of which that is true.
+
+    :param share: Its weighted dominant share.
+    """
 
     use: Size
     demand: Size
     quota: Size
     capacity: Size
+    share: float
     want: Want | None
 
 
@@ -87,7 +95,7 @@
         self._table: QueueTable | None = None
         # The weights of the declared accounts.
         self._weights: dict[str, float] = {}
-        self._level = UNLIMITED_LEVEL
+        self._levels = (UNLIMITED_LEVEL,)
         self._active_weight = 0.0
         self._measures: dict[str, _Measure] = {}
         self.above_share: frozenset[str] = frozenset()
@@ -162,10 +170,10 @@
         self._pass_at = now
         self._update_table()
         if not self._weights:
-            self._level, self.above_share = UNLIMITED_LEVEL, frozenset()
+            self.above_share = frozenset()
             return False
         self._rates.judge()
-        self._measure_level()
+        self._measure_levels()
         self.above_share = frozenset(self._list_above())
         return True
 
@@ -179,6 +187,7 @@
 
         :param wall_time: Seconds since 1970.
         """
+        self._rates.fold(wall_time)
         self._update_table()
         if not self._weights:
             return
@@ -191,7 +200,6 @@
         capacity = Size(millicores, memory, accelerators)
         if capacity != self._quotas.capacity:
             self._quotas.set_capacity(capacity)
-        self._rates.fold(wall_time)
 
     def defer(self, step: Step) -> bool:
         """Whether a step of an account above its share goes after other accounts.
@@ -228,7 +236,19 @@
     def is_deferred(self, step: Step) -> bool:
         """Whether steps of other accounts precede a step for its rate or share."""
         job = step.job
-        return self.is_beyond_rate(job) or job.record.account in self.above_share
+        if job.identifier in self._rates.beyond:
+            return True
+        return job.record.account in self.above_share and not self._is_starved(step)
+
+    def adjust_urgency(self, step: Step, urgency: Urgency) -> Urgency:
+        """Return the urgency of an advisor query about a step.
+
+        The advisor answers one call at a time for each daemon, so queries about steps
+        that others precede must not delay queries about these others.
+        """
+        if not self.is_deferred(step):
+            return urgency
+        return urgency._replace(slack=urgency.slack + DEFERRED_SLACK_SECONDS)
 
     def find_standing(self, account: str) -> AccountStanding:
         """Return what a declared account has of the pools at present."""
@@ -240,10 +260,17 @@
             state.use,
             state.demand,
             share,
-            self._level * weight,
+            self._find_level(account) * weight,
             max(0.0, share - own) if account in self._weights else 0.0,
         )
 
+    def _find_level(self, account: str) -> float:
+        """Return the weighted share above which an account has too much."""
+        measure = self._measures.get(account)
+        if measure is None or measure.want is None:
+            return UNLIMITED_LEVEL
+        return find_level(self._levels, measure.want)
+
     def _update_table(self) -> None:
         """Apply the accounts of a new document."""
         table = self._owner.get_table()
@@ -255,8 +282,8 @@
         self._rates.set_weights(self._weights)
         self._measures.clear()
 
-    def _measure_level(self) -> None:
-        """Compute the level from the use and the demand of all accounts."""
+    def _measure_levels(self) -> None:
+        """Compute the levels from the use and the demand of all accounts."""
         capacity, use = self._quotas.capacity, self._quotas.use
         millicores, memory, accelerators = subtract_sizes(capacity, use)
         wants, weights = [], 0.0
@@ -272,7 +299,8 @@
             memory += measure.use[1]
             accelerators += measure.use[2]
         self._active_weight = weights
-        self._level = compute_level(wants, Size(millicores, memory, accelerators))
+        free = Size(millicores, memory, accelerators)
+        self._levels = compute_levels(wants, free, capacity)
 
     def _measure(self, account: str, capacity: Size) -> _Measure:
         """Return what an account wants, from the last measure if nothing has changed.
@@ -289,16 +317,24 @@
             and last.capacity is capacity
         ):
             return last
-        want = measure_want(state, capacity)
-        measure = _Measure(state.use, state.demand, state.quota, capacity, want)
-        self._measures[account] = measure
+        measure = self._measures[account] = _Measure(
+            state.use,
+            state.demand,
+            state.quota,
+            capacity,
+            self._fair_shares.compute_share(account),
+            measure_want(state, capacity),
+        )
         return measure
 
     def _list_above(self) -> Iterable[str]:
         """Yield the accounts above their share while capacity is short."""
-        if self._level == UNLIMITED_LEVEL:
+        lowest = min(self._levels)
+        if lowest == UNLIMITED_LEVEL:
             return
-        limit = self._level * (1 + SHARE_TOLERANCE)
-        for name in self._weights:
-            if self._fair_shares.compute_share(name) > limit:
+        first_used_up = self._levels.index(lowest)
+        for name, (*_, share, want) in self._measures.items():
+            if want is None or share <= lowest * SHARE_MARGIN:
+                continue
+            if want.size[first_used_up] or share > self._find_level(name):
                 yield name
--- a/src/damaskdeck/coordination/pools/shares/levels.py
+++ b/src/damaskdeck/coordination/pools/shares/levels.py
@@ -1,9 +1,10 @@
-"""The fair level of a full pool, by progressive filling.
+"""The fair levels of a full pool, by progressive filling.
 
 All accounts rise together, each in proportion to its weight, until it has all that it
-wants or one dimension of the capacity is used up. What some accounts leave is thereby
-divided by weight among those that want more. The result depends on present use and
-demand only, so an account that was idle has neither credit nor debt.
+wants or a dimension that it wants is used up. What some accounts leave is thereby
+divided by weight among those that want more. Each dimension has its own level, so that
+work for scarce accelerators doesn't limit accounts that want none. The result depends
+on present use and demand only, so an account that was idle has neither credit nor debt.
 """
 
 from collections.abc import Sequence
@@ -49,35 +50,46 @@
     return Want(size, share / state.weight) if share else None
 
 
-def compute_level(wants: Sequence[Want], free: Size) -> float:
-    """Return the weighted dominant share above which an account has too much.
+def compute_levels(
+    wants: Sequence[Want], free: Size, capacity: Size
+) -> tuple[float, ...]:
+    """Return the levels at which the dimensions are used up.
 
-    It is unlimited while all wants fit.
+    A level is a weighted dominant share; it is unlimited while all wants fit. So it is
+    in a dimension without any capacity, which dominant shares ignore as well.
 
-    :param free: The capacity that is left for these accounts.
+    :param free: The part of the capacity that is left for these accounts.
     """
     ordered = sorted(wants, key=lambda want: want.level)
-    return min(
-        (_fill(ordered, index, free[index]) for index in DIMENSIONS),
-        default=UNLIMITED_LEVEL,
+    return tuple(
+        _fill([want for want in ordered if want.size[index]], index, free[index])
+        if capacity[index]
+        else UNLIMITED_LEVEL
+        for index in DIMENSIONS
     )
 
 
+def find_level(levels: Sequence[float], want: Want) -> float:
+    """Return the lowest of the levels in the dimensions that an account wants."""
+    return min(levels[index] for index in DIMENSIONS if want.size[index])
+
+
 def _fill(ordered: Sequence[Want], index: int, free: int) -> float:
     """Return the level at which one dimension is used up.
 
-    :param ordered: By level.
+    :param ordered: The accounts that want it, by level.
     """
     if sum(want.size[index] for want in ordered) <= max(free, 0):
         return UNLIMITED_LEVEL
-    satisfied = 0.0
-    # What one unit of the level adds for the accounts that are not satisfied yet.
+    left = float(max(free, 0))
+    # What one unit of the level adds for the accounts that are not satisfied yet. That
+    # of the last account is a lower bound, which rounding must not pass.
+    least = ordered[-1].size[index] / ordered[-1].level
     slope = sum(want.size[index] / want.level for want in ordered)
     for want in ordered:
-        level = max(0.0, free - satisfied) / slope
+        level = max(0.0, left) / slope
         if level <= want.level:
             return level
-        satisfied += want.size[index]
-        slope -= want.size[index] / want.level
-    # Only rounding leads here: all wants are satisfied at the last level.
+        left -= want.size[index]
+        slope = max(least, slope - want.size[index] / want.level)
     return ordered[-1].level
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -12,7 +12,7 @@
 from damaskdeck.coordination.pools.shares import (
     AccountShares,
     DeclaredRates,
-    compute_level,
+    compute_levels,
     reports,
 )
 from damaskdeck.coordination.pools.shares import rates as rates_module
@@ -119,10 +119,16 @@
     """What one account leaves goes to those that want more, by weight."""
 
     def compute(self, *wants: tuple[float, Size, Size]) -> float:
-        """Return the level of accounts with a weight, a demand and a quota."""
+        """Return the lowest level of accounts with a weight, a demand and a quota."""
+        return min(self.compute_all(CAPACITY, *wants))
+
+    def compute_all(
+        self, capacity: Size, *wants: tuple[float, Size, Size]
+    ) -> tuple[float, ...]:
+        """Return the level in each dimension."""
         states = [TeamState(quota, w, ZERO_SIZE, need) for w, need, quota in wants]
-        found = [measure_want(state, CAPACITY) for state in states]
-        return compute_level([want for want in found if want], CAPACITY)
+        found = [measure_want(state, capacity) for state in states]
+        return compute_levels([want for want in found if want], capacity, capacity)
 
     def test_there_is_no_level_while_all_wants_fit(self):
         half = (1.0, Size(5_000, 5_000, 0), UNLIMITED_SIZE)
@@ -151,6 +157,39 @@
         # At level x they use (x + 2x/3) of the processors and (x/3 + x) of the memory.
         self.assertAlmostEqual(level, 0.6)
 
+    def test_each_dimension_has_its_own_level(self):
+        wants = (
+            (1.0, Size(1_000, 0, 30), UNLIMITED_SIZE),
+            (1.0, Size(6_000, 0, 0), UNLIMITED_SIZE),
+        )
+        level = float("inf")
+        capacity = CAPACITY._replace(accelerators=10)
+        self.assertEqual(self.compute_all(capacity, *wants), (level, level, 1.0))
+        self.assertEqual(self.compute_all(CAPACITY, *wants), (level, level, level))
+
+    def test_rounding_leads_to_no_level_outside_the_wants(self):
+        rng = random.Random(7)
+        for _ in range(2000):
+            sizes = [
+                Size(rng.randrange(5000), rng.choice((0, rng.randrange(9000))), 0)
+                for _ in range(rng.randrange(2, 9))
+            ]
+            wants = [(10 ** rng.uniform(-6, 3), size, UNLIMITED_SIZE) for size in sizes]
+            for index, level in enumerate(self.compute_all(CAPACITY, *wants)):
+                total = sum(size[index] for size in sizes)
+                self.assertEqual(level < float("inf"), total > CAPACITY[index])
+                found = [
+                    measure_want(TeamState(q, w, ZERO_SIZE, n), CAPACITY)
+                    for w, n, q in wants
+                ]
+                if total > CAPACITY[index]:
+                    given = sum(
+                        want.size[index] * min(1.0, level / want.level)
+                        for want in found
+                        if want
+                    )
+                    self.assertAlmostEqual(given / CAPACITY[index], 1.0)
+
 
 class OrderCase(unittest.TestCase):
     """Pending steps of an owner whose pool is full."""
@@ -198,6 +237,18 @@
         self.add("c", "calm", rank=2)
         self.assertEqual(self.list_jobs(), ["h0", "h1", "c", "h2"])
 
+    def test_advisor_queries_about_deferred_steps_are_sent_last(self):
+        self.begin(make_account("hot", weight=1.0), make_account("calm", weight=9.0))
+        for number in range(3):
+            self.add(f"h{number}", "hot")
+        self.add("c", "calm", at=9.0)
+        queries = sorted(
+            (self.shares.adjust_urgency(pending.step, urgency).slack, name)
+            for urgency, name, pending in self.pending.rank(1.0)
+        )
+        names = [name for _, name in queries]
+        self.assertEqual(names, ["h0.0.0", "h1.0.0", "c.0.0", "h2.0.0"])
+
     def test_late_jobs_follow_those_in_time_whatever_their_account(self):
         self.begin(make_account("hot", weight=1.0), make_account("calm"))
         for number in range(3):
