--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -20,7 +20,7 @@
 from damaskdeck.state.pooljobs import Job
 
 ACCOUNTS = (0, 20, 120)
-STEPS = (100, 400)
+STEPS = (0, 100, 400)
 RANKINGS = 500
 CAPACITY = Size(2_816_000, 11_264_000, 0)
 TASK_SIZE = Size(2_000, 8_000, 0)
@@ -75,7 +75,8 @@
     for number in range(rankings):
         quotas.release(names[number % len(names)], TASK_SIZE)
         quotas.charge(names[(number + 1) % len(names)], TASK_SIZE)
-        pending.mark_changed(jobs[number % steps])
+        if jobs:
+            pending.mark_changed(jobs[number % steps])
         began = time.perf_counter()
         pending.rank(number * 0.004)
         costs.append(1e6 * (time.perf_counter() - began))
--- a/src/damaskdeck/coordination/pools/shares/accounts.py
+++ b/src/damaskdeck/coordination/pools/shares/accounts.py
@@ -24,7 +24,13 @@
 )
 from damaskdeck.coordination.queues.fairness import FairShares
 from damaskdeck.protocol.queues import QueueTable
-from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+from damaskdeck.protocol.sizes import (
+    ZERO_SIZE,
+    Size,
+    add_sizes,
+    fits,
+    subtract_sizes,
+)
 from damaskdeck.state.pooljobs import Job, Step
 from damaskdeck.state.quotas import scale_size
 
@@ -88,6 +94,7 @@
         self._fair_shares = FairShares(self._quotas)
         self._rates = DeclaredRates()
         self._demands: dict[str, Size] = {}
+        self._total_demand = ZERO_SIZE
         # By job and step.
         self._deferrals: dict[str, dict[str, _Deferral]] = {}
         self._pass_at = float("-inf")
@@ -95,7 +102,7 @@
         self._table: QueueTable | None = None
         # The weights of the declared accounts.
         self._weights: dict[str, float] = {}
-        self._levels = (UNLIMITED_LEVEL,)
+        self._levels: tuple[float, ...] = (UNLIMITED_LEVEL,) * len(ZERO_SIZE)
         self._active_weight = 0.0
         self._measures: dict[str, _Measure] = {}
         self.above_share: frozenset[str] = frozenset()
@@ -135,6 +142,8 @@
         if demand != ZERO_SIZE:
             self._demands[identifier] = demand
         if demand != before:
+            change = subtract_sizes(demand, before)
+            self._total_demand = add_sizes(self._total_demand, change)
             self._quotas.remove_demand(account, before)
             self._quotas.add_demand(account, demand)
         if job.is_final:
@@ -200,6 +209,11 @@
         capacity = Size(millicores, memory, accelerators)
         if capacity != self._quotas.capacity:
             self._quotas.set_capacity(capacity)
+        self._active_weight = sum(
+            weight
+            for name, weight in self._weights.items()
+            if self._quotas.read(name)[2:] != (ZERO_SIZE, ZERO_SIZE)
+        )
 
     def defer(self, step: Step) -> bool:
         """Whether a step of an account above its share goes after other accounts.
@@ -285,20 +299,21 @@
     def _measure_levels(self) -> None:
         """Compute the levels from the use and the demand of all accounts."""
         capacity, use = self._quotas.capacity, self._quotas.use
+        if fits(add_sizes(use, self._total_demand), capacity):
+            self._levels = (UNLIMITED_LEVEL,) * len(capacity)
+            return
         millicores, memory, accelerators = subtract_sizes(capacity, use)
-        wants, weights = [], 0.0
-        for name, weight in self._weights.items():
+        wants = []
+        for name in self._weights:
             measure = self._measure(name, capacity)
             if measure.want is None:
                 continue
             wants.append(measure.want)
-            weights += weight
             # Work without a declared account isn't limited by any share, so its use
             # remains subtracted.
             millicores += measure.use[0]
             memory += measure.use[1]
             accelerators += measure.use[2]
-        self._active_weight = weights
         free = Size(millicores, memory, accelerators)
         self._levels = compute_levels(wants, free, capacity)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -343,6 +343,7 @@
         with mock.patch.object(reports, "_log") as log:
             ranked = self.pending.rank(1.0)
             self.shares.report((r.pending.step for r in ranked), 1.0)
+        self.update()
         log.info.assert_not_called()
         standing = self.shares.find_standing("hot")
         self.assertAlmostEqual(standing.borrowed, 0.8 - 0.25)
