--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -20,6 +20,7 @@
     plan_step,
 )
 from damaskdeck.coordination.pools.reservations import Reservations, is_contended
+from damaskdeck.coordination.pools.shares import AccountShares, Precedence
 from damaskdeck.coordination.pools.slowness import SlowWorkerDetector
 from damaskdeck.coordination.pools.speedranks import SpeedRanks
 from damaskdeck.coordination.pools.starter import Starter, StartOwner
@@ -76,6 +77,7 @@
     :ivar worker_health: The evidence against workers.
     :ivar slow_workers: Detects the workers that are slow at present.
     :ivar speed_ranks: Ranks the other workers by their speed.
+    :ivar shares: The standing of the client accounts.
     """
 
     def __init__(
@@ -95,7 +97,8 @@
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starter = Starter(owner, clock, advice_scheduler, self.mark_changed)
-        self._pending = PendingSteps()
+        self.shares = AccountShares(owner)
+        self._pending = PendingSteps(self.shares)
         # Workers with more free capacity, or usable again, since the last pass.
         self._freed: set[str] = set()
         self._usable: set[str] = set()
@@ -148,6 +151,7 @@
         """Add a job, whose steps are pending from now on."""
         if job.record.spec.repeats and not job.is_final:
             self._next_occurrences[job.identifier] = 0
+        self.shares.add_job(job)
         self.mark_changed(job)
 
     def discard(self, step: Step) -> None:
@@ -180,6 +184,8 @@
         if is_full_pass:
             self._full_pass_at = now
             self._pending.retry_all()
+            wall_time = self._clock.now().timestamp()
+            self.shares.update_capacity(self._owner.contacts.values(), now, wall_time)
         freed, self._freed = self._freed, set()
         candidates = self._build_candidates(now)
         ranked = self._pending.rank(now)
@@ -192,6 +198,7 @@
             self._place(pending, candidates, freed, urgency, position, now)
         if is_full_pass:
             self._reserve_for_gangs(ranked, now)
+            self.shares.report((entry.pending.step for entry in ranked), now)
 
     def _reserve_for_gangs(self, ranked: list[RankedStep], now: float) -> None:
         """Reserve workers for the waiting gangs, in the order of their urgency."""
@@ -208,7 +215,11 @@
             if not has_rack_preference(pending.step.spec) and self._may_start(pending)
             if (pool := self.find_pool(pending.step)) in contended
         ]
-        self._reservations.retain(step.name for step, _ in gangs)
+        # Deferred gangs reserve anew in their order, as they must not hold reservations
+        # against steps that now precede them.
+        self._reservations.retain(
+            step.name for step, _ in gangs if not self.shares.is_deferred(step)
+        )
         for step, pool in gangs:
             keys: Iterable[str] = contacts
             if step.job.queue.advice is not None:
@@ -270,8 +281,9 @@
         tasks = tasks[:allowed]
         pool = self.find_pool(step)
         reserved = self._reservations.list_workers(step)
+        asked = self.shares.adjust_urgency(step, urgency)
         self._advice_planner.request_advice(
-            step, pool, urgency, position, now, pending.is_tried, reserved
+            step, pool, asked, position, now, pending.is_tried, reserved
         )
         checks_all_workers = not pending.is_tried or has_rack_preference(step.spec)
         if not (checks_all_workers or freed):
@@ -310,6 +322,7 @@
         ):
             return
         self._held_accounts.add(account)
+        urgency = self.shares.adjust_urgency(step, urgency)
         self._advice_planner.request_advice(
             step, self.find_pool(step), urgency, position, now
         )
@@ -333,18 +346,27 @@
         plan = self._plan(step, tasks, available, pool, now) if available else []
         if len(plan) == len(tasks) or len(available) == len(confined):
             return plan
-        own_rank = urgency.deadline_status, urgency.rank
-        confined = [
-            c
-            for c in confined
-            if (reservation := reservations.find(c.key)) is None
-            or reservation.step is step
-            or own_rank < (DeadlineStatus.ON_TIME, reservation.step.job.queue.rank)
-        ]
+        own = self.shares.find_precedence(step, urgency)
+        precedes: dict[str, bool] = {step.name: True}
+
+        def may_use(worker: str) -> bool:
+            if (reservation := reservations.find(worker)) is None:
+                return True
+            gang = reservation.step
+            if gang.name not in precedes:
+                precedes[gang.name] = own < self._find_gang_precedence(gang)
+            return precedes[gang.name]
+
+        confined = [c for c in confined if may_use(c.key)]
         if len(confined) <= len(available):
             return plan
         return self._plan(step, tasks, confined, pool, now)
 
+    def _find_gang_precedence(self, step: Step) -> Precedence:
+        """Return the precedence of a gang that has a reservation."""
+        on_time = Urgency(DeadlineStatus.ON_TIME, step.job.queue.rank, 0.0)
+        return self.shares.find_precedence(step, on_time)
+
     def _plan(
         self,
         step: Step,
