--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -59,15 +59,15 @@
 class OutlookReporter:
     """Measures the load of one owner's pools and builds its reports.
 
-    :param is_limited: returns whether an account is above its share or beyond its
-        declared rate.
+    :param is_limited: returns whether jobs of other accounts precede a step, as its
+        account is above its share or beyond its declared rate.
     :param returning: the jobs whose callers were told to return.
     """
 
     def __init__(
         self,
         owner: OutlookOwner,
-        is_limited: Callable[[str], bool],
+        is_limited: Callable[[Step], bool],
         returning: ReturningJobs,
     ) -> None:
         self._owner = owner
@@ -136,7 +136,7 @@
             account
             for entry in steps
             if (account := entry.pending.step.job.record.account)
-            and self._is_limited(account)
+            and self._is_limited(entry.pending.step)
         }
         return {
             "queues": heapq.nlargest(
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -123,8 +123,9 @@
             self, self.dispatcher, shared.times, self.advice_scheduler
         )
         self._returning = ReturningJobs()
-        # No account is limited here: that takes the weighted shares of accounts.
-        self._outlook = OutlookReporter(self, lambda account: False, self._returning)
+        self._outlook = OutlookReporter(
+            self, self.dispatcher.shares.is_deferred, self._returning
+        )
         self._crashes = Crashes(self)
         self.intake = Intake(self, shared.store, shared.leadership, shared.clock)
         self._fleet = WorkerFleet(
--- a/src/damaskdeck/coordination/pools/status.py
+++ b/src/damaskdeck/coordination/pools/status.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NotRequired, Protocol, TypedDict
 
-from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.dispatcher import Dispatcher
 from damaskdeck.protocol.queues import QueueTable
@@ -39,7 +38,6 @@
 
     job_index: JobIndex
     dispatcher: Dispatcher
-    account_limits: AccountLimits
 
     @property
     def contacts(self) -> dict[str, WorkerContact]:
@@ -105,18 +103,23 @@
     """Yield the declared accounts that have open jobs or running tasks."""
     table = owner.get_table()
     waiting: Counter[str] = Counter()
+    beyond: Counter[str] = Counter()
     for job in owner.job_index.open_jobs.values():
         waiting[job.record.account] += not job.has_started
+        beyond[job.record.account] += owner.dispatcher.shares.is_beyond_rate(job)
     for account in table.accounts if table is not None else ():
-        use = owner.account_limits.get_usage(account.name)
-        if not waiting[account.name] and not any(use):
+        standing = owner.dispatcher.shares.find_standing(account.name)
+        if not waiting[account.name] and not any(standing.use):
             continue
         yield {
             "account": account.name,
             "weight": account.weight,
             "waiting jobs": waiting[account.name],
-            "running cores": round(use.millicores / 1000, 1),
-            "running MiB": use.memory,
+            "beyond rate": beyond[account.name],
+            "running cores": round(standing.use.millicores / 1000, 1),
+            "share": round(standing.share, 3),
+            "fair share": round(standing.fair_share, 3),
+            "borrowed": round(standing.borrowed, 3),
         }
 
 
--- a/tests/test_hot_account.py
+++ b/tests/test_hot_account.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 import statistics
 import unittest
@@ -84,6 +85,7 @@
     )
 
 
+@functools.cache
 def play(seed: int, hot_factor: float, has_shares: bool = True) -> Load:
     """Play a load of 0.9 of the capacity, beside what the hot account adds."""
     factors = {f"a{n}": 1.0 for n in range(ACCOUNTS)} | {HOT: hot_factor}
@@ -101,9 +103,9 @@
 class TestOrderUnderLoad(unittest.TestCase):
     """Waits of the other accounts' jobs in a pool at 0.9 of its capacity.
 
-    As running tasks aren't stopped, no order can keep the waits as they are without
-    the hot account: a full pool has nothing free when a job arrives. So the waits are
-    compared with those of the order that puts the hot account last of all, too.
+    The waits are compared with those without the hot load, which is the requirement,
+    and with those of the order that puts the hot account last of all: running tasks
+    aren't stopped, so a full pool has nothing free when a job arrives.
     """
 
     def test_the_others_wait_hardly_longer_and_the_capacity_is_used(self):
@@ -111,17 +113,23 @@
             calm, hot = play(seed, 1.0), play(seed, HOT_FACTOR)
             blind = play(seed, HOT_FACTOR, has_shares=False)
             with mock.patch.object(pending, "_sort_by_shares", put_hot_last):
-                last = play(seed, HOT_FACTOR)
+                last = play.__wrapped__(seed, HOT_FACTOR)
             with self.subTest(seed=seed):
                 self.assertLess(sum_waits(hot), 1.2 * sum_waits(last))
-                self.assertLess(sum_waits(hot), 1.4 * sum_waits(calm))
                 self.assertGreater(sum_waits(blind), 2.0 * sum_waits(calm))
-                for account in calm.waits.keys() - {HOT}:
-                    wait = statistics.mean(hot.waits[account])
-                    usual = statistics.mean(calm.waits[account])
-                    self.assertLess(wait, 1.6 * usual, account)
                 self.assertGreater(hot.used, 0.98 * CAPACITY.millicores * SECONDS / 2)
 
+    def test_every_other_account_waits_at_most_a_fifth_longer(self):
+        longer = {}
+        for seed in (1, 2):
+            calm, hot = play(seed, 1.0), play(seed, HOT_FACTOR)
+            for account in sorted(calm.waits.keys() - {HOT}):
+                wait = statistics.mean(hot.waits[account])
+                ratio = wait / statistics.mean(calm.waits[account])
+                if ratio > 1.2:
+                    longer[seed, account] = round(ratio, 2)
+        self.assertEqual(longer, {})
+
 
 QUEUE = make_queue(is_public=False)
 WORKERS = 6
