--- a/src/damaskdeck/coordination/pools/adviceplanner.py
+++ b/src/damaskdeck/coordination/pools/adviceplanner.py
@@ -1,6 +1,7 @@
 """When the advisor is queried about a step, and about which workers."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator
 from random import Random
 
@@ -11,7 +12,16 @@
 )
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.planning import count_fitting
-from damaskdeck.coordination.pools.urgency import DeadlineStatus, Urgency
+from damaskdeck.coordination.pools.speeds import (
+    CLASS_WIDTH,
+    StepExpectation,
+    WorkerSpeeds,
+)
+from damaskdeck.coordination.pools.urgency import (
+    DeadlineStatus,
+    Urgency,
+    measure_available_slack,
+)
 from damaskdeck.protocol.pools import PoolWorker
 from damaskdeck.protocol.queues import AdvisorTiming
 from damaskdeck.protocol.sizes import fits
@@ -34,21 +44,26 @@
 # Advice is requested for this multiple of the capacity that a step needs, because
 # other steps take some of it in the meantime.
 CAPACITY_MARGIN = 2.0
+# More classes of about equally fast workers than a pool has.
+MAX_SPEED_CLASSES = 1000
 
 
 class AdvicePlanner:
     """Plans the advisor queries of pending steps.
 
     :param get_contacts: Returns the known workers by identifier.
+    :param speeds: The speeds of the workers.
     """
 
     def __init__(
         self,
         advice_scheduler: AdviceScheduler,
         get_contacts: Callable[[], dict[str, WorkerContact]],
+        speeds: WorkerSpeeds,
     ) -> None:
         self._advice_scheduler = advice_scheduler
         self._get_contacts = get_contacts
+        self._speeds = speeds
 
     def list_eligible(self, step: Step, pool: str) -> Iterator[PoolWorker]:
         """Yield the workers that may get tasks of a step, as far as is known."""
@@ -92,7 +107,9 @@
         if reserved:
             wanted = [key for key in wanted if key in reserved]
         elif lacks_capacity or not advice.tickets:
-            wanted += self._choose_new(step, pool, advice)
+            slack = measure_available_slack(urgency)
+            expectation = self._speeds.expect(step, pool, slack, now)
+            wanted += self._choose_new(step, pool, advice, expectation)
         if not wanted:
             if lacks_capacity:
                 advice.complete_until = now + QUERY_INTERVAL_SECONDS
@@ -122,13 +139,22 @@
         eligible = (info.identifier for info in self.list_eligible(step, pool))
         return [key for key in eligible if expiries.get(key, math.inf) < limit]
 
-    def _choose_new(self, step: Step, pool: str, advice: StepAdvice) -> list[str]:
+    def _choose_new(
+        self,
+        step: Step,
+        pool: str,
+        advice: StepAdvice,
+        expectation: StepExpectation | None,
+    ) -> list[str]:
         """Choose workers that the advisor has not answered about, enough for the step.
 
         All of them are chosen if there are at most ``QUERY_WORKERS``. Otherwise workers
         in the zones that the job is confined to come first, then those with the most
         free capacity. Equal workers are shuffled differently for each step, so that not
-        all steps choose the same ones.
+        all steps choose the same ones. In an uneven pool, workers with free capacity on
+        which the step ends in time come before the others.
+
+        :param expectation: what is expected of the step in an uneven pool.
         """
         contacts, spec = self._get_contacts(), step.spec
         tasks = len(step.tasks)
@@ -143,16 +169,25 @@
         if len(capacities) <= QUERY_WORKERS:
             return list(capacities)
 
-        def rank(key: str) -> tuple[bool, int]:
-            return not step.job.may_run_in(contacts[key].info.zone), -capacities[key]
-
-        shuffled = list(capacities)
-        Random(step.name).shuffle(shuffled)
         needed = (
             CAPACITY_MARGIN
             * tasks
             / self._advice_scheduler.get_consent_count(step).share
         )
+        preferences = (
+            self._rank_by_speed(
+                capacities, pool, needed if step.spec.is_gang else 0.0, expectation
+            )
+            if expectation is not None
+            else {}
+        )
+
+        def rank(key: str) -> tuple[bool, int, int]:
+            is_outside = not step.job.may_run_in(contacts[key].info.zone)
+            return is_outside, preferences.get(key, 0), -capacities[key]
+
+        shuffled = list(capacities)
+        Random(step.name).shuffle(shuffled)
         chosen: list[str] = []
         for key in sorted(shuffled, key=rank):
             if needed <= 0 and len(chosen) >= QUERY_WORKERS:
@@ -161,6 +196,42 @@
             chosen.append(key)
         return chosen
 
+    def _rank_by_speed(
+        self,
+        capacities: dict[str, int],
+        pool: str,
+        needed: float,
+        expectation: StepExpectation,
+    ) -> dict[str, int]:
+        """Return the rank of each worker for a step by expected ends, best first.
+
+        The least fast workers on which the step ends in time come first if those of
+        about the same speed have enough capacity, then the fastest of the others.
+        Workers without free capacity come last.
+
+        :param needed: the number of tasks that workers of about the same speed should
+            hold.
+        """
+        speeds = {key: self._speeds.estimate(key, pool) for key in capacities}
+        classes = {
+            key: round(speed.mean / CLASS_WIDTH) for key, speed in speeds.items()
+        }
+        totals: Counter[int] = Counter()
+        for key, capacity in capacities.items():
+            if expectation.ends_in_time(speeds[key]):
+                totals[classes[key]] += capacity
+        ranks = {}
+        for key, capacity in capacities.items():
+            speed_class = classes[key]
+            is_sufficient = totals[speed_class] >= needed
+            if not capacity:
+                ranks[key] = 2 * MAX_SPEED_CLASSES
+            elif is_sufficient and expectation.ends_in_time(speeds[key]):
+                ranks[key] = speed_class
+            else:
+                ranks[key] = MAX_SPEED_CLASSES - speed_class
+        return ranks
+
     def _split(self, wanted: list[str]) -> list[list[str]]:
         """Split workers into queries that idle daemons send in parallel.
 
--- a/src/damaskdeck/coordination/pools/candidates.py
+++ b/src/damaskdeck/coordination/pools/candidates.py
@@ -7,10 +7,11 @@
 from collections.abc import Iterable, Iterator
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.slowness import SlowWorkerDetector
-from damaskdeck.coordination.pools.speedranks import SpeedRanks
+from damaskdeck.coordination.pools.speeds import SpeedEstimate, WorkerSpeeds
 from damaskdeck.protocol.sizes import Size
 
+NOMINAL_SPEED = SpeedEstimate()
+
 
 class Candidate:
     """A worker that may get orders.
@@ -18,12 +19,18 @@
     :ivar is_slow: Whether the worker is slow at present.
     :ivar speed_rank: -1 for a fast worker, 1 for a slower one, among those that are not
         slow at present.
+    :ivar speed: The estimated speed, whose duration factor placement in an uneven pool
+        goes by.
     """
 
-    __slots__ = ("contact", "is_slow", "key", "rack", "speed_rank", "zone")
+    __slots__ = ("contact", "is_slow", "key", "rack", "speed", "speed_rank", "zone")
 
     def __init__(
-        self, contact: WorkerContact, is_slow: bool = False, speed_rank: int = 0
+        self,
+        contact: WorkerContact,
+        is_slow: bool = False,
+        speed_rank: int = 0,
+        speed: SpeedEstimate = NOMINAL_SPEED,
     ) -> None:
         self.contact = contact
         self.key = contact.info.identifier
@@ -31,6 +38,7 @@
         self.zone = contact.info.zone
         self.is_slow = is_slow
         self.speed_rank = speed_rank
+        self.speed = speed
 
     @property
     def free(self) -> Size:
@@ -44,13 +52,11 @@
     def __init__(
         self,
         contacts: dict[str, WorkerContact],
-        slow_workers: SlowWorkerDetector,
-        speed_ranks: SpeedRanks,
+        speeds: WorkerSpeeds,
         now: float,
     ) -> None:
         self._contacts = contacts
-        self._slow_workers = slow_workers
-        self._speed_ranks = speed_ranks
+        self._speeds = speeds
         self._now = now
         self._cache: dict[str, Candidate | None] = {}
 
@@ -71,8 +77,12 @@
         contact = self._contacts.get(worker)
         if contact is None or not contact.is_usable(self._now):
             return None
+        pool = contact.info.pool
         return Candidate(
             contact,
-            self._slow_workers.is_slow(worker, self._now),
-            self._speed_ranks.rank(worker),
+            self._speeds.slow_workers.is_slow(worker, self._now),
+            self._speeds.rank(worker),
+            self._speeds.estimate(worker, pool)
+            if self._speeds.is_uneven(pool)
+            else NOMINAL_SPEED,
         )
--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -25,6 +25,7 @@
     ROSTER = auto()
     CORDONS = auto()
     CEILINGS = auto()
+    SPEEDS = auto()
 
 
 class ChangeSet:
@@ -90,6 +91,11 @@
         self._kinds.add(ChangeKind.CEILINGS)
         self._get_journal().expedite()
 
+    def record_speed_change(self) -> None:
+        """Write the speeds of workers with the next commit."""
+        self._kinds.add(ChangeKind.SPEEDS)
+        self._get_journal().wake()
+
     def gather(self) -> Batch | None:
         """Return the changes since the last call, ``None`` if there are none."""
         jobs = list(self._jobs.values())
--- a/src/damaskdeck/coordination/pools/departures.py
+++ b/src/damaskdeck/coordination/pools/departures.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.speeds import estimate_remaining
 from damaskdeck.state.pooljobs import Run, RunPhase
 
 # A registration is read this long after it was written at most; actual lags are 0.12
@@ -12,8 +13,6 @@
 # A run that would lose its work is stopped early only if its remaining time exceeds the
 # remaining stay by this factor, as estimates are off by half.
 TOO_LATE_FACTOR = 1.3
-# Below this progress a run says nothing about its rate.
-MIN_MEASURED_PERCENT = 5
 
 
 def find_runs_to_stop(
@@ -50,14 +49,3 @@
     if seconds_left <= max_stop_time.total_seconds():
         return needed > seconds_left
     return not spec.is_checkpointing and needed > TOO_LATE_FACTOR * seconds_left
-
-
-def estimate_remaining(run: Run, now: float) -> float:
-    """Return the seconds until a run ends if it continues at its rate so far."""
-    spec = run.task.step.spec
-    first_percent = run.first_percent if run.first_percent is not None else run.percent
-    progress, seconds = run.percent - first_percent, run.progressed_at - run.first_at
-    remaining_percent = 100 - run.percent
-    if progress < MIN_MEASURED_PERCENT or seconds <= 0:
-        return spec.estimate.total_seconds() * remaining_percent / 100
-    return max(0.0, remaining_percent * seconds / progress - (now - run.progressed_at))
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -20,13 +20,13 @@
     plan_step,
 )
 from damaskdeck.coordination.pools.reservations import Reservations, is_contended
-from damaskdeck.coordination.pools.slowness import SlowWorkerDetector
-from damaskdeck.coordination.pools.speedranks import SpeedRanks
+from damaskdeck.coordination.pools.speeds import StepExpectation, WorkerSpeeds
 from damaskdeck.coordination.pools.starter import Starter, StartOwner
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.urgency import (
     DeadlineStatus,
     Urgency,
+    measure_available_slack,
     measure_urgency,
 )
 from damaskdeck.coordination.pools.workerhealth import WorkerHealth
@@ -74,8 +74,7 @@
     """Places the tasks of one owner's jobs.
 
     :ivar worker_health: The evidence against workers.
-    :ivar slow_workers: Detects the workers that are slow at present.
-    :ivar speed_ranks: Ranks the other workers by their speed.
+    :ivar speeds: The speeds of the workers.
     """
 
     def __init__(
@@ -90,8 +89,7 @@
         self._times = times
         self._advice_scheduler = advice_scheduler
         self.worker_health = WorkerHealth(clock)
-        self.slow_workers = SlowWorkerDetector()
-        self.speed_ranks = SpeedRanks()
+        self.speeds = WorkerSpeeds()
         self._has_work = asyncio.Event()
         self._is_draining = False
         self._starter = Starter(owner, clock, advice_scheduler, self.mark_changed)
@@ -102,8 +100,10 @@
         self._full_pass_at = float("-inf")
         # Accounts held back by their quota for which this pass has requested advice.
         self._held_accounts: set[str] = set()
-        self._reservations = Reservations()
-        self._advice_planner = AdvicePlanner(advice_scheduler, lambda: owner.contacts)
+        self._reservations = Reservations(self.speeds.estimate_remaining)
+        self._advice_planner = AdvicePlanner(
+            advice_scheduler, lambda: owner.contacts, self.speeds
+        )
         # The first occurrence that isn't open yet, by job with a schedule.
         self._next_occurrences: dict[str, int] = {}
 
@@ -148,7 +148,7 @@
 
     def discard(self, step: Step) -> None:
         """Remove the measurements of a step of a job that has ended."""
-        self.speed_ranks.discard(step)
+        self.speeds.discard(step)
 
     def close(self) -> None:
         """Cancel all orders in flight."""
@@ -228,9 +228,7 @@
         )
 
     def _build_candidates(self, now: float) -> Candidates:
-        return Candidates(
-            self._owner.contacts, self.slow_workers, self.speed_ranks, now
-        )
+        return Candidates(self._owner.contacts, self.speeds, now)
 
     def find_pool(self, step: Step) -> str:
         """Return the pool that is declared for a step's queue at present."""
@@ -281,16 +279,28 @@
         if eligible and not checks_all_workers and step.spec.is_gang:
             eligible = self._find_eligible(step, pool, candidates, now, None)
         confined = _select_confined(step.job, eligible)
-        plan = self._plan_around_reservations(step, tasks, confined, pool, urgency, now)
+        expectation = self._expect(step, pool, urgency, now) if eligible else None
+        plan = self._plan_around_reservations(
+            step, tasks, confined, pool, urgency, now, expectation
+        )
         if plan:
             self._reservations.release(step)
             self._order(step, plan, now)
         if len(plan) < len(tasks) and len(eligible) > len(confined):
             placed = {task for task, _ in plan}
             self._request_wider_zones(
-                step, [t for t in tasks if t not in placed], eligible
+                step, [t for t in tasks if t not in placed], eligible, expectation
             )
 
+    def _expect(
+        self, step: Step, pool: str, urgency: Urgency, now: float
+    ) -> StepExpectation | None:
+        """Return what is expected of a step in an uneven pool, ``None`` in others."""
+        if not self.speeds.is_uneven(pool):
+            return None
+        slack = measure_available_slack(urgency)
+        return self.speeds.expect(step, pool, slack, now)
+
     def _request_advice_while_held(
         self, step: Step, urgency: Urgency, position: int, now: float
     ) -> None:
@@ -318,6 +328,7 @@
         pool: str,
         urgency: Urgency,
         now: float,
+        expectation: StepExpectation | None,
     ) -> Plan:
         """Plan without the workers that are reserved for other steps, if possible.
 
@@ -326,7 +337,11 @@
         """
         reservations = self._reservations
         available = [c for c in confined if reservations.may_use(c.key, step, now)]
-        plan = self._plan(step, tasks, available, pool, now) if available else []
+        plan = (
+            self._plan(step, tasks, available, pool, now, expectation)
+            if available
+            else []
+        )
         if len(plan) == len(tasks) or len(available) == len(confined):
             return plan
         own_rank = urgency.deadline_status, urgency.rank
@@ -339,7 +354,7 @@
         ]
         if len(confined) <= len(available):
             return plan
-        return self._plan(step, tasks, confined, pool, now)
+        return self._plan(step, tasks, confined, pool, now, expectation)
 
     def _plan(
         self,
@@ -348,11 +363,14 @@
         confined: list[Candidate],
         pool: str,
         now: float,
+        expectation: StepExpectation | None,
     ) -> Plan:
         may_leave_racks = has_rack_preference(step.spec) and self._may_leave_racks(
             step, pool, now
         )
-        plan = plan_step(step, tasks, confined, may_leave_racks, self._find_zones(step))
+        plan = plan_step(
+            step, tasks, confined, may_leave_racks, self._find_zones(step), expectation
+        )
         if len(plan) == len(tasks):
             step.constrained_since = None
         elif step.constrained_since is None:
@@ -369,12 +387,18 @@
         )
 
     def _request_wider_zones(
-        self, step: Step, tasks: list[Task], eligible: list[Candidate]
+        self,
+        step: Step,
+        tasks: list[Task],
+        eligible: list[Candidate],
+        expectation: StepExpectation | None,
     ) -> None:
         """Request zones for the tasks that the job's own zones can't hold."""
         if not step.job.can_widen_zones:
             return
-        plan = plan_step(step, tasks, eligible, True, self._find_zones(step))
+        plan = plan_step(
+            step, tasks, eligible, True, self._find_zones(step), expectation
+        )
         zones = frozenset(candidate.zone for _, candidate in plan)
         if zones - step.job.zones:
             self._owner.widen_zones(step.job, zones)
@@ -439,8 +463,7 @@
         """Record how a run ended."""
         if run is not None and end.kind is EndKind.COMPLETED:
             now = self._owner.now()
-            self.slow_workers.record_completion(run, now)
-            self.speed_ranks.record_completion(run, now)
+            self.speeds.record_completion(run, now)
         self.worker_health.record_end(contact.info.identifier, task, end)
         _log.info(
             "A run has ended.",
@@ -466,12 +489,14 @@
         self.request_urgent_advice(step, now)
         found = self._find_eligible(step, pool, self._build_candidates(now), now, None)
         eligible = [candidate for candidate in found if candidate.key != run.worker]
-        plan = plan_step(step, [task], _select_confined(step.job, eligible), True)
+        expectation = self._expect(step, pool, measure_urgency(step, now), now)
+        confined = _select_confined(step.job, eligible)
+        plan = plan_step(step, [task], confined, True, expectation=expectation)
         if plan:
             step.store_checkpoint(task, run.checkpoint)
             self._order(step, plan, now)
         else:
-            self._request_wider_zones(step, [task], eligible)
+            self._request_wider_zones(step, [task], eligible, expectation)
         return bool(plan)
 
     def open_occurrences(self) -> None:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -22,6 +22,7 @@
 from damaskdeck.coordination.pools.dispatcher import Dispatcher
 from damaskdeck.coordination.pools.intake import Intake
 from damaskdeck.coordination.pools.journal import Journal
+from damaskdeck.coordination.pools.speeds import read_speeds
 from damaskdeck.coordination.pools.supervision import RunSupervisor
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.workerfleet import (
@@ -199,11 +200,13 @@
     async def _load(self) -> None:
         # The jobs must be loaded before the contacts start, as an inventory is
         # interpreted against the known jobs.
-        _, _, workers = await asyncio.gather(
+        _, _, workers, speeds = await asyncio.gather(
             self.intake.load(),
             self.account_limits.ceilings.read(self._shared.store, self._clock),
             self._fleet.read(),
+            read_speeds(self._shared.store, self._clock),
         )
+        self.dispatcher.speeds.load(speeds)
         self._crashes.load()
         self._fleet.load(workers)
         self._mark_unconfirmed_jobs()
@@ -281,6 +284,8 @@
             return self._fleet.build_roster_write()
         if kind is ChangeKind.CORDONS:
             return self._fleet.cordons.build_write()
+        if kind is ChangeKind.SPEEDS:
+            return self.dispatcher.speeds.build_write()
         return self.account_limits.ceilings.build_write()
 
     async def wait_until_durable(self, contact: WorkerContact) -> bool:
@@ -493,6 +498,7 @@
             )
             self._discard_ended(now)
             self._account_metrics.publish(now)
+            self.dispatcher.speeds.write_if_due(now, self._changes.record_speed_change)
             if not self._shared.leadership.is_cut_off():
                 # A ceiling that is lowered without the store could not be raised again.
                 self.account_limits.sweep()
--- a/src/damaskdeck/coordination/pools/planning.py
+++ b/src/damaskdeck/coordination/pools/planning.py
@@ -1,8 +1,13 @@
-"""Best-fit placement of the tasks of a step on the workers that may run them."""
+"""Best-fit placement of the tasks of a step on the workers that may run them.
+
+In an uneven pool, a step is placed by the expected end of all its tasks.
+"""
 
 from collections import Counter
+from collections.abc import Iterable
 
 from damaskdeck.coordination.pools.candidates import Candidate
+from damaskdeck.coordination.pools.speeds import CLASS_WIDTH, StepExpectation
 from damaskdeck.protocol.pools import PoolWorker
 from damaskdeck.protocol.queues import StepSpec
 from damaskdeck.protocol.sizes import Size, fits, subtract_sizes
@@ -62,6 +67,7 @@
     candidates: list[Candidate],
     may_use_other_racks: bool,
     zones: frozenset[str] = frozenset(),
+    expectation: StepExpectation | None = None,
 ) -> Plan:
     """Place the tasks of a step; of a gang all tasks or none.
 
@@ -71,7 +77,13 @@
     :param may_use_other_racks: whether a step with a rack preference may run off its
         preferred racks.
     :param zones: the zones in which the step already runs.
+    :param expectation: what is expected of the step in an uneven pool, ``None`` if the
+        speed ranks decide. Racks that a step prefers count more than speeds.
     """
+    if expectation is not None and not has_rack_preference(step.spec):
+        if step.spec.is_gang:
+            return _plan_gang(step, tasks, candidates, zones, expectation)
+        return _plan_by_expected_end(step, tasks, candidates, zones, expectation)
     if not has_rack_preference(step.spec):
         return _plan_tasks(step, tasks, candidates, zones)
     plan = _plan_on_preferred_rack(step, tasks, candidates)
@@ -119,6 +131,116 @@
     return builder.plan if is_whole or not spec.is_gang else []
 
 
+def _plan_by_expected_end(
+    step: Step,
+    tasks: list[Task],
+    candidates: list[Candidate],
+    zones: frozenset[str],
+    expectation: StepExpectation,
+) -> Plan:
+    """Place tasks on workers on which they end in time, the least fast of those first.
+
+    Tasks that find none go to the fastest of the others, unless it is better to wait.
+    """
+    in_time: list[Candidate] = []
+    late: list[Candidate] = []
+    for candidate in candidates:
+        is_in_time = not candidate.is_slow and expectation.ends_in_time(candidate.speed)
+        (in_time if is_in_time else late).append(candidate)
+    builder = _PlanBuilder(step, candidates)
+    for group in _group_by_speed(in_time):
+        for zone_group in _group_by_zone(step, len(tasks), group, zones):
+            builder.place_tasks(tasks, zone_group)
+            if len(builder.plan) == len(tasks):
+                return builder.plan
+    if in_time:
+        builder.place_tasks(tasks, in_time, allow_failed=True)
+    usable = [c for c in late if not expectation.should_wait(c.speed)]
+    for group in reversed(_group_by_speed(usable)):
+        if len(builder.plan) < len(tasks):
+            builder.place_tasks(tasks, group)
+            builder.place_tasks(tasks, group, allow_failed=True)
+    return builder.plan
+
+
+def _plan_gang(
+    step: Step,
+    tasks: list[Task],
+    candidates: list[Candidate],
+    zones: frozenset[str],
+    expectation: StepExpectation,
+) -> Plan:
+    """Place a gang on workers of about the same speed, the least fast in time first.
+
+    All members hold their capacity until the slowest has ended. If no such workers have
+    enough capacity, the gang takes workers of different speeds on which it ends in
+    time, with as few fast ones as possible, else the fastest ones, unless it is better
+    to wait for others.
+    """
+    ordered = sorted(candidates, key=lambda c: (not c.is_slow, c.speed.mean))
+    fitting = [count_fitting(step.spec, c.free) for c in ordered]
+    needed = len(tasks)
+    if sum(fitting) < needed:
+        return []
+    preferred = [not c.is_slow and expectation.ends_in_time(c.speed) for c in ordered]
+    acceptable = [not c.is_slow and expectation.is_acceptable(c.speed) for c in ordered]
+    first = acceptable.index(True) if any(acceptable) else len(ordered)
+    window = preferred.index(True) if any(preferred) else len(ordered)
+    selected = (
+        _find_window(ordered, fitting, window, needed)
+        or _find_window(ordered, fitting, first, needed)
+        or _cut_to_capacity(ordered[first:], step, needed)
+    )
+    if not selected:
+        selected = _cut_to_capacity(ordered[::-1], step, needed)
+        if any(expectation.should_wait(c.speed) for c in selected):
+            return []
+    return _plan_tasks(step, tasks, selected, zones)
+
+
+def _find_window(
+    ordered: list[Candidate], fitting: list[int], first: int, needed: int
+) -> list[Candidate]:
+    """Return the slowest workers of about the same speed that hold a whole gang.
+
+    :param ordered: candidates in the order of their speed, slowest first.
+    :param fitting: how many tasks each of them can hold.
+    :param first: position of the first candidate to use.
+    """
+    end, held = first, 0
+    for start in range(first, len(ordered)):
+        fastest = ordered[start].speed.mean + CLASS_WIDTH
+        while end < len(ordered) and ordered[end].speed.mean <= fastest:
+            held += fitting[end]
+            end += 1
+        if held >= needed:
+            return ordered[start:end]
+        held -= fitting[start]
+    return []
+
+
+def _cut_to_capacity(
+    ordered: list[Candidate], step: Step, needed: int
+) -> list[Candidate]:
+    """Return the first candidates that can hold a number of tasks, none if too few."""
+    for count, candidate in enumerate(ordered, start=1):
+        needed -= count_fitting(step.spec, candidate.free)
+        if needed <= 0:
+            return ordered[:count]
+    return []
+
+
+def _group_by_speed(candidates: Iterable[Candidate]) -> list[list[Candidate]]:
+    """Group candidates of about the same speed, the slowest group first."""
+    groups: list[list[Candidate]] = []
+    for candidate in sorted(candidates, key=lambda c: c.speed.mean):
+        slowest = groups[-1][0].speed.mean if groups else 0.0
+        if not groups or candidate.speed.mean > slowest + CLASS_WIDTH:
+            groups.append([])
+        groups[-1].append(candidate)
+    return groups
+
+
 def _count_total_fitting(spec: StepSpec, candidates: list[Candidate]) -> int:
     """Return the number of tasks of a step that fit on all candidates together."""
     return sum(count_fitting(spec, candidate.free) for candidate in candidates)
--- a/src/damaskdeck/coordination/pools/relocation.py
+++ b/src/damaskdeck/coordination/pools/relocation.py
@@ -5,7 +5,7 @@
 from damaskdeck.coordination.pools.advice import StepAdvice
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.planning import count_fitting, is_suitable
-from damaskdeck.coordination.pools.slowness import SlowWorkerDetector
+from damaskdeck.coordination.pools.speeds import SlowWorkerDetector
 from damaskdeck.coordination.pools.urgency import DeadlineStatus, measure_urgency
 from damaskdeck.coordination.pools.workerhealth import should_progress
 from damaskdeck.state.pooljobs import Run, Step
@@ -38,7 +38,7 @@
 
 def _is_worth_moving(run: Run, slow_workers: SlowWorkerDetector, now: float) -> bool:
     progress_rate = run.progress_rate
-    expected_rate, _ = slow_workers.estimate_rate(run)
+    expected_rate = slow_workers.estimate_rate_elsewhere(run)
     if progress_rate is None or not expected_rate:
         return False
     remaining_here = (100 - run.percent) / progress_rate.rate
--- a/src/damaskdeck/coordination/pools/reservations.py
+++ b/src/damaskdeck/coordination/pools/reservations.py
@@ -9,11 +9,10 @@
 import bisect
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.departures import estimate_remaining
 from damaskdeck.coordination.pools.planning import count_fitting
 from damaskdeck.protocol.queues import StepSpec
 from damaskdeck.protocol.sizes import add_sizes
@@ -34,6 +33,9 @@
 CONTENDED_SHARE = 0.6
 
 
+EstimateRemaining = Callable[[Run, float], float]
+
+
 class Reservation(NamedTuple):
     """Workers that are reserved for a step.
 
@@ -53,9 +55,13 @@
 
 
 class Reservations:
-    """All reservations, by gang and by worker."""
+    """All reservations, by gang and by worker.
+
+    :param estimate_remaining: Returns the seconds until a run ends at a given time.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, estimate_remaining: EstimateRemaining) -> None:
+        self._estimate_remaining = estimate_remaining
         self._steps: dict[str, Reservation] = {}
         self._workers: dict[str, Reservation] = {}
 
@@ -117,7 +123,9 @@
         availabilities = sorted(
             availability
             for contact in eligible
-            for availability in _list_availabilities(step, contact, now)
+            for availability in _list_availabilities(
+                step, contact, now, self._estimate_remaining
+            )
         )
         count_needed = bisect.bisect_left(
             range(len(availabilities) + 1),
@@ -162,14 +170,18 @@
 
 
 def _list_availabilities(
-    step: Step, contact: WorkerContact, now: float
+    step: Step,
+    contact: WorkerContact,
+    now: float,
+    estimate_remaining: EstimateRemaining,
 ) -> list[_Availability]:
     """List how many tasks of a step a worker can hold as its runs end."""
     spec: StepSpec = step.spec
     name, free = contact.info.identifier, contact.free
     tasks = count_fitting(spec, free)
     availabilities = [_Availability(now, name, tasks)] if tasks else []
-    for at, run in sorted(_list_run_ends(contact, now), key=lambda end: end[0]):
+    ends = _list_run_ends(contact, now, estimate_remaining)
+    for at, run in sorted(ends, key=lambda end: end[0]):
         free = add_sizes(free, run.task.step.spec.size)
         fitting = count_fitting(spec, free)
         if fitting > tasks:
@@ -178,7 +190,9 @@
     return availabilities
 
 
-def _list_run_ends(contact: WorkerContact, now: float) -> list[tuple[float, Run]]:
+def _list_run_ends(
+    contact: WorkerContact, now: float, estimate_remaining: EstimateRemaining
+) -> list[tuple[float, Run]]:
     return [
         (now + max(0.0, estimate_remaining(run, now)), run)
         for run in contact.runs.values()
--- a/src/damaskdeck/coordination/pools/speedranks.py
+++ b/src/damaskdeck/coordination/pools/speeds/ranks.py
@@ -4,7 +4,7 @@
 mean of its step, shows the speed of its worker. Errors of estimates affect a whole step
 and cancel out. Workers that become slow are not detected here: that passes within
 seconds and shows in the progress of their runs
-(:mod:`damaskdeck.coordination.pools.slowness`).
+(:mod:`damaskdeck.coordination.pools.speeds.slowness`).
 """
 
 import math
--- a/src/damaskdeck/coordination/pools/slowness.py
+++ b/src/damaskdeck/coordination/pools/speeds/slowness.py
@@ -2,15 +2,17 @@
 
 The rate of a run is compared with the rate expected from its estimate. The bias of the
 estimates is learned per queue from completed runs. The runs of a worker are combined,
-each weighted by how reliable the estimates of its queue are.
+each weighted by how reliable the estimates of its queue are. In an uneven pool, a
+worker is compared with its own usual speed.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from statistics import median
 from typing import NamedTuple
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.speeds.estimates import SpeedEstimate
 from damaskdeck.coordination.pools.workerhealth import should_progress
 from damaskdeck.logs import get_logger
 from damaskdeck.state.pooljobs import Run, Step
@@ -51,11 +53,29 @@
     variance: float = INITIAL_VARIANCE
     runs: int = 0
 
+    def add(self, log_ratio: float) -> "EstimateBias":
+        """Return the bias after one more observation.
+
+        :param log_ratio: logarithm of the estimate divided by the duration.
+        """
+        error = log_ratio - self.mean
+        variance = self.variance + LEARNING_RATE * (error * error - self.variance)
+        return EstimateBias(
+            self.mean + max(LEARNING_RATE, 1 / (self.runs + 1)) * error,
+            max(MIN_VARIANCE, variance),
+            self.runs + 1,
+        )
+
 
 class SlowWorkerDetector:
-    """Tracks the speeds of the workers of one owner."""
+    """Tracks the speeds of the workers of one owner.
+
+    :param find_usual_speed: Returns the usual speed of a worker: the nominal one
+        without an error for all workers of an even pool.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, find_usual_speed: Callable[[str], SpeedEstimate]) -> None:
+        self._find_usual_speed = find_usual_speed
         self._biases: dict[str, EstimateBias] = {}
         self._slow_until: dict[str, float] = {}
         self._rates: dict[Step, list[_RateSample]] = {}
@@ -70,15 +90,18 @@
         share = (100 - run.first_percent) / 100
         if share < MIN_OBSERVED_SHARE:
             return
-        log_ratio = math.log(estimate * share / duration)
-        bias = self._biases.get(queue, EstimateBias())
-        error = log_ratio - bias.mean
-        variance = bias.variance + LEARNING_RATE * (error * error - bias.variance)
-        self._biases[queue] = EstimateBias(
-            bias.mean + max(LEARNING_RATE, 1 / (bias.runs + 1)) * error,
-            max(MIN_VARIANCE, variance),
-            bias.runs + 1,
-        )
+        log_ratio = math.log(estimate * share / duration) - self._find_pace(run)
+        self._biases[queue] = self._biases.get(queue, EstimateBias()).add(log_ratio)
+
+    def _find_pace(self, run: Run) -> float:
+        """Return the logarithm of the speed that determined a run's duration.
+
+        The members of a gang end when the slowest of them has done its work.
+        """
+        workers = {run.worker}
+        if run.task.step.spec.is_gang:
+            workers.update(other.worker for other in run.task.step.list_runs())
+        return min(self._find_usual_speed(worker).mean for worker in workers)
 
     def is_slow(self, worker: str, now: float) -> bool:
         """Whether a worker was recently measured to be slow."""
@@ -131,7 +154,7 @@
         return (total / weights, weights**-0.5) if weights else None
 
     def estimate_rate(self, run: Run) -> tuple[float, float]:
-        """Return a run's rate on a healthy worker and the variance of its logarithm.
+        """Return a run's usual rate on its worker and the variance of its logarithm.
 
         The best rate of the run itself is the strongest evidence, then the rates of
         other runs of its step on other workers, then its estimate. The rate is in
@@ -139,15 +162,29 @@
         """
         if run.best_rate:
             return run.best_rate, OWN_VARIANCE
+        usual = self._find_usual_speed(run.worker)
         samples = self._rates.get(run.task.step, ())
-        others = [rate for name, rate in samples if name != run.worker]
+        others = [
+            rate * math.exp(usual.mean - self._find_usual_speed(name).mean)
+            for name, rate in samples
+            if name != run.worker
+        ]
         if len(others) >= MIN_SIBLINGS:
-            return median(others), SIBLING_VARIANCE
+            return median(others), SIBLING_VARIANCE + usual.error**2
         estimate = run.task.step.spec.estimate.total_seconds()
         bias = self._biases.get(run.task.step.job.queue.name, EstimateBias())
         if not estimate or bias.runs < MIN_BIAS_RUNS:
             return 0.0, 0.0
-        return 100 / estimate * math.exp(bias.mean), bias.variance
+        rate = 100 / estimate * math.exp(bias.mean + usual.mean)
+        return rate, bias.variance + usual.error**2
+
+    def estimate_rate_elsewhere(self, run: Run) -> float:
+        """Return a run's rate on another healthy worker, 0 if there is no evidence.
+
+        The worker may be a nominal one, so a fast worker's own rate is no measure.
+        """
+        rate, _ = self.estimate_rate(run)
+        return rate * min(1.0, math.exp(-self._find_usual_speed(run.worker).mean))
 
 
 def _collect_rates(contacts: Iterable[WorkerContact]) -> dict[Step, list[_RateSample]]:
--- a/src/damaskdeck/coordination/pools/supervision.py
+++ b/src/damaskdeck/coordination/pools/supervision.py
@@ -54,8 +54,7 @@
         contacts = self._owner.contacts
         names = frozenset(contacts)
         self._dispatcher.worker_health.retain_workers(names)
-        self._dispatcher.speed_ranks.retain_workers(names)
-        self._dispatcher.slow_workers.update(contacts.values(), now)
+        self._dispatcher.speeds.update(contacts, now)
         for contact in contacts.values():
             for run in list(self._dispatcher.worker_health.find_stalled(contact, now)):
                 self._stop_run(run, "A run makes no progress.")
@@ -68,7 +67,7 @@
         """
         contacts = self._owner.contacts
         for run in list(
-            find_runs_to_move(contacts, self._dispatcher.slow_workers, now)
+            find_runs_to_move(contacts, self._dispatcher.speeds.slow_workers, now)
         ):
             self._move_run(run, now)
         for run in list(find_unreachable_runs(contacts, now)):
@@ -103,7 +102,7 @@
             step,
             pool,
             self._owner.contacts,
-            self._dispatcher.slow_workers,
+            self._dispatcher.speeds.slow_workers,
             self._advice_scheduler.get(step),
             len(tasks),
             now,
--- a/src/damaskdeck/coordination/pools/urgency.py
+++ b/src/damaskdeck/coordination/pools/urgency.py
@@ -1,10 +1,11 @@
 """The order in which steps get capacity: by deadline status, rank and slack."""
 
+import math
 from collections.abc import Iterable
 from enum import IntEnum
 from typing import NamedTuple
 
-from damaskdeck.coordination.pools.departures import estimate_remaining
+from damaskdeck.coordination.pools.speeds import estimate_remaining
 from damaskdeck.protocol.queues import AdvisorTiming, JobSpec, Queue, StepSpec
 from damaskdeck.state.pooljobs import RunPhase, Step
 
@@ -120,6 +121,15 @@
     return compute_urgency(step, find_deadlines(step), now)
 
 
+def measure_available_slack(urgency: Urgency) -> float:
+    """Return the seconds until a step must start to earn what it still can.
+
+    They are infinite for a step that can earn nothing.
+    """
+    is_lost = urgency.deadline_status is DeadlineStatus.LOST
+    return math.inf if is_lost else urgency.slack
+
+
 def is_due_soon(step: Step, terms: AdvisorTiming, now: float) -> bool:
     """Whether the steps before a step will have completed shortly.
 
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -27,6 +27,13 @@
 _account_running = _meter.create_gauge(
     "damaskdeck_account_running", description="millicores counted as running"
 )
+_speed_spread = _meter.create_gauge(
+    "damaskdeck_speed_spread",
+    description="standard deviation of the logarithm of workers' speeds, by pool",
+)
+_measured_workers = _meter.create_gauge(
+    "damaskdeck_measured_workers", description="with a measured speed, by pool"
+)
 _packing = _meter.create_gauge(
     "damaskdeck_packing", description="share of the owned workers that is reserved"
 )
@@ -126,3 +133,13 @@
     """
     _account_waiting.set(waiting, {"account": account})
     _account_running.set(running, {"account": account})
+
+
+def set_speed_spread(pool: str, deviation: float, measured: int) -> None:
+    """Record how much the speeds of a pool's workers differ.
+
+    :param deviation: standard deviation of the logarithms of the speeds.
+    :param measured: number of workers whose speed is measured.
+    """
+    _speed_spread.set(deviation, {"pool": pool})
+    _measured_workers.set(measured, {"pool": pool})
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -30,6 +30,7 @@
 STARTS_PREFIX = f"{ROOT_PREFIX}starts/"
 CORDONS_KEY = f"{ROOT_PREFIX}cordons"
 CEILINGS_KEY = f"{ROOT_PREFIX}ceilings"
+SPEEDS_KEY = f"{ROOT_PREFIX}speeds"
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -115,6 +116,33 @@
     accounts: dict[str, Size] = {}
 
 
+class RecordedSpeed(NamedTuple):
+    """The learned speed of a worker.
+
+    :param key: names the worker across its incarnations.
+    :param labels: position in :attr:`SpeedsRecord.labels` of the labels that it had.
+    :param mean: logarithm of its speed in thousandths.
+    :param precision: inverse of the variance of that logarithm.
+    """
+
+    key: str
+    labels: int
+    mean: int
+    precision: int
+
+
+class SpeedsRecord(NamedTuple):
+    """The learned speeds of the workers of uneven pools.
+
+    :param labels: sets of labels that workers have.
+    :param uneven: names of the uneven pools.
+    """
+
+    workers: tuple[RecordedSpeed, ...] = ()
+    labels: tuple[tuple[str, ...], ...] = ()
+    uneven: tuple[str, ...] = ()
+
+
 class JobRecord(NamedTuple):
     """A job as it was accepted.
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -21,6 +21,7 @@
     StepAdvice,
 )
 from damaskdeck.coordination.pools.adviceplanner import QUERY_WORKERS, AdvicePlanner
+from damaskdeck.coordination.pools.speeds import WorkerSpeeds
 from damaskdeck.coordination.pools.urgency import DeadlineStatus, Urgency
 from damaskdeck.protocol.pools import PoolWorker
 from damaskdeck.protocol.queues import StepSpec
@@ -80,7 +81,9 @@
             info = PoolWorker(name, "hub", address, zone, CAPACITY, frozenset())
             free = CAPACITY if number >= 200 else Size()
             self.contacts[name] = StubContact(info, free)
-        self.planner = AdvicePlanner(self.scheduler, lambda: self.contacts)
+        self.planner = AdvicePlanner(
+            self.scheduler, lambda: self.contacts, WorkerSpeeds()
+        )
 
     def make_step(
         self, name: str = "j", zones: tuple[str, ...] = (), tasks: int = 4
--- a/tests/test_speedranks.py
+++ b/tests/test_speedranks.py
@@ -8,7 +8,7 @@
 import unittest
 from random import Random
 
-from damaskdeck.coordination.pools.speedranks import MIN_RUNS, SpeedRanks
+from damaskdeck.coordination.pools.speeds.ranks import MIN_RUNS, SpeedRanks
 from damaskdeck.protocol.queues import StepSpec
 from damaskdeck.state.jobrecords import JobRecord
 from damaskdeck.state.pooljobs import Job, Run
