--- a/src/damaskdeck/__init__.py
+++ b/src/damaskdeck/__init__.py
@@ -15,11 +15,11 @@
     SettingsError,
 )
 from damaskdeck.protocol.outcomes import Completed, Failed, Outcome, Refused, Unknown
-from damaskdeck.settings import Settings, load_settings
 
 if TYPE_CHECKING:
     from damaskdeck.client import Client, Reply
     from damaskdeck.daemon import Daemon
+    from damaskdeck.settings import Settings, load_settings
 
 __version__ = "0.1.0"
 
@@ -43,9 +43,16 @@
     "load_settings",
 ]
 
-# Imported on first use, so that the command line doesn't load the daemon's libraries
-# and the daemon doesn't load the client's.
-_LAZY = {"Client": "client", "Reply": "client", "Daemon": "daemon"}
+# Imported on first use, so that the command line doesn't load the daemon's libraries,
+# the daemon doesn't load the client's, and the daemon of the pools, whose settings
+# aren't in YAML, doesn't load its parser.
+_LAZY = {
+    "Client": "client",
+    "Daemon": "daemon",
+    "Reply": "client",
+    "Settings": "settings",
+    "load_settings": "settings",
+}
 
 
 def __getattr__(name: str) -> Any:
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -1,82 +1,162 @@
-"""Metrics, recorded with OpenTelemetry.
+"""Metrics, exported with OpenTelemetry.
 
 Refusals and retries are counted separately for each reason.
+
+Recording doesn't need the library, which takes a sixth of a daemon's start to import:
+counts and gauges are kept in dictionaries, which observable instruments read on export,
+and the values of histograms are kept until :func:`connect_meter` passes them on. A
+recorded count costs a dictionary update this way.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-
-from opentelemetry import metrics
-from opentelemetry.metrics import CallbackOptions, Observation
-
-_meter = metrics.get_meter("damaskdeck")
-_refusals = _meter.create_counter("damaskdeck_refusals", description="by part and code")
-_retries = _meter.create_counter("damaskdeck_retries", description="by part and reason")
-_drops = _meter.create_counter("damaskdeck_drops", description="by part and reason")
-_store_calls = _meter.create_counter("damaskdeck_store_calls", description="by kind")
-_waits = _meter.create_histogram("damaskdeck_waiting_time", unit="s")
-_latencies = _meter.create_histogram(
-    "damaskdeck_latency", unit="s", description="by part and step"
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from opentelemetry.metrics import CallbackOptions, Meter, Observation
+
+# The values of histograms that are kept before the meter is connected. They take some
+# 0.3 MB, and passing them on takes some 10 ms.
+MAX_PENDING_VALUES = 2000
+
+
+class _Values:
+    """The current values of one metric, by the values of its labels."""
+
+    def __init__(
+        self, name: str, labels: tuple[str, ...], description: str = "", unit: str = ""
+    ) -> None:
+        self.name = name
+        self.description = description
+        self.unit = unit
+        self.current: defaultdict[tuple[str, ...], float] = defaultdict(int)
+        self._labels = labels
+
+    def observe(self, options: "CallbackOptions") -> "Iterable[Observation]":
+        """Return the current values; called by OpenTelemetry on export."""
+        from opentelemetry.metrics import Observation
+
+        return [
+            Observation(value, dict(zip(self._labels, labels, strict=True)))
+            for labels, value in self.current.items()
+        ]
+
+
+class _Histogram:
+    """A histogram whose values are kept until it is connected."""
+
+    def __init__(self, name: str, description: str = "") -> None:
+        self.name = name
+        self.description = description
+        self.record: Callable[[float, dict[str, str]], None] = self._keep
+        self._pending: list[tuple[float, dict[str, str]]] = []
+
+    def _keep(self, value: float, labels: dict[str, str]) -> None:
+        self._pending.append((value, labels))
+        if len(self._pending) == MAX_PENDING_VALUES:
+            _request_meter()
+
+    def connect(self, meter: "Meter") -> None:
+        """Pass on the values that were kept, and all further ones at once."""
+        histogram = meter.create_histogram(self.name, "s", self.description)
+        self.record = histogram.record
+        for value, labels in self._pending:
+            histogram.record(value, labels)
+        self._pending.clear()
+
+
+_refusals = _Values("damaskdeck_refusals", ("part", "code"), "by part and code")
+_retries = _Values("damaskdeck_retries", ("part", "reason"), "by part and reason")
+_drops = _Values("damaskdeck_drops", ("part", "reason"), "by part and reason")
+_store_calls = _Values("damaskdeck_store_calls", ("kind",), "by kind")
+_account_jobs = _Values(
+    "damaskdeck_account_jobs",
+    ("account", "outcome"),
+    "ended, by client account and outcome",
 )
-_account_jobs = _meter.create_counter(
-    "damaskdeck_account_jobs", description="ended, by client account and outcome"
+_peer_messages = _Values("damaskdeck_peer_messages", ("direction",))
+_peer_bytes = _Values("damaskdeck_peer_bytes", ("direction",), unit="By")
+_counters = (
+    _refusals,
+    _retries,
+    _drops,
+    _store_calls,
+    _account_jobs,
+    _peer_messages,
+    _peer_bytes,
 )
-_account_waiting = _meter.create_gauge(
-    "damaskdeck_account_waiting", description="jobs that have started nothing"
+for _direction in ("in", "out"):
+    _peer_messages.current[(_direction,)] = _peer_bytes.current[(_direction,)] = 0
+
+_account_waiting = _Values(
+    "damaskdeck_account_waiting", ("account",), "jobs that have started nothing"
 )
-_account_running = _meter.create_gauge(
-    "damaskdeck_account_running", description="millicores counted as running"
+_account_running = _Values(
+    "damaskdeck_account_running", ("account",), "millicores counted as running"
 )
-_packing = _meter.create_gauge(
-    "damaskdeck_packing", description="share of the owned workers that is reserved"
+_packing = _Values(
+    "damaskdeck_packing",
+    ("dimension",),
+    "share of the owned workers that is reserved",
 )
+_revision = _Values("damaskdeck_configuration_revision", (), "in force on this daemon")
+_gauges = (_account_waiting, _account_running, _packing, _revision)
 
-# Batches are so frequent that the overhead of OpenTelemetry counters would be
-# noticeable. They are counted in plain integers, which are read on export only.
-_peer_messages = {"in": 0, "out": 0}
-_peer_bytes = {"in": 0, "out": 0}
+_waits = _Histogram("damaskdeck_waiting_time")
+_latencies = _Histogram("damaskdeck_latency", "by part and step")
 
+_meter_requests: list[Callable[[], None]] = []
 
-def _build_callback(
-    counts: dict[str, int],
-) -> Callable[[CallbackOptions], Iterable[Observation]]:
-    def observe_counts(options: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(count, {"direction": d}) for d, count in counts.items()]
 
-    return observe_counts
+def on_meter_required(request: Callable[[], None]) -> None:
+    """Call ``request`` once many values of histograms are kept.
 
+    It should have :func:`connect_meter` called soon.
+    """
+    _meter_requests.append(request)
 
-_meter.create_observable_counter(
-    "damaskdeck_peer_messages", [_build_callback(_peer_messages)]
-)
-_meter.create_observable_counter(
-    "damaskdeck_peer_bytes", [_build_callback(_peer_bytes)], unit="By"
-)
 
+def _request_meter() -> None:
+    for request in _meter_requests:
+        request()
 
-_revision = _meter.create_gauge(
-    "damaskdeck_configuration_revision", description="in force on this daemon"
-)
+
+def connect_meter(meter: "Meter") -> None:
+    """Export through a meter what has been recorded and will be.
+
+    This may be called only once, in the thread that records.
+    """
+    for counter in _counters:
+        meter.create_observable_counter(
+            counter.name, [counter.observe], counter.unit, counter.description
+        )
+    for gauge in _gauges:
+        meter.create_observable_gauge(
+            gauge.name, [gauge.observe], gauge.unit, gauge.description
+        )
+    for histogram in (_waits, _latencies):
+        histogram.connect(meter)
 
 
 def set_packing(dimension: str, share: float) -> None:
     """Record the reserved share of the owned workers' capacity in one dimension."""
-    _packing.set(share, {"dimension": dimension})
+    _packing.current[(dimension,)] = share
 
 
 def count_refusal(part: str, code: str, amount: int = 1) -> None:
     """Count work refused by ``part`` with ``code``."""
-    _refusals.add(amount, {"part": part, "code": code})
+    _refusals.current[part, code] += amount
 
 
 def count_retry(part: str, reason: str) -> None:
     """Count a retry made by ``part`` because of ``reason``."""
-    _retries.add(1, {"part": part, "reason": reason})
+    _retries.current[part, reason] += 1
 
 
 def count_drop(part: str, reason: str, amount: int = 1) -> None:
     """Count something that ``part`` dropped, such as a late reply."""
-    _drops.add(amount, {"part": part, "reason": reason})
+    _drops.current[part, reason] += amount
 
 
 def count_store_call(kind: str) -> None:
@@ -84,7 +164,7 @@
 
     :param kind: operation, such as ``commit``.
     """
-    _store_calls.add(1, {"kind": kind})
+    _store_calls.current[(kind,)] += 1
 
 
 def count_peer_batch(direction: str, messages: int, size: int) -> None:
@@ -94,8 +174,8 @@
     :param messages: number of messages in the batch.
     :param size: size in bytes, without the framing of HTTP/2.
     """
-    _peer_messages[direction] += messages
-    _peer_bytes[direction] += size
+    _peer_messages.current[(direction,)] += messages
+    _peer_bytes.current[(direction,)] += size
 
 
 def observe_wait(part: str, urgency: str, wait: timedelta) -> None:
@@ -105,7 +185,7 @@
 
 def set_revision(revision: int) -> None:
     """Record the revision of the configuration in force."""
-    _revision.set(revision)
+    _revision.current[()] = revision
 
 
 def observe_latency(part: str, step: str, seconds: float) -> None:
@@ -115,7 +195,7 @@
 
 def count_account_job(account: str, outcome: str) -> None:
     """Count a job of a client account that ended or was refused."""
-    _account_jobs.add(1, {"account": account, "outcome": outcome})
+    _account_jobs.current[account, outcome] += 1
 
 
 def set_account(account: str, waiting: int, running: int) -> None:
@@ -124,5 +204,5 @@
     :param waiting: number of jobs that have not started any task.
     :param running: millicores counted as running.
     """
-    _account_waiting.set(waiting, {"account": account})
-    _account_running.set(running, {"account": account})
+    _account_waiting.current[(account,)] = waiting
+    _account_running.current[(account,)] = running
--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -105,7 +105,7 @@
     authorizer: Authorizer,
     is_ready: Callable[[], bool],
     is_closing_connections: Callable[[], bool],
-    read_metrics: Callable[[], bytes],
+    read_metrics: Callable[[], Awaitable[bytes | None]],
     ready_port: int,
     metrics_port: int,
 ) -> App:
@@ -113,6 +113,8 @@
 
     :param is_closing_connections: whether responses close the connection, so that
         callers open their next one to another daemon.
+    :param read_metrics: returns the text of the metrics, ``None`` if they can't be
+        exported.
     :param ready_port: local port that answers the balancer's readiness checks.
     :param metrics_port: local port that serves the metrics.
     """
@@ -125,7 +127,11 @@
             await response.send_json(200 if is_ready() else 503)
             return
         if scope["server"][1] == metrics_port:
-            await response.send_text(read_metrics())
+            text = await read_metrics()
+            if text is None:
+                await response.send_json(503)
+            else:
+                await response.send_text(text)
             return
         host = _read_header(scope, b"host") or b""
         call = authorizer.authorize(
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -39,7 +39,7 @@
 )
 from damaskdeck.state.jobrecords import MemberRecord
 from damaskdeck.transport.api.server import HttpServer
-from damaskdeck.transport.exporter import install_exporter, read_metrics
+from damaskdeck.transport.exporter import DeferredExporter
 from damaskdeck.transport.listeners import format_address, open_listener
 from damaskdeck.transport.peers import PeerNetwork
 
@@ -187,7 +187,7 @@
             self._authorizer,
             self.is_ready,
             lambda: not self.is_ready(),
-            read_metrics,
+            DeferredExporter().read,
             listeners[1].getsockname()[1],
             listeners[2].getsockname()[1],
         )
@@ -401,7 +401,6 @@
     :raises SettingsError: if the file can't be read or is invalid.
     """
     settings = load_node_settings()
-    install_exporter()
     handler = LineHandler(LineWriter(sys.stdout.fileno()), settings.instance, "info")
     handler.push_application()
     try:
