--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -107,6 +107,7 @@
         self._store_failed_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._wakeup = asyncio.Event()
+        self._changed = asyncio.Event()
         self._suspected_epoch = 0
         self._absent: frozenset[str] = frozenset()
         self._owner_read: asyncio.Future[None] | None = None
@@ -230,6 +231,12 @@
             self._term = None
             self._on_deposed()
         self._wakeup.set()
+        self._changed.set()
+
+    async def wait_for_change(self) -> None:
+        """Wait until a member, the owner or this daemon's term changes."""
+        self._changed.clear()
+        await self._changed.wait()
 
     async def run(self) -> None:
         """Maintain the member lease, follow the control keys and join elections."""
@@ -264,13 +271,14 @@
         found = await read_all(self._store, CONTROL_PREFIX)
         if not isinstance(found, tuple) or not isinstance(found[0], tuple):
             self._store_failed_at = self._clock.monotonic().total_seconds()
-            await self._clock.sleep(RETRY_DELAY)
+            await self._clock.sleep(self._store.find_retry_delay(RETRY_DELAY))
             return 0
         entries, revision = found
         present = {entry.key for entry in entries}
         for name in list(self._members):
             if MEMBERS_PREFIX + name not in present:
                 del self._members[name]
+                self._changed.set()
         for entry in entries:
             self._apply(entry.key, entry.value, entry.revision)
         self._has_lead = LEAD_KEY in present
@@ -285,6 +293,7 @@
 
     def _apply(self, key: str, value: bytes | None, revision: int) -> None:
         try:
+            self._changed.set()
             if key == OWNER_KEY:
                 self._apply_owner(value, revision)
             elif key == LEAD_KEY:
@@ -459,6 +468,7 @@
         self._has_lead = True
         self.confirm(sent_at)
         self._term = OwnerTerm(record.epoch, revision, revision, old)
+        self._changed.set()
         _log.info("Owner of the pools.", epoch=record.epoch, revision=revision)
         self._on_elected(self._term)
 
--- a/src/damaskdeck/coordination/pools/memberlease.py
+++ b/src/damaskdeck/coordination/pools/memberlease.py
@@ -14,7 +14,7 @@
 from damaskdeck.state.jobrecords import MEMBERS_PREFIX, MemberRecord, encode_record
 
 RETRY_DELAY = timedelta(milliseconds=100)
-# Time between two checks whether a failing store answers again.
+# Shortest time between two checks whether a failing store answers again.
 PROBE_INTERVAL = timedelta(milliseconds=150)
 
 _log = get_logger("leadership")
@@ -64,7 +64,7 @@
                     self.lease = granted.lease
                     await self._write_key()
                 else:
-                    await self._clock.sleep(RETRY_DELAY)
+                    await self._sleep_before_retry()
                 continue
             await self._clock.sleep(self._times.member_renewal)
             renewed = await self._store.renew_lease(self.lease)
@@ -80,7 +80,8 @@
         call.
         """
         while True:
-            await self._clock.sleep(PROBE_INTERVAL)
+            await self._store.wait_until_failing()
+            await self._clock.sleep(self._store.find_retry_delay(PROBE_INTERVAL))
             if self._store.is_failing and self.lease:
                 start_task(self._renew(self.lease), self._probes)
 
@@ -99,7 +100,10 @@
                 self._on_registered()
                 return
             else:
-                await self._clock.sleep(RETRY_DELAY)
+                await self._sleep_before_retry()
+
+    async def _sleep_before_retry(self) -> None:
+        await self._clock.sleep(self._store.find_retry_delay(RETRY_DELAY))
 
     async def leave(self) -> None:
         """Remove the member key, so that no peer forwards to this daemon."""
--- a/src/damaskdeck/coordination/pools/monitoredstore.py
+++ b/src/damaskdeck/coordination/pools/monitoredstore.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import TypeVar
 
-from damaskdeck.clock import Clock
+from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.pools.revisions import RevisionTimes
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.ports import (
@@ -39,6 +39,14 @@
 # The timeout of a conditional read is doubled after each lost reply, at most this
 # often.
 MAX_DOUBLINGS = 3
+# While the store is failing, a watch waits this long for its return before it is sent.
+# Shorter calls notice the return, and a watch sent earlier would be abandoned then.
+OUTAGE_WATCH_DELAY = timedelta(seconds=1)
+# While the store is failing, calls are repeated after this share of the outage, within
+# bounds. So the return after a long outage is noticed late by a fiftieth of it, and
+# after one of up to 7 s as soon as ever.
+RETRY_SHARE = 0.02
+MAX_RETRY_DELAY = timedelta(milliseconds=500)
 # The silence that is reported for a store that has never replied.
 MAX_SILENCE_SECONDS = 1e6
 # The weight of the last commit in the usual reply time.
@@ -69,6 +77,7 @@
         self._lost_reads = 0
         self._answered_at = float("-inf")
         self.write_times = RevisionTimes()
+        self._is_failing = asyncio.Event()
         # Set, and replaced, when the store answers again.
         self._recovered = asyncio.Event()
 
@@ -88,6 +97,17 @@
         """Whether the last calls were lost or rejected."""
         return self._failing_since is not None
 
+    async def wait_until_failing(self) -> None:
+        """Wait until the last calls were lost or rejected."""
+        await self._is_failing.wait()
+
+    def find_retry_delay(self, shortest: timedelta) -> timedelta:
+        """Return how long to wait before a failed call is repeated.
+
+        :param shortest: the delay while the outage is short.
+        """
+        return max(shortest, min(self.measure_outage() * RETRY_SHARE, MAX_RETRY_DELAY))
+
     def measure_outage(self) -> timedelta:
         """Return how long the store has been failing."""
         if self._failing_since is None:
@@ -127,6 +147,7 @@
         if self._failing_since is not None:
             _log.info("The store answers again.", away=str(self.measure_outage()))
             self._failing_since = None
+            self._is_failing.clear()
             self._recovered.set()
             self._recovered = asyncio.Event()
 
@@ -134,6 +155,7 @@
         self._failures += 1
         if self._failures >= OUTAGE_FAILURES and self._failing_since is None:
             self._failing_since = self._now()
+            self._is_failing.set()
             _log.warn("The store does not answer.", reason=answer.code)
 
     async def read(self, key: str) -> Found | Missing | Rejected | Lost:
@@ -185,8 +207,13 @@
         """Return the changes after ``revision``.
 
         A watch that was sent before or during an outage may never be answered, so it is
-        abandoned as soon as the store answers another call.
+        abandoned as soon as the store answers another call. During an outage it is sent
+        only after a delay in which the store has not returned.
         """
+        if self.is_failing and await wait_for_event(
+            self._recovered, OUTAGE_WATCH_DELAY, self._clock
+        ):
+            return Lost("outage_over")
         sent_at = self._now()
         call = asyncio.ensure_future(
             self._store.watch(prefix, revision, wait, max_reply_bytes)
--- a/src/damaskdeck/coordination/pools/ownermonitor.py
+++ b/src/damaskdeck/coordination/pools/ownermonitor.py
@@ -93,10 +93,13 @@
                 await self._clock.sleep(HEARTBEAT_INTERVAL)
                 owner = self._leadership.owner
                 if owner is None or owner.is_released or self._leadership.term:
+                    await self._leadership.wait_for_change()
                     continue
                 self._follow(owner.epoch)
                 if self._is_monitor(owner.instance):
                     await self._check_owner(owner)
+                else:
+                    await self._leadership.wait_for_change()
         finally:
             for heartbeat in self._heartbeats:
                 heartbeat.cancel()
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -266,6 +266,7 @@
     async def _hand_over_when_store_unavailable(self) -> None:
         """Hand over to a daemon that can reach the store once this one can't."""
         while True:
+            await self._store.wait_until_failing()
             await self._clock.sleep(STORE_CHECK_INTERVAL)
             owner = self._owner
             is_store_unavailable = (
@@ -338,7 +339,9 @@
             asyncio.ensure_future(self.leadership.run()),
             asyncio.ensure_future(self.declarations.run()),
             asyncio.ensure_future(self.owner_monitor.run()),
-            asyncio.ensure_future(self._loop_delay.run(self._clock)),
+            asyncio.ensure_future(
+                self._loop_delay.run(self._clock, lambda: self._owner is not None)
+            ),
             asyncio.ensure_future(self._watch_settings()),
             asyncio.ensure_future(self._hand_over_to_stronger_member()),
             asyncio.ensure_future(self._hand_over_when_store_unavailable()),
--- a/tests/test_delays.py
+++ b/tests/test_delays.py
@@ -9,7 +9,13 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.delays import MAX_DELAY, MEASUREMENT_INTERVAL, LoopDelay
+from damaskdeck.clock import MIN_ALIGNED_SLEEP_SECONDS
+from damaskdeck.delays import (
+    IDLE_MEASUREMENT_INTERVAL,
+    MAX_DELAY,
+    MEASUREMENT_INTERVAL,
+    LoopDelay,
+)
 from damaskdeck.platform import PlatformClient, PlatformWorkers
 from damaskdeck.protocol.pools import PoolWorker, TaskStart
 from damaskdeck.protocol.ports import Lost
@@ -39,6 +45,54 @@
         self.assertEqual(delay.seconds, MAX_DELAY.total_seconds())
 
 
+class TestInterval(unittest.IsolatedAsyncioTestCase):
+    """How often the delay is measured."""
+
+    def test_a_delay_decays_as_fast_at_longer_intervals(self):
+        often, seldom = LoopDelay(), LoopDelay()
+        for delay, interval in (
+            (often, MEASUREMENT_INTERVAL),
+            (seldom, IDLE_MEASUREMENT_INTERVAL),
+        ):
+            delay.record_lateness(LATE)
+            for _ in range(round(3 * SECOND / interval)):
+                delay.record_lateness(timedelta(), interval)
+        self.assertAlmostEqual(often.seconds, seldom.seconds)
+
+    async def test_a_delay_that_nothing_uses_is_measured_less_often(self):
+        # Each measurement wakes the process, twenty times a second on every daemon.
+        for is_used, expected in (
+            (True, MEASUREMENT_INTERVAL),
+            (False, IDLE_MEASUREMENT_INTERVAL),
+        ):
+            clock = _RecordingClock()
+            with self.assertRaises(asyncio.CancelledError):
+                await LoopDelay().run(clock, lambda is_used=is_used: is_used)
+            self.assertEqual(clock.sleeps, [expected] * 3)
+
+    def test_idle_measurements_are_not_aligned(self):
+        # The extension to the grid would count as lateness.
+        seconds = IDLE_MEASUREMENT_INTERVAL.total_seconds()
+        self.assertLess(seconds, MIN_ALIGNED_SLEEP_SECONDS)
+
+
+class _RecordingClock:
+    """Records three sleeps and then ends the loop that sleeps."""
+
+    def __init__(self) -> None:
+        self.sleeps: list[timedelta] = []
+
+    def monotonic(self) -> timedelta:
+        """Return the time slept."""
+        return sum(self.sleeps, timedelta())
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Record a sleep."""
+        if len(self.sleeps) == 3:
+            raise asyncio.CancelledError
+        self.sleeps.append(duration)
+
+
 class TestOrders(unittest.IsolatedAsyncioTestCase):
     """Answers to orders."""
 
--- a/tests/test_pools_overload.py
+++ b/tests/test_pools_overload.py
@@ -18,6 +18,7 @@
     MIN_SILENCE,
     OwnerLiveness,
 )
+from damaskdeck.coordination.pools.ownermonitor import MONITOR_COUNT
 from damaskdeck.protocol.poolmessages import CountWaitingJobs
 from damaskdeck.protocol.queues import QueueJobState
 from standins.clock import ManualClock
@@ -103,6 +104,24 @@
         await asyncio.sleep(1)
         self.end()
 
+    @virtual
+    async def test_other_daemons_monitor_the_owner_once_its_monitors_are_gone(self):
+        # Daemons that don't monitor the owner sleep until a member changes.
+        cluster = await self.begin(daemons=8, workers=2)
+        await cluster.run_first_job()
+        owner = cluster.find_owner()
+        others = [d for d in cluster.daemons.values() if d is not owner]
+        idle = [d for d in others if not d.monitor._liveness._round_trips.answers]
+        self.assertEqual(len(idle), len(others) - MONITOR_COUNT)
+        for daemon in others:
+            if daemon not in idle:
+                daemon.kill()
+        # The lease of their member keys, and a few heartbeats.
+        await asyncio.sleep(cluster.times.member_ttl.total_seconds() + 0.5)
+        for daemon in idle:
+            self.assertTrue(daemon.monitor._liveness._round_trips.answers, daemon.name)
+        self.end()
+
     @virtual
     async def test_consulting_witnesses_costs_no_more_in_a_large_deployment(self):
         cluster = await self.begin(daemons=48, workers=2)
--- a/tests/test_pools_store.py
+++ b/tests/test_pools_store.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 from damaskdeck.coordination.pools.monitoredstore import (
+    MAX_RETRY_DELAY,
     MAX_TIMEOUT,
     MIN_TIMEOUT,
     MonitoredStore,
@@ -36,6 +37,7 @@
         self.delay = 4 * MILLISECOND
         self.is_silent = False
         self.limits: list[timedelta] = []
+        self.watches = 0
 
     async def commit(self, transaction: Transaction, timeout=None, longest=None):
         """Commit after the delay."""
@@ -48,6 +50,7 @@
 
     async def watch(self, prefix: str, revision: int, wait: timedelta, longest=None):
         """Wait; a watch that was sent while the store is silent is never answered."""
+        self.watches += 1
         if self.is_silent:
             await self.clock.sleep(timedelta(minutes=1))
         await self.clock.sleep(wait)
@@ -116,6 +119,42 @@
         self.assertLess(self.clock.monotonic() - started, 50 * MILLISECOND)
         self.assertFalse(self.store.is_failing)
 
+    @virtual
+    async def test_watches_wait_for_the_return_of_a_refusing_store(self):
+        # Each loop that watches used to send ten watches a second in vain.
+        for _ in range(2):
+            await self.store.read("a")
+        watch = asyncio.ensure_future(self.store.watch("a", 1, SECOND))
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.scripted.watches, 0)
+        await self.store.commit(Transaction())
+        self.assertEqual(await watch, Lost("outage_over"))
+        self.assertEqual(self.scripted.watches, 0)
+
+    @virtual
+    async def test_a_watch_is_sent_if_nothing_else_notices_the_return(self):
+        # A daemon without a lease sends no renewals that would notice it.
+        for _ in range(2):
+            await self.store.read("a")
+        self.assertIsInstance(await self.store.watch("a", 1, SECOND), Events)
+        self.assertFalse(self.store.is_failing)
+
+    @virtual
+    async def test_calls_are_repeated_less_often_in_a_longer_outage(self):
+        shortest = 100 * MILLISECOND
+        self.assertEqual(self.store.find_retry_delay(shortest), shortest)
+        for _ in range(2):
+            await self.store.read("a")
+        self.assertEqual(self.store.find_retry_delay(shortest), shortest)
+        await asyncio.sleep(4)
+        self.assertEqual(self.store.find_retry_delay(shortest), shortest)
+        await asyncio.sleep(6)
+        self.assertEqual(self.store.find_retry_delay(shortest), 2 * shortest)
+        await asyncio.sleep(600)
+        self.assertEqual(self.store.find_retry_delay(shortest), MAX_RETRY_DELAY)
+        await self.store.commit(Transaction())
+        self.assertEqual(self.store.find_retry_delay(shortest), shortest)
+
     @virtual
     async def test_rejections_in_a_row_are_an_outage(self):
         await self.store.read("a")
@@ -145,6 +184,38 @@
         self.end()
 
 
+class TestRefusal(PoolCase):
+    """A store that refuses every call for a while."""
+
+    @virtual
+    async def test_daemons_send_few_calls_while_it_refuses(self):
+        # Every daemon used to send 30 calls a second in vain.
+        cluster = await self.begin(workers=2)
+        await cluster.run_first_job()
+        counts = {name: 0 for name in cluster.daemons}
+        for name, daemon in cluster.daemons.items():
+            daemon.store.faults.outage = True
+            refuse = daemon.store._apply_faults
+
+            async def count(operation: str, name=name, refuse=refuse):
+                counts[name] += 1
+                return await refuse(operation)
+
+            daemon.store._apply_faults = count
+        await asyncio.sleep(5)
+        # The stand-in of the owner's registry watches the store without a monitor.
+        owner = cluster.find_owner()
+        for name, count in counts.items():
+            if name != owner.name:
+                self.assertLess(count / 5, 20, name)
+        for daemon in cluster.daemons.values():
+            daemon.store.faults.outage = False
+        await asyncio.sleep(0.2)
+        await cluster.submit("j1", make_job())
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=3)
+        self.end()
+
+
 class TestSlowStore(PoolCase):
     """A store that is sixty times slower than usual."""
 
