--- a/src/damaskdeck/transport/api/server.py
+++ b/src/damaskdeck/transport/api/server.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
+from uvicorn.protocols.http.auto import AutoHTTPProtocol
 
 from damaskdeck import defaults
 from damaskdeck.transport.listeners import format_address, open_listener
@@ -67,6 +68,9 @@
         self._listeners = listeners
         config = uvicorn.Config(
             app,
+            # Imported with this module, before garbage collection is enabled.
+            http=AutoHTTPProtocol,
+            ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
