--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -16,9 +16,11 @@
 if TYPE_CHECKING:
     from opentelemetry.metrics import CallbackOptions, Meter, Observation
 
-# The values of histograms that are kept before the meter is connected. They take some
-# 0.3 MB, and passing them on takes some 10 ms.
+# How many values a histogram keeps before it requests the meter, and again each time
+# that as many have been added.
 MAX_PENDING_VALUES = 2000
+# How many values a histogram keeps if the meter can't be loaded; more are dropped.
+MAX_KEPT_VALUES = 10 * MAX_PENDING_VALUES
 
 
 class _Values:
@@ -53,9 +55,10 @@
         self._pending: list[tuple[float, dict[str, str]]] = []
 
     def _keep(self, value: float, labels: dict[str, str]) -> None:
-        self._pending.append((value, labels))
-        if len(self._pending) == MAX_PENDING_VALUES:
-            _request_meter()
+        if len(self._pending) < MAX_KEPT_VALUES:
+            self._pending.append((value, labels))
+            if len(self._pending) % MAX_PENDING_VALUES == 0:
+                _request_meter()
 
     def connect(self, meter: "Meter") -> None:
         """Pass on the values that were kept, and all further ones at once."""
--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -100,7 +100,7 @@
         """
         now = asyncio.get_running_loop().time()
         limits = _Limits(
-            now + (first_byte_timeout or timeout).total_seconds(),
+            now + min(first_byte_timeout or timeout, timeout).total_seconds(),
             now + timeout.total_seconds(),
             None if read_timeout is None else read_timeout.total_seconds(),
         )
--- a/tests/test_exporter.py
+++ b/tests/test_exporter.py
@@ -69,6 +69,20 @@
     del sys.modules["prometheus_client"]
     print((await exporter.read()).decode())
 
+asyncio.run(run())
+"""
+)
+WITHOUT_EXPORTER = (
+    RECORD
+    + """
+async def run():
+    sys.modules["prometheus_client"] = None
+    exporter = DeferredExporter()
+    for number in range(2 * metrics.MAX_KEPT_VALUES):
+        metrics.observe_latency("desk", "submit", 0.5)
+    print(len(metrics._latencies._pending) == metrics.MAX_KEPT_VALUES)
+    print(await exporter.read())
+
 asyncio.run(run())
 """
 )
@@ -147,6 +161,11 @@
         name = 'damaskdeck_latency_seconds_count{part="desk",step="submit"}'
         self.assertEqual(parse(text)[name], 2005)
 
+    def test_values_are_limited_while_the_exporter_cannot_be_loaded(self):
+        # They would fill the memory of a daemon that serves callers well otherwise.
+        found = run_script(WITHOUT_EXPORTER).split()
+        self.assertEqual((found[0], found[-1]), ("True", "None"))
+
     def test_daemon_of_the_pools_does_not_import_deferred_libraries(self):
         # Each of them costs processor time in which the daemon isn't ready.
         self.assertEqual(run_script(LIST_LOADED, *DEFERRED_LIBRARIES).split(), [])
