--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -1,35 +1,29 @@
 """The HTTP client for all services of the platform."""
 
 import asyncio
+import socket
 from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+import aiohttp
 import msgspec
 
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
-from damaskdeck.platform.connections import (
-    BrokenReplyError,
-    Connection,
-    Head,
-    build_request,
-    connect,
-)
 from damaskdeck.protocol.ports import Lost, Rejected
 
+# The kernel closes a connection whose peer acknowledges nothing for this long.
+UNACKNOWLEDGED_TIMEOUT_MS = 2500
 CONNECT_TIMEOUT = timedelta(milliseconds=700)
 # Shorter than the platform's own timeout for idle connections.
 KEEPALIVE_SECONDS = 10.0
-# Expired connections are closed together, so that hundreds of them need few wake-ups.
-MIN_SWEEP_SHARE = 0.25
 BUSY_STATUSES = frozenset({429, 503})
-# Repeating a call with one of these methods has no further effect.
-_REPEATABLE_METHODS = frozenset({"GET"})
 MILLISECOND = timedelta(milliseconds=1)
 
 _encoder = msgspec.json.Encoder()
 _HEADERS = {"Content-Type": "application/json"}
+_SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 _log = get_logger("platform")
 
@@ -51,28 +45,12 @@
     size: int
 
 
-class _Limits(NamedTuple):
-    """When a call has failed, in seconds of the event loop's clock.
-
-    :param head: deadline for the head of the response.
-    :param end: deadline for the whole call.
-    :param silence: seconds without any data after which the call has failed.
-    """
-
-    head: float
-    end: float
-    silence: float | None
-
-
 class PlatformClient:
     """Calls the platform over HTTP/1.1 with JSON bodies."""
 
     def __init__(self) -> None:
-        # By address and keep-alive time in seconds, the latest used last.
-        self._idle: dict[tuple[str, float], list[Connection]] = {}
-        # By keep-alive time.
-        self._sweeps: dict[float, asyncio.TimerHandle] = {}
-        self._is_closed = False
+        # One session for each keep-alive time, in seconds.
+        self._sessions: dict[float, aiohttp.ClientSession] = {}
 
     async def call(
         self,
@@ -98,157 +76,89 @@
         :param max_reply_bytes: bodies longer than this are not read.
         :param first_byte_timeout: limit on the time until the response begins.
         """
-        now = asyncio.get_running_loop().time()
-        limits = _Limits(
-            now + min(first_byte_timeout or timeout, timeout).total_seconds(),
-            now + timeout.total_seconds(),
-            None if read_timeout is None else read_timeout.total_seconds(),
-        )
         data = None if body is None else _encoder.encode(body)
-        key = (address, keepalive_seconds)
+        seconds = timeout.total_seconds()
+        limits = aiohttp.ClientTimeout(
+            total=seconds,
+            sock_connect=min(seconds, CONNECT_TIMEOUT.total_seconds()),
+            sock_read=read_timeout.total_seconds()
+            if read_timeout is not None
+            else None,
+        )
+        session = self._get_session(keepalive_seconds)
+        request = session.request(
+            method,
+            f"http://{address}{path}",
+            data=data,
+            headers={**_HEADERS, **(headers or {})},
+            timeout=limits,
+            skip_auto_headers=_SKIPPED_HEADERS,
+        )
         try:
-            request = build_request(
-                method, address, path, {**_HEADERS, **(headers or {})}, data
-            )
-            while (connection := self._take_idle(key)) is not None:
-                try:
-                    return await self._exchange(
-                        connection, key, path, request, limits, max_reply_bytes
-                    )
-                except (OSError, BrokenReplyError) as error:
-                    # The service may close an idle connection at any time.
-                    is_unanswered = not connection.has_received
-                    is_repeatable = method in _REPEATABLE_METHODS and is_unanswered
-                    if isinstance(error, TimeoutError) or not is_repeatable:
-                        raise
-            opened = await _connect(address, limits)
-            if isinstance(opened, Rejected):
-                return opened
-            return await self._exchange(
-                opened, key, path, request, limits, max_reply_bytes
-            )
+            async with asyncio.timeout((first_byte_timeout or timeout).total_seconds()):
+                pending_response = await request
+            async with pending_response as response:
+                size = response.content_length or 0
+                if max_reply_bytes is not None and size > max_reply_bytes:
+                    # Close the connection, or the rest would still be transferred.
+                    response.close()
+                    return OversizedReply(response.status, size)
+                reply = Reply(response.status, await _read_body(response))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Rejected("unreachable", str(error))
         except TimeoutError:
             return Lost("timeout")
-        except (BrokenReplyError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return Lost("broken_channel", repr(error))
-
-    async def _exchange(
-        self,
-        connection: Connection,
-        key: tuple[str, float],
-        path: str,
-        request: bytes,
-        limits: _Limits,
-        max_reply_bytes: int | None,
-    ) -> Reply | OversizedReply | Rejected:
-        """Send a request and read its response.
-
-        The connection is closed unless the response has been read.
-        """
-        is_reusable = False
-        try:
-            connection.send(request)
-            head = await connection.read_head(limits.head, limits.silence)
-            size = head.size or 0
-            if max_reply_bytes is not None and size > max_reply_bytes:
-                return OversizedReply(head.status, size)
-            body = await _read_body(connection, head, path, limits)
-            is_reusable = head.is_persistent
-        finally:
-            if is_reusable:
-                self._keep(key, connection)
-            else:
-                connection.close()
-        if head.status in BUSY_STATUSES:
-            return Rejected("busy", str(head.status))
-        return Reply(head.status, body)
-
-    def _take_idle(self, key: tuple[str, float]) -> Connection | None:
-        now = asyncio.get_running_loop().time()
-        idle = self._idle.get(key, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable and now - connection.idle_since < key[1]:
-                return connection
-            connection.close()
-        return None
-
-    def _keep(self, key: tuple[str, float], connection: Connection) -> None:
-        if self._is_closed or not connection.is_usable:
-            connection.close()
-            return
-        loop = asyncio.get_running_loop()
-        connection.idle_since = loop.time()
-        self._idle.setdefault(key, []).append(connection)
-        if key[1] not in self._sweeps:
-            self._sweeps[key[1]] = loop.call_later(key[1], self._close_expired, key[1])
-
-    def _close_expired(self, keepalive_seconds: float) -> None:
-        """Close the connections that have been idle for this keep-alive time."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        del self._sweeps[keepalive_seconds]
-        oldest = now
-        for key in [key for key in self._idle if key[1] == keepalive_seconds]:
-            kept = []
-            for connection in self._idle[key]:
-                is_expired = now - connection.idle_since >= keepalive_seconds
-                if is_expired or not connection.is_usable:
-                    connection.close()
-                else:
-                    kept.append(connection)
-                    oldest = min(oldest, connection.idle_since)
-            if kept:
-                self._idle[key] = kept
-            else:
-                del self._idle[key]
-        if any(key[1] == keepalive_seconds for key in self._idle):
-            due_in = oldest + keepalive_seconds - now
-            self._sweeps[keepalive_seconds] = loop.call_later(
-                max(due_in, keepalive_seconds * MIN_SWEEP_SHARE),
-                self._close_expired,
-                keepalive_seconds,
+        if reply.status in BUSY_STATUSES:
+            return Rejected("busy", str(reply.status))
+        return reply
+
+    def _get_session(self, keepalive_seconds: float) -> aiohttp.ClientSession:
+        if keepalive_seconds not in self._sessions:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=keepalive_seconds,
+                socket_factory=_open_socket,
+                use_dns_cache=False,
             )
+            self._sessions[keepalive_seconds] = aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
+        return self._sessions[keepalive_seconds]
 
     async def close(self) -> None:
         """Close all connections."""
-        self._is_closed = True
-        for sweep in self._sweeps.values():
-            sweep.cancel()
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.close()
-        self._idle.clear()
-
-
-async def _connect(address: str, limits: _Limits) -> Connection | Rejected:
-    """Open a connection; nothing has been sent if that fails."""
-    remaining = limits.head - asyncio.get_running_loop().time()
-    try:
-        async with asyncio.timeout(min(remaining, CONNECT_TIMEOUT.total_seconds())):
-            return await connect(address)
-    except OSError as error:
-        return Rejected("unreachable", str(error) or "timeout")
+        for session in self._sessions.values():
+            await session.close()
 
 
-async def _read_body(
-    connection: Connection, head: Head, path: str, limits: _Limits
-) -> bytes:
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     """Read a response's body; log and count a timeout in the middle of it."""
     try:
-        return await connection.read_body(head, limits.end, limits.silence)
+        return await response.read()
     except TimeoutError:
         count_drop("platform", "answer_cut_short")
         _log.warn(
             "Timed out while reading a response body.",
-            path=path.partition("?")[0],
-            status=head.status,
-            read=connection.read_bytes,
-            size=head.size,
+            path=response.url.path,
+            status=response.status,
+            read=response.content.total_bytes,
+            size=response.content_length,
         )
         raise
 
 
+def _open_socket(info: Any) -> socket.socket:
+    family, kind, proto, *_ = info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
+    return sock
+
+
 def to_milliseconds(duration: timedelta) -> int:
     """Return a duration in whole milliseconds, as in the wire format."""
     return round(duration / MILLISECOND)
--- a/tests/test_exporter.py
+++ b/tests/test_exporter.py
@@ -7,7 +7,6 @@
 
 # Imported by nothing that a daemon needs until it is ready.
 DEFERRED_LIBRARIES = (
-    "aiohttp",
     "opentelemetry",
     "prometheus_client",
     "psutil",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
 import unittest
 from datetime import timedelta
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
@@ -23,6 +24,7 @@
     PlatformStore,
     PlatformWorkers,
 )
+from damaskdeck.platform.client import _read_body
 from damaskdeck.platform.jobs import parse_job
 from damaskdeck.platform.nodes import parse_node_settings
 from damaskdeck.platform.tasks import format_task, parse_task
@@ -92,6 +94,33 @@
         return Work(timedelta(minutes=5))
 
 
+class _StalledResponse:
+    """A response whose body stops arriving until the read times out."""
+
+    url = SimpleNamespace(path="/kv-key")
+    status = 200
+    content_length = 9000
+    content = SimpleNamespace(total_bytes=70)
+
+    async def read(self) -> bytes:
+        """Raise the timeout."""
+        raise TimeoutError
+
+
+class TestClient(unittest.IsolatedAsyncioTestCase):
+    """The HTTP client for all services of the platform."""
+
+    async def test_timeout_while_reading_a_body_is_logged(self):
+        with TestHandler() as handler, self.assertRaises(TimeoutError):
+            await _read_body(_StalledResponse())
+        (record,) = handler.records
+        self.assertEqual(record.message, "Timed out while reading a response body.")
+        self.assertEqual(
+            (record.extra["path"], record.extra["read"], record.extra["size"]),
+            ("/kv-key", 70, 9000),
+        )
+
+
 class TestStore(WireCase):
     """The adapter to the metadata store."""
 
