--- a/src/damaskdeck/coordination/pools/speeds/model.py
+++ b/src/damaskdeck/coordination/pools/speeds/model.py
@@ -60,6 +60,8 @@
         self._uneven = UnevenPools()
         self._evidence: dict[str, SpeedEvidence] = {}
         self._workers: dict[str, PoolWorker] = {}
+        # The estimates of the workers of uneven pools, as of the last update.
+        self._usual: dict[str, SpeedEstimate] = {}
         self._samples: dict[Step, StepSamples] = {}
         # The bias of the estimates of each queue against the duration of its steps on a
         # nominal worker. Unlike the detector's, it has no part of the workers' speeds.
@@ -107,6 +109,11 @@
             elif samples.is_ready:
                 self._learn(samples)
         self._update_spreads()
+        self._usual = {
+            identifier: self.estimate(identifier)
+            for identifier, worker in self._workers.items()
+            if self.is_uneven(worker.pool)
+        }
         self.slow_workers.update(contacts.values(), now)
 
     def _update_workers(self, contacts: Mapping[str, WorkerContact]) -> None:
@@ -213,8 +220,7 @@
         return self._uneven.is_uneven(pool)
 
     def _is_uneven_worker(self, worker: str) -> bool:
-        info = self._workers.get(worker)
-        return info is not None and self.is_uneven(info.pool)
+        return worker in self._usual
 
     def estimate(self, worker: str, pool: str = "") -> SpeedEstimate:
         """Return the speed of a worker, the mean of its pool if it isn't measured.
@@ -226,7 +232,7 @@
         return spread.estimate(self._evidence.get(worker, SpeedEvidence()))
 
     def _find_usual_speed(self, worker: str) -> SpeedEstimate:
-        return self.estimate(worker) if self._is_uneven_worker(worker) else _EVEN
+        return self._usual.get(worker, _EVEN)
 
     def rank(self, worker: str) -> int:
         """Return -1 for a fast worker, 1 for a slow one and 0 for all others."""
--- a/src/damaskdeck/coordination/pools/speeds/samples.py
+++ b/src/damaskdeck/coordination/pools/speeds/samples.py
@@ -30,6 +30,9 @@
 REPORT_SECONDS = 0.06
 # The reported duration is not reduced below this share of itself.
 MIN_WORK_SHARE = 0.5
+# A sample counts as off by this many standard errors at most: a worker may have stood
+# still for a while, which says nothing about its usual speed.
+OUTLIER_ERRORS = 2.5
 
 
 class LogLevel(NamedTuple):
@@ -89,11 +92,10 @@
         is_restored = bool(run.task.checkpoint) and not self.step.spec.is_gang
         if run.first_percent is None or is_restored or not self.needs(run):
             return
-        gain, seconds = (
-            run.percent - run.first_percent,
-            run.progressed_at - run.first_at,
-        )
-        if gain >= MIN_GAIN_PERCENT and seconds > 0 and _is_within_work(run):
+        gain = run.percent - run.first_percent
+        seconds = run.progressed_at - run.first_at
+        is_working = run.percent < MAX_PROGRESS_PERCENT
+        if gain >= MIN_GAIN_PERCENT and seconds > 0 and is_working:
             self._add(run, math.log(100 * seconds / gain))
 
     def record_completion(self, run: Run, now: float) -> None:
@@ -129,29 +131,26 @@
             _WorkerSample(worker, sum(logs) / len(logs), variance / len(logs))
             for worker, logs in self._samples.items()
         ]
-        suggested = []
-        for sample in samples:
-            speed = spread.estimate(evidence.get(sample.worker, SpeedEvidence()))
-            suggested.append(
-                LogLevel(
-                    sample.log_duration + speed.mean,
-                    sample.variance + speed.error**2,
-                )
-            )
+        speeds = [
+            spread.estimate(evidence.get(sample.worker, SpeedEvidence()))
+            for sample in samples
+        ]
+        suggested = [
+            LogLevel(sample.log_duration + speed.mean, sample.variance + speed.error**2)
+            for sample, speed in zip(samples, speeds, strict=True)
+        ]
         precision = 1 / prior.variance + sum(1 / each.variance for each in suggested)
         total = prior.mean / prior.variance + sum(
             each.mean / each.variance for each in suggested
         )
-        for sample, own in zip(samples, suggested, strict=True):
+        for sample, speed, own in zip(samples, speeds, suggested, strict=True):
             others = precision - 1 / own.variance
             mean = (total - own.mean / own.variance) / others
-            evidence[sample.worker] = evidence.get(sample.worker, SpeedEvidence()).add(
-                mean - sample.log_duration, sample.variance + 1 / others
-            )
+            variance = sample.variance + 1 / others
+            limit = OUTLIER_ERRORS * math.sqrt(variance + speed.error**2)
+            difference = mean - sample.log_duration - speed.mean
+            observed = speed.mean + max(-limit, min(limit, difference))
+            known = evidence.get(sample.worker, SpeedEvidence())
+            evidence[sample.worker] = known.add(observed, variance)
         without_prior = total - prior.mean / prior.variance
         return without_prior / (precision - 1 / prior.variance)
-
-
-def _is_within_work(run: Run) -> bool:
-    """Whether the latest report was made while the run was still working."""
-    return run.percent < MAX_PROGRESS_PERCENT
--- a/src/damaskdeck/coordination/pools/speeds/slowness.py
+++ b/src/damaskdeck/coordination/pools/speeds/slowness.py
@@ -111,7 +111,7 @@
         """Update the speeds of all workers from the rates of their runs."""
         self._slow_until = {n: t for n, t in self._slow_until.items() if t > now}
         all_contacts = list(contacts)
-        self._rates = _collect_rates(all_contacts)
+        self._rates = self._collect_rates(all_contacts)
         measured = [
             (c, measurement) for c in all_contacts if (measurement := self._measure(c))
         ]
@@ -164,13 +164,10 @@
             return run.best_rate, OWN_VARIANCE
         usual = self._find_usual_speed(run.worker)
         samples = self._rates.get(run.task.step, ())
-        others = [
-            rate * math.exp(usual.mean - self._find_usual_speed(name).mean)
-            for name, rate in samples
-            if name != run.worker
-        ]
+        others = [rate for name, rate in samples if name != run.worker]
         if len(others) >= MIN_SIBLINGS:
-            return median(others), SIBLING_VARIANCE + usual.error**2
+            rate = median(others) * math.exp(usual.mean)
+            return rate, SIBLING_VARIANCE + usual.error**2
         estimate = run.task.step.spec.estimate.total_seconds()
         bias = self._biases.get(run.task.step.job.queue.name, EstimateBias())
         if not estimate or bias.runs < MIN_BIAS_RUNS:
@@ -186,15 +183,21 @@
         rate, _ = self.estimate_rate(run)
         return rate * min(1.0, math.exp(-self._find_usual_speed(run.worker).mean))
 
+    def _collect_rates(
+        self, contacts: Iterable[WorkerContact]
+    ) -> dict[Step, list[_RateSample]]:
+        """Return the rates of each step's runs on nominal workers, with their workers.
 
-def _collect_rates(contacts: Iterable[WorkerContact]) -> dict[Step, list[_RateSample]]:
-    """Return the rates of the runs of each step, with their workers."""
-    rates: dict[Step, list[_RateSample]] = {}
-    for contact in contacts:
-        for run in contact.runs.values():
-            if run.progress_rate is not None:
-                samples = rates.setdefault(run.task.step, [])
-                samples.append(
-                    (run.worker, run.progress_rate.gained / run.progress_rate.seconds)
-                )
-    return rates
+        In an even pool these are the rates on the workers themselves.
+        """
+        rates: dict[Step, list[_RateSample]] = {}
+        for contact in contacts:
+            if not contact.runs:
+                continue
+            usual = self._find_usual_speed(contact.info.identifier)
+            for run in contact.runs.values():
+                if run.progress_rate is not None:
+                    rate = run.progress_rate.gained / run.progress_rate.seconds
+                    samples = rates.setdefault(run.task.step, [])
+                    samples.append((run.worker, rate * usual.duration_factor))
+        return rates
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -152,6 +152,16 @@
         self.assertFalse(even.is_uneven("hub"))
         self.assertIsNone(even.expect(make_step(1), "hub", 1.0, 0.0))
 
+    def test_a_run_that_stood_still_does_not_outweigh_earlier_ones(self):
+        self.run_single_tasks(200)
+        before = self.speeds.estimate("w1").mean
+        step = make_step(1, 2)
+        for task, duration in zip(step.tasks, (30.0, 0.7), strict=True):
+            run = Run(task, f"w{task.name.index + 1}", 1, 0.0)
+            self.speeds.record_completion(run, duration)
+        self.speeds.update(self.contacts, 3.0)
+        self.assertLess(abs(self.speeds.estimate("w1").mean - before), 0.15)
+
     def test_long_running_tasks_prefer_slow_workers(self):
         self.run_single_tasks(60)
         step = make_step(1, 1, is_long_running=True)
