--- a/src/damaskdeck/platform/advisor.py
+++ b/src/damaskdeck/platform/advisor.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from damaskdeck.platform.client import PlatformClient, Reply, decode_body
-from damaskdeck.protocol.pools import Advice, Consent
+from damaskdeck.protocol.pools import Advice, Consent, WorkerIncarnation
 from damaskdeck.protocol.ports import Lost, Rejected
 
 
@@ -37,7 +37,9 @@
         """Return which of ``workers`` may run a step, according to the advisor."""
         if not self._address:
             return Rejected("no_advisor")
-        body = {"step": step, "workers": workers}
+        # The advisor knows workers by their names, without births.
+        identifiers = {WorkerIncarnation.parse(w).name: w for w in workers}
+        body = {"step": step, "workers": tuple(identifiers)}
         reply = await self._client.call("POST", self._address, "/advise", timeout, body)
         if not isinstance(reply, Reply):
             return reply
@@ -46,4 +48,9 @@
         response = decode_body(reply, _advice_decoder)
         if isinstance(response, Lost):
             return response
-        return Advice(tuple(Consent(*row) for row in response["good"]))
+        return Advice(
+            tuple(
+                Consent(identifiers.get(name, name), ticket)
+                for name, ticket in response["good"]
+            )
+        )
--- a/src/damaskdeck/platform/fields.py
+++ b/src/damaskdeck/platform/fields.py
@@ -20,6 +20,8 @@
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 # Time on a worker's own clock, or since 1970.
 TimestampMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIMESTAMP_MS)]
+# Start of a process, which identifies it among those of the same name.
+BirthMs = Annotated[int, msgspec.Meta(gt=0, le=MAX_TIMESTAMP_MS)]
 # A multiplier, such as how many times its estimate a step may take.
 Factor = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
--- a/src/damaskdeck/platform/registry.py
+++ b/src/damaskdeck/platform/registry.py
@@ -9,6 +9,7 @@
 from damaskdeck.errors import DECODE_ERRORS, MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.platform.fields import (
+    BirthMs,
     DurationMs,
     Name,
     ResourceAmounts,
@@ -21,6 +22,7 @@
     RegisteredWorkers,
     RegistryChange,
     RegistryChanges,
+    WorkerIncarnation,
 )
 from damaskdeck.protocol.ports import (
     Events,
@@ -47,6 +49,7 @@
     capacity: NotRequired[ResourceAmounts]
     labels: NotRequired[list[str]]
     remaining_ms: NotRequired[DurationMs | None]
+    born: NotRequired[BirthMs]
 
 
 _registration_decoder = msgspec.json.Decoder(_Registration)
@@ -91,18 +94,18 @@
         self, key: str, value: bytes | None, revision: int
     ) -> RegistryChange:
         """Return the change for an entry; its worker is ``None`` if it is unusable."""
-        identifier = key.removeprefix(_WORKERS_PREFIX)
+        name = key.removeprefix(_WORKERS_PREFIX)
         if value is None:
             self._reported_revisions.pop(key, None)
-            return RegistryChange(identifier, None)
+            return RegistryChange(name, None)
         try:
-            worker = _build_worker(identifier, _registration_decoder.decode(value))
+            worker = _build_worker(name, _registration_decoder.decode(value))
         except (MessageError, *DECODE_ERRORS) as error:
             self._report_unusable(key, revision, str(error))
-            return RegistryChange(identifier, None)
+            return RegistryChange(name, None)
         if self._reported_revisions.pop(key, None) is not None:
             _log.info("A registration can be used again.", key=key, revision=revision)
-        return RegistryChange(identifier, worker, revision)
+        return RegistryChange(worker.identifier, worker, revision)
 
     def _report_unusable(self, key: str, revision: int, reason: str) -> None:
         """Log an unusable entry, once for each revision."""
@@ -118,12 +121,12 @@
         )
 
 
-def _build_worker(identifier: str, worker: _Registration) -> PoolWorker:
+def _build_worker(name: str, worker: _Registration) -> PoolWorker:
     """Return the worker of a registration.
 
-    :raises MessageError: if it has no identifier or no valid address.
+    :raises MessageError: if it has no name or no valid address.
     """
-    if not identifier:
+    if not name:
         raise MessageError("the key contains no worker identifier")
     if not is_callable_address(worker["address"]):
         raise MessageError(
@@ -132,7 +135,7 @@
     labels = worker.get("labels", [])
     remaining = worker.get("remaining_ms")
     return PoolWorker(
-        identifier,
+        WorkerIncarnation(name, worker.get("born")).identifier,
         worker["service"],
         worker["address"],
         worker.get("zone", ""),
--- a/src/damaskdeck/platform/workers.py
+++ b/src/damaskdeck/platform/workers.py
@@ -14,7 +14,7 @@
     decode_body,
     to_milliseconds,
 )
-from damaskdeck.platform.fields import TimestampMs, to_duration
+from damaskdeck.platform.fields import BirthMs, TimestampMs, to_duration
 from damaskdeck.platform.tasks import format_task, parse_task
 from damaskdeck.protocol.pools import (
     Declined,
@@ -27,6 +27,7 @@
     RunningTask,
     StartResult,
     TaskStart,
+    WorkerIncarnation,
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import Lost, Rejected
@@ -76,6 +77,7 @@
     clock_ms: TimestampMs
     running: list[list[Any]]
     finished: list[list[Any]]
+    born: NotRequired[BirthMs]
 
 
 _order_decoder = msgspec.json.Decoder(_OrderResponse)
@@ -141,7 +143,7 @@
             path,
             _ORDER_TIMEOUT + self._delay_allowance,
             body,
-            {_INCARNATION_HEADER: worker.identifier},
+            _name_worker(worker),
             keepalive_seconds=self._order_keepalive_seconds,
         )
         if not isinstance(reply, Reply):
@@ -183,7 +185,7 @@
             "/hold",
             wait + _POLL_TIMEOUT_MARGIN + self._delay_allowance,
             body,
-            {_INCARNATION_HEADER: worker.identifier},
+            _name_worker(worker),
         )
         if not isinstance(reply, Reply):
             return reply
@@ -207,6 +209,11 @@
         return Lost("unreadable_answer", repr(error))
 
 
+def _name_worker(worker: PoolWorker) -> dict[str, str]:
+    """Return the header that names a worker, without its birth."""
+    return {_INCARNATION_HEADER: WorkerIncarnation.parse(worker.identifier).name}
+
+
 def _parse_refusal(reply: Reply) -> Declined | Replaced | Lost | None:
     if reply.status == 200:
         return None
@@ -246,7 +253,8 @@
         )
         for row in response["finished"]
     )
-    return WorkerTasks(to_duration(response["clock_ms"]), running, ended)
+    clock = to_duration(response["clock_ms"])
+    return WorkerTasks(clock, running, ended, response.get("born"))
 
 
 def _require_text(value: Any) -> str:
--- a/src/damaskdeck/protocol/pools.py
+++ b/src/damaskdeck/protocol/pools.py
@@ -1,7 +1,8 @@
 """The ports to pools of workers that run queues' tasks, and to the advisor.
 
 A worker has one lease for everything that it runs, and refuses an epoch below
-the highest that it has seen. Its identifier names one incarnation of a machine.
+the highest that it has seen. Its identifier names one incarnation of a machine; only
+:class:`WorkerIncarnation` builds and parses identifiers.
 """
 
 from datetime import timedelta
@@ -14,6 +15,57 @@
 from damaskdeck.protocol.transactions import ReplyTooLarge
 from damaskdeck.protocol.values import distinct
 
+# Separates the name from the birth in the identifier of an incarnation.
+_BIRTH_SEPARATOR = "@"
+
+
+class WorkerIncarnation(NamedTuple):
+    """One incarnation of a worker, as its identifier names it.
+
+    :param name: name under which the worker registers. A restarted worker may keep it.
+    :param born: Unix milliseconds of its start, ``None`` if it reports none.
+    """
+
+    name: str
+    born: int | None = None
+
+    @property
+    def identifier(self) -> str:
+        """Identifier of the incarnation; without a birth it is the name.
+
+        A name that contains the separator and has no birth gets a trailing separator,
+        so that its last part isn't taken for a birth.
+        """
+        if self.born is not None:
+            return f"{self.name}{_BIRTH_SEPARATOR}{self.born}"
+        is_ambiguous = _BIRTH_SEPARATOR in self.name
+        return self.name + _BIRTH_SEPARATOR if is_ambiguous else self.name
+
+    @classmethod
+    def parse(cls, identifier: str) -> "WorkerIncarnation":
+        """Return the incarnation that an identifier names.
+
+        An identifier that :attr:`identifier` doesn't build is taken for a name.
+        """
+        name, separator, born = identifier.rpartition(_BIRTH_SEPARATOR)
+        if not separator:
+            return cls(identifier)
+        if not born:
+            return cls(name)
+        is_birth = born.isascii() and born.isdigit() and born[0] != "0"
+        return cls(name, int(born)) if is_birth else cls(identifier)
+
+    def precedes(self, other: "WorkerIncarnation") -> bool:
+        """Whether ``other`` is a later incarnation of the same worker."""
+        if self.name != other.name or self.born is None or other.born is None:
+            return False
+        return self.born < other.born
+
+    def may_be(self, other: "WorkerIncarnation") -> bool:
+        """Whether both may be the same, as far as their births are known."""
+        is_unknown = self.born is None or other.born is None
+        return self.name == other.name and (is_unknown or self.born == other.born)
+
 
 class PoolWorker(NamedTuple):
     """A worker as it registered itself; the registry lags.
@@ -104,11 +156,13 @@
     """All tasks that a worker runs, and the ends that were not observed yet.
 
     :param clock: the worker's own monotonic clock.
+    :param born: birth of the incarnation that answers, ``None`` if it reports none.
     """
 
     clock: timedelta
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    born: int | None = None
 
 
 class RefusalCode(StrEnum):
@@ -143,7 +197,11 @@
 
 
 class PoolWorkers(Protocol):
-    """Calls to workers; each names the worker's incarnation and an epoch."""
+    """Calls to workers; each names the worker and an epoch.
+
+    A call can't name the worker's birth, so the next incarnation under the same name
+    carries it out as well.
+    """
 
     async def start(
         self, worker: PoolWorker, epoch: int, order: TaskStart
@@ -212,6 +270,8 @@
 class RegistryChange(NamedTuple):
     """A worker was registered, changed, or removed (``worker`` is ``None``).
 
+    :param identifier: identifier of the worker's incarnation; of a removed worker only
+        the name is known, and all its incarnations are removed.
     :param revision: revision of the registration.
     """
 
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -28,6 +28,7 @@
     Replaced,
     RunningTask,
     TaskStart,
+    WorkerIncarnation,
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import (
@@ -76,6 +77,7 @@
 
     :param behave: returns how an attempt of a task behaves.
     :param max_lease: longest time from now for which a call extends the lease.
+    :param clock_offset: what the worker's own clock is ahead of ``clock``.
     :ivar is_hung: whether its tasks make no progress and never end.
     :ivar slowdown: factor by which its tasks take longer.
     :ivar on_crash: called when one of its tasks crashes it.
@@ -87,8 +89,10 @@
         clock: Clock,
         behave: Callable[[TaskName, int], Work],
         max_lease: timedelta,
+        clock_offset: timedelta = timedelta(),
     ) -> None:
         self.info = info
+        self.incarnation = WorkerIncarnation.parse(info.identifier)
         self.faults = Faults()
         self.is_up = True
         self.is_hung = False
@@ -108,6 +112,8 @@
         self._clock = clock
         self._behave = behave
         self._max_lease = max_lease
+        self._clock_offset = clock_offset
+        self._observed = 0
         self._barred_attempts: dict[TaskName, int] = {}
         self._end_numbers = itertools.count(1)
         self._ended = asyncio.Event()
@@ -115,6 +121,9 @@
     def _now(self) -> timedelta:
         return self._clock.monotonic()
 
+    def _read_own_clock(self) -> timedelta:
+        return self._now() + self._clock_offset
+
     def settle(self) -> None:
         """End the tasks whose lease or duration is over by now."""
         now = self._now()
@@ -153,34 +162,34 @@
 
     def _check_epoch(self, epoch: int) -> Declined | None:
         if epoch < self.highest_epoch:
-            return Declined(RefusalCode.STALE_EPOCH, self._now())
+            return Declined(RefusalCode.STALE_EPOCH, self._read_own_clock())
         self.highest_epoch = epoch
         return None
 
     def start(self, epoch: int, order: TaskStart) -> Done | Declined:
         """Execute an order to start a task."""
         self.settle()
-        now = self._now()
+        now, own_time = self._now(), self._read_own_clock()
         refusal = self._check_epoch(epoch)
         if refusal is not None:
             return refusal
-        if order.deadline <= now:
-            return Declined(RefusalCode.LATE, now)
+        if order.deadline <= own_time:
+            return Declined(RefusalCode.LATE, own_time)
         self._extend(order.deadline)
         current = self.running.get(order.task)
         if current is not None and current.attempt == order.attempt:
-            return Done(now)
+            return Done(own_time)
         if current is not None or order.attempt <= self._barred_attempts.get(
             order.task, 0
         ):
-            return Declined(RefusalCode.STALE_ATTEMPT, now)
+            return Declined(RefusalCode.STALE_ATTEMPT, own_time)
         work = self._behave(order.task, order.attempt)
         work = work._replace(duration=work.duration * self.slowdown)
         self.running[order.task] = _Running(order.attempt, now, work, order.payload)
         self.starts.append((now, order.task, order.attempt, epoch))
         if work.crash_after is not None:
             self._schedule_crash(order.task, order.attempt, work.crash_after)
-        return Done(now)
+        return Done(own_time)
 
     def _schedule_crash(self, task: TaskName, attempt: int, delay: timedelta) -> None:
         def crash() -> None:
@@ -200,37 +209,49 @@
         run = self.running.get(task)
         if run is not None and run.attempt == attempt:
             self._end(task, EndKind.STOPPED, self._now())
-        return Done(self._now())
+        return Done(self._read_own_clock())
 
     def _extend(self, deadline: timedelta) -> None:
         longest = self._now() + self._max_lease
-        self.lease_expires_at = max(self.lease_expires_at, min(deadline, longest))
+        until = min(deadline - self._clock_offset, longest)
+        self.lease_expires_at = max(self.lease_expires_at, until)
 
     async def poll(
         self, epoch: int, observed: int, deadline: timedelta | None, wait: timedelta
     ) -> WorkerTasks | Declined:
-        """Extend the lease, wait for a task to end and list all tasks."""
+        """Extend the lease, wait for a task to end and list all tasks.
+
+        Ends up to ``observed`` are forgotten, also those that are yet to come.
+        """
         self.settle()
         refusal = self._check_epoch(epoch)
         if refusal is not None:
             return refusal
-        self.lost.update(
-            (end.task, end.attempt)
-            for end in self.ends
-            if end.number <= observed and self._end_times[end.number] <= self._lapsed_at
-        )
+        self._observed = max(self._observed, observed)
+        self._forget_observed_ends()
         if deadline is not None:
             self._extend(deadline)
-        self.ends = [end for end in self.ends if end.number > observed]
         poll_until = self._now() + wait
         while not self.ends and self._now() < poll_until:
             await self._clock.sleep(timedelta(milliseconds=10))
             self.settle()
+            self._forget_observed_ends()
         rows = tuple(
             RunningTask(task, run.attempt, "", self._compute_percent(run))
             for task, run in self.running.items()
         )
-        return WorkerTasks(self._now(), rows, tuple(self.ends))
+        return WorkerTasks(
+            self._read_own_clock(), rows, tuple(self.ends), self.incarnation.born
+        )
+
+    def _forget_observed_ends(self) -> None:
+        self.lost.update(
+            (end.task, end.attempt)
+            for end in self.ends
+            if end.number <= self._observed
+            and self._end_times[end.number] <= self._lapsed_at
+        )
+        self.ends = [end for end in self.ends if end.number > self._observed]
 
     def _compute_percent(self, run: _Running) -> int:
         if self.is_hung:
@@ -245,7 +266,7 @@
 class WorkersClient:
     """One daemon's client of the workers; implements the port ``PoolWorkers``.
 
-    :ivar cut_off: identifiers of the workers that this daemon cannot reach.
+    :ivar cut_off: names of the workers that this daemon cannot reach.
     :ivar executes_late: whether orders with the fault ``LOSE_ANSWER`` are executed
         late instead of at once.
     """
@@ -261,16 +282,25 @@
     async def _find_reachable(
         self, info: PoolWorker
     ) -> StandinWorker | Replaced | Rejected | Lost:
-        if info.identifier in self.cut_off:
+        name = WorkerIncarnation.parse(info.identifier).name
+        if name in self.cut_off:
             await self._clock.sleep(LOST_CALL_DELAY)
             return Lost("timeout")
+        connected = self._find_living(info)
         await self._clock.sleep(timedelta(milliseconds=1))
-        living = {w.info.address: w for w in self._workers.values() if w.is_up}
-        worker = living.get(info.address)
-        if worker is None:
+        worker = self._find_living(info)
+        if worker is not None and worker.incarnation.name != name:
+            return Replaced()
+        # A connection ends with the worker's process, also while this one is frozen.
+        is_broken = connected is not None and worker is not connected
+        if worker is None or is_broken:
             await self._clock.sleep(LOST_CALL_DELAY)
             return Lost("timeout")
-        return worker if worker.info.identifier == info.identifier else Replaced()
+        return worker
+
+    def _find_living(self, info: PoolWorker) -> StandinWorker | None:
+        living = {w.info.address: w for w in self._workers.values() if w.is_up}
+        return living.get(info.address)
 
     async def start(self, worker: PoolWorker, epoch: int, order: TaskStart):
         """Send an order to start a task."""
@@ -282,18 +312,22 @@
             return Declined(RefusalCode.UNHEALTHY)
         if kind is FaultKind.LOSE_ANSWER:
             if self.executes_late:
-                self._execute_late(found, lambda: found.start(epoch, order))
+                self._execute_late(worker, epoch, order)
             else:
                 found.start(epoch, order)
             await self._clock.sleep(LOST_CALL_DELAY)
             return Lost("timeout")
         return found.start(epoch, order)
 
-    def _execute_late(self, worker: StandinWorker, order: Callable[[], object]) -> None:
+    def _execute_late(self, info: PoolWorker, epoch: int, order: TaskStart) -> None:
+        """Start a task late, on the next incarnation if the name is the same."""
+        name = WorkerIncarnation.parse(info.identifier).name
+
         async def wait() -> None:
             await self._clock.sleep(LATE_ORDER_DELAY)
-            if worker.is_up:
-                order()
+            worker = self._find_living(info)
+            if worker is not None and worker.incarnation.name == name:
+                worker.start(epoch, order)
 
         task = asyncio.ensure_future(wait())
         self._late_orders.add(task)
@@ -319,7 +353,7 @@
         if not isinstance(found, StandinWorker):
             return found
         answer = await found.poll(epoch, observed, deadline, wait)
-        is_unreachable = worker.identifier in self.cut_off or not found.is_up
+        is_unreachable = found.incarnation.name in self.cut_off or not found.is_up
         return Lost("timeout") if is_unreachable else answer
 
 
@@ -341,9 +375,8 @@
         if isinstance(found, Rejected | Lost):
             return found
         entries, revision = found
-        names = (entry.key.removeprefix(self.prefix) for entry in entries)
         return RegisteredWorkers(
-            tuple(self._workers[name].info for name in names),
+            tuple(self._find(entry.key, entry.value) for entry in entries),
             revision,
             tuple(entry.revision for entry in entries),
         )
@@ -358,10 +391,17 @@
         changes = []
         for event in found.events:
             name = event.key.removeprefix(self.prefix)
-            worker = self._workers[name].info if event.value is not None else None
+            worker = None
+            if event.value is not None:
+                worker = self._find(event.key, event.value)
             changes.append(RegistryChange(name, worker, event.revision))
         return RegistryChanges(tuple(changes), found.revision)
 
+    def _find(self, key: str, value: bytes) -> PoolWorker:
+        """Return the worker of an entry; with a birth its value is the identifier."""
+        worker = self._workers.get(value.decode())
+        return (worker or self._workers[key.removeprefix(self.prefix)]).info
+
 
 class StandinAdvisor:
     """An advisor that consents to the workers that ``allow`` accepts.
--- a/src/standins/wire.py
+++ b/src/standins/wire.py
@@ -20,6 +20,7 @@
     PoolWorker,
     RefusalCode,
     TaskStart,
+    WorkerIncarnation,
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import Entry, Lapsed, RevisionTooOld
@@ -198,12 +199,14 @@
         pool: str,
         clock: Clock,
         behave: Callable[[TaskName, int], Work],
+        born: int | None = None,
     ) -> None:
         self.faults = Faults()
         self._endpoint = _JsonEndpoint(self._answer, self.faults)
         self.listener = self._endpoint.listener
         self.size = Size(4000, 8000, 0)
-        info = PoolWorker(name, pool, self.listener.address, "z", self.size)
+        identifier = WorkerIncarnation(name, born).identifier
+        info = PoolWorker(identifier, pool, self.listener.address, "z", self.size)
         self.worker = StandinWorker(info, clock, behave, timedelta(seconds=6))
 
     def describe(self) -> bytes:
@@ -220,13 +223,14 @@
                 "capacity": {"cpu": info.size[0], "mem_mb": info.size[1], "gpu": 0},
                 "labels": ["a", "r1-1"],
                 "sequence": 1,
+                **_encode_birth(self.worker.incarnation.born),
             }
         ).encode()
 
     async def _answer(
         self, method: str, path: str, query: dict, headers: dict, body: Any
     ) -> Answer:
-        if headers.get("expected-instance") != self.worker.info.identifier:
+        if headers.get("expected-instance") != self.worker.incarnation.name:
             return 421, None
         epoch = body["fencing_token"]
         if path == "/run-start":
@@ -267,6 +271,10 @@
     return ".".join(map(str, task))
 
 
+def _encode_birth(born: int | None) -> dict[str, int]:
+    return {} if born is None else {"born": born}
+
+
 def _encode_result(result: Any) -> Answer:
     clock = {"clock_ms": round(result.clock / MILLISECOND)} if result.clock else {}
     if isinstance(result, Declined):
@@ -291,6 +299,7 @@
             ]
             for e in found.ended
         ],
+        **_encode_birth(found.born),
     }
 
 
@@ -314,6 +323,7 @@
 
     :param workers: number of workers.
     :param behave: returns how an attempt of a task behaves.
+    :param born: birth that all workers report.
     """
 
     def __init__(
@@ -321,13 +331,15 @@
         clock: Clock,
         workers: int = 3,
         behave: Callable[[TaskName, int], Work] = lambda task, attempt: Work(),
+        born: int | None = None,
     ) -> None:
         self._clock = clock
         self._heartbeats: asyncio.Task[None] | None = None
         self.store = WireStore(clock)
         self.advisor = WireAdvisor()
         self.workers = [
-            WireWorker(f"i-{number}", "hub", clock, behave) for number in range(workers)
+            WireWorker(f"i-{number}", "hub", clock, behave, born)
+            for number in range(workers)
         ]
 
     async def start(self) -> None:
@@ -340,8 +352,8 @@
         """Write the workers' registrations at once and on every heartbeat."""
         while True:
             for worker in self.workers:
-                identifier = worker.worker.info.identifier
-                self.store.store.set(f"servers/{identifier}", worker.describe())
+                name = worker.worker.incarnation.name
+                self.store.store.set(f"servers/{name}", worker.describe())
             await self._clock.sleep(HEARTBEAT_INTERVAL)
 
     def declare(
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -22,7 +22,12 @@
 from damaskdeck.delays import LoopDelay
 from damaskdeck.protocol.callresults import JobAccepted, JobNotFound, JobStateFound
 from damaskdeck.protocol.clientaccounts import ClientAccount, ClientAccounts, digest_key
-from damaskdeck.protocol.pools import EndKind, PoolWorker, WorkerRegistry
+from damaskdeck.protocol.pools import (
+    EndKind,
+    PoolWorker,
+    WorkerIncarnation,
+    WorkerRegistry,
+)
 from damaskdeck.protocol.queues import (
     AdvisorTiming,
     JobSpec,
@@ -77,6 +82,8 @@
 # The users' bound: after three crashes a task may start at most twice more.
 CRASHES_BEFORE_LIMIT = 3
 STARTS_AFTER_LIMIT = 2
+# Unix milliseconds of the start of the clock, by which births are given.
+FIRST_BIRTH = 1_700_000_000_000
 SMALL = Size(1000, 1000, 0)
 
 
@@ -259,6 +266,8 @@
 
     :param behave: returns how an attempt of a task behaves.
     :param allow: returns whether the advisor consents to a step on a worker.
+    :param has_births: whether workers report their births. A crashed worker then
+        returns under its name, else a new incarnation has a new name.
     """
 
     def __init__(
@@ -270,8 +279,10 @@
         queues: tuple[Queue, ...] = (make_queue(),),
         zones: int = 1,
         accounts: tuple[ClientAccount, ...] = (),
+        has_births: bool = False,
     ) -> None:
         self.clock = LoopClock()
+        self.has_births = has_births
         self.numbers = itertools.count(1)
         self.allow = allow
         bounds = BOUNDS._replace(revocation=REVOCATION) if accounts else BOUNDS
@@ -330,8 +341,9 @@
 
     def register(self, worker: StandinWorker) -> None:
         """Write the registration of a worker."""
-        key = StandinRegistry.prefix + worker.info.identifier
-        self.store.set(key, str(worker.info.size).encode())
+        key = StandinRegistry.prefix + worker.incarnation.name
+        value = worker.info.identifier if self.has_births else str(worker.info.size)
+        self.store.set(key, value.encode())
 
     @property
     def is_store_away(self) -> bool:
@@ -348,7 +360,10 @@
                 phase = HEARTBEAT_STEP * 4 * (number % 4)
                 if worker.is_up and now >= due.setdefault(name, now + phase):
                     due[name] += HEARTBEAT
-                    is_silent = name in self.externally_registered | self.isolated
+                    is_silent = (
+                        worker.incarnation.name
+                        in self.externally_registered | self.isolated
+                    )
                     if not self.is_store_away and not is_silent:
                         size = self.sizes[name][-1][1]
                         worker.info = worker.info._replace(size=size)
@@ -360,14 +375,28 @@
     ) -> StandinWorker:
         """Add a worker and register it."""
         labels = frozenset({"a", rack})
-        info = PoolWorker(name, "hub", address, zone, SIZE, labels, rack)
-        worker = StandinWorker(info, self.clock, self._behave, BOUNDS.max_worker_lease)
+        now = self.clock.monotonic()
+        identifier, clock_offset = name, timedelta()
+        if self.has_births:
+            born = FIRST_BIRTH + round(now / timedelta(milliseconds=1))
+            identifier = WorkerIncarnation(name, born).identifier
+            # The clock of each incarnation starts anew.
+            clock_offset = SECOND - now
+        info = PoolWorker(identifier, "hub", address, zone, SIZE, labels, rack)
+        worker = StandinWorker(
+            info, self.clock, self._behave, BOUNDS.max_worker_lease, clock_offset
+        )
         worker.on_crash = lambda: self.crash(worker)
-        self.workers[name] = worker
-        self.sizes[name] = [(self.clock.monotonic(), info.size)]
+        self.workers[identifier] = worker
+        self.sizes[identifier] = [(now, info.size)]
         self.register(worker)
         return worker
 
+    def find_worker(self, name: str) -> StandinWorker:
+        """Return the latest incarnation of a worker."""
+        named = [w for w in self.workers.values() if w.incarnation.name == name]
+        return named[-1]
+
     def resize(self, name: str, size: Size) -> None:
         """Change the size of a worker, which reports it with its next heartbeat."""
         self.sizes[name].append((self.clock.monotonic(), size))
@@ -376,11 +405,12 @@
         """Crash a worker; its next incarnation starts at its address after a while."""
         self.record_crash(worker)
         worker.kill()
-        info = worker.info
-        self.store.set(StandinRegistry.prefix + info.identifier, None)
+        info, name = worker.info, worker.incarnation.name
+        self.store.set(StandinRegistry.prefix + name, None)
         if self.restart_delay is None:
             return
-        name = f"{info.identifier.partition('+')[0]}+{next(self.numbers)}"
+        if not self.has_births:
+            name = f"{name.partition('+')[0]}+{next(self.numbers)}"
         asyncio.get_running_loop().call_later(
             self.restart_delay.total_seconds(),
             lambda: self.add_worker(name, info.address, info.rack, info.zone),
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -63,6 +63,7 @@
     "capacity": [None, [], {"cpu": -1}, {"cpu": "4"}, {"mem_mb": 2**70}, {"gpu": 1.5}],
     "labels": [None, "a", [1]],
     "remaining_ms": [1e300, -1, "soon", 2**80],
+    "born": [None, True, 0, -5, 1.5, 1e3, "17", 2**80],
 }
 DOCUMENT = {
     "version": 3,
@@ -185,7 +186,7 @@
     @settings(derandomize=True, max_examples=150, deadline=None)
     @given(
         draw_corrupted(
-            VALID_REGISTRATION, (*VALID_REGISTRATION, "remaining_ms", "zone")
+            VALID_REGISTRATION, (*VALID_REGISTRATION, "remaining_ms", "zone", "born")
         )
     )
     def test_any_registration_leaves_other_workers_listed(self, value):
@@ -259,7 +260,7 @@
     @given(
         draw_corrupted(
             {"clock_ms": 1, "running": [], "finished": []},
-            ("clock_ms", "running", "finished"),
+            ("clock_ms", "running", "finished", "born"),
         )
     )
     def test_any_inventory_is_parsed_or_lost(self, body):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -79,7 +79,9 @@
 
     async def asyncSetUp(self) -> None:
         self.clock = SystemClock()
-        self.platform = WirePlatform(self.clock, workers=1, behave=self.behave)
+        self.platform = WirePlatform(
+            self.clock, workers=1, behave=self.behave, born=self.born
+        )
         await self.platform.start()
         self.addCleanup(self.platform.close)
         self.client = PlatformClient()
@@ -89,6 +91,8 @@
         self.worker = self.platform.workers[0].worker
         self.workers = PlatformWorkers(self.client, LoopDelay(), 1024)
 
+    born: int | None = None
+
     def behave(self, task: TaskName, attempt: int) -> Work:
         """Let tasks run for minutes."""
         return Work(timedelta(minutes=5))
@@ -281,6 +285,36 @@
         self.assertEqual(parse_task(format_task(TASK)), TASK)
 
 
+class TestBirths(WireCase):
+    """Workers that report their births are called by their names."""
+
+    born = 1_700_000_000_123
+
+    # With the identifier in place of the name the worker would refuse all calls.
+    async def test_orders_name_the_worker_and_lists_have_its_birth(self):
+        info = self.worker.info
+        self.assertEqual(info.identifier, "i-0@1700000000123")
+        order = TaskStart(TASK, 1, "payload", self.clock.monotonic() + SECOND)
+        self.assertIsInstance(await self.workers.start(info, 3, order), Done)
+        self.assertIsInstance(await self.workers.stop(info, 3, TASK, 1), Done)
+        listed = await self.workers.poll(info, 3, 0, None, timedelta())
+        self.assertEqual(listed.born, self.born)
+
+    async def test_a_registration_names_the_incarnation_and_a_removal_the_name(self):
+        registry = PlatformRegistry(self.store)
+        listed = await registry.list_workers()
+        self.assertEqual([w.identifier for w in listed.workers], ["i-0@1700000000123"])
+        self.platform.store.store.set("servers/i-0", None)
+        followed = await registry.follow_workers(listed.revision, SECOND)
+        self.assertEqual([c.identifier for c in followed.changes], ["i-0"])
+
+    # A ticket would be kept for a worker that is not known.
+    async def test_the_advisor_gets_names_and_its_consents_are_for_incarnations(self):
+        advisor = PlatformAdvisor(self.client, self.platform.advisor.listener.address)
+        answer = await advisor.request_advice("j.0.0", ("i-0@17",), SECOND)
+        self.assertEqual(answer, Advice((Consent("i-0@17", "t-i-0"),)))
+
+
 class TestRegistry(WireCase):
     """Registrations, declarations and advice."""
 
