--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -5,6 +5,11 @@
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.births import (
+    MAX_REORDERING_SECONDS,
+    BirthMatch,
+    ListedBirth,
+)
 from damaskdeck.coordination.pools.inventories import (
     ContactOwner,
     apply_inventory,
@@ -27,6 +32,7 @@
     Replaced,
     StartResult,
     TaskStart,
+    WorkerIncarnation,
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import Lost, Rejected
@@ -78,6 +84,8 @@
     :ivar peak_size: The largest capacity that the worker has had. Its runs may have
         been started under that capacity.
     :ivar runs: The runs that were ordered or found there, by task and attempt.
+    :ivar moved_runs: The runs that the next incarnation of the worker may have, until
+        it is known whether they were lost with this one.
     :ivar used: The capacity that these runs use.
     :ivar free: The capacity that no run uses.
     :ivar unknown_runs: What the worker runs of tasks that are not known here.
@@ -121,6 +129,7 @@
         self.last_received_end = 0
         self.last_durable_end = 0
         self.runs: dict[RunKey, Run] = {}
+        self.moved_runs: set[Run] = set()
         self.used = ZERO_SIZE
         self.free = info.size
         self._is_reconciled = False
@@ -144,6 +153,13 @@
         self._answer_due = float("inf")
         # When each order without an answer was sent.
         self._unanswered: dict[Run, float] = {}
+        self._birth = ListedBirth(info.identifier)
+        # When each order was abandoned after a confirmed stop.
+        self._abandoned: dict[RunKey, float] = {}
+        # Orders to the earlier incarnation that must be stopped on this one.
+        self._stops_due: set[RunKey] = set()
+        # When the lease ends that an order to the earlier incarnation may begin.
+        self._moved_lease_until = 0.0
         self._delay = delay
         self.leaves_at: float | None = None
         self._stops: set[asyncio.Task[None]] = set()
@@ -185,6 +201,16 @@
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
+    @property
+    def incarnation(self) -> WorkerIncarnation:
+        """The incarnation of the worker that this contact is for."""
+        return self._birth.incarnation
+
+    @property
+    def has_unsettled_runs(self) -> bool:
+        """Whether runs of this incarnation may still be counted as lost."""
+        return bool(self.runs or self.moved_runs)
+
     @property
     def is_reconciled(self) -> bool:
         """Whether the worker's tasks were read under this epoch."""
@@ -216,6 +242,7 @@
             self.is_synchronized
             and self.is_capacity_fresh(now)
             and self.is_listed
+            and self._birth.is_registered
             and self.is_rostered
             and not self.is_gone
             and not self.is_cordoned
@@ -312,6 +339,9 @@
 
         :returns: Whether the worker has confirmed the start.
         """
+        if self.is_gone and self._birth.is_reported:
+            # The next incarnation would carry out the order.
+            return False
         now = self._now()
         deadline = self._lease.extend(now, self._times.start_window)
         order = TaskStart(
@@ -322,13 +352,30 @@
         del self._unanswered[run]
         now = self._now()
         observe_latency("contacts", "start", now - run.ordered_at)
+        if not isinstance(answer, Done):
+            self._birth.forget_answers()
+        if run.worker != self.info.identifier:
+            # The run has been moved to the next incarnation.
+            return False
         if isinstance(answer, Done):
-            self._lease.record_clock(answer.clock, now)
+            self._record_clock(answer.clock, now)
             self.record_running(run, now)
             return True
         self._handle_failed_start(run, answer, now)
         return False
 
+    def _record_clock(self, clock: timedelta, now: float) -> None:
+        """Record the clock in an answer without a birth.
+
+        If the clock goes back, a list has to show whether the worker has restarted.
+        """
+        if not (clock and self._lease.is_synchronized):
+            return
+        behind = self._lease.record_clock(clock, now).total_seconds()
+        if self._birth.is_reported and behind > MAX_REORDERING_SECONDS:
+            self._birth.forget_answers()
+            self._poll_soon.set()
+
     def record_running(self, run: Run, now: float) -> None:
         """Record that the worker has confirmed or listed a run."""
         if run.phase is not RunPhase.RUNNING:
@@ -353,7 +400,7 @@
         )
         count_retry("start", str(code))
         if isinstance(answer, Replaced):
-            self._end_incarnation()
+            self.end_incarnation()
         elif isinstance(answer, Lost):
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.DOUBTFUL
@@ -370,7 +417,7 @@
 
     def _handle_decline(self, run: Run, answer: Declined, now: float) -> None:
         if answer.clock is not None:
-            self._lease.record_clock(answer.clock, now)
+            self._record_clock(answer.clock, now)
         self._check_epoch(answer.code)
         # A missing ticket concerns one step only, so other steps may still start there.
         # Any other refusal means that the worker's state differs from what is known
@@ -407,16 +454,78 @@
         answer = await self._port.stop(self.info, self._epoch, task, attempt)
         now = self._now()
         if isinstance(answer, Done):
-            self._lease.record_clock(answer.clock, now)
-            if run is not None and run.stopped_at is None:
+            self._record_clock(answer.clock, now)
+            self._stops_due.discard((task, attempt))
+            is_here = run is not None and self.runs.get((task, attempt)) is run
+            if is_here and run.stopped_at is None:
                 run.stopped_at = now
                 if run.phase is RunPhase.DOUBTFUL:
                     self._poll_soon.set()
-        elif isinstance(answer, Replaced):
-            self._end_incarnation()
+            return
+        self._birth.forget_answers()
+        if isinstance(answer, Replaced):
+            self.end_incarnation()
         else:
             self._check_epoch(answer.code)
 
+    # The next incarnation under the same name --------------------------------
+
+    def list_unlisted_runs(self) -> list[Run]:
+        """List the runs that were ordered and that no list of the worker has shown.
+
+        The next incarnation may have them, as it carries out the orders.
+        """
+        return [
+            run
+            for run in self.runs.values()
+            if not run.is_listed
+            and (run.phase is not RunPhase.ORDERED or run in self._unanswered)
+        ]
+
+    def record_abandoned_order(self, run: Run) -> None:
+        """Record an order that was abandoned after a confirmed stop."""
+        if self._birth.is_reported:
+            self._abandoned[run.task.name, run.attempt] = self._now()
+
+    def _list_abandoned_orders(self) -> list[RunKey]:
+        """List the abandoned orders that may still be carried out."""
+        earliest = self._now() - self._times.start_window.total_seconds()
+        for key in [key for key, at in self._abandoned.items() if at < earliest]:
+            del self._abandoned[key]
+        return list(self._abandoned)
+
+    def pass_orders_to(self, successor: "WorkerContact") -> None:
+        """Pass the orders that the next incarnation may carry out to its contact.
+
+        Its runs keep counting towards the quotas of their accounts.
+        """
+        now, times = self._now(), self._times
+        successor._update_peak_size(self.peak_size)
+        until = now + (times.start_window + times.lease_expiry).total_seconds()
+        for run in self.list_unlisted_runs():
+            del self.runs[run.task.name, run.attempt]
+            self._set_used(subtract_sizes(self.used, run.task.step.spec.size))
+            run.move(successor.info.identifier, now)
+            successor.receive_order(run, until)
+        successor.receive_stops({*self._list_abandoned_orders(), *self._stops_due})
+
+    def receive_order(self, run: Run, lease_until: float) -> None:
+        """Receive an order to the earlier incarnation, to be stopped here.
+
+        :param lease_until: When the lease ends at the latest that the order may begin.
+        """
+        self.runs[run.task.name, run.attempt] = run
+        self._set_used(add_sizes(self.used, run.task.step.spec.size))
+        self._moved_lease_until = max(self._moved_lease_until, lease_until)
+        self._lease.expires_at = max(self._lease.expires_at, lease_until)
+        self._poll_soon.set()
+
+    def receive_stops(self, orders: set[RunKey]) -> None:
+        """Receive abandoned orders to the earlier incarnation, to be stopped here."""
+        self._stops_due |= orders
+        for task, attempt in orders:
+            self.send_stop(task, attempt, None)
+
     # Polling -----------------------------------------------------------------
 
     async def run(self) -> None:
@@ -426,6 +535,8 @@
                 await self._poll()
             while self.runs or self.unknown_runs:
                 await self._settle_incarnation()
+            while self.moved_runs:
+                await self._clock.sleep(FAILED_POLL_DELAY)
         finally:
             for stop in self._stops:
                 stop.cancel()
@@ -441,31 +552,53 @@
             self.runs
             or self.unknown_runs
             or self.last_durable_end < self.last_received_end
+            or self._stops_due
+            or self._list_abandoned_orders()
         ):
             return True
         return not self._is_reconciled and not self._has_expired
 
     async def _poll(self) -> None:
         sent_at = self._now()
-        deadline = self._find_deadline(sent_at)
+        # The next incarnation would count its own ends as observed, and extend its
+        # lease by a time on the clock of this one.
+        is_confirmed = self._birth.is_confirmed(sent_at)
+        deadline = self._find_deadline(sent_at) if is_confirmed else None
         is_idle = deadline is None and not (self.is_synchronized and self.is_cordoned)
-        wait = timedelta() if is_idle else self._times.poll_wait
+        wait = timedelta() if is_idle or not is_confirmed else self._times.poll_wait
         if self._poll_soon.is_set():
             self._poll_soon.clear()
             wait = timedelta()
         self._answer_due = sent_at + wait.total_seconds() + LATE_ANSWER_SECONDS
-        answer = await self._call_poll(deadline, wait)
+        observed = self.last_durable_end if is_confirmed else 0
+        answer = await self._call_poll(observed, deadline, wait)
         if answer is None:
+            self._birth.forget_answers()
             return
         now = self._now()
         if isinstance(answer, WorkerTasks):
             self._answer_due = float("inf")
-            await self._handle_tasks(answer, sent_at, now)
+            if await self._check_birth(answer, sent_at, now):
+                await self._handle_tasks(answer, sent_at, now, is_confirmed)
         elif isinstance(answer, Replaced):
-            self._end_incarnation()
+            self.end_incarnation()
         else:
             await self._handle_failed_poll(answer, now)
 
+    async def _check_birth(
+        self, answer: WorkerTasks, sent_at: float, now: float
+    ) -> bool:
+        """Return whether a list of runs is of this incarnation."""
+        if self.is_gone and self._birth.is_reported:
+            return False
+        age = min(now - sent_at, self._lease.estimate_age(answer.clock, now))
+        match = self._birth.match(answer.born, now - age)
+        if match is BirthMatch.MISSING:
+            await self._handle_failed_poll(Lost("no_birth"), now)
+        elif match is BirthMatch.OTHER and answer.born is not None:
+            self._owner.handle_next_incarnation(self, answer.born)
+        return match is BirthMatch.SAME
+
     def _find_deadline(self, now: float) -> timedelta | None:
         """Return the deadline to extend the lease to, by the worker's clock.
 
@@ -479,13 +612,11 @@
         return self._lease.extend(now, self._times.lease)
 
     async def _call_poll(
-        self, deadline: timedelta | None, wait: timedelta
+        self, observed: int, deadline: timedelta | None, wait: timedelta
     ) -> PollResult:
         """Poll the worker; return ``None`` if it should be polled again at once."""
         call = asyncio.ensure_future(
-            self._port.poll(
-                self.info, self._epoch, self.last_durable_end, deadline, wait
-            )
+            self._port.poll(self.info, self._epoch, observed, deadline, wait)
         )
         if not wait:
             return await call
@@ -498,12 +629,18 @@
             call.cancel()
 
     async def _handle_tasks(
-        self, answer: WorkerTasks, sent_at: float, now: float
+        self, answer: WorkerTasks, sent_at: float, now: float, is_confirmed: bool
     ) -> None:
+        """Handle a list of this incarnation's runs.
+
+        :param is_confirmed: Whether its birth was confirmed when the poll was sent.
+        """
         if not self._lease.is_synchronized:
             # From now on the worker refuses previous owners, but the leases that they
             # have granted have to expire first.
-            self._lease.expires_at = now + self._times.lease_expiry.total_seconds()
+            self._lease.expires_at = max(
+                now + self._times.lease_expiry.total_seconds(), self._moved_lease_until
+            )
         self._lease.record_clock(answer.clock, now)
         if not self.is_synchronized:
             _log.info("A worker answers.", worker=self.info.identifier)
@@ -513,6 +650,12 @@
         apply_inventory(self, self._owner, answer, sent_at, now)
         self.is_synchronized = self._is_reconciled = True
         self._owner.handle_contact_change(self)
+        for task, attempt in self._stops_due:
+            self.send_stop(task, attempt, None)
+        if not is_confirmed:
+            # The next poll has to be sent while the birth is confirmed, or the lease
+            # would never be extended while ends can't be stored.
+            return
         if (
             self.last_received_end == before
             and self.last_durable_end == self.last_received_end
@@ -523,6 +666,7 @@
 
     async def _handle_failed_poll(self, answer: object, now: float) -> None:
         code = getattr(answer, "code", "")
+        self._birth.forget_answers()
         self._check_epoch(code)
         self._failed_polls += 1
         if self.is_synchronized:
@@ -547,12 +691,14 @@
         if not await self._leadership.is_confirmed_since(self.lease_until):
             return
         self._has_expired = True
+        self._stops_due.clear()
         if self.runs:
             _log.warn("A worker's lease has expired.", worker=self.info.identifier)
             self._drop_runs("lease_over")
         self._owner.handle_contact_change(self)
 
-    def _end_incarnation(self) -> None:
+    def end_incarnation(self) -> None:
+        """Record that this incarnation has ended, and everything that it ran."""
         if self.is_gone:
             return
         _log.info("A worker's incarnation has ended.", worker=self.info.identifier)
--- a/src/damaskdeck/coordination/pools/cordons.py
+++ b/src/damaskdeck/coordination/pools/cordons.py
@@ -84,7 +84,7 @@
         contact = self._contacts.get(cordon.worker)
         if contact is None or contact.is_gone:
             # A successor must find the runs of a worker that is gone until they count.
-            return contact is None or not contact.runs
+            return contact is None or not contact.has_unsettled_runs
         if cordon.is_silent:
             return contact.is_synchronized
         # A worker that is no longer listed has left, whatever its last entry says.
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -12,7 +12,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from damaskdeck.coordination.pools.absences import (
     AbandonedRun,
@@ -62,6 +62,19 @@
         """Let the waiting tasks of a job be placed again."""
 
 
+class _MovedRun(NamedTuple):
+    """An order that the next incarnation of its worker may carry out.
+
+    :param origin: The contact to the incarnation that it was sent to.
+    :param counts: Whether it counts as lost with that incarnation, unless the next one
+        is found to have carried it out.
+    """
+
+    origin: WorkerContact
+    counts: bool
+    is_suspected: bool
+
+
 class Crashes:
     """Counts crashes against the tasks of one owner's jobs."""
 
@@ -75,6 +88,41 @@
         self._prune_at = 0.0
         # Tasks that must not start until an absence ends or has lasted too long.
         self._held: set[Task] = set()
+        self._moved: dict[Run, _MovedRun] = {}
+        # The suspected runs of workers that have returned under their name.
+        self._suspected: dict[WorkerContact, list[Run]] = {}
+
+    def record_replacement(self, contact: WorkerContact) -> None:
+        """Record that a worker has returned under its name.
+
+        The suspected runs are determined before some of them are moved to the next
+        incarnation. A moved run counts once it is known that it is not there.
+        """
+        if contact.is_leaving:
+            started: list[Run] = []
+        else:
+            started = [run for run in contact.runs.values() if _may_have_started(run)]
+        suspected = _find_suspected(contact, started)
+        moved = contact.list_unlisted_runs()
+        if len(moved) < len(contact.runs):
+            self._suspected[contact] = suspected
+        for run in moved:
+            if run not in self._moved:
+                self._moved[run] = _MovedRun(contact, run in started, run in suspected)
+                contact.moved_runs.add(run)
+
+    def settle_moved_run(self, run: Run, is_lost: bool) -> None:
+        """Handle the end of a run that may have been moved to another incarnation.
+
+        :param is_lost: Whether it is gone without a reported end.
+        """
+        moved = self._moved.pop(run, None)
+        if moved is None:
+            return
+        moved.origin.moved_runs.discard(run)
+        has_run = run.is_listed or not is_lost
+        if moved.counts and not has_run and not run.task.is_completed:
+            self._count(run.task, run.attempt, moved.is_suspected)
 
     def record_loss(self, contact: WorkerContact, lost: Iterable[Run]) -> None:
         """Record the runs that were lost with a worker or abandoned on it.
@@ -82,15 +130,19 @@
         :param lost: The runs that the worker had started, or may have started.
         """
         started = [run for run in lost if _may_have_started(run)]
+        suspected = self._suspected.pop(contact, None)
         if not started or contact.is_leaving:
             return
         if contact.is_gone:
-            self._record_crash(contact, started)
+            if suspected is None:
+                suspected = _find_suspected(contact, started)
+            self._record_crash(contact, started, suspected)
         else:
             self._record_silence(contact, started)
 
-    def _record_crash(self, contact: WorkerContact, started: list[Run]) -> None:
-        suspected = _find_suspected(contact, started)
+    def _record_crash(
+        self, contact: WorkerContact, started: list[Run], suspected: list[Run]
+    ) -> None:
         _log.warn(
             "A worker is gone with its runs.",
             worker=contact.info.identifier,
--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -48,6 +48,9 @@
     def handle_contact_change(self, contact: "WorkerContact") -> None:
         """Handle a worker that has answered, or that is known to be gone."""
 
+    def handle_next_incarnation(self, contact: "WorkerContact", born: int) -> None:
+        """Handle a list that the next incarnation of a contact's worker has sent."""
+
     async def wait_until_durable(self, contact: "WorkerContact") -> bool:
         """Wait until the ends received so far are durable.
 
@@ -91,6 +94,7 @@
             contact.send_stop(row.task, row.attempt, None)
             return
         contact.add_run(run)
+    run.is_listed = True
     contact.record_running(run, now)
     run.record_progress(row.percent, now)
     run.checkpoint = row.checkpoint or run.checkpoint
@@ -116,6 +120,8 @@
         # The run may still start until the worker has confirmed a stop.
         contact.stop(run)
         return
+    if run.phase is RunPhase.DOUBTFUL:
+        contact.record_abandoned_order(run)
     contact.remove_run(run)
     owner.handle_lost_run(contact, run)
 
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -131,6 +131,7 @@
                 self._changes.record_cordon_change,
                 self._crashes.handle_reconciled,
                 self._crashes.handle_registration,
+                self._crashes.record_replacement,
             ),
         )
 
@@ -390,6 +391,7 @@
         if run in task.runs:
             task.runs.remove(run)
         self._clear_recorded_start(task, run.attempt)
+        self._crashes.settle_moved_run(run, is_lost=True)
         task.step.store_checkpoint(task, run.checkpoint)
         if task.step.spec.is_gang:
             for other in list(task.step.list_runs()):
@@ -401,6 +403,10 @@
         """Record the runs that were lost with a worker or abandoned on it."""
         self._crashes.record_loss(contact, lost)
 
+    def handle_next_incarnation(self, contact: WorkerContact, born: int) -> None:
+        """Handle a list that the next incarnation of a contact's worker has sent."""
+        self._fleet.handle_next_incarnation(contact, born)
+
     def handle_contact_change(self, contact: WorkerContact) -> None:
         """Handle a worker that has answered, or whose lease has expired."""
         is_over = contact.is_gone or self.now() >= contact.lease_until
@@ -423,6 +429,8 @@
             return
         if run is not None and run in task.runs:
             task.runs.remove(run)
+        if run is not None:
+            self._crashes.settle_moved_run(run, is_lost=False)
         task.attempt = max(task.attempt, end.attempt)
         self._clear_recorded_start(task, end.attempt)
         step, job = task.step, task.step.job
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, TypeVar
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.births import EntryVerdict, KnownBirths
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.cordons import Cordons
 from damaskdeck.coordination.pools.inventories import ContactOwner
@@ -22,6 +23,7 @@
     RegisteredWorkers,
     RegistryChange,
     RegistryChanges,
+    WorkerIncarnation,
     WorkerRegistry,
 )
 from damaskdeck.protocol.ports import Found, Lost, Missing, Rejected, RevisionTooOld
@@ -84,6 +86,8 @@
         and the runs that a predecessor recorded with its cordon, ``None`` without one.
     :param on_registration: called with a registration, and the earliest monotonic time
         in seconds at which the worker may have written it.
+    :param on_replacement: called with a worker that has been replaced under its name,
+        before the orders that the next incarnation may have are passed to that.
     """
 
     on_change: Callable[[], None]
@@ -94,6 +98,7 @@
         [WorkerContact, tuple[CordonedRun, ...] | None], None
     ]
     on_registration: Callable[[PoolWorker, float], None]
+    on_replacement: Callable[[WorkerContact], None]
 
 
 class InheritedWorkers(NamedTuple):
@@ -124,6 +129,10 @@
         callbacks: FleetCallbacks,
     ) -> None:
         self.contacts: dict[str, WorkerContact] = {}
+        # The contacts to the incarnations of each name.
+        self._namesakes: dict[str, list[WorkerContact]] = {}
+        self._births = KnownBirths()
+        self._is_loaded = False
         self._term = term
         self._dependencies = dependencies
         self._owner = owner
@@ -137,8 +146,11 @@
         # unknown.
         self._unreconciled: dict[str, str] = {}
         self.cordons = Cordons(self.contacts, callbacks.on_cordon_change)
-        # Workers registered for a pool that is not declared yet; they get no orders.
+        # Workers registered for a pool that is not declared yet, by name; they get no
+        # orders.
         self._undeclared: dict[str, RegistryChange] = {}
+        # Workers registered with a birth, by name, while they are still polled without.
+        self._postponed: dict[str, RegistryChange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._failure: asyncio.Future[None] | None = None
 
@@ -206,6 +218,7 @@
             contact = self._add_contact(worker, worker.identifier in silent)
             contact.is_listed = False
             contact.is_rostered = True
+            self._births.record(contact.incarnation, worker.address)
         self._apply_all(found)
         if self._term.predecessor is not None:
             self._unreconciled = {
@@ -231,6 +244,7 @@
         :raises Exception: the exception of a contact that failed.
         """
         self._failure = asyncio.get_running_loop().create_future()
+        self._end_inherited()
         await asyncio.gather(self._failure, self._follow())
 
     def close(self) -> None:
@@ -265,7 +279,9 @@
         """
         # A successor must find the runs of a worker that is gone until they count.
         listed = [
-            (c, c.peak_size) for c in self.contacts.values() if c.runs or not c.is_gone
+            (contact, contact.peak_size)
+            for contact in self.contacts.values()
+            if contact.has_unsettled_runs or not contact.is_gone
         ]
         roster = RosterRecord(
             tuple(c.info._replace(size=peak_size) for c, peak_size in listed)
@@ -313,14 +329,114 @@
             dependencies.delay,
         )
         self.contacts[worker.identifier] = contact
+        self._namesakes.setdefault(contact.incarnation.name, []).append(contact)
         self._start_task(self._run_contact(contact))
         return contact
 
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
         self.contacts.pop(contact.info.identifier, None)
+        name = contact.incarnation.name
+        self._namesakes[name].remove(contact)
+        if not self._namesakes[name]:
+            del self._namesakes[name]
         self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
+        postponed = self._postponed.get(name)
+        if postponed is not None and self._apply_registration(
+            postponed.worker, postponed.revision
+        ):
+            self._callbacks.on_change()
+
+    # Incarnations of one name ------------------------------------------------
+
+    def handle_next_incarnation(self, contact: WorkerContact, born: int) -> None:
+        """Handle a list that the next incarnation of a contact's worker has sent.
+
+        Its registration may not be known yet; it gets no orders until it is.
+        """
+        incarnation = WorkerIncarnation(contact.incarnation.name, born)
+        self._births.record(incarnation, contact.info.address)
+        successor = self.contacts.get(incarnation.identifier)
+        if successor is None:
+            info = contact.info._replace(
+                identifier=incarnation.identifier, is_leaving=False, remaining=None
+            )
+            successor = self._add_contact(info)
+            successor.is_listed = False
+        self._replace(contact, successor)
+
+    def _replace(self, contact: WorkerContact, successor: WorkerContact) -> None:
+        """End a contact's incarnation, as the next one under its name is known."""
+        old, new = contact.info.identifier, successor.info.identifier
+        _log.info("A worker has returned under its name.", worker=old, successor=new)
+        self._births.record_end(contact.incarnation)
+        contact.is_listed = False
+        if old in self._unreconciled:
+            # It may carry out what the previous owner ordered.
+            self._unreconciled.setdefault(new, successor.info.zone)
+        self._callbacks.on_replacement(contact)
+        contact.pass_orders_to(successor)
+        contact.end_incarnation()
+        self._callbacks.on_roster_change()
+
+    def _end_inherited(self) -> None:
+        """End the incarnations of the previous owner's roster that were replaced.
+
+        The jobs that may have run there are known only once everything is loaded.
+        """
+        self._is_loaded = True
+        for contact in list(self.contacts.values()):
+            if not self._births.is_outdated(contact.incarnation):
+                self._replace_earlier(contact)
+
+    def _replace_earlier(self, contact: WorkerContact) -> None:
+        """End the earlier incarnations of a contact's worker."""
+        for other in self._list_earlier(contact.incarnation):
+            self._replace(other, contact)
+
+    def _list_earlier(self, incarnation: WorkerIncarnation) -> list[WorkerContact]:
+        """List the contacts to earlier incarnations that have not ended.
+
+        A contact without a birth is to an earlier one if there is one with a birth.
+        """
+        return [
+            contact
+            for contact in self._namesakes.get(incarnation.name, ())
+            if not contact.is_gone
+            and incarnation.born is not None
+            and (contact.incarnation.born or 0) < incarnation.born
+        ]
+
+    def _find_without_birth(
+        self, incarnation: WorkerIncarnation
+    ) -> WorkerContact | None:
+        """Return the contact to a worker that is now registered with a birth.
+
+        As far as is known, it is to the same incarnation.
+        """
+        found = (c for c in self._list_earlier(incarnation) if not c.incarnation.born)
+        return next(found, None)
+
+    def _postpone(
+        self, contact: WorkerContact, worker: PoolWorker, revision: int
+    ) -> None:
+        """Use a registration with a birth once the contact without one has ended."""
+        name = contact.incarnation.name
+        if name not in self._postponed:
+            _log.info("A worker reports its birth now.", worker=worker.identifier)
+        self._postponed[name] = RegistryChange(worker.identifier, worker, revision)
+        contact.is_listed = False
+        contact.info = contact.info._replace(address=worker.address)
+
+    def _unlist(self, name: str) -> None:
+        """Remove all incarnations of a name from the list."""
+        self._undeclared.pop(name, None)
+        self._postponed.pop(name, None)
+        for contact in self._namesakes.get(name, ()):
+            contact.is_listed = False
+
+    # Registry ----------------------------------------------------------------
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -339,15 +455,30 @@
 
     def _apply_registration(self, worker: PoolWorker, revision: int) -> bool:
         """Apply a registration, and return whether it contains anything new."""
+        incarnation = WorkerIncarnation.parse(worker.identifier)
+        verdict = self._births.judge(worker, revision)
+        if verdict is EntryVerdict.UNUSABLE:
+            self._unlist(incarnation.name)
+        if verdict is not EntryVerdict.USABLE:
+            return False
         reported_at = self._dependencies.find_write_time(revision)
         self._callbacks.on_registration(worker, reported_at)
+        without_birth = self._find_without_birth(incarnation)
+        if without_birth is not None:
+            self._postpone(without_birth, worker, revision)
+            return False
+        self._postponed.pop(incarnation.name, None)
         contact = self.contacts.get(worker.identifier)
-        if contact is None and not self._dependencies.is_pool_declared(worker.pool):
+        is_declared = self._dependencies.is_pool_declared(worker.pool)
+        if contact is None and not is_declared and not self._list_earlier(incarnation):
             self._record_undeclared(worker, revision)
             return False
-        self._undeclared.pop(worker.identifier, None)
+        self._undeclared.pop(incarnation.name, None)
         if contact is None:
-            self._add_contact(worker).update(worker, reported_at)
+            contact = self._add_contact(worker)
+            contact.update(worker, reported_at)
+            if self._is_loaded:
+                self._replace_earlier(contact)
             self._callbacks.on_roster_change()
             return True
         is_new = not contact.is_listed or contact.info != worker
@@ -383,16 +514,15 @@
         self._stale = stale
 
     def _record_undeclared(self, worker: PoolWorker, revision: int) -> None:
-        if worker.identifier not in self._undeclared:
+        name = WorkerIncarnation.parse(worker.identifier).name
+        if name not in self._undeclared:
             _log.warn(
                 "A worker's pool isn't declared.",
                 code="unknown_pool",
                 worker=worker.identifier,
                 pool=worker.pool,
             )
-        self._undeclared[worker.identifier] = RegistryChange(
-            worker.identifier, worker, revision
-        )
+        self._undeclared[name] = RegistryChange(worker.identifier, worker, revision)
 
     async def _follow(self) -> None:
         registry = self._dependencies.registry
@@ -413,10 +543,8 @@
                             self._apply_registration(change.worker, change.revision)
                             or is_new
                         )
-                    elif change.identifier in self.contacts:
-                        self.contacts[change.identifier].is_listed = False
                     else:
-                        self._undeclared.pop(change.identifier, None)
+                        self._unlist(change.identifier)
                 if is_new:
                     # A heartbeat changes only the time of a registration.
                     self._callbacks.on_change()
@@ -429,8 +557,9 @@
         if isinstance(found, RegisteredWorkers):
             self._revision = found.revision
             present = {worker.identifier for worker in found.workers}
-            for gone in self._undeclared.keys() - present:
-                del self._undeclared[gone]
+            names = {WorkerIncarnation.parse(name).name for name in present}
+            for gone in {*self._undeclared, *self._postponed} - names:
+                self._unlist(gone)
             for identifier, contact in self.contacts.items():
                 contact.is_listed = identifier in present
             self._apply_all(found)
--- a/src/damaskdeck/coordination/pools/workerlease.py
+++ b/src/damaskdeck/coordination/pools/workerlease.py
@@ -23,17 +23,31 @@
         """Whether the worker has reported its clock."""
         return self._worker_clock is not None
 
-    def record_clock(self, clock: timedelta, now: float) -> None:
-        """Record the worker's steady clock; answers may arrive out of order."""
+    def record_clock(self, clock: timedelta, now: float) -> timedelta:
+        """Record the worker's steady clock; answers may arrive out of order.
+
+        :returns: by how much the clock is behind the latest recorded one.
+        """
         if self._worker_clock is None or clock >= self._worker_clock:
             self._worker_clock = clock
             self._clock_read_at = now
+            return timedelta()
+        return self._worker_clock - clock
 
     def estimate_clock(self, now: float) -> timedelta:
         """Return an upper bound of the worker's clock at a time."""
         assert self._worker_clock is not None
         return self._worker_clock + timedelta(seconds=now - self._clock_read_at)
 
+    def estimate_age(self, clock: timedelta, now: float) -> float:
+        """Return how many seconds ago an answer with a clock was sent.
+
+        This is infinite before the first recorded clock.
+        """
+        if self._worker_clock is None:
+            return float("inf")
+        return max(0.0, (self.estimate_clock(now) - clock).total_seconds())
+
     def extend(self, now: float, lease: timedelta) -> timedelta:
         """Extend the lease to ``lease`` from now; bound its expiry by the local clock.
 
--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -80,6 +80,7 @@
     :ivar baseline: percent and time from which the next rate is measured.
     :ivar progress_rate: its recent progress rate, ``None`` while that is not known.
     :ivar best_rate: the highest earlier rate in percent per second.
+    :ivar is_listed: whether a list of its worker has shown it.
     :ivar is_adopted: whether an owner found it running, at ``ordered_at``.
     """
 
@@ -90,6 +91,7 @@
         "first_at",
         "first_percent",
         "is_adopted",
+        "is_listed",
         "baseline",
         "progressed_at",
         "ordered_at",
@@ -121,6 +123,15 @@
         self.best_rate = 0.0
         self.checkpoint = ""
         self.is_adopted = False
+        self.is_listed = False
+
+    def move(self, worker: str, now: float) -> None:
+        """Move an order that the next incarnation of its worker may carry out."""
+        self.worker = worker
+        self.phase = RunPhase.DOUBTFUL
+        self.settled_at = now
+        self.stopping_since = now
+        self.stop_sent_at = self.stopped_at = None
 
     def record_progress(self, percent: int, now: float) -> None:
         """Record the progress that the worker reports."""
