--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -17,6 +17,7 @@
 )
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.orderspacing import LastOrder
+from damaskdeck.coordination.pools.passedorders import PassedOrders, RunKey
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.workerlease import WorkerLease
@@ -65,7 +66,6 @@
 
 _log = get_logger("contacts")
 
-RunKey = tuple[TaskName, int]
 PollResult = WorkerTasks | Declined | Replaced | Rejected | Lost | None
 
 
@@ -154,12 +154,7 @@
         # When each order without an answer was sent.
         self._unanswered: dict[Run, float] = {}
         self._birth = ListedBirth(info.identifier)
-        # When each order was abandoned after a confirmed stop.
-        self._abandoned: dict[RunKey, float] = {}
-        # Orders to the earlier incarnation that must be stopped on this one.
-        self._stops_due: set[RunKey] = set()
-        # When the lease ends that an order to the earlier incarnation may begin.
-        self._moved_lease_until = 0.0
+        self._passed_orders = PassedOrders()
         self._delay = delay
         self.leaves_at: float | None = None
         self._stops: set[asyncio.Task[None]] = set()
@@ -455,7 +450,7 @@
         now = self._now()
         if isinstance(answer, Done):
             self._record_clock(answer.clock, now)
-            self._stops_due.discard((task, attempt))
+            self._passed_orders.due_stops.discard((task, attempt))
             is_here = run is not None and self.runs.get((task, attempt)) is run
             if is_here and run.stopped_at is None:
                 run.stopped_at = now
@@ -485,44 +480,37 @@
     def record_abandoned_order(self, run: Run) -> None:
         """Record an order that was abandoned after a confirmed stop."""
         if self._birth.is_reported:
-            self._abandoned[run.task.name, run.attempt] = self._now()
+            self._passed_orders.record_abandoned(run, self._now())
 
-    def _list_abandoned_orders(self) -> list[RunKey]:
-        """List the abandoned orders that may still be carried out."""
-        earliest = self._now() - self._times.start_window.total_seconds()
-        for key in [key for key, at in self._abandoned.items() if at < earliest]:
-            del self._abandoned[key]
-        return list(self._abandoned)
+    def list_unsettled_stops(self, now: float) -> set[RunKey]:
+        """List the orders without a run that may still be carried out."""
+        earliest = now - self._times.start_window.total_seconds()
+        abandoned = self._passed_orders.list_abandoned(earliest)
+        return {*abandoned, *self._passed_orders.due_stops}
 
-    def pass_orders_to(self, successor: "WorkerContact") -> None:
-        """Pass the orders that the next incarnation may carry out to its contact.
+    def take_run(self, run: Run) -> None:
+        """Remove a run that the next incarnation may have; it is still charged."""
+        del self.runs[run.task.name, run.attempt]
+        self._set_used(subtract_sizes(self.used, run.task.step.spec.size))
 
-        Its runs keep counting towards the quotas of their accounts.
-        """
-        now, times = self._now(), self._times
-        successor._update_peak_size(self.peak_size)
-        until = now + (times.start_window + times.lease_expiry).total_seconds()
-        for run in self.list_unlisted_runs():
-            del self.runs[run.task.name, run.attempt]
-            self._set_used(subtract_sizes(self.used, run.task.step.spec.size))
-            run.move(successor.info.identifier, now)
-            successor.receive_order(run, until)
-        successor.receive_stops({*self._list_abandoned_orders(), *self._stops_due})
-
-    def receive_order(self, run: Run, lease_until: float) -> None:
-        """Receive an order to the earlier incarnation, to be stopped here.
+    def receive_run(self, run: Run, lease_until: float) -> None:
+        """Receive a run that was ordered on the earlier incarnation.
 
         :param lease_until: When the lease ends at the latest that the order may begin.
         """
         self.runs[run.task.name, run.attempt] = run
         self._set_used(add_sizes(self.used, run.task.step.spec.size))
-        self._moved_lease_until = max(self._moved_lease_until, lease_until)
+        self._passed_orders.lease_until = lease_until
         self._lease.expires_at = max(self._lease.expires_at, lease_until)
         self._poll_soon.set()
 
-    def receive_stops(self, orders: set[RunKey]) -> None:
-        """Receive abandoned orders to the earlier incarnation, to be stopped here."""
-        self._stops_due |= orders
+    def receive_stops(self, orders: set[RunKey], peak_size: Size) -> None:
+        """Receive orders to the earlier incarnation that are to be stopped here.
+
+        :param peak_size: The largest capacity that the orders were based on.
+        """
+        self._update_peak_size(peak_size)
+        self._passed_orders.due_stops |= orders
         for task, attempt in orders:
             self.send_stop(task, attempt, None)
 
@@ -552,8 +540,7 @@
             self.runs
             or self.unknown_runs
             or self.last_durable_end < self.last_received_end
-            or self._stops_due
-            or self._list_abandoned_orders()
+            or self.list_unsettled_stops(self._now())
         ):
             return True
         return not self._is_reconciled and not self._has_expired
@@ -639,7 +626,8 @@
             # From now on the worker refuses previous owners, but the leases that they
             # have granted have to expire first.
             self._lease.expires_at = max(
-                now + self._times.lease_expiry.total_seconds(), self._moved_lease_until
+                now + self._times.lease_expiry.total_seconds(),
+                self._passed_orders.lease_until,
             )
         self._lease.record_clock(answer.clock, now)
         if not self.is_synchronized:
@@ -650,7 +638,7 @@
         apply_inventory(self, self._owner, answer, sent_at, now)
         self.is_synchronized = self._is_reconciled = True
         self._owner.handle_contact_change(self)
-        for task, attempt in self._stops_due:
+        for task, attempt in self._passed_orders.due_stops:
             self.send_stop(task, attempt, None)
         if not is_confirmed:
             # The next poll has to be sent while the birth is confirmed, or the lease
@@ -691,7 +679,7 @@
         if not await self._leadership.is_confirmed_since(self.lease_until):
             return
         self._has_expired = True
-        self._stops_due.clear()
+        self._passed_orders.due_stops.clear()
         if self.runs:
             _log.warn("A worker's lease has expired.", worker=self.info.identifier)
             self._drop_runs("lease_over")
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -11,6 +11,8 @@
 from damaskdeck.coordination.pools.cordons import Cordons
 from damaskdeck.coordination.pools.inventories import ContactOwner
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
+from damaskdeck.coordination.pools.namesakes import Namesakes
+from damaskdeck.coordination.pools.passedorders import pass_orders
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.delays import LoopDelay
@@ -129,8 +131,7 @@
         callbacks: FleetCallbacks,
     ) -> None:
         self.contacts: dict[str, WorkerContact] = {}
-        # The contacts to the incarnations of each name.
-        self._namesakes: dict[str, list[WorkerContact]] = {}
+        self._namesakes = Namesakes()
         self._births = KnownBirths()
         self._is_loaded = False
         self._term = term
@@ -329,20 +330,17 @@
             dependencies.delay,
         )
         self.contacts[worker.identifier] = contact
-        self._namesakes.setdefault(contact.incarnation.name, []).append(contact)
+        self._namesakes.add(contact)
         self._start_task(self._run_contact(contact))
         return contact
 
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
         self.contacts.pop(contact.info.identifier, None)
-        name = contact.incarnation.name
-        self._namesakes[name].remove(contact)
-        if not self._namesakes[name]:
-            del self._namesakes[name]
+        self._namesakes.remove(contact)
         self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
-        postponed = self._postponed.get(name)
+        postponed = self._postponed.get(contact.incarnation.name)
         if postponed is not None and self._apply_registration(
             postponed.worker, postponed.revision
         ):
@@ -376,7 +374,7 @@
             # It may carry out what the previous owner ordered.
             self._unreconciled.setdefault(new, successor.info.zone)
         self._callbacks.on_replacement(contact)
-        contact.pass_orders_to(successor)
+        pass_orders(contact, successor, self._dependencies.times, self._now())
         contact.end_incarnation()
         self._callbacks.on_roster_change()
 
@@ -392,32 +390,9 @@
 
     def _replace_earlier(self, contact: WorkerContact) -> None:
         """End the earlier incarnations of a contact's worker."""
-        for other in self._list_earlier(contact.incarnation):
+        for other in self._namesakes.list_earlier(contact.incarnation):
             self._replace(other, contact)
 
-    def _list_earlier(self, incarnation: WorkerIncarnation) -> list[WorkerContact]:
-        """List the contacts to earlier incarnations that have not ended.
-
-        A contact without a birth is to an earlier one if there is one with a birth.
-        """
-        return [
-            contact
-            for contact in self._namesakes.get(incarnation.name, ())
-            if not contact.is_gone
-            and incarnation.born is not None
-            and (contact.incarnation.born or 0) < incarnation.born
-        ]
-
-    def _find_without_birth(
-        self, incarnation: WorkerIncarnation
-    ) -> WorkerContact | None:
-        """Return the contact to a worker that is now registered with a birth.
-
-        As far as is known, it is to the same incarnation.
-        """
-        found = (c for c in self._list_earlier(incarnation) if not c.incarnation.born)
-        return next(found, None)
-
     def _postpone(
         self, contact: WorkerContact, worker: PoolWorker, revision: int
     ) -> None:
@@ -433,8 +408,7 @@
         """Remove all incarnations of a name from the list."""
         self._undeclared.pop(name, None)
         self._postponed.pop(name, None)
-        for contact in self._namesakes.get(name, ()):
-            contact.is_listed = False
+        self._namesakes.unlist(name)
 
     # Registry ----------------------------------------------------------------
 
@@ -463,14 +437,18 @@
             return False
         reported_at = self._dependencies.find_write_time(revision)
         self._callbacks.on_registration(worker, reported_at)
-        without_birth = self._find_without_birth(incarnation)
+        without_birth = self._namesakes.find_without_birth(incarnation)
         if without_birth is not None:
             self._postpone(without_birth, worker, revision)
             return False
         self._postponed.pop(incarnation.name, None)
         contact = self.contacts.get(worker.identifier)
         is_declared = self._dependencies.is_pool_declared(worker.pool)
-        if contact is None and not is_declared and not self._list_earlier(incarnation):
+        if (
+            contact is None
+            and not is_declared
+            and not self._namesakes.list_earlier(incarnation)
+        ):
             self._record_undeclared(worker, revision)
             return False
         self._undeclared.pop(incarnation.name, None)
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -266,6 +266,28 @@
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
         self.end()
 
+    # Until the poll in flight is lost, more orders would go to the next incarnation.
+    @virtual
+    async def test_a_clock_that_goes_back_is_followed_by_a_poll_at_once(self):
+        cluster = await self.begin(workers=1, has_births=True)
+        await cluster.run_first_job()
+        contacts = cluster.find_owner().owner.contacts
+        worker = cluster.find_worker("w0")
+        await asyncio.sleep(0.1)
+        cluster.externally_registered.add("w0")
+        worker.kill()
+        with mock.patch.object(cluster, "register"):
+            later = cluster.add_worker("w0", worker.info.address)
+        await cluster.submit("j1", make_job())
+        await cluster.wait(lambda: bool(later.starts))
+        started_at = later.starts[0][0]
+        await cluster.wait(lambda: later.info.identifier in contacts)
+        found_after = cluster.clock.monotonic() - started_at
+        self.assertLess(found_after, timedelta(milliseconds=50))
+        cluster.externally_registered.clear()
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
     # The stop of an abandoned order is forgotten with the incarnation that confirmed
     # it, and the order might still be on its way.
     @virtual
