--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -474,33 +474,54 @@
     @virtual
     async def test_a_restart_during_a_takeover_is_found_by_a_list(self):
         cluster = await self.begin_with_a_job()
-        cluster.restart_delay = timedelta(milliseconds=300)
-        cluster.externally_registered.add("w0")
-        owner = await self.take_over(lambda: cluster.crash(cluster.find_worker("w0")))
+        worker = cluster.find_worker("w0")
+
+        def restart() -> None:
+            cluster.externally_registered.add("w0")
+            cluster.record_crash(worker)
+            worker.kill()
+            asyncio.get_running_loop().call_later(0.3, return_unregistered)
+
+        def return_unregistered() -> None:
+            with mock.patch.object(cluster, "register"):
+                cluster.add_worker("w0", worker.info.address)
+
+        owner = await self.take_over(restart)
+        contacts, fleet = owner.owner.contacts, owner.owner._fleet
+        self.assertIn(worker.info.identifier, fleet._unreconciled)
+        await cluster.wait(lambda: worker.info.identifier not in contacts, seconds=2)
+        await cluster.wait(lambda: fleet.unreconciled_count == 0, seconds=1)
+        self.assertNotIn("w0", [w.incarnation.name for w in self.list_usable(owner)])
         cluster.externally_registered.clear()
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED, owner.name, 9)
-        self.assertEqual(owner.owner._fleet.unreconciled_count, 0)
         self.end()
 
+    def list_usable(self, owner):
+        """List the contacts of an owner that may get orders."""
+        contacts = owner.owner.contacts.values()
+        return [c for c in contacts if c.is_usable(self.cluster._now())]
+
     # An order of the previous owner may be on its way to the next incarnation, which
     # has seen no epoch.
     @virtual
     async def test_a_job_waits_until_the_next_incarnation_is_read(self):
         cluster = await self.begin_with_a_job()
         daemons = cluster.daemons.values()
+        worker = cluster.find_worker("w0")
 
-        def restart() -> None:
-            worker = cluster.find_worker("w0")
+        def crash_behind_a_cut() -> None:
+            cluster.record_crash(worker)
             worker.kill()
-            cluster.add_worker("w0", worker.info.address)
             for daemon in daemons:
                 daemon.workers.cut_off.add("w0")
 
-        owner = await self.take_over(restart)
-        await asyncio.sleep(1)
+        owner = await self.take_over(crash_behind_a_cut)
         fleet = owner.owner._fleet
-        later = cluster.find_worker("w0").info.identifier
-        self.assertEqual(set(fleet._unreconciled), {later})
+        await asyncio.sleep(0.5)
+        self.assertEqual(set(fleet._unreconciled), {worker.info.identifier})
+        later = cluster.add_worker("w0", worker.info.address)
+        await asyncio.sleep(1)
+        self.assertEqual(set(fleet._unreconciled), {later.info.identifier})
         self.assertTrue(owner.owner.job_index.jobs["j1"].has_unconfirmed_runs)
         for daemon in daemons:
             daemon.workers.cut_off.clear()
