--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -398,10 +398,19 @@
                 if not stopped:
                     stopped.append(info.identifier)
                     worker = cluster.workers[info.identifier]
-                    cluster.restart_delay = timedelta(milliseconds=250)
-                    cluster.crash(worker)
+                    cluster.externally_registered.add(worker.incarnation.name)
+                    worker.kill()
+                    asyncio.get_running_loop().call_later(
+                        0.25, return_unregistered, worker
+                    )
                 return done
 
+            # Without a registration the task can't start again on the same worker,
+            # which would then refuse the earlier attempt.
+            def return_unregistered(worker) -> None:
+                with mock.patch.object(cluster, "register"):
+                    cluster.add_worker(worker.incarnation.name, worker.info.address)
+
             self.owner.workers.stop = crash_after_the_stop
             await cluster.submit("j1", make_job())
             await cluster.wait(lambda: bool(stopped))
