--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -387,7 +387,7 @@
     # one, which the order may reach later.
     @virtual
     async def test_a_stop_that_an_earlier_incarnation_confirmed_is_repeated(self):
-        with mock.patch("standins.pools.LATE_ORDER_DELAY", timedelta(seconds=1.1)):
+        with mock.patch("standins.pools.LATE_ORDER_DELAY", timedelta(seconds=2.1)):
             cluster = await self.begin_with_a_lost_order(
                 behave=lambda t, a: Work(timedelta(seconds=3))
             )
