--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -63,6 +63,7 @@
     "capacity": [None, [], {"cpu": -1}, {"cpu": "4"}, {"mem_mb": 2**70}, {"gpu": 1.5}],
     "labels": [None, "a", [1]],
     "remaining_ms": [1e300, -1, "soon", 2**80],
+    "born": [None, True, 0, -5, 1.5, 1e3, "17", 2**80],
 }
 DOCUMENT = {
     "version": 3,
@@ -185,7 +186,7 @@
     @settings(derandomize=True, max_examples=150, deadline=None)
     @given(
         draw_corrupted(
-            VALID_REGISTRATION, (*VALID_REGISTRATION, "remaining_ms", "zone")
+            VALID_REGISTRATION, (*VALID_REGISTRATION, "remaining_ms", "zone", "born")
         )
     )
     def test_any_registration_leaves_other_workers_listed(self, value):
@@ -259,7 +260,7 @@
     @given(
         draw_corrupted(
             {"clock_ms": 1, "running": [], "finished": []},
-            ("clock_ms", "running", "finished"),
+            ("clock_ms", "running", "finished", "born"),
         )
     )
     def test_any_inventory_is_parsed_or_lost(self, body):
@@ -287,24 +288,30 @@
 
 
 class WireCluster(PoolCluster):
-    """A cluster whose workers register in the platform's wire format."""
+    """A cluster whose workers register in the platform's wire format.
+
+    :cvar registers_births: whether registrations have the births of workers.
+    """
+
+    registers_births = True
 
     def build_registry(self, store: PoolStoreClient) -> WorkerRegistry:
         """Return the platform's registry."""
         return PlatformRegistry(store)
 
-    def register(self, worker: StandinWorker) -> None:
-        """Write a worker's registration in the wire format."""
-        info = worker.info
-        self.store.set(
-            f"servers/{info.identifier}",
-            register(
-                info.identifier,
-                address=info.address,
-                capacity={"cpu": info.size.millicores, "mem_mb": info.size.memory},
-                labels=sorted(info.labels),
-            ),
-        )
+    def register(self, worker: StandinWorker, **changes: Any) -> None:
+        """Write a worker's registration in the wire format.
+
+        :param changes: fields that differ from those of the worker.
+        """
+        info, (name, born) = worker.info, worker.incarnation
+        fields = {
+            "address": info.address,
+            "capacity": {"cpu": info.size.millicores, "mem_mb": info.size.memory},
+            "labels": sorted(info.labels),
+            "born": born if born and self.registers_births else "left out",
+        }
+        self.store.set(f"servers/{name}", register(name, **{**fields, **changes}))
 
 
 class TestOwner(PoolCase):
