--- a/src/damaskdeck/coordination/pools/speeds/records.py
+++ b/src/damaskdeck/coordination/pools/speeds/records.py
@@ -10,7 +10,7 @@
 )
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
-from damaskdeck.protocol.pools import PoolWorker
+from damaskdeck.protocol.pools import PoolWorker, WorkerIncarnation
 from damaskdeck.protocol.ports import Found, Missing
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
@@ -40,7 +40,7 @@
 
 def build_key(worker: PoolWorker) -> str:
     """Return the key of a worker's speed in the record and across incarnations."""
-    return worker.identifier
+    return WorkerIncarnation.parse(worker.identifier).name
 
 
 async def read_speeds(store: TransactionalStore, clock: Clock) -> SpeedsRecord:
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -195,6 +195,16 @@
         self.speeds.update(self.contacts, 6.0)
         self.assertNotIn("w3", self.speeds._evidence)
 
+    def test_another_incarnation_under_the_same_name_keeps_the_speed(self):
+        self.run_single_tasks(60)
+        before = self.speeds._evidence["w3"]
+        contact = self.contacts.pop("w3")
+        self.speeds.update(self.contacts, 3.0)
+        returned = contact.info._replace(identifier="w3@1700000000000")
+        self.contacts[returned.identifier] = contact._replace(info=returned)
+        self.speeds.update(self.contacts, 4.0)
+        self.assertEqual(self.speeds._evidence[returned.identifier], before.discount())
+
     def test_a_gang_ends_with_its_slowest_member(self):
         self.run_single_tasks(60)
         step = make_step(1, 2, is_gang=True)
