--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -3,20 +3,24 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.births import EntryVerdict, KnownBirths
+from damaskdeck.coordination.pools.capacityages import CapacityAges
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.cordons import Cordons
 from damaskdeck.coordination.pools.inventories import ContactOwner
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
 from damaskdeck.coordination.pools.namesakes import Namesakes
 from damaskdeck.coordination.pools.passedorders import pass_orders
+from damaskdeck.coordination.pools.predecessors import (
+    InheritedWorkers,
+    read_inherited_workers,
+)
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.delays import LoopDelay
-from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.clientaccounts import UNLIMITED_SIZE
 from damaskdeck.protocol.pools import (
@@ -28,16 +32,13 @@
     WorkerIncarnation,
     WorkerRegistry,
 )
-from damaskdeck.protocol.ports import Found, Lost, Missing, Rejected, RevisionTooOld
+from damaskdeck.protocol.ports import Lost, Rejected, RevisionTooOld
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
-    CORDONS_KEY,
     ROSTER_KEY,
     CordonedRun,
-    CordonsRecord,
     RosterRecord,
-    decode_record,
     encode_record,
 )
 
@@ -50,8 +51,6 @@
 # calls.
 REGISTRY_INTERVAL = timedelta(milliseconds=200)
 
-T = TypeVar("T")
-
 _log = get_logger("workforce")
 
 
@@ -103,17 +102,6 @@
     on_replacement: Callable[[WorkerContact], None]
 
 
-class InheritedWorkers(NamedTuple):
-    """The workers that a new owner finds in the store.
-
-    :param roster: the roster of the previous owner, ``None`` if it is unreadable.
-    """
-
-    registered: RegisteredWorkers
-    roster: RosterRecord | None
-    cordons: CordonsRecord
-
-
 class WorkerFleet:
     """The contacts to all workers during one owner term.
 
@@ -140,9 +128,7 @@
         self._callbacks = callbacks
         self._revision = 0
         self.followed_since = float("inf")
-        # Workers whose reported capacity was too old at the last check.
-        self._stale: set[str] = set()
-        self._has_stale_capacity = False
+        self._capacity_ages = CapacityAges(self.contacts, owner.handle_contact_change)
         # The availability zone of each unreconciled worker, an empty string if it is
         # unknown.
         self._unreconciled: dict[str, str] = {}
@@ -188,29 +174,14 @@
     def _now(self) -> float:
         return self._dependencies.clock.monotonic().total_seconds()
 
-    async def read(self) -> "InheritedWorkers":
+    async def read(self) -> InheritedWorkers:
         """Read the registry and the records of the previous owner."""
         dependencies = self._dependencies
-        while True:
-            found, roster, cordons = await asyncio.gather(
-                dependencies.registry.list_workers(),
-                dependencies.store.read(ROSTER_KEY),
-                dependencies.store.read(CORDONS_KEY),
-            )
-            answers = roster, cordons
-            if isinstance(found, RegisteredWorkers) and all(
-                isinstance(answer, Found | Missing) for answer in answers
-            ):
-                break
-            await dependencies.clock.sleep(RETRY_DELAY)
-        return InheritedWorkers(
-            found,
-            _decode(RosterRecord, roster),
-            # If the cordons are unreadable, no worker counts as cordoned.
-            _decode(CordonsRecord, cordons) or CordonsRecord(),
+        return await read_inherited_workers(
+            dependencies.registry, dependencies.store, dependencies.clock
         )
 
-    def load(self, inherited: "InheritedWorkers") -> None:
+    def load(self, inherited: InheritedWorkers) -> None:
         """Start contacts to all workers that :meth:`read` has found."""
         found, roster = inherited.registered, inherited.roster
         self._revision = found.revision
@@ -462,34 +433,14 @@
         is_new = not contact.is_listed or contact.info != worker
         was_in_roster = contact.is_rostered
         contact.update(worker, reported_at)
-        if worker.identifier in self._stale and contact.is_capacity_fresh(self._now()):
-            self._stale.discard(worker.identifier)
-            self._owner.handle_contact_change(contact)
+        self._capacity_ages.record_report(contact, self._now())
         if was_in_roster and not contact.is_rostered:
             self._callbacks.on_roster_change()
         return is_new
 
     def check_capacity_ages(self, now: float) -> None:
-        """Find workers whose capacity reports became too old, and notify the owner.
-
-        It is logged when the first report is too old, and when all are fresh again.
-        """
-        stale = {
-            name
-            for name, contact in self.contacts.items()
-            if contact.is_listed and not contact.is_capacity_fresh(now)
-        }
-        for name in stale - self._stale:
-            self._owner.handle_contact_change(self.contacts[name])
-        if bool(stale) is not self._has_stale_capacity:
-            self._has_stale_capacity = bool(stale)
-            if stale:
-                _log.warn(
-                    "Capacity reports of workers are too old.", workers=len(stale)
-                )
-            else:
-                _log.warn("All capacity reports are fresh again.")
-        self._stale = stale
+        """Find workers whose capacity reports became too old, and notify the owner."""
+        self._capacity_ages.check(now)
 
     def _record_undeclared(self, worker: PoolWorker, revision: int) -> None:
         name = WorkerIncarnation.parse(worker.identifier).name
@@ -541,19 +492,3 @@
             for identifier, contact in self.contacts.items():
                 contact.is_listed = identifier in present
             self._apply_all(found)
-
-
-def _decode(kind: type[T], answer: Found | Missing) -> T | None:
-    """Return a record, an empty one if it is missing, ``None`` if it is unreadable."""
-    if isinstance(answer, Missing):
-        return kind()
-    try:
-        return decode_record(kind, answer.entry.value)
-    except MessageError as error:
-        _log.error(
-            "A record of the previous owner can't be decoded.",
-            code=error.code,
-            key=answer.entry.key,
-            error=str(error),
-        )
-        return None
--- a/tests/test_delays.py
+++ b/tests/test_delays.py
@@ -126,7 +126,7 @@
         await cluster.submit("j1", make_job())
         await asyncio.sleep(0.1)
         contact = owner.owner.contacts["w0"]
-        overdue = contact._answer_due + LATE.total_seconds() - 0.05
+        overdue = contact._poller.answer_due + LATE.total_seconds() - 0.05
         self.assertFalse(contact.is_usable(overdue))
         owner.delay.record_lateness(LATE)
         self.assertTrue(contact.is_usable(overdue))
