--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -478,15 +478,18 @@
         ]
 
     def record_abandoned_order(self, run: Run) -> None:
-        """Record an order that was abandoned after a confirmed stop."""
+        """Record an order that was abandoned without having been seen to run."""
         if self._birth.is_reported:
-            self._passed_orders.record_abandoned(run, self._now())
+            now = self._now()
+            orders = {(run.task.name, run.attempt): now}
+            self._passed_orders.record_abandoned(orders, now)
 
-    def list_unsettled_stops(self, now: float) -> set[RunKey]:
-        """List the orders without a run that may still be carried out."""
-        earliest = now - self._times.start_window.total_seconds()
-        abandoned = self._passed_orders.list_abandoned(earliest)
-        return {*abandoned, *self._passed_orders.due_stops}
+    def take_unsettled_stops(self, now: float) -> dict[RunKey, float]:
+        """Take the orders without a run that the next incarnation may carry out.
+
+        :returns: When each was abandoned.
+        """
+        return self._passed_orders.take_abandoned(now)
 
     def take_run(self, run: Run) -> None:
         """Remove a run that the next incarnation may have; it is still charged."""
@@ -504,13 +507,15 @@
         self._lease.expires_at = max(self._lease.expires_at, lease_until)
         self._poll_soon.set()
 
-    def receive_stops(self, orders: set[RunKey], peak_size: Size) -> None:
+    def receive_stops(self, orders: dict[RunKey, float], peak_size: Size) -> None:
         """Receive orders to the earlier incarnation that are to be stopped here.
 
+        :param orders: When each was abandoned.
         :param peak_size: The largest capacity that the orders were based on.
         """
         self._update_peak_size(peak_size)
-        self._passed_orders.due_stops |= orders
+        self._passed_orders.due_stops |= orders.keys()
+        self._passed_orders.record_abandoned(orders, self._now())
         for task, attempt in orders:
             self.send_stop(task, attempt, None)
 
@@ -540,7 +545,7 @@
             self.runs
             or self.unknown_runs
             or self.last_durable_end < self.last_received_end
-            or self.list_unsettled_stops(self._now())
+            or (self._passed_orders.due_stops and not self._has_expired)
         ):
             return True
         return not self._is_reconciled and not self._has_expired
@@ -679,7 +684,6 @@
         if not await self._leadership.is_confirmed_since(self.lease_until):
             return
         self._has_expired = True
-        self._passed_orders.due_stops.clear()
         if self.runs:
             _log.warn("A worker's lease has expired.", worker=self.info.identifier)
             self._drop_runs("lease_over")
@@ -708,6 +712,8 @@
             await self._clock.sleep(FAILED_POLL_DELAY)
 
     def _drop_runs(self, reason: str) -> None:
+        for run in self.list_unlisted_runs():
+            self.record_abandoned_order(run)
         self.unknown_runs.clear()
         lost = list(self.runs.values())
         for run in lost:
--- a/src/damaskdeck/coordination/pools/namesakes.py
+++ b/src/damaskdeck/coordination/pools/namesakes.py
@@ -1,7 +1,9 @@
 """The contacts to the incarnations of each worker, found by the worker's name."""
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.passedorders import LATE_ORDER_SECONDS, RunKey
 from damaskdeck.protocol.pools import WorkerIncarnation
+from damaskdeck.protocol.sizes import Size
 
 
 class Namesakes:
@@ -9,14 +11,26 @@
 
     def __init__(self) -> None:
         self._contacts: dict[str, list[WorkerContact]] = {}
+        # The orders abandoned on workers without a contact, with the time of each, and
+        # the capacity that they were based on.
+        self._abandoned: dict[str, tuple[dict[RunKey, float], Size]] = {}
 
     def add(self, contact: WorkerContact) -> None:
-        """Add a contact."""
-        self._contacts.setdefault(contact.incarnation.name, []).append(contact)
+        """Add a contact, which has to stop what was abandoned on earlier ones."""
+        name = contact.incarnation.name
+        self._contacts.setdefault(name, []).append(contact)
+        if name in self._abandoned:
+            contact.receive_stops(*self._abandoned.pop(name))
 
-    def remove(self, contact: WorkerContact) -> None:
-        """Remove a contact."""
+    def remove(self, contact: WorkerContact, now: float) -> None:
+        """Remove a contact, and keep for a while what was abandoned there."""
         name = contact.incarnation.name
+        for key, (orders, _) in list(self._abandoned.items()):
+            if now - max(orders.values()) >= LATE_ORDER_SECONDS:
+                del self._abandoned[key]
+        orders = contact.take_unsettled_stops(now)
+        if orders:
+            self._abandoned[name] = orders, contact.peak_size
         self._contacts[name].remove(contact)
         if not self._contacts[name]:
             del self._contacts[name]
--- a/src/damaskdeck/coordination/pools/passedorders.py
+++ b/src/damaskdeck/coordination/pools/passedorders.py
@@ -8,13 +8,18 @@
 
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.protocol.queues import TaskName
-from damaskdeck.state.pooljobs import Run
 
 if TYPE_CHECKING:
     from damaskdeck.coordination.pools.contacts import WorkerContact
 
 RunKey = tuple[TaskName, int]
 
+# The platform may carry out an order without an answer up to 12 s after it was sent. A
+# deadline on the clock of one incarnation doesn't protect the next one.
+LATE_ORDER_SECONDS = 15.0
+# Bounds what is kept, and stopped, for a worker that loses many answers.
+MAX_ABANDONED_ORDERS = 64
+
 
 class PassedOrders:
     """The orders to one incarnation whose runs are not, or no longer, known there.
@@ -28,18 +33,26 @@
     def __init__(self) -> None:
         self.due_stops: set[RunKey] = set()
         self.lease_until = 0.0
-        # When each order was abandoned after a confirmed stop.
+        # When each order was abandoned, the earliest first.
         self._abandoned: dict[RunKey, float] = {}
 
-    def record_abandoned(self, run: Run, now: float) -> None:
-        """Record an order that was abandoned after a confirmed stop."""
-        self._abandoned[run.task.name, run.attempt] = now
+    def record_abandoned(self, orders: dict[RunKey, float], now: float) -> None:
+        """Record orders that were abandoned, with the time of each.
+
+        The latest ``MAX_ABANDONED_ORDERS`` of the last ``LATE_ORDER_SECONDS`` are kept.
+        """
+        times = sorted({**self._abandoned, **orders}.items(), key=lambda item: item[1])
+        self._abandoned = {
+            key: at
+            for key, at in times[-MAX_ABANDONED_ORDERS:]
+            if now - at < LATE_ORDER_SECONDS
+        }
 
-    def list_abandoned(self, earliest: float) -> list[RunKey]:
-        """List the orders abandoned since a time, and forget those before."""
-        for key in [key for key, at in self._abandoned.items() if at < earliest]:
-            del self._abandoned[key]
-        return list(self._abandoned)
+    def take_abandoned(self, now: float) -> dict[RunKey, float]:
+        """Return the orders that may still be carried out, and forget them."""
+        self.record_abandoned({}, now)
+        orders, self._abandoned = self._abandoned, {}
+        return orders
 
 
 def pass_orders(
@@ -54,4 +67,4 @@
         contact.take_run(run)
         run.move(successor.info.identifier, now)
         successor.receive_run(run, until)
-    successor.receive_stops(contact.list_unsettled_stops(now), contact.peak_size)
+    successor.receive_stops(contact.take_unsettled_stops(now), contact.peak_size)
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -337,7 +337,7 @@
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
         self.contacts.pop(contact.info.identifier, None)
-        self._namesakes.remove(contact)
+        self._namesakes.remove(contact, self._now())
         self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
         postponed = self._postponed.get(contact.incarnation.name)
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -9,9 +9,14 @@
 from datetime import timedelta
 from unittest import mock
 
+from damaskdeck.coordination.pools.passedorders import (
+    LATE_ORDER_SECONDS,
+    MAX_ABANDONED_ORDERS,
+    PassedOrders,
+)
 from damaskdeck.protocol.pools import Done, EndKind, WorkerIncarnation
 from damaskdeck.protocol.ports import Lost
-from damaskdeck.protocol.queues import QueueJobState, StepSpec
+from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
 from damaskdeck.state.jobrecords import (
     ROSTER_KEY,
     RosterRecord,
@@ -314,6 +319,71 @@
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
         self.end()
 
+    # An order may be carried out 12 s after it was sent. It was forgotten after 1.2 s,
+    # and when the contact to the earlier incarnation had ended.
+    @virtual
+    async def test_an_abandoned_order_is_stopped_on_a_later_return(self):
+        worker, run = await self.lose_an_order()
+        cluster, name = self.cluster, worker.incarnation.name
+        await cluster.wait(lambda: run not in run.task.runs)
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        cluster.restart_delay = None
+        cluster.crash(worker)
+        await asyncio.sleep(9)
+        self.assertNotIn(worker.info.identifier, self.owner.owner.contacts)
+        await self.assert_stopped_after_returns(name, worker.info.address, run)
+
+    # A lease that had expired was taken for the end of the order as well.
+    @virtual
+    async def test_an_order_under_an_expired_lease_is_stopped_on_a_return(self):
+        worker, run = await self.lose_an_order()
+        cluster, name = self.cluster, worker.incarnation.name
+        self.owner.workers.cut_off.add(name)
+        cluster.restart_delay = None
+        cluster.crash(worker)
+        await cluster.wait(lambda: run not in run.task.runs, seconds=9)
+        self.owner.workers.cut_off.clear()
+        await self.assert_stopped_after_returns(name, worker.info.address, run)
+
+    # The stop was forgotten when the lease of the incarnation that was cut off expired.
+    @virtual
+    async def test_an_abandoned_order_is_stopped_after_a_long_cut(self):
+        worker, run = await self.lose_an_order()
+        cluster, name = self.cluster, worker.incarnation.name
+        await cluster.wait(lambda: run not in run.task.runs)
+        self.owner.workers.cut_off.add(name)
+        worker.kill()
+        later = cluster.add_worker(name, worker.info.address)
+        await asyncio.sleep(8)
+        self.owner.workers.cut_off.clear()
+        await asyncio.sleep(1)
+        barred = later._barred_attempts.get(run.task.name, 0)
+        self.assertGreaterEqual(barred, run.attempt)
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
+    async def assert_stopped_after_returns(self, name, address, run) -> None:
+        """Let a worker return twice, and check that an order is refused each time."""
+        for _ in range(2):
+            worker = self.cluster.add_worker(name, address)
+            await asyncio.sleep(1)
+            barred = worker._barred_attempts.get(run.task.name, 0)
+            self.assertGreaterEqual(barred, run.attempt)
+            worker.kill()
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
+    # Each lost order of a worker that never restarts stayed in memory.
+    def test_abandoned_orders_are_bounded(self):
+        orders = PassedOrders()
+        for number in range(200):
+            orders.record_abandoned({(TaskName("j", 0, 0, number), 1): number}, number)
+        self.assertLessEqual(len(orders._abandoned), LATE_ORDER_SECONDS)
+        keys = {(TaskName("j", 0, 0, number), 1): 200.0 for number in range(200)}
+        orders.record_abandoned(keys, 200.0)
+        self.assertEqual(len(orders.take_abandoned(200.0)), MAX_ABANDONED_ORDERS)
+        self.assertEqual(orders.take_abandoned(200.0), {})
+
     # Once its contact has ended, an order would start a task on the next incarnation
     # that nobody looks for there.
     @virtual
