--- a/src/damaskdeck/coordination/pools/births.py
+++ b/src/damaskdeck/coordination/pools/births.py
@@ -114,6 +114,15 @@
         if born is not None and born > self._find_latest(name):
             self._latest[name] = _KnownBirth(born, address)
 
+    def record_listed(self, incarnation: WorkerIncarnation, address: str) -> None:
+        """Record an incarnation that a list has shown to be the living one.
+
+        It is the latest one even if an entry has named a later birth: that entry was
+        wrong, or the worker's clock has gone back across its restart.
+        """
+        if incarnation.born is not None:
+            self._latest[incarnation.name] = _KnownBirth(incarnation.born, address)
+
     def record_end(self, incarnation: WorkerIncarnation) -> None:
         """Record that an incarnation has ended."""
         name, born = incarnation
@@ -125,6 +134,15 @@
         born = incarnation.born
         return born is not None and born < self._find_latest(incarnation.name)
 
+    def _is_entry_outdated(self, incarnation: WorkerIncarnation) -> bool:
+        """Whether an entry is of an incarnation that is not the living one."""
+        name, born = incarnation
+        latest = self._find_latest(name)
+        if born is None or born == latest:
+            # The latest one may have ended before a later birth that was taken back.
+            return born is not None and born == self._ended.get(name)
+        return born < latest or born <= self._ended.get(name, 0)
+
     def _find_latest(self, name: str) -> int:
         known = self._latest.get(name)
         return known.born if known is not None else 0
@@ -138,9 +156,7 @@
                 return EntryVerdict.USABLE
             self._report(name, revision, "it has no birth, but earlier ones had")
             return EntryVerdict.UNUSABLE
-        if self.is_outdated(WorkerIncarnation(name, born)) or born <= self._ended.get(
-            name, 0
-        ):
+        if self._is_entry_outdated(WorkerIncarnation(name, born)):
             if self._is_new(name, revision):
                 _log.info(
                     "A registration of an earlier incarnation is ignored.",
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -354,7 +354,7 @@
         Its registration may not be known yet; it gets no orders until it is.
         """
         incarnation = WorkerIncarnation(contact.incarnation.name, born)
-        self._births.record(incarnation, contact.info.address)
+        self._births.record_listed(incarnation, contact.info.address)
         successor = self.contacts.get(incarnation.identifier)
         if successor is None:
             info = contact.info._replace(
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -618,6 +618,23 @@
         self.assertEqual(len(self.cluster.list_starts()), 2)
         self.end()
 
+    # Entries with the birth that the worker lists counted as outdated from then on, so
+    # that a single entry with a later one took it out of use until the owner changed.
+    @virtual
+    async def test_a_later_birth_that_no_list_confirms_ends_no_use(self):
+        await self.begin_alone()
+        self.register(born=FIRST_BIRTH + 3_600_000)
+        await asyncio.sleep(1)
+        self.cluster.externally_registered.clear()
+        await self.cluster.submit("j1", make_job())
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=9)
+        self.assertTrue(self.find_contact(self.worker).is_listed)
+        self.register(born=FIRST_BIRTH + 3_600_000)
+        await asyncio.sleep(1)
+        self.assertTrue(self.find_contact(self.worker).is_listed)
+        self.cluster.externally_registered.clear()
+        self.end()
+
     # The next incarnation may be of another kind and size than the one registered.
     @virtual
     async def test_an_incarnation_that_is_only_listed_gets_no_orders(self):
