--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -336,9 +336,10 @@
 
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
-        self.contacts.pop(contact.info.identifier, None)
         self._namesakes.remove(contact, self._now())
-        self.mark_reconciled(contact)
+        if self.contacts.get(contact.info.identifier) is contact:
+            del self.contacts[contact.info.identifier]
+            self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
         postponed = self._postponed.get(contact.incarnation.name)
         if postponed is not None and self._apply_registration(
@@ -356,7 +357,8 @@
         incarnation = WorkerIncarnation(contact.incarnation.name, born)
         self._births.record_listed(incarnation, contact.info.address)
         successor = self.contacts.get(incarnation.identifier)
-        if successor is None:
+        if successor is None or successor.is_gone:
+            # One that is gone was ended by an entry with a birth that no list confirms.
             info = contact.info._replace(
                 identifier=incarnation.identifier, is_leaving=False, remaining=None
             )
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -17,6 +17,7 @@
 from damaskdeck.protocol.pools import Done, EndKind, WorkerIncarnation
 from damaskdeck.protocol.ports import Lost
 from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
+from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.jobrecords import (
     ROSTER_KEY,
     RosterRecord,
@@ -635,6 +636,31 @@
         self.cluster.externally_registered.clear()
         self.end()
 
+    # The order was passed to the later birth and back to a contact that waited for it
+    # to be settled, so that its task and its quota were never released.
+    @virtual
+    async def test_an_order_that_is_passed_back_is_settled(self):
+        await self.begin_alone()
+        owner = self.cluster.find_owner()
+
+        async def lose(*args):
+            await asyncio.sleep(0.4)
+            return Lost("timeout")
+
+        with (
+            mock.patch.object(owner.workers, "start", lose),
+            mock.patch.object(owner.workers, "stop", lose),
+        ):
+            await self.cluster.submit("j1", make_job())
+            await asyncio.sleep(0.1)
+            self.register(born=FIRST_BIRTH + 3_600_000)
+            await asyncio.sleep(1)
+        self.cluster.externally_registered.clear()
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=9)
+        self.assertEqual(owner.owner.account_limits.get_usage(""), Size())
+        self.assertEqual(set(owner.owner.contacts), {self.worker.info.identifier})
+        self.end()
+
     # The next incarnation may be of another kind and size than the one registered.
     @virtual
     async def test_an_incarnation_that_is_only_listed_gets_no_orders(self):
