--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -565,7 +565,7 @@
         observed = self.last_durable_end if is_confirmed else 0
         answer = await self._call_poll(observed, deadline, wait)
         if answer is None:
-            self._birth.forget_answers()
+            # The poll was cut short here, which says nothing about the worker.
             return
         now = self._now()
         if isinstance(answer, WorkerTasks):
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 from datetime import timedelta
+from random import Random
 from unittest import mock
 
 from damaskdeck.coordination.pools.passedorders import (
@@ -94,6 +95,56 @@
         self.assertEqual(sent[-1], (1, True))
         self.end()
 
+    # Where the answer to one more poll may be lost, the lease may expire meanwhile.
+    @virtual
+    async def test_a_poll_that_is_cut_short_takes_back_no_confirmation(self):
+        cluster = await self.begin(workers=1, has_births=True)
+        await cluster.run_first_job()
+        owner = cluster.find_owner()
+        owner.workers.cut_off.add("w0")
+        contact = owner.owner.contacts[cluster.find_worker("w0").info.identifier]
+        await cluster.wait(lambda: contact.is_cordoned)
+        poll, extends = owner.workers.poll, []
+
+        async def record(info, epoch, observed, deadline, wait):
+            extends.append(deadline is not None)
+            return await poll(info, epoch, observed, deadline, wait)
+
+        owner.workers.poll = record
+        owner.workers.cut_off.clear()
+        # The end of the cordon cuts the poll in flight short.
+        await cluster.wait(lambda: not contact.is_cordoned)
+        await asyncio.sleep(0.1)
+        self.assertEqual(extends[:3], [False, False, True])
+        self.end()
+
+    # After each failed poll, one that extends no lease has to be answered first.
+    @virtual
+    async def test_no_lease_expires_while_three_answers_in_ten_are_lost(self):
+        cluster = await self.begin(
+            workers=4,
+            has_births=True,
+            behave=lambda t, a: Work(timedelta(seconds=3)),
+        )
+        random = Random(2)
+        workers = cluster.find_owner().workers
+        poll = workers.poll
+
+        async def lose_answers(*args):
+            answer = await poll(*args)
+            if random.random() >= 0.3:
+                return answer
+            await asyncio.sleep(0.35)
+            return Lost("timeout")
+
+        workers.poll = lose_answers
+        for number in range(60):
+            await cluster.submit(f"j{number}", make_job())
+            await asyncio.sleep(1)
+            for worker in cluster.workers.values():
+                self.assertGreater(worker.lease_expires_at, cluster.clock.monotonic())
+        self.end()
+
     # Its answer was sent before the freeze, and the worker has restarted since.
     @virtual
     async def test_an_answer_that_was_read_late_confirms_no_birth(self):
