--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -322,12 +322,15 @@
         return self._orders.list_unlisted_runs()
 
     def record_abandoned_order(self, run: Run) -> None:
-        """Record an order that was abandoned after a confirmed stop."""
+        """Record an order that was abandoned without having been seen to run."""
         self._orders.record_abandoned(run)
 
-    def list_unsettled_stops(self, now: float) -> set[RunKey]:
-        """List the orders without a run that may still be carried out."""
-        return self._orders.list_unsettled_stops(now)
+    def take_unsettled_stops(self, now: float) -> dict[RunKey, float]:
+        """Take the orders without a run that the next incarnation may carry out.
+
+        :returns: When each was abandoned.
+        """
+        return self._orders.passed.take_abandoned(now)
 
     def take_run(self, run: Run) -> None:
         """Remove a run that the next incarnation may have; it is still charged."""
@@ -345,9 +348,10 @@
         self._lease.expires_at = max(self._lease.expires_at, lease_until)
         self._session.poll_soon.set()
 
-    def receive_stops(self, orders: set[RunKey], peak_size: Size) -> None:
+    def receive_stops(self, orders: dict[RunKey, float], peak_size: Size) -> None:
         """Receive orders to the earlier incarnation that are to be stopped here.
 
+        :param orders: When each was abandoned.
         :param peak_size: The largest capacity that the orders were based on.
         """
         self._update_peak_size(peak_size)
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -307,9 +307,10 @@
 
     async def _run_contact(self, contact: WorkerContact) -> None:
         await contact.run()
-        self.contacts.pop(contact.info.identifier, None)
-        self._namesakes.remove(contact)
-        self.mark_reconciled(contact)
+        self._namesakes.remove(contact, self._now())
+        if self.contacts.get(contact.info.identifier) is contact:
+            del self.contacts[contact.info.identifier]
+            self.mark_reconciled(contact)
         self._callbacks.on_roster_change()
         postponed = self._postponed.get(contact.incarnation.name)
         if postponed is not None and self._apply_registration(
@@ -325,9 +326,10 @@
         Its registration may not be known yet; it gets no orders until it is.
         """
         incarnation = WorkerIncarnation(contact.incarnation.name, born)
-        self._births.record(incarnation, contact.info.address)
+        self._births.record_listed(incarnation, contact.info.address)
         successor = self.contacts.get(incarnation.identifier)
-        if successor is None:
+        if successor is None or successor.is_gone:
+            # One that is gone was ended by an entry with a birth that no list confirms.
             info = contact.info._replace(
                 identifier=incarnation.identifier, is_leaving=False, remaining=None
             )
--- a/src/damaskdeck/coordination/pools/workerorders.py
+++ b/src/damaskdeck/coordination/pools/workerorders.py
@@ -185,19 +185,18 @@
         ]
 
     def record_abandoned(self, run: Run) -> None:
-        """Record an order that was abandoned after a confirmed stop."""
+        """Record an order that was abandoned without having been seen to run."""
         if self._session.birth.is_reported:
-            self.passed.record_abandoned(run, self._session.now())
+            now = self._session.now()
+            self.passed.record_abandoned({(run.task.name, run.attempt): now}, now)
 
-    def list_unsettled_stops(self, now: float) -> set[RunKey]:
-        """List the orders without a run that may still be carried out."""
-        earliest = now - self._session.times.start_window.total_seconds()
-        abandoned = self.passed.list_abandoned(earliest)
-        return {*abandoned, *self.passed.due_stops}
+    def receive_stops(self, orders: dict[RunKey, float]) -> None:
+        """Stop orders to the earlier incarnation here.
 
-    def receive_stops(self, orders: set[RunKey]) -> None:
-        """Stop orders to the earlier incarnation here."""
-        self.passed.due_stops |= orders
+        :param orders: When each was abandoned.
+        """
+        self.passed.due_stops |= orders.keys()
+        self.passed.record_abandoned(orders, self._session.now())
         for task, attempt in orders:
             self.send_stop(task, attempt, None)
 
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -82,7 +82,7 @@
             contact.runs
             or contact.unknown_runs
             or contact.last_durable_end < contact.last_received_end
-            or self._orders.list_unsettled_stops(self._session.now())
+            or (self._orders.passed.due_stops and not self._has_expired)
         ):
             return True
         return not contact.is_reconciled and not self._has_expired
@@ -105,7 +105,7 @@
         observed = contact.last_durable_end if is_confirmed else 0
         answer = await self._call_poll(observed, deadline, wait)
         if answer is None:
-            session.birth.forget_answers()
+            # The poll was cut short here, which says nothing about the worker.
             return
         now = session.now()
         if isinstance(answer, WorkerTasks):
@@ -231,7 +231,6 @@
         if not await self._session.leadership.is_confirmed_since(contact.lease_until):
             return
         self._has_expired = True
-        self._orders.passed.due_stops.clear()
         if contact.runs:
             _log.warn("A worker's lease has expired.", worker=contact.info.identifier)
             self._drop_runs("lease_over")
@@ -251,6 +250,8 @@
 
     def _drop_runs(self, reason: str) -> None:
         contact = self._contact
+        for run in self._orders.list_unlisted_runs():
+            self._orders.record_abandoned(run)
         contact.unknown_runs.clear()
         lost = list(contact.runs.values())
         for run in lost:
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -7,11 +7,18 @@
 import asyncio
 import itertools
 from datetime import timedelta
+from random import Random
 from unittest import mock
 
+from damaskdeck.coordination.pools.passedorders import (
+    LATE_ORDER_SECONDS,
+    MAX_ABANDONED_ORDERS,
+    PassedOrders,
+)
 from damaskdeck.protocol.pools import Done, EndKind, WorkerIncarnation
 from damaskdeck.protocol.ports import Lost
-from damaskdeck.protocol.queues import QueueJobState, StepSpec
+from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
+from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.jobrecords import (
     ROSTER_KEY,
     RosterRecord,
@@ -88,6 +95,56 @@
         self.assertEqual(sent[-1], (1, True))
         self.end()
 
+    # Where the answer to one more poll may be lost, the lease may expire meanwhile.
+    @virtual
+    async def test_a_poll_that_is_cut_short_takes_back_no_confirmation(self):
+        cluster = await self.begin(workers=1, has_births=True)
+        await cluster.run_first_job()
+        owner = cluster.find_owner()
+        owner.workers.cut_off.add("w0")
+        contact = owner.owner.contacts[cluster.find_worker("w0").info.identifier]
+        await cluster.wait(lambda: contact.is_cordoned)
+        poll, extends = owner.workers.poll, []
+
+        async def record(info, epoch, observed, deadline, wait):
+            extends.append(deadline is not None)
+            return await poll(info, epoch, observed, deadline, wait)
+
+        owner.workers.poll = record
+        owner.workers.cut_off.clear()
+        # The end of the cordon cuts the poll in flight short.
+        await cluster.wait(lambda: not contact.is_cordoned)
+        await asyncio.sleep(0.1)
+        self.assertEqual(extends[:3], [False, False, True])
+        self.end()
+
+    # After each failed poll, one that extends no lease has to be answered first.
+    @virtual
+    async def test_no_lease_expires_while_three_answers_in_ten_are_lost(self):
+        cluster = await self.begin(
+            workers=4,
+            has_births=True,
+            behave=lambda t, a: Work(timedelta(seconds=3)),
+        )
+        random = Random(2)
+        workers = cluster.find_owner().workers
+        poll = workers.poll
+
+        async def lose_answers(*args):
+            answer = await poll(*args)
+            if random.random() >= 0.3:
+                return answer
+            await asyncio.sleep(0.35)
+            return Lost("timeout")
+
+        workers.poll = lose_answers
+        for number in range(60):
+            await cluster.submit(f"j{number}", make_job())
+            await asyncio.sleep(1)
+            for worker in cluster.workers.values():
+                self.assertGreater(worker.lease_expires_at, cluster.clock.monotonic())
+        self.end()
+
     # Its answer was sent before the freeze, and the worker has restarted since.
     @virtual
     async def test_an_answer_that_was_read_late_confirms_no_birth(self):
@@ -314,6 +371,71 @@
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
         self.end()
 
+    # An order may be carried out 12 s after it was sent. It was forgotten after 1.2 s,
+    # and when the contact to the earlier incarnation had ended.
+    @virtual
+    async def test_an_abandoned_order_is_stopped_on_a_later_return(self):
+        worker, run = await self.lose_an_order()
+        cluster, name = self.cluster, worker.incarnation.name
+        await cluster.wait(lambda: run not in run.task.runs)
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        cluster.restart_delay = None
+        cluster.crash(worker)
+        await asyncio.sleep(9)
+        self.assertNotIn(worker.info.identifier, self.owner.owner.contacts)
+        await self.assert_stopped_after_returns(name, worker.info.address, run)
+
+    # A lease that had expired was taken for the end of the order as well.
+    @virtual
+    async def test_an_order_under_an_expired_lease_is_stopped_on_a_return(self):
+        worker, run = await self.lose_an_order()
+        cluster, name = self.cluster, worker.incarnation.name
+        self.owner.workers.cut_off.add(name)
+        cluster.restart_delay = None
+        cluster.crash(worker)
+        await cluster.wait(lambda: run not in run.task.runs, seconds=9)
+        self.owner.workers.cut_off.clear()
+        await self.assert_stopped_after_returns(name, worker.info.address, run)
+
+    # The stop was forgotten when the lease of the incarnation that was cut off expired.
+    @virtual
+    async def test_an_abandoned_order_is_stopped_after_a_long_cut(self):
+        worker, run = await self.lose_an_order()
+        cluster, name = self.cluster, worker.incarnation.name
+        await cluster.wait(lambda: run not in run.task.runs)
+        self.owner.workers.cut_off.add(name)
+        worker.kill()
+        later = cluster.add_worker(name, worker.info.address)
+        await asyncio.sleep(8)
+        self.owner.workers.cut_off.clear()
+        await asyncio.sleep(1)
+        barred = later._barred_attempts.get(run.task.name, 0)
+        self.assertGreaterEqual(barred, run.attempt)
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
+    async def assert_stopped_after_returns(self, name, address, run) -> None:
+        """Let a worker return twice, and check that an order is refused each time."""
+        for _ in range(2):
+            worker = self.cluster.add_worker(name, address)
+            await asyncio.sleep(1)
+            barred = worker._barred_attempts.get(run.task.name, 0)
+            self.assertGreaterEqual(barred, run.attempt)
+            worker.kill()
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.end()
+
+    # Each lost order of a worker that never restarts stayed in memory.
+    def test_abandoned_orders_are_bounded(self):
+        orders = PassedOrders()
+        for number in range(200):
+            orders.record_abandoned({(TaskName("j", 0, 0, number), 1): number}, number)
+        self.assertLessEqual(len(orders._abandoned), LATE_ORDER_SECONDS)
+        keys = {(TaskName("j", 0, 0, number), 1): 200.0 for number in range(200)}
+        orders.record_abandoned(keys, 200.0)
+        self.assertEqual(len(orders.take_abandoned(200.0)), MAX_ABANDONED_ORDERS)
+        self.assertEqual(orders.take_abandoned(200.0), {})
+
     # Once its contact has ended, an order would start a task on the next incarnation
     # that nobody looks for there.
     @virtual
@@ -548,6 +670,48 @@
         self.assertEqual(len(self.cluster.list_starts()), 2)
         self.end()
 
+    # Entries with the birth that the worker lists counted as outdated from then on, so
+    # that a single entry with a later one took it out of use until the owner changed.
+    @virtual
+    async def test_a_later_birth_that_no_list_confirms_ends_no_use(self):
+        await self.begin_alone()
+        self.register(born=FIRST_BIRTH + 3_600_000)
+        await asyncio.sleep(1)
+        self.cluster.externally_registered.clear()
+        await self.cluster.submit("j1", make_job())
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=9)
+        self.assertTrue(self.find_contact(self.worker).is_listed)
+        self.register(born=FIRST_BIRTH + 3_600_000)
+        await asyncio.sleep(1)
+        self.assertTrue(self.find_contact(self.worker).is_listed)
+        self.cluster.externally_registered.clear()
+        self.end()
+
+    # The order was passed to the later birth and back to a contact that waited for it
+    # to be settled, so that its task and its quota were never released.
+    @virtual
+    async def test_an_order_that_is_passed_back_is_settled(self):
+        await self.begin_alone()
+        owner = self.cluster.find_owner()
+
+        async def lose(*args):
+            await asyncio.sleep(0.4)
+            return Lost("timeout")
+
+        with (
+            mock.patch.object(owner.workers, "start", lose),
+            mock.patch.object(owner.workers, "stop", lose),
+        ):
+            await self.cluster.submit("j1", make_job())
+            await asyncio.sleep(0.1)
+            self.register(born=FIRST_BIRTH + 3_600_000)
+            await asyncio.sleep(1)
+        self.cluster.externally_registered.clear()
+        await self.cluster.wait_for_state("j1", QueueJobState.COMPLETED, seconds=9)
+        self.assertEqual(owner.owner.account_limits.get_usage(""), Size())
+        self.assertEqual(set(owner.owner.contacts), {self.worker.info.identifier})
+        self.end()
+
     # The next incarnation may be of another kind and size than the one registered.
     @virtual
     async def test_an_incarnation_that_is_only_listed_gets_no_orders(self):
