--- a/src/damaskdeck/coordination/places/preemption.py
+++ b/src/damaskdeck/coordination/places/preemption.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from itertools import islice
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.places.filters import Predicate, find_refusal
@@ -29,6 +29,8 @@
 # Name of the filter that protects claimed capacity, in a placer.
 CLAIMED = "claimed"
 
+C = TypeVar("C")
+
 FindRefusal = Callable[[TaskNeed, WorkerAccount], str | None]
 MayStop = Callable[[TaskNeed, TaskNeed], bool]
 
@@ -63,6 +65,32 @@
     size: Size
 
 
+class ClaimedCapacity:
+    """What is claimed of each worker, less what its victims will free."""
+
+    def __init__(self) -> None:
+        self._sizes: dict[str, Size] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._sizes)
+
+    def __contains__(self, worker: str) -> bool:
+        return worker in self._sizes
+
+    def get(self, worker: str) -> Size:
+        """Return the size, in which dimensions may be negative."""
+        return self._sizes.get(worker, ZERO_SIZE)
+
+    def adjust(self, claim: Claim, sign: int) -> None:
+        """Add a claim if ``sign`` is positive, or subtract it."""
+        change = add_sizes if sign > 0 else subtract_sizes
+        claimed = change(self.get(claim.worker), claim.size)
+        if claimed == ZERO_SIZE:
+            self._sizes.pop(claim.worker, None)
+        else:
+            self._sizes[claim.worker] = claimed
+
+
 class PreemptionBudget:
     """Limits preemption, so that it doesn't cascade from task to task.
 
@@ -89,17 +117,36 @@
         self._refilled = clock.monotonic()
         self._counts: Counter[str] = Counter()
 
+    def set_limit(self, limit: int) -> None:
+        """Change the limit, for example with the number of running tasks."""
+        self._refill()
+        self._limit = limit
+        self._available = min(self._limit, self._available)
+
+    @property
+    def available(self) -> float:
+        """How many preemptions are allowed now."""
+        self._refill()
+        return self._available
+
     def may_preempt(self, task: str) -> bool:
         """Return whether ``task`` may be preempted once more."""
-        return self._counts[task] < self._per_task
+        return self._counts.get(task, 0) < self._per_task
+
+    def is_counted(self, task: str) -> bool:
+        """Return whether ``task`` was preempted before."""
+        return self._counts.get(task, 0) > 0
 
     def is_available(self, amount: int) -> bool:
         """Return whether the budget allows ``amount`` preemptions now."""
+        self._refill()
+        return self._available >= amount
+
+    def _refill(self) -> None:
         now = self._clock.monotonic()
         refill = self._limit * ((now - self._refilled) / self._interval)
         self._available = min(self._limit, self._available + refill)
         self._refilled = now
-        return self._available >= amount
 
     def spend(self, tasks: Iterable[str]) -> None:
         """Charge the budget for ``tasks`` that are preempted."""
@@ -150,7 +197,7 @@
         self._next_start = 0
         self._claims: dict[str, Claim] = {}
         self._victims: dict[str, Claim] = {}
-        self._claimed: dict[str, Size] = {}
+        self._claimed = ClaimedCapacity()
         accounts.subscribe(self._handle_account)
 
     def choose(self, need: TaskNeed) -> Victims | NoVictims:
@@ -188,9 +235,9 @@
         reservations = self._accounts.workers[best.worker].reservations
         for task in tasks:
             self._victims[task] = Claim(best.worker, reservations[task].need.size)
-            self._adjust_claimed(self._victims[task], -1)
+            self._claimed.adjust(self._victims[task], -1)
         self._claims[need.task] = Claim(best.worker, need.size)
-        self._adjust_claimed(self._claims[need.task], 1)
+        self._claimed.adjust(self._claims[need.task], 1)
         return best
 
     def _roll_back(self, needs: Sequence[TaskNeed], chosen: Iterable[Victims]) -> None:
@@ -216,7 +263,7 @@
         account = self._accounts.workers.get(worker)
         if account is None:
             return Size(-1, -1, -1)
-        return subtract_sizes(account.free, self._claimed.get(worker, ZERO_SIZE))
+        return subtract_sizes(account.free, self._claimed.get(worker))
 
     def find_claim(self, task: str) -> str | None:
         """Return the worker on which capacity is claimed for a task."""
@@ -227,13 +274,13 @@
         """Remove the claim of ``task``, which was placed or needs no capacity now."""
         claim = self._claims.pop(task, None)
         if claim is not None:
-            self._adjust_claimed(claim, -1)
+            self._claimed.adjust(claim, -1)
 
     def record_end(self, task: str) -> None:
         """Record that a task no longer runs; the capacity of a victim is now free."""
         claim = self._victims.pop(task, None)
         if claim is not None:
-            self._adjust_claimed(claim, 1)
+            self._claimed.adjust(claim, 1)
 
     def _handle_account(self, account: WorkerAccount, is_present: bool) -> None:
         """Remove the victims of a worker that has another owner or is gone."""
@@ -275,14 +322,6 @@
                 break
         return best
 
-    def _adjust_claimed(self, claim: Claim, sign: int) -> None:
-        change = add_sizes if sign > 0 else subtract_sizes
-        claimed = change(self._claimed.get(claim.worker, ZERO_SIZE), claim.size)
-        if claimed == ZERO_SIZE:
-            self._claimed.pop(claim.worker, None)
-        else:
-            self._claimed[claim.worker] = claimed
-
     def _iterate_workers(self, need: TaskNeed) -> Iterable[WorkerAccount]:
         names = tuple(self._accounts.workers)
         start = self._next_start = (self._next_start + _MAX_WORKERS_SCANNED) % max(
@@ -303,10 +342,12 @@
             for task, reservation in account.reservations.items()
             if self._may_choose(need, reservation)
         )
-        chosen = _select_covering(shortfall, candidates, account)
+        reservations = account.reservations
+        chosen = select_covering(
+            shortfall, candidates, lambda entry: reservations[entry[1]].need.size
+        )
         if chosen is None:
             return None
-        reservations = account.reservations
         return Victims(
             account.name,
             tuple(t for _, t in chosen if reservations[t].need.checkpoint),
@@ -344,24 +385,23 @@
     return True, run_seconds * running.size.millicores / 1000
 
 
-_Candidate = tuple[tuple[bool, float], str]
-
-
-def _select_covering(
-    shortfall: Size, candidates: list[_Candidate], account: WorkerAccount
-) -> list[_Candidate] | None:
+def select_covering(
+    shortfall: Size, candidates: Iterable[C], get_size: Callable[[C], Size]
+) -> list[C] | None:
     """Select candidates in order until they cover ``shortfall``.
 
     Candidates that turn out to be unnecessary are removed again.
 
+    :param candidates: the cheapest first.
+    :param get_size: returns what stopping a candidate frees.
     :returns: ``None`` if all of them together don't cover it.
     """
     freed = ZERO_SIZE
-    chosen: list[_Candidate] = []
+    chosen: list[C] = []
     for candidate in candidates:
         if fits(shortfall, freed):
             break
-        size = account.reservations[candidate[1]].need.size
+        size = get_size(candidate)
         if not any(shortfall[i] > freed[i] and size[i] for i in range(3)):
             continue
         chosen.append(candidate)
@@ -369,7 +409,7 @@
     if not fits(shortfall, freed):
         return None
     for candidate in reversed(chosen[:-1]):
-        remaining = subtract_sizes(freed, account.reservations[candidate[1]].need.size)
+        remaining = subtract_sizes(freed, get_size(candidate))
         if fits(shortfall, remaining):
             freed = remaining
             chosen.remove(candidate)
