--- /dev/null
+++ b/src/damaskdeck/coordination/pools/availability.py
@@ -0,0 +1,89 @@
+"""When workers will have capacity for the tasks of a step, as their runs end."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.departures import estimate_remaining
+from damaskdeck.coordination.pools.planning import count_fitting
+from damaskdeck.protocol.queues import StepSpec
+from damaskdeck.protocol.sizes import add_sizes
+from damaskdeck.state.pooljobs import Run, Step
+
+# A gang that doesn't fit on workers with a smaller used share is about to: reserved
+# workers would keep other gangs from starting.
+CONTENDED_SHARE = 0.8
+
+
+class Availability(NamedTuple):
+    """How many tasks of a step a worker can hold from a time on.
+
+    :param at: monotonic seconds.
+    """
+
+    at: float
+    worker: str
+    tasks: int
+
+
+def list_availabilities(
+    spec: StepSpec, contact: WorkerContact, now: float
+) -> list[Availability]:
+    """List how many tasks of a step a worker can hold as its runs end."""
+    name, free = contact.info.identifier, contact.free
+    tasks = count_fitting(spec, free)
+    availabilities = [Availability(now, name, tasks)] if tasks else []
+    ends = [
+        (find_end(run, now), run)
+        for run in contact.runs.values()
+        if not run.task.step.spec.is_long_running
+    ]
+    ends.sort(key=lambda end: end[0])
+    for at, run in ends:
+        free = add_sizes(free, run.task.step.spec.size)
+        fitting = count_fitting(spec, free)
+        if fitting > tasks:
+            tasks = fitting
+            availabilities.append(Availability(at, name, tasks))
+    return availabilities
+
+
+def find_end(run: Run, now: float) -> float:
+    """Return when a run should end, in monotonic seconds."""
+    return now + max(0.0, estimate_remaining(run, now))
+
+
+def count_fitting_now(spec: StepSpec, contacts: Iterable[WorkerContact]) -> int:
+    """Count the tasks of a step that fit in the free capacity of workers."""
+    return sum(count_fitting(spec, contact.free) for contact in contacts)
+
+
+def forecast_start(
+    step: Step, needed: int, contacts: list[WorkerContact], now: float
+) -> float | None:
+    """Return when enough runs should have ended for a step to start.
+
+    :returns: monotonic seconds, ``None`` if the workers can't hold the step.
+    """
+    availabilities = sorted(
+        availability
+        for contact in contacts
+        for availability in list_availabilities(step.spec, contact, now)
+    )
+    tasks: dict[str, int] = {}
+    for at, worker, count in availabilities:
+        needed -= count - tasks.get(worker, 0)
+        tasks[worker] = count
+        if needed <= 0:
+            return at
+    return None
+
+
+def is_contended(spec: StepSpec, contacts: list[WorkerContact]) -> bool:
+    """Whether workers use so much of anything that a step needs that it may wait."""
+    return any(
+        sum(contact.used[dimension] for contact in contacts)
+        > CONTENDED_SHARE * sum(contact.info.size[dimension] for contact in contacts)
+        for dimension, needed in enumerate(spec.size)
+        if needed
+    )
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -11,7 +11,8 @@
 from damaskdeck.coordination.pools.adviceplanner import AdvicePlanner
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps, RankedStep
+from damaskdeck.coordination.pools.gangcapacity import GangCapacity
+from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps
 from damaskdeck.coordination.pools.planning import (
     Plan,
     fits_preferred_rack,
@@ -19,7 +20,8 @@
     is_suitable,
     plan_step,
 )
-from damaskdeck.coordination.pools.reservations import Reservations, is_contended
+from damaskdeck.coordination.pools.preemption import PoolPreemptor
+from damaskdeck.coordination.pools.reservations import Reservations
 from damaskdeck.coordination.pools.slowness import SlowWorkerDetector
 from damaskdeck.coordination.pools.speedranks import SpeedRanks
 from damaskdeck.coordination.pools.starter import Starter, StartOwner
@@ -103,6 +105,12 @@
         # Accounts held back by their quota for which this pass has requested advice.
         self._held_accounts: set[str] = set()
         self._reservations = Reservations()
+        self._preemptor = PoolPreemptor(
+            owner, self, clock, times, advice_scheduler, self._reservations
+        )
+        self._gang_capacity = GangCapacity(
+            owner, self, advice_scheduler, self._reservations, self._preemptor
+        )
         self._advice_planner = AdvicePlanner(advice_scheduler, lambda: owner.contacts)
         # The first occurrence that isn't open yet, by job with a schedule.
         self._next_occurrences: dict[str, int] = {}
@@ -123,11 +131,13 @@
 
     def handle_advice(self, step: Step) -> None:
         """Check all workers again for a step that the advisor has answered about."""
+        self._gang_capacity.handle_advice(step)
         self._pending.retry(step)
         self.wake()
 
     def handle_freed_capacity(self, contact: WorkerContact) -> None:
         """Request a pass, as a worker has more free capacity."""
+        self._preemptor.handle_freed_capacity(contact)
         self._freed.add(contact.info.identifier)
         self.wake()
 
@@ -149,6 +159,7 @@
     def discard(self, step: Step) -> None:
         """Remove the measurements of a step of a job that has ended."""
         self.speed_ranks.discard(step)
+        self._preemptor.discard(step)
 
     def close(self) -> None:
         """Cancel all orders in flight."""
@@ -180,52 +191,15 @@
         candidates = self._build_candidates(now)
         ranked = self._pending.rank(now)
         self._held_accounts.clear()
+        self._gang_capacity.begin_pass(ranked)
         position = 0
         for urgency, _, pending in ranked:
             if pending.step.not_before > now:
                 continue
             position += 1
             self._place(pending, candidates, freed, urgency, position, now)
-        if is_full_pass:
-            self._reserve_for_gangs(ranked, now)
-
-    def _reserve_for_gangs(self, ranked: list[RankedStep], now: float) -> None:
-        """Reserve workers for the waiting gangs, in the order of their urgency."""
-        contacts = self._owner.contacts
-        fleets: dict[str, list[WorkerContact]] = {}
-        for contact in contacts.values():
-            fleets.setdefault(contact.info.pool, []).append(contact)
-        contended = {pool for pool, fleet in fleets.items() if is_contended(fleet)}
-        gangs = [
-            (pending.step, pool)
-            for urgency, _, pending in ranked
-            if pending.step.spec.is_gang
-            and urgency.deadline_status is not DeadlineStatus.LOST
-            if not has_rack_preference(pending.step.spec) and self._may_start(pending)
-            if (pool := self.find_pool(pending.step)) in contended
-        ]
-        self._reservations.retain(step.name for step, _ in gangs)
-        for step, pool in gangs:
-            keys: Iterable[str] = contacts
-            if step.job.queue.advice is not None:
-                keys = self._advice_scheduler.get(step).tickets
-            eligible = [
-                contact
-                for contact in (contacts[key] for key in keys if key in contacts)
-                if contact.info.pool == pool
-                and contact.is_usable(now)
-                and is_suitable(step.spec, contact.info)
-                and step.job.may_run_in(contact.info.zone)
-            ]
-            self._reservations.reserve(step, eligible, fleets[pool], now)
-
-    def _may_start(self, pending: PendingStep) -> bool:
-        """Whether a gang waits for capacity only and not for its account's quota."""
-        waiting = len(pending.step.list_waiting())
-        account_limits = self._owner.account_limits
-        return bool(waiting) and bool(
-            account_limits.count_startable(pending.step, waiting)
-        )
+        self._gang_capacity.end_pass(ranked, is_full_pass, now)
+        self._preemptor.sweep(ranked, now)
 
     def _build_candidates(self, now: float) -> Candidates:
         return Candidates(
@@ -265,7 +239,9 @@
         is_unlimited = allowed == len(tasks)
         tasks = tasks[:allowed]
         pool = self.find_pool(step)
-        reserved = self._reservations.list_workers(step)
+        reserved = self._preemptor.list_held(step) or self._reservations.list_workers(
+            step
+        )
         self._advice_planner.request_advice(
             step, pool, urgency, position, now, pending.is_tried, reserved
         )
@@ -285,6 +261,8 @@
         if plan:
             self._reservations.release(step)
             self._order(step, plan, now)
+        else:
+            self._gang_capacity.reserve_if_advised(pending, urgency, now)
         if len(plan) < len(tasks) and len(eligible) > len(confined):
             placed = {task for task, _ in plan}
             self._request_wider_zones(
@@ -321,11 +299,19 @@
     ) -> Plan:
         """Plan without the workers that are reserved for other steps, if possible.
 
-        A step that precedes a gang in the order of urgency may use the gang's workers
-        if the others don't suffice.
+        A step that is at least as urgent as a gang may use the gang's workers if the
+        others don't suffice: what is kept from steps of the same rank stays idle, and
+        gangs as a whole start later. Patient steps also leave the workers that a
+        pending query about a gang names, as far as the others suffice.
         """
         reservations = self._reservations
         available = [c for c in confined if reservations.may_use(c.key, step, now)]
+        named = self._gang_capacity.list_named(step.job.queue.rank)
+        unnamed = [c for c in available if c.key not in named] if named else available
+        if len(unnamed) < len(available):
+            plan = self._plan(step, tasks, unnamed, pool, now) if unnamed else []
+            if len(plan) == len(tasks):
+                return plan
         plan = self._plan(step, tasks, available, pool, now) if available else []
         if len(plan) == len(tasks) or len(available) == len(confined):
             return plan
@@ -335,7 +321,7 @@
             for c in confined
             if (reservation := reservations.find(c.key)) is None
             or reservation.step is step
-            or own_rank < (DeadlineStatus.ON_TIME, reservation.step.job.queue.rank)
+            or own_rank <= (DeadlineStatus.ON_TIME, reservation.step.job.queue.rank)
         ]
         if len(confined) <= len(available):
             return plan
@@ -401,7 +387,7 @@
         if not has_rack_preference(spec):
             size = spec.size
             keys = [k for k in keys if k in contacts and fits(size, contacts[k].free)]
-        return [
+        found = [
             candidate
             for candidate in candidates.find_all(keys)
             if candidate.contact.info.pool == pool
@@ -409,6 +395,7 @@
             and self.worker_health.may_start(candidate.key, step.job)
             and candidate.contact.last_order.allows(step, now)
         ]
+        return self._preemptor.limit(step, found)
 
     def _may_leave_racks(self, step: Step, pool: str, now: float) -> bool:
         """Whether a step has waited long enough to run outside its preferred racks."""
@@ -429,6 +416,7 @@
     def _order(self, step: Step, plan: Plan, now: float) -> None:
         for run in self._starter.order(step, plan, now):
             self.worker_health.record_start(run)
+        self._preemptor.record_start(step, [candidate.key for _, candidate in plan])
         self._pending.mark_changed(step.job)
 
     # Ends and schedules ------------------------------------------------------
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/preemption/holds.py
@@ -0,0 +1,162 @@
+"""Capacity that is being freed, held for the steps that it is freed for.
+
+A stop frees capacity only once the end of the run is listed. Until its step starts,
+other steps get only what is or will be free on a worker beyond the hold.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskdeck.coordination.places.preemption import Claim, ClaimedCapacity
+from damaskdeck.coordination.pools.candidates import Candidate
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, subtract_sizes
+from damaskdeck.state.pooljobs import Run, Step
+from damaskdeck.state.quotas import scale_size
+
+
+class Hold(NamedTuple):
+    """Capacity that is held for a step.
+
+    :ivar tasks: how many of its tasks each worker is to hold.
+    :ivar until: when the hold is released at the latest, in monotonic seconds.
+    """
+
+    step: Step
+    tasks: dict[str, int]
+    until: float
+
+
+class _LimitedCandidate(Candidate):
+    """A candidate whose free capacity is partly held for another step."""
+
+    __slots__ = ("free",)
+
+    def __init__(self, candidate: Candidate, free: Size) -> None:
+        for name in Candidate.__slots__:
+            setattr(self, name, getattr(candidate, name))
+        self.free = free
+
+
+class Holds:
+    """All holds, by step and worker, and the runs that are stopped for them."""
+
+    def __init__(self) -> None:
+        self._holds: dict[str, Hold] = {}
+        self._victims: dict[str, dict[Run, Claim]] = {}
+        self._claimed = ClaimedCapacity()
+
+    def find(self, step: Step) -> Hold | None:
+        """Return the hold of a step, ``None`` if it has none."""
+        return self._holds.get(step.name)
+
+    def list_workers(self, step: Step) -> frozenset[str]:
+        """Return the workers on which capacity is held for a step."""
+        hold = self._holds.get(step.name)
+        return frozenset(hold.tasks) if hold is not None else frozenset()
+
+    def is_held_for_other(self, worker: str, step: Step) -> bool:
+        """Whether capacity of a worker is held for another step."""
+        return any(
+            worker in hold.tasks
+            for hold in self._holds.values()
+            if hold.step is not step
+        )
+
+    def find_capacity(self, contact: WorkerContact, step: Step) -> Size:
+        """Return what is free for a step on a worker once all victims have ended."""
+        worker = contact.info.identifier
+        claimed = subtract_sizes(self._claimed.get(worker), self._get_own(worker, step))
+        return subtract_sizes(contact.free, claimed)
+
+    def limit(self, step: Step, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the candidates with the capacity that a step may use now."""
+        if not self._claimed:
+            return candidates
+        return [self._limit(step, candidate) for candidate in candidates]
+
+    def _limit(self, step: Step, candidate: Candidate) -> Candidate:
+        if candidate.key not in self._claimed:
+            return candidate
+        soon, now = self.find_capacity(candidate.contact, step), candidate.free
+        free = Size(*map(min, soon, now))
+        return candidate if free == now else _LimitedCandidate(candidate, free)
+
+    def _get_own(self, worker: str, step: Step) -> Size:
+        hold = self._holds.get(step.name)
+        tasks = hold.tasks.get(worker, 0) if hold is not None else 0
+        return scale_size(step.spec.size, tasks) if tasks else ZERO_SIZE
+
+    def add(self, hold: Hold, victims: Iterable[Run]) -> None:
+        """Add the hold of a step, which replaces an earlier one."""
+        self.release(hold.step)
+        self._holds[hold.step.name] = hold
+        for worker, tasks in hold.tasks.items():
+            self._claimed.adjust(_make_claim(hold.step, worker, tasks), 1)
+        for run in victims:
+            claim = Claim(run.worker, run.task.step.spec.size)
+            self._victims.setdefault(run.worker, {})[run] = claim
+            self._claimed.adjust(claim, -1)
+
+    def release(self, step: Step) -> None:
+        """Release the hold of a step; what its victims free is for all steps."""
+        hold = self._holds.pop(step.name, None)
+        for worker, tasks in hold.tasks.items() if hold is not None else ():
+            self._claimed.adjust(_make_claim(step, worker, tasks), -1)
+
+    def record_start(self, step: Step, workers: Iterable[str]) -> None:
+        """Reduce the hold of a step by the tasks that were ordered."""
+        hold = self._holds.get(step.name)
+        if hold is None:
+            return
+        for worker in workers:
+            if worker in hold.tasks:
+                self._reduce(hold, worker, 1)
+        if not hold.tasks or step.spec.is_gang:
+            self.release(step)
+
+    def _reduce(self, hold: Hold, worker: str, tasks: int) -> None:
+        self._claimed.adjust(_make_claim(hold.step, worker, tasks), -1)
+        hold.tasks[worker] -= tasks
+        if not hold.tasks[worker]:
+            del hold.tasks[worker]
+
+    def refresh(self, contact: WorkerContact) -> None:
+        """Count the victims of a worker that have ended as free capacity."""
+        victims = self._victims.get(contact.info.identifier, {})
+        for run in list(victims):
+            if (run.task.name, run.attempt) not in contact.runs:
+                self._claimed.adjust(victims.pop(run), 1)
+
+    def sweep(self, contacts: dict[str, WorkerContact], now: float) -> list[Step]:
+        """Drop what workers that may get no orders can't provide.
+
+        :returns: the steps whose hold was released because its time has passed.
+        """
+        for worker in list(self._victims):
+            self._sweep_victims(worker, contacts.get(worker))
+        expired = [hold.step for hold in self._holds.values() if now >= hold.until]
+        for step in expired:
+            self.release(step)
+        for hold in list(self._holds.values()):
+            for worker, tasks in list(hold.tasks.items()):
+                contact = contacts.get(worker)
+                if contact is None or not contact.is_synchronized:
+                    self._reduce(hold, worker, tasks)
+            if not hold.tasks:
+                self.release(hold.step)
+        return expired
+
+    def _sweep_victims(self, worker: str, contact: WorkerContact | None) -> None:
+        if contact is not None:
+            self.refresh(contact)
+        else:
+            for claim in self._victims[worker].values():
+                self._claimed.adjust(claim, 1)
+            self._victims[worker].clear()
+        if not self._victims[worker]:
+            del self._victims[worker]
+
+
+def _make_claim(step: Step, worker: str, tasks: int) -> Claim:
+    return Claim(worker, scale_size(step.spec.size, tasks))
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/preemption/preemptor.py
@@ -0,0 +1,308 @@
+"""Decides about preemption for one owner and stops the chosen runs."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Protocol
+
+from damaskdeck.clock import Clock
+from damaskdeck.coordination.places.preemption import PreemptionBudget
+from damaskdeck.coordination.pools.accountlimits import AccountLimits
+from damaskdeck.coordination.pools.advice import AdviceScheduler
+from damaskdeck.coordination.pools.candidates import Candidate
+from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.pending import RankedStep
+from damaskdeck.coordination.pools.planning import is_suitable
+from damaskdeck.coordination.pools.preemption.holds import Hold, Holds
+from damaskdeck.coordination.pools.preemption.needs import (
+    is_late_without,
+    may_be_helped,
+    measure_drain_seconds,
+)
+from damaskdeck.coordination.pools.preemption.search import Choice, choose_victims
+from damaskdeck.coordination.pools.preemption.victims import VictimIndex, name_task
+from damaskdeck.coordination.pools.reservations import Reservations
+from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.workerhealth import WorkerHealth
+from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_preemption, count_refusal
+from damaskdeck.state.pooljobs import Run, Step
+
+# The interval of rounds, the steps that are examined in one of them, and the pause
+# until the same step is examined again. They bound the processor time.
+ROUND_SECONDS = 0.05
+MAX_STEPS_EXAMINED = 4
+RETRY_SECONDS = 0.1
+# The budget: this share of the running tasks per second, which may be saved up for
+# BUDGET_INTERVAL, as a gang needs all its victims at once.
+BUDGET_SHARE = 0.05
+BUDGET_INTERVAL = timedelta(seconds=2)
+# A task is preempted at most this often.
+MAX_PREEMPTIONS = 1
+# Capacity is held for this time beyond the longest stop.
+HOLD_SECONDS = 1.0
+# Each kind of refusal is logged at most this often.
+LOG_INTERVAL_SECONDS = 1.0
+# Part of the counters of refusals.
+PART = "pool_preemption"
+
+_log = get_logger("preempting")
+
+
+class PreemptionOwner(Protocol):
+    """What preemption needs from the owner."""
+
+    contacts: dict[str, WorkerContact]
+    account_limits: AccountLimits
+
+    def stop(self, run: Run) -> None:
+        """Request the worker of a run to end it."""
+
+
+class PreemptionPools(Protocol):
+    """What preemption needs from the dispatcher."""
+
+    worker_health: WorkerHealth
+
+    def find_pool(self, step: Step) -> str:
+        """Return the pool that is declared for a step's queue at present."""
+
+
+class PoolPreemptor:
+    """Stops patient runs for steps that would be late otherwise."""
+
+    def __init__(
+        self,
+        owner: PreemptionOwner,
+        pools: PreemptionPools,
+        clock: Clock,
+        times: PoolTimes,
+        advice_scheduler: AdviceScheduler,
+        reservations: Reservations,
+    ) -> None:
+        self._owner = owner
+        self._pools = pools
+        self._times = times
+        self._advice_scheduler = advice_scheduler
+        self._reservations = reservations
+        self._holds = Holds()
+        self._budget = PreemptionBudget(clock, 0, BUDGET_INTERVAL, MAX_PREEMPTIONS)
+        self._round_at = float("-inf")
+        self._examined_at: dict[str, float] = {}
+        self._logged_at: dict[str, float] = {}
+
+    # Held capacity -----------------------------------------------------------
+
+    def limit(self, step: Step, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the candidates without the capacity held for other steps."""
+        return self._holds.limit(step, candidates)
+
+    def list_held(self, step: Step) -> frozenset[str]:
+        """Return the workers on which capacity is held for a step."""
+        return self._holds.list_workers(step)
+
+    def is_held_for_other(self, worker: str, step: Step) -> bool:
+        """Whether capacity of a worker is held for another step."""
+        return self._holds.is_held_for_other(worker, step)
+
+    def handle_freed_capacity(self, contact: WorkerContact) -> None:
+        """Handle a worker on which runs have ended."""
+        self._holds.refresh(contact)
+
+    def record_start(self, step: Step, workers: Iterable[str]) -> None:
+        """Record that tasks of a step were ordered."""
+        self._holds.record_start(step, workers)
+
+    def discard(self, step: Step) -> None:
+        """Forget a step of a job that has ended."""
+        self._holds.release(step)
+        self._examined_at.pop(step.name, None)
+        for task in step.tasks:
+            self._budget.discard(name_task(task))
+
+    # Decisions ---------------------------------------------------------------
+
+    def sweep(self, ranked: list[RankedStep], now: float) -> None:
+        """Examine the most urgent steps that could not be placed."""
+        if now - self._round_at < ROUND_SECONDS:
+            return
+        self._round_at = now
+        for step in self._holds.sweep(self._owner.contacts, now):
+            self._refuse(step, "hold_expired", now)
+        due = self._list_due(ranked, now)
+        if not due:
+            return
+        index = self._build_index(ranked, now)
+        for entry in due:
+            step = entry.pending.step
+            self._examined_at[step.name] = now
+            code = self._examine(entry, index, now)
+            if code:
+                self._refuse(step, code, now)
+
+    def _list_due(self, ranked: list[RankedStep], now: float) -> list[RankedStep]:
+        """List the steps to examine in this round, the most urgent first."""
+        if not ranked:
+            return []
+        running = self._list_running_ranks()
+        due: list[RankedStep] = []
+        for entry in ranked:
+            step = entry.pending.step
+            if len(due) >= MAX_STEPS_EXAMINED:
+                break
+            if now - self._examined_at.get(step.name, 0.0) < RETRY_SECONDS:
+                continue
+            has_victims = any(rank > step.job.queue.rank for rank in running)
+            if has_victims and now >= step.not_before and self._may_examine(entry):
+                due.append(entry)
+        return due
+
+    def _list_running_ranks(self) -> set[int]:
+        """Return the ranks of the running tasks, and set the budget by their number."""
+        ranks: set[int] = set()
+        count = 0
+        for contact in self._owner.contacts.values():
+            count += len(contact.runs)
+            ranks.update(run.task.step.job.queue.rank for run in contact.runs.values())
+        seconds = BUDGET_INTERVAL.total_seconds()
+        self._budget.set_limit(int(BUDGET_SHARE * seconds * count))
+        return ranks
+
+    def _may_examine(self, entry: RankedStep) -> bool:
+        step = entry.pending.step
+        if self._holds.find(step) is not None or not step.list_waiting():
+            return False
+        was_preempted = any(
+            self._budget.is_counted(name_task(task)) for task in step.tasks
+        )
+        return not was_preempted and may_be_helped(entry, self._times)
+
+    def _build_index(self, ranked: list[RankedStep], now: float) -> VictimIndex:
+        contacts = self._owner.contacts
+        waits: dict[int, float] = {}
+
+        def measure_wait(step: Step) -> float:
+            rank = step.job.queue.rank
+            if rank not in waits:
+                waits[rank] = measure_drain_seconds(ranked, rank, contacts.values())
+            return waits[rank]
+
+        return VictimIndex(
+            contacts, self._times, now, self._budget.may_preempt, measure_wait
+        )
+
+    def _examine(self, entry: RankedStep, index: VictimIndex, now: float) -> str:
+        """Preempt for a step if that helps it; return why not, or an empty string."""
+        step = entry.pending.step
+        needed = len(step.list_waiting())
+        workers = self._list_workers(step, now)
+        if not workers:
+            return ""
+        if not is_late_without(step, entry.urgency.slack, needed, workers, now):
+            return ""
+        if self._owner.account_limits.count_startable(step, needed) < needed:
+            return "quota"
+        choice = choose_victims(
+            step,
+            needed,
+            workers,
+            index,
+            lambda contact: self._holds.find_capacity(contact, step),
+        )
+        if choice is None:
+            return "no_victims"
+        runs = [run for victim in choice.victims for run in victim.runs]
+        if not runs:
+            # The capacity is free or being freed.
+            return ""
+        if not self._budget.is_available(len(runs)):
+            return "budget"
+        self._preempt(entry, choice, runs, index, now)
+        return ""
+
+    def _list_workers(self, step: Step, now: float) -> list[WorkerContact]:
+        """List the workers on which capacity may be freed for a step."""
+        contacts = self._owner.contacts
+        keys: Iterable[str] = contacts
+        if step.job.queue.advice is not None:
+            keys = self._list_lasting_tickets(step, now)
+        pool = self._pools.find_pool(step)
+        failed_on = set().union(*(task.failed_on for task in step.tasks))
+        return [
+            contact
+            for key in keys
+            if key not in failed_on and (contact := contacts.get(key)) is not None
+            if contact.info.pool == pool
+            and contact.is_usable(now)
+            and is_suitable(step.spec, contact.info)
+            and step.job.may_run_in(contact.info.zone)
+            and self._pools.worker_health.may_start(key, step.job)
+            and not self._is_reserved_for_other(key, step)
+        ]
+
+    def _list_lasting_tickets(self, step: Step, now: float) -> list[str]:
+        """List the workers whose ticket lasts until the stops have ended.
+
+        All valid tickets count if they can be renewed in that time.
+        """
+        advice, timing = self._advice_scheduler.get(step), step.job.queue.advice
+        stop_time = self._times.max_stop_time
+        renewal = timing.base + timing.per_worker * len(step.tasks)
+        if renewal <= stop_time:
+            return advice.list_tickets(now, None)
+        return advice.list_tickets(now + stop_time.total_seconds(), None)
+
+    def _is_reserved_for_other(self, worker: str, step: Step) -> bool:
+        reservation = self._reservations.find(worker)
+        if reservation is None or reservation.step is step:
+            return False
+        return reservation.step.job.queue.rank <= step.job.queue.rank
+
+    def _preempt(
+        self,
+        entry: RankedStep,
+        choice: Choice,
+        runs: list[Run],
+        index: VictimIndex,
+        now: float,
+    ) -> None:
+        step = entry.pending.step
+        self._budget.spend(name_task(run.task) for run in runs)
+        until = now + self._times.max_stop_time.total_seconds() + HOLD_SECONDS
+        self._reservations.release(step)
+        self._holds.add(Hold(step, dict(choice.tasks), until), runs)
+        names = {victim.name for victim in choice.victims}
+        for worker in {run.worker for run in runs}:
+            index.remove(worker, names)
+        _log.info(
+            "Runs are preempted.",
+            id=step.job.identifier,
+            step=step.number,
+            rank=step.job.queue.rank,
+            slack=round(entry.urgency.slack, 3),
+            age=round(now - step.job.arrived_at, 3),
+            tasks=sum(choice.tasks.values()),
+            workers=list(choice.tasks),
+            victims=[
+                f"{name_task(run.task)}#{run.attempt}@{run.worker}" for run in runs
+            ],
+            lost=round(choice.lost, 3),
+            budget=int(self._budget.available),
+        )
+        for run in runs:
+            count_preemption(run.task.step.job.queue.name)
+            self._owner.stop(run)
+
+    def _refuse(self, step: Step, code: str, now: float) -> None:
+        count_refusal(PART, code)
+        if now - self._logged_at.get(code, float("-inf")) < LOG_INTERVAL_SECONDS:
+            return
+        self._logged_at[code] = now
+        _log.info(
+            "Nothing is preempted for a step.",
+            id=step.job.identifier,
+            step=step.number,
+            code=code,
+            rank=step.job.queue.rank,
+            tasks=len(step.tasks),
+            budget=int(self._budget.available),
+        )
--- a/src/damaskdeck/coordination/pools/reservations.py
+++ b/src/damaskdeck/coordination/pools/reservations.py
@@ -12,12 +12,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from damaskdeck.coordination.pools.availability import (
+    Availability,
+    forecast_start,
+    list_availabilities,
+)
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.departures import estimate_remaining
 from damaskdeck.coordination.pools.planning import count_fitting
-from damaskdeck.protocol.queues import StepSpec
-from damaskdeck.protocol.sizes import add_sizes
-from damaskdeck.state.pooljobs import Run, Step
+from damaskdeck.state.pooljobs import Step
 
 # Share of the workers that may be reserved at a time; the most urgent gang alone may
 # have twice that. Reserved workers are half idle: with a half instead of a quarter of
@@ -29,9 +31,9 @@
 # fewer workers, less capacity is idle until the last of them is free, and the gang
 # waits little longer.
 SPREAD_FACTOR = 1.5
-# Nothing is reserved in a pool with a smaller used share, as its capacity suffices for
-# all steps.
-CONTENDED_SHARE = 0.6
+# Reserved workers are exchanged for others only if the gang should start earlier there
+# by more than this.
+MIN_GAIN_SECONDS = 0.5
 
 
 class Reservation(NamedTuple):
@@ -46,12 +48,6 @@
     starts_at: float
 
 
-class _Availability(NamedTuple):
-    at: float
-    worker: str
-    tasks: int
-
-
 class Reservations:
     """All reservations, by gang and by worker."""
 
@@ -93,31 +89,56 @@
         self,
         step: Step,
         contacts: list[WorkerContact],
-        fleet: list[WorkerContact],
+        fleet_size: int,
         now: float,
     ) -> None:
         """Reserve the workers that will first have capacity for a gang.
 
+        Workers that are reserved for it already stay reserved unless others will have
+        the capacity much earlier: others would take what has become free on workers
+        that are released.
+
         :param contacts: the workers that the gang may run on.
-        :param fleet: all workers of its pool.
+        :param fleet_size: the number of workers of its pool.
         """
+        existing = self._steps.get(step.name)
         self.release(step)
         eligible = [c for c in contacts if c.info.identifier not in self._workers]
+        kept = _keep(existing, eligible, now) if existing is not None else None
+        if kept is not None and kept.starts_at - now <= MIN_GAIN_SECONDS:
+            self._add(kept)
+            return
+        found = self._find(step, eligible, fleet_size, now)
+        if kept is not None and (
+            found is None or found.starts_at > kept.starts_at - MIN_GAIN_SECONDS
+        ):
+            found = kept
+        if found is not None:
+            self._add(found)
+
+    def _add(self, reservation: Reservation) -> None:
+        self._steps[reservation.step.name] = reservation
+        self._workers.update(dict.fromkeys(reservation.workers, reservation))
+
+    def _find(
+        self, step: Step, eligible: list[WorkerContact], fleet_size: int, now: float
+    ) -> Reservation | None:
+        """Return the earliest reservation on workers without one."""
         max_per_worker = max(
             (count_fitting(step.spec, c.info.size) for c in eligible), default=0
         )
         if not max_per_worker:
-            return
-        reserved = sum(contact.info.identifier in self._workers for contact in fleet)
+            return None
+        reserved = len(self._workers)
         share = RESERVED_SHARE if reserved else FIRST_RESERVED_SHARE
         limit = min(
             math.ceil(SPREAD_FACTOR * len(step.tasks) / max_per_worker),
-            int(share * len(fleet)) - reserved,
+            int(share * fleet_size) - reserved,
         )
         availabilities = sorted(
             availability
             for contact in eligible
-            for availability in _list_availabilities(step, contact, now)
+            for availability in list_availabilities(step.spec, contact, now)
         )
         count_needed = bisect.bisect_left(
             range(len(availabilities) + 1),
@@ -127,17 +148,28 @@
             ),
         )
         if count_needed > len(availabilities):
-            return
+            return None
         chosen = _choose_workers(availabilities[:count_needed], len(step.tasks), limit)
-        reservation = Reservation(
-            step, frozenset(chosen), availabilities[count_needed - 1].at
-        )
-        self._steps[step.name] = reservation
-        self._workers.update(dict.fromkeys(chosen, reservation))
+        return Reservation(step, frozenset(chosen), availabilities[count_needed - 1].at)
+
+
+def _keep(
+    existing: Reservation, eligible: list[WorkerContact], now: float
+) -> Reservation | None:
+    """Return a reservation with its expected start as of now.
+
+    The result is ``None`` if its workers can't hold the gang any more.
+    """
+    step = existing.step
+    contacts = [c for c in eligible if c.info.identifier in existing.workers]
+    starts_at = forecast_start(step, len(step.tasks), contacts, now)
+    if starts_at is None:
+        return None
+    return Reservation(step, existing.workers, starts_at)
 
 
 def _choose_workers(
-    availabilities: list[_Availability], needed: int, limit: int
+    availabilities: list[Availability], needed: int, limit: int
 ) -> list[str]:
     """Return the fewest workers that hold the needed tasks, none if above the limit."""
     capacities = {
@@ -150,37 +182,3 @@
         if needed <= 0:
             return chosen
     return []
-
-
-def is_contended(contacts: Iterable[WorkerContact]) -> bool:
-    """Whether a pool uses so much of its processors that gangs may lack capacity."""
-    total = used = 0
-    for contact in contacts:
-        total += contact.info.size.millicores
-        used += contact.used.millicores
-    return used > CONTENDED_SHARE * total
-
-
-def _list_availabilities(
-    step: Step, contact: WorkerContact, now: float
-) -> list[_Availability]:
-    """List how many tasks of a step a worker can hold as its runs end."""
-    spec: StepSpec = step.spec
-    name, free = contact.info.identifier, contact.free
-    tasks = count_fitting(spec, free)
-    availabilities = [_Availability(now, name, tasks)] if tasks else []
-    for at, run in sorted(_list_run_ends(contact, now), key=lambda end: end[0]):
-        free = add_sizes(free, run.task.step.spec.size)
-        fitting = count_fitting(spec, free)
-        if fitting > tasks:
-            tasks = fitting
-            availabilities.append(_Availability(at, name, tasks))
-    return availabilities
-
-
-def _list_run_ends(contact: WorkerContact, now: float) -> list[tuple[float, Run]]:
-    return [
-        (now + max(0.0, estimate_remaining(run, now)), run)
-        for run in contact.runs.values()
-        if not run.task.step.spec.is_long_running
-    ]
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -29,6 +29,7 @@
     :param heartbeat: the interval at which workers renew their registrations.
     :param revocation: no daemon serves a caller whose key was revoked longer ago than
         this; ``None`` if that is required only of daemons that are not cut off.
+    :param restore_time: what a start from a checkpoint costs.
     """
 
     max_worker_lease: timedelta
@@ -41,6 +42,7 @@
     contact: timedelta = timedelta(seconds=3)
     heartbeat: timedelta = timedelta(milliseconds=1500)
     revocation: timedelta | None = None
+    restore_time: timedelta = timedelta(milliseconds=500)
 
 
 class PoolTimes(NamedTuple):
@@ -62,6 +64,7 @@
     batch_delay: timedelta
     remote_factor: float
     max_stop_time: timedelta
+    restore_time: timedelta
     keys_max_age: timedelta | None
     document_max_age: timedelta
     capacity_max_age: timedelta
@@ -107,6 +110,7 @@
         batch_delay=timedelta(milliseconds=35),
         remote_factor=bounds.remote_factor,
         max_stop_time=bounds.max_stop_time,
+        restore_time=bounds.restore_time,
         keys_max_age=bounds.revocation and bounds.revocation - FRESHNESS_MARGIN,
         # The margin lets an order that is already in flight start within the bound.
         document_max_age=bounds.in_force - FRESHNESS_MARGIN,
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -13,6 +13,9 @@
 _refusals = _meter.create_counter("damaskdeck_refusals", description="by part and code")
 _retries = _meter.create_counter("damaskdeck_retries", description="by part and reason")
 _drops = _meter.create_counter("damaskdeck_drops", description="by part and reason")
+_preemptions = _meter.create_counter(
+    "damaskdeck_preemptions", description="stopped runs, by queue of the stopped job"
+)
 _store_calls = _meter.create_counter("damaskdeck_store_calls", description="by kind")
 _waits = _meter.create_histogram("damaskdeck_waiting_time", unit="s")
 _latencies = _meter.create_histogram(
@@ -79,6 +82,14 @@
     _drops.add(amount, {"part": part, "reason": reason})
 
 
+def count_preemption(queue: str) -> None:
+    """Count a run that was stopped for a more urgent step.
+
+    :param queue: queue of the stopped run.
+    """
+    _preemptions.add(1, {"queue": queue})
+
+
 def count_store_call(kind: str) -> None:
     """Count a call to the store.
 
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -106,6 +106,7 @@
             reader.read_duration("bounds.contact_ms", 3000, 1),
             reader.read_duration("heartbeat_ms", 1500, 1),
             revocation if needs_keys and is_strict else None,
+            reader.read_duration("bounds.restore_ms", 500, 1),
         ),
         tuple(filter(None, reader.values.get("cloud_api.duties", "").split(","))),
         needs_keys,
