--- a/src/damaskdeck/coordination/places/preemption.py
+++ b/src/damaskdeck/coordination/places/preemption.py
@@ -66,7 +66,10 @@
 
 
 class ClaimedCapacity:
-    """What is claimed of each worker, less what its victims will free."""
+    """What is claimed of each worker.
+
+    Victims may be counted as negative claims until they have freed their capacity.
+    """
 
     def __init__(self) -> None:
         self._sizes: dict[str, Size] = {}
--- a/src/damaskdeck/coordination/pools/preemption/holds.py
+++ b/src/damaskdeck/coordination/pools/preemption/holds.py
@@ -1,7 +1,7 @@
 """Capacity that is being freed, held for the steps that it is freed for.
 
 A stop frees capacity only once the end of the run is listed. Until its step starts,
-other steps get only what is or will be free on a worker beyond the hold.
+other steps get only what is free on a worker beyond the hold.
 """
 
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 from damaskdeck.coordination.places.preemption import Claim, ClaimedCapacity
 from damaskdeck.coordination.pools.candidates import Candidate
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.protocol.sizes import ZERO_SIZE, Size, subtract_sizes
+from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
 from damaskdeck.state.pooljobs import Run, Step
 from damaskdeck.state.quotas import scale_size
 
@@ -44,7 +44,9 @@
     def __init__(self) -> None:
         self._holds: dict[str, Hold] = {}
         self._victims: dict[str, dict[Run, Claim]] = {}
-        self._claimed = ClaimedCapacity()
+        self._held = ClaimedCapacity()
+        # What the victims use that have not ended yet.
+        self._ending = ClaimedCapacity()
 
     def find(self, step: Step) -> Hold | None:
         """Return the hold of a step, ``None`` if it has none."""
@@ -65,22 +67,24 @@
 
     def find_capacity(self, contact: WorkerContact, step: Step) -> Size:
         """Return what is free for a step on a worker once all victims have ended."""
+        ending = self._ending.get(contact.info.identifier)
+        return add_sizes(self._find_free(contact, step), ending)
+
+    def _find_free(self, contact: WorkerContact, step: Step) -> Size:
         worker = contact.info.identifier
-        claimed = subtract_sizes(self._claimed.get(worker), self._get_own(worker, step))
-        return subtract_sizes(contact.free, claimed)
+        others = subtract_sizes(self._held.get(worker), self._get_own(worker, step))
+        return subtract_sizes(contact.free, others)
 
     def limit(self, step: Step, candidates: list[Candidate]) -> list[Candidate]:
         """Return the candidates with the capacity that a step may use now."""
-        if not self._claimed:
+        if not self._held:
             return candidates
         return [self._limit(step, candidate) for candidate in candidates]
 
     def _limit(self, step: Step, candidate: Candidate) -> Candidate:
-        if candidate.key not in self._claimed:
+        if candidate.key not in self._held:
             return candidate
-        soon, now = self.find_capacity(candidate.contact, step), candidate.free
-        free = Size(*map(min, soon, now))
-        return candidate if free == now else _LimitedCandidate(candidate, free)
+        return _LimitedCandidate(candidate, self._find_free(candidate.contact, step))
 
     def _get_own(self, worker: str, step: Step) -> Size:
         hold = self._holds.get(step.name)
@@ -92,17 +96,17 @@
         self.release(hold.step)
         self._holds[hold.step.name] = hold
         for worker, tasks in hold.tasks.items():
-            self._claimed.adjust(_make_claim(hold.step, worker, tasks), 1)
+            self._held.adjust(_make_claim(hold.step, worker, tasks), 1)
         for run in victims:
             claim = Claim(run.worker, run.task.step.spec.size)
             self._victims.setdefault(run.worker, {})[run] = claim
-            self._claimed.adjust(claim, -1)
+            self._ending.adjust(claim, 1)
 
     def release(self, step: Step) -> None:
-        """Release the hold of a step; what its victims free is for all steps."""
+        """Release the hold of a step: what its victims free is then for all steps."""
         hold = self._holds.pop(step.name, None)
         for worker, tasks in hold.tasks.items() if hold is not None else ():
-            self._claimed.adjust(_make_claim(step, worker, tasks), -1)
+            self._held.adjust(_make_claim(step, worker, tasks), -1)
 
     def record_start(self, step: Step, workers: Iterable[str]) -> None:
         """Reduce the hold of a step by the tasks that were ordered."""
@@ -116,7 +120,7 @@
             self.release(step)
 
     def _reduce(self, hold: Hold, worker: str, tasks: int) -> None:
-        self._claimed.adjust(_make_claim(hold.step, worker, tasks), -1)
+        self._held.adjust(_make_claim(hold.step, worker, tasks), -1)
         hold.tasks[worker] -= tasks
         if not hold.tasks[worker]:
             del hold.tasks[worker]
@@ -126,33 +130,34 @@
         victims = self._victims.get(contact.info.identifier, {})
         for run in list(victims):
             if (run.task.name, run.attempt) not in contact.runs:
-                self._claimed.adjust(victims.pop(run), 1)
+                self._ending.adjust(victims.pop(run), -1)
 
-    def sweep(self, contacts: dict[str, WorkerContact], now: float) -> list[Step]:
-        """Drop what workers that may get no orders can't provide.
+    def sweep(
+        self, contacts: dict[str, WorkerContact], now: float
+    ) -> list[tuple[Step, str]]:
+        """Release the holds whose time has passed or that have lost a worker.
 
-        :returns: the steps whose hold was released because its time has passed.
+        :returns: the steps with the reason, ``hold_expired`` or ``worker_lost``.
         """
         for worker in list(self._victims):
             self._sweep_victims(worker, contacts.get(worker))
-        expired = [hold.step for hold in self._holds.values() if now >= hold.until]
-        for step in expired:
-            self.release(step)
+        released = []
         for hold in list(self._holds.values()):
-            for worker, tasks in list(hold.tasks.items()):
-                contact = contacts.get(worker)
-                if contact is None or not contact.is_synchronized:
-                    self._reduce(hold, worker, tasks)
-            if not hold.tasks:
+            reason = "hold_expired" if now >= hold.until else ""
+            found = [contacts.get(worker) for worker in hold.tasks]
+            if any(c is None or not c.is_synchronized for c in found):
+                reason = "worker_lost"
+            if reason:
                 self.release(hold.step)
-        return expired
+                released.append((hold.step, reason))
+        return released
 
     def _sweep_victims(self, worker: str, contact: WorkerContact | None) -> None:
         if contact is not None:
             self.refresh(contact)
         else:
             for claim in self._victims[worker].values():
-                self._claimed.adjust(claim, 1)
+                self._ending.adjust(claim, -1)
             self._victims[worker].clear()
         if not self._victims[worker]:
             del self._victims[worker]
--- a/src/damaskdeck/coordination/pools/preemption/preemptor.py
+++ b/src/damaskdeck/coordination/pools/preemption/preemptor.py
@@ -134,12 +134,15 @@
         if now < self._next_round_at:
             return
         self._next_round_at = now + ROUND_SECONDS
-        for step in self._holds.sweep(self._owner.contacts, now):
-            count_refusal(PART, "hold_expired")
+        for step, code in self._holds.sweep(self._owner.contacts, now):
+            # It may be examined at once: what was freed for it is still free.
+            self._examined_at.pop(step.name, None)
+            count_refusal(PART, code)
             _log.warn(
-                "Capacity freed for a step is released, as it has not started.",
+                "Capacity that was freed for a step is released.",
                 id=step.job.identifier,
                 step=step.number,
+                code=code,
             )
         due = self._list_due(ranked, now)
         if not due:
