--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -11,7 +11,13 @@
 
 from damaskdeck.protocol.callresults import JobAccepted, JobStateFound
 from damaskdeck.protocol.pools import EndKind
-from damaskdeck.protocol.queues import FINAL_STATES, JobSpec, QueueJobState, StepSpec
+from damaskdeck.protocol.queues import (
+    FINAL_STATES,
+    JobSpec,
+    Queue,
+    QueueJobState,
+    StepSpec,
+)
 from damaskdeck.protocol.sizes import Size, add_sizes, fits
 from damaskdeck.state.jobrecords import LEAD_KEY, MEMBERS_PREFIX
 from standins.faults import FaultKind
@@ -107,10 +113,10 @@
 
         self._tasks.add(asyncio.ensure_future(wait()))
 
-    async def submit(self, number: int) -> None:
-        """Submit a job through any daemon, repeatedly until it is accepted."""
+    def draw_steps(self, number: int) -> tuple[StepSpec, ...]:
+        """Draw the steps of a job."""
         random = self.random
-        steps = [
+        return tuple(
             StepSpec(
                 random.randint(1, 6),
                 Size(random.choice((500, 1000, 2000)), 500, 0),
@@ -119,11 +125,20 @@
                 is_gang=random.random() < 0.4,
             )
             for index in range(random.randint(1, 3))
-        ]
+        )
+
+    def draw_queue(self, number: int) -> Queue:
+        """Draw the queue of a job."""
+        return self.random.choice(self.cluster.table.queues)
+
+    async def submit(self, number: int) -> None:
+        """Submit a job through any daemon, repeatedly until it is accepted."""
+        random = self.random
         name = f"j{number:03}"
-        spec = self.specs[name] = JobSpec("payload", tuple(steps))
+        steps = self.draw_steps(number)
+        spec = self.specs[name] = JobSpec("payload", steps)
         self.cluster.specs[name] = spec
-        queue = random.choice(self.cluster.table.queues)
+        queue = self.draw_queue(number)
         for _ in range(100):
             daemon = self.pick_daemon()
             if daemon.is_killed:
@@ -531,6 +546,33 @@
     return run_virtual(run())
 
 
+class PreemptingChaos(CrashingChaos):
+    """A run in which patient tasks fill the pool and are stopped for other steps."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.patient = make_queue("patient", rank=2, slack=30.0, attempts=4)
+        self.urgent = self.cluster.table.queues
+        self.cluster.declare((*self.urgent, self.patient))
+
+    def draw_steps(self, number: int) -> tuple[StepSpec, ...]:
+        """Draw the steps of a job; every other job is patient."""
+        if number % 2:
+            return super().draw_steps(number)
+        size = Size(500, 500, 0)
+        return (StepSpec(24, size, 4 * SECOND, is_checkpointing=True),)
+
+    def draw_queue(self, number: int) -> Queue:
+        """Draw the queue of a job."""
+        return self.random.choice(self.urgent) if number % 2 else self.patient
+
+    def behave(self, task, attempt: int) -> Work:
+        """Let patient tasks run longer."""
+        work = super().behave(task, attempt)
+        is_patient = not int(task.job[1:]) % 2
+        return work._replace(duration=2 * work.duration) if is_patient else work
+
+
 class TestFoundSeeds(unittest.TestCase):
     """Seeds that have shown a fault."""
 
@@ -590,3 +632,6 @@
 
     def test_the_invariants_hold_with_isolated_workers(self):
         self.play(IsolatingChaos, SEEDS[:6])
+
+    def test_the_invariants_hold_with_preemption(self):
+        self.play(PreemptingChaos, SEEDS[:6])
