--- a/src/damaskdeck/coordination/pools/availability.py
+++ b/src/damaskdeck/coordination/pools/availability.py
@@ -88,11 +88,16 @@
     return sum(count_fitting(spec, contact.free) for contact in contacts)
 
 
-def is_contended(spec: StepSpec, contacts: list[WorkerContact]) -> bool:
-    """Whether workers use so much of anything that a step needs that it may wait."""
-    return any(
-        sum(contact.used[dimension] for contact in contacts)
-        > CONTENDED_SHARE * sum(contact.info.size[dimension] for contact in contacts)
-        for dimension, needed in enumerate(spec.size)
-        if needed
-    )
+def is_contended(step: Step, contacts: list[WorkerContact]) -> bool:
+    """Whether a gang may wait because of what other steps use of its workers.
+
+    It doesn't fit beside them in some dimension, however tasks are packed, or so little
+    is free that it may not fit for long.
+    """
+    for dimension, needed in enumerate(step.spec.size):
+        used = sum(contact.used[dimension] for contact in contacts)
+        total = sum(contact.info.size[dimension] for contact in contacts)
+        is_too_wide = used + needed * len(step.tasks) > total
+        if needed and (is_too_wide or used > CONTENDED_SHARE * total):
+            return True
+    return False
--- a/src/damaskdeck/coordination/pools/gangcapacity.py
+++ b/src/damaskdeck/coordination/pools/gangcapacity.py
@@ -139,7 +139,7 @@
             if self._reservations.may_use(contact.info.identifier, step, now)
         ]
         lacks_capacity = count_fitting_now(step.spec, available) < len(step.tasks)
-        if lacks_capacity and is_contended(step.spec, eligible):
+        if lacks_capacity and is_contended(step, eligible):
             self._reservations.reserve(step, eligible, len(fleet), now)
 
     def _may_run(self, step: Step, contact: WorkerContact, now: float) -> bool:
