--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -109,7 +109,7 @@
     authorizer: Authorizer,
     is_ready: Callable[[], bool],
     is_closing_connections: Callable[[], bool],
-    read_metrics: Callable[[], bytes],
+    read_metrics: Callable[[], Awaitable[bytes | None]],
     read_status: Callable[[], Any],
     ready_port: int,
     metrics_port: int,
@@ -118,6 +118,8 @@
 
     :param is_closing_connections: whether responses close the connection, so that
         callers open their next one to another daemon.
+    :param read_metrics: returns the text of the metrics, ``None`` if they can't be
+        exported.
     :param read_status: returns the status of the pools, for operators.
     :param ready_port: local port that answers the balancer's readiness checks.
     :param metrics_port: local port that serves the metrics and the status.
@@ -134,7 +136,7 @@
             if scope["path"] == _STATUS_PATH:
                 await response.send_json(200, read_status())
             else:
-                await response.send_text(read_metrics())
+                await _send_metrics(response, await read_metrics())
             return
         host = _read_header(scope, b"host") or b""
         call = authorizer.authorize(
@@ -199,6 +201,13 @@
         await self._send({"type": "http.response.body", "body": data})
 
 
+async def _send_metrics(response: _Response, text: bytes | None) -> None:
+    if text is None:
+        await response.send_json(503)
+    else:
+        await response.send_text(text)
+
+
 async def _handle_call(
     scope: Scope,
     receive: Receive,
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -40,7 +40,7 @@
 )
 from damaskdeck.state.jobrecords import MemberRecord
 from damaskdeck.transport.api.server import HttpServer
-from damaskdeck.transport.exporter import install_exporter, read_metrics
+from damaskdeck.transport.exporter import DeferredExporter
 from damaskdeck.transport.listeners import format_address, open_listener
 from damaskdeck.transport.peers import PeerNetwork
 
@@ -188,7 +188,7 @@
             self._authorizer,
             self.is_ready,
             lambda: not self.is_ready(),
-            read_metrics,
+            DeferredExporter().read,
             self.read_status,
             listeners[1].getsockname()[1],
             listeners[2].getsockname()[1],
@@ -287,6 +287,7 @@
     async def _hand_over_when_store_unavailable(self) -> None:
         """Hand over to a daemon that can reach the store once this one can't."""
         while True:
+            await self._store.wait_until_failing()
             await self._clock.sleep(STORE_CHECK_INTERVAL)
             owner = self._owner
             is_store_unavailable = (
@@ -359,7 +360,9 @@
             asyncio.ensure_future(self.leadership.run()),
             asyncio.ensure_future(self.declarations.run()),
             asyncio.ensure_future(self.owner_monitor.run()),
-            asyncio.ensure_future(self._loop_delay.run(self._clock)),
+            asyncio.ensure_future(
+                self._loop_delay.run(self._clock, lambda: self._owner is not None)
+            ),
             asyncio.ensure_future(self._watch_settings()),
             asyncio.ensure_future(self._hand_over_to_stronger_member()),
             asyncio.ensure_future(self._hand_over_when_store_unavailable()),
@@ -422,7 +425,6 @@
     :raises SettingsError: if the file can't be read or is invalid.
     """
     settings = load_node_settings()
-    install_exporter()
     handler = LineHandler(LineWriter(sys.stdout.fileno()), settings.instance, "info")
     handler.push_application()
     try:
