--- a/src/damaskdeck/coordination/pools/preemption/needs.py
+++ b/src/damaskdeck/coordination/pools/preemption/needs.py
@@ -13,9 +13,9 @@
 ORDER_SECONDS = 0.1
 # Capacity is freed later than runs are expected to end, by the error of their estimates
 # and because more urgent steps take some of it.
-FORECAST_FACTOR = 8.0
+FORECAST_FACTOR = 4.0
 # A step that has waited waits on for this multiple of that time, whatever is forecast.
-WAITED_FACTOR = 8.0
+WAITED_FACTOR = 4.0
 # The standard deviation of the estimates of urgent steps, as a share of them.
 ESTIMATE_ERROR = 0.2
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -417,6 +417,13 @@
         self.assertEqual(settings.unserved_duties, ("upkeep", "move"))
         self.assertEqual(parse_node_settings(reader).unserved_duties, ())
 
+    def test_the_time_of_a_restore_is_read_in_milliseconds(self):
+        reader = Path(__file__).with_name("node.conf").read_text()
+        settings = parse_node_settings(reader + "bounds.restore_ms=250\n")
+        self.assertEqual(settings.bounds.restore_time, timedelta(seconds=0.25))
+        default = parse_node_settings(reader).bounds.restore_time
+        self.assertEqual(default, timedelta(seconds=0.5))
+
     def test_all_faults_are_reported_together(self):
         with self.assertRaises(SettingsError) as caught:
             parse_node_settings("node_name=a\nbounds.grace_s=soon")
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -13,6 +13,7 @@
 
 from damaskdeck.protocol.callresults import JobAccepted
 from damaskdeck.protocol.queues import StepSpec
+from damaskdeck.protocol.sizes import Size
 from standins.pools import Work
 from tests.poolcluster import SECOND, SMALL, PoolCase, make_job, make_queue
 from tests.virtual import virtual
@@ -35,13 +36,13 @@
 class TestGangs(PoolCase):
     """Start times of gangs beside batches that fill the pool."""
 
-    async def submit_batches(self, seconds: float) -> None:
+    async def submit_batches(self, seconds: float, size: Size) -> None:
         """Submit batches that need somewhat more than the capacity of the pool."""
         for number in itertools.count():
             if self.cluster.clock.monotonic().total_seconds() > seconds:
                 return
             await self.submit(
-                BATCHES, f"b{number}", make_job(StepSpec(6, SMALL, SECOND))
+                BATCHES, f"b{number}", make_job(StepSpec(6, size, SECOND))
             )
             await asyncio.sleep(6 / CAPACITY_TASKS / 1.1)
 
@@ -50,12 +51,12 @@
         done = await self.cluster.daemons["d0"].frontend.submit(queue, name, spec)
         self.assertEqual(done, JobAccepted())
 
-    async def begin_loaded(self, seconds: float) -> None:
-        """Start a cluster and fill its pool."""
+    async def begin_loaded(self, seconds: float, size: Size = SMALL) -> None:
+        """Start a cluster and fill its pool with tasks, four for each worker."""
         self.cluster = await self.begin(
             workers=WORKERS, behave=behave, queues=(GANGS, BATCHES, QUICK)
         )
-        self.submitting = asyncio.ensure_future(self.submit_batches(seconds))
+        self.submitting = asyncio.ensure_future(self.submit_batches(seconds, size))
         await asyncio.sleep(4)
 
     @virtual
@@ -70,6 +71,20 @@
         await self.submitting
         self.end()
 
+    # Nothing was reserved in a pool with less than 60 % of its processors in use.
+    @virtual
+    async def test_a_wide_gang_starts_in_time_where_memory_is_short(self):
+        size = Size(250, 2000, 0)
+        await self.begin_loaded(14, size)
+        submitted_at = self.cluster.clock.monotonic()
+        gang = StepSpec(20, size, 2 * SECOND, is_gang=True)
+        await self.submit(GANGS, "gang", make_job(gang))
+        await self.cluster.wait(lambda: len(self.cluster.list_starts("gang")) == 20)
+        waited = self.cluster.list_starts("gang")[0][0] - submitted_at
+        self.assertLess(waited, 3 * SECOND)
+        await self.submitting
+        self.end()
+
     @virtual
     async def test_quick_jobs_start_beside_reserved_capacity(self):
         await self.begin_loaded(14)
