--- a/src/damaskdeck/coordination/pools/preemption/holds.py
+++ b/src/damaskdeck/coordination/pools/preemption/holds.py
@@ -10,7 +10,14 @@
 from damaskdeck.coordination.places.preemption import Claim, ClaimedCapacity
 from damaskdeck.coordination.pools.candidates import Candidate
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.protocol.sizes import ZERO_SIZE, Size, add_sizes, subtract_sizes
+from damaskdeck.coordination.pools.planning import has_rack_preference
+from damaskdeck.protocol.sizes import (
+    ZERO_SIZE,
+    Size,
+    add_sizes,
+    fits,
+    subtract_sizes,
+)
 from damaskdeck.state.pooljobs import Run, Step
 from damaskdeck.state.quotas import scale_size
 
@@ -72,19 +79,29 @@
 
     def _find_free(self, contact: WorkerContact, step: Step) -> Size:
         worker = contact.info.identifier
-        others = subtract_sizes(self._held.get(worker), self._get_own(worker, step))
+        others = self._held.get(worker)
+        if step.name in self._holds:
+            others = subtract_sizes(others, self._get_own(worker, step))
         return subtract_sizes(contact.free, others)
 
     def limit(self, step: Step, candidates: list[Candidate]) -> list[Candidate]:
-        """Return the candidates with the capacity that a step may use now."""
+        """Return the candidates with the capacity that a step may use now.
+
+        Those on which nothing is left for a task are left out, except for steps with a
+        rack preference, for which they show the racks.
+        """
         if not self._held:
             return candidates
-        return [self._limit(step, candidate) for candidate in candidates]
-
-    def _limit(self, step: Step, candidate: Candidate) -> Candidate:
-        if candidate.key not in self._held:
-            return candidate
-        return _LimitedCandidate(candidate, self._find_free(candidate.contact, step))
+        keeps_all = has_rack_preference(step.spec)
+        limited = []
+        for candidate in candidates:
+            if candidate.key in self._held:
+                free = self._find_free(candidate.contact, step)
+                if not keeps_all and not fits(step.spec.size, free):
+                    continue
+                candidate = _LimitedCandidate(candidate, free)
+            limited.append(candidate)
+        return limited
 
     def _get_own(self, worker: str, step: Step) -> Size:
         hold = self._holds.get(step.name)
