--- a/benchmarks/preemption.py
+++ b/benchmarks/preemption.py
@@ -14,8 +14,8 @@
 import time
 from collections.abc import Iterator
 from datetime import timedelta
-from typing import NamedTuple
 
+from benchmarks.hardload import LOADS, Load
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
@@ -28,9 +28,7 @@
 from damaskdeck.protocol.messages import Answered
 from damaskdeck.protocol.pools import Done, EndedTask, EndKind, PoolWorker
 from damaskdeck.protocol.queues import (
-    AdvisorTiming,
     JobSpec,
-    Queue,
     QueueJobState,
     QueueTable,
     StepSpec,
@@ -68,67 +66,6 @@
     status_retention=timedelta(120),
     max_stop_time=timedelta(milliseconds=900),
 )
-MILLISECOND = timedelta(milliseconds=1)
-# Workers and waiting gangs for the cost of a round of preemption.
-COST_SIZE = (300, 200)
-
-
-class Load(NamedTuple):
-    """The jobs of one queue.
-
-    :param rate: jobs per second on 176 workers; patient jobs have none in a pool that
-        is kept full.
-    :param tasks: mean, standard deviation of the logarithm and maximum.
-    :param millicores: mean for each task, as with ``memory`` in MB.
-    :param seconds: mean work of a task.
-    :param error: standard deviation of the logarithm of a step's estimate.
-    :param spread: the same for the tasks of a step.
-    :param consents: share of the workers that the advisor allows.
-    """
-
-    queue: Queue
-    rate: float
-    tasks: tuple[float, float, int]
-    millicores: int
-    memory: int
-    seconds: float
-    gang_share: float
-    checkpoint_share: float
-    error: float
-    spread: float
-    consents: float
-
-
-def _make_queue(
-    name: str,
-    rank: int,
-    slack: float,
-    allowance: float,
-    base: float,
-    per_worker: float,
-) -> Queue:
-    timing = AdvisorTiming(
-        base * MILLISECOND, per_worker * MILLISECOND, timedelta(seconds=2.5)
-    )
-    allowed = timedelta(seconds=allowance)
-    prefix = f"/{name}/"
-    return Queue(name, "a.example", prefix, "hub", rank, 3, slack, allowed, timing)
-
-
-LOADS = (
-    Load(
-        _make_queue("swaps", 0, 1.5, 0.25, 14.3, 0.208),
-        38.8, (3, 0.5, 12), 2500, 9_100, 0.85, 0.3, 0.0, 0.2, 0.2, 0.7,
-    ),
-    Load(
-        _make_queue("rebuilds", 1, 2.2, 1.0, 455, 6.5),
-        2.6, (20, 0.6, 120), 4500, 17_000, 3.4, 1.0, 0.5, 0.2, 0.15, 0.35,
-    ),
-    Load(
-        _make_queue("plans", 2, 4.0, 3.0, 104, 1.43),
-        5.42, (25, 0.5, 90), 1700, 6_400, 1.9, 0.0, 0.8, 0.5, 0.3, 0.45,
-    ),
-)  # fmt: skip
 
 
 class _Counts:
@@ -149,7 +86,7 @@
 class _Port:
     """A client of the workers, which run tasks in virtual time."""
 
-    def __init__(self, simulation: "_Simulation") -> None:
+    def __init__(self, simulation: "Simulation") -> None:
         self._simulation = simulation
 
     async def start(self, worker: PoolWorker, epoch: int, order) -> Done:
@@ -168,7 +105,7 @@
 class _Peers:
     """Daemons that pass queries on to the advisor."""
 
-    def __init__(self, simulation: "_Simulation") -> None:
+    def __init__(self, simulation: "Simulation") -> None:
         self._simulation = simulation
 
     async def call(self, daemon: str, message, kind, timeout) -> Answered:
@@ -187,7 +124,7 @@
         return Answered({"code": "", "consents": consents})
 
 
-class _Simulation:
+class Simulation:
     """The owner's rules around a dispatcher, with workers in virtual time."""
 
     def __init__(self, workers: int, seconds: float, is_full: bool) -> None:
@@ -207,20 +144,20 @@
             load.queue.name: random.Random(f"{SEED} {load.queue.name}")
             for load in LOADS
         }
-        self._numbers = itertools.count()
+        self.numbers = itertools.count()
         self._table = QueueTable(
             1, tuple(load.queue for load in LOADS), frozenset({"hub"}), 100_000
         )
         self._queues = {load.queue.name: load for load in LOADS}
         self.account_limits = AccountLimits(self, Ceilings(lambda: None))
-        self._advice_scheduler = AdviceScheduler(
+        self.advice_scheduler = AdviceScheduler(
             _Peers(self),
             self._clock,
             lambda: DAEMONS,
             lambda step: self.dispatcher.handle_advice(step),
         )
         self.dispatcher = Dispatcher(
-            self, self._clock, derive_times(BOUNDS), self._advice_scheduler
+            self, self._clock, derive_times(BOUNDS), self.advice_scheduler
         )
         # The work of each task in nominal seconds, and what is left of it.
         self._work: dict[TaskName, float] = {}
@@ -358,8 +295,7 @@
     def _end(self, run: Run, kind: EndKind) -> None:
         contact, task = self.contacts[run.worker], run.task
         del self._ends[run], self._begun[run]
-        held = (self.now() - run.ordered_at) * self._get_cores(run)
-        self.counts.used += held
+        self.counts.used += (self.now() - run.ordered_at) * self._get_cores(run)
         contact.remove_run(run)
         task.runs.remove(run)
         step, job = task.step, task.step.job
@@ -379,7 +315,7 @@
         job.close(state, self.now())
         self.job_index.close(job)
         for step in job.list_steps():
-            self._advice_scheduler.discard(step)
+            self.advice_scheduler.discard(step)
             self.dispatcher.discard(step)
 
     def _get_cores(self, run: Run) -> float:
@@ -407,7 +343,7 @@
             is_gang=is_gang,
             is_checkpointing=rng.random() < load.checkpoint_share,
         )
-        name = f"{load.queue.name}-{next(self._numbers)}"
+        name = f"{load.queue.name}-{next(self.numbers)}"
         record = JobRecord(name, load.queue, JobSpec("", (spec,)), 1, 0.0)
         job = Job(record, self.now())
         for task in job.occurrences[0][0].tasks:
@@ -461,7 +397,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(0.1)
-            self._advice_scheduler.dispatch()
+            self.advice_scheduler.dispatch()
             self.dispatcher.wake()
 
     async def run(self) -> dict:
@@ -480,56 +416,9 @@
         for task in tasks:
             if task.done() and not task.cancelled():
                 task.result()
-        self._advice_scheduler.close()
+        self.advice_scheduler.close()
         return self._summarize()
 
-    async def measure_rounds(self, steps: int, rounds: int) -> dict:
-        """Return the processor time of rounds with a number of waiting gangs."""
-        gangs, patient = LOADS[1], LOADS[2]
-        waiting: list[Task] = []
-        for contact in self.contacts.values():
-            for _ in range(PATIENT_TASKS_PER_WORKER):
-                waiting = waiting or self._make_tasks(patient)
-                self._add_run(contact, waiting.pop())
-        for _ in range(steps):
-            self.submit(gangs)
-        for load, job in self.jobs:
-            if load is gangs:
-                step = job.occurrences[0][0]
-                step.constrained_since = -60.0
-                tickets = self._advice_scheduler.get(step).tickets
-                for worker in self.contacts:
-                    if random.Random(step.name + worker).random() < load.consents:
-                        tickets[worker] = ("ticket", float("inf"))
-        dispatcher = self.dispatcher
-        dispatcher._preemptor._budget.is_available = lambda amount: amount == 1
-        costs = []
-        for _ in range(rounds):
-            await asyncio.sleep(0.06)
-            ranked = dispatcher._pending.rank(self.now())
-            began = time.process_time()
-            dispatcher._preemptor.sweep(ranked, self.now())
-            costs.append(1000 * (time.process_time() - began))
-        costs.sort()
-        return {
-            "mean_milliseconds": round(sum(costs) / len(costs), 2),
-            "p99_milliseconds": round(costs[int(0.99 * len(costs))], 2),
-        }
-
-    def _make_tasks(self, load: Load) -> list[Task]:
-        size = Size(load.millicores, load.memory, 0)
-        seconds = timedelta(seconds=load.seconds)
-        spec = StepSpec(load.tasks[0], size, seconds, is_checkpointing=True)
-        name = f"{load.queue.name}-{next(self._numbers)}"
-        record = JobRecord(name, load.queue, JobSpec("", (spec,)), 1, 0.0)
-        return list(Job(record, 0.0).occurrences[0][0].tasks)
-
-    def _add_run(self, contact: WorkerContact, task: Task) -> None:
-        run = Run(task, contact.info.identifier, 1, 0.0)
-        run.phase = RunPhase.RUNNING
-        task.runs.append(run)
-        contact.add_run(run)
-
     # Figures -----------------------------------------------------------------
 
     def _summarize(self) -> dict:
@@ -599,16 +488,7 @@
 
 
 async def _simulate(workers: int, seconds: float, is_full: bool) -> dict:
-    return await _Simulation(workers, seconds, is_full).run()
-
-
-async def _measure_rounds(workers: int, steps: int, rounds: int) -> dict:
-    """Measure rounds of preemption in which no step can be helped.
-
-    All workers are full of patient tasks, and gangs with advice wait for them.
-    """
-    simulation = _Simulation(workers, 0.0, True)
-    return await simulation.measure_rounds(steps, rounds)
+    return await Simulation(workers, seconds, is_full).run()
 
 
 def run(quick: bool = False) -> dict:
@@ -617,5 +497,4 @@
     return {
         "full_pool": run_virtual(_simulate(workers, seconds, True)),
         "oscillating_load": run_virtual(_simulate(workers, seconds, False)),
-        "rounds": run_virtual(_measure_rounds(*COST_SIZE, 10 if quick else 100)),
     }
