--- a/benchmarks/preemption.py
+++ b/benchmarks/preemption.py
@@ -398,6 +398,7 @@
         while True:
             await asyncio.sleep(0.1)
             self.advice_scheduler.dispatch()
+            self.dispatcher.speeds.update(self.contacts, self.now())
             self.dispatcher.wake()
 
     async def run(self) -> dict:
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -282,7 +282,7 @@
         if eligible and not checks_all_workers and step.spec.is_gang:
             eligible = self._find_eligible(step, pool, candidates, now, None)
         confined = _select_confined(step.job, eligible)
-        expectation = self._expect(step, pool, urgency, now) if eligible else None
+        expectation = self.expect(step, pool, urgency, now) if eligible else None
         plan = self._plan_around_reservations(
             step, tasks, confined, pool, urgency, now, expectation
         )
@@ -297,7 +297,7 @@
                 step, [t for t in tasks if t not in placed], eligible, expectation
             )
 
-    def _expect(
+    def expect(
         self, step: Step, pool: str, urgency: Urgency, now: float
     ) -> StepExpectation | None:
         """Return what is expected of a step in an uneven pool, ``None`` in others."""
@@ -512,7 +512,7 @@
         self.request_urgent_advice(step, now)
         found = self._find_eligible(step, pool, self._build_candidates(now), now, None)
         eligible = [candidate for candidate in found if candidate.key != run.worker]
-        expectation = self._expect(step, pool, measure_urgency(step, now), now)
+        expectation = self.expect(step, pool, measure_urgency(step, now), now)
         confined = _select_confined(step.job, eligible)
         plan = plan_step(step, [task], confined, True, expectation=expectation)
         if plan:
--- a/src/damaskdeck/coordination/pools/preemption/needs.py
+++ b/src/damaskdeck/coordination/pools/preemption/needs.py
@@ -1,21 +1,21 @@
 """Which waiting steps preemption helps: late without it and in time with it."""
 
+import math
 from collections.abc import Iterable
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.pending import RankedStep
 from damaskdeck.coordination.pools.planning import has_rack_preference
+from damaskdeck.coordination.pools.speeds import StepExpectation
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.urgency import DeadlineStatus
 from damaskdeck.state.pooljobs import Step
 
 # The time for the orders and for listing the ends of the stopped runs.
 ORDER_SECONDS = 0.1
-# Capacity is freed later than runs are expected to end, by the error of their estimates
-# and because more urgent steps take some of it.
-FORECAST_FACTOR = 4.0
-# A step that has waited waits on for this multiple of that time, whatever is forecast.
-WAITED_FACTOR = 4.0
+# A forecast counts as this much earlier: runs may end earlier than their estimates,
+# which are off by about half for patient steps.
+FORECAST_ERROR = 0.5
 # The standard deviation of the estimates of urgent steps, as a share of them.
 ESTIMATE_ERROR = 0.2
 
@@ -37,24 +37,37 @@
     )
 
 
-def has_waited_too_long(step: Step, slack: float, now: float) -> bool:
-    """Whether a step that waits on as it has waited so far starts too late.
+def measure_longest_wait(
+    step: Step, slack: float, expectation: StepExpectation | None
+) -> float:
+    """Return for how many seconds a step can wait before it is almost surely late.
+
+    It counts with the shortest duration that is likely, on the fast workers of an
+    uneven pool: steps have less work than estimated as often as more.
 
-    :param slack: seconds until its latest start.
+    :param slack: seconds until its latest start by its estimate.
+    :param expectation: of the step, ``None`` in an even pool.
     """
-    since = step.constrained_since
-    if since is None:
-        return False
-    return WAITED_FACTOR * (now - since) > slack - _measure_error(step)
+    if expectation is None:
+        return slack + ESTIMATE_ERROR * step.spec.estimate.total_seconds()
+    error = math.exp(-math.sqrt(expectation.variance))
+    shortest = expectation.duration * expectation.fastest * error
+    return expectation.available - shortest
 
 
-def is_too_late(step: Step, slack: float, wait: float) -> bool:
-    """Whether a step starts too late if enough runs should end in ``wait`` seconds."""
-    return FORECAST_FACTOR * wait > slack - _measure_error(step)
+def is_too_late(longest_wait: float, wait: float) -> bool:
+    """Whether a step is late even if enough runs end earlier than forecast.
+
+    :param longest_wait: seconds for which the step can wait.
+    :param wait: the forecast wait in seconds.
+    """
+    return wait * math.exp(-FORECAST_ERROR) > longest_wait
 
 
-def _measure_error(step: Step) -> float:
-    return ESTIMATE_ERROR * step.spec.estimate.total_seconds()
+def measure_work(step: Step) -> float:
+    """Return the estimated work of the waiting tasks of a step in core-seconds."""
+    seconds = step.spec.estimate.total_seconds() * len(step.list_waiting())
+    return seconds * step.spec.size.millicores / 1000
 
 
 def measure_drain_seconds(
--- a/src/damaskdeck/coordination/pools/preemption/preemptor.py
+++ b/src/damaskdeck/coordination/pools/preemption/preemptor.py
@@ -15,15 +15,19 @@
 from damaskdeck.coordination.pools.planning import is_suitable
 from damaskdeck.coordination.pools.preemption.holds import Hold, Holds
 from damaskdeck.coordination.pools.preemption.needs import (
-    has_waited_too_long,
+    ORDER_SECONDS,
     is_too_late,
     may_be_helped,
     measure_drain_seconds,
+    measure_longest_wait,
+    measure_work,
 )
 from damaskdeck.coordination.pools.preemption.search import Choice, choose_victims
 from damaskdeck.coordination.pools.preemption.victims import VictimIndex, name_task
 from damaskdeck.coordination.pools.reservations import Reservations
+from damaskdeck.coordination.pools.speeds import StepExpectation, WorkerSpeeds
 from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.urgency import Urgency
 from damaskdeck.coordination.pools.workerhealth import WorkerHealth
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_preemption, count_refusal
@@ -43,6 +47,9 @@
 BUDGET_INTERVAL = timedelta(seconds=2)
 # A task is preempted at most this often.
 MAX_PREEMPTIONS = 1
+# Victims may cost at most this share of the work of the step, in core-seconds lost and
+# held by the stops.
+MAX_COST_SHARE = 1.0
 # Capacity is held for this time beyond the longest stop.
 HOLD_SECONDS = 1.0
 # Each kind of refusal is logged at most this often.
@@ -67,6 +74,12 @@
     """What preemption needs from the dispatcher."""
 
     worker_health: WorkerHealth
+    speeds: WorkerSpeeds
+
+    def expect(
+        self, step: Step, pool: str, urgency: Urgency, now: float
+    ) -> StepExpectation | None:
+        """Return what is expected of a step in an uneven pool, ``None`` in others."""
 
     def find_pool(self, step: Step) -> str:
         """Return the pool that is declared for a step's queue at present."""
@@ -227,9 +240,15 @@
         """Preempt for a step if that helps it; return why not, or an empty string."""
         step = entry.pending.step
         needed = len(step.list_waiting())
+        pool = self._pools.find_pool(step)
+        expectation = self._pools.expect(step, pool, entry.urgency, now)
         workers = self._list_workers(step, now)
-        if not workers or not self._is_late_without(entry, needed, workers, now):
+        longest_wait = measure_longest_wait(step, entry.urgency.slack, expectation)
+        if not workers or not self._is_late_without(
+            step, longest_wait, needed, workers, now
+        ):
             return ""
+        workers = self._select_fast_enough(workers, expectation)
         if not self._budget.is_available(1):
             return "budget"
         if self._owner.account_limits.count_startable(step, needed) < needed:
@@ -247,6 +266,8 @@
         if not runs:
             # The capacity is free or being freed.
             return ""
+        if self._measure_cost(choice, runs) > MAX_COST_SHARE * measure_work(step):
+            return "cost"
         if not self._budget.is_available(len(runs)):
             return "budget"
         self._preempt(entry, choice, runs, index, now)
@@ -254,23 +275,39 @@
 
     def _is_late_without(
         self,
-        entry: RankedStep,
+        step: Step,
+        longest_wait: float,
         needed: int,
         workers: list[WorkerContact],
         now: float,
     ) -> bool:
-        step = entry.pending.step
-        if has_waited_too_long(step, entry.urgency.slack, now):
-            return True
         reservation = self._reservations.get(step)
         starts_at = (
             reservation.starts_at
             if reservation is not None
             else self._forecast.find_start(step, needed, workers, now)
         )
-        return starts_at is None or is_too_late(
-            step, entry.urgency.slack, starts_at - now
-        )
+        return starts_at is None or is_too_late(longest_wait, starts_at - now)
+
+    def _select_fast_enough(
+        self, workers: list[WorkerContact], expectation: StepExpectation | None
+    ) -> list[WorkerContact]:
+        """Return the workers on which a step ends in time if it starts after stops."""
+        if expectation is None:
+            return workers
+        needed = self._times.max_stop_time.total_seconds() + ORDER_SECONDS
+        after_stops = expectation._replace(available=expectation.available - needed)
+        speeds = self._pools.speeds
+        return [
+            contact
+            for contact in workers
+            if after_stops.is_acceptable(speeds.estimate(contact.info.identifier))
+        ]
+
+    def _measure_cost(self, choice: Choice, runs: list[Run]) -> float:
+        """Return the core-seconds that the victims lose and hold until they end."""
+        cores = sum(run.task.step.spec.size.millicores for run in runs) / 1000
+        return choice.lost + cores * self._times.max_stop_time.total_seconds()
 
     def _list_workers(self, step: Step, now: float) -> list[WorkerContact]:
         """List the workers on which capacity may be freed for a step."""
--- a/tests/test_pools_preemption.py
+++ b/tests/test_pools_preemption.py
@@ -18,6 +18,11 @@
     choose_victims,
     name_task,
 )
+from damaskdeck.coordination.pools.preemption.needs import (
+    is_too_late,
+    measure_longest_wait,
+)
+from damaskdeck.coordination.pools.speeds import StepExpectation
 from damaskdeck.coordination.pools.times import derive_times
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.delays import LoopDelay
@@ -171,6 +176,25 @@
         self.assertEqual(pool.list_victims()[0], name_task(small.tasks[0]))
 
 
+class TestNeeds(unittest.TestCase):
+    """Guards against stops for steps that would have started in time by themselves."""
+
+    def setUp(self) -> None:
+        spec = StepSpec(4, SMALL, 2 * SECOND, is_gang=True)
+        self.step = Pool().make_step("gang", GANGS, spec)
+
+    def test_a_forecast_within_its_error_of_the_slack_stops_nothing(self):
+        longest = measure_longest_wait(self.step, 2.0, None)
+        self.assertAlmostEqual(longest, 2.4)
+        self.assertFalse(is_too_late(longest, 3.8))
+        self.assertTrue(is_too_late(longest, 4.1))
+
+    def test_a_step_may_wait_longer_where_fast_workers_shorten_it(self):
+        expectation = StepExpectation(2.0, 0.0, 4.0, 0.7)
+        longest = measure_longest_wait(self.step, 2.0, expectation)
+        self.assertAlmostEqual(longest, 2.6)
+
+
 class TestSearch(unittest.TestCase):
     """The choice of workers and victims for a step."""
 
