--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -9,8 +9,10 @@
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.adviceplanner import AdvicePlanner
+from damaskdeck.coordination.pools.availability import CapacityForecast
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.gangcapacity import GangCapacity
 from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps, RankedStep
 from damaskdeck.coordination.pools.planning import (
     Plan,
@@ -19,7 +21,8 @@
     is_suitable,
     plan_step,
 )
-from damaskdeck.coordination.pools.reservations import Reservations, is_contended
+from damaskdeck.coordination.pools.preemption import PoolPreemptor
+from damaskdeck.coordination.pools.reservations import Reservations
 from damaskdeck.coordination.pools.shares import AccountShares, Precedence
 from damaskdeck.coordination.pools.speeds import StepExpectation, WorkerSpeeds
 from damaskdeck.coordination.pools.starter import Starter, StartOwner
@@ -103,7 +106,26 @@
         self._full_pass_at = float("-inf")
         # Accounts held back by their quota for which this pass has requested advice.
         self._held_accounts: set[str] = set()
-        self._reservations = Reservations(self.speeds.estimate_remaining)
+        forecast = CapacityForecast(self.speeds.estimate_remaining)
+        self._reservations = Reservations(forecast)
+        self._preemptor = PoolPreemptor(
+            owner,
+            self,
+            clock,
+            times,
+            advice_scheduler,
+            self._reservations,
+            forecast,
+            self.shares.measure_excess,
+        )
+        self._gang_capacity = GangCapacity(
+            owner,
+            self,
+            advice_scheduler,
+            self._reservations,
+            self._preemptor,
+            self.shares.is_deferred,
+        )
         self._advice_planner = AdvicePlanner(
             advice_scheduler, lambda: owner.contacts, self.speeds
         )
@@ -130,11 +152,13 @@
 
     def handle_advice(self, step: Step) -> None:
         """Check all workers again for a step that the advisor has answered about."""
+        self._gang_capacity.handle_advice(step)
         self._pending.retry(step)
         self.wake()
 
     def handle_freed_capacity(self, contact: WorkerContact) -> None:
         """Request a pass, as a worker has more free capacity."""
+        self._preemptor.handle_freed_capacity(contact)
         self._freed.add(contact.info.identifier)
         self.wake()
 
@@ -157,6 +181,7 @@
     def discard(self, step: Step) -> None:
         """Remove the measurements of a step of a job that has ended."""
         self.speeds.discard(step)
+        self._preemptor.discard(step)
 
     def close(self) -> None:
         """Cancel all orders in flight."""
@@ -190,58 +215,18 @@
         candidates = self._build_candidates(now)
         ranked = self._pending.rank(now)
         self._held_accounts.clear()
+        self._gang_capacity.begin_pass(ranked)
         position = 0
         for urgency, _, pending in ranked:
             if pending.step.not_before > now:
                 continue
             position += 1
             self._place(pending, candidates, freed, urgency, position, now)
+        self._gang_capacity.end_pass(ranked, is_full_pass, now)
+        self._preemptor.sweep(ranked, now)
         if is_full_pass:
-            self._reserve_for_gangs(ranked, now)
             self.shares.report((entry.pending.step for entry in ranked), now)
 
-    def _reserve_for_gangs(self, ranked: list[RankedStep], now: float) -> None:
-        """Reserve workers for the waiting gangs, in the order of their urgency."""
-        contacts = self._owner.contacts
-        fleets: dict[str, list[WorkerContact]] = {}
-        for contact in contacts.values():
-            fleets.setdefault(contact.info.pool, []).append(contact)
-        contended = {pool for pool, fleet in fleets.items() if is_contended(fleet)}
-        gangs = [
-            (pending.step, pool)
-            for urgency, _, pending in ranked
-            if pending.step.spec.is_gang
-            and urgency.deadline_status is not DeadlineStatus.LOST
-            if not has_rack_preference(pending.step.spec) and self._may_start(pending)
-            if (pool := self.find_pool(pending.step)) in contended
-        ]
-        # Deferred gangs reserve anew in their order, as they must not hold reservations
-        # against steps that now precede them.
-        self._reservations.retain(
-            step.name for step, _ in gangs if not self.shares.is_deferred(step)
-        )
-        for step, pool in gangs:
-            keys: Iterable[str] = contacts
-            if step.job.queue.advice is not None:
-                keys = self._advice_scheduler.get(step).tickets
-            eligible = [
-                contact
-                for contact in (contacts[key] for key in keys if key in contacts)
-                if contact.info.pool == pool
-                and contact.is_usable(now)
-                and is_suitable(step.spec, contact.info)
-                and step.job.may_run_in(contact.info.zone)
-            ]
-            self._reservations.reserve(step, eligible, fleets[pool], now)
-
-    def _may_start(self, pending: PendingStep) -> bool:
-        """Whether a gang waits for capacity only and not for its account's quota."""
-        waiting = len(pending.step.list_waiting())
-        account_limits = self._owner.account_limits
-        return bool(waiting) and bool(
-            account_limits.count_startable(pending.step, waiting)
-        )
-
     def _build_candidates(self, now: float) -> Candidates:
         return Candidates(self._owner.contacts, self.speeds, now)
 
@@ -278,7 +263,9 @@
         is_unlimited = allowed == len(tasks)
         tasks = tasks[:allowed]
         pool = self.find_pool(step)
-        reserved = self._reservations.list_workers(step)
+        reserved = self._preemptor.list_held(step) or self._reservations.list_workers(
+            step
+        )
         asked = self.shares.adjust_urgency(step, urgency)
         self._advice_planner.request_advice(
             step, pool, asked, position, now, pending.is_tried, reserved
@@ -295,20 +282,22 @@
         if eligible and not checks_all_workers and step.spec.is_gang:
             eligible = self._find_eligible(step, pool, candidates, now, None)
         confined = _select_confined(step.job, eligible)
-        expectation = self._expect(step, pool, urgency, now) if eligible else None
+        expectation = self.expect(step, pool, urgency, now) if eligible else None
         plan = self._plan_around_reservations(
             step, tasks, confined, pool, urgency, now, expectation
         )
         if plan:
             self._reservations.release(step)
             self._order(step, plan, now)
+        else:
+            self._gang_capacity.reserve_if_advised(pending, urgency, now)
         if len(plan) < len(tasks) and len(eligible) > len(confined):
             placed = {task for task, _ in plan}
             self._request_wider_zones(
                 step, [t for t in tasks if t not in placed], eligible, expectation
             )
 
-    def _expect(
+    def expect(
         self, step: Step, pool: str, urgency: Urgency, now: float
     ) -> StepExpectation | None:
         """Return what is expected of a step in an uneven pool, ``None`` in others."""
@@ -349,16 +338,20 @@
     ) -> Plan:
         """Plan without the workers that are reserved for other steps, if possible.
 
-        A step that precedes a gang in the order of urgency may use the gang's workers
-        if the others don't suffice.
+        A step that is at least as urgent as a gang may use the gang's workers if the
+        others don't suffice: what is kept from steps of the same rank stays idle, and
+        gangs as a whole start later. Patient steps also leave the workers that a
+        pending query about a gang names, as far as the others suffice.
         """
         reservations = self._reservations
         available = [c for c in confined if reservations.may_use(c.key, step, now)]
-        plan = (
-            self._plan(step, tasks, available, pool, now, expectation)
-            if available
-            else []
-        )
+        named = self._gang_capacity.list_named(step.job.queue.rank)
+        unnamed = [c for c in available if c.key not in named] if named else available
+        if len(unnamed) < len(available):
+            plan = self._plan(step, tasks, unnamed, pool, now, expectation)
+            if len(plan) == len(tasks):
+                return plan
+        plan = self._plan(step, tasks, available, pool, now, expectation)
         if len(plan) == len(tasks) or len(available) == len(confined):
             return plan
         own = self.shares.find_precedence(step, urgency)
@@ -369,7 +362,7 @@
                 return True
             gang = reservation.step
             if gang.name not in precedes:
-                precedes[gang.name] = own < self._find_gang_precedence(gang)
+                precedes[gang.name] = own <= self._find_gang_precedence(gang)
             return precedes[gang.name]
 
         confined = [c for c in confined if may_use(c.key)]
@@ -391,6 +384,8 @@
         now: float,
         expectation: StepExpectation | None,
     ) -> Plan:
+        if not confined:
+            return []
         may_leave_racks = has_rack_preference(step.spec) and self._may_leave_racks(
             step, pool, now
         )
@@ -451,7 +446,7 @@
         if not has_rack_preference(spec):
             size = spec.size
             keys = [k for k in keys if k in contacts and fits(size, contacts[k].free)]
-        return [
+        found = [
             candidate
             for candidate in candidates.find_all(keys)
             if candidate.contact.info.pool == pool
@@ -459,6 +454,7 @@
             and self.worker_health.may_start(candidate.key, step.job)
             and candidate.contact.last_order.allows(step, now)
         ]
+        return self._preemptor.limit(step, found)
 
     def _may_leave_racks(self, step: Step, pool: str, now: float) -> bool:
         """Whether a step has waited long enough to run outside its preferred racks."""
@@ -479,6 +475,7 @@
     def _order(self, step: Step, plan: Plan, now: float) -> None:
         for run in self._starter.order(step, plan, now):
             self.worker_health.record_start(run)
+        self._preemptor.record_start(step, [candidate.key for _, candidate in plan])
         self._pending.mark_changed(step.job)
 
     # Ends and schedules ------------------------------------------------------
@@ -515,7 +512,7 @@
         self.request_urgent_advice(step, now)
         found = self._find_eligible(step, pool, self._build_candidates(now), now, None)
         eligible = [candidate for candidate in found if candidate.key != run.worker]
-        expectation = self._expect(step, pool, measure_urgency(step, now), now)
+        expectation = self.expect(step, pool, measure_urgency(step, now), now)
         confined = _select_confined(step.job, eligible)
         plan = plan_step(step, [task], confined, True, expectation=expectation)
         if plan:
--- a/src/damaskdeck/coordination/pools/shares/accounts.py
+++ b/src/damaskdeck/coordination/pools/shares/accounts.py
@@ -264,6 +264,17 @@
             return urgency
         return urgency._replace(slack=urgency.slack + DEFERRED_SLACK_SECONDS)
 
+    def measure_excess(self, step: Step) -> float:
+        """Return how far the account of a step is above its fair share, 0 if it isn't.
+
+        The measure is a part of the pools' capacity.
+        """
+        account = step.job.record.account
+        if account not in self.above_share:
+            return 0.0
+        standing = self.find_standing(account)
+        return max(0.0, standing.share - standing.fair_share)
+
     def find_standing(self, account: str) -> AccountStanding:
         """Return what a declared account has of the pools at present."""
         state = self._quotas.read(account)
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -72,6 +72,9 @@
 _refusals = _Values("damaskdeck_refusals", ("part", "code"), "by part and code")
 _retries = _Values("damaskdeck_retries", ("part", "reason"), "by part and reason")
 _drops = _Values("damaskdeck_drops", ("part", "reason"), "by part and reason")
+_preemptions = _Values(
+    "damaskdeck_preemptions", ("queue",), "stopped runs, by queue of the stopped job"
+)
 _store_calls = _Values("damaskdeck_store_calls", ("kind",), "by kind")
 _account_jobs = _Values(
     "damaskdeck_account_jobs",
@@ -84,6 +87,7 @@
     _refusals,
     _retries,
     _drops,
+    _preemptions,
     _store_calls,
     _account_jobs,
     _peer_messages,
@@ -195,6 +199,14 @@
     _drops.current[part, reason] += amount
 
 
+def count_preemption(queue: str) -> None:
+    """Count a run that was stopped for a more urgent step.
+
+    :param queue: queue of the stopped run.
+    """
+    _preemptions.current[(queue,)] += 1
+
+
 def count_store_call(kind: str) -> None:
     """Count a call to the store.
 
