--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -24,7 +24,11 @@
 from damaskdeck.coordination.pools.preemption import PoolPreemptor
 from damaskdeck.coordination.pools.reservations import Reservations
 from damaskdeck.coordination.pools.shares import AccountShares, Precedence
-from damaskdeck.coordination.pools.speeds import StepExpectation, WorkerSpeeds
+from damaskdeck.coordination.pools.speeds import (
+    MAX_PLACEMENT_WAIT_SECONDS,
+    StepExpectation,
+    WorkerSpeeds,
+)
 from damaskdeck.coordination.pools.starter import Starter, StartOwner
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.urgency import (
@@ -46,10 +50,6 @@
 # cost of about 0.1 ms of processor time per step. They notice what no event reports,
 # such as the end of a pause.
 FULL_PASS_SECONDS = 0.25
-# A step waits for its preferred racks for as long as it would gain by running there,
-# but not longer than this: a rule of the platform forbids a step to wait for 3 s while
-# there is free capacity elsewhere.
-MAX_RACK_WAIT_SECONDS = 2.0
 
 _log = get_logger("dispatching")
 
@@ -460,7 +460,7 @@
         """Whether a step has waited long enough to run outside its preferred racks."""
         gain = (self._times.remote_factor - 1) * step.spec.estimate.total_seconds()
         since = step.constrained_since if step.constrained_since is not None else now
-        if now - since >= min(gain, MAX_RACK_WAIT_SECONDS):
+        if now - since >= min(gain, MAX_PLACEMENT_WAIT_SECONDS):
             return True
         possible = self._advice_planner.list_eligible(step, pool)
         workers = [worker for worker in possible if is_suitable(step.spec, worker)]
--- a/src/damaskdeck/coordination/pools/speeds/__init__.py
+++ b/src/damaskdeck/coordination/pools/speeds/__init__.py
@@ -3,6 +3,7 @@
 from damaskdeck.coordination.pools.speeds.estimates import SpeedEstimate
 from damaskdeck.coordination.pools.speeds.expectations import (
     CLASS_WIDTH,
+    MAX_PLACEMENT_WAIT_SECONDS,
     StepExpectation,
 )
 from damaskdeck.coordination.pools.speeds.model import WorkerSpeeds
@@ -13,6 +14,7 @@
 
 __all__ = [
     "CLASS_WIDTH",
+    "MAX_PLACEMENT_WAIT_SECONDS",
     "SlowWorkerDetector",
     "SpeedEstimate",
     "SpeedRanks",
--- a/src/damaskdeck/coordination/pools/speeds/expectations.py
+++ b/src/damaskdeck/coordination/pools/speeds/expectations.py
@@ -18,6 +18,10 @@
 # The longest duration to allow for in multiples of the expected one. Estimates that are
 # off by more would make every worker count as too slow.
 MAX_MARGIN = 2.5
+# A step waits for better workers for as long as it would gain there, but not longer
+# than this: a rule of the platform forbids a step to wait for 3 s while there is free
+# capacity elsewhere.
+MAX_PLACEMENT_WAIT_SECONDS = 2.0
 # The part of a run's duration between the order and the report of its end that is not
 # work.
 REPORT_SECONDS = 0.1
@@ -58,9 +62,10 @@
     def should_wait(self, speed: SpeedEstimate) -> bool:
         """Whether to wait for a fast worker instead of using one that is too slow.
 
-        Waiting ends when it has taken as long as a fast worker would gain, and when the
-        task would be late on a fast worker too.
+        Waiting ends when it has taken as long as a fast worker would gain, or as long
+        as is allowed, and when the task would be late on a fast worker too.
         """
         gain = self.duration * (speed.duration_factor - self.fastest)
+        longest = min(gain, MAX_PLACEMENT_WAIT_SECONDS)
         is_useful = self.duration * self.fastest < self.available
-        return is_useful and self.waited < gain and not self.is_acceptable(speed)
+        return is_useful and self.waited < longest and not self.is_acceptable(speed)
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -335,6 +335,23 @@
             self.assertNotIn("w0", [c.key for t, c in plan if t is step.tasks[0]])
 
 
+class TestWaits(unittest.TestCase):
+    """How long a step waits for a faster worker than those that are free.
+
+    A gang of long tasks waited for 20 s while most of the pool was free, for as long as
+    it would have gained; the platform allows 3 s.
+    """
+
+    def test_no_step_waits_for_longer_than_the_platform_allows(self):
+        slow = SpeedEstimate(-0.5, 0.05)
+        expectation = StepExpectation(20.0, 0.05, 25.0, 0.7)
+        self.assertTrue(expectation.should_wait(slow))
+        for waited, waits in ((1.9, True), (2.1, False), (19.0, False)):
+            with self.subTest(waited=waited):
+                later = expectation._replace(waited=waited)
+                self.assertEqual(later.should_wait(slow), waits)
+
+
 class TestRecord(unittest.TestCase):
     """The durable record."""
 
