--- a/src/damaskdeck/coordination/pools/passedorders.py
+++ b/src/damaskdeck/coordination/pools/passedorders.py
@@ -14,7 +14,7 @@
 
 RunKey = tuple[TaskName, int]
 
-# The platform may carry out an order without an answer up to 12 s after it was sent. A
+# The platform may carry out an order without an answer seconds after it was sent. A
 # deadline on the clock of one incarnation doesn't protect the next one.
 LATE_ORDER_SECONDS = 15.0
 # Bounds what is kept, and stopped, for a worker that loses many answers.
