--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,8 +14,8 @@
 from record import Record  # noqa: E402
 
 # On two minions, 600 to 800 on each.
-JOBS = 14
-TASKS = 100
+JOBS = 28
+TASKS = 50
 CUT_SECONDS = 5.0
 CAPACITY = {"cpu": 16000, "mem_mb": 65536, "gpu": 0}
 # 700 tasks fit on one minion at once: 14 of 16 cores, 35 of 64 GB.
@@ -66,7 +66,7 @@
 
 
 async def play(deployment: Deployment, record: Record, has_trouble: bool) -> None:
-    """Run 14 jobs of 100 tasks each, and cut one minion off for five seconds."""
+    """Run 28 jobs of 50 tasks each, and cut one minion off for five seconds."""
     route = {
         "name": "batch",
         "host": HOST,
@@ -96,13 +96,17 @@
     paths = [f"/batch/{number:016x}" for number in range(1, JOBS + 1)]
     for path in paths:
         await deployment.submit(path, job)
-        await asyncio.sleep(0.08)
+        await asyncio.sleep(0.05)
     target = minions[0]
     for _ in range(300):
         if sum(minion.running for minion in minions) >= JOBS * TASKS:
             break
         await asyncio.sleep(0.01)
-    record.write("before", running=[minion.running for minion in minions])
+    record.write(
+        "before",
+        running=[minion.running for minion in minions],
+        channels_refused=sum(minion.server.refused for minion in minions),
+    )
     if has_trouble:
         record.write("cut", minion=target.id)
         target.is_cut = True
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -34,11 +34,16 @@
 
 
 class HttpServer:
-    """Serves one handler on a loopback address of its own."""
+    """Serves one handler on a loopback address of its own.
 
-    def __init__(self, handler: Handler) -> None:
+    :param max_channels: a channel beyond these is reset.
+    """
+
+    def __init__(self, handler: Handler, max_channels: int = 4000) -> None:
         self.address = ""
+        self.refused = 0
         self._handler = handler
+        self._max_channels = max_channels
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -59,6 +64,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if len(self._writers) >= self._max_channels:
+            self.refused += 1
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -15,6 +15,7 @@
 STOP_MS = 50.0
 MAX_LISTED_ENDS = 500
 HEARTBEAT_SECONDS = 1.5
+MAX_CHANNELS = 64
 
 
 class _Run:
@@ -48,7 +49,7 @@
         labels: list[str],
         capacity: dict[str, int],
     ) -> None:
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self._handle, MAX_CHANNELS)
         self.is_cut = False
         self.id = ""
         self._store = store
