Log each run that its worker's list doesn't show

Five paths fit: a list that is cut off, an older list that overtakes, a lease taken for expired, an incarnation taken for ended, a run taken for stalled. Change: a line and a count (contacts, unlisted) for a run that a list neither runs nor ends, with what the list held.

--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -79,7 +79,7 @@
     contact.unknown_runs &= listed
     for key, run in list(contact.runs.items()):
         if key not in listed:
-            _handle_missing_run(contact, owner, run, sent_at)
+            _handle_missing_run(contact, owner, run, answer, sent_at)
 
 
 def _apply_running_task(
@@ -110,7 +110,11 @@
 
 
 def _handle_missing_run(
-    contact: "WorkerContact", owner: ContactOwner, run: Run, sent_at: float
+    contact: "WorkerContact",
+    owner: ContactOwner,
+    run: Run,
+    answer: WorkerTasks,
+    sent_at: float,
 ) -> None:
     """Handle a run that the answer to a poll sent at ``sent_at`` doesn't list."""
     if run.phase is RunPhase.ORDERED or run.settled_at >= sent_at:
@@ -122,10 +126,30 @@
         return
     if run.phase is RunPhase.DOUBTFUL:
         contact.record_abandoned_order(run)
+    _log_missing_run(contact, run, answer)
     contact.remove_run(run)
     owner.handle_lost_run(contact, run)
 
 
+def _log_missing_run(contact: "WorkerContact", run: Run, answer: WorkerTasks) -> None:
+    """Log a run that its worker neither runs nor has ended, by its list."""
+    # An unconfirmed start that has been stopped is expected to be missing.
+    log = _log.warn if run.phase is RunPhase.RUNNING else _log.info
+    log(
+        "A run is missing from its worker's list.",
+        id=run.task.name.job,
+        task=run.task.name[1:],
+        attempt=run.attempt,
+        worker=contact.info.identifier,
+        phase=run.phase.name.lower(),
+        is_stopped=run.stopped_at is not None,
+        running=len(answer.running),
+        ended=len(answer.ended),
+        last_end=contact.last_received_end,
+    )
+    count_retry("contacts", "unlisted")
+
+
 def log_lost_run(contact: "WorkerContact", run: Run, reason: str) -> None:
     """Log a run that no answer of its worker will report any more."""
     _log.warn(
