Don't take a run for gone by a list that lacks ends

What callers saw: tasks of review/1 were started again after they were done; each result came once, but 63 of 1,400 tasks ran twice. Cause: a worker lists 500 ends at a time, and the owner took a run that a list neither runs nor ends for gone, though its end came with the next list. A new owner took the first list for all that is known of the worker and started the jobs of its predecessor. Change: a list says whether there may be more ends. Until one that ends, no run is given up, no worker reconciled, and none judged by runs without progress. The figure stands in the adapter only. The stand-in of a worker lists as many ends as the platform's does, so that tests can meet the limit. Why it works: ends are forgotten only once observed, so lists go on until one is short, and that one shows the end of each run that isn't running.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -42,7 +42,10 @@
     :ivar is_listed: Whether the registry lists the worker.
     :ivar is_synchronized: Whether the worker's tasks were read under this epoch and no
         poll has failed since. It is unset once the incarnation has ended.
-    :ivar is_reconciled: Whether the worker's tasks were read under this epoch.
+    :ivar is_reconciled: Whether the worker's tasks and all its ends were read under
+        this epoch.
+    :ivar has_unlisted_ends: Whether the worker may have more ends than its last list
+        shows.
     :ivar is_gone: Whether this incarnation has ended for certain.
     :ivar gone_at: When that became known.
     :ivar is_cordoned: Whether the worker gets no orders, see :mod:`.cordons`.
@@ -92,6 +95,7 @@
         self.is_listed = True
         self.is_synchronized = False
         self.is_reconciled = False
+        self.has_unlisted_ends = False
         self.is_gone = False
         self.gone_at = 0.0
         self.is_cordoned = False
@@ -202,6 +206,11 @@
             and not self._is_slow_to_answer(now)
         )
 
+    @property
+    def are_runs_listed(self) -> bool:
+        """Whether the worker answers and its last list shows the state of all runs."""
+        return self.is_synchronized and not self.has_unlisted_ends
+
     def is_silent(self, now: float) -> bool:
         """Whether the worker has not answered for longer than one lost answer takes."""
         if self.is_synchronized or self.is_gone:
--- a/src/damaskdeck/coordination/pools/departures.py
+++ b/src/damaskdeck/coordination/pools/departures.py
@@ -29,7 +29,7 @@
     :param max_stop_time: the longest time that a worker needs for a stop.
     """
     for contact in contacts:
-        if contact.leaves_at is None or not contact.is_synchronized:
+        if contact.leaves_at is None or not contact.are_runs_listed:
             continue
         seconds_left = contact.leaves_at - NOTICE_LAG_SECONDS - now
         for run in contact.runs.values():
--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -1,7 +1,8 @@
 """Reconciles the runs that the owner knows with the tasks that a worker lists.
 
 A run that the worker lists is running, and a run with an end is over. A run that is
-missing is gone, unless its order is unconfirmed: then it may still start.
+missing is gone, unless its order is unconfirmed, as then it may still start, or the
+worker may have more ends than it has listed.
 """
 
 from typing import TYPE_CHECKING, Protocol
@@ -77,11 +78,30 @@
             contact.last_received_end = end.number
             _apply_end(contact, owner, end)
     contact.unknown_runs &= listed
+    _record_completeness(contact, answer)
+    if answer.has_more:
+        return
     for key, run in list(contact.runs.items()):
         if key not in listed:
             _handle_missing_run(contact, owner, run, answer, sent_at)
 
 
+def _record_completeness(contact: "WorkerContact", answer: WorkerTasks) -> None:
+    """Record whether a list shows the fate of all runs of its worker."""
+    if answer.has_more and not contact.has_unlisted_ends:
+        _log.info(
+            "A worker has more ends than it lists.",
+            worker=contact.info.identifier,
+            running=len(answer.running),
+            ended=len(answer.ended),
+            last_end=contact.last_received_end,
+            runs=len(contact.runs),
+        )
+        count_retry("contacts", "ends_unlisted")
+    contact.has_unlisted_ends = answer.has_more
+    contact.is_reconciled = contact.is_reconciled or not answer.has_more
+
+
 def _apply_running_task(
     contact: "WorkerContact", owner: ContactOwner, row: RunningTask, now: float
 ) -> None:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -433,12 +433,14 @@
 
     def handle_contact_change(self, contact: WorkerContact) -> None:
         """Handle a worker that has answered, or whose lease has expired."""
-        is_over = contact.is_gone or self.now() >= contact.lease_until
         if contact.is_synchronized:
             self._crashes.handle_answer(contact)
-        elif contact.is_gone:
+            is_known = contact.is_reconciled
+        else:
+            is_known = contact.is_gone or self.now() >= contact.lease_until
+        if contact.is_gone:
             self._crashes.handle_replacement(contact)
-        if contact.is_synchronized or is_over:
+        if is_known:
             self._fleet.mark_reconciled(contact)
         self.dispatcher.handle_contact_change(contact)
 
--- a/src/damaskdeck/coordination/pools/relocation.py
+++ b/src/damaskdeck/coordination/pools/relocation.py
@@ -24,7 +24,7 @@
 ) -> Iterator[Run]:
     """Yield the runs on slow workers that would end much earlier elsewhere."""
     for contact in contacts.values():
-        if not contact.is_synchronized or not slow_workers.is_slow(
+        if not contact.are_runs_listed or not slow_workers.is_slow(
             contact.info.identifier, now
         ):
             continue
--- a/src/damaskdeck/coordination/pools/workerhealth.py
+++ b/src/damaskdeck/coordination/pools/workerhealth.py
@@ -84,7 +84,7 @@
         The worker gets no new task for a while.
         """
         runs = [run for run in contact.runs.values() if should_progress(run)]
-        if not runs or not contact.is_synchronized:
+        if not runs or not contact.are_runs_listed:
             return
         stalled = contact.polled_at - max(run.progressed_at for run in runs)
         if stalled < STALL_SECONDS:
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -73,7 +73,7 @@
     def _may_have_runs(self) -> bool:
         """Whether the contact must be kept: runs may exist or ends are not yet durable.
 
-        A worker whose tasks were read under this epoch runs only what is known here.
+        A worker that is reconciled runs only what is known here.
         Its lease is therefore not waited for: a worker that left empty must not delay a
         successor, which can't poll it any more.
         """
@@ -187,7 +187,7 @@
         contact.polled_at = now
         self.failed_polls = 0
         apply_inventory(contact, self._owner, answer, sent_at, now)
-        contact.is_synchronized = contact.is_reconciled = True
+        contact.is_synchronized = True
         self._owner.handle_contact_change(contact)
         self._orders.repeat_due_stops()
         if not is_confirmed:
--- a/src/damaskdeck/platform/workers.py
+++ b/src/damaskdeck/platform/workers.py
@@ -37,6 +37,9 @@
 # on workers that lose three responses in ten; lower values than these gained nothing.
 _ORDER_TIMEOUT = timedelta(milliseconds=300)
 _POLL_TIMEOUT_MARGIN = timedelta(milliseconds=350)
+# How many ends an inventory contains at most, according to the platform's
+# documentation.
+MAX_LISTED_ENDS = 500
 _INCARNATION_HEADER = "Expected-Instance"
 _INCARNATION_MISMATCH_STATUS = 421
 
@@ -254,7 +257,8 @@
         for row in response["finished"]
     )
     clock = to_duration(response["clock_ms"])
-    return WorkerTasks(clock, running, ended, response.get("born"))
+    has_more = len(ended) >= MAX_LISTED_ENDS
+    return WorkerTasks(clock, running, ended, response.get("born"), has_more)
 
 
 def _require_text(value: Any) -> str:
--- a/src/damaskdeck/protocol/pools.py
+++ b/src/damaskdeck/protocol/pools.py
@@ -153,16 +153,19 @@
 
 @distinct
 class WorkerTasks(NamedTuple):
-    """All tasks that a worker runs, and the ends that were not observed yet.
+    """All tasks that a worker runs, and the first ends that were not observed yet.
 
     :param clock: the worker's own monotonic clock.
     :param born: birth of the incarnation that answers, ``None`` if it reports none.
+    :param has_more: whether there may be further ends. They are listed once these were
+        observed; until then a run that the list doesn't show may have ended.
     """
 
     clock: timedelta
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     born: int | None = None
+    has_more: bool = False
 
 
 class RefusalCode(StrEnum):
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -48,6 +48,8 @@
 LOST_CALL_DELAY = timedelta(milliseconds=400)
 # Shorter than an order's deadline, or the worker would refuse every late order.
 LATE_ORDER_DELAY = timedelta(milliseconds=700)
+# How many ends a worker lists at a time.
+MAX_LISTED_ENDS = 500
 
 
 class Work(NamedTuple):
@@ -78,6 +80,7 @@
     :param behave: returns how an attempt of a task behaves.
     :param max_lease: longest time from now for which a call extends the lease.
     :param clock_offset: what the worker's own clock is ahead of ``clock``.
+    :ivar max_listed_ends: how many ends it lists at a time.
     :ivar is_hung: whether its tasks make no progress and never end.
     :ivar slowdown: factor by which its tasks take longer.
     :ivar on_crash: called when one of its tasks crashes it.
@@ -94,6 +97,7 @@
         self.info = info
         self.incarnation = WorkerIncarnation.parse(info.identifier)
         self.faults = Faults()
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.is_up = True
         self.is_hung = False
         self.slowdown = 1.0
@@ -219,9 +223,10 @@
     async def poll(
         self, epoch: int, observed: int, deadline: timedelta | None, wait: timedelta
     ) -> WorkerTasks | Declined:
-        """Extend the lease, wait for a task to end and list all tasks.
+        """Extend the lease, wait for a task to end and list the tasks.
 
-        Ends up to ``observed`` are forgotten, also those that are yet to come.
+        Ends up to ``observed`` are forgotten, also those that are yet to come. Of the
+        others the first ``max_listed_ends`` are listed.
         """
         self.settle()
         refusal = self._check_epoch(epoch)
@@ -240,8 +245,14 @@
             RunningTask(task, run.attempt, "", self._compute_percent(run))
             for task, run in self.running.items()
         )
+        ends = tuple(self.ends[: self.max_listed_ends])
         return WorkerTasks(
-            self._read_own_clock(), rows, tuple(self.ends), self.incarnation.born
+            self._read_own_clock(),
+            rows,
+            ends,
+            self.incarnation.born,
+            # A full list doesn't show whether there are more.
+            len(ends) == self.max_listed_ends,
         )
 
     def _forget_observed_ends(self) -> None:
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -47,6 +47,7 @@
 from standins.loops import LoopClock
 from standins.peers import PeerSwitch
 from standins.pools import (
+    MAX_LISTED_ENDS,
     StandinAdvisor,
     StandinQueues,
     StandinRegistry,
@@ -268,6 +269,7 @@
     :param allow: returns whether the advisor consents to a step on a worker.
     :param has_births: whether workers report their births. A crashed worker then
         returns under its name, else a new incarnation has a new name.
+    :param max_listed_ends: how many ends a worker lists at a time.
     """
 
     def __init__(
@@ -280,7 +282,9 @@
         zones: int = 1,
         accounts: tuple[ClientAccount, ...] = (),
         has_births: bool = False,
+        max_listed_ends: int = MAX_LISTED_ENDS,
     ) -> None:
+        self.max_listed_ends = max_listed_ends
         self.clock = LoopClock()
         self.has_births = has_births
         self.numbers = itertools.count(1)
@@ -388,6 +392,7 @@
         worker = StandinWorker(
             info, self.clock, self._behave, BOUNDS.max_worker_lease, clock_offset
         )
+        worker.max_listed_ends = self.max_listed_ends
         worker.on_crash = lambda: self.crash(worker)
         self.workers[identifier] = worker
         self.sizes[identifier] = [(now, info.size)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,6 +28,7 @@
 from damaskdeck.platform.jobs import parse_job
 from damaskdeck.platform.nodes import parse_node_settings
 from damaskdeck.platform.tasks import format_task, parse_task
+from damaskdeck.platform.workers import MAX_LISTED_ENDS
 from damaskdeck.protocol.pools import (
     Advice,
     Consent,
@@ -252,6 +253,35 @@
         )
         self.assertEqual(inventory.ended, ())
 
+    async def list_ends(self, count: int) -> WorkerTasks:
+        """Let a number of tasks end and return the worker's list."""
+        deadline = self.clock.monotonic() + 100 * SECOND
+        for index in range(count):
+            task = TASK._replace(index=index)
+            self.worker.start(3, TaskStart(task, 1, "payload", deadline))
+            self.worker.stop(3, task, 1)
+        return await self.workers.poll(self.worker.info, 3, 0, None, timedelta())
+
+    # A full list was taken for all ends that the worker has.
+    async def test_a_full_list_says_that_there_may_be_more(self):
+        listed = await self.list_ends(MAX_LISTED_ENDS)
+        self.assertEqual(len(listed.ended), MAX_LISTED_ENDS)
+        self.assertTrue(listed.has_more)
+
+    async def test_a_list_below_the_limit_is_complete(self):
+        listed = await self.list_ends(MAX_LISTED_ENDS - 1)
+        self.assertEqual(len(listed.ended), MAX_LISTED_ENDS - 1)
+        self.assertFalse(listed.has_more)
+
+    async def test_ends_beyond_the_limit_follow_once_the_first_are_observed(self):
+        first = await self.list_ends(MAX_LISTED_ENDS + 1)
+        self.assertEqual(first.ended[-1].number, MAX_LISTED_ENDS)
+        last = await self.workers.poll(
+            self.worker.info, 3, MAX_LISTED_ENDS, None, timedelta()
+        )
+        self.assertEqual([e.number for e in last.ended], [MAX_LISTED_ENDS + 1])
+        self.assertFalse(last.has_more)
+
     async def test_refusal_reasons_are_mapped_to_codes(self):
         info = self.worker.info
         late = self.order(window=-SECOND)
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -23,7 +23,7 @@
 from damaskdeck.state.jobrecords import LEAD_KEY, MEMBERS_PREFIX
 from standins.faults import FaultKind
 from standins.loops import run_virtual
-from standins.pools import Work
+from standins.pools import MAX_LISTED_ENDS, Work
 from tests.poolcluster import ADVISOR_TIMING, SECOND, SIZE, PoolCluster, make_queue
 from tests.seeds import map_seeds
 
@@ -54,10 +54,12 @@
     :cvar zones: number of the workers' zones; with several, jobs are confined to some
         of them.
     :cvar has_births: whether crashed workers return under their name.
+    :cvar max_listed_ends: how many ends a worker lists at a time.
     """
 
     zones = 1
     has_births = False
+    max_listed_ends = MAX_LISTED_ENDS
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
@@ -70,6 +72,7 @@
             queues=queues,
             zones=self.zones,
             has_births=self.has_births,
+            max_listed_ends=self.max_listed_ends,
         )
         self.faults = list(_faults)
         self.specs: dict[str, JobSpec] = {}
@@ -557,6 +560,16 @@
         self.faults += [crash_worker] * 4
 
 
+class PartialListChaos(ZonedChaos):
+    """A run in which workers list few ends at a time and are cut off more often."""
+
+    def __init__(self, seed: int) -> None:
+        self.max_listed_ends = Random(f"listed ends {seed}").randint(1, 3)
+        self.has_births = bool(seed % 2)
+        super().__init__(seed)
+        self.faults += [cut_worker] * 8
+
+
 def play(kind: type[Chaos], seed: int) -> tuple[list[str], list[str]]:
     """Run a seed; return the violations and the faults drawn."""
 
@@ -666,3 +679,7 @@
 
     def test_the_invariants_hold_with_returning_workers(self):
         self.play(ReturningChaos, SEEDS[:6])
+
+    # Runs whose ends came with a later list were taken for gone and started again.
+    def test_the_invariants_hold_with_partial_lists(self):
+        self.play(PartialListChaos, SEEDS[:8])
