Don't take a list of keys that can't be continued for complete

Change: such a list has failed, and is read again like any failed read. Measured: test_a_list_that_cannot_be_continued_is_not_complete failed before (it got the entries of the first page).

--- a/src/damaskdeck/protocol/transactions.py
+++ b/src/damaskdeck/protocol/transactions.py
@@ -167,6 +167,10 @@
             return page
         revision = revision or page.revision
         entries.extend(page.entries)
-        if not page.has_more or not page.entries:
+        if not page.has_more:
             return tuple(entries), revision
+        if not page.entries:
+            # The next page can't be requested, and a list that lacks keys would be
+            # taken for proof that they don't exist.
+            return Lost("incomplete_list", f"after {after!r}")
         after = page.entries[-1].key
--- a/tests/test_pools_store.py
+++ b/tests/test_pools_store.py
@@ -15,9 +15,9 @@
     MIN_TIMEOUT,
     MonitoredStore,
 )
-from damaskdeck.protocol.ports import Events, Lost, Rejected, Written
+from damaskdeck.protocol.ports import Entry, Events, Lost, Rejected, Written
 from damaskdeck.protocol.queues import QueueJobState, StepSpec
-from damaskdeck.protocol.transactions import Transaction
+from damaskdeck.protocol.transactions import Page, Transaction, read_all
 from standins.loops import LoopClock
 from standins.pools import Work
 from tests.poolcluster import SECOND, SMALL, PoolCase, make_job
@@ -236,3 +236,33 @@
         gaps = [starts[n + 1] - starts[n] - longest for n in range(3)]
         self.assertLess(max(gaps), 130 * MILLISECOND)
         self.end()
+
+
+class PagedStore:
+    """Returns the given pages one after the other."""
+
+    def __init__(self, *pages: Page) -> None:
+        self._pages = iter(pages)
+
+    async def read_page(self, prefix: str, after: str) -> Page:
+        """Return the next page."""
+        return next(self._pages)
+
+
+class TestLists(unittest.TestCase):
+    """Lists that the store returns in pages."""
+
+    # Keys that such a list lacks were taken for keys that don't exist.
+    @virtual
+    async def test_a_list_that_cannot_be_continued_is_not_complete(self):
+        first = Page((Entry("a/1", b"1", 3),), True, 7)
+        found = await read_all(PagedStore(first, Page((), True, 8)), "a/")
+        self.assertEqual(found.code, "incomplete_list")
+
+    @virtual
+    async def test_a_list_has_the_revision_of_its_first_page(self):
+        first = Page((Entry("a/1", b"1", 3),), True, 7)
+        last = Page((Entry("a/2", b"2", 8),), False, 9)
+        entries, revision = await read_all(PagedStore(first, last), "a/")
+        self.assertEqual([entry.key for entry in entries], ["a/1", "a/2"])
+        self.assertEqual(revision, 7)
