Test inventories with many ends on our own interface

Cause: the owner of a worker takes a running task that an inventory lacks for lost there, too; an inventory is whole by contract. Change: 600 tasks end behind a cut, under the same owner and a new one. It guards the stand-in's inventories against a limit that the contract doesn't have.

--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -550,6 +550,55 @@
         self.check_runs(1)
 
 
+class TestManyEnds(unittest.TestCase):
+    """Inventories with more ended tasks than the users' platform lists at a time.
+
+    An inventory lists all tasks, however many there are, so a running task that is not
+    listed is lost. A worker that listed its ends in parts would have them run twice.
+    """
+
+    tasks = 600
+
+    async def run_behind_cut(self) -> Plane:
+        """Let all tasks end on a worker that is cut off meanwhile."""
+        size = Size(10 * self.tasks, 10 * self.tasks)
+        plane = await Plane(daemons=2, workers=1, size=size).start()
+        plane.declare(size={"processors": 0.01, "memory": 10})
+        ledger_owner = plane.find("d1").ledger_owner
+        self.jobs = [
+            (await ledger_owner.submit_job(Submission("batch", "team", LONG))).name
+            for _ in range(self.tasks)
+        ]
+        while len(plane.platform.runs.starts) < self.tasks:
+            await plane.clock.sleep(timedelta(milliseconds=100))
+        for daemon in plane.names:
+            plane.platform.cut_off(daemon, "w1")
+        await plane.clock.sleep(timedelta(seconds=8))
+        return plane
+
+    async def check_single_starts(self, plane: Plane, daemon: str) -> None:
+        """End the cut, and check that each job completes with one start."""
+        for name in plane.names:
+            plane.platform.reconnect(name, "w1")
+        for job in self.jobs:
+            ended = await plane.wait_for_end(job, at=daemon)
+            self.assertEqual(ended.state, JobState.COMPLETED)
+        self.assertEqual(len(plane.platform.runs.starts), self.tasks)
+
+    @virtual
+    async def test_all_ends_are_read_after_a_cut(self):
+        plane = await self.run_behind_cut()
+        await self.check_single_starts(plane, "d1")
+
+    @virtual
+    async def test_a_new_owner_reads_all_ends(self):
+        plane = await self.run_behind_cut()
+        owner = plane.registry.owners["worker/w1"].instance
+        other = "d2" if owner == "d1" else "d1"
+        await plane.registry.take_over("worker/w1", other)
+        await self.check_single_starts(plane, "d1")
+
+
 class TestLeavingWorkers(WithPlane):
     """A leaving worker gets no new work; movable tasks move, the others finish."""
 
