Wait for owners before the predecessor, too

What callers saw: nothing yet; found by going through what a new owner takes for ended, and shown on the stand-ins: tasks ran on two workers at once. Cause: a new owner bounds the leases that its predecessor may have granted by what is known of that one. An owner before it, cut off from all but one worker that the predecessor couldn't read, may still extend that worker's lease. Evidence: a trace of starts: elsewhere at 6.8 s after the cut, on the worker until 10.6 s. Change: a daemon records when it first sees an owner named; the owners before that one extend nothing once the owner lease has passed since. Why it works: an owner is confirmed by calls that name it, and none does once the next one is named. Measured: test_a_handover_says_nothing_of_owners_before failed before.

--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -46,6 +46,7 @@
 from damaskdeck.state.jobrecords import (
     CONTROL_PREFIX,
     FENCE_KEY,
+    FIRST_EPOCH,
     LEAD_KEY,
     MEMBERS_PREFIX,
     OWNER_KEY,
@@ -101,6 +102,7 @@
         self._members: dict[str, MemberRecord] = {}
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
+        self._owner_seen_at = 0.0
         self._deposed_owners = DeposedOwners()
         self._has_lead = False
         self._is_synced = False
@@ -321,6 +323,8 @@
         self._deposed_owners.record_owner_change(
             self._owner, owner, self._clock.monotonic()
         )
+        if self._owner is None or owner.epoch != self._owner.epoch:
+            self._owner_seen_at = self._clock.monotonic().total_seconds()
         self._owner = owner
         self._owner_revision = revision
         if self._term is not None and not self._is_this_process(self._owner):
@@ -414,15 +418,16 @@
         # The epoch is derived from the record that the commit expects, as another
         # daemon may take over while the fence is read.
         old, revision = self._owner, self._owner_revision
-        epoch = (old.epoch if old else 0) + 1
+        epoch = old.epoch + 1 if old else FIRST_EPOCH
         record = OwnerRecord(epoch, self._member.instance, self._member.incarnation)
+        term = OwnerTerm(epoch, 0, 0, old, self._owner_seen_at)
         for _ in range(MAX_TAKEOVER_ATTEMPTS):
             sent_at = self._clock.monotonic().total_seconds()
             result = await self._store.commit(
                 build_takeover(record, revision, fence, self._member_lease.lease)
             )
             if isinstance(result, Written):
-                self._begin_term(record, result.revision, sent_at, old)
+                self._begin_term(record, term, result.revision, sent_at)
                 return
             if not isinstance(result, Mismatch):
                 break
@@ -434,11 +439,9 @@
             fence = entry.revision if entry is not None else 0
         if isinstance(result, Lapsed):
             self._member_lease.discard_lease()
-        await self._check_takeover(record, old)
+        await self._check_takeover(record, term)
 
-    async def _check_takeover(
-        self, record: OwnerRecord, old: OwnerRecord | None
-    ) -> None:
+    async def _check_takeover(self, record: OwnerRecord, term: OwnerTerm) -> None:
         """Read whether a takeover without an answer took effect."""
         sent_at = self._clock.monotonic().total_seconds()
         found = await self._store.read(OWNER_KEY)
@@ -446,7 +449,7 @@
             entry: Entry = found.entry
             self._apply(OWNER_KEY, entry.value, entry.revision)
             if self._owner == record:
-                self._begin_term(record, entry.revision, sent_at, old)
+                self._begin_term(record, term, entry.revision, sent_at)
                 return
         await self._clock.sleep(RETRY_DELAY)
         self._wakeup.set()
@@ -454,10 +457,16 @@
     def _begin_term(
         self,
         record: OwnerRecord,
+        term: OwnerTerm,
         revision: int,
         sent_at: float,
-        old: OwnerRecord | None,
     ) -> None:
+        """Begin a term.
+
+        :param term: the term without its revisions.
+        :param revision: of the commit that the term begins with.
+        :param sent_at: when the call that showed it was sent, in monotonic seconds.
+        """
         if self._owner_revision > revision:
             _log.info("Another takeover came first.", epoch=record.epoch)
             return
@@ -467,7 +476,7 @@
         self._owner, self._owner_revision = record, revision
         self._has_lead = True
         self.confirm(sent_at)
-        self._term = OwnerTerm(record.epoch, revision, revision, old)
+        self._term = term._replace(revision=revision, fence=revision)
         self._changed.set()
         _log.info("Owner of the pools.", epoch=record.epoch, revision=revision)
         self._on_elected(self._term)
--- a/src/damaskdeck/coordination/pools/transfers.py
+++ b/src/damaskdeck/coordination/pools/transfers.py
@@ -20,12 +20,15 @@
     :param revision: of the owner's record, which commits of new jobs expect.
     :param fence: revision of the fence key when the term began.
     :param predecessor: the owner whose orders may still be carried out, if any.
+    :param predecessor_seen_at: when this daemon first saw that owner named, in
+        monotonic seconds. All owners before it had been deposed by then.
     """
 
     epoch: int
     revision: int
     fence: int
     predecessor: OwnerRecord | None
+    predecessor_seen_at: float = 0.0
 
 
 def build_takeover(
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -36,6 +36,7 @@
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
+    FIRST_EPOCH,
     ROSTER_KEY,
     CordonedRun,
     RosterRecord,
@@ -267,23 +268,29 @@
         return Write(ROSTER_KEY, encode_record(roster)), mark_durable
 
     def _bound_inherited_leases(self, is_silent: bool = False) -> float:
-        """Return the latest time at which leases granted by a predecessor expire.
+        """Return the latest time at which leases granted by earlier owners expire.
+
+        Not only the predecessor may still extend leases: an owner before it may be cut
+        off from the store and not from a worker that the predecessor couldn't read.
 
         :param is_silent: whether the predecessor had already stopped extending the
             lease.
         """
         dependencies, old = self._dependencies, self._term.predecessor
-        now = self._now()
+        now, times = self._now(), dependencies.times
         if old is None:
             return now
+        lease_expiry = times.lease_expiry.total_seconds()
+        takeover_wait = times.takeover_wait.total_seconds()
+        if is_silent:
+            # The owner that cordoned it had read it, so it refuses those before.
+            return now + lease_expiry
         is_gone = dependencies.leadership.is_gone(old.instance, old.incarnation)
-        is_over = old.is_released or is_gone or is_silent
-        duration = (
-            dependencies.times.lease_expiry
-            if is_over
-            else dependencies.times.takeover_wait
-        )
-        return now + duration.total_seconds()
+        is_over = old.is_released or is_gone
+        bound = now + (lease_expiry if is_over else takeover_wait)
+        if old.epoch == FIRST_EPOCH:
+            return bound
+        return max(bound, self._term.predecessor_seen_at + takeover_wait)
 
     def _add_contact(
         self, worker: PoolWorker, is_silent: bool = False
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -32,6 +32,9 @@
 CEILINGS_KEY = f"{ROOT_PREFIX}ceilings"
 SPEEDS_KEY = f"{ROOT_PREFIX}speeds"
 
+# The epoch of the first owner of all.
+FIRST_EPOCH = 1
+
 _encoder = msgspec.msgpack.Encoder()
 
 
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -10,6 +10,7 @@
 from tests.poolcluster import (
     SECOND,
     SMALL,
+    ClusterDaemon,
     PoolCase,
     PoolCluster,
     make_job,
@@ -336,3 +337,67 @@
         self.assertLess(cluster.clock.monotonic() - back, 4 * SECOND)
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
         self.end()
+
+
+class TestEarlierOwners(PoolCase):
+    """An owner that was deposed long before may still extend a worker's lease.
+
+    It is cut off from the store and from the other daemons, and it alone reaches a
+    worker, so that the worker refuses no call of it.
+    """
+
+    async def isolate_owner(self) -> ClusterDaemon:
+        """Cut the owner off and return its successor."""
+        cluster = await self.begin(
+            daemons=4, workers=2, behave=lambda t, a: Work(30 * SECOND)
+        )
+        await cluster.submit("j1", make_job(StepSpec(6, SMALL, SECOND)))
+        await cluster.wait(lambda: len(cluster.list_starts()) == 6)
+        former = cluster.find_owner()
+        former.store.faults.outage = True
+        former.workers.cut_off.add("w1")
+        for daemon in cluster.daemons.values():
+            if daemon is not former:
+                cluster.switch.cut_both(former.name, daemon.name)
+                daemon.workers.cut_off.add("w0")
+        self.former = former
+        return await self.wait_for_successor(former)
+
+    async def wait_for_successor(self, *former: ClusterDaemon) -> ClusterDaemon:
+        """Return the next owner once it has loaded."""
+        daemons = self.cluster.daemons.values()
+
+        def list_successors() -> list[ClusterDaemon]:
+            return [
+                d
+                for d in daemons
+                if d not in former and d.owner is not None and d.owner.is_loaded
+            ]
+
+        await self.cluster.wait(lambda: bool(list_successors()))
+        return list_successors()[0]
+
+    async def check_later_starts(self) -> None:
+        """Check that the tasks on the worker start elsewhere after its lease."""
+        cluster = self.cluster
+        moved = len(cluster.workers["w0"].starts)
+        await cluster.wait(lambda: len(cluster.list_starts()) == 6 + moved, 40)
+        self.end()
+
+    # A handover was taken for the end of all earlier owners, and the tasks were started
+    # again 4 s before the worker's lease had expired.
+    @virtual
+    async def test_a_handover_says_nothing_of_owners_before(self):
+        predecessor = await self.isolate_owner()
+        await predecessor.stop()
+        await self.wait_for_successor(self.former, predecessor)
+        await self.check_later_starts()
+
+    @virtual
+    async def test_a_killed_predecessor_says_nothing_of_owners_before(self):
+        predecessor = await self.isolate_owner()
+        predecessor.kill()
+        await self.wait_for_successor(self.former, predecessor)
+        self.cluster.add_daemon(predecessor.name).start()
+        self.cluster.daemons[predecessor.name].workers.cut_off.add("w0")
+        await self.check_later_starts()
