Shorten the wait of a new owner once earlier owners have ended

Cause: whether the predecessor may only be cut off was decided when the contact to a worker was made; its new incarnation registers 0.9 s later. Change: the bound on inherited leases is asked for at each use. Takeovers record which earlier owners may still extend leases, so that a chain of kills doesn't wait for those that have ended. Why it works: a member key with another incarnation proves that the process has ended, and the last lease that it can have granted is over one lease of a worker later.

--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -159,7 +159,15 @@
     )
     term, times = owner.term, derive_times(BOUNDS)
     contact = WorkerContact(
-        info, term, owner, _Workers(), None, clock, times, float("-inf"), LoopDelay()
+        info,
+        term,
+        owner,
+        _Workers(),
+        None,
+        clock,
+        times,
+        lambda: float("-inf"),
+        LoopDelay(),
     )
     contact.is_synchronized = contact.is_rostered = True
     contact.capacity_reported_at = float("inf")
--- a/benchmarks/preemption.py
+++ b/benchmarks/preemption.py
@@ -192,7 +192,7 @@
             None,
             self._clock,
             derive_times(BOUNDS),
-            float("-inf"),
+            lambda: float("-inf"),
             LoopDelay(),
         )
         contact.is_synchronized = contact.is_rostered = True
--- a/benchmarks/speeds.py
+++ b/benchmarks/speeds.py
@@ -206,7 +206,15 @@
             frozenset(),
         )
         contact = WorkerContact(
-            info, self.term, self, _Workers(), None, CLOCK, self._times, 0, LoopDelay()
+            info,
+            self.term,
+            self,
+            _Workers(),
+            None,
+            CLOCK,
+            self._times,
+            lambda: 0.0,
+            LoopDelay(),
         )
         contact.is_synchronized = contact.is_rostered = True
         contact.capacity_reported_at = float("inf")
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -1,5 +1,7 @@
 """The owner's contact with one worker: its state, its runs and the access to it."""
 
+from collections.abc import Callable
+
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.births import ListedBirth
 from damaskdeck.coordination.pools.inventories import ContactOwner
@@ -71,8 +73,8 @@
 
     All times are monotonic seconds.
 
-    :param bound: When the leases that previous owners granted have expired at the
-        latest.
+    :param find_inherited_expiry: Returns when the leases that previous owners granted
+        have expired at the latest.
     :param delay: The delay of this process's event loop, which must not count as
         lateness of the worker.
     """
@@ -86,7 +88,7 @@
         leadership: Leadership,
         clock: Clock,
         times: PoolTimes,
-        bound: float,
+        find_inherited_expiry: Callable[[], float],
         delay: LoopDelay,
     ) -> None:
         self.info = info
@@ -115,7 +117,7 @@
         self._known_since = clock.monotonic().total_seconds()
         self._owner = owner
         self._times = times
-        self._lease = WorkerLease(bound)
+        self._lease = WorkerLease(find_inherited_expiry)
         self._birth = ListedBirth(info.identifier)
         self._delay = delay
         self._session = WorkerSession(
@@ -354,7 +356,7 @@
         self.runs[run.task.name, run.attempt] = run
         self._set_used(add_sizes(self.used, run.task.step.spec.size))
         self._orders.passed.lease_until = lease_until
-        self._lease.expires_at = max(self._lease.expires_at, lease_until)
+        self._lease.extend_until(lease_until)
         self._session.poll_soon.set()
 
     def receive_stops(self, orders: dict[RunKey, float], peak_size: Size) -> None:
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.formerowners import FormerOwners
 from damaskdeck.coordination.pools.memberlease import RETRY_DELAY, MemberLease
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
 from damaskdeck.coordination.pools.succession import (
@@ -47,9 +48,11 @@
     CONTROL_PREFIX,
     FENCE_KEY,
     FIRST_EPOCH,
+    FORMER_OWNERS_KEY,
     LEAD_KEY,
     MEMBERS_PREFIX,
     OWNER_KEY,
+    FormerOwner,
     MemberRecord,
     OwnerRecord,
     decode_record,
@@ -104,6 +107,9 @@
         self._owner_revision = 0
         self._owner_seen_at = 0.0
         self._deposed_owners = DeposedOwners()
+        self._former_owners = FormerOwners(
+            self.is_gone, FormerOwner(member.instance, member.incarnation)
+        )
         self._has_lead = False
         self._is_synced = False
         self._store_failed_at = float("-inf")
@@ -300,6 +306,8 @@
                 self._apply_owner(value, revision)
             elif key == LEAD_KEY:
                 self._has_lead = value is not None
+            elif key == FORMER_OWNERS_KEY:
+                self._former_owners.apply(value)
             elif key.startswith(MEMBERS_PREFIX):
                 self._apply_member(key.removeprefix(MEMBERS_PREFIX), value)
         except MessageError as error:
@@ -420,11 +428,15 @@
         old, revision = self._owner, self._owner_revision
         epoch = old.epoch + 1 if old else FIRST_EPOCH
         record = OwnerRecord(epoch, self._member.instance, self._member.incarnation)
-        term = OwnerTerm(epoch, 0, 0, old, self._owner_seen_at)
+        earlier = self._list_earlier_owners()
+        former = self._former_owners.list_all(old, earlier)
+        term = OwnerTerm(epoch, 0, 0, old, self._owner_seen_at, earlier)
         for _ in range(MAX_TAKEOVER_ATTEMPTS):
             sent_at = self._clock.monotonic().total_seconds()
             result = await self._store.commit(
-                build_takeover(record, revision, fence, self._member_lease.lease)
+                build_takeover(
+                    record, former, revision, fence, self._member_lease.lease
+                )
             )
             if isinstance(result, Written):
                 self._begin_term(record, term, result.revision, sent_at)
@@ -441,6 +453,14 @@
             self._member_lease.discard_lease()
         await self._check_takeover(record, term)
 
+    def _list_earlier_owners(self) -> tuple[FormerOwner, ...] | None:
+        """List the owners before the present one that may still extend leases."""
+        if self._owner is None:
+            return ()
+        owned_for = self._clock.monotonic().total_seconds() - self._owner_seen_at
+        has_long_owned = owned_for >= self._times.owner_lease.total_seconds()
+        return self._former_owners.list_earlier(self._owner, has_long_owned)
+
     async def _check_takeover(self, record: OwnerRecord, term: OwnerTerm) -> None:
         """Read whether a takeover without an answer took effect."""
         sent_at = self._clock.monotonic().total_seconds()
--- a/src/damaskdeck/coordination/pools/transfers.py
+++ b/src/damaskdeck/coordination/pools/transfers.py
@@ -5,9 +5,12 @@
 from damaskdeck.protocol.transactions import Transaction, Write
 from damaskdeck.state.jobrecords import (
     FENCE_KEY,
+    FORMER_OWNERS_KEY,
     LEAD_KEY,
     OWNER_KEY,
     FenceRecord,
+    FormerOwner,
+    FormerOwnersRecord,
     MemberRecord,
     OwnerRecord,
     encode_record,
@@ -22,6 +25,8 @@
     :param predecessor: the owner whose orders may still be carried out, if any.
     :param predecessor_seen_at: when this daemon first saw that owner named, in
         monotonic seconds. All owners before it had been deposed by then.
+    :param earlier: the owners before the predecessor that may still extend leases of
+        workers, ``None`` if they are unknown.
     """
 
     epoch: int
@@ -29,26 +34,34 @@
     fence: int
     predecessor: OwnerRecord | None
     predecessor_seen_at: float = 0.0
+    earlier: tuple[FormerOwner, ...] | None = ()
 
 
 def build_takeover(
-    record: OwnerRecord, revision: int, fence: int, lease: str
+    record: OwnerRecord,
+    former: tuple[FormerOwner, ...] | None,
+    revision: int,
+    fence: int,
+    lease: str,
 ) -> Transaction:
     """Return the commit by which a daemon becomes the owner.
 
+    :param former: the owners that may still extend leases of workers, ``None`` if they
+        are unknown.
     :param revision: of the owner's record as last seen.
     :param fence: revision of the fence key; writing that key ends the old owner's
         commits.
     :param lease: store lease of the new owner, which its lead key is bound to.
     """
-    return Transaction(
-        ((OWNER_KEY, revision), (FENCE_KEY, fence)),
-        (
-            Write(OWNER_KEY, encode_record(record)),
-            Write(FENCE_KEY, encode_record(FenceRecord(record.epoch, 0))),
-            Write(LEAD_KEY, encode_record(record.epoch), lease),
-        ),
-    )
+    writes = [
+        Write(OWNER_KEY, encode_record(record)),
+        Write(FENCE_KEY, encode_record(FenceRecord(record.epoch, 0))),
+        Write(LEAD_KEY, encode_record(record.epoch), lease),
+    ]
+    if former is not None:
+        value = encode_record(FormerOwnersRecord(record.epoch, former))
+        writes.append(Write(FORMER_OWNERS_KEY, value))
+    return Transaction(((OWNER_KEY, revision), (FENCE_KEY, fence)), tuple(writes))
 
 
 def build_release(
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
+from functools import partial
 from typing import Any, NamedTuple
 
 from damaskdeck.clock import Clock
@@ -10,6 +11,7 @@
 from damaskdeck.coordination.pools.capacityages import CapacityAges
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.cordons import Cordons
+from damaskdeck.coordination.pools.inheritedleases import InheritedLeases
 from damaskdeck.coordination.pools.inventories import ContactOwner
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
 from damaskdeck.coordination.pools.namesakes import Namesakes
@@ -36,7 +38,6 @@
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import TransactionalStore, Write
 from damaskdeck.state.jobrecords import (
-    FIRST_EPOCH,
     ROSTER_KEY,
     CordonedRun,
     RosterRecord,
@@ -125,6 +126,9 @@
         self._is_loaded = False
         self._term = term
         self._dependencies = dependencies
+        self._inherited_leases = InheritedLeases(
+            term, dependencies.leadership, dependencies.clock, dependencies.times
+        )
         self._owner = owner
         self._callbacks = callbacks
         self._revision = 0
@@ -205,9 +209,10 @@
 
     async def _wait_for_unknown_workers(self) -> None:
         """Wait until nothing can run on the workers of an unreadable roster."""
-        dependencies, bound = self._dependencies, self._bound_inherited_leases()
-        await dependencies.clock.sleep(timedelta(seconds=bound - self._now()))
-        while not await dependencies.leadership.is_confirmed_since(bound):
+        dependencies, find_expiry = self._dependencies, self._bound_inherited_leases()
+        while self._now() < find_expiry():
+            await dependencies.clock.sleep(RETRY_DELAY)
+        while not await dependencies.leadership.is_confirmed_since(find_expiry()):
             await dependencies.clock.sleep(RETRY_DELAY)
         self._mark_reconciled(_UNREADABLE_ROSTER)
 
@@ -267,30 +272,13 @@
 
         return Write(ROSTER_KEY, encode_record(roster)), mark_durable
 
-    def _bound_inherited_leases(self, is_silent: bool = False) -> float:
-        """Return the latest time at which leases granted by earlier owners expire.
-
-        Not only the predecessor may still extend leases: an owner before it may be cut
-        off from the store and not from a worker that the predecessor couldn't read.
+    def _bound_inherited_leases(self, is_silent: bool = False) -> Callable[[], float]:
+        """Return a function that bounds the leases of a worker known from now on.
 
-        :param is_silent: whether the predecessor had already stopped extending the
+        :param is_silent: whether the previous owner had already stopped extending the
             lease.
         """
-        dependencies, old = self._dependencies, self._term.predecessor
-        now, times = self._now(), dependencies.times
-        if old is None:
-            return now
-        lease_expiry = times.lease_expiry.total_seconds()
-        takeover_wait = times.takeover_wait.total_seconds()
-        if is_silent:
-            # The owner that cordoned it had read it, so it refuses those before.
-            return now + lease_expiry
-        is_gone = dependencies.leadership.is_gone(old.instance, old.incarnation)
-        is_over = old.is_released or is_gone
-        bound = now + (lease_expiry if is_over else takeover_wait)
-        if old.epoch == FIRST_EPOCH:
-            return bound
-        return max(bound, self._term.predecessor_seen_at + takeover_wait)
+        return partial(self._inherited_leases.find_expiry, self._now(), is_silent)
 
     def _add_contact(
         self, worker: PoolWorker, is_silent: bool = False
--- a/src/damaskdeck/coordination/pools/workerlease.py
+++ b/src/damaskdeck/coordination/pools/workerlease.py
@@ -1,5 +1,6 @@
 """One owner's estimate of a worker's clock and of the expiry of the worker's lease."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from damaskdeck.coordination.pools.times import CLOCK_SLOWNESS
@@ -8,16 +9,37 @@
 class WorkerLease:
     """The lease under which a worker runs its tasks.
 
-    :param inherited_until: when the leases that predecessors granted expire; all times
-        are monotonic seconds.
-    :ivar expires_at: when all tasks of the worker have ended if it never answers again.
+    All times are monotonic seconds.
+
+    :param find_inherited_expiry: returns when the leases that earlier owners granted
+        have expired at the latest, which may become earlier.
     """
 
-    def __init__(self, inherited_until: float) -> None:
-        self.expires_at = inherited_until
+    def __init__(self, find_inherited_expiry: Callable[[], float]) -> None:
+        self._find_inherited_expiry: Callable[[], float] | None = find_inherited_expiry
+        self._own_until = float("-inf")
         self._worker_clock: timedelta | None = None
         self._clock_read_at = 0.0
 
+    @property
+    def expires_at(self) -> float:
+        """When all tasks of the worker have ended if it never answers again."""
+        if self._find_inherited_expiry is None:
+            return self._own_until
+        return max(self._find_inherited_expiry(), self._own_until)
+
+    def extend_until(self, until: float) -> None:
+        """Record that the lease may last until then."""
+        self._own_until = max(self._own_until, until)
+
+    def replace_inherited(self, until: float) -> None:
+        """Replace the bound by that on the leases of a worker which has answered.
+
+        From now on it refuses earlier owners.
+        """
+        self._find_inherited_expiry = None
+        self._own_until = until
+
     @property
     def is_synchronized(self) -> bool:
         """Whether the worker has reported its clock."""
@@ -55,5 +77,5 @@
         """
         elapsed = now - self._clock_read_at
         duration = (elapsed + lease.total_seconds()) / (1 - CLOCK_SLOWNESS)
-        self.expires_at = max(self.expires_at, self._clock_read_at + duration)
+        self.extend_until(self._clock_read_at + duration)
         return self.estimate_clock(now) + lease
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -176,9 +176,11 @@
         if not session.lease.is_synchronized:
             # From now on the worker refuses previous owners, but the leases that they
             # have granted have to expire first.
-            session.lease.expires_at = max(
-                now + session.times.lease_expiry.total_seconds(),
-                self._orders.passed.lease_until,
+            session.lease.replace_inherited(
+                max(
+                    now + session.times.lease_expiry.total_seconds(),
+                    self._orders.passed.lease_until,
+                )
             )
         session.lease.record_clock(answer.clock, now)
         if not contact.is_synchronized:
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -20,6 +20,7 @@
 CONTROL_PREFIX = f"{ROOT_PREFIX}control/"
 OWNER_KEY = f"{CONTROL_PREFIX}owner"
 LEAD_KEY = f"{CONTROL_PREFIX}lead"
+FORMER_OWNERS_KEY = f"{CONTROL_PREFIX}former"
 MEMBERS_PREFIX = f"{CONTROL_PREFIX}members/"
 FENCE_KEY = f"{ROOT_PREFIX}fence"
 ROSTER_KEY = f"{ROOT_PREFIX}roster"
@@ -57,6 +58,26 @@
     fence: int = 0
 
 
+class FormerOwner(NamedTuple):
+    """A process that was the owner, named as in :class:`OwnerRecord`."""
+
+    instance: str
+    incarnation: str
+
+
+class FormerOwnersRecord(NamedTuple):
+    """The owners before that of an epoch which may still extend leases of workers.
+
+    Those that have handed over or whose processes are known to have ended are left out.
+
+    :param epoch: of the owner whose takeover has written this. Under any other owner
+        it says nothing.
+    """
+
+    epoch: int
+    owners: tuple[FormerOwner, ...] = ()
+
+
 class MemberRecord(NamedTuple):
     """A daemon that is up.
 
--- a/tests/test_pools_preemption.py
+++ b/tests/test_pools_preemption.py
@@ -86,7 +86,7 @@
             None,
             self.clock,
             TIMES,
-            0.0,
+            lambda: 0.0,
             LoopDelay(),
         )
         contact.is_synchronized = contact.is_rostered = True
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -1,11 +1,22 @@
 """Takeovers and handovers of pools with crashes, cuts, late and lost answers."""
 
 import asyncio
+import unittest
 from datetime import timedelta
 
+from damaskdeck.coordination.pools.formerowners import FormerOwners
+from damaskdeck.errors import MessageError
 from damaskdeck.protocol.ports import Lost, Written
 from damaskdeck.protocol.queues import QueueJobState, StepSpec
-from damaskdeck.state.jobrecords import LEAD_KEY, OWNER_KEY
+from damaskdeck.state.jobrecords import (
+    FIRST_EPOCH,
+    LEAD_KEY,
+    OWNER_KEY,
+    FormerOwner,
+    FormerOwnersRecord,
+    OwnerRecord,
+    encode_record,
+)
 from standins.pools import Work
 from tests.poolcluster import (
     SECOND,
@@ -339,6 +350,66 @@
         self.end()
 
 
+class TestLostWithTheOwner(PoolCase):
+    """Workers are lost, and the owner is killed before it has noticed that."""
+
+    # The platform's bound for tasks that last and aren't running.
+    limit = 9 * SECOND
+
+    async def lose_both(self, kills: int = 1) -> None:
+        """Lose a worker and 0.3 s later the owner, which is back after 0.7 s."""
+        cluster = await self.begin(
+            workers=3, behave=lambda t, a: Work(120 * SECOND, startup=SECOND)
+        )
+        cluster.restart_delay = None
+        lasting = StepSpec(2, SMALL, SECOND, is_long_running=True)
+        await cluster.submit("j1", make_job(lasting))
+        await cluster.wait(lambda: len(cluster.list_starts()) == 2)
+        await asyncio.sleep(2)
+        cluster.find_host("j1").kill()
+        self.lost_at = cluster.clock.monotonic()
+        await asyncio.sleep(0.3)
+        for _ in range(kills):
+            owner = cluster.find_owner()
+            owner.kill()
+            await asyncio.sleep(0.7)
+            cluster.add_daemon(owner.name).start()
+            await cluster.wait(lambda: cluster.find_owner() is not None)
+
+    async def wait_for_restart(self) -> timedelta:
+        """Return the time from the loss to the start of both tasks elsewhere."""
+        cluster = self.cluster
+        await cluster.wait(lambda: len(cluster.list_starts()) == 4)
+        self.end()
+        return cluster.list_starts()[-1][0] - self.lost_at
+
+    # The successor waited for the owner lease of a process that had ended.
+    @virtual
+    async def test_the_wait_is_shortened_once_the_old_process_has_ended(self):
+        await self.lose_both()
+        self.assertLess(await self.wait_for_restart(), self.limit)
+
+    # Each change of the owner begins a wait of its own, but only for a worker's lease.
+    @virtual
+    async def test_the_wait_is_shortened_after_each_takeover(self):
+        await self.lose_both(kills=2)
+        self.assertLess(await self.wait_for_restart(), self.limit)
+
+    # A process that hasn't come back may be cut off only.
+    @virtual
+    async def test_an_owner_that_does_not_return_is_waited_for(self):
+        cluster = await self.begin(
+            workers=3, behave=lambda t, a: Work(120 * SECOND, startup=SECOND)
+        )
+        cluster.restart_delay = None
+        await cluster.submit("j1", make_job(StepSpec(2, SMALL, SECOND)))
+        await cluster.wait(lambda: len(cluster.list_starts()) == 2)
+        cluster.find_host("j1").kill()
+        self.lost_at = cluster.clock.monotonic()
+        cluster.find_owner().kill()
+        self.assertGreater(await self.wait_for_restart(), cluster.times.takeover_wait)
+
+
 class TestEarlierOwners(PoolCase):
     """An owner that was deposed long before may still extend a worker's lease.
 
@@ -401,3 +472,73 @@
         self.cluster.add_daemon(predecessor.name).start()
         self.cluster.daemons[predecessor.name].workers.cut_off.add("w0")
         await self.check_later_starts()
+
+    # Two owners before the predecessor have ended, and a daemon that was started after
+    # that takes over: it learns from the store that there is nobody to wait for.
+    @virtual
+    async def test_a_new_daemon_knows_of_owners_that_have_ended(self):
+        cluster = await self.begin()
+        for _ in range(3):
+            owner = cluster.find_owner()
+            owner.kill()
+            cluster.add_daemon(owner.name, started_at=99.0).start()
+            await cluster.wait(lambda: cluster.find_owner() is not None)
+        term = cluster.find_owner().terms[-1]
+        self.assertEqual(term.epoch, 4)
+        self.assertLessEqual(len(term.earlier), 1)
+        self.end()
+
+
+class TestFormerOwners(unittest.TestCase):
+    """Which earlier owners a takeover has to reckon with, by the store's record."""
+
+    first, second = FormerOwner("d1", "d1-1"), FormerOwner("d2", "d2-1")
+    owner = OwnerRecord(3, "d3", "d3-1")
+
+    def setUp(self):
+        self.gone: set[tuple[str, str]] = set()
+        self.former = FormerOwners(
+            lambda *process: process in self.gone, FormerOwner("d9", "d9-1")
+        )
+
+    def apply(self, epoch: int, *owners: FormerOwner) -> None:
+        """Apply a record that a takeover has written."""
+        self.former.apply(encode_record(FormerOwnersRecord(epoch, owners)))
+
+    def test_recorded_owners_count_until_they_have_ended(self):
+        self.apply(3, self.first, self.second)
+        self.gone.add(self.first)
+        self.assertEqual(self.former.list_earlier(self.owner, False), (self.second,))
+
+    # An owner of an earlier version leaves the record of the owner before as it is.
+    def test_a_record_of_another_epoch_says_nothing(self):
+        self.apply(2, self.first)
+        self.assertIsNone(self.former.list_earlier(self.owner, False))
+
+    def test_a_lost_record_says_nothing(self):
+        self.assertIsNone(self.former.list_earlier(self.owner, False))
+
+    def test_an_older_record_is_ignored(self):
+        self.apply(3, self.second)
+        self.apply(2, self.first)
+        self.assertEqual(self.former.list_earlier(self.owner, False), (self.second,))
+
+    def test_nobody_counts_once_all_owner_leases_have_expired(self):
+        self.assertEqual(self.former.list_earlier(self.owner, True), ())
+
+    def test_there_is_nobody_before_the_first_owner(self):
+        first = OwnerRecord(FIRST_EPOCH, "d1", "d1-1")
+        self.assertEqual(self.former.list_earlier(first, False), ())
+
+    def test_a_successor_records_its_predecessor_unless_it_has_handed_over(self):
+        released = self.owner._replace(is_released=True)
+        self.assertEqual(
+            self.former.list_all(self.owner, (self.first,)),
+            (self.first, FormerOwner("d3", "d3-1")),
+        )
+        self.assertEqual(self.former.list_all(released, (self.first,)), (self.first,))
+        self.assertIsNone(self.former.list_all(self.owner, None))
+
+    def test_an_unreadable_record_has_an_error(self):
+        with self.assertRaises(MessageError):
+            self.former.apply(b"\x00")
