Let long advisor queries that have waited use half of the reserve

Cause: two daemons are reserved for short queries, whatever their number, and one may always send long ones; of two daemons the other stayed idle. Change: a long query that has waited for 1 s may use half of the reserved daemons; how long queries wait is a latency and, from 1 s on, a line. Why it works: the reserve is used by what the other daemons can't send in time, and by nothing else; with three daemons and more one stays free.

--- a/src/damaskdeck/coordination/pools/advice.py
+++ b/src/damaskdeck/coordination/pools/advice.py
@@ -8,6 +8,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple
@@ -32,6 +33,8 @@
 # one applies.
 MIN_RESERVED_DAEMONS = 2
 RESERVED_SHARE = 0.15
+# A long query that has waited for this long may use half of the reserved daemons.
+MAX_LONG_QUERY_WAIT_SECONDS = 1.0
 # Added to the time that the advisor needs, for the network between daemon and advisor.
 REPLY_SLACK = timedelta(milliseconds=700)
 FAILURE_PAUSE_SECONDS = 0.5
@@ -99,12 +102,18 @@
     step: Step
     workers: tuple[str, ...]
     timing: AdvisorTiming
+    queued_at: float
 
     @property
     def duration(self) -> timedelta:
         """The time that the advisor needs for the query."""
         return self.timing.base + self.timing.per_worker * len(self.workers)
 
+    @property
+    def is_long(self) -> bool:
+        """Whether the query may not occupy all daemons."""
+        return self.duration.total_seconds() > LONG_QUERY_SECONDS
+
 
 class AdviceScheduler:
     """Sends advisor queries through all daemons during one owner term.
@@ -154,14 +163,14 @@
         if not workers or timing is None:
             return
         self.get(step).requested.update(workers)
-        query = _Query(step, tuple(workers[:MAX_QUERY_WORKERS]), timing)
+        query = _Query(step, tuple(workers[:MAX_QUERY_WORKERS]), timing, self._now())
         entry = (urgency, next(self._numbers), query)
         heapq.heappush(self._queue, entry)
         self.dispatch()
 
     def count_idle_daemons(self) -> int:
         """Count the daemons that could send a query beyond those in the queue."""
-        now = self._clock.monotonic().total_seconds()
+        now = self._now()
         idle = sum(self._is_idle(name, now) for name in self._list_daemons())
         return max(0, idle - len(self._queue))
 
@@ -178,33 +187,45 @@
             if query.step.job.is_final or query.step.is_completed:
                 self.get(query.step).requested.difference_update(query.workers)
                 continue
-            daemon = self._find_daemon(query)
+            daemon = self._find_daemon(query, self._now())
             if daemon is None:
                 remaining.append(entry)
                 if self._find_idle() is None:
                     break
                 continue
-            self._busy[daemon] = query.duration.total_seconds() > LONG_QUERY_SECONDS
+            self._busy[daemon] = query.is_long
             start_task(self._send(daemon, query), self._tasks)
         for entry in remaining:
             heapq.heappush(self._queue, entry)
 
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
     def _find_idle(self) -> str | None:
-        now = self._clock.monotonic().total_seconds()
+        now = self._now()
         names = (name for name in self._list_daemons() if self._is_idle(name, now))
         return next(names, None)
 
     def _is_idle(self, name: str, now: float) -> bool:
         return name not in self._busy and self._paused_until.get(name, 0.0) <= now
 
-    def _find_daemon(self, query: _Query) -> str | None:
-        if query.duration.total_seconds() > LONG_QUERY_SECONDS:
-            long, daemons = sum(self._busy.values()), len(self._list_daemons())
-            reserved = max(MIN_RESERVED_DAEMONS, int(RESERVED_SHARE * daemons))
-            if long >= max(1, daemons - reserved):
-                return None
+    def _find_daemon(self, query: _Query, now: float) -> str | None:
+        if query.is_long and sum(self._busy.values()) >= self._count_for_long(
+            query, now
+        ):
+            return None
         return self._find_idle()
 
+    def _count_for_long(self, query: _Query, now: float) -> int:
+        """Count the daemons that may have long queries in flight, this one included."""
+        daemons = len(self._list_daemons())
+        reserved = max(MIN_RESERVED_DAEMONS, int(RESERVED_SHARE * daemons))
+        count = max(1, daemons - reserved)
+        if now - query.queued_at >= MAX_LONG_QUERY_WAIT_SECONDS:
+            # Few daemons would be reserved as a whole, and long queries wait for ever.
+            count += math.ceil((daemons - count) / 2)
+        return count
+
     async def _send(self, daemon: str, query: _Query) -> None:
         step, timeout = query.step, query.duration + REPLY_SLACK
         message: GetAdvice = {
@@ -212,11 +233,12 @@
             "workers": list(query.workers),
             "timeout": round(timeout / timedelta(milliseconds=1)),
         }
-        sent_at = self._clock.monotonic().total_seconds()
+        sent_at = self._now()
+        self._record_wait(query, sent_at - query.queued_at)
         reply = await self._peers.call(daemon, message, GetAdvice, timeout)
         del self._busy[daemon]
         self.get(step).requested.difference_update(query.workers)
-        now = self._clock.monotonic().total_seconds()
+        now = self._now()
         observe_latency("advice", "ask", now - sent_at)
         if isinstance(reply, Answered) and not reply.message["code"]:
             if self._paused_until.pop(daemon, None) is not None:
@@ -235,6 +257,20 @@
         self.dispatch()
         self._on_reply(step)
 
+    def _record_wait(self, query: _Query, seconds: float) -> None:
+        """Record how long a query has waited for a daemon."""
+        observe_latency("advice", "queued", seconds)
+        if seconds >= MAX_LONG_QUERY_WAIT_SECONDS:
+            _log.info(
+                "An advisor query has waited for a daemon.",
+                id=query.step.job.identifier,
+                step=query.step.number,
+                seconds=round(seconds, 3),
+                is_long=query.is_long,
+                queued=len(self._queue),
+                daemons=len(self._list_daemons()),
+            )
+
     def _store(self, query: _Query, reply: GetAdviceReply, now: float) -> None:
         advice = self.get(query.step)
         until = now + query.timing.ticket_validity.total_seconds()
