Let the stand-ins keep the limits that the platform sets

Change: the limits stand in one place, as parameters, and the stand-ins of the store, of workers and of the advisor refuse what is beyond them as the page says, on the wire as well.

--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -43,13 +43,19 @@
 from damaskdeck.protocol.queues import QueueTable, TaskName
 from damaskdeck.protocol.transactions import Unchanged, read_all
 from standins.faults import FaultKind, Faults
+from standins.limits import (
+    ADVISOR_LIMITS,
+    WORKER_LIMITS,
+    AdvisorLimits,
+    LimitExceededError,
+    WorkerLimits,
+    check_limit,
+)
 from standins.poolstore import PoolStoreClient
 
 LOST_CALL_DELAY = timedelta(milliseconds=400)
 # Shorter than an order's deadline, or the worker would refuse every late order.
 LATE_ORDER_DELAY = timedelta(milliseconds=700)
-# How many ends a worker lists at a time.
-MAX_LISTED_ENDS = 500
 
 
 class Work(NamedTuple):
@@ -78,9 +84,7 @@
     """One incarnation of a worker, as the platform's documentation describes it.
 
     :param behave: returns how an attempt of a task behaves.
-    :param max_lease: longest time from now for which a call extends the lease.
     :param clock_offset: what the worker's own clock is ahead of ``clock``.
-    :ivar max_listed_ends: how many ends it lists at a time.
     :ivar is_hung: whether its tasks make no progress and never end.
     :ivar slowdown: factor by which its tasks take longer.
     :ivar on_crash: called when one of its tasks crashes it.
@@ -91,13 +95,12 @@
         info: PoolWorker,
         clock: Clock,
         behave: Callable[[TaskName, int], Work],
-        max_lease: timedelta,
+        limits: WorkerLimits = WORKER_LIMITS,
         clock_offset: timedelta = timedelta(),
     ) -> None:
         self.info = info
         self.incarnation = WorkerIncarnation.parse(info.identifier)
         self.faults = Faults()
-        self.max_listed_ends = MAX_LISTED_ENDS
         self.is_up = True
         self.is_hung = False
         self.slowdown = 1.0
@@ -115,7 +118,7 @@
         self._end_times: dict[int, timedelta] = {}
         self._clock = clock
         self._behave = behave
-        self._max_lease = max_lease
+        self._limits = limits
         self._clock_offset = clock_offset
         self._observed = 0
         self._barred_attempts: dict[TaskName, int] = {}
@@ -216,7 +219,7 @@
         return Done(self._read_own_clock())
 
     def _extend(self, deadline: timedelta) -> None:
-        longest = self._now() + self._max_lease
+        longest = self._now() + self._limits.lease
         until = min(deadline - self._clock_offset, longest)
         self.lease_expires_at = max(self.lease_expires_at, until)
 
@@ -226,8 +229,11 @@
         """Extend the lease, wait for a task to end and list the tasks.
 
         Ends up to ``observed`` are forgotten, also those that are yet to come. Of the
-        others the first ``max_listed_ends`` are listed.
+        others the first are listed, up to the limit.
+
+        :raises LimitExceededError: if the wait is too long.
         """
+        check_limit("poll_wait", wait, self._limits.poll_wait)
         self.settle()
         refusal = self._check_epoch(epoch)
         if refusal is not None:
@@ -245,14 +251,14 @@
             RunningTask(task, run.attempt, "", self._compute_percent(run))
             for task, run in self.running.items()
         )
-        ends = tuple(self.ends[: self.max_listed_ends])
+        ends = tuple(self.ends[: self._limits.listed_ends])
         return WorkerTasks(
             self._read_own_clock(),
             rows,
             ends,
             self.incarnation.born,
             # A full list doesn't show whether there are more.
-            len(ends) == self.max_listed_ends,
+            len(ends) == self._limits.listed_ends,
         )
 
     def _forget_observed_ends(self) -> None:
@@ -363,7 +369,10 @@
         found = await self._find_reachable(worker)
         if not isinstance(found, StandinWorker):
             return found
-        answer = await found.poll(epoch, observed, deadline, wait)
+        try:
+            answer = await found.poll(epoch, observed, deadline, wait)
+        except LimitExceededError:
+            return Declined(RefusalCode.INVALID)
         is_unreachable = found.incarnation.name in self.cut_off or not found.is_up
         return Lost("timeout") if is_unreachable else answer
 
@@ -423,19 +432,32 @@
     """
 
     def __init__(
-        self, clock: Clock, allow: Callable[[str, str], bool] = lambda s, w: True
+        self,
+        clock: Clock,
+        allow: Callable[[str, str], bool] = lambda s, w: True,
+        limits: AdvisorLimits = ADVISOR_LIMITS,
     ) -> None:
         self.calls: list[tuple[str, tuple[str, ...]]] = []
         self.faults = Faults()
         self._clock = clock
         self._allow = allow
+        self._limits = limits
+        self._waiting_calls = 0
 
     async def request_advice(
         self, step: str, workers: tuple[str, ...], timeout: timedelta
     ) -> Advice | Rejected | Lost:
         """Return tickets for the workers that may run a step."""
+        if len(workers) > self._limits.workers:
+            return Lost("unexpected_status", "400")
+        if self._waiting_calls >= self._limits.waiting_calls:
+            return Rejected("busy")
         self.calls.append((step, workers))
-        await self._clock.sleep(timedelta(milliseconds=5))
+        self._waiting_calls += 1
+        try:
+            await self._clock.sleep(timedelta(milliseconds=5))
+        finally:
+            self._waiting_calls -= 1
         if self.faults.take("ask") is FaultKind.REFUSE:
             return Rejected("busy")
         consenting = (w for w in workers if self._allow(step, w))
--- a/src/standins/poolstore.py
+++ b/src/standins/poolstore.py
@@ -27,8 +27,14 @@
     Write,
 )
 from standins.faults import FaultKind, Faults
+from standins.limits import (
+    STORE_LIMITS,
+    LimitExceededError,
+    ProtectedKeyError,
+    StoreLimits,
+    check_limit,
+)
 
-MAX_PAGE_ENTRIES = 500
 LEASE_CHECK_INTERVAL = timedelta(milliseconds=20)
 LOST_CALL_DELAY = timedelta(milliseconds=400)
 LATE_COMMIT_DELAY = timedelta(seconds=2)
@@ -40,9 +46,13 @@
 
 
 class PoolStore:
-    """A store with transactions, leases and watches, shared by all daemons."""
+    """A store with transactions, leases and watches, shared by all daemons.
+
+    Calls beyond its limits raise :class:`standins.limits.LimitExceededError`.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limits: StoreLimits = STORE_LIMITS) -> None:
+        self.limits = limits
         self.entries: dict[str, Entry] = {}
         self.revision = 1
         self.commits = 0
@@ -62,7 +72,12 @@
             self._put(Write(key, value))
 
     def commit(self, transaction: Transaction) -> Written | Mismatch | Lapsed:
-        """Apply a transaction if the expected revisions and leases are valid."""
+        """Apply a transaction if the expected revisions and leases are valid.
+
+        :raises LimitExceededError: if it has too many entries, or one that is too long.
+        :raises ProtectedKeyError: if it writes a key that only the platform writes.
+        """
+        self._check_transaction(transaction)
         self._expire_leases()
         for key, revision in transaction.expected:
             current = self.entries.get(key)
@@ -83,6 +98,20 @@
             self._put(write)
         return Written(self.revision)
 
+    def _check_transaction(self, transaction: Transaction) -> None:
+        limits, writes = self.limits, transaction.writes
+        expected = [key for key, _ in transaction.expected]
+        changed = [*(write.key for write in writes), *transaction.removals]
+        count = len(expected) + len(changed)
+        check_limit("transaction_entries", count, limits.transaction_entries)
+        for key in (*expected, *changed):
+            check_limit("key_bytes", len(key.encode()), limits.key_bytes)
+        for write in writes:
+            check_limit("value_bytes", len(write.value), limits.value_bytes)
+        for key in changed:
+            if key.startswith(limits.protected):
+                raise ProtectedKeyError(key)
+
     def _put(self, write: Write) -> None:
         entry = Entry(write.key, write.value, self.revision, write.lease)
         self.entries[write.key] = entry
@@ -108,10 +137,15 @@
 
     def open_lease(self, ttl: timedelta) -> str:
         """Grant a lease and return its identifier."""
+        ttl = self.clamp_ttl(ttl)
         lease = str(next(self._lease_numbers))
         self._leases[lease] = _Lease(ttl, self._clock.monotonic() + ttl)
         return lease
 
+    def clamp_ttl(self, ttl: timedelta) -> timedelta:
+        """Return the duration that applies to a lease of the requested duration."""
+        return min(max(ttl, self.limits.min_ttl), self.limits.max_ttl)
+
     def renew(self, lease: str) -> timedelta | None:
         """Renew a lease; return its duration, or ``None`` if it has lapsed."""
         self._expire_leases()
@@ -135,13 +169,24 @@
         """Return a page of the entries below ``prefix`` whose keys follow ``after``."""
         self._expire_leases()
         keys = sorted(k for k in self.entries if k.startswith(prefix) and k > after)
-        page = tuple(self.entries[key] for key in keys[:MAX_PAGE_ENTRIES])
-        return Page(page, len(keys) > MAX_PAGE_ENTRIES, self.revision)
+        page: list[Entry] = []
+        size = 0
+        for key in keys[: self.limits.page_entries]:
+            entry = self.entries[key]
+            size += len(entry.key.encode()) + len(entry.value)
+            if page and size > self.limits.page_bytes:
+                break
+            page.append(entry)
+        return Page(tuple(page), len(keys) > len(page), self.revision)
 
     async def watch(
         self, prefix: str, revision: int, wait: timedelta
     ) -> Events | RevisionTooOld:
-        """Return the changes below ``prefix`` after ``revision``, waiting for one."""
+        """Return the changes below ``prefix`` after ``revision``, waiting for one.
+
+        :raises LimitExceededError: if the wait is too long.
+        """
+        check_limit("watch_wait", wait, self.limits.watch_wait)
         deadline = self._clock.monotonic() + wait
         while True:
             self._expire_leases()
@@ -173,11 +218,12 @@
         operations are read, list, commit, watch, watched, grant and renew.
     :ivar executes_late: whether commits that get no answer are executed late
         instead of at once.
+    :ivar refusals: the calls that exceeded a limit of the store.
     """
 
-    entry_limit = 32
-
     def __init__(self, store: PoolStore, clock: Clock) -> None:
+        self.entry_limit = store.limits.transaction_entries
+        self.refusals: list[str] = []
         self.faults = Faults()
         self.executes_late = False
         self._store = store
@@ -234,13 +280,26 @@
                 self._late_commits.add(task)
                 task.add_done_callback(self._late_commits.discard)
             else:
-                self._store.commit(transaction)
+                self._commit(transaction)
             return fault
-        return fault or self._store.commit(transaction)
+        return fault or self._commit(transaction)
+
+    def _commit(
+        self, transaction: Transaction
+    ) -> Written | Mismatch | Lapsed | Rejected | Lost:
+        """Commit, and answer as the adapter does where the store refuses the call."""
+        try:
+            return self._store.commit(transaction)
+        except LimitExceededError as error:
+            self.refusals.append(str(error))
+            return Lost("unexpected_status", "400")
+        except ProtectedKeyError as error:
+            self.refusals.append(str(error))
+            return Lost("unexpected_status", "403")
 
     async def _commit_late(self, transaction: Transaction) -> None:
         await self._clock.sleep(LATE_COMMIT_DELAY)
-        self._store.commit(transaction)
+        self._commit(transaction)
 
     async def watch(
         self,
@@ -253,13 +312,18 @@
         fault = await self._apply_faults("watch")
         if fault is not None:
             return fault
-        answer = await self._store.watch(prefix, revision, wait)
+        try:
+            answer = await self._store.watch(prefix, revision, wait)
+        except LimitExceededError as error:
+            self.refusals.append(str(error))
+            return Lost("unexpected_status", "400")
         return await self._apply_faults("watched") or answer
 
     async def grant_lease(self, ttl: timedelta) -> Granted | Rejected | Lost:
         """Grant a lease."""
         fault = await self._apply_faults("grant")
-        return fault or Granted(self._store.open_lease(ttl), ttl)
+        lease = self._store.open_lease(ttl) if fault is None else ""
+        return fault or Granted(lease, self._store.clamp_ttl(ttl))
 
     async def renew_lease(self, lease: str) -> Granted | Lapsed | Rejected | Lost:
         """Renew a lease."""
--- a/src/standins/wire.py
+++ b/src/standins/wire.py
@@ -29,6 +29,12 @@
 from damaskdeck.protocol.transactions import Mismatch, Transaction, Write
 from standins.faults import FaultKind, Faults
 from standins.http import Listener
+from standins.limits import (
+    ADVISOR_LIMITS,
+    LimitExceededError,
+    ProtectedKeyError,
+    check_limit,
+)
 from standins.pools import StandinWorker, Work
 from standins.poolstore import PoolStore
 
@@ -79,13 +85,18 @@
             return
         query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
         headers = {k.decode().lower(): v.decode() for k, v in scope["headers"]}
-        status, answer = await self._handler(
-            scope["method"],
-            scope["path"],
-            query,
-            headers,
-            json.loads(body) if body else {},
-        )
+        try:
+            status, answer = await self._handler(
+                scope["method"],
+                scope["path"],
+                query,
+                headers,
+                json.loads(body) if body else {},
+            )
+        except LimitExceededError:
+            status, answer = 400, None
+        except ProtectedKeyError:
+            status, answer = 403, None
         if kind is FaultKind.LOSE_ANSWER:
             scope["state"]["listener"].reset_connection(scope)
             return
@@ -144,8 +155,9 @@
         if path == "/kv-txn":
             return self._commit(body)
         if path == "/kv-lease":
-            ttl = timedelta(milliseconds=body["ttl_ms"])
-            return 200, {"lease": int(store.open_lease(ttl)), "ttl_ms": body["ttl_ms"]}
+            ttl = store.clamp_ttl(timedelta(milliseconds=body["ttl_ms"]))
+            lease = int(store.open_lease(ttl))
+            return 200, {"lease": lease, "ttl_ms": round(ttl / MILLISECOND)}
         if path.startswith("/kv-keep/"):
             ttl = store.renew(path.removeprefix("/kv-keep/"))
             if ttl is None:
@@ -207,7 +219,7 @@
         self.size = Size(4000, 8000, 0)
         identifier = WorkerIncarnation(name, born).identifier
         info = PoolWorker(identifier, pool, self.listener.address, "z", self.size)
-        self.worker = StandinWorker(info, clock, behave, timedelta(seconds=6))
+        self.worker = StandinWorker(info, clock, behave)
 
     def describe(self) -> bytes:
         """Return the worker's registration as JSON."""
@@ -314,6 +326,7 @@
     async def _answer(
         self, method: str, path: str, query: dict, headers: dict, body: Any
     ) -> Answer:
+        check_limit("workers", len(body["workers"]), ADVISOR_LIMITS.workers)
         consents = [[worker, f"t-{worker}"] for worker in body["workers"]]
         return 200, {"good": consents, "valid_ms": 2500}
 
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -44,10 +44,10 @@
     OwnerRecord,
     decode_record,
 )
+from standins.limits import STORE_LIMITS, StoreLimits, WorkerLimits
 from standins.loops import LoopClock
 from standins.peers import PeerSwitch
 from standins.pools import (
-    MAX_LISTED_ENDS,
     StandinAdvisor,
     StandinQueues,
     StandinRegistry,
@@ -64,6 +64,7 @@
     status_retention=timedelta(seconds=120),
     max_stop_time=timedelta(milliseconds=900),
 )
+WORKER_LIMITS = WorkerLimits(lease=BOUNDS.max_worker_lease)
 # No daemon serves a caller whose key was revoked longer ago than this.
 REVOCATION = timedelta(seconds=5)
 SECOND = timedelta(seconds=1)
@@ -269,7 +270,8 @@
     :param allow: returns whether the advisor consents to a step on a worker.
     :param has_births: whether workers report their births. A crashed worker then
         returns under its name, else a new incarnation has a new name.
-    :param max_listed_ends: how many ends a worker lists at a time.
+    :param worker_limits: the limits of all workers.
+    :param store_limits: the limits of the store.
     """
 
     def __init__(
@@ -282,9 +284,10 @@
         zones: int = 1,
         accounts: tuple[ClientAccount, ...] = (),
         has_births: bool = False,
-        max_listed_ends: int = MAX_LISTED_ENDS,
+        worker_limits: WorkerLimits = WORKER_LIMITS,
+        store_limits: StoreLimits = STORE_LIMITS,
     ) -> None:
-        self.max_listed_ends = max_listed_ends
+        self.worker_limits = worker_limits
         self.clock = LoopClock()
         self.has_births = has_births
         self.numbers = itertools.count(1)
@@ -293,7 +296,7 @@
         self.allow = allow
         bounds = BOUNDS._replace(revocation=REVOCATION) if accounts else BOUNDS
         self.times = derive_times(bounds)
-        self.store = PoolStore(self.clock)
+        self.store = PoolStore(self.clock, store_limits)
         self.switch = PeerSwitch(self.clock)
         self.workers: dict[str, StandinWorker] = {}
         self.epochs: list[int] = []
@@ -390,9 +393,8 @@
             clock_offset = SECOND - now
         info = PoolWorker(identifier, "hub", address, zone, SIZE, labels, rack)
         worker = StandinWorker(
-            info, self.clock, self._behave, BOUNDS.max_worker_lease, clock_offset
+            info, self.clock, self._behave, self.worker_limits, clock_offset
         )
-        worker.max_listed_ends = self.max_listed_ends
         worker.on_crash = lambda: self.crash(worker)
         self.workers[identifier] = worker
         self.sizes[identifier] = [(now, info.size)]
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -23,8 +23,15 @@
 from damaskdeck.state.jobrecords import LEAD_KEY, MEMBERS_PREFIX
 from standins.faults import FaultKind
 from standins.loops import run_virtual
-from standins.pools import MAX_LISTED_ENDS, Work
-from tests.poolcluster import ADVISOR_TIMING, SECOND, SIZE, PoolCluster, make_queue
+from standins.pools import Work
+from tests.poolcluster import (
+    ADVISOR_TIMING,
+    SECOND,
+    SIZE,
+    WORKER_LIMITS,
+    PoolCluster,
+    make_queue,
+)
 from tests.seeds import map_seeds
 
 # DAMASKDECK_CHAOS=FROM:TO selects other seeds.
@@ -54,12 +61,12 @@
     :cvar zones: number of the workers' zones; with several, jobs are confined to some
         of them.
     :cvar has_births: whether crashed workers return under their name.
-    :cvar max_listed_ends: how many ends a worker lists at a time.
+    :cvar worker_limits: the limits of all workers.
     """
 
     zones = 1
     has_births = False
-    max_listed_ends = MAX_LISTED_ENDS
+    worker_limits = WORKER_LIMITS
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
@@ -72,7 +79,7 @@
             queues=queues,
             zones=self.zones,
             has_births=self.has_births,
-            max_listed_ends=self.max_listed_ends,
+            worker_limits=self.worker_limits,
         )
         self.faults = list(_faults)
         self.specs: dict[str, JobSpec] = {}
@@ -564,7 +571,8 @@
     """A run in which workers list few ends at a time and are cut off more often."""
 
     def __init__(self, seed: int) -> None:
-        self.max_listed_ends = Random(f"listed ends {seed}").randint(1, 3)
+        listed_ends = Random(f"listed ends {seed}").randint(1, 3)
+        self.worker_limits = WORKER_LIMITS._replace(listed_ends=listed_ends)
         self.has_births = bool(seed % 2)
         super().__init__(seed)
         self.faults += [cut_worker] * 8
--- a/tests/test_pools_lists.py
+++ b/tests/test_pools_lists.py
@@ -8,11 +8,19 @@
 from damaskdeck.protocol.queues import QueueJobState, StepSpec
 from standins.faults import FaultKind
 from standins.pools import StandinWorker, Work
-from tests.poolcluster import SECOND, SMALL, PoolCase, PoolCluster, make_job
+from tests.poolcluster import (
+    SECOND,
+    SMALL,
+    WORKER_LIMITS,
+    PoolCase,
+    PoolCluster,
+    make_job,
+)
 from tests.virtual import virtual
 
 # Fewer than the tasks that a worker runs at a time.
 MAX_LISTED_ENDS = 2
+LIMITS = WORKER_LIMITS._replace(listed_ends=MAX_LISTED_ENDS)
 TASKS = 8
 # Both workers start half of the tasks each.
 TASKS_PER_WORKER = 4
@@ -28,7 +36,7 @@
         cluster = await self.begin(
             workers=2,
             behave=lambda task, attempt: Work(timedelta(seconds=seconds)),
-            max_listed_ends=MAX_LISTED_ENDS,
+            worker_limits=LIMITS,
             **options,
         )
         await self.start_tasks()
@@ -95,7 +103,7 @@
         cluster = await self.begin(
             workers=2,
             behave=lambda task, attempt: Work(timedelta(milliseconds=300)),
-            max_listed_ends=1,
+            worker_limits=LIMITS._replace(listed_ends=1),
         )
         faults = cluster.find_owner().workers.faults
         faults.plan("start", *[FaultKind.LOSE_ANSWER] * TASKS)
@@ -131,7 +139,7 @@
             behave=lambda task, attempt: Work(
                 timedelta(seconds=20 if task.index == 0 else 1)
             ),
-            max_listed_ends=MAX_LISTED_ENDS,
+            worker_limits=LIMITS,
         )
         await cluster.submit("j1", make_job(StepSpec(4, SMALL, SECOND)))
         await cluster.wait(lambda: len(cluster.list_starts()) == 4)
