Move what a new owner takes over into a folder of its own

Cause: two modules were added flat beside more than fifty others. Change: predecessors holds the workers, the former owners and the inherited leases, with one public surface; no behaviour changes. Measured: 50 tests of takeovers, layers and the package.

--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -12,9 +12,9 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.formerowners import FormerOwners
 from damaskdeck.coordination.pools.memberlease import RETRY_DELAY, MemberLease
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.coordination.pools.predecessors import FormerOwners
 from damaskdeck.coordination.pools.succession import (
     DeposedOwners,
     find_stronger_member,
--- /dev/null
+++ b/src/damaskdeck/coordination/pools/predecessors/__init__.py
@@ -0,0 +1,19 @@
+"""What a new owner takes over from the owners before it.
+
+Workers that they may have used are read from the store; those that can't be read are
+waited for until the leases that earlier owners may have granted have expired.
+"""
+
+from damaskdeck.coordination.pools.predecessors.leases import InheritedLeases
+from damaskdeck.coordination.pools.predecessors.owners import FormerOwners
+from damaskdeck.coordination.pools.predecessors.workers import (
+    InheritedWorkers,
+    read_inherited_workers,
+)
+
+__all__ = [
+    "FormerOwners",
+    "InheritedLeases",
+    "InheritedWorkers",
+    "read_inherited_workers",
+]
--- a/src/damaskdeck/coordination/pools/inheritedleases.py
+++ b/src/damaskdeck/coordination/pools/predecessors/leases.py
@@ -1,12 +1,17 @@
 """The leases that earlier owners may have granted to workers that can't be read."""
 
+from typing import TYPE_CHECKING
+
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.leadership import Leadership
+from damaskdeck.coordination.pools.predecessors.owners import make_former
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.logs import get_logger
 from damaskdeck.state.jobrecords import FormerOwner
 
+if TYPE_CHECKING:
+    from damaskdeck.coordination.pools.leadership import Leadership
+
 _log = get_logger("workforce")
 
 
@@ -22,7 +27,7 @@
     """
 
     def __init__(
-        self, term: OwnerTerm, leadership: Leadership, clock: Clock, times: PoolTimes
+        self, term: OwnerTerm, leadership: "Leadership", clock: Clock, times: PoolTimes
     ) -> None:
         self._predecessor = term.predecessor
         self._leadership = leadership
@@ -62,7 +67,7 @@
                 self._predecessor_ended_at = self._now()
             elif self._leadership.is_gone(old.instance, old.incarnation):
                 self._predecessor_ended_at = self._now()
-                _log_end(FormerOwner(old.instance, old.incarnation))
+                _log_end(make_former(old))
         return self._predecessor_ended_at
 
     def _find_earlier_expiry(self) -> float:
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -11,12 +11,12 @@
 from damaskdeck.coordination.pools.capacityages import CapacityAges
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.cordons import Cordons
-from damaskdeck.coordination.pools.inheritedleases import InheritedLeases
 from damaskdeck.coordination.pools.inventories import ContactOwner
 from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
 from damaskdeck.coordination.pools.namesakes import Namesakes
 from damaskdeck.coordination.pools.passedorders import pass_orders
 from damaskdeck.coordination.pools.predecessors import (
+    InheritedLeases,
     InheritedWorkers,
     read_inherited_workers,
 )
--- a/tests/test_pools_takeover.py
+++ b/tests/test_pools_takeover.py
@@ -4,7 +4,7 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.coordination.pools.formerowners import FormerOwners
+from damaskdeck.coordination.pools.predecessors import FormerOwners
 from damaskdeck.errors import MessageError
 from damaskdeck.protocol.ports import Lost, Written
 from damaskdeck.protocol.queues import QueueJobState, StepSpec
