Log what the tasks of a step have waited for

Cause: the hypotheses on the users' LOST can't be told apart by the logs. Nothing says for how long a new owner held a job back, how long its step waited for the advisor after that, or which workers a new owner can't read. Change: "Ordered." and three latencies have the parts of the wait, one after the other, and each worker that a new owner can't read has a line with the time that it is waited for at most. No decision changes.

--- a/src/damaskdeck/coordination/pools/advice.py
+++ b/src/damaskdeck/coordination/pools/advice.py
@@ -50,15 +50,17 @@
     :ivar refused: The workers that may not run the step.
     :ivar requested: The workers named by queries that are queued or in flight.
     :ivar complete_until: No query is needed before this time.
+    :ivar answered_at: When the advisor first consented to a worker, ``None`` before.
     """
 
-    __slots__ = ("complete_until", "refused", "requested", "tickets")
+    __slots__ = ("answered_at", "complete_until", "refused", "requested", "tickets")
 
     def __init__(self) -> None:
         self.tickets: dict[str, tuple[str, float]] = {}
         self.refused: set[str] = set()
         self.requested: set[str] = set()
         self.complete_until = 0.0
+        self.answered_at: float | None = None
 
     def list_tickets(self, now: float, among: Iterable[str] | None) -> list[str]:
         """List the workers whose ticket stays valid long enough to be used.
@@ -274,6 +276,8 @@
         advice = self.get(query.step)
         until = now + query.timing.ticket_validity.total_seconds()
         consents = dict(reply["consents"])
+        if consents and advice.answered_at is None:
+            advice.answered_at = now
         queue = query.step.job.queue.name
         count = self._consent_counts.get(queue, ConsentCount())
         self._consent_counts[queue] = ConsentCount(
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -346,6 +346,7 @@
             if not job.has_unconfirmed_runs or self.may_have_started(job):
                 continue
             job.has_unconfirmed_runs = False
+            job.confirmed_at = self.now()
             for step in job.list_steps():
                 self.stop_if_incomplete(step)
             self.dispatcher.mark_changed(job)
--- a/src/damaskdeck/coordination/pools/pending.py
+++ b/src/damaskdeck/coordination/pools/pending.py
@@ -75,7 +75,7 @@
         """List the pending steps in the order in which they get capacity."""
         changed_jobs, self._changed_jobs = self._changed_jobs, {}
         for job in changed_jobs.values():
-            self._renew(job)
+            self._renew(job, now)
         ranked = [
             RankedStep(
                 compute_urgency(pending.step, pending.deadlines, now), name, pending
@@ -88,8 +88,8 @@
         ranked.sort(key=lambda entry: entry[:2])
         return ranked
 
-    def _renew(self, job: Job) -> None:
-        steps = {} if job.is_final else _list_pending(job)
+    def _renew(self, job: Job, now: float) -> None:
+        steps = {} if job.is_final else _list_pending(job, now)
         if self._shares is not None:
             self._shares.update_demand(
                 job, ((p.step, len(p.tasks)) for p in steps.values())
@@ -119,10 +119,15 @@
     return [key[-1] for key in keyed]
 
 
-def _list_pending(job: Job) -> dict[str, PendingStep]:
-    return {
-        step.name: PendingStep(step, tasks, find_deadlines(step))
-        for step in job.list_steps()
-        if not job.has_unconfirmed_runs or may_run_copies(step)
-        if step.is_due and (tasks := step.list_waiting())
-    }
+def _list_pending(job: Job, now: float) -> dict[str, PendingStep]:
+    pending = {}
+    for step in job.list_steps():
+        tasks = step.list_waiting() if step.is_due else []
+        if not tasks:
+            step.waiting_since = None
+            continue
+        if step.waiting_since is None:
+            step.waiting_since = now
+        if not job.has_unconfirmed_runs or may_run_copies(step):
+            pending[step.name] = PendingStep(step, tasks, find_deadlines(step))
+    return pending
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -11,6 +11,7 @@
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.planning import Plan
 from damaskdeck.coordination.pools.transfers import OwnerTerm
+from damaskdeck.coordination.pools.waits import measure_wait, record_wait
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
 from damaskdeck.state.pooljobs import Job, Run, RunPhase, Step, Task
@@ -95,6 +96,9 @@
         if not step.job.has_started:
             waited = timedelta(seconds=max(0.0, now - step.job.arrived_at))
             observe_wait("pools", str(step.job.queue.rank), waited)
+        wait = measure_wait(step, self._advice_scheduler.get(step), now)
+        record_wait(wait)
+        step.waiting_since = None
         _log.info(
             "Ordered.",
             id=step.job.identifier,
@@ -104,6 +108,7 @@
             workers=[candidate.key for _, candidate in plan],
             age=round(now - step.job.arrived_at, 3),
             epoch=self._owner.term.epoch,
+            **wait.describe(),
         )
         must_wait = self._record(step, [run for run, _ in runs])
         start_task(self._start(step, runs, must_wait), self._starts)
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -210,6 +210,14 @@
         session.birth.forget_answers()
         session.check_epoch(code)
         self.failed_polls += 1
+        if self.failed_polls == 1 and not session.lease.is_synchronized:
+            _log.info(
+                "A worker can't be read.",
+                worker=contact.info.identifier,
+                reason=str(code),
+                is_listed=contact.is_listed,
+                waits=round(contact.lease_until - now, 3),
+            )
         if contact.is_synchronized:
             contact.is_synchronized = False
             _log.warn(
--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -196,6 +196,8 @@
     :ivar constrained_since: since when there is no capacity where it runs best,
         ``None`` if there is.
     :ivar not_before: monotonic seconds until which a gang waits that could not start.
+    :ivar waiting_since: monotonic seconds since when tasks of it wait, ``None`` if none
+        does; counted anew after each order.
     """
 
     __slots__ = (
@@ -211,6 +213,7 @@
         "constrained_since",
         "spec",
         "tasks",
+        "waiting_since",
     )
 
     def __init__(
@@ -227,6 +230,7 @@
         self.failures: dict[int, set[int]] = {}
         self.crash_counts = CrashCounts()
         self.not_before = 0.0
+        self.waiting_since: float | None = None
         self.tasks = [
             Task(self, TaskName(job.identifier, occurrence, number, index))
             for index in range(spec.tasks)
@@ -332,6 +336,7 @@
     :ivar arrived_at: monotonic seconds when it was accepted, as far as known.
     :ivar has_unconfirmed_runs: whether an earlier owner may have started some of its
         tasks on a worker that has not answered yet.
+    :ivar confirmed_at: monotonic seconds since which that isn't the case any more.
     :ivar zones: zones whose workers may run it, durable; all when empty.
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
     :ivar recorded_starts: the starts of tasks that may have crashed workers.
@@ -343,6 +348,7 @@
         self.queue = record.queue
         self.arrived_at = arrived_at
         self.has_unconfirmed_runs = False
+        self.confirmed_at = float("-inf")
         self.zones = frozenset(record.zones)
         self.wider_zones: frozenset[str] | None = None
         self.recorded_starts = RecordedStarts()
