Let a successor wait for one lease, however the owner was lost

Cause: what callers saw: accepted jobs stand still for 7 to 13 s after a change of the owner beside lost workers. An owner extended leases to the longest one for as long as its owner lease lasted, 6 s after the last call that showed it named. So a successor waited for both, one after the other, unless the old process was known to have ended, and then still for a lease after that. The class: the wait was set against what the old owner may do, instead of the old owner against the wait. Change: no lease outlasts one lease after the last call that showed the owner named, and so one lease after the takeover, whether the old owner returns, is frozen, cut off or removed. A lease is two thirds of the longest. In an outage of the store for all, members that lack it too let the owner go on, and wait for that if they take over; a takeover needs the member key that owners know. Predecessors of earlier versions are waited for as before.

--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -64,8 +64,8 @@
     def get_table(self) -> QueueTable | None:
         """Return the declared queues in force."""
 
-    def may_decide(self) -> bool:
-        """Whether the owner lease is fresh enough to start tasks by."""
+    def may_order(self) -> bool:
+        """Whether tasks may be ordered at this moment."""
 
     def end_job(self, job: Job, state: QueueJobState, reason: str) -> None:
         """Set the final state of a job."""
@@ -197,7 +197,7 @@
         while True:
             await self._has_work.wait()
             self._has_work.clear()
-            if self._owner.may_decide() and not self._is_draining:
+            if self._owner.may_order() and not self._is_draining:
                 self._pass()
             await self._clock.sleep(PASS_INTERVAL)
 
@@ -503,7 +503,7 @@
         :returns: Whether there was a worker for it.
         """
         task, step = run.task, run.task.step
-        if not self._owner.may_decide():
+        if not self._owner.may_order():
             return False
         if not self._owner.account_limits.count_startable(step, 1):
             return False
--- a/src/damaskdeck/coordination/pools/jobfrontend.py
+++ b/src/damaskdeck/coordination/pools/jobfrontend.py
@@ -110,7 +110,7 @@
         self._on_owner_epoch = on_owner_epoch
         # By the identifier of the job and the caller's account and queue.
         self._final_states: dict[tuple[str, str, str], QueueJobState] = {}
-        self._zone_capacities = ZoneCapacities(clock, times.lease)
+        self._zone_capacities = ZoneCapacities(clock, times.owner_lease)
         self._delegates = Delegates(instance, leadership, clock)
         self._submitter = JobSubmitter(
             store,
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.memberlease import RETRY_DELAY, MemberLease
@@ -23,6 +24,8 @@
 )
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import (
+    NO_GRANTS,
+    GrantBounds,
     OwnerTerm,
     build_release,
     build_takeover,
@@ -45,6 +48,7 @@
     read_all,
 )
 from damaskdeck.state.jobrecords import (
+    BOUNDED_LEASES,
     CONTROL_PREFIX,
     FENCE_KEY,
     FIRST_EPOCH,
@@ -52,9 +56,11 @@
     LEAD_KEY,
     MEMBERS_PREFIX,
     OWNER_KEY,
+    TERM_KEY,
     FormerOwner,
     MemberRecord,
     OwnerRecord,
+    TermRecord,
     decode_record,
     encode_record,
 )
@@ -75,6 +81,20 @@
 _log = get_logger("leadership")
 
 
+class Registration(NamedTuple):
+    """How a daemon's member key was written.
+
+    :param revision: of the key, 0 if it isn't written.
+    :param at: when that was known, in monotonic seconds, infinite before that.
+    :param membership: the same as long as each owner that has once known this daemon
+        has to ask it for grants, see :meth:`Leadership.list_remembered`.
+    """
+
+    revision: int
+    at: float
+    membership: int
+
+
 class Leadership:
     """Membership of this daemon and election of the owner.
 
@@ -103,6 +123,9 @@
             member, store, clock, times, lambda: self._wakeup.set()
         )
         self._members: dict[str, MemberRecord] = {}
+        self._member_revisions: dict[str, int] = {}
+        # When the key of each member was seen to be gone.
+        self._vanished: dict[str, float] = {}
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
         self._owner_seen_at = 0.0
@@ -114,6 +137,8 @@
         self._is_synced = False
         self._store_failed_at = float("-inf")
         self._confirmed_at = float("-inf")
+        self._members_known_at = float("-inf")
+        self._guarantees: dict[int, tuple[str, ...]] = {}
         self._wakeup = asyncio.Event()
         self._changed = asyncio.Event()
         self._suspected_epoch = 0
@@ -123,6 +148,20 @@
         self._term: OwnerTerm | None = None
         # Whether the owner was seen alive recently; set by the monitor of the owner.
         self.is_owner_alive: Callable[[], bool] = lambda: False
+        # Until when all members let this owner act without the store; set by the outage
+        # grants.
+        self.get_outage_grant: Callable[[], float] = lambda: float("-inf")
+        # Until when earlier owners' leases may last because of grants: by what this
+        # member has granted, and by what others report; set likewise.
+        self.find_own_bounds: Callable[[int, Registration], GrantBounds] = (
+            lambda predecessor, registration: NO_GRANTS
+        )
+        self.find_grant_bounds: Callable[[], GrantBounds] = lambda: NO_GRANTS
+
+    @property
+    def instance(self) -> str:
+        """The name of this daemon."""
+        return self._member.instance
 
     @property
     def owner(self) -> OwnerRecord | None:
@@ -148,6 +187,12 @@
         """List the daemons that were last seen alive."""
         return sorted(self._members)
 
+    def list_remembered(self) -> list[str]:
+        """List the other members, and those whose keys have vanished recently."""
+        latest = self._now() - self._times.member_memory.total_seconds()
+        self._vanished = {n: at for n, at in self._vanished.items() if at >= latest}
+        return sorted((self._members.keys() | self._vanished) - {self.instance})
+
     def list_successors(self) -> list[str]:
         """List the members in the order in which they should succeed the owner."""
         own, owner = self._member.instance, self._owner
@@ -189,6 +234,62 @@
         age = self._clock.monotonic().total_seconds() - self._confirmed_at
         return age < self._times.owner_lease.total_seconds()
 
+    def find_lease_limit(self) -> float:
+        """Return the monotonic time beyond which no lease may be granted to a worker.
+
+        Whoever takes over waits until leases within this limit have expired, whether
+        or not this daemon is known to have ended.
+        """
+        if self._term is None:
+            return float("-inf")
+        lease = self._times.lease_expiry.total_seconds()
+        limit = self._confirmed_at + lease
+        now = self._now()
+        outage_ends_at = (
+            self._members_known_at + self._times.outage_lease.total_seconds()
+        )
+        if now < min(self.get_outage_grant(), outage_ends_at):
+            limit = max(limit, now + lease)
+        return limit
+
+    def may_order(self) -> bool:
+        """Whether workers may be sent orders, see :meth:`find_lease_limit`."""
+        return self.may_decide() and self._now() < self.find_lease_limit()
+
+    def measure_confirmation_age(self) -> timedelta:
+        """Return how long ago the last call was sent that showed this owner named."""
+        return timedelta(seconds=self._now() - self._confirmed_at)
+
+    def measure_store_silence(self) -> timedelta:
+        """Return the time since the store last answered this daemon."""
+        return self._store.measure_silence()
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+    def knows_member(self, name: str, revision: int) -> bool:
+        """Whether the control keys were seen with a revision of a member's key."""
+        return name in self._members and self._member_revisions.get(name) == revision
+
+    def has_guarantee(self, epoch: int, name: str) -> bool:
+        """Whether the owner of an epoch is known to have given a guarantee."""
+        return name in self._guarantees.get(epoch, ())
+
+    @property
+    def registration(self) -> Registration:
+        """How this daemon's member key was last written."""
+        lease = self._member_lease
+        return Registration(lease.key_revision, lease.key_written_at, lease.membership)
+
+    async def is_registered(self, registration: Registration) -> bool:
+        """Whether the member key is still in the store as it was written."""
+        found = await self._store.read(self._member_lease.key)
+        return (
+            isinstance(found, Found)
+            and found.entry.revision == registration.revision
+            and self.registration == registration
+        )
+
     def confirm(self, since: float) -> None:
         """Record that the store named this daemon as the owner.
 
@@ -249,32 +350,42 @@
     async def run(self) -> None:
         """Maintain the member lease, follow the control keys and join elections."""
         await asyncio.gather(
-            self._member_lease.run(), self._follow_control_keys(), self._run_elections()
+            self._member_lease.run(),
+            self._follow_control_keys(),
+            self._run_elections(),
         )
 
     # Control keys ------------------------------------------------------------
 
     async def _follow_control_keys(self) -> None:
         revision = 0
+        has_failed = False
         while True:
             sent_at = self._clock.monotonic().total_seconds()
             if not revision:
                 revision = await self._list_control_keys(sent_at)
                 continue
-            events = await self._store.watch(
-                CONTROL_PREFIX, revision, self._times.control_wait
-            )
+            # After a failure, the first answer tells whether this owner is still named.
+            wait = timedelta() if has_failed else self._find_control_wait()
+            events = await self._store.watch(CONTROL_PREFIX, revision, wait)
+            has_failed = not isinstance(events, Events)
             if isinstance(events, Events):
                 for event in events.events:
                     self._apply(event.key, event.value, event.revision)
                 revision = events.revision
                 self._record_contact(sent_at)
+                if self._term is not None:
+                    await self._guarantee_bounded_leases(self._term)
             elif isinstance(events, RevisionTooOld):
                 revision = 0
             else:
                 self._store_failed_at = self._clock.monotonic().total_seconds()
                 await self._clock.sleep(RETRY_DELAY)
 
+    def _find_control_wait(self) -> timedelta:
+        is_owner = self._term is not None
+        return self._times.owner_wait if is_owner else self._times.control_wait
+
     async def _list_control_keys(self, sent_at: float) -> int:
         found = await read_all(self._store, CONTROL_PREFIX)
         if not isinstance(found, tuple) or not isinstance(found[0], tuple):
@@ -285,7 +396,7 @@
         present = {entry.key for entry in entries}
         for name in list(self._members):
             if MEMBERS_PREFIX + name not in present:
-                del self._members[name]
+                self._remove_member(name)
                 self._changed.set()
         for entry in entries:
             self._apply(entry.key, entry.value, entry.revision)
@@ -295,10 +406,24 @@
         return revision
 
     def _record_contact(self, sent_at: float) -> None:
+        self._members_known_at = max(self._members_known_at, sent_at)
         if self._term is not None:
             self.confirm(sent_at)
         self._wakeup.set()
 
+    async def _guarantee_bounded_leases(self, term: OwnerTerm) -> None:
+        """Record the guarantee once the leases of earlier versions have expired."""
+        if self.has_guarantee(term.epoch, BOUNDED_LEASES):
+            return
+        if self._now() < term.begun_at + self._times.takeover_wait.total_seconds():
+            return
+        record = TermRecord(term.epoch, (BOUNDED_LEASES,))
+        await self._store.commit(
+            Transaction(
+                ((OWNER_KEY, term.revision),), (Write(TERM_KEY, encode_record(record)),)
+            )
+        )
+
     def _apply(self, key: str, value: bytes | None, revision: int) -> None:
         try:
             self._changed.set()
@@ -308,16 +433,25 @@
                 self._has_lead = value is not None
             elif key == FORMER_OWNERS_KEY:
                 self._former_owners.apply(value)
+            elif key == TERM_KEY and value is not None:
+                record = decode_record(TermRecord, value)
+                self._guarantees[record.epoch] = record.guarantees
             elif key.startswith(MEMBERS_PREFIX):
-                self._apply_member(key.removeprefix(MEMBERS_PREFIX), value)
+                self._apply_member(key.removeprefix(MEMBERS_PREFIX), value, revision)
         except MessageError as error:
             _log.error("A control key can't be read.", key=key, error=str(error))
 
-    def _apply_member(self, name: str, value: bytes | None) -> None:
+    def _apply_member(self, name: str, value: bytes | None, revision: int) -> None:
+        self._member_revisions[name] = revision
         if value is None:
-            self._members.pop(name, None)
+            self._remove_member(name)
         else:
             self._members[name] = decode_record(MemberRecord, value)
+            self._vanished.pop(name, None)
+
+    def _remove_member(self, name: str) -> None:
+        if self._members.pop(name, None) is not None:
+            self._vanished[name] = self._now()
 
     def _apply_owner(self, value: bytes | None, revision: int) -> None:
         if value is None or revision < self._owner_revision:
@@ -353,7 +487,11 @@
         while True:
             await self._wakeup.wait()
             self._wakeup.clear()
-            if self._is_leaving or not self._is_synced or not self._member_lease.lease:
+            if (
+                self._is_leaving
+                or not self._is_synced
+                or not self._member_lease.is_registered
+            ):
                 continue
             if self._term is not None:
                 if not self._has_lead:
@@ -431,15 +569,24 @@
         earlier = self._list_earlier_owners()
         former = self._former_owners.list_all(old, earlier)
         term = OwnerTerm(epoch, 0, 0, old, self._owner_seen_at, earlier)
+        is_bounded = old is None or self.has_guarantee(old.epoch, BOUNDED_LEASES)
+        guarantees = (BOUNDED_LEASES,) if is_bounded else ()
+        registration = self.registration
         for _ in range(MAX_TAKEOVER_ATTEMPTS):
             sent_at = self._clock.monotonic().total_seconds()
             result = await self._store.commit(
                 build_takeover(
-                    record, former, revision, fence, self._member_lease.lease
+                    record,
+                    guarantees,
+                    former,
+                    revision,
+                    fence,
+                    (self._member_lease.key, registration.revision),
+                    self._member_lease.lease,
                 )
             )
             if isinstance(result, Written):
-                self._begin_term(record, term, result.revision, sent_at)
+                self._begin_term(record, term, registration, result.revision, sent_at)
                 return
             if not isinstance(result, Mismatch):
                 break
@@ -447,21 +594,29 @@
             if (found.revision if found is not None else 0) != revision:
                 self.refresh(found)
                 return
+            member = result.find(self._member_lease.key)
+            if (member.revision if member is not None else 0) != registration.revision:
+                # Owners may not know this daemon, so it counts as a new member.
+                await self._member_lease.restore_key()
+                self._wakeup.set()
+                return
             entry = result.find(FENCE_KEY)
             fence = entry.revision if entry is not None else 0
         if isinstance(result, Lapsed):
             self._member_lease.discard_lease()
-        await self._check_takeover(record, term)
+        await self._check_takeover(record, term, registration)
 
     def _list_earlier_owners(self) -> tuple[FormerOwner, ...] | None:
         """List the owners before the present one that may still extend leases."""
         if self._owner is None:
             return ()
         owned_for = self._clock.monotonic().total_seconds() - self._owner_seen_at
-        has_long_owned = owned_for >= self._times.owner_lease.total_seconds()
+        has_long_owned = owned_for >= self._times.takeover_wait.total_seconds()
         return self._former_owners.list_earlier(self._owner, has_long_owned)
 
-    async def _check_takeover(self, record: OwnerRecord, term: OwnerTerm) -> None:
+    async def _check_takeover(
+        self, record: OwnerRecord, term: OwnerTerm, registration: Registration
+    ) -> None:
         """Read whether a takeover without an answer took effect."""
         sent_at = self._clock.monotonic().total_seconds()
         found = await self._store.read(OWNER_KEY)
@@ -469,7 +624,7 @@
             entry: Entry = found.entry
             self._apply(OWNER_KEY, entry.value, entry.revision)
             if self._owner == record:
-                self._begin_term(record, term, entry.revision, sent_at)
+                self._begin_term(record, term, registration, entry.revision, sent_at)
                 return
         await self._clock.sleep(RETRY_DELAY)
         self._wakeup.set()
@@ -478,12 +633,14 @@
         self,
         record: OwnerRecord,
         term: OwnerTerm,
+        registration: Registration,
         revision: int,
         sent_at: float,
     ) -> None:
         """Begin a term.
 
         :param term: the term without its revisions.
+        :param registration: of this daemon when it took over.
         :param revision: of the commit that the term begins with.
         :param sent_at: when the call that showed it was sent, in monotonic seconds.
         """
@@ -496,7 +653,12 @@
         self._owner, self._owner_revision = record, revision
         self._has_lead = True
         self.confirm(sent_at)
-        self._term = term._replace(revision=revision, fence=revision)
+        self._term = term._replace(
+            revision=revision,
+            fence=revision,
+            begun_at=self._now(),
+            grant_bounds=self.find_own_bounds(record.epoch - 1, registration),
+        )
         self._changed.set()
         _log.info("Owner of the pools.", epoch=record.epoch, revision=revision)
         self._on_elected(self._term)
--- a/src/damaskdeck/coordination/pools/memberlease.py
+++ b/src/damaskdeck/coordination/pools/memberlease.py
@@ -26,6 +26,11 @@
     :param member: what this daemon publishes about itself.
     :param on_registered: called when the key has been written.
     :ivar lease: the lease, an empty string if there is none.
+    :ivar key_revision: the revision of the member key as this daemon last wrote it, 0
+        before that.
+    :ivar key_written_at: when that was known, in monotonic seconds.
+    :ivar membership: changes when the key may have been away for longer than an owner
+        remembers members whose keys are gone.
     """
 
     def __init__(
@@ -37,6 +42,10 @@
         on_registered: Callable[[], None],
     ) -> None:
         self.lease = ""
+        self.key_revision = 0
+        self.key_written_at = float("inf")
+        self.membership = 0
+        self._present_at = float("-inf")
         self._member = member
         self._store = store
         self._clock = clock
@@ -52,9 +61,20 @@
             for probe in self._probes:
                 probe.cancel()
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether the member key has been written under the present lease."""
+        return bool(self.lease and self.key_revision)
+
+    @property
+    def key(self) -> str:
+        """The member key."""
+        return MEMBERS_PREFIX + self._member.instance
+
     def discard_lease(self) -> None:
         """Discard a lease that the store no longer knows."""
         self.lease = ""
+        self.key_revision = 0
 
     async def _maintain(self) -> None:
         while True:
@@ -62,15 +82,18 @@
                 granted = await self._store.grant_lease(self._times.member_ttl)
                 if isinstance(granted, Granted):
                     self.lease = granted.lease
-                    await self._write_key()
+                    await self.write_key()
                 else:
                     await self._sleep_before_retry()
                 continue
             await self._clock.sleep(self._times.member_renewal)
+            sent_at = self._now()
             renewed = await self._store.renew_lease(self.lease)
+            if isinstance(renewed, Granted) and self.key_revision:
+                self._present_at = sent_at
             if isinstance(renewed, Lapsed):
                 _log.warn("The member's lease lapsed.", lease=self.lease)
-                self.lease = ""
+                self.discard_lease()
 
     async def _probe_store(self) -> None:
         """Call a failing store repeatedly, whatever other calls are in flight.
@@ -88,15 +111,27 @@
     async def _renew(self, lease: str) -> None:
         await self._store.renew_lease(lease)
 
-    async def _write_key(self) -> None:
+    async def restore_key(self) -> None:
+        """Write the member key anew, which has vanished from the store."""
+        self._present_at = float("-inf")
+        await self.write_key()
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+    async def write_key(self) -> None:
         """Write the member key; a repeated write is harmless, its value is the same."""
-        key = MEMBERS_PREFIX + self._member.instance
-        write = Write(key, encode_record(self._member), self.lease)
+        write = Write(self.key, encode_record(self._member), self.lease)
         while self.lease:
             result = await self._store.commit(Transaction(writes=(write,)))
             if isinstance(result, Lapsed):
-                self.lease = ""
+                self.discard_lease()
             elif isinstance(result, Written):
+                now = self.key_written_at = self._now()
+                self.key_revision = result.revision
+                if now - self._present_at > self._times.member_memory.total_seconds():
+                    self.membership += 1
+                self._present_at = now
                 self._on_registered()
                 return
             else:
@@ -107,5 +142,4 @@
 
     async def leave(self) -> None:
         """Remove the member key, so that no peer forwards to this daemon."""
-        key = MEMBERS_PREFIX + self._member.instance
-        await self._store.commit(Transaction(removals=(key,)))
+        await self._store.commit(Transaction(removals=(self.key,)))
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -173,6 +173,10 @@
         """Whether the owner lease allows decisions at this moment."""
         return self._shared.leadership.may_decide()
 
+    def may_order(self) -> bool:
+        """Whether tasks may be ordered at this moment."""
+        return self._shared.leadership.may_order()
+
     # Lifecycle ---------------------------------------------------------------
 
     async def run(self) -> None:
--- a/src/damaskdeck/coordination/pools/passedorders.py
+++ b/src/damaskdeck/coordination/pools/passedorders.py
@@ -62,7 +62,7 @@
 
     Their runs keep counting towards the quotas of their accounts.
     """
-    until = now + (times.start_window + times.lease_expiry).total_seconds()
+    until = now + (times.start_window + times.longest_lease_expiry).total_seconds()
     for run in contact.list_unlisted_runs():
         contact.take_run(run)
         run.move(successor.info.identifier, now)
--- a/src/damaskdeck/coordination/pools/predecessors/leases.py
+++ b/src/damaskdeck/coordination/pools/predecessors/leases.py
@@ -4,10 +4,10 @@
 
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.predecessors.owners import make_former
-from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.times import CLOCK_DRIFT, PoolTimes
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.logs import get_logger
-from damaskdeck.state.jobrecords import FormerOwner
+from damaskdeck.state.jobrecords import BOUNDED_LEASES, FormerOwner
 
 if TYPE_CHECKING:
     from damaskdeck.coordination.pools.leadership import Leadership
@@ -18,10 +18,13 @@
 class InheritedLeases:
     """Bounds the leases of earlier owners during one owner term.
 
-    An owner that is only cut off extends leases until its owner lease has expired. It
-    extends none once it has handed over or its process has ended, which may become
-    known during the term. The owners before the predecessor had been deposed when this
-    daemon first saw that one.
+    An owner grants leases within a limit that counts from the last call which showed it
+    named, and so from before the takeover, unless this daemon or all others let it go
+    on without the store. It grants none once it has handed over or its process has
+    ended, which may become known during the term.
+
+    Owners of earlier versions extend leases until their owner lease has expired; those
+    before the predecessor had been deposed when this daemon first saw that one.
 
     All times are monotonic seconds.
     """
@@ -30,16 +33,22 @@
         self, term: OwnerTerm, leadership: "Leadership", clock: Clock, times: PoolTimes
     ) -> None:
         self._predecessor = term.predecessor
+        self._begun_at = term.begun_at
         self._leadership = leadership
         self._clock = clock
-        self._lease_expiry = times.lease_expiry.total_seconds()
+        # The clock of the daemon that has granted a lease may be slower.
+        self._lease_expiry = times.lease_expiry.total_seconds() * (1 + CLOCK_DRIFT)
+        self._longest_expiry = times.longest_lease_expiry.total_seconds()
+        self._start_window = times.start_window.total_seconds()
         self._takeover_wait = times.takeover_wait.total_seconds()
         self._predecessor_ended_at: float | None = None
         self._earlier = term.earlier
         self._earlier_ended_at = float("-inf")
         self._earlier_until = term.predecessor_seen_at + self._takeover_wait
 
-    def find_expiry(self, since: float, is_silent: bool = False) -> float:
+    def find_expiry(
+        self, since: float, is_silent: bool = False, may_have_returned: bool = False
+    ) -> float:
         """Return when all leases on a worker that was not read have expired.
 
         The result becomes earlier once earlier owners are known to have ended.
@@ -47,16 +56,37 @@
         :param since: when this owner learned of the worker.
         :param is_silent: whether an earlier owner had read the worker, which therefore
             refuses the owners before, and had stopped extending its lease.
+        :param may_have_returned: whether another incarnation may have its name, whose
+            clock doesn't show that an order or a lease has expired.
         """
         if self._predecessor is None:
             return since
+        if not self._leadership.has_guarantee(self._predecessor.epoch, BOUNDED_LEASES):
+            return self._find_unbounded_expiry(since, is_silent)
+        extra = 0.0
+        if may_have_returned:
+            extra = self._start_window + self._longest_expiry - self._lease_expiry
+        return self._find_bounded_expiry() + extra
+
+    def _find_bounded_expiry(self) -> float:
+        bounds = self._leadership.find_grant_bounds()
+        predecessor, earlier = bounds
+        if (ended_at := self._find_predecessor_end()) is not None:
+            predecessor = min(predecessor, ended_at + self._lease_expiry)
+        self._find_earlier_expiry()
+        if self._earlier is not None and not self._earlier:
+            earlier = min(earlier, self._earlier_ended_at + self._lease_expiry)
+        return max(self._begun_at + self._lease_expiry, predecessor, earlier)
+
+    def _find_unbounded_expiry(self, since: float, is_silent: bool) -> float:
+        """Return when the leases of owners of earlier versions have expired."""
         if is_silent:
-            return since + self._lease_expiry
+            return since + self._longest_expiry
         ended_at = self._find_predecessor_end()
         if ended_at is None:
             until = since + self._takeover_wait
         else:
-            until = max(since, ended_at) + self._lease_expiry
+            until = max(since, ended_at) + self._longest_expiry
         return max(until, self._find_earlier_expiry())
 
     def _find_predecessor_end(self) -> float | None:
@@ -82,7 +112,7 @@
                 _log_end(owner)
         if self._earlier:
             return self._earlier_until
-        return min(self._earlier_until, self._earlier_ended_at + self._lease_expiry)
+        return min(self._earlier_until, self._earlier_ended_at + self._longest_expiry)
 
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -43,8 +43,8 @@
     def stop(self, run: Run) -> None:
         """Request the worker of a run to end it."""
 
-    def may_decide(self) -> bool:
-        """Whether the owner lease is fresh enough to start tasks by."""
+    def may_order(self) -> bool:
+        """Whether tasks may be ordered at this moment."""
 
     def mark_dirty(self, job: Job) -> None:
         """Write the progress of a job with the next commit."""
@@ -132,7 +132,7 @@
     ) -> bool:
         """Wait until starts are recorded; return whether they may be ordered."""
         is_durable = await self._flush()
-        may_send = self._owner.may_decide() and all(c.may_send(r) for r, c in runs)
+        may_send = self._owner.may_order() and all(c.may_send(r) for r, c in runs)
         if is_durable and may_send:
             now = self._owner.now()
             for run, contact in runs:
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -6,6 +6,12 @@
 # Fraction by which a worker's steady clock may be slower than the local one (the
 # platform's bound).
 CLOCK_SLOWNESS = 0.02
+# Fraction by which the clocks of two daemons may drift apart.
+CLOCK_DRIFT = 0.01
+# Share of the longest lease that workers are granted. Everything on a worker that can't
+# be read has ended within such a lease of a takeover, which leaves time to notice the
+# loss of the owner and to start the tasks elsewhere.
+LEASE_SHARE = 2 / 3
 # A document counts as current for this much less than its bound allows, as an order
 # takes at most a tenth of a second on workers that answer.
 FRESHNESS_MARGIN = timedelta(milliseconds=250)
@@ -51,9 +57,15 @@
     member_ttl: timedelta
     member_renewal: timedelta
     control_wait: timedelta
+    owner_wait: timedelta
     owner_lease: timedelta
     lease: timedelta
     lease_expiry: timedelta
+    longest_lease_expiry: timedelta
+    outage_grant: timedelta
+    outage_lease: timedelta
+    newcomer_wait: timedelta
+    member_memory: timedelta
     takeover_wait: timedelta
     poll_wait: timedelta
     start_window: timedelta
@@ -73,17 +85,25 @@
 def derive_times(bounds: PoolBounds) -> PoolTimes:
     """Derive all times.
 
-    Safety rests on these sums. A worker's tasks have ended ``lease_expiry`` after the
-    last renewal reached it. A deposed owner renews nothing once ``owner_lease`` has
-    passed since the store last named it. So nothing that the old owner ordered runs
-    ``takeover_wait`` after a takeover on a worker that did not answer.
+    Safety rests on these sums. No lease that an owner grants to a worker outlasts
+    ``lease_expiry`` after the last call that showed it named in the store, so nothing
+    that it ordered runs ``lease_expiry`` after a takeover. The exception is an outage
+    of the store for all members: while each of them has granted it that for
+    ``outage_grant``, an owner extends leases until ``outage_lease`` after it last knew
+    all members. A member that has granted it waits for the grant and for
+    ``lease_expiry`` after that; one that the owner may not have known waits until
+    ``newcomer_wait`` after it became a member.
+
+    Owners of earlier versions extend leases to the longest one for ``owner_lease``
+    after that call, so ``takeover_wait`` is the wait for these.
     """
-    lease = bounds.max_worker_lease
+    lease = bounds.max_worker_lease * LEASE_SHARE
     lease_expiry = lease / (1 - CLOCK_SLOWNESS)
-    # As long as a worker lease: an owner that cannot reach the store extends the leases
-    # of its workers for that time, and only then lets them run out. This doubles the
-    # outage that tasks survive.
-    owner_lease = lease
+    longest_lease_expiry = bounds.max_worker_lease / (1 - CLOCK_SLOWNESS)
+    owner_lease = bounds.max_worker_lease
+    # With the lease after that, tasks survive an outage of twice the longest lease.
+    outage_lease = 2 * bounds.max_worker_lease - lease
+    newcomer_wait = outage_lease + lease_expiry
     member_ttl = max(bounds.min_store_lease, timedelta(milliseconds=1200))
     # A worker that stops answering is noticed within little more than this time.
     poll_wait = min(timedelta(milliseconds=500), lease / 8)
@@ -93,10 +113,20 @@
         member_renewal=member_ttl / 4,
         # The maximum time between two confirmations of the owner by the store.
         control_wait=timedelta(milliseconds=1500),
+        # The same for the owner, whose worker leases count from such a confirmation.
+        owner_wait=timedelta(milliseconds=350),
         owner_lease=owner_lease,
         lease=lease,
         lease_expiry=lease_expiry,
-        takeover_wait=owner_lease + lease_expiry,
+        longest_lease_expiry=longest_lease_expiry,
+        # Two requests for a grant may get no reply.
+        outage_grant=timedelta(milliseconds=1500),
+        outage_lease=outage_lease,
+        newcomer_wait=newcomer_wait,
+        # So long an owner asks a member for grants whose key has vanished: the key may
+        # have been lost in an outage.
+        member_memory=newcomer_wait,
+        takeover_wait=owner_lease + longest_lease_expiry,
         poll_wait=poll_wait,
         # An order that is delayed longer by the network is refused as late.
         start_window=timedelta(milliseconds=1200),
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -209,7 +209,8 @@
 
     async def _wait_for_unknown_workers(self) -> None:
         """Wait until nothing can run on the workers of an unreadable roster."""
-        dependencies, find_expiry = self._dependencies, self._bound_inherited_leases()
+        dependencies = self._dependencies
+        find_expiry = self._bound_inherited_leases(may_have_returned=True)
         while self._now() < find_expiry():
             await dependencies.clock.sleep(RETRY_DELAY)
         while not await dependencies.leadership.is_confirmed_since(find_expiry()):
@@ -272,18 +273,26 @@
 
         return Write(ROSTER_KEY, encode_record(roster)), mark_durable
 
-    def _bound_inherited_leases(self, is_silent: bool = False) -> Callable[[], float]:
+    def _bound_inherited_leases(
+        self, is_silent: bool = False, may_have_returned: bool = False
+    ) -> Callable[[], float]:
         """Return a function that bounds the leases of a worker known from now on.
 
-        :param is_silent: whether the previous owner had already stopped extending the
-            lease.
+        The parameters are those of :meth:`InheritedLeases.find_expiry`.
         """
-        return partial(self._inherited_leases.find_expiry, self._now(), is_silent)
+        return partial(
+            self._inherited_leases.find_expiry,
+            self._now(),
+            is_silent,
+            may_have_returned,
+        )
 
     def _add_contact(
         self, worker: PoolWorker, is_silent: bool = False
     ) -> WorkerContact:
         dependencies = self._dependencies
+        incarnation = WorkerIncarnation.parse(worker.identifier)
+        may_have_returned = incarnation.born is not None
         contact = WorkerContact(
             worker,
             self._term,
@@ -292,7 +301,7 @@
             dependencies.leadership,
             dependencies.clock,
             dependencies.times,
-            self._bound_inherited_leases(is_silent),
+            self._bound_inherited_leases(is_silent, may_have_returned),
             dependencies.delay,
         )
         self.contacts[worker.identifier] = contact
--- a/src/damaskdeck/coordination/pools/workerlease.py
+++ b/src/damaskdeck/coordination/pools/workerlease.py
@@ -70,12 +70,19 @@
             return float("inf")
         return max(0.0, (self.estimate_clock(now) - clock).total_seconds())
 
-    def extend(self, now: float, lease: timedelta) -> timedelta:
+    def extend(self, now: float, lease: timedelta, limit: float) -> timedelta | None:
         """Extend the lease to ``lease`` from now; bound its expiry by the local clock.
 
-        :returns: the end of the lease by the worker's clock, to be sent to the worker.
+        :param limit: monotonic seconds beyond which the lease must not last, also if
+            the worker's clock is slow.
+        :returns: the end of the lease by the worker's clock, to be sent to the worker;
+            ``None`` if nothing can be granted within the limit.
         """
-        elapsed = now - self._clock_read_at
-        duration = (elapsed + lease.total_seconds()) / (1 - CLOCK_SLOWNESS)
-        self.extend_until(self._clock_read_at + duration)
-        return self.estimate_clock(now) + lease
+        assert self._worker_clock is not None
+        read_at, pace = self._clock_read_at, 1 - CLOCK_SLOWNESS
+        elapsed = now - read_at
+        duration = min(elapsed + lease.total_seconds(), (limit - read_at) * pace)
+        if duration <= elapsed:
+            return None
+        self.extend_until(read_at + duration / pace)
+        return self._worker_clock + timedelta(seconds=duration)
--- a/src/damaskdeck/coordination/pools/workerorders.py
+++ b/src/damaskdeck/coordination/pools/workerorders.py
@@ -17,7 +17,7 @@
     StartResult,
     TaskStart,
 )
-from damaskdeck.protocol.ports import Lost
+from damaskdeck.protocol.ports import Lost, Rejected
 from damaskdeck.protocol.queues import TaskName
 from damaskdeck.state.pooljobs import Run, RunPhase
 
@@ -67,8 +67,11 @@
         if contact.is_gone and session.birth.is_reported:
             # The next incarnation would carry out the order.
             return False
+        deadline = session.extend_lease(session.times.start_window)
+        if deadline is None:
+            self._handle_failed_start(run, Rejected("owner_unconfirmed"), session.now())
+            return False
         now = session.now()
-        deadline = session.lease.extend(now, session.times.start_window)
         order = TaskStart(
             run.task.name, run.attempt, payload, deadline, checkpoint, ticket
         )
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -93,7 +93,7 @@
         # The next incarnation would count its own ends as observed, and extend its
         # lease by a time on the clock of this one.
         is_confirmed = session.birth.is_confirmed(sent_at)
-        deadline = self._find_deadline(sent_at) if is_confirmed else None
+        deadline = self._find_deadline() if is_confirmed else None
         is_idle = deadline is None and not (
             contact.is_synchronized and contact.is_cordoned
         )
@@ -132,7 +132,7 @@
             self._owner.handle_next_incarnation(contact, answer.born)
         return match is BirthMatch.SAME
 
-    def _find_deadline(self, now: float) -> timedelta | None:
+    def _find_deadline(self) -> timedelta | None:
         """Return the deadline to extend the lease to, by the worker's clock.
 
         The lease of a silent worker is not extended: it might be extended without an
@@ -141,9 +141,7 @@
         contact, session = self._contact, self._session
         if not contact.is_synchronized or not contact.may_extend_lease:
             return None
-        if not session.leadership.may_decide():
-            return None
-        return session.lease.extend(now, session.times.lease)
+        return session.extend_lease(session.times.lease)
 
     async def _call_poll(
         self, observed: int, deadline: timedelta | None, wait: timedelta
@@ -176,9 +174,10 @@
         if not session.lease.is_synchronized:
             # From now on the worker refuses previous owners, but the leases that they
             # have granted have to expire first.
+            longest = session.times.longest_lease_expiry.total_seconds()
             session.lease.replace_inherited(
                 max(
-                    now + session.times.lease_expiry.total_seconds(),
+                    min(contact.lease_until, now + longest),
                     self._orders.passed.lease_until,
                 )
             )
--- a/src/damaskdeck/coordination/pools/workersession.py
+++ b/src/damaskdeck/coordination/pools/workersession.py
@@ -40,6 +40,13 @@
         """Return the monotonic time in seconds."""
         return self.clock.monotonic().total_seconds()
 
+    def extend_lease(self, lease: timedelta) -> timedelta | None:
+        """Extend the worker's lease from now, as far as this owner may.
+
+        :returns: as :meth:`WorkerLease.extend`.
+        """
+        return self.lease.extend(self.now(), lease, self.leadership.find_lease_limit())
+
     def record_clock(self, clock: timedelta, now: float) -> None:
         """Record the clock in an answer without a birth.
 
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -17,6 +17,7 @@
 from damaskdeck.coordination.pools.jobfrontend import JobFrontend
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.coordination.pools.outagegrants import OutageGrants
 from damaskdeck.coordination.pools.owner import OwnerDependencies, PoolOwner
 from damaskdeck.coordination.pools.ownermonitor import OwnerMonitor
 from damaskdeck.coordination.pools.status import PoolStatus, build_sections
@@ -146,6 +147,9 @@
             clock,
             self.get_epoch,
         )
+        self._outage_grants = OutageGrants(
+            self._network, self.leadership, clock, self._times
+        )
         self._delegating_store = DelegatingStore(
             self._store,
             self._network,
@@ -360,6 +364,7 @@
             asyncio.ensure_future(self.leadership.run()),
             asyncio.ensure_future(self.declarations.run()),
             asyncio.ensure_future(self.owner_monitor.run()),
+            asyncio.ensure_future(self._outage_grants.run()),
             asyncio.ensure_future(
                 self._loop_delay.run(self._clock, lambda: self._owner is not None)
             ),
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -223,6 +223,68 @@
     absent: list[str]
 
 
+@message("pool.outage_grant")
+class GiveOutageGrant(TypedDict):
+    """Whether a member lets the owner act without the store for a while."""
+
+    is_given: bool
+
+
+@message("pool.ask_outage_grant", reply="pool.outage_grant")
+class RequestOutageGrant(TypedDict):
+    """The store doesn't answer the owner of an epoch, which requests to go on.
+
+    :ivar epoch: of the owner.
+    """
+
+    epoch: Count
+
+
+@message("pool.outage_bounds")
+class CheckOutageGrantsReply(TypedDict):
+    """For how long earlier owners may act by a member's knowledge, in milliseconds.
+
+    :ivar is_known: whether the member can tell.
+    :ivar predecessor: for how long leases of the owner before the given epoch may last.
+    :ivar earlier: for how long leases of the owners before that one may last.
+    """
+
+    is_known: bool
+    predecessor: Milliseconds
+    earlier: Milliseconds
+
+
+@message("pool.ask_outage_bounds", reply="pool.outage_bounds")
+class CheckOutageGrants(TypedDict):
+    """Give no more grants to owners before an epoch, and tell what was given.
+
+    :ivar epoch: of the present owner.
+    """
+
+    epoch: Count
+
+
+@message("pool.knows_member")
+class CheckMemberReply(TypedDict):
+    """Whether the owner of an epoch knows a member.
+
+    :ivar epoch: of the owner, 0 if the sender is not the owner.
+    """
+
+    epoch: Count
+    is_known: bool
+
+
+@message("pool.ask_knows_member", reply="pool.knows_member")
+class CheckMember(TypedDict):
+    """Check whether the owner knows the sender as a member.
+
+    :ivar revision: of the sender's member key.
+    """
+
+    revision: Count
+
+
 @message("pool.relayed")
 class DelegateCommitReply(TypedDict):
     """Result of a delegated commit.
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -21,6 +21,7 @@
 OWNER_KEY = f"{CONTROL_PREFIX}owner"
 LEAD_KEY = f"{CONTROL_PREFIX}lead"
 FORMER_OWNERS_KEY = f"{CONTROL_PREFIX}former"
+TERM_KEY = f"{CONTROL_PREFIX}term"
 MEMBERS_PREFIX = f"{CONTROL_PREFIX}members/"
 FENCE_KEY = f"{ROOT_PREFIX}fence"
 ROSTER_KEY = f"{ROOT_PREFIX}roster"
@@ -36,6 +37,10 @@
 # The epoch of the first owner of all.
 FIRST_EPOCH = 1
 
+# The owner and all before it grant leases within the limits that
+# :func:`~damaskdeck.coordination.pools.times.derive_times` describes.
+BOUNDED_LEASES = "bounded_leases"
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -78,6 +83,20 @@
     owners: tuple[FormerOwner, ...] = ()
 
 
+class TermRecord(NamedTuple):
+    """What a successor may rely on of the owner of an epoch.
+
+    It isn't part of :class:`OwnerRecord`, because earlier versions can't decode a
+    longer one.
+
+    :param epoch: of the owner whose takeover has written this.
+    :param guarantees: names such as :data:`BOUNDED_LEASES`; others are ignored.
+    """
+
+    epoch: int
+    guarantees: tuple[str, ...] = ()
+
+
 class MemberRecord(NamedTuple):
     """A daemon that is up.
 
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -14,6 +14,7 @@
 from damaskdeck.coordination.pools.jobfrontend import JobFrontend
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.coordination.pools.outagegrants import OutageGrants
 from damaskdeck.coordination.pools.owner import OwnerDependencies, PoolOwner
 from damaskdeck.coordination.pools.ownermonitor import OwnerMonitor
 from damaskdeck.coordination.pools.times import PoolBounds, derive_times
@@ -190,10 +191,12 @@
         self.monitor = OwnerMonitor(
             name, self.peers, self.leadership, clock, self._get_epoch
         )
+        self.grants = OutageGrants(self.peers, self.leadership, clock, cluster.times)
 
     def start(self) -> None:
         """Start the components."""
         self._spawn(self.leadership.run())
+        self._spawn(self.grants.run())
         self._spawn(self.declarations.run())
         self._spawn(self.monitor.run())
 
