Record which tasks a worker may run before they are ordered there

Cause: what callers saw: jobs that have nothing on the lost workers stand still after a change of the owner as long as jobs that do. A successor knew of a worker that it can't read only what other workers don't show, so each older job could be there. The class: what may have happened was inferred from silence instead of being recorded by who did it. Change: the runs of a job are part of its records, and a start waits until its record is durable. A successor restores them: on workers that answer their lists confirm them, on others they wait for the lease like the runs of an owner that goes on, and all other tasks start at once. While the store is slow the record is declared incomplete first and starts don't wait; in an outage starts need no record while all members let the owner go on, who then wait. Records that haven't changed aren't written again. A leaving worker that the roster shows as it was before counts as leaving. Each path of a takeover that is now served by records has a test that takes the declaration away. The checker of cordons is provoked with runs left out, as they alone would hold a task back. New chaos: owners that are removed or alone reach a worker, with and without records.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from enum import Enum, auto
+from typing import Any
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.journal import Batch, Journal
@@ -11,6 +12,7 @@
     CANCELS_PREFIX,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
+    RUNS_PREFIX,
     STARTS_PREFIX,
     encode_record,
 )
@@ -26,6 +28,7 @@
     CORDONS = auto()
     CEILINGS = auto()
     SPEEDS = auto()
+    RECORDING = auto()
 
 
 class ChangeSet:
@@ -66,6 +69,7 @@
             CANCELS_PREFIX + key,
             PROGRESS_PREFIX + key,
             STARTS_PREFIX + key,
+            RUNS_PREFIX + key,
         ]
         self._get_journal().wake()
 
@@ -91,6 +95,11 @@
         self._kinds.add(ChangeKind.CEILINGS)
         self._get_journal().expedite()
 
+    def record_recording_change(self) -> None:
+        """Write at once whether all runs are on record: starts may wait for it."""
+        self._kinds.add(ChangeKind.RECORDING)
+        self._get_journal().expedite()
+
     def record_speed_change(self) -> None:
         """Write the speeds of workers with the next commit."""
         self._kinds.add(ChangeKind.SPEEDS)
@@ -136,9 +145,17 @@
 
 
 def _build_job_writes(job: Job) -> list[Write]:
-    progress = encode_record(job.summarize())
-    writes = [Write(PROGRESS_PREFIX + job.identifier, progress)]
+    """Return the records of a job that have changed since they were last gathered."""
+    records: dict[str, Any] = {PROGRESS_PREFIX: job.summarize()}
     if job.recorded_starts.must_store:
-        starts = encode_record(job.summarize_starts())
-        writes.append(Write(STARTS_PREFIX + job.identifier, starts))
+        records[STARTS_PREFIX] = job.summarize_starts()
+    runs = job.summarize_runs()
+    if runs.runs or RUNS_PREFIX in job.stored:
+        records[RUNS_PREFIX] = runs
+    writes = []
+    for prefix, record in records.items():
+        value = encode_record(record)
+        if job.stored.get(prefix) != value:
+            job.stored[prefix] = value
+            writes.append(Write(prefix + job.identifier, value))
     return writes
--- a/src/damaskdeck/coordination/pools/cordons.py
+++ b/src/damaskdeck/coordination/pools/cordons.py
@@ -45,6 +45,9 @@
             contact = self._contacts.get(cordon.worker)
             if contact is not None:
                 contact.cordon(cordon.is_silent)
+                if not (cordon.is_silent or contact.is_listed):
+                    # The roster may be older than the announcement.
+                    contact.info = contact.info._replace(is_leaving=True)
                 self._cordons[cordon.worker] = cordon
 
     def find(self, worker: str) -> Cordon | None:
--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -18,9 +18,11 @@
     INBOX_PREFIX,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
+    RUNS_PREFIX,
     STARTS_PREFIX,
     JobRecord,
     ProgressRecord,
+    RunsRecord,
     StartsRecord,
     decode_job,
     decode_progress,
@@ -57,7 +59,10 @@
 
 
 class Intake:
-    """Accepts jobs, their progress and requests to cancel, each of them once."""
+    """Accepts jobs, their progress and requests to cancel, each of them once.
+
+    :ivar recorded_runs: the runs that earlier owners have recorded, by job.
+    """
 
     def __init__(
         self,
@@ -70,6 +75,7 @@
         self._store = store
         self._leadership = leadership
         self._clock = clock
+        self.recorded_runs: dict[str, RunsRecord] = {}
         self._cancelled: set[str] = set()
         self._unreadable: set[str] = set()
         self._epoch_checks: set[asyncio.Task[None]] = set()
@@ -84,11 +90,13 @@
         """Read all jobs and their progress."""
         # Nobody else writes progress during this owner's term, so the order of the
         # reads doesn't matter.
-        progress, starts, (inbox, self._inbox_revision) = await asyncio.gather(
+        progress, starts, runs, inbox_page = await asyncio.gather(
             self._read_all(PROGRESS_PREFIX),
             self._read_all(STARTS_PREFIX),
+            self._read_all(RUNS_PREFIX),
             self._read_all(INBOX_PREFIX),
         )
+        inbox, self._inbox_revision = inbox_page
         progress_by_job: dict[str, ProgressRecord] = {}
         for entry in progress[0]:
             self._decode_progress(entry, progress_by_job)
@@ -96,6 +104,16 @@
             self._apply_inbox(entry.key, entry.value, progress_by_job)
         for entry in starts[0]:
             self._restore_starts(entry)
+        for entry in runs[0]:
+            self._decode_runs(entry)
+
+    def _decode_runs(self, entry: Entry) -> None:
+        identifier = entry.key.removeprefix(RUNS_PREFIX)
+        try:
+            self.recorded_runs[identifier] = decode_record(RunsRecord, entry.value)
+        except MessageError as error:
+            # Nothing can be started on workers that can't be read without it.
+            self._ignore_job(identifier, str(error))
 
     def _restore_starts(self, entry: Entry) -> None:
         job = self._owner.job_index.jobs.get(entry.key.removeprefix(STARTS_PREFIX))
--- a/src/damaskdeck/coordination/pools/inventories.py
+++ b/src/damaskdeck/coordination/pools/inventories.py
@@ -153,8 +153,11 @@
 
 def _log_missing_run(contact: "WorkerContact", run: Run, answer: WorkerTasks) -> None:
     """Log a run that its worker neither runs nor has ended, by its list."""
-    # An unconfirmed start that has been stopped is expected to be missing.
-    log = _log.warn if run.phase is RunPhase.RUNNING else _log.info
+    # An unconfirmed start that has been stopped is expected to be missing, and one that
+    # an earlier owner has recorded may not have been ordered.
+    is_confirmed = run.is_listed or not run.is_adopted
+    is_unexpected = run.phase is RunPhase.RUNNING and is_confirmed
+    log = _log.warn if is_unexpected else _log.info
     log(
         "A run is missing from its worker's list.",
         id=run.task.name.job,
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -138,6 +138,7 @@
         self._store_failed_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._members_known_at = float("-inf")
+        self._are_leases_capped = False
         self._guarantees: dict[int, tuple[str, ...]] = {}
         self._wakeup = asyncio.Event()
         self._changed = asyncio.Event()
@@ -244,13 +245,29 @@
             return float("-inf")
         lease = self._times.lease_expiry.total_seconds()
         limit = self._confirmed_at + lease
-        now = self._now()
+        if self.has_outage_grant():
+            limit = max(limit, self._now() + lease)
+        if self._are_leases_capped:
+            limit = min(limit, self.get_outage_grant() + lease)
+        return limit
+
+    def has_outage_grant(self) -> bool:
+        """Whether all members let this owner act without the store."""
         outage_ends_at = (
             self._members_known_at + self._times.outage_lease.total_seconds()
         )
-        if now < min(self.get_outage_grant(), outage_ends_at):
-            limit = max(limit, now + lease)
-        return limit
+        return self._now() < min(self.get_outage_grant(), outage_ends_at)
+
+    def cap_leases(self) -> None:
+        """Let no lease outlast what the members' grants allow.
+
+        They allow for what has been ordered without a record.
+        """
+        self._are_leases_capped = True
+
+    def uncap_leases(self) -> None:
+        """Undo :meth:`cap_leases`, as everything is recorded."""
+        self._are_leases_capped = False
 
     def may_order(self) -> bool:
         """Whether workers may be sent orders, see :meth:`find_lease_limit`."""
@@ -653,6 +670,7 @@
         self._owner, self._owner_revision = record, revision
         self._has_lead = True
         self.confirm(sent_at)
+        self._are_leases_capped = False
         self._term = term._replace(
             revision=revision,
             fence=revision,
--- a/src/damaskdeck/coordination/pools/monitoredstore.py
+++ b/src/damaskdeck/coordination/pools/monitoredstore.py
@@ -87,6 +87,11 @@
         wanted = timedelta(seconds=TIMEOUT_FACTOR * self._usual_seconds)
         return min(max(wanted, MIN_TIMEOUT), MAX_TIMEOUT)
 
+    @property
+    def usual_commit_seconds(self) -> float:
+        """How long a commit usually takes, 0 before the first one."""
+        return self._usual_seconds
+
     @property
     def entry_limit(self) -> int:
         """How many keys a transaction may name in total."""
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -24,6 +24,8 @@
 from damaskdeck.coordination.pools.dispatcher import Dispatcher
 from damaskdeck.coordination.pools.intake import Intake
 from damaskdeck.coordination.pools.journal import Journal
+from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.coordination.pools.recording import RunRecording
 from damaskdeck.coordination.pools.speeds import read_speeds
 from damaskdeck.coordination.pools.supervision import RunSupervisor
 from damaskdeck.coordination.pools.transfers import OwnerTerm
@@ -41,10 +43,10 @@
     EndKind,
     RunningTask,
 )
-from damaskdeck.protocol.queues import QueueJobState, QueueTable
+from damaskdeck.protocol.queues import QueueJobState, QueueTable, TaskName
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import Write
-from damaskdeck.state.pooljobs import Job, JobIndex, Run, Step, Task
+from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step, Task
 
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # At most a few messages per second to each daemon; free capacity changes with the jobs
@@ -66,12 +68,14 @@
     :param shared: components that the owner shares with its worker fleet.
     :param declarations: the queues and accounts in force on this daemon.
     :param commits: makes the owner's commits.
+    :param store: shows how fast the store is.
     """
 
     shared: FleetDependencies
     peers: Peers
     declarations: Declarations
     commits: DelegatingStore
+    store: MonitoredStore
 
 
 class PoolOwner:
@@ -85,6 +89,8 @@
         self.term = term
         self.job_index = JobIndex()
         self.is_loaded = False
+        # Whether any job is held back for runs that this owner may not know.
+        self._is_holding = False
         shared = self._shared = dependencies.shared
         self._clock = shared.clock
         self._declarations = dependencies.declarations
@@ -128,6 +134,15 @@
             self, self.dispatcher.shares.is_deferred, self._returning
         )
         self._crashes = Crashes(self)
+        self._recording = RunRecording(
+            term,
+            shared.leadership,
+            dependencies.store,
+            shared.clock,
+            self._changes.record_recording_change,
+            self.flush,
+            lambda: not self._fleet.unreconciled_count,
+        )
         self.intake = Intake(self, shared.store, shared.leadership, shared.clock)
         self._fleet = WorkerFleet(
             term,
@@ -177,6 +192,11 @@
         """Whether tasks may be ordered at this moment."""
         return self._shared.leadership.may_order()
 
+    @property
+    def recording(self) -> RunRecording:
+        """Whether starts wait for their record."""
+        return self._recording
+
     # Lifecycle ---------------------------------------------------------------
 
     async def run(self) -> None:
@@ -196,6 +216,7 @@
         finally:
             self.intake.close()
             self.advice_scheduler.close()
+            self._recording.close()
             self.dispatcher.close()
             self._fleet.close()
 
@@ -213,15 +234,17 @@
     async def _load(self) -> None:
         # The jobs must be loaded before the contacts start, as an inventory is
         # interpreted against the known jobs.
-        _, _, workers, speeds = await asyncio.gather(
+        _, _, workers, speeds, _ = await asyncio.gather(
             self.intake.load(),
             self.account_limits.ceilings.read(self._shared.store, self._clock),
             self._fleet.read(),
             read_speeds(self._shared.store, self._clock),
+            self._recording.read(self._shared.store),
         )
         self.dispatcher.speeds.load(speeds)
         self._crashes.load()
         self._fleet.load(workers)
+        self._restore_runs()
         self._mark_unconfirmed_jobs()
         _log.info(
             "Loaded.",
@@ -308,6 +331,8 @@
             return self._fleet.build_roster_write()
         if kind is ChangeKind.CORDONS:
             return self._fleet.cordons.build_write()
+        if kind is ChangeKind.RECORDING:
+            return self._recording.build_write()
         if kind is ChangeKind.SPEEDS:
             return self.dispatcher.speeds.build_write()
         return self.account_limits.ceilings.build_write()
@@ -324,7 +349,37 @@
             return False
         return True
 
-    # Unconfirmed runs of predecessors ----------------------------------------
+    # Runs of predecessors ----------------------------------------------------
+
+    def _restore_runs(self) -> None:
+        """Restore the recorded runs; the lists of their workers confirm them or not."""
+        for identifier, record in self.intake.recorded_runs.items():
+            if identifier not in self.job_index.jobs:
+                continue
+            for *place, attempt, position in record.runs:
+                task = self.job_index.find_task(TaskName(identifier, *place))
+                contact = self.contacts.get(record.workers[position])
+                if task is not None and contact is not None:
+                    self._restore_run(task, contact, attempt)
+        self.intake.recorded_runs.clear()
+
+    def _restore_run(self, task: Task, contact: WorkerContact, attempt: int) -> None:
+        run = self._add_inherited_run(task, contact, attempt)
+        run.phase = RunPhase.RUNNING
+        contact.add_run(run)
+        if task.step.job.is_final or task.is_completed:
+            contact.stop(run)
+
+    def _add_inherited_run(
+        self, task: Task, contact: WorkerContact, attempt: int
+    ) -> Run:
+        run = Run(task, contact.info.identifier, attempt, self.now())
+        run.is_adopted = True
+        task.attempt = max(task.attempt, attempt)
+        task.runs.append(run)
+        if not contact.is_reconciled:
+            self.account_limits.record_inherited_run(run)
+        return run
 
     def _mark_unconfirmed_jobs(self) -> None:
         for job in self.job_index.open_jobs.values():
@@ -338,16 +393,28 @@
         owner's takeover ended the commits of its predecessor.
         """
         is_older = job.record.epoch < self.term.epoch
-        return is_older and not self._fleet.are_workers_reconciled(
-            job.zones, job.identifier
-        )
+        if not is_older or self._recording.is_inherited_complete:
+            return False
+        return not self._fleet.are_workers_reconciled(job.zones, job.identifier)
+
+    def _release_recorded_jobs(self) -> None:
+        """Let jobs go on once the record of their runs is known to be complete."""
+        if self._is_holding and self._recording.is_inherited_complete:
+            self._release_jobs()
 
     def _confirm_jobs(self) -> None:
         """Let jobs start tasks once no worker can hold unknown runs of them."""
         if not self._fleet.unreconciled_count:
             _log.info("All workers are reconciled.", epoch=self.term.epoch)
+        self._release_jobs()
+
+    def _release_jobs(self) -> None:
+        self._is_holding = False
         for job in self.job_index.open_jobs.values():
-            if not job.has_unconfirmed_runs or self.may_have_started(job):
+            if not job.has_unconfirmed_runs:
+                continue
+            if self.may_have_started(job):
+                self._is_holding = True
                 continue
             job.has_unconfirmed_runs = False
             job.confirmed_at = self.now()
@@ -385,15 +452,10 @@
         task = self.job_index.find_task(row.task)
         if task is None:
             return None
-        run = Run(task, contact.info.identifier, row.attempt, self.now())
-        run.is_adopted = True
-        task.attempt = max(task.attempt, row.attempt)
         is_surplus = task.step.job.is_final or task.is_completed
         if task.runs and not task.step.spec.is_speculative:
             is_surplus = True
-        task.runs.append(run)
-        if not contact.is_reconciled:
-            self.account_limits.record_inherited_run(run)
+        run = self._add_inherited_run(task, contact, row.attempt)
         self.dispatcher.mark_changed(task.step.job)
         if is_surplus:
             contact.stop(run)
@@ -425,6 +487,7 @@
         if task.step.spec.is_gang:
             for other in list(task.step.list_runs()):
                 self.stop(other)
+        self.mark_dirty(task.step.job)
         self.dispatcher.mark_changed(task.step.job)
         self.dispatcher.handle_freed_capacity(contact)
 
@@ -473,8 +536,7 @@
         elif end.kind is EndKind.FAILED and not step.spec.is_long_running:
             task.failed_on.add(contact.info.identifier)
             self._handle_failure(step, task, end.attempt)
-        if job.is_final or end.kind in (EndKind.COMPLETED, EndKind.FAILED):
-            self.mark_dirty(job)
+        self.mark_dirty(job)
         self.dispatcher.mark_changed(job)
 
     def _clear_recorded_start(self, task: Task, attempt: int) -> None:
@@ -533,6 +595,8 @@
             await self._clock.sleep(SWEEP_INTERVAL)
             now = self.now()
             self.advice_scheduler.dispatch()
+            self._recording.sweep()
+            self._release_recorded_jobs()
             self._fleet.check_capacity_ages(now)
             self._supervisor.sweep(now)
             self._crashes.sweep(now, self._fleet.followed_since)
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -10,6 +10,7 @@
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.planning import Plan
+from damaskdeck.coordination.pools.recording import RunRecording
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.waits import measure_wait, record_wait
 from damaskdeck.logs import get_logger
@@ -46,6 +47,8 @@
     def may_order(self) -> bool:
         """Whether tasks may be ordered at this moment."""
 
+    recording: RunRecording
+
     def mark_dirty(self, job: Job) -> None:
         """Write the progress of a job with the next commit."""
 
@@ -110,28 +113,32 @@
             epoch=self._owner.term.epoch,
             **wait.describe(),
         )
-        must_wait = self._record(step, [run for run, _ in runs])
-        start_task(self._start(step, runs, must_wait), self._starts)
+        is_required = self._record(step, [run for run, _ in runs])
+        start_task(self._start(step, runs, is_required), self._starts)
         return [run for run, _ in runs]
 
     def _record(self, step: Step, runs: list[Run]) -> bool:
-        """Record the starts for which that is required; return whether there are any.
+        """Record starts; return whether they must have their record first in any case.
 
-        A successor knows of them even if their workers crash at once.
+        A successor has to know of tasks that may crash their workers, even if these
+        crash at once.
         """
         records = step.job.recorded_starts
         required = [run for run in runs if records.is_required(run.task.name)]
         for run in required:
             records.record(run.task.name, run.attempt, run.worker)
-        if required:
-            self._owner.mark_dirty(step.job)
+        self._owner.mark_dirty(step.job)
         return bool(required)
 
     async def _wait_for_records(
-        self, step: Step, runs: list[tuple[Run, WorkerContact]]
+        self, step: Step, runs: list[tuple[Run, WorkerContact]], is_required: bool
     ) -> bool:
         """Wait until starts are recorded; return whether they may be ordered."""
-        is_durable = await self._flush()
+        recording = self._owner.recording
+        is_recorded = await self._flush()
+        is_durable = is_recorded or not (is_required or recording.must_wait())
+        if is_durable:
+            recording.record_order(is_recorded)
         may_send = self._owner.may_order() and all(c.may_send(r) for r, c in runs)
         if is_durable and may_send:
             now = self._owner.now()
@@ -159,11 +166,15 @@
         return True
 
     async def _start(
-        self, step: Step, runs: list[tuple[Run, WorkerContact]], must_wait: bool
+        self, step: Step, runs: list[tuple[Run, WorkerContact]], is_required: bool
     ) -> None:
-        if must_wait and not await self._wait_for_records(step, runs):
-            self._mark_changed(step.job)
-            return
+        recording = self._owner.recording
+        if is_required or recording.must_wait():
+            if not await self._wait_for_records(step, runs, is_required):
+                self._mark_changed(step.job)
+                return
+        else:
+            recording.record_order(is_recorded=False)
         step_advice = self._advice_scheduler.get(step)
         needs_ticket = step.job.queue.advice is not None
         payload = step.job.record.spec.payload
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -255,6 +255,7 @@
                 self._network,
                 self.declarations,
                 self._delegating_store,
+                self._store,
             ),
         )
         self._owner = owner
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -30,6 +30,8 @@
 CANCELS_PREFIX = f"{INBOX_PREFIX}cancels/"
 PROGRESS_PREFIX = f"{ROOT_PREFIX}progress/"
 STARTS_PREFIX = f"{ROOT_PREFIX}starts/"
+RUNS_PREFIX = f"{ROOT_PREFIX}runs/"
+RECORDING_KEY = f"{ROOT_PREFIX}recording"
 CORDONS_KEY = f"{ROOT_PREFIX}cordons"
 CEILINGS_KEY = f"{ROOT_PREFIX}ceilings"
 SPEEDS_KEY = f"{ROOT_PREFIX}speeds"
@@ -263,6 +265,41 @@
     unconfirmed: tuple[UnconfirmedCrash, ...] = ()
 
 
+class RecordedRun(NamedTuple):
+    """A run that a worker may have.
+
+    :param worker: position of its worker in :attr:`RunsRecord.workers`.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    attempt: int
+    worker: int
+
+
+class RunsRecord(NamedTuple):
+    """The runs of one job.
+
+    :param workers: identifiers of the workers' incarnations.
+    """
+
+    workers: tuple[str, ...] = ()
+    runs: tuple[RecordedRun, ...] = ()
+
+
+class RecordingRecord(NamedTuple):
+    """Whether all runs that workers may have are on record.
+
+    :param epoch: of the owner that has written this. Under any other owner it says
+        nothing.
+    :param is_complete: whether that holds, except for what was started in an outage.
+    """
+
+    epoch: int
+    is_complete: bool
+
+
 class ProgressRecord(NamedTuple):
     """Durable progress of a job.
 
--- a/src/damaskdeck/state/pooljobs.py
+++ b/src/damaskdeck/state/pooljobs.py
@@ -18,6 +18,8 @@
 from damaskdeck.state.jobrecords import (
     JobRecord,
     ProgressRecord,
+    RecordedRun,
+    RunsRecord,
     StartsRecord,
     StepProgress,
 )
@@ -340,6 +342,7 @@
     :ivar zones: zones whose workers may run it, durable; all when empty.
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
     :ivar recorded_starts: the starts of tasks that may have crashed workers.
+    :ivar stored: the records as they were last gathered to be stored, by key.
     """
 
     def __init__(self, record: JobRecord, arrived_at: float) -> None:
@@ -352,6 +355,7 @@
         self.zones = frozenset(record.zones)
         self.wider_zones: frozenset[str] | None = None
         self.recorded_starts = RecordedStarts()
+        self.stored: dict[str, bytes] = {}
         self.has_started = False
         self.final: QueueJobState | None = None
         self.final_at = 0.0
@@ -462,6 +466,20 @@
             self.close(QueueJobState(progress.final), now)
             self.visible_state = QueueJobState(progress.final)
 
+    def summarize_runs(self) -> RunsRecord:
+        """Return its runs, to be stored."""
+        workers: dict[str, int] = {}
+        runs = tuple(
+            RecordedRun(
+                *run.task.name[1:],
+                run.attempt,
+                workers.setdefault(run.worker, len(workers)),
+            )
+            for step in self.list_steps()
+            for run in step.list_runs()
+        )
+        return RunsRecord(tuple(workers), runs)
+
     def summarize_starts(self) -> StartsRecord:
         """Return its recorded starts and unconfirmed crashes, to be stored."""
         unconfirmed = (
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -41,6 +41,7 @@
 from damaskdeck.protocol.sizes import Size, add_sizes, fits
 from damaskdeck.state.jobrecords import (
     OWNER_KEY,
+    RECORDING_KEY,
     MemberRecord,
     OwnerRecord,
     decode_record,
@@ -224,7 +225,11 @@
             self.healthy.write_times.find_write_time,
         )
         dependencies = OwnerDependencies(
-            fleet_dependencies, self.peers, self.declarations, self.commits
+            fleet_dependencies,
+            self.peers,
+            self.declarations,
+            self.commits,
+            self.healthy,
         )
         self.owner = PoolOwner(term, dependencies)
         self._owner_task = self._spawn(self.owner.run())
@@ -662,6 +667,14 @@
                 if (other in inside) != is_inside:
                     self.switch.cut_both(daemon.name, other)
 
+    def forget_recording(self) -> None:
+        """Remove what the owner has declared of the record of its runs.
+
+        Owners of earlier versions declare nothing, and none does while the store is
+        slow.
+        """
+        self.store.set(RECORDING_KEY, None)
+
     def begin_outage(self) -> None:
         """Let the store answer no daemon until :meth:`heal`."""
         for daemon in self.daemons.values():
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -11,7 +11,13 @@
 from damaskdeck.coordination.pools import cordons
 from damaskdeck.protocol.callresults import JobStateFound
 from damaskdeck.protocol.queues import QueueJobState, StepSpec
-from damaskdeck.state.jobrecords import CORDONS_KEY, CordonsRecord, decode_record
+from damaskdeck.state.jobrecords import (
+    CORDONS_KEY,
+    CordonsRecord,
+    RunsRecord,
+    decode_record,
+)
+from damaskdeck.state.pooljobs import Job
 from standins.pools import StandinRegistry, Work
 from tests.poolcluster import SECOND, SIZE, SMALL, PoolCase, make_job
 from tests.virtual import virtual
@@ -20,6 +26,8 @@
 # Fills its worker, so that the next job runs elsewhere.
 WORKER_SIZED_JOB = make_job(StepSpec(1, SIZE, 30 * SECOND))
 
+WITHOUT_RUNS = mock.patch.object(Job, "summarize_runs", lambda job: RunsRecord())
+
 
 class TestCordons(PoolCase):
     """A worker becomes silent, then the owner is cut off."""
@@ -166,7 +174,18 @@
     @virtual
     async def test_the_checker_detects_a_cordon_that_omits_a_job(self):
         without_jobs = mock.patch.object(cordons, "_list_jobs", lambda contact: ())
-        with without_jobs:
+        with without_jobs, WITHOUT_RUNS:
+            cluster, _ = await self.silence_a_worker()
+            await asyncio.sleep(2)
+            cluster.forget_recording()
+            await self.cut_owner_off()
+            await asyncio.sleep(2)
+        self.assertTrue(cluster.find_violations())
+        cluster.close()
+
+    @virtual
+    async def test_the_checker_detects_a_run_that_is_not_on_record(self):
+        with WITHOUT_RUNS:
             cluster, _ = await self.silence_a_worker()
             await asyncio.sleep(2)
             await self.cut_owner_off()
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -9,7 +9,9 @@
 from datetime import timedelta
 from functools import partial
 from random import Random
+from unittest import mock
 
+from damaskdeck.coordination.pools.recording import RunRecording
 from damaskdeck.protocol.callresults import JobAccepted, JobStateFound
 from damaskdeck.protocol.pools import EndKind, WorkerIncarnation
 from damaskdeck.protocol.queues import (
@@ -578,6 +580,70 @@
         self.faults += [cut_worker] * 8
 
 
+def remove_owner(chaos: Chaos) -> None:
+    """Kill the owner and start it again after longer than all its leases."""
+    owner = chaos.cluster.find_owner()
+    if owner is None:
+        return
+    owner.kill()
+
+    def restart() -> None:
+        if chaos.cluster.daemons[owner.name] is owner:
+            chaos.cluster.add_daemon(owner.name).start()
+
+    chaos.later(14.0, restart)
+
+
+def leave_worker_to_owner(chaos: Chaos) -> None:
+    """Cut the owner off from everything but a worker, which only it can reach."""
+    cluster, owner = chaos.cluster, chaos.cluster.find_owner()
+    worker = chaos.pick_worker().incarnation.name
+    if owner is None:
+        return
+    owner.store.faults.outage = True
+    owner.workers.cut_off |= {w.incarnation.name for w in cluster.workers.values()}
+    owner.workers.cut_off.discard(worker)
+    others = [d for d in cluster.daemons.values() if d is not owner]
+    for daemon in others:
+        cluster.switch.cut_both(owner.name, daemon.name)
+        daemon.workers.cut_off.add(worker)
+
+    def end() -> None:
+        owner.store.faults.outage = False
+        owner.workers.cut_off.clear()
+        for daemon in others:
+            cluster.switch.heal(owner.name, daemon.name)
+            daemon.workers.cut_off.discard(worker)
+
+    chaos.later(chaos.random.uniform(2, 14), end)
+
+
+class DeposingChaos(ZonedChaos):
+    """A run in which owners are removed, or go on with a worker that only they reach.
+
+    Some of them go on with the consent of all members, as the store is away.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.faults += [remove_owner, leave_worker_to_owner, stop_store] * 6
+
+    def behave(self, task, attempt: int) -> Work:
+        """Let tasks run longer, so that changes of the owner meet them."""
+        work = super().behave(task, attempt)
+        return work._replace(duration=2 * work.duration)
+
+
+class UnrecordedChaos(DeposingChaos):
+    """The same where no owner relies on the record of its predecessor's runs."""
+
+    async def run(self) -> list[str]:
+        """Execute the run and return the violations."""
+        unknown = mock.PropertyMock(return_value=False)
+        with mock.patch.object(RunRecording, "is_inherited_complete", unknown):
+            return await super().run()
+
+
 def play(kind: type[Chaos], seed: int) -> tuple[list[str], list[str]]:
     """Run a seed; return the violations and the faults drawn."""
 
@@ -688,6 +754,13 @@
     def test_the_invariants_hold_with_returning_workers(self):
         self.play(ReturningChaos, SEEDS[:6])
 
+    # Leases of an owner that alone reaches a worker, through outages or not.
+    def test_the_invariants_hold_with_deposed_owners(self):
+        self.play(DeposingChaos, SEEDS[:8])
+
+    def test_the_invariants_hold_without_records_of_runs(self):
+        self.play(UnrecordedChaos, SEEDS[:8])
+
     # Runs whose ends came with a later list were taken for gone and started again.
     def test_the_invariants_hold_with_partial_lists(self):
         self.play(PartialListChaos, SEEDS[:8])
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -799,13 +799,14 @@
 
     # An order of the previous owner may be on its way to the next incarnation, which
     # has seen no epoch.
-    @virtual
-    async def test_a_job_waits_until_the_next_incarnation_is_read(self):
+    async def check_wait_for_the_next_incarnation(self, is_recorded: bool) -> None:
         cluster = await self.begin_with_a_job()
         daemons = cluster.daemons.values()
         worker = cluster.find_worker("w0")
 
         def crash_behind_a_cut() -> None:
+            if not is_recorded:
+                cluster.forget_recording()
             cluster.record_crash(worker)
             worker.kill()
             for daemon in daemons:
@@ -818,13 +819,25 @@
         later = cluster.add_worker("w0", worker.info.address)
         await asyncio.sleep(1)
         self.assertEqual(set(fleet._unreconciled), {later.info.identifier})
-        self.assertTrue(owner.owner.job_index.jobs["j1"].has_unconfirmed_runs)
+        job = owner.owner.job_index.jobs["j1"]
+        self.assertEqual(job.has_unconfirmed_runs, not is_recorded)
+        if is_recorded:
+            runs = [run for step in job.list_steps() for run in step.list_runs()]
+            self.assertEqual({run.worker for run in runs}, {later.info.identifier})
         for daemon in daemons:
             daemon.workers.cut_off.clear()
         await cluster.wait_for_state("j1", QueueJobState.COMPLETED, owner.name)
         self.assertEqual(fleet.unreconciled_count, 0)
         self.end()
 
+    @virtual
+    async def test_a_job_waits_until_the_next_incarnation_is_read(self):
+        await self.check_wait_for_the_next_incarnation(is_recorded=False)
+
+    @virtual
+    async def test_a_recorded_run_waits_until_the_next_incarnation_is_read(self):
+        await self.check_wait_for_the_next_incarnation(is_recorded=True)
+
     # A roster of an earlier version names the worker without its birth. Its runs must
     # be adopted and not be taken for those of an incarnation that has ended.
     @virtual
--- a/tests/test_pools_succession.py
+++ b/tests/test_pools_succession.py
@@ -10,7 +10,14 @@
 from damaskdeck.protocol.queues import StepSpec
 from damaskdeck.protocol.sizes import Size
 from standins.pools import Work
-from tests.poolcluster import SECOND, SMALL, ClusterDaemon, PoolCase, make_job
+from tests.poolcluster import (
+    SECOND,
+    SMALL,
+    ClusterDaemon,
+    PoolCase,
+    make_job,
+    make_queue,
+)
 from tests.virtual import virtual
 
 # From the takeover until everything that lost workers may have run is started again.
@@ -166,7 +173,9 @@
         first = StepSpec(2, SMALL, SECOND)
         await cluster.submit("first", make_job(first, first._replace(after=(0,))))
         await cluster.wait(lambda: len(cluster.list_starts("first")) == 2)
-        cluster.workers[self.host].kill()
+        hosts = {row[3] for row in cluster.list_starts("first")}
+        victim = next(r[3] for r in cluster.list_starts("lost") if r[3] not in hosts)
+        cluster.workers[victim].kill()
         owner = cluster.find_owner()
         await asyncio.sleep(0.3)
         owner.kill()
