Ask the advisor before the lease of a silent worker is over

The advisor was asked only once a task could start, so that the two waits added up, under the same owner and a new one. Change: full passes request advice about the tasks of workers that don't answer as long before their lease expires as the advisor needs, and 0.7 s more. The stand-in of the advisor takes the time that its test sets.

--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -8,7 +8,7 @@
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.advice import AdviceScheduler
-from damaskdeck.coordination.pools.adviceplanner import AdvicePlanner
+from damaskdeck.coordination.pools.adviceplanner import QUERY_WORKERS, AdvicePlanner
 from damaskdeck.coordination.pools.availability import CapacityForecast
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
@@ -46,6 +46,9 @@
 
 # Events within this time are handled by one pass.
 PASS_INTERVAL = timedelta(milliseconds=4)
+# Advice about the tasks of a worker that doesn't answer is requested this long before
+# its lease expires, in addition to the time that the advisor needs.
+RESTART_ADVICE_SECONDS = 0.7
 # The interval of full passes, in which each pending step checks all workers again at a
 # cost of about 0.1 ms of processor time per step. They notice what no event reports,
 # such as the end of a pause.
@@ -211,6 +214,7 @@
             self._pending.retry_all()
             wall_time = self._clock.now().timestamp()
             self.shares.update_capacity(self._owner.contacts.values(), now, wall_time)
+            self._prepare_restarts(now)
         freed, self._freed = self._freed, set()
         candidates = self._build_candidates(now)
         ranked = self._pending.rank(now)
@@ -227,6 +231,25 @@
         if is_full_pass:
             self.shares.report((entry.pending.step for entry in ranked), now)
 
+    def _prepare_restarts(self, now: float) -> None:
+        """Request advice about the tasks that will be abandoned on silent workers."""
+        for contact in self._owner.contacts.values():
+            if contact.is_synchronized or not contact.runs:
+                continue
+            remaining = contact.lease_until - now
+            steps = {
+                run.task.step
+                for run in contact.runs.values()
+                if run.stopping_since is None and not run.task.is_completed
+            }
+            for step in steps:
+                timing = step.job.queue.advice
+                if timing is None:
+                    continue
+                duration = timing.base + timing.per_worker * QUERY_WORKERS
+                if remaining < duration.total_seconds() + RESTART_ADVICE_SECONDS:
+                    self.request_urgent_advice(step, now)
+
     def _build_candidates(self, now: float) -> Candidates:
         return Candidates(self._owner.contacts, self.speeds, now)
 
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -433,6 +433,7 @@
     It implements the port ``Advisor``.
 
     :param allow: whether a step may run on a worker.
+    :ivar duration: how long it takes to answer.
     """
 
     def __init__(
@@ -443,6 +444,7 @@
     ) -> None:
         self.calls: list[tuple[str, tuple[str, ...]]] = []
         self.faults = Faults()
+        self.duration = timedelta(milliseconds=5)
         self._clock = clock
         self._allow = allow
         self._limits = limits
@@ -459,7 +461,7 @@
         self.calls.append((step, workers))
         self._waiting_calls += 1
         try:
-            await self._clock.sleep(timedelta(milliseconds=5))
+            await self._clock.sleep(self.duration)
         finally:
             self._waiting_calls -= 1
         if self.faults.take("ask") is FaultKind.REFUSE:
--- a/tests/test_pools_succession.py
+++ b/tests/test_pools_succession.py
@@ -7,7 +7,7 @@
 import asyncio
 from datetime import timedelta
 
-from damaskdeck.protocol.queues import StepSpec
+from damaskdeck.protocol.queues import AdvisorTiming, StepSpec
 from damaskdeck.protocol.sizes import Size
 from standins.pools import Work
 from tests.poolcluster import (
@@ -152,6 +152,56 @@
         await self.check_restart()
 
 
+class TestAdvice(SuccessionCase):
+    """Advice about the tasks of lost workers is there when they may start again."""
+
+    slow = make_queue(
+        advice=AdvisorTiming(
+            timedelta(milliseconds=400), timedelta(milliseconds=5), 2.5 * SECOND
+        )
+    )
+
+    async def lose_worker(self) -> None:
+        """Lose a worker that runs one of two tasks of a step that needs advice."""
+        cluster = await self.begin(
+            daemons=5, workers=8, behave=self.behave, queues=(self.slow,)
+        )
+        cluster.restart_delay = None
+        for daemon in cluster.daemons.values():
+            daemon.advisor.duration = self.slow.advice.base
+        lasting = StepSpec(2, LARGE, SECOND, is_long_running=True)
+        await cluster.submit("lost", make_job(lasting))
+        await cluster.wait(lambda: len(cluster.list_starts("lost")) == 2)
+        await asyncio.sleep(4)
+        worker = cluster.workers[cluster.list_starts("lost")[0][3]]
+        worker.kill()
+        # By the owner's clock the lease may last a little longer.
+        self.expected = worker.lease_expires_at + timedelta(milliseconds=100)
+
+    async def check_restart_time(self) -> None:
+        """Check that the task starts again as soon as its lease is over."""
+        cluster = self.cluster
+        await cluster.wait(lambda: len(cluster.list_starts("lost")) == 3, 30)
+        started_at = cluster.list_starts("lost")[-1][0]
+        self.assertLess(started_at - self.expected, timedelta(milliseconds=400))
+        self.end()
+
+    # The advisor was asked only once the lease was over.
+    @virtual
+    async def test_the_same_owner_asks_before_the_lease_is_over(self):
+        await self.lose_worker()
+        await self.check_restart_time()
+
+    @virtual
+    async def test_a_new_owner_asks_before_the_lease_is_over(self):
+        await self.lose_worker()
+        owner = self.cluster.find_owner()
+        owner.kill()
+        await self.wait_for_takeover(owner)
+        self.expected = self.taken_over_at + self.cluster.times.lease_expiry
+        await self.check_restart_time()
+
+
 class TestUnaffectedJobs(SuccessionCase):
     """Jobs that have nothing on lost workers go on as soon as there is a new owner."""
 
