End outage grants when a member registers, and remember members for longer

An owner with grants of all members may see one register in a moment in which the store answers it. The process that has registered need not be the one that gave the grant, and waits for one lease if it takes over, while the owner went on with the old grants for up to 1.5 s. And a key that was away for almost as long as owners remember it could come back after the owner had forgotten the member, but could still act. Change: grants count only for the members and keys that gave them, and members are remembered for the longest gap of a membership and the longest time that an owner acts without having seen them.

--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -149,9 +149,10 @@
         self._term: OwnerTerm | None = None
         # Whether the owner was seen alive recently; set by the monitor of the owner.
         self.is_owner_alive: Callable[[], bool] = lambda: False
-        # Until when all members let this owner act without the store; set by the outage
-        # grants.
+        # Until when all members let this owner act without the store, and until when
+        # those did that it knew then; set by the outage grants.
         self.get_outage_grant: Callable[[], float] = lambda: float("-inf")
+        self.get_last_grant: Callable[[], float] = lambda: float("-inf")
         # Until when earlier owners' leases may last because of grants: by what this
         # member has granted, and by what others report; set likewise.
         self.find_own_bounds: Callable[[int, Registration], GrantBounds] = (
@@ -188,11 +189,15 @@
         """List the daemons that were last seen alive."""
         return sorted(self._members)
 
-    def list_remembered(self) -> list[str]:
-        """List the other members, and those whose keys have vanished recently."""
+    def list_remembered(self) -> dict[str, int]:
+        """Return the other members, and those whose keys have vanished recently.
+
+        :returns: the revision of the last change of each member's key, by name.
+        """
         latest = self._now() - self._times.member_memory.total_seconds()
         self._vanished = {n: at for n, at in self._vanished.items() if at >= latest}
-        return sorted((self._members.keys() | self._vanished) - {self.instance})
+        names = (self._members.keys() | self._vanished) - {self.instance}
+        return {name: self._member_revisions[name] for name in sorted(names)}
 
     def list_successors(self) -> list[str]:
         """List the members in the order in which they should succeed the owner."""
@@ -248,7 +253,7 @@
         if self.has_outage_grant():
             limit = max(limit, self._now() + lease)
         if self._are_leases_capped:
-            limit = min(limit, self.get_outage_grant() + lease)
+            limit = min(limit, self.get_last_grant() + lease)
         return limit
 
     def has_outage_grant(self) -> bool:
--- a/src/damaskdeck/coordination/pools/memberlease.py
+++ b/src/damaskdeck/coordination/pools/memberlease.py
@@ -7,7 +7,7 @@
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
-from damaskdeck.coordination.pools.times import PoolTimes
+from damaskdeck.coordination.pools.times import CLOCK_DRIFT, PoolTimes
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.ports import Granted, Lapsed, Written
 from damaskdeck.protocol.transactions import Transaction, Write
@@ -129,7 +129,8 @@
             elif isinstance(result, Written):
                 now = self.key_written_at = self._now()
                 self.key_revision = result.revision
-                if now - self._present_at > self._times.member_memory.total_seconds():
+                longest_gap = self._times.member_gap.total_seconds()
+                if now - self._present_at > longest_gap * (1 - 2 * CLOCK_DRIFT):
                     self.membership += 1
                 self._present_at = now
                 self._on_registered()
--- a/src/damaskdeck/coordination/pools/outagegrants.py
+++ b/src/damaskdeck/coordination/pools/outagegrants.py
@@ -60,6 +60,8 @@
         self._clock = clock
         self._times = times
         self._granted_until = float("-inf")
+        # The members that have granted it, with the revisions of their keys.
+        self._granted_by: dict[str, int] = {}
         self._is_granted = False
         self._given_until = float("-inf")
         # No grant is given to an owner before that of the newest known epoch.
@@ -72,7 +74,8 @@
         # The earliest bounds that other members have reported for a term.
         self._reported_epoch = 0
         self._reported = UNKNOWN_BOUNDS
-        leadership.get_outage_grant = lambda: self._granted_until
+        leadership.get_outage_grant = self.get_granted_until
+        leadership.get_last_grant = lambda: self._granted_until
         leadership.find_own_bounds = self.find_own_bounds
         leadership.find_grant_bounds = self.find_bounds
         peers.register(RequestOutageGrant, self._handle_request)
@@ -97,11 +100,21 @@
 
     # The owner ---------------------------------------------------------------
 
+    def get_granted_until(self) -> float:
+        """Return until when all members that are known at present let this owner act.
+
+        A member that has registered since may not know of its predecessor's grant.
+        """
+        known = self._leadership.list_remembered()
+        is_unchanged = known.items() <= self._granted_by.items()
+        return self._granted_until if is_unchanged else float("-inf")
+
     async def _request(self, term: OwnerTerm) -> None:
         """Request a grant of all other members; each of them has to give it."""
         sent_at = self._now()
         message: RequestOutageGrant = {"epoch": term.epoch}
-        names = self._leadership.list_remembered()
+        members = self._leadership.list_remembered()
+        names = list(members)
         replies = await asyncio.gather(
             *(
                 self._peers.call(name, message, RequestOutageGrant, REQUEST_INTERVAL)
@@ -115,6 +128,7 @@
         ]
         if not refusing:
             self._granted_until = sent_at + self._times.outage_grant.total_seconds()
+            self._granted_by = members
         if self._is_granted == bool(refusing):
             self._is_granted = not refusing
             _log.info(
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -65,6 +65,7 @@
     outage_grant: timedelta
     outage_lease: timedelta
     newcomer_wait: timedelta
+    member_gap: timedelta
     member_memory: timedelta
     takeover_wait: timedelta
     poll_wait: timedelta
@@ -123,9 +124,10 @@
         outage_grant=timedelta(milliseconds=1500),
         outage_lease=outage_lease,
         newcomer_wait=newcomer_wait,
-        # So long an owner asks a member for grants whose key has vanished: the key may
-        # have been lost in an outage.
-        member_memory=newcomer_wait,
+        # Owners go on asking a member for grants while its key is away, and for as long
+        # after this gap as they may act without having seen it again.
+        member_gap=newcomer_wait,
+        member_memory=newcomer_wait + outage_lease,
         takeover_wait=owner_lease + longest_lease_expiry,
         poll_wait=poll_wait,
         # An order that is delayed longer by the network is refused as late.
