Move what bounds an owner's tenure into a folder of its own

Change: tenure has the lease limits, the members, the member lease and the outage grants; what is recorded for the next owner is part of predecessors. No behaviour changes.

--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -10,10 +10,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.memberlease import RETRY_DELAY, MemberLease
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
 from damaskdeck.coordination.pools.predecessors import FormerOwners
 from damaskdeck.coordination.pools.succession import (
@@ -22,6 +20,13 @@
     interleave_zones,
     rank_successors,
 )
+from damaskdeck.coordination.pools.tenure.limits import LeaseLimits
+from damaskdeck.coordination.pools.tenure.memberlease import (
+    RETRY_DELAY,
+    MemberLease,
+    Registration,
+)
+from damaskdeck.coordination.pools.tenure.members import Members
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import (
     NO_GRANTS,
@@ -81,20 +86,6 @@
 _log = get_logger("leadership")
 
 
-class Registration(NamedTuple):
-    """How a daemon's member key was written.
-
-    :param revision: of the key, 0 if it isn't written.
-    :param at: when that was known, in monotonic seconds, infinite before that.
-    :param membership: the same as long as each owner that has once known this daemon
-        has to ask it for grants, see :meth:`Leadership.list_remembered`.
-    """
-
-    revision: int
-    at: float
-    membership: int
-
-
 class Leadership:
     """Membership of this daemon and election of the owner.
 
@@ -102,6 +93,8 @@
     :param on_elected: called with the :class:`OwnerTerm` when this daemon becomes
         owner.
     :param on_deposed: called when this daemon is no longer the owner.
+    :ivar limits: until when this daemon may act while it is the owner.
+    :ivar members: the daemons that are registered.
     """
 
     def __init__(
@@ -122,10 +115,8 @@
         self._member_lease = MemberLease(
             member, store, clock, times, lambda: self._wakeup.set()
         )
-        self._members: dict[str, MemberRecord] = {}
-        self._member_revisions: dict[str, int] = {}
-        # When the key of each member was seen to be gone.
-        self._vanished: dict[str, float] = {}
+        self.limits = LeaseLimits(clock, times)
+        self.members = Members(member.instance, clock, times)
         self._owner: OwnerRecord | None = None
         self._owner_revision = 0
         self._owner_seen_at = 0.0
@@ -136,9 +127,6 @@
         self._has_lead = False
         self._is_synced = False
         self._store_failed_at = float("-inf")
-        self._confirmed_at = float("-inf")
-        self._members_known_at = float("-inf")
-        self._are_leases_capped = False
         self._guarantees: dict[int, tuple[str, ...]] = {}
         self._wakeup = asyncio.Event()
         self._changed = asyncio.Event()
@@ -149,12 +137,8 @@
         self._term: OwnerTerm | None = None
         # Whether the owner was seen alive recently; set by the monitor of the owner.
         self.is_owner_alive: Callable[[], bool] = lambda: False
-        # Until when all members let this owner act without the store, and until when
-        # those did that it knew then; set by the outage grants.
-        self.get_outage_grant: Callable[[], float] = lambda: float("-inf")
-        self.get_last_grant: Callable[[], float] = lambda: float("-inf")
         # Until when earlier owners' leases may last because of grants: by what this
-        # member has granted, and by what others report; set likewise.
+        # member has granted, and by what others report; set by the outage grants.
         self.find_own_bounds: Callable[[int, Registration], GrantBounds] = (
             lambda predecessor, registration: NO_GRANTS
         )
@@ -187,22 +171,12 @@
 
     def list_members(self) -> list[str]:
         """List the daemons that were last seen alive."""
-        return sorted(self._members)
-
-    def list_remembered(self) -> dict[str, int]:
-        """Return the other members, and those whose keys have vanished recently.
-
-        :returns: the revision of the last change of each member's key, by name.
-        """
-        latest = self._now() - self._times.member_memory.total_seconds()
-        self._vanished = {n: at for n, at in self._vanished.items() if at >= latest}
-        names = (self._members.keys() | self._vanished) - {self.instance}
-        return {name: self._member_revisions[name] for name in sorted(names)}
+        return sorted(self.members.records)
 
     def list_successors(self) -> list[str]:
         """List the members in the order in which they should succeed the owner."""
         own, owner = self._member.instance, self._owner
-        members = {**self._members, own: self._member}
+        members = {**self.members.records, own: self._member}
         if owner is not None and owner.instance != own:
             members.pop(owner.instance, None)
         if owner is not None and owner.epoch == self._suspected_epoch:
@@ -212,18 +186,18 @@
 
     def list_interleaved(self) -> list[str]:
         """List the members alternating between their availability zones."""
-        return interleave_zones(self._members)
+        return interleave_zones(self.members.records)
 
     def find_address(self, instance: str) -> str | None:
         """Return the peer address of a daemon, ``None`` if it is unknown."""
-        member = self._members.get(instance)
+        member = self.members.records.get(instance)
         return member.address if member else None
 
     def is_gone(self, instance: str, incarnation: str) -> bool:
         """Whether a later incarnation's member key proves that a process has ended."""
         if instance == self._member.instance:
             return incarnation != self._member.incarnation
-        member = self._members.get(instance)
+        member = self.members.records.get(instance)
         return member is not None and member.incarnation != incarnation
 
     def is_cut_off(self) -> bool:
@@ -235,53 +209,19 @@
 
         The store must have named it in a call sent less than ``owner_lease`` ago.
         """
-        if self._term is None:
-            return False
-        age = self._clock.monotonic().total_seconds() - self._confirmed_at
-        return age < self._times.owner_lease.total_seconds()
+        return self._term is not None and self.limits.is_confirmed()
 
     def find_lease_limit(self) -> float:
         """Return the monotonic time beyond which no lease may be granted to a worker.
 
-        Whoever takes over waits until leases within this limit have expired, whether
-        or not this daemon is known to have ended.
+        See :class:`.LeaseLimits`.
         """
-        if self._term is None:
-            return float("-inf")
-        lease = self._times.lease_expiry.total_seconds()
-        limit = self._confirmed_at + lease
-        if self.has_outage_grant():
-            limit = max(limit, self._now() + lease)
-        if self._are_leases_capped:
-            limit = min(limit, self.get_last_grant() + lease)
-        return limit
-
-    def has_outage_grant(self) -> bool:
-        """Whether all members let this owner act without the store."""
-        outage_ends_at = (
-            self._members_known_at + self._times.outage_lease.total_seconds()
-        )
-        return self._now() < min(self.get_outage_grant(), outage_ends_at)
-
-    def cap_leases(self) -> None:
-        """Let no lease outlast what the members' grants allow.
-
-        They allow for what has been ordered without a record.
-        """
-        self._are_leases_capped = True
-
-    def uncap_leases(self) -> None:
-        """Undo :meth:`cap_leases`, as everything is recorded."""
-        self._are_leases_capped = False
+        return self.limits.find_limit() if self._term is not None else float("-inf")
 
     def may_order(self) -> bool:
         """Whether workers may be sent orders, see :meth:`find_lease_limit`."""
         return self.may_decide() and self._now() < self.find_lease_limit()
 
-    def measure_confirmation_age(self) -> timedelta:
-        """Return how long ago the last call was sent that showed this owner named."""
-        return timedelta(seconds=self._now() - self._confirmed_at)
-
     def measure_store_silence(self) -> timedelta:
         """Return the time since the store last answered this daemon."""
         return self._store.measure_silence()
@@ -289,10 +229,6 @@
     def _now(self) -> float:
         return self._clock.monotonic().total_seconds()
 
-    def knows_member(self, name: str, revision: int) -> bool:
-        """Whether the control keys were seen with a revision of a member's key."""
-        return name in self._members and self._member_revisions.get(name) == revision
-
     def has_guarantee(self, epoch: int, name: str) -> bool:
         """Whether the owner of an epoch is known to have given a guarantee."""
         return name in self._guarantees.get(epoch, ())
@@ -300,8 +236,7 @@
     @property
     def registration(self) -> Registration:
         """How this daemon's member key was last written."""
-        lease = self._member_lease
-        return Registration(lease.key_revision, lease.key_written_at, lease.membership)
+        return self._member_lease.registration
 
     async def is_registered(self, registration: Registration) -> bool:
         """Whether the member key is still in the store as it was written."""
@@ -317,7 +252,7 @@
 
         :param since: when the call that returned it was sent, in monotonic seconds.
         """
-        self._confirmed_at = max(self._confirmed_at, since)
+        self.limits.confirm(since)
 
     async def is_confirmed_since(self, earliest: float) -> bool:
         """Whether a store call sent since ``earliest`` named this daemon as the owner.
@@ -327,11 +262,11 @@
 
         :param earliest: monotonic seconds.
         """
-        if self._term is not None and self._confirmed_at < earliest:
+        if self._term is not None and self.limits.confirmed_at < earliest:
             if self._owner_read is None or self._owner_read.done():
                 self._owner_read = asyncio.ensure_future(self._read_owner())
             await asyncio.shield(self._owner_read)
-        return self._term is not None and self._confirmed_at >= earliest
+        return self._term is not None and self.limits.confirmed_at >= earliest
 
     async def _read_owner(self) -> None:
         sent_at = self._clock.monotonic().total_seconds()
@@ -416,10 +351,9 @@
             return 0
         entries, revision = found
         present = {entry.key for entry in entries}
-        for name in list(self._members):
-            if MEMBERS_PREFIX + name not in present:
-                self._remove_member(name)
-                self._changed.set()
+        names = {key.removeprefix(MEMBERS_PREFIX) for key in present}
+        if self.members.retain(names):
+            self._changed.set()
         for entry in entries:
             self._apply(entry.key, entry.value, entry.revision)
         self._has_lead = LEAD_KEY in present
@@ -428,7 +362,7 @@
         return revision
 
     def _record_contact(self, sent_at: float) -> None:
-        self._members_known_at = max(self._members_known_at, sent_at)
+        self.limits.record_members(sent_at)
         if self._term is not None:
             self.confirm(sent_at)
         self._wakeup.set()
@@ -459,22 +393,10 @@
                 record = decode_record(TermRecord, value)
                 self._guarantees[record.epoch] = record.guarantees
             elif key.startswith(MEMBERS_PREFIX):
-                self._apply_member(key.removeprefix(MEMBERS_PREFIX), value, revision)
+                self.members.apply(key.removeprefix(MEMBERS_PREFIX), value, revision)
         except MessageError as error:
             _log.error("A control key can't be read.", key=key, error=str(error))
 
-    def _apply_member(self, name: str, value: bytes | None, revision: int) -> None:
-        self._member_revisions[name] = revision
-        if value is None:
-            self._remove_member(name)
-        else:
-            self._members[name] = decode_record(MemberRecord, value)
-            self._vanished.pop(name, None)
-
-    def _remove_member(self, name: str) -> None:
-        if self._members.pop(name, None) is not None:
-            self._vanished[name] = self._now()
-
     def _apply_owner(self, value: bytes | None, revision: int) -> None:
         if value is None or revision < self._owner_revision:
             return
@@ -497,7 +419,7 @@
     def count_deposed(self, window: timedelta) -> int:
         """Count the owners deposed within a time window that are still alive."""
         since = self._clock.monotonic() - window
-        return self._deposed_owners.count_alive_deposed(self._members, since)
+        return self._deposed_owners.count_alive_deposed(self.members.records, since)
 
     def _is_this_process(self, owner: OwnerRecord) -> bool:
         is_self = owner.incarnation == self._member.incarnation
@@ -560,7 +482,7 @@
 
     def find_stronger_member(self) -> str:
         """Return a member that should replace this owner, an empty string if none."""
-        return find_stronger_member(self._members.values(), self._member.power)
+        return find_stronger_member(self.members.records.values(), self._member.power)
 
     async def read_fence_revision(self) -> int:
         """Return the revision of the fence key, 0 if it is unknown."""
@@ -675,7 +597,7 @@
         self._owner, self._owner_revision = record, revision
         self._has_lead = True
         self.confirm(sent_at)
-        self._are_leases_capped = False
+        self.limits.uncap()
         self._term = term._replace(
             revision=revision,
             fence=revision,
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -25,7 +25,7 @@
 from damaskdeck.coordination.pools.intake import Intake
 from damaskdeck.coordination.pools.journal import Journal
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
-from damaskdeck.coordination.pools.recording import RunRecording
+from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.speeds import read_speeds
 from damaskdeck.coordination.pools.supervision import RunSupervisor
 from damaskdeck.coordination.pools.transfers import OwnerTerm
--- a/src/damaskdeck/coordination/pools/recording.py
+++ b/src/damaskdeck/coordination/pools/predecessors/recording.py
@@ -10,11 +10,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.leadership import RETRY_DELAY, Leadership
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.coordination.pools.tenure.memberlease import RETRY_DELAY
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
@@ -27,6 +28,9 @@
     encode_record,
 )
 
+if TYPE_CHECKING:
+    from damaskdeck.coordination.pools.leadership import Leadership
+
 # Starts don't wait for a store that usually takes longer than this for a commit.
 SLOW_COMMIT_SECONDS = 0.05
 # They wait for it again once it has taken less than this for a while.
@@ -47,7 +51,7 @@
     def __init__(
         self,
         term: OwnerTerm,
-        leadership: Leadership,
+        leadership: "Leadership",
         store: MonitoredStore,
         clock: Clock,
         on_change: Callable[[], None],
@@ -123,7 +127,7 @@
 
     def may_skip(self) -> bool:
         """Whether starts may be ordered without a record, as the store is away."""
-        return self._store.is_failing and self._leadership.has_outage_grant()
+        return self._store.is_failing and self._leadership.limits.has_grant()
 
     def record_order(self, is_recorded: bool) -> None:
         """Record that a start is ordered."""
@@ -132,7 +136,7 @@
         # Whoever let this owner go on waits until such runs have ended.
         self._are_recorded = False
         self._skipped += 1
-        self._leadership.cap_leases()
+        self._leadership.limits.cap()
 
     def sweep(self) -> None:
         """Adapt to the speed of the store, and declare what has changed."""
@@ -168,7 +172,7 @@
         await self._flush()
         if self._waits and skipped == self._skipped:
             self._are_recorded = True
-            self._leadership.uncap_leases()
+            self._leadership.limits.uncap()
 
     def _declare(self, is_complete: bool) -> None:
         if self._declares != is_complete:
@@ -185,7 +189,7 @@
             self._is_declared = self._may_be_declared = is_complete
             if not is_complete:
                 # Successors hold jobs back now, whatever is on record.
-                self._leadership.uncap_leases()
+                self._leadership.limits.uncap()
                 if self._waits:
                     self._stop_waiting()
             return False
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -10,7 +10,7 @@
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.planning import Plan
-from damaskdeck.coordination.pools.recording import RunRecording
+from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.waits import measure_wait, record_wait
 from damaskdeck.logs import get_logger
--- a/src/damaskdeck/coordination/pools/memberlease.py
+++ b/src/damaskdeck/coordination/pools/tenure/memberlease.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
@@ -20,17 +21,27 @@
 _log = get_logger("leadership")
 
 
+class Registration(NamedTuple):
+    """How a daemon's member key was written.
+
+    :param revision: of the key, 0 if it isn't written.
+    :param at: when that was known, in monotonic seconds, infinite before that.
+    :param membership: the same as long as each owner that has once known this daemon
+        has to ask it for grants, see :meth:`.Members.list_remembered`.
+    """
+
+    revision: int
+    at: float
+    membership: int
+
+
 class MemberLease:
     """Maintains the lease and writes the member key.
 
     :param member: what this daemon publishes about itself.
     :param on_registered: called when the key has been written.
     :ivar lease: the lease, an empty string if there is none.
-    :ivar key_revision: the revision of the member key as this daemon last wrote it, 0
-        before that.
-    :ivar key_written_at: when that was known, in monotonic seconds.
-    :ivar membership: changes when the key may have been away for longer than an owner
-        remembers members whose keys are gone.
+    :ivar registration: how the member key was last written.
     """
 
     def __init__(
@@ -42,9 +53,7 @@
         on_registered: Callable[[], None],
     ) -> None:
         self.lease = ""
-        self.key_revision = 0
-        self.key_written_at = float("inf")
-        self.membership = 0
+        self.registration = Registration(0, float("inf"), 0)
         self._present_at = float("-inf")
         self._member = member
         self._store = store
@@ -64,7 +73,7 @@
     @property
     def is_registered(self) -> bool:
         """Whether the member key has been written under the present lease."""
-        return bool(self.lease and self.key_revision)
+        return bool(self.lease and self.registration.revision)
 
     @property
     def key(self) -> str:
@@ -74,7 +83,7 @@
     def discard_lease(self) -> None:
         """Discard a lease that the store no longer knows."""
         self.lease = ""
-        self.key_revision = 0
+        self.registration = self.registration._replace(revision=0)
 
     async def _maintain(self) -> None:
         while True:
@@ -89,7 +98,7 @@
             await self._clock.sleep(self._times.member_renewal)
             sent_at = self._now()
             renewed = await self._store.renew_lease(self.lease)
-            if isinstance(renewed, Granted) and self.key_revision:
+            if isinstance(renewed, Granted) and self.is_registered:
                 self._present_at = sent_at
             if isinstance(renewed, Lapsed):
                 _log.warn("The member's lease lapsed.", lease=self.lease)
@@ -127,17 +136,20 @@
             if isinstance(result, Lapsed):
                 self.discard_lease()
             elif isinstance(result, Written):
-                now = self.key_written_at = self._now()
-                self.key_revision = result.revision
-                longest_gap = self._times.member_gap.total_seconds()
-                if now - self._present_at > longest_gap * (1 - 2 * CLOCK_DRIFT):
-                    self.membership += 1
-                self._present_at = now
+                self._record_written(result.revision)
                 self._on_registered()
                 return
             else:
                 await self._sleep_before_retry()
 
+    def _record_written(self, revision: int) -> None:
+        now, membership = self._now(), self.registration.membership
+        longest_gap = self._times.member_gap.total_seconds() * (1 - 2 * CLOCK_DRIFT)
+        if now - self._present_at > longest_gap:
+            membership += 1
+        self.registration = Registration(revision, now, membership)
+        self._present_at = now
+
     async def _sleep_before_retry(self) -> None:
         await self._clock.sleep(self._store.find_retry_delay(RETRY_DELAY))
 
--- a/src/damaskdeck/coordination/pools/outagegrants.py
+++ b/src/damaskdeck/coordination/pools/tenure/outagegrants.py
@@ -18,9 +18,10 @@
 import asyncio
 import math
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.leadership import Leadership, Registration
+from damaskdeck.coordination.pools.tenure.memberlease import Registration
 from damaskdeck.coordination.pools.times import CLOCK_DRIFT, PoolTimes
 from damaskdeck.coordination.pools.transfers import GrantBounds, OwnerTerm
 from damaskdeck.logs import get_logger
@@ -35,6 +36,9 @@
 )
 from damaskdeck.state.jobrecords import FIRST_EPOCH
 
+if TYPE_CHECKING:
+    from damaskdeck.coordination.pools.leadership import Leadership
+
 CHECK_INTERVAL = timedelta(milliseconds=100)
 # The owner follows the control keys, so this means that the store doesn't answer it.
 UNCONFIRMED_AGE = timedelta(seconds=1)
@@ -53,7 +57,7 @@
     """Requests grants for this daemon as the owner, and gives them as a member."""
 
     def __init__(
-        self, peers: Peers, leadership: Leadership, clock: Clock, times: PoolTimes
+        self, peers: Peers, leadership: "Leadership", clock: Clock, times: PoolTimes
     ) -> None:
         self._peers = peers
         self._leadership = leadership
@@ -74,8 +78,8 @@
         # The earliest bounds that other members have reported for a term.
         self._reported_epoch = 0
         self._reported = UNKNOWN_BOUNDS
-        leadership.get_outage_grant = self.get_granted_until
-        leadership.get_last_grant = lambda: self._granted_until
+        leadership.limits.get_grant = self.get_granted_until
+        leadership.limits.get_last_grant = lambda: self._granted_until
         leadership.find_own_bounds = self.find_own_bounds
         leadership.find_grant_bounds = self.find_bounds
         peers.register(RequestOutageGrant, self._handle_request)
@@ -90,7 +94,7 @@
             term = self._leadership.term
             if term is None:
                 await self._introduce()
-            elif self._leadership.measure_confirmation_age() > UNCONFIRMED_AGE:
+            elif self._leadership.limits.measure_age() > UNCONFIRMED_AGE:
                 await self._request(term)
             elif self._must_ask(term):
                 await self._ask(term)
@@ -105,7 +109,7 @@
 
         A member that has registered since may not know of its predecessor's grant.
         """
-        known = self._leadership.list_remembered()
+        known = self._leadership.members.list_remembered()
         is_unchanged = known.items() <= self._granted_by.items()
         return self._granted_until if is_unchanged else float("-inf")
 
@@ -113,7 +117,7 @@
         """Request a grant of all other members; each of them has to give it."""
         sent_at = self._now()
         message: RequestOutageGrant = {"epoch": term.epoch}
-        members = self._leadership.list_remembered()
+        members = self._leadership.members.list_remembered()
         names = list(members)
         replies = await asyncio.gather(
             *(
@@ -191,7 +195,7 @@
         self, peer: str, message: CheckMember
     ) -> CheckMemberReply:
         term = self._leadership.term
-        is_known = self._leadership.knows_member(peer, message["revision"])
+        is_known = self._leadership.members.knows(peer, message["revision"])
         return {"epoch": term.epoch if term is not None else 0, "is_known": is_known}
 
     def find_own_bounds(
@@ -262,7 +266,7 @@
         replies = await asyncio.gather(
             *(
                 self._peers.call(name, message, CheckOutageGrants, REQUEST_INTERVAL)
-                for name in self._leadership.list_remembered()
+                for name in self._leadership.members.list_remembered()
             )
         )
         now = self._now()
--- a/tests/test_pools_chaos.py
+++ b/tests/test_pools_chaos.py
@@ -11,7 +11,7 @@
 from random import Random
 from unittest import mock
 
-from damaskdeck.coordination.pools.recording import RunRecording
+from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.protocol.callresults import JobAccepted, JobStateFound
 from damaskdeck.protocol.pools import EndKind, WorkerIncarnation
 from damaskdeck.protocol.queues import (
--- a/tests/test_pools_outages.py
+++ b/tests/test_pools_outages.py
@@ -183,11 +183,11 @@
         entry = self.cluster.store.entries[key]
         self.cluster.begin_outage()
         await asyncio.sleep(2)
-        self.assertTrue(leadership.has_outage_grant())
+        self.assertTrue(leadership.limits.has_grant())
         leadership.refresh(Entry(key, entry.value, entry.revision + 1, ""))
-        self.assertFalse(leadership.has_outage_grant())
+        self.assertFalse(leadership.limits.has_grant())
         await asyncio.sleep(1)
-        self.assertTrue(leadership.has_outage_grant())
+        self.assertTrue(leadership.limits.has_grant())
         self.end()
 
     # An owner forgets a member whose key has been away for long.
@@ -213,9 +213,9 @@
         member.kill()
         await asyncio.sleep(4)
         self.assertNotIn(member.name, owner.leadership.list_members())
-        self.assertIn(member.name, owner.leadership.list_remembered())
+        self.assertIn(member.name, owner.leadership.members.list_remembered())
         await asyncio.sleep(18)
-        self.assertNotIn(member.name, owner.leadership.list_remembered())
+        self.assertNotIn(member.name, owner.leadership.members.list_remembered())
         self.end()
 
 
