Use the glossary's words for the leases, and mend three simulations

Cause: the new folder was named by a word that the glossary replaces, and the simulations of passes, preemption and speeds have owners of their own, which lacked what the dispatcher now needs; speeds had failed before (a lease without a setter). No behaviour of the product changes.

--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -11,6 +11,7 @@
 import time
 from datetime import timedelta
 
+from benchmarks.owners import UnlimitedLeadership, UnstoredOwner
 from damaskdeck.clock import SystemClock
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.advice import AdviceScheduler
@@ -74,7 +75,7 @@
         return Done(timedelta())
 
 
-class _Owner:
+class _Owner(UnstoredOwner):
     """The part of a pool owner that the dispatcher uses."""
 
     def __init__(self) -> None:
@@ -90,20 +91,6 @@
     def get_table(self) -> QueueTable:
         return self._table
 
-    def may_decide(self) -> bool:
-        return True
-
-    def next_attempt(self, tasks) -> int:
-        return max(task.attempt for task in tasks) + 1
-
-    def charge(self, run: Run) -> None:
-        """Charge a run to its client account's limits."""
-        self.account_limits.charge(run)
-
-    def release(self, run: Run) -> None:
-        """Release a run from its client account's limits."""
-        self.account_limits.release(run)
-
     def record_running(self, run: Run) -> None:
         """Do nothing."""
 
@@ -163,7 +150,7 @@
         term,
         owner,
         _Workers(),
-        None,
+        UnlimitedLeadership(),
         clock,
         times,
         lambda: float("-inf"),
--- a/benchmarks/preemption.py
+++ b/benchmarks/preemption.py
@@ -16,6 +16,7 @@
 from datetime import timedelta
 
 from benchmarks.hardload import LOADS, Load
+from benchmarks.owners import UnlimitedLeadership, UnstoredOwner
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
@@ -36,7 +37,7 @@
 )
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.jobrecords import JobRecord
-from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step, Task
+from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step
 from standins.loops import LoopClock, run_virtual
 
 SEED = 17
@@ -124,7 +125,7 @@
         return Answered({"code": "", "consents": consents})
 
 
-class Simulation:
+class Simulation(UnstoredOwner):
     """The owner's rules around a dispatcher, with workers in virtual time."""
 
     def __init__(self, workers: int, seconds: float, is_full: bool) -> None:
@@ -189,7 +190,7 @@
             self.term,
             self,
             port,
-            None,
+            UnlimitedLeadership(),
             self._clock,
             derive_times(BOUNDS),
             lambda: float("-inf"),
@@ -209,33 +210,15 @@
     def get_table(self) -> QueueTable:
         return self._table
 
-    def may_decide(self) -> bool:
-        return True
-
     def are_quotas_fresh(self) -> bool:
         return True
 
     def list_unreconciled(self) -> list[Size]:
         return []
 
-    def next_attempt(self, tasks: list[Task]) -> int:
-        return max(task.attempt for task in tasks) + 1
-
-    def charge(self, run: Run) -> None:
-        self.account_limits.charge(run)
-
-    def release(self, run: Run) -> None:
-        self.account_limits.release(run)
-
     def record_running(self, run: Run) -> None:
         run.task.step.job.record_start()
 
-    def mark_dirty(self, job: Job) -> None:
-        """Do nothing: nothing is stored."""
-
-    async def flush(self) -> None:
-        """Do nothing: nothing is stored."""
-
     def stop(self, run: Run) -> None:
         self.contacts[run.worker].stop(run)
 
--- a/benchmarks/speeds.py
+++ b/benchmarks/speeds.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple
 from unittest import mock
 
+from benchmarks.owners import UnlimitedLeadership, UnstoredOwner
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
@@ -161,7 +162,7 @@
         return Done(CLOCK.monotonic())
 
 
-class _Pool:
+class _Pool(UnstoredOwner):
     """An owner with simulated workers.
 
     :ivar stops: number of runs that were stopped.
@@ -210,7 +211,7 @@
             self.term,
             self,
             _Workers(),
-            None,
+            UnlimitedLeadership(),
             CLOCK,
             self._times,
             lambda: 0.0,
@@ -231,18 +232,6 @@
     def get_table(self) -> QueueTable:
         return self._table
 
-    def may_decide(self) -> bool:
-        return True
-
-    def next_attempt(self, tasks) -> int:
-        return max(task.attempt for task in tasks) + 1
-
-    def charge(self, run: Run) -> None:
-        self.account_limits.charge(run)
-
-    def release(self, run: Run) -> None:
-        self.account_limits.release(run)
-
     def record_running(self, run: Run) -> None:
         self.orders.append((self.now(), run))
         index = run.task.name.index
@@ -340,7 +329,7 @@
     def _poll(self, contact: WorkerContact, now: float) -> None:
         contact.polled_at = now
         contact._lease.record_clock(timedelta(seconds=now), now)
-        contact._lease.expires_at = now + 6
+        contact._lease.extend_until(now + 6)
         for run in contact.runs.values():
             if run.phase is RunPhase.RUNNING:
                 work = self._done[run] - run.settled_at
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -12,6 +12,13 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.leases.limits import LeaseLimits
+from damaskdeck.coordination.pools.leases.memberlease import (
+    RETRY_DELAY,
+    MemberLease,
+    Registration,
+)
+from damaskdeck.coordination.pools.leases.members import Members
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
 from damaskdeck.coordination.pools.predecessors import FormerOwners
 from damaskdeck.coordination.pools.succession import (
@@ -20,13 +27,6 @@
     interleave_zones,
     rank_successors,
 )
-from damaskdeck.coordination.pools.tenure.limits import LeaseLimits
-from damaskdeck.coordination.pools.tenure.memberlease import (
-    RETRY_DELAY,
-    MemberLease,
-    Registration,
-)
-from damaskdeck.coordination.pools.tenure.members import Members
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.transfers import (
     NO_GRANTS,
--- a/src/damaskdeck/coordination/pools/tenure/outagegrants.py
+++ b/src/damaskdeck/coordination/pools/leases/outagegrants.py
@@ -21,7 +21,7 @@
 from typing import TYPE_CHECKING
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.tenure.memberlease import Registration
+from damaskdeck.coordination.pools.leases.memberlease import Registration
 from damaskdeck.coordination.pools.times import CLOCK_DRIFT, PoolTimes
 from damaskdeck.coordination.pools.transfers import GrantBounds, OwnerTerm
 from damaskdeck.logs import get_logger
--- a/src/damaskdeck/coordination/pools/predecessors/recording.py
+++ b/src/damaskdeck/coordination/pools/predecessors/recording.py
@@ -14,8 +14,8 @@
 
 from damaskdeck.background import start_task
 from damaskdeck.clock import Clock
+from damaskdeck.coordination.pools.leases.memberlease import RETRY_DELAY
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
-from damaskdeck.coordination.pools.tenure.memberlease import RETRY_DELAY
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
--- a/src/damaskdeck/coordination/pools/predecessors/workers.py
+++ b/src/damaskdeck/coordination/pools/predecessors/workers.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, TypeVar
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.tenure.memberlease import RETRY_DELAY
+from damaskdeck.coordination.pools.leases.memberlease import RETRY_DELAY
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.pools import RegisteredWorkers, WorkerRegistry
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -13,10 +13,10 @@
 from damaskdeck.coordination.pools.delegates import Delegates
 from damaskdeck.coordination.pools.jobfrontend import JobFrontend
 from damaskdeck.coordination.pools.leadership import Leadership
+from damaskdeck.coordination.pools.leases.outagegrants import OutageGrants
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
 from damaskdeck.coordination.pools.owner import OwnerDependencies, PoolOwner
 from damaskdeck.coordination.pools.ownermonitor import OwnerMonitor
-from damaskdeck.coordination.pools.tenure.outagegrants import OutageGrants
 from damaskdeck.coordination.pools.times import PoolBounds, derive_times
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.workerfleet import FleetDependencies
