Compare members with their grants only while a grant lasts

Cause: each poll and start asks for the lease limit, and comparing all members took part of that also without an outage. Change: the time is compared first.

--- a/src/damaskdeck/coordination/pools/leases/limits.py
+++ b/src/damaskdeck/coordination/pools/leases/limits.py
@@ -53,8 +53,13 @@
 
     def has_grant(self) -> bool:
         """Whether all members let this owner act without the store."""
-        ends_at = self._members_known_at + self._outage_lease
-        return self._now() < min(self.get_grant(), ends_at)
+        now = self._now()
+        if now >= min(
+            self.get_last_grant(), self._members_known_at + self._outage_lease
+        ):
+            return False
+        # Comparing the members with those that gave it takes longer.
+        return now < self.get_grant()
 
     def find_limit(self) -> float:
         """Return the time beyond which no lease may be granted to a worker.
