Don't ask members for outage grants that have left in an orderly way

Change: a member that has removed its key tells the others, which ask it no more until its name registers again. It takes over nothing, as a takeover expects its key. Tests: test_a_member_that_has_left_is_not_asked fails without it.

--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -665,7 +665,10 @@
             name for name in self.list_successors() if name != self._member.instance
         ]
 
-    async def leave(self) -> None:
-        """Remove the member key, so that no peer forwards to this daemon."""
+    async def leave(self) -> bool:
+        """Remove the member key, so that no peer forwards to this daemon.
+
+        :returns: whether it is known to be gone; no takeover succeeds after that.
+        """
         self._is_leaving = True
-        await self._member_lease.leave()
+        return await self._member_lease.leave()
--- a/src/damaskdeck/coordination/pools/leases/memberlease.py
+++ b/src/damaskdeck/coordination/pools/leases/memberlease.py
@@ -153,6 +153,7 @@
     async def _sleep_before_retry(self) -> None:
         await self._clock.sleep(self._store.find_retry_delay(RETRY_DELAY))
 
-    async def leave(self) -> None:
-        """Remove the member key, so that no peer forwards to this daemon."""
-        await self._store.commit(Transaction(removals=(self.key,)))
+    async def leave(self) -> bool:
+        """Remove the member key; return whether it is known to be gone."""
+        result = await self._store.commit(Transaction(removals=(self.key,)))
+        return isinstance(result, Written)
--- a/src/damaskdeck/coordination/pools/leases/members.py
+++ b/src/damaskdeck/coordination/pools/leases/members.py
@@ -22,6 +22,8 @@
         self._revisions: dict[str, int] = {}
         # When the key of each member was seen to be gone.
         self._vanished: dict[str, float] = {}
+        # Members that have left, though their keys may not have been seen to be gone.
+        self._departed: set[str] = set()
 
     @property
     def records(self) -> dict[str, MemberRecord]:
@@ -39,6 +41,12 @@
         else:
             self._records[name] = decode_record(MemberRecord, value)
             self._vanished.pop(name, None)
+            self._departed.discard(name)
+
+    def record_departure(self, name: str, revision: int) -> None:
+        """Record that a member has left by removing a revision of its key."""
+        if name not in self._records or self._revisions[name] == revision:
+            self._departed.add(name)
 
     def retain(self, names: Set[str]) -> bool:
         """Remove all members but these; return whether there was any other."""
@@ -62,5 +70,5 @@
         """
         latest = self._clock.monotonic().total_seconds() - self._memory
         self._vanished = {n: at for n, at in self._vanished.items() if at >= latest}
-        names = (self._records.keys() | self._vanished) - {self._own}
+        names = (self._records.keys() | self._vanished) - {self._own, *self._departed}
         return {name: self._revisions[name] for name in sorted(names)}
--- a/src/damaskdeck/coordination/pools/leases/outagegrants.py
+++ b/src/damaskdeck/coordination/pools/leases/outagegrants.py
@@ -32,6 +32,8 @@
     CheckOutageGrants,
     CheckOutageGrantsReply,
     GiveOutageGrant,
+    RecordDeparture,
+    RecordDepartureReply,
     RequestOutageGrant,
 )
 from damaskdeck.state.jobrecords import FIRST_EPOCH
@@ -85,6 +87,7 @@
         peers.register(RequestOutageGrant, self._handle_request)
         peers.register(CheckOutageGrants, self._handle_check)
         peers.register(CheckMember, self._handle_member_check)
+        peers.register(RecordDeparture, self._handle_departure)
 
     async def run(self) -> None:
         """Request grants while the store doesn't answer this owner, until cancelled."""
@@ -198,6 +201,23 @@
         is_known = self._leadership.members.knows(peer, message["revision"])
         return {"epoch": term.epoch if term is not None else 0, "is_known": is_known}
 
+    async def announce_departure(self) -> None:
+        """Tell the other members that this one has left, and need not be asked."""
+        revision = self._leadership.registration.revision
+        message: RecordDeparture = {"revision": revision}
+        await asyncio.gather(
+            *(
+                self._peers.call(name, message, RecordDeparture, REQUEST_INTERVAL)
+                for name in self._leadership.members.list_remembered()
+            )
+        )
+
+    async def _handle_departure(
+        self, peer: str, message: RecordDeparture
+    ) -> RecordDepartureReply:
+        self._leadership.members.record_departure(peer, message["revision"])
+        return {}
+
     def find_own_bounds(
         self, predecessor: int, registration: Registration
     ) -> GrantBounds:
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -403,9 +403,13 @@
         remaining = min(BALANCER_DETECTION_TIME, latest) - elapsed
         if remaining > timedelta():
             await self._clock.sleep(remaining)
-        await self._run_drain_step(self.leadership.leave())
+        await self._run_drain_step(self._leave())
         await self._server.stop()
 
+    async def _leave(self) -> None:
+        if await self.leadership.leave():
+            await self._outage_grants.announce_departure()
+
     async def _run_drain_step(self, step) -> None:
         try:
             async with asyncio.timeout(DRAIN_STEP_TIMEOUT.total_seconds()):
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -285,6 +285,21 @@
     revision: Count
 
 
+@message("pool.departure_noted")
+class RecordDepartureReply(TypedDict):
+    """The receiver asks the member for no more grants."""
+
+
+@message("pool.departed", reply="pool.departure_noted")
+class RecordDeparture(TypedDict):
+    """The sender has removed its member key and takes over no more.
+
+    :ivar revision: of the member key that it has removed.
+    """
+
+    revision: Count
+
+
 @message("pool.relayed")
 class DelegateCommitReply(TypedDict):
     """Result of a delegated commit.
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -267,7 +267,8 @@
         if owner is not None:
             await owner.drain()
         await self.leadership.release(owner.fence if owner is not None else 0)
-        await self.leadership.leave()
+        if await self.leadership.leave():
+            await self.grants.announce_departure()
         self.kill()
 
 
--- a/tests/test_pools_outages.py
+++ b/tests/test_pools_outages.py
@@ -206,6 +206,32 @@
             self.assertEqual(registration.membership == before.membership, is_same)
         self.end()
 
+    # In a rolling restart, tasks ended one lease after the store had gone away.
+    @virtual
+    async def test_a_member_that_has_left_is_not_asked(self):
+        owner = await self.prepare()
+        await self.find_member(owner).stop()
+        self.cluster.begin_outage()
+        await asyncio.sleep(2)
+        self.assertTrue(owner.leadership.limits.has_grant())
+        await asyncio.sleep(5)
+        worker = self.cluster.workers[self.host]
+        worker.settle()
+        self.assertEqual(len(worker.running), 1)
+        self.end()
+
+    # Its name may be that of a new process, which has to be asked again.
+    @virtual
+    async def test_a_member_that_returns_after_it_left_is_asked(self):
+        owner = await self.prepare()
+        name = self.find_member(owner).name
+        await self.cluster.daemons[name].stop()
+        self.assertNotIn(name, owner.leadership.members.list_remembered())
+        self.cluster.add_daemon(name).start()
+        await asyncio.sleep(1)
+        self.assertIn(name, owner.leadership.members.list_remembered())
+        self.end()
+
     @virtual
     async def test_an_owner_remembers_a_member_whose_key_has_vanished(self):
         owner = await self.prepare()
