Measure how busy the event loop is, and the stages of a start

Each daemon measures for how long its loop waits and its longest iteration, as metrics, and writes a line a second while it is busy for nine tenths of the time, with what an owner has to do: open jobs, pending steps, starts without an answer, commits. "Starts were answered." has the time until the record and until the answers, by queue and rank. No decision changes.

--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -208,6 +208,11 @@
             and not self._is_slow_to_answer(now)
         )
 
+    @property
+    def unanswered_count(self) -> int:
+        """The number of starts without an answer."""
+        return self._orders.unanswered_count
+
     @property
     def are_runs_listed(self) -> bool:
         """Whether the worker answers and its last list shows the state of all runs."""
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -153,6 +153,10 @@
         """List the pending steps, most urgent first."""
         return self._pending.rank(now)
 
+    def count_pending(self) -> int:
+        """Count the steps with tasks that wait."""
+        return len(self._pending)
+
     def handle_advice(self, step: Step) -> None:
         """Check all workers again for a step that the advisor has answered about."""
         self._gang_capacity.handle_advice(step)
--- a/src/damaskdeck/coordination/pools/journal.py
+++ b/src/damaskdeck/coordination/pools/journal.py
@@ -71,6 +71,7 @@
         self._times = times
         self._gather = gather
         self._number = 0
+        self._commit_count = 0
         self._has_work = asyncio.Event()
         self._is_urgent = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
@@ -98,6 +99,11 @@
         self._has_work.set()
         await waiter
 
+    def take_commit_count(self) -> int:
+        """Return the number of commits since the last call."""
+        count, self._commit_count = self._commit_count, 0
+        return count
+
     async def run(self) -> None:
         """Commit until cancelled or deposed."""
         while True:
@@ -131,6 +137,7 @@
         numbers = set()
         while True:
             self._number += 1
+            self._commit_count += 1
             numbers.add(self._number)
             sent_at = self._clock.monotonic().total_seconds()
             done = await self._store.commit(self._build(changes))
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -254,6 +254,15 @@
             unaccounted=self._fleet.unreconciled_count,
         )
 
+    def describe_load(self) -> dict[str, int]:
+        """Return the fields of a log line that tell what there is to do."""
+        return {
+            "jobs": len(self.job_index.open_jobs),
+            "pending": self.dispatcher.count_pending(),
+            "unanswered": sum(c.unanswered_count for c in self.contacts.values()),
+            "commits": self._journal.take_commit_count(),
+        }
+
     # Jobs --------------------------------------------------------------------
 
     def record_refusal(self, message: ReportRefusal) -> None:
--- a/src/damaskdeck/coordination/pools/pending.py
+++ b/src/damaskdeck/coordination/pools/pending.py
@@ -55,6 +55,9 @@
         self._steps: dict[str, dict[str, PendingStep]] = {}
         self._changed_jobs: dict[str, Job] = {}
 
+    def __len__(self) -> int:
+        return sum(map(len, self._steps.values()))
+
     def mark_changed(self, job: Job) -> None:
         """Record that the steps of a job may have changed."""
         self._changed_jobs[job.identifier] = job
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -169,6 +169,7 @@
         self, step: Step, runs: list[tuple[Run, WorkerContact]], is_required: bool
     ) -> None:
         recording = self._owner.recording
+        ordered_at = self._owner.now()
         if is_required or recording.must_wait():
             if not await self._wait_for_records(step, runs, is_required):
                 self._mark_changed(step.job)
@@ -185,7 +186,19 @@
                 run, payload, run.task.checkpoint, ticket if needs_ticket else ""
             )
 
+        sent_at = self._owner.now()
         results = await asyncio.gather(*(start(run, c) for run, c in runs))
+        _log.info(
+            "Starts were answered.",
+            id=step.job.identifier,
+            step=step.number,
+            attempt=runs[0][0].attempt,
+            queue=step.job.queue.name,
+            rank=step.job.queue.rank,
+            confirmed=results.count(True),
+            recorded_after=round(sent_at - ordered_at, 3),
+            answered_after=round(self._owner.now() - sent_at, 3),
+        )
         if all(results):
             return
         for (run, _), is_started in zip(runs, results, strict=True):
--- a/src/damaskdeck/coordination/pools/workerorders.py
+++ b/src/damaskdeck/coordination/pools/workerorders.py
@@ -54,6 +54,11 @@
         for stop in self._stops:
             stop.cancel()
 
+    @property
+    def unanswered_count(self) -> int:
+        """The number of starts without an answer."""
+        return len(self._unanswered)
+
     def measure_wait(self, now: float) -> float:
         """Return for how many seconds the oldest start has been without an answer."""
         return now - next(iter(self._unanswered.values()), now)
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -130,6 +130,12 @@
     ("dimension",),
     "share of the owned workers that is reserved",
 )
+_loop_busy = _Values(
+    "damaskdeck_loop_busy", (), "share of the last second the event loop was busy"
+)
+_loop_iteration = _Values(
+    "damaskdeck_loop_longest_iteration", (), "of the last second", "s"
+)
 _revision = _Values("damaskdeck_configuration_revision", (), "in force on this daemon")
 _gauges = (
     _account_waiting,
@@ -140,6 +146,8 @@
     _speed_spread,
     _measured_workers,
     _packing,
+    _loop_busy,
+    _loop_iteration,
     _revision,
 )
 
@@ -241,6 +249,16 @@
     _latencies.record(seconds, {"part": part, "step": step})
 
 
+def set_loop_load(busy: float, longest: float) -> None:
+    """Record the load of the event loop in the last second.
+
+    :param busy: share of the time in which it did not wait, from 0 to 1.
+    :param longest: the longest iteration, in seconds.
+    """
+    _loop_busy.current[()] = busy
+    _loop_iteration.current[()] = longest
+
+
 def set_account_share(account: str, share: float, borrowed: float, beyond: int) -> None:
     """Record the share of a client account.
 
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -28,6 +28,7 @@
 from damaskdeck.errors import SettingsError
 from damaskdeck.lines import LineHandler, LineWriter
 from damaskdeck.logs import get_logger
+from damaskdeck.looploads import LoadReporter, MeasuredSelector
 from damaskdeck.platform import (
     NodeSettings,
     PlatformAdvisor,
@@ -74,14 +75,19 @@
     :ivar callers_address: serves callers.
     :ivar ready_address: serves the balancer's readiness checks.
     :ivar metrics_address: serves the metrics.
+
+    :param selector: of the event loop that the daemon runs on.
     """
 
-    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, selector: MeasuredSelector
+    ) -> None:
         self.settings = settings
         self.callers_address = self.ready_address = self.metrics_address = ""
         self._clock = clock
         self._times = derive_times(settings.bounds)
         self._loop_delay = LoopDelay()
+        self._load_reporter = LoadReporter(selector, clock)
         self._is_leaving = False
         self._stop_requested = asyncio.Event()
         self._settings_reload_requested = asyncio.Event()
@@ -233,6 +239,13 @@
             status["sections"] = build_sections(owner)
         return status
 
+    def _describe_load(self) -> dict[str, object]:
+        """Return what a line on a saturated event loop tells of the owner's work."""
+        owner = self._owner
+        if owner is None or not owner.is_loaded:
+            return {"is_owner": owner is not None}
+        return {"is_owner": True, **owner.describe_load()}
+
     # Owner term --------------------------------------------------------------
 
     def _begin_term(self, term: OwnerTerm) -> None:
@@ -369,6 +382,7 @@
             asyncio.ensure_future(
                 self._loop_delay.run(self._clock, lambda: self._owner is not None)
             ),
+            asyncio.ensure_future(self._load_reporter.run(self._describe_load)),
             asyncio.ensure_future(self._watch_settings()),
             asyncio.ensure_future(self._hand_over_to_stronger_member()),
             asyncio.ensure_future(self._hand_over_when_store_unavailable()),
@@ -418,9 +432,9 @@
             _log.warn("A step of the shutdown took too long.")
 
 
-async def serve_pools(settings: NodeSettings) -> None:
+async def serve_pools(settings: NodeSettings, selector: MeasuredSelector) -> None:
     """Run a daemon on the platform until SIGTERM or SIGINT stops it."""
-    daemon = PoolDaemon(settings, SystemClock())
+    daemon = PoolDaemon(settings, SystemClock(), selector)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.request_stop)
@@ -437,7 +451,11 @@
     settings = load_node_settings()
     handler = LineHandler(LineWriter(sys.stdout.fileno()), settings.instance, "info")
     handler.push_application()
+    selector = MeasuredSelector()
     try:
-        asyncio.run(serve_pools(settings))
+        with asyncio.Runner(
+            loop_factory=lambda: asyncio.SelectorEventLoop(selector)
+        ) as runner:
+            runner.run(serve_pools(settings, selector))
     finally:
         handler.flush()
