Reproduce the users' SHORT in an owner without enough processor time, failing

Callers see urgent jobs served too little, and not served again after a burst. The stand-ins couldn't show it: their daemons had all the processor time that they wanted.

A process of the virtual loop may have a processor now, which runs one callback after the other, and calls to workers and to the store cost callbacks as an HTTP client's do.

--- a/src/damaskdeck/delays.py
+++ b/src/damaskdeck/delays.py
@@ -5,6 +5,7 @@
 them at the very time it is overloaded.
 """
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -52,3 +53,12 @@
         max_seconds = MAX_DELAY.total_seconds()
         decayed = DECAY_FACTOR ** (interval / MEASUREMENT_INTERVAL) * self.seconds
         self.seconds = min(max(lateness.total_seconds(), decayed), max_seconds)
+
+
+def limit_reply_time(timeout: timedelta, delay: LoopDelay) -> asyncio.Timeout:
+    """Return a context manager that limits how long a reply is waited for.
+
+    :param delay: of this process's event loop, which doesn't count as lateness of the
+        other side.
+    """
+    return asyncio.timeout(timeout.total_seconds() + delay.seconds)
--- a/src/standins/peers.py
+++ b/src/standins/peers.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Coroutine
+from contextvars import Context
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -50,6 +51,8 @@
         self._busy_until: dict[str, timedelta] = {}
         self.messages: Counter[str] = Counter()
         self.bytes: Counter[str] = Counter()
+        # In which the handlers of a daemon run, by its name.
+        self.contexts: dict[str, Context] = {}
         self._peers: dict[str, SwitchPeers] = {}
         self._cuts: set[tuple[str, str]] = set()
         self._lost_replies: Counter[tuple[str, str]] = Counter()
@@ -73,7 +76,7 @@
 
     def start(self, delivery: Coroutine[Any, Any, None]) -> None:
         """Start to deliver a message; it continues if its sender dies meanwhile."""
-        task = asyncio.ensure_future(delivery)
+        task = asyncio.get_running_loop().create_task(delivery, context=Context())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -135,6 +138,17 @@
         self._busy_until[receiver] = finishes_at
         await self.clock.sleep(finishes_at - now)
 
+    async def handle(
+        self, peers: "SwitchPeers", receiver: str, sender: str, envelope: Envelope
+    ) -> Answered | Unsent | Unanswered:
+        """Run the handler of a message on the processor of its receiver."""
+        context = self.contexts.get(receiver)
+        if context is None:
+            return await peers.handle(sender, envelope)
+        handling = peers.handle(sender, envelope)
+        loop = asyncio.get_running_loop()
+        return await loop.create_task(handling, context=context.copy())
+
     def consume_lost_reply(self, caller: str, callee: str) -> bool:
         """Return whether to drop this reply, and count it if so."""
         if not self._lost_replies[caller, callee]:
@@ -201,7 +215,7 @@
         peers = switch.find(instance)
         if peers is None:
             return
-        answer = await peers.handle(self._name, envelope)
+        answer = await switch.handle(peers, instance, self._name, envelope)
         if reply is None:
             return
         body = encode_message(answer.message if isinstance(answer, Answered) else b"")
