Let an owner without enough processor time serve what it can

Cause: everything that was ready was begun at once and served in turn; limits on replies counted the owner's own delay, so that lateness made more work; the renewal of its lease stood in the same line; the import of the metrics' exporter then held the loop up for a second.

Change: reply limits don't count the own loop's delay; the lease, the control keys, commits and starts of the most urgent rank go first on the loop; starts under way are limited by the loop's delay and ordered by urgency; passes leave time; idle polls are held longer; jobs that would be late are refused while the owner is the limit; slow owners aren't taken for lost; the exporter isn't imported under load.

The test of an order's timeout that looked at the argument of the client is replaced by tests of the limit itself, extended, bounded and not extended, as the adapter no longer passes a longer timeout.

--- a/src/damaskdeck/__main__.py
+++ b/src/damaskdeck/__main__.py
@@ -13,6 +13,8 @@
 from damaskdeck.errors import SettingsError
 from damaskdeck.logs import get_logger
 
+# Jobs and contacts live long, so that most collections would find nothing.
+COLLECTION_THRESHOLDS = (20_000, 20, 20)
 # EX_CONFIG and EX_SOFTWARE of sysexits.h.
 EXIT_SETTINGS = 78
 EXIT_INVARIANT = 70
@@ -35,6 +37,7 @@
     from damaskdeck.pooldaemon import run_on_platform
 
     gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     gc.enable()
     return run_on_platform
 
--- a/src/damaskdeck/background.py
+++ b/src/damaskdeck/background.py
@@ -10,12 +10,17 @@
 def start_task(
     work: Coroutine[Any, Any, T], running_tasks: "set[asyncio.Task[T]]"
 ) -> "asyncio.Task[T]":
-    """Start ``work`` as a task.
+    """Start ``work`` as a task and hold it, see :func:`hold_task`."""
+    return hold_task(asyncio.ensure_future(work), running_tasks)
 
-    :param running_tasks: holds the task until it ends, as the event loop itself keeps
-        only a weak reference to it.
+
+def hold_task(
+    task: "asyncio.Task[T]", running_tasks: "set[asyncio.Task[T]]"
+) -> "asyncio.Task[T]":
+    """Return a task that ``running_tasks`` holds until it ends.
+
+    The event loop itself keeps only a weak reference to it.
     """
-    task = asyncio.ensure_future(work)
     running_tasks.add(task)
     task.add_done_callback(running_tasks.discard)
     return task
--- a/src/damaskdeck/coordination/pools/admission/control.py
+++ b/src/damaskdeck/coordination/pools/admission/control.py
@@ -21,6 +21,9 @@
 
 # An older outlook decides nothing. The owner reports twice a second.
 OUTLOOK_MAX_AGE = timedelta(milliseconds=1500)
+# An owner without enough processor time accepts no more than it starts within this
+# time: it has to have caught up soon after a burst.
+MAX_OWNER_BACKLOG_SECONDS = 5.0
 # Work may be shorter than estimated by this factor; estimates are off by up to a half.
 MIN_WORK_FACTOR = 0.5
 MIN_RETRY = timedelta(seconds=1)
@@ -62,6 +65,7 @@
         self._limited_accounts: frozenset[str] = frozenset()
         self._returning: frozenset[int] = frozenset()
         self._free: dict[str, ZoneCapacity] = {}
+        self._is_owner_limiting = False
         # When the last refused caller of each queue was told to return.
         self._last_returns: dict[str, timedelta] = {}
 
@@ -82,6 +86,10 @@
         self._limited_accounts = frozenset(outlook["accounts"])
         self._returning = frozenset(outlook["returning"])
         self._free = {}
+        self._is_owner_limiting = outlook.get("is_owner_limiting", False)
+        if self._is_owner_limiting:
+            # Free capacity is of no use while the owner can't start more tasks.
+            return
         for pool, _, millicores, memory in message["zones"]:
             free = self._free.get(pool, ZoneCapacity(0, 0))
             self._free[pool] = ZoneCapacity(
@@ -111,7 +119,8 @@
             queue.pool, spec
         ):
             return None
-        if account and account not in self._limited_accounts:
+        is_within_share = account and account not in self._limited_accounts
+        if is_within_share and not self._is_owner_limiting:
             return None
         wait = outlook.last_wait if account else outlook.first_wait
         excess = self._measure_excess(queue, spec, wait - age.total_seconds())
@@ -121,9 +130,15 @@
         return AdmissionRefusal(timedelta(seconds=wait), retry)
 
     def _measure_excess(self, queue: Queue, spec: JobSpec, wait: float) -> float:
-        """Return by how many seconds a job would end too late to be useful."""
-        work = MIN_WORK_FACTOR * measure_critical_path(spec)
-        return wait + work - LATE_MULTIPLE * compute_objective(queue, spec)
+        """Return by how many seconds a job would end too late to be useful.
+
+        While the owner limits jobs, one that is late isn't useful either.
+        """
+        path, objective = measure_critical_path(spec), compute_objective(queue, spec)
+        if self._is_owner_limiting:
+            # What would be late here would make others late as well.
+            return wait - min(objective - path, MAX_OWNER_BACKLOG_SECONDS)
+        return wait + MIN_WORK_FACTOR * path - LATE_MULTIPLE * objective
 
     def _is_capacity_free(self, pool: str, spec: JobSpec) -> bool:
         """Whether the first steps of a job may fit into the free capacity."""
--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -2,10 +2,13 @@
 
 The wait is a lower bound: the work that certainly goes first, divided by the rate at
 which work is finished. It is reported only for pools that are full.
+
+An owner without enough processor time starts tasks more slowly than pools could take
+them. Then tasks are counted in place of work, as each takes as much of its time.
 """
 
 import heapq
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
@@ -62,6 +65,8 @@
     :param is_limited: returns whether jobs of other accounts precede a step, as its
         account is above its share or beyond its declared rate.
     :param returning: the jobs whose callers were told to return.
+    :param is_owner_limiting: returns whether tasks wait for the owner's processor at a
+        time, and not for capacity.
     """
 
     def __init__(
@@ -69,7 +74,9 @@
         owner: OutlookOwner,
         is_limited: Callable[[Step], bool],
         returning: ReturningJobs,
+        is_owner_limiting: Callable[[float], bool],
     ) -> None:
+        self._is_owner_limiting = is_owner_limiting
         self._owner = owner
         self._is_limited = is_limited
         self._returning = returning
@@ -121,6 +128,8 @@
             if (rate := self._measure_rate(pool, now)) is not None
         }
         due = self._returning.list_due(now)
+        if table is not None and self._is_owner_limiting(now):
+            return self._build_limited(table, waiting(), due, members, now)
         if table is None or not rates:
             return {"queues": [], "accounts": [], "returning": due} if due else None
         steps = waiting()
@@ -146,6 +155,44 @@
             "returning": due,
         }
 
+    def _build_limited(
+        self,
+        table: QueueTable,
+        steps: list[RankedStep],
+        due: list[int],
+        members: int,
+        now: float,
+    ) -> ReportOutlook | None:
+        """Return the report of an owner that can't start tasks fast enough."""
+        self._drop_old(now)
+        since = self._measured_since
+        if since is None or now - since < RATE_SECONDS or not self._finished:
+            return None
+        rate = len(self._finished) / RATE_SECONDS
+        waiting: Counter[int] = Counter()
+        jobs: Counter[str] = Counter()
+        tasks: Counter[str] = Counter()
+        for urgency, _, pending in steps:
+            if urgency.deadline_status is DeadlineStatus.ON_TIME:
+                waiting[urgency.rank] += len(pending.tasks)
+            name = pending.step.job.queue.name
+            jobs[name] += 1
+            tasks[name] += len(pending.tasks)
+        rows = []
+        for queue in table.queues:
+            ahead = sum(n for rank, n in waiting.items() if rank <= queue.rank)
+            each = tasks[queue.name] / max(jobs[queue.name], 1) / rate
+            wait = _to_milliseconds(ahead / rate)
+            rows.append((queue.name, wait, wait, _to_milliseconds(each * members)))
+        return {
+            "queues": heapq.nlargest(
+                MAX_REPORTED_QUEUES, rows, key=lambda row: (row[2], row[0])
+            ),
+            "accounts": [],
+            "returning": due,
+            "is_owner_limiting": True,
+        }
+
     def _build_row(
         self,
         queue: Queue,
--- a/src/damaskdeck/coordination/pools/contacts.py
+++ b/src/damaskdeck/coordination/pools/contacts.py
@@ -121,7 +121,7 @@
         self._birth = ListedBirth(info.identifier)
         self._delay = delay
         self._session = WorkerSession(
-            term.epoch, port, leadership, clock, times, self._lease, self._birth
+            term.epoch, port, leadership, clock, times, self._lease, self._birth, delay
         )
         self._orders = WorkerOrders(self, self._session, owner)
         self._poller = WorkerPoller(self, self._session, self._orders, owner)
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -13,6 +13,7 @@
 from damaskdeck.coordination.pools.candidates import Candidate, Candidates
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.gangcapacity import GangCapacity
+from damaskdeck.coordination.pools.overload import StartPace
 from damaskdeck.coordination.pools.pending import PendingStep, PendingSteps, RankedStep
 from damaskdeck.coordination.pools.planning import (
     Plan,
@@ -38,6 +39,7 @@
     measure_urgency,
 )
 from damaskdeck.coordination.pools.workerhealth import WorkerHealth
+from damaskdeck.delays import LoopDelay
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.pools import EndedTask, EndKind
 from damaskdeck.protocol.queues import QueueJobState, QueueTable
@@ -46,6 +48,11 @@
 
 # Events within this time are handled by one pass.
 PASS_INTERVAL = timedelta(milliseconds=4)
+# Passes between full ones look at this many of the most urgent steps.
+MAX_STEPS_PER_PASS = 100
+# A pass is followed by a pause of this multiple of its own time, within a bound.
+PASS_REST_FACTOR = 2
+MAX_PASS_REST = timedelta(milliseconds=100)
 # Advice about the tasks of a worker that doesn't answer is requested this long before
 # its lease expires, in addition to the time that the advisor needs.
 RESTART_ADVICE_SECONDS = 0.7
@@ -91,6 +98,7 @@
         clock: Clock,
         times: PoolTimes,
         advice_scheduler: AdviceScheduler,
+        delay: LoopDelay,
     ) -> None:
         self._owner = owner
         self._clock = clock
@@ -100,9 +108,11 @@
         self.speeds = WorkerSpeeds()
         self._has_work = asyncio.Event()
         self._is_draining = False
-        self._starter = Starter(owner, clock, advice_scheduler, self.mark_changed)
+        self._starter = Starter(
+            owner, clock, advice_scheduler, self.mark_changed, self.wake, delay
+        )
         self.shares = AccountShares(owner)
-        self._pending = PendingSteps(self.shares)
+        self._pending = PendingSteps(self.shares, self.pace.measure_delay)
         # Workers with more free capacity, or usable again, since the last pass.
         self._freed: set[str] = set()
         self._usable: set[str] = set()
@@ -153,6 +163,11 @@
         """List the pending steps, most urgent first."""
         return self._pending.rank(now)
 
+    @property
+    def pace(self) -> StartPace:
+        """How many starts may be under way."""
+        return self._starter.pace
+
     def count_pending(self) -> int:
         """Count the steps with tasks that wait."""
         return len(self._pending)
@@ -204,9 +219,14 @@
         while True:
             await self._has_work.wait()
             self._has_work.clear()
+            began_at = self._owner.now()
             if self._owner.may_order() and not self._is_draining:
                 self._pass()
-            await self._clock.sleep(PASS_INTERVAL)
+            # Passes take longer the more steps wait, and have to leave time to follow
+            # what they order.
+            rest = PASS_REST_FACTOR * (self._owner.now() - began_at)
+            pause = min(timedelta(seconds=rest), MAX_PASS_REST)
+            await self._clock.sleep(max(PASS_INTERVAL, pause))
 
     # Pass --------------------------------------------------------------------
 
@@ -228,6 +248,13 @@
         for urgency, _, pending in ranked:
             if pending.step.not_before > now:
                 continue
+            is_at_limit = not self.pace.count_startable(now)
+            if is_at_limit:
+                self.pace.record_limit(now)
+            if is_at_limit or (not is_full_pass and position >= MAX_STEPS_PER_PASS):
+                # The steps that are left have not seen what has been freed.
+                self._freed |= freed
+                break
             position += 1
             self._place(pending, candidates, freed, urgency, position, now)
         self._gang_capacity.end_pass(ranked, is_full_pass, now)
@@ -287,6 +314,8 @@
         if not allowed:
             self._request_advice_while_held(step, urgency, position, now)
             return
+        if not step.spec.is_gang:
+            allowed = min(allowed, self.pace.count_startable(now))
         is_unlimited = allowed == len(tasks)
         tasks = tasks[:allowed]
         pool = self.find_pool(step)
--- a/src/damaskdeck/coordination/pools/leadership.py
+++ b/src/damaskdeck/coordination/pools/leadership.py
@@ -37,6 +37,7 @@
 )
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
+from damaskdeck.priorities import create_urgent_task
 from damaskdeck.protocol.ports import (
     Entry,
     Events,
@@ -307,8 +308,8 @@
     async def run(self) -> None:
         """Maintain the member lease, follow the control keys and join elections."""
         await asyncio.gather(
-            self._member_lease.run(),
-            self._follow_control_keys(),
+            create_urgent_task(self._member_lease.run()),
+            create_urgent_task(self._follow_control_keys()),
             self._run_elections(),
         )
 
--- a/src/damaskdeck/coordination/pools/liveness.py
+++ b/src/damaskdeck/coordination/pools/liveness.py
@@ -97,6 +97,11 @@
         if self._now() - self._message_at < MAX_SILENCE.total_seconds():
             self._alive_at = self._now()
 
+    @property
+    def usual_round_trip(self) -> float:
+        """The mean time of a reply in seconds, 0 before the first one."""
+        return self._round_trips.mean
+
     def measure_silence(self) -> float:
         """Return the seconds since the last evidence that the owner is alive."""
         return self._now() - self._alive_at
--- a/src/damaskdeck/coordination/pools/monitoredstore.py
+++ b/src/damaskdeck/coordination/pools/monitoredstore.py
@@ -7,6 +7,7 @@
 
 from damaskdeck.clock import Clock, wait_for_event
 from damaskdeck.coordination.pools.revisions import RevisionTimes
+from damaskdeck.delays import LoopDelay
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.ports import (
     Events,
@@ -63,13 +64,20 @@
     The lease of the member is renewed several times a second, so the return of the
     store is noticed almost at once.
 
+    :param delay: Of this process's event loop, which says nothing about the store.
     :ivar write_times: The earliest times at which the store's revisions may have been
         written.
     """
 
-    def __init__(self, store: TransactionalStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: TransactionalStore,
+        clock: Clock,
+        delay: LoopDelay | None = None,
+    ) -> None:
         self._store = store
         self._clock = clock
+        self._delay = delay if delay is not None else LoopDelay()
         self._failures = 0
         self._failing_since: float | None = None
         self._usual_seconds = 0.0
@@ -193,15 +201,18 @@
     ) -> CommitResult | ReplyTooLarge:
         """Make changes that take effect together or not at all."""
         limit = min(timeout or MAX_TIMEOUT, self.commit_timeout)
-        sent_at = self._now()
+        sent_at, lost_before = self._now(), self._measure_lost()
         done = await self._observe(
             self._store.commit(transaction, limit, max_reply_bytes)
         )
-        self._usual_seconds += LATEST_WEIGHT * (
-            self._now() - sent_at - self._usual_seconds
-        )
+        lost = self._measure_lost() - lost_before
+        seconds = max(self._now() - sent_at - lost, 0.0)
+        self._usual_seconds += LATEST_WEIGHT * (seconds - self._usual_seconds)
         return done
 
+    def _measure_lost(self) -> float:
+        return self._delay.measure_lost(asyncio.get_running_loop().time())
+
     async def watch(
         self,
         prefix: str,
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -35,7 +35,9 @@
     WorkerFleet,
 )
 from damaskdeck.coordination.pools.zoneconfinement import measure_zone_capacities
+from damaskdeck.delays import ReplyLimit
 from damaskdeck.logs import get_logger
+from damaskdeck.priorities import create_urgent_task
 from damaskdeck.protocol.messages import Peers
 from damaskdeck.protocol.poolmessages import ReportCapacity, ReportRefusal
 from damaskdeck.protocol.pools import (
@@ -124,14 +126,17 @@
             lambda: self.dispatcher.shares,
         )
         self.dispatcher = Dispatcher(
-            self, shared.clock, shared.times, self.advice_scheduler
+            self, shared.clock, shared.times, self.advice_scheduler, shared.delay
         )
         self._supervisor = RunSupervisor(
             self, self.dispatcher, shared.times, self.advice_scheduler
         )
         self._returning = ReturningJobs()
         self._outlook = OutlookReporter(
-            self, self.dispatcher.shares.is_deferred, self._returning
+            self,
+            self.dispatcher.shares.is_deferred,
+            self._returning,
+            self.dispatcher.pace.is_limiting,
         )
         self._crashes = Crashes(self)
         self._recording = RunRecording(
@@ -206,7 +211,7 @@
             self.is_loaded = True
             self.dispatcher.request_full_pass()
             await asyncio.gather(
-                self._journal.run(),
+                create_urgent_task(self._journal.run()),
                 self.dispatcher.run(),
                 self._fleet.run(),
                 self.intake.follow(),
@@ -259,6 +264,7 @@
         return {
             "jobs": len(self.job_index.open_jobs),
             "pending": self.dispatcher.count_pending(),
+            "pace": self.dispatcher.pace.limit,
             "unanswered": sum(c.unanswered_count for c in self.contacts.values()),
             "commits": self._journal.take_commit_count(),
         }
@@ -351,7 +357,7 @@
         self._changes.record_worker_ends(contact)
         self._journal.wake()
         try:
-            async with asyncio.timeout(DURABLE_WAIT_LIMIT.total_seconds()):
+            async with ReplyLimit(DURABLE_WAIT_LIMIT, self._shared.delay):
                 while contact.last_durable_end < contact.last_received_end:
                     await self._journal.flush_batched()
         except TimeoutError:
--- a/src/damaskdeck/coordination/pools/ownermonitor.py
+++ b/src/damaskdeck/coordination/pools/ownermonitor.py
@@ -50,9 +50,10 @@
 MAX_WITNESSES = 12
 # Owners that were deposed longer ago do not affect the timeout.
 DEPOSED_WINDOW = timedelta(seconds=10)
-# An owner reports its capacity to all daemons twice a second, so a daemon that requests
-# no heartbeats considers it alive for this long.
-ALIVE_WINDOW = timedelta(seconds=1)
+# A daemon that requests no heartbeats considers the owner alive for this long after its
+# last report. Monitors notice a loss earlier, and an owner reports nothing while it
+# loads.
+ALIVE_WINDOW = 2 * MAX_SILENCE
 
 _log = get_logger("watching")
 
@@ -79,6 +80,7 @@
         self._get_epoch = get_epoch
         self._liveness = OwnerLiveness(clock)
         self._heartbeats: set[asyncio.Task[None]] = set()
+        self._requested_at = float("-inf")
         self._followed_epoch = 0
         self._fence_revision = 0
         leadership.is_owner_alive = self.is_owner_alive
@@ -115,6 +117,7 @@
             for heartbeat in self._heartbeats:
                 heartbeat.cancel()
             self._heartbeats.clear()
+            self._requested_at = float("-inf")
         self._liveness.follow(epoch)
 
     def is_owner_alive(self) -> bool:
@@ -122,7 +125,9 @@
         owner = self._leadership.owner
         if owner is None or owner.epoch != self._liveness.epoch:
             return False
-        window = max(self._find_timeout(), ALIVE_WINDOW.total_seconds())
+        window = self._find_timeout()
+        if not self._is_monitor(owner.instance):
+            window = max(window, ALIVE_WINDOW.total_seconds())
         is_connection_refused = self._peers.is_connection_refused(owner.instance)
         return not is_connection_refused and self._liveness.measure_silence() < window
 
@@ -166,7 +171,12 @@
         return has_moved and owner is not None and not self._is_silent(owner.instance)
 
     def _request_heartbeat(self, owner: OwnerRecord) -> None:
-        if len(self._heartbeats) < MAX_HEARTBEATS_IN_FLIGHT:
+        if len(self._heartbeats) >= MAX_HEARTBEATS_IN_FLIGHT:
+            return
+        # More requests would only load an owner that replies late.
+        now = self._clock.monotonic().total_seconds()
+        if now - self._requested_at >= self._liveness.usual_round_trip:
+            self._requested_at = now
             start_task(self._await_heartbeat(owner), self._heartbeats)
 
     async def _await_heartbeat(self, owner: OwnerRecord) -> None:
@@ -218,7 +228,7 @@
             absent = [name for call, name in calls.items() if not _has_answered(call)]
             for call in calls:
                 call.cancel()
-        if 2 * silent > 1 + len(names):
+        if 2 * silent > 1 + len(names) and self._is_silent(owner):
             await self._notify_successor(owner, epoch, absent)
 
     async def _ask_witness(self, name: str, epoch: int) -> bool | None:
--- a/src/damaskdeck/coordination/pools/pending.py
+++ b/src/damaskdeck/coordination/pools/pending.py
@@ -4,6 +4,7 @@
 one event changes the steps of one job only.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from damaskdeck.coordination.pools.relocation import may_run_copies
@@ -48,10 +49,17 @@
 
     :param shares: ranks the steps of declared client accounts; without it, all steps
         are ranked by urgency alone.
+    :param measure_delay: returns how many seconds the owner needs for a start and for
+        its end.
     """
 
-    def __init__(self, shares: AccountShares | None = None) -> None:
+    def __init__(
+        self,
+        shares: AccountShares | None = None,
+        measure_delay: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._shares = shares
+        self._measure_delay = measure_delay
         self._steps: dict[str, dict[str, PendingStep]] = {}
         self._changed_jobs: dict[str, Job] = {}
 
@@ -79,9 +87,16 @@
         changed_jobs, self._changed_jobs = self._changed_jobs, {}
         for job in changed_jobs.values():
             self._renew(job, now)
+        delay = self._measure_delay()
         ranked = [
             RankedStep(
-                compute_urgency(pending.step, pending.deadlines, now), name, pending
+                compute_urgency(
+                    pending.step,
+                    pending.deadlines,
+                    now + pending.deadlines.find_lead(delay),
+                ),
+                name,
+                pending,
             )
             for steps in self._steps.values()
             for name, pending in steps.items()
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -5,18 +5,22 @@
 from datetime import timedelta
 from typing import Protocol
 
-from damaskdeck.background import start_task
+from damaskdeck.background import hold_task, start_task
 from damaskdeck.clock import Clock
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.overload import StartPace
 from damaskdeck.coordination.pools.planning import Plan
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.waits import measure_wait, record_wait
+from damaskdeck.delays import LoopDelay, ReplyLimit
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_wait
+from damaskdeck.priorities import create_urgent_task
 from damaskdeck.state.pooljobs import Job, Run, RunPhase, Step, Task
 
+MOST_URGENT_RANK = 0
 # Time until a gang that could not start is tried again.
 GANG_RETRY_SECONDS = 0.2
 # How long unconfirmed members of a gang are waited for. Together with the timeout of an
@@ -60,6 +64,9 @@
     """Orders planned tasks on their workers.
 
     :param mark_changed: called with a job whose tasks may wait again.
+    :param wake: called when more starts may be under way.
+    :param delay: of this process's event loop.
+    :ivar pace: how many starts may be under way.
     """
 
     def __init__(
@@ -68,7 +75,12 @@
         clock: Clock,
         advice_scheduler: AdviceScheduler,
         mark_changed: Callable[[Job], None],
+        wake: Callable[[], None],
+        delay: LoopDelay,
     ) -> None:
+        self.pace = StartPace(delay)
+        self._delay = delay
+        self._wake = wake
         self._owner = owner
         self._clock = clock
         self._advice_scheduler = advice_scheduler
@@ -114,7 +126,12 @@
             **wait.describe(),
         )
         is_required = self._record(step, [run for run, _ in runs])
-        start_task(self._start(step, runs, is_required), self._starts)
+        self.pace.begin(len(runs))
+        start = self._start_at_pace(step, runs, is_required)
+        if step.job.queue.rank == MOST_URGENT_RANK:
+            hold_task(create_urgent_task(start), self._starts)
+        else:
+            start_task(start, self._starts)
         return [run for run, _ in runs]
 
     def _record(self, step: Step, runs: list[Run]) -> bool:
@@ -159,21 +176,34 @@
 
     async def _flush(self) -> bool:
         try:
-            async with asyncio.timeout(RECORD_TIMEOUT.total_seconds()):
+            async with ReplyLimit(RECORD_TIMEOUT, self._delay):
                 await self._owner.flush()
         except TimeoutError:
             return False
         return True
 
-    async def _start(
+    async def _start_at_pace(
         self, step: Step, runs: list[tuple[Run, WorkerContact]], is_required: bool
     ) -> None:
+        ordered_at = self._owner.now()
+        try:
+            results = await self._start(step, runs, is_required)
+        finally:
+            self.pace.end(len(runs), self._owner.now() - ordered_at)
+            self._wake()
+        if results is not None:
+            await self._handle_results(step, runs, results)
+
+    async def _start(
+        self, step: Step, runs: list[tuple[Run, WorkerContact]], is_required: bool
+    ) -> list[bool] | None:
+        """Return which starts were confirmed, ``None`` if none was ordered."""
         recording = self._owner.recording
         ordered_at = self._owner.now()
         if is_required or recording.must_wait():
             if not await self._wait_for_records(step, runs, is_required):
                 self._mark_changed(step.job)
-                return
+                return None
         else:
             recording.record_order(is_recorded=False)
         step_advice = self._advice_scheduler.get(step)
@@ -199,8 +229,18 @@
             recorded_after=round(sent_at - ordered_at, 3),
             answered_after=round(self._owner.now() - sent_at, 3),
         )
+        return results
+
+    async def _handle_results(
+        self,
+        step: Step,
+        runs: list[tuple[Run, WorkerContact]],
+        results: list[bool],
+    ) -> None:
+        """Handle starts that were not confirmed."""
         if all(results):
             return
+        step_advice = self._advice_scheduler.get(step)
         for (run, _), is_started in zip(runs, results, strict=True):
             if not is_started and run.phase is RunPhase.ORDERED:
                 step_advice.discard_ticket(run.worker)
--- a/src/damaskdeck/coordination/pools/times.py
+++ b/src/damaskdeck/coordination/pools/times.py
@@ -67,6 +67,7 @@
     member_memory: timedelta
     takeover_wait: timedelta
     poll_wait: timedelta
+    longest_poll_wait: timedelta
     start_window: timedelta
     start_timeout: timedelta
     accept_timeout: timedelta
@@ -128,6 +129,8 @@
         member_memory=newcomer_wait + outage_lease,
         takeover_wait=owner_lease + longest_lease_expiry,
         poll_wait=poll_wait,
+        # One lost answer later the lease can still be extended in time.
+        longest_poll_wait=min(3 * poll_wait, lease * 3 / 8),
         # An order that is delayed longer by the network is refused as late.
         start_window=timedelta(milliseconds=1200),
         start_timeout=timedelta(milliseconds=600),
--- a/src/damaskdeck/coordination/pools/urgency.py
+++ b/src/damaskdeck/coordination/pools/urgency.py
@@ -16,6 +16,8 @@
 # A job earns less once its objective has passed, and nothing from this multiple of the
 # objective on.
 LATE_MULTIPLE = 3.0
+# Share of the wait that an objective allows, up to which the owner's delay counts.
+MAX_LEAD_SHARE = 0.5
 
 
 class DeadlineStatus(IntEnum):
@@ -44,10 +46,19 @@
 
     :param on_time_start: latest start for the job to be on time.
     :param last_useful_start: latest start for the job to earn anything.
+    :param max_lead: by how many seconds the owner's own delay may move them.
     """
 
     on_time_start: float
     last_useful_start: float
+    max_lead: float = 0.0
+
+    def find_lead(self, delay: float) -> float:
+        """Return how much earlier a step must be ordered for it to start in time.
+
+        :param delay: seconds that the owner needs for a start and for its end.
+        """
+        return min(delay, self.max_lead)
 
 
 def measure_remaining_path(steps: Iterable[Step]) -> float:
@@ -94,7 +105,12 @@
     objective = compute_objective(job.queue, job.record.spec)
     remaining = measure_remaining_path(job.occurrences[step.occurrence])
     on_time_start = step.due_at + objective - remaining
-    return Deadlines(on_time_start, on_time_start + (LATE_MULTIPLE - 1) * objective)
+    last_useful_start = on_time_start + (LATE_MULTIPLE - 1) * objective
+    # A job whose wait may hardly be longer than the delay would else be late at once.
+    allowed_wait = objective - measure_critical_path(job.record.spec)
+    return Deadlines(
+        on_time_start, last_useful_start, max(0.0, MAX_LEAD_SHARE * allowed_wait)
+    )
 
 
 def compute_urgency(step: Step, deadlines: Deadlines, now: float) -> Urgency:
@@ -108,7 +124,7 @@
     rank = step.job.queue.rank
     if step.spec.is_long_running:
         return Urgency(DeadlineStatus.ON_TIME, rank, 0.0)
-    on_time_start, last_useful_start = deadlines
+    on_time_start, last_useful_start, _ = deadlines
     if now <= on_time_start:
         return Urgency(DeadlineStatus.ON_TIME, rank, on_time_start - now)
     if now <= last_useful_start:
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -10,6 +10,7 @@
     apply_inventory,
     log_lost_run,
 )
+from damaskdeck.coordination.pools.overload import choose_poll_wait
 from damaskdeck.coordination.pools.workerorders import WorkerOrders
 from damaskdeck.coordination.pools.workersession import WorkerSession
 from damaskdeck.logs import get_logger
@@ -97,7 +98,9 @@
         is_idle = deadline is None and not (
             contact.is_synchronized and contact.is_cordoned
         )
-        wait = timedelta() if is_idle or not is_confirmed else session.times.poll_wait
+        wait = timedelta()
+        if is_confirmed and not is_idle:
+            wait = choose_poll_wait(session.times, session.delay)
         if session.poll_soon.is_set():
             session.poll_soon.clear()
             wait = timedelta()
--- a/src/damaskdeck/coordination/pools/workersession.py
+++ b/src/damaskdeck/coordination/pools/workersession.py
@@ -8,6 +8,7 @@
 from damaskdeck.coordination.pools.leadership import Leadership
 from damaskdeck.coordination.pools.times import PoolTimes
 from damaskdeck.coordination.pools.workerlease import WorkerLease
+from damaskdeck.delays import LoopDelay
 from damaskdeck.protocol.pools import PoolWorkers, RefusalCode
 
 
@@ -26,6 +27,7 @@
         times: PoolTimes,
         lease: WorkerLease,
         birth: ListedBirth,
+        delay: LoopDelay,
     ) -> None:
         self.epoch = epoch
         self.port = port
@@ -34,6 +36,7 @@
         self.times = times
         self.lease = lease
         self.birth = birth
+        self.delay = delay
         self.poll_soon = asyncio.Event()
 
     def now(self) -> float:
--- a/src/damaskdeck/looploads.py
+++ b/src/damaskdeck/looploads.py
@@ -70,12 +70,15 @@
 
 
 class LoadReporter:
-    """Reports the load of the event loop in metrics, and in logs while it is high."""
+    """Reports the load of the event loop in metrics, and in logs while it is high.
+
+    :ivar is_saturated: whether the loop hardly waited in the last second.
+    """
 
     def __init__(self, selector: MeasuredSelector, clock: Clock) -> None:
         self._selector = selector
         self._clock = clock
-        self._is_saturated = False
+        self.is_saturated = False
 
     async def run(self, describe: Callable[[], Mapping[str, object]]) -> None:
         """Report until cancelled.
@@ -92,13 +95,13 @@
         """Report a load."""
         set_loop_load(load.busy, load.longest)
         observe_latency("loop", "iteration", load.longest)
-        limit = RELIEVED_SHARE if self._is_saturated else SATURATED_SHARE
-        was_saturated, self._is_saturated = self._is_saturated, load.busy >= limit
-        if not (was_saturated or self._is_saturated):
+        limit = RELIEVED_SHARE if self.is_saturated else SATURATED_SHARE
+        was_saturated, self.is_saturated = self.is_saturated, load.busy >= limit
+        if not (was_saturated or self.is_saturated):
             return
         message = (
             "The event loop is saturated."
-            if self._is_saturated
+            if self.is_saturated
             else "The event loop is no longer saturated."
         )
         _log.info(
--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from damaskdeck.delays import LoopDelay, ReplyLimit
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.ports import Lost, Rejected
@@ -46,9 +47,13 @@
 
 
 class PlatformClient:
-    """Calls the platform over HTTP/1.1 with JSON bodies."""
+    """Calls the platform over HTTP/1.1 with JSON bodies.
 
-    def __init__(self) -> None:
+    :param delay: of this process's event loop, which no limit on a reply includes.
+    """
+
+    def __init__(self, delay: LoopDelay | None = None) -> None:
+        self._delay = delay if delay is not None else LoopDelay()
         # One session for each keep-alive time, in seconds.
         self._sessions: dict[float, aiohttp.ClientSession] = {}
 
@@ -77,11 +82,11 @@
         :param first_byte_timeout: limit on the time until the response begins.
         """
         data = None if body is None else _encoder.encode(body)
-        seconds = timeout.total_seconds()
+        late = self._delay.seconds
         limits = aiohttp.ClientTimeout(
-            total=seconds,
-            sock_connect=min(seconds, CONNECT_TIMEOUT.total_seconds()),
-            sock_read=read_timeout.total_seconds()
+            total=None,
+            sock_connect=min(timeout, CONNECT_TIMEOUT).total_seconds() + late,
+            sock_read=read_timeout.total_seconds() + late
             if read_timeout is not None
             else None,
         )
@@ -94,8 +99,10 @@
             timeout=limits,
             skip_auto_headers=_SKIPPED_HEADERS,
         )
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         try:
-            async with asyncio.timeout((first_byte_timeout or timeout).total_seconds()):
+            async with ReplyLimit(first_byte_timeout or timeout, self._delay):
                 pending_response = await request
             async with pending_response as response:
                 size = response.content_length or 0
@@ -103,7 +110,9 @@
                     # Close the connection, or the rest would still be transferred.
                     response.close()
                     return OversizedReply(response.status, size)
-                reply = Reply(response.status, await _read_body(response))
+                rest = timeout - timedelta(seconds=loop.time() - sent_at)
+                limit = ReplyLimit(max(rest, timedelta()), self._delay)
+                reply = Reply(response.status, await _read_body(response, limit))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Rejected("unreachable", str(error))
         except TimeoutError:
@@ -133,10 +142,11 @@
             await session.close()
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+async def _read_body(response: aiohttp.ClientResponse, limit: ReplyLimit) -> bytes:
     """Read a response's body; log and count a timeout in the middle of it."""
     try:
-        return await response.read()
+        async with limit:
+            return await response.read()
     except TimeoutError:
         count_drop("platform", "answer_cut_short")
         _log.warn(
--- a/src/damaskdeck/platform/workers.py
+++ b/src/damaskdeck/platform/workers.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from damaskdeck.delays import LoopDelay
 from damaskdeck.logs import get_logger
 from damaskdeck.platform.client import (
     KEEPALIVE_SECONDS,
@@ -90,16 +89,11 @@
 class PlatformWorkers:
     """Implements ``PoolWorkers`` over HTTP.
 
-    :param loop_delay: delay of this process's event loop, by which timeouts are
-        extended.
     :param descriptors: how many file descriptors the process may have open.
     """
 
-    def __init__(
-        self, client: PlatformClient, loop_delay: LoopDelay, descriptors: int
-    ) -> None:
+    def __init__(self, client: PlatformClient, descriptors: int) -> None:
         self._client = client
-        self._loop_delay = loop_delay
         self._max_workers_with_keepalive = descriptors // CONNECTIONS_PER_WORKER
         self._polled_addresses: set[str] = set()
 
@@ -109,10 +103,6 @@
         is_fleet_large = len(self._polled_addresses) > self._max_workers_with_keepalive
         return SHORT_KEEPALIVE_SECONDS if is_fleet_large else KEEPALIVE_SECONDS
 
-    @property
-    def _delay_allowance(self) -> timedelta:
-        return timedelta(seconds=self._loop_delay.seconds)
-
     async def start(
         self, worker: PoolWorker, epoch: int, order: TaskStart
     ) -> StartResult:
@@ -144,7 +134,7 @@
             "POST",
             worker.address,
             path,
-            _ORDER_TIMEOUT + self._delay_allowance,
+            _ORDER_TIMEOUT,
             body,
             _name_worker(worker),
             keepalive_seconds=self._order_keepalive_seconds,
@@ -186,7 +176,7 @@
             "POST",
             worker.address,
             "/hold",
-            wait + _POLL_TIMEOUT_MARGIN + self._delay_allowance,
+            wait + _POLL_TIMEOUT_MARGIN,
             body,
             _name_worker(worker),
         )
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -40,6 +40,7 @@
     build_callers_app,
     load_node_settings,
 )
+from damaskdeck.priorities import PriorityLoop
 from damaskdeck.state.jobrecords import MemberRecord
 from damaskdeck.transport.api.server import HttpServer
 from damaskdeck.transport.exporter import DeferredExporter
@@ -111,10 +112,10 @@
             lambda name: self.leadership.find_address(name),
         )
         await self._network.start()
-        self._client = PlatformClient()
+        self._client = PlatformClient(self._loop_delay)
         self._platform_store = PlatformStore(self._client, settings.store_address)
         self._advisor = PlatformAdvisor(self._client, settings.advisor_address)
-        self._store = MonitoredStore(self._platform_store, clock)
+        self._store = MonitoredStore(self._platform_store, clock, self._loop_delay)
         self.declarations = Declarations(
             PlatformQueues(self._store, settings.needs_keys),
             clock,
@@ -198,7 +199,7 @@
             self._authorizer,
             self.is_ready,
             lambda: not self.is_ready(),
-            DeferredExporter().read,
+            DeferredExporter(lambda: self._load_reporter.is_saturated).read,
             self.read_status,
             listeners[1].getsockname()[1],
             listeners[2].getsockname()[1],
@@ -255,9 +256,7 @@
                 FleetDependencies(
                     self.leadership,
                     self._store,
-                    PlatformWorkers(
-                        self._client, self._loop_delay, self.settings.descriptors
-                    ),
+                    PlatformWorkers(self._client, self.settings.descriptors),
                     PlatformRegistry(self._store),
                     self._clock,
                     self._times,
@@ -453,9 +452,7 @@
     handler.push_application()
     selector = MeasuredSelector()
     try:
-        with asyncio.Runner(
-            loop_factory=lambda: asyncio.SelectorEventLoop(selector)
-        ) as runner:
+        with asyncio.Runner(loop_factory=lambda: PriorityLoop(selector)) as runner:
             runner.run(serve_pools(settings, selector))
     finally:
         handler.flush()
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -172,11 +172,14 @@
         refused callers that each daemon lets return; all in milliseconds.
     :ivar accounts: accounts above their share or beyond their declared rate.
     :ivar returning: hashes of the refused jobs whose callers may return now.
+    :ivar is_owner_limiting: whether tasks wait for the owner's processor, whatever
+        capacity is free; missing if not.
     """
 
     queues: list[tuple[str, Milliseconds, Milliseconds, Milliseconds]]
     accounts: list[str]
     returning: list[JobHash]
+    is_owner_limiting: NotRequired[bool]
 
 
 @message("pool.room")
@@ -185,7 +188,7 @@
 
     :ivar epoch: epoch of the owner.
     :ivar zones: pool, availability zone, millicores and MiB of each.
-    :ivar outlook: missing while no pool is full.
+    :ivar outlook: missing while nothing limits jobs.
     """
 
     epoch: Count
--- a/src/damaskdeck/transport/exporter.py
+++ b/src/damaskdeck/transport/exporter.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from functools import cache
 from typing import TYPE_CHECKING
 
@@ -54,12 +55,20 @@
     """Installs the exporter when the metrics are read for the first time.
 
     The import takes 0.1 s of processor time. It runs in a thread, so that the event
-    loop goes on serving callers and heartbeats.
+    loop goes on serving callers and heartbeats. For histograms with many values it
+    waits until the loop isn't saturated, as the thread would take half of its time.
+
+    :param is_busy: returns whether the process has no processor time to spare.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_busy: Callable[[], bool] = lambda: False) -> None:
         self._installation: asyncio.Task[bool] | None = None
-        on_meter_required(self.request_installation)
+        self._is_busy = is_busy
+        on_meter_required(self._install_unless_busy)
+
+    def _install_unless_busy(self) -> None:
+        if not self._is_busy():
+            self.request_installation()
 
     def request_installation(self) -> "asyncio.Task[bool]":
         """Install the exporter in the background, unless that is done or in progress.
--- a/src/standins/loops.py
+++ b/src/standins/loops.py
@@ -12,6 +12,8 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any, TypeVar
 
+from damaskdeck.priorities import is_urgent
+
 T = TypeVar("T")
 
 _processor: "contextvars.ContextVar[Processor | None]" = contextvars.ContextVar(
@@ -45,6 +47,7 @@
         self.callback_time = callback_time
         self.busy_time = timedelta()
         self._queue: deque[asyncio.Handle] = deque()
+        self._urgent: deque[asyncio.Handle] = deque()
         self._is_working = False
 
     def build_context(self) -> contextvars.Context:
@@ -53,20 +56,30 @@
         context.run(_processor.set, self)
         return context
 
-    def enqueue(self, loop: "VirtualLoop", handle: asyncio.Handle) -> None:
-        """Run a callback after those that wait already."""
-        self._queue.append(handle)
+    def enqueue(
+        self, loop: "VirtualLoop", handle: asyncio.Handle, is_urgent: bool
+    ) -> None:
+        """Run a callback after those that wait already, or before if it is urgent."""
+        queue = self._urgent if is_urgent else self._queue
+        queue.append(handle)
         if not self._is_working:
             self._is_working = True
             loop.call_soon_at_once(self._work, loop)
 
+    def _take(self) -> asyncio.Handle | None:
+        for queue in (self._urgent, self._queue):
+            while queue:
+                handle = queue.popleft()
+                if not handle.cancelled():
+                    return handle
+        return None
+
     def _work(self, loop: "VirtualLoop") -> None:
-        while self._queue and self._queue[0].cancelled():
-            self._queue.popleft()
-        if not self._queue:
+        handle = self._take()
+        if handle is None:
             self._is_working = False
             return
-        self._queue.popleft()._run()
+        handle._run()
         self.busy_time += self.callback_time
         ends_at = loop.time() + self.callback_time.total_seconds()
         loop.call_at_once(ends_at, self._work, loop)
@@ -93,7 +106,7 @@
         if processor is None:
             return super().call_soon(callback, *args, context=context)
         handle = asyncio.Handle(callback, args, self, context)
-        processor.enqueue(self, handle)
+        processor.enqueue(self, handle, is_urgent(context))
         return handle
 
     def call_at(
--- a/tests/poolcluster.py
+++ b/tests/poolcluster.py
@@ -158,7 +158,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._owner_task: asyncio.Task[None] | None = None
         incarnation = f"{name}-{next(cluster.numbers)}"
-        healthy = self.healthy = MonitoredStore(self.store, clock)
+        healthy = self.healthy = MonitoredStore(self.store, clock, self.delay)
         self.leadership = Leadership(
             MemberRecord(name, incarnation, f"{name}:1", zone, power, started_at),
             healthy,
--- a/tests/saturation.py
+++ b/tests/saturation.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from typing import Any
 
-from damaskdeck.delays import limit_reply_time
+from damaskdeck.delays import ReplyLimit
 from damaskdeck.protocol.callresults import JobAccepted, JobNotAccepted
 from damaskdeck.protocol.pools import EndKind
 from damaskdeck.protocol.ports import Lost
@@ -87,7 +87,7 @@
         self, timeout: timedelta, call: Callable[..., Coroutine], *arguments: Any
     ) -> Any:
         try:
-            async with limit_reply_time(timeout, self._delay):
+            async with ReplyLimit(timeout, self._delay):
                 return await call_outside(call, *arguments)
         except TimeoutError:
             return Lost("timeout")
--- a/tests/test_delays.py
+++ b/tests/test_delays.py
@@ -9,18 +9,23 @@
 import unittest
 from datetime import timedelta
 
+import aiohttp
+
 from damaskdeck.clock import MIN_ALIGNED_SLEEP_SECONDS
 from damaskdeck.delays import (
     IDLE_MEASUREMENT_INTERVAL,
     MAX_DELAY,
+    MAX_EXTENSION,
     MEASUREMENT_INTERVAL,
     LoopDelay,
+    ReplyLimit,
 )
-from damaskdeck.platform import PlatformClient, PlatformWorkers
-from damaskdeck.protocol.pools import PoolWorker, TaskStart
+from damaskdeck.platform import PlatformClient
+from damaskdeck.platform.client import KEEPALIVE_SECONDS
+from damaskdeck.protocol.pools import PoolWorker
 from damaskdeck.protocol.ports import Lost
-from damaskdeck.protocol.queues import TaskName
 from damaskdeck.protocol.sizes import ZERO_SIZE
+from standins.loops import LoopClock, run_virtual
 from tests.poolcluster import SECOND, PoolCase, make_job
 from tests.virtual import virtual
 
@@ -93,27 +98,73 @@
         self.sleeps.append(duration)
 
 
-class TestOrders(unittest.IsolatedAsyncioTestCase):
-    """Answers to orders."""
+class TestReplyLimit(unittest.TestCase):
+    """How long a reply is waited for."""
+
+    def measure(self, late: timedelta, reply_after: timedelta) -> timedelta | None:
+        """Return when a reply came, ``None`` if its limit of a second expired.
+
+        :param late: by how much the loop was late meanwhile.
+        """
+        delay = LoopDelay()
 
-    async def measure(self, late: timedelta) -> timedelta:
-        """Return the timeout of an order."""
-        client, delay, waits = PlatformClient(), LoopDelay(), []
+        async def wait() -> timedelta | None:
+            asyncio.get_running_loop().call_later(
+                SECOND.total_seconds() / 2, lambda: delay.record_lateness(late)
+            )
+            try:
+                async with ReplyLimit(SECOND, delay):
+                    await asyncio.sleep(reply_after.total_seconds())
+            except TimeoutError:
+                return None
+            return LoopClock().monotonic()
 
-        async def call(*args, **options):
-            waits.append(args[3])
-            return Lost("timeout")
+        return run_virtual(wait())
 
-        client.call = call
-        delay.record_lateness(late)
-        order = TaskStart(TaskName("a", 0, 0, 0), 1, "", SECOND, "", "")
-        await PlatformWorkers(client, delay, 1024).start(WORKER, 1, order)
-        return waits[0]
+    def test_a_reply_is_waited_for_as_long_as_the_limit(self):
+        self.assertEqual(self.measure(timedelta(), 0.9 * SECOND), 0.9 * SECOND)
+        self.assertIsNone(self.measure(timedelta(), 1.1 * SECOND))
 
-    async def test_the_timeout_of_an_order_grows_by_the_delay_of_the_loop(self):
-        self.assertEqual(
-            await self.measure(LATE) - await self.measure(timedelta()), LATE
-        )
+    def test_the_lateness_of_the_loop_meanwhile_is_added(self):
+        self.assertIsNotNone(self.measure(LATE, SECOND + 0.9 * LATE))
+        self.assertIsNone(self.measure(LATE, SECOND + 1.1 * LATE))
+
+    def test_the_limit_is_extended_within_a_bound(self):
+        self.assertIsNotNone(self.measure(60 * SECOND, SECOND + 0.9 * MAX_EXTENSION))
+        self.assertIsNone(self.measure(60 * SECOND, SECOND + 1.1 * MAX_EXTENSION))
+
+    def test_lateness_that_is_still_going_on_counts(self):
+        delay = LoopDelay()
+        delay._due_at = 1.0
+        self.assertEqual(delay.measure_lost(3.5), 2.5)
+
+
+class TestCalls(unittest.IsolatedAsyncioTestCase):
+    """Calls to the platform."""
+
+    async def test_calls_of_a_late_process_wait_longer(self):
+        delay = LoopDelay()
+        client = PlatformClient(delay)
+        session = client._get_session(KEEPALIVE_SECONDS)
+
+        async def request(*args, **options):
+            delay.record_lateness(LATE)
+            await asyncio.sleep(0.15)
+            raise aiohttp.ClientError("answered")
+
+        session.request = request
+        timeout = timedelta(milliseconds=50)
+        lost = await client.call("POST", WORKER.address, "/", timeout)
+        self.assertEqual(lost.code, "broken_channel")
+        delay = client._delay = LoopDelay()
+        session.request = _never_answer
+        lost = await client.call("POST", WORKER.address, "/", timeout)
+        self.assertEqual(lost, Lost("timeout"))
+        await client.close()
+
+
+async def _never_answer(*args, **options) -> None:
+    await asyncio.Event().wait()
 
 
 class TestContacts(PoolCase):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,7 +3,6 @@
 import unittest
 from datetime import timedelta
 
-from damaskdeck.delays import LoopDelay
 from damaskdeck.platform import PlatformWorkers
 from damaskdeck.platform.client import KEEPALIVE_SECONDS
 from damaskdeck.platform.workers import CONNECTIONS_PER_WORKER, SHORT_KEEPALIVE_SECONDS
@@ -32,7 +31,7 @@
 
     async def test_order_connections_of_large_fleets_are_kept_shortly(self):
         client = _RecordingClient()
-        workers = PlatformWorkers(client, LoopDelay(), 20 * CONNECTIONS_PER_WORKER)
+        workers = PlatformWorkers(client, 20 * CONNECTIONS_PER_WORKER)
         task = TaskName("j", 0, 0, 0)
         order = TaskStart(task, 1, "", timedelta(seconds=1))
         for number in range(21):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,7 @@
 from logbook import TestHandler
 
 from damaskdeck.clock import SystemClock
-from damaskdeck.delays import LoopDelay
+from damaskdeck.delays import LoopDelay, ReplyLimit
 from damaskdeck.errors import MessageError, SettingsError
 from damaskdeck.platform import (
     PlatformAdvisor,
@@ -90,7 +90,7 @@
         address = self.platform.store.listener.address
         self.store = PlatformStore(self.client, address)
         self.worker = self.platform.workers[0].worker
-        self.workers = PlatformWorkers(self.client, LoopDelay(), 1024)
+        self.workers = PlatformWorkers(self.client, 1024)
 
     born: int | None = None
 
@@ -116,8 +116,9 @@
     """The HTTP client for all services of the platform."""
 
     async def test_timeout_while_reading_a_body_is_logged(self):
+        limit = ReplyLimit(timedelta(seconds=1), LoopDelay())
         with TestHandler() as handler, self.assertRaises(TimeoutError):
-            await _read_body(_StalledResponse())
+            await _read_body(_StalledResponse(), limit)
         (record,) = handler.records
         self.assertEqual(record.message, "Timed out while reading a response body.")
         self.assertEqual(
