Leave full pools to their own outlook while the owner is late

An owner whose loop is late for a moment would refuse jobs of a full pool that are late but still useful, also those of client accounts within their share: found by reading the change, no run showed it. The outlook by the owner's pace is reported only while no pool is full.

--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -128,7 +128,7 @@
             if (rate := self._measure_rate(pool, now)) is not None
         }
         due = self._returning.list_due(now)
-        if table is not None and self._is_owner_limiting(now):
+        if table is not None and not full and self._is_owner_limiting(now):
             return self._build_limited(table, waiting(), due, members, now)
         if table is None or not rates:
             return {"queues": [], "accounts": [], "returning": due} if due else None
