--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -115,9 +115,9 @@
     def build(
         self, waiting: Callable[[], list[RankedStep]], members: int, now: float
     ) -> ReportOutlook | None:
-        """Return the report, ``None`` if no pool is full.
+        """Return the report, ``None`` if nothing limits jobs.
 
-        :param waiting: returns the pending steps; called only if a pool is full.
+        :param waiting: returns the pending steps; called only if something does.
         :param members: the number of daemons that may refuse jobs.
         """
         table = self._owner.get_table()
