Show that a schedule that began in the past takes all daemons down

Cause: all occurrences that are due are opened at once, and the limit of tasks of a job counts one occurrence only. Run numbers of an epoch begin at a hundred for each epoch before it, however many runs a task has had.

Result: one accepted schedule of a task a minute since a year ago takes each daemon that becomes owner over 300 MB.

--- a/review/site2.py
+++ b/review/site2.py
@@ -82,6 +82,11 @@
 WORKER_SIZE = Size(16000, 65536, 0)
 # The kinds of the minions, in turn.
 KINDS = ("a", "a", "b")
+MEMORY_MB = 300
+RESTART_SECONDS = 1.0
+# On so many machines processes may not end by themselves so often in a day.
+FAULT_MACHINES = 2
+FAULT_ENDS = 3
 # A minion's entry is removed after three heartbeat intervals of silence.
 REMOVAL_DELAY = 3 * HEARTBEAT_INTERVAL
 
@@ -435,6 +440,45 @@
         self._temporary.cleanup()
 
 
+def measure_memory(daemon: Daemon) -> float:
+    """Return the resident memory of a daemon in MB, 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{daemon.process.pid}/status").read_text()
+    except OSError:
+        return 0.0
+    sizes = [line for line in status.splitlines() if line.startswith("VmRSS:")]
+    return int(sizes[0].split()[1]) / 1024 if sizes else 0.0
+
+
+class MemoryGuard:
+    """Kills the processes that exceed their memory, and starts them again."""
+
+    def __init__(self) -> None:
+        self.kills: dict[str, int] = {}
+
+    @property
+    def is_fault(self) -> bool:
+        """Whether processes ended by themselves too often on too many machines."""
+        ended = [name for name, kills in self.kills.items() if kills >= FAULT_ENDS]
+        return len(ended) >= FAULT_MACHINES
+
+    async def run(self, site: Site) -> None:
+        """Watch all daemons."""
+        while True:
+            for daemon in site.daemons:
+                used = measure_memory(daemon)
+                if used > MEMORY_MB:
+                    self.kills[daemon.name] = self.kills.get(daemon.name, 0) + 1
+                    site.record.write(f"{daemon.name} uses {used:.0f} MB and is killed")
+                    daemon.kill()
+                    site.run(self._restart(daemon))
+            await asyncio.sleep(0.1)
+
+    async def _restart(self, daemon: Daemon) -> None:
+        await asyncio.sleep(RESTART_SECONDS)
+        daemon.start()
+
+
 def _move(listener: Listener, port: int) -> None:
     """Let a listener that has not started listen on another port."""
     listener._socket.close()
