--- a/review/site2.py
+++ b/review/site2.py
@@ -500,6 +500,7 @@
     play: Callable[[Site], Awaitable[str]],
     limit: float = 100,
     route: dict[str, Any] | None = None,
+    site: type[Site] = Site,
     **options: Any,
 ) -> None:
     """Play a case and exit with 1 if its rule was broken, 0 if not, else with 2.
@@ -508,15 +509,15 @@
     """
 
     async def run() -> str:
-        site = Site(folder, behave, **options)
+        deployment = site(folder, behave, **options)
         try:
             async with asyncio.timeout(limit):
-                await site.start(**(route or {}))
-                broken = await play(site)
-            site.record.write(f"broken: {broken}" if broken else "the rule held")
+                await deployment.start(**(route or {}))
+                broken = await play(deployment)
+            deployment.record.write(f"broken: {broken}" if broken else "the rule held")
             return broken
         finally:
-            await site.close()
+            await deployment.close()
 
     try:
         broken = asyncio.run(run())
