Open the occurrences of a schedule as their turn comes

Cause: Dispatcher._open_due opened all occurrences that were due in one go, each with its steps and tasks, 525,600 there, and an occurrence was kept, and stored one by one in the progress of its job, after it had ended. Change: a job knows how many of its occurrences are due, as a number. They are opened in order while fewer than 128 steps of the job wait, and once completed only their numbers are kept, as ranges, also in the stored progress. A late report about a completed occurrence opens it only for as long as it has runs. Why it works: what is held grows with what waits for its turn and what runs.

--- a/src/damaskdeck/coordination/pools/accountlimits.py
+++ b/src/damaskdeck/coordination/pools/accountlimits.py
@@ -239,11 +239,19 @@
 
 def _measure_unconfirmed_runs(job: Job) -> Size:
     """Return the size of all runs that a job may have besides the known ones."""
-    return sum_sizes(
+    known = sum_sizes(
         # The copy of a task that has completed may still be running.
         _measure_unconfirmed_runs_of_step(step, 2 if step.spec.is_speculative else 1)
         for step in job.list_steps()
     )
+    unopened = job.record.spec.repeats - len(job.completed) - len(job.occurrences)
+    if unopened <= 0:
+        return known
+    each = sum_sizes(
+        scale_size(step.size, step.tasks * (2 if step.is_speculative else 1))
+        for step in job.record.spec.steps
+    )
+    return add_sizes(known, scale_size(each, unopened))
 
 
 def _measure_unconfirmed_runs_of_step(step: Step, max_runs: int) -> Size:
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -168,8 +168,8 @@
         self._advice_planner = AdvicePlanner(
             advice_scheduler, lambda: owner.contacts, self.speeds
         )
-        # The first occurrence that isn't open yet, by job with a schedule.
-        self._next_occurrences: dict[str, int] = {}
+        # The jobs with occurrences that aren't due yet.
+        self._schedules: dict[str, Job] = {}
 
     def wake(self) -> None:
         """Request a pass."""
@@ -222,7 +222,7 @@
     def add_job(self, job: Job) -> None:
         """Add a job, whose steps are pending from now on."""
         if job.record.spec.repeats and not job.is_final:
-            self._next_occurrences[job.identifier] = 0
+            self._schedules[job.identifier] = job
         self.shares.add_job(job)
         self.mark_changed(job)
 
@@ -706,32 +706,24 @@
             self._request_wider_zones(step, [task], eligible, expectation)
         return bool(plan)
 
-    def open_occurrences(self) -> None:
-        """Open the occurrences of scheduled jobs that are due."""
-        if not self._next_occurrences:
+    def update_schedules(self) -> None:
+        """Let the occurrences of scheduled jobs that are due take their turn."""
+        if not self._schedules:
             return
-        wall_time = self._clock.now().timestamp()
-        for identifier in list(self._next_occurrences):
-            job = self._owner.job_index.open_jobs.get(identifier)
-            if job is None:
-                del self._next_occurrences[identifier]
-            else:
-                self._open_due(job, wall_time)
-
-    def _open_due(self, job: Job, wall_time: float) -> None:
-        spec = job.record.spec
         now = self._owner.now()
-        for number in range(self._next_occurrences[job.identifier], spec.repeats):
-            since = wall_time - (spec.start_at + spec.interval * number).total_seconds()
-            if since < 0:
-                return
-            # An occurrence that was opened by its stored progress gets its time here.
-            job.open_occurrence(number, now - since)
-            self._next_occurrences[job.identifier] = number + 1
-            self.mark_changed(job)
-        del self._next_occurrences[job.identifier]
-        if job.close_if_completed(self._owner.now()):
-            self._owner.end_job(job, QueueJobState.COMPLETED, "all tasks completed")
+        offset = now - self._clock.now().timestamp()
+        for identifier, job in list(self._schedules.items()):
+            if job.is_final:
+                del self._schedules[identifier]
+                continue
+            first_due_at = job.record.spec.start_at.total_seconds() + offset
+            if job.update_schedule(first_due_at, now):
+                self.mark_changed(job)
+            if job.is_schedule_due:
+                del self._schedules[identifier]
+                if job.close_if_completed(now):
+                    reason = "all tasks completed"
+                    self._owner.end_job(job, QueueJobState.COMPLETED, reason)
 
 
 def _select_confined(job: Job, eligible: list[Candidate]) -> list[Candidate]:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -314,8 +314,8 @@
         for step in job.list_steps():
             self.advice_scheduler.discard(step)
             self.dispatcher.discard(step)
-            for run in list(step.list_runs()):
-                self.stop(run)
+        for run in list(job.runs):
+            self.stop(run)
 
     def mark_dirty(self, job: Job) -> None:
         """Queue a job's progress for the next commit of the journal."""
@@ -398,7 +398,7 @@
         run = Run(task, contact.info.identifier, attempt, self.now())
         run.is_adopted = True
         task.attempt = max(task.attempt, attempt)
-        task.runs.append(run)
+        task.add_run(run)
         if not contact.is_reconciled:
             self.account_limits.record_inherited_run(run)
         return run
@@ -503,8 +503,7 @@
     def handle_lost_run(self, contact: WorkerContact, run: Run) -> None:
         """Handle a run that is gone without a reported end."""
         task = run.task
-        if run in task.runs:
-            task.runs.remove(run)
+        task.remove_run(run)
         self._clear_recorded_start(task, run.attempt)
         self._crashes.settle_moved_run(run, is_lost=True)
         self.dispatcher.worker_health.record_loss(run)
@@ -546,9 +545,8 @@
         self.dispatcher.handle_freed_capacity(contact)
         if task is None:
             return
-        if run is not None and run in task.runs:
-            task.runs.remove(run)
         if run is not None:
+            task.remove_run(run)
             self._crashes.settle_moved_run(run, is_lost=False)
         task.attempt = max(task.attempt, end.attempt)
         self._clear_recorded_start(task, end.attempt)
@@ -577,6 +575,8 @@
                     self.stop(other)
         if step.is_completed:
             self.advice_scheduler.discard(step)
+            self.dispatcher.discard(step)
+            step.job.record_completion(step.steps)
             if not step.job.is_final and step.job.close_if_completed(self.now()):
                 self.end_job(step.job, QueueJobState.COMPLETED, "all tasks completed")
 
@@ -646,7 +646,7 @@
                 continue
             if now - job.final_at < limit:
                 break
-            if any(step.tasks and any(step.list_runs()) for step in job.list_steps()):
+            if job.runs:
                 continue
             self.job_index.remove(job)
             self._changes.record_job_removal(job)
--- a/src/damaskdeck/coordination/pools/pending/steps.py
+++ b/src/damaskdeck/coordination/pools/pending/steps.py
@@ -17,6 +17,10 @@
 )
 from damaskdeck.state.pooljobs import Job, Step, Task
 
+# The next occurrence of a schedule that is behind gets its turn once fewer steps of the
+# job wait.
+MAX_WAITING_STEPS = 128
+
 
 class PendingStep:
     """A step with tasks that wait for capacity.
@@ -138,16 +142,25 @@
 
 
 def _list_pending(job: Job, now: float) -> dict[str, PendingStep]:
-    pending = {}
-    for step in job.list_steps():
-        tasks = step.list_waiting() if step.is_due else []
-        if not tasks:
-            step.waiting_since = step.incomplete_since = None
-            continue
-        if step.waiting_since is None:
-            step.waiting_since = now
-        if step.incomplete_since is None:
-            step.incomplete_since = now
-        if not job.has_unconfirmed_runs or may_run_copies(step):
-            pending[step.name] = PendingStep(step, tasks, find_deadlines(step))
-    return pending
+    pending: dict[str, PendingStep] = {}
+    steps = job.list_steps()
+    waiting = 0
+    while True:
+        for step in steps:
+            tasks = step.list_waiting() if step.is_due else []
+            if not tasks:
+                step.waiting_since = step.incomplete_since = None
+                continue
+            waiting += 1
+            if step.waiting_since is None:
+                step.waiting_since = now
+            if step.incomplete_since is None:
+                step.incomplete_since = now
+            if not job.has_unconfirmed_runs or may_run_copies(step):
+                pending[step.name] = PendingStep(step, tasks, find_deadlines(step))
+        if waiting >= MAX_WAITING_STEPS:
+            return pending
+        occurrence = job.open_next()
+        if occurrence is None:
+            return pending
+        steps = iter(occurrence)
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -116,7 +116,7 @@
         for task, candidate in plan:
             task.attempt = attempt
             run = Run(task, candidate.key, attempt, now)
-            task.runs.append(run)
+            task.add_run(run)
             candidate.contact.add_run(run)
             candidate.contact.last_order.record(step, now)
             runs.append((run, candidate.contact))
--- a/src/damaskdeck/coordination/pools/status.py
+++ b/src/damaskdeck/coordination/pools/status.py
@@ -84,7 +84,7 @@
         ranks[name] = job.queue.rank
         waiting[name] += not job.has_started
         running[name] += job.has_started
-        tasks[name] += sum(1 for step in job.list_steps() for _ in step.list_runs())
+        tasks[name] += len(job.runs)
     for entry in owner.dispatcher.rank_pending(owner.now()):
         late[entry.pending.step.job.queue.name] += bool(entry.urgency.deadline_status)
     for name in sorted(ranks, key=lambda name: (ranks[name], name)):
--- a/src/damaskdeck/coordination/pools/urgency.py
+++ b/src/damaskdeck/coordination/pools/urgency.py
@@ -103,7 +103,7 @@
     if step.spec.is_long_running:
         return Deadlines(0.0, 0.0)
     objective = compute_objective(job.queue, job.record.spec)
-    remaining = measure_remaining_path(job.occurrences[step.occurrence])
+    remaining = measure_remaining_path(step.steps)
     on_time_start = step.due_at + objective - remaining
     last_useful_start = on_time_start + (LATE_MULTIPLE - 1) * objective
     # A job whose wait may hardly be longer than the delay would else be late at once.
@@ -151,7 +151,7 @@
 
     :param terms: timing of the advice that the step's tasks need.
     """
-    steps = step.job.occurrences[step.occurrence]
+    steps = step.steps
     earlier = [steps[n] for n in step.spec.after if not steps[n].is_completed]
     if not earlier or step.is_completed:
         return False
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -43,6 +43,9 @@
 # :func:`~damaskdeck.coordination.pools.times.derive_times` describes.
 BOUNDED_LEASES = "bounded_leases"
 
+# Stands for the number of an occurrence in the progress of a job.
+WHOLE = -1
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -213,7 +216,10 @@
 class StepProgress(NamedTuple):
     """Durable progress of one step of one occurrence.
 
-    :param completed: indexes of completed tasks.
+    :param occurrence: its occurrence; :data:`WHOLE` where ``completed`` has the numbers
+        of completed occurrences. Earlier versions ignore a job with such a row.
+    :param completed: indexes of completed tasks, as
+        :meth:`~damaskdeck.state.indexranges.IndexRanges.encode` returns them.
     :param failures: failed attempts by task index; -1 stands for the gang.
     :param checkpoints: last checkpoint by task index.
     :param crashes: attempts whose workers crashed, by task index.
--- a/src/damaskdeck/state/pooljobs/steps.py
+++ b/src/damaskdeck/state/pooljobs/steps.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from damaskdeck.state.pooljobs.jobs import Job
+    from damaskdeck.state.pooljobs.occurrences import Occurrence
 
 # The index under which the failures of a gang are stored.
 GANG_INDEX = -1
@@ -48,12 +49,23 @@
         """Whether the task must be started, for the first time or again."""
         return not self.is_completed and not self.runs
 
+    def add_run(self, run: Run) -> None:
+        """Add a run, which counts until it is removed."""
+        self.runs.append(run)
+        self.step.job.add_run(run)
+
+    def remove_run(self, run: Run) -> None:
+        """Remove a run that is over, if the task has it."""
+        if run in self.runs:
+            self.runs.remove(run)
+            self.step.job.remove_run(run)
+
 
 class Step:
     """One step of one occurrence of a job.
 
+    :ivar steps: all steps of its occurrence.
     :ivar name: the name by which the advisor knows it.
-    :ivar due_at: monotonic seconds when its occurrence was due, or its job arrived.
     :ivar failures: failed attempts by task index; :data:`GANG_INDEX` for a gang.
     :ivar crash_counts: crashes of the workers that ran its tasks.
     :ivar constrained_since: since when there is no capacity where it runs best,
@@ -68,29 +80,25 @@
     __slots__ = (
         "completed",
         "crash_counts",
-        "due_at",
         "failures",
         "incomplete_since",
         "job",
         "name",
         "not_before",
         "number",
-        "occurrence",
         "constrained_since",
         "spec",
+        "steps",
         "tasks",
         "waiting_since",
     )
 
-    def __init__(
-        self, job: "Job", occurrence: int, number: int, spec: StepSpec
-    ) -> None:
-        self.job = job
-        self.occurrence = occurrence
+    def __init__(self, occurrence: "Occurrence", number: int, spec: StepSpec) -> None:
+        self.job: Job = occurrence.job
+        self.steps = occurrence
         self.number = number
-        self.name = f"{job.identifier}.{occurrence}.{number}"
+        self.name = f"{self.job.identifier}.{self.occurrence}.{number}"
         self.spec = spec
-        self.due_at = job.arrived_at
         self.constrained_since: float | None = None
         self.completed = 0
         self.failures: dict[int, set[int]] = {}
@@ -99,10 +107,20 @@
         self.waiting_since: float | None = None
         self.incomplete_since: float | None = None
         self.tasks = [
-            Task(self, TaskName(job.identifier, occurrence, number, index))
+            Task(self, TaskName(self.job.identifier, self.occurrence, number, index))
             for index in range(spec.tasks)
         ]
 
+    @property
+    def occurrence(self) -> int:
+        """The number of its occurrence."""
+        return self.steps.number
+
+    @property
+    def due_at(self) -> float:
+        """Monotonic seconds when its occurrence was due, or its job arrived."""
+        return self.steps.due_at
+
     @property
     def is_completed(self) -> bool:
         """Whether all tasks have completed."""
@@ -121,9 +139,8 @@
     @property
     def is_due(self) -> bool:
         """Whether all steps before it have completed, and it has not."""
-        steps = self.job.occurrences[self.occurrence]
         return not self.is_completed and all(
-            steps[number].is_completed for number in self.spec.after
+            self.steps[number].is_completed for number in self.spec.after
         )
 
     def list_runs(self) -> Iterator[Run]:
@@ -149,6 +166,12 @@
                 member.is_completed = True
                 self.completed += 1
 
+    def complete_all(self) -> None:
+        """Record that all tasks have completed."""
+        for task in self.tasks:
+            task.is_completed = True
+        self.completed = len(self.tasks)
+
     def fail(self, task: Task, attempt: int) -> int:
         """Record a failed attempt and return the number of failed attempts."""
         key = GANG_INDEX if self.spec.is_gang else task.name.index
