Report the memory of a daemon, and that of its jobs

Change: the gauges damaskdeck_process_memory and damaskdeck_job_memory (used, limit), and the field memory_mib in the lines on a saturated event loop.

--- a/src/damaskdeck/looploads.py
+++ b/src/damaskdeck/looploads.py
@@ -5,15 +5,17 @@
 have arrived stay unread.
 """
 
+import resource
 import selectors
 import time
 from collections.abc import Callable, Mapping
 from datetime import timedelta
+from pathlib import Path
 from typing import NamedTuple
 
 from damaskdeck.clock import Clock
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import observe_latency, set_loop_load
+from damaskdeck.metrics import observe_latency, set_loop_load, set_process_memory
 
 MEASUREMENT_INTERVAL = timedelta(seconds=1)
 # Above the first share the loop counts as saturated, until it is below the second one.
@@ -69,6 +71,16 @@
         return load
 
 
+def measure_memory() -> int:
+    """Return the resident memory of this process in bytes, 0 if it can't be read."""
+    try:
+        pages = Path("/proc/self/statm").read_text(encoding="ascii").split()[1]
+    except OSError as error:
+        _log.debug("The memory of the process can't be read.", error=str(error))
+        return 0
+    return int(pages) * resource.getpagesize()
+
+
 class LoadReporter:
     """Reports the load of the event loop in metrics, and in logs while it is high.
 
@@ -94,6 +106,8 @@
     ) -> None:
         """Report a load."""
         set_loop_load(load.busy, load.longest)
+        memory = measure_memory()
+        set_process_memory(memory)
         observe_latency("loop", "iteration", load.longest)
         limit = RELIEVED_SHARE if self.is_saturated else SATURATED_SHARE
         was_saturated, self.is_saturated = self.is_saturated, load.busy >= limit
@@ -109,5 +123,6 @@
             busy=round(load.busy, 3),
             longest=round(load.longest, 3),
             iterations=load.iterations,
+            memory_mib=memory >> 20,
             **describe(),
         )
--- a/src/damaskdeck/metrics.py
+++ b/src/damaskdeck/metrics.py
@@ -133,6 +133,15 @@
 _loop_busy = _Values(
     "damaskdeck_loop_busy", (), "share of the last second the event loop was busy"
 )
+_process_memory = _Values(
+    "damaskdeck_process_memory", (), "resident memory of the process", "By"
+)
+_job_memory = _Values(
+    "damaskdeck_job_memory",
+    ("kind",),
+    "estimated memory of all jobs of the owner, and its bound",
+    "By",
+)
 _loop_iteration = _Values(
     "damaskdeck_loop_longest_iteration", (), "of the last second", "s"
 )
@@ -146,6 +155,8 @@
     _speed_spread,
     _measured_workers,
     _packing,
+    _process_memory,
+    _job_memory,
     _loop_busy,
     _loop_iteration,
     _revision,
@@ -259,6 +270,20 @@
     _loop_iteration.current[()] = longest
 
 
+def set_process_memory(size: int) -> None:
+    """Record the resident memory of the process, in bytes."""
+    _process_memory.current[()] = size
+
+
+def set_job_memory(used: int, limit: int) -> None:
+    """Record the memory that all jobs of the owner need by estimate, and its bound.
+
+    :param used: in bytes, as ``limit``.
+    """
+    _job_memory.current[("used",)] = used
+    _job_memory.current[("limit",)] = limit
+
+
 def set_account_share(account: str, share: float, borrowed: float, beyond: int) -> None:
     """Record the share of a client account.
 
