Refuse jobs that together exceed the memory of a daemon

Cause: nothing held back the sum of the accepted jobs. Each daemon may become owner and loads all of them, so what one owner bore by accepting bit by bit could end the next. Change: the memory that a job needs whatever runs of it is estimated from its text. All jobs together may take a quarter of limits.memory_mb. The owner reports what is left, shared among the daemons; each subtracts what it has accepted itself in the last 3 s, as the owner may not know of it yet, and refuses what exceeds that with 429, too_many_open_jobs and Retry-After 10 s. A job that is stored already is never refused. A job may have 10,000 steps (100,000 tasks as before). The lines on loading and on a saturated loop tell occurrences, steps, tasks and runs that are held, and what is declared.

--- a/src/damaskdeck/coordination/pools/jobfrontend.py
+++ b/src/damaskdeck/coordination/pools/jobfrontend.py
@@ -9,7 +9,7 @@
 from typing import Literal
 
 from damaskdeck.clock import Clock
-from damaskdeck.coordination.pools.admission import AdmissionDesk
+from damaskdeck.coordination.pools.admission import DEFAULT_JOB_MEMORY, AdmissionDesk
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.delegates import Delegates
 from damaskdeck.coordination.pools.leadership import Leadership
@@ -84,6 +84,7 @@
         the owner.
     :param on_owner_epoch: Called with the epoch of each capacity report, which shows
         that its owner is alive.
+    :param job_memory: The bound on the memory of all jobs, in bytes.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         declarations: Declarations,
         get_owner: Callable[[], PoolOwner | None],
         on_owner_epoch: Callable[[int], None] = lambda epoch: None,
+        job_memory: int = DEFAULT_JOB_MEMORY,
     ) -> None:
         self._instance = instance
         self._store = store
@@ -122,7 +124,7 @@
             self._delegates,
             self._zone_capacities,
         )
-        self._admission = AdmissionDesk(store, peers, leadership, clock)
+        self._admission = AdmissionDesk(store, peers, leadership, clock, job_memory)
         peers.register(AnnounceJob, self._handle_announced_job)
         peers.register(ReadJobState, self._handle_read_state)
         peers.register(CancelPoolJob, self._handle_cancel)
@@ -147,7 +149,11 @@
         refusal = await self._admission.refuse(queue, identifier, spec, caller)
         if refusal is not None:
             return refusal
-        return await self._submitter.submit(queue, identifier, spec, caller)
+        reservation = self._admission.reserve(spec)
+        answer = await self._submitter.submit(queue, identifier, spec, caller)
+        if isinstance(answer, JobNotAccepted | CallRejected):
+            self._admission.release(reservation)
+        return answer
 
     async def _handle_capacity_report(self, peer: str, message: ReportCapacity) -> None:
         self._zone_capacities.update(message)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -12,7 +12,12 @@
 
 from damaskdeck.coordination.pools.accountlimits import AccountLimits
 from damaskdeck.coordination.pools.accountmetrics import AccountMetrics
-from damaskdeck.coordination.pools.admission import OutlookReporter, ReturningJobs
+from damaskdeck.coordination.pools.admission import (
+    DEFAULT_JOB_MEMORY,
+    OutlookReporter,
+    ReturningJobs,
+    share_room,
+)
 from damaskdeck.coordination.pools.admission.work import Work
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
@@ -37,6 +42,7 @@
 from damaskdeck.coordination.pools.zoneconfinement import measure_zone_capacities
 from damaskdeck.delays import ReplyLimit
 from damaskdeck.logs import get_logger
+from damaskdeck.metrics import set_job_memory
 from damaskdeck.priorities import create_urgent_task
 from damaskdeck.protocol.messages import Peers
 from damaskdeck.protocol.poolmessages import ReportCapacity, ReportRefusal
@@ -71,6 +77,7 @@
     :param declarations: the queues and accounts in force on this daemon.
     :param commits: makes the owner's commits.
     :param store: shows how fast the store is.
+    :param job_memory: the bound on the memory of all jobs, in bytes.
     """
 
     shared: FleetDependencies
@@ -78,6 +85,7 @@
     declarations: Declarations
     commits: DelegatingStore
     store: MonitoredStore
+    job_memory: int = DEFAULT_JOB_MEMORY
 
 
 class PoolOwner:
@@ -97,6 +105,7 @@
         self._clock = shared.clock
         self._declarations = dependencies.declarations
         self._peers = dependencies.peers
+        self._job_memory = dependencies.job_memory
         self._changes = ChangeSet(
             self.job_index,
             lambda: self._journal,
@@ -257,6 +266,7 @@
             jobs=len(self.job_index.open_jobs),
             workers=len(self.contacts),
             unaccounted=self._fleet.unreconciled_count,
+            **self.job_index.count_state(),
         )
 
     def describe_load(self) -> dict[str, int]:
@@ -267,6 +277,7 @@
             "pace": self.dispatcher.pace.limit,
             "unanswered": sum(c.unanswered_count for c in self.contacts.values()),
             "commits": self._journal.take_commit_count(),
+            **self.job_index.count_state(),
         }
 
     # Jobs --------------------------------------------------------------------
@@ -601,8 +612,15 @@
                 # continue to decide.
                 continue
             capacities = measure_zone_capacities(self.contacts.values(), self.now())
-            message: ReportCapacity = {"epoch": self.term.epoch, "zones": capacities}
             members = self._shared.leadership.list_members()
+            set_job_memory(self.job_index.footprint, self._job_memory)
+            message: ReportCapacity = {
+                "epoch": self.term.epoch,
+                "zones": capacities,
+                "job_bytes": share_room(
+                    self._job_memory, self.job_index.footprint, len(members)
+                ),
+            }
             outlook = self._outlook.build(
                 lambda: self.dispatcher.rank_pending(self.now()),
                 len(members),
--- a/src/damaskdeck/platform/callers.py
+++ b/src/damaskdeck/platform/callers.py
@@ -11,6 +11,7 @@
 from damaskdeck.platform.jobs import parse_job
 from damaskdeck.protocol.callresults import (
     DEFAULT_RETRY_DELAY,
+    MEMORY_CODE,
     OVERLOADED_CODE,
     Caller,
     CallRejected,
@@ -269,7 +270,8 @@
     elif isinstance(result, CallRejected):
         await response.send_rejection(result)
     elif isinstance(result, JobNotAccepted):
-        status = 429 if result.code == OVERLOADED_CODE else 503
+        is_full = result.code in (OVERLOADED_CODE, MEMORY_CODE)
+        status = 429 if is_full else 503
         await response.send_json(status, {"error": result.code}, result.retry)
     else:
         # The job may have been stored or may still be, so the response reports neither
--- a/src/damaskdeck/platform/jobs.py
+++ b/src/damaskdeck/platform/jobs.py
@@ -10,9 +10,10 @@
 from damaskdeck.protocol.sizes import Size
 
 _MAX_PAYLOAD_BYTES = 4000
-# Ten times as many tasks as the largest deployment runs at once. Jobs with more tasks
-# could exhaust the memory of the daemon that tracks them.
+# Ten times as many tasks as the largest deployment runs at once.
 _MAX_TASKS = 100_000
+# Any daemon has to load a job at once, without holding up its event loop.
+_MAX_STEPS = 10_000
 # Response time targets (`target_ms`) would require throttling of the filler tasks
 # (`fills`) that run beside them, which is not implemented.
 UNSUPPORTED_FIELDS = ("target_ms", "fills")
@@ -63,6 +64,8 @@
         raise MessageError("spec is too long")
     if not job["steps"]:
         raise MessageError("a job has a step at least")
+    if len(job["steps"]) > _MAX_STEPS:
+        raise MessageError(f"a job has {_MAX_STEPS} steps at most")
     if sum(step.get("task_count", 1) for step in job["steps"]) > _MAX_TASKS:
         raise MessageError(f"a job has {_MAX_TASKS} tasks at most")
     steps = tuple(_parse_step(n, step) for n, step in enumerate(job["steps"]))
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -17,6 +17,7 @@
 # Settings of which only one value is supported: workers receive orders by calls (not
 # in replies to heartbeats), and the store is a key-value store (not a log).
 _SUPPORTED_VALUES = {"commands": "call", "platform.form": "kv"}
+MEBIBYTE = 2**20
 
 
 class NodeSettings(NamedTuple):
@@ -33,6 +34,7 @@
         doesn't perform.
     :param needs_keys: whether callers must send API keys of client accounts.
     :param descriptors: how many files and sockets the process may have open.
+    :param memory: how much memory the process may use, in bytes; 0 if not given.
     """
 
     instance: str
@@ -50,6 +52,7 @@
     unserved_duties: tuple[str, ...] = ()
     needs_keys: bool = False
     descriptors: int = 1024
+    memory: int = 0
 
 
 def load_node_settings(environment: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -111,6 +114,7 @@
         tuple(filter(None, reader.values.get("cloud_api.duties", "").split(","))),
         needs_keys,
         int(reader.read_number("limits.max_fds", 1024)),
+        int(reader.read_number("limits.memory_mb", 0)) * MEBIBYTE,
     )
     if reader.faults:
         raise SettingsError(tuple(reader.faults))
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 from damaskdeck.clock import Clock, SystemClock, wait_for_event
+from damaskdeck.coordination.pools.admission import DEFAULT_JOB_MEMORY, JOBS_SHARE
 from damaskdeck.coordination.pools.authorization import CallAuthorizer
 from damaskdeck.coordination.pools.declarations import Declarations
 from damaskdeck.coordination.pools.delegatedcommits import DelegatingStore
@@ -89,6 +90,8 @@
         self._times = derive_times(settings.bounds)
         self._loop_delay = LoopDelay()
         self._load_reporter = LoadReporter(selector, clock)
+        memory = int(JOBS_SHARE * settings.memory)
+        self._job_memory = memory or DEFAULT_JOB_MEMORY
         self._is_leaving = False
         self._stop_requested = asyncio.Event()
         self._settings_reload_requested = asyncio.Event()
@@ -146,6 +149,7 @@
             self.declarations,
             lambda: self._owner,
             lambda epoch: self.owner_monitor.record_heartbeat(epoch),
+            self._job_memory,
         )
         self.owner_monitor = OwnerMonitor(
             settings.instance,
@@ -268,6 +272,7 @@
                 self.declarations,
                 self._delegating_store,
                 self._store,
+                self._job_memory,
             ),
         )
         self._owner = owner
--- a/src/damaskdeck/protocol/callresults.py
+++ b/src/damaskdeck/protocol/callresults.py
@@ -11,6 +11,8 @@
 DEFAULT_RETRY_DELAY = timedelta(seconds=1)
 # Code of a job that could not end while it is still useful.
 OVERLOADED_CODE = "overloaded"
+# The accepted jobs take all the memory that daemons have for them.
+MEMORY_CODE = "too_many_open_jobs"
 
 
 class Caller(NamedTuple):
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -189,11 +189,14 @@
     :ivar epoch: epoch of the owner.
     :ivar zones: pool, availability zone, millicores and MiB of each.
     :ivar outlook: missing while nothing limits jobs.
+    :ivar job_bytes: how much memory of the owner the jobs may take that each daemon
+        accepts from now on.
     """
 
     epoch: Count
     zones: list[tuple[str, str, Amount, Amount]]
     outlook: NotRequired[ReportOutlook]
+    job_bytes: NotRequired[Count]
 
 
 @message("pool.refused")
--- a/src/damaskdeck/state/pooljobs/__init__.py
+++ b/src/damaskdeck/state/pooljobs/__init__.py
@@ -4,7 +4,8 @@
 :mod:`damaskdeck.state.jobrecords`.
 """
 
-from damaskdeck.state.pooljobs.jobs import MAX_WAITING_STEPS, Job, JobIndex
+from damaskdeck.state.pooljobs.footprint import MAX_WAITING_STEPS, estimate_footprint
+from damaskdeck.state.pooljobs.jobs import Job, JobIndex
 from damaskdeck.state.pooljobs.occurrences import Occurrence
 from damaskdeck.state.pooljobs.runs import ProgressRate, Run, RunPhase
 from damaskdeck.state.pooljobs.steps import Step
@@ -20,4 +21,5 @@
     "RunPhase",
     "Step",
     "Task",
+    "estimate_footprint",
 ]
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -1,6 +1,7 @@
 """The jobs that the pools' owner knows."""
 
 from collections.abc import Iterator
+from functools import cached_property
 
 from damaskdeck.errors import MessageError
 from damaskdeck.protocol.queues import QueueJobState, TaskName
@@ -15,6 +16,11 @@
     StartsRecord,
     StepProgress,
 )
+from damaskdeck.state.pooljobs.footprint import (
+    MAX_OPEN_OCCURRENCES,
+    MAX_WAITING_STEPS,
+    estimate_footprint,
+)
 from damaskdeck.state.pooljobs.graph import StepGraph
 from damaskdeck.state.pooljobs.occurrences import MAX_LISTED_STEPS, Occurrence
 from damaskdeck.state.pooljobs.runs import Run
@@ -23,12 +29,6 @@
 from damaskdeck.state.quotas import scale_size, sum_sizes
 from damaskdeck.state.recordedstarts import RecordedStarts
 
-# So many steps of one job wait for capacity at a time. The others are created as these
-# get it.
-MAX_WAITING_STEPS = 128
-# So many occurrences of one job are open at a time, if some of their steps can't start.
-MAX_OPEN_OCCURRENCES = 512
-
 
 class Job:
     """A job with the steps of its occurrences.
@@ -88,6 +88,11 @@
             self.open_occurrence(0)
             self.fill_window()
 
+    @cached_property
+    def footprint(self) -> int:
+        """The memory that it needs without its runs, in bytes."""
+        return estimate_footprint(self.record.spec)
+
     @property
     def is_final(self) -> bool:
         """Whether none of its tasks will be started any more."""
@@ -421,14 +426,17 @@
     """All jobs of an owner, by identifier.
 
     :ivar open_jobs: the jobs that are not final.
+    :ivar footprint: the memory that all jobs need without their runs, in bytes.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.open_jobs: dict[str, Job] = {}
+        self.footprint = 0
 
     def add(self, job: Job) -> None:
         """Add a job."""
+        self.footprint += job.footprint
         self.jobs[job.identifier] = job
         if not job.is_final:
             self.open_jobs[job.identifier] = job
@@ -439,7 +447,8 @@
 
     def remove(self, job: Job) -> None:
         """Remove a job."""
-        self.jobs.pop(job.identifier, None)
+        if self.jobs.pop(job.identifier, None) is not None:
+            self.footprint -= job.footprint
         self.open_jobs.pop(job.identifier, None)
 
     def find_task(self, name: TaskName) -> Task | None:
@@ -447,6 +456,19 @@
         job = self.jobs.get(name.job)
         return job.find_task(name) if job is not None else None
 
+    def count_state(self) -> dict[str, int]:
+        """Return how much of the open jobs is held, and what they were declared as."""
+        steps = [step for job in self.open_jobs.values() for step in job.list_steps()]
+        return {
+            "occurrences": sum(len(job.occurrences) for job in self.open_jobs.values()),
+            "unopened": sum(job.count_unopened() for job in self.open_jobs.values()),
+            "steps": len(steps),
+            "tasks": sum(len(step.tasks.list_known()) for step in steps),
+            "unstarted": sum(job.count_unstarted() for job in self.open_jobs.values()),
+            "runs": sum(len(job.runs) for job in self.open_jobs.values()),
+            "footprint": self.footprint,
+        }
+
     def count_waiting(self, queue: str) -> int:
         """Count the open jobs of a queue that have started nothing."""
         return sum(
