Bound what one pass and one turn of a load take

Change: a pass renews jobs until 2,048 steps were renewed, and the next pass goes on. Where many jobs have many steps, fewer of each wait at a time (16 at least). A load yields after 64 KB of records. Result: 400 jobs of 500 steps have less than 8,192 pending steps, renewed in several passes (tests/test_pools_steps.py); other work runs more than five times while 200 records are applied (tests/test_job_memory.py).

--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -293,6 +293,8 @@
                 break
             position += 1
             self._place(pending, candidates, freed, urgency, position, now)
+        if self._pending.has_changes:
+            self.wake()
         self._gang_capacity.end_pass(ranked, is_full_pass, now)
         self._preemptor.sweep(ranked, now)
         if is_full_pass:
--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -1,6 +1,7 @@
 """How an owner receives jobs: from the store first, then by messages and a watch."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Protocol
 
@@ -38,6 +39,11 @@
 # when it is received.
 MAX_ARRIVAL_AGE_SECONDS = 60.0
 
+# Other work gets its turn after so many bytes of stored records; an entry costs more than
+# its value.
+SLICE_BYTES = 64_000
+ENTRY_BYTES = 1000
+
 _log = get_logger("owner")
 
 
@@ -98,14 +104,15 @@
         )
         inbox, self._inbox_revision = inbox_page
         progress_by_job: dict[str, ProgressRecord] = {}
-        for entry in progress[0]:
-            self._decode_progress(entry, progress_by_job)
-        for entry in inbox:
-            self._apply_inbox(entry.key, entry.value, progress_by_job)
-        for entry in starts[0]:
-            self._restore_starts(entry)
-        for entry in runs[0]:
-            self._decode_runs(entry)
+        await apply_in_slices(
+            progress[0], lambda entry: self._decode_progress(entry, progress_by_job)
+        )
+        await apply_in_slices(
+            inbox,
+            lambda entry: self._apply_inbox(entry.key, entry.value, progress_by_job),
+        )
+        await apply_in_slices(starts[0], self._restore_starts)
+        await apply_in_slices(runs[0], self._decode_runs)
 
     def _decode_runs(self, entry: Entry) -> None:
         identifier = entry.key.removeprefix(RUNS_PREFIX)
@@ -247,3 +254,16 @@
                 for entry in inbox:
                     self._apply_inbox(entry.key, entry.value, {})
             await self._clock.sleep(WATCH_INTERVAL)
+
+
+async def apply_in_slices(
+    entries: Iterable[Entry], apply: Callable[[Entry], None]
+) -> None:
+    """Apply entries one after the other, and let other work run in between."""
+    size = 0
+    for entry in entries:
+        apply(entry)
+        size += ENTRY_BYTES + len(entry.value)
+        if size >= SLICE_BYTES:
+            size = 0
+            await asyncio.sleep(0)
--- a/src/damaskdeck/coordination/pools/pending/steps.py
+++ b/src/damaskdeck/coordination/pools/pending/steps.py
@@ -19,6 +19,12 @@
 
 # A step that can't be placed for so long lets others of its job take its turn.
 MAX_TURN_SECONDS = 1.0
+# Where many jobs have many steps, fewer of each wait at a time, but not less than the
+# minimum.
+ALL_STEPS = 4096
+MIN_WAITING_STEPS = 16
+# A pass updates the jobs that have changed until so many steps were updated.
+MAX_RENEWED_STEPS = 2048
 
 
 class PendingStep:
@@ -89,9 +95,7 @@
 
     def rank(self, now: float) -> list[RankedStep]:
         """List the pending steps in the order in which they get capacity."""
-        changed_jobs, self._changed_jobs = self._changed_jobs, {}
-        for job in changed_jobs.values():
-            self._renew(job, now)
+        self._renew_changed(now)
         delay = self._measure_delay()
         ranked = [
             RankedStep(
@@ -120,8 +124,6 @@
         :returns: the steps that are no longer pending.
         """
         for pendings in list(self._steps.values()):
-            if len(pendings) < MAX_WAITING_STEPS:
-                continue
             job = next(iter(pendings.values())).step.job
             if not job.has_more:
                 continue
@@ -131,9 +133,24 @@
                     self.mark_changed(job)
                     yield pending.step
 
-    def _renew(self, job: Job, now: float) -> None:
+    @property
+    def has_changes(self) -> bool:
+        """Whether changed jobs are left for the next pass."""
+        return bool(self._changed_jobs)
+
+    def _renew_changed(self, now: float) -> None:
+        """Update the steps of changed jobs, as many as a pass may take."""
+        jobs = max(len(self._waiting), len(self._changed_jobs), 1)
+        window = max(MIN_WAITING_STEPS, min(MAX_WAITING_STEPS, ALL_STEPS // jobs))
+        renewed = 0
+        while self._changed_jobs and renewed < MAX_RENEWED_STEPS:
+            job = self._changed_jobs.pop(next(iter(self._changed_jobs)))
+            self._renew(job, window, now)
+            renewed += len(job.waiting)
+
+    def _renew(self, job: Job, window: int, now: float) -> None:
         identifier = job.identifier
-        waiting = {} if job.is_final else _update_waiting(job, now)
+        waiting = {} if job.is_final else _update_waiting(job, window, now)
         for step in self._waiting.pop(identifier, {}).keys() - waiting.keys():
             step.waiting_since = step.incomplete_since = None
         if waiting:
@@ -179,12 +196,12 @@
     return [key[-1] for key in keyed]
 
 
-def _update_waiting(job: Job, now: float) -> dict[Step, int]:
+def _update_waiting(job: Job, window: int, now: float) -> dict[Step, int]:
     """Return the steps of a job with tasks to start, and the number of these.
 
     Since when they wait is recorded.
     """
-    job.fill_window()
+    job.fill_window(window)
     counts = ((step, step.count_waiting()) for step in job.waiting)
     waiting = {step: count for step, count in counts if count}
     for step in waiting:
--- a/src/damaskdeck/state/pooljobs/footprint.py
+++ b/src/damaskdeck/state/pooljobs/footprint.py
@@ -5,6 +5,8 @@
 # So many steps of one job wait for capacity at a time. The others are created as these
 # get it.
 MAX_WAITING_STEPS = 128
+# Fewer exist from the beginning.
+FIRST_WAITING_STEPS = 16
 # So many occurrences of one job are open at a time, if some of their steps can't start.
 MAX_OPEN_OCCURRENCES = 512
 
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -17,6 +17,7 @@
     StepProgress,
 )
 from damaskdeck.state.pooljobs.footprint import (
+    FIRST_WAITING_STEPS,
     MAX_OPEN_OCCURRENCES,
     MAX_WAITING_STEPS,
     estimate_footprint,
@@ -86,7 +87,7 @@
         self._next_occurrence = 0
         if not record.spec.repeats:
             self.open_occurrence(0)
-            self.fill_window()
+            self.fill_window(FIRST_WAITING_STEPS)
 
     @cached_property
     def footprint(self) -> int:
@@ -162,9 +163,9 @@
             or self.count_unopened()
         )
 
-    def fill_window(self) -> None:
+    def fill_window(self, limit: int = MAX_WAITING_STEPS) -> None:
         """Create steps that may start, until as many of them wait as may do so."""
-        while len(self.waiting) < MAX_WAITING_STEPS:
+        while len(self.waiting) < limit:
             occurrence = self._find_ready()
             if occurrence is None:
                 return
--- a/tests/test_job_memory.py
+++ b/tests/test_job_memory.py
@@ -3,6 +3,7 @@
 Pattern: admission control by a shared budget, handed out in parts.
 """
 
+import asyncio
 import random
 import tracemalloc
 import unittest
@@ -15,10 +16,12 @@
     JobMemory,
     share_room,
 )
+from damaskdeck.coordination.pools.intake import apply_in_slices
 from damaskdeck.coordination.pools.pending import PendingSteps
 from damaskdeck.errors import MessageError
 from damaskdeck.platform.jobs import parse_job
 from damaskdeck.protocol.callresults import MEMORY_CODE, JobAccepted, JobNotAccepted
+from damaskdeck.protocol.ports import Entry
 from damaskdeck.protocol.queues import JobSpec, QueueJobState, StepSpec
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.state.jobrecords import JobRecord, decode_job, encode_record
@@ -166,6 +169,26 @@
             self.assertGreater(total, LIMIT // 2)
 
 
+class TestLoad(unittest.IsolatedAsyncioTestCase):
+    """A new owner loads jobs without holding up its event loop."""
+
+    async def test_other_work_runs_while_records_are_applied(self):
+        entries = [Entry(f"k{number}", b"x" * 1000, 1) for number in range(200)]
+        applied: list[int] = []
+        turns: list[int] = []
+
+        async def work() -> None:
+            while len(applied) < len(entries):
+                turns.append(len(applied))
+                await asyncio.sleep(0)
+
+        other = asyncio.ensure_future(work())
+        await apply_in_slices(entries, lambda entry: applied.append(1))
+        await other
+        self.assertGreater(len(turns), 5)
+        self.assertEqual(len(applied), len(entries))
+
+
 class TestDoor(PoolCase):
     """Jobs beyond the bound are refused at once, and the others run."""
 
--- a/tests/test_pools_steps.py
+++ b/tests/test_pools_steps.py
@@ -11,6 +11,7 @@
 from itertools import pairwise
 
 from damaskdeck.coordination.pools.pending import PendingSteps
+from damaskdeck.coordination.pools.pending.steps import ALL_STEPS, MAX_RENEWED_STEPS
 from damaskdeck.coordination.pools.urgency import find_deadlines, list_due_soon
 from damaskdeck.errors import MessageError
 from damaskdeck.protocol.queues import QueueJobState, StepSpec
@@ -83,6 +84,29 @@
         # Guards against a job whose changes block the event loop of each owner.
         self.assertLess(self.measure(4000), 1.2 * self.measure(500))
 
+    def test_a_pass_updates_a_bounded_number_of_steps(self):
+        pending = PendingSteps()
+        jobs = [
+            Job(
+                JobRecord(f"j{number}", make_queue(), make_job(*[STEP] * 500), 1, 0.0),
+                0.0,
+            )
+            for number in range(400)
+        ]
+        for job in jobs:
+            pending.mark_changed(job)
+        passes = 0
+        while pending.has_changes:
+            before = len(pending)
+            pending.rank(0.0)
+            passes += 1
+            self.assertLessEqual(
+                len(pending) - before, MAX_RENEWED_STEPS + MAX_WAITING_STEPS
+            )
+        self.assertGreater(passes, 1)
+        self.assertLess(len(pending), 2 * ALL_STEPS)
+        self.assertTrue(all(job.waiting for job in jobs))
+
     def test_equal_steps_of_a_stored_job_are_one_object(self):
         spec = make_job(*[STEP] * 100)
         record = decode_job(encode_record(JobRecord("j1", make_queue(), spec, 1, 0.0)))
