--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -39,9 +39,9 @@
 # when it is received.
 MAX_ARRIVAL_AGE_SECONDS = 60.0
 
-# Other work gets its turn after so many bytes of stored records; an entry costs more than
-# its value.
+# Other work gets its turn after so many bytes of stored records.
 SLICE_BYTES = 64_000
+# What an entry costs beside its value.
 ENTRY_BYTES = 1000
 
 _log = get_logger("owner")
