Reserve the attempt numbers of an owner before it uses them

Cause: an epoch's attempts began at a hundred a predecessor, and nothing held an epoch to a hundred. A successor knew of more only from a recorded run or a listed end. Change: an owner stays below a durable limit, a hundred an epoch as before, and above that what it has reserved in the store ahead of need. An attempt above the limit waits until it is written; a successor begins at the limit. Why it works: what a successor begins at was made durable before any higher number was sent.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -14,10 +14,19 @@
         """Do nothing."""
 
 
+class UnlimitedAttempts:
+    """Attempt numbers without successors, which have to know of none."""
+
+    def is_durable(self, attempt: int) -> bool:
+        """Return that an attempt needs no reservation."""
+        return True
+
+
 class UnstoredOwner:
     """An owner that may always order tasks, and whose changes need no store."""
 
     recording = UnstoredRecording()
+    attempts = UnlimitedAttempts()
 
     def may_order(self) -> bool:
         """Return that tasks may be ordered."""
--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -34,6 +34,7 @@
     CEILINGS = auto()
     SPEEDS = auto()
     RECORDING = auto()
+    ATTEMPTS = auto()
 
 
 class ChangeSet:
@@ -105,6 +106,11 @@
         self._kinds.add(ChangeKind.RECORDING)
         self._get_journal().expedite()
 
+    def record_attempts_change(self) -> None:
+        """Write at once which attempts are reserved: starts may wait for it."""
+        self._kinds.add(ChangeKind.ATTEMPTS)
+        self._get_journal().expedite()
+
     def record_speed_change(self) -> None:
         """Write the speeds of workers with the next commit."""
         self._kinds.add(ChangeKind.SPEEDS)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -30,6 +30,7 @@
 from damaskdeck.coordination.pools.intake import Intake
 from damaskdeck.coordination.pools.journal import Journal
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
+from damaskdeck.coordination.pools.predecessors import AttemptNumbers
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.speeds import read_speeds
 from damaskdeck.coordination.pools.supervision import RunSupervisor
@@ -64,8 +65,6 @@
 # store is slow or unavailable, this is the most by which the start of a following step
 # is delayed.
 DURABLE_WAIT_LIMIT = timedelta(milliseconds=100)
-# Attempt numbers of a later epoch are above those of all earlier epochs.
-ATTEMPTS_PER_EPOCH = 100
 
 _log = get_logger("owner")
 
@@ -93,6 +92,7 @@
 
     :ivar intake: receives new jobs.
     :ivar is_loaded: whether the jobs have been read from the store.
+    :ivar attempts: chooses attempt numbers.
     """
 
     def __init__(self, term: OwnerTerm, dependencies: OwnerDependencies) -> None:
@@ -157,6 +157,7 @@
             self.flush,
             lambda: not self._fleet.unreconciled_count,
         )
+        self.attempts = AttemptNumbers(term, self._changes.record_attempts_change)
         self.intake = Intake(self, shared.store, shared.leadership, shared.clock)
         self._fleet = WorkerFleet(
             term,
@@ -248,12 +249,13 @@
     async def _load(self) -> None:
         # The jobs must be loaded before the contacts start, as an inventory is
         # interpreted against the known jobs.
-        _, _, workers, speeds, _ = await asyncio.gather(
+        _, _, workers, speeds, *_ = await asyncio.gather(
             self.intake.load(),
             self.account_limits.ceilings.read(self._shared.store, self._clock),
             self._fleet.read(),
             read_speeds(self._shared.store, self._clock),
             self._recording.read(self._shared.store),
+            self.attempts.read(self._shared.store, self._clock),
         )
         self.dispatcher.speeds.load(speeds)
         self._crashes.load()
@@ -359,6 +361,8 @@
             return self._fleet.cordons.build_write()
         if kind is ChangeKind.RECORDING:
             return self._recording.build_write()
+        if kind is ChangeKind.ATTEMPTS:
+            return self.attempts.build_write()
         if kind is ChangeKind.SPEEDS:
             return self.dispatcher.speeds.build_write()
         return self.account_limits.ceilings.build_write()
@@ -598,8 +602,7 @@
 
     def next_attempt(self, tasks: list[Task]) -> int:
         """Return an attempt number above all earlier ones of the tasks."""
-        lowest = (self.term.epoch - 1) * ATTEMPTS_PER_EPOCH
-        return max(lowest, *(task.attempt for task in tasks)) + 1
+        return self.attempts.choose(task.attempt for task in tasks)
 
     # Loops -------------------------------------------------------------------
 
--- a/src/damaskdeck/coordination/pools/predecessors/__init__.py
+++ b/src/damaskdeck/coordination/pools/predecessors/__init__.py
@@ -5,6 +5,7 @@
 may run there is on record, and so is it for the next owner.
 """
 
+from damaskdeck.coordination.pools.predecessors.attempts import AttemptNumbers
 from damaskdeck.coordination.pools.predecessors.leases import InheritedLeases
 from damaskdeck.coordination.pools.predecessors.owners import FormerOwners
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
@@ -14,6 +15,7 @@
 )
 
 __all__ = [
+    "AttemptNumbers",
     "FormerOwners",
     "InheritedLeases",
     "InheritedWorkers",
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -11,6 +11,7 @@
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.overload import StartPace
 from damaskdeck.coordination.pools.planning import Plan
+from damaskdeck.coordination.pools.predecessors.attempts import AttemptNumbers
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.coordination.pools.waits import (
@@ -56,6 +57,7 @@
         """Whether tasks may be ordered at this moment."""
 
     recording: RunRecording
+    attempts: AttemptNumbers
 
     def mark_dirty(self, job: Job) -> None:
         """Write the progress of a job with the next commit."""
@@ -139,6 +141,7 @@
             waited_for=self._waits.end(step, now),
         )
         is_required = self._record(step, [run for run, _ in runs])
+        is_required = is_required or not self._owner.attempts.is_durable(attempt)
         self.pace.begin(len(runs), is_overdue)
         start = self._start_at_pace(step, runs, is_required)
         # Of few starts under way, a slow one keeps others from being ordered.
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -32,6 +32,7 @@
 STARTS_PREFIX = f"{ROOT_PREFIX}starts/"
 RUNS_PREFIX = f"{ROOT_PREFIX}runs/"
 RECORDING_KEY = f"{ROOT_PREFIX}recording"
+ATTEMPTS_KEY = f"{ROOT_PREFIX}attempts"
 CORDONS_KEY = f"{ROOT_PREFIX}cordons"
 CEILINGS_KEY = f"{ROOT_PREFIX}ceilings"
 SPEEDS_KEY = f"{ROOT_PREFIX}speeds"
@@ -310,6 +311,12 @@
     is_complete: bool = False
 
 
+class AttemptsRecord(NamedTuple):
+    """What the attempt numbers of all owners so far are not above."""
+
+    limit: int = 0
+
+
 class ProgressRecord(NamedTuple):
     """Durable progress of a job.
 
