Keep the progress of a job within what the store takes for a value

Cause: the progress is one value, 1.8 MB there, where the store takes 1 MiB. Change: the owner reads platform.value_bytes. Checkpoints may take half of a value; those beyond it are not durable, and a task without one begins anew only if the owner changes before it is started again. If that isn't enough, failures are left out. Completed tasks are always written. A log line and a metric tell what is left out. Why it works: the store refuses no progress any more, so no other job waits for it.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 from enum import Enum, auto
-from typing import Any
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.journal import Batch, Journal
 from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.transactions import Write
 from damaskdeck.state.jobrecords import (
     CANCELS_PREFIX,
@@ -17,11 +17,15 @@
     RunsRecord,
     encode_record,
 )
-from damaskdeck.state.pooljobs import Job, JobIndex
+from damaskdeck.state.pooljobs import CheckpointRoom, Job, JobIndex
 
-# Stores take at least twice this for a value. A job with more runs than fit counts as
-# one that may run anywhere.
-MAX_RUNS_BYTES = 32_000
+# Stores take at least this for a value.
+MIN_VALUE_BYTES = 64_000
+# A job with more runs than fit counts as one that may run anywhere.
+MAX_RUNS_BYTES = MIN_VALUE_BYTES // 2
+# The part of a value that checkpoints of a job may take. A task whose checkpoint is
+# beyond it begins anew after a takeover, unless a run of it is found.
+CHECKPOINTS_SHARE = 0.5
 
 _log = get_logger("owner")
 
@@ -44,6 +48,7 @@
     :param write: Returns the write for a kind and a function to call once it is
         durable. The function returns whether orders may go to more workers.
     :param request_full_pass: Called when steps may fit where they did not before.
+    :param value_limit: The most bytes that the store takes for a value.
     """
 
     def __init__(
@@ -52,7 +57,9 @@
         get_journal: Callable[[], Journal],
         write: Callable[[ChangeKind], tuple[Write, Callable[[], bool]]],
         request_full_pass: Callable[[], None],
+        value_limit: int = MIN_VALUE_BYTES,
     ) -> None:
+        self._value_limit = value_limit
         self._job_index = job_index
         self._get_journal = get_journal
         self._write = write
@@ -133,7 +140,7 @@
             write
             for job in jobs
             if job.identifier in self._job_index.jobs
-            for write in _build_job_writes(job)
+            for write in self._build_job_writes(job)
         ]
         final_states = [(job, job.final) for job in jobs]
         widened = [(j, j.wider_zones) for j in jobs if j.wider_zones is not None]
@@ -154,20 +161,53 @@
             (*writes, *(write for write, _ in records)), removals, apply_effects
         )
 
+    def _build_job_writes(self, job: Job) -> list[Write]:
+        """Return the records of a job that have changed since the last call."""
+        values = {PROGRESS_PREFIX: self._encode_progress(job)}
+        if job.recorded_starts.must_store:
+            values[STARTS_PREFIX] = encode_record(job.summarize_starts())
+        if job.runs or RUNS_PREFIX in job.stored:
+            values[RUNS_PREFIX] = _encode_runs(job)
+        writes = []
+        for prefix, value in values.items():
+            if job.stored.get(prefix) != value:
+                job.stored[prefix] = value
+                writes.append(Write(prefix + job.identifier, value))
+        return writes
+
+    def _encode_progress(self, job: Job) -> bytes:
+        """Return a job's progress, with as much of it as the store takes.
+
+        Which tasks have completed is always part of it.
+        """
+        room = CheckpointRoom(CHECKPOINTS_SHARE * self._value_limit)
+        progress = job.summarize(room)
+        if room.left_out > 2 * job.left_out_checkpoints:
+            job.left_out_checkpoints = room.left_out
+            self._report_left_out(job, "checkpoint", room.left_out)
+        value = encode_record(progress)
+        if len(value) <= self._value_limit:
+            return value
+        self._report_left_out(job, "failure", len(progress.steps))
+        steps = tuple(
+            step._replace(failures={}, checkpoints={}) for step in progress.steps
+        )
+        return encode_record(progress._replace(steps=steps))
+
+    def _report_left_out(self, job: Job, part: str, count: int) -> None:
+        _log.warn(
+            "A part of a job's progress is not durable.",
+            id=job.identifier,
+            left_out=part,
+            count=count,
+            limit=self._value_limit,
+        )
+        count_drop("journal", part, count)
+
 
-def _build_job_writes(job: Job) -> list[Write]:
-    """Return the records of a job that have changed since they were last gathered."""
-    records: dict[str, Any] = {PROGRESS_PREFIX: job.summarize()}
-    if job.recorded_starts.must_store:
-        records[STARTS_PREFIX] = job.summarize_starts()
-    runs = job.summarize_runs()
-    if runs.runs or RUNS_PREFIX in job.stored:
-        is_too_large = len(encode_record(runs)) > MAX_RUNS_BYTES
-        records[RUNS_PREFIX] = RunsRecord(is_complete=False) if is_too_large else runs
-    writes = []
-    for prefix, record in records.items():
-        value = encode_record(record)
-        if job.stored.get(prefix) != value:
-            job.stored[prefix] = value
-            writes.append(Write(prefix + job.identifier, value))
-    return writes
+def _encode_runs(job: Job) -> bytes:
+    """Return the record of a job's runs, an incomplete one if they are too many."""
+    value = encode_record(job.summarize_runs())
+    if len(value) > MAX_RUNS_BYTES:
+        return encode_record(RunsRecord(is_complete=False))
+    return value
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -21,7 +21,11 @@
 from damaskdeck.coordination.pools.admission.work import Work
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
-from damaskdeck.coordination.pools.changeset import ChangeKind, ChangeSet
+from damaskdeck.coordination.pools.changeset import (
+    MIN_VALUE_BYTES,
+    ChangeKind,
+    ChangeSet,
+)
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.crashes import Crashes
 from damaskdeck.coordination.pools.declarations import Declarations
@@ -77,6 +81,7 @@
     :param commits: makes the owner's commits.
     :param store: shows how fast the store is.
     :param job_memory: the bound on the memory of all jobs, in bytes.
+    :param value_limit: the most bytes that the store takes for a value.
     """
 
     shared: FleetDependencies
@@ -85,6 +90,7 @@
     commits: DelegatingStore
     store: MonitoredStore
     job_memory: int = DEFAULT_JOB_MEMORY
+    value_limit: int = MIN_VALUE_BYTES
 
 
 class PoolOwner:
@@ -111,6 +117,7 @@
             lambda: self._journal,
             self._build_write,
             lambda: self.dispatcher.request_full_pass(),
+            dependencies.value_limit,
         )
         self._journal = Journal(
             term,
--- a/src/damaskdeck/platform/nodes.py
+++ b/src/damaskdeck/platform/nodes.py
@@ -18,6 +18,7 @@
 # in replies to heartbeats), and the store is a key-value store (not a log).
 _SUPPORTED_VALUES = {"commands": "call", "platform.form": "kv"}
 MEBIBYTE = 2**20
+DEFAULT_VALUE_BYTES = MEBIBYTE
 
 
 class NodeSettings(NamedTuple):
@@ -34,6 +35,7 @@
         doesn't perform.
     :param needs_keys: whether callers must send API keys of client accounts.
     :param descriptors: how many files and sockets the process may have open.
+    :param value_limit: the most bytes that the store takes for a value.
     :param memory: how much memory the process may use, in bytes; 0 if not given.
     """
 
@@ -53,6 +55,7 @@
     needs_keys: bool = False
     descriptors: int = 1024
     memory: int = 0
+    value_limit: int = DEFAULT_VALUE_BYTES
 
 
 def load_node_settings(environment: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -115,6 +118,7 @@
         needs_keys,
         int(reader.read_number("limits.max_fds", 1024)),
         int(reader.read_number("limits.memory_mb", 0)) * MEBIBYTE,
+        int(reader.read_number("platform.value_bytes", DEFAULT_VALUE_BYTES)),
     )
     if reader.faults:
         raise SettingsError(tuple(reader.faults))
--- a/src/damaskdeck/pooldaemon.py
+++ b/src/damaskdeck/pooldaemon.py
@@ -273,6 +273,7 @@
                 self._delegating_store,
                 self._store,
                 self._job_memory,
+                self.settings.value_limit,
             ),
         )
         self._owner = owner
--- a/src/damaskdeck/state/pooljobs/__init__.py
+++ b/src/damaskdeck/state/pooljobs/__init__.py
@@ -8,10 +8,11 @@
 from damaskdeck.state.pooljobs.jobs import Job, JobIndex
 from damaskdeck.state.pooljobs.occurrences import Occurrence
 from damaskdeck.state.pooljobs.runs import ProgressRate, Run, RunPhase
-from damaskdeck.state.pooljobs.steps import Step
+from damaskdeck.state.pooljobs.steps import CheckpointRoom, Step
 from damaskdeck.state.pooljobs.tasks import Task
 
 __all__ = [
+    "CheckpointRoom",
     "MAX_WAITING_STEPS",
     "Job",
     "JobIndex",
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -25,7 +25,7 @@
 from damaskdeck.state.pooljobs.graph import StepGraph
 from damaskdeck.state.pooljobs.occurrences import MAX_LISTED_STEPS, Occurrence
 from damaskdeck.state.pooljobs.runs import Run
-from damaskdeck.state.pooljobs.steps import Step
+from damaskdeck.state.pooljobs.steps import CheckpointRoom, Step
 from damaskdeck.state.pooljobs.tasks import Task
 from damaskdeck.state.quotas import scale_size, sum_sizes
 from damaskdeck.state.recordedstarts import RecordedStarts
@@ -52,6 +52,8 @@
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
     :ivar recorded_starts: the starts of tasks that may have crashed workers.
     :ivar are_runs_recorded: whether its record had all runs when this owner read it.
+    :ivar left_out_checkpoints: the number of checkpoints without room in the store that
+        was last reported.
     :ivar stored: the records as they were last gathered to be stored, by key.
     """
 
@@ -66,6 +68,7 @@
         self.wider_zones: frozenset[str] | None = None
         self.recorded_starts = RecordedStarts()
         self.are_runs_recorded = True
+        self.left_out_checkpoints = 0
         self.stored: dict[str, bytes] = {}
         self.has_started = False
         self.final: QueueJobState | None = None
@@ -248,7 +251,9 @@
         self.runs[run] = None
         occurrence = run.task.step.steps
         self.occurrences.setdefault(occurrence.number, occurrence)
-        occurrence.keep(run.task.step)
+        if occurrence.find(run.task.step.number) is None:
+            occurrence.keep(run.task.step)
+        self.update_waiting(run.task.step)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run that is over."""
@@ -310,13 +315,17 @@
         if self.visible_state is QueueJobState.QUEUED:
             self.visible_state = QueueJobState.RUNNING
 
-    def summarize(self) -> ProgressRecord:
-        """Return the durable progress."""
+    def summarize(self, room: CheckpointRoom | None = None) -> ProgressRecord:
+        """Return the durable progress.
+
+        :param room: for its checkpoints; all are part of it if ``None``.
+        """
+        room = room if room is not None else CheckpointRoom()
         steps = (
             step
             for number, occurrence in self.occurrences.items()
             if number not in self.completed
-            for step in occurrence.summarize()
+            for step in occurrence.summarize(room)
         )
         return ProgressRecord(
             self.final or "",
--- a/src/damaskdeck/state/pooljobs/occurrences.py
+++ b/src/damaskdeck/state/pooljobs/occurrences.py
@@ -5,7 +5,7 @@
 
 from damaskdeck.state.indexranges import IndexRanges
 from damaskdeck.state.jobrecords import WHOLE, StepProgress
-from damaskdeck.state.pooljobs.steps import Step
+from damaskdeck.state.pooljobs.steps import CheckpointRoom, Step
 
 if TYPE_CHECKING:
     from damaskdeck.state.pooljobs.jobs import Job
@@ -159,15 +159,18 @@
 
     # Durable progress --------------------------------------------------------
 
-    def summarize(self) -> Iterator[StepProgress]:
-        """Yield the durable progress of its steps."""
+    def summarize(self, room: CheckpointRoom) -> Iterator[StepProgress]:
+        """Yield the durable progress of its steps.
+
+        :param room: for the checkpoints of all steps of its job.
+        """
         if len(self._completed) > MAX_LISTED_STEPS:
             yield StepProgress(self.number, WHOLE, self._completed.encode())
         else:
             yield from self.list_completed()
         for step in self._steps.values():
             if step.number not in self._completed:
-                progress = step.summarize()
+                progress = step.summarize(room)
                 if progress is not None:
                     yield progress
 
--- a/src/damaskdeck/state/pooljobs/steps.py
+++ b/src/damaskdeck/state/pooljobs/steps.py
@@ -1,5 +1,6 @@
 """The steps of jobs."""
 
+import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,30 @@
 GANG_INDEX = -1
 
 
+# What a checkpoint takes in a record beside its text.
+CHECKPOINT_BYTES = 12
+
+
+class CheckpointRoom:
+    """How many bytes the checkpoints of a job may take in its record.
+
+    :ivar left_out: the number of the checkpoints that had no room.
+    """
+
+    def __init__(self, size: float = math.inf) -> None:
+        self._size = size
+        self.left_out = 0
+
+    def take(self, checkpoint: str) -> bool:
+        """Return whether there is room for one more checkpoint, and use it."""
+        needed = CHECKPOINT_BYTES + len(checkpoint.encode())
+        if needed > self._size:
+            self.left_out += 1
+            return False
+        self._size -= needed
+        return True
+
+
 class Step:
     """One step of one occurrence of a job.
 
@@ -183,11 +208,14 @@
         if checkpoint:
             task.checkpoint = checkpoint
 
-    def summarize(self) -> StepProgress | None:
-        """Return the durable progress, ``None`` when there is none."""
+    def summarize(self, room: CheckpointRoom) -> StepProgress | None:
+        """Return the durable progress, ``None`` when there is none.
+
+        :param room: for the checkpoints of all steps of its job.
+        """
         completed = self.tasks.completed.encode()
         failures = to_tuples(self.failures)
-        checkpoints = self._list_checkpoints()
+        checkpoints = self._list_checkpoints(room)
         if not (completed or failures or checkpoints or self.crashes):
             return None
         return StepProgress(
@@ -200,14 +228,16 @@
             to_tuples(self.crash_counts.suspected),
         )
 
-    def _list_checkpoints(self) -> dict[int, str]:
+    def _list_checkpoints(self, room: CheckpointRoom) -> dict[int, str]:
         if self.spec.is_gang:
-            return {0: self.gang_checkpoint} if self.gang_checkpoint else {}
-        return {
-            task.name.index: task.checkpoint
-            for task in self.tasks.list_known()
-            if task.checkpoint and not task.is_completed
-        }
+            found = {0: self.gang_checkpoint} if self.gang_checkpoint else {}
+        else:
+            found = {
+                task.name.index: task.checkpoint
+                for task in self.tasks.list_known()
+                if task.checkpoint and not task.is_completed
+            }
+        return {index: text for index, text in found.items() if room.take(text)}
 
     def restore(self, progress: StepProgress) -> None:
         """Restore durable progress.
--- a/tests/test_pools_tasks.py
+++ b/tests/test_pools_tasks.py
@@ -18,7 +18,7 @@
     JobRecord,
     encode_record,
 )
-from damaskdeck.state.pooljobs import Job, Run, Step
+from damaskdeck.state.pooljobs import CheckpointRoom, Job, Run, Step
 from damaskdeck.state.recordedstarts import ALL, RecordedStarts
 from standins.pools import Work
 from tests.poolcluster import SECOND, SMALL, PoolCase, make_job, make_queue
@@ -154,7 +154,7 @@
         step.store_checkpoint(tasks[2], "half")
         self.assertEqual({task.checkpoint for task in step.tasks}, {"half"})
         other = make_step(4, is_gang=True)
-        other.restore(step.summarize())
+        other.restore(step.summarize(CheckpointRoom()))
         self.assertEqual(other.tasks[3].checkpoint, "half")
 
 
