Give late steps a turn for their few workers while most of their pool is idle

Cause: the order of urgency has a bound only while the owner is short of processor time, and the steps behind the first twelve are asked about one at a time, in turn. Change: in a pool of which more than 0.4 is free, steps that have waited for 10 s go before more urgent ones with a quarter of the starts, and late gangs may reserve workers. Steps that have waited for 2 s without tickets come first among those behind, with up to a quarter of the daemons. Advice about steps that have ended is forgotten when it comes. A pass wakes the next one only for jobs that were left, not for what it has ordered itself. Conclusion: a bound where others find other workers; what broke on the users' machines is open.

--- a/src/damaskdeck/coordination/pools/advice.py
+++ b/src/damaskdeck/coordination/pools/advice.py
@@ -187,6 +187,10 @@
         idle = sum(self._is_idle(name, now) for name in self._list_daemons())
         return max(0, idle - len(self._queue))
 
+    def count_daemons(self) -> int:
+        """Count the daemons that are up."""
+        return len(self._list_daemons())
+
     def get_consent_count(self, step: Step) -> ConsentCount:
         """Return how often the advisor consents to workers for a step's queue."""
         return self._consent_counts.get(step.job.queue.name, ConsentCount())
@@ -198,7 +202,7 @@
             entry = heapq.heappop(self._queue)
             query = entry[2]
             if query.step.job.is_final or query.step.is_completed:
-                self.get(query.step).requested.difference_update(query.workers)
+                self.discard(query.step)
                 continue
             daemon = self._find_daemon(query, self._now())
             if daemon is None:
@@ -266,6 +270,8 @@
             )
             count_retry("advice", code)
             self._paused_until[daemon] = now + FAILURE_PAUSE_SECONDS
+        if step.is_completed or step.job.is_final:
+            self.discard(step)
         self.dispatch()
         self._on_reply(step)
 
--- a/src/damaskdeck/coordination/pools/adviceplanner.py
+++ b/src/damaskdeck/coordination/pools/adviceplanner.py
@@ -18,6 +18,7 @@
     StepAdvice,
 )
 from damaskdeck.coordination.pools.contacts import WorkerContact
+from damaskdeck.coordination.pools.pending import is_overdue
 from damaskdeck.coordination.pools.planning import (
     count_fitting,
     count_on_workers,
@@ -160,27 +161,41 @@
         """Request tickets for steps further behind that could start with them.
 
         At least one daemon asks for them; those that have waited longest since they
-        were last examined go first.
+        were last examined go first. Steps without tickets that have waited for too long
+        come before them, and may occupy more daemons.
 
         :param full_pools: the pools in which steps that can earn nothing wait until
             the others have their capacity.
         """
         self._queried = [advice for advice in self._queried if advice.requested]
-        allowed = max(1, self._advice_scheduler.count_idle_daemons())
+        waiting = [e for e in self._behind if not (e.is_lost and e.pool in full_pools)]
+        overdue = [
+            entry
+            for entry in waiting
+            if is_overdue(entry.step, now) and not entry.advice.list_tickets(now, None)
+        ]
+        idle = self._advice_scheduler.count_idle_daemons()
+        share = self._advice_scheduler.count_daemons() * STEP_DAEMONS_SHARE
+        allowed = max(1, idle, math.ceil(share) if overdue else 0)
         if len(self._queried) >= allowed:
             return
-        waiting = (e for e in self._behind if not (e.is_lost and e.pool in full_pools))
-        due = heapq.nsmallest(
-            MAX_EXAMINED_STEPS, waiting, key=lambda e: e.advice.examined_at
-        )
-        for step, pool, advice, _ in due:
+        late = {entry.step: entry.step.incomplete_since or now for entry in overdue}
+
+        def rank(entry: _StepBehind) -> tuple[bool, float]:
+            since = late.get(entry.step)
+            return since is None, entry.advice.examined_at if since is None else since
+
+        for entry in heapq.nsmallest(MAX_EXAMINED_STEPS, waiting, key=rank):
+            step, pool, advice, _ = entry
             advice.examined_at = now
             workers = self._list_startable(step, pool, advice, now)
             if not workers:
                 continue
             timing = step.job.queue.advice
             assert timing is not None
-            patience = timing.base.total_seconds() + BEHIND_PATIENCE_SECONDS
+            patience = timing.base.total_seconds()
+            if step not in late:
+                patience += BEHIND_PATIENCE_SECONDS
             self._advice_scheduler.enqueue(step, workers, patience)
             self._queried.append(advice)
             if len(self._queried) >= allowed:
--- a/src/damaskdeck/coordination/pools/crashes.py
+++ b/src/damaskdeck/coordination/pools/crashes.py
@@ -323,6 +323,7 @@
             task = self._owner.job_index.find_task(run.task)
             if task is None or not _is_open(task) or task.step.spec.is_long_running:
                 continue
+            self._owner.requeue(task.step.job)
             if contact.is_gone:
                 self._count(task, run.attempt, False)
             else:
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -19,9 +19,11 @@
 from damaskdeck.coordination.pools.gangcapacity import GangCapacity
 from damaskdeck.coordination.pools.overload import StartPace
 from damaskdeck.coordination.pools.pending import (
+    MAX_KEPT_TASKS,
     PendingStep,
     PendingSteps,
     RankedStep,
+    find_turn_seconds,
     is_overdue,
     list_overdue,
 )
@@ -76,6 +78,8 @@
 # In a pool that is used less, a task for which only suspect workers have capacity is
 # started there.
 MAX_IDLE_SHARE = 0.6
+# Before the rank of any queue.
+FIRST_RANK = -1
 
 _log = get_logger("dispatching")
 
@@ -165,6 +169,7 @@
             self._reservations,
             self._preemptor,
             self.shares.is_deferred,
+            self._has_turn_in_idle_pool,
         )
         self._advice_planner = AdvicePlanner(
             advice_scheduler, lambda: owner.contacts, self.speeds
@@ -271,6 +276,8 @@
         freed, self._freed = self._freed, set()
         candidates = self._build_candidates(now)
         ranked = self._pending.rank(now)
+        if self._pending.has_changes:
+            self.wake()
         self._held_accounts.clear()
         self._gang_capacity.begin_pass(ranked)
         self._advice_planner.begin_pass()
@@ -293,8 +300,6 @@
                 break
             position += 1
             self._place(pending, candidates, freed, urgency, position, now)
-        if self._pending.has_changes:
-            self.wake()
         self._gang_capacity.end_pass(ranked, is_full_pass, now)
         self._preemptor.sweep(ranked, now)
         if is_full_pass:
@@ -320,14 +325,18 @@
         is_full_pass: bool,
         now: float,
     ) -> set[str]:
-        """Place steps that have waited longest, while not all starts can be ordered.
+        """Place steps that have waited longest before more urgent ones.
+
+        They get a part of the starts while not all can be ordered, and in a pool with
+        much free capacity, where they wait for the few workers that may run them.
 
         :returns: the names of the steps that were tried.
         """
         tried: set[str] = set()
-        if not self.pace.is_limiting(now):
-            return tried
+        is_limiting = self.pace.is_limiting(now)
         for urgency, name, pending in list_overdue(ranked, now):
+            if not (is_limiting or self._is_pool_idle(pending.step)):
+                continue
             allowed = self.pace.count_overdue_startable(pending.waiting, now)
             if not (allowed and (is_full_pass or len(tried) < MAX_STEPS_PER_PASS)):
                 break
@@ -338,6 +347,16 @@
             self._place(pending, candidates, freed, urgency, position, now, allowed)
         return tried
 
+    def _is_pool_idle(self, step: Step) -> bool:
+        """Whether much of the capacity of a step's pool is free."""
+        return self._used_shares.get(self.find_pool(step), 1.0) <= MAX_IDLE_SHARE
+
+    def _has_turn_in_idle_pool(self, step: Step, now: float) -> bool:
+        """Whether a step has waited for too long, and others find other workers."""
+        return is_overdue(step, now, find_turn_seconds(step)) and self._is_pool_idle(
+            step
+        )
+
     def _prepare_restarts(self, now: float) -> None:
         """Request advice about the tasks that will be abandoned on silent workers."""
         for contact in self._owner.contacts.values():
@@ -420,13 +439,13 @@
         if eligible and not checks_all_workers and step.spec.is_gang:
             eligible = self._find_eligible(step, pool, candidates, now, None)
         confined = _select_confined(step.job, eligible)
-        tasks = _list_placeable(step, allowed, eligible)
+        tasks = _list_placeable(pending, allowed, eligible)
         expectation = self.expect(step, pool, urgency, now) if eligible else None
         plan = self._plan_around_reservations(
             step, tasks, confined, pool, urgency, now, expectation
         )
         if not plan and checks_all_workers and is_overdue(step, now):
-            plan = self._plan_at_risk(step, allowed, pool, candidates, now)
+            plan = self._plan_at_risk(pending, allowed, pool, candidates, now)
         if plan:
             self._reservations.release(step)
             self._order(step, plan, now, overdue_starts is not None)
@@ -460,7 +479,7 @@
 
     def _plan_at_risk(
         self,
-        step: Step,
+        pending: PendingStep,
         allowed: int,
         pool: str,
         candidates: Candidates,
@@ -470,15 +489,15 @@
 
         Each worker gets one task, as it may fail, or all tasks that last.
         """
-        is_in_demand = self._used_shares.get(pool, 1.0) > MAX_IDLE_SHARE
-        if is_in_demand and not step.spec.is_long_running:
+        step = pending.step
+        if not self._is_pool_idle(step) and not step.spec.is_long_running:
             return []
         found = self._find_eligible(
             step, pool, candidates, now, None, with_suspects=True
         )
         tasks = [
             task
-            for task in _list_placeable(step, allowed, found)
+            for task in _list_placeable(pending, allowed, found)
             if self.worker_health.may_risk(task)
         ]
         if not tasks:
@@ -559,7 +578,7 @@
                 return True
             gang = reservation.step
             if gang.name not in precedes:
-                precedes[gang.name] = own <= self._find_gang_precedence(gang)
+                precedes[gang.name] = own <= self._find_gang_precedence(gang, now)
             return precedes[gang.name]
 
         confined = [c for c in confined if may_use(c.key)]
@@ -567,9 +586,15 @@
             return plan
         return self._plan(step, tasks, confined, pool, now, expectation)
 
-    def _find_gang_precedence(self, step: Step) -> Precedence:
-        """Return the precedence of a gang that has a reservation."""
-        on_time = Urgency(DeadlineStatus.ON_TIME, step.job.queue.rank, 0.0)
+    def _find_gang_precedence(self, step: Step, now: float) -> Precedence:
+        """Return the precedence of a gang that has a reservation.
+
+        It goes before all others if it has waited for too long in a pool in which these
+        find other workers.
+        """
+        has_turn = self._has_turn_in_idle_pool(step, now)
+        rank = FIRST_RANK if has_turn else step.job.queue.rank
+        on_time = Urgency(DeadlineStatus.ON_TIME, rank, 0.0)
         return self.shares.find_precedence(step, on_time)
 
     def _plan(
@@ -743,13 +768,18 @@
                     self._owner.end_job(job, QueueJobState.COMPLETED, reason)
 
 
-def _list_placeable(step: Step, allowed: int, eligible: list[Candidate]) -> list[Task]:
-    """List the tasks of a step to place, one more than fit if not all of them do.
+def _list_placeable(
+    pending: PendingStep, allowed: int, eligible: list[Candidate]
+) -> list[Task]:
+    """List the tasks of a step to place, of many one more than fit.
 
     Those that were started before are listed as well, as their workers may differ.
 
     :param allowed: the most that may start.
     """
+    step = pending.step
+    if pending.waiting <= MAX_KEPT_TASKS:
+        return pending.list_tasks()[:allowed]
     fitting = sum(count_fitting(step.spec, candidate.free) for candidate in eligible)
     return step.list_waiting(min(allowed, fitting + step.tasks.count_returned() + 1))
 
--- a/src/damaskdeck/coordination/pools/gangcapacity.py
+++ b/src/damaskdeck/coordination/pools/gangcapacity.py
@@ -34,6 +34,8 @@
 
     :param is_deferred: returns whether steps of other accounts precede a step for its
         rate or share.
+    :param has_turn: returns whether a step has waited for too long at a time, in a pool
+        of which much is free.
     """
 
     def __init__(
@@ -44,8 +46,10 @@
         reservations: Reservations,
         preemptor: PoolPreemptor,
         is_deferred: Callable[[Step], bool],
+        has_turn: Callable[[Step, float], bool],
     ) -> None:
         self._is_deferred = is_deferred
+        self._has_turn = has_turn
         self._owner = owner
         self._pools = pools
         self._advice_scheduler = advice_scheduler
@@ -87,7 +91,7 @@
         gangs = [
             pending.step
             for urgency, _, pending in ranked
-            if self._may_reserve(pending, urgency)
+            if self._may_reserve(pending, urgency, now)
         ]
         # Deferred gangs reserve anew in their order, as they must not hold reservations
         # against steps that now precede them.
@@ -105,18 +109,20 @@
         Otherwise steps that follow in the pass would take the free capacity.
         """
         is_advised = pending.step.name in self._advised
-        if is_advised and self._may_reserve(pending, urgency):
+        if is_advised and self._may_reserve(pending, urgency, now):
             self._reserve(pending.step, now)
 
-    def _may_reserve(self, pending: PendingStep, urgency: Urgency) -> bool:
-        """Whether a gang can be in time and waits for capacity only.
+    def _may_reserve(self, pending: PendingStep, urgency: Urgency, now: float) -> bool:
+        """Whether a gang waits for capacity only, and can be in time.
 
-        A gang that is late already would keep others from being in time.
+        A gang that is late already would keep others from being in time, unless these
+        find other workers in its pool.
         """
         step = pending.step
+        is_on_time = urgency.deadline_status is DeadlineStatus.ON_TIME
         if (
             not step.spec.is_gang
-            or urgency.deadline_status is not DeadlineStatus.ON_TIME
+            or not (is_on_time or self._has_turn(step, now))
             or has_rack_preference(step.spec)
             or self._preemptor.list_held(step)
         ):
--- a/src/damaskdeck/coordination/pools/pending/steps.py
+++ b/src/damaskdeck/coordination/pools/pending/steps.py
@@ -15,7 +15,7 @@
     compute_urgency,
     find_deadlines,
 )
-from damaskdeck.state.pooljobs import MAX_WAITING_STEPS, Job, Step
+from damaskdeck.state.pooljobs import MAX_WAITING_STEPS, Job, Step, Task
 
 # A step that can't be placed for so long lets others of its job take its turn.
 MAX_TURN_SECONDS = 1.0
@@ -25,6 +25,8 @@
 MIN_WAITING_STEPS = 16
 # A pass updates the jobs that have changed until so many steps were updated.
 MAX_RENEWED_STEPS = 2048
+# Of a step with more tasks that wait, only those are listed that may be placed.
+MAX_KEPT_TASKS = 64
 
 
 class PendingStep:
@@ -35,7 +37,7 @@
         only workers whose free capacity has grown since need to be tried.
     """
 
-    __slots__ = ("deadlines", "is_tried", "name", "step", "waiting")
+    __slots__ = ("_tasks", "deadlines", "is_tried", "name", "step", "waiting")
 
     def __init__(self, step: Step, waiting: int, deadlines: Deadlines) -> None:
         self.step = step
@@ -43,6 +45,13 @@
         self.waiting = waiting
         self.deadlines = deadlines
         self.is_tried = False
+        self._tasks: list[Task] | None = None
+
+    def list_tasks(self) -> list[Task]:
+        """List all waiting tasks; they are kept, as each pass looks at them."""
+        if self._tasks is None:
+            self._tasks = self.step.list_waiting()
+        return self._tasks
 
 
 class RankedStep(NamedTuple):
--- a/src/damaskdeck/coordination/pools/pending/turns.py
+++ b/src/damaskdeck/coordination/pools/pending/turns.py
@@ -26,6 +26,11 @@
     return since is not None and now - since >= seconds
 
 
+def find_turn_seconds(step: Step) -> float:
+    """Return from which wait on a step goes before more urgent ones, in seconds."""
+    return LASTING_TURN_SECONDS if step.spec.is_long_running else TURN_SECONDS
+
+
 def list_overdue(ranked: list[RankedStep], now: float) -> list[RankedStep]:
     """List the steps that go before more urgent ones, as they have waited for too long.
 
@@ -35,8 +40,7 @@
     for entry in ranked:
         step = entry.pending.step
         is_lasting = step.spec.is_long_running
-        seconds = LASTING_TURN_SECONDS if is_lasting else TURN_SECONDS
-        if is_overdue(step, now, seconds):
+        if is_overdue(step, now, find_turn_seconds(step)):
             overdue.append((not is_lasting, step.incomplete_since or now, entry))
     overdue.sort(key=lambda row: row[:2])
     return [entry for _, _, entry in overdue]
--- a/tests/test_pools_starvation.py
+++ b/tests/test_pools_starvation.py
@@ -9,6 +9,7 @@
 import unittest
 from datetime import timedelta
 
+from damaskdeck.coordination.pools.pending.turns import TURN_SECONDS
 from damaskdeck.coordination.pools.workerhealth import (
     MAX_QUARANTINE_PAUSE,
     QUARANTINE_PAUSE,
@@ -50,6 +51,10 @@
 # Longer than a ticket is valid.
 FULL_SECONDS = 6
 BLOCKED_WORKER = "w0"
+# More steps than their worker can run, for longer than a job may stand still.
+STREAM_JOBS = 240
+STREAM_INTERVAL_SECONDS = 0.12
+STREAM_STEP_SECONDS = 0.3 * SECOND
 # A worker that fails these is suspected time and again.
 FAILING_JOBS = 40
 FAILING_INTERVAL_SECONDS = 0.4
@@ -140,6 +145,55 @@
         self.end()
 
 
+class TestFewWorkersForAStep(PoolCase):
+    """More urgent steps take the worker that the advisor admits; others are idle."""
+
+    async def stream(self) -> None:
+        """Keep more urgent steps waiting for that worker."""
+        for number in range(STREAM_JOBS):
+            spec = make_job(StepSpec(1, Size(2000, 2000, 0), STREAM_STEP_SECONDS))
+            await self.offer(URGENT, f"blocked{number}", spec)
+            await asyncio.sleep(STREAM_INTERVAL_SECONDS)
+
+    async def offer(self, queue: Queue, job: str, spec: JobSpec) -> None:
+        """Submit a job to a queue."""
+        self.cluster.specs[job] = spec
+        answer = await self.cluster.daemons["d0"].frontend.submit(queue, job, spec)
+        self.assertEqual(answer, JobAccepted())
+
+    async def measure_idle(self, spec: JobSpec) -> float:
+        """Return the seconds until a job starts that waits for the same worker."""
+        cluster = await self.begin(
+            workers=6,
+            behave=lambda task, attempt: Work(STREAM_STEP_SECONDS),
+            allow=allow,
+            queues=(URGENT, PATIENT, HASTY),
+        )
+        stream = asyncio.ensure_future(self.stream())
+        await asyncio.sleep(2)
+        await self.offer(HASTY, "blocked-late", spec)
+        since = cluster.clock.monotonic()
+        await cluster.wait(lambda: bool(cluster.list_starts("blocked-late")), 40)
+        idle = cluster.list_starts("blocked-late")[0][0] - since
+        stream.cancel()
+        self.end()
+        return idle.total_seconds()
+
+    # LOST on svetloba-scene: a job that earns nothing more waited for the workers that
+    # it may use until the load ended, while most of the pool was idle.
+    @virtual
+    async def test_a_step_that_earns_nothing_more_gets_its_turn(self):
+        idle = await self.measure_idle(make_job(WAITING))
+        self.assertLess(idle, TURN_SECONDS + MAX_IDLE_SECONDS)
+
+    # LOST on svetloba-scene: others took each piece of the capacity of a gang.
+    @virtual
+    async def test_a_gang_that_earns_nothing_more_gets_its_turn(self):
+        gang = StepSpec(4, SMALL, SECOND / 5, is_gang=True)
+        idle = await self.measure_idle(make_job(gang))
+        self.assertLess(idle, TURN_SECONDS + MAX_IDLE_SECONDS)
+
+
 class TestSuspectWorkers(PoolCase):
     """The only worker that the advisor admits is in quarantine."""
 
