Report the waits of all queues, also of those that a report doesn't name

Cause: a report names the 24 queues with the longest waits, and a queue that isn't named counts as one without a wait. Change: queues that aren't named are covered by up to 24 rows by pool and rank, on which their wait depends; where there are more ranks, the wait of the next more urgent one is a lower bound. Reports on up to 24 queues are as before.

--- a/src/damaskdeck/coordination/pools/admission/control.py
+++ b/src/damaskdeck/coordination/pools/admission/control.py
@@ -69,6 +69,8 @@
         self._epoch = 0
         self._reported_at: timedelta | None = None
         self._queues: dict[str, _QueueOutlook] = {}
+        # The same of queues that the report doesn't name, by pool and rank.
+        self._others: dict[tuple[str, int], _QueueOutlook] = {}
         self._limited_accounts: frozenset[str] = frozenset()
         self._returning: frozenset[int] = frozenset()
         self._free: dict[str, ZoneCapacity] = {}
@@ -90,6 +92,10 @@
             name: _QueueOutlook(first / 1000, last / 1000, interval / 1000)
             for name, first, last, interval in outlook["queues"]
         }
+        self._others = {
+            (pool, rank): _QueueOutlook(first / 1000, last / 1000, interval / 1000)
+            for pool, rank, first, last, interval in outlook.get("others", ())
+        }
         self._limited_accounts = frozenset(outlook["accounts"])
         self._returning = frozenset(outlook["returning"])
         self._free = {}
@@ -119,7 +125,7 @@
         age = self.measure_age()
         if age is None or age > OUTLOOK_MAX_AGE or spec.repeats:
             return None
-        outlook = self._queues.get(queue.name)
+        outlook = self._queues.get(queue.name) or self._find_other(queue)
         if outlook is None or _has_long_running(spec):
             return None
         is_expected = hash_job(identifier) in self._returning
@@ -142,6 +148,18 @@
         retry = self._schedule_return(queue.name, excess, outlook.return_interval)
         return AdmissionRefusal(timedelta(seconds=wait), retry)
 
+    def _find_other(self, queue: Queue) -> _QueueOutlook | None:
+        """Return what was reported of the queues of a pool and rank.
+
+        That of the next more urgent rank is a lower bound.
+        """
+        ranks = [
+            rank
+            for pool, rank in self._others
+            if pool == queue.pool and rank <= queue.rank
+        ]
+        return self._others[queue.pool, max(ranks)] if ranks else None
+
     def _is_capacity_free(self, pool: str, spec: JobSpec) -> bool:
         """Whether the first steps of a job may fit into the free capacity."""
         free = self._free.get(pool, ZoneCapacity(0, 0))
--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -10,9 +10,10 @@
 """
 
 import heapq
+import math
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, TypedDict
 
 from damaskdeck.coordination.pools.admission.returns import (
     ReturningJobs,
@@ -41,14 +42,25 @@
 RATE_SECONDS = 5.0
 # By how much more a backlog counts for the most patient queue than for the most urgent.
 PATIENT_FACTOR = 0.25
-# The most queues and accounts that one report names; with the returning jobs it stays
-# below 4 KB.
+# The most queues and accounts that one report names, and the most ranks of queues that
+# it doesn't name; with the returning jobs it stays below 6 KB.
 MAX_REPORTED_QUEUES = 24
+MAX_REPORTED_RANKS = 24
 # A job with more tasks waits for pools, and not for the owner.
 MAX_BACKLOG_TASKS = 1000
 MAX_REPORTED_ACCOUNTS = 24
 
 
+# A queue with its two waits and the interval of returns, in milliseconds.
+_Row = tuple[str, int, int, int]
+
+
+class _OtherQueues(TypedDict, total=False):
+    """The part of a report about queues that it doesn't name."""
+
+    others: list[tuple[str, int, int, int, int]]
+
+
 class OutlookOwner(Protocol):
     """What the outlook needs from the owner of the jobs."""
 
@@ -149,6 +161,7 @@
             if queue.pool in rates
         ]
         rows = [row for row in rows if row[2]]
+        named = _select_named(rows)
         limited = {
             account
             for entry in steps
@@ -156,11 +169,10 @@
             and self._is_limited(entry.pending.step)
         }
         return {
-            "queues": heapq.nlargest(
-                MAX_REPORTED_QUEUES, rows, key=lambda row: (row[2], row[0])
-            ),
+            "queues": named,
             "accounts": sorted(limited)[:MAX_REPORTED_ACCOUNTS],
             "returning": due,
+            **_describe_others(table, rows, named),
         }
 
     def _build_limited(
@@ -198,13 +210,13 @@
                     _to_milliseconds(each * members),
                 )
             )
+        named = _select_named(rows)
         return {
-            "queues": heapq.nlargest(
-                MAX_REPORTED_QUEUES, rows, key=lambda row: (row[2], row[0])
-            ),
+            "queues": named,
             "accounts": [],
             "returning": due,
             "is_owner_limiting": True,
+            **_describe_others(table, rows, named),
         }
 
     def _count_backlog(self) -> int:
@@ -252,6 +264,34 @@
         )
 
 
+def _select_named(rows: list[_Row]) -> list[_Row]:
+    """Return the rows of the queues with the longest waits, as many as are reported."""
+    return heapq.nlargest(MAX_REPORTED_QUEUES, rows, key=lambda row: (row[2], row[0]))
+
+
+def _describe_others(
+    table: QueueTable, rows: list[_Row], named: list[_Row]
+) -> _OtherQueues:
+    """Return the waits of the queues that are not named, by pool and rank.
+
+    They depend on nothing else, except for the interval of returns. Of many ranks, a
+    part is reported: the wait of a more urgent rank is a lower bound.
+    """
+    known = {row[0] for row in named}
+    others: dict[tuple[str, int], tuple[int, int, int]] = {}
+    for name, first, last, interval in rows:
+        queue = table.get(name)
+        if name in known or queue is None:
+            continue
+        key = queue.pool, queue.rank
+        longest = max(interval, others.get(key, (0, 0, 0))[2])
+        others[key] = first, last, longest
+    if not others:
+        return {}
+    step = math.ceil(len(others) / MAX_REPORTED_RANKS)
+    return {"others": [(*key, *others[key]) for key in sorted(others)[::step]]}
+
+
 def _rank_factors(table: QueueTable) -> dict[int, float]:
     """Return by rank how much the backlog counts, least for the most urgent."""
     ranks = sorted({queue.rank for queue in table.queues})
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -170,6 +170,8 @@
     :ivar queues: name of each queue with a wait, the lower bound of that wait for
         accounts within their share and for other accounts, and the time between two
         refused callers that each daemon lets return; all in milliseconds.
+    :ivar others: for queues that are not named, by pool and rank, the same three times;
+        missing if all queues with a wait are named.
     :ivar accounts: accounts above their share or beyond their declared rate.
     :ivar returning: hashes of the refused jobs whose callers may return now.
     :ivar is_owner_limiting: whether tasks wait for the owner's processor, whatever
@@ -180,6 +182,9 @@
     accounts: list[str]
     returning: list[JobHash]
     is_owner_limiting: NotRequired[bool]
+    others: NotRequired[
+        list[tuple[str, Count, Milliseconds, Milliseconds, Milliseconds]]
+    ]
 
 
 @message("pool.room")
