Move the schedules out of the dispatcher, and name the steps of an occurrence

Change: Schedules updates which occurrences are due; Step.siblings are all steps of its occurrence. No behaviour changes.

--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -37,6 +37,7 @@
 )
 from damaskdeck.coordination.pools.preemption import PoolPreemptor
 from damaskdeck.coordination.pools.reservations import Reservations
+from damaskdeck.coordination.pools.schedules import Schedules
 from damaskdeck.coordination.pools.shares import AccountShares, Precedence
 from damaskdeck.coordination.pools.speeds import (
     MAX_PLACEMENT_WAIT_SECONDS,
@@ -110,6 +111,7 @@
     :ivar worker_health: The evidence against workers.
     :ivar speeds: The speeds of the workers.
     :ivar shares: The standing of the client accounts.
+    :ivar schedules: The jobs whose occurrences are due at set times.
     """
 
     def __init__(
@@ -174,8 +176,7 @@
         self._advice_planner = AdvicePlanner(
             advice_scheduler, lambda: owner.contacts, self.speeds
         )
-        # The jobs with occurrences that aren't due yet.
-        self._schedules: dict[str, Job] = {}
+        self.schedules = Schedules(owner, clock, self.mark_changed)
 
     def wake(self) -> None:
         """Request a pass."""
@@ -227,8 +228,7 @@
 
     def add_job(self, job: Job) -> None:
         """Add a job, whose steps are pending from now on."""
-        if job.record.spec.repeats and not job.is_final:
-            self._schedules[job.identifier] = job
+        self.schedules.add(job)
         self.shares.add_job(job)
         self.mark_changed(job)
 
@@ -704,7 +704,7 @@
         self._preemptor.record_start(step, [candidate.key for _, candidate in plan])
         self._pending.mark_changed(step.job)
 
-    # Ends and schedules ------------------------------------------------------
+    # Ends --------------------------------------------------------------------
 
     def record_end(
         self, contact: WorkerContact, task: Task, end: EndedTask, run: Run | None
@@ -748,25 +748,6 @@
             self._request_wider_zones(step, [task], eligible, expectation)
         return bool(plan)
 
-    def update_schedules(self) -> None:
-        """Let the occurrences of scheduled jobs that are due take their turn."""
-        if not self._schedules:
-            return
-        now = self._owner.now()
-        offset = now - self._clock.now().timestamp()
-        for identifier, job in list(self._schedules.items()):
-            if job.is_final:
-                del self._schedules[identifier]
-                continue
-            first_due_at = job.record.spec.start_at.total_seconds() + offset
-            if job.update_schedule(first_due_at, now):
-                self.mark_changed(job)
-            if job.is_schedule_due:
-                del self._schedules[identifier]
-                if job.close_if_completed(now):
-                    reason = "all tasks completed"
-                    self._owner.end_job(job, QueueJobState.COMPLETED, reason)
-
 
 def _list_placeable(
     pending: PendingStep, allowed: int, eligible: list[Candidate]
--- a/src/damaskdeck/coordination/pools/supervision.py
+++ b/src/damaskdeck/coordination/pools/supervision.py
@@ -47,7 +47,7 @@
             self._evaluate_workers(now)
         self._move_runs(now)
         self._request_advice_early(now)
-        self._dispatcher.update_schedules()
+        self._dispatcher.schedules.update()
 
     def _evaluate_workers(self, now: float) -> None:
         """Evaluate workers by the progress that their polls have reported."""
--- a/src/damaskdeck/coordination/pools/urgency.py
+++ b/src/damaskdeck/coordination/pools/urgency.py
@@ -105,7 +105,7 @@
     if step.spec.is_long_running:
         return Deadlines(0.0, 0.0)
     objective = find_objective(job)
-    remaining = step.steps.measure_remaining_path()
+    remaining = step.siblings.measure_remaining_path()
     on_time_start = step.due_at + objective - remaining
     last_useful_start = on_time_start + (LATE_MULTIPLE - 1) * objective
     # A job whose wait may hardly be longer than the delay would else be late at once.
@@ -167,8 +167,8 @@
         for number in job.graph.dependents.get(step.number, ()):
             if len(found) >= MAX_WAITING_STEPS:
                 return
-            if _follows_only(step.steps, number, ending):
-                following = step.steps[number]
+            if _follows_only(step.siblings, number, ending):
+                following = step.siblings[number]
                 if following not in found:
                     found.add(following)
                     yield following
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -194,7 +194,7 @@
     def postpone(self, step: Step) -> None:
         """Let other steps take the turn of one that nothing was started of."""
         self.waiting.pop(step, None)
-        step.steps.postpone(step)
+        step.siblings.postpone(step)
 
     def update_waiting(self, step: Step) -> None:
         """Update whether a step has tasks that wait."""
@@ -249,7 +249,7 @@
     def add_run(self, run: Run) -> None:
         """Add a run of one of its tasks."""
         self.runs[run] = None
-        occurrence = run.task.step.steps
+        occurrence = run.task.step.siblings
         self.occurrences.setdefault(occurrence.number, occurrence)
         if occurrence.find(run.task.step.number) is None:
             occurrence.keep(run.task.step)
@@ -260,8 +260,8 @@
         self.runs.pop(run, None)
         step = run.task.step
         self.update_waiting(step)
-        step.steps.release(step)
-        self.record_completion(step.steps)
+        step.siblings.release(step)
+        self.record_completion(step.siblings)
 
     @property
     def can_widen_zones(self) -> bool:
--- a/src/damaskdeck/state/pooljobs/steps.py
+++ b/src/damaskdeck/state/pooljobs/steps.py
@@ -47,7 +47,7 @@
 class Step:
     """One step of one occurrence of a job.
 
-    :ivar steps: all steps of its occurrence.
+    :ivar siblings: all steps of its occurrence.
     :ivar tasks: its tasks, which are created when their turn comes.
     :ivar name: the name by which the advisor knows it.
     :ivar failures: failed attempts by task index; :data:`GANG_INDEX` for a gang.
@@ -73,14 +73,14 @@
         "number",
         "constrained_since",
         "spec",
-        "steps",
+        "siblings",
         "tasks",
         "waiting_since",
     )
 
     def __init__(self, occurrence: "Occurrence", number: int, spec: StepSpec) -> None:
         self.job: Job = occurrence.job
-        self.steps = occurrence
+        self.siblings = occurrence
         self.number = number
         self.name = f"{self.job.identifier}.{self.occurrence}.{number}"
         self.spec = spec
@@ -96,12 +96,12 @@
     @property
     def occurrence(self) -> int:
         """The number of its occurrence."""
-        return self.steps.number
+        return self.siblings.number
 
     @property
     def due_at(self) -> float:
         """Monotonic seconds when its occurrence was due, or its job arrived."""
-        return self.steps.due_at
+        return self.siblings.due_at
 
     @property
     def completed(self) -> int:
@@ -126,7 +126,7 @@
     @property
     def is_due(self) -> bool:
         """Whether all steps before it have completed, and it has not."""
-        return not self.is_completed and self.steps.is_due(self.number)
+        return not self.is_completed and self.siblings.is_due(self.number)
 
     @property
     def has_waiting(self) -> bool:
@@ -188,13 +188,13 @@
         self._record_completed(before)
 
     def _record_completed(self, before: int) -> None:
-        if self.steps.has_completed(self.number):
+        if self.siblings.has_completed(self.number):
             return
         self.job.record_completed_tasks(self, self.completed - before)
         self.job.update_waiting(self)
         if self.is_completed:
-            self.steps.complete_step(self.number)
-            self.steps.release(self)
+            self.siblings.complete_step(self.number)
+            self.siblings.release(self)
 
     def fail(self, task: Task, attempt: int) -> int:
         """Record a failed attempt and return the number of failed attempts."""
