Look for an open occurrence before a completed one is opened again

Cause: each late report about a completed occurrence made its steps, also where they were still open for a copy that runs. Change: an open occurrence is used first. Result: the tests of schedules, steps and kinds pass.

--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -284,10 +284,10 @@
             return None
         if not 0 <= name.step < len(self.record.spec.steps):
             return None
-        if name.occurrence in self.completed:
+        occurrence = self.occurrences.get(name.occurrence)
+        if occurrence is None and name.occurrence in self.completed:
             occurrence = self._reopen(name.occurrence)
-            occurrence = self.occurrences.get(name.occurrence, occurrence)
-        else:
+        elif occurrence is None:
             occurrence = self.open_occurrence(name.occurrence)
         step = occurrence[name.step]
         return step.tasks[name.index] if 0 <= name.index < len(step.tasks) else None
