Look once at a step that follows many which are about to end

Cause: for early advice, a step that follows n running steps was checked for each of them, and each check went over its n predecessors: the square of them, ten times a second. Change: each following step is checked once.

--- a/src/damaskdeck/coordination/pools/urgency.py
+++ b/src/damaskdeck/coordination/pools/urgency.py
@@ -162,16 +162,18 @@
         for step in running
         if not step.is_completed and _ends_within(step, limit, now)
     }
-    found: set[Step] = set()
-    for step in ending:
-        for number in job.graph.dependents.get(step.number, ()):
-            if len(found) >= MAX_WAITING_STEPS:
+    found = 0
+    following = dict.fromkeys(
+        (step.siblings, number)
+        for step in ending
+        for number in job.graph.dependents.get(step.number, ())
+    )
+    for steps, number in following:
+        if _follows_only(steps, number, ending):
+            yield steps[number]
+            found += 1
+            if found >= MAX_WAITING_STEPS:
                 return
-            if _follows_only(step.siblings, number, ending):
-                following = step.siblings[number]
-                if following not in found:
-                    found.add(following)
-                    yield following
 
 
 def _follows_only(
--- a/tests/test_pools_steps.py
+++ b/tests/test_pools_steps.py
@@ -45,6 +45,15 @@
     return Job(JobRecord("j1", make_queue(), make_job(*steps), 1, 0.0), 0.0)
 
 
+def run_to_the_end(job: Job, number: int) -> None:
+    """Let the task of a step run, most of which is done at 0.9 s."""
+    run = Run(job.occurrences[0][number].tasks[0], "w0", 1, 0.0)
+    run.phase = RunPhase.RUNNING
+    run.record_progress(0, 0.0)
+    run.record_progress(90, 0.9)
+    run.task.add_run(run)
+
+
 def count_calls(work: Callable[[], object]) -> int:
     """Return the number of calls of functions that some work makes."""
     calls = 0
@@ -107,6 +116,18 @@
         self.assertLess(len(pending), 2 * ALL_STEPS)
         self.assertTrue(all(job.waiting for job in jobs))
 
+    def measure_early_advice(self, steps: int) -> int:
+        """Return the calls to find the step that follows many which end."""
+        last = STEP._replace(after=tuple(range(steps)))
+        job = make_pool_job(*[STEP] * steps, last)
+        for number in range(steps):
+            run_to_the_end(job, number)
+        return count_calls(lambda: list(list_due_soon(job, ADVISOR_TIMING, 0.9)))
+
+    def test_a_step_that_follows_many_is_looked_at_once(self):
+        few, many = self.measure_early_advice(200), self.measure_early_advice(800)
+        self.assertLess(many, 5 * few)
+
     def test_equal_steps_of_a_stored_job_are_one_object(self):
         spec = make_job(*[STEP] * 100)
         record = decode_job(encode_record(JobRecord("j1", make_queue(), spec, 1, 0.0)))
@@ -189,11 +210,7 @@
         job = make_pool_job(STEP, STEP, STEP._replace(after=(0, 1)))
         for number in (0, 1):
             self.assertEqual(list(list_due_soon(job, ADVISOR_TIMING, 0.0)), [])
-            run = Run(job.occurrences[0][number].tasks[0], "w0", 1, 0.0)
-            run.phase = RunPhase.RUNNING
-            run.record_progress(0, 0.0)
-            run.record_progress(90, 0.9)
-            run.task.add_run(run)
+            run_to_the_end(job, number)
         (step,) = list_due_soon(job, ADVISOR_TIMING, 0.9)
         self.assertEqual(step.number, 2)
 
