--- a/src/damaskdeck/state/pooljobs/footprint.py
+++ b/src/damaskdeck/state/pooljobs/footprint.py
@@ -10,8 +10,8 @@
 # So many occurrences of one job are open at a time, if some of their steps can't start.
 MAX_OPEN_OCCURRENCES = 512
 
-# Measured sizes in bytes, rounded up: a job with one step that waits, what each further
-# step adds by its text, and once it waits, and an open occurrence.
+# Upper bounds: of a job with one step that waits, of what each further step adds by its
+# text, by the steps it follows and once it waits, and of an open occurrence.
 JOB_BYTES = 8_000
 STEP_BYTES = 450
 EDGE_BYTES = 150
