--- a/src/damaskdeck/coordination/places/preemption.py
+++ b/src/damaskdeck/coordination/places/preemption.py
@@ -139,10 +139,6 @@
         """Return whether ``task`` may be preempted once more."""
         return self._counts.get(task, 0) < self._per_task
 
-    def is_counted(self, task: str) -> bool:
-        """Return whether ``task`` was preempted before."""
-        return self._counts.get(task, 0) > 0
-
     def is_available(self, amount: int) -> bool:
         """Return whether the budget allows ``amount`` preemptions now."""
         self._refill()
--- a/src/damaskdeck/coordination/pools/admission/memory.py
+++ b/src/damaskdeck/coordination/pools/admission/memory.py
@@ -11,8 +11,8 @@
 from damaskdeck.clock import Clock
 from damaskdeck.protocol.poolmessages import ReportCapacity
 
-# The share of a daemon's memory that accepted jobs may take. As much again is needed
-# while an owner loads them, and the rest for runs, workers and requests.
+# The share of a daemon's memory that accepted jobs may take. The rest is for the
+# process itself, runs, workers and requests, and for the records that an owner loads.
 JOBS_SHARE = 0.25
 # The bound of daemons whose settings name no memory.
 DEFAULT_JOB_MEMORY = 64 * 2**20
--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -43,7 +43,7 @@
 # By how much more a backlog counts for the most patient queue than for the most urgent.
 PATIENT_FACTOR = 0.25
 # The most queues and accounts that one report names, and the most ranks of queues that
-# it doesn't name; with the returning jobs it stays below 6 KB.
+# it doesn't name: each daemon gets two reports a second.
 MAX_REPORTED_QUEUES = 24
 MAX_REPORTED_RANKS = 24
 # A job with more tasks waits for pools, and not for the owner.
