Let the steps go first that could earn nothing for longest

Cause: the third part of the order is the slack, least first. For a step that is too late it was the time since it was, so the order of late steps was last in, first out, and what had waited for longest waited for all that became late after it.

Evidence: the new test of test_pending gives ['new.0.0', 'old.0.0'] before. Why it works: the slack of such a step is negative now, so the oldest have the least. Advisor queries about late steps keep the longest patience, which went by the sign before.

--- a/src/damaskdeck/coordination/pools/adviceplanner.py
+++ b/src/damaskdeck/coordination/pools/adviceplanner.py
@@ -152,7 +152,7 @@
                 advice.complete_until = now + QUERY_INTERVAL_SECONDS
             return
         patience = timing.base.total_seconds() + min(
-            max(urgency.slack, 0.0) / 10, MAX_PATIENCE_SECONDS
+            measure_available_slack(urgency) / 10, MAX_PATIENCE_SECONDS
         )
         for workers in self._split(wanted):
             self._advice_scheduler.enqueue(step, workers, patience)
--- a/src/damaskdeck/coordination/pools/urgency.py
+++ b/src/damaskdeck/coordination/pools/urgency.py
@@ -39,7 +39,8 @@
 
     :param rank: of the queue, 0 first.
     :param slack: seconds until the step must start for its job to be on time (or to
-        earn anything, if it is late).
+        earn anything, if it is late). It is negative for a job that can earn nothing,
+        of which those go first that have been so for longest.
     """
 
     deadline_status: DeadlineStatus
@@ -131,7 +132,7 @@
         return Urgency(DeadlineStatus.ON_TIME, rank, on_time_start - now)
     if now <= last_useful_start:
         return Urgency(DeadlineStatus.LATE, rank, last_useful_start - now)
-    return Urgency(DeadlineStatus.LOST, rank, now - last_useful_start)
+    return Urgency(DeadlineStatus.LOST, rank, last_useful_start - now)
 
 
 def measure_urgency(step: Step, now: float) -> Urgency:
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -56,6 +56,15 @@
         self.pending.mark_changed(job)
         self.assertEqual(self.list_names(), [])
 
+    # LOST on brolga-tv-grown: of the steps that can earn nothing any more, those that
+    # had waited for longest came last.
+    def test_late_steps_that_have_waited_for_longest_come_first(self):
+        for name, arrived_at in (("old", 0.0), ("new", 20.0)):
+            record = JobRecord(name, make_queue(), make_job(), 1, 0.0, ())
+            self.pending.mark_changed(Job(record, arrived_at))
+        names = [ranked.name for ranked in self.pending.rank(60.0)]
+        self.assertEqual(names, ["old.0.0", "new.0.0"])
+
     def test_a_step_is_tried_again_when_its_job_changes(self):
         job = self.make("j")
         self.pending.rank(0.0)[0].pending.is_tried = True
