--- a/tests/test_pools_starvation.py
+++ b/tests/test_pools_starvation.py
@@ -64,6 +64,11 @@
 HASTY = make_queue(
     "hasty", rank=2, slack=1.1, allowance=SECOND / 10, advice=ADVISOR_TIMING
 )
+# More than four workers can hold, and a job that soon earns nothing beside it.
+FULL_POOL_JOBS = 200
+FULL_POOL_INTERVAL_SECONDS = 0.2
+FILLING = make_queue("renders", rank=0, allowance=600 * SECOND)
+HURRIED = make_queue("hurried", rank=2, slack=1.1, allowance=SECOND / 10)
 WHOLE_WORKER = StepSpec(1, SIZE, 600 * SECOND)
 # Fits beside the tasks that fill the other workers only once these have ended.
 WAITING = StepSpec(1, Size(2000, 2000, 0), 0.2 * SECOND)
@@ -194,6 +199,41 @@
         self.assertLess(idle, TURN_SECONDS + MAX_IDLE_SECONDS)
 
 
+class TestTurnsInFullPools(PoolCase):
+    """More urgent steps keep a pool full, in which some capacity is free at times."""
+
+    async def stream(self) -> None:
+        """Keep more steps waiting that are on time than the workers can hold."""
+        for number in range(FULL_POOL_JOBS):
+            await self.offer(FILLING, f"fill{number}")
+            await asyncio.sleep(FULL_POOL_INTERVAL_SECONDS)
+
+    async def offer(self, queue: Queue, job: str) -> None:
+        """Submit a job of a few small tasks to a queue."""
+        spec = make_job(StepSpec(4, SMALL, SECOND))
+        self.cluster.specs[job] = spec
+        await self.cluster.daemons["d0"].frontend.submit(queue, job, spec)
+
+    # LOST's margin on brolga-tv-grown: what could earn nothing any more stood still for
+    # up to 60 s, until the load ended, in pools that were neither idle nor limited.
+    @virtual
+    async def test_a_step_that_earns_nothing_more_gets_its_turn(self):
+        cluster = await self.begin(
+            workers=4,
+            behave=lambda task, attempt: Work(SECOND),
+            queues=(HURRIED, FILLING),
+        )
+        stream = asyncio.ensure_future(self.stream())
+        await asyncio.sleep(4)
+        await self.offer(HURRIED, "late")
+        since = cluster.clock.monotonic()
+        await cluster.wait(lambda: bool(cluster.list_starts("late")), 60)
+        idle = cluster.list_starts("late")[0][0] - since
+        stream.cancel()
+        self.assertLess(idle.total_seconds(), TURN_SECONDS + MAX_IDLE_SECONDS)
+        self.end()
+
+
 class TestSuspectWorkers(PoolCase):
     """The only worker that the advisor admits is in quarantine."""
 
