Bound what is accepted while no owner can start it

Cause: the door refuses what an owner at its limit can't start within 8 s, but this bound was missing wherever a daemon knew nothing new: for 1.5 s after the last report and until a successor had measured its rate, which takes 2 s after it has loaded, all daemons accepted everything; while a successor loads for seconds, too; for the moments in which starts weren't limited, though hundreds of tasks waited; in full pools, which hid that the owner was at its limit; and of the room that was left, each daemon took all. A class of fault: in doubt without a bound.

Change, and why it works: a report of an owner at its limit holds until there is a newer one (15 s at most), and without an owner the backlog counts as growing; the first reports of a successor don't end it. An owner that loads for more than a second says so, and jobs are refused until it knows its rate. The backlog counts for 3 s after starts were limited while the pools are idle, and in full pools. From 3 s of backlog on each daemon accepts an even and shrinking part of the jobs. The owner logs what jobs are refused by.

Load in tests picks the daemons that are up.

--- a/src/damaskdeck/coordination/pools/admission/control.py
+++ b/src/damaskdeck/coordination/pools/admission/control.py
@@ -16,21 +16,35 @@
     measure_critical_path,
 )
 from damaskdeck.coordination.pools.zoneconfinement import ZoneCapacity
-from damaskdeck.protocol.poolmessages import ReportCapacity, ReportOutlook
+from damaskdeck.protocol.poolmessages import (
+    ReportCapacity,
+    ReportLoading,
+    ReportOutlook,
+)
 from damaskdeck.protocol.queues import JobSpec, Queue
 
 # An older outlook decides nothing. The owner reports twice a second.
 OUTLOOK_MAX_AGE = timedelta(milliseconds=1500)
+# That of an owner without enough processor time decides for as long as a successor may
+# need: nothing is started without an owner, so the backlog doesn't get smaller.
+LIMITED_OUTLOOK_MAX_AGE = timedelta(seconds=15)
+# A successor knows after this time whether it can't start tasks fast enough either.
+SUCCESSOR_PERIOD = timedelta(seconds=4)
 # An owner without enough processor time refuses what would wait for longer than this,
 # though it could still be in time.
 MAX_OWNER_WAIT_SECONDS = 5.0
 # It accepts no more than it starts within this time: it has to have caught up soon
 # after a burst.
 MAX_OWNER_BACKLOG_SECONDS = 8.0
+# Over this part of it fewer and fewer jobs are accepted: each daemon learns only from
+# the next report what the others have accepted.
+SHARED_BACKLOG_SECONDS = 5.0
 # Work may be shorter than estimated by this factor; estimates are off by up to a half.
 MIN_WORK_FACTOR = 0.5
 MIN_RETRY = timedelta(seconds=1)
 MAX_RETRY = timedelta(seconds=10)
+# When callers return that were refused while an owner loads the jobs.
+LOADING_RETRY = timedelta(seconds=2)
 
 
 class AdmissionRefusal(NamedTuple):
@@ -67,6 +81,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._epoch = 0
+        self._succeeded_at = self._loading_until = timedelta()
         self._reported_at: timedelta | None = None
         self._queues: dict[str, _QueueOutlook] = {}
         # The same of queues that the report doesn't name, by pool and rank.
@@ -75,6 +90,8 @@
         self._returning: frozenset[int] = frozenset()
         self._free: dict[str, ZoneCapacity] = {}
         self.is_owner_limiting = False
+        # The parts of jobs that were admitted and not used yet.
+        self._credit = 1.0
         # When the last refused caller of each queue was told to return.
         self._last_returns: dict[str, timedelta] = {}
 
@@ -82,12 +99,19 @@
         """Store the report of an owner, unless a newer owner has reported before."""
         if message["epoch"] < self._epoch:
             return
-        self._epoch = message["epoch"]
+        now = self._clock.monotonic()
+        if message["epoch"] > self._epoch:
+            self._epoch = message["epoch"]
+            self._succeeded_at = now
         outlook: ReportOutlook | None = message.get("outlook")
         if outlook is None:
-            self._reported_at = None
+            is_new = now - self._succeeded_at < SUCCESSOR_PERIOD
+            if not (is_new and self.is_owner_limiting):
+                self._reported_at = None
+                self.is_owner_limiting = False
             return
-        self._reported_at = self._clock.monotonic()
+        self._reported_at = now
+        self._loading_until = timedelta()
         self._queues = {
             name: _QueueOutlook(first / 1000, last / 1000, interval / 1000)
             for name, first, last, interval in outlook["queues"]
@@ -109,6 +133,14 @@
                 free.millicores + millicores, free.memory + memory
             )
 
+    def record_loading(self, message: ReportLoading) -> None:
+        """Record that an owner still loads the jobs, unless a newer one has reported.
+
+        It takes longer than usual, so there is more than it will start soon.
+        """
+        if message["epoch"] >= self._epoch:
+            self._loading_until = self._clock.monotonic() + OUTLOOK_MAX_AGE
+
     def measure_age(self) -> timedelta | None:
         """Return the age of the outlook, ``None`` if there is none."""
         if self._reported_at is None:
@@ -122,11 +154,28 @@
 
         :param account: the caller's account, an empty string without one.
         """
+        if spec.repeats or _has_long_running(spec):
+            return None
+        if self._clock.monotonic() < self._loading_until:
+            wait = LOADING_RETRY.total_seconds()
+            retry = self._schedule_return(queue.name, wait, 0.0)
+            return AdmissionRefusal(LOADING_RETRY, retry)
         age = self.measure_age()
-        if age is None or age > OUTLOOK_MAX_AGE or spec.repeats:
+        if age is None or age > self._find_max_age():
             return None
+        return self._check_outlook(queue, identifier, spec, account, age)
+
+    def _check_outlook(
+        self,
+        queue: Queue,
+        identifier: str,
+        spec: JobSpec,
+        account: str,
+        age: timedelta,
+    ) -> AdmissionRefusal | None:
+        """Return the refusal of a job by the outlook."""
         outlook = self._queues.get(queue.name) or self._find_other(queue)
-        if outlook is None or _has_long_running(spec):
+        if outlook is None:
             return None
         is_expected = hash_job(identifier) in self._returning
         # A caller that returns finds a pool with capacity, but not an owner that has
@@ -140,6 +189,9 @@
             return None
         if self.is_owner_limiting:
             wait, excess = _measure_limited_excess(queue, spec, outlook, age)
+            backlog = _measure_backlog(outlook, age)
+            if excess <= 0 and not self._is_next_admitted(_find_share(backlog)):
+                wait, excess = outlook.last_wait, backlog
         else:
             wait = outlook.last_wait if account else outlook.first_wait
             excess = _measure_excess(queue, spec, wait - age.total_seconds())
@@ -148,6 +200,18 @@
         retry = self._schedule_return(queue.name, excess, outlook.return_interval)
         return AdmissionRefusal(timedelta(seconds=wait), retry)
 
+    def _find_max_age(self) -> timedelta:
+        """Return up to which age the outlook decides."""
+        return LIMITED_OUTLOOK_MAX_AGE if self.is_owner_limiting else OUTLOOK_MAX_AGE
+
+    def _is_next_admitted(self, share: float) -> bool:
+        """Whether the next job is one of an even share that is admitted."""
+        self._credit = min(self._credit + share, 1.0)
+        if share <= 0 or self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
     def _find_other(self, queue: Queue) -> _QueueOutlook | None:
         """Return what was reported of the queues of a pool and rank.
 
@@ -209,10 +273,32 @@
     allowed = compute_objective(queue, spec) - measure_critical_path(spec)
     late = outlook.first_wait - age.total_seconds()
     late -= min(allowed, MAX_OWNER_WAIT_SECONDS)
-    beyond = outlook.last_wait - age.total_seconds() - MAX_OWNER_BACKLOG_SECONDS
+    beyond = _measure_backlog(outlook, age) - MAX_OWNER_BACKLOG_SECONDS
     wait = outlook.first_wait if late >= beyond else outlook.last_wait
     return wait, max(late, beyond)
 
 
+def _measure_backlog(outlook: _QueueOutlook, age: timedelta) -> float:
+    """Return how long an owner at its limit still needs for what was accepted.
+
+    It gets shorter until the next report is due. When none comes there is no owner, and
+    nothing is started.
+    """
+    silence = age - OUTLOOK_MAX_AGE
+    elapsed = age if silence <= timedelta() else OUTLOOK_MAX_AGE - silence
+    return outlook.last_wait - elapsed.total_seconds()
+
+
+def _find_share(backlog: float) -> float:
+    """Return the share of jobs that is admitted, which falls as the backlog grows.
+
+    All daemons know the same backlog, so the room that is left is not for each of them.
+
+    :param backlog: in seconds.
+    """
+    room = MAX_OWNER_BACKLOG_SECONDS - backlog
+    return min(1.0, room / SHARED_BACKLOG_SECONDS)
+
+
 def _has_long_running(spec: JobSpec) -> bool:
     return any(step.is_long_running for step in spec.steps)
--- a/src/damaskdeck/coordination/pools/admission/desk.py
+++ b/src/damaskdeck/coordination/pools/admission/desk.py
@@ -21,7 +21,11 @@
     JobNotAccepted,
 )
 from damaskdeck.protocol.messages import Peers
-from damaskdeck.protocol.poolmessages import ReportCapacity, ReportRefusal
+from damaskdeck.protocol.poolmessages import (
+    ReportCapacity,
+    ReportLoading,
+    ReportRefusal,
+)
 from damaskdeck.protocol.ports import Missing
 from damaskdeck.protocol.queues import JobSpec, Queue
 from damaskdeck.state.jobrecords import JOBS_PREFIX
@@ -59,6 +63,10 @@
         self._control.update(message)
         self._memory.update(message)
 
+    def record_loading(self, message: ReportLoading) -> None:
+        """Record that an owner still loads the jobs."""
+        self._control.record_loading(message)
+
     async def refuse(
         self, queue: Queue, identifier: str, spec: JobSpec, caller: Caller
     ) -> JobNotAccepted | None:
--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -26,6 +26,7 @@
     measure_seconds,
 )
 from damaskdeck.coordination.pools.availability import (
+    CONTENDED_SHARE,
     find_full_pools,
     measure_used_shares,
 )
@@ -33,6 +34,7 @@
 from damaskdeck.coordination.pools.overload import StartPace
 from damaskdeck.coordination.pools.pending import RankedStep
 from damaskdeck.coordination.pools.urgency import DeadlineStatus
+from damaskdeck.logs import get_logger
 from damaskdeck.protocol.poolmessages import ReportOutlook
 from damaskdeck.protocol.queues import Queue, QueueTable
 from damaskdeck.state.pooljobs import JobIndex, Step
@@ -49,7 +51,18 @@
 # A job with more tasks waits for pools, and not for the owner.
 MAX_BACKLOG_TASKS = 1000
 MAX_REPORTED_ACCOUNTS = 24
-
+# The rate of starts differs by a multiple from one report to the next.
+AVERAGED_REPORTS = 6
+# After starts were limited, a longer backlog still counts for some time, while less
+# than this share of the pools is used.
+LIMITED_BACKLOG_SECONDS = 4.0
+LIMITED_SECONDS = 3.0
+IDLE_SHARE = 0.6
+# The outlook is logged at most this often, with this many of its queues.
+LOG_INTERVAL_SECONDS = 1.0
+MAX_LOGGED_QUEUES = 4
+
+_log = get_logger("admission")
 
 # A queue with its two waits and the interval of returns, in milliseconds.
 _Row = tuple[str, int, int, int]
@@ -103,6 +116,13 @@
         self._finished: deque[_Finished] = deque()
         self._rates: dict[str, Work] = {}
         self._measured_since: float | None = None
+        self._start_rates: deque[float] = deque(maxlen=AVERAGED_REPORTS)
+        self._logged_at = self._limiting_at = float("-inf")
+
+    @property
+    def is_limit_known(self) -> bool:
+        """Whether starts are limited, and at what rate they are made is known."""
+        return bool(self._start_rates)
 
     def record_completion(self, step: Step, now: float) -> None:
         """Count a task of a step that has completed."""
@@ -140,16 +160,54 @@
         :param waiting: returns the pending steps; called only if something does.
         :param members: the number of daemons that may refuse jobs.
         """
-        table = self._owner.get_table()
-        full = find_full_pools(measure_used_shares(self._owner.contacts.values()))
+        used = measure_used_shares(self._owner.contacts.values())
+        outlook = self._build(used, waiting, members, now)
+        self._log(used, outlook, now)
+        return outlook
+
+    def _log(
+        self, used: dict[str, float], outlook: ReportOutlook | None, now: float
+    ) -> None:
+        """Log what daemons refuse jobs by, or that a pool is nearly full without it."""
+        is_contended = max(used.values(), default=0.0) > CONTENDED_SHARE
+        if now - self._logged_at < LOG_INTERVAL_SECONDS or not (
+            outlook or is_contended
+        ):
+            return
+        self._logged_at = now
+        report: ReportOutlook = outlook or {
+            "queues": [],
+            "accounts": [],
+            "returning": [],
+        }
+        _log.info(
+            "The outlook for jobs.",
+            used={pool: round(share, 3) for pool, share in used.items()},
+            is_owner_limiting=report.get("is_owner_limiting", False),
+            queues=report["queues"][:MAX_LOGGED_QUEUES],
+            limited=len(report["accounts"]),
+            returning=len(report["returning"]),
+        )
+
+    def _build(
+        self,
+        used: dict[str, float],
+        waiting: Callable[[], list[RankedStep]],
+        members: int,
+        now: float,
+    ) -> ReportOutlook | None:
+        """Return the report on full pools, or on an owner that limits starts."""
+        table, full = self._owner.get_table(), find_full_pools(used)
         rates = {
             pool: rate
             for pool in full
             if (rate := self._measure_rate(pool, now)) is not None
         }
         due = self._returning.list_due(now)
-        if table is not None and not full and self._pace.is_limiting(now):
-            return self._build_limited(table, waiting(), due, members, now)
+        if table is not None and self._is_owner_limiting(used, now):
+            limited = self._build_limited(table, waiting(), due, members, now)
+            if limited is not None or not rates:
+                return limited
         if table is None or not rates:
             return {"queues": [], "accounts": [], "returning": due} if due else None
         steps = waiting()
@@ -184,7 +242,7 @@
         now: float,
     ) -> ReportOutlook | None:
         """Return the report of an owner that can't start tasks fast enough."""
-        rate = self._pace.measure_rate(now)
+        rate = self._measure_start_rate(now)
         if rate is None:
             return None
         waiting: Counter[int] = Counter()
@@ -219,6 +277,31 @@
             **_describe_others(table, rows, named),
         }
 
+    def _is_owner_limiting(self, used: dict[str, float], now: float) -> bool:
+        """Whether what was accepted waits for the owner.
+
+        It does so for a while after starts were limited, if much capacity is free and
+        there is more to start than usual.
+        """
+        if self._pace.is_limiting(now):
+            self._limiting_at = now
+            return True
+        is_idle = max(used.values(), default=1.0) <= IDLE_SHARE
+        if not is_idle or now - self._limiting_at > LIMITED_SECONDS:
+            self._start_rates.clear()
+            return False
+        rate = self._measure_start_rate(now) or 0.0
+        return 0.0 < LIMITED_BACKLOG_SECONDS * rate < self._count_backlog()
+
+    def _measure_start_rate(self, now: float) -> float | None:
+        """Return the starts per second, as an average over the last reports."""
+        latest = self._pace.measure_rate(now)
+        if latest is not None:
+            self._start_rates.append(latest)
+        if not self._start_rates:
+            return None
+        return sum(self._start_rates) / len(self._start_rates)
+
     def _count_backlog(self) -> int:
         """Count the tasks of accepted jobs that still have to be started."""
         return sum(
--- a/src/damaskdeck/coordination/pools/jobfrontend.py
+++ b/src/damaskdeck/coordination/pools/jobfrontend.py
@@ -51,6 +51,7 @@
     JobStateReply,
     ReadJobState,
     ReportCapacity,
+    ReportLoading,
     ReportRefusal,
 )
 from damaskdeck.protocol.pools import Advice, Advisor
@@ -132,6 +133,7 @@
         peers.register(GetAdvice, self._handle_get_advice)
         peers.register(DelegateJobOperation, self._handle_delegated_operation)
         peers.register(ReportCapacity, self._handle_capacity_report)
+        peers.register(ReportLoading, self._handle_loading_report)
         peers.register(ReportRefusal, self._handle_refusal_report)
 
     def _now(self) -> float:
@@ -160,6 +162,10 @@
         self._admission.update(message)
         self._on_owner_epoch(message["epoch"])
 
+    async def _handle_loading_report(self, peer: str, message: ReportLoading) -> None:
+        self._admission.record_loading(message)
+        self._on_owner_epoch(message["epoch"])
+
     async def _handle_refusal_report(self, peer: str, message: ReportRefusal) -> None:
         owner = self._get_owner()
         if owner is not None and owner.is_loaded:
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -50,7 +50,11 @@
 from damaskdeck.metrics import set_job_memory
 from damaskdeck.priorities import create_urgent_task
 from damaskdeck.protocol.messages import Peers
-from damaskdeck.protocol.poolmessages import ReportCapacity, ReportRefusal
+from damaskdeck.protocol.poolmessages import (
+    ReportCapacity,
+    ReportLoading,
+    ReportRefusal,
+)
 from damaskdeck.protocol.pools import (
     EndedTask,
     EndKind,
@@ -65,6 +69,10 @@
 # At most a few messages per second to each daemon; free capacity changes with the jobs
 # of every second.
 CAPACITY_REPORT_INTERVAL = timedelta(milliseconds=500)
+# An owner that loads for longer has more to do than it can start soon.
+USUAL_LOAD_TIME = timedelta(seconds=1)
+# After this time it knows whether it can start tasks fast enough.
+MEASUREMENT_TIME = timedelta(seconds=3)
 # How long a contact waits for the store before it polls its worker again. While the
 # store is slow or unavailable, this is the most by which the start of a following step
 # is delayed.
@@ -223,6 +231,7 @@
 
     async def run(self) -> None:
         """Load the state, then decide until cancelled."""
+        loading = asyncio.ensure_future(self._report_loading())
         try:
             await self._load()
             self.is_loaded = True
@@ -236,6 +245,7 @@
                 self._report_capacity(),
             )
         finally:
+            loading.cancel()
             self.intake.close()
             self.advice_scheduler.close()
             self._recording.close()
@@ -613,6 +623,24 @@
 
     # Loops -------------------------------------------------------------------
 
+    async def _report_loading(self) -> None:
+        """Tell the daemons that accept jobs that there is more to load than usual.
+
+        What this owner can start isn't known for some time after that, either.
+        """
+        await self._clock.sleep(USUAL_LOAD_TIME)
+        if self.is_loaded:
+            return
+        until = timedelta.max
+        message: ReportLoading = {"epoch": self.term.epoch}
+        while self._clock.monotonic() < until and not self._outlook.is_limit_known:
+            if self.may_decide():
+                for name in self._shared.leadership.list_members():
+                    self._peers.send(name, message, ReportLoading)
+            await self._clock.sleep(CAPACITY_REPORT_INTERVAL)
+            if self.is_loaded:
+                until = min(until, self._clock.monotonic() + MEASUREMENT_TIME)
+
     async def _report_capacity(self) -> None:
         """Report the free capacity to the daemons that accept jobs."""
         while True:
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -204,6 +204,16 @@
     job_bytes: NotRequired[Count]
 
 
+@message("pool.loading")
+class ReportLoading(TypedDict):
+    """An owner still loads the jobs, and starts none of them.
+
+    :ivar epoch: epoch of the owner.
+    """
+
+    epoch: Count
+
+
 @message("pool.refused")
 class ReportRefusal(TypedDict):
     """A daemon has refused a job and told its caller when to return.
--- a/tests/test_pools_saturation.py
+++ b/tests/test_pools_saturation.py
@@ -99,7 +99,8 @@
         await asyncio.sleep(max(0.0, began_at + seconds - loop.time()))
 
     async def _submit(self, prefix: str, number: int) -> None:
-        names = sorted(self._cluster.daemons)
+        daemons = self._cluster.daemons
+        names = sorted(name for name in daemons if not daemons[name].is_killed)
         queue, spec = (URGENT, CHECK) if prefix == "c" else (PATIENT, PLAN)
         name = names[number % len(names)]
         await self._cluster.offer(name, queue, f"{prefix}{number}", spec)
