Show that an owner starts fewer tasks the more of them wait

Cause, as far as it is known: the pace of starts is adapted in passes by what is under way at that moment. Once passes are further apart than a start takes they find nothing under way, so one late measurement takes the pace from 57 to 6, and as it doesn't seem to bind it never grows again.

The stand-in loop lets a callback take longer for it.

--- a/src/standins/loops.py
+++ b/src/standins/loops.py
@@ -41,11 +41,13 @@
 
     :param callback_time: how long a callback takes.
     :ivar busy_time: how long it has worked in all.
+    :ivar spent: what the callback that runs takes beyond that so far.
     """
 
     def __init__(self, callback_time: timedelta) -> None:
         self.callback_time = callback_time
         self.busy_time = timedelta()
+        self.spent = timedelta()
         self._queue: deque[asyncio.Handle] = deque()
         self._urgent: deque[asyncio.Handle] = deque()
         self._is_working = False
@@ -80,11 +82,19 @@
             self._is_working = False
             return
         handle._run()
-        self.busy_time += self.callback_time
-        ends_at = loop.time() + self.callback_time.total_seconds()
+        used, self.spent = self.callback_time + self.spent, timedelta()
+        self.busy_time += used
+        ends_at = loop.time() + used.total_seconds()
         loop.call_at_once(ends_at, self._work, loop)
 
 
+def spend(time: timedelta) -> None:
+    """Let the callback that runs take longer, if it runs on a processor."""
+    processor = _processor.get()
+    if processor is not None:
+        processor.spent += time
+
+
 NO_PROCESSOR = contextvars.Context()
 
 
@@ -144,8 +154,10 @@
         super().call_at(when, callback, *args, context=NO_PROCESSOR)
 
     def time(self) -> float:
-        """Return the virtual time in seconds."""
-        return self._virtual_selector.elapsed
+        """Return the virtual time in seconds, as the running callback sees it."""
+        processor = _processor.get()
+        spent = processor.spent.total_seconds() if processor is not None else 0.0
+        return self._virtual_selector.elapsed + spent
 
 
 class LoopClock:
