Take back the turn in full pools, as a share of the starts fills them

What remains: a step that can earn nothing more has no bound on its wait in a pool that is neither idle nor limited by the owner (46.1 s in the test). Its share has to be one of the capacity, by the time that tasks hold it.

--- a/src/damaskdeck/coordination/pools/adviceplanner.py
+++ b/src/damaskdeck/coordination/pools/adviceplanner.py
@@ -18,10 +18,7 @@
     StepAdvice,
 )
 from damaskdeck.coordination.pools.contacts import WorkerContact
-from damaskdeck.coordination.pools.pending import (
-    find_turn_seconds,
-    is_overdue,
-)
+from damaskdeck.coordination.pools.pending import is_overdue
 from damaskdeck.coordination.pools.planning import (
     count_fitting,
     count_on_workers,
@@ -168,15 +165,10 @@
         come before them, and may occupy more daemons.
 
         :param full_pools: the pools in which steps that can earn nothing wait until
-            the others have their capacity, or until their turn.
+            the others have their capacity.
         """
         self._queried = [advice for advice in self._queried if advice.requested]
-        waiting = [
-            entry
-            for entry in self._behind
-            if not (entry.is_lost and entry.pool in full_pools)
-            or is_overdue(entry.step, now, find_turn_seconds(entry.step))
-        ]
+        waiting = [e for e in self._behind if not (e.is_lost and e.pool in full_pools)]
         overdue = [
             entry
             for entry in waiting
--- a/src/damaskdeck/coordination/pools/dispatcher.py
+++ b/src/damaskdeck/coordination/pools/dispatcher.py
@@ -327,12 +327,16 @@
     ) -> set[str]:
         """Place steps that have waited longest before more urgent ones.
 
-        They get a part of the starts, whatever limits these.
+        They get a part of the starts while not all can be ordered, and in a pool with
+        much free capacity, where they wait for the few workers that may run them.
 
         :returns: the names of the steps that were tried.
         """
         tried: set[str] = set()
+        is_limiting = self.pace.is_limiting(now)
         for urgency, name, pending in list_overdue(ranked, now):
+            if not (is_limiting or self._is_pool_idle(pending.step)):
+                continue
             allowed = self.pace.count_overdue_startable(pending.waiting, now)
             if not (allowed and (is_full_pass or len(tried) < MAX_STEPS_PER_PASS)):
                 break
