--- a/src/damaskdeck/coordination/pools/admission/control.py
+++ b/src/damaskdeck/coordination/pools/admission/control.py
@@ -2,7 +2,8 @@
 
 A job is refused only if it is known that it can't end while it is still useful, by
 the lower bounds of its wait and of its work. In doubt it is accepted: if the outlook
-is old, of an earlier owner or missing.
+is old or missing. What was known of an owner that can't start tasks fast enough isn't
+in doubt until its successor knows better.
 """
 
 from datetime import timedelta
@@ -90,7 +91,7 @@
         self._returning: frozenset[int] = frozenset()
         self._free: dict[str, ZoneCapacity] = {}
         self.is_owner_limiting = False
-        # The parts of jobs that were admitted and not used yet.
+        # How many jobs the shares of those before have added up to and not admitted.
         self._credit = 1.0
         # When the last refused caller of each queue was told to return.
         self._last_returns: dict[str, timedelta] = {}
@@ -104,14 +105,16 @@
             self._epoch = message["epoch"]
             self._succeeded_at = now
         outlook: ReportOutlook | None = message.get("outlook")
+        is_limiting = outlook is not None and outlook.get("is_owner_limiting", False)
+        if is_limiting:
+            self._loading_until = timedelta()
+        elif self.is_owner_limiting and now - self._succeeded_at < SUCCESSOR_PERIOD:
+            return
+        self.is_owner_limiting = is_limiting
         if outlook is None:
-            is_new = now - self._succeeded_at < SUCCESSOR_PERIOD
-            if not (is_new and self.is_owner_limiting):
-                self._reported_at = None
-                self.is_owner_limiting = False
+            self._reported_at = None
             return
         self._reported_at = now
-        self._loading_until = timedelta()
         self._queues = {
             name: _QueueOutlook(first / 1000, last / 1000, interval / 1000)
             for name, first, last, interval in outlook["queues"]
@@ -123,8 +126,7 @@
         self._limited_accounts = frozenset(outlook["accounts"])
         self._returning = frozenset(outlook["returning"])
         self._free = {}
-        self.is_owner_limiting = outlook.get("is_owner_limiting", False)
-        if self.is_owner_limiting:
+        if is_limiting:
             # Free capacity is of no use while the owner can't start more tasks.
             return
         for pool, _, millicores, memory in message["zones"]:
@@ -134,13 +136,18 @@
             )
 
     def record_loading(self, message: ReportLoading) -> None:
-        """Record that an owner still loads the jobs, unless a newer one has reported.
+        """Record that an owner has a backlog and starts nothing of it yet.
 
-        It takes longer than usual, so there is more than it will start soon.
+        It doesn't count if a newer owner has reported.
         """
         if message["epoch"] >= self._epoch:
             self._loading_until = self._clock.monotonic() + OUTLOOK_MAX_AGE
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether an owner loads a backlog."""
+        return self._clock.monotonic() < self._loading_until
+
     def measure_age(self) -> timedelta | None:
         """Return the age of the outlook, ``None`` if there is none."""
         if self._reported_at is None:
@@ -156,7 +163,7 @@
         """
         if spec.repeats or _has_long_running(spec):
             return None
-        if self._clock.monotonic() < self._loading_until:
+        if self.is_loading:
             wait = LOADING_RETRY.total_seconds()
             retry = self._schedule_return(queue.name, wait, 0.0)
             return AdmissionRefusal(LOADING_RETRY, retry)
@@ -206,8 +213,10 @@
 
     def _is_next_admitted(self, share: float) -> bool:
         """Whether the next job is one of an even share that is admitted."""
-        self._credit = min(self._credit + share, 1.0)
-        if share <= 0 or self._credit < 1.0:
+        if share <= 0:
+            return False
+        self._credit = min(self._credit, 1.0) + share
+        if self._credit < 1.0:
             return False
         self._credit -= 1.0
         return True
--- a/src/damaskdeck/coordination/pools/admission/desk.py
+++ b/src/damaskdeck/coordination/pools/admission/desk.py
@@ -64,7 +64,7 @@
         self._memory.update(message)
 
     def record_loading(self, message: ReportLoading) -> None:
-        """Record that an owner still loads the jobs."""
+        """Record that an owner has a backlog and starts nothing of it yet."""
         self._control.record_loading(message)
 
     async def refuse(
@@ -146,7 +146,8 @@
         if caller.account:
             count_account_job(caller.account, "refused")
         owner = self._leadership.owner
-        if owner is None or self._control.is_owner_limiting:
+        is_busy = self._control.is_owner_limiting or self._control.is_loading
+        if owner is None or is_busy:
             # An owner at its limit gets no more messages than it needs.
             return
         work = estimate_job_work(spec)
--- a/src/damaskdeck/coordination/pools/admission/outlook.py
+++ b/src/damaskdeck/coordination/pools/admission/outlook.py
@@ -204,10 +204,8 @@
             if (rate := self._measure_rate(pool, now)) is not None
         }
         due = self._returning.list_due(now)
-        if table is not None and self._is_owner_limiting(used, now):
-            limited = self._build_limited(table, waiting(), due, members, now)
-            if limited is not None or not rates:
-                return limited
+        if table is not None and not full and self._is_owner_limiting(used, now):
+            return self._build_limited(table, waiting(), due, members, now)
         if table is None or not rates:
             return {"queues": [], "accounts": [], "returning": due} if due else None
         steps = waiting()
@@ -242,9 +240,12 @@
         now: float,
     ) -> ReportOutlook | None:
         """Return the report of an owner that can't start tasks fast enough."""
-        rate = self._measure_start_rate(now)
-        if rate is None:
+        latest = self._pace.measure_rate(now)
+        if latest is not None:
+            self._start_rates.append(latest)
+        if not self._start_rates:
             return None
+        rate = self._average_rate()
         waiting: Counter[int] = Counter()
         jobs: Counter[str] = Counter()
         tasks: Counter[str] = Counter()
@@ -254,7 +255,7 @@
             name = pending.step.job.queue.name
             jobs[name] += 1
             tasks[name] += pending.waiting
-        backlog = self._count_backlog() / rate
+        backlog = self.count_backlog() / rate
         factors = _rank_factors(table)
         rows = []
         for queue in table.queues:
@@ -277,6 +278,13 @@
             **_describe_others(table, rows, named),
         }
 
+    def count_backlog(self) -> int:
+        """Count the tasks of accepted jobs that still have to be started."""
+        return sum(
+            min(job.count_unstarted(), MAX_BACKLOG_TASKS)
+            for job in self._owner.job_index.open_jobs.values()
+        )
+
     def _is_owner_limiting(self, used: dict[str, float], now: float) -> bool:
         """Whether what was accepted waits for the owner.
 
@@ -290,25 +298,14 @@
         if not is_idle or now - self._limiting_at > LIMITED_SECONDS:
             self._start_rates.clear()
             return False
-        rate = self._measure_start_rate(now) or 0.0
-        return 0.0 < LIMITED_BACKLOG_SECONDS * rate < self._count_backlog()
+        if not self._start_rates:
+            return False
+        return self.count_backlog() > LIMITED_BACKLOG_SECONDS * self._average_rate()
 
-    def _measure_start_rate(self, now: float) -> float | None:
+    def _average_rate(self) -> float:
         """Return the starts per second, as an average over the last reports."""
-        latest = self._pace.measure_rate(now)
-        if latest is not None:
-            self._start_rates.append(latest)
-        if not self._start_rates:
-            return None
         return sum(self._start_rates) / len(self._start_rates)
 
-    def _count_backlog(self) -> int:
-        """Count the tasks of accepted jobs that still have to be started."""
-        return sum(
-            min(job.count_unstarted(), MAX_BACKLOG_TASKS)
-            for job in self._owner.job_index.open_jobs.values()
-        )
-
     def _build_row(
         self,
         queue: Queue,
--- a/src/damaskdeck/coordination/pools/jobfrontend.py
+++ b/src/damaskdeck/coordination/pools/jobfrontend.py
@@ -115,6 +115,7 @@
         self._final_states: dict[tuple[str, str, str], QueueJobState] = {}
         self._zone_capacities = ZoneCapacities(clock, times.owner_lease)
         self._delegates = Delegates(instance, leadership, clock)
+        self._admission = AdmissionDesk(store, peers, leadership, clock, job_memory)
         self._submitter = JobSubmitter(
             store,
             peers,
@@ -124,8 +125,8 @@
             declarations,
             self._delegates,
             self._zone_capacities,
+            self._admission.refuse,
         )
-        self._admission = AdmissionDesk(store, peers, leadership, clock, job_memory)
         peers.register(AnnounceJob, self._handle_announced_job)
         peers.register(ReadJobState, self._handle_read_state)
         peers.register(CancelPoolJob, self._handle_cancel)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -69,10 +69,13 @@
 # At most a few messages per second to each daemon; free capacity changes with the jobs
 # of every second.
 CAPACITY_REPORT_INTERVAL = timedelta(milliseconds=500)
-# An owner that loads for longer has more to do than it can start soon.
+# An owner that loads a backlog for longer can't start it soon either, unless it is
+# small. In no case others are told of it for longer than the last time.
 USUAL_LOAD_TIME = timedelta(seconds=1)
+SMALL_BACKLOG_TASKS = 100
+MAX_LOAD_TIME = timedelta(seconds=15)
 # After this time it knows whether it can start tasks fast enough.
-MEASUREMENT_TIME = timedelta(seconds=3)
+MEASUREMENT_TIME = timedelta(seconds=2)
 # How long a contact waits for the store before it polls its worker again. While the
 # store is slow or unavailable, this is the most by which the start of a following step
 # is delayed.
@@ -624,17 +627,19 @@
     # Loops -------------------------------------------------------------------
 
     async def _report_loading(self) -> None:
-        """Tell the daemons that accept jobs that there is more to load than usual.
+        """Tell the daemons that accept jobs of a backlog that takes long to load.
 
         What this owner can start isn't known for some time after that, either.
         """
         await self._clock.sleep(USUAL_LOAD_TIME)
         if self.is_loaded:
             return
-        until = timedelta.max
+        until = self._clock.monotonic() + MAX_LOAD_TIME
         message: ReportLoading = {"epoch": self.term.epoch}
         while self._clock.monotonic() < until and not self._outlook.is_limit_known:
-            if self.may_decide():
+            has_backlog = self._outlook.count_backlog() > SMALL_BACKLOG_TASKS
+            is_cut_off = self._shared.leadership.is_cut_off()
+            if has_backlog and self.may_decide() and not is_cut_off:
                 for name in self._shared.leadership.list_members():
                     self._peers.send(name, message, ReportLoading)
             await self._clock.sleep(CAPACITY_REPORT_INTERVAL)
--- a/src/damaskdeck/coordination/pools/submitter.py
+++ b/src/damaskdeck/coordination/pools/submitter.py
@@ -1,6 +1,7 @@
 """Storing of callers' jobs, by another daemon if the store does not serve this one."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from damaskdeck.clock import Clock
@@ -51,11 +52,21 @@
 
 _log = get_logger("desk")
 
+RefuseJob = Callable[[Queue, str, JobSpec, Caller], Awaitable[JobNotAccepted | None]]
+
+
+async def _refuse_nothing(
+    queue: Queue, identifier: str, spec: JobSpec, caller: Caller
+) -> None:
+    """Refuse no job."""
+
 
 class JobSubmitter:
     """Stores jobs.
 
     :param zone_capacities: chooses the zones that a job is confined to.
+    :param refuse: returns the refusal of a job that another daemon delegates, ``None``
+        if it may be stored.
     """
 
     def __init__(
@@ -68,7 +79,9 @@
         declarations: Declarations,
         delegates: Delegates,
         zone_capacities: ZoneCapacities,
+        refuse: RefuseJob = _refuse_nothing,
     ) -> None:
+        self._refuse = refuse
         self._store = store
         self._peers = peers
         self._leadership = leadership
@@ -227,9 +240,12 @@
             outcome, code = reply.message["outcome"], reply.message["code"]
             if outcome == "taken":
                 return JobAccepted()
-            return (
-                JobUnconfirmed(code) if outcome == "unsettled" else JobNotAccepted(code)
-            )
+            if outcome == "unsettled":
+                return JobUnconfirmed(code)
+            retry = reply.message.get("retry")
+            if retry is None:
+                return JobNotAccepted(code)
+            return JobNotAccepted(code, timedelta(milliseconds=retry))
         self._delegates.suspend(name)
         if isinstance(reply, Unsent):
             return JobNotAccepted(reply.code)
@@ -245,6 +261,14 @@
         queue = self._authorizer.reauthorize(record.queue, record.identifier, caller)
         answer = queue
         if not isinstance(queue, CallRejected):
+            # A daemon that the store turns away can't know whether the job is stored.
+            refusal = await self._refuse(queue, record.identifier, record.spec, caller)
+            if refusal is not None:
+                return {
+                    "outcome": "not_taken",
+                    "code": refusal.code,
+                    "retry": round(refusal.retry / timedelta(milliseconds=1)),
+                }
             answer = await self._store_job(record._replace(queue=queue), caller)
         if isinstance(answer, JobAccepted):
             return {"outcome": "taken", "code": ""}
--- a/src/damaskdeck/protocol/poolmessages.py
+++ b/src/damaskdeck/protocol/poolmessages.py
@@ -91,10 +91,12 @@
 
     :ivar outcome: ``taken``, ``not_taken`` or ``unsettled``.
     :ivar code: why, unless it was taken.
+    :ivar retry: after which time to return, if it was refused.
     """
 
     outcome: Literal["taken", "not_taken", "unsettled"]
     code: str
+    retry: NotRequired[Milliseconds]
 
 
 @message("pool.take", reply="pool.taken")
@@ -206,7 +208,7 @@
 
 @message("pool.loading")
 class ReportLoading(TypedDict):
-    """An owner still loads the jobs, and starts none of them.
+    """An owner has a backlog of jobs, and doesn't know yet how fast it starts it.
 
     :ivar epoch: epoch of the owner.
     """
