--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -69,10 +69,11 @@
 # At most a few messages per second to each daemon; free capacity changes with the jobs
 # of every second.
 CAPACITY_REPORT_INTERVAL = timedelta(milliseconds=500)
-# An owner that loads a backlog for longer can't start it soon either, unless it is
-# small. In no case others are told of it for longer than the last time.
+# An owner that loads a backlog for longer can't start it soon either.
 USUAL_LOAD_TIME = timedelta(seconds=1)
+# Any owner can start this many tasks soon.
 SMALL_BACKLOG_TASKS = 100
+# Other daemons refuse jobs for a load of at most this time.
 MAX_LOAD_TIME = timedelta(seconds=15)
 # After this time it knows whether it can start tasks fast enough.
 MEASUREMENT_TIME = timedelta(seconds=2)
