--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,10 +14,10 @@
 
 TASKS = 4_120
 TASK_SECONDS = 45.0
-# Of these tasks one ends each quarter of a second from then on.
-EARLY_TASKS, FIRST_END, END_INTERVAL = 60, 14.0, 0.25
+# Of these tasks one ends each tenth of a second from then on.
+EARLY_TASKS, FIRST_END, END_INTERVAL = 80, 12.0, 0.1
 # The rolling restart: the pause between two SIGTERM.
-GAP_SECONDS = 1.3
+GAP_SECONDS = 1.8
 # How long before it one minion is cut off, and for how long.
 CUT_BEFORE = 0.3
 CUT_SECONDS = 5.5
@@ -65,10 +65,10 @@
 
 
 async def roll(deployment: Deployment) -> bool:
-    """Stop two daemons in turn, the owner first; return whether both owned."""
-    owner = deployment.find_owner()
+    """Stop the owner and then its successor; return whether others took over."""
     for number in range(2):
-        deployment.record(f"SIGTERM to {owner.name}")
+        owner = deployment.find_owner()
+        deployment.record(f"SIGTERM to {owner.name}, the owner")
         sent_at = time.monotonic()
         owner.signal(signal.SIGTERM)
         following = await deployment.wait_for_other_owner(owner, 6)
@@ -76,7 +76,6 @@
             return False
         deployment.record(f"{following.name} is the owner")
         if number == 0:
-            owner = following
             await asyncio.sleep(max(0.0, sent_at + GAP_SECONDS - time.monotonic()))
     return True
 
--- a/review/tools-3/deployment.py
+++ b/review/tools-3/deployment.py
@@ -150,6 +150,7 @@
         minions: int,
         find_seconds: Callable[[str, int], float],
         attempts: int = 3,
+        keeps_ids: bool = False,
     ) -> None:
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.temporary = Path(tempfile.mkdtemp(prefix="case-"))
@@ -178,6 +179,7 @@
                 self.store,
                 find_seconds,
                 self.record,
+                keeps_id=keeps_ids,
             )
             for number in range(minions)
         ]
@@ -261,9 +263,9 @@
 
     # A client ----------------------------------------------------------------
 
-    async def submit(self, steps: list[dict]) -> str:
+    async def submit(self, steps: list[dict], job: str = "") -> str:
         """Hand a job in, again after no answer; return its id."""
-        job = secrets.token_hex(8)
+        job = job or secrets.token_hex(8)
         for number in range(5):
             daemon = self.daemons[number % len(self.daemons)]
             path = f"/queue/{job}"
--- a/review/tools-3/minions.py
+++ b/review/tools-3/minions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 LISTED_ENDS = 500
 # A stop takes less than `stop_timeout_ms`.
 STOP_SECONDS = 0.1
+STARTUP_SECONDS = 0.3
 
 
 class Run(NamedTuple):
@@ -37,10 +39,14 @@
 class Minion:
     """A machine with one life of a minion after the other.
 
-    :param find_seconds: returns how long a run takes that ends `done`.
+    :param find_seconds: returns how long a run takes that ends `done`; infinite for a
+        task that lasts.
     :param record: called with a line for the record.
+    :param keeps_id: whether each life has the same id, and a birth (`born`) of its own.
     :ivar is_cut: whether nothing reaches the minion, and it reaches nothing.
     :ivar history: all runs of all lives that have ended.
+    :ivar noted: the ends that were taken note of, and when.
+    :ivar lapses: when its lease has lapsed.
     :ivar running: the runs of this life, by task and number.
     """
 
@@ -56,10 +62,13 @@
         cpu: int = 16_000,
         memory: int = 65_536,
         hold_max: float = 6.0,
+        keeps_id: bool = False,
     ) -> None:
         self.name = name
         self.is_cut = False
         self.history: list[Ended] = []
+        self.noted: list[tuple[Ended, float]] = []
+        self.lapses: list[float] = []
         self.running: dict[tuple[str, int], Run] = {}
         self.identifier = ""
         self._zone, self._rack, self._service = zone, rack, service
@@ -68,6 +77,7 @@
         self._find_seconds = find_seconds
         self._record = record
         self._hold_max = hold_max
+        self._keeps_id = keeps_id
         self._server = WebServer(self._handle)
         self._tasks: set[asyncio.Task] = set()
 
@@ -79,8 +89,10 @@
     # Lives -------------------------------------------------------------------
 
     async def start(self) -> None:
-        """Begin a life under a new id, at the same address as the one before."""
-        self.identifier = f"i-{secrets.token_hex(5)}"
+        """Begin a life, at the same address as the one before."""
+        if not (self.identifier and self._keeps_id):
+            self.identifier = f"i-{secrets.token_hex(5)}"
+        self._birth = {"born": round(time.time() * 1000)} if self._keeps_id else {}
         self._born_at = time.monotonic()
         self._fence = 0
         self._lease_until = 0.0
@@ -105,9 +117,10 @@
             self._end(key, "crashed")
         # The entry is removed after three heartbeat intervals of silence.
         identifier = self.identifier
-        asyncio.get_running_loop().call_later(
-            3 * HEARTBEAT_SECONDS, self._store.remove, f"servers/{identifier}"
-        )
+        if not self._keeps_id:
+            asyncio.get_running_loop().call_later(
+                3 * HEARTBEAT_SECONDS, self._store.remove, f"servers/{identifier}"
+            )
 
     def stop(self) -> None:
         """End without a record."""
@@ -135,6 +148,7 @@
                     "labels": ["a", self._rack],
                     "clock_ms": self._read_clock(),
                     "sequence": next(self._sequence),
+                    **self._birth,
                 }
                 self._store.put(f"servers/{identifier}", entry)
             await asyncio.sleep(HEARTBEAT_SECONDS)
@@ -152,6 +166,8 @@
                     self._end(key, "lapsed")
 
     def _extend_lease(self, deadline_ms: float) -> None:
+        if 0 < self._lease_until < time.monotonic():
+            self.lapses.append(self._lease_until)
         until = min(
             self._born_at + deadline_ms / 1000, time.monotonic() + self._hold_max
         )
@@ -169,8 +185,9 @@
         self._has_ended = asyncio.Event()
 
     async def _work(self, key: tuple[str, int], seconds: float) -> None:
-        await asyncio.sleep(seconds)
-        self._end(key, "done")
+        if math.isfinite(seconds):
+            await asyncio.sleep(seconds)
+            self._end(key, "done")
 
     async def _stop_soon(self, key: tuple[str, int]) -> None:
         await asyncio.sleep(STOP_SECONDS)
@@ -218,7 +235,12 @@
         return 200, {"clock_ms": self._read_clock()}
 
     async def _handle_hold(self, body: dict) -> Answer:
+        # The ends up to this number are taken note of, and forgotten.
         self._observed = max(self._observed, body.get("observed", 0))
+        now = time.monotonic()
+        for number, ended in self._ends:
+            if number <= self._observed:
+                self.noted.append((ended, now))
         self._ends = [row for row in self._ends if row[0] > self._observed]
         if "deadline_ms" in body:
             self._extend_lease(body["deadline_ms"])
@@ -244,8 +266,12 @@
             "clock_ms": self._read_clock(),
             "running": running,
             "finished": finished,
+            **self._birth,
         }
 
     def _find_percent(self, run: Run, now: float) -> int:
         seconds = self._find_seconds(run.task, run.number)
+        if not math.isfinite(seconds):
+            # A task that lasts is at work after a short startup.
+            return 100 if now - run.began_at > STARTUP_SECONDS else 50
         return min(99, int(100 * (now - run.began_at) / seconds))
