--- a/review/tools-3/deployment.py
+++ b/review/tools-3/deployment.py
@@ -141,6 +141,7 @@
 
     :param folder: of the case, where the record is written.
     :ivar has_trouble: whether the disruption is played.
+    :ivar lost: the minions that are gone for good.
     """
 
     def __init__(
@@ -158,6 +159,7 @@
         self._began_at = time.monotonic()
         self._attempts = attempts
         self.store = Store()
+        self.lost: list[Minion] = []
         # Each daemon has a loopback address of its own: some of their ports are the
         # same on all machines.
         net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
@@ -229,7 +231,7 @@
         for daemon in self.daemons:
             if daemon.process is not None:
                 await daemon.process.wait()
-        for minion in self.minions:
+        for minion in self.minions + self.lost:
             minion.stop()
         self._ending.cancel()
         self.store.server.stop()
@@ -263,13 +265,18 @@
 
     # A client ----------------------------------------------------------------
 
-    async def submit(self, steps: list[dict], job: str = "") -> str:
-        """Hand a job in, again after no answer; return its id."""
+    async def submit(
+        self, steps: list[dict], job: str = "", more: dict | None = None
+    ) -> str:
+        """Hand a job in, again after no answer; return its id.
+
+        :param more: fields of the job beside `spec` and `steps`.
+        """
         job = job or secrets.token_hex(8)
         for number in range(5):
             daemon = self.daemons[number % len(self.daemons)]
             path = f"/queue/{job}"
-            body = {"spec": "text", "steps": steps}
+            body = {"spec": "text", "steps": steps, **(more or {})}
             status, _ = await send_request(daemon.address, "POST", path, HOST, body)
             self.record(f"client: POST {job} at {daemon.name} -> {status}")
             if status == 200:
--- a/review/tools-3/minions.py
+++ b/review/tools-3/minions.py
@@ -122,6 +122,16 @@
                 3 * HEARTBEAT_SECONDS, self._store.remove, f"servers/{identifier}"
             )
 
+    def lose(self) -> None:
+        """Lose this machine for good: calls to it get no answer any more."""
+        self.is_cut = True
+        for key in list(self.running):
+            self._end(key, "lost")
+        identifier = self.identifier
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_SECONDS, self._store.remove, f"servers/{identifier}"
+        )
+
     def stop(self) -> None:
         """End without a record."""
         for task in self._tasks:
--- a/review/tools-3/store.py
+++ b/review/tools-3/store.py
@@ -12,17 +12,20 @@
 ANSWER_SECONDS = 0.004
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
+VALUE_BYTES = 1_048_576
 
 
 class Store:
     """Keys with revisions, leases, transactions and watches.
 
     :ivar calls: the calls that were made, by path.
+    :ivar refused: the keys whose values were too large, with their sizes.
     """
 
     def __init__(self) -> None:
         self.server = WebServer(self._handle)
         self.calls: dict[str, int] = {}
+        self.refused: list[tuple[str, int]] = []
         self._revision = 1
         self._items: dict[str, dict] = {}
         self._events: list[tuple[int, str, dict]] = []
@@ -157,6 +160,11 @@
         leases = {write.get("lease", 0) for write in writes} - {0}
         if not leases <= self._leases.keys():
             return 404, {}
+        for write in writes:
+            size = len(base64.b64decode(write.get("value", "")))
+            if size > VALUE_BYTES:
+                self.refused.append((write["key"], size))
+                return 400, {"error": "the value is too large"}
         if not writes and not removals:
             return 200, {"revision": self._revision}
         return 200, {"revision": self._apply(writes, removals)}
