--- a/review/9/case.py
+++ b/review/9/case.py
@@ -121,7 +121,7 @@
     try:
         async with asyncio.timeout(110):
             return await play(deployment)
-    except (TimeoutError, RuntimeError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         deployment.record(f"the case could not run: {error!r}")
         return 2
     finally:
--- a/review/tools-3/deployment.py
+++ b/review/tools-3/deployment.py
@@ -192,7 +192,12 @@
         print(f"{seconds:8.3f} {line}", file=self._record_file, flush=True)
 
     async def start(self) -> None:
-        """Start everything and wait until the daemons serve."""
+        """Start everything and wait until the daemons serve.
+
+        SIGTERM ends the case, with all that it has started.
+        """
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         await self.store.server.start("127.0.0.1")
         self._ending = asyncio.ensure_future(self.store.run())
         route = {
