Move the runs of earlier owners out of the pools' owner

Change: predecessors/runs.py restores recorded runs, tells which jobs may have others, and holds these back. No behaviour changes.

--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -36,6 +36,7 @@
 from damaskdeck.coordination.pools.monitoredstore import MonitoredStore
 from damaskdeck.coordination.pools.predecessors import AttemptNumbers
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
+from damaskdeck.coordination.pools.predecessors.runs import InheritedRuns
 from damaskdeck.coordination.pools.speeds import read_speeds
 from damaskdeck.coordination.pools.supervision import RunSupervisor
 from damaskdeck.coordination.pools.transfers import OwnerTerm
@@ -60,10 +61,10 @@
     EndKind,
     RunningTask,
 )
-from damaskdeck.protocol.queues import QueueJobState, QueueTable, TaskName
+from damaskdeck.protocol.queues import QueueJobState, QueueTable
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import Write
-from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Step, Task
+from damaskdeck.state.pooljobs import Job, JobIndex, Run, Step, Task
 
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # At most a few messages per second to each daemon; free capacity changes with the jobs
@@ -117,8 +118,6 @@
         self.term = term
         self.job_index = JobIndex()
         self.is_loaded = False
-        # Whether any job is held back for runs that this owner may not know.
-        self._is_holding = False
         shared = self._shared = dependencies.shared
         self._clock = shared.clock
         self._declarations = dependencies.declarations
@@ -178,6 +177,11 @@
         )
         self.attempts = AttemptNumbers(term, self._changes.record_attempts_change)
         self.intake = Intake(self, shared.store, shared.leadership, shared.clock)
+        self._inherited_runs = InheritedRuns(
+            self,
+            lambda zones, job: self._fleet.are_workers_reconciled(zones, job),
+            self._handle_release,
+        )
         self._fleet = WorkerFleet(
             term,
             shared,
@@ -185,7 +189,7 @@
             FleetCallbacks(
                 self.dispatcher.request_full_pass,
                 self._changes.record_roster_change,
-                self._confirm_jobs,
+                self._handle_reconciled,
                 self._changes.record_cordon_change,
                 self._crashes.handle_reconciled,
                 self._crashes.handle_registration,
@@ -216,7 +220,11 @@
 
     def list_unconfirmed_jobs(self) -> Iterator[Job]:
         """Yield the jobs, ended ones too, that may have runs unknown to this owner."""
-        return filter(self.may_have_started, self.job_index.jobs.values())
+        return self._inherited_runs.list_unconfirmed_jobs()
+
+    def may_have_started(self, job: Job) -> bool:
+        """Whether a previous owner may have started tasks that are unknown here."""
+        return self._inherited_runs.may_exist(job)
 
     def may_decide(self) -> bool:
         """Whether the owner lease allows decisions at this moment."""
@@ -281,8 +289,10 @@
         self.dispatcher.speeds.load(speeds)
         self._crashes.load()
         self._fleet.load(workers)
-        self._restore_runs()
-        self._mark_unconfirmed_jobs()
+        self._inherited_runs.restore(self.intake.recorded_runs)
+        self.intake.recorded_runs.clear()
+        self._inherited_runs.hold_jobs()
+        self._handle_reconciled()
         _log.info(
             "Loaded.",
             epoch=self.term.epoch,
@@ -400,87 +410,18 @@
             return False
         return True
 
-    # Runs of predecessors ----------------------------------------------------
-
-    def _restore_runs(self) -> None:
-        """Restore the recorded runs; the lists of their workers confirm them or not."""
-        for identifier, record in self.intake.recorded_runs.items():
-            job = self.job_index.jobs.get(identifier)
-            if job is None:
-                continue
-            job.are_runs_recorded = record.is_complete
-            for *place, attempt, position in record.runs:
-                task = job.find_task(TaskName(identifier, *place))
-                contact = self.contacts.get(record.workers[position])
-                if task is None:
-                    continue
-                if contact is not None:
-                    self._restore_run(task, contact, attempt)
-                else:
-                    # The roster can't be read, or is of another version.
-                    job.are_runs_recorded = False
-        self.intake.recorded_runs.clear()
-
-    def _restore_run(self, task: Task, contact: WorkerContact, attempt: int) -> None:
-        run = self._add_inherited_run(task, contact, attempt)
-        run.phase = RunPhase.RUNNING
-        contact.add_run(run)
-        if task.step.job.is_final or task.is_completed:
-            contact.stop(run)
-
-    def _add_inherited_run(
-        self, task: Task, contact: WorkerContact, attempt: int
-    ) -> Run:
-        run = Run(task, contact.info.identifier, attempt, self.now())
-        run.is_adopted = True
-        task.attempt = max(task.attempt, attempt)
-        task.add_run(run)
-        if not contact.is_reconciled:
-            self.account_limits.record_inherited_run(run)
-        return run
-
-    def _mark_unconfirmed_jobs(self) -> None:
-        for job in self.job_index.open_jobs.values():
-            job.has_unconfirmed_runs = self.may_have_started(job)
-        self._confirm_jobs()
-
-    def may_have_started(self, job: Job) -> bool:
-        """Whether a job may have runs of a predecessor that this owner doesn't know.
-
-        They can only be on workers of the zones that the job was confined to when this
-        owner's takeover ended the commits of its predecessor.
-        """
-        is_older = job.record.epoch < self.term.epoch
-        if not is_older:
-            return False
-        if job.are_runs_recorded and self._recording.is_inherited_complete:
-            return False
-        return not self._fleet.are_workers_reconciled(job.zones, job.identifier)
-
-    def _release_recorded_jobs(self) -> None:
-        """Let jobs go on once the record of their runs is known to be complete."""
-        if self._is_holding and self._recording.is_inherited_complete:
-            self._release_jobs()
+    # Jobs that were held back, and their zones --------------------------------
 
-    def _confirm_jobs(self) -> None:
-        """Let jobs start tasks once no worker can hold unknown runs of them."""
+    def _handle_reconciled(self) -> None:
         if not self._fleet.unreconciled_count:
             _log.info("All workers are reconciled.", epoch=self.term.epoch)
-        self._release_jobs()
+        self._inherited_runs.release_jobs()
 
-    def _release_jobs(self) -> None:
-        self._is_holding = False
-        for job in self.job_index.open_jobs.values():
-            if not job.has_unconfirmed_runs:
-                continue
-            if self.may_have_started(job):
-                self._is_holding = True
-                continue
-            job.has_unconfirmed_runs = False
-            job.confirmed_at = self.now()
-            for step in job.list_steps():
-                self.stop_if_incomplete(step)
-            self.dispatcher.mark_changed(job)
+    def _handle_release(self, job: Job) -> None:
+        """Handle a job that may have no unknown runs any more."""
+        for step in job.list_steps():
+            self.stop_if_incomplete(step)
+        self.dispatcher.mark_changed(job)
 
     def widen_zones(self, job: Job, zones: frozenset[str]) -> None:
         """Allow workers of more zones to run a job, as soon as that is durable."""
@@ -515,7 +456,7 @@
         is_surplus = task.step.job.is_final or task.is_completed
         if task.runs and not task.step.spec.is_speculative:
             is_surplus = True
-        run = self._add_inherited_run(task, contact, row.attempt)
+        run = self._inherited_runs.add(task, contact, row.attempt)
         self.dispatcher.mark_changed(task.step.job)
         if is_surplus:
             contact.stop(run)
@@ -681,7 +622,7 @@
             now = self.now()
             self.advice_scheduler.dispatch()
             self._recording.sweep()
-            self._release_recorded_jobs()
+            self._inherited_runs.sweep()
             self._fleet.check_capacity_ages(now)
             self._supervisor.sweep(now)
             self._crashes.sweep(now, self._fleet.followed_since)
