Log when the record of a job's runs becomes incomplete or complete

Change: each transition of a job's record writes one line, with the reason, the number of runs, the size, and whether the job may have unknown runs.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -27,6 +27,9 @@
 # beyond it begins anew after a takeover, unless a run of it is found.
 CHECKPOINTS_SHARE = 0.5
 
+# What a successor finds for a job with runs that its record can't name.
+INCOMPLETE_RUNS = encode_record(RunsRecord(is_complete=False))
+
 _log = get_logger("owner")
 
 
@@ -167,7 +170,7 @@
         if job.recorded_starts.must_store:
             values[STARTS_PREFIX] = encode_record(job.summarize_starts())
         if job.runs or RUNS_PREFIX in job.stored:
-            values[RUNS_PREFIX] = _encode_runs(job)
+            values[RUNS_PREFIX] = self._encode_runs(job)
         writes = []
         for prefix, value in values.items():
             if job.stored.get(prefix) != value:
@@ -194,6 +197,35 @@
         )
         return encode_record(progress._replace(steps=steps))
 
+    def _encode_runs(self, job: Job) -> bytes:
+        """Return the record of a job's runs, an incomplete one if they are too many."""
+        value = encode_record(job.summarize_runs())
+        if len(value) <= MAX_RUNS_BYTES:
+            self._report_runs(job, "", len(value))
+            return value
+        self._report_runs(job, "too_large", len(value))
+        return INCOMPLETE_RUNS
+
+    def _report_runs(self, job: Job, reason: str, size: int) -> None:
+        """Log that the record of a job's runs has become complete or incomplete.
+
+        :param reason: why it is incomplete, an empty string if it is complete.
+        """
+        was_incomplete = job.stored.get(RUNS_PREFIX) == INCOMPLETE_RUNS
+        if was_incomplete == bool(reason):
+            return
+        _log.info(
+            "The record of a job's runs is incomplete."
+            if reason
+            else "The record of a job's runs is complete again.",
+            id=job.identifier,
+            reason=reason,
+            runs=len(job.runs),
+            bytes=size,
+            limit=MAX_RUNS_BYTES,
+            has_unconfirmed_runs=job.has_unconfirmed_runs,
+        )
+
     def _report_left_out(self, job: Job, part: str, count: int) -> None:
         _log.warn(
             "A part of a job's progress is not durable.",
@@ -203,11 +235,3 @@
             limit=self._value_limit,
         )
         count_drop("journal", part, count)
-
-
-def _encode_runs(job: Job) -> bytes:
-    """Return the record of a job's runs, an incomplete one if they are too many."""
-    value = encode_record(job.summarize_runs())
-    if len(value) > MAX_RUNS_BYTES:
-        return encode_record(RunsRecord(is_complete=False))
-    return value
