Keep the record of a job's runs incomplete while some are unknown

Cause: whoever wrote the record of a job's runs claimed that it had all of them, as soon as those it knew fitted. The second owner had found an incomplete record (the runs didn't fit), couldn't read one worker, and stored the others as complete.

Hypotheses ruled out by the same log: the declaration of the whole record (each owner before declared it rightly), leases (the wait for the cut worker ended when it should), late orders (the attempts are new ones).

Change: has_unconfirmed_runs is kept for all jobs, ended ones too, until all that they may run is known, and their record says incomplete for as long. What is known is recorded even so. Once all runs are known, an incomplete record is written again, so that the next owner doesn't hold the job back for nothing; and a record that an earlier owner has left is replaced also when nothing runs any more.

Why this works: the declaration for all jobs means that each record has all runs or says that it hasn't; no owner can turn one into the other without knowing them.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -27,9 +27,6 @@
 # beyond it begins anew after a takeover, unless a run of it is found.
 CHECKPOINTS_SHARE = 0.5
 
-# What a successor finds for a job with runs that its record can't name.
-INCOMPLETE_RUNS = encode_record(RunsRecord(is_complete=False))
-
 _log = get_logger("owner")
 
 
@@ -198,21 +195,26 @@
         return encode_record(progress._replace(steps=steps))
 
     def _encode_runs(self, job: Job) -> bytes:
-        """Return the record of a job's runs, an incomplete one if they are too many."""
+        """Return the record of a job's runs, an incomplete one if it lacks any."""
         value = encode_record(job.summarize_runs())
-        if len(value) <= MAX_RUNS_BYTES:
-            self._report_runs(job, "", len(value))
-            return value
-        self._report_runs(job, "too_large", len(value))
-        return INCOMPLETE_RUNS
+        size, reason = len(value), ""
+        if size > MAX_RUNS_BYTES:
+            value, reason = encode_record(RunsRecord(is_complete=False)), "too_large"
+        elif job.has_unconfirmed_runs:
+            # A successor would take a worker's other runs for ended.
+            incomplete = job.summarize_runs()._replace(is_complete=False)
+            value, reason = encode_record(incomplete), "unconfirmed"
+        self._report_runs(job, reason, size)
+        return value
 
     def _report_runs(self, job: Job, reason: str, size: int) -> None:
         """Log that the record of a job's runs has become complete or incomplete.
 
         :param reason: why it is incomplete, an empty string if it is complete.
         """
-        was_incomplete = job.stored.get(RUNS_PREFIX) == INCOMPLETE_RUNS
-        if was_incomplete == bool(reason):
+        was_complete = job.has_complete_record
+        job.has_complete_record = not reason
+        if was_complete == job.has_complete_record:
             return
         _log.info(
             "The record of a job's runs is incomplete."
@@ -223,7 +225,6 @@
             runs=len(job.runs),
             bytes=size,
             limit=MAX_RUNS_BYTES,
-            has_unconfirmed_runs=job.has_unconfirmed_runs,
         )
 
     def _report_left_out(self, job: Job, part: str, count: int) -> None:
--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -57,8 +57,8 @@
     def now(self) -> float:
         """Return the monotonic time in seconds."""
 
-    def may_have_started(self, job: Job) -> bool:
-        """Whether a previous owner may have started tasks that are unknown here."""
+    def hold_if_unconfirmed(self, job: Job) -> None:
+        """Hold a job back if it may have runs of a previous owner, unknown here."""
 
     def cancel(self, job: Job) -> None:
         """End a job as cancelled, unless it has ended."""
@@ -204,7 +204,7 @@
             except MessageError as error:
                 self._ignore_job(identifier, str(error))
                 return
-        job.has_unconfirmed_runs = self._owner.may_have_started(job)
+        self._owner.hold_if_unconfirmed(job)
         self._owner.job_index.add(job)
         if identifier in self._cancelled:
             self._owner.cancel(job)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -222,9 +222,9 @@
         """Yield the jobs, ended ones too, that may have runs unknown to this owner."""
         return self._inherited_runs.list_unconfirmed_jobs()
 
-    def may_have_started(self, job: Job) -> bool:
-        """Whether a previous owner may have started tasks that are unknown here."""
-        return self._inherited_runs.may_exist(job)
+    def hold_if_unconfirmed(self, job: Job) -> None:
+        """Hold a job back if it may have runs of a previous owner, unknown here."""
+        self._inherited_runs.hold_if_unconfirmed(job)
 
     def may_decide(self) -> bool:
         """Whether the owner lease allows decisions at this moment."""
@@ -418,7 +418,11 @@
         self._inherited_runs.release_jobs()
 
     def _handle_release(self, job: Job) -> None:
-        """Handle a job that may have no unknown runs any more."""
+        """Handle a job that has no unknown runs any more."""
+        if not job.has_complete_record:
+            self.mark_dirty(job)
+        if job.is_final:
+            return
         for step in job.list_steps():
             self.stop_if_incomplete(step)
         self.dispatcher.mark_changed(job)
--- a/src/damaskdeck/coordination/pools/predecessors/runs.py
+++ b/src/damaskdeck/coordination/pools/predecessors/runs.py
@@ -12,7 +12,7 @@
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.protocol.queues import TaskName
-from damaskdeck.state.jobrecords import RunsRecord
+from damaskdeck.state.jobrecords import RUNS_PREFIX, RunsRecord, encode_record
 from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Task
 
 
@@ -40,7 +40,8 @@
 
     :param are_reconciled: returns whether all runs of a job on the workers of the given
         availability zones must be known.
-    :param on_release: called with a job that may have no unknown runs any more.
+    :param on_release: called with a job, which may have ended, that has no unknown runs
+        any more.
     """
 
     def __init__(
@@ -52,8 +53,8 @@
         self._owner = owner
         self._are_reconciled = are_reconciled
         self._on_release = on_release
-        # Whether any job is held back.
-        self._is_holding = False
+        # The jobs with unconfirmed runs, ended ones too.
+        self._held: dict[str, Job] = {}
 
     def restore(self, recorded: Mapping[str, RunsRecord]) -> None:
         """Restore the recorded runs; the lists of their workers confirm them or not.
@@ -65,6 +66,8 @@
             if job is None:
                 continue
             job.are_runs_recorded = record.is_complete
+            job.has_complete_record = record.is_complete
+            job.stored[RUNS_PREFIX] = encode_record(record)
             for *place, attempt, position in record.runs:
                 task = job.find_task(TaskName(identifier, *place))
                 contact = self._owner.contacts.get(record.workers[position])
@@ -95,8 +98,15 @@
 
     def hold_jobs(self) -> None:
         """Hold back the jobs that may have runs unknown to this owner."""
-        for job in self._owner.job_index.open_jobs.values():
-            job.has_unconfirmed_runs = self.may_exist(job)
+        self._held.clear()
+        for job in self._owner.job_index.jobs.values():
+            self.hold_if_unconfirmed(job)
+
+    def hold_if_unconfirmed(self, job: Job) -> None:
+        """Hold a job back if it may have runs unknown to this owner."""
+        job.has_unconfirmed_runs = self.may_exist(job)
+        if job.has_unconfirmed_runs:
+            self._held[job.identifier] = job
 
     def may_exist(self, job: Job) -> bool:
         """Whether a job may have runs of a predecessor that this owner doesn't know.
@@ -117,18 +127,15 @@
 
     def sweep(self) -> None:
         """Release jobs once the record of their runs is known to be complete."""
-        if self._is_holding and self._owner.recording.is_inherited_complete:
+        if self._held and self._owner.recording.is_inherited_complete:
             self.release_jobs()
 
     def release_jobs(self) -> None:
         """Let jobs start tasks once no worker can hold unknown runs of them."""
-        self._is_holding = False
-        for job in self._owner.job_index.open_jobs.values():
-            if not job.has_unconfirmed_runs:
-                continue
+        for job in list(self._held.values()):
             if self.may_exist(job):
-                self._is_holding = True
                 continue
+            del self._held[job.identifier]
             job.has_unconfirmed_runs = False
             job.confirmed_at = self._owner.now()
             self._on_release(job)
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -52,6 +52,8 @@
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
     :ivar recorded_starts: the starts of tasks that may have crashed workers.
     :ivar are_runs_recorded: whether its record had all runs when this owner read it.
+    :ivar has_complete_record: whether its record, as last gathered to be stored, claims
+        to have all runs.
     :ivar left_out_checkpoints: the number of checkpoints without room in the store that
         was last reported.
     :ivar stored: the records as they were last gathered to be stored, by key.
@@ -68,6 +70,7 @@
         self.wider_zones: frozenset[str] | None = None
         self.recorded_starts = RecordedStarts()
         self.are_runs_recorded = True
+        self.has_complete_record = True
         self.left_out_checkpoints = 0
         self.stored: dict[str, bytes] = {}
         self.has_started = False
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,108 @@
+"""What an owner tells its successor of runs, over several changes of the owner.
+
+Pattern: an owner passes on what it doesn't know as unknown, never as known.
+"""
+
+import asyncio
+from unittest import mock
+
+from damaskdeck.coordination.pools import changeset
+from damaskdeck.protocol.queues import StepSpec
+from damaskdeck.state.jobrecords import RUNS_PREFIX, RunsRecord, decode_record
+from standins.pools import Work
+from tests.poolcluster import SECOND, SMALL, ClusterDaemon, PoolCase, make_job
+from tests.virtual import virtual
+
+# With this limit the runs of three tasks fit their record, those of six don't.
+MAX_RUNS_BYTES = 40
+# How long the task runs whose end lets the second owner write the record.
+SHORT = 1.5 * SECOND
+
+
+class HandoverCase(PoolCase):
+    """A job on several workers, one of which can't be read after a while."""
+
+    first_duration = SHORT
+
+    def behave(self, task, attempt: int) -> Work:
+        """Let tasks last, but for the first one."""
+        return Work(60 * SECOND if task.index else self.first_duration)
+
+    async def submit(self, tasks: int) -> None:
+        """Submit a job and wait until all its tasks run."""
+        spec = make_job(StepSpec(tasks, SMALL, SECOND))
+        await self.cluster.submit("j1", spec, self.cluster.find_other_daemon().name)
+        await self.cluster.wait(lambda: len(self.cluster.list_starts("j1")) == tasks)
+
+    def cut_off(self, name: str) -> None:
+        """Cut a worker off from all daemons; it runs on under its lease."""
+        for daemon in self.cluster.daemons.values():
+            daemon.workers.cut_off.add(name)
+
+    def find_worker(self, is_busy: bool) -> str:
+        """Return the name of a worker that runs other tasks than the first, or none."""
+        for name, worker in self.cluster.workers.items():
+            if is_busy == bool(worker.running) and all_last(worker.running):
+                return name
+        raise AssertionError("there is no such worker")
+
+    async def replace_owner(self) -> ClusterDaemon:
+        """Stop the owner as SIGTERM does; return the next one once it has loaded."""
+        cluster = self.cluster
+        await cluster.find_owner().stop()
+        await cluster.wait(lambda: cluster.find_owner() is not None)
+        return cluster.find_owner()
+
+    def read_record(self) -> RunsRecord | None:
+        """Return the stored record of the job's runs."""
+        entry = self.cluster.store.entries.get(RUNS_PREFIX + "j1")
+        return decode_record(RunsRecord, entry.value) if entry is not None else None
+
+    async def end_all(self) -> None:
+        """Wait until the lease of each worker that was cut off has expired."""
+        await asyncio.sleep(12)
+        self.end()
+
+
+class TestRecordThatDoesNotFit(HandoverCase):
+    """A job with more runs than its record takes."""
+
+    async def prepare(self, is_busy: bool) -> None:
+        """Start the job, cut a worker off and replace the owner.
+
+        :param is_busy: whether that worker runs any task.
+        """
+        await self.begin(daemons=4, behave=self.behave)
+        await self.submit(6)
+        self.assertFalse(self.read_record().is_complete)
+        self.cut_off(self.find_worker(is_busy))
+        await asyncio.sleep(0.3)
+        await self.replace_owner()
+
+    # Otherwise the owner after that starts again what the worker still runs.
+    @virtual
+    async def test_a_record_stays_incomplete_while_a_worker_is_unread(self):
+        with mock.patch.object(changeset, "MAX_RUNS_BYTES", MAX_RUNS_BYTES):
+            await self.prepare(is_busy=True)
+            first = next(
+                w for w in self.cluster.workers.values() if not all_last(w.running)
+            )
+            await self.cluster.wait(lambda: all_last(first.running), 4)
+            await asyncio.sleep(0.5)
+            await self.replace_owner()
+            await self.end_all()
+
+    # Otherwise the job would wait for nothing under each further owner.
+    @virtual
+    async def test_a_record_is_complete_once_all_runs_are_known(self):
+        self.first_duration = 60 * SECOND
+        with mock.patch.object(changeset, "MAX_RUNS_BYTES", MAX_RUNS_BYTES):
+            await self.prepare(is_busy=False)
+        self.assertFalse(self.read_record().is_complete)
+        await self.cluster.wait(lambda: self.read_record().is_complete, 10)
+        await self.end_all()
+
+
+def all_last(running) -> bool:
+    """Whether a worker runs only tasks that last."""
+    return all(task.index for task in running)
