Hold a job back whose recorded runs can't be decoded

What callers would see: all tasks of a job that a lost worker still runs start again at once after a change of the owner.

Cause: the record was decoded after its job had been accepted, so that ignoring the job had no effect, and the job counted as one whose runs are all on record.

Evidence: the test stores a value that can't be decoded; two tasks run twice.

Change: such a record counts as incomplete. The job isn't ignored: it waits until all workers are reconciled, when all its runs are known, and its record is replaced.

--- a/src/damaskdeck/coordination/pools/intake.py
+++ b/src/damaskdeck/coordination/pools/intake.py
@@ -119,8 +119,14 @@
         try:
             self.recorded_runs[identifier] = decode_record(RunsRecord, entry.value)
         except MessageError as error:
-            # Nothing can be started on workers that can't be read without it.
-            self._ignore_job(identifier, str(error))
+            # The job waits until the lists of all workers show its runs.
+            self.recorded_runs[identifier] = RunsRecord(is_complete=False)
+            _log.error(
+                "Failed to decode the runs of a job.",
+                id=identifier,
+                code=MessageError.code,
+                error=str(error),
+            )
 
     def _restore_starts(self, entry: Entry) -> None:
         job = self._owner.job_index.jobs.get(entry.key.removeprefix(STARTS_PREFIX))
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -15,7 +15,7 @@
     RunsRecord,
     decode_record,
 )
-from standins.pools import Work
+from standins.pools import StandinRegistry, Work
 from tests.poolcluster import SECOND, SMALL, ClusterDaemon, PoolCase, make_job
 from tests.virtual import virtual
 
@@ -144,3 +144,46 @@
         self.cut_off(self.find_worker(is_busy=True))
         await self.replace_owner()
         await self.end_all()
+
+
+class TestUnreadableRecords(HandoverCase):
+    """Records that an owner can't decode, over two handovers beside a lost worker."""
+
+    first_duration = 60 * SECOND
+    unreadable = b"\xc1"
+
+    async def prepare(self) -> str:
+        """Start a job; a worker of it is cut off, and its registration is gone."""
+        cluster = await self.begin(daemons=4, behave=self.behave)
+        await self.submit(6)
+        lost = self.find_worker(is_busy=True)
+        cluster.isolate(lost)
+        cluster.store.set(StandinRegistry.prefix + lost, None)
+        return lost
+
+    async def replace_owners(self) -> None:
+        """Replace the owner, and its successor before the worker's lease is over."""
+        await self.replace_owner()
+        await asyncio.sleep(0.5)
+        await self.replace_owner()
+
+    async def check_lost_tasks_start_again(self, lost: str) -> None:
+        """Check that the tasks of a lost worker start again once its lease is over."""
+        tasks = {row[1] for row in self.cluster.list_starts() if row[3] == lost}
+        await self.cluster.wait(
+            lambda: all(
+                sum(row[1] == task for row in self.cluster.list_starts()) == 2
+                for task in tasks
+            ),
+            12,
+        )
+        self.end()
+
+    # Otherwise its runs count as none, and all of them start again.
+    @virtual
+    async def test_a_job_waits_whose_runs_cannot_be_decoded(self):
+        lost = await self.prepare()
+        self.cluster.store.set(RUNS_PREFIX + "j1", self.unreadable)
+        await self.replace_owners()
+        await self.check_lost_tasks_start_again(lost)
+        self.assertTrue(self.read_record().is_complete)
