Keep an unreadable roster until the leases of its workers are over

What callers would see: a task runs twice at the same time after two changes of the owner, beside a worker that is cut off and no longer registered.

Cause: an owner that couldn't decode the roster waited for all leases, but replaced the roster at once by one of the registered workers. The owner after it found that, and had no reason to wait.

Evidence: the test stores a roster that can't be decoded and an incomplete record of a job's runs; after two handovers two tasks run twice.

Change: the roster isn't written before that wait is over, and it begins before the registrations are applied. No worker gets orders until then, as before for the jobs that may have runs there; that is one lease, after a record that can't be decoded.

--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -196,15 +196,14 @@
             contact.is_listed = False
             contact.is_rostered = True
             self._births.record(contact.incarnation, worker.address)
-        self._apply_all(found)
-        if self._term.predecessor is not None:
-            self._unreconciled = {
-                name: contact.info.zone for name, contact in self.contacts.items()
-            }
         if roster is None:
             self._unreconciled[_UNREADABLE_ROSTER] = ""
             self._start_task(self._wait_for_unknown_workers())
-        else:
+        self._apply_all(found)
+        if self._term.predecessor is not None:
+            for name, contact in self.contacts.items():
+                self._unreconciled[name] = contact.info.zone
+        if roster is not None:
             self.cordons.load(inherited.cordons)
 
     async def _wait_for_unknown_workers(self) -> None:
@@ -216,6 +215,15 @@
         while not await dependencies.leadership.is_confirmed_since(find_expiry()):
             await dependencies.clock.sleep(RETRY_DELAY)
         self._mark_reconciled(_UNREADABLE_ROSTER)
+        self._change_roster()
+
+    def _change_roster(self) -> None:
+        """Let the roster be written, unless its workers have to be waited for.
+
+        A successor must not find a readable roster that lacks them.
+        """
+        if _UNREADABLE_ROSTER not in self._unreconciled:
+            self._callbacks.on_roster_change()
 
     async def run(self) -> None:
         """Follow the registry until cancelled.
@@ -315,7 +323,7 @@
         if self.contacts.get(contact.info.identifier) is contact:
             del self.contacts[contact.info.identifier]
             self.mark_reconciled(contact)
-        self._callbacks.on_roster_change()
+        self._change_roster()
         postponed = self._postponed.get(contact.incarnation.name)
         if postponed is not None and self._apply_registration(
             postponed.worker, postponed.revision
@@ -353,7 +361,7 @@
         self._callbacks.on_replacement(contact)
         pass_orders(contact, successor, self._dependencies.times, self._now())
         contact.end_incarnation()
-        self._callbacks.on_roster_change()
+        self._change_roster()
 
     def _end_inherited(self) -> None:
         """End the incarnations of the previous owner's roster that were replaced.
@@ -434,14 +442,14 @@
             contact.update(worker, reported_at)
             if self._is_loaded:
                 self._replace_earlier(contact)
-            self._callbacks.on_roster_change()
+            self._change_roster()
             return True
         is_new = not contact.is_listed or contact.info != worker
         was_in_roster = contact.is_rostered
         contact.update(worker, reported_at)
         self._capacity_ages.record_report(contact, self._now())
         if was_in_roster and not contact.is_rostered:
-            self._callbacks.on_roster_change()
+            self._change_roster()
         return is_new
 
     def check_capacity_ages(self, now: float) -> None:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -10,10 +10,12 @@
 from damaskdeck.protocol.queues import StepSpec
 from damaskdeck.state.jobrecords import (
     RECORDING_KEY,
+    ROSTER_KEY,
     RUNS_PREFIX,
     RecordingRecord,
     RunsRecord,
     decode_record,
+    encode_record,
 )
 from standins.pools import StandinRegistry, Work
 from tests.poolcluster import SECOND, SMALL, ClusterDaemon, PoolCase, make_job
@@ -23,6 +25,7 @@
 MAX_RUNS_BYTES = 40
 # How long the task runs whose end lets the second owner write the record.
 SHORT = 1.5 * SECOND
+INCOMPLETE = encode_record(RunsRecord(is_complete=False))
 
 
 class HandoverCase(PoolCase):
@@ -187,3 +190,12 @@
         await self.replace_owners()
         await self.check_lost_tasks_start_again(lost)
         self.assertTrue(self.read_record().is_complete)
+
+    # Otherwise the second successor finds a roster that lacks the worker.
+    @virtual
+    async def test_an_unreadable_roster_is_kept_until_its_leases_are_over(self):
+        lost = await self.prepare()
+        self.cluster.store.set(ROSTER_KEY, self.unreadable)
+        self.cluster.store.set(RUNS_PREFIX + "j1", INCOMPLETE)
+        await self.replace_owners()
+        await self.check_lost_tasks_start_again(lost)
