Wait for the worker of a recorded run that the roster lacks

What callers would see: a task runs twice at the same time after a change of the owner, as its run is on record and its worker is neither rostered nor registered.

Cause: such a job waited until all workers of the roster had answered, which says nothing of the one that isn't in it. The run was also dropped from the record with the next change of its job, so that the owner after that didn't know of it at all.

Evidence: the test takes a worker out of the stored roster and of the registry; two tasks run twice, also with the wait alone, once a task has ended between two handovers.

Change: the runs of such workers count as unconfirmed until one lease is over, and stay on record for as long. Each is logged.

Result: the test fails before and passes now.

--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -180,6 +180,7 @@
         self._inherited_runs = InheritedRuns(
             self,
             lambda zones, job: self._fleet.are_workers_reconciled(zones, job),
+            lambda: self._fleet.wait_for_unknown_workers(),
             self._handle_release,
         )
         self._fleet = WorkerFleet(
--- a/src/damaskdeck/coordination/pools/predecessors/runs.py
+++ b/src/damaskdeck/coordination/pools/predecessors/runs.py
@@ -11,9 +11,12 @@
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.predecessors.recording import RunRecording
 from damaskdeck.coordination.pools.transfers import OwnerTerm
+from damaskdeck.logs import get_logger
 from damaskdeck.protocol.queues import TaskName
 from damaskdeck.state.jobrecords import RUNS_PREFIX, RunsRecord, encode_record
-from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Task
+from damaskdeck.state.pooljobs import Job, JobIndex, Run, RunPhase, Task, UnplacedRun
+
+_log = get_logger("owner")
 
 
 class RunsOwner(Protocol):
@@ -40,6 +43,7 @@
 
     :param are_reconciled: returns whether all runs of a job on the workers of the given
         availability zones must be known.
+    :param on_unknown_worker: called for a recorded run on a worker that isn't known.
     :param on_release: called with a job, which may have ended, that has no unknown runs
         any more.
     """
@@ -48,10 +52,12 @@
         self,
         owner: RunsOwner,
         are_reconciled: Callable[[frozenset[str], str], bool],
+        on_unknown_worker: Callable[[], None],
         on_release: Callable[[Job], None],
     ) -> None:
         self._owner = owner
         self._are_reconciled = are_reconciled
+        self._on_unknown_worker = on_unknown_worker
         self._on_release = on_release
         # The jobs with unconfirmed runs, ended ones too.
         self._held: dict[str, Job] = {}
@@ -75,9 +81,8 @@
                     continue
                 if contact is not None:
                     self._restore_run(task, contact, attempt)
-                else:
-                    # The roster can't be read, or is of another version.
-                    job.are_runs_recorded = False
+                    continue
+                self._record_unplaced(task, record.workers[position], attempt)
 
     def _restore_run(self, task: Task, contact: WorkerContact, attempt: int) -> None:
         run = self.add(task, contact, attempt)
@@ -86,6 +91,21 @@
         if task.step.job.is_final or task.is_completed:
             contact.stop(run)
 
+    def _record_unplaced(self, task: Task, worker: str, attempt: int) -> None:
+        """Record a run on a worker that neither the roster nor the registry lists."""
+        job = task.step.job
+        _log.warn(
+            "The worker of a recorded run isn't known.",
+            id=job.identifier,
+            task=task.name[1:],
+            attempt=attempt,
+            worker=worker,
+        )
+        task.attempt = max(task.attempt, attempt)
+        job.are_runs_recorded = False
+        job.unplaced_runs.append(UnplacedRun(task.name, attempt, worker))
+        self._on_unknown_worker()
+
     def add(self, task: Task, contact: WorkerContact, attempt: int) -> Run:
         """Add a run that an earlier owner has started, and return it."""
         run = Run(task, contact.info.identifier, attempt, self._owner.now())
@@ -137,5 +157,6 @@
                 continue
             del self._held[job.identifier]
             job.has_unconfirmed_runs = False
+            job.unplaced_runs.clear()
             job.confirmed_at = self._owner.now()
             self._on_release(job)
--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -45,8 +45,9 @@
 )
 
 WATCH_WAIT = timedelta(seconds=1)
-# Stands for the workers of an unreadable roster; no worker has this name.
-_UNREADABLE_ROSTER = ""
+# Stands for the workers of an unreadable roster, and of records of runs that the roster
+# lacks; no worker has this name.
+_UNKNOWN_WORKERS = ""
 # Assumed size of workers that nothing is known of.
 UNKNOWN_WORKER_SIZE = UNLIMITED_SIZE
 # Registrations change with each heartbeat; collecting changes for this time saves
@@ -197,8 +198,7 @@
             contact.is_rostered = True
             self._births.record(contact.incarnation, worker.address)
         if roster is None:
-            self._unreconciled[_UNREADABLE_ROSTER] = ""
-            self._start_task(self._wait_for_unknown_workers())
+            self.wait_for_unknown_workers()
         self._apply_all(found)
         if self._term.predecessor is not None:
             for name, contact in self.contacts.items():
@@ -206,15 +206,21 @@
         if roster is not None:
             self.cordons.load(inherited.cordons)
 
-    async def _wait_for_unknown_workers(self) -> None:
-        """Wait until nothing can run on the workers of an unreadable roster."""
+    def wait_for_unknown_workers(self) -> None:
+        """Count the workers that the roster lacks as unreconciled, for one lease."""
+        if _UNKNOWN_WORKERS not in self._unreconciled:
+            self._unreconciled[_UNKNOWN_WORKERS] = ""
+            self._start_task(self._reconcile_unknown_workers())
+
+    async def _reconcile_unknown_workers(self) -> None:
+        """Wait until nothing can run on workers that the roster lacks."""
         dependencies = self._dependencies
         find_expiry = self._bound_inherited_leases(may_have_returned=True)
         while self._now() < find_expiry():
             await dependencies.clock.sleep(RETRY_DELAY)
         while not await dependencies.leadership.is_confirmed_since(find_expiry()):
             await dependencies.clock.sleep(RETRY_DELAY)
-        self._mark_reconciled(_UNREADABLE_ROSTER)
+        self._mark_reconciled(_UNKNOWN_WORKERS)
         self._change_roster()
 
     def _change_roster(self) -> None:
@@ -222,7 +228,7 @@
 
         A successor must not find a readable roster that lacks them.
         """
-        if _UNREADABLE_ROSTER not in self._unreconciled:
+        if _UNKNOWN_WORKERS not in self._unreconciled:
             self._callbacks.on_roster_change()
 
     async def run(self) -> None:
--- a/src/damaskdeck/state/pooljobs/__init__.py
+++ b/src/damaskdeck/state/pooljobs/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from damaskdeck.state.pooljobs.footprint import MAX_WAITING_STEPS, estimate_footprint
-from damaskdeck.state.pooljobs.jobs import Job, JobIndex
+from damaskdeck.state.pooljobs.jobs import Job, JobIndex, UnplacedRun
 from damaskdeck.state.pooljobs.occurrences import Occurrence
 from damaskdeck.state.pooljobs.runs import ProgressRate, Run, RunPhase
 from damaskdeck.state.pooljobs.steps import CheckpointRoom, Step
@@ -22,5 +22,6 @@
     "RunPhase",
     "Step",
     "Task",
+    "UnplacedRun",
     "estimate_footprint",
 ]
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 from functools import cached_property
+from itertools import chain
+from typing import NamedTuple
 
 from damaskdeck.errors import MessageError
 from damaskdeck.protocol.queues import QueueJobState, TaskName
@@ -31,6 +33,17 @@
 from damaskdeck.state.recordedstarts import RecordedStarts
 
 
+class UnplacedRun(NamedTuple):
+    """A recorded run on a worker that the owner doesn't know.
+
+    :param worker: identifier of the worker's incarnation.
+    """
+
+    task: TaskName
+    attempt: int
+    worker: str
+
+
 class Job:
     """A job with the steps of its occurrences.
 
@@ -52,6 +65,8 @@
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
     :ivar recorded_starts: the starts of tasks that may have crashed workers.
     :ivar are_runs_recorded: whether its record had all runs when this owner read it.
+    :ivar unplaced_runs: recorded runs on workers that this owner doesn't know, as long as
+        the job has unconfirmed ones.
     :ivar has_complete_record: whether its record, as last gathered to be stored, claims
         to have all runs.
     :ivar left_out_checkpoints: the number of checkpoints without room in the store that
@@ -70,6 +85,7 @@
         self.wider_zones: frozenset[str] | None = None
         self.recorded_starts = RecordedStarts()
         self.are_runs_recorded = True
+        self.unplaced_runs: list[UnplacedRun] = []
         self.has_complete_record = True
         self.left_out_checkpoints = 0
         self.stored: dict[str, bytes] = {}
@@ -401,13 +417,10 @@
     def summarize_runs(self) -> RunsRecord:
         """Return its runs, to be stored."""
         workers: dict[str, int] = {}
+        placed = ((run.task.name, run.attempt, run.worker) for run in self.runs)
         runs = tuple(
-            RecordedRun(
-                *run.task.name[1:],
-                run.attempt,
-                workers.setdefault(run.worker, len(workers)),
-            )
-            for run in self.runs
+            RecordedRun(*name[1:], attempt, workers.setdefault(worker, len(workers)))
+            for name, attempt, worker in chain(placed, self.unplaced_runs)
         )
         return RunsRecord(tuple(workers), runs)
 
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -13,6 +13,7 @@
     ROSTER_KEY,
     RUNS_PREFIX,
     RecordingRecord,
+    RosterRecord,
     RunsRecord,
     decode_record,
     encode_record,
@@ -152,7 +153,6 @@
 class TestUnreadableRecords(HandoverCase):
     """Records that an owner can't decode, over two handovers beside a lost worker."""
 
-    first_duration = 60 * SECOND
     unreadable = b"\xc1"
 
     async def prepare(self) -> str:
@@ -165,9 +165,12 @@
         return lost
 
     async def replace_owners(self) -> None:
-        """Replace the owner, and its successor before the worker's lease is over."""
+        """Replace the owner, and its successor before the worker's lease is over.
+
+        A task ends between the two, so that the record of the job's runs is written.
+        """
         await self.replace_owner()
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(1.5)
         await self.replace_owner()
 
     async def check_lost_tasks_start_again(self, lost: str) -> None:
@@ -199,3 +202,14 @@
         self.cluster.store.set(RUNS_PREFIX + "j1", INCOMPLETE)
         await self.replace_owners()
         await self.check_lost_tasks_start_again(lost)
+
+    # Otherwise only the workers of the roster are waited for.
+    @virtual
+    async def test_a_recorded_worker_that_the_roster_lacks_is_waited_for(self):
+        lost = await self.prepare()
+        entry = self.cluster.store.entries[ROSTER_KEY]
+        roster = decode_record(RosterRecord, entry.value)
+        others = tuple(w for w in roster.workers if w.identifier != lost)
+        self.cluster.store.set(ROSTER_KEY, encode_record(RosterRecord(others)))
+        await self.replace_owners()
+        await self.check_lost_tasks_start_again(lost)
