--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -65,8 +65,8 @@
     :ivar wider_zones: the zones that replace them, ``None`` when no change is pending.
     :ivar recorded_starts: the starts of tasks that may have crashed workers.
     :ivar are_runs_recorded: whether its record had all runs when this owner read it.
-    :ivar unplaced_runs: recorded runs on workers that this owner doesn't know, while the
-        job has unconfirmed ones.
+    :ivar unplaced_runs: recorded runs on workers that this owner doesn't know, as long
+        as the job has unconfirmed ones.
     :ivar has_complete_record: whether its record, as last gathered to be stored, claims
         to have all runs.
     :ivar left_out_checkpoints: the number of checkpoints without room in the store that
