Mark a roster as incomplete instead of holding it back

Change: the roster is written at once and says that it is incomplete while workers may exist that it lacks; a successor then waits for these as well. A complete one is stored as before, as daemons of earlier versions can't decode a longer one; to them an incomplete one is unreadable, and they wait.

--- a/src/damaskdeck/coordination/pools/workerfleet.py
+++ b/src/damaskdeck/coordination/pools/workerfleet.py
@@ -41,7 +41,7 @@
     ROSTER_KEY,
     CordonedRun,
     RosterRecord,
-    encode_record,
+    encode_roster,
 )
 
 WATCH_WAIT = timedelta(seconds=1)
@@ -197,12 +197,13 @@
             contact.is_listed = False
             contact.is_rostered = True
             self._births.record(contact.incarnation, worker.address)
-        if roster is None:
-            self.wait_for_unknown_workers()
         self._apply_all(found)
         if self._term.predecessor is not None:
-            for name, contact in self.contacts.items():
-                self._unreconciled[name] = contact.info.zone
+            self._unreconciled = {
+                name: contact.info.zone for name, contact in self.contacts.items()
+            }
+        if roster is None or not roster.is_complete:
+            self.wait_for_unknown_workers()
         if roster is not None:
             self.cordons.load(inherited.cordons)
 
@@ -221,15 +222,7 @@
         while not await dependencies.leadership.is_confirmed_since(find_expiry()):
             await dependencies.clock.sleep(RETRY_DELAY)
         self._mark_reconciled(_UNKNOWN_WORKERS)
-        self._change_roster()
-
-    def _change_roster(self) -> None:
-        """Let the roster be written, unless its workers have to be waited for.
-
-        A successor must not find a readable roster that lacks them.
-        """
-        if _UNKNOWN_WORKERS not in self._unreconciled:
-            self._callbacks.on_roster_change()
+        self._callbacks.on_roster_change()
 
     async def run(self) -> None:
         """Follow the registry until cancelled.
@@ -277,7 +270,9 @@
             if contact.has_unsettled_runs or not contact.is_gone
         ]
         roster = RosterRecord(
-            tuple(c.info._replace(size=peak_size) for c, peak_size in listed)
+            tuple(c.info._replace(size=peak_size) for c, peak_size in listed),
+            # A successor has to wait for the workers that this roster lacks, too.
+            is_complete=_UNKNOWN_WORKERS not in self._unreconciled,
         )
 
         def mark_durable() -> bool:
@@ -285,7 +280,7 @@
                 contact.is_rostered = contact.peak_size == peak_size
             return bool(listed)
 
-        return Write(ROSTER_KEY, encode_record(roster)), mark_durable
+        return Write(ROSTER_KEY, encode_roster(roster)), mark_durable
 
     def _bound_inherited_leases(
         self, is_silent: bool = False, may_have_returned: bool = False
@@ -329,7 +324,7 @@
         if self.contacts.get(contact.info.identifier) is contact:
             del self.contacts[contact.info.identifier]
             self.mark_reconciled(contact)
-        self._change_roster()
+        self._callbacks.on_roster_change()
         postponed = self._postponed.get(contact.incarnation.name)
         if postponed is not None and self._apply_registration(
             postponed.worker, postponed.revision
@@ -367,7 +362,7 @@
         self._callbacks.on_replacement(contact)
         pass_orders(contact, successor, self._dependencies.times, self._now())
         contact.end_incarnation()
-        self._change_roster()
+        self._callbacks.on_roster_change()
 
     def _end_inherited(self) -> None:
         """End the incarnations of the previous owner's roster that were replaced.
@@ -448,14 +443,14 @@
             contact.update(worker, reported_at)
             if self._is_loaded:
                 self._replace_earlier(contact)
-            self._change_roster()
+            self._callbacks.on_roster_change()
             return True
         is_new = not contact.is_listed or contact.info != worker
         was_in_roster = contact.is_rostered
         contact.update(worker, reported_at)
         self._capacity_ages.record_report(contact, self._now())
         if was_in_roster and not contact.is_rostered:
-            self._change_roster()
+            self._callbacks.on_roster_change()
         return is_new
 
     def check_capacity_ages(self, now: float) -> None:
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -127,9 +127,13 @@
 
 
 class RosterRecord(NamedTuple):
-    """Workers that may run what the owner ordered."""
+    """Workers that may run what the owner ordered.
+
+    :param is_complete: whether no other worker may run what earlier owners ordered.
+    """
 
     workers: tuple[PoolWorker, ...] = ()
+    is_complete: bool = True
 
 
 class CordonedRun(NamedTuple):
@@ -336,6 +340,14 @@
     return _encoder.encode(record)
 
 
+def encode_roster(roster: RosterRecord) -> bytes:
+    """Encode a roster, a complete one as earlier versions know it.
+
+    These can't decode an incomplete one, and wait for unknown workers as well.
+    """
+    return encode_record((roster.workers,) if roster.is_complete else roster)
+
+
 def decode_record(kind: type[T], value: bytes) -> T:
     """Decode a record.
 
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import unittest
 from unittest import mock
 
 from damaskdeck.coordination.pools import changeset
@@ -17,6 +18,7 @@
     RunsRecord,
     decode_record,
     encode_record,
+    encode_roster,
 )
 from standins.pools import StandinRegistry, Work
 from tests.poolcluster import SECOND, SMALL, ClusterDaemon, PoolCase, make_job
@@ -196,7 +198,7 @@
 
     # Otherwise the second successor finds a roster that lacks the worker.
     @virtual
-    async def test_an_unreadable_roster_is_kept_until_its_leases_are_over(self):
+    async def test_a_roster_is_incomplete_after_an_unreadable_one(self):
         lost = await self.prepare()
         self.cluster.store.set(ROSTER_KEY, self.unreadable)
         self.cluster.store.set(RUNS_PREFIX + "j1", INCOMPLETE)
@@ -213,3 +215,18 @@
         self.cluster.store.set(ROSTER_KEY, encode_record(RosterRecord(others)))
         await self.replace_owners()
         await self.check_lost_tasks_start_again(lost)
+
+
+class TestRoster(unittest.TestCase):
+    """How rosters are stored."""
+
+    # Earlier versions, which run beside this one during a release, would wait for
+    # unknown workers after each takeover.
+    def test_a_complete_roster_has_no_flag(self):
+        value = encode_roster(RosterRecord(()))
+        self.assertEqual(value, encode_record(((),)))
+        self.assertEqual(decode_record(RosterRecord, value), RosterRecord(()))
+
+    def test_an_incomplete_roster_says_so(self):
+        roster = RosterRecord((), is_complete=False)
+        self.assertEqual(decode_record(RosterRecord, encode_roster(roster)), roster)
