Note ends only over the connection that has listed them

Cause: a poll names the last durable end, and no call can name a worker's birth. It was sent if a list had confirmed the birth within 0.25 s, as "a worker needs longer than this to restart". Between a list and the next poll lies the commit of the ends; a worker that returns meanwhile took its own ends up to that number for noted, and never listed them.

Evidence: the new test restarts a worker right after its answer; the next incarnation is told that its first end was observed.

Change: such a poll, and one that extends the lease, is sent only over the connection of the last list, which ends with the worker's process. If that is gone, nothing is sent, and the next poll names no ends and extends nothing. Polls of workers with births use connections of their own, as an order may otherwise take the one needed. Workers without births are polled as before. The time bound is gone, and with it the estimate of an answer's age.

Why it works: a connection is accepted by one process. That of a list can't lead to a later one, however soon that starts, and however late the list is read.

Tests: the check on 0.25 s is replaced by one that only the listing connection confirms a birth; the one on an answer that is read late now looks at what the next incarnation is told, as does the new one, which fails before.

--- a/src/damaskdeck/coordination/pools/births.py
+++ b/src/damaskdeck/coordination/pools/births.py
@@ -12,9 +12,6 @@
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.pools import PoolWorker, WorkerIncarnation
 
-# A worker needs longer than this to restart, so a call that is sent this soon after an
-# answer reaches the incarnation that has answered.
-CONFIRMATION_SECONDS = 0.25
 # Answers to concurrent calls arrive out of order by less than this, so a clock that
 # goes back further is that of another incarnation.
 MAX_REORDERING_SECONDS = 0.1
@@ -37,6 +34,8 @@
     """The birth that a contact expects in the lists of its worker.
 
     :ivar incarnation: the incarnation that the contact is for.
+    :ivar connection: the connection over which it has last listed its runs, ``None`` if
+        another incarnation may answer the next call. It ends with the incarnation.
     """
 
     def __init__(self, identifier: str) -> None:
@@ -44,31 +43,31 @@
         self._born = self.incarnation.born
         # Without a registered birth, the first list says what to expect.
         self._is_known = self._born is not None
-        self._confirmed_at = float("-inf")
+        self.connection: object = None
 
-    def match(self, born: int | None, answered_at: float) -> BirthMatch:
+    def match(self, born: int | None, connection: object) -> BirthMatch:
         """Compare the birth in a list of runs with the expected one.
 
-        :param answered_at: when the worker has answered, which may be long ago if this
-            process was frozen.
+        :param connection: the connection of the list.
         """
         if not self._is_known:
             self._born, self._is_known = born, True
         if born == self._born:
-            self._confirmed_at = answered_at
+            self.connection = connection if self.is_reported else None
             return BirthMatch.SAME
         return BirthMatch.MISSING if born is None else BirthMatch.OTHER
 
     def forget_answers(self) -> None:
         """Record that a call has failed, since which the worker may have restarted."""
-        self._confirmed_at = float("-inf")
+        self.connection = None
 
-    def is_confirmed(self, now: float) -> bool:
-        """Whether a call sent now reaches the incarnation that has listed its runs.
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the next poll reaches no other incarnation than the listed one.
 
         It always does where workers report no births.
         """
-        return not self.is_reported or now - self._confirmed_at <= CONFIRMATION_SECONDS
+        return not self.is_reported or self.connection is not None
 
     @property
     def is_reported(self) -> bool:
--- a/src/damaskdeck/coordination/pools/workerlease.py
+++ b/src/damaskdeck/coordination/pools/workerlease.py
@@ -61,15 +61,6 @@
         assert self._worker_clock is not None
         return self._worker_clock + timedelta(seconds=now - self._clock_read_at)
 
-    def estimate_age(self, clock: timedelta, now: float) -> float:
-        """Return how many seconds ago an answer with a clock was sent.
-
-        This is infinite before the first recorded clock.
-        """
-        if self._worker_clock is None:
-            return float("inf")
-        return max(0.0, (self.estimate_clock(now) - clock).total_seconds())
-
     def extend(self, now: float, lease: timedelta, limit: float) -> timedelta | None:
         """Extend the lease to ``lease`` from now; bound its expiry by the local clock.
 
--- a/src/damaskdeck/coordination/pools/workerpoller.py
+++ b/src/damaskdeck/coordination/pools/workerpoller.py
@@ -16,7 +16,7 @@
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import observe_latency
 from damaskdeck.protocol.pools import Declined, Replaced, WorkerTasks
-from damaskdeck.protocol.ports import Lost, Rejected
+from damaskdeck.protocol.ports import OTHER_CONNECTION, Lost, Rejected
 
 if TYPE_CHECKING:
     from damaskdeck.coordination.pools.contacts import WorkerContact
@@ -95,7 +95,7 @@
         sent_at = session.now()
         # The next incarnation would count its own ends as observed, and extend its
         # lease by a time on the clock of this one.
-        is_confirmed = session.birth.is_confirmed(sent_at)
+        is_confirmed = session.birth.is_confirmed
         deadline = self._find_deadline() if is_confirmed else None
         is_idle = deadline is None and not (
             contact.is_synchronized and contact.is_cordoned
@@ -114,25 +114,26 @@
         if answer is None:
             # The poll was cut short here, which says nothing about the worker.
             return
+        if answer == Rejected(OTHER_CONNECTION):
+            # The next poll asks for the birth over a new connection.
+            session.birth.forget_answers()
+            return
         now = session.now()
         if isinstance(answer, WorkerTasks):
             self.answer_due = float("inf")
-            if await self._check_birth(answer, sent_at, now):
+            if await self._check_birth(answer, now):
                 await self._handle_tasks(answer, sent_at, now, is_confirmed)
         elif isinstance(answer, Replaced):
             contact.end_incarnation()
         else:
             await self._handle_failed_poll(answer, now)
 
-    async def _check_birth(
-        self, answer: WorkerTasks, sent_at: float, now: float
-    ) -> bool:
+    async def _check_birth(self, answer: WorkerTasks, now: float) -> bool:
         """Return whether a list of runs is of this incarnation."""
         contact, session = self._contact, self._session
         if contact.is_gone and session.birth.is_reported:
             return False
-        age = min(now - sent_at, session.lease.estimate_age(answer.clock, now))
-        match = session.birth.match(answer.born, now - age)
+        match = session.birth.match(answer.born, answer.connection)
         if match is BirthMatch.MISSING:
             await self._handle_failed_poll(Lost("no_birth"), now)
         elif match is BirthMatch.OTHER and answer.born is not None:
@@ -163,7 +164,12 @@
         session = self._session
         call = asyncio.ensure_future(
             session.port.poll(
-                self._contact.info, session.epoch, observed, deadline, wait
+                self._contact.info,
+                session.epoch,
+                observed,
+                deadline,
+                wait,
+                session.birth.connection,
             )
         )
         if not wait:
@@ -205,8 +211,7 @@
         self._owner.handle_contact_change(contact)
         self._orders.repeat_due_stops()
         if not is_confirmed:
-            # The next poll has to be sent while the birth is confirmed, or the lease
-            # would never be extended while ends can't be stored.
+            # The next poll, over the same connection, extends the lease.
             return
         if (
             contact.last_received_end == before
--- a/src/damaskdeck/platform/client.py
+++ b/src/damaskdeck/platform/client.py
@@ -3,16 +3,18 @@
 import asyncio
 import socket
 from collections.abc import Mapping
+from contextvars import ContextVar
 from datetime import timedelta
 from typing import Any, NamedTuple
 
 import aiohttp
 import msgspec
+from aiohttp.connector import Connection
 
 from damaskdeck.delays import LoopDelay, ReplyLimit
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
-from damaskdeck.protocol.ports import Lost, Rejected
+from damaskdeck.protocol.ports import OTHER_CONNECTION, Lost, Rejected
 
 # The kernel closes a connection whose peer acknowledges nothing for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 2500
@@ -30,10 +32,14 @@
 
 
 class Reply(NamedTuple):
-    """A response of the platform."""
+    """A response of the platform.
+
+    :param connection: stands for the connection that it came over.
+    """
 
     status: int
     body: bytes
+    connection: object = None
 
 
 class OversizedReply(NamedTuple):
@@ -46,6 +52,40 @@
     size: int
 
 
+class _Route:
+    """The connection that a call has used, and the one that it must use, if any."""
+
+    def __init__(self, required: object) -> None:
+        self.required = required
+        self.used: object = None
+
+
+_route: ContextVar[_Route | None] = ContextVar("_route", default=None)
+
+
+class _OtherConnectionError(Exception):
+    """A call would use another connection than the one that it must use."""
+
+
+class _RoutingConnector(aiohttp.TCPConnector):
+    """Connects each call according to its route."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        connection = await super().connect(req, traces, timeout)
+        route = _route.get()
+        if route is not None:
+            route.used = connection.transport
+            if route.required not in (None, route.used):
+                connection.release()
+                raise _OtherConnectionError
+        return connection
+
+
 class PlatformClient:
     """Calls the platform over HTTP/1.1 with JSON bodies.
 
@@ -54,8 +94,8 @@
 
     def __init__(self, delay: LoopDelay | None = None) -> None:
         self._delay = delay if delay is not None else LoopDelay()
-        # One session for each keep-alive time, in seconds.
-        self._sessions: dict[float, aiohttp.ClientSession] = {}
+        # One session for each keep-alive time, in seconds, and pool of connections.
+        self._sessions: dict[tuple[float, str], aiohttp.ClientSession] = {}
 
     async def call(
         self,
@@ -69,6 +109,8 @@
         keepalive_seconds: float = KEEPALIVE_SECONDS,
         max_reply_bytes: int | None = None,
         first_byte_timeout: timedelta | None = None,
+        pool: str = "",
+        connection: object = None,
     ) -> Reply | OversizedReply | Rejected | Lost:
         """Make one call.
 
@@ -80,6 +122,9 @@
         :param keepalive_seconds: how long the idle connection is kept for reuse.
         :param max_reply_bytes: bodies longer than this are not read.
         :param first_byte_timeout: limit on the time until the response begins.
+        :param pool: names the connections that may be used; others are kept apart.
+        :param connection: the only connection to use, from an earlier reply. If it has
+            been closed, or another call uses it, the result is ``Rejected``.
         """
         data = None if body is None else _encoder.encode(body)
         late = self._delay.seconds
@@ -90,7 +135,7 @@
             if read_timeout is not None
             else None,
         )
-        session = self._get_session(keepalive_seconds)
+        session = self._get_session(keepalive_seconds, pool)
         request = session.request(
             method,
             f"http://{address}{path}",
@@ -101,6 +146,8 @@
         )
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
+        route = _Route(connection)
+        token = _route.set(route)
         try:
             async with ReplyLimit(first_byte_timeout or timeout, self._delay):
                 pending_response = await request
@@ -112,29 +159,37 @@
                     return OversizedReply(response.status, size)
                 rest = timeout - timedelta(seconds=loop.time() - sent_at)
                 limit = ReplyLimit(max(rest, timedelta()), self._delay)
-                reply = Reply(response.status, await _read_body(response, limit))
+                content = await _read_body(response, limit)
+            reply = Reply(response.status, content, route.used)
+        except _OtherConnectionError:
+            return Rejected(OTHER_CONNECTION)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Rejected("unreachable", str(error))
         except TimeoutError:
             return Lost("timeout")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Lost("broken_channel", repr(error))
+        finally:
+            _route.reset(token)
         if reply.status in BUSY_STATUSES:
             return Rejected("busy", str(reply.status))
         return reply
 
-    def _get_session(self, keepalive_seconds: float) -> aiohttp.ClientSession:
-        if keepalive_seconds not in self._sessions:
-            connector = aiohttp.TCPConnector(
+    def _get_session(
+        self, keepalive_seconds: float, pool: str = ""
+    ) -> aiohttp.ClientSession:
+        key = keepalive_seconds, pool
+        if key not in self._sessions:
+            connector = _RoutingConnector(
                 limit=0,
                 keepalive_timeout=keepalive_seconds,
                 socket_factory=_open_socket,
                 use_dns_cache=False,
             )
-            self._sessions[keepalive_seconds] = aiohttp.ClientSession(
+            self._sessions[key] = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
             )
-        return self._sessions[keepalive_seconds]
+        return self._sessions[key]
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/damaskdeck/platform/workers.py
+++ b/src/damaskdeck/platform/workers.py
@@ -158,6 +158,7 @@
         observed: int,
         deadline: timedelta | None,
         wait: timedelta,
+        connection: object = None,
     ) -> WorkerTasks | Declined | Replaced | Rejected | Lost:
         """Extend the worker's lease and return its tasks.
 
@@ -165,6 +166,8 @@
             ends up to it.
         :param deadline: end of the lease on the worker's clock; ``None`` leaves it.
         :param wait: how long the worker may wait for an end before it replies.
+        :param connection: the connection of an earlier answer, which ends with the
+            worker's process, and which has to be used.
         """
         body: dict[str, Any] = {"fencing_token": epoch, "observed": observed}
         if deadline is not None:
@@ -179,6 +182,9 @@
             wait + _POLL_TIMEOUT_MARGIN,
             body,
             _name_worker(worker),
+            # Orders must not take the connection that the next poll needs.
+            pool="polls" if _has_birth(worker) else "",
+            connection=connection,
         )
         if not isinstance(reply, Reply):
             return reply
@@ -194,12 +200,17 @@
     if isinstance(response, Lost):
         return response
     try:
-        return _build_worker_tasks(response)
+        tasks = _build_worker_tasks(response)
     except (ValueError, TypeError, KeyError, IndexError, OverflowError) as error:
         _log.error(
             "An inventory is malformed.", code="unreadable_answer", error=repr(error)
         )
         return Lost("unreadable_answer", repr(error))
+    return tasks._replace(connection=reply.connection)
+
+
+def _has_birth(worker: PoolWorker) -> bool:
+    return WorkerIncarnation.parse(worker.identifier).born is not None
 
 
 def _name_worker(worker: PoolWorker) -> dict[str, str]:
--- a/src/damaskdeck/protocol/pools.py
+++ b/src/damaskdeck/protocol/pools.py
@@ -159,6 +159,8 @@
     :param born: birth of the incarnation that answers, ``None`` if it reports none.
     :param has_more: whether there may be further ends. They are listed once these were
         observed; until then a run that the list doesn't show may have ended.
+    :param connection: stands for the connection of the answer, which ends with the
+        incarnation that has answered.
     """
 
     clock: timedelta
@@ -166,6 +168,7 @@
     ended: tuple[EndedTask, ...]
     born: int | None = None
     has_more: bool = False
+    connection: object = None
 
 
 class RefusalCode(StrEnum):
@@ -203,7 +206,7 @@
     """Calls to workers; each names the worker and an epoch.
 
     A call can't name the worker's birth, so the next incarnation under the same name
-    carries it out as well.
+    carries it out as well, unless it has to use a connection to the one before.
     """
 
     async def start(
@@ -226,12 +229,16 @@
         observed: int,
         deadline: timedelta | None,
         wait: timedelta,
+        connection: object = None,
     ) -> WorkerTasks | Declined | Replaced | Rejected | Lost:
         """Renew the lease until ``deadline`` on the worker's clock and list its tasks.
 
         :param observed: ends up to this number are removed.
         :param deadline: ``None`` leaves the lease unchanged.
         :param wait: how long to wait for an end.
+        :param connection: that of an earlier answer, to be used or none; the result is
+            ``Rejected`` with :data:`~damaskdeck.protocol.ports.OTHER_CONNECTION` if it
+            can't be.
         """
 
 
--- a/src/damaskdeck/protocol/ports.py
+++ b/src/damaskdeck/protocol/ports.py
@@ -12,6 +12,9 @@
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.values import distinct
 
+# The code of a call that wasn't sent, as it could not use the required connection.
+OTHER_CONNECTION = "other_connection"
+
 
 @distinct
 class Rejected(NamedTuple):
--- a/src/standins/pools.py
+++ b/src/standins/pools.py
@@ -32,6 +32,7 @@
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import (
+    OTHER_CONNECTION,
     Entry,
     Events,
     Found,
@@ -368,17 +369,27 @@
         observed: int,
         deadline: timedelta | None,
         wait: timedelta,
+        connection: object = None,
     ):
-        """Extend a worker's lease and list its tasks."""
+        """Extend a worker's lease and list its tasks.
+
+        A connection ends with the worker's process, so the process stands for it.
+        """
         found = await self._find_reachable(worker)
         if not isinstance(found, StandinWorker):
             return found
+        if connection not in (None, found):
+            return Rejected(OTHER_CONNECTION)
         try:
             answer = await found.poll(epoch, observed, deadline, wait)
         except LimitExceededError:
             return Declined(RefusalCode.INVALID)
         is_unreachable = found.incarnation.name in self.cut_off or not found.is_up
-        return Lost("timeout") if is_unreachable else answer
+        if is_unreachable:
+            return Lost("timeout")
+        if isinstance(answer, WorkerTasks):
+            return answer._replace(connection=found)
+        return answer
 
 
 class StandinRegistry:
--- a/tests/saturation.py
+++ b/tests/saturation.py
@@ -101,9 +101,9 @@
         call = super().stop
         return await self._call(ORDER_TIMEOUT, call, worker, epoch, task, attempt)
 
-    async def poll(self, worker, epoch, observed, deadline, wait):
+    async def poll(self, worker, epoch, observed, deadline, wait, connection=None):
         """Extend a worker's lease and list its tasks."""
-        arguments = worker, epoch, observed, deadline, wait
+        arguments = worker, epoch, observed, deadline, wait, connection
         return await self._call(wait + POLL_TIMEOUT_MARGIN, super().poll, *arguments)
 
 
--- a/tests/test_births.py
+++ b/tests/test_births.py
@@ -7,7 +7,6 @@
 from logbook import TestHandler
 
 from damaskdeck.coordination.pools.births import (
-    CONFIRMATION_SECONDS,
     BirthMatch,
     EntryVerdict,
     KnownBirths,
@@ -17,6 +16,8 @@
 from tests.poolcluster import SIZE
 
 BORN = 1_700_000_000_000
+# Two connections.
+FIRST, SECOND = object(), object()
 
 
 class TestIncarnations(unittest.TestCase):
@@ -50,40 +51,45 @@
 class TestListedBirth(unittest.TestCase):
     """When numbers of ends and times may be sent to a worker."""
 
-    def test_only_a_recent_answer_confirms_the_birth(self):
+    # A call over any other connection may reach the next incarnation, however soon.
+    def test_only_the_connection_of_the_last_list_confirms_the_birth(self):
         birth = ListedBirth(f"w0@{BORN}")
-        self.assertFalse(birth.is_confirmed(0.0))
-        self.assertIs(birth.match(BORN, 1.0), BirthMatch.SAME)
-        self.assertTrue(birth.is_confirmed(1.0 + CONFIRMATION_SECONDS))
-        self.assertFalse(birth.is_confirmed(1.01 + CONFIRMATION_SECONDS))
-        birth.match(BORN, 2.0)
+        self.assertFalse(birth.is_confirmed)
+        self.assertIs(birth.match(BORN, FIRST), BirthMatch.SAME)
+        self.assertTrue(birth.is_confirmed)
+        self.assertIs(birth.connection, FIRST)
+        birth.match(BORN, SECOND)
+        self.assertIs(birth.connection, SECOND)
+        birth.match(BORN + 1, FIRST)
+        self.assertIs(birth.connection, SECOND)
         birth.forget_answers()
-        self.assertFalse(birth.is_confirmed(2.0))
+        self.assertFalse(birth.is_confirmed)
 
     # Workers without births must be polled as before, also after failed calls.
     def test_without_births_nothing_has_to_be_confirmed(self):
         birth = ListedBirth("w0")
-        birth.match(None, 1.0)
+        birth.match(None, FIRST)
         birth.forget_answers()
-        self.assertTrue(birth.is_confirmed(9.0))
+        self.assertTrue(birth.is_confirmed)
+        self.assertIsNone(birth.connection)
         self.assertTrue(birth.is_registered)
 
     def test_another_birth_and_none_are_told_apart(self):
         birth = ListedBirth(f"w0@{BORN}")
-        self.assertIs(birth.match(BORN - 1, 1.0), BirthMatch.OTHER)
-        self.assertIs(birth.match(None, 1.0), BirthMatch.MISSING)
+        self.assertIs(birth.match(BORN - 1, FIRST), BirthMatch.OTHER)
+        self.assertIs(birth.match(None, FIRST), BirthMatch.MISSING)
 
     # A worker whose entry has no birth would get orders for an unknown incarnation.
     def test_a_birth_that_is_only_listed_is_not_registered(self):
         birth = ListedBirth("w0")
-        self.assertIs(birth.match(BORN, 1.0), BirthMatch.SAME)
+        self.assertIs(birth.match(BORN, FIRST), BirthMatch.SAME)
         self.assertFalse(birth.is_registered)
-        self.assertIs(birth.match(BORN + 1, 1.0), BirthMatch.OTHER)
+        self.assertIs(birth.match(BORN + 1, FIRST), BirthMatch.OTHER)
 
     def test_a_list_with_a_birth_after_one_without_is_of_another_incarnation(self):
         birth = ListedBirth("w0")
-        birth.match(None, 1.0)
-        self.assertIs(birth.match(BORN, 1.0), BirthMatch.OTHER)
+        birth.match(None, FIRST)
+        self.assertIs(birth.match(BORN, FIRST), BirthMatch.OTHER)
 
 
 class TestKnownBirths(unittest.TestCase):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -44,6 +44,7 @@
     WorkerTasks,
 )
 from damaskdeck.protocol.ports import (
+    OTHER_CONNECTION,
     Events,
     Found,
     Granted,
@@ -331,6 +332,37 @@
         listed = await self.workers.poll(info, 3, 0, None, timedelta())
         self.assertEqual(listed.born, self.born)
 
+    async def poll(self, observed: int = 0, connection: object = None):
+        """Poll the worker."""
+        return await self.workers.poll(
+            self.worker.info, 3, observed, None, timedelta(), connection
+        )
+
+    async def test_polls_of_an_incarnation_share_a_connection(self):
+        first = await self.poll()
+        order = TaskStart(TASK, 1, "payload", self.clock.monotonic() + SECOND)
+        await self.workers.start(self.worker.info, 3, order)
+        second = await self.poll(connection=first.connection)
+        self.assertIsInstance(second, WorkerTasks)
+        self.assertIs(second.connection, first.connection)
+
+    # Otherwise it reaches the next incarnation, which takes its ends for observed.
+    async def test_a_poll_over_a_connection_that_has_ended_is_not_sent(self):
+        first = await self.poll()
+        listener = self.platform.workers[0].listener
+        for transport in listener.transports:
+            transport.abort()
+        # Whether this process has seen the end by now or not, nothing may arrive.
+        refused = await self.poll(observed=7, connection=first.connection)
+        self.assertIsInstance(refused, Rejected | Lost)
+        refused = await self.poll(observed=7, connection=first.connection)
+        self.assertEqual(refused, Rejected(OTHER_CONNECTION))
+        self.worker.start(3, TaskStart(TASK, 1, "", self.clock.monotonic() + SECOND))
+        self.worker.stop(3, TASK, 1)
+        listed = await self.poll()
+        self.assertEqual([end.number for end in listed.ended], [1])
+        self.assertIsNot(listed.connection, first.connection)
+
     async def test_a_registration_names_the_incarnation_and_a_removal_the_name(self):
         registry = PlatformRegistry(self.store)
         listed = await registry.list_workers()
--- a/tests/test_pools_returns.py
+++ b/tests/test_pools_returns.py
@@ -79,9 +79,9 @@
         owner = cluster.find_owner()
         poll, sent = owner.workers.poll, []
 
-        async def record(info, epoch, observed, deadline, wait):
+        async def record(info, epoch, observed, deadline, wait, connection):
             sent.append((observed, deadline is not None))
-            return await poll(info, epoch, observed, deadline, wait)
+            return await poll(info, epoch, observed, deadline, wait, connection)
 
         owner.workers.poll = record
         await asyncio.sleep(1)
@@ -106,9 +106,9 @@
         await cluster.wait(lambda: contact.is_cordoned)
         poll, extends = owner.workers.poll, []
 
-        async def record(info, epoch, observed, deadline, wait):
+        async def record(info, epoch, observed, deadline, wait, connection):
             extends.append(deadline is not None)
-            return await poll(info, epoch, observed, deadline, wait)
+            return await poll(info, epoch, observed, deadline, wait, connection)
 
         owner.workers.poll = record
         owner.workers.cut_off.clear()
@@ -145,26 +145,57 @@
                 self.assertGreater(worker.lease_expires_at, cluster.clock.monotonic())
         self.end()
 
-    # Its answer was sent before the freeze, and the worker has restarted since.
-    @virtual
-    async def test_an_answer_that_was_read_late_confirms_no_birth(self):
+    async def check_return_after_an_answer(self, delay: float) -> None:
+        """Check what a worker is told that returns after it has sent an answer.
+
+        :param delay: seconds until the owner reads the answer.
+        """
         cluster = await self.begin(workers=1, has_births=True)
         await cluster.run_first_job()
-        owner = cluster.find_owner()
-        poll, sent = owner.workers.poll, []
+        owner, worker = cluster.find_owner(), cluster.find_worker("w0")
+        poll, told = owner.workers.poll, []
+
+        # The next incarnation registers only once it has been polled.
+        cluster.externally_registered.add("w0")
+
+        def restart() -> None:
+            worker.kill()
+            with mock.patch.object(cluster, "register"):
+                later = cluster.add_worker("w0", worker.info.address)
+            answer = later.poll
+
+            def record(epoch, observed, deadline, wait):
+                told.append((observed, deadline))
+                return answer(epoch, observed, deadline, wait)
 
-        async def delay_an_answer(info, epoch, observed, deadline, wait):
-            sent.append(observed)
-            answer = await poll(info, epoch, observed, deadline, wait)
-            if len(sent) == 1:
-                await asyncio.sleep(1)
+            later.poll = record
+
+        async def answer_before_the_return(*args):
+            answer = await poll(*args)
+            if worker.is_up:
+                restart()
+                await asyncio.sleep(delay)
             return answer
 
-        owner.workers.poll = delay_an_answer
-        await cluster.wait(lambda: len(sent) > 2)
-        self.assertEqual(sent[1:3], [0, 1])
+        owner.workers.poll = answer_before_the_return
+        await cluster.wait(lambda: told)
+        cluster.externally_registered.clear()
+        await cluster.submit("j1", make_job(StepSpec(3, SMALL, SECOND)))
+        await cluster.wait_for_state("j1", QueueJobState.COMPLETED)
+        self.assertEqual(told[0], (0, None))
+        self.assertEqual(len(cluster.list_starts("j1")), 3)
         self.end()
 
+    # Otherwise the number of the last end is taken for that of the next incarnation.
+    @virtual
+    async def test_a_return_right_after_an_answer_loses_no_end(self):
+        await self.check_return_after_an_answer(0.0)
+
+    # Its answer was sent before the freeze, and the worker has restarted since.
+    @virtual
+    async def test_an_answer_that_was_read_late_confirms_no_birth(self):
+        await self.check_return_after_an_answer(1.0)
+
     # A worker that is cut off from the owner alone registers its next incarnation.
     @virtual
     async def test_a_restart_behind_a_cut_is_found_by_its_registration(self):
