Bound the record of a job's starts

Cause: each task that is abandoned on a silent worker stays in the record of its job's starts with each possible crash, some 60 bytes each.

Change: beyond half of the least that a store takes, the record says that all starts of the job are recorded, and has as many of the possible crashes, and then of the starts without a known outcome, as fit, those of the tasks with most crashes first. What is left out is logged. The owner itself still knows all; a successor may count fewer possible crashes for tasks that have few. No start that needs its record goes without.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -18,11 +18,15 @@
     encode_record,
 )
 from damaskdeck.state.pooljobs import CheckpointRoom, Job, JobIndex
+from damaskdeck.state.recordedstarts import shorten_starts
 
 # Stores take at least this for a value.
 MIN_VALUE_BYTES = 64_000
 # A job with more runs than fit counts as one that may run anywhere.
 MAX_RUNS_BYTES = MIN_VALUE_BYTES // 2
+# Of more recorded starts and possible crashes of a job only a part is durable. They are
+# written with each start of such a job, so this is well below what a value may have.
+MAX_STARTS_BYTES = MIN_VALUE_BYTES // 2
 # The part of a value that checkpoints of a job may take. A task whose checkpoint is
 # beyond it begins anew after a takeover, unless a run of it is found.
 CHECKPOINTS_SHARE = 0.5
@@ -165,7 +169,7 @@
         """Return the records of a job that have changed since the last call."""
         values = {PROGRESS_PREFIX: self._encode_progress(job)}
         if job.recorded_starts.must_store:
-            values[STARTS_PREFIX] = encode_record(job.summarize_starts())
+            values[STARTS_PREFIX] = self._encode_starts(job)
         if job.runs or RUNS_PREFIX in job.stored:
             values[RUNS_PREFIX] = self._encode_runs(job)
         writes = []
@@ -194,6 +198,19 @@
         )
         return encode_record(progress._replace(steps=steps))
 
+    def _encode_starts(self, job: Job) -> bytes:
+        """Return a job's recorded starts, with as much of them as a record takes."""
+        record = job.summarize_starts()
+        value = encode_record(record)
+        if len(value) <= MAX_STARTS_BYTES:
+            return value
+        kept = shorten_starts(record, job.identifier, MAX_STARTS_BYTES)
+        left_out = len(record.unconfirmed) - len(kept.unconfirmed)
+        if left_out > 2 * job.left_out_crashes:
+            job.left_out_crashes = left_out
+            self._report_left_out(job, "crash", left_out)
+        return encode_record(kept)
+
     def _encode_runs(self, job: Job) -> bytes:
         """Return the record of a job's runs, an incomplete one if it lacks any."""
         value = encode_record(job.summarize_runs())
--- a/src/damaskdeck/state/pooljobs/jobs.py
+++ b/src/damaskdeck/state/pooljobs/jobs.py
@@ -71,6 +71,7 @@
         to have all runs.
     :ivar left_out_checkpoints: the number of checkpoints without room in the store that
         was last reported.
+    :ivar left_out_crashes: the same for possible crashes.
     :ivar stored: the records as they were last gathered to be stored, by key.
     """
 
@@ -88,6 +89,7 @@
         self.unplaced_runs: list[UnplacedRun] = []
         self.has_complete_record = True
         self.left_out_checkpoints = 0
+        self.left_out_crashes = 0
         self.stored: dict[str, bytes] = {}
         self.has_started = False
         self.final: QueueJobState | None = None
--- a/src/damaskdeck/state/recordedstarts.py
+++ b/src/damaskdeck/state/recordedstarts.py
@@ -1,11 +1,25 @@
 """Starts of one job's tasks that have to be durable before they are ordered."""
 
+from collections import Counter
+from collections.abc import Iterable
+from itertools import chain
+from typing import TypeVar
+
 from damaskdeck.protocol.queues import TaskName
-from damaskdeck.state.jobrecords import RecordedStart, StartsRecord, UnconfirmedCrash
+from damaskdeck.state.jobrecords import (
+    RecordedStart,
+    StartsRecord,
+    UnconfirmedCrash,
+    encode_record,
+)
+
+StartOrCrash = TypeVar("StartOrCrash", RecordedStart, UnconfirmedCrash)
 
 # In the name of a task: all of them. A step's tasks, or those of the whole job, may be
 # too many to be named one by one.
 ALL = -1
+# What the lengths of two long arrays take in a record.
+HEADER_BYTES = 10
 
 
 class RecordedStarts:
@@ -69,3 +83,35 @@
     def must_store(self) -> bool:
         """Whether there is anything to store, or to replace in the store."""
         return bool(self._starts) or self._is_stored
+
+
+def shorten_starts(record: StartsRecord, job: str, limit: int) -> StartsRecord:
+    """Return what matters most of a record, no longer than a limit when encoded.
+
+    All starts of the job are recorded from then on, whether their tasks are named or
+    not. Of the rest, possible crashes come first, those of the tasks with most of them
+    before others: these are the next to reach their limit.
+
+    :param limit: in bytes.
+    """
+    starts = [RecordedStart(TaskName(job, ALL, ALL, ALL))]
+    unconfirmed: list[UnconfirmedCrash] = []
+    counts = Counter(crash.task for crash in record.unconfirmed)
+    unsettled = (start for start in record.starts if start.attempt)
+    room = limit - len(encode_record(StartsRecord(tuple(starts)))) - HEADER_BYTES
+    rows = chain(
+        ((unconfirmed, c) for c in _sort_by_count(record.unconfirmed, counts)),
+        ((starts, start) for start in _sort_by_count(unsettled, counts)),
+    )
+    for kept, row in rows:
+        room -= len(encode_record(row))
+        if room < 0:
+            break
+        kept.append(row)
+    return StartsRecord(tuple(starts), tuple(unconfirmed))
+
+
+def _sort_by_count(
+    rows: Iterable[StartOrCrash], counts: Counter[TaskName]
+) -> list[StartOrCrash]:
+    return sorted(rows, key=lambda row: -counts[row.task])
