Commit everything else beside a change that the store refuses for good

Change: the adapter tells such a refusal from a lost call. What depended on it doesn't take effect: no start is ordered whose record was refused (it is tried again after 5 s), no end of a worker is noted while some progress is refused, no roster, cordon or ceiling counts as durable. A job whose progress is refused ends as failed, which takes the least room. A job that is refused when it is submitted is answered at once, as not accepted.

Evidence: with a store that takes 2,000 bytes for a value, small jobs stay queued and the wide job stays running in both tests before.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -7,6 +7,7 @@
 from damaskdeck.coordination.pools.journal import Batch, Journal
 from damaskdeck.logs import get_logger
 from damaskdeck.metrics import count_drop
+from damaskdeck.protocol.queues import QueueJobState
 from damaskdeck.protocol.transactions import Write
 from damaskdeck.state.jobrecords import (
     CANCELS_PREFIX,
@@ -14,6 +15,7 @@
     PROGRESS_PREFIX,
     RUNS_PREFIX,
     STARTS_PREFIX,
+    ProgressRecord,
     RunsRecord,
     encode_record,
 )
@@ -52,6 +54,7 @@
     :param write: Returns the write for a kind and a function to call once it is
         durable. The function returns whether orders may go to more workers.
     :param request_full_pass: Called when steps may fit where they did not before.
+    :param on_unstorable: Called with a job whose progress the store refuses for good.
     :param value_limit: The most bytes that the store takes for a value.
     """
 
@@ -61,6 +64,7 @@
         get_journal: Callable[[], Journal],
         write: Callable[[ChangeKind], tuple[Write, Callable[[], bool]]],
         request_full_pass: Callable[[], None],
+        on_unstorable: Callable[[Job], None],
         value_limit: int = MIN_VALUE_BYTES,
     ) -> None:
         self._value_limit = value_limit
@@ -68,7 +72,10 @@
         self._get_journal = get_journal
         self._write = write
         self._request_full_pass = request_full_pass
+        self._on_unstorable = on_unstorable
         self._jobs: dict[str, Job] = {}
+        # The records of jobs that the store refuses for good.
+        self._refused: set[str] = set()
         self._removed: list[str] = []
         self._contacts: set[WorkerContact] = set()
         self._kinds: set[ChangeKind] = set()
@@ -81,6 +88,7 @@
     def record_job_removal(self, job: Job) -> None:
         """Remove all stored records of a job with the next commit."""
         key = job.identifier
+        self._refused -= {PROGRESS_PREFIX + key, STARTS_PREFIX + key, RUNS_PREFIX + key}
         self._removed += [
             JOBS_PREFIX + key,
             CANCELS_PREFIX + key,
@@ -149,22 +157,65 @@
         final_states = [(job, job.final) for job in jobs]
         widened = [(j, j.wider_zones) for j in jobs if j.wider_zones is not None]
 
-        def apply_effects() -> None:
-            for job, final in final_states:
-                if final is not None and job.visible_state != final:
-                    job.visible_state = final
-                    _log.info("A final state is durable.", id=job.identifier)
+        def apply_effects(refused: frozenset[str]) -> None:
+            self._update_refused(writes, refused)
+            self._show_final_states(final_states)
             for job, zones in widened:
-                job.zones, job.wider_zones = zones, None
-            for contact, number in contacts:
-                contact.last_durable_end = max(contact.last_durable_end, number)
-            if any([mark_durable() for _, mark_durable in records]) or widened:
+                if not self._is_progress_refused(job):
+                    job.zones, job.wider_zones = zones, None
+            self._record_durable_ends(contacts)
+            durable = [mark for write, mark in records if write.key not in refused]
+            if any([mark_durable() for mark_durable in durable]) or widened:
                 self._request_full_pass()
 
         return Batch(
             (*writes, *(write for write, _ in records)), removals, apply_effects
         )
 
+    def _show_final_states(self, states: list[tuple[Job, QueueJobState | None]]):
+        for job, final in states:
+            is_new = final is not None and job.visible_state != final
+            if is_new and not self._is_progress_refused(job):
+                job.visible_state = final
+                _log.info("A final state is durable.", id=job.identifier)
+
+    def _record_durable_ends(self, contacts: list[tuple[WorkerContact, int]]) -> None:
+        """Record the ends of workers as durable, unless some progress is refused.
+
+        Ends must not be noted before the progress that they are part of is durable.
+        """
+        if any(key.startswith(PROGRESS_PREFIX) for key in self._refused):
+            self._contacts.update(contact for contact, _ in contacts)
+            return
+        for contact, number in contacts:
+            contact.last_durable_end = max(contact.last_durable_end, number)
+
+    def _update_refused(self, writes: list[Write], refused: frozenset[str]) -> None:
+        """Update which records of jobs are refused; try these again when they change.
+
+        A job whose progress is refused ends as failed, as that takes the least room.
+        """
+        self._refused -= {write.key for write in writes if write.key not in refused}
+        for key in refused:
+            prefix, slash, identifier = key.rpartition("/")
+            job = self._job_index.jobs.get(identifier)
+            if job is None or prefix + slash not in job.stored:
+                continue
+            job.stored.pop(prefix + slash)
+            self._refused.add(key)
+            if prefix + slash == PROGRESS_PREFIX:
+                self._on_unstorable(job)
+
+    def _is_progress_refused(self, job: Job) -> bool:
+        return PROGRESS_PREFIX + job.identifier in self._refused
+
+    def is_stored(self, job: Job) -> bool:
+        """Whether the store has not refused a record of a job."""
+        return not self._refused or not any(
+            prefix + job.identifier in self._refused
+            for prefix in (PROGRESS_PREFIX, STARTS_PREFIX, RUNS_PREFIX)
+        )
+
     def _build_job_writes(self, job: Job) -> list[Write]:
         """Return the records of a job that have changed since the last call."""
         values = {PROGRESS_PREFIX: self._encode_progress(job)}
@@ -184,6 +235,8 @@
 
         Which tasks have completed is always part of it.
         """
+        if job.is_final and self._is_progress_refused(job):
+            return encode_record(ProgressRecord(job.final, job.has_started))
         room = CheckpointRoom(CHECKPOINTS_SHARE * self._value_limit)
         progress = job.summarize(room)
         if room.left_out > 2 * job.left_out_checkpoints:
--- a/src/damaskdeck/coordination/pools/journal.py
+++ b/src/damaskdeck/coordination/pools/journal.py
@@ -16,8 +16,8 @@
 from damaskdeck.coordination.pools.transfers import OwnerTerm
 from damaskdeck.errors import MessageError
 from damaskdeck.logs import get_logger
-from damaskdeck.metrics import count_retry, observe_latency
-from damaskdeck.protocol.ports import Entry, Written
+from damaskdeck.metrics import count_drop, count_retry, observe_latency
+from damaskdeck.protocol.ports import INVALID_CALL, Entry, Written
 from damaskdeck.protocol.transactions import (
     Mismatch,
     Transaction,
@@ -39,12 +39,13 @@
 class Batch(NamedTuple):
     """Changes that were gathered at one moment.
 
-    :param on_durable: Called once all of the changes are durable.
+    :param on_durable: Called once the changes are durable, with the keys of those that
+        the store refuses for good.
     """
 
     writes: tuple[Write, ...]
     removals: tuple[str, ...]
-    on_durable: Callable[[], None]
+    on_durable: Callable[[frozenset[str]], None]
 
 
 class Journal:
@@ -117,23 +118,40 @@
             waiters, self._waiters = self._waiters, []
             batch = self._gather()
             if batch is not None:
-                if not await self._commit(batch):
+                refused = await self._commit(batch)
+                if refused is None:
                     return
-                batch.on_durable()
+                batch.on_durable(frozenset(refused))
             for waiter in waiters:
                 if not waiter.done():
                     waiter.set_result(None)
 
-    async def _commit(self, batch: Batch) -> bool:
+    async def _commit(self, batch: Batch) -> list[str] | None:
+        """Commit changes in their order.
+
+        :returns: the keys of those that were refused for good, ``None`` if deposed.
+        """
         limit = self._store.entry_limit - FENCE_ENTRIES
-        changes: list[Write | str] = [*batch.writes, *batch.removals]
-        for start in range(0, len(changes), limit):
-            if not await self._commit_part(changes[start : start + limit]):
-                return False
-        return True
-
-    async def _commit_part(self, changes: list[Write | str]) -> bool:
-        """Retry a commit until it has taken effect; return ``False`` if deposed."""
+        return await self._commit_parts([*batch.writes, *batch.removals], limit)
+
+    async def _commit_parts(
+        self, changes: list[Write | str], size: int
+    ) -> list[str] | None:
+        refused: list[str] = []
+        for start in range(0, len(changes), size):
+            found = await self._commit_part(changes[start : start + size])
+            if found is None:
+                return None
+            refused += found
+        return refused
+
+    async def _commit_part(self, changes: list[Write | str]) -> list[str] | None:
+        """Retry a commit until it has taken effect.
+
+        One that is refused for good is divided, so that it keeps nothing else back.
+
+        :returns: as :meth:`_commit`.
+        """
         numbers = set()
         while True:
             self._number += 1
@@ -145,13 +163,17 @@
                 done = self._resolve_mismatch(done.find(FENCE_KEY), numbers)
                 if done is None:
                     self._leadership.step_down("the fence has moved")
-                    return False
+                    return None
             if isinstance(done, Written):
                 duration = self._clock.monotonic().total_seconds() - sent_at
                 observe_latency("journal", "commit", duration)
                 self.revision = done.revision
                 self._leadership.confirm(sent_at)
-                return True
+                return []
+            if getattr(done, "code", "") == INVALID_CALL and changes:
+                if len(changes) > 1:
+                    return await self._commit_parts(changes, len(changes) // 2)
+                return [_report_refusal(changes[0], done.detail)]
             count_retry("journal", getattr(done, "code", "lapsed"))
             await self._clock.sleep(RETRY_DELAY)
 
@@ -182,3 +204,17 @@
         if record.epoch == self._epoch and record.number in numbers:
             return Written(fence.revision)
         return None
+
+
+def _report_refusal(change: Write | str, detail: str) -> str:
+    """Log a change that the store refuses for good, and return its key."""
+    key = change.key if isinstance(change, Write) else change
+    _log.error(
+        "The store refuses a change for good.",
+        code=INVALID_CALL,
+        key=key,
+        bytes=len(change.value) if isinstance(change, Write) else 0,
+        status=detail,
+    )
+    count_drop("journal", "refused")
+    return key
--- a/src/damaskdeck/coordination/pools/monitoredstore.py
+++ b/src/damaskdeck/coordination/pools/monitoredstore.py
@@ -10,6 +10,7 @@
 from damaskdeck.delays import LoopDelay
 from damaskdeck.logs import get_logger
 from damaskdeck.protocol.ports import (
+    INVALID_CALL,
     Events,
     Found,
     Granted,
@@ -143,7 +144,8 @@
         """
         if isinstance(answer, Written | Unchanged):
             self.write_times.record(answer.revision, sent_at)
-        if not isinstance(answer, Rejected | Lost):
+        is_answer = not isinstance(answer, Rejected | Lost)
+        if is_answer or answer.code == INVALID_CALL:
             self._record_answer()
         elif sent_at >= self._answered_at:
             self._record_failure(answer)
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -128,6 +128,7 @@
             lambda: self._journal,
             self._build_write,
             lambda: self.dispatcher.request_full_pass(),
+            self._fail_unstorable,
             dependencies.value_limit,
         )
         self._journal = Journal(
@@ -362,6 +363,16 @@
         for run in list(job.runs):
             self.stop(run)
 
+    def _fail_unstorable(self, job: Job) -> None:
+        """End a job whose progress the store refuses for good, so that it is known."""
+        if not job.is_final:
+            reason = "its progress can't be stored"
+            self.end_job(job, QueueJobState.FAILED, reason)
+
+    def is_stored(self, job: Job) -> bool:
+        """Whether the store has not refused a record of a job for good."""
+        return self._changes.is_stored(job)
+
     def mark_dirty(self, job: Job) -> None:
         """Queue a job's progress for the next commit of the journal."""
         self._changes.record_job_change(job)
--- a/src/damaskdeck/coordination/pools/starter.py
+++ b/src/damaskdeck/coordination/pools/starter.py
@@ -28,6 +28,8 @@
 MOST_URGENT_RANK = 0
 # Time until a gang that could not start is tried again.
 GANG_RETRY_SECONDS = 0.2
+# Time until a start is tried again whose record the store has refused.
+REFUSED_RETRY_SECONDS = 5.0
 # How long unconfirmed members of a gang are waited for. Together with the timeout of an
 # order this is well below that of the workers, 3 s.
 GANG_CONFIRM_SECONDS = 1.0
@@ -59,6 +61,9 @@
     recording: RunRecording
     attempts: AttemptNumbers
 
+    def is_stored(self, job: Job) -> bool:
+        """Whether the store has not refused a record of a job for good."""
+
     def mark_dirty(self, job: Job) -> None:
         """Write the progress of a job with the next commit."""
 
@@ -170,6 +175,10 @@
         """Wait until starts are recorded; return whether they may be ordered."""
         recording = self._owner.recording
         is_recorded = await self._flush()
+        if is_recorded and not self._owner.is_stored(step.job):
+            # Repeating this at once would only cost more refused commits.
+            step.not_before = self._owner.now() + REFUSED_RETRY_SECONDS
+            is_recorded, is_required = False, True
         is_durable = is_recorded or not (is_required or recording.must_wait())
         if is_durable:
             recording.record_order(is_recorded)
--- a/src/damaskdeck/coordination/pools/submitter.py
+++ b/src/damaskdeck/coordination/pools/submitter.py
@@ -34,7 +34,7 @@
 )
 from damaskdeck.protocol.messages import Answered, Peers, Unsent
 from damaskdeck.protocol.poolmessages import AnnounceJob, StoreJob, StoreJobReply
-from damaskdeck.protocol.ports import Lost, Written
+from damaskdeck.protocol.ports import INVALID_CALL, Lost, Written
 from damaskdeck.protocol.queues import JobSpec, Queue
 from damaskdeck.protocol.transactions import Mismatch, ReplyTooLarge, Transaction, Write
 from damaskdeck.state.jobrecords import (
@@ -170,7 +170,7 @@
             else:
                 may_be_stored = may_be_stored or isinstance(answer, Lost)
                 code = getattr(answer, "code", "lapsed")
-            if self._now() >= until:
+            if self._now() >= until or code == INVALID_CALL:
                 break
             count_retry("submit", code)
             if expected == self._declarations.expected:
--- a/src/damaskdeck/platform/store.py
+++ b/src/damaskdeck/platform/store.py
@@ -18,6 +18,7 @@
 )
 from damaskdeck.platform.fields import to_duration
 from damaskdeck.protocol.ports import (
+    INVALID_CALL,
     Entry,
     Event,
     Events,
@@ -41,6 +42,8 @@
 
 # How many keys a transaction may name, according to the platform's documentation.
 MAX_TRANSACTION_ENTRIES = 32
+# A transaction that is malformed, writes what it may not, or is too large.
+INVALID_STATUSES = frozenset({400, 403, 413})
 READ_TIMEOUT = timedelta(milliseconds=1500)
 # A value or a page has up to a megabyte, which takes 4 s on the slowest links (2
 # Mbit/s). A transfer that makes progress must not time out, because every retry would
@@ -241,6 +244,8 @@
             return Lapsed("")
         if reply.status == 412:
             return _parse_mismatch(reply)
+        if reply.status in INVALID_STATUSES:
+            return Rejected(INVALID_CALL, str(reply.status))
         response = _decode(reply, 200, _commit_decoder)
         return response if isinstance(response, Lost) else Written(response["revision"])
 
--- a/src/damaskdeck/protocol/ports.py
+++ b/src/damaskdeck/protocol/ports.py
@@ -14,6 +14,8 @@
 
 # The code of a call that wasn't sent, as it could not use the required connection.
 OTHER_CONNECTION = "other_connection"
+# The code of a call that is refused for what it contains; repeating it is no use.
+INVALID_CALL = "invalid_call"
 
 
 @distinct
