Bound the record of the cordons

Cause: a cordon names each run of its worker, some 25 bytes each, and nothing bounds their sum.

Change: the cordons of the least room are stored up to what each store takes for a value. A successor waits for the other workers as for any that it can't read, and they stay cordoned here. What is left out is logged and counted.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -12,6 +12,7 @@
 from damaskdeck.state.jobrecords import (
     CANCELS_PREFIX,
     JOBS_PREFIX,
+    MIN_VALUE_BYTES,
     PROGRESS_PREFIX,
     RUNS_PREFIX,
     STARTS_PREFIX,
@@ -22,8 +23,6 @@
 from damaskdeck.state.pooljobs import CheckpointRoom, Job, JobIndex
 from damaskdeck.state.recordedstarts import shorten_starts
 
-# Stores take at least this for a value.
-MIN_VALUE_BYTES = 64_000
 # A job with more runs than fit counts as one that may run anywhere.
 MAX_RUNS_BYTES = MIN_VALUE_BYTES // 2
 # Of more recorded starts and possible crashes of a job only a part is durable. They are
--- a/src/damaskdeck/coordination/pools/cordons.py
+++ b/src/damaskdeck/coordination/pools/cordons.py
@@ -13,15 +13,20 @@
 
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.logs import get_logger
+from damaskdeck.metrics import count_drop
 from damaskdeck.protocol.transactions import Write
 from damaskdeck.state.jobrecords import (
     CORDONS_KEY,
+    MIN_VALUE_BYTES,
     Cordon,
     CordonedRun,
     CordonsRecord,
     encode_record,
 )
 
+# The list itself takes little beside them.
+MAX_CORDONS_BYTES = MIN_VALUE_BYTES - 100
+
 _log = get_logger("workforce")
 
 
@@ -112,9 +117,30 @@
                 contact.release()
             return bool(released)
 
-        record = CordonsRecord(tuple(self._cordons.values()))
+        record = CordonsRecord(self._list_stored())
         return Write(CORDONS_KEY, encode_record(record)), release
 
+    def _list_stored(self) -> tuple[Cordon, ...]:
+        """List the cordons that fit a value, those of the least room first.
+
+        A successor waits for the others as for any worker that it can't read.
+        """
+        cordons = tuple(self._cordons.values())
+        sizes = {cordon.worker: len(encode_record(cordon)) for cordon in cordons}
+        if sum(sizes.values()) <= MAX_CORDONS_BYTES:
+            return cordons
+        room = MAX_CORDONS_BYTES
+        stored = []
+        for cordon in sorted(cordons, key=lambda cordon: sizes[cordon.worker]):
+            room -= sizes[cordon.worker]
+            if room < 0:
+                break
+            stored.append(cordon)
+        left_out = [c.worker for c in cordons if c not in stored]
+        _log.warn("Cordons are not durable.", workers=left_out, limit=MAX_CORDONS_BYTES)
+        count_drop("journal", "cordon", len(left_out))
+        return tuple(stored)
+
 
 def _is_tighter(cordon: Cordon, existing: Cordon) -> bool:
     """Whether a cordon spares a successor more than the existing one."""
--- a/src/damaskdeck/coordination/pools/owner.py
+++ b/src/damaskdeck/coordination/pools/owner.py
@@ -21,11 +21,7 @@
 from damaskdeck.coordination.pools.admission.work import Work
 from damaskdeck.coordination.pools.advice import AdviceScheduler
 from damaskdeck.coordination.pools.ceilings import Ceilings
-from damaskdeck.coordination.pools.changeset import (
-    MIN_VALUE_BYTES,
-    ChangeKind,
-    ChangeSet,
-)
+from damaskdeck.coordination.pools.changeset import ChangeKind, ChangeSet
 from damaskdeck.coordination.pools.contacts import WorkerContact
 from damaskdeck.coordination.pools.crashes import Crashes
 from damaskdeck.coordination.pools.declarations import Declarations
@@ -64,6 +60,7 @@
 from damaskdeck.protocol.queues import QueueJobState, QueueTable
 from damaskdeck.protocol.sizes import Size
 from damaskdeck.protocol.transactions import Write
+from damaskdeck.state.jobrecords import MIN_VALUE_BYTES
 from damaskdeck.state.pooljobs import Job, JobIndex, Run, Step, Task
 
 SWEEP_INTERVAL = timedelta(milliseconds=100)
--- a/src/damaskdeck/state/jobrecords.py
+++ b/src/damaskdeck/state/jobrecords.py
@@ -37,6 +37,9 @@
 CEILINGS_KEY = f"{ROOT_PREFIX}ceilings"
 SPEEDS_KEY = f"{ROOT_PREFIX}speeds"
 
+# Stores take at least this for a value.
+MIN_VALUE_BYTES = 64_000
+
 # The epoch of the first owner of all.
 FIRST_EPOCH = 1
 
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -5,14 +5,18 @@
 """
 
 import asyncio
+import unittest
 from datetime import timedelta
 from unittest import mock
 
 from damaskdeck.coordination.pools import cordons
 from damaskdeck.protocol.callresults import JobStateFound
-from damaskdeck.protocol.queues import QueueJobState, StepSpec
+from damaskdeck.protocol.queues import QueueJobState, StepSpec, TaskName
 from damaskdeck.state.jobrecords import (
     CORDONS_KEY,
+    MIN_VALUE_BYTES,
+    Cordon,
+    CordonedRun,
     CordonsRecord,
     RunsRecord,
     decode_record,
@@ -202,3 +206,24 @@
         await asyncio.sleep(cluster.times.lease_expiry.total_seconds() - 0.1)
         self.assertEqual(len(cluster.list_starts("long")), 1)
         self.end()
+
+
+class TestSize(unittest.TestCase):
+    """Cordons of workers with thousands of runs."""
+
+    # Otherwise the store refuses them, and no later cordon becomes durable.
+    def test_those_of_the_least_room_are_stored(self):
+        known = cordons.Cordons({}, lambda: None)
+        for number in range(4):
+            name = f"w{number}"
+            runs = tuple(
+                CordonedRun(TaskName("00000000000000aa", 0, 0, index), 1)
+                for index in range(number * 1000)
+            )
+            known._cordons[name] = Cordon(name, ("00000000000000aa",), True, runs)
+        with mock.patch.object(known, "_has_ended", return_value=False):
+            write, _ = known.build_write()
+        self.assertLessEqual(len(write.value), MIN_VALUE_BYTES)
+        stored = decode_record(CordonsRecord, write.value).cordons
+        self.assertEqual([c.worker for c in stored], ["w0", "w1"])
+        self.assertEqual(set(known._cordons), {"w0", "w1", "w2", "w3"})
