--- a/tests/test_handover_machine.py
+++ b/tests/test_handover_machine.py
@@ -39,14 +39,17 @@
 CI_EXAMPLES = 60
 STEPS = 20
 UNREADABLE = b"\xc1"
-# The runs of some three tasks fit the smaller limit, those of all jobs the larger one.
-RECORD_LIMITS = (40, 32_000)
+# The runs of two, four and six tasks fit, or those of all jobs.
+RECORD_LIMITS = (20, 30, 40, 32_000)
 # Starts wait for their record only while the store is fast.
 STORE_DELAYS = (timedelta(), timedelta(milliseconds=150))
 SHORT_SECONDS = (0.7, 1.6, 2.4, 3.1)
 LONG_SECONDS = 40.0
 # Three workers can run as many at a time.
 MAX_TASKS = 12
+# A daemon that was added just now waits for long as an owner, so those that were there
+# from the beginning come first.
+DAEMONS, MIN_DAEMONS = 6, 3
 OWNER_SECONDS = 30.0
 # By this time after the end of all faults each task runs, or has ended.
 SETTLE_SECONDS = 40.0
@@ -55,14 +58,14 @@
 
 
 class HandoverMachine(RuleBasedStateMachine):
-    """Four daemons, four workers and jobs whose tasks end soon or last."""
+    """Some daemons, four workers and jobs whose tasks end soon or last."""
 
     def __init__(self) -> None:
         super().__init__()
         self.runner = asyncio.Runner(loop_factory=VirtualLoop)
         self.numbers = itertools.count()
         self.room = MAX_TASKS
-        self.limit = mock.patch.object(changeset, "MAX_RUNS_BYTES", RECORD_LIMITS[0])
+        self.limit = mock.patch.object(changeset, "MAX_RUNS_BYTES", RECORD_LIMITS[1])
         self.limit.start()
 
     def behave(self, task: TaskName, attempt: int) -> Work:
@@ -78,7 +81,7 @@
         self.submit(8)
 
     async def _start(self) -> None:
-        self.cluster = PoolCluster(daemons=4, behave=self.behave)
+        self.cluster = PoolCluster(daemons=DAEMONS, behave=self.behave)
         await self.cluster.start()
 
     # Jobs and time -------------------------------------------------------------
@@ -167,10 +170,10 @@
             for key in list(cluster.store.entries):
                 if key.startswith(damaged):
                     cluster.store.set(key, UNREADABLE)
-        await asyncio.sleep(0.05)
-        successor = cluster.add_daemon(owner.name)
-        successor.store.faults.delay = owner.store.faults.delay
-        successor.start()
+        if sum(not d.is_killed for d in cluster.daemons.values()) < MIN_DAEMONS:
+            added = cluster.add_daemon(owner.name)
+            added.store.faults.delay = owner.store.faults.delay
+            added.start()
         await cluster.wait(lambda: cluster.find_owner() is not None, OWNER_SECONDS)
 
     # Guarantees ----------------------------------------------------------------
