--- a/src/damaskdeck/coordination/pools/leases/limits.py
+++ b/src/damaskdeck/coordination/pools/leases/limits.py
@@ -74,6 +74,11 @@
             limit = min(limit, self.get_last_grant() + self._lease_expiry)
         return limit
 
+    @property
+    def are_capped(self) -> bool:
+        """Whether something has been ordered that is not on record yet."""
+        return self._are_capped
+
     def cap(self) -> None:
         """Let no lease outlast what the members' grants allow for.
 
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -15,6 +15,7 @@
     decode_record,
 )
 from standins.pools import Work
+from standins.poolstore import PoolStore
 from tests.poolcluster import SECOND, SMALL, ClusterDaemon, PoolCase, make_job
 from tests.virtual import virtual
 
@@ -199,3 +200,27 @@
         limit = timedelta(seconds=owner.leadership.find_lease_limit())
         self.assertLessEqual(limit, granted_until + self.cluster.times.lease_expiry)
         self.end()
+
+    # What the owner says of its members is a new one's only reason not to wait.
+    @virtual
+    async def test_a_new_daemon_waits_for_what_has_no_record_yet(self):
+        # Leases in the store pause in this outage, so the owner stays the owner.
+        with mock.patch.object(PoolStore, "_expire_leases"):
+            await self.start_in_outage()
+            cluster = self.cluster
+            for daemon in cluster.daemons.values():
+                daemon.store.commit = mock.AsyncMock(return_value=Lost("timeout"))
+            cluster.heal()
+            added = cluster.add_daemon("d9")
+            added.start()
+            await asyncio.sleep(0.4)
+        recorded = self.list_recorded("j1")
+        worker = next(r[2] for r in self.list_started("j1") if r not in recorded)
+        cluster.isolate(worker)
+        cluster.add_worker("w9", "10.0.0.9:1")
+        for daemon in list(cluster.daemons.values()):
+            if daemon is not added:
+                daemon.kill()
+        await cluster.wait(lambda: cluster.find_owner() is added)
+        await asyncio.sleep(12)
+        self.end()
