--- a/src/damaskdeck/coordination/pools/leases/outagegrants.py
+++ b/src/damaskdeck/coordination/pools/leases/outagegrants.py
@@ -201,8 +201,7 @@
         term = self._leadership.term
         is_known = self._leadership.members.knows(peer, message["revision"])
         if self._leadership.limits.are_capped:
-            # Only the members that let this owner go on wait for what has no record yet,
-            # and this one wasn't asked.
+            # Only members that let the owner go on wait for what has no record yet.
             is_known = False
         return {"epoch": term.epoch if term is not None else 0, "is_known": is_known}
 
