Name the limit that a left-out part of a record exceeds

Cause: read as a newcomer, the line on left-out crashes named the store's limit for a value and not that of the record, and the runs of a job were summarized twice.

Change: the limit is passed to the log line, a job's runs are summarized once, and a return type is added. What is written stays the same.

--- a/src/damaskdeck/coordination/pools/changeset.py
+++ b/src/damaskdeck/coordination/pools/changeset.py
@@ -171,7 +171,9 @@
             (*writes, *(write for write, _ in records)), removals, apply_effects
         )
 
-    def _show_final_states(self, states: list[tuple[Job, QueueJobState | None]]):
+    def _show_final_states(
+        self, states: list[tuple[Job, QueueJobState | None]]
+    ) -> None:
         for job, final in states:
             is_new = final is not None and job.visible_state != final
             if is_new and not self._is_progress_refused(job):
@@ -240,11 +242,12 @@
         progress = job.summarize(room)
         if room.left_out > 2 * job.left_out_checkpoints:
             job.left_out_checkpoints = room.left_out
-            self._report_left_out(job, "checkpoint", room.left_out)
+            self._report_left_out(job, "checkpoint", room.left_out, self._value_limit)
         value = encode_record(progress)
         if len(value) <= self._value_limit:
             return value
-        self._report_left_out(job, "failure", len(progress.steps))
+        count = len(progress.steps)
+        self._report_left_out(job, "failure", count, self._value_limit)
         steps = tuple(
             step._replace(failures={}, checkpoints={}) for step in progress.steps
         )
@@ -260,19 +263,18 @@
         left_out = len(record.unconfirmed) - len(kept.unconfirmed)
         if left_out > 2 * job.left_out_crashes:
             job.left_out_crashes = left_out
-            self._report_left_out(job, "crash", left_out)
+            self._report_left_out(job, "crash", left_out, MAX_STARTS_BYTES)
         return encode_record(kept)
 
     def _encode_runs(self, job: Job) -> bytes:
         """Return the record of a job's runs, an incomplete one if it lacks any."""
-        value = encode_record(job.summarize_runs())
-        size, reason = len(value), ""
+        record = job.summarize_runs()
+        # Otherwise a successor would take the runs that are not known here for ended.
+        record = record._replace(is_complete=not job.has_unconfirmed_runs)
+        value = encode_record(record)
+        size, reason = len(value), "" if record.is_complete else "unconfirmed"
         if size > MAX_RUNS_BYTES:
             value, reason = encode_record(RunsRecord(is_complete=False)), "too_large"
-        elif job.has_unconfirmed_runs:
-            # A successor would take a worker's other runs for ended.
-            incomplete = job.summarize_runs()._replace(is_complete=False)
-            value, reason = encode_record(incomplete), "unconfirmed"
         self._report_runs(job, reason, size)
         return value
 
@@ -296,12 +298,12 @@
             limit=MAX_RUNS_BYTES,
         )
 
-    def _report_left_out(self, job: Job, part: str, count: int) -> None:
+    def _report_left_out(self, job: Job, part: str, count: int, limit: int) -> None:
         _log.warn(
             "A part of a job's progress is not durable.",
             id=job.identifier,
             left_out=part,
             count=count,
-            limit=self._value_limit,
+            limit=limit,
         )
         count_drop("journal", part, count)
